Lay out the workspace and the shared types

Names, clock, slices, outcomes, framing, platform traits and declarations come first, so that the crates above can be written side by side against them.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `medlardyke` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,1 @@
+//! gate: see docs/DESIGN.md.
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,1 @@
+//! host: see docs/DESIGN.md.
--- /dev/null
+++ b/crates/ids/src/slice.rs
@@ -0,0 +1,61 @@
+//! How a key maps to a slice of its entry.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+const HOT_BIT: u64 = 1 << 63;
+
+/// The hash of a request's key; the key itself is never kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyHash(pub u64);
+
+impl KeyHash {
+    /// Hashes a key (XXH3, 64 bits).
+    #[must_use]
+    pub fn of(key: &[u8]) -> Self {
+        Self(xxh3_64(key))
+    }
+
+    /// Returns the slice of an entry with `count` slices that holds this key,
+    /// unless the key was carved out.
+    ///
+    /// # Panics
+    ///
+    /// Panics in debug builds if `count` is zero.
+    #[must_use]
+    pub fn slice(self, count: u32) -> SliceNo {
+        debug_assert!(count > 0, "an entry has at least one slice");
+        let wide = u128::from(self.0) * u128::from(count);
+        SliceNo((wide >> 64) as u64)
+    }
+
+    /// Returns the slice that holds this key alone once it is carved out.
+    #[must_use]
+    pub const fn hot_slice(self) -> SliceNo {
+        SliceNo(self.0 | HOT_BIT)
+    }
+}
+
+/// A slice of an entry: a range of key hashes, or one hot key carved out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SliceNo(pub u64);
+
+impl SliceNo {
+    /// Tells whether the slice is one hot key carved out.
+    #[must_use]
+    pub const fn is_hot(self) -> bool {
+        self.0 & HOT_BIT != 0
+    }
+}
+
+impl fmt::Display for SliceNo {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.is_hot() {
+            return write!(f, "hot-{:016x}", self.0 & !HOT_BIT);
+        }
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! measure: see docs/DESIGN.md.
--- /dev/null
+++ b/crates/operate/src/lib.rs
@@ -0,0 +1,1 @@
+//! operate: see docs/DESIGN.md.
--- /dev/null
+++ b/crates/own/src/lib.rs
@@ -0,0 +1,1 @@
+//! own: see docs/DESIGN.md.
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,1 @@
+//! place: see docs/DESIGN.md.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,16 @@
+//! The platform's table service, object store and host list, as this system sees them.
+//!
+//! - [`table`]: rows, transactions and the [`Table`] trait.
+//! - [`objects`]: the [`Objects`] trait.
+//! - [`hosts`]: the lagging list of hosts and the [`Hosts`] trait.
+//! - [`error`]: what may go wrong, told apart by what is known of the effect.
+
+pub mod error;
+pub mod hosts;
+pub mod objects;
+pub mod table;
+
+pub use error::PlatformError;
+pub use hosts::{HostState, Hosts, ListedHost};
+pub use objects::Objects;
+pub use table::{Changes, Check, Commit, Row, RowKey, Table, Txn, Write};
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! route: see docs/DESIGN.md.
--- /dev/null
+++ b/crates/spread/src/lib.rs
@@ -0,0 +1,1 @@
+//! spread: see docs/DESIGN.md.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! standin: see docs/DESIGN.md.
--- /dev/null
+++ b/crates/wire/src/control.rs
@@ -0,0 +1,1 @@
+//! Heartbeats and the spreading of table rows between hosts.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages between the system's own processes, and their framing.
+//!
+//! - [`frame`]: a length-delimited codec for any message of this crate.
+//! - [`dispatch`]: requests handed from an entry host to the coordinating host.
+//! - [`control`]: heartbeats and the spreading of table rows.
+//! - [`own`]: ownership messages between hosts, and what ownership rows hold.
+//!
+//! Messages use `prost` by derive, so that the build needs no generator.
+
+pub mod control;
+pub mod dispatch;
+pub mod frame;
+pub mod own;
+
+pub use frame::{FrameCodec, FrameError, MAX_FRAME_BYTES};
--- /dev/null
+++ b/crates/wire/src/own.rs
@@ -0,0 +1,1 @@
+//! Ownership messages between hosts, and what ownership rows hold.
