--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,12 +4,14 @@
 //! - [`dispatch`]: requests handed from an entry host to the coordinating host.
 //! - [`control`]: heartbeats and the spreading of table rows.
 //! - [`own`]: ownership messages between hosts, and what ownership rows hold.
+//! - [`grant`]: grants to upstreams, and their health, as JSON over HTTP.
 //!
-//! Messages use `prost` by derive, so that the build needs no generator.
+//! Messages between own processes use `prost` by derive, so that the build needs no generator.
 
 pub mod control;
 pub mod dispatch;
 pub mod frame;
+pub mod grant;
 pub mod own;
 
 pub use frame::{FrameCodec, FrameError, MAX_FRAME_BYTES};
