platform: table and object store semantics in memory

Fake and stand-in server both need the table's semantics; MemoryTable gives them once, free of I/O, so that property tests of other crates can drive it directly.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,13 +4,16 @@
 //! - [`objects`]: the [`Objects`] trait.
 //! - [`hosts`]: the lagging list of hosts and the [`Hosts`] trait.
 //! - [`error`]: what may go wrong, told apart by what is known of the effect.
+//! - [`memory`]: the semantics of table and object store, in memory and free of I/O.
 
 pub mod error;
 pub mod hosts;
+pub mod memory;
 pub mod objects;
 pub mod table;
 
 pub use error::PlatformError;
 pub use hosts::{HostState, Hosts, ListedHost};
+pub use memory::{MemoryObjects, MemoryTable};
 pub use objects::Objects;
 pub use table::{Changes, Check, Commit, Row, RowKey, Table, Txn, Write};
--- /dev/null
+++ b/crates/platform/src/memory/table.rs
@@ -0,0 +1,168 @@
+//! Rows, transactions and changes by revision.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use ids::Revision;
+use smol_str::SmolStr;
+
+use crate::{Changes, Check, Commit, Row, RowKey, Txn, Write};
+
+/// How much one page of changes may hold; a page always ends with a whole transaction
+/// and holds one at least.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PageLimits {
+    /// Rows.
+    pub rows: usize,
+    /// Bytes of keys and values.
+    pub bytes: usize,
+}
+
+impl Default for PageLimits {
+    fn default() -> Self {
+        Self {
+            rows: 2_000,
+            bytes: 1 << 20,
+        }
+    }
+}
+
+/// A part of the changes after some revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The changed rows of this page.
+    pub changes: Changes,
+    /// Revision after which the next page starts, if there is more.
+    pub next: Option<Revision>,
+}
+
+/// A transactional table in memory.
+///
+/// - A transaction takes effect wholly or not at all. The revision rises by one for each
+///   transaction that changes a row, and each row that it changes gets that revision.
+/// - A write of the value that a row already has counts as a change.
+/// - Deleting a row that doesn't exist changes nothing.
+/// - If a transaction writes a key twice, the last write counts.
+/// - A deleted row stays on record, so that readers learn of the deletion at any time.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryTable {
+    pub(super) rows: BTreeMap<RowKey, Row>,
+    pub(super) by_revision: BTreeSet<(Revision, RowKey)>,
+    pub(super) revision: Revision,
+}
+
+impl MemoryTable {
+    /// Builds an empty table at revision zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the revision of the last transaction that changed a row.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the row called `key`, unless it doesn't exist or was deleted.
+    #[must_use]
+    pub fn row(&self, key: &RowKey) -> Option<&Row> {
+        self.rows.get(key).filter(|r| r.value.is_some())
+    }
+
+    /// Returns the rows below `prefix` that exist, by their keys.
+    pub fn rows<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Row> {
+        self.rows
+            .range(RowKey(SmolStr::new(prefix))..)
+            .map(|(_, r)| r)
+            .take_while(move |r| r.key.0.starts_with(prefix))
+            .filter(|r| r.value.is_some())
+    }
+
+    /// Returns all rows below `prefix` that changed after `since`.
+    #[must_use]
+    pub fn changes(&self, prefix: &str, since: Revision) -> Changes {
+        Changes {
+            revision: self.revision,
+            rows: self.changed_rows(prefix, since).cloned().collect(),
+        }
+    }
+
+    /// Returns the first rows below `prefix` that changed after `since`.
+    #[must_use]
+    pub fn page(&self, prefix: &str, since: Revision, limits: PageLimits) -> Page {
+        let mut page = Page {
+            changes: Changes {
+                revision: self.revision,
+                rows: Vec::new(),
+            },
+            next: None,
+        };
+        let rows = &mut page.changes.rows;
+        let mut bytes = 0;
+        for row in self.changed_rows(prefix, since) {
+            let full = rows.len() >= limits.rows || bytes >= limits.bytes;
+            let last = rows.last().map(|r: &Row| r.revision);
+            // A cursor is a revision, so rows of one revision must not be split.
+            if full && last.is_some_and(|r| r < row.revision) {
+                page.next = last;
+                break;
+            }
+            bytes += row.key.0.len() + row.value.as_ref().map_or(0, Bytes::len);
+            rows.push(row.clone());
+        }
+        page
+    }
+
+    /// Commits `txn` if all its checks hold.
+    pub fn commit(&mut self, txn: &Txn) -> Commit {
+        if txn.checks.iter().all(|c| self.holds(c)) {
+            return Commit::Done(self.apply(&txn.writes));
+        }
+        Commit::Conflict(self.checked_rows(&txn.checks))
+    }
+
+    fn changed_rows(&self, prefix: &str, since: Revision) -> impl Iterator<Item = &Row> {
+        let first = (since.next(), RowKey(SmolStr::default()));
+        self.by_revision
+            .range(first..)
+            .filter(move |(_, key)| key.0.starts_with(prefix))
+            .filter_map(|(_, key)| self.rows.get(key))
+    }
+
+    fn holds(&self, check: &Check) -> bool {
+        self.row(&check.key).map(|r| r.revision) == check.revision
+    }
+
+    fn checked_rows(&self, checks: &[Check]) -> Vec<Row> {
+        let keys: BTreeSet<&RowKey> = checks.iter().map(|c| &c.key).collect();
+        let rows = keys.into_iter().filter_map(|k| self.row(k));
+        rows.cloned().collect()
+    }
+
+    fn apply(&mut self, writes: &[Write]) -> Revision {
+        let last: BTreeMap<&RowKey, &Write> = writes.iter().map(|w| (&w.key, w)).collect();
+        let revision = self.revision.next();
+        for write in last.into_values() {
+            if write.value.is_none() && self.row(&write.key).is_none() {
+                continue;
+            }
+            self.put(write, revision);
+        }
+        self.revision
+    }
+
+    fn put(&mut self, write: &Write, revision: Revision) {
+        let key = &write.key;
+        let row = Row {
+            key: key.clone(),
+            revision,
+            value: write.value.clone(),
+        };
+        if let Some(old) = self.rows.insert(key.clone(), row) {
+            self.by_revision.remove(&(old.revision, key.clone()));
+        }
+        self.by_revision.insert((revision, key.clone()));
+        self.revision = revision;
+    }
+}
