--- /dev/null
+++ b/crates/place/src/sketch.rs
@@ -0,0 +1,138 @@
+//! A bounded sketch of the keys with the most work.
+//!
+//! Weighted frequent items after Misra and Gries, with the compaction done in batches: the sketch
+//! holds up to twice its capacity, and when full it subtracts the median from all counters and
+//! drops those that fall to zero. The cost per sample is constant on average, and no key's work is
+//! underestimated by more than the total work divided by the capacity.
+
+use std::time::Duration;
+
+use ids::{KeyHash, SliceNo, Timestamp};
+use indexmap::IndexMap;
+
+use crate::decay::Decay;
+use crate::loads::Sample;
+
+/// Settings of a [`Sketch`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SketchSettings {
+    /// Number of keys that are surely kept, if they are the heaviest.
+    pub capacity: usize,
+    /// Time in which old work fades by the factor 1/e.
+    pub span: Duration,
+}
+
+impl Default for SketchSettings {
+    fn default() -> Self {
+        Self {
+            capacity: 256,
+            span: Duration::from_secs(8),
+        }
+    }
+}
+
+/// A key that the sketch found, and its work.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct HotKey {
+    /// Hash of the key.
+    pub key: KeyHash,
+    /// Slice that the key was last dispatched under.
+    pub slice: SliceNo,
+    /// Work, in busy slots; never more than the true one.
+    pub load: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Counter {
+    slice: SliceNo,
+    sum: f64,
+}
+
+/// Finds the keys with the most work among the samples of one entry.
+#[derive(Debug, Clone)]
+pub struct Sketch {
+    capacity: usize,
+    decay: Decay,
+    counters: IndexMap<KeyHash, Counter>,
+    sums: Vec<f64>,
+}
+
+impl Sketch {
+    /// Creates an empty sketch.
+    #[must_use]
+    pub fn new(cfg: SketchSettings) -> Self {
+        debug_assert!(cfg.capacity > 0, "a sketch keeps at least one key");
+        Self {
+            capacity: cfg.capacity,
+            decay: Decay::new(cfg.span),
+            counters: IndexMap::with_capacity(2 * cfg.capacity),
+            sums: Vec::with_capacity(2 * cfg.capacity),
+        }
+    }
+
+    /// Takes the work of one request.
+    pub fn record(&mut self, now: Timestamp, sample: Sample) {
+        self.rebase(now);
+        let sum = f64::from(sample.work_us) / 1e6 * self.decay.weight(now);
+        let counter = self.counters.entry(sample.key).or_insert(Counter {
+            slice: sample.slice,
+            sum: 0.0,
+        });
+        counter.slice = sample.slice;
+        counter.sum += sum;
+        if self.counters.len() >= 2 * self.capacity {
+            self.compact();
+        }
+    }
+
+    /// Writes the keys with at least `min_load` busy slots to `out`, heaviest first.
+    pub fn hot_keys(&self, now: Timestamp, min_load: f64, out: &mut Vec<HotKey>) {
+        out.clear();
+        let min_sum = self.decay.sum(now, min_load);
+        for (key, counter) in &self.counters {
+            if counter.sum < min_sum {
+                continue;
+            }
+            out.push(HotKey {
+                key: *key,
+                slice: counter.slice,
+                load: self.decay.rate(now, counter.sum),
+            });
+        }
+        out.sort_by(|a, b| b.load.total_cmp(&a.load).then(a.key.cmp(&b.key)));
+    }
+
+    /// Returns how many keys are held at the moment.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.counters.len()
+    }
+
+    /// Tells whether no key is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.counters.is_empty()
+    }
+
+    fn compact(&mut self) {
+        self.sums.clear();
+        self.sums.extend(self.counters.values().map(|c| c.sum));
+        let (_, cut, _) = self
+            .sums
+            .select_nth_unstable_by(self.capacity - 1, f64::total_cmp);
+        let cut = *cut;
+        self.counters.retain(|_, c| {
+            c.sum -= cut;
+            c.sum > 0.0
+        });
+    }
+
+    fn rebase(&mut self, now: Timestamp) {
+        let Some(factor) = self.decay.rebase(now) else {
+            return;
+        };
+        for counter in self.counters.values_mut() {
+            counter.sum *= factor;
+        }
+    }
+}
