--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,38 @@
-//! route: see docs/DESIGN.md.
+//! Decisions about requests: where they go, whether they are let in, when they are sent, and
+//! what follows from a try that failed.
+//!
+//! Nothing here does I/O, reads a clock or draws unseeded random numbers. An entry host uses, in
+//! the order in which a request meets them:
+//!
+//! - [`ownership`]: who owns what, as the replica of the table knows it; input of the next.
+//! - [`router`]: the compiled snapshot from path and key to upstream and host.
+//! - [`deadline`]: the deadline header.
+//! - [`admit`]: rate and concurrency limits of entries at one entry host.
+//! - [`pick`]: choice of an upstream for entries that are not divided by key.
+//! - [`budget`] and [`attempt`]: whether and when a request is tried again.
+//!
+//! The coordinating host of an upstream uses:
+//!
+//! - [`dispatch`]: queue, slots, lease check, in-flight set and repeats of each upstream.
+//!
+//! [`key`] holds the small keys that all of them share.
+
+pub mod admit;
+pub mod attempt;
+pub mod budget;
+pub mod deadline;
+pub mod dispatch;
+pub mod key;
+pub mod ownership;
+pub mod pick;
+pub mod router;
+
+pub use admit::{Admission, Admitted, Rejected};
+pub use attempt::{Attempt, AttemptSettings, Next, Ready, Try, UnderWay, Verdict};
+pub use budget::{BudgetSettings, RetryBudget};
+pub use deadline::DeadlineSettings;
+pub use dispatch::{Action, Arrival, Dispatcher, DispatcherSettings, Ended, Event, UpstreamLimits};
+pub use key::{CallKey, EntryKey, HostKey, UpstreamKey};
+pub use ownership::{Owned, Ownership, OwnershipChange};
+pub use pick::{Picker, PickerSettings};
+pub use router::{EntryRoute, Located, Router, Target, UpstreamRoute};
