--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -121,6 +121,10 @@
 
 /// What an entry host sends on a dispatch connection.
 #[derive(Clone, PartialEq, Eq, prost::Oneof)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "nearly all messages are requests, which would pay for the box"
+)]
 pub enum Ask {
     /// A request.
     #[prost(message, tag = "1")]
