platform: HTTP client, protocol and fake

HttpPlatform speaks a small JSON protocol over kept HTTP/1.1 connections and tells apart calls that surely had no effect from those whose confirmation was lost. FakePlatform runs on MemoryTable with scripted faults.

--- /dev/null
+++ b/crates/platform/src/client/pool.rs
@@ -0,0 +1,94 @@
+//! Connections kept between calls.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// An open connection; dropping it closes it.
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Connection {
+    async fn open(peer: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(peer).await?;
+        stream.set_nodelay(true)?;
+        let io = TokioIo::new(stream);
+        let (sender, conn) = handshake(io).await.map_err(io::Error::other)?;
+        let task = tokio::spawn(async move {
+            // The caller learns of a failure from its exchange.
+            drop(conn.await);
+        });
+        let task = task.abort_handle();
+        Ok(Self { sender, task })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+/// Connections at rest, the one used last on top.
+#[derive(Debug)]
+pub(super) struct Pool {
+    peer: SocketAddr,
+    kept: usize,
+    idle: Mutex<Vec<Idle>>,
+}
+
+impl Pool {
+    pub(super) const fn new(peer: SocketAddr, kept: usize) -> Self {
+        Self {
+            peer,
+            kept,
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Opens a new connection.
+    pub(super) async fn open(&self) -> io::Result<Connection> {
+        Connection::open(self.peer).await
+    }
+
+    /// Returns an open connection that rested for at most `longest`.
+    pub(super) fn take(&self, longest: Duration) -> Option<Connection> {
+        let mut idle = self.lock();
+        idle.retain(|i| !i.connection.sender.is_closed());
+        let last = idle.pop_if(|i| i.since.elapsed() <= longest)?;
+        Some(last.connection)
+    }
+
+    /// Keeps a connection whose last answer was read whole.
+    pub(super) fn keep(&self, connection: Connection, longest: Duration) {
+        let mut idle = self.lock();
+        idle.retain(|i| i.since.elapsed() <= longest);
+        if idle.len() >= self.kept || connection.sender.is_closed() {
+            return;
+        }
+        let since = Instant::now();
+        idle.push(Idle { connection, since });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -4,11 +4,14 @@
 use std::net::SocketAddr;
 
 use ids::{DomainId, HostId};
+use serde::{Deserialize, Serialize};
 
 use crate::PlatformError;
 
 /// What the platform last heard of a host; it may be out of date either way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum HostState {
     /// Up.
     Live,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,14 +5,22 @@
 //! - [`hosts`]: the lagging list of hosts and the [`Hosts`] trait.
 //! - [`error`]: what may go wrong, told apart by what is known of the effect.
 //! - [`memory`]: the semantics of table and object store, in memory and free of I/O.
+//! - [`fake`]: a platform in memory with scripted faults, for tests.
+//! - [`protocol`]: the HTTP protocol.
+//! - [`client`]: the platform over HTTP.
 
+pub mod client;
 pub mod error;
+pub mod fake;
 pub mod hosts;
 pub mod memory;
 pub mod objects;
+pub mod protocol;
 pub mod table;
 
+pub use client::{HttpPlatform, HttpSettings, Token};
 pub use error::PlatformError;
+pub use fake::FakePlatform;
 pub use hosts::{HostState, Hosts, ListedHost};
 pub use memory::{MemoryObjects, MemoryTable};
 pub use objects::Objects;
