--- a/crates/own/src/lib.rs
+++ b/crates/own/src/lib.rs
@@ -1,1 +1,25 @@
-//! own: see docs/DESIGN.md.
+//! Ownership: which upstream owns a slice, and which host may grant and send.
+//!
+//! [`Machine`] is one host's part. It takes `(now, event)` and pushes actions; it does no I/O and
+//! reads no clock. docs/OWNERSHIP.md gives the protocol and the argument for its safety.
+//!
+//! - [`settings`]: times and bounds, and what must hold between them.
+//! - [`host`]: one run of a host, and where to reach it.
+//! - [`row`]: what the table's ownership rows hold.
+//! - [`event`]: what a machine is told.
+//! - [`action`]: what a machine wants done.
+//! - [`machine`]: the machine itself.
+
+pub mod action;
+pub mod event;
+pub mod host;
+pub mod machine;
+pub mod row;
+pub mod settings;
+
+pub use action::{Action, Lease, Stop};
+pub use event::{CommitOutcome, Event};
+pub use host::HostRef;
+pub use machine::Machine;
+pub use row::{Assigned, Carved, EntryRow, OwnChange, OwnRow, RowError, Writer};
+pub use settings::{OwnSettings, SettingsError};
