Plan moves by gain against churn, per coordinating host

The planner sheds slices of upstreams that stay above a trigger, carves hot keys out, fills arriving upstreams, empties leaving ones and folds cooled keys back, within a budget.

--- a/crates/place/src/loads.rs
+++ b/crates/place/src/loads.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use ids::{Arena, ArenaKey, KeyHash, SliceNo, Timestamp, UpstreamId};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::decay::Decay;
 use crate::orphans::Candidate;
 use crate::reports::Reports;
+use crate::sketch::{HotKey, Sketch, SketchSettings};
 
 ids::arena_key! {
     /// Names an upstream within one [`Loads`].
@@ -28,6 +29,8 @@
     pub span: Duration,
     /// Time after which a move to an upstream of another host is taken to show in its summary.
     pub summary_lag: Duration,
+    /// Settings of the sketch that finds hot keys.
+    pub sketch: SketchSettings,
 }
 
 impl Default for LoadsSettings {
@@ -35,6 +38,7 @@
         Self {
             span: Duration::from_secs(8),
             summary_lag: Duration::from_secs(2),
+            sketch: SketchSettings::default(),
         }
     }
 }
@@ -130,6 +134,9 @@
     cfg: LoadsSettings,
     decay: Decay,
     slices: IndexMap<SliceNo, SliceLoad>,
+    /// Those of the slices that are one hot key each.
+    hot: IndexSet<SliceNo>,
+    sketch: Sketch,
     upstreams: Arena<UpstreamKey, UpstreamLoad>,
     names: IndexMap<UpstreamId, UpstreamKey>,
 }
@@ -142,6 +149,8 @@
             cfg,
             decay: Decay::new(cfg.span),
             slices: IndexMap::new(),
+            hot: IndexSet::new(),
+            sketch: Sketch::new(cfg.sketch),
             upstreams: Arena::new(),
             names: IndexMap::new(),
         }
@@ -204,6 +213,17 @@
         self.slices.len()
     }
 
+    /// Returns the slices held here that are one hot key each.
+    pub fn hot_slices(&self) -> impl Iterator<Item = SliceNo> {
+        self.hot.iter().copied()
+    }
+
+    /// Writes the keys with at least `min_load` busy slots that are not carved out to `out`,
+    /// heaviest first.
+    pub fn hot_keys(&self, now: Timestamp, min_load: f64, out: &mut Vec<HotKey>) {
+        self.sketch.hot_keys(now, min_load, out);
+    }
+
     /// Returns the local owner of a slice, if it has one.
     #[must_use]
     pub fn owner(&self, slice: SliceNo) -> Option<UpstreamKey> {
@@ -233,6 +253,9 @@
         let position = upstream.slices.len() as u32;
         upstream.slices.push(slice);
         upstream.sum += sum;
+        if slice.is_hot() {
+            self.hot.insert(slice);
+        }
         let owner = to;
         self.slices.insert(
             slice,
@@ -265,6 +288,7 @@
             let upstream = &mut self.upstreams[slice.owner];
             upstream.sum = (upstream.sum - moved).max(0.0);
         }
+        self.sketch.forget(key);
         self.assign(now, key.hot_slice(), to, load);
     }
 
@@ -280,6 +304,9 @@
         let upstream = &mut self.upstreams[slice.owner];
         upstream.sum += sum;
         upstream.requests += weight;
+        if !sample.slice.is_hot() {
+            self.sketch.record(now, sample);
+        }
     }
 
     /// Takes the load of another host's upstream, as that host summed it up.
@@ -409,6 +436,10 @@
                 faults.push(format!("upstream {name}: sum {} not {sum}", upstream.sum));
             }
         }
+        let hot = self.slices.keys().filter(|s| s.is_hot()).count();
+        if hot != self.hot.len() || self.hot.iter().any(|s| !self.slices.contains_key(s)) {
+            faults.push(format!("{} hot slices listed, {hot} held", self.hot.len()));
+        }
         let listed: usize = self.upstreams.iter().map(|(_, u)| u.slices.len()).sum();
         if listed != self.slices.len() {
             faults.push(format!(
@@ -446,6 +477,7 @@
 
     fn take(&mut self, slice: SliceNo) -> Option<f64> {
         let load = self.slices.swap_remove(&slice)?;
+        self.hot.swap_remove(&slice);
         let owner = &mut self.upstreams[load.owner];
         owner.sum = (owner.sum - load.sum).max(0.0);
         let position = load.position as usize;
--- a/crates/place/src/plan/cost.rs
+++ b/crates/place/src/plan/cost.rs
@@ -1,27 +1,53 @@
 //! What a move gains and what it costs.
 //!
-//! The *ratio* of an upstream is its load by its share, minus one. The cost of imbalance is the
-//! sum of the squared ratios, the cost of churn is the part of an upstream's keys that change
-//! owner. A move is worth it if the weighted gain exceeds the weighted cost.
+//! The cost of imbalance is the sum of the squared ratios, the cost of churn is the part of an
+//! upstream's keys that change owner. A move is worth it if the weighted gain exceeds the
+//! weighted cost.
 
 use catalogue::Objective;
 
-/// Churn that pays for itself by lowering a ratio by the same amount, at equal weights.
+use super::settings::churn_weight;
+
+/// Fall of the ratio that pays for moving a slice of average load, at equal weights.
 const EXCHANGE_RATE: f64 = 0.08;
 
 /// Cost of one move apart from its keys: a row written, a slice held up for a moment.
 const FIXED_COST: f64 = 0.004;
 
-/// Returns how much the cost of imbalance falls if a load of `size` (in shares) leaves an upstream
-/// at ratio `from` for one at ratio `to`.
+/// Part of its size by which a moved slice must lower the higher of the two ratios, lest a hot key
+/// wanders from one upstream to the next.
+const MIN_IMPROVEMENT: f64 = 0.25;
+
+/// One end of a move.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct End {
+    /// Ratio before the move.
+    pub ratio: f64,
+    /// Load that moves, by the share of this upstream.
+    pub size: f64,
+}
+
+/// Returns how much the cost of imbalance falls by a move.
+#[must_use]
+pub(crate) fn gain(from: End, to: End) -> f64 {
+    from.size * (2.0 * from.ratio - from.size) - to.size * (2.0 * to.ratio + to.size)
+}
+
+/// Tells whether the move lowers the higher ratio by enough of its size.
 #[must_use]
-pub(crate) fn gain(from: f64, to: f64, size: f64) -> f64 {
-    2.0 * size * (from - to - size)
+pub(crate) fn improves(from: End, to: End) -> bool {
+    let after = to.ratio + to.size;
+    after <= from.ratio - MIN_IMPROVEMENT * from.size
 }
 
-/// Returns what a gain must exceed to pay for moving the part `keys` of an upstream's keys.
+/// Returns what the gain must exceed to pay for moving the part `keys` of an upstream's keys.
 #[must_use]
 pub(crate) fn price(objective: Objective, keys: f64) -> f64 {
-    let weight = objective.churn / objective.imbalance.max(f64::MIN_POSITIVE);
-    2.0 * EXCHANGE_RATE * weight * (keys + FIXED_COST)
+    2.0 * EXCHANGE_RATE * churn_weight(objective) * (keys + FIXED_COST)
+}
+
+/// Returns the load moved for each unit of the price.
+#[must_use]
+pub(crate) fn density(size: f64, keys: f64) -> f64 {
+    size / (keys + FIXED_COST)
 }
--- a/crates/place/src/plan/planner.rs
+++ b/crates/place/src/plan/planner.rs
@@ -1,120 +1,84 @@
-//! The planner.
-
-use std::time::Duration;
+//! When an upstream sheds slices, and which.
 
 use catalogue::Objective;
-use ids::{KeyHash, SliceNo, Timestamp};
+use ids::{ArenaKey, SliceNo, Timestamp};
+use indexmap::IndexMap;
 
-use crate::loads::{Loads, UpstreamKey};
-use crate::sketch::{HotKey, Sketch};
+use super::balance::{Item, PlanContext};
+use super::budget::Budget;
+use super::cost;
+use super::settings::PlannerSettings;
+use super::watch::{Watches, note};
+use super::wish::Wish;
+use crate::loads::{Loads, UpstreamKey, UpstreamState};
 
-/// Settings of a [`Planner`].
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PlannerSettings {
-    /// Ratio of load to share above which an upstream sheds slices, at equal weights.
-    pub trigger: f64,
-    /// Time for which an upstream must be over before it sheds ordinary slices.
-    pub persistence: Duration,
-    /// Part of a share that a key must exceed to be carved out.
-    pub carve_share: f64,
-    /// Time for which a carved-out key must be cool before it is folded back.
-    pub cooling: Duration,
-    /// Most moves in one [`Self::window`], without those off leaving upstreams.
-    pub budget: u32,
-    /// Window of the budget.
-    pub window: Duration,
-    /// Most moves off leaving upstreams in one plan.
-    pub evacuations: u32,
-    /// Time after which a wish that was not carried out may be repeated.
-    pub patience: Duration,
-}
+/// Part of the trigger down to which an upstream sheds once it has started.
+const LOW_WATER: f64 = 0.5;
 
-impl Default for PlannerSettings {
-    fn default() -> Self {
-        Self {
-            trigger: 0.08,
-            persistence: Duration::from_secs(5),
-            carve_share: 0.1,
-            cooling: Duration::from_mins(1),
-            budget: 64,
-            window: Duration::from_secs(10),
-            evacuations: 32,
-            patience: Duration::from_secs(5),
-        }
-    }
-}
+/// Part of its excess over the low water mark that an upstream sheds in one plan.
+const STEP: f64 = 0.5;
+
+/// Standard errors of the observed load that count as nothing.
+const NOISE_ERRORS: f64 = 3.0;
+
+/// Part of the threshold for carving below which a carved-out key is cool.
+const COOL_SHARE: f64 = 0.25;
+
+/// Most slices of one upstream that a plan weighs closely.
+const MAX_ITEMS: usize = 512;
 
 /// What a plan is made from.
 #[derive(Debug, Clone, Copy)]
 pub struct PlanInput<'a> {
-    /// Loads of the entry's slices and upstreams.
+    /// Loads of the entry's slices, upstreams and hot keys.
     pub loads: &'a Loads,
-    /// Heaviest keys of the entry.
-    pub sketch: &'a Sketch,
     /// Weights of imbalance and churn.
     pub objective: Objective,
     /// Number of the entry's slices.
     pub slices: u32,
 }
 
-/// A change of ownership that the planner asks for.
-///
-/// The caller tries it by compare-and-set, and tells [`Loads`] once it is done.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Wish {
-    /// A slice goes from one upstream to another.
-    Move {
-        /// Slice; may be a carved-out key.
-        slice: SliceNo,
-        /// Owner.
-        from: UpstreamKey,
-        /// New owner.
-        to: UpstreamKey,
-        /// Its load, in busy slots, for the new owner's coordinating host.
-        load: f64,
-    },
-    /// A key gets a slice of its own on another upstream.
-    Carve {
-        /// Hash of the key.
-        key: KeyHash,
-        /// Slice that holds it.
-        slice: SliceNo,
-        /// Owner.
-        from: UpstreamKey,
-        /// New owner.
-        to: UpstreamKey,
-        /// Its load, in busy slots, for the new owner's coordinating host.
-        load: f64,
-    },
-    /// A carved-out key goes back to the slice it came from, wherever that is now.
-    Fold {
-        /// The key's own slice.
-        slice: SliceNo,
-        /// Owner.
-        from: UpstreamKey,
-    },
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    wish: Wish,
+    since: Timestamp,
 }
 
-/// Buffers of a plan, kept from one plan to the next.
-#[derive(Debug, Default)]
-pub struct PlanContext {
-    hot: Vec<HotKey>,
+/// Why an upstream sheds slices, and how far.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Shed {
+    /// It is over the trigger: to any upstream, down to this ratio.
+    Over(f64),
+    /// Others are far below their share: only to those, down to this ratio.
+    Fill(f64),
 }
 
 /// Plans for the slices of one host's upstreams of one entry.
 #[derive(Debug)]
 pub struct Planner {
     cfg: PlannerSettings,
+    budget: Budget,
+    watches: Watches,
+    pending: IndexMap<SliceNo, Pending>,
+    cool: IndexMap<SliceNo, Timestamp>,
 }
 
 impl Planner {
     /// Creates a planner.
     #[must_use]
     pub fn new(cfg: PlannerSettings) -> Self {
-        Self { cfg }
+        Self {
+            cfg,
+            budget: Budget::new(cfg.budget, cfg.window),
+            watches: Watches::default(),
+            pending: IndexMap::new(),
+            cool: IndexMap::new(),
+        }
     }
 
     /// Makes a plan and adds its wishes to `out`; to be called about once a second.
+    ///
+    /// The same calls with the same inputs give the same wishes.
     pub fn plan(
         &mut self,
         now: Timestamp,
@@ -122,20 +86,358 @@
         cx: &mut PlanContext,
         out: &mut Vec<Wish>,
     ) {
-        let _ = (now, input, &mut cx.hot, out, self.cfg);
+        let capacity = cx.begin(now, input.loads);
+        if capacity <= 0.0 {
+            return;
+        }
+        self.count_pending(now, input.loads, cx);
+        cx.order(input.loads);
+        self.watch(now, input, cx);
+        self.evacuate(now, input, cx, out);
+        self.shed(now, input, capacity, cx, out);
+        self.fold(now, input, cx, out);
+    }
+
+    /// Takes note that the wish for `slice` (see [`Wish::slice`]) was carried out or has failed.
+    pub fn settle(&mut self, slice: SliceNo) {
+        self.pending.swap_remove(&slice);
     }
 
-    /// Tells whether a local upstream should take a slice of `load` busy slots that another host
-    /// wants to move to it; guards against several hosts filling the same upstream at once.
+    /// Tells whether a local upstream should take what another host wishes to move to it.
+    ///
+    /// Its own coordinating host knows its load best, and sees all moves to it: this check keeps
+    /// several hosts from filling the same upstream at once. The wish's keys must be those of
+    /// this host's [`Loads`].
     #[must_use]
-    pub fn admits(
+    pub fn admits(&self, now: Timestamp, input: &PlanInput<'_>, wish: &Wish) -> bool {
+        let Some(to) = wish.to() else { return true };
+        if input.loads.capacity(to) <= 0.0 {
+            return false;
+        }
+        if input.loads.capacity(wish.from()) <= 0.0 {
+            return true;
+        }
+        let mut cx = PlanContext::default();
+        cx.begin(now, input.loads);
+        let from = cx.standing(wish.from()).end(wish.load());
+        let to = cx.standing(to).end(wish.load());
+        let modest = to.ratio + to.size <= self.cfg.trigger_for(input.objective);
+        modest || cost::improves(from, to)
+    }
+
+    /// Counts wishes on their way as if they were done.
+    fn count_pending(&mut self, now: Timestamp, loads: &Loads, cx: &mut PlanContext) {
+        let patience = self.cfg.patience;
+        self.pending.retain(|slice, pending| {
+            let moved = matches!(pending.wish, Wish::Move { .. })
+                && loads.owner(*slice) != Some(pending.wish.from());
+            !moved && now.since(pending.since) < patience
+        });
+        for pending in self.pending.values() {
+            let wish = &pending.wish;
+            cx.shift(wish.from(), wish.to(), wish.load());
+        }
+    }
+
+    /// Notes for how long upstreams have been above or below their shares, and lists those local
+    /// ones that shed.
+    fn watch(&mut self, now: Timestamp, input: &PlanInput<'_>, cx: &mut PlanContext) {
+        let base = self.cfg.trigger_for(input.objective);
+        for key in input.loads.keys() {
+            let ratio = cx.standing(key).ratio();
+            let state = input.loads.view(key).state;
+            let watch = self.watches.get_mut(key);
+            let eligible = input.loads.capacity(key) > 0.0;
+            note(
+                &mut watch.under,
+                eligible && ratio < -base * self.cfg.pull,
+                now,
+            );
+            if let (UpstreamState::Arriving { .. }, Some(since)) = (state, &mut watch.under) {
+                *since = (*since).min(now - self.cfg.pull_persistence);
+            }
+            if !input.loads.view(key).local || !eligible {
+                continue;
+            }
+            let trigger = base.max(noise(now, input.loads, key));
+            note(&mut watch.over, ratio > trigger, now);
+            let lasting = watch
+                .over
+                .is_some_and(|since| now.since(since) >= self.cfg.persistence);
+            watch.shedding = lasting || (watch.shedding && ratio > trigger * LOW_WATER);
+            if ratio > 0.0 {
+                cx.sources.push(key);
+            }
+        }
+        let standings = &cx.standings;
+        cx.sources.sort_by(|a, b| {
+            let ratio = |key: &UpstreamKey| standings[key.index()].ratio();
+            ratio(b)
+                .total_cmp(&ratio(a))
+                .then_with(|| input.loads.tag(*a).cmp(&input.loads.tag(*b)))
+        });
+    }
+
+    /// Moves slices off leaving upstreams, whatever it costs.
+    fn evacuate(
+        &mut self,
+        now: Timestamp,
+        input: &PlanInput<'_>,
+        cx: &mut PlanContext,
+        out: &mut Vec<Wish>,
+    ) {
+        let loads = input.loads;
+        let mut left = self.cfg.evacuations;
+        for from in loads.keys() {
+            let view = loads.view(from);
+            if !view.local || view.state != UpstreamState::Leaving {
+                continue;
+            }
+            for slice in loads.slices(from) {
+                if left == 0 {
+                    return;
+                }
+                if self.pending.contains_key(slice) {
+                    continue;
+                }
+                let Some(to) = cx.choose(loads, *slice, from) else {
+                    return;
+                };
+                let load = loads.slice_load(now, *slice);
+                cx.transfer(from, to, load);
+                left -= 1;
+                let slice = *slice;
+                self.wish(
+                    now,
+                    Wish::Move {
+                        slice,
+                        from,
+                        to,
+                        load,
+                    },
+                    out,
+                );
+            }
+        }
+    }
+
+    /// Moves slices off upstreams that are above their share, as far as it pays.
+    fn shed(
+        &mut self,
+        now: Timestamp,
+        input: &PlanInput<'_>,
+        capacity: f64,
+        cx: &mut PlanContext,
+        out: &mut Vec<Wish>,
+    ) {
+        let sources = std::mem::take(&mut cx.sources);
+        for from in sources.iter().copied() {
+            let Some(shed) = self.reason(now, input, cx, from) else {
+                continue;
+            };
+            self.collect(now, input, capacity, cx, from);
+            let items = std::mem::take(&mut cx.items);
+            self.shed_items(now, input, cx, from, shed, &items, out);
+            cx.items = items;
+        }
+        cx.sources = sources;
+    }
+
+    /// Tells why `from` should shed slices, if it should.
+    fn reason(
+        &mut self,
+        now: Timestamp,
+        input: &PlanInput<'_>,
+        cx: &PlanContext,
+        from: UpstreamKey,
+    ) -> Option<Shed> {
+        let trigger = self
+            .cfg
+            .trigger_for(input.objective)
+            .max(noise(now, input.loads, from));
+        let low = trigger * LOW_WATER;
+        let ratio = cx.standing(from).ratio();
+        if self.watches.get_mut(from).shedding && ratio > low {
+            return Some(Shed::Over(low));
+        }
+        let emptiest = *cx.light.first()?;
+        let under = self.watches.get_mut(emptiest).under?;
+        let lasting = now.since(under) >= self.cfg.pull_persistence;
+        let rest = noise(now, input.loads, from) / NOISE_ERRORS;
+        (lasting && ratio > rest).then_some(Shed::Fill(rest))
+    }
+
+    /// Lists what could be moved off `from`, that with the most load for its price first.
+    fn collect(
         &self,
         now: Timestamp,
         input: &PlanInput<'_>,
-        to: UpstreamKey,
-        load: f64,
-    ) -> bool {
-        let _ = (now, load, self.cfg);
-        input.loads.capacity(to) > 0.0
+        capacity: f64,
+        cx: &mut PlanContext,
+        from: UpstreamKey,
+    ) {
+        let loads = input.loads;
+        let standing = cx.standing(from);
+        let slice_keys = capacity / standing.capacity / f64::from(input.slices.max(1));
+        cx.items.clear();
+        loads.hot_keys(now, self.cfg.carve_share * standing.share, &mut cx.hot);
+        cx.hot
+            .retain(|hot| !hot.slice.is_hot() && loads.owner(hot.slice) == Some(from));
+        for hot in &cx.hot {
+            let size = hot.load / standing.share;
+            cx.items.push(Item {
+                slice: hot.key.hot_slice(),
+                load: hot.load,
+                keys: 0.0,
+                density: cost::density(size, 0.0),
+                carve: Some(*hot),
+            });
+        }
+        let Some(emptiest) = cx.light.first() else {
+            return;
+        };
+        let reach = standing.ratio() - cx.standing(*emptiest).ratio();
+        for slice in loads.slices(from).iter().copied() {
+            let keys = if slice.is_hot() { 0.0 } else { slice_keys };
+            let carved: f64 = cx
+                .hot
+                .iter()
+                .filter(|hot| hot.slice == slice)
+                .map(|hot| hot.load)
+                .sum();
+            let load = loads.slice_load(now, slice) - carved;
+            let size = load / standing.share;
+            if 2.0 * size * reach < cost::price(input.objective, keys) {
+                continue;
+            }
+            cx.items.push(Item {
+                slice,
+                load,
+                keys,
+                density: cost::density(size, keys),
+                carve: None,
+            });
+        }
+        let by_density =
+            |a: &Item, b: &Item| b.density.total_cmp(&a.density).then(a.slice.cmp(&b.slice));
+        if cx.items.len() > MAX_ITEMS {
+            cx.items.select_nth_unstable_by(MAX_ITEMS, by_density);
+            cx.items.truncate(MAX_ITEMS);
+        }
+        cx.items.sort_unstable_by(by_density);
     }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one step of a plan, with all that it changes"
+    )]
+    fn shed_items(
+        &mut self,
+        now: Timestamp,
+        input: &PlanInput<'_>,
+        cx: &mut PlanContext,
+        from: UpstreamKey,
+        shed: Shed,
+        items: &[Item],
+        out: &mut Vec<Wish>,
+    ) {
+        let (Shed::Over(low) | Shed::Fill(low)) = shed;
+        let start = cx.standing(from).ratio();
+        let stop = start - (start - low) * STEP;
+        for item in items {
+            if cx.standing(from).ratio() <= stop.max(low) {
+                return;
+            }
+            if self.pending.contains_key(&item.slice) {
+                continue;
+            }
+            let Some(to) = self.target(input, cx, from, shed, item) else {
+                continue;
+            };
+            if !self.budget.spend(now) {
+                return;
+            }
+            cx.transfer(from, to, item.load);
+            self.wish(now, wish_for(item, from, to), out);
+        }
+    }
+
+    /// Returns where `item` should go, if a move pays.
+    fn target(
+        &mut self,
+        input: &PlanInput<'_>,
+        cx: &PlanContext,
+        from: UpstreamKey,
+        shed: Shed,
+        item: &Item,
+    ) -> Option<UpstreamKey> {
+        let to = cx.choose(input.loads, item.slice, from)?;
+        if matches!(shed, Shed::Fill(_)) {
+            self.watches.get_mut(to).under?;
+        }
+        let source = cx.standing(from).end(item.load);
+        let target = cx.standing(to).end(item.load);
+        let pays = cost::gain(source, target) > cost::price(input.objective, item.keys);
+        (pays && cost::improves(source, target)).then_some(to)
+    }
+
+    /// Folds back keys that have been cool for long enough.
+    fn fold(
+        &mut self,
+        now: Timestamp,
+        input: &PlanInput<'_>,
+        cx: &PlanContext,
+        out: &mut Vec<Wish>,
+    ) {
+        let loads = input.loads;
+        self.cool.retain(|slice, _| loads.owner(*slice).is_some());
+        for slice in loads.hot_slices() {
+            let Some(from) = loads.owner(slice) else {
+                continue;
+            };
+            let limit = COOL_SHARE * self.cfg.carve_share * cx.standing(from).share;
+            if loads.slice_load(now, slice) >= limit {
+                self.cool.swap_remove(&slice);
+                continue;
+            }
+            let since = *self.cool.entry(slice).or_insert(now);
+            let cool = now.since(since) >= self.cfg.cooling;
+            if !cool || self.pending.contains_key(&slice) || !self.budget.spend(now) {
+                continue;
+            }
+            self.wish(now, Wish::Fold { slice, from }, out);
+        }
+    }
+
+    fn wish(&mut self, now: Timestamp, wish: Wish, out: &mut Vec<Wish>) {
+        let since = now;
+        self.pending.insert(wish.slice(), Pending { wish, since });
+        out.push(wish);
+    }
+}
+
+fn wish_for(item: &Item, from: UpstreamKey, to: UpstreamKey) -> Wish {
+    match item.carve {
+        Some(hot) => Wish::Carve {
+            key: hot.key,
+            slice: hot.slice,
+            from,
+            to,
+            load: item.load,
+        },
+        None => Wish::Move {
+            slice: item.slice,
+            from,
+            to,
+            load: item.load,
+        },
+    }
+}
+
+/// Returns the ratio that chance alone may well show for `key`.
+///
+/// With exponentially distributed work, the relative standard error of a decayed rate is one by
+/// the root of the decayed number of requests.
+fn noise(now: Timestamp, loads: &Loads, key: UpstreamKey) -> f64 {
+    NOISE_ERRORS / loads.requests(now, key).max(1.0).sqrt()
 }
--- /dev/null
+++ b/crates/place/src/plan/watch.rs
@@ -0,0 +1,38 @@
+//! For how long each upstream has been above or below its share.
+
+use ids::{ArenaKey, Timestamp};
+
+use crate::loads::UpstreamKey;
+
+/// Since when conditions hold for one upstream.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Watch {
+    /// Since when it has been above the trigger.
+    pub over: Option<Timestamp>,
+    /// Since when it has been so far below its share that it should be filled.
+    pub under: Option<Timestamp>,
+    /// Whether it sheds slices until it is well below the trigger.
+    pub shedding: bool,
+}
+
+/// The watches of all upstreams.
+#[derive(Debug, Default)]
+pub(crate) struct Watches(Vec<Watch>);
+
+impl Watches {
+    pub(crate) fn get_mut(&mut self, key: UpstreamKey) -> &mut Watch {
+        if self.0.len() <= key.index() {
+            self.0.resize(key.index() + 1, Watch::default());
+        }
+        &mut self.0[key.index()]
+    }
+}
+
+/// Starts or stops the time in `since` as `holds` says.
+pub(crate) fn note(since: &mut Option<Timestamp>, holds: bool, now: Timestamp) {
+    if !holds {
+        *since = None;
+        return;
+    }
+    since.get_or_insert(now);
+}
--- a/crates/place/src/sketch.rs
+++ b/crates/place/src/sketch.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Drops a key, as it has a slice of its own now.
+    pub fn forget(&mut self, key: KeyHash) {
+        self.counters.swap_remove(&key);
+    }
+
     /// Writes the keys with at least `min_load` busy slots to `out`, heaviest first.
     pub fn hot_keys(&self, now: Timestamp, min_load: f64, out: &mut Vec<HotKey>) {
         out.clear();
