State the pattern of names in JSON schemas

A schema of declarations accepted names that the types then refused, one at a time. The pattern lets a schema check list all of them with their places, and lets editors see them.

--- a/crates/ids/src/name.rs
+++ b/crates/ids/src/name.rs
@@ -32,7 +32,7 @@
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
         #[derive(Serialize, Deserialize, JsonSchema)]
         #[serde(try_from = "SmolStr", into = "SmolStr")]
-        #[schemars(with = "String")]
+        #[schemars(with = "String", extend("pattern" = "^[A-Za-z0-9._-]{1,96}$"))]
         pub struct $name(SmolStr);
 
         impl $name {
