--- a/crates/catalogue/src/declare.rs
+++ b/crates/catalogue/src/declare.rs
@@ -127,7 +127,17 @@
 }
 
 /// What a domain that is cut off from the others and from the platform does with an entry's keys.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    JsonSchema
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum CutOff {
     /// It goes on serving them; nobody else takes them over.
@@ -163,6 +173,7 @@
     /// Entry that it serves.
     pub entry: EntryId,
     /// Address (IP and port).
+    #[schemars(extend("format" = "ip-and-port"))]
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: DomainId,
--- /dev/null
+++ b/crates/catalogue/src/strict.rs
@@ -0,0 +1,109 @@
+//! Reading JSON without losing members that are written twice.
+
+use std::fmt;
+
+use serde::de::{DeserializeSeed, Deserializer, MapAccess, SeqAccess, Visitor};
+use serde_json::{Map, Number, Value};
+
+/// A JSON text, with the pointers of all members that repeat an earlier one.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Strict {
+    pub(crate) value: Value,
+    pub(crate) repeated: Vec<String>,
+}
+
+/// Parses `text`.
+pub(crate) fn parse(text: &str) -> serde_json::Result<Strict> {
+    let mut repeated = Vec::new();
+    let mut de = serde_json::Deserializer::from_str(text);
+    let value = Node {
+        pointer: String::new(),
+        repeated: &mut repeated,
+    }
+    .deserialize(&mut de)?;
+    de.end()?;
+    Ok(Strict { value, repeated })
+}
+
+/// Appends `segment` to a JSON pointer, escaped.
+pub(crate) fn join(pointer: &str, segment: &str) -> String {
+    let escaped = segment.replace('~', "~0").replace('/', "~1");
+    format!("{pointer}/{escaped}")
+}
+
+struct Node<'a> {
+    pointer: String,
+    repeated: &'a mut Vec<String>,
+}
+
+impl<'de> DeserializeSeed<'de> for Node<'_> {
+    type Value = Value;
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<Value, D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Node<'_> {
+    type Value = Value;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("any JSON value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_bool<E>(self, v: bool) -> Result<Value, E> {
+        Ok(Value::Bool(v))
+    }
+
+    fn visit_i64<E>(self, v: i64) -> Result<Value, E> {
+        Ok(Value::from(v))
+    }
+
+    fn visit_u64<E>(self, v: u64) -> Result<Value, E> {
+        Ok(Value::from(v))
+    }
+
+    fn visit_f64<E: serde::de::Error>(self, v: f64) -> Result<Value, E> {
+        let number = Number::from_f64(v).ok_or_else(|| E::custom("number is not finite"))?;
+        Ok(Value::Number(number))
+    }
+
+    fn visit_str<E>(self, v: &str) -> Result<Value, E> {
+        Ok(Value::from(v))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Value, A::Error> {
+        let mut items = Vec::new();
+        loop {
+            let node = Node {
+                pointer: format!("{}/{}", self.pointer, items.len()),
+                repeated: &mut *self.repeated,
+            };
+            let Some(item) = seq.next_element_seed(node)? else {
+                return Ok(Value::Array(items));
+            };
+            items.push(item);
+        }
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Value, A::Error> {
+        let mut members = Map::new();
+        while let Some(name) = map.next_key::<String>()? {
+            let pointer = join(&self.pointer, &name);
+            if members.contains_key(&name) {
+                self.repeated.push(pointer.clone());
+            }
+            let node = Node {
+                pointer,
+                repeated: &mut *self.repeated,
+            };
+            let value = map.next_value_seed(node)?;
+            members.insert(name, value);
+        }
+        Ok(Value::Object(members))
+    }
+}
