Find the way from a carved-out key back to its slice

A hot slice dropped the top bit of the key's hash, which decides the slice, so that a key could not be folded back by its slice number alone. It now drops the lowest bit, and SliceNo::base returns the slice of origin.

--- a/crates/ids/src/slice.rs
+++ b/crates/ids/src/slice.rs
@@ -32,9 +32,11 @@
     }
 
     /// Returns the slice that holds this key alone once it is carved out.
+    ///
+    /// It keeps the upper 63 bits of the hash, so that [`SliceNo::base`] finds the way back.
     #[must_use]
     pub const fn hot_slice(self) -> SliceNo {
-        SliceNo(self.0 | HOT_BIT)
+        SliceNo(self.0 >> 1 | HOT_BIT)
     }
 }
 
@@ -49,6 +51,20 @@
     pub const fn is_hot(self) -> bool {
         self.0 & HOT_BIT != 0
     }
+
+    /// Returns the slice, of an entry with `count`, that this one was carved out of; itself if it
+    /// is no carved-out key.
+    ///
+    /// # Panics
+    ///
+    /// Panics in debug builds if `count` is zero.
+    #[must_use]
+    pub fn base(self, count: u32) -> Self {
+        if !self.is_hot() {
+            return self;
+        }
+        KeyHash(self.0 << 1).slice(count)
+    }
 }
 
 impl fmt::Display for SliceNo {
