--- /dev/null
+++ b/crates/standin/src/platform/hosts.rs
@@ -0,0 +1,66 @@
+//! The list of hosts and its lag.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use ids::{HostId, Timestamp};
+use platform::ListedHost;
+
+/// A change that the list doesn't show yet.
+#[derive(Debug)]
+struct Pending {
+    due: Timestamp,
+    host: HostId,
+    listed: Option<ListedHost>,
+}
+
+/// A list of hosts that shows changes late, in their order.
+#[derive(Debug, Default)]
+pub struct LaggingList {
+    lag: Duration,
+    shown: BTreeMap<HostId, ListedHost>,
+    pending: VecDeque<Pending>,
+}
+
+impl LaggingList {
+    /// Builds an empty list.
+    #[must_use]
+    pub fn new(lag: Duration) -> Self {
+        Self {
+            lag,
+            ..Self::default()
+        }
+    }
+
+    /// Changes the lag of later changes.
+    pub const fn set_lag(&mut self, lag: Duration) {
+        self.lag = lag;
+    }
+
+    /// Adds or replaces a host.
+    pub fn put(&mut self, now: Timestamp, listed: ListedHost) {
+        self.change(now, listed.host.clone(), Some(listed));
+    }
+
+    /// Removes a host.
+    pub fn remove(&mut self, now: Timestamp, host: HostId) {
+        self.change(now, host, None);
+    }
+
+    /// Returns the list as it shows itself, by name.
+    pub fn list(&mut self, now: Timestamp) -> impl Iterator<Item = &ListedHost> {
+        while let Some(change) = self.pending.pop_front_if(|p| p.due <= now) {
+            match change.listed {
+                Some(listed) => self.shown.insert(change.host, listed),
+                None => self.shown.remove(&change.host),
+            };
+        }
+        self.shown.values()
+    }
+
+    fn change(&mut self, now: Timestamp, host: HostId, listed: Option<ListedHost>) {
+        let last = self.pending.back().map_or(now, |p| p.due);
+        let due = last.max(now + self.lag);
+        self.pending.push_back(Pending { due, host, listed });
+    }
+}
