--- /dev/null
+++ b/crates/standin/src/http.rs
@@ -0,0 +1,71 @@
+//! HTTP serving that the stand-ins share.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http::{Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+/// The largest body that a stand-in reads, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// A response whose whole body is known.
+pub(crate) type Whole = Response<Full<Bytes>>;
+
+/// A request of an HTTP client.
+pub(crate) type Request = http::Request<Incoming>;
+
+/// Builds a response.
+pub(crate) fn respond(status: StatusCode, body: impl Into<Bytes>) -> Whole {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Builds a response from JSON.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Whole {
+    let body = serde_json::to_vec(value).expect("answers are plain data");
+    let mut response = respond(status, body);
+    let kind = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Reads a whole body.
+pub(crate) async fn read_body(body: Incoming) -> anyhow::Result<Bytes> {
+    let whole = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    let whole = whole.map_err(|e| anyhow::anyhow!("read body: {e}"))?;
+    Ok(whole.to_bytes())
+}
+
+/// Serves one connection until the client closes it, or until `stop` and the present request's end.
+pub(crate) async fn serve_connection<F, Fut>(socket: TcpStream, stop: CancellationToken, handle: F)
+where
+    F: Fn(Request) -> Fut,
+    Fut: Future<Output = Whole>,
+{
+    let service = service_fn(|req| {
+        let answer = handle(req);
+        async { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(None);
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    let mut connection = std::pin::pin!(connection);
+    // A connection that breaks is the client's affair: its request was dropped with it.
+    let broke = tokio::select! {
+        done = connection.as_mut() => done.is_err(),
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await.is_err()
+        }
+    };
+    let _ = broke;
+}
--- /dev/null
+++ b/crates/standin/src/upstream/answer.rs
@@ -0,0 +1,126 @@
+//! Requests as an upstream reads them, and its answers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use catalogue::KeyLocation;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use ids::{EntryId, Epoch, KeyHash, Outcome, Reason, SliceNo, Timestamp, UpstreamId, header};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::core::Claimed;
+use super::settings::UpstreamSettings;
+use crate::http::{Whole, json};
+
+/// The body of an upstream's answer, by which a judge tells whose answer it is.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AnswerBody {
+    /// Id of the request.
+    pub request_id: Option<SmolStr>,
+    /// Key of the request, if the upstream knows where requests carry it.
+    pub key: Option<SmolStr>,
+    /// Upstream that ran the request.
+    pub upstream: Option<UpstreamId>,
+    /// Length of the request's body, in bytes.
+    pub body_len: u64,
+    /// Hash of the request's body (XXH3, 64 bits).
+    pub body_hash: u64,
+    /// Fills the answer up to its least size.
+    pub fill: String,
+}
+
+impl AnswerBody {
+    /// Tells whether this answers the request of that id and body.
+    #[must_use]
+    pub fn belongs_to(&self, id: &str, body: &[u8]) -> bool {
+        self.request_id.as_deref() == Some(id)
+            && self.body_len == body.len() as u64
+            && self.body_hash == KeyHash::of(body).0
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+fn find_key(parts: &Parts, location: &KeyLocation) -> Option<SmolStr> {
+    match location {
+        KeyLocation::Header(name) => text(&parts.headers, name).map(SmolStr::new),
+        KeyLocation::PathSegment(number) => {
+            // The path starts with a slash and the entry's own segment.
+            let place = *number as usize + 2;
+            parts.uri.path().split('/').nth(place).map(SmolStr::new)
+        }
+    }
+}
+
+/// Reads the headers of a request that arrived at `now`.
+pub(crate) fn read_head(parts: &Parts, cfg: &UpstreamSettings, now: Timestamp) -> Claimed {
+    let headers = &parts.headers;
+    let entry = text(headers, header::ENTRY).and_then(|e| EntryId::new(e).ok());
+    let remaining = number(headers, header::DEADLINE_MS).map(Duration::from_millis);
+    Claimed {
+        id: text(headers, header::REQUEST_ID).map(SmolStr::new),
+        entry: entry.unwrap_or_else(|| cfg.entry.clone()),
+        slice: number(headers, header::SLICE).map(SliceNo),
+        epoch: number(headers, header::EPOCH).map(Epoch),
+        key: cfg.key.as_ref().and_then(|at| find_key(parts, at)),
+        deadline: remaining.map(|r| now + r),
+    }
+}
+
+fn echo_id(answer: &mut Whole, req: &Claimed) {
+    let id = req
+        .id
+        .as_deref()
+        .and_then(|id| HeaderValue::from_str(id).ok());
+    if let Some(id) = id {
+        answer.headers_mut().insert(header::REQUEST_ID, id);
+    }
+}
+
+/// Builds the answer to a request that ran.
+pub(crate) fn answer(req: &Claimed, body: &Bytes, cfg: &UpstreamSettings) -> Whole {
+    let mut answer = AnswerBody {
+        request_id: req.id.clone(),
+        key: req.key.clone(),
+        upstream: Some(cfg.name.clone()),
+        body_len: body.len() as u64,
+        body_hash: KeyHash::of(body).0,
+        fill: String::new(),
+    };
+    let bare = serde_json::to_vec(&answer).expect("answers are plain data");
+    answer.fill = ".".repeat((cfg.answer_bytes as usize).saturating_sub(bare.len()));
+    let mut answer = json(StatusCode::OK, &answer);
+    echo_id(&mut answer, req);
+    answer
+}
+
+/// Builds the answer to a request that surely did not run.
+pub(crate) fn refusal(req: &Claimed, reason: Reason) -> Whole {
+    debug_assert_eq!(
+        reason.outcome(),
+        Outcome::NotRun,
+        "no refused request has run"
+    );
+    let status = match reason {
+        Reason::GrantRefused => StatusCode::CONFLICT,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut answer = crate::http::respond(status, reason.about());
+    let headers = answer.headers_mut();
+    headers.insert(
+        header::OUTCOME,
+        HeaderValue::from_static(Outcome::NotRun.as_str()),
+    );
+    headers.insert(header::REASON, HeaderValue::from_static(reason.as_str()));
+    echo_id(&mut answer, req);
+    answer
+}
--- /dev/null
+++ b/crates/standin/src/upstream/core.rs
@@ -0,0 +1,320 @@
+//! State of an upstream that its connections share.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use ids::{BootClock, Clock, EntryId, Epoch, Reason, SliceNo, Timestamp};
+use smol_str::SmolStr;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use wire::grant::{GrantRefusal, GrantReply, GrantRequest, GrantScope, HealthReport, SliceRunning};
+
+use super::admin::AdminCommand;
+use super::grants::{Claim, GrantBook};
+use super::load::{Load, LoadHistory};
+use super::pace::Pace;
+use super::settings::{LoadReport, UpstreamSettings};
+use crate::journal::{Journal, JournalEvent, JournalLine, Started};
+
+/// What a request says of itself.
+#[derive(Debug, Clone)]
+pub(crate) struct Claimed {
+    pub(crate) id: Option<SmolStr>,
+    pub(crate) entry: EntryId,
+    pub(crate) slice: Option<SliceNo>,
+    pub(crate) epoch: Option<Epoch>,
+    pub(crate) key: Option<SmolStr>,
+    pub(crate) deadline: Option<Timestamp>,
+}
+
+/// A request that started to run.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Run {
+    number: u64,
+    slice: Option<SliceNo>,
+    pub(crate) time: Duration,
+}
+
+/// State of an upstream that its connections share.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) cfg: UpstreamSettings,
+    clock: BootClock,
+    started: Timestamp,
+    frozen_until: watch::Sender<Option<Instant>>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    book: GrantBook,
+    running: BTreeMap<SliceNo, u32>,
+    load: LoadHistory,
+    load_report: LoadReport,
+    draining: bool,
+    shedding: bool,
+    pace: Pace,
+    journal: Journal,
+    next_run: u64,
+}
+
+impl Core {
+    pub(crate) fn new(cfg: UpstreamSettings, boot: u64) -> anyhow::Result<Self> {
+        let clock = BootClock;
+        let state = State {
+            book: GrantBook::new(boot),
+            running: BTreeMap::new(),
+            load: LoadHistory::default(),
+            load_report: cfg.load_report,
+            draining: false,
+            shedding: false,
+            pace: Pace::new(cfg.seed, cfg.service_time, cfg.cold_start),
+            journal: Journal::open(cfg.journal.as_deref())?,
+            next_run: 0,
+        };
+        let core = Self {
+            cfg,
+            clock,
+            started: clock.now(),
+            frozen_until: watch::Sender::new(None),
+            state: Mutex::new(state),
+        };
+        core.write(&mut core.lock(), core.started, JournalEvent::Boot);
+        Ok(core)
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    fn write(&self, state: &mut State, at: Timestamp, event: JournalEvent) {
+        let line = JournalLine {
+            at_us: at.as_micros(),
+            upstream: self.cfg.name.clone(),
+            boot: state.book.boot(),
+            event,
+        };
+        state.journal.push(line);
+    }
+
+    pub(crate) fn journal(&self) -> Vec<JournalLine> {
+        self.lock().journal.lines().to_vec()
+    }
+
+    /// Waits while the upstream is frozen.
+    pub(crate) async fn thawed(&self) {
+        let mut rx = self.frozen_until.subscribe();
+        loop {
+            let until = *rx.borrow_and_update();
+            let Some(until) = until.filter(|u| *u > Instant::now()) else {
+                return;
+            };
+            tokio::select! {
+                () = tokio::time::sleep_until(until) => {}
+                changed = rx.changed() => changed.expect("the sender lives as long as the upstream"),
+            }
+        }
+    }
+
+    /// Counts a request into the queue.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the upstream sheds it.
+    pub(crate) fn enqueue(&self, has_free_slot: bool) -> Result<(), Reason> {
+        let now = self.now();
+        let mut state = self.lock();
+        let is_full = !has_free_slot && state.load.load().queued >= self.cfg.shed_above;
+        if state.shedding || is_full {
+            return Err(Reason::UpstreamShed);
+        }
+        state.change_load(now, |load| load.queued += 1);
+        Ok(())
+    }
+
+    /// Counts a request out of the queue.
+    pub(crate) fn dequeue(&self) {
+        let now = self.now();
+        self.lock().change_load(now, |load| load.queued -= 1);
+    }
+
+    /// Checks a request that has a slot, and writes its start down.
+    ///
+    /// One reading of the clock serves for the checks and the journal, and the lock is held from
+    /// the check to the count of the slice's running requests: no revocation comes between.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the deadline has passed or no grant allows the request.
+    pub(crate) fn start(&self, req: &Claimed) -> Result<Run, Reason> {
+        let mut state = self.lock();
+        let now = self.now();
+        if req.deadline.is_some_and(|d| d <= now) {
+            return Err(Reason::DeadlineExpired);
+        }
+        if self.cfg.checks_grants && !state.allows(now, req) {
+            return Err(Reason::GrantRefused);
+        }
+        let number = state.next_run;
+        state.next_run += 1;
+        let time = state.pace.draw(now.since(self.started));
+        let started = Started {
+            run: number,
+            id: req.id.clone(),
+            entry: req.entry.clone(),
+            slice: req.slice,
+            epoch: req.epoch,
+            key: req.key.clone(),
+            planned_us: u64::try_from(time.as_micros()).unwrap_or(u64::MAX),
+            granted_until_us: self
+                .cfg
+                .checks_grants
+                .then(|| state.book.until().as_micros()),
+        };
+        self.write(&mut state, now, JournalEvent::Start(started));
+        if let Some(slice) = req.slice {
+            *state.running.entry(slice).or_default() += 1;
+        }
+        state.change_load(now, |load| load.running += 1);
+        Ok(Run {
+            number,
+            slice: req.slice,
+            time,
+        })
+    }
+
+    /// Writes the end of a request down.
+    pub(crate) fn end(&self, run: Run) {
+        let mut state = self.lock();
+        let now = self.now();
+        self.write(&mut state, now, JournalEvent::End { run: run.number });
+        if let Some(slice) = run.slice {
+            state.leave_slice(slice);
+        }
+        state.change_load(now, |load| load.running -= 1);
+    }
+
+    /// Takes in a message of a coordinating host.
+    pub(crate) fn grant(&self, msg: &GrantRequest) -> GrantReply {
+        let mut state = self.lock();
+        let now = self.now();
+        let refusal = state.book.apply(now, msg).err();
+        let grants = refusal.is_none() && msg.reading_us.is_some();
+        state.reply(now, refusal, !grants)
+    }
+
+    /// Says what is granted.
+    pub(crate) fn granted(&self) -> GrantReply {
+        let state = self.lock();
+        state.reply(self.now(), None, true)
+    }
+
+    /// Says what the health endpoint says.
+    pub(crate) fn health(&self) -> HealthReport {
+        let state = self.lock();
+        let full = Load {
+            running: self.cfg.slots,
+            queued: self.cfg.shed_above,
+        };
+        let load = state.load.reported(self.now(), state.load_report, full);
+        HealthReport {
+            slots: self.cfg.slots,
+            running: load.running,
+            queued: load.queued,
+            draining: state.draining,
+            boot: state.book.boot(),
+        }
+    }
+
+    /// Obeys a command.
+    pub(crate) fn obey(&self, command: &AdminCommand) {
+        let mut state = self.lock();
+        let now = self.now();
+        match command {
+            AdminCommand::Drain => {
+                state.draining = true;
+                self.write(&mut state, now, JournalEvent::Drain);
+            }
+            AdminCommand::Undrain => {
+                state.draining = false;
+                self.write(&mut state, now, JournalEvent::Undrain);
+            }
+            AdminCommand::FreezeMs(ms) => {
+                let until = Instant::now() + Duration::from_millis(*ms);
+                self.frozen_until.send_replace(Some(until));
+            }
+            AdminCommand::LoadReport(kind) => state.load_report = *kind,
+            AdminCommand::ServiceTime(kind) => state.pace.set_kind(*kind),
+            AdminCommand::Shed(on) => state.shedding = *on,
+        }
+    }
+}
+
+impl State {
+    fn allows(&self, now: Timestamp, req: &Claimed) -> bool {
+        let claim = Claim {
+            entry: &req.entry,
+            epoch: req.epoch,
+            slice: req.slice,
+        };
+        self.book.allows(now, claim)
+    }
+
+    fn change_load(&mut self, now: Timestamp, change: impl FnOnce(&mut Load)) {
+        let lag = match self.load_report {
+            LoadReport::Lagging { ms } => Duration::from_millis(ms),
+            _ => Duration::ZERO,
+        };
+        self.load.change(now, lag, change);
+    }
+
+    fn leave_slice(&mut self, slice: SliceNo) {
+        let Some(count) = self.running.get_mut(&slice) else {
+            debug_assert!(false, "a request that runs is counted at its slice");
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.running.remove(&slice);
+        }
+    }
+
+    fn reply(
+        &self,
+        now: Timestamp,
+        refusal: Option<GrantRefusal>,
+        tells_scope: bool,
+    ) -> GrantReply {
+        GrantReply {
+            accepted: refusal.is_none(),
+            refusal,
+            boot: self.book.boot(),
+            epoch: self.book.epoch(),
+            seq: self.book.seq(),
+            reading_us: now.as_micros(),
+            until_us: self.book.until().as_micros(),
+            scope: tells_scope.then(|| self.book.scope().cloned()).flatten(),
+            running: self.running_without_grant(),
+        }
+    }
+
+    fn running_without_grant(&self) -> Vec<SliceRunning> {
+        let granted: &[SliceNo] = match self.book.scope() {
+            Some(GrantScope::Slices(granted)) => &granted.slices,
+            _ => &[],
+        };
+        self.running
+            .iter()
+            .filter(|(slice, _)| !granted.contains(slice))
+            .map(|(slice, running)| SliceRunning {
+                slice: *slice,
+                running: *running,
+            })
+            .collect()
+    }
+}
