--- /dev/null
+++ b/crates/catalogue/src/base.rs
@@ -0,0 +1,102 @@
+//! What a directory of declarations was last in agreement with.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use ids::Version;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::in_force::{HeldState, InForce};
+use crate::item::{ContentHash, ItemKey};
+
+/// File of the base in a directory of declarations.
+pub const BASE_FILE: &str = "base.json";
+
+/// The items that a directory of declarations was last in agreement with.
+///
+/// It tells an item that its operator changed from one that somebody else has changed since.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Base {
+    /// Items by key.
+    pub items: IndexMap<ItemKey, BaseItem>,
+}
+
+/// One item of a [`Base`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BaseItem {
+    /// Version of its row.
+    pub version: Version,
+    /// Hash of its content, or nothing if it was removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hash: Option<ContentHash>,
+}
+
+/// A base that could not be read or written.
+#[derive(Debug, Error)]
+pub enum BaseError {
+    /// The file can't be read or written.
+    #[error("{BASE_FILE}: {0}")]
+    Io(#[from] io::Error),
+    /// The file is no base.
+    #[error("{BASE_FILE}: {0}; restore it from the repository, or remove it and compare anew")]
+    Json(#[from] serde_json::Error),
+}
+
+impl Base {
+    /// Returns the base of a directory that agrees with all of `in_force`.
+    #[must_use]
+    pub fn of(in_force: &InForce) -> Self {
+        let catalogue = in_force.catalogue();
+        let items = in_force
+            .items()
+            .filter(|(_, held)| held.state != HeldState::Pruned);
+        let items = items.map(|(key, held)| {
+            let item = BaseItem {
+                version: held.version,
+                hash: catalogue.item(key).map(|i| i.hash()),
+            };
+            (key.clone(), item)
+        });
+        Self {
+            items: items.collect(),
+        }
+    }
+
+    /// Reads the base of the directory `dir`, if it has one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read or is no base.
+    pub fn load(dir: &Path) -> Result<Option<Self>, BaseError> {
+        match fs::read(dir.join(BASE_FILE)) {
+            Ok(body) => Ok(Some(serde_json::from_slice(&body)?)),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(e) => Err(e.into()),
+        }
+    }
+
+    /// Writes the base of the directory `dir`, one item a line, so that it merges well.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be written.
+    pub fn store(&self, dir: &Path) -> Result<(), BaseError> {
+        let mut items: Vec<(&ItemKey, &BaseItem)> = self.items.iter().collect();
+        items.sort_by_key(|(key, _)| *key);
+        let mut lines = Vec::with_capacity(items.len());
+        for (key, item) in items {
+            let item = serde_json::to_string(item)?;
+            lines.push(format!("    \"{key}\": {item}"));
+        }
+        let body = format!("{{\n  \"items\": {{\n{}\n  }}\n}}\n", lines.join(",\n"));
+        fs::write(dir.join(BASE_FILE), body)?;
+        Ok(())
+    }
+}
