--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`shape`]: JSON schemas, and all faults against them.
 //! - [`verify`](mod@verify): checks that declarations make sense together.
 //! - [`fault`]: faults of declarations, with their place.
+//! - [`document`]: other files of JSON, checked in the same way.
 //! - [`item`]: the items that a catalogue consists of.
 //! - [`rows`]: how the catalogue stands in the platform's table.
 //! - [`in_force`]: the catalogue as one reader knows it from table rows.
@@ -17,6 +18,7 @@
 pub mod accept;
 pub mod base;
 pub mod declare;
+pub mod document;
 pub mod difference;
 pub mod fault;
 pub mod history;
--- a/crates/catalogue/src/shape.rs
+++ b/crates/catalogue/src/shape.rs
@@ -82,7 +82,11 @@
 
 impl Shape {
     fn new(kind: FileKind) -> Self {
-        let schema = kind.schema().to_value();
+        Self::of(kind.schema())
+    }
+
+    fn of(schema: Schema) -> Self {
+        let schema = schema.to_value();
         let validator = jsonschema::options()
             .with_format(ADDRESS_FORMAT, |text: &str| {
                 text.parse::<SocketAddr>().is_ok()
@@ -93,6 +97,14 @@
         Self { schema, validator }
     }
 
+    fn check(&self, body: &Value) -> Vec<ShapeFault> {
+        let mut faults = Vec::new();
+        for e in self.validator.iter_errors(body) {
+            self.explain(&e, &mut faults);
+        }
+        faults
+    }
+
     /// Returns the part of the schema whose keyword `e` breaks.
     fn part(&self, e: &ValidationError<'_>) -> &Value {
         let path = e.schema_path().as_str();
@@ -203,12 +215,12 @@
 
 /// Lists all faults of shape of a file.
 pub(crate) fn check(kind: FileKind, body: &Value) -> Vec<ShapeFault> {
-    let shape = kind.shape();
-    let mut faults = Vec::new();
-    for e in shape.validator.iter_errors(body) {
-        shape.explain(&e, &mut faults);
-    }
-    faults
+    kind.shape().check(body)
+}
+
+/// Lists all faults of shape of a file that holds one `T`.
+pub(crate) fn check_as<T: JsonSchema>(body: &Value) -> Vec<ShapeFault> {
+    Shape::of(generate::<T>("File")).check(body)
 }
 
 /// Writes a value for a message; a long one is cut.
