Keep versioned replicas and spread changes as patches

A row is named by key and revision, so merging takes the higher revision in any order. A transfer lists all rows past the receiver's watermark in order of revisions; ownership rows go as the slices that moved when the receiver holds the base, which it checks. A property test over moves, reads, reordered, repeated and lost pages and restarts checks that a watermark never claims what is not held.

--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use member::{Action, Changed, Config, Event, Evidence, HostView, Me, Member};
 pub use prefix::{Prefix, Watermarks};
-pub use replica::{OwnRowView, Replica};
+pub use replica::{Fault, Intake, Pager, Replica, RowChange, SliceDiff, Taken};
--- a/crates/spread/src/prefix.rs
+++ b/crates/spread/src/prefix.rs
@@ -70,13 +70,17 @@
         }
     }
 
-    /// Raises the revision for `prefix` to at least `revision`.
-    pub fn raise(&mut self, prefix: Prefix, revision: Revision) {
+    /// Raises the revision for `prefix` to at least `revision`; returns whether it was lower.
+    pub fn raise(&mut self, prefix: Prefix, revision: Revision) -> bool {
         let mark = match prefix {
             Prefix::Catalogue => &mut self.catalogue,
             Prefix::Own => &mut self.own,
         };
-        *mark = revision.max(*mark);
+        if *mark >= revision {
+            return false;
+        }
+        *mark = revision;
+        true
     }
 }
 
--- /dev/null
+++ b/crates/spread/src/replica/patch.rs
@@ -0,0 +1,208 @@
+//! Changes of ownership rows as the slices that moved, in place of whole rows.
+
+use bytes::Bytes;
+use ids::SliceNo;
+use prost::Message;
+use wire::control::{Patch, Run, Writer};
+use wire::own::Row;
+
+/// Builds the patch that turns the encoded row `from` into the encoded row `to`.
+///
+/// Revisions and key are left for the caller. Gives nothing if either is no row or the patch
+/// would not give `to` byte for byte.
+pub(super) fn build(from: &[u8], to: &Bytes) -> Option<Patch> {
+    let old = Row::decode(from).ok()?;
+    let new = Row::decode(to.as_ref()).ok()?;
+    let (ranges, hot, generations) = split_hot(&came(&old, &new));
+    let patch = Patch {
+        head: (head(&old) != head(&new)).then(|| head(&new)),
+        gone: distances(&gone(&old, &new)),
+        ranges: distances(&ranges),
+        hot,
+        generations,
+        carved: missing_from(&new.carved, &old.carved),
+        folded: missing_from(&old.carved, &new.carved)
+            .iter()
+            .map(|c| c.hot)
+            .collect(),
+        writer: Some(writer(&new)),
+        writer_seq: new.writer_seq,
+        ..Patch::default()
+    };
+    (apply(from, &patch)? == *to).then_some(patch)
+}
+
+/// Applies a patch to the encoded row `from`.
+///
+/// Gives nothing if `from` is no row or the patch does not fit it.
+pub(super) fn apply(from: &[u8], patch: &Patch) -> Option<Bytes> {
+    let old = Row::decode(from).ok()?;
+    let mut row = patch.head.clone().unwrap_or_else(|| head(&old));
+    (row.slices, row.generations) = new_slices(&old, patch)?;
+    row.carved = new_carved(&old, patch);
+    (row.writer, row.writer_incarnation) = match patch.writer.as_ref()? {
+        Writer::Run(run) => (run.host.clone(), run.incarnation),
+        Writer::Coordinator(coordinator) => {
+            let by = if *coordinator {
+                row.coordinator.as_ref()?
+            } else {
+                row.deputy.as_ref()?
+            };
+            (by.host.clone(), by.incarnation)
+        }
+    };
+    row.writer_seq = patch.writer_seq;
+    Some(Bytes::from(row.encode_to_vec()))
+}
+
+/// How the slices of a row differ from those of an earlier state.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SliceDiff {
+    /// Slices that left, rising.
+    pub gone: Vec<SliceNo>,
+    /// Slices that came, rising.
+    pub came: Vec<SliceNo>,
+}
+
+impl SliceDiff {
+    /// Compares two encoded states of a row; a state that is absent or no row has no slices.
+    #[must_use]
+    pub fn between(before: Option<&Bytes>, after: Option<&Bytes>) -> Self {
+        let decode = |value: Option<&Bytes>| {
+            value
+                .and_then(|v| Row::decode(v.as_ref()).ok())
+                .unwrap_or_default()
+        };
+        let old = decode(before);
+        let new = decode(after);
+        let came = |s: &&u64| old.slices.binary_search(s).is_err();
+        Self {
+            gone: gone(&old, &new).into_iter().map(SliceNo).collect(),
+            came: new
+                .slices
+                .iter()
+                .filter(came)
+                .copied()
+                .map(SliceNo)
+                .collect(),
+        }
+    }
+}
+
+/// The row's fields that change with its hosts only.
+fn head(row: &Row) -> Row {
+    Row {
+        epoch: row.epoch,
+        coordinator: row.coordinator.clone(),
+        deputy: row.deputy.clone(),
+        open: row.open,
+        ..Row::default()
+    }
+}
+
+fn writer(row: &Row) -> Writer {
+    let wrote = |host: &Option<wire::own::HostRef>| {
+        host.as_ref()
+            .is_some_and(|h| h.host == row.writer && h.incarnation == row.writer_incarnation)
+    };
+    if wrote(&row.coordinator) {
+        return Writer::Coordinator(true);
+    }
+    if wrote(&row.deputy) {
+        return Writer::Coordinator(false);
+    }
+    Writer::Run(Run {
+        host: row.writer.clone(),
+        incarnation: row.writer_incarnation,
+    })
+}
+
+fn gone(old: &Row, new: &Row) -> Vec<u64> {
+    let left = |s: &&u64| new.slices.binary_search(s).is_err();
+    old.slices.iter().filter(left).copied().collect()
+}
+
+/// Slices with their generations that are new or have another generation.
+fn came(old: &Row, new: &Row) -> Vec<(u64, u64)> {
+    let known = |slice: u64| {
+        let at = old.slices.binary_search(&slice).ok()?;
+        old.generations.get(at).copied()
+    };
+    let pairs = new
+        .slices
+        .iter()
+        .copied()
+        .zip(new.generations.iter().copied());
+    pairs
+        .filter(|(slice, generation)| known(*slice) != Some(*generation))
+        .collect()
+}
+
+/// Parts range slices from hot ones; hot ones have the highest numbers.
+fn split_hot(came: &[(u64, u64)]) -> (Vec<u64>, Vec<u64>, Vec<u64>) {
+    let first_hot = came.partition_point(|(slice, _)| !SliceNo(*slice).is_hot());
+    let number = |(slice, _): &(u64, u64)| *slice;
+    let ranges = came[..first_hot].iter().map(number).collect();
+    let hot = came[first_hot..].iter().map(number).collect();
+    let generations = came.iter().map(|(_, generation)| *generation).collect();
+    (ranges, hot, generations)
+}
+
+fn missing_from(of: &[wire::own::Carved], others: &[wire::own::Carved]) -> Vec<wire::own::Carved> {
+    of.iter().filter(|c| !others.contains(c)).copied().collect()
+}
+
+fn new_slices(old: &Row, patch: &Patch) -> Option<(Vec<u64>, Vec<u64>)> {
+    let came: Vec<u64> = sums(&patch.ranges)
+        .into_iter()
+        .chain(patch.hot.iter().copied())
+        .collect();
+    if came.len() != patch.generations.len() || old.slices.len() != old.generations.len() {
+        return None;
+    }
+    let gone = sums(&patch.gone);
+    let replaced = |s: &u64| gone.binary_search(s).is_ok() || came.binary_search(s).is_ok();
+    let kept = old
+        .slices
+        .iter()
+        .copied()
+        .zip(old.generations.iter().copied());
+    let mut all: Vec<(u64, u64)> = kept
+        .filter(|(slice, _)| !replaced(slice))
+        .chain(came.iter().copied().zip(patch.generations.iter().copied()))
+        .collect();
+    all.sort_unstable();
+    Some(all.into_iter().unzip())
+}
+
+fn new_carved(old: &Row, patch: &Patch) -> Vec<wire::own::Carved> {
+    let mut carved: Vec<_> = old
+        .carved
+        .iter()
+        .filter(|c| !patch.folded.contains(&c.hot))
+        .chain(&patch.carved)
+        .copied()
+        .collect();
+    carved.sort_unstable_by_key(|c| c.hot);
+    carved
+}
+
+/// Writes rising numbers as the distance of each from the one before.
+fn distances(rising: &[u64]) -> Vec<u64> {
+    let mut last = 0;
+    let step = |&n: &u64| {
+        let distance = n.wrapping_sub(last);
+        last = n;
+        distance
+    };
+    rising.iter().map(step).collect()
+}
+
+fn sums(distances: &[u64]) -> Vec<u64> {
+    let mut last = 0_u64;
+    let step = |&distance: &u64| {
+        last = last.wrapping_add(distance);
+        last
+    };
+    distances.iter().map(step).collect()
+}
--- /dev/null
+++ b/crates/spread/tests/common/mod.rs
@@ -0,0 +1,168 @@
+//! A table with its whole past, and ownership rows, for tests.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use ids::{KeyHash, Revision};
+use platform::{Changes, Row, RowKey};
+use prost::Message;
+use smol_str::{SmolStr, format_smolstr};
+use spread::{Prefix, Replica};
+use wire::own;
+
+/// A table that remembers every state of every row.
+#[derive(Debug, Default)]
+pub struct Past {
+    pub revision: Revision,
+    states: BTreeMap<SmolStr, Vec<(Revision, Option<Bytes>)>>,
+}
+
+impl Past {
+    /// Writes rows in one transaction and returns them.
+    pub fn commit(&mut self, writes: Vec<(SmolStr, Option<Bytes>)>) -> Vec<Row> {
+        self.revision = self.revision.next();
+        let revision = self.revision;
+        let mut rows = Vec::new();
+        for (key, value) in writes {
+            let states = self.states.entry(key.clone()).or_default();
+            states.push((revision, value.clone()));
+            rows.push(Row {
+                key: RowKey(key),
+                revision,
+                value,
+            });
+        }
+        rows
+    }
+
+    /// Reads as the platform's table does.
+    pub fn changes(&self, prefix: Prefix, since: Revision) -> Changes {
+        let mut rows = self.rows_at(prefix, self.revision);
+        rows.retain(|row| row.revision > since);
+        rows.sort_by_key(|row| row.revision);
+        Changes {
+            revision: self.revision,
+            rows,
+        }
+    }
+
+    /// Returns all rows of a prefix as they stood at a revision.
+    pub fn rows_at(&self, prefix: Prefix, revision: Revision) -> Vec<Row> {
+        let below = |(key, _): &(&SmolStr, _)| key.starts_with(prefix.as_str());
+        let state = |(key, states): (&SmolStr, &Vec<(Revision, Option<Bytes>)>)| {
+            let (at, value) = states.iter().rev().find(|(at, _)| *at <= revision)?;
+            Some(Row {
+                key: RowKey(key.clone()),
+                revision: *at,
+                value: value.clone(),
+            })
+        };
+        self.states.iter().filter(below).filter_map(state).collect()
+    }
+
+    fn content(&self, key: &str, revision: Revision) -> Option<&Option<Bytes>> {
+        let states = self.states.get(key)?;
+        let state = states.iter().find(|(at, _)| *at == revision)?;
+        Some(&state.1)
+    }
+
+    /// Checks a replica against the past: it claims nothing that it lacks, and holds nothing
+    /// that never was.
+    pub fn check(&self, replica: &Replica) -> Result<(), String> {
+        let faults = replica.verify();
+        if !faults.is_empty() {
+            return Err(format!("{faults:?}"));
+        }
+        for prefix in Prefix::ALL {
+            let mark = replica.complete_up_to().get(prefix);
+            for row in self.rows_at(prefix, mark) {
+                let key = &row.key.0[prefix.as_str().len()..];
+                let held = replica.get(prefix, key).map(|(at, _)| at);
+                if held < Some(row.revision) {
+                    return Err(format!(
+                        "claims to be complete to {mark} but holds {key} at {held:?}, not {}",
+                        row.revision
+                    ));
+                }
+            }
+            for (key, revision, value) in replica.iter(prefix) {
+                let whole = format_smolstr!("{}{key}", prefix.as_str());
+                if self.content(&whole, revision) != Some(&Some(value.clone())) {
+                    return Err(format!("holds {whole} at {revision} as it never was"));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells whether a replica holds the whole table as it stands.
+    pub fn equals(&self, replica: &Replica) -> bool {
+        Prefix::ALL.into_iter().all(|prefix| {
+            self.rows_at(prefix, self.revision).iter().all(|row| {
+                let key = &row.key.0[prefix.as_str().len()..];
+                replica.get(prefix, key) == Some((row.revision, row.value.as_ref()))
+            })
+        })
+    }
+}
+
+/// Returns a host of ownership rows.
+pub fn host_ref(n: u64) -> own::HostRef {
+    own::HostRef {
+        host: format!("host-{n:04}"),
+        incarnation: 1_700_000_000_000_000 + n,
+        domain: format!("domain-{}", n % 11),
+        control: format!("10.1.{}.{}:7101", n / 250, n % 250),
+        dispatch: format!("10.1.{}.{}:7102", n / 250, n % 250),
+    }
+}
+
+/// Returns the key of an upstream's row.
+pub fn own_key(upstream: usize) -> SmolStr {
+    format_smolstr!("own/windowcast-{upstream:04}")
+}
+
+/// Returns a row with the slices `first..first + count`.
+pub fn own_row(host: u64, first: u64, count: u64) -> own::Row {
+    let coordinator = host_ref(host);
+    own::Row {
+        epoch: 3,
+        writer: coordinator.host.clone(),
+        writer_incarnation: coordinator.incarnation,
+        writer_seq: 1,
+        coordinator: Some(coordinator),
+        deputy: Some(host_ref(host + 11)),
+        open: true,
+        slices: (first..first + count).collect(),
+        generations: vec![1; count as usize],
+        carved: Vec::new(),
+    }
+}
+
+/// Encodes a row's value.
+pub fn encode(row: &own::Row) -> Bytes {
+    Bytes::from(row.encode_to_vec())
+}
+
+/// Returns the hot slice of the `n`th key.
+pub fn hot(n: u64) -> u64 {
+    KeyHash::of(&n.to_le_bytes()).hot_slice().0
+}
+
+/// Moves a slice between two rows as a planned move does.
+pub fn move_slice(slice: u64, generation: u64, from: &mut own::Row, to: &mut own::Row) {
+    if let Ok(at) = from.slices.binary_search(&slice) {
+        from.slices.remove(at);
+        from.generations.remove(at);
+    }
+    if let Err(at) = to.slices.binary_search(&slice) {
+        to.slices.insert(at, slice);
+        to.generations.insert(at, generation);
+    }
+    from.writer_seq += 1;
+    to.writer_seq = from.writer_seq;
+    to.writer.clone_from(&from.writer);
+    to.writer_incarnation = from.writer_incarnation;
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -9,6 +9,8 @@
 use bytes::Bytes;
 use prost::Message;
 
+use crate::own;
+
 /// One host as others know it; the record with the higher `(incarnation, beat, silent)` wins.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct HostRecord {
@@ -57,6 +59,28 @@
     pub own: u64,
 }
 
+/// What the sender of a heartbeat asks of the receiver.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    prost::Enumeration
+)]
+#[repr(i32)]
+pub enum Feed {
+    /// Nothing.
+    None = 0,
+    /// Changes and evidence as soon as there are any.
+    Full = 1,
+    /// Evidence, but changes only if the sender falls behind.
+    Standby = 2,
+}
+
 /// Says that the sender is up.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct Heartbeat {
@@ -69,19 +93,22 @@
     /// What the sender's replica holds.
     #[prost(message, optional, tag = "3")]
     pub holds: Option<Watermarks>,
-    /// Whether the sender asks to be fed with changes and evidence.
-    #[prost(bool, tag = "4")]
-    pub feed: bool,
+    /// What the sender asks for.
+    #[prost(enumeration = "Feed", tag = "4")]
+    pub feed: i32,
     /// Hash over the records of all hosts that the sender knows.
     #[prost(fixed32, tag = "5")]
     pub members_hash: u32,
-    /// Whether the sender is leaving.
+    /// Whether the sender asks for the records of all hosts.
     #[prost(bool, tag = "6")]
-    pub leaving: bool,
+    pub sync: bool,
+    /// Whether the sender could not apply a patch and asks for whole rows.
+    #[prost(bool, tag = "7")]
+    pub whole: bool,
 }
 
 /// Answers a [`Heartbeat`] at once.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Message)]
 pub struct HeartbeatReply {
     /// The heartbeat's `sent_us`.
     #[prost(uint64, tag = "1")]
@@ -89,13 +116,23 @@
     /// What the answering host's replica holds.
     #[prost(message, optional, tag = "2")]
     pub holds: Option<Watermarks>,
-    /// How long ago the table was last read, as far as the answering host knows, in
-    /// milliseconds; absent if it knows of no read.
+    /// How old the answering host's knowledge of ownership is, in milliseconds: how long ago
+    /// some host began to read what it holds; absent if it never was told.
     #[prost(uint32, optional, tag = "3")]
-    pub table_age_ms: Option<u32>,
+    pub own_age_ms: Option<u32>,
+    /// The same for the catalogue.
+    #[prost(uint32, optional, tag = "4")]
+    pub catalogue_age_ms: Option<u32>,
+    /// How long ago a host of the answering host's domain last read the table, in milliseconds;
+    /// absent if none did.
+    #[prost(uint32, optional, tag = "5")]
+    pub reach_age_ms: Option<u32>,
     /// Hash over the records of all hosts that the answering host knows.
-    #[prost(fixed32, tag = "4")]
+    #[prost(fixed32, tag = "6")]
     pub members_hash: u32,
+    /// Names of domains of which the answering host's domain hears nobody.
+    #[prost(string, repeated, tag = "7")]
+    pub unheard_domains: Vec<String>,
 }
 
 /// Says how fresh the receiver's knowledge of ownership is.
@@ -112,13 +149,13 @@
     pub revision: u64,
 }
 
-/// A row of the catalogue.
+/// A whole row.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Row {
     /// Key, without the prefix.
     #[prost(string, tag = "1")]
     pub key: String,
-    /// Revision.
+    /// Revision, as the distance from the transfer's `since`.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
     /// Value, absent if the row was deleted.
@@ -126,59 +163,75 @@
     pub value: Option<Bytes>,
 }
 
-/// What an ownership row says but for its slices.
+/// How one state of an upstream's ownership row differs from an earlier one.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct Head {
-    /// Position of the upstream's name in [`Delta::names`].
-    #[prost(uint32, tag = "1")]
-    pub upstream: u32,
-    /// Revision at which this was last seen to change.
+pub struct Patch {
+    /// Key, without the prefix.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Revision of the later state, as the distance from the transfer's `since`.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// The row without slices, encoded; absent if the row was deleted.
-    #[prost(bytes = "bytes", optional, tag = "3")]
-    pub value: Option<Bytes>,
-}
-
-/// Slices of one entry that came to one upstream or left it.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct SliceRun {
-    /// Position of the upstream's name in [`Delta::names`].
-    #[prost(uint32, tag = "1")]
-    pub upstream: u32,
-    /// Position of the entry's name in [`Delta::names`].
-    #[prost(uint32, tag = "2")]
-    pub entry: u32,
-    /// Revision at which this was last seen to change.
+    /// Revision of the earlier state, which the receiver must hold, as the distance back from
+    /// the transfer's `since`.
     #[prost(uint64, tag = "3")]
-    pub revision: u64,
-    /// Whether the slices left the upstream.
-    #[prost(bool, tag = "4")]
-    pub gone: bool,
-    /// Slices that are ranges of hashes, rising; each but the first as the distance from the
-    /// one before.
+    pub from: u64,
+    /// Epoch, hosts and whether the upstream is open, if any of them changed.
+    #[prost(message, optional, tag = "4")]
+    pub head: Option<own::Row>,
+    /// Slices that left, rising.
     #[prost(uint64, repeated, tag = "5")]
+    pub gone: Vec<u64>,
+    /// Slices that are ranges and that came or have another generation, rising.
+    #[prost(uint64, repeated, tag = "6")]
     pub ranges: Vec<u64>,
-    /// Slices that are hot keys.
-    #[prost(fixed64, repeated, tag = "6")]
+    /// Slices that are hot keys and that came or have another generation, rising; all of them
+    /// come after `ranges`.
+    #[prost(fixed64, repeated, tag = "7")]
     pub hot: Vec<u64>,
+    /// Generations of `ranges` and then of `hot`.
+    #[prost(uint64, repeated, tag = "8")]
+    pub generations: Vec<u64>,
+    /// Hot keys that were carved out.
+    #[prost(message, repeated, tag = "9")]
+    pub carved: Vec<own::Carved>,
+    /// Hot slices of keys that were folded back, rising.
+    #[prost(fixed64, repeated, tag = "10")]
+    pub folded: Vec<u64>,
+    /// Who wrote the later state.
+    #[prost(oneof = "Writer", tags = "11, 12")]
+    pub writer: Option<Writer>,
+    /// Number of that write.
+    #[prost(uint64, tag = "13")]
+    pub writer_seq: u64,
 }
 
-/// The revision of an upstream's whole row, when it is above that of its head and slices.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct Touch {
-    /// Position of the upstream's name in [`Delta::names`].
-    #[prost(uint32, tag = "1")]
-    pub upstream: u32,
-    /// Revision of the row.
+/// Who wrote a row.
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+pub enum Writer {
+    /// The later state's coordinating host (true) or its deputy (false).
+    #[prost(bool, tag = "11")]
+    Coordinator(bool),
+    /// Some other run of a host.
+    #[prost(message, tag = "12")]
+    Run(Run),
+}
+
+/// A run of a host.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Run {
+    /// Name.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Run of the process.
     #[prost(uint64, tag = "2")]
-    pub revision: u64,
+    pub incarnation: u64,
 }
 
 /// One page of what changed below one prefix.
 ///
-/// The pages of one transfer have the same `since` and `up_to` and rising numbers from zero. A
-/// receiver that was complete to `since` and takes all pages is complete to `up_to`.
+/// The pages of one transfer have the same `transfer`, `since` and `up_to`, and numbers that rise
+/// from zero. A receiver that was complete to `since` and takes all pages is complete to `up_to`.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Delta {
     /// Which prefix: 1 for `catalogue/`, 2 for `own/`.
@@ -187,7 +240,7 @@
     /// Revision after which changes are listed.
     #[prost(uint64, tag = "2")]
     pub since: u64,
-    /// Revision to which the transfer is complete; zero if it claims nothing.
+    /// Revision to which the transfer is complete, as the distance from `since`.
     #[prost(uint64, tag = "3")]
     pub up_to: u64,
     /// Number of the page.
@@ -196,24 +249,26 @@
     /// Whether more pages follow.
     #[prost(bool, tag = "5")]
     pub more: bool,
-    /// Whether this is a snapshot: what it doesn't list and is no newer doesn't exist.
-    #[prost(bool, tag = "6")]
-    pub snapshot: bool,
-    /// Names of upstreams and entries.
-    #[prost(string, repeated, tag = "7")]
-    pub names: Vec<String>,
-    /// Rows of the catalogue.
-    #[prost(message, repeated, tag = "8")]
+    /// Rows.
+    #[prost(message, repeated, tag = "6")]
     pub rows: Vec<Row>,
-    /// Heads of ownership rows.
-    #[prost(message, repeated, tag = "9")]
-    pub heads: Vec<Head>,
-    /// Slices of ownership rows.
-    #[prost(message, repeated, tag = "10")]
-    pub slices: Vec<SliceRun>,
-    /// Revisions of ownership rows.
-    #[prost(message, repeated, tag = "11")]
-    pub touches: Vec<Touch>,
+    /// Changes of ownership rows.
+    #[prost(message, repeated, tag = "7")]
+    pub patches: Vec<Patch>,
+    /// Number of the transfer on this connection; zero if it has one page only.
+    #[prost(uint64, tag = "8")]
+    pub transfer: u64,
+}
+
+/// Tells that a row of some revision exists, so that a reader of the table may look at once.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Hint {
+    /// Which prefix: 1 for `catalogue/`, 2 for `own/`.
+    #[prost(uint32, tag = "1")]
+    pub prefix: u32,
+    /// Revision of the row.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
 }
 
 /// What a host passes on.
@@ -228,6 +283,12 @@
     /// Records of hosts that changed.
     #[prost(message, repeated, tag = "3")]
     pub hosts: Vec<HostRecord>,
+    /// Whether `hosts` has a record of each host that the sender knows.
+    #[prost(bool, tag = "4")]
+    pub all_hosts: bool,
+    /// Rows that the sender knows to exist.
+    #[prost(message, repeated, tag = "5")]
+    pub hints: Vec<Hint>,
 }
 
 /// What a frame carries.
