standin: a TCP proxy that makes faults

Tests of the request path and of ownership need cut, half-written, dropped, stalled and refused exchanges, drawn anew for each exchange of a connection and switched while it runs. Bytes held by a stall go on when the plan changes, as after a partition that heals. Connections are refused by closing the listening socket while a second, bound one keeps the port.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,14 +3,17 @@
 //! - [`upstream`]: a server that plays an upstream.
 //! - [`journal`]: what upstreams write down about the requests that they run.
 //! - [`platform`]: a server that plays the platform.
+//! - [`proxy`]: a TCP proxy that makes faults.
 //! - [`client`]: an HTTP client over one connection.
 
 pub mod client;
 mod http;
 pub mod journal;
 pub mod platform;
+pub mod proxy;
 pub mod upstream;
 
 pub use journal::{JournalEvent, JournalLine, Started};
 pub use platform::{PlatformSettings, StandinPlatform};
+pub use proxy::{Fault, FaultPlan, FaultProxy, ProxySettings};
 pub use upstream::{AdminCommand, Upstream, UpstreamSettings};
--- /dev/null
+++ b/crates/standin/src/proxy/mod.rs
@@ -0,0 +1,16 @@
+//! A TCP proxy that makes faults.
+//!
+//! - [`plan`]: which faults, and how often.
+//! - [`exchange`]: what becomes of the bytes of one connection.
+//! - [`server`]: its sockets.
+//! - [`admin`]: its admin endpoint over HTTP.
+
+pub mod admin;
+pub mod exchange;
+pub mod plan;
+mod pump;
+pub mod server;
+
+pub use admin::{COUNTS_PATH, CUT_PATH, PLAN_PATH, ProxyAdmin};
+pub use plan::{Delay, Fault, FaultPlan, FaultShare};
+pub use server::{FaultProxy, ProxyCounts, ProxySettings};
--- /dev/null
+++ b/crates/standin/src/proxy/server.rs
@@ -0,0 +1,222 @@
+//! Sockets of a fault proxy.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use anyhow::Context;
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use super::plan::{FaultPlan, NumberedPlan};
+use super::pump;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Settings of a fault proxy.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ProxySettings {
+    /// Address to listen on; port zero lets the kernel choose.
+    pub listen: SocketAddr,
+    /// Address of the server behind.
+    pub target: SocketAddr,
+    /// Seed of the draws.
+    pub seed: u64,
+    /// Faults at the start.
+    pub plan: FaultPlan,
+}
+
+impl Default for ProxySettings {
+    fn default() -> Self {
+        let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            listen: loopback,
+            target: loopback,
+            seed: 1,
+            plan: FaultPlan::default(),
+        }
+    }
+}
+
+/// What a fault proxy has done so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ProxyCounts {
+    /// Connections accepted.
+    pub connections: u64,
+    /// Exchanges started.
+    pub exchanges: u64,
+    /// Connections cut or broken.
+    pub cuts: u64,
+    /// Bytes sent on to the server.
+    pub request_bytes: u64,
+    /// Bytes sent on to the client.
+    pub answer_bytes: u64,
+}
+
+/// Counters that the connections share.
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    pub(crate) connections: AtomicU64,
+    pub(crate) exchanges: AtomicU64,
+    pub(crate) cuts: AtomicU64,
+    pub(crate) request_bytes: AtomicU64,
+    pub(crate) answer_bytes: AtomicU64,
+}
+
+/// What the connections of a proxy share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) target: SocketAddr,
+    pub(crate) seed: u64,
+    pub(crate) plan: watch::Sender<Arc<NumberedPlan>>,
+    pub(crate) counters: Counters,
+    /// Cancelled when all present connections are to be cut, and replaced then.
+    connections: Mutex<CancellationToken>,
+    stop: CancellationToken,
+}
+
+impl Shared {
+    fn connections(&self) -> MutexGuard<'_, CancellationToken> {
+        self.connections
+            .lock()
+            .expect("no holder of the lock panics")
+    }
+}
+
+/// A TCP proxy that makes faults; it stops when dropped.
+#[derive(Debug)]
+pub struct FaultProxy {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy on the present runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub fn bind(cfg: ProxySettings) -> anyhow::Result<Self> {
+        // A socket that is bound and does not listen keeps the port while connections are refused.
+        let port = bound(cfg.listen)?;
+        let address = port.local_addr().context("read own address")?;
+        let stop = CancellationToken::new();
+        let shared = Arc::new(Shared {
+            target: cfg.target,
+            seed: cfg.seed,
+            plan: watch::Sender::new(Arc::new(NumberedPlan {
+                number: 0,
+                plan: cfg.plan,
+            })),
+            counters: Counters::default(),
+            connections: Mutex::new(stop.child_token()),
+            stop: stop.clone(),
+        });
+        let listener = listen(address)?;
+        let accepting = accept(Arc::clone(&shared), port, address, listener);
+        tokio::spawn(stop.run_until_cancelled_owned(accepting));
+        Ok(Self { address, shared })
+    }
+
+    /// Returns the address on which the proxy listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes the faults, also for present connections; bytes that were held are judged again.
+    pub fn set_plan(&self, plan: FaultPlan) {
+        self.shared.plan.send_modify(|present| {
+            let number = present.number + 1;
+            *present = Arc::new(NumberedPlan { number, plan });
+        });
+    }
+
+    /// Cuts all present connections.
+    pub fn cut(&self) {
+        let next = self.shared.stop.child_token();
+        let present = std::mem::replace(&mut *self.shared.connections(), next);
+        present.cancel();
+    }
+
+    /// Returns what the proxy has done so far.
+    #[must_use]
+    pub fn counts(&self) -> ProxyCounts {
+        let counters = &self.shared.counters;
+        ProxyCounts {
+            connections: counters.connections.load(Ordering::Relaxed),
+            exchanges: counters.exchanges.load(Ordering::Relaxed),
+            cuts: counters.cuts.load(Ordering::Relaxed),
+            request_bytes: counters.request_bytes.load(Ordering::Relaxed),
+            answer_bytes: counters.answer_bytes.load(Ordering::Relaxed),
+        }
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.shared.stop.cancel();
+    }
+}
+
+fn bound(address: SocketAddr) -> anyhow::Result<TcpSocket> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    };
+    let socket = socket.context("open socket")?;
+    socket.set_reuseaddr(true).context("share address")?;
+    socket.set_reuseport(true).context("share port")?;
+    socket
+        .bind(address)
+        .with_context(|| format!("bind {address}"))?;
+    Ok(socket)
+}
+
+fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    bound(address)?
+        .listen(BACKLOG)
+        .with_context(|| format!("listen on {address}"))
+}
+
+async fn accept(shared: Arc<Shared>, _port: TcpSocket, address: SocketAddr, listener: TcpListener) {
+    let mut plan = shared.plan.subscribe();
+    let mut listener = Some(listener);
+    loop {
+        let refuses = plan.borrow_and_update().plan.refuse;
+        listener = match listener {
+            _ if refuses => None,
+            Some(listener) => Some(listener),
+            // The port is ours, so listening again fails only for want of descriptors.
+            None => listen(address).ok(),
+        };
+        tokio::select! {
+            changed = plan.changed() => changed.expect("the sender lives as long as the proxy"),
+            accepted = accept_one(listener.as_ref()) => {
+                if let Some(socket) = accepted {
+                    serve(&shared, socket);
+                }
+            }
+        }
+    }
+}
+
+async fn accept_one(listener: Option<&TcpListener>) -> Option<TcpStream> {
+    match listener {
+        Some(listener) => Some(listener.accept().await.ok()?.0),
+        None => std::future::pending().await,
+    }
+}
+
+fn serve(shared: &Arc<Shared>, client: TcpStream) {
+    let number = shared.counters.connections.fetch_add(1, Ordering::Relaxed);
+    let cut = shared.connections().child_token();
+    tokio::spawn(pump::connection(Arc::clone(shared), client, number, cut));
+}
