--- a/crates/standin/src/platform/access.rs
+++ b/crates/standin/src/platform/access.rs
@@ -1,25 +1,37 @@
 //! Who may write what.
 //!
 //! - Hosts write rows below `own/` and no objects.
-//! - Operators write rows below `catalogue/` and store objects.
-//! - A row below `catalogue/` whose stored value is a JSON object with `owners`, an array of
-//!   operators, is written and deleted by these operators only. Rows without owners, and
-//!   rows that don't exist yet, are written by any operator.
-//! - Admins are operators who pass for an owner of every row.
+//! - Operators write rows below `catalogue/` and `history/`, and store objects.
+//! - Values there are JSON objects. One that has `operator` must name the operator who writes it.
+//! - The owners of an entry are `body.owners` of the stored row `catalogue/entry/NAME`. Only they
+//!   write or delete that row, and the rows `catalogue/upstream/NAME` whose `body.entry` is the
+//!   entry, before the write or after it. A row without owners is anybody's.
+//! - A row below `history/` is written once, and never deleted.
+//! - Admins are operators who pass for an owner of every entry.
 //!
 //! All of them read everything.
 
 use ids::OperatorId;
-use platform::{MemoryTable, RowKey, Txn};
+use platform::{MemoryTable, RowKey, Txn, Write};
 use serde::Deserialize;
+use smol_str::{SmolStr, format_smolstr};
 use thiserror::Error;
 
 use super::settings::PlatformSettings;
 
 /// Prefix of the rows that hosts write.
 pub const OWN_PREFIX: &str = "own/";
-/// Prefix of the rows that operators write.
+/// Prefix of the rows that operators write and hosts read.
 pub const CATALOGUE_PREFIX: &str = "catalogue/";
+/// Prefix of the entries' rows.
+pub const ENTRY_PREFIX: &str = "catalogue/entry/";
+/// Prefix of the upstreams' rows.
+pub const UPSTREAM_PREFIX: &str = "catalogue/upstream/";
+/// Prefix of the rows that operators write once.
+pub const HISTORY_PREFIX: &str = "history/";
+
+const HOST_PREFIXES: &[&str] = &[OWN_PREFIX];
+const OPERATOR_PREFIXES: &[&str] = &[CATALOGUE_PREFIX, HISTORY_PREFIX];
 
 /// Whom a token stands for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,32 +51,60 @@
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum Refused {
     /// The row lies outside the part that the role writes.
-    #[error("row {key}: {role} writes only below {prefix}")]
+    #[error("row {key}: only rows below {} are allowed", prefixes.join(" and "))]
     OutsidePrefix {
         /// Key of the row.
         key: RowKey,
-        /// Who writes.
-        role: &'static str,
         /// What the role writes.
-        prefix: &'static str,
+        prefixes: &'static [&'static str],
     },
-    /// The row has owners and the operator is none of them.
-    #[error("row {key}: operator {operator} is not among its owners")]
+    /// The entry has owners and the operator is none of them.
+    #[error("row {key}: operator {operator} is not among the owners of entry {entry}")]
     NotOwner {
         /// Key of the row.
         key: RowKey,
+        /// The entry that the row belongs to.
+        entry: SmolStr,
         /// Who writes.
         operator: OperatorId,
     },
+    /// The value names another operator than the one who writes.
+    #[error("row {key}: operator {operator} can't write in the name of {named}")]
+    OtherOperator {
+        /// Key of the row.
+        key: RowKey,
+        /// The operator in the value.
+        named: SmolStr,
+        /// Who writes.
+        operator: OperatorId,
+    },
+    /// The row was written before and stays.
+    #[error("row {key}: history is written once")]
+    WrittenOnce {
+        /// Key of the row.
+        key: RowKey,
+    },
     /// Hosts store no objects.
     #[error("a host stores no objects")]
     HostStoresNoObjects,
 }
 
-/// The part of a row's value that access depends on.
-#[derive(Debug, Deserialize)]
-struct Owned {
-    owners: Vec<OperatorId>,
+/// What access depends on in a row's value.
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct Value {
+    operator: Option<SmolStr>,
+    body: Option<Body>,
+}
+
+/// What access depends on in an item.
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct Body {
+    owners: Option<Vec<SmolStr>>,
+    entry: Option<SmolStr>,
 }
 
 impl Role {
@@ -91,9 +131,17 @@
     ///
     /// Fails on the first write that isn't allowed.
     pub fn check_txn(&self, table: &MemoryTable, txn: &Txn) -> Result<(), Refused> {
-        txn.writes
-            .iter()
-            .try_for_each(|w| self.check_write(table, &w.key))
+        match self {
+            Self::Host => txn
+                .writes
+                .iter()
+                .try_for_each(|w| check_prefix(&w.key, HOST_PREFIXES)),
+            Self::Operator { id, admin } => {
+                let admin = *admin;
+                let writer = Writer { table, id, admin };
+                txn.writes.iter().try_for_each(|w| writer.check(w))
+            }
+        }
     }
 
     /// Checks whether the role may store objects.
@@ -107,37 +155,80 @@
             Self::Operator { .. } => Ok(()),
         }
     }
+}
 
-    fn check_write(&self, table: &MemoryTable, key: &RowKey) -> Result<(), Refused> {
-        match self {
-            Self::Host => check_prefix(key, "a host", OWN_PREFIX),
-            Self::Operator { id, admin } => {
-                check_prefix(key, "an operator", CATALOGUE_PREFIX)?;
-                if *admin || may_write(table, key, id) {
-                    return Ok(());
-                }
-                Err(Refused::NotOwner {
-                    key: key.clone(),
-                    operator: id.clone(),
-                })
-            }
+/// An operator who writes.
+#[derive(Debug, Clone, Copy)]
+struct Writer<'a> {
+    table: &'a MemoryTable,
+    id: &'a OperatorId,
+    admin: bool,
+}
+
+impl Writer<'_> {
+    fn check(self, write: &Write) -> Result<(), Refused> {
+        let key = &write.key;
+        check_prefix(key, OPERATOR_PREFIXES)?;
+        let new = write.value.as_deref().map(parse).unwrap_or_default();
+        self.check_name(key, &new)?;
+        if key.0.starts_with(HISTORY_PREFIX) && self.table.row(key).is_some() {
+            return Err(Refused::WrittenOnce { key: key.clone() });
+        }
+        if let Some(entry) = key.0.strip_prefix(ENTRY_PREFIX) {
+            return self.check_owner(key, entry);
+        }
+        if key.0.starts_with(UPSTREAM_PREFIX) {
+            let old = self.stored(key);
+            let entries = [old, new].map(|v| v.body.and_then(|b| b.entry));
+            let mut entries = entries.iter().flatten();
+            return entries.try_for_each(|e| self.check_owner(key, e));
+        }
+        Ok(())
+    }
+
+    fn check_name(self, key: &RowKey, new: &Value) -> Result<(), Refused> {
+        match &new.operator {
+            Some(named) if named != self.id.as_str() => Err(Refused::OtherOperator {
+                key: key.clone(),
+                named: named.clone(),
+                operator: self.id.clone(),
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_owner(self, key: &RowKey, entry: &str) -> Result<(), Refused> {
+        let row = RowKey(format_smolstr!("{ENTRY_PREFIX}{entry}"));
+        let owners = self.stored(&row).body.and_then(|b| b.owners);
+        let is_owner = owners.is_none_or(|o| o.iter().any(|o| o == self.id.as_str()));
+        if self.admin || is_owner {
+            return Ok(());
         }
+        Err(Refused::NotOwner {
+            key: key.clone(),
+            entry: entry.into(),
+            operator: self.id.clone(),
+        })
+    }
+
+    fn stored(self, key: &RowKey) -> Value {
+        let row = self.table.row(key);
+        let value = row.and_then(|r| r.value.as_deref());
+        value.map(parse).unwrap_or_default()
     }
 }
 
-fn check_prefix(key: &RowKey, role: &'static str, prefix: &'static str) -> Result<(), Refused> {
-    if key.0.starts_with(prefix) {
+fn check_prefix(key: &RowKey, prefixes: &'static [&'static str]) -> Result<(), Refused> {
+    if prefixes.iter().any(|p| key.0.starts_with(p)) {
         return Ok(());
     }
     Err(Refused::OutsidePrefix {
         key: key.clone(),
-        role,
-        prefix,
+        prefixes,
     })
 }
 
-fn may_write(table: &MemoryTable, key: &RowKey, operator: &OperatorId) -> bool {
-    let stored = table.row(key).and_then(|r| r.value.as_ref());
-    let owned = stored.and_then(|v| serde_json::from_slice::<Owned>(v).ok());
-    owned.is_none_or(|o| o.owners.contains(operator))
+/// Reads a value; one of another form has no operator, no owners and no entry.
+fn parse(value: &[u8]) -> Value {
+    serde_json::from_slice(value).unwrap_or_default()
 }
