--- /dev/null
+++ b/crates/own/src/evidence.rs
@@ -0,0 +1,86 @@
+//! Evidence that this host was not replaced.
+//!
+//! A host acts for an upstream only while it has evidence that is younger than the evidence
+//! window. Any of these counts, by the own reading as of which it holds:
+//!
+//! 1. the deputy promised not to act, or the table was read and named this host, or a transaction
+//!    that checks the row took effect;
+//! 2. if the table can't be reached, and the other host of the row is silent: any host returned a
+//!    reading of the own clock. Hosts of one domain aren't cut off from each other, so whoever
+//!    could replace this host there would hear it. An entry that fails over has no such evidence.
+
+use ids::{Timestamp, UpstreamId};
+
+use crate::HostRef;
+use crate::held::Held;
+use crate::machine::Machine;
+
+impl Machine {
+    pub(crate) fn refresh_evidence(&self, upstream: &UpstreamId, held: &mut Held) {
+        let table = self.table_evidence(upstream, held);
+        let peers = self.peer_evidence(upstream, self.partner(upstream, held));
+        held.evidence = held.evidence.max(table).max(peers);
+    }
+
+    /// Tells whether this host may act for an upstream.
+    pub(crate) fn has_evidence(&self, held: &Held) -> bool {
+        held.evidence
+            .is_some_and(|e| self.now < e + self.cfg.evidence)
+    }
+
+    /// Tells whether this host, deputy of an upstream, may act once it takes over.
+    pub(crate) fn may_take_over(&self, upstream: &UpstreamId, coordinator: &HostRef) -> bool {
+        let peers = self.peer_evidence(upstream, Some(coordinator));
+        let best = self.table_stamp.max(peers);
+        best.is_some_and(|e| self.now < e + self.cfg.evidence)
+    }
+
+    fn table_evidence(&self, upstream: &UpstreamId, held: &Held) -> Option<Timestamp> {
+        let row = &self.replica.get(upstream)?.row;
+        let named = if held.recorded {
+            &row.coordinator
+        } else {
+            &row.deputy
+        };
+        let epoch = if held.recorded {
+            row.epoch
+        } else {
+            row.reserved()
+        };
+        let mine = named.as_ref().is_some_and(|h| h.is(&self.me));
+        let same = mine && epoch == held.epoch;
+        self.table_stamp.filter(|_| same)
+    }
+
+    /// Returns the other host that may act for the upstream by its row.
+    fn partner(&self, upstream: &UpstreamId, held: &Held) -> Option<&HostRef> {
+        let row = &self.replica.get(upstream)?.row;
+        let other = if held.recorded {
+            &row.deputy
+        } else {
+            &row.coordinator
+        };
+        other.as_ref()
+    }
+
+    fn peer_evidence(&self, upstream: &UpstreamId, partner: Option<&HostRef>) -> Option<Timestamp> {
+        if self.table_reachable || self.view.fails_over(upstream) || self.is_foreign(upstream) {
+            return None;
+        }
+        let since = self.replica.get(upstream).map_or(self.now, |k| k.since);
+        let silent = |p| self.roster.silent(self.now, p, since, self.cfg.silence);
+        if !partner.is_none_or(silent) {
+            return None;
+        }
+        if !self.roster.knows_any(Some(&self.me.domain)) {
+            return Some(self.now);
+        }
+        self.roster.best_echo(None)
+    }
+
+    /// Tells whether an upstream lies in another domain than this host.
+    pub(crate) fn is_foreign(&self, upstream: &UpstreamId) -> bool {
+        let decl = self.view.upstream(upstream);
+        decl.is_some_and(|u| u.domain != self.me.domain)
+    }
+}
--- /dev/null
+++ b/crates/own/src/held.rs
@@ -0,0 +1,162 @@
+//! What a host keeps of an upstream that it coordinates.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ids::{Epoch, Revision, SliceNo, Timestamp, UpstreamId};
+
+use crate::inherit::Inherit;
+use crate::link::Link;
+use crate::{HostRef, Lease};
+
+/// What a host keeps of an upstream that it coordinates.
+#[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a fact on its own")]
+pub(crate) struct Held {
+    pub(crate) since: Timestamp,
+    pub(crate) epoch: Epoch,
+    /// Whether the row names this host as coordinating; else it acts on its reserve.
+    pub(crate) recorded: bool,
+    /// Highest own reading as of which somebody said that this host was not replaced.
+    pub(crate) evidence: Option<Timestamp>,
+    /// When the row before was first known.
+    pub(crate) older_since: Timestamp,
+    pub(crate) inherit: Inherit,
+    pub(crate) link: Link,
+    /// The lease as told last, unless it was stopped since.
+    pub(crate) lease: Option<Lease>,
+    /// Own clock from which no lease ever told allows a send.
+    pub(crate) lease_end: Timestamp,
+    /// Whether the deputy said that it acts.
+    pub(crate) yielded: bool,
+    pub(crate) supersede_at: Timestamp,
+    pub(crate) removal: Option<Removal>,
+    pub(crate) handing: Option<Handing>,
+    pub(crate) wishes: BTreeMap<SliceNo, UpstreamId>,
+    /// Hosts that hold requests until the row of this revision is served.
+    pub(crate) tells: Vec<(HostRef, Revision)>,
+    /// Whether nothing is under way at an upstream that does not check grants.
+    pub(crate) idle: bool,
+    pub(crate) draining: bool,
+}
+
+impl Held {
+    pub(crate) fn new(now: Timestamp, epoch: Epoch, recorded: bool) -> Self {
+        Self {
+            since: now,
+            epoch,
+            recorded,
+            evidence: None,
+            older_since: now,
+            inherit: Inherit::none(),
+            link: Link::new(now),
+            lease: None,
+            lease_end: Timestamp::ZERO,
+            yielded: false,
+            supersede_at: now,
+            removal: None,
+            handing: None,
+            wishes: BTreeMap::new(),
+            tells: Vec::new(),
+            idle: false,
+            draining: false,
+        }
+    }
+
+    /// Returns the own clock at which all that this host and those before it granted is over.
+    pub(crate) fn end(&self) -> Timestamp {
+        let own = self.link.end().max(self.lease_end);
+        own.max(self.inherit.quiet_at())
+    }
+}
+
+/// Why slices are taken off an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Why {
+    /// Placement wants them elsewhere.
+    Wish,
+    /// The upstream is to be emptied.
+    Emptying,
+    /// The upstream is lost.
+    Lost,
+}
+
+/// Slices that go to the same upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct Group {
+    pub(crate) hold: u64,
+    pub(crate) to: UpstreamId,
+    pub(crate) slices: Arc<[SliceNo]>,
+    pub(crate) drained: bool,
+}
+
+/// The deputy's promise not to grant the slices of a removal.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Retiring {
+    pub(crate) seq: u64,
+    /// Revision of the row that the promise is about.
+    pub(crate) revision: Revision,
+    pub(crate) promised: bool,
+    pub(crate) sent_at: Timestamp,
+}
+
+/// Slices on their way off an upstream.
+#[derive(Debug)]
+pub(crate) struct Removal {
+    pub(crate) why: Why,
+    pub(crate) since: Timestamp,
+    pub(crate) groups: Vec<Group>,
+    pub(crate) retiring: Option<Retiring>,
+    /// Own clock at which every grant or lease with these slices is surely over, known from when
+    /// they are not wanted any more.
+    pub(crate) end: Option<Timestamp>,
+}
+
+impl Removal {
+    pub(crate) fn holds(&self, slice: SliceNo) -> bool {
+        let within = |g: &Group| g.slices.binary_search(&slice).is_ok();
+        self.groups.iter().any(within)
+    }
+
+    /// Returns all slices, rising.
+    pub(crate) fn slices(&self) -> Vec<SliceNo> {
+        let all = self.groups.iter().flat_map(|g| g.slices.iter().copied());
+        let mut slices = all.collect::<Vec<_>>();
+        slices.sort();
+        slices
+    }
+
+    /// Tells whether the upstream must not have the slices any more.
+    pub(crate) fn is_revoking(&self) -> bool {
+        self.why == Why::Lost || self.groups.iter().all(|g| g.drained)
+    }
+}
+
+/// An upstream on its way to another host.
+#[derive(Debug)]
+pub(crate) struct Handing {
+    pub(crate) to: HostRef,
+    pub(crate) hold: u64,
+}
+
+/// An upstream that was handed to another host, which did not say yet that it serves.
+#[derive(Debug)]
+pub(crate) struct Handed {
+    pub(crate) to: HostRef,
+    pub(crate) hold: u64,
+    pub(crate) epoch: Epoch,
+    pub(crate) since: Timestamp,
+    pub(crate) send_at: Timestamp,
+    /// Own clock at which all that was granted before is over.
+    pub(crate) end: Timestamp,
+}
+
+/// Requests held here for slices that moved, until the new owner serves them.
+#[derive(Debug, Clone)]
+pub(crate) struct Settling {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) hold: u64,
+    pub(crate) to: UpstreamId,
+    pub(crate) revision: Revision,
+    pub(crate) until: Timestamp,
+}
--- a/crates/own/src/lib.rs
+++ b/crates/own/src/lib.rs
@@ -10,6 +10,21 @@
 //! - [`action`]: what a machine wants done.
 //! - [`machine`]: the machine itself.
 
+mod claim;
+mod commits;
+mod evidence;
+mod handover;
+mod held;
+mod inherit;
+mod keep;
+mod link;
+mod moves;
+mod peers;
+mod renew;
+mod replica;
+mod roster;
+mod view;
+
 pub mod action;
 pub mod event;
 pub mod host;
--- /dev/null
+++ b/crates/own/src/link.rs
@@ -0,0 +1,338 @@
+//! The grant of one upstream, as its coordinating host knows it.
+//!
+//! A grant ends on the upstream's clock, counted from a reading that the upstream gave. The
+//! reading was taken between the sending of the attempt that brought it and its receipt, which
+//! bounds the end from both sides on the own clock, however late the grant itself arrives.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::{Epoch, HostId, SliceNo, Timestamp};
+use wire::grant::{GrantRefusal, GrantReply, GrantRequest, GrantScope, SliceRunning};
+
+use crate::OwnSettings;
+
+/// Most attempts whose replies are waited for.
+const MAX_ATTEMPTS: usize = 16;
+/// Attempts without a reply from which an upstream may be taken for lost.
+const LOST_ATTEMPTS: u32 = 3;
+/// Shortest time between two attempts after a refusal.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
+
+/// A reading of the upstream's clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Reading {
+    boot: u64,
+    value_us: u64,
+    /// Own clock when the attempt that brought it was sent.
+    sent_at: Timestamp,
+    /// Own clock when it came.
+    received_at: Timestamp,
+}
+
+/// An attempt whose reply is waited for.
+#[derive(Debug, Clone)]
+struct Attempt {
+    number: u64,
+    sent_at: Timestamp,
+    epoch: Epoch,
+    seq: u64,
+    version: u64,
+    scope: Arc<[SliceNo]>,
+    /// Sequence number of the grant whose scope this one renews; its own if it names the scope.
+    set_by: u64,
+    reading: Option<Reading>,
+}
+
+/// The newest grant that the upstream said it accepted.
+#[derive(Debug, Clone)]
+struct Accepted {
+    epoch: Epoch,
+    boot: u64,
+    seq: u64,
+    set_by: u64,
+    version: u64,
+    scope: Arc<[SliceNo]>,
+    /// Own clock until which the grant surely lasts.
+    until: Timestamp,
+}
+
+/// The grant of one upstream, as its coordinating host knows it.
+#[derive(Debug)]
+pub(crate) struct Link {
+    created: Timestamp,
+    seq: u64,
+    attempts: VecDeque<Attempt>,
+    reading: Option<Reading>,
+    accepted: Option<Accepted>,
+    /// Own clock at which every grant sent so far is surely over.
+    end: Timestamp,
+    next_at: Timestamp,
+    last_reply: Option<Timestamp>,
+    /// Attempts since the last reply.
+    unanswered: u32,
+    /// Whether the last attempt was refused by the transport.
+    refused: bool,
+    outbid: Option<(Epoch, Timestamp)>,
+    scope: Arc<[SliceNo]>,
+    version: u64,
+    running: Vec<SliceRunning>,
+}
+
+/// What an upstream surely grants.
+#[derive(Debug)]
+pub(crate) struct Granted {
+    pub(crate) epoch: Epoch,
+    pub(crate) slices: Arc<[SliceNo]>,
+    /// Own clock until which the grant surely lasts.
+    pub(crate) until: Timestamp,
+}
+
+/// A grant to send.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) attempt: u64,
+    pub(crate) request: GrantRequest,
+}
+
+impl Link {
+    pub(crate) fn new(now: Timestamp) -> Self {
+        Self {
+            created: now,
+            seq: 0,
+            attempts: VecDeque::new(),
+            reading: None,
+            accepted: None,
+            end: Timestamp::ZERO,
+            next_at: now,
+            last_reply: None,
+            unanswered: 0,
+            refused: false,
+            outbid: None,
+            scope: Arc::from([]),
+            version: 0,
+            running: Vec::new(),
+        }
+    }
+
+    /// Sets the slices that the upstream should have.
+    pub(crate) fn want(&mut self, now: Timestamp, scope: &[SliceNo]) {
+        if self.version > 0 && *self.scope == *scope {
+            return;
+        }
+        self.scope = scope.into();
+        self.version += 1;
+        self.next_at = now;
+    }
+
+    /// Tells whether an attempt is due.
+    pub(crate) fn is_due(&self, now: Timestamp) -> bool {
+        now >= self.next_at
+    }
+
+    /// Builds the next attempt.
+    pub(crate) fn attempt(
+        &mut self,
+        now: Timestamp,
+        cfg: &OwnSettings,
+        number: u64,
+        epoch: Epoch,
+        me: &HostId,
+        full: GrantScope,
+    ) -> Outgoing {
+        self.seq += 1;
+        self.unanswered += 1;
+        self.next_at = now + cfg.renew_every;
+        let same = self.accepted.as_ref().filter(|a| {
+            let boot = self.reading.map(|r| r.boot);
+            a.epoch == epoch && a.version == self.version && Some(a.boot) == boot
+        });
+        let set_by = same.map_or(self.seq, |a| a.set_by);
+        let scope = same.map_or(full, |a| GrantScope::Unchanged(a.set_by));
+        if let Some(r) = self.reading {
+            self.end = self.end.max(r.received_at + cfg.outlast(cfg.grant_ttl));
+        }
+        self.attempts.push_back(Attempt {
+            number,
+            sent_at: now,
+            epoch,
+            seq: self.seq,
+            version: self.version,
+            scope: Arc::clone(&self.scope),
+            set_by,
+            reading: self.reading,
+        });
+        if self.attempts.len() > MAX_ATTEMPTS {
+            self.attempts.pop_front();
+        }
+        let request = GrantRequest {
+            epoch,
+            seq: self.seq,
+            coordinator: me.clone(),
+            boot: self.reading.map(|r| r.boot),
+            scope,
+            ttl_ms: cfg.grant_ttl.as_millis() as u32,
+            reading_us: self.reading.map(|r| r.value_us),
+        };
+        Outgoing {
+            attempt: number,
+            request,
+        }
+    }
+
+    /// Notes a health request to an upstream that does not check grants.
+    pub(crate) fn probe(&mut self, now: Timestamp, cfg: &OwnSettings) {
+        self.unanswered += 1;
+        self.next_at = now + cfg.renew_every;
+    }
+
+    /// Notes that an upstream that does not check grants is up.
+    pub(crate) const fn healthy(&mut self, now: Timestamp) {
+        self.last_reply = Some(now);
+        self.unanswered = 0;
+        self.refused = false;
+    }
+
+    /// Notes that an attempt brought no reply.
+    pub(crate) const fn no_reply(&mut self, refused: bool) {
+        self.refused = refused;
+    }
+
+    /// Takes in the reply to an attempt.
+    pub(crate) fn reply(
+        &mut self,
+        now: Timestamp,
+        cfg: &OwnSettings,
+        number: u64,
+        reply: &GrantReply,
+    ) {
+        let position = self.attempts.iter().position(|a| a.number == number);
+        let Some(attempt) = position.and_then(|p| self.attempts.remove(p)) else {
+            return;
+        };
+        self.last_reply = Some(now);
+        self.unanswered = 0;
+        self.refused = false;
+        self.take_reading(Reading {
+            boot: reply.boot,
+            value_us: reply.reading_us,
+            sent_at: attempt.sent_at,
+            received_at: now,
+        });
+        if reply.refusal == Some(GrantRefusal::LowerEpoch) && reply.epoch > attempt.epoch {
+            let since = self.outbid.map_or(now, |(_, since)| since);
+            self.outbid = Some((reply.epoch, since));
+        }
+        if !reply.accepted {
+            self.seq = self
+                .seq
+                .max(reply.seq * u64::from(reply.epoch == attempt.epoch));
+            self.accepted = self.accepted.take().filter(|a| {
+                let stale = reply.refusal == Some(GrantRefusal::OtherScope);
+                !stale || a.set_by != attempt.set_by
+            });
+            self.next_at = self.next_at.min(now + REFUSED_PAUSE);
+            return;
+        }
+        let Some(reading) = attempt.reading else {
+            self.next_at = now;
+            return;
+        };
+        self.accept(cfg, &attempt, reading, reply);
+        if attempt.version != self.version {
+            self.next_at = now;
+        }
+    }
+
+    fn take_reading(&mut self, new: Reading) {
+        let older = |r: Reading| r.boot == new.boot && r.value_us >= new.value_us;
+        // A reply of an earlier run of the upstream may come late; its attempt went out earlier.
+        let before = |r: Reading| r.boot != new.boot && r.sent_at > new.sent_at;
+        if self.reading.is_some_and(|r| older(r) || before(r)) {
+            return;
+        }
+        self.reading = Some(new);
+    }
+
+    fn accept(
+        &mut self,
+        cfg: &OwnSettings,
+        attempt: &Attempt,
+        reading: Reading,
+        reply: &GrantReply,
+    ) {
+        let newer = self.accepted.as_ref().is_none_or(|a| {
+            let order = (a.epoch, a.seq) < (attempt.epoch, attempt.seq);
+            order || a.boot != reading.boot
+        });
+        if !newer {
+            return;
+        }
+        self.running.clone_from(&reply.running);
+        self.accepted = Some(Accepted {
+            epoch: attempt.epoch,
+            boot: reading.boot,
+            seq: attempt.seq,
+            set_by: attempt.set_by,
+            version: attempt.version,
+            scope: Arc::clone(&attempt.scope),
+            until: reading.sent_at + cfg.within(cfg.grant_ttl),
+        });
+    }
+
+    /// Returns what the upstream surely grants.
+    pub(crate) fn granted(&self) -> Option<Granted> {
+        let a = self.accepted.as_ref()?;
+        let slices = if a.version == self.version {
+            Arc::clone(&a.scope)
+        } else {
+            // What is not wanted any more is no ground to send on.
+            let wanted = |s: &&SliceNo| self.scope.binary_search(s).is_ok();
+            a.scope.iter().filter(wanted).copied().collect()
+        };
+        Some(Granted {
+            epoch: a.epoch,
+            slices,
+            until: a.until,
+        })
+    }
+
+    /// Tells whether the upstream accepted the wanted scope under `epoch`, and nothing of what was
+    /// revoked still runs.
+    pub(crate) fn is_settled(&self, epoch: Epoch) -> bool {
+        self.serves(epoch) && self.running.is_empty()
+    }
+
+    /// Tells whether the upstream accepted the wanted scope under `epoch`.
+    pub(crate) fn serves(&self, epoch: Epoch) -> bool {
+        let a = self.accepted.as_ref();
+        a.is_some_and(|a| a.epoch == epoch && a.version == self.version)
+    }
+
+    /// Returns the own clock at which every grant sent so far is surely over.
+    pub(crate) const fn end(&self) -> Timestamp {
+        self.end
+    }
+
+    /// Returns an epoch above `epoch` that the upstream knows, and since when this host knows.
+    pub(crate) fn outbid(&self, epoch: Epoch) -> Option<(Epoch, Timestamp)> {
+        self.outbid.filter(|(o, _)| *o > epoch)
+    }
+
+    /// Tells whether the upstream replied to nothing for the bound.
+    pub(crate) fn is_silent(&self, now: Timestamp, listening: Timestamp, bound: Duration) -> bool {
+        let last = self.last_reply.unwrap_or(self.created);
+        self.unanswered >= LOST_ATTEMPTS && now.since(last.max(listening)) >= bound
+    }
+
+    /// Tells whether the upstream replied to nothing since `start`.
+    pub(crate) fn is_silent_since(&self, start: Timestamp) -> bool {
+        self.last_reply.is_none_or(|last| last <= start)
+    }
+
+    /// Tells whether the last attempt was refused by the transport.
+    pub(crate) const fn is_refused(&self) -> bool {
+        self.refused
+    }
+}
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -1,22 +1,91 @@
 //! One host's part in ownership.
 
-use ids::Timestamp;
+use std::collections::BTreeMap;
+use std::sync::Arc;
 
-use crate::{Action, Event, HostRef, OwnSettings};
+use bytes::Bytes;
+use ids::{DomainId, EntryId, Epoch, Revision, SliceNo, Timestamp, UpstreamId};
+use platform::{Check, Row, RowKey, Txn, Write};
+use wire::own::{Body, PeerMessage};
+
+use crate::commits::{Commits, Pending, Subject};
+use crate::held::{Handed, Held, Settling};
+use crate::peers::Mark;
+use crate::replica::{Known, Replica, Taken};
+use crate::roster::Roster;
+use crate::view::View;
+use crate::{
+    Action, CommitOutcome, EntryRow, Event, HostRef, OwnChange, OwnRow, OwnSettings, Stop, Writer,
+};
 
 /// One host's part in ownership: takes `(now, event)` and pushes actions.
+///
+/// The machine is level-triggered: an event changes what it knows, and what to do follows from
+/// that alone. Lost or repeated messages and transactions without a known result need no undoing.
 #[derive(Debug)]
 pub struct Machine {
-    settings: OwnSettings,
-    me: HostRef,
+    pub(crate) cfg: OwnSettings,
+    pub(crate) me: HostRef,
+    pub(crate) now: Timestamp,
+    pub(crate) out: Vec<Action>,
+    pub(crate) roster: Roster,
+    pub(crate) replica: Replica,
+    pub(crate) view: View,
+    pub(crate) commits: Commits,
+    /// Upstreams that this host coordinates.
+    pub(crate) held: BTreeMap<UpstreamId, Held>,
+    /// Upstreams that this host handed over and that are not served yet.
+    pub(crate) handed: BTreeMap<UpstreamId, Handed>,
+    /// When all is over that this host granted to upstreams it does not coordinate any more.
+    pub(crate) past: BTreeMap<UpstreamId, Timestamp>,
+    /// What this host promised as a deputy.
+    pub(crate) marks: BTreeMap<UpstreamId, Mark>,
+    pub(crate) settling: Vec<Settling>,
+    /// Entry of each upstream, kept when the upstream goes.
+    pub(crate) entry_of: BTreeMap<UpstreamId, EntryId>,
+    /// Since when an entry waits for its slices to be handed out.
+    pub(crate) unassigned: BTreeMap<EntryId, Timestamp>,
+    /// Since when a domain has no host that is up.
+    pub(crate) deserted: BTreeMap<DomainId, Timestamp>,
+    pub(crate) table_stamp: Option<Timestamp>,
+    pub(crate) table_reachable: bool,
+    pub(crate) watch_at: Timestamp,
+    pub(crate) scan_at: Timestamp,
+    pub(crate) leaving: bool,
+    pub(crate) left: bool,
+    last_number: u64,
 }
 
 impl Machine {
     /// Creates the machine of one run of a host.
     #[must_use]
     pub fn new(settings: OwnSettings, me: HostRef) -> Self {
-        debug_assert_eq!(settings.check(), Ok(()));
-        Self { settings, me }
+        debug_assert_eq!(settings.check(), Ok(()), "settings contradict each other");
+        Self {
+            cfg: settings,
+            roster: Roster::new(me.clone()),
+            me,
+            now: Timestamp::ZERO,
+            out: Vec::new(),
+            replica: Replica::default(),
+            view: View::default(),
+            commits: Commits::default(),
+            held: BTreeMap::new(),
+            handed: BTreeMap::new(),
+            past: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            settling: Vec::new(),
+            entry_of: BTreeMap::new(),
+            unassigned: BTreeMap::new(),
+            deserted: BTreeMap::new(),
+            table_stamp: None,
+            table_reachable: true,
+            watch_at: Timestamp::ZERO,
+            scan_at: Timestamp::ZERO,
+            leaving: false,
+            left: false,
+            last_number: 0,
+        }
     }
 
     /// Returns the host's own reference.
@@ -28,13 +97,453 @@
     /// Returns the settings.
     #[must_use]
     pub const fn settings(&self) -> &OwnSettings {
-        &self.settings
+        &self.cfg
+    }
+
+    /// Returns the row of an upstream as this host knows it, and its revision.
+    #[must_use]
+    pub fn row(&self, upstream: &UpstreamId) -> Option<(Revision, Arc<OwnRow>)> {
+        let known = self.replica.get(upstream)?;
+        Some((known.revision, Arc::clone(&known.row)))
+    }
+
+    /// Iterates over the upstreams that this host coordinates, with its epoch.
+    pub fn coordinated(&self) -> impl Iterator<Item = (&UpstreamId, Epoch)> {
+        self.held.iter().map(|(u, h)| (u, h.epoch))
     }
 
     /// Takes an event that came at `now` and pushes what to do onto `actions`.
     ///
     /// `now` must not be lower than at the step before.
     pub fn step(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
-        _ = (now, event, actions);
+        self.now = now;
+        self.roster.runs(now, self.cfg.pause());
+        self.take(event);
+        actions.append(&mut self.out);
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Tick => self.tick(),
+            Event::Row(row) => self.on_table_row(&row),
+            Event::TableEvidence { as_of } => {
+                self.table_stamp = self.table_stamp.max(Some(as_of));
+                self.advance_all();
+            }
+            Event::TableReachable(reachable) => self.table_reachable = reachable,
+            Event::Committed { txn, outcome } => self.on_committed(txn, outcome),
+            Event::GrantReply {
+                upstream,
+                attempt,
+                reply,
+            } => self.with_held(&upstream, |m, h| {
+                h.link.reply(m.now, &m.cfg, attempt, &reply);
+            }),
+            Event::Healthy { upstream, .. } => self.with_held(&upstream, |m, h| {
+                h.link.healthy(m.now);
+            }),
+            Event::NoReply {
+                upstream, refused, ..
+            } => self.with_held(&upstream, |_, h| h.link.no_reply(refused)),
+            Event::Peer {
+                from,
+                echo_of,
+                leaving,
+            } => self.on_peer(&from, echo_of, leaving),
+            Event::PeerGone(host) => {
+                self.roster.gone(self.now, &host);
+                self.take_over_from(&host);
+                self.advance_all();
+            }
+            Event::PeerMessage(message) => self.on_message(&message),
+            Event::Catalogue(catalogue) => self.on_catalogue(catalogue),
+            Event::Drained { upstream, hold } => self.with_held(&upstream, |_, h| {
+                let groups = h.removal.iter_mut().flat_map(|r| &mut r.groups);
+                for g in groups.filter(|g| g.hold == hold) {
+                    g.drained = true;
+                }
+            }),
+            Event::Idle { upstream, idle } => self.with_held(&upstream, |_, h| h.idle = idle),
+            Event::Draining { upstream, draining } => {
+                self.with_held(&upstream, |_, h| h.draining = draining);
+            }
+            Event::MoveWish { entry, slice, to } => self.on_wish(&entry, slice, to),
+            Event::CarveWish { entry, base, hot } => self.on_carve(&entry, base, hot),
+            Event::FoldWish { entry, hot } => self.on_fold(&entry, hot),
+            Event::Leave => {
+                self.leaving = true;
+                self.advance_all();
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.submit_again();
+        self.take_over_silent();
+        self.advance_all();
+        self.ask_deputies();
+        self.pass_on_handed();
+        self.release_settled();
+        if self.now >= self.scan_at {
+            self.scan_at = self.now + self.cfg.watch_every;
+            self.scan();
+        }
+        self.check_left();
+    }
+
+    fn check_left(&mut self) {
+        let idle = self.held.is_empty() && self.handed.is_empty() && self.settling.is_empty();
+        if self.leaving && !self.left && idle {
+            self.left = true;
+            self.out.push(Action::Left);
+        }
+    }
+
+    fn on_catalogue(&mut self, catalogue: Arc<catalogue::Catalogue>) {
+        for (u, decl) in &catalogue.upstreams {
+            self.entry_of.insert(u.clone(), decl.entry.clone());
+        }
+        self.view = View::new(catalogue);
+        self.advance_all();
+    }
+
+    fn on_peer(&mut self, from: &HostRef, echo_of: Option<Timestamp>, leaving: bool) {
+        self.heard(from, echo_of.is_some());
+        self.roster.leaving(from, leaving);
+        if let Some(echo) = echo_of {
+            self.roster.echoed(from, echo);
+        }
+    }
+
+    /// Notes a sign of life.
+    pub(crate) fn heard(&mut self, from: &HostRef, direct: bool) {
+        self.roster.heard(self.now, from, direct);
+        if !direct {
+            return;
+        }
+        for h in self.held.values_mut() {
+            h.inherit.heard(self.now, &self.cfg, from);
+        }
+    }
+
+    /// Draws a number for an attempt, a hold or a question.
+    pub(crate) const fn number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+
+    /// Changes what is kept of an upstream that this host coordinates, and does what follows.
+    pub(crate) fn with_held(
+        &mut self,
+        upstream: &UpstreamId,
+        change: impl FnOnce(&mut Self, &mut Held),
+    ) {
+        let Some(mut held) = self.held.remove(upstream) else {
+            return;
+        };
+        change(self, &mut held);
+        self.held.insert(upstream.clone(), held);
+        self.advance(upstream);
+    }
+
+    pub(crate) fn advance_all(&mut self) {
+        let all = self.held.keys().cloned().collect::<Vec<_>>();
+        for u in &all {
+            self.advance(u);
+        }
+    }
+
+    /// Does what follows from what is known of an upstream that this host coordinates.
+    pub(crate) fn advance(&mut self, upstream: &UpstreamId) {
+        let Some(mut held) = self.held.remove(upstream) else {
+            return;
+        };
+        self.refresh_evidence(upstream, &mut held);
+        self.want_scope(upstream, &mut held);
+        self.tell_lease(upstream, &mut held);
+        self.renew(upstream, &mut held);
+        self.ask_predecessors(upstream, &mut held);
+        self.tell_serving(upstream, &mut held);
+        self.keep_row(upstream, &mut held);
+        self.move_slices(upstream, &mut held);
+        self.hand_over(upstream, &mut held);
+        self.held.insert(upstream.clone(), held);
+    }
+
+    fn on_table_row(&mut self, row: &Row) {
+        // A row that can't be read is no ground for anything; its revision stays unknown too.
+        match OwnChange::parse(row) {
+            Ok(OwnChange::Upstream(u, revision, Some(content))) => {
+                self.on_row(&u, revision, &content);
+            }
+            Ok(OwnChange::Entry(e, revision, Some(content))) => {
+                self.on_entry_row(e, revision, content);
+            }
+            Ok(OwnChange::Upstream(_, _, None) | OwnChange::Entry(_, _, None)) | Err(_) => {}
+        }
+    }
+
+    fn on_entry_row(&mut self, entry: EntryId, revision: Revision, row: EntryRow) {
+        self.commits.settle(&EntryRow::key(&entry), revision);
+        self.unassigned.remove(&entry);
+        self.replica.take_entry(entry, revision, row);
+    }
+
+    /// Takes in a row of an upstream, from wherever it came.
+    pub(crate) fn on_row(&mut self, upstream: &UpstreamId, revision: Revision, row: &Arc<OwnRow>) {
+        let taken = self
+            .replica
+            .take(self.now, &self.me, upstream, revision, Arc::clone(row));
+        let Taken::News(before) = taken else {
+            return;
+        };
+        self.commits.settle(&OwnRow::key(upstream), revision);
+        let mine = row.coordinator.as_ref().is_some_and(|c| c.is(&self.me));
+        match (mine, self.held.contains_key(upstream)) {
+            (true, true) => self.keep(upstream, row, before.as_ref()),
+            (true, false) => self.adopt(upstream, row, before.as_ref()),
+            (false, true) => self.check_replaced(upstream, row),
+            (false, false) => {}
+        }
+        self.release_settled();
+    }
+
+    /// Starts to coordinate an upstream, as its row says.
+    fn adopt(&mut self, upstream: &UpstreamId, row: &OwnRow, before: Option<&Known>) {
+        let handed = self.handed.get(upstream);
+        if handed.is_some_and(|h| h.epoch > row.epoch) {
+            return;
+        }
+        let mut held = Held::new(self.now, row.epoch, true);
+        self.inherit(&mut held, before);
+        self.held.insert(upstream.clone(), held);
+        self.advance(upstream);
+    }
+
+    /// Goes on coordinating an upstream whose row changed.
+    fn keep(&mut self, upstream: &UpstreamId, row: &OwnRow, before: Option<&Known>) {
+        let Some(mut held) = self.held.remove(upstream) else {
+            return;
+        };
+        if row.epoch >= held.epoch {
+            held.epoch = row.epoch;
+            held.recorded = true;
+            held.yielded = false;
+        }
+        if before.is_none_or(|b| b.row.epoch != row.epoch) {
+            self.inherit(&mut held, before);
+        }
+        self.held.insert(upstream.clone(), held);
+        self.after_row(upstream);
+        self.advance(upstream);
+    }
+
+    /// Notes those of the row before who may still act.
+    fn inherit(&self, held: &mut Held, before: Option<&Known>) {
+        let Some(before) = before else {
+            held.inherit.add(self.now, &self.cfg, std::iter::empty());
+            return;
+        };
+        held.older_since = before.since;
+        let both = [&before.row.coordinator, &before.row.deputy];
+        let others = both.into_iter().flatten().filter(|h| !h.is(&self.me));
+        held.inherit.add(self.now, &self.cfg, others.cloned());
+    }
+
+    /// Stops coordinating an upstream if its row names another host.
+    fn check_replaced(&mut self, upstream: &UpstreamId, row: &OwnRow) {
+        let Some(held) = self.held.get(upstream) else {
+            return;
+        };
+        let reserve = row.deputy.as_ref().is_some_and(|d| d.is(&self.me));
+        if !held.recorded && reserve && row.reserved() == held.epoch {
+            self.advance(upstream);
+            return;
+        }
+        let handing = held.handing.as_ref().map(|h| h.to.clone());
+        if handing.is_some_and(|to| row.coordinator.as_ref().is_some_and(|c| c.is(&to))) {
+            self.handed_over(upstream, row.epoch);
+            return;
+        }
+        self.drop_held(upstream, Stop::Replaced);
+    }
+
+    /// Stops coordinating an upstream.
+    pub(crate) fn drop_held(&mut self, upstream: &UpstreamId, why: Stop) {
+        let Some(held) = self.held.remove(upstream) else {
+            return;
+        };
+        self.past.insert(upstream.clone(), held.end());
+        self.out.push(Action::StopUpstream {
+            upstream: upstream.clone(),
+            why,
+        });
+        let groups = held.removal.iter().flat_map(|r| &r.groups);
+        let holds = groups.map(|g| g.hold);
+        let holds = holds.chain(held.handing.iter().map(|h| h.hold));
+        for hold in holds.collect::<Vec<_>>() {
+            self.settle_hold(upstream, hold, upstream.clone(), Revision(0));
+        }
+    }
+
+    fn on_committed(&mut self, txn: u64, outcome: CommitOutcome) {
+        match outcome {
+            CommitOutcome::Done(revision) => self.on_done(txn, revision),
+            CommitOutcome::Conflict(rows) => {
+                self.commits.end(txn);
+                for row in &rows {
+                    self.on_table_row(row);
+                }
+                self.advance_all();
+            }
+            CommitOutcome::Unreachable | CommitOutcome::Unconfirmed => {
+                self.commits.doubt(txn, self.now, self.cfg.commit_retry);
+                self.hand_over_without_table(txn);
+            }
+        }
+    }
+
+    fn on_done(&mut self, txn: u64, revision: Revision) {
+        let Some((_, pending)) = self.commits.end(txn) else {
+            return;
+        };
+        for write in pending.body.writes {
+            let row = Row {
+                key: write.key,
+                revision,
+                value: write.value,
+            };
+            self.on_table_row(&row);
+            self.tell_row(&row);
+        }
+        // It was committed after it was sent, and only as no other row had come in between.
+        self.note_commit(&pending.body.checks, pending.sent_at);
+    }
+
+    fn note_commit(&mut self, checks: &[Check], sent_at: Timestamp) {
+        for (u, held) in &mut self.held {
+            let key = OwnRow::key(u);
+            if held.recorded && checks.iter().any(|c| c.key == key) {
+                held.evidence = held.evidence.max(Some(sent_at));
+            }
+        }
+        self.advance_all();
+    }
+
+    /// Submits a transaction for `subject` unless one is under way.
+    pub(crate) fn commit(
+        &mut self,
+        subject: Subject,
+        build: impl FnOnce(Writer) -> Option<Txn>,
+    ) -> bool {
+        if self.commits.is_busy(&subject) {
+            return false;
+        }
+        let txn = self.commits.next();
+        let writer = Writer {
+            host: self.me.host.clone(),
+            incarnation: self.me.incarnation,
+            seq: txn,
+        };
+        let Some(body) = build(writer) else {
+            return false;
+        };
+        let pending = Pending {
+            txn,
+            body: body.clone(),
+            sent_at: self.now,
+            again_at: Timestamp::NEVER,
+        };
+        self.commits.start(subject, pending);
+        self.out.push(Action::Commit { txn, body });
+        true
+    }
+
+    fn submit_again(&mut self) {
+        for p in self.commits.due(self.now) {
+            p.sent_at = self.now;
+            p.again_at = Timestamp::NEVER;
+            self.out.push(Action::Commit {
+                txn: p.txn,
+                body: p.body.clone(),
+            });
+        }
+    }
+
+    pub(crate) fn is_busy(&self, upstream: &UpstreamId) -> bool {
+        self.commits.is_busy(&Subject::Upstream(upstream.clone()))
+    }
+
+    /// Rewrites one upstream's row by `change`, if nobody else wrote it since.
+    pub(crate) fn rewrite(
+        &mut self,
+        upstream: &UpstreamId,
+        change: impl FnOnce(&mut OwnRow),
+    ) -> bool {
+        let Some(known) = self.replica.get(upstream).cloned() else {
+            return false;
+        };
+        let subject = Subject::Upstream(upstream.clone());
+        self.commit(subject, |writer| {
+            let mut row = OwnRow::clone(&known.row);
+            change(&mut row);
+            row.writer = writer;
+            Some(Txn {
+                checks: vec![check(upstream, Some(known.revision))],
+                writes: vec![write(upstream, &row)],
+            })
+        })
+    }
+
+    pub(crate) fn send(&mut self, to: &HostRef, body: Body) {
+        if to.is(&self.me) {
+            return;
+        }
+        let message = Box::new(PeerMessage {
+            from: Some((&self.me).into()),
+            body: Some(body),
+        });
+        self.out.push(Action::SendPeer {
+            to: to.clone(),
+            message,
+        });
+    }
+
+    /// Returns the slices that an upstream should have, by its row and what is being removed.
+    pub(crate) fn wanted(&self, upstream: &UpstreamId, held: &Held) -> Vec<SliceNo> {
+        let Some(known) = self.replica.get(upstream) else {
+            return Vec::new();
+        };
+        let mark = self.marks.get(upstream);
+        let mark = mark.filter(|m| !held.recorded && known.revision <= m.revision);
+        let removal = held.removal.as_ref().filter(|r| r.is_revoking());
+        let kept = |s: &SliceNo| {
+            let retired = mark.is_some_and(|m| m.slices.binary_search(s).is_ok());
+            !retired && removal.is_none_or(|r| !r.holds(*s))
+        };
+        let all = known.row.slices.iter().map(|a| a.slice);
+        all.filter(kept).collect()
+    }
+}
+
+/// Builds the condition that an upstream's row has this revision.
+pub(crate) fn check(upstream: &UpstreamId, revision: Option<Revision>) -> Check {
+    Check {
+        key: OwnRow::key(upstream),
+        revision,
+    }
+}
+
+/// Builds the write of an upstream's row.
+pub(crate) fn write(upstream: &UpstreamId, row: &OwnRow) -> Write {
+    debug_assert!(row.slices.is_sorted_by(|a, b| a.slice < b.slice));
+    write_value(OwnRow::key(upstream), row.encode())
+}
+
+/// Builds the write of a row with this value.
+pub(crate) fn write_value(key: RowKey, value: Vec<u8>) -> Write {
+    Write {
+        key,
+        value: Some(Bytes::from(value)),
     }
 }
--- /dev/null
+++ b/crates/own/src/moves.rs
@@ -0,0 +1,505 @@
+//! Taking slices off an upstream.
+//!
+//! Slices go in one transaction on the rows of both sides, and only once
+//! - nobody who coordinated the upstream before can still grant them,
+//! - the deputy promised not to grant them on its reserve, and
+//! - the upstream gave them up, or its grant is surely over.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::{EntryId, Revision, SliceNo, UpstreamId};
+use platform::Txn;
+use wire::own::{Body, Retire};
+
+use crate::commits::Subject;
+use crate::held::{Group, Held, Removal, Retiring, Settling, Why};
+use crate::machine::{Machine, check, write};
+use crate::replica::Known;
+use crate::roster::weight;
+use crate::{Action, Assigned, Carved, HostRef, OwnRow};
+
+/// Longest time that a wished move may take before it is given up.
+const LONGEST_WISH: Duration = Duration::from_secs(2);
+/// Longest time for which requests are held for an upstream that is not said to serve.
+const LONGEST_HOLD: Duration = Duration::from_millis(300);
+/// From how many times more upstreams than are needed the emptiest are taken.
+const SAMPLE: usize = 4;
+
+impl Machine {
+    pub(crate) fn on_wish(&mut self, entry: &EntryId, slice: SliceNo, to: UpstreamId) {
+        let Some(upstream) = self.holder(entry, slice) else {
+            return;
+        };
+        self.with_held(&upstream.clone(), |_, h| {
+            if to == upstream {
+                h.wishes.remove(&slice);
+            } else {
+                h.wishes.insert(slice, to);
+            }
+        });
+    }
+
+    /// Returns the upstream, coordinated by this host, that owns a slice.
+    fn holder(&self, entry: &EntryId, slice: SliceNo) -> Option<UpstreamId> {
+        let owns = |u: &&UpstreamId| {
+            let known = self.replica.get(u);
+            self.entry_of.get(*u) == Some(entry) && known.is_some_and(|k| k.row.holds(slice))
+        };
+        self.held.keys().find(owns).cloned()
+    }
+
+    pub(crate) fn on_carve(&mut self, entry: &EntryId, base: SliceNo, hot: SliceNo) {
+        debug_assert!(hot.is_hot(), "only hot keys are carved out");
+        let Some(upstream) = self.holder(entry, base) else {
+            return;
+        };
+        let Some(known) = self.replica.get(&upstream) else {
+            return;
+        };
+        // Higher than any generation that the slice can have had before: each change of its
+        // owner was a transaction of its own.
+        let generation = known.revision.0 + 1;
+        if known.row.carved.iter().any(|c| c.hot == hot) {
+            return;
+        }
+        self.rewrite(&upstream, |row| {
+            row.carved.push(Carved { hot, base });
+            row.carved.sort();
+            row.slices.push(Assigned {
+                slice: hot,
+                generation,
+            });
+            row.slices.sort();
+        });
+    }
+
+    pub(crate) fn on_fold(&mut self, entry: &EntryId, hot: SliceNo) {
+        let Some(upstream) = self.holder(entry, hot) else {
+            return;
+        };
+        let known = self.replica.get(&upstream);
+        if !known.is_some_and(|k| k.row.carved.iter().any(|c| c.hot == hot)) {
+            return;
+        }
+        self.rewrite(&upstream, |row| {
+            row.carved.retain(|c| c.hot != hot);
+            row.slices.retain(|a| a.slice != hot);
+        });
+    }
+
+    /// Starts and pursues the removal of slices that should go.
+    pub(crate) fn move_slices(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        if !held.recorded || held.handing.is_some() || self.is_busy(upstream) {
+            return;
+        }
+        if held.removal.is_none() {
+            self.start_removal(upstream, held);
+        }
+        if self.is_hopeless(upstream, held) {
+            self.cancel_removal(upstream, held);
+            return;
+        }
+        self.ask_to_retire(upstream, held);
+        if self.may_remove(upstream, held) {
+            self.submit_removal(upstream, held);
+        }
+    }
+
+    fn start_removal(&mut self, upstream: &UpstreamId, kept: &mut Held) {
+        if self.leaving || !self.table_reachable || self.has_yielded(upstream, kept) {
+            return;
+        }
+        let Some(known) = self.replica.get(upstream).cloned() else {
+            return;
+        };
+        let all = known.row.slices.iter().map(|a| a.slice);
+        let (why, plan) = if self.is_lost(upstream, kept) {
+            (Why::Lost, self.spread(upstream, all))
+        } else if self.is_emptying(upstream, kept) {
+            let batch = all.take(self.cfg.move_batch);
+            (Why::Emptying, self.spread(upstream, batch))
+        } else {
+            (Why::Wish, self.take_wishes(upstream, kept, &known))
+        };
+        if plan.is_empty() {
+            return;
+        }
+        let mut groups = Vec::new();
+        for (to, slices) in plan {
+            let hold = self.number();
+            let slices = Arc::<[SliceNo]>::from(slices);
+            self.out.push(Action::Hold {
+                upstream: upstream.clone(),
+                hold,
+                slices: Some(Arc::clone(&slices)),
+            });
+            groups.push(Group {
+                hold,
+                to,
+                slices,
+                drained: false,
+            });
+        }
+        kept.removal = Some(Removal {
+            why,
+            since: self.now,
+            groups,
+            retiring: None,
+            end: None,
+        });
+        self.want_scope(upstream, kept);
+        self.tell_lease(upstream, kept);
+    }
+
+    /// Tells whether an upstream is lost: its grant is over and it replies to nothing.
+    fn is_lost(&self, upstream: &UpstreamId, held: &Held) -> bool {
+        if self.view.in_lost_domain(upstream) {
+            return true;
+        }
+        let over = !self.checks_grants(upstream) || held.link.end() <= self.now;
+        over && held
+            .link
+            .is_silent(self.now, self.roster.listening(), self.cfg.silence)
+    }
+
+    /// Spreads slices over other upstreams of the same entry, the emptiest first.
+    fn spread(
+        &self,
+        upstream: &UpstreamId,
+        slices: impl Iterator<Item = SliceNo>,
+    ) -> BTreeMap<UpstreamId, Vec<SliceNo>> {
+        let mut plan = BTreeMap::<UpstreamId, Vec<SliceNo>>::new();
+        let mut loads = self.targets(upstream);
+        for slice in slices {
+            let Some((load, to)) = loads.iter_mut().min() else {
+                break;
+            };
+            *load += 1;
+            plan.entry(to.clone()).or_default().push(slice);
+        }
+        plan
+    }
+
+    /// Returns some upstreams that may take slices of this one, with how many they have.
+    ///
+    /// Each lost upstream takes its own sample, so that many lost at once don't all write the rows
+    /// of the same few.
+    fn targets(&self, upstream: &UpstreamId) -> Vec<(usize, UpstreamId)> {
+        let Some(entry) = self.entry_of.get(upstream) else {
+            return Vec::new();
+        };
+        let mut open = self.open_upstreams(entry);
+        open.retain(|(u, _)| u != upstream && !self.is_known_unfit(u));
+        open.sort_by_key(|(u, _)| weight(upstream.as_str(), u.as_str()));
+        open.truncate(self.cfg.spread_targets * SAMPLE);
+        let load = |(u, k): (UpstreamId, Known)| (k.row.slices.len(), u);
+        let mut loads = open.into_iter().map(load).collect::<Vec<_>>();
+        loads.sort();
+        loads.truncate(self.cfg.spread_targets);
+        loads
+    }
+
+    /// Tells whether this host, which coordinates an upstream, knows better than its row.
+    fn is_known_unfit(&self, upstream: &UpstreamId) -> bool {
+        let held = self.held.get(upstream);
+        held.is_some_and(|h| self.is_emptying(upstream, h) || !self.is_serving(upstream, h))
+    }
+
+    fn take_wishes(
+        &self,
+        upstream: &UpstreamId,
+        held: &mut Held,
+        known: &Known,
+    ) -> BTreeMap<UpstreamId, Vec<SliceNo>> {
+        let mut plan = BTreeMap::<UpstreamId, Vec<SliceNo>>::new();
+        if held.inherit.quiet_at() > self.now {
+            return plan;
+        }
+        let mut taken = 0;
+        while let Some((slice, to)) = held.wishes.pop_first() {
+            if known.row.holds(slice) && self.is_target(upstream, &to) {
+                plan.entry(to).or_default().push(slice);
+                taken += 1;
+            }
+            if taken == self.cfg.move_batch {
+                break;
+            }
+        }
+        plan
+    }
+
+    fn is_target(&self, from: &UpstreamId, to: &UpstreamId) -> bool {
+        let Some(entry) = self.entry_of.get(from) else {
+            return false;
+        };
+        let mut open = self.open_upstreams(entry).into_iter();
+        from != to && !self.is_known_unfit(to) && open.any(|(u, _)| u == *to)
+    }
+
+    /// Tells whether a removal should be given up; none is while its transaction is in doubt.
+    fn is_hopeless(&self, upstream: &UpstreamId, held: &Held) -> bool {
+        let Some(r) = &held.removal else {
+            return false;
+        };
+        match r.why {
+            Why::Lost => !self.is_lost(upstream, held) && !held.link.is_silent_since(r.since),
+            Why::Wish => !self.table_reachable || self.now.since(r.since) >= LONGEST_WISH,
+            Why::Emptying => !self.table_reachable,
+        }
+    }
+
+    /// Gives a removal up: the slices stay.
+    pub(crate) fn cancel_removal(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        let Some(r) = held.removal.take() else {
+            return;
+        };
+        for g in r.groups {
+            self.release(upstream, g.hold, upstream.clone(), self.me.clone());
+        }
+        if r.retiring.is_some() {
+            self.send_retire(upstream, held, Vec::new());
+        }
+        self.want_scope(upstream, held);
+    }
+
+    /// Asks the deputy not to grant the slices, until it promised for the row as it stands.
+    fn ask_to_retire(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        let Some(r) = &held.removal else {
+            return;
+        };
+        let Some(known) = self.replica.get(upstream) else {
+            return;
+        };
+        let current = r.retiring.filter(|t| t.revision == known.revision);
+        let again = self.cfg.watch_every / 2;
+        if current.is_some_and(|t| t.promised || self.now.since(t.sent_at) < again) {
+            return;
+        }
+        let slices = r.slices();
+        let retiring = self.send_retire(upstream, held, slices);
+        if let Some(r) = &mut held.removal {
+            r.retiring = retiring;
+        }
+    }
+
+    fn send_retire(
+        &mut self,
+        upstream: &UpstreamId,
+        held: &Held,
+        slices: Vec<SliceNo>,
+    ) -> Option<Retiring> {
+        let known = self.replica.get(upstream)?.clone();
+        let seq = self.number();
+        if let Some(deputy) = &known.row.deputy {
+            let body = Retire {
+                upstream: upstream.as_str().to_owned(),
+                epoch: held.epoch.0,
+                revision: known.revision.0,
+                slices: slices.into_iter().map(|s| s.0).collect(),
+                seq,
+            };
+            self.send(deputy, Body::Retire(body));
+        }
+        Some(Retiring {
+            seq,
+            revision: known.revision,
+            promised: known.row.deputy.is_none(),
+            sent_at: self.now,
+        })
+    }
+
+    /// Tells whether nobody can grant the slices any more.
+    fn may_remove(&self, upstream: &UpstreamId, held: &Held) -> bool {
+        let Some(r) = &held.removal else {
+            return false;
+        };
+        let Some(known) = self.replica.get(upstream) else {
+            return false;
+        };
+        let retired = r.retiring.filter(|t| t.revision == known.revision);
+        retired.is_some_and(|t| t.promised)
+            && r.is_revoking()
+            && held.inherit.quiet_at() <= self.now
+            && self.is_given_up(upstream, held, r)
+    }
+
+    /// Tells whether the upstream gave the slices up, or can't run requests of them any more.
+    fn is_given_up(&self, upstream: &UpstreamId, held: &Held, r: &Removal) -> bool {
+        let over = r.end.is_some_and(|end| end <= self.now);
+        if self.view.in_lost_domain(upstream) {
+            return over;
+        }
+        if self.checks_grants(upstream) {
+            return held.link.is_settled(held.epoch) || (over && r.why == Why::Lost);
+        }
+        if held.link.is_refused() && r.why == Why::Lost {
+            return over;
+        }
+        let drained = r.groups.iter().all(|g| g.drained) || held.idle;
+        if drained && held.inherit.waiting().is_empty() {
+            return true;
+        }
+        // What was sent may still run at an upstream that froze, or may be sent by a host that
+        // did: only harmless if it may run twice.
+        let longest = Duration::from_millis(self.view.deadline_ms(upstream).into());
+        let finished = held.lease_end + longest + self.cfg.deadline_margin;
+        self.view.is_idempotent(upstream) && over && finished <= self.now
+    }
+
+    fn submit_removal(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        let Some(known) = self.replica.get(upstream).cloned() else {
+            return;
+        };
+        if !self.retarget(upstream, held) {
+            return;
+        }
+        let Some(r) = &held.removal else {
+            return;
+        };
+        let targets = r.groups.iter().filter_map(|g| {
+            let target = self.replica.get(&g.to)?.clone();
+            Some((g.clone(), target))
+        });
+        let targets = targets.collect::<Vec<_>>();
+        debug_assert_eq!(targets.len(), r.groups.len(), "targets are known");
+        let close = r.why != Why::Wish;
+        let subject = Subject::Upstream(upstream.clone());
+        self.commit(subject, |writer| {
+            let mut from = OwnRow::clone(&known.row);
+            from.writer = writer;
+            from.open &= !close;
+            Some(moved(upstream, known.revision, from, &targets))
+        });
+    }
+
+    /// Gives groups whose upstream can't take them any more another one.
+    fn retarget(&mut self, upstream: &UpstreamId, held: &mut Held) -> bool {
+        let Some(mut r) = held.removal.take() else {
+            return false;
+        };
+        let mut all = true;
+        for g in &mut r.groups {
+            if self.is_target(upstream, &g.to) {
+                continue;
+            }
+            let plan = self.spread(upstream, g.slices.first().copied().into_iter());
+            match plan.into_keys().next() {
+                Some(to) => g.to = to,
+                None => all = false,
+            }
+        }
+        held.removal = Some(r);
+        all
+    }
+
+    /// Ends a removal whose slices are gone from the row.
+    pub(crate) fn after_row(&mut self, upstream: &UpstreamId) {
+        let Some(known) = self.replica.get(upstream).cloned() else {
+            return;
+        };
+        let Some(held) = self.held.get_mut(upstream) else {
+            return;
+        };
+        let Some(r) = &held.removal else {
+            return;
+        };
+        if r.slices().iter().any(|s| known.row.holds(*s)) {
+            return;
+        }
+        let groups = held.removal.take().map(|r| r.groups);
+        for g in groups.into_iter().flatten() {
+            self.settle_hold(upstream, g.hold, g.to, known.revision);
+        }
+    }
+
+    /// Keeps requests held until `to` serves the row of this revision.
+    pub(crate) fn settle_hold(
+        &mut self,
+        upstream: &UpstreamId,
+        hold: u64,
+        to: UpstreamId,
+        revision: Revision,
+    ) {
+        self.settling.push(Settling {
+            upstream: upstream.clone(),
+            hold,
+            to,
+            revision,
+            until: self.now + LONGEST_HOLD,
+        });
+    }
+
+    /// Releases requests whose upstream serves now, by what this host itself knows.
+    pub(crate) fn release_settled(&mut self) {
+        let served = |s: &Settling| {
+            let known = self.replica.get(&s.to);
+            let newer = known.is_some_and(|k| k.revision >= s.revision);
+            let held = self.held.get(&s.to);
+            newer && held.is_some_and(|h| self.is_serving(&s.to, h))
+        };
+        let done = |s: &Settling| self.now >= s.until || served(s);
+        let (due, kept) = self.settling.iter().cloned().partition(done);
+        self.settling = kept;
+        self.release_all(due);
+    }
+
+    /// Releases requests that were held for a host which serves now.
+    pub(crate) fn release_served(&mut self, to: &UpstreamId, by: &HostRef, revision: Revision) {
+        let known = self.replica.get(to);
+        let named = known.and_then(|k| k.row.coordinator.as_ref());
+        if !named.is_some_and(|c| c.is(by)) {
+            return;
+        }
+        let due = |s: &Settling| s.to == *to && s.revision <= revision;
+        let (due, kept) = self.settling.iter().cloned().partition(due);
+        self.settling = kept;
+        self.release_all(due);
+    }
+
+    fn release_all(&mut self, due: Vec<Settling>) {
+        for s in due {
+            let known = self.replica.get(&s.to);
+            let host = known.and_then(|k| k.row.coordinator.clone());
+            let host = host.unwrap_or_else(|| self.me.clone());
+            self.release(&s.upstream, s.hold, s.to, host);
+        }
+    }
+}
+
+/// Builds the transaction that moves groups of slices off an upstream.
+fn moved(
+    upstream: &UpstreamId,
+    revision: Revision,
+    mut from: OwnRow,
+    groups: &[(Group, Known)],
+) -> Txn {
+    let mut checks = vec![check(upstream, Some(revision))];
+    let mut rows = BTreeMap::<UpstreamId, OwnRow>::new();
+    for (g, target) in groups {
+        let row = rows.entry(g.to.clone()).or_insert_with(|| {
+            checks.push(check(&g.to, Some(target.revision)));
+            OwnRow::clone(&target.row)
+        });
+        row.writer = from.writer.clone();
+        take_slices(&mut from, row, &g.slices);
+    }
+    let mut writes = vec![write(upstream, &from)];
+    writes.extend(rows.iter().map(|(u, row)| write(u, row)));
+    Txn { checks, writes }
+}
+
+/// Moves slices, and the hot keys carved out of them, from one row to another.
+fn take_slices(from: &mut OwnRow, to: &mut OwnRow, slices: &[SliceNo]) {
+    let within = |s: SliceNo| slices.binary_search(&s).is_ok();
+    let taken = from.slices.extract_if(.., |a| within(a.slice));
+    to.slices.extend(taken.map(|a| Assigned {
+        slice: a.slice,
+        generation: a.generation + 1,
+    }));
+    to.slices.sort();
+    let carved = from.carved.extract_if(.., |c| within(c.base));
+    to.carved.extend(carved);
+    to.carved.sort();
+}
--- /dev/null
+++ b/crates/own/src/renew.rs
@@ -0,0 +1,217 @@
+//! Leases, grants, and the messages that keep them alive.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ids::{SliceNo, UpstreamId};
+use wire::own::{Body, Claim, Serving, Supersede, Watch};
+
+use crate::held::Held;
+use crate::machine::Machine;
+use crate::{Action, Carved, HostRef, Lease, Stop};
+
+impl Machine {
+    pub(crate) fn checks_grants(&self, upstream: &UpstreamId) -> bool {
+        // An upstream that is not declared any more gets no sends, whichever kind it was.
+        let decl = self.view.upstream(upstream);
+        decl.is_none_or(|u| u.checks_grants)
+    }
+
+    pub(crate) fn want_scope(&self, upstream: &UpstreamId, held: &mut Held) {
+        let wanted = self.wanted(upstream, held);
+        let before = (held.link.end(), held.lease_end);
+        held.link.want(self.now, &wanted);
+        let revoking = held.removal.as_mut().filter(|r| r.is_revoking());
+        if let Some(r) = revoking.filter(|r| r.end.is_none()) {
+            r.end = Some(before.0.max(before.1));
+        }
+    }
+
+    /// Tells the lease if it changed.
+    pub(crate) fn tell_lease(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        match self.lease(upstream, held) {
+            Ok(lease) => {
+                if held.lease.as_ref() == Some(&lease) {
+                    return;
+                }
+                held.lease_end = held.lease_end.max(lease.valid_until);
+                held.lease = Some(lease.clone());
+                self.out.push(Action::Lease(lease));
+            }
+            Err(why) => {
+                if held.lease.take().is_none() {
+                    return;
+                }
+                self.out.push(Action::StopUpstream {
+                    upstream: upstream.clone(),
+                    why,
+                });
+            }
+        }
+    }
+
+    fn lease(&self, upstream: &UpstreamId, held: &Held) -> Result<Lease, Stop> {
+        if held.handing.is_some() {
+            return Err(Stop::HandedOver);
+        }
+        if self.has_yielded(upstream, held) {
+            return Err(Stop::Replaced);
+        }
+        let evidence = held.evidence.filter(|_| self.has_evidence(held));
+        let until = evidence.ok_or(Stop::NoEvidence)? + self.cfg.evidence;
+        let known = self.replica.get(upstream).ok_or(Stop::Replaced)?;
+        if !self.checks_grants(upstream) {
+            let slices = self.wanted(upstream, held).into();
+            return Ok(Lease {
+                upstream: upstream.clone(),
+                epoch: held.epoch,
+                valid_until: until,
+                carved: carved(&known.row.carved, &slices),
+                slices,
+                revision: known.revision,
+            });
+        }
+        let granted = held.link.granted().ok_or(Stop::NoReply)?;
+        if granted.until <= self.now {
+            return Err(Stop::NoReply);
+        }
+        Ok(Lease {
+            upstream: upstream.clone(),
+            epoch: granted.epoch,
+            valid_until: until.min(granted.until),
+            carved: carved(&known.row.carved, &granted.slices),
+            slices: granted.slices,
+            revision: known.revision,
+        })
+    }
+
+    /// Tells whether the deputy acts, and is there to do so.
+    pub(crate) fn has_yielded(&self, upstream: &UpstreamId, held: &Held) -> bool {
+        held.yielded && !self.deputy_is_silent(upstream)
+    }
+
+    /// Tells whether the row names a deputy that is silent.
+    pub(crate) fn deputy_is_silent(&self, upstream: &UpstreamId) -> bool {
+        let Some(known) = self.replica.get(upstream) else {
+            return false;
+        };
+        let bound = self.cfg.silence;
+        let deputy = known.row.deputy.as_ref();
+        deputy.is_some_and(|d| self.roster.silent(self.now, d, known.since, bound))
+    }
+
+    /// Sends a grant or a health request if one is due.
+    pub(crate) fn renew(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        if !held.link.is_due(self.now) || !self.has_evidence(held) {
+            return;
+        }
+        if self.has_yielded(upstream, held) || held.handing.is_some() {
+            return;
+        }
+        let attempt = self.number();
+        if !self.checks_grants(upstream) {
+            held.link.probe(self.now, &self.cfg);
+            self.out.push(Action::Probe {
+                upstream: upstream.clone(),
+                attempt,
+            });
+            return;
+        }
+        let wanted = self.wanted(upstream, held);
+        let Some(full) = self.view.scope(upstream, &wanted) else {
+            return;
+        };
+        let epoch = held.epoch;
+        let sent = held
+            .link
+            .attempt(self.now, &self.cfg, attempt, epoch, &self.me.host, full);
+        self.out.push(Action::SendGrant {
+            upstream: upstream.clone(),
+            attempt: sent.attempt,
+            request: sent.request,
+        });
+    }
+
+    /// Asks the deputies for their promises, with one message to each.
+    pub(crate) fn ask_deputies(&mut self) {
+        if self.now < self.watch_at {
+            return;
+        }
+        self.watch_at = self.now + self.cfg.watch_every;
+        let mut asked = BTreeMap::<HostRef, Vec<Claim>>::new();
+        for (u, held) in self.held.iter().filter(|(_, h)| h.recorded) {
+            let known = self.replica.get(u);
+            let Some(deputy) = known.and_then(|k| k.row.deputy.clone()) else {
+                continue;
+            };
+            asked.entry(deputy).or_default().push(Claim {
+                upstream: u.as_str().to_owned(),
+                epoch: held.epoch.0,
+            });
+        }
+        let stamp_us = self.now.as_micros();
+        for (deputy, claims) in asked {
+            self.send(&deputy, Body::Watch(Watch { stamp_us, claims }));
+        }
+    }
+
+    /// Tells those who could act before that they were replaced, until they say that they stopped.
+    pub(crate) fn ask_predecessors(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        let over = |h: &&HostRef| self.roster.is_over(h);
+        let gone = held.inherit.waiting().iter().filter(over).cloned();
+        let last = self.now + self.cfg.outlast(self.cfg.grant_ttl);
+        let end = last.max(held.older_since + self.cfg.quiet());
+        for h in gone.collect::<Vec<_>>() {
+            held.inherit.stopped(&h, end);
+        }
+        if !held.recorded || self.now < held.supersede_at || held.inherit.waiting().is_empty() {
+            return;
+        }
+        held.supersede_at = self.now + self.cfg.watch_every;
+        let Some(known) = self.replica.get(upstream).cloned() else {
+            return;
+        };
+        let message = Supersede {
+            upstream: upstream.as_str().to_owned(),
+            epoch: held.epoch.0,
+            revision: known.revision.0,
+            row: Some((&*known.row).into()),
+        };
+        for h in held.inherit.waiting() {
+            self.send(h, Body::Supersede(message.clone()));
+        }
+    }
+
+    /// Tells whether the upstream serves all that its row says.
+    pub(crate) fn is_serving(&self, upstream: &UpstreamId, held: &Held) -> bool {
+        let fresh = held.lease.is_some();
+        fresh && (!self.checks_grants(upstream) || held.link.serves(held.epoch))
+    }
+
+    pub(crate) fn tell_serving(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        if held.tells.is_empty() || !self.is_serving(upstream, held) {
+            return;
+        }
+        let Some(revision) = self.replica.get(upstream).map(|k| k.revision) else {
+            return;
+        };
+        let due = |t: &(HostRef, ids::Revision)| t.1 <= revision;
+        let told = held.tells.extract_if(.., |t| due(t)).collect::<Vec<_>>();
+        for (host, _) in told {
+            self.send(
+                &host,
+                Body::Serving(Serving {
+                    upstream: upstream.as_str().to_owned(),
+                    epoch: held.epoch.0,
+                    revision: revision.0,
+                }),
+            );
+        }
+    }
+}
+
+/// Returns the hot keys carved out of `slices`.
+fn carved(all: &[Carved], slices: &Arc<[SliceNo]>) -> Arc<[Carved]> {
+    let within = |c: &&Carved| slices.binary_search(&c.base).is_ok();
+    all.iter().filter(within).copied().collect()
+}
--- /dev/null
+++ b/crates/own/src/roster.rs
@@ -0,0 +1,257 @@
+//! Hosts that were heard of, and how long ago by the own clock.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ids::{DomainId, HostId, Timestamp};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::HostRef;
+
+/// What is known of one host.
+#[derive(Debug, Clone)]
+struct Heard {
+    host: HostRef,
+    first: Timestamp,
+    /// Last sign of life that came straight from the host.
+    direct: Option<Timestamp>,
+    /// Last sign of life by any way.
+    any: Timestamp,
+    /// Highest reading of the own clock that the host returned.
+    echo: Option<Timestamp>,
+    leaving: bool,
+    gone: bool,
+    /// When the host was first asked, without an answer since, whether it is up.
+    asked: Option<Timestamp>,
+}
+
+/// Hosts that were heard of.
+///
+/// Silence counts only while the own process ran: after a pause of its own, a host gives all
+/// others the whole bound again.
+#[derive(Debug)]
+pub(crate) struct Roster {
+    me: HostRef,
+    hosts: BTreeMap<HostId, Heard>,
+    last_step: Timestamp,
+    /// Since when the own process ran without a pause.
+    listening: Timestamp,
+}
+
+impl Roster {
+    pub(crate) fn new(me: HostRef) -> Self {
+        Self {
+            me,
+            hosts: BTreeMap::new(),
+            last_step: Timestamp::ZERO,
+            listening: Timestamp::ZERO,
+        }
+    }
+
+    /// Notes that the process runs at `now`; a gap above `pause` restarts all silences.
+    pub(crate) fn runs(&mut self, now: Timestamp, pause: Duration) {
+        debug_assert!(now >= self.last_step, "the clock ran backwards");
+        let first = self.last_step == Timestamp::ZERO;
+        if first || now.since(self.last_step) > pause {
+            self.listening = now;
+            for h in self.hosts.values_mut() {
+                h.asked = None;
+            }
+        }
+        self.last_step = now;
+    }
+
+    /// Since when the own process ran without a pause.
+    pub(crate) const fn listening(&self) -> Timestamp {
+        self.listening
+    }
+
+    /// Notes a sign of life.
+    pub(crate) fn heard(&mut self, now: Timestamp, from: &HostRef, direct: bool) {
+        if from.host == self.me.host {
+            return;
+        }
+        let fresh = || Heard {
+            host: from.clone(),
+            first: now,
+            direct: direct.then_some(now),
+            any: now,
+            echo: None,
+            leaving: false,
+            gone: false,
+            asked: None,
+        };
+        let h = self.hosts.entry(from.host.clone()).or_insert_with(fresh);
+        if from.incarnation < h.host.incarnation {
+            return;
+        }
+        if from.incarnation > h.host.incarnation {
+            *h = fresh();
+            return;
+        }
+        if h.gone {
+            return;
+        }
+        h.any = now;
+        h.asked = None;
+        if direct {
+            h.direct = Some(now);
+        }
+    }
+
+    /// Notes a reading of the own clock that a host returned.
+    pub(crate) fn echoed(&mut self, from: &HostRef, echo: Timestamp) {
+        if let Some(h) = self.of(from) {
+            h.echo = h.echo.max(Some(echo));
+        }
+    }
+
+    /// Notes whether a host is leaving.
+    pub(crate) fn leaving(&mut self, from: &HostRef, leaving: bool) {
+        if let Some(h) = self.of(from) {
+            h.leaving = leaving;
+        }
+    }
+
+    /// Notes that a run of a host is surely over.
+    pub(crate) fn gone(&mut self, now: Timestamp, host: &HostRef) {
+        self.heard(now, host, false);
+        if let Some(h) = self.of(host) {
+            h.gone = true;
+        }
+    }
+
+    fn of(&mut self, host: &HostRef) -> Option<&mut Heard> {
+        let h = self.hosts.get_mut(&host.host)?;
+        h.host.is(host).then_some(h)
+    }
+
+    fn get(&self, host: &HostRef) -> Option<&Heard> {
+        let h = self.hosts.get(&host.host)?;
+        h.host.is(host).then_some(h)
+    }
+
+    /// Tells whether a run of a host is surely over.
+    pub(crate) fn is_over(&self, host: &HostRef) -> bool {
+        if host.host == self.me.host {
+            return host.incarnation < self.me.incarnation;
+        }
+        let Some(h) = self.hosts.get(&host.host) else {
+            return false;
+        };
+        h.host.incarnation > host.incarnation || (h.host.is(host) && h.gone)
+    }
+
+    /// Tells whether a host said that it is leaving.
+    pub(crate) fn is_leaving(&self, host: &HostRef) -> bool {
+        self.get(host).is_some_and(|h| h.leaving)
+    }
+
+    /// Returns the last sign of life that came straight from the host.
+    pub(crate) fn direct(&self, host: &HostRef) -> Option<Timestamp> {
+        self.get(host).and_then(|h| h.direct)
+    }
+
+    /// Tells whether a host was silent towards this one for `bound`, counted from `since` at the
+    /// earliest.
+    pub(crate) fn silent(
+        &self,
+        now: Timestamp,
+        host: &HostRef,
+        since: Timestamp,
+        bound: Duration,
+    ) -> bool {
+        if self.is_over(host) {
+            return true;
+        }
+        let heard = self.direct(host).unwrap_or(Timestamp::ZERO);
+        now.since(heard.max(since).max(self.listening)) >= bound
+    }
+
+    /// Tells whether nobody heard of a host for `bound`.
+    pub(crate) fn forgotten(
+        &self,
+        now: Timestamp,
+        host: &HostRef,
+        since: Timestamp,
+        bound: Duration,
+    ) -> bool {
+        if self.is_over(host) {
+            return true;
+        }
+        let any = self.get(host).map_or(Timestamp::ZERO, |h| h.any);
+        now.since(any.max(since).max(self.listening)) >= bound
+    }
+
+    /// Notes that a host is asked whether it is up, and tells whether it left such questions
+    /// unanswered for `bound`.
+    pub(crate) fn ask(&mut self, now: Timestamp, host: &HostRef, bound: Duration) -> bool {
+        if self.is_over(host) {
+            return true;
+        }
+        if self.get(host).is_none() {
+            let h = Heard {
+                host: host.clone(),
+                first: now,
+                direct: None,
+                any: Timestamp::ZERO,
+                echo: None,
+                leaving: false,
+                gone: false,
+                asked: Some(now),
+            };
+            self.hosts.insert(host.host.clone(), h);
+            return false;
+        }
+        let Some(h) = self.of(host) else {
+            return false;
+        };
+        let asked = *h.asked.get_or_insert(now);
+        now.since(asked) >= bound
+    }
+
+    /// Returns the highest own reading that any host of `domain`, or of any domain, returned.
+    pub(crate) fn best_echo(&self, domain: Option<&DomainId>) -> Option<Timestamp> {
+        let within = |h: &&Heard| domain.is_none_or(|d| h.host.domain == *d);
+        self.hosts
+            .values()
+            .filter(within)
+            .filter_map(|h| h.echo)
+            .max()
+    }
+
+    /// Tells whether any host of `domain`, or of any domain, was ever heard of and did not leave.
+    pub(crate) fn knows_any(&self, domain: Option<&DomainId>) -> bool {
+        let within = |h: &Heard| domain.is_none_or(|d| h.host.domain == *d);
+        self.hosts.values().any(|h| within(h) && !h.leaving)
+    }
+
+    /// Iterates over the other hosts that were heard of within `bound` and do not leave.
+    pub(crate) fn alive(
+        &self,
+        now: Timestamp,
+        bound: Duration,
+    ) -> impl Iterator<Item = &HostRef> + Clone {
+        let up = move |h: &&Heard| !h.gone && !h.leaving && now.since(h.any) <= bound;
+        self.hosts.values().filter(up).map(|h| &h.host)
+    }
+
+    /// Tells whether a host was first heard of at least `span` ago.
+    pub(crate) fn is_settled(&self, now: Timestamp, host: &HostRef, span: Duration) -> bool {
+        self.get(host).is_some_and(|h| now.since(h.first) >= span)
+    }
+}
+
+/// Returns the host with the highest rendezvous weight for `label`.
+pub(crate) fn winner<'a>(
+    label: &str,
+    hosts: impl Iterator<Item = &'a HostRef>,
+) -> Option<&'a HostRef> {
+    hosts.max_by_key(|h| (weight(label, h.host.as_str()), &h.host))
+}
+
+/// Returns the rendezvous weight of `name` for `label`.
+pub(crate) fn weight(label: &str, name: &str) -> u64 {
+    // Names have no slash, so that no two pairs give the same text.
+    xxh3_64(format!("{label}/{name}").as_bytes())
+}
--- a/crates/own/src/settings.rs
+++ b/crates/own/src/settings.rs
@@ -49,6 +49,13 @@
     pub roster: Duration,
     /// Time for which an entry waits for all its upstreams before its slices are handed out.
     pub hand_out_after: Duration,
+    /// Time after which an upstream whose domain has no host that is up may be claimed by hosts of
+    /// other domains, if nobody coordinates it.
+    pub foreign_after: Duration,
+    /// Time for which a host must be up before upstreams of its domain are handed to it.
+    pub rebalance_after: Duration,
+    /// Most slices that are moved at once by a planned move.
+    pub move_batch: usize,
     /// Most upstreams over which the slices of one are spread at once.
     pub spread_targets: usize,
 }
@@ -67,6 +74,9 @@
             commit_retry: Duration::from_millis(300),
             roster: Duration::from_secs(1),
             hand_out_after: Duration::from_millis(400),
+            foreign_after: Duration::from_secs(3),
+            rebalance_after: Duration::from_secs(10),
+            move_batch: 32,
             spread_targets: 8,
         }
     }
@@ -94,6 +104,12 @@
         Ok(())
     }
 
+    /// Returns the gap between two steps that counts as a pause of the own process.
+    #[must_use]
+    pub fn pause(&self) -> Duration {
+        self.silence / 4
+    }
+
     /// Returns how long to wait by one clock so that `span` has surely passed by any other.
     #[must_use]
     pub fn outlast(&self, span: Duration) -> Duration {
@@ -101,6 +117,13 @@
         span.mul_f64((1.0 + drift) / (1.0 - drift)) + Duration::from_millis(1)
     }
 
+    /// Returns how much of `span` by any other clock has surely not passed after that time by one.
+    #[must_use]
+    pub fn within(&self, span: Duration) -> Duration {
+        let drift = f64::from(self.drift_ppm) / 1e6;
+        span.mul_f64((1.0 - drift) / (1.0 + drift))
+    }
+
     /// Returns how long a replaced host may still renew, and what it renewed last.
     #[must_use]
     pub fn quiet(&self) -> Duration {
