--- /dev/null
+++ b/crates/gate/src/callers/intake.rs
@@ -0,0 +1,233 @@
+//! Reads and checks a whole request.
+
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, header, request};
+use hyper::body::{Body, Incoming};
+use ids::{KeyHash, Reason, RequestId, Timestamp};
+use route::{DeadlineSettings, EntryKey, EntryRoute, Router};
+use smol_str::SmolStr;
+use uuid::Uuid;
+
+use crate::body::Gathered;
+use crate::call::Parts;
+use crate::headers::{head_bytes, strip_request};
+use crate::settings::GateSettings;
+
+/// A whole request that may be admitted.
+#[derive(Debug)]
+pub(crate) struct Intake {
+    pub(crate) entry: EntryKey,
+    pub(crate) route: Arc<EntryRoute>,
+    pub(crate) key: Option<KeyHash>,
+    pub(crate) deadline: Timestamp,
+    pub(crate) parts: Arc<Parts>,
+    /// Keeps the body's bytes counted.
+    pub(crate) _buffered: Buffered,
+}
+
+/// The part of a request that its head tells.
+#[derive(Debug)]
+pub(crate) struct Located {
+    pub(crate) entry: EntryKey,
+    pub(crate) route: Arc<EntryRoute>,
+    pub(crate) key: Option<KeyHash>,
+    pub(crate) time_left: Duration,
+}
+
+/// Bytes of request bodies that this host holds.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct BufferedTotal(Rc<Cell<u64>>);
+
+/// Bytes of one body; they are given back when it goes.
+#[derive(Debug)]
+pub(crate) struct Buffered {
+    total: BufferedTotal,
+    bytes: u64,
+}
+
+impl Buffered {
+    fn new(total: &BufferedTotal) -> Self {
+        Self {
+            total: total.clone(),
+            bytes: 0,
+        }
+    }
+
+    fn grow(&mut self, count: u64, max: u64) -> Result<(), Reason> {
+        let total = self.total.0.get() + count;
+        if total > max {
+            return Err(Reason::Overload);
+        }
+        self.total.0.set(total);
+        self.bytes += count;
+        Ok(())
+    }
+}
+
+impl Drop for Buffered {
+    fn drop(&mut self) {
+        let total = &self.total.0;
+        debug_assert!(total.get() >= self.bytes, "bytes are given back once");
+        total.set(total.get() - self.bytes);
+    }
+}
+
+/// Returns the caller's id for the request, or a new one.
+///
+/// # Errors
+///
+/// Fails with a new id if the caller's is not valid.
+pub(crate) fn request_id(headers: &HeaderMap) -> Result<RequestId, RequestId> {
+    let Some(value) = headers.get(ids::header::REQUEST_ID) else {
+        return Ok(new_id());
+    };
+    let text = value.to_str().map_err(|_invalid| new_id())?;
+    RequestId::new(text).map_err(|_invalid| new_id())
+}
+
+fn new_id() -> RequestId {
+    let mut buf = Uuid::encode_buffer();
+    let text: &str = Uuid::new_v4().simple().encode_lower(&mut buf);
+    RequestId::new(SmolStr::new(text)).expect("hexadecimal digits make a valid name")
+}
+
+/// Finds out from a head where the request goes and how long it may take.
+pub(crate) fn locate(
+    head: &request::Parts,
+    router: &Router,
+    settings: &GateSettings,
+) -> Result<Located, Reason> {
+    if head_bytes(&head.headers) > settings.header_bytes as usize {
+        return Err(Reason::HeadTooLarge);
+    }
+    let path = path_and_query(head);
+    if has_dot_segment(head.uri.path()) {
+        return Err(Reason::BadRequest);
+    }
+    let located = router.locate(path, |name| {
+        head.headers.get(name).map(HeaderValue::as_bytes)
+    })?;
+    let route = router
+        .entry(located.entry)
+        .ok_or(Reason::UnknownEntry)
+        .map(Arc::clone)?;
+    let deadlines = DeadlineSettings {
+        cap: crate::settings::millis(settings.deadline_cap_ms),
+    };
+    let header = head.headers.get(ids::header::DEADLINE_MS);
+    let time_left = deadlines.time_left(header.map(HeaderValue::as_bytes), route.deadline)?;
+    Ok(Located {
+        entry: located.entry,
+        key: located.key,
+        route,
+        time_left,
+    })
+}
+
+/// Reads the body of a located request whole.
+pub(crate) async fn read(
+    head: request::Parts,
+    body: Incoming,
+    located: Located,
+    arrived: Timestamp,
+    settings: &GateSettings,
+    total: &BufferedTotal,
+) -> Result<Intake, Reason> {
+    let deadline = arrived + located.time_left;
+    let limit = u64::from(located.route.limits.request_bytes);
+    let mut buffered = Buffered::new(total);
+    let body = if body.is_end_stream() {
+        Bytes::new()
+    } else {
+        if declared_bytes(&head.headers).is_some_and(|bytes| bytes > limit) {
+            return Err(Reason::BodyTooLarge);
+        }
+        let timeout = crate::settings::millis(settings.body_timeout_ms);
+        let reading = read_body(body, limit, settings.buffered_bytes, &mut buffered);
+        tokio::time::timeout(timeout.min(located.time_left), reading)
+            .await
+            .map_err(|_elapsed| Reason::BodyTimeout)??
+    };
+    Ok(Intake {
+        entry: located.entry,
+        key: located.key,
+        deadline,
+        parts: Arc::new(parts(head, body, &located.route)),
+        route: located.route,
+        _buffered: buffered,
+    })
+}
+
+async fn read_body(
+    body: Incoming,
+    limit: u64,
+    total_max: u64,
+    buffered: &mut Buffered,
+) -> Result<Bytes, Reason> {
+    let mut body = std::pin::pin!(body);
+    let mut whole = Gathered::default();
+    while let Some(frame) = poll_fn(|cx| body.as_mut().poll_frame(cx)).await {
+        // The caller broke off or sent what is no body.
+        let frame = frame.map_err(|_broken| Reason::BadRequest)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if (whole.len() + data.len()) as u64 > limit {
+            return Err(Reason::BodyTooLarge);
+        }
+        buffered.grow(data.len() as u64, total_max)?;
+        whole.push(data);
+    }
+    Ok(whole.into_bytes())
+}
+
+fn parts(head: request::Parts, body: Bytes, route: &EntryRoute) -> Parts {
+    let path = SmolStr::new(path_and_query(&head));
+    let mut headers = head.headers;
+    strip_request(&mut headers, key_header(route));
+    Parts {
+        method: head.method,
+        path,
+        headers,
+        body,
+    }
+}
+
+fn key_header(route: &EntryRoute) -> Option<&str> {
+    match &route.key {
+        Some(catalogue::KeyLocation::Header(name)) => Some(name.as_str()),
+        _ => None,
+    }
+}
+
+fn path_and_query(head: &request::Parts) -> &str {
+    head.uri.path_and_query().map_or("/", |p| p.as_str())
+}
+
+fn declared_bytes(headers: &HeaderMap) -> Option<u64> {
+    headers
+        .get(header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
+/// Tells whether an upstream that resolves dot segments could take the path for another one.
+fn has_dot_segment(path: &str) -> bool {
+    path.split('/').any(is_dot_segment)
+}
+
+fn is_dot_segment(segment: &str) -> bool {
+    if !segment.starts_with(['.', '%']) {
+        return false;
+    }
+    let plain = segment.replace("%2e", ".").replace("%2E", ".");
+    matches!(plain.as_str(), "." | "..")
+}
--- /dev/null
+++ b/crates/gate/src/callers/own.rs
@@ -0,0 +1,95 @@
+//! The host's own endpoints.
+
+use std::fmt;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Response, StatusCode, header};
+use http_body_util::Full;
+
+use crate::context::Phase;
+
+/// Begins the paths of the host's own endpoints.
+pub const OWN_PREFIX: &str = "/medlardyke/";
+/// Path by which the balancer asks whether it should choose this host.
+pub const HEALTH_PATH: &str = "/medlardyke/health";
+
+/// A request to one of the host's own endpoints; its body is not read.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnRequest<'a> {
+    /// Method.
+    pub method: &'a Method,
+    /// Path.
+    pub path: &'a str,
+    /// Query, without the question mark.
+    pub query: Option<&'a str>,
+}
+
+/// The answer of one of the host's own endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Media type of the body.
+    pub content_type: &'static str,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// The host's own endpoints but [`HEALTH_PATH`].
+pub trait OwnEndpoints: fmt::Debug + Send + Sync + 'static {
+    /// Answers a request, or returns nothing if there is no such endpoint.
+    ///
+    /// It is called on the callers' thread and must not block.
+    fn answer(&self, request: OwnRequest<'_>) -> Option<OwnAnswer>;
+}
+
+/// No endpoints.
+impl OwnEndpoints for () {
+    fn answer(&self, _request: OwnRequest<'_>) -> Option<OwnAnswer> {
+        None
+    }
+}
+
+/// Answers a request to an own endpoint.
+pub(crate) fn answer(
+    endpoints: &dyn OwnEndpoints,
+    phase: Phase,
+    request: OwnRequest<'_>,
+) -> Response<Full<Bytes>> {
+    if request.path == HEALTH_PATH {
+        return write(health(phase));
+    }
+    let answer = endpoints.answer(request);
+    write(answer.unwrap_or_else(not_found))
+}
+
+fn health(phase: Phase) -> OwnAnswer {
+    let (status, text) = match phase {
+        Phase::Starting => (StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
+        Phase::Serving => (StatusCode::OK, "serving\n"),
+        Phase::Leaving => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+    };
+    OwnAnswer {
+        status,
+        content_type: "text/plain",
+        body: Bytes::from_static(text.as_bytes()),
+    }
+}
+
+fn not_found() -> OwnAnswer {
+    OwnAnswer {
+        status: StatusCode::NOT_FOUND,
+        content_type: "text/plain",
+        body: Bytes::from_static(b"no such endpoint\n"),
+    }
+}
+
+fn write(answer: OwnAnswer) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(answer.body));
+    *response.status_mut() = answer.status;
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static(answer.content_type),
+    );
+    response
+}
--- /dev/null
+++ b/crates/gate/src/context.rs
@@ -0,0 +1,123 @@
+//! What the rest of the host tells all parts of the gate.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
+
+use arc_swap::ArcSwap;
+use ids::{Clock, HostId, Revision, Timestamp};
+use indexmap::IndexMap;
+use route::Router;
+use slog::Logger;
+
+use crate::counters::Metrics;
+
+/// Where a host stands between its start and its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Phase {
+    /// It is not ready yet; the balancer should not choose it.
+    Starting = 0,
+    /// It serves.
+    Serving = 1,
+    /// It goes on serving, but the balancer should choose others.
+    Leaving = 2,
+}
+
+/// Addresses of the dispatch duties of other hosts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PeerTable {
+    /// Address by host.
+    pub dispatch: IndexMap<HostId, SocketAddr>,
+}
+
+/// Shared by the threads of one host; readers never wait.
+pub struct GateContext {
+    /// This host.
+    pub host: HostId,
+    /// Clock of this host.
+    pub clock: Arc<dyn Clock>,
+    /// Routing snapshot in force.
+    pub router: ArcSwap<Router>,
+    /// Other hosts.
+    pub peers: ArcSwap<PeerTable>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Log.
+    pub log: Logger,
+    live_hosts: AtomicU32,
+    phase: AtomicU8,
+    heard_revision: AtomicU64,
+}
+
+impl fmt::Debug for GateContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("GateContext")
+            .field("host", &self.host)
+            .field("phase", &self.phase())
+            .finish_non_exhaustive()
+    }
+}
+
+impl GateContext {
+    /// Creates the context of a starting host that knows no routes.
+    #[must_use]
+    pub fn new(host: HostId, clock: Arc<dyn Clock>, metrics: Arc<Metrics>, log: Logger) -> Self {
+        Self {
+            host,
+            clock,
+            router: ArcSwap::from_pointee(Router::default()),
+            peers: ArcSwap::from_pointee(PeerTable::default()),
+            metrics,
+            log,
+            live_hosts: AtomicU32::new(1),
+            phase: AtomicU8::new(Phase::Starting as u8),
+            heard_revision: AtomicU64::new(0),
+        }
+    }
+
+    /// Reads the clock.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Returns the phase.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => Phase::Starting,
+            1 => Phase::Serving,
+            _ => Phase::Leaving,
+        }
+    }
+
+    /// Sets the phase.
+    pub fn set_phase(&self, phase: Phase) {
+        self.phase.store(phase as u8, Ordering::Release);
+    }
+
+    /// Returns how many live entry hosts share the entries' rate limits.
+    #[must_use]
+    pub fn live_hosts(&self) -> u32 {
+        self.live_hosts.load(Ordering::Relaxed)
+    }
+
+    /// Sets how many live entry hosts share the entries' rate limits; it counts from the next
+    /// routing snapshot on, or from the next request after this call.
+    pub fn set_live_hosts(&self, count: u32) {
+        self.live_hosts.store(count.max(1), Ordering::Relaxed);
+    }
+
+    /// Returns the highest table revision that another host's refusal or request named. If it is
+    /// above the own one, this host has something to catch up on.
+    #[must_use]
+    pub fn heard_revision(&self) -> Revision {
+        Revision(self.heard_revision.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn hear_revision(&self, revision: Revision) {
+        self.heard_revision.fetch_max(revision.0, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/gate/src/counters.rs
@@ -0,0 +1,397 @@
+//! The metrics table and its counters.
+//!
+//! The path of a request only adds to atomics and histograms; [`Metrics::flush`], called by a
+//! reporting thread, sends what came since the last time to a `StatsD` server.
+
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{LazyLock, Mutex, PoisonError};
+use std::time::Duration;
+
+use cadence::prelude::*;
+use cadence::{NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+use hdrhistogram::Histogram;
+use ids::Reason;
+use indexmap::IndexMap;
+use serde::Serialize;
+
+/// Begins the name of each metric.
+pub const PREFIX: &str = "medlardyke";
+/// Metrics that may wait to be sent; more are dropped.
+const QUEUE: usize = 4_096;
+/// Largest latency that is told apart, in microseconds.
+const LATENCY_MAX_US: u64 = 120_000_000;
+/// Significant digits of latencies.
+const LATENCY_DIGITS: u8 = 2;
+
+/// How a metric is to be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MetricKind {
+    /// Only rises; the server gets what was added.
+    Counter,
+    /// A value at the time of the report.
+    Gauge,
+}
+
+impl MetricKind {
+    /// Returns the text used in the table.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Counter => "counter",
+            Self::Gauge => "gauge",
+        }
+    }
+}
+
+/// One line of the metrics table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MetricInfo {
+    /// Name, without [`PREFIX`].
+    pub name: String,
+    /// Kind.
+    pub kind: MetricKind,
+    /// Unit.
+    pub unit: &'static str,
+    /// What it tells.
+    pub about: String,
+}
+
+macro_rules! counts {
+    ($($name:ident = $text:literal, $unit:literal, $about:literal;)*) => {
+        /// Counters beside those of the reasons.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Count {
+            $(#[doc = $about] $name,)*
+        }
+
+        impl Count {
+            /// All counters, in the order of the table.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the name.
+            #[must_use]
+            pub const fn as_str(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+
+            const fn unit(self) -> &'static str {
+                match self { $(Self::$name => $unit,)* }
+            }
+
+            const fn about(self) -> &'static str {
+                match self { $(Self::$name => $about,)* }
+            }
+        }
+    };
+}
+
+counts! {
+    Requests = "requests", "requests", "Requests of callers whose head was read.";
+    Answered = "outcome.answered", "requests", "Requests that got an upstream's whole answer.";
+    NotRun = "outcome.not-run", "requests", "Requests refused that surely did not run.";
+    Unknown = "outcome.unknown", "requests", "Requests without an answer that may have run.";
+    CallersAccepted = "callers.accepted", "connections", "Connections of callers that were accepted.";
+    CallersRefused = "callers.refused", "connections", "Connections of callers closed at once, over the limit.";
+    CallersClosed = "callers.closed", "connections", "Connections of callers that ended.";
+    HandedOn = "peer.handed-on", "requests", "Requests handed to another host.";
+    HandedIn = "peer.handed-in", "requests", "Requests taken from other hosts.";
+    PeerConnected = "peer.connected", "connections", "Connections opened to other hosts.";
+    PeerFailed = "peer.failed", "connections", "Connections to other hosts that failed to open or broke.";
+    PeerGarbage = "peer.garbage", "connections", "Connections of other hosts closed because of bytes that are no frame.";
+    UpstreamConnected = "upstream.connected", "connections", "Connections opened to upstreams.";
+    UpstreamDiscarded = "upstream.discarded", "connections", "Connections to upstreams closed after use because they were not surely clean.";
+    UpstreamStale = "upstream.stale", "connections", "Kept connections to upstreams found closed before use.";
+    Sent = "upstream.sent", "requests", "Requests written to upstreams.";
+    Aborted = "upstream.aborted", "requests", "Requests to upstreams given up before their answer.";
+    SamplesDropped = "samples.dropped", "samples", "Load samples dropped because their ring was full.";
+}
+
+macro_rules! latencies {
+    ($($name:ident = $text:literal, $about:literal;)*) => {
+        /// Latencies, each reported by percentiles.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Latency {
+            $(#[doc = $about] $name,)*
+        }
+
+        impl Latency {
+            /// All latencies, in the order of the table.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the name.
+            #[must_use]
+            pub const fn as_str(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+
+            const fn about(self) -> &'static str {
+                match self { $(Self::$name => $about,)* }
+            }
+        }
+    };
+}
+
+latencies! {
+    Answered = "latency.answered", "from the whole request to the answer, for answered requests";
+    Refused = "latency.refused", "from the whole request to the refusal";
+    Queue = "latency.queue", "from a call's arrival at the coordinating host to its sending";
+    Upstream = "latency.upstream", "from the sending of a call to the upstream's whole answer";
+}
+
+/// Percentiles that are reported of each latency.
+const PERCENTILES: [(&str, f64); 4] = [("p50", 0.5), ("p99", 0.99), ("p999", 0.999), ("max", 1.0)];
+
+/// The table of all metrics.
+pub static METRICS: LazyLock<Vec<MetricInfo>> = LazyLock::new(table);
+
+fn table() -> Vec<MetricInfo> {
+    let mut table: Vec<MetricInfo> = Count::ALL.iter().map(|c| count_info(*c)).collect();
+    table.extend(Reason::ALL.iter().map(|r| refused_info(*r)));
+    table.extend(Reason::ALL.iter().map(|r| retried_info(*r)));
+    table.extend(Latency::ALL.iter().flat_map(|l| latency_info(*l)));
+    table
+}
+
+fn count_info(count: Count) -> MetricInfo {
+    MetricInfo {
+        name: count.as_str().to_owned(),
+        kind: MetricKind::Counter,
+        unit: count.unit(),
+        about: count.about().to_owned(),
+    }
+}
+
+fn refused_info(reason: Reason) -> MetricInfo {
+    MetricInfo {
+        name: refused_name(reason),
+        kind: MetricKind::Counter,
+        unit: "requests",
+        about: format!("Refused ({}): {}", reason.outcome(), reason.about()),
+    }
+}
+
+fn retried_info(reason: Reason) -> MetricInfo {
+    MetricInfo {
+        name: retried_name(reason),
+        kind: MetricKind::Counter,
+        unit: "retries",
+        about: format!("Tried again after: {}", reason.about()),
+    }
+}
+
+fn latency_info(latency: Latency) -> impl Iterator<Item = MetricInfo> {
+    PERCENTILES.iter().map(move |(suffix, _)| MetricInfo {
+        name: format!("{}.{suffix}", latency.as_str()),
+        kind: MetricKind::Gauge,
+        unit: "microseconds",
+        about: format!("Time {}, {suffix} since the last report.", latency.about()),
+    })
+}
+
+fn refused_name(reason: Reason) -> String {
+    format!("refused.{reason}")
+}
+
+fn retried_name(reason: Reason) -> String {
+    format!("retried.{reason}")
+}
+
+/// All counts since the start, by name; counts of zero are left out.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(transparent)]
+pub struct MetricsSnapshot {
+    /// Value by name.
+    pub counts: IndexMap<String, u64>,
+}
+
+/// A counter and how much of it was sent.
+#[derive(Debug, Default)]
+struct Tally {
+    total: AtomicU64,
+    sent: AtomicU64,
+}
+
+impl Tally {
+    fn add(&self, count: u64) {
+        self.total.fetch_add(count, Ordering::Relaxed);
+    }
+
+    fn total(&self) -> u64 {
+        self.total.load(Ordering::Relaxed)
+    }
+
+    /// Takes what was added since the last call.
+    fn take(&self) -> u64 {
+        let total = self.total();
+        total - self.sent.swap(total, Ordering::Relaxed)
+    }
+}
+
+/// The counters of one host.
+pub struct Metrics {
+    counts: Vec<Tally>,
+    refused: Vec<Tally>,
+    retried: Vec<Tally>,
+    latencies: Vec<Mutex<Histogram<u32>>>,
+    client: StatsdClient,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new(StatsdClient::from_sink(PREFIX, NopMetricSink))
+    }
+}
+
+impl Metrics {
+    /// Creates counters that are reported through `client`.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: the bounds of the histograms are valid.
+    #[must_use]
+    pub fn new(client: StatsdClient) -> Self {
+        Self {
+            counts: tallies(Count::ALL.len()),
+            refused: tallies(Reason::ALL.len()),
+            retried: tallies(Reason::ALL.len()),
+            latencies: Latency::ALL
+                .iter()
+                .map(|_| Mutex::new(histogram()))
+                .collect(),
+            client,
+        }
+    }
+
+    /// Creates counters that are reported to a `StatsD` server over UDP.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket can be opened.
+    pub fn to_statsd(server: SocketAddr) -> anyhow::Result<Self> {
+        let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+        socket.set_nonblocking(true)?;
+        let sink = UdpMetricSink::from(server, socket)?;
+        let sink = QueuingMetricSink::with_capacity(sink, QUEUE);
+        Ok(Self::new(StatsdClient::from_sink(PREFIX, sink)))
+    }
+
+    /// Adds one to a counter.
+    pub fn count(&self, count: Count) {
+        self.counts[count as usize].add(1);
+    }
+
+    /// Counts a refusal, and its outcome.
+    pub fn refused(&self, reason: Reason) {
+        self.refused[reason as usize].add(1);
+        match reason.outcome() {
+            ids::Outcome::Answered => self.count(Count::Answered),
+            ids::Outcome::NotRun => self.count(Count::NotRun),
+            ids::Outcome::Unknown => self.count(Count::Unknown),
+        }
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, reason: Reason) {
+        self.retried[reason as usize].add(1);
+    }
+
+    /// Records a latency.
+    pub fn record(&self, latency: Latency, span: Duration) {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        let histogram = &self.latencies[latency as usize];
+        histogram
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .saturating_record(micros);
+    }
+
+    /// Returns how often a request was refused for `reason`.
+    #[must_use]
+    pub fn refusals(&self, reason: Reason) -> u64 {
+        self.refused[reason as usize].total()
+    }
+
+    /// Returns how often a request was tried again after `reason`.
+    #[must_use]
+    pub fn retries(&self, reason: Reason) -> u64 {
+        self.retried[reason as usize].total()
+    }
+
+    /// Returns the value of a counter.
+    #[must_use]
+    pub fn total(&self, count: Count) -> u64 {
+        self.counts[count as usize].total()
+    }
+
+    /// Returns all counts since the start.
+    #[must_use]
+    pub fn snapshot(&self) -> MetricsSnapshot {
+        let counts = self
+            .named()
+            .map(|(name, tally)| (name, tally.total()))
+            .filter(|(_, total)| *total > 0)
+            .collect();
+        MetricsSnapshot { counts }
+    }
+
+    /// Sends what came since the last call.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the queue to the sending thread is full or the client refuses a value; the values
+    /// of this report are lost then, the counts since the start are not.
+    pub fn flush(&self) -> anyhow::Result<()> {
+        for (name, tally) in self.named() {
+            let added = tally.take();
+            if added > 0 {
+                self.client.count(&name, added)?;
+            }
+        }
+        for latency in Latency::ALL {
+            self.flush_latency(*latency)?;
+        }
+        self.client.flush()?;
+        Ok(())
+    }
+
+    fn flush_latency(&self, latency: Latency) -> anyhow::Result<()> {
+        let mut histogram = self.latencies[latency as usize]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if histogram.is_empty() {
+            return Ok(());
+        }
+        for (suffix, quantile) in PERCENTILES {
+            let name = format!("{}.{suffix}", latency.as_str());
+            self.client
+                .gauge(&name, histogram.value_at_quantile(quantile))?;
+        }
+        histogram.reset();
+        Ok(())
+    }
+
+    fn named(&self) -> impl Iterator<Item = (String, &Tally)> {
+        let counts = Count::ALL.iter().map(|c| c.as_str().to_owned());
+        let refused = Reason::ALL.iter().map(|r| refused_name(*r));
+        let retried = Reason::ALL.iter().map(|r| retried_name(*r));
+        let tallies = self.counts.iter().chain(&self.refused).chain(&self.retried);
+        counts.chain(refused).chain(retried).zip(tallies)
+    }
+}
+
+fn tallies(count: usize) -> Vec<Tally> {
+    (0..count).map(|_| Tally::default()).collect()
+}
+
+fn histogram() -> Histogram<u32> {
+    Histogram::new_with_bounds(1, LATENCY_MAX_US, LATENCY_DIGITS).expect("the bounds are valid")
+}
--- /dev/null
+++ b/crates/gate/src/dispatch/pool.rs
@@ -0,0 +1,149 @@
+//! Upstreams, their connections and leases.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::task::{Context, Waker};
+use std::time::Duration;
+
+use ids::{Epoch, Timestamp, UpstreamId};
+use indexmap::IndexMap;
+use route::Event;
+
+use crate::dispatch::UpstreamTarget;
+use crate::upstream::UpstreamConn;
+
+/// The lease on an upstream, as the dispatcher knows it.
+///
+/// It is looked at once more when a request is about to be written, since opening a connection
+/// takes time.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LeaseView {
+    pub(crate) epoch: Epoch,
+    pub(crate) valid_until: Timestamp,
+}
+
+impl LeaseView {
+    /// Tells whether a request may be written under `epoch` at `now`.
+    pub(crate) fn allows(&self, epoch: Epoch, now: Timestamp, margin: Duration) -> bool {
+        self.epoch == epoch && now + margin < self.valid_until
+    }
+}
+
+/// A connection that is not in use.
+#[derive(Debug)]
+struct Idle {
+    conn: UpstreamConn,
+    since: Timestamp,
+}
+
+/// An upstream that this host coordinates.
+#[derive(Debug)]
+pub(crate) struct PooledUpstream {
+    pub(crate) target: UpstreamTarget,
+    /// Value of the `Host` header.
+    pub(crate) authority: String,
+    pub(crate) lease: Cell<LeaseView>,
+    idle: RefCell<Vec<Idle>>,
+}
+
+impl PooledUpstream {
+    fn new(target: UpstreamTarget, lease: LeaseView) -> Self {
+        Self {
+            authority: target.address.to_string(),
+            target,
+            lease: Cell::new(lease),
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Takes the connection that was used last and is still usable; `stale` hears of others.
+    pub(crate) fn take(
+        &self,
+        cx: &mut Context<'_>,
+        mut stale: impl FnMut(),
+    ) -> Option<UpstreamConn> {
+        loop {
+            let mut idle = self.idle.borrow_mut().pop()?;
+            if idle.conn.is_usable(cx) {
+                return Some(idle.conn);
+            }
+            stale();
+        }
+    }
+
+    /// Keeps a clean connection for the next request.
+    pub(crate) fn give(&self, conn: UpstreamConn, now: Timestamp) {
+        self.idle.borrow_mut().push(Idle { conn, since: now });
+    }
+
+    fn sweep(&self, now: Timestamp, idle_max: Duration) {
+        let mut cx = Context::from_waker(Waker::noop());
+        self.idle
+            .borrow_mut()
+            .retain_mut(|i| now.since(i.since) < idle_max && i.conn.is_usable(&mut cx));
+    }
+}
+
+/// All upstreams that this host coordinates.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    upstreams: IndexMap<UpstreamId, Rc<PooledUpstream>>,
+}
+
+impl Pool {
+    pub(crate) fn get(&self, upstream: &UpstreamId) -> Option<&Rc<PooledUpstream>> {
+        self.upstreams.get(upstream)
+    }
+
+    /// Adds an upstream or takes a changed declaration; connections to an old address are closed
+    /// when their exchanges end.
+    pub(crate) fn set(&mut self, upstream: UpstreamId, target: UpstreamTarget) {
+        let lease = match self.upstreams.get(&upstream) {
+            Some(known) if known.target == target => return,
+            Some(known) => known.lease.get(),
+            None => LeaseView::default(),
+        };
+        let pooled = PooledUpstream::new(target, lease);
+        self.upstreams.insert(upstream, Rc::new(pooled));
+    }
+
+    /// Takes what an event for the dispatcher says of leases and upstreams.
+    pub(crate) fn follow(&mut self, event: &Event) {
+        match event {
+            Event::Lease {
+                upstream,
+                epoch,
+                valid_until,
+                ..
+            } => self.set_lease(
+                upstream,
+                LeaseView {
+                    epoch: *epoch,
+                    valid_until: *valid_until,
+                },
+            ),
+            Event::LeaseLost { upstream } => self.set_lease(upstream, LeaseView::default()),
+            Event::Removed { upstream } => self.remove(upstream),
+            _ => {}
+        }
+    }
+
+    /// Closes connections that ended or were not used for long.
+    pub(crate) fn sweep(&self, now: Timestamp, idle_max: Duration) {
+        for upstream in self.upstreams.values() {
+            upstream.sweep(now, idle_max);
+        }
+    }
+
+    fn set_lease(&self, upstream: &UpstreamId, lease: LeaseView) {
+        if let Some(pooled) = self.upstreams.get(upstream) {
+            pooled.lease.set(lease);
+        }
+    }
+
+    fn remove(&mut self, upstream: &UpstreamId) {
+        // Exchanges under way still hold the upstream; they must find no lease.
+        self.set_lease(upstream, LeaseView::default());
+        self.upstreams.swap_remove(upstream);
+    }
+}
--- /dev/null
+++ b/crates/gate/src/headers.rs
@@ -0,0 +1,110 @@
+//! Which headers go on and which stay.
+
+use bytes::Bytes;
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use wire::dispatch::Header;
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1), and those that the sending
+/// side writes itself.
+const CONNECTION_ONLY: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Begins the names of headers that callers and upstreams may not set for each other.
+const CONTROL_PREFIX: &str = "medlardyke-";
+
+/// Removes what must not go from a caller to an upstream; `key` is the header that carries the
+/// entry's key, if one does.
+pub fn strip_request(headers: &mut HeaderMap, key: Option<&str>) {
+    strip_connection_only(headers);
+    strip_control(headers, key);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    headers.remove(header::HOST);
+}
+
+/// Removes what must not go from an upstream to a caller.
+///
+/// `keep_length` keeps the declared length where the answer has no body by nature (`HEAD`, 304).
+pub fn strip_answer(headers: &mut HeaderMap, keep_length: bool) {
+    strip_connection_only(headers);
+    strip_control(headers, None);
+    if !keep_length {
+        headers.remove(header::CONTENT_LENGTH);
+    }
+}
+
+/// Returns the bytes that a head's headers take, as HTTP/1.1 would write them.
+#[must_use]
+pub fn head_bytes(headers: &HeaderMap) -> usize {
+    const SEPARATORS: usize = ": \r\n".len();
+    headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS)
+        .sum()
+}
+
+/// Turns headers into those of a frame.
+#[must_use]
+pub fn to_wire(headers: &HeaderMap) -> Vec<Header> {
+    headers
+        .iter()
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
+
+/// Turns headers of a frame back; none if one of them is not valid.
+#[must_use]
+pub fn from_wire(headers: Vec<Header>) -> Option<HeaderMap> {
+    let mut map = HeaderMap::with_capacity(headers.len());
+    for header in headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_maybe_shared(header.value).ok()?;
+        map.append(name, value);
+    }
+    Some(map)
+}
+
+fn strip_connection_only(headers: &mut HeaderMap) {
+    for name in named_by_connection(headers) {
+        headers.remove(name);
+    }
+    for name in &CONNECTION_ONLY {
+        headers.remove(name);
+    }
+}
+
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .collect()
+}
+
+fn strip_control(headers: &mut HeaderMap, keep: Option<&str>) {
+    let is_control = |name: &HeaderName| {
+        let text = name.as_str();
+        text.starts_with(CONTROL_PREFIX) && !keep.is_some_and(|k| k.eq_ignore_ascii_case(text))
+    };
+    if !headers.keys().any(is_control) {
+        return;
+    }
+    let names: Vec<HeaderName> = headers.keys().filter(|n| is_control(n)).cloned().collect();
+    for name in names {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/gate/src/peer/link.rs
@@ -0,0 +1,181 @@
+//! One connection to another host, and which of its calls were written.
+
+use std::cell::{Cell, RefCell};
+
+use bytes::BytesMut;
+use futures::StreamExt;
+use ids::Reason;
+use indexmap::IndexMap;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{Notify, oneshot};
+use tokio_util::codec::{Encoder, FramedRead};
+use wire::dispatch::{Ask, AskFrame, Cancel, Reply as ReplyFrame};
+use wire::{FrameCodec, FrameError};
+
+use crate::call::{Call, Reply, call_to_wire, reply_from_wire};
+use crate::context::GateContext;
+
+/// Bytes encoded before they are written.
+const WRITE_BYTES: usize = 64 << 10;
+
+/// A call that waits for its reply.
+#[derive(Debug)]
+struct Open {
+    reply: oneshot::Sender<Reply>,
+    stage: Stage,
+}
+
+/// How far a call got.
+#[derive(Debug)]
+enum Stage {
+    /// It waits to be encoded.
+    Queued(Box<Call>),
+    /// Its frame ends at this place of the stream.
+    Encoded(u64),
+}
+
+/// The calls of one connection, shared by those who make them and the connection's task.
+///
+/// Numbers of calls are never reused.
+#[derive(Debug, Default)]
+pub(crate) struct Link {
+    open: RefCell<IndexMap<u64, Open>>,
+    /// Numbers of calls to encode, and of calls to cancel.
+    to_encode: RefCell<Vec<u64>>,
+    to_cancel: RefCell<Vec<u64>>,
+    next: Cell<u64>,
+    written: Cell<u64>,
+    work: Notify,
+}
+
+impl Link {
+    /// Returns how many calls have no reply.
+    pub(crate) fn open(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Queues a call and returns its number.
+    pub(crate) fn push(&self, call: Call, reply: oneshot::Sender<Reply>) -> u64 {
+        let number = self.next.get() + 1;
+        self.next.set(number);
+        let stage = Stage::Queued(Box::new(call));
+        self.open.borrow_mut().insert(number, Open { reply, stage });
+        self.to_encode.borrow_mut().push(number);
+        self.work.notify_one();
+        number
+    }
+
+    /// Gives a call up; returns the reason that it leaves behind.
+    pub(crate) fn give_up(&self, number: u64) -> Reason {
+        let Some(open) = self.open.borrow_mut().swap_remove(&number) else {
+            return Reason::HostLost;
+        };
+        match open.stage {
+            // It can't be encoded any more.
+            Stage::Queued(_) => Reason::HostUnreachable,
+            Stage::Encoded(_) => {
+                self.to_cancel.borrow_mut().push(number);
+                self.work.notify_one();
+                Reason::HostLost
+            }
+        }
+    }
+
+    /// Ends all calls after the connection broke, or failed to open.
+    pub(crate) fn fail(&self) {
+        let written = self.written.get();
+        for (_, open) in self.open.borrow_mut().drain(..) {
+            let reason = match open.stage {
+                Stage::Encoded(end) if end <= written => Reason::HostLost,
+                // Less than a whole frame is never read as a request.
+                Stage::Encoded(_) | Stage::Queued(_) => Reason::HostUnreachable,
+            };
+            // Nobody waits any more if this fails.
+            let _ = open.reply.send(Reply::refused(reason));
+        }
+        self.to_encode.borrow_mut().clear();
+        self.to_cancel.borrow_mut().clear();
+        self.written.set(0);
+    }
+
+    /// Carries calls and replies until the connection ends.
+    pub(crate) async fn run(&self, cx: &GateContext, stream: TcpStream) -> Result<(), FrameError> {
+        let (read, write) = stream.into_split();
+        tokio::select! {
+            ended = self.read(read) => ended,
+            ended = self.write(cx, write) => ended,
+        }
+    }
+
+    async fn read(&self, read: OwnedReadHalf) -> Result<(), FrameError> {
+        let mut reader = FramedRead::new(read, FrameCodec::<ReplyFrame>::default());
+        while let Some(frame) = reader.next().await {
+            let frame = frame?;
+            let open = self.open.borrow_mut().swap_remove(&frame.call);
+            // A reply to a call that was given up goes to nobody.
+            if let Some(open) = open {
+                let _ = open.reply.send(reply_from_wire(frame));
+            }
+        }
+        Ok(())
+    }
+
+    async fn write(&self, cx: &GateContext, mut write: OwnedWriteHalf) -> Result<(), FrameError> {
+        let mut buf = BytesMut::with_capacity(WRITE_BYTES);
+        let mut codec = FrameCodec::<AskFrame>::default();
+        let mut encoded = 0;
+        loop {
+            self.encode(cx, &mut codec, &mut buf, &mut encoded)?;
+            if buf.is_empty() {
+                self.work.notified().await;
+                continue;
+            }
+            let count = write.write_buf(&mut buf).await?;
+            self.written.set(self.written.get() + count as u64);
+        }
+    }
+
+    /// Encodes what waits, up to a buffer full.
+    fn encode(
+        &self,
+        cx: &GateContext,
+        codec: &mut FrameCodec<AskFrame>,
+        buf: &mut BytesMut,
+        encoded: &mut u64,
+    ) -> Result<(), FrameError> {
+        for number in self.to_cancel.borrow_mut().drain(..) {
+            let cancel = Ask::Cancel(Cancel { call: number });
+            *encoded += put(codec, buf, cancel)?;
+        }
+        let mut to_encode = self.to_encode.borrow_mut();
+        let mut open = self.open.borrow_mut();
+        let mut taken = 0;
+        for number in to_encode.iter() {
+            if buf.len() >= WRITE_BYTES {
+                break;
+            }
+            taken += 1;
+            // A call that was given up meanwhile is never sent.
+            let Some(call) = open.get_mut(number) else {
+                continue;
+            };
+            let Stage::Queued(queued) = &call.stage else {
+                continue;
+            };
+            let request = call_to_wire(*number, queued, cx.now());
+            *encoded += put(codec, buf, Ask::Request(request))?;
+            call.stage = Stage::Encoded(*encoded);
+        }
+        to_encode.drain(..taken);
+        Ok(())
+    }
+}
+
+/// Encodes one message and returns the bytes that it takes.
+fn put(codec: &mut FrameCodec<AskFrame>, buf: &mut BytesMut, ask: Ask) -> Result<u64, FrameError> {
+    let before = buf.len();
+    codec.encode(AskFrame { ask: Some(ask) }, buf)?;
+    Ok((buf.len() - before) as u64)
+}
--- /dev/null
+++ b/crates/gate/src/peer/server.rs
@@ -0,0 +1,234 @@
+//! Takes calls of other hosts.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::{SinkExt, StreamExt};
+use ids::Reason;
+use indexmap::IndexMap;
+use route::CallKey;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::sync::CancellationToken;
+use wire::dispatch::{Ask, AskFrame, Cancel, Reply as ReplyFrame, Request};
+use wire::{FrameCodec, FrameError};
+
+use crate::call::{Reply, call_from_wire, reply_to_wire};
+use crate::context::GateContext;
+use crate::counters::Count;
+use crate::dispatch::DispatchTx;
+use crate::dispatch::ring::{NumberedReply, ReplyTo};
+use crate::settings::DispatchSettings;
+
+/// Pause after a failed accept, as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Replies written at once.
+const BATCH: usize = 64;
+
+type AskReader = FramedRead<OwnedReadHalf, FrameCodec<AskFrame>>;
+type ReplyWriter = FramedWrite<OwnedWriteHalf, FrameCodec<ReplyFrame>>;
+
+/// What all connections of the server share.
+#[derive(Debug)]
+struct Shared {
+    cx: Arc<GateContext>,
+    calls: DispatchTx,
+    outstanding: usize,
+    leaving: Cell<bool>,
+    closed: CancellationToken,
+}
+
+/// Starts servers of calls.
+#[derive(Debug)]
+pub struct PeerServer;
+
+/// Steers a server.
+#[derive(Debug)]
+pub struct PeerServerHandle(Rc<Shared>);
+
+impl PeerServer {
+    /// Starts a server on the current thread's local tasks.
+    pub(crate) fn start(
+        listener: std::net::TcpListener,
+        settings: &DispatchSettings,
+        cx: Arc<GateContext>,
+        calls: DispatchTx,
+    ) -> PeerServerHandle {
+        let shared = Rc::new(Shared {
+            cx,
+            calls,
+            outstanding: settings.outstanding as usize,
+            leaving: Cell::new(false),
+            closed: CancellationToken::new(),
+        });
+        tokio::task::spawn_local(accept(listener, Rc::clone(&shared)));
+        PeerServerHandle(shared)
+    }
+}
+
+impl PeerServerHandle {
+    /// Refuses new calls from now on; those under way go on.
+    pub fn leave(&self) {
+        self.0.leaving.set(true);
+    }
+
+    /// Closes all connections.
+    pub fn close(&self) {
+        self.0.closed.cancel();
+    }
+}
+
+async fn accept(listener: std::net::TcpListener, shared: Rc<Shared>) {
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => {
+            slog::error!(shared.cx.log, "dispatch listener failed"; "error" => %e);
+            return;
+        }
+    };
+    let closed = shared.closed.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closed.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                tokio::task::spawn_local(serve(stream, peer, Rc::clone(&shared)));
+            }
+            Err(e) => {
+                slog::warn!(shared.cx.log, "accept of a host failed"; "error" => %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection until it ends; calls still under way then have lost their caller.
+async fn serve(stream: TcpStream, peer: SocketAddr, shared: Rc<Shared>) {
+    if let Err(e) = stream.set_nodelay(true) {
+        slog::debug!(shared.cx.log, "set no delay"; "peer" => %peer, "error" => %e);
+    }
+    let closed = shared.closed.clone();
+    let log = shared.cx.log.clone();
+    let metrics = Arc::clone(&shared.cx.metrics);
+    let ended = tokio::select! {
+        ended = Link::run(shared, stream) => ended,
+        () = closed.cancelled() => Ok(()),
+    };
+    if let Err(e) = ended {
+        if matches!(e, FrameError::Decode(_)) {
+            metrics.count(Count::PeerGarbage);
+        }
+        slog::info!(log, "connection of a host ended"; "peer" => %peer, "error" => %e);
+    }
+}
+
+/// One connection.
+struct Link {
+    shared: Rc<Shared>,
+    replies: mpsc::UnboundedSender<NumberedReply>,
+    /// Calls without a reply, by their number on this connection.
+    open: RefCell<IndexMap<u64, CallKey>>,
+}
+
+impl Link {
+    /// Serves until either direction ends.
+    async fn run(shared: Rc<Shared>, stream: TcpStream) -> Result<(), FrameError> {
+        let (read, write) = stream.into_split();
+        // Bounded by the calls that may be without a reply.
+        let (replies, rx) = mpsc::unbounded_channel();
+        let link = Self {
+            shared,
+            replies,
+            open: RefCell::default(),
+        };
+        tokio::select! {
+            ended = link.read(FramedRead::new(read, FrameCodec::default())) => ended,
+            ended = link.write(FramedWrite::new(write, FrameCodec::default()), rx) => ended,
+        }
+    }
+
+    async fn read(&self, mut reader: AskReader) -> Result<(), FrameError> {
+        while let Some(frame) = reader.next().await {
+            match frame?.ask {
+                Some(Ask::Request(request)) => self.request(request),
+                Some(Ask::Cancel(cancel)) => self.cancel(cancel),
+                // A later version's message; nothing of it is known.
+                None => {}
+            }
+        }
+        Ok(())
+    }
+
+    async fn write(
+        &self,
+        mut writer: ReplyWriter,
+        mut rx: mpsc::UnboundedReceiver<NumberedReply>,
+    ) -> Result<(), FrameError> {
+        let mut batch = Vec::with_capacity(BATCH);
+        while rx.recv_many(&mut batch, BATCH).await > 0 {
+            for NumberedReply { number, reply } in batch.drain(..) {
+                self.open.borrow_mut().swap_remove(&number);
+                writer.feed(reply_to_wire(number, reply)).await?;
+            }
+            writer.flush().await?;
+        }
+        Ok(())
+    }
+
+    fn request(&self, request: Request) {
+        let number = request.call;
+        let handed = self.hand_over(request);
+        if let Err(reason) = handed {
+            let mut reply = Reply::refused(reason);
+            if let Err(refusal) = &mut reply.result {
+                refusal.revision = self.shared.cx.router.load().revision();
+            }
+            // Fails only once the connection has ended.
+            let _ = self.replies.send(NumberedReply { number, reply });
+        }
+    }
+
+    fn hand_over(&self, request: Request) -> Result<(), Reason> {
+        let shared = &self.shared;
+        if shared.leaving.get() {
+            return Err(Reason::Leaving);
+        }
+        if self.open.borrow().len() >= shared.outstanding {
+            return Err(Reason::QueueFull);
+        }
+        let number = request.call;
+        let now = shared.cx.now();
+        let call = call_from_wire(request, now).ok_or(Reason::BadRequest)?;
+        let reply = ReplyTo::Link {
+            number,
+            tx: self.replies.clone(),
+        };
+        let key = shared.calls.send(call, reply)?;
+        shared.cx.metrics.count(Count::HandedIn);
+        self.open.borrow_mut().insert(number, key);
+        Ok(())
+    }
+
+    fn cancel(&self, cancel: Cancel) {
+        let key = self.open.borrow_mut().swap_remove(&cancel.call);
+        if let Some(key) = key {
+            self.shared.calls.gone(key);
+        }
+    }
+}
+
+impl Drop for Link {
+    /// The callers of calls still under way are lost with the connection.
+    fn drop(&mut self) {
+        for key in self.open.borrow().values() {
+            self.shared.calls.gone(*key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/upstream.rs
@@ -0,0 +1,10 @@
+//! HTTP/1.1 connections to upstreams.
+//!
+//! - [`stream`]: a TCP stream that counts what was written to it.
+//! - [`conn`]: one connection and one exchange on it.
+
+pub mod conn;
+pub mod stream;
+
+pub use conn::{Exchange, ExchangeError, UpstreamConn};
+pub use stream::CountedStream;
--- /dev/null
+++ b/crates/gate/src/upstream/stream.rs
@@ -0,0 +1,83 @@
+//! A TCP stream that counts what was written to it.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A TCP stream that counts what was written to it, so that an error can be told apart by whether
+/// any byte had left.
+#[derive(Debug)]
+pub struct CountedStream {
+    inner: TcpStream,
+    written: Arc<AtomicU64>,
+}
+
+impl CountedStream {
+    /// Wraps `inner`.
+    #[must_use]
+    pub fn new(inner: TcpStream) -> Self {
+        Self {
+            inner,
+            written: Arc::default(),
+        }
+    }
+
+    /// Returns the count of bytes that the system took, which goes on after this call.
+    #[must_use]
+    pub fn written(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.written)
+    }
+
+    fn add(&self, count: usize) {
+        self.written.fetch_add(count as u64, Ordering::Relaxed);
+    }
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.inner).poll_write(cx, buf))?;
+        self.add(count);
+        Poll::Ready(Ok(count))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.inner).poll_write_vectored(cx, bufs))?;
+        self.add(count);
+        Poll::Ready(Ok(count))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/gate/tests/support/rig.rs
@@ -0,0 +1,243 @@
+//! Hosts in one process, with a fixed catalogue and ownership.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use catalogue::Catalogue;
+
+use gate::{
+    DispatchChannels, DispatchDuty, DispatchSettings, Gate, GateContext, GateSettings, LoadSample,
+    Metrics, Notice, PathSettings, PeerTable, Phase, ToDispatch, UpstreamTarget,
+};
+use ids::{BootClock, Clock, EntryId, Epoch, HostId, SliceNo, UpstreamId};
+use indexmap::IndexMap;
+use route::{DispatcherSettings, Event, Owned, Ownership, Router, UpstreamLimits};
+use slog::{Discard, Logger, o};
+use tokio::sync::mpsc;
+
+use super::upstream::Upstream;
+
+/// Number of slices of the divided entry.
+pub const SLICES: u32 = 16;
+
+/// What a test may vary.
+#[derive(Debug, Clone)]
+pub struct RigSettings {
+    pub hosts: usize,
+    pub gate: GateSettings,
+    pub dispatch: DispatchSettings,
+    /// Lease on each upstream; none for no lease.
+    pub lease: Option<Duration>,
+    /// Host that coordinates all upstreams.
+    pub coordinator: usize,
+}
+
+impl Default for RigSettings {
+    fn default() -> Self {
+        Self {
+            hosts: 1,
+            gate: GateSettings::default(),
+            dispatch: DispatchSettings::default(),
+            lease: Some(Duration::from_mins(1)),
+            coordinator: 0,
+        }
+    }
+}
+
+/// One host.
+pub struct Host {
+    pub id: HostId,
+    pub cx: Arc<GateContext>,
+    pub gate: Gate,
+    pub duty: DispatchDuty,
+    pub notices: mpsc::Receiver<Notice>,
+    pub samples: mpsc::Receiver<LoadSample>,
+}
+
+/// Hosts and one upstream that serves all entries' keys.
+pub struct Rig {
+    pub hosts: Vec<Host>,
+    pub upstream: Upstream,
+}
+
+/// Entries: `look` is divided by the header `x-key` and idempotent, `seg` by a path segment and
+/// not idempotent, `any` is not divided and not idempotent, `echo` checks the echoed id.
+pub fn catalogue(upstream: SocketAddr) -> Catalogue {
+    let by_key = |key: &str| format!(r#"{{"by": "key", "key": {key}, "slices": {SLICES}}}"#);
+    let entry = |name: &str, class: &str, sharding: &str, echo: bool| {
+        format!(
+            r#""{name}": {{"owners": ["op"], "path": "{name}", "class": "{class}",
+            "sharding": {sharding}, "deadline_ms": 2000, "verify_echo": {echo},
+            "limits": {{"request_bytes": 65536, "answer_bytes": 65536, "queue": 64}}}}"#
+        )
+    };
+    let server = |name: &str| {
+        format!(
+            r#""up-{name}": {{"entry": "{name}", "address": "{upstream}", "domain": "d1",
+            "slots": 4}}"#
+        )
+    };
+    let names = ["look", "seg", "any", "echo"];
+    let entries = [
+        entry(
+            "look",
+            "idempotent",
+            &by_key(r#"{"header": "x-key"}"#),
+            false,
+        ),
+        entry(
+            "seg",
+            "non-idempotent",
+            &by_key(r#"{"path-segment": 0}"#),
+            false,
+        ),
+        entry("any", "non-idempotent", r#"{"by": "none"}"#, false),
+        entry("echo", "non-idempotent", r#"{"by": "none"}"#, true),
+    ];
+    let text = format!(
+        r#"{{"domains": {{"d1": {{"region": "r1"}}}}, "entries": {{{}}}, "upstreams": {{{}}}}}"#,
+        entries.join(","),
+        names.map(server).join(",")
+    );
+    serde_json::from_str(&text).expect("a valid catalogue")
+}
+
+fn slices_of(name: &str) -> Vec<SliceNo> {
+    match name {
+        "up-look" | "up-seg" => (0..u64::from(SLICES)).map(SliceNo).collect(),
+        _ => Vec::new(),
+    }
+}
+
+fn router(catalogue: &Catalogue, coordinator: &HostId) -> Router {
+    let upstreams: IndexMap<UpstreamId, Owned> = catalogue
+        .upstreams
+        .keys()
+        .map(|id| {
+            let owned = Owned {
+                host: Some(coordinator.clone()),
+                slices: slices_of(id.as_str()),
+            };
+            (id.clone(), owned)
+        })
+        .collect();
+    let ownership = Ownership {
+        revision: ids::Revision(7),
+        upstreams,
+    };
+    Router::build(&Router::default(), catalogue, &ownership)
+}
+
+fn start_host(number: usize, settings: &RigSettings) -> Host {
+    let id = HostId::new(format!("host-{number}")).expect("a name");
+    let log = Logger::root(Discard, o!());
+    let metrics = Arc::new(Metrics::default());
+    let cx = Arc::new(GateContext::new(
+        id.clone(),
+        Arc::new(BootClock),
+        metrics,
+        log,
+    ));
+    let (notice_tx, notices) = mpsc::channel(64);
+    let (sample_tx, samples) = mpsc::channel(64);
+    let channels = DispatchChannels {
+        notices: notice_tx,
+        samples: sample_tx,
+    };
+    let duty = DispatchDuty::start(
+        settings.dispatch.clone(),
+        DispatcherSettings::default(),
+        Arc::clone(&cx),
+        channels,
+    )
+    .expect("dispatch duty");
+    let gate = Gate::start(
+        settings.gate.clone(),
+        PathSettings::default(),
+        Arc::clone(&cx),
+        duty.tx(),
+        Arc::new(()),
+    )
+    .expect("gate");
+    Host {
+        id,
+        cx,
+        gate,
+        duty,
+        notices,
+        samples,
+    }
+}
+
+impl Rig {
+    pub async fn start(settings: RigSettings) -> Self {
+        let upstream = Upstream::start().await;
+        let hosts: Vec<Host> = (0..settings.hosts)
+            .map(|n| start_host(n, &settings))
+            .collect();
+        let rig = Self { hosts, upstream };
+        let catalogue = catalogue(rig.upstream.address);
+        rig.coordinate(&catalogue, &settings).await;
+        let dispatch = rig
+            .hosts
+            .iter()
+            .map(|h| (h.id.clone(), h.duty.address()))
+            .collect();
+        let peers = Arc::new(PeerTable { dispatch });
+        let router = Arc::new(router(&catalogue, &rig.hosts[settings.coordinator].id));
+        for host in &rig.hosts {
+            host.cx.peers.store(Arc::clone(&peers));
+            host.cx.router.store(Arc::clone(&router));
+            host.cx.set_phase(Phase::Serving);
+        }
+        rig
+    }
+
+    async fn coordinate(&self, catalogue: &Catalogue, settings: &RigSettings) {
+        let host = &self.hosts[settings.coordinator];
+        let tx = host.duty.tx();
+        for (id, declared) in &catalogue.upstreams {
+            let entry = &catalogue.entries[&declared.entry];
+            let told = ToDispatch::Upstream {
+                upstream: id.clone(),
+                limits: UpstreamLimits {
+                    slots: declared.slots,
+                    connections: declared.connections,
+                    queue: entry.limits.queue,
+                    divided: !slices_of(id.as_str()).is_empty(),
+                },
+                target: UpstreamTarget {
+                    entry: declared.entry.clone(),
+                    address: declared.address,
+                    answer_bytes: entry.limits.answer_bytes,
+                    verify_echo: entry.verify_echo,
+                },
+            };
+            tx.tell(told).await.expect("duty");
+            if let Some(lease) = settings.lease {
+                let lease = Event::Lease {
+                    upstream: id.clone(),
+                    epoch: Epoch(3),
+                    valid_until: BootClock.now() + lease,
+                    slices: Some(slices_of(id.as_str()).into()),
+                };
+                tx.tell(ToDispatch::Event(lease)).await.expect("duty");
+            }
+        }
+    }
+
+    /// Returns the callers' address of a host.
+    pub fn address(&self, host: usize) -> SocketAddr {
+        self.hosts[host].gate.address()
+    }
+
+    pub fn metrics(&self, host: usize) -> &Metrics {
+        &self.hosts[host].cx.metrics
+    }
+}
+
+/// Names an entry.
+pub fn entry(name: &str) -> EntryId {
+    EntryId::new(name).expect("a name")
+}
