--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -26,7 +26,7 @@
         /// What the transport said.
         cause: SmolStr,
     },
-    /// The platform refused the caller's credentials; there was no effect.
+    /// The platform refused the call, such as for the caller's credentials; there was no effect.
     #[error("{step} at {peer}: not allowed: {cause}")]
     Forbidden {
         /// What was being done.
--- a/crates/platform/src/fake.rs
+++ b/crates/platform/src/fake.rs
@@ -26,6 +26,10 @@
     /// How many of the next writes have no effect, with callers told
     /// [`PlatformError::Unconfirmed`]; these come before `lose_confirmations`.
     pub lose_requests: u32,
+    /// How many of the next transactions take effect only at
+    /// [`FakePlatform::deliver_late`], with callers told [`PlatformError::Unconfirmed`] at
+    /// once; these come after `lose_requests`.
+    pub late_transactions: u32,
     /// How long each call takes before it has its effect, by tokio's clock.
     pub delay: Duration,
 }
@@ -46,6 +50,7 @@
     hosts: Vec<ListedHost>,
     faults: Faults,
     calls: Calls,
+    late: Vec<Txn>,
 }
 
 /// A platform in memory; clones share one state.
@@ -91,6 +96,17 @@
         mem::take(&mut self.lock().calls)
     }
 
+    /// Commits the transactions that are late, in their order, and returns what became of each.
+    #[expect(
+        clippy::must_use_candidate,
+        reason = "it is called for its effect, too"
+    )]
+    pub fn deliver_late(&self) -> Vec<Commit> {
+        let mut state = self.lock();
+        let late = mem::take(&mut state.late);
+        late.iter().map(|txn| state.table.commit(txn)).collect()
+    }
+
     /// Runs `f` on the table, past all faults and counts.
     pub fn with_table<R>(&self, f: impl FnOnce(&mut MemoryTable) -> R) -> R {
         f(&mut self.lock().table)
@@ -135,7 +151,10 @@
         state.calls.writes += 1;
         match state.next_fate() {
             Fate::Confirmed => f(&mut state),
-            Fate::ConfirmationLost => f(&mut state).and(Err(unconfirmed(step))),
+            Fate::ConfirmationLost => {
+                f(&mut state)?;
+                Err(unconfirmed(step))
+            }
             Fate::RequestLost => Err(unconfirmed(step)),
         }
     }
@@ -153,6 +172,12 @@
         })
     }
 
+    fn next_is_late(&mut self) -> bool {
+        let late = self.faults.late_transactions > 0;
+        self.faults.late_transactions -= u32::from(late);
+        late
+    }
+
     fn next_fate(&mut self) -> Fate {
         let faults = &mut self.faults;
         if faults.lose_requests > 0 {
@@ -182,8 +207,15 @@
     }
 
     async fn commit(&self, txn: Txn) -> Result<Commit, PlatformError> {
-        self.write("commit transaction", |s| Ok(s.table.commit(&txn)))
-            .await
+        let step = "commit transaction";
+        let commit = |s: &mut State| {
+            if s.next_is_late() {
+                s.late.push(txn);
+                return Err(unconfirmed(step));
+            }
+            Ok(s.table.commit(&txn))
+        };
+        self.write(step, commit).await
     }
 }
 
--- a/crates/platform/src/memory/table.rs
+++ b/crates/platform/src/memory/table.rs
@@ -72,19 +72,16 @@
 
     /// Returns the rows below `prefix` that exist, by their keys.
     pub fn rows<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Row> {
-        self.rows
-            .range(RowKey(SmolStr::new(prefix))..)
-            .map(|(_, r)| r)
-            .take_while(move |r| r.key.0.starts_with(prefix))
-            .filter(|r| r.value.is_some())
+        self.below(prefix).filter(|r| r.value.is_some())
     }
 
     /// Returns all rows below `prefix` that changed after `since`.
     #[must_use]
     pub fn changes(&self, prefix: &str, since: Revision) -> Changes {
+        let rows = self.changed_rows(prefix, since);
         Changes {
             revision: self.revision,
-            rows: self.changed_rows(prefix, since).cloned().collect(),
+            rows: rows.into_iter().cloned().collect(),
         }
     }
 
@@ -122,12 +119,34 @@
         Commit::Conflict(self.checked_rows(&txn.checks))
     }
 
-    fn changed_rows(&self, prefix: &str, since: Revision) -> impl Iterator<Item = &Row> {
+    /// Returns the rows below `prefix` that changed after `since`, by revision and key.
+    fn changed_rows<'a>(&'a self, prefix: &'a str, since: Revision) -> Vec<&'a Row> {
+        if since == Revision(0) {
+            return self.all_rows(prefix);
+        }
         let first = (since.next(), RowKey(SmolStr::default()));
         self.by_revision
             .range(first..)
-            .filter(move |(_, key)| key.0.starts_with(prefix))
+            .filter(|(_, key)| key.0.starts_with(prefix))
             .filter_map(|(_, key)| self.rows.get(key))
+            .collect()
+    }
+
+    /// Returns all rows below `prefix` without a look at any other row, as it pays for
+    /// a reader that starts anew or wants one row.
+    fn all_rows<'a>(&'a self, prefix: &'a str) -> Vec<&'a Row> {
+        let mut rows: Vec<&Row> = self.below(prefix).collect();
+        // Stable, so that rows of one revision stay sorted by key.
+        rows.sort_by_key(|r| r.revision);
+        rows
+    }
+
+    /// Returns all rows below `prefix`, deleted ones too, by key.
+    fn below<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Row> {
+        self.rows
+            .range(RowKey(SmolStr::new(prefix))..)
+            .map(|(_, r)| r)
+            .take_while(move |r| r.key.0.starts_with(prefix))
     }
 
     fn holds(&self, check: &Check) -> bool {
