standin: an open-loop load generator

Measurements and fault tests need a load that does not slow down with the server. A thread keeps to the schedule and latency counts from the intended time. The client hands back a request that it surely did not send, so that an idle connection closed by the server is no unknown outcome.

--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -118,6 +118,18 @@
         self.peer
     }
 
+    /// Returns another handle on the same connection; nothing with HTTP/1.1.
+    #[must_use]
+    pub fn share(&self) -> Option<Self> {
+        let Sender::Http2(sender) = &self.sender else {
+            return None;
+        };
+        Some(Self {
+            peer: self.peer,
+            sender: Sender::Http2(sender.clone()),
+        })
+    }
+
     /// Tells whether the connection is closed.
     #[must_use]
     pub fn is_closed(&self) -> bool {
@@ -136,25 +148,24 @@
     /// Fails if the connection breaks before the end of the answer.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Bytes>, SendError> {
         let peer = self.peer;
+        let closed = |_cause| SendError::Closed { peer };
         let sent = match &mut self.sender {
             Sender::Http1(sender) => {
-                sender
-                    .ready()
-                    .await
-                    .map_err(|_closed| SendError::Closed { peer })?;
-                sender.send_request(req).await
+                sender.ready().await.map_err(closed)?;
+                sender.try_send_request(req).await
             }
             Sender::Http2(sender) => {
-                sender
-                    .ready()
-                    .await
-                    .map_err(|_closed| SendError::Closed { peer })?;
-                sender.send_request(req).await
+                sender.ready().await.map_err(closed)?;
+                sender.try_send_request(req).await
             }
         };
-        let answer = sent.map_err(|e| SendError::Broken {
-            peer,
-            cause: format_smolstr!("{e}"),
+        let answer = sent.map_err(|mut e| match e.take_message() {
+            // A request that is handed back has not been sent.
+            Some(_) => SendError::Closed { peer },
+            None => SendError::Broken {
+                peer,
+                cause: format_smolstr!("{}", e.error()),
+            },
         })?;
         let (parts, body) = answer.into_parts();
         let body = body.collect().await.map_err(|e| SendError::Truncated {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,16 +4,19 @@
 //! - [`journal`]: what upstreams write down about the requests that they run.
 //! - [`platform`]: a server that plays the platform.
 //! - [`proxy`]: a TCP proxy that makes faults.
+//! - [`load`]: an open-loop load generator.
 //! - [`client`]: an HTTP client over one connection.
 
 pub mod client;
 mod http;
 pub mod journal;
+pub mod load;
 pub mod platform;
 pub mod proxy;
 pub mod upstream;
 
 pub use journal::{JournalEvent, JournalLine, Started};
+pub use load::{EntryLoad, LoadRun, LoadSettings, Record, Seen};
 pub use platform::{PlatformSettings, StandinPlatform};
 pub use proxy::{Fault, FaultPlan, FaultProxy, ProxySettings};
 pub use upstream::{AdminCommand, Upstream, UpstreamSettings};
--- /dev/null
+++ b/crates/standin/src/load/mod.rs
@@ -0,0 +1,218 @@
+//! An open-loop load generator.
+//!
+//! It sends by a schedule of its own, whether or not earlier requests are answered, and measures
+//! latency from the intended time: a server that stalls can't hide the requests that it held up.
+//!
+//! - [`settings`]: what load.
+//! - [`schedule`]: when which request is sent.
+//! - [`record`]: what became of each.
+
+mod pool;
+pub mod record;
+pub mod schedule;
+mod send;
+pub mod settings;
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use ids::{BootClock, Clock};
+use smol_str::SmolStr;
+use tokio::runtime::Handle;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::client::Protocol;
+use pool::Pool;
+pub use record::{Latencies, Record, Seen, Summary};
+use schedule::{Planned, Schedule};
+pub use settings::{EntryLoad, KeyLoad, LoadSettings};
+
+/// Time before a request is due at which the scheduler stops sleeping and polls the clock.
+const SPIN: Duration = Duration::from_micros(80);
+/// Longest sleep of the scheduler, so that it notices a stop.
+const MAX_SLEEP: Duration = Duration::from_millis(20);
+const PREFIX_CHARS: usize = 8;
+
+/// What a load gave.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LoadRun {
+    /// Result.
+    pub summary: Summary,
+    /// What became of each request, in order of their intended times.
+    pub records: Vec<Record>,
+}
+
+/// A load under way.
+#[derive(Debug)]
+pub struct RunningLoad {
+    stop: CancellationToken,
+    scheduler: thread::JoinHandle<Sent>,
+    deadline_ms: Option<u32>,
+}
+
+/// What the scheduler leaves behind.
+#[derive(Debug)]
+struct Sent {
+    requests: JoinSet<Record>,
+    duration: Duration,
+}
+
+/// Starts a load on the present runtime, with a thread that keeps to the schedule.
+///
+/// # Errors
+///
+/// Fails if the settings make no load.
+pub fn start(cfg: LoadSettings) -> anyhow::Result<RunningLoad> {
+    let prefix = cfg.id_prefix.clone().unwrap_or_else(draw_prefix);
+    let schedule = Schedule::new(&cfg, prefix)?;
+    let protocol = if cfg.http2 {
+        Protocol::Http2
+    } else {
+        Protocol::Http1
+    };
+    let pools = cfg
+        .targets
+        .iter()
+        .map(|peer| Pool::new(*peer, protocol, cfg.connections))
+        .collect();
+    let deadline_ms = cfg.deadline_ms;
+    let load = Arc::new(send::Load { cfg, pools });
+    check(&load)?;
+    let stop = CancellationToken::new();
+    let scheduler = Scheduler {
+        load,
+        stop: stop.clone(),
+        runtime: Handle::current(),
+    };
+    let scheduler = thread::Builder::new()
+        .name("load-schedule".to_owned())
+        .spawn(move || scheduler.run(schedule))
+        .context("start scheduler")?;
+    Ok(RunningLoad {
+        stop,
+        scheduler,
+        deadline_ms,
+    })
+}
+
+/// Runs a load to its end.
+///
+/// # Errors
+///
+/// Fails if the settings make no load.
+pub async fn run(cfg: LoadSettings) -> anyhow::Result<LoadRun> {
+    start(cfg)?.finish().await
+}
+
+impl RunningLoad {
+    /// Sends nothing more, and waits for the outcomes of what was sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a task of the load panicked.
+    pub async fn stop(self) -> anyhow::Result<LoadRun> {
+        self.stop.cancel();
+        self.finish().await
+    }
+
+    /// Waits for the end of the schedule and all outcomes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a task of the load panicked.
+    pub async fn finish(self) -> anyhow::Result<LoadRun> {
+        let scheduler = self.scheduler;
+        let sent = tokio::task::spawn_blocking(move || scheduler.join())
+            .await
+            .context("wait for scheduler")?;
+        let Ok(sent) = sent else {
+            anyhow::bail!("the scheduler panicked");
+        };
+        let Sent {
+            mut requests,
+            duration,
+        } = sent;
+        let mut records = Vec::with_capacity(requests.len());
+        while let Some(record) = requests.join_next().await {
+            records.push(record.context("send request")?);
+        }
+        records.sort_by(|a, b| (a.intended_us, &a.id).cmp(&(b.intended_us, &b.id)));
+        let duration_ms = duration.as_millis() as u64;
+        let summary = Summary::of(&records, duration_ms, self.deadline_ms);
+        Ok(LoadRun { summary, records })
+    }
+}
+
+/// Checks that requests can be built from the settings.
+fn check(load: &send::Load) -> anyhow::Result<()> {
+    for (i, entry) in load.cfg.entries.iter().enumerate() {
+        let planned = Planned {
+            at: Duration::ZERO,
+            id: SmolStr::new_static("check"),
+            entry: i,
+            key: Some(SmolStr::new_static("key-0")),
+            target: 0,
+        };
+        send::request(load, &planned, entry, bytes::Bytes::new(), &load.pools[0])
+            .with_context(|| format!("entry {i}"))?;
+    }
+    Ok(())
+}
+
+fn draw_prefix() -> SmolStr {
+    let uuid = uuid::Uuid::new_v4().simple().to_string();
+    SmolStr::new(&uuid[..PREFIX_CHARS])
+}
+
+/// Keeps to the schedule on a thread of its own, as a runtime's timers are too coarse.
+#[derive(Debug)]
+struct Scheduler {
+    load: Arc<send::Load>,
+    stop: CancellationToken,
+    runtime: Handle,
+}
+
+impl Scheduler {
+    fn run(self, schedule: Schedule) -> Sent {
+        let start = Instant::now();
+        let start_reading = BootClock.now();
+        let mut requests = JoinSet::new();
+        for planned in schedule {
+            if !self.wait_until(start + planned.at) {
+                break;
+            }
+            let intended = start_reading + planned.at;
+            let load = Arc::clone(&self.load);
+            let request = async move { send::send(&load, planned, intended).await };
+            requests.spawn_on(request, &self.runtime);
+        }
+        if !self.stop.is_cancelled() {
+            self.wait_until(start + Duration::from_millis(self.load.cfg.duration_ms));
+        }
+        Sent {
+            requests,
+            duration: start.elapsed(),
+        }
+    }
+
+    /// Waits until `due`; tells whether the load goes on.
+    fn wait_until(&self, due: Instant) -> bool {
+        loop {
+            if self.stop.is_cancelled() {
+                return false;
+            }
+            let left = due.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return true;
+            }
+            if left > SPIN {
+                thread::sleep(left.saturating_sub(SPIN).min(MAX_SLEEP));
+            } else {
+                thread::yield_now();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load/record.rs
@@ -0,0 +1,164 @@
+//! What became of each request of a load.
+
+use hdrhistogram::Histogram;
+use ids::Outcome;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// The longest latency that the histogram tells apart, in microseconds.
+const MAX_LATENCY_US: u64 = 120_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// What a client knows of its request in the end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Seen {
+    /// Its whole answer came.
+    Answered,
+    /// It surely did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// An answer came that looks whole and is not the request's own.
+    Wrong,
+}
+
+impl From<Outcome> for Seen {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Answered => Self::Answered,
+            Outcome::NotRun => Self::NotRun,
+            Outcome::Unknown => Self::Unknown,
+        }
+    }
+}
+
+/// What became of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Record {
+    /// Id.
+    pub id: SmolStr,
+    /// First segment of the path.
+    pub entry: SmolStr,
+    /// Key, if the entry is divided by key.
+    pub key: Option<SmolStr>,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Number of the target to which it was to go.
+    pub target: usize,
+    /// When it was to be sent, by the machine's clock since boot, in microseconds.
+    pub intended_us: u64,
+    /// When its outcome was known, likewise.
+    pub done_us: u64,
+    /// Outcome.
+    pub seen: Seen,
+    /// Reason given for the outcome; one that starts with `client-` is the client's own.
+    pub reason: Option<SmolStr>,
+    /// Upstream that the answer names.
+    pub upstream: Option<SmolStr>,
+}
+
+impl Record {
+    /// Returns the time from the intended start to the outcome, in microseconds.
+    #[must_use]
+    pub const fn latency_us(&self) -> u64 {
+        self.done_us.saturating_sub(self.intended_us)
+    }
+}
+
+/// Latencies, in microseconds, from the intended start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Latencies {
+    /// Median.
+    pub p50_us: u64,
+    /// 99th percentile.
+    pub p99_us: u64,
+    /// 99.9th percentile.
+    pub p999_us: u64,
+    /// Maximum.
+    pub max_us: u64,
+}
+
+impl Latencies {
+    fn of(latencies: impl Iterator<Item = u64>) -> Self {
+        let mut histogram = Histogram::<u64>::new_with_max(MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+            .expect("the bounds are valid");
+        for us in latencies {
+            histogram.saturating_record(us);
+        }
+        Self {
+            p50_us: histogram.value_at_quantile(0.5),
+            p99_us: histogram.value_at_quantile(0.99),
+            p999_us: histogram.value_at_quantile(0.999),
+            max_us: histogram.max(),
+        }
+    }
+}
+
+/// The result of a load.
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Summary {
+    /// Requests that were due.
+    pub sent: u64,
+    /// Requests with their whole own answers.
+    pub answered: u64,
+    /// Answers among them that came after the deadline.
+    pub late: u64,
+    /// Requests that did not run, by reason.
+    pub not_run: IndexMap<SmolStr, u64>,
+    /// Requests that may have run, by reason.
+    pub unknown: IndexMap<SmolStr, u64>,
+    /// Requests with wrong answers, by what was wrong.
+    pub wrong: IndexMap<SmolStr, u64>,
+    /// Latencies of answers.
+    pub answers: Latencies,
+    /// Latencies of refusals that say `not-run`.
+    pub refusals: Latencies,
+    /// Answers in time, a second.
+    pub goodput_per_s: f64,
+    /// Time from the first request to the end of the schedule, in milliseconds.
+    pub duration_ms: u64,
+}
+
+impl Summary {
+    /// Sums up the records of a load that was to last so long and brought that deadline.
+    #[must_use]
+    pub fn of(records: &[Record], duration_ms: u64, deadline_ms: Option<u32>) -> Self {
+        let limit = deadline_ms.map_or(u64::MAX, |ms| u64::from(ms) * 1_000);
+        let answered = with(records, Seen::Answered).count() as u64;
+        let late = with(records, Seen::Answered)
+            .filter(|r| r.latency_us() > limit)
+            .count() as u64;
+        Self {
+            sent: records.len() as u64,
+            answered,
+            late,
+            not_run: by_reason(records, Seen::NotRun),
+            unknown: by_reason(records, Seen::Unknown),
+            wrong: by_reason(records, Seen::Wrong),
+            answers: Latencies::of(with(records, Seen::Answered).map(Record::latency_us)),
+            refusals: Latencies::of(with(records, Seen::NotRun).map(Record::latency_us)),
+            goodput_per_s: (answered - late) as f64 * 1_000.0 / duration_ms.max(1) as f64,
+            duration_ms,
+        }
+    }
+}
+
+fn with(records: &[Record], seen: Seen) -> impl Iterator<Item = &Record> {
+    records.iter().filter(move |r| r.seen == seen)
+}
+
+fn by_reason(records: &[Record], seen: Seen) -> IndexMap<SmolStr, u64> {
+    let mut counts = IndexMap::new();
+    for record in with(records, seen) {
+        let reason = record.reason.clone().unwrap_or_default();
+        *counts.entry(reason).or_default() += 1;
+    }
+    counts.sort_unstable_keys();
+    counts
+}
--- /dev/null
+++ b/crates/standin/src/load/schedule.rs
@@ -0,0 +1,114 @@
+//! When which request is sent; no I/O and no clock.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::weighted::WeightedIndex;
+use rand_distr::{Distribution, Exp, Zipf};
+use smol_str::{SmolStr, format_smolstr};
+
+use super::settings::LoadSettings;
+
+/// Distance by which the hot keys move on; it has no factor in common with usual key counts.
+const MOVE_STRIDE: u64 = 1_000_003;
+
+/// A request to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Planned {
+    /// Time since the start.
+    pub at: Duration,
+    /// Id.
+    pub id: SmolStr,
+    /// Number of the entry in the settings.
+    pub entry: usize,
+    /// Key, if the entry is divided by key.
+    pub key: Option<SmolStr>,
+    /// Number of the target in the settings.
+    pub target: usize,
+}
+
+/// All requests of a run, in order of time.
+#[derive(Debug)]
+pub struct Schedule {
+    rng: StdRng,
+    gaps: Exp<f64>,
+    entries: WeightedIndex<f64>,
+    divided: Vec<bool>,
+    ranks: Zipf<f64>,
+    keys: super::settings::KeyLoad,
+    targets: usize,
+    repeat_share: f64,
+    end: Duration,
+    prefix: SmolStr,
+    at: Duration,
+    next: u64,
+    repeat: Option<Planned>,
+}
+
+impl Schedule {
+    /// Draws up the schedule of a run whose ids start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no target or no entry, or a number makes no distribution.
+    pub fn new(cfg: &LoadSettings, prefix: SmolStr) -> anyhow::Result<Self> {
+        anyhow::ensure!(!cfg.targets.is_empty(), "the load has no target");
+        Ok(Self {
+            rng: StdRng::seed_from_u64(cfg.seed),
+            gaps: Exp::new(cfg.rate_per_s)?,
+            entries: WeightedIndex::new(cfg.entries.iter().map(|e| e.share))?,
+            divided: cfg.entries.iter().map(|e| e.key.is_some()).collect(),
+            ranks: Zipf::new(cfg.keys.count as f64, cfg.keys.exponent)?,
+            keys: cfg.keys,
+            targets: cfg.targets.len(),
+            repeat_share: cfg.repeat_share,
+            end: Duration::from_millis(cfg.duration_ms),
+            prefix,
+            at: Duration::ZERO,
+            next: 0,
+            repeat: None,
+        })
+    }
+
+    fn draw_key(&mut self) -> SmolStr {
+        let rank = self.ranks.sample(&mut self.rng) as u64;
+        let moves = match self.keys.move_every_ms {
+            0 => 0,
+            every => self.at.as_millis() as u64 / every,
+        };
+        let number = (rank + moves * MOVE_STRIDE) % self.keys.count;
+        format_smolstr!("key-{number}")
+    }
+}
+
+impl Iterator for Schedule {
+    type Item = Planned;
+
+    fn next(&mut self) -> Option<Planned> {
+        if let Some(repeat) = self.repeat.take() {
+            return Some(repeat);
+        }
+        self.at += Duration::from_secs_f64(self.gaps.sample(&mut self.rng));
+        if self.at >= self.end {
+            return None;
+        }
+        let entry = self.entries.sample(&mut self.rng);
+        let planned = Planned {
+            at: self.at,
+            id: format_smolstr!("{}-{}", self.prefix, self.next),
+            entry,
+            key: self.divided[entry].then(|| self.draw_key()),
+            target: self.rng.random_range(0..self.targets),
+        };
+        self.next += 1;
+        if self.rng.random::<f64>() < self.repeat_share {
+            let target = self.rng.random_range(0..self.targets);
+            self.repeat = Some(Planned {
+                target,
+                ..planned.clone()
+            });
+        }
+        Some(planned)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load/send.rs
@@ -0,0 +1,169 @@
+//! One request of a load, from its intended time to its outcome.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use bytes::Bytes;
+use catalogue::KeyLocation;
+use http::{HeaderMap, Method, Request, Response};
+use http_body_util::Full;
+use ids::{BootClock, Clock, Outcome, Reason, Timestamp, header};
+use smol_str::SmolStr;
+
+use super::pool::Pool;
+use super::record::{Record, Seen};
+use super::schedule::Planned;
+use super::settings::{EntryLoad, LoadSettings};
+use crate::client::SendError;
+use crate::upstream::AnswerBody;
+
+const CLIENT_TIMEOUT: SmolStr = SmolStr::new_static("client-timeout");
+const CLIENT_CONNECT: SmolStr = SmolStr::new_static("client-connect");
+const CLIENT_BROKEN: SmolStr = SmolStr::new_static("client-broken");
+const CLIENT_TRUNCATED: SmolStr = SmolStr::new_static("client-truncated");
+const CLIENT_BAD_REFUSAL: SmolStr = SmolStr::new_static("client-bad-refusal");
+const CLIENT_BAD_ANSWER: SmolStr = SmolStr::new_static("client-bad-answer");
+const CLIENT_OTHER_ANSWER: SmolStr = SmolStr::new_static("client-other-answer");
+
+/// What all requests of a load share.
+#[derive(Debug)]
+pub(crate) struct Load {
+    pub(crate) cfg: LoadSettings,
+    pub(crate) pools: Vec<Arc<Pool>>,
+}
+
+/// What a client saw.
+#[derive(Debug)]
+struct Sight {
+    seen: Seen,
+    reason: Option<SmolStr>,
+    upstream: Option<SmolStr>,
+}
+
+impl Sight {
+    const fn new(seen: Seen, reason: SmolStr) -> Self {
+        Self {
+            seen,
+            reason: Some(reason),
+            upstream: None,
+        }
+    }
+}
+
+/// Sends a request and says what became of it.
+pub(crate) async fn send(load: &Load, planned: Planned, intended: Timestamp) -> Record {
+    let entry = &load.cfg.entries[planned.entry];
+    let body = body_of(&planned, entry);
+    let patience = Duration::from_millis(load.cfg.patience_ms);
+    let left = (intended + patience).since(BootClock.now());
+    let sight = match tokio::time::timeout(left, exchange(load, &planned, entry, &body)).await {
+        Ok(sight) => sight,
+        Err(_elapsed) => Sight::new(Seen::Unknown, CLIENT_TIMEOUT),
+    };
+    Record {
+        id: planned.id,
+        entry: entry.path.clone(),
+        key: planned.key,
+        idempotent: entry.idempotent,
+        target: planned.target,
+        intended_us: intended.as_micros(),
+        done_us: BootClock.now().as_micros(),
+        seen: sight.seen,
+        reason: sight.reason,
+        upstream: sight.upstream,
+    }
+}
+
+/// Fills the body with the id, so that no two requests have the same.
+fn body_of(planned: &Planned, entry: &EntryLoad) -> Bytes {
+    let id = planned.id.bytes().chain(std::iter::once(b' '));
+    id.cycle().take(entry.body_bytes as usize).collect()
+}
+
+async fn exchange(load: &Load, planned: &Planned, entry: &EntryLoad, body: &Bytes) -> Sight {
+    let targets = load.pools.len();
+    let tries = if load.cfg.next_target { targets } else { 1 };
+    for step in 0..tries {
+        let pool = &load.pools[(planned.target + step) % targets];
+        let req = request(load, planned, entry, body.clone(), pool).expect("settings are checked");
+        match pool.send(&req).await {
+            Ok(answer) => return judge_answer(&answer, &planned.id, body),
+            Err(SendError::Connect { .. } | SendError::Closed { .. }) => {}
+            Err(SendError::Broken { .. }) => return Sight::new(Seen::Unknown, CLIENT_BROKEN),
+            Err(SendError::Truncated { .. }) => return Sight::new(Seen::Unknown, CLIENT_TRUNCATED),
+        }
+    }
+    Sight::new(Seen::NotRun, CLIENT_CONNECT)
+}
+
+pub(crate) fn request(
+    load: &Load,
+    planned: &Planned,
+    entry: &EntryLoad,
+    body: Bytes,
+    pool: &Pool,
+) -> anyhow::Result<Request<Full<Bytes>>> {
+    let mut path = format!("/{}", entry.path);
+    let mut key_header = None;
+    match (&entry.key, &planned.key) {
+        (Some(KeyLocation::PathSegment(before)), Some(key)) => {
+            path.push_str(&"/-".repeat(*before as usize));
+            path.push('/');
+            path.push_str(key);
+        }
+        (Some(KeyLocation::Header(name)), Some(key)) => key_header = Some((name, key)),
+        _ => {}
+    }
+    let peer = pool.peer();
+    let method = Method::from_bytes(entry.method.as_bytes()).context("method")?;
+    let mut req = Request::builder()
+        .method(method)
+        .uri(format!("http://{peer}{path}"))
+        .header(header::REQUEST_ID, planned.id.as_str());
+    if !load.cfg.http2 {
+        req = req.header(http::header::HOST, peer.to_string());
+    }
+    if let Some((name, key)) = key_header {
+        req = req.header(name.as_str(), key.as_str());
+    }
+    if let Some(ms) = load.cfg.deadline_ms {
+        req = req.header(header::DEADLINE_MS, ms);
+    }
+    req.body(Full::new(body)).context("request")
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn judge_answer(answer: &Response<Bytes>, id: &str, body: &Bytes) -> Sight {
+    let headers = answer.headers();
+    let outcome = text(headers, header::OUTCOME);
+    let is_answer = outcome.is_none_or(|o| o == Outcome::Answered.as_str());
+    if is_answer && answer.status().is_success() {
+        return judge_body(answer.body(), id, body);
+    }
+    let reason = text(headers, header::REASON).and_then(|r| r.parse::<Reason>().ok());
+    match reason {
+        Some(reason) if outcome == Some(reason.outcome().as_str()) => Sight::new(
+            reason.outcome().into(),
+            SmolStr::new_static(reason.as_str()),
+        ),
+        _ => Sight::new(Seen::Unknown, CLIENT_BAD_REFUSAL),
+    }
+}
+
+fn judge_body(answer: &Bytes, id: &str, body: &Bytes) -> Sight {
+    let Ok(answer) = serde_json::from_slice::<AnswerBody>(answer) else {
+        return Sight::new(Seen::Wrong, CLIENT_BAD_ANSWER);
+    };
+    if !answer.belongs_to(id, body) {
+        return Sight::new(Seen::Wrong, CLIENT_OTHER_ANSWER);
+    }
+    Sight {
+        seen: Seen::Answered,
+        reason: None,
+        upstream: answer.upstream.map(SmolStr::from),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load/settings.rs
@@ -0,0 +1,115 @@
+//! Settings of a load generator.
+
+use std::net::SocketAddr;
+
+use catalogue::KeyLocation;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// One kind of requests.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EntryLoad {
+    /// First segment of the path.
+    pub path: SmolStr,
+    /// Where requests carry their key; nothing for an entry that is not divided by key.
+    pub key: Option<KeyLocation>,
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Whether requests may run more than once.
+    pub idempotent: bool,
+    /// Share of the requests, relative to those of the other entries.
+    pub share: f64,
+    /// Length of the body, in bytes.
+    pub body_bytes: u32,
+}
+
+impl Default for EntryLoad {
+    fn default() -> Self {
+        Self {
+            path: SmolStr::new_static("entry"),
+            key: None,
+            method: SmolStr::new_static("POST"),
+            idempotent: false,
+            share: 1.0,
+            body_bytes: 100,
+        }
+    }
+}
+
+/// How requests spread over keys.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct KeyLoad {
+    /// Number of keys.
+    pub count: u64,
+    /// Exponent of the Zipf distribution; zero spreads evenly.
+    pub exponent: f64,
+    /// Time after which other keys become the hot ones, in milliseconds; zero for never.
+    pub move_every_ms: u64,
+}
+
+impl Default for KeyLoad {
+    fn default() -> Self {
+        Self {
+            count: 10_000,
+            exponent: 0.9,
+            move_every_ms: 0,
+        }
+    }
+}
+
+/// Settings of a load generator.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LoadSettings {
+    /// Addresses of entry hosts; each request goes to one at random.
+    pub targets: Vec<SocketAddr>,
+    /// Requests a second, whether or not earlier ones are answered.
+    pub rate_per_s: f64,
+    /// Length of the run, in milliseconds.
+    pub duration_ms: u64,
+    /// Kinds of requests.
+    pub entries: Vec<EntryLoad>,
+    /// How requests spread over keys.
+    pub keys: KeyLoad,
+    /// Seed of all draws.
+    pub seed: u64,
+    /// Start of the request ids; drawn at random if absent.
+    pub id_prefix: Option<SmolStr>,
+    /// Deadline that requests bring, in milliseconds.
+    pub deadline_ms: Option<u32>,
+    /// Time after which the client leaves, counted from the intended time, in milliseconds.
+    pub patience_ms: u64,
+    /// Most connections to each target; with HTTP/2 all requests to a target share one.
+    pub connections: u32,
+    /// Whether requests go over HTTP/2.
+    pub http2: bool,
+    /// Whether a request goes to the next target if no connection to the first can be opened.
+    pub next_target: bool,
+    /// Share of the requests that are sent a second time under the same id.
+    pub repeat_share: f64,
+}
+
+impl Default for LoadSettings {
+    fn default() -> Self {
+        Self {
+            targets: Vec::new(),
+            rate_per_s: 100.0,
+            duration_ms: 1_000,
+            entries: vec![EntryLoad::default()],
+            keys: KeyLoad::default(),
+            seed: 1,
+            id_prefix: None,
+            deadline_ms: Some(1_000),
+            patience_ms: 5_000,
+            connections: 64,
+            http2: false,
+            next_target: true,
+            repeat_share: 0.0,
+        }
+    }
+}
