Add the operators' commands

check, schema, plan, apply, pull, show, history, diff, rollback, status and settle, each with text and JSON output and one table of exit codes. Commands work on the platform's traits, so that tests run them against the fake. A refused transaction is looked at again on what is in force now: the platform may look at access before it looks at checks, and then an overtaken change looks like one that is not allowed.

--- a/crates/catalogue/src/accept.rs
+++ b/crates/catalogue/src/accept.rs
@@ -52,8 +52,12 @@
     pub sources: Sources,
     /// What `catalogue` was made from.
     pub base: BaseFrom,
+    /// Version that it was planned against: items that moved on since are conflicts.
+    pub expect: Option<Version>,
     /// Who intends it.
     pub operator: OperatorId,
+    /// Whether to leave it to the platform who may change what.
+    pub admin: bool,
     /// Id of the change; derived from what changes if none is given.
     pub change: Option<ChangeId>,
     /// What the operator says about it.
@@ -219,6 +223,8 @@
     /// Attempts whose confirmation was lost; each may have landed or may land yet.
     unconfirmed: u32,
     last_failure: Option<PlatformError>,
+    /// A refused transaction, and the head that it was made for.
+    refused: Option<(PlatformError, Revision)>,
     verdict: Option<Verdict>,
 }
 
@@ -235,7 +241,9 @@
                 catalogue: intention.catalogue,
                 sources: intention.sources,
                 base: given,
+                expect: intention.expect,
                 operator: intention.operator,
+                admin: intention.admin,
             },
             base: intention.base,
             message: intention.message,
@@ -251,6 +259,7 @@
             attempts: 0,
             unconfirmed: 0,
             last_failure: None,
+            refused: None,
             verdict: None,
         }
     }
@@ -279,6 +288,13 @@
         &self.in_force
     }
 
+    /// Works out the plan on `in_force` without submitting anything.
+    pub fn plan_on(&mut self, in_force: &InForce) -> Plan {
+        self.in_force = in_force.clone();
+        self.take_base();
+        plan(&self.wanted, in_force)
+    }
+
     /// Returns the base of the operator's directory after a change that made `version`.
     #[must_use]
     pub fn base_after(&self, version: Version) -> Base {
@@ -348,6 +364,11 @@
         if !self.in_force.is_complete() {
             return self.failed(self.torn_read());
         }
+        if let Some((e, head)) = self.refused.take()
+            && head == self.head_revision()
+        {
+            return self.give_up(e);
+        }
         if !self.has_base {
             self.take_base();
         }
@@ -485,20 +506,40 @@
             self.step = Step::ReadBack;
         }
         self.failures += 1;
-        let refused = matches!(e, PlatformError::Forbidden { .. });
-        let give_up = refused || self.failures >= self.patience.failures;
         self.last_failure = Some(e.clone());
-        if !give_up {
+        if is_refusal(&e) {
+            return self.was_refused(e);
+        }
+        if self.failures < self.patience.failures {
             return Action::Sleep(self.wait());
         }
+        self.give_up(e)
+    }
+
+    /// Finds out whether the platform refuses the operator, or just what was overtaken.
+    ///
+    /// It may look at who may write what before it looks at the checks, and the row of a version
+    /// that another operator has made meanwhile can't be written again.
+    fn was_refused(&mut self, e: PlatformError) -> Action {
+        if self.step != Step::Commit {
+            return self.give_up(e);
+        }
+        self.refused = Some((e, self.head_revision()));
+        self.go(Step::ReadCatalogue)
+    }
+
+    fn head_revision(&self) -> Revision {
+        self.in_force.head().map_or(Revision(0), |h| h.revision)
+    }
+
+    fn give_up(&mut self, e: PlatformError) -> Action {
         if self.unconfirmed > 0 {
             return self.finish_unknown();
         }
-        self.finish(if refused {
-            Verdict::Refused(e)
-        } else {
-            Verdict::Unreachable(e)
-        })
+        if is_refusal(&e) {
+            return self.finish(Verdict::Refused(e));
+        }
+        self.finish(Verdict::Unreachable(e))
     }
 
     fn finish_unknown(&mut self) -> Action {
@@ -531,3 +572,7 @@
         draft.build(&self.plan.changes, &self.message, self.patience.prune_after)
     }
 }
+
+const fn is_refusal(e: &PlatformError) -> bool {
+    matches!(e, PlatformError::Forbidden { .. })
+}
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -18,8 +18,8 @@
 pub mod accept;
 pub mod base;
 pub mod declare;
-pub mod document;
 pub mod difference;
+pub mod document;
 pub mod fault;
 pub mod history;
 pub mod in_force;
--- a/crates/catalogue/src/plan.rs
+++ b/crates/catalogue/src/plan.rs
@@ -24,8 +24,12 @@
     pub sources: Sources,
     /// What `catalogue` was made from.
     pub base: Base,
+    /// Version that it was planned against: items that moved on since are conflicts.
+    pub expect: Option<Version>,
     /// Who wants it.
     pub operator: OperatorId,
+    /// Whether to leave it to the platform who may change what.
+    pub admin: bool,
 }
 
 /// What applying declarations would change, and what stands against it.
@@ -206,7 +210,8 @@
     let base = wanted.base.items.get(&key);
     let held = in_force.item(&key);
     let current = in_force.catalogue().item(&key);
-    let moved = has_moved(base, held);
+    let late = held.is_some_and(|h| wanted.expect.is_some_and(|v| h.version > v));
+    let moved = late || has_moved(base, held);
     if hash == base.and_then(|b| b.hash) {
         // The operator left the item alone, so whatever others did to it stays.
         if moved && current != item {
@@ -276,7 +281,7 @@
     let owners = &declared
         .or_else(|| wanted.catalogue.entries.get(entry))?
         .owners;
-    if owners.contains(&wanted.operator) {
+    if wanted.admin || owners.contains(&wanted.operator) {
         return None;
     }
     Some(Denial {
--- /dev/null
+++ b/crates/operate/src/command/check.rs
@@ -0,0 +1,50 @@
+//! `check` and `schema`.
+
+use std::path::Path;
+
+use catalogue::{FileKind, load};
+use serde_json::{Map, Value, json};
+
+use super::{Outcome, Report};
+use crate::args::Kind;
+use crate::exit::Exit;
+
+/// Lists all faults of the directory `dir`.
+///
+/// # Errors
+///
+/// The report lists the faults.
+pub fn check(dir: &Path) -> Outcome {
+    let catalogue = load(dir)?;
+    let (domains, entries) = (catalogue.domains.len(), catalogue.entries.len());
+    let upstreams = catalogue.upstreams.len();
+    let text = format!("no faults: {domains} domains, {entries} entries, {upstreams} upstreams");
+    let json = json!({"domains": domains, "entries": entries, "upstreams": upstreams});
+    Ok(Report::new(Exit::Done, text, json))
+}
+
+/// Returns the schema of one kind of file, or of all by kind.
+#[must_use]
+pub fn schema(kind: Option<Kind>) -> Report {
+    let schema = kind.map_or_else(all_schemas, |k| file_kind(k).schema().to_value());
+    // Schemas are printed as they are in both forms, for tools to read.
+    Report {
+        exit: Exit::Done,
+        text: format!("{schema:#}"),
+        json: schema,
+    }
+}
+
+fn all_schemas() -> Value {
+    let all = FileKind::ALL.iter();
+    let all = all.map(|k| (k.as_str().to_owned(), k.schema().to_value()));
+    Value::Object(all.collect::<Map<_, _>>())
+}
+
+const fn file_kind(kind: Kind) -> FileKind {
+    match kind {
+        Kind::Domains => FileKind::Domains,
+        Kind::Entry => FileKind::Entry,
+        Kind::Upstreams => FileKind::Upstreams,
+    }
+}
--- /dev/null
+++ b/crates/operate/src/command/rollback.rs
@@ -0,0 +1,47 @@
+//! `rollback`.
+
+use catalogue::accept::BaseFrom;
+use catalogue::{ItemKey, Past, Sources};
+use ids::Version;
+use platform::{Objects, Table};
+
+use super::Outcome;
+use super::submit::{Context, Draft, dry_run, submit};
+use crate::read;
+
+/// Makes `version` the content of a new one, or only its items `only`.
+///
+/// # Errors
+///
+/// The report says why nothing was submitted.
+pub async fn rollback<P: Table + Objects>(
+    platform: &P,
+    version: Version,
+    only: &[ItemKey],
+    admin: bool,
+    cx: &Context,
+) -> Outcome {
+    let in_force = read::in_force(platform).await?;
+    let mut past = Past::newest(&in_force);
+    let newest = past.clone();
+    read::go_back(platform, &mut past, version).await?;
+    let mut catalogue = past.catalogue().clone();
+    if !only.is_empty() {
+        catalogue = newest.catalogue().clone();
+        for key in only {
+            catalogue.set(key, past.catalogue().item(key));
+        }
+    }
+    let draft = Draft {
+        catalogue,
+        sources: Sources::default(),
+        base: BaseFrom::Given(newest.base().clone()),
+        expect: None,
+        admin,
+    };
+    let mut apply = draft.into_apply(cx);
+    if cx.dry_run {
+        return Ok(dry_run(&apply.plan_on(&in_force), in_force.version()));
+    }
+    Ok(submit(platform, &mut apply, cx, |_, _| Ok(())).await)
+}
