Add the member state machine

Heartbeats, records of hosts, roles by rendezvous hashing, reads of the table by three relays a domain, feeding down a tree of bounded fan-out with a standby, and evidence that goes down with it.

--- a/crates/spread/src/member.rs
+++ b/crates/spread/src/member.rs
@@ -1,237 +1,144 @@
 //! The state machine of one host: whom it hears, whom it feeds, when it reads the table.
+//!
+//! - `config`: settings, and who the host is.
+//! - `event`: what it is told, and what it wants done.
+//! - `hosts`: records of all hosts.
+//! - `roles`: who reads the table, feeds whom and watches whom.
+//! - `peer`: what is kept of each host that this one talks to.
+//! - `beats`: heartbeats and their replies.
+//! - `liveness`: who is silent, and passing on what is known of hosts.
+//! - `polling`: reads of the table.
+//! - `feeding`: changes and evidence for others.
+//! - `knowledge`: how fresh the replica is.
 
-use std::net::SocketAddr;
-use std::time::Duration;
-
-use bytes::Bytes;
-use ids::{DomainId, HostId, Incarnation, Revision, Timestamp};
-use platform::{Changes, ListedHost, Row};
-use wire::control::Frame;
-
-use crate::{Prefix, Replica};
-
-/// Settings of a [`Member`].
-#[derive(Debug, Clone)]
-pub struct Config {
-    /// Time between heartbeats to each peer.
-    pub heartbeat: Duration,
-    /// Time without a heartbeat after which a host counts as silent.
-    pub silent_after: Duration,
-    /// Time between a relay's reads of ownership rows.
-    pub poll_own: Duration,
-    /// Time between a relay's reads of the catalogue.
-    pub poll_catalogue: Duration,
-    /// Hosts of each domain that read the table.
-    pub relays: usize,
-    /// Hosts that one host feeds within its domain.
-    pub fan_out: usize,
-    /// Hosts that watch one host, besides its pairs.
-    pub watchers: usize,
-    /// Hosts of a domain up to which all of them watch each other.
-    pub small_domain: usize,
-    /// Most bytes of rows in one frame.
-    pub page_bytes: usize,
-}
+mod beats;
+mod config;
+mod event;
+mod feeding;
+mod hosts;
+mod knowledge;
+mod liveness;
+mod peer;
+mod polling;
+mod roles;
 
-impl Default for Config {
-    fn default() -> Self {
-        Self {
-            heartbeat: Duration::from_millis(250),
-            silent_after: Duration::from_millis(800),
-            poll_own: Duration::from_millis(250),
-            poll_catalogue: Duration::from_secs(1),
-            relays: 3,
-            fan_out: 8,
-            watchers: 3,
-            small_domain: 12,
-            page_bytes: 64 * 1024,
-        }
-    }
-}
-
-/// Who this host is.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Me {
-    /// Name.
-    pub host: HostId,
-    /// Failure domain.
-    pub domain: DomainId,
-    /// Run of the process; higher than that of any earlier run of this host.
-    pub incarnation: Incarnation,
-    /// Address for control connections.
-    pub control: SocketAddr,
-    /// Address for dispatch connections.
-    pub dispatch: SocketAddr,
-}
-
-/// What this host knows of a host.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HostView {
-    /// Name.
-    pub host: HostId,
-    /// Failure domain.
-    pub domain: DomainId,
-    /// Run of the process; zero if the host is known from the platform's list alone.
-    pub incarnation: Incarnation,
-    /// Address for control connections.
-    pub control: SocketAddr,
-    /// Address for dispatch connections.
-    pub dispatch: SocketAddr,
-    /// Whether the host counts as alive: heard by this host or by one that watches it, and not
-    /// reported silent since.
-    pub alive: bool,
-    /// Whether the host said that it is leaving.
-    pub leaving: bool,
-    /// When this host itself last heard from it, if ever.
-    pub heard: Option<Timestamp>,
-}
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-/// How fresh this host's knowledge of ownership is.
-///
-/// Every ownership row committed before `as_of` (this host's clock) is in the replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Evidence {
-    /// Reading of this host's clock.
-    pub as_of: Timestamp,
-    /// Revision of the table that the replica is complete to.
-    pub revision: Revision,
-}
+use ids::{DomainId, HostId, Timestamp};
+use platform::Row;
+use wire::control::{Body, Frame, Hello, Push};
 
-/// What happened.
-#[derive(Debug, Clone)]
-pub enum Event {
-    /// Time went by; expected every 50 ms or so.
-    Tick,
-    /// A control connection to or from a host is up, and that host's `Hello` was its first
-    /// frame. A second connection to the same host replaces the first.
-    Connected {
-        /// Host at the other end.
-        host: HostId,
-    },
-    /// The control connection with a host ended, or none could be opened.
-    Lost {
-        /// Host at the other end.
-        host: HostId,
-    },
-    /// A frame came; also given for the `Hello`.
-    Heard {
-        /// Host that sent it.
-        from: HostId,
-        /// The frame.
-        frame: Frame,
-    },
-    /// The platform's list of hosts was read.
-    Listed(Vec<ListedHost>),
-    /// A read asked for by [`Action::ReadTable`] ended.
-    TableRead {
-        /// Prefix that was read.
-        prefix: Prefix,
-        /// Revision after which changes were asked for.
-        since: Revision,
-        /// Reading of this host's clock before the read was sent.
-        began: Timestamp,
-        /// The changes, or nothing if the read failed.
-        changes: Option<Changes>,
-    },
-    /// This host committed a transaction itself, or was given rows by a conflict.
-    Rows(Vec<Row>),
-    /// The hosts that coordinate or stand by with this one for the same upstreams.
-    Pairs(Vec<HostId>),
-    /// This host is about to leave.
-    Leaving,
-}
+use crate::{Prefix, Replica, RowChange};
+use hosts::Hosts;
+use knowledge::Knowledge;
+use peer::Peer;
+use polling::Polls;
+use roles::{Able, Roles};
 
-/// What changed in the replica or the membership.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Changed {
-    /// Rows of the catalogue.
-    pub catalogue: bool,
-    /// Ownership rows.
-    pub own: bool,
-    /// Records of hosts.
-    pub hosts: bool,
-}
-
-/// What to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Send a frame on the control connection with a host; drop it if there is none.
-    Send {
-        /// Receiver.
-        to: HostId,
-        /// The frame.
-        frame: Frame,
-    },
-    /// Open a control connection; answered by [`Event::Connected`] or [`Event::Lost`].
-    Connect {
-        /// Host to reach.
-        host: HostId,
-        /// Its address for control connections.
-        addr: SocketAddr,
-    },
-    /// Close the control connection with a host.
-    Disconnect {
-        /// Host at the other end.
-        host: HostId,
-    },
-    /// Read changes below a prefix; answered by [`Event::TableRead`]. At most one such read of
-    /// each prefix is under way.
-    ReadTable {
-        /// Prefix to read.
-        prefix: Prefix,
-        /// Revision after which to list changes.
-        since: Revision,
-    },
-    /// The replica or the membership changed; given once a step, after all else.
-    Changed(Changed),
-    /// There is fresher evidence of ownership.
-    Evidence(Evidence),
-    /// A host answered a heartbeat that this host sent at `echo_of`.
-    PeerAlive {
-        /// Host.
-        host: HostId,
-        /// Run of its process.
-        incarnation: Incarnation,
-        /// Reading of this host's clock when it sent the heartbeat.
-        echo_of: Timestamp,
-    },
-    /// A host that counted as alive is now silent.
-    PeerSilent {
-        /// Host.
-        host: HostId,
-        /// Run of its process.
-        incarnation: Incarnation,
-    },
-    /// A message for the ownership code came from a host.
-    Own {
-        /// Host that sent it.
-        from: HostId,
-        /// The encoded message.
-        message: Bytes,
-    },
-}
+pub use config::{Config, Me};
+pub use event::{Action, Changed, Event, Evidence};
+pub use hosts::HostView;
 
 /// The membership and spreading state of one host.
 #[derive(Debug)]
 pub struct Member {
     cfg: Config,
     me: Me,
+    hosts: Hosts,
     replica: Replica,
+    peers: BTreeMap<HostId, Peer>,
+    pairs: BTreeSet<HostId>,
+    roles: Roles,
+    /// Relays of all domains together.
+    relays: usize,
+    /// Whether the hosts that roles depend on may have changed.
+    roles_stale: bool,
+    /// Hosts that count as alive but don't answer this one.
+    suspects: BTreeSet<HostId>,
+    /// Since when this host watches others without a pause of its own.
+    watching_since: Timestamp,
+    /// When this host took its place in the domain, if it has.
+    joined: Option<Timestamp>,
+    started: Timestamp,
+    last_step: Timestamp,
+    /// Number of the last heartbeat.
+    beat: u64,
+    polls: Polls,
+    knowledge: Knowledge,
+    /// Records to pass on, by receiver.
+    news: BTreeMap<HostId, BTreeSet<HostId>>,
+    hosts_changed: bool,
+    /// Whether whole rows must be asked for.
+    misfit: bool,
+    /// When the next page of a long transfer may go out.
+    budget_at: Timestamp,
+    transfers: u64,
+    domains_heard: BTreeMap<DomainId, Timestamp>,
+    domains_unheard: BTreeSet<DomainId>,
+    forget_due: Timestamp,
 }
 
 impl Member {
     /// Creates the state of a host that has just started at `now`.
     #[must_use]
-    pub fn new(cfg: Config, me: Me, _now: Timestamp) -> Self {
+    pub fn new(cfg: Config, me: Me, now: Timestamp) -> Self {
         Self {
+            hosts: Hosts::new(&me, now),
+            replica: Replica::new(),
+            peers: BTreeMap::new(),
+            pairs: BTreeSet::new(),
+            roles: Roles::default(),
+            relays: 0,
+            roles_stale: true,
+            suspects: BTreeSet::new(),
+            watching_since: now,
+            joined: None,
+            started: now,
+            last_step: now,
+            beat: 0,
+            polls: Polls::default(),
+            knowledge: Knowledge::default(),
+            news: BTreeMap::new(),
+            hosts_changed: false,
+            misfit: false,
+            budget_at: now,
+            transfers: 0,
+            domains_heard: BTreeMap::new(),
+            domains_unheard: BTreeSet::new(),
+            forget_due: now,
             cfg,
             me,
-            replica: Replica::new(),
         }
     }
 
     /// Takes `event` at `now` and pushes what is to be done.
-    pub fn step(&mut self, _now: Timestamp, _event: Event, _actions: &mut Vec<Action>) {}
+    pub fn step(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        self.notice_pause(now);
+        match event {
+            Event::Tick => self.tick(now, actions),
+            Event::Connected { host } => self.connected(now, host),
+            Event::Lost { host } => self.lost(now, &host),
+            Event::Heard { from, frame } => self.heard(now, &from, frame, actions),
+            Event::Listed(listed) => self.listed(now, &listed),
+            Event::TableRead {
+                prefix,
+                since,
+                began,
+                changes,
+            } => self.table_read(now, prefix, since, began, changes),
+            Event::Rows(rows) => self.committed(now, &rows, actions),
+            Event::Pairs(hosts) => self.pairs = hosts.into_iter().collect(),
+            Event::Leaving => self.leave(now),
+        }
+        self.refresh_roles(now);
+        self.report(now, actions);
+        self.read_table(now, actions);
+        self.reach_out(now, actions);
+        self.send_beats(now, actions);
+        self.feed(now, actions);
+        self.pass_on_news(actions);
+    }
 
     /// Returns the replica.
     #[must_use]
@@ -239,6 +146,13 @@
         &self.replica
     }
 
+    /// Takes out the rows that changed since the last call; to be called on each
+    /// [`Action::Changed`].
+    #[must_use]
+    pub fn take_changes(&mut self) -> Vec<RowChange> {
+        self.replica.take_log()
+    }
+
     /// Returns the settings.
     #[must_use]
     pub const fn config(&self) -> &Config {
@@ -254,41 +168,211 @@
     /// Returns the first frame to send on each new control connection.
     #[must_use]
     pub fn hello(&self) -> Frame {
-        Frame::default()
+        frame(Body::Hello(Hello {
+            host: Some(self.hosts.own().to_wire(&self.me.host)),
+        }))
     }
 
     /// Iterates over all known hosts but this one, by name.
     pub fn hosts(&self) -> impl Iterator<Item = HostView> {
-        std::iter::empty()
+        let others = self.hosts.iter().filter(|(host, _)| **host != self.me.host);
+        others.filter_map(|(host, _)| self.host(host))
     }
 
     /// Returns what is known of a host.
     #[must_use]
-    pub fn host(&self, _host: &HostId) -> Option<HostView> {
-        None
+    pub fn host(&self, host: &HostId) -> Option<HostView> {
+        let record = self.hosts.get(host)?;
+        Some(HostView {
+            host: host.clone(),
+            domain: record.domain.clone(),
+            incarnation: record.incarnation,
+            control: record.control,
+            dispatch: record.dispatch,
+            alive: record.alive(),
+            leaving: record.leaving,
+            heard: self.peers.get(host).and_then(|p| p.heard),
+        })
     }
 
     /// Iterates over the live hosts of a domain, this one included, by name.
-    pub fn alive_in(&self, _domain: &DomainId) -> impl Iterator<Item = HostView> {
-        std::iter::empty()
+    pub fn alive_in(&self, domain: &DomainId) -> impl Iterator<Item = HostView> {
+        let alive = self
+            .hosts
+            .iter()
+            .filter(move |(_, r)| r.alive() && r.domain == *domain);
+        alive.filter_map(|(host, _)| self.host(host))
+    }
+
+    /// Iterates over the domains of which this host's domain hears nobody.
+    pub fn unheard_domains(&self) -> impl Iterator<Item = &DomainId> {
+        self.domains_unheard.iter()
     }
 
     /// Returns the freshest evidence of ownership, if there was any.
     #[must_use]
-    pub fn evidence(&self) -> Option<Evidence> {
-        None
+    pub const fn evidence(&self) -> Option<Evidence> {
+        self.knowledge.evidence()
     }
 
     /// Returns how long ago the table was last read for what this host holds of a prefix, as far
     /// as it knows. A host that was started in an outage says by this how old its knowledge is.
     #[must_use]
-    pub fn age(&self, _now: Timestamp, _prefix: Prefix) -> Option<Duration> {
-        None
+    pub fn age(&self, now: Timestamp, prefix: Prefix) -> Option<Duration> {
+        self.knowledge.age(now, prefix)
     }
 
     /// Tells whether this host reads the table for its domain.
     #[must_use]
-    pub fn is_relay(&self) -> bool {
-        false
+    pub const fn is_relay(&self) -> bool {
+        self.joined.is_some() && self.roles.relay.is_some()
+    }
+
+    fn tick(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        self.join_alone(now);
+        self.find_suspects(now);
+        self.report_silent(now, actions);
+        self.judge_domains(now);
+        self.drop_idle(now, actions);
+        if now >= self.forget_due {
+            self.forget_due = now + self.cfg.forget_after / 60;
+            self.hosts.forget(now, self.cfg.forget_after);
+        }
+    }
+
+    /// After a pause of its own, a host has heard nobody; that says nothing about the others.
+    fn notice_pause(&mut self, now: Timestamp) {
+        let gap = now.since(self.last_step);
+        self.last_step = now;
+        if gap < self.cfg.pause {
+            return;
+        }
+        self.watching_since = now;
+        self.domains_heard.clear();
+        for peer in self.peers.values_mut().filter(|p| p.expected.is_some()) {
+            peer.expected = Some(now);
+        }
+    }
+
+    /// A host whose mates don't answer takes its place by itself.
+    fn join_alone(&mut self, now: Timestamp) {
+        if self.joined.is_some() || now.since(self.started) < self.cfg.join_within {
+            return;
+        }
+        let mut mates = self.peers.iter().filter(|(host, p)| {
+            p.connected
+                && self
+                    .hosts
+                    .get(host)
+                    .is_some_and(|r| r.domain == self.me.domain)
+        });
+        let patience = self.cfg.join_within * 3;
+        if mates.next().is_none() || now.since(self.started) >= patience {
+            self.join(now);
+        }
+    }
+
+    fn join(&mut self, now: Timestamp) {
+        if self.joined.is_none() {
+            self.joined = Some(now);
+            self.roles_stale = true;
+        }
+    }
+
+    fn leave(&mut self, now: Timestamp) {
+        let beat = self.beat + 1;
+        let me = self.me.host.clone();
+        let left = self.hosts.update(&me, now, |own| {
+            own.leaving = true;
+            own.beat = own.beat.max(beat) + 1;
+        });
+        if left {
+            self.host_changed(&me, None);
+        }
+    }
+
+    fn committed(&mut self, now: Timestamp, rows: &[Row], actions: &mut Vec<Action>) {
+        self.replica.take_rows(rows);
+        for prefix in Prefix::ALL {
+            let newest = self.replica.newest(prefix);
+            self.hint(now, prefix, newest, actions);
+        }
+    }
+
+    /// Works out anew what this host does for the others, if that may have changed.
+    fn refresh_roles(&mut self, now: Timestamp) {
+        if !self.roles_stale {
+            return;
+        }
+        self.roles_stale = false;
+        let was_relay = self.is_relay();
+        let able = self.able();
+        self.relays = able.values().map(|h| h.len().min(self.cfg.relays)).sum();
+        self.roles = roles::roles(
+            &self.cfg,
+            &self.me.host,
+            &self.me.domain,
+            &able,
+            &self.roles,
+        );
+        if self.is_relay() != was_relay {
+            let place = self.roles.relay.unwrap_or(0);
+            self.polls.restart(&self.cfg, now, place);
+            self.domains_heard.clear();
+            self.watching_since = self.watching_since.max(now);
+        }
+    }
+
+    /// Hosts that may have a part. In a domain where none answers, the best that are known stand
+    /// for it, so that it is found again.
+    fn able(&self) -> Able {
+        let mut able = Able::new();
+        let mut fallback = Able::new();
+        for (host, record) in self.hosts.iter() {
+            let me = *host == self.me.host;
+            let suspect = self.suspects.contains(host);
+            if record.alive() && !record.leaving && !suspect {
+                let hosts = able.entry(record.domain.clone()).or_default();
+                hosts.push(host.clone());
+            } else if !me && record.domain != self.me.domain {
+                let hosts = fallback.entry(record.domain.clone()).or_default();
+                hosts.push(host.clone());
+            }
+        }
+        for (domain, hosts) in fallback {
+            able.entry(domain).or_insert(hosts);
+        }
+        able
+    }
+
+    fn report(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let changed = Changed {
+            catalogue: self.replica.has_log(Prefix::Catalogue),
+            own: self.replica.has_log(Prefix::Own),
+            hosts: std::mem::take(&mut self.hosts_changed),
+        };
+        if changed != Changed::default() {
+            actions.push(Action::Changed(changed));
+        }
+        let own = self.replica.complete_up_to().own;
+        if let Some(evidence) = self.knowledge.settle(own) {
+            actions.push(Action::Evidence(evidence));
+        }
+        let Some(joined) = self.joined else { return };
+        let bound = self.cfg.unreachable_after;
+        if let Some(reachable) = self.knowledge.turn_reachable(now, joined, bound) {
+            actions.push(Action::TableReachable(reachable));
+        }
+    }
+}
+
+const fn frame(body: Body) -> Frame {
+    Frame { body: Some(body) }
+}
+
+fn push(to: &HostId, push: Push) -> Action {
+    Action::Send {
+        to: to.clone(),
+        frame: frame(Body::Push(push)),
     }
 }
--- /dev/null
+++ b/crates/spread/src/member/beats.rs
@@ -0,0 +1,435 @@
+//! Heartbeats and their replies, and the connections that carry them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ids::{HostId, Revision, Timestamp};
+use wire::control::{Body, Feed, Frame, Heartbeat, HeartbeatReply, Hello};
+
+use super::event::Action;
+use super::hosts::{Merged, Record};
+use super::peer::{Peer, Reply, at};
+use super::{Member, frame};
+use crate::{Prefix, Watermarks};
+
+/// Attempts to reach hosts of which only the platform's list tells, at one time.
+const LISTED_AT_ONCE: usize = 4;
+/// Lead that another host's knowledge must have over a relay's own to be asked for.
+const FRESHER_BY: Duration = Duration::from_millis(300);
+
+/// How a heartbeat to some host is sent.
+#[derive(Debug, Clone, Copy)]
+struct Target {
+    feed: Feed,
+    every: Duration,
+}
+
+impl Member {
+    pub(super) fn connected(&mut self, now: Timestamp, host: HostId) {
+        self.peers.entry(host).or_default().connect(now);
+    }
+
+    pub(super) fn lost(&mut self, now: Timestamp, host: &HostId) {
+        if let Some(peer) = self.peers.get_mut(host) {
+            peer.disconnect(&self.cfg, now);
+        }
+    }
+
+    pub(super) fn is_connected(&self, host: &HostId) -> bool {
+        self.peers.get(host).is_some_and(|p| p.connected)
+    }
+
+    /// Takes a frame of a connected host.
+    pub(super) fn heard(
+        &mut self,
+        now: Timestamp,
+        from: &HostId,
+        frame: Frame,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(peer) = self.peers.get_mut(from) else {
+            return;
+        };
+        if !peer.connected {
+            return;
+        }
+        peer.heard = Some(now);
+        if let Some(record) = self.hosts.get(from) {
+            self.domains_heard.insert(record.domain.clone(), now);
+        }
+        match frame.body {
+            Some(Body::Hello(hello)) => self.take_hello(now, from, &hello, actions),
+            Some(Body::Heartbeat(beat)) => self.take_beat(now, from, &beat, actions),
+            Some(Body::Reply(reply)) => self.take_reply(now, from, &reply, actions),
+            Some(Body::Push(message)) => self.take_push(now, from, &message, actions),
+            Some(Body::Own(message)) => actions.push(Action::Own {
+                from: from.clone(),
+                message,
+            }),
+            None => {}
+        }
+    }
+
+    fn take_hello(
+        &mut self,
+        now: Timestamp,
+        from: &HostId,
+        hello: &Hello,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(record) = &hello.host else { return };
+        let alive = self.hosts.get(from).is_some_and(Record::alive);
+        if let Merged::Newer(host) = self.hosts.merge(record, now) {
+            self.host_changed(&host, Some(from));
+        }
+        let incarnation = ids::Incarnation(record.incarnation);
+        let known = self.hosts.get(from).map(|r| r.incarnation);
+        if known != Some(incarnation) {
+            // An earlier run of the host; the later one is known already.
+            actions.push(Action::Disconnect { host: from.clone() });
+            return;
+        }
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.incarnation = incarnation;
+            peer.beat = peer.beat.min(record.beat);
+        }
+        if !alive {
+            self.roles_stale = true;
+        }
+    }
+
+    fn take_beat(
+        &mut self,
+        now: Timestamp,
+        from: &HostId,
+        beat: &Heartbeat,
+        actions: &mut Vec<Action>,
+    ) {
+        self.deny_silence(now, from, beat.beat);
+        let Some(peer) = self.peers.get_mut(from) else {
+            return;
+        };
+        peer.beat = beat.beat;
+        let resend_after = self.cfg.resend_after;
+        take_wishes(peer, now, beat, resend_after);
+        if beat.sync {
+            self.send_all_hosts(from, actions);
+        }
+        actions.push(Action::Send {
+            to: from.clone(),
+            frame: frame(Body::Reply(self.reply(now, beat))),
+        });
+    }
+
+    fn reply(&self, now: Timestamp, beat: &Heartbeat) -> HeartbeatReply {
+        let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
+        let age = |prefix| self.knowledge.age(now, prefix).map(millis);
+        HeartbeatReply {
+            echo_us: beat.sent_us,
+            holds: Some(self.replica.complete_up_to().into()),
+            own_age_ms: age(Prefix::Own),
+            catalogue_age_ms: age(Prefix::Catalogue),
+            reach_age_ms: self.knowledge.reach().map(|r| millis(now.since(r))),
+            members_hash: self.hosts.hash(),
+            unheard_domains: self
+                .domains_unheard
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
+        }
+    }
+
+    fn take_reply(
+        &mut self,
+        now: Timestamp,
+        from: &HostId,
+        reply: &HeartbeatReply,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(peer) = self.peers.get_mut(from) else {
+            return;
+        };
+        let ago = |ms: Option<u32>| ms.map(|ms| now - Duration::from_millis(u64::from(ms)));
+        let holds = Watermarks::from(reply.holds.unwrap_or_default());
+        peer.reply = Some(Reply {
+            holds,
+            own_read: ago(reply.own_age_ms),
+        });
+        let differs = reply.members_hash != self.hosts.hash();
+        peer.differs = differs.then(|| peer.differs.unwrap_or(now));
+        let incarnation = peer.incarnation;
+        self.take_ages(holds, ago(reply.own_age_ms), ago(reply.catalogue_age_ms));
+        self.take_domain_view(now, from, reply, ago(reply.reach_age_ms));
+        actions.push(Action::PeerAlive {
+            host: from.clone(),
+            incarnation,
+            echo_of: Timestamp::from_micros(reply.echo_us),
+        });
+    }
+
+    /// What another host knows is known here too if the replica holds as much.
+    fn take_ages(
+        &mut self,
+        holds: Watermarks,
+        own: Option<Timestamp>,
+        catalogue: Option<Timestamp>,
+    ) {
+        let marks = self.replica.complete_up_to();
+        for (prefix, read) in [(Prefix::Own, own), (Prefix::Catalogue, catalogue)] {
+            if let Some(read) = read.filter(|_| marks.get(prefix) >= holds.get(prefix)) {
+                self.knowledge.read(prefix, read);
+            }
+        }
+    }
+
+    /// Takes over from a host that feeds this one what the domain's relays can reach.
+    fn take_domain_view(
+        &mut self,
+        now: Timestamp,
+        from: &HostId,
+        reply: &HeartbeatReply,
+        reach: Option<Timestamp>,
+    ) {
+        let record = self.hosts.get(from);
+        if record.is_none_or(|r| r.domain != self.me.domain) {
+            return;
+        }
+        if let Some(reach) = reach {
+            self.knowledge.reached(reach);
+        }
+        let feeds = self
+            .feeders(now)
+            .first()
+            .is_some_and(|(host, _)| host == from);
+        if feeds && !self.is_relay() {
+            let names = reply.unheard_domains.iter();
+            let parsed = names.filter_map(|d| ids::DomainId::new(d.as_str()).ok());
+            self.domains_unheard = parsed.collect();
+        }
+    }
+
+    /// The hosts that feed this one now, the preferred one first.
+    pub(super) fn feeders(&self, now: Timestamp) -> Vec<(HostId, Feed)> {
+        let candidates = if self.joined.is_none() {
+            self.connected_mates()
+        } else if self.roles.relay.is_some() {
+            self.relay_feeders(now)
+        } else {
+            self.roles.feeders.clone()
+        };
+        let connected = candidates.into_iter().filter(|h| self.is_connected(h));
+        let feeds = [Feed::Full, Feed::Standby];
+        connected.zip(feeds).collect()
+    }
+
+    fn connected_mates(&self) -> Vec<HostId> {
+        let mate = |host: &HostId| {
+            let record = self.hosts.get(host);
+            record.is_some_and(|r| r.alive() && r.domain == self.me.domain)
+        };
+        let connected = self.peers.iter().filter(|(_, p)| p.connected);
+        connected
+            .map(|(host, _)| host.clone())
+            .filter(mate)
+            .collect()
+    }
+
+    /// A relay that can't read the table, or holds nothing yet, is fed by the relay that knows
+    /// best: one of its own domain, or else one of another.
+    fn relay_feeders(&self, now: Timestamp) -> Vec<HostId> {
+        let marks = self.replica.complete_up_to();
+        let empty = marks.own == Revision(0) || marks.catalogue == Revision(0);
+        if !empty && self.polls.failing(now) < self.cfg.unreachable_after {
+            return Vec::new();
+        }
+        let own_age = self.knowledge.age(now, Prefix::Own);
+        let fresher = |reply: &Reply| {
+            let age = reply.own_read.map(|read| now.since(read));
+            let ahead = reply.holds.own > marks.own || reply.holds.catalogue > marks.catalogue;
+            let newer = match (age, own_age) {
+                (Some(age), Some(own)) => age + FRESHER_BY < own,
+                (Some(_), None) => true,
+                (None, _) => false,
+            };
+            ahead || newer
+        };
+        let rank = |host: &HostId| self.peers.get(host).and_then(|p| p.reply);
+        let pick = |hosts: &[HostId]| {
+            let mut able: Vec<(Reply, HostId)> = hosts
+                .iter()
+                .filter_map(|h| Some((rank(h)?, h.clone())))
+                .filter(|(reply, _)| fresher(reply))
+                .collect();
+            able.sort_by_key(|(reply, _)| std::cmp::Reverse(reply.own_read));
+            able.into_iter().map(|(_, host)| host).collect::<Vec<_>>()
+        };
+        let mut feeders = pick(&self.roles.siblings);
+        feeders.extend(pick(&self.roles.far));
+        feeders
+    }
+
+    /// All hosts that this one sends heartbeats to.
+    fn targets(&self, now: Timestamp) -> BTreeMap<HostId, Target> {
+        let near = Target {
+            feed: Feed::None,
+            every: self.cfg.heartbeat,
+        };
+        let far = Target {
+            feed: Feed::None,
+            every: self.cfg.far_heartbeat,
+        };
+        let mut targets = BTreeMap::new();
+        if self.joined.is_some() {
+            targets.extend(self.roles.far.iter().map(|h| (h.clone(), far)));
+            let near_hosts = self
+                .roles
+                .watchers
+                .iter()
+                .chain(&self.roles.siblings)
+                .chain(&self.roles.feeders);
+            targets.extend(near_hosts.map(|h| (h.clone(), near)));
+        }
+        targets.extend(self.pairs.iter().map(|h| (h.clone(), near)));
+        for (host, feed) in self.feeders(now) {
+            targets.insert(host, Target { feed, ..near });
+        }
+        targets.remove(&self.me.host);
+        targets
+    }
+
+    /// Sends the heartbeats that are due.
+    pub(super) fn send_beats(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let targets = self.targets(now);
+        for (host, peer) in &mut self.peers {
+            if !targets.contains_key(host) {
+                peer.expected = None;
+            }
+        }
+        for (host, target) in targets {
+            let sync = self.wants_sync(now, &host, target.feed);
+            let peer = self.peers.entry(host.clone()).or_default();
+            peer.expected.get_or_insert(now);
+            if !peer.connected || now < peer.beat_due {
+                continue;
+            }
+            peer.beat_due = now + target.every;
+            peer.beat_sent = now;
+            if sync {
+                peer.differs = None;
+            }
+            self.beat += 1;
+            let whole = std::mem::take(&mut self.misfit);
+            let beat = Heartbeat {
+                beat: self.beat,
+                sent_us: now.as_micros(),
+                holds: Some(self.replica.complete_up_to().into()),
+                feed: target.feed.into(),
+                members_hash: self.hosts.hash(),
+                sync,
+                whole: whole && target.feed != Feed::None,
+            };
+            self.misfit = whole && target.feed == Feed::None;
+            actions.push(Action::Send {
+                to: host,
+                frame: frame(Body::Heartbeat(beat)),
+            });
+        }
+    }
+
+    fn wants_sync(&self, now: Timestamp, host: &HostId, feed: Feed) -> bool {
+        if feed != Feed::Full {
+            return false;
+        }
+        let differs = self.peers.get(host).and_then(|p| p.differs);
+        self.joined.is_none() || differs.is_some_and(|d| now.since(d) > self.cfg.sync_after)
+    }
+
+    /// Brings the next heartbeats to feeders forward, so that each asks for evidence as soon as
+    /// the last was given; a host with hosts of its own to feed lets them ask first.
+    pub(super) fn hasten_beats(&mut self, now: Timestamp, feeders: &[(HostId, Feed)]) {
+        let feeds_others = self.peers.values().any(|p| p.fed.feed != Feed::None);
+        let settle = if feeds_others {
+            self.cfg.settle
+        } else {
+            Duration::ZERO
+        };
+        let gap = self.cfg.heartbeat / 2;
+        for (host, _) in feeders {
+            if let Some(peer) = self.peers.get_mut(host) {
+                let soonest = (now + settle).max(peer.beat_sent + gap);
+                peer.beat_due = peer.beat_due.min(soonest);
+            }
+        }
+    }
+
+    /// Opens connections that are missing.
+    pub(super) fn reach_out(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let mut wanted: Vec<HostId> = self.targets(now).into_keys().collect();
+        wanted.extend(self.suspects.iter().cloned());
+        wanted.extend(self.listed_mates());
+        for host in wanted {
+            let Some(record) = self.hosts.get(&host) else {
+                continue;
+            };
+            let addr = record.control;
+            let peer = self.peers.entry(host.clone()).or_default();
+            if peer.connected || peer.attempts.under_way || now < peer.attempts.due {
+                continue;
+            }
+            peer.attempts.under_way = true;
+            actions.push(Action::Connect { host, addr });
+        }
+    }
+
+    /// Some hosts of the own domain that nobody has heard from, as far as is known.
+    fn listed_mates(&self) -> Vec<HostId> {
+        let unheard = self.hosts.iter().filter(|(host, record)| {
+            let waits = self.peers.get(host).is_some_and(|p| p.connected);
+            record.incarnation.0 == 0 && record.domain == self.me.domain && !waits
+        });
+        let mut hosts: Vec<HostId> = unheard.map(|(host, _)| host.clone()).collect();
+        let due = |host: &HostId| self.peers.get(host).map(|p| p.attempts.due);
+        hosts.sort_by_key(due);
+        hosts.truncate(LISTED_AT_ONCE);
+        hosts
+    }
+
+    /// Closes connections that neither side uses.
+    pub(super) fn drop_idle(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        for (host, peer) in &mut self.peers {
+            let idle = peer.heard.is_none_or(|h| now.since(h) > self.cfg.idle);
+            if peer.connected && peer.expected.is_none() && idle {
+                peer.disconnect(&self.cfg, now);
+                actions.push(Action::Disconnect { host: host.clone() });
+            }
+        }
+    }
+}
+
+/// Takes what the sender of a heartbeat holds and asks for.
+fn take_wishes(peer: &mut Peer, now: Timestamp, beat: &Heartbeat, resend_after: Duration) {
+    let fed = &mut peer.fed;
+    let wish = Feed::try_from(beat.feed).unwrap_or(Feed::None);
+    let holds = Watermarks::from(beat.holds.unwrap_or_default());
+    let anew = fed.feed == Feed::None || beat.whole;
+    fed.feed = wish;
+    fed.holds = holds;
+    fed.whole |= beat.whole;
+    for prefix in Prefix::ALL {
+        let stuck = now.since(fed.sent_at[at(prefix)]) > resend_after;
+        let idle = fed.pagers[at(prefix)].is_none();
+        if anew || (idle && stuck) {
+            fed.pagers[at(prefix)] = None;
+            match prefix {
+                Prefix::Catalogue => fed.sent.catalogue = holds.catalogue,
+                Prefix::Own => fed.sent.own = holds.own,
+            }
+        }
+        fed.sent.raise(prefix, holds.get(prefix));
+    }
+    if wish == Feed::None {
+        fed.pagers = [None, None];
+        return;
+    }
+    fed.beat(now, beat.sent_us);
+}
--- a/crates/spread/src/replica.rs
+++ b/crates/spread/src/replica.rs
@@ -151,6 +151,20 @@
         changed
     }
 
+    /// Tells whether rows below a prefix changed since the changes were last taken out.
+    #[must_use]
+    pub fn has_log(&self, prefix: Prefix) -> bool {
+        let first = (prefix, SmolStr::default());
+        let next = self.changed.range(first..).next();
+        next.is_some_and(|((p, _), _)| *p == prefix)
+    }
+
+    /// Tells whether a row below a prefix is above `revision`.
+    #[must_use]
+    pub fn has_rows_past(&self, prefix: Prefix, revision: Revision) -> bool {
+        self.newest(prefix) > revision
+    }
+
     /// Takes out the rows that changed since the last call, by prefix and key.
     #[must_use]
     pub fn take_log(&mut self) -> Vec<RowChange> {
