--- /dev/null
+++ b/crates/standin/src/args/mod.rs
@@ -0,0 +1,49 @@
+//! Command lines of the stand-ins, each of which can run as a process of its own.
+//!
+//! A stand-in that listens prints one line of JSON with its addresses once it is ready, and runs
+//! until SIGTERM or SIGINT. Settings come from a JSON file; arguments go before it.
+//!
+//! - [`upstream`]: `standin upstream`.
+//! - [`proxy`]: `standin proxy`.
+//! - [`load`]: `standin load`.
+
+pub mod load;
+pub mod proxy;
+mod run;
+pub mod upstream;
+
+use clap::Subcommand;
+
+pub use load::LoadArgs;
+pub use proxy::ProxyArgs;
+pub use upstream::UpstreamArgs;
+
+/// Which stand-in to run.
+#[derive(Debug, Clone)]
+#[derive(Subcommand)]
+pub enum StandinCommand {
+    /// Runs a server that plays an upstream.
+    #[command(after_help = "Example: medlardyke standin upstream --name up-1 --entry tariffbok")]
+    Upstream(UpstreamArgs),
+    /// Runs a TCP proxy that makes faults.
+    #[command(after_help = "Example: medlardyke standin proxy --target 127.0.0.1:8080")]
+    Proxy(ProxyArgs),
+    /// Sends requests at a given rate and prints what became of them as one line of JSON.
+    #[command(after_help = "Example: medlardyke standin load --target 127.0.0.1:8080 --rate 100")]
+    Load(LoadArgs),
+}
+
+impl StandinCommand {
+    /// Runs the stand-in to its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings make no sense or the stand-in can't start.
+    pub fn run(&self) -> anyhow::Result<()> {
+        match self {
+            Self::Upstream(args) => args.run(),
+            Self::Proxy(args) => args.run(),
+            Self::Load(args) => args.run(),
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,7 +6,9 @@
 //! - [`proxy`]: a TCP proxy that makes faults.
 //! - [`load`]: an open-loop load generator.
 //! - [`client`]: an HTTP client over one connection.
+//! - [`args`]: command lines of all these.
 
+pub mod args;
 pub mod client;
 mod http;
 pub mod journal;
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -108,6 +108,12 @@
 }
 
 impl RunningLoad {
+    /// Returns a token whose cancellation ends the schedule.
+    #[must_use]
+    pub fn stopper(&self) -> CancellationToken {
+        self.stop.clone()
+    }
+
     /// Sends nothing more, and waits for the outcomes of what was sent.
     ///
     /// # Errors
