--- a/crates/catalogue/src/load.rs
+++ b/crates/catalogue/src/load.rs
@@ -19,7 +19,7 @@
 use crate::declare::{Catalogue, Upstream};
 use crate::fault::{Fault, Faults};
 use crate::item::{Item, ItemKey};
-use crate::shape::{self, FileKind, show};
+use crate::shape::{self, FileKind, NAME_RULE, show};
 use crate::strict;
 use crate::verify::{Sources, verify_from};
 
@@ -119,12 +119,17 @@
 
     /// Reads a file and lists its faults of shape.
     ///
-    /// Returns nothing if it is no JSON at all.
+    /// Returns the body and whether it has none, or nothing if it is no JSON at all. Members
+    /// that should not be there are left out, so that the rest can be checked further.
     fn read(&mut self, dir: &Path, file: &SmolStr, kind: FileKind) -> Option<(Value, bool)> {
         let body = match fs::read_to_string(dir.join(file.as_str())) {
             Ok(body) => body,
             Err(e) => {
-                self.fault(file, "", e.to_string(), "a file that can be read");
+                let found = match e.kind() {
+                    io::ErrorKind::NotFound => "no such file".to_owned(),
+                    _ => e.to_string(),
+                };
+                self.fault(file, "", found, "a file that can be read");
                 return None;
             }
         };
@@ -145,10 +150,14 @@
                 "each member once",
             );
         }
+        let mut body = parsed.value;
         for f in faults {
+            if f.unknown {
+                strict::remove(&mut body, &f.pointer);
+            }
             self.fault(file, f.pointer, f.found, f.allowed);
         }
-        Some((parsed.value, sound))
+        Some((body, sound))
     }
 
     /// Reads one item; its faults of shape are listed already unless the file is `sound`.
@@ -167,6 +176,7 @@
     fn domains(&mut self, dir: &Path) {
         let file = SmolStr::new_static(DOMAINS_FILE);
         let Some((body, sound)) = self.read(dir, &file, FileKind::Domains) else {
+            self.sources.no_domains = true;
             return;
         };
         for (name, body) in members(&body) {
@@ -182,8 +192,9 @@
         let name = stem(file);
         let id = match EntryId::new(name) {
             Ok(id) => id,
-            Err(e) => {
-                self.fault(file, "", format!("file name {name:?}"), e.to_string());
+            Err(_not_a_name) => {
+                let found = format!("file name {name:?}");
+                self.fault(file, "", found, format!("a name of {NAME_RULE}, and .json"));
                 return;
             }
         };
--- a/crates/catalogue/src/shape.rs
+++ b/crates/catalogue/src/shape.rs
@@ -9,6 +9,7 @@
 use jsonschema::error::{TypeKind, ValidationErrorKind};
 use jsonschema::{ValidationError, Validator};
 use schemars::generate::SchemaSettings;
+use schemars::transform::RecursiveTransform;
 use schemars::{JsonSchema, Schema};
 use serde_json::Value;
 
@@ -18,7 +19,7 @@
 /// Format name of an address in the schemas.
 pub(crate) const ADDRESS_FORMAT: &str = "ip-and-port";
 
-const NAME_RULE: &str = "1 to 96 of a-z, A-Z, 0-9, '-', '_' and '.'";
+pub(crate) const NAME_RULE: &str = "1 to 96 of a-z, A-Z, 0-9, '-', '_' and '.'";
 
 /// The kinds of declaration files.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -68,12 +69,21 @@
 }
 
 fn generate<T: JsonSchema>(title: &str) -> Schema {
-    let generator = SchemaSettings::draft2020_12().into_generator();
+    let settings = SchemaSettings::draft2020_12();
+    let settings = settings.with_transform(RecursiveTransform(limit_integer));
+    let generator = settings.into_generator();
     let mut schema = generator.into_root_schema_for::<T>();
     schema.insert("title".to_owned(), Value::from(title));
     schema
 }
 
+/// States the largest value of a 32-bit number, which its format alone does not.
+fn limit_integer(schema: &mut Schema) {
+    if schema.get("format").is_some_and(|f| f == "uint32") {
+        schema.insert("maximum".to_owned(), Value::from(u32::MAX));
+    }
+}
+
 /// A schema, ready for checks.
 struct Shape {
     schema: Value,
@@ -123,12 +133,14 @@
                     pointer: strict::join(e.instance_path().as_str(), name),
                     found: format!("member {name:?}"),
                     allowed: allowed.clone(),
+                    unknown: true,
                 }));
             }
             kind => faults.push(ShapeFault {
                 pointer: e.instance_path().to_string(),
                 found: found(e, kind),
                 allowed: allowed(e, kind),
+                unknown: false,
             }),
         }
     }
@@ -157,6 +169,7 @@
             pointer: e.instance_path().to_string(),
             found: show(e.instance()),
             allowed: format!("one of {}", tags.join(", ")),
+            unknown: false,
         });
     }
 }
@@ -211,6 +224,8 @@
     pub(crate) pointer: String,
     pub(crate) found: String,
     pub(crate) allowed: String,
+    /// Whether this is a member that should not be there at all.
+    pub(crate) unknown: bool,
 }
 
 /// Lists all faults of shape of a file.
@@ -257,6 +272,7 @@
             kind: TypeKind::Single(t),
         } => format!("{t}"),
         ValidationErrorKind::Minimum { limit } => format!("at least {limit}"),
+        ValidationErrorKind::Maximum { limit } => format!("at most {limit}"),
         ValidationErrorKind::Format { format } if format == ADDRESS_FORMAT => {
             "an IP address and a port, as 10.0.0.1:8080 or [fd00::1]:8080".to_owned()
         }
--- a/crates/catalogue/src/strict.rs
+++ b/crates/catalogue/src/strict.rs
@@ -31,6 +31,17 @@
     format!("{pointer}/{escaped}")
 }
 
+/// Removes the member that a JSON pointer names, if it is there.
+pub(crate) fn remove(value: &mut Value, pointer: &str) {
+    let Some((parent, name)) = pointer.rsplit_once('/') else {
+        return;
+    };
+    let name = name.replace("~1", "/").replace("~0", "~");
+    if let Some(Value::Object(members)) = value.pointer_mut(parent) {
+        members.shift_remove(&name);
+    }
+}
+
 struct Node<'a> {
     pointer: String,
     repeated: &'a mut Vec<String>,
--- a/crates/catalogue/src/verify.rs
+++ b/crates/catalogue/src/verify.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use ids::{DomainId, EntryId, UpstreamId};
+use ids::{EntryId, UpstreamId};
 use serde_json::Value;
 use smol_str::{SmolStr, format_smolstr};
 
@@ -60,6 +60,8 @@
     pub upstreams: BTreeMap<UpstreamId, SmolStr>,
     /// Items that are declared but could not be read.
     pub unreadable: BTreeSet<ItemKey>,
+    /// Whether it is not known which domains are declared, as their file can't be read.
+    pub no_domains: bool,
 }
 
 /// Lists all faults of `catalogue`, by file and place.
@@ -152,6 +154,27 @@
         self.catalogue.contains(key) || self.sources.unreadable.contains(key)
     }
 
+    /// Lists the declared items of a kind; of many, only the first few.
+    fn known(&self, kind: &str) -> String {
+        const SHOWN: usize = 8;
+        let mut keys: BTreeSet<ItemKey> = self.catalogue.keys().into_iter().collect();
+        keys.extend(self.sources.unreadable.iter().cloned());
+        let names: Vec<&str> = keys
+            .iter()
+            .filter(|k| k.kind() == kind)
+            .map(ItemKey::name)
+            .collect();
+        match names.len() {
+            0 => "a declared one; none is".to_owned(),
+            n if n <= SHOWN => format!("one of {}", names.join(", ")),
+            n => format!(
+                "one of {} and {} more",
+                names[..SHOWN].join(", "),
+                n - SHOWN
+            ),
+        }
+    }
+
     fn domains(&mut self) {
         let lost = |d: &Domain| d.lost;
         let domains = &self.catalogue.domains;
@@ -268,7 +291,7 @@
         }
         let serves = |u: &&Upstream| u.entry == *id;
         let upstreams = self.catalogue.upstreams.values().filter(serves).count();
-        if (*slices as usize) < upstreams {
+        if *slices > 0 && (*slices as usize) < upstreams {
             let allowed = format!("at least {upstreams}, one for each upstream");
             self.fault(at, "/sharding/slices", slices.to_string(), allowed);
         }
@@ -306,11 +329,12 @@
 
     fn upstream(&mut self, at: &At, upstream: &Upstream) {
         if !self.declared(&ItemKey::Entry(upstream.entry.clone())) {
-            let known = list(self.catalogue.entries.keys().map(EntryId::as_str));
+            let known = self.known("entry");
             self.fault(at, "/entry", text(upstream.entry.as_str()), known);
         }
-        if !self.declared(&ItemKey::Domain(upstream.domain.clone())) {
-            let known = list(self.catalogue.domains.keys().map(DomainId::as_str));
+        let domain = ItemKey::Domain(upstream.domain.clone());
+        if !self.sources.no_domains && !self.declared(&domain) {
+            let known = self.known("domain");
             self.fault(at, "/domain", text(upstream.domain.as_str()), known);
         }
         let address = upstream.address;
@@ -336,19 +360,3 @@
 fn text(text: &str) -> String {
     show(&Value::from(text))
 }
-
-/// Lists known names; of many, only the first few.
-fn list<'a>(names: impl ExactSizeIterator<Item = &'a str>) -> String {
-    const SHOWN: usize = 8;
-    let count = names.len();
-    if count == 0 {
-        return "a declared one; none is".to_owned();
-    }
-    let shown: Vec<&str> = names.take(SHOWN).collect();
-    let more = if count > SHOWN {
-        format!(" and {} more", count - SHOWN)
-    } else {
-        String::new()
-    };
-    format!("one of {}{more}", shown.join(", "))
-}
