--- a/crates/gate/src/callers.rs
+++ b/crates/gate/src/callers.rs
@@ -2,11 +2,13 @@
 //!
 //! - [`serve`]: the thread, its accept loop and its end.
 //! - [`intake`]: reads and checks a whole request.
+//! - [`linger`]: closes callers' streams without harm.
 //! - [`path`]: admits a request and tries it until it is answered or given up.
 //! - [`reply`]: writes answers and refusals.
 //! - [`own`]: the host's own endpoints.
 
 mod intake;
+mod linger;
 pub mod own;
 pub mod path;
 mod reply;
--- /dev/null
+++ b/crates/gate/src/callers/linger.rs
@@ -0,0 +1,152 @@
+//! A caller's stream that is closed without harm to what was written last.
+//!
+//! Closing a socket that holds unread bytes resets the connection, and the caller may lose the
+//! refusal that it was sent. So the write side is closed first, and what still comes is read and
+//! thrown away for a short time.
+
+use std::cell::Cell;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::TcpStream;
+use tokio_util::task::TaskTracker;
+
+/// Longest time for which a closed stream is read.
+const LINGER: Duration = Duration::from_secs(1);
+/// Bytes thrown away at once.
+const SCRAP: usize = 16 << 10;
+
+/// Where closed streams go.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Closing {
+    tasks: TaskTracker,
+    ended: Rc<Cell<bool>>,
+}
+
+impl Closing {
+    /// Closes streams at once from now on: the thread's tasks are about to end.
+    pub(crate) fn end(&self) {
+        self.ended.set(true);
+    }
+
+    /// Returns how many streams are being closed.
+    pub(crate) fn len(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// Waits until no stream is being closed.
+    pub(crate) async fn wait(&self) {
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    fn take(&self, stream: TcpStream) {
+        if !self.ended.get() {
+            self.tasks.spawn_local(linger(stream));
+        }
+    }
+}
+
+async fn linger(mut stream: TcpStream) {
+    let closing = async {
+        stream.shutdown().await?;
+        let mut scrap = vec![0; SCRAP];
+        while stream.read(&mut scrap).await? > 0 {}
+        io::Result::Ok(())
+    };
+    // However it ends, nothing is left to do for this caller.
+    let _ = tokio::time::timeout(LINGER, closing).await;
+}
+
+/// A stream that is closed without harm when it is dropped.
+#[derive(Debug)]
+pub(crate) struct LingerStream {
+    /// Taken on drop only.
+    inner: Option<TcpStream>,
+    /// Whether the other side has closed or broken the connection.
+    over: bool,
+    closing: Closing,
+}
+
+impl LingerStream {
+    pub(crate) fn new(inner: TcpStream, closing: Closing) -> Self {
+        Self {
+            inner: Some(inner),
+            over: false,
+            closing,
+        }
+    }
+
+    fn stream(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(self.inner.as_mut().expect("taken on drop only"))
+    }
+
+    fn note<T>(&mut self, result: &io::Result<T>) {
+        self.over |= result.is_err();
+    }
+}
+
+impl Drop for LingerStream {
+    fn drop(&mut self) {
+        if self.over {
+            return;
+        }
+        if let Some(stream) = self.inner.take() {
+            self.closing.take(stream);
+        }
+    }
+}
+
+impl AsyncRead for LingerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = ready!(self.stream().poll_read(cx, buf));
+        self.note(&result);
+        self.over |= buf.filled().len() == before && buf.remaining() > 0;
+        Poll::Ready(result)
+    }
+}
+
+impl AsyncWrite for LingerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = ready!(self.stream().poll_write(cx, buf));
+        self.note(&result);
+        Poll::Ready(result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = ready!(self.stream().poll_write_vectored(cx, bufs));
+        self.note(&result);
+        Poll::Ready(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner
+            .as_ref()
+            .is_some_and(AsyncWrite::is_write_vectored)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream().poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream().poll_shutdown(cx)
+    }
+}
--- a/crates/gate/src/callers/serve.rs
+++ b/crates/gate/src/callers/serve.rs
@@ -25,6 +25,7 @@
 
 use crate::call::Answer;
 use crate::callers::intake::{self, BufferedTotal};
+use crate::callers::linger::{Closing, LingerStream};
 use crate::callers::own::{self, OWN_PREFIX, OwnEndpoints, OwnRequest};
 use crate::callers::path::{CallerWatch, Path, PathSettings, Refused};
 use crate::callers::reply;
@@ -103,6 +104,7 @@
                         endpoints,
                         buffered: BufferedTotal::default(),
                         connections: TaskTracker::new(),
+                        closing: Closing::default(),
                         stop: stopped,
                     };
                     Rc::new(desk).run(listener).await;
@@ -178,6 +180,7 @@
     endpoints: Arc<dyn OwnEndpoints>,
     buffered: BufferedTotal,
     connections: TaskTracker,
+    closing: Closing,
     stop: CancellationToken,
 }
 
@@ -201,6 +204,8 @@
         self.connections.close();
         let limit = millis(self.settings.stop_ms);
         let finished = tokio::time::timeout(limit, self.connections.wait()).await;
+        self.closing.wait().await;
+        self.closing.end();
         if finished.is_err() {
             slog::warn!(self.cx.log, "requests cut by the end of the host";
                 "connections" => self.connections.len());
@@ -228,7 +233,8 @@
     }
 
     fn accepted(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr, protocol: &Rc<Connections>) {
-        if self.connections.len() >= self.settings.max_connections as usize {
+        let open = self.connections.len() + self.closing.len();
+        if open >= self.settings.max_connections as usize {
             self.cx.metrics.count(Count::CallersRefused);
             return;
         }
@@ -252,6 +258,7 @@
             let desk = Rc::clone(&self);
             async move { Ok::<_, Infallible>(desk.answer(request).await) }
         });
+        let stream = LingerStream::new(stream, self.closing.clone());
         let connection = protocol.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut first = std::pin::pin!(tokio::time::sleep(millis(self.settings.header_timeout_ms)));
--- /dev/null
+++ b/crates/gate/tests/grants.rs
@@ -0,0 +1,182 @@
+//! Grants and health reports, and what is known when they fail.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gate::{ControlCallError, GrantClient, GrantSettings};
+use ids::{Epoch, HostId};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use wire::grant::{GrantReply, GrantRequest, GrantScope, HealthReport};
+
+/// What the upstream does with each connection.
+#[derive(Debug, Clone)]
+enum Act {
+    Answer(u16, String),
+    AnswerAndClose(u16, String),
+    Drop,
+    Silence,
+}
+
+async fn upstream(act: Act) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let act = act.clone();
+            tokio::spawn(async move {
+                let mut buf = [0; 8_192];
+                while stream.read(&mut buf).await.unwrap_or(0) > 0 {
+                    let (status, body) = match &act {
+                        Act::Answer(status, body) | Act::AnswerAndClose(status, body) => {
+                            (status, body)
+                        }
+                        Act::Drop => return,
+                        Act::Silence => continue,
+                    };
+                    let len = body.len();
+                    let text =
+                        format!("HTTP/1.1 {status} X\r\ncontent-length: {len}\r\n\r\n{body}");
+                    let _ = stream.write_all(text.as_bytes()).await;
+                    if matches!(act, Act::AnswerAndClose(..)) {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Returns an address at which nobody listens.
+async fn nobody() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    listener.local_addr().expect("address")
+}
+
+fn grant() -> GrantRequest {
+    GrantRequest {
+        epoch: Epoch(3),
+        seq: 1,
+        coordinator: HostId::new("host-0").expect("a name"),
+        boot: Some(9),
+        scope: GrantScope::Undivided,
+        ttl_ms: 5_000,
+        reading_us: Some(77),
+    }
+}
+
+fn reply(accepted: bool) -> GrantReply {
+    GrantReply {
+        accepted,
+        refusal: None,
+        boot: 9,
+        epoch: Epoch(3),
+        seq: 1,
+        reading_us: 1,
+        until_us: 2,
+        scope: None,
+        running: Vec::new(),
+    }
+}
+
+fn client(peer: SocketAddr) -> GrantClient {
+    let settings = GrantSettings {
+        timeout: Duration::from_millis(150),
+        ..GrantSettings::default()
+    };
+    GrantClient::new(settings, peer)
+}
+
+#[tokio::test]
+async fn replies_are_returned_whether_accepted_or_not() {
+    for (status, accepted) in [(200, true), (409, false)] {
+        let text = serde_json::to_string(&reply(accepted)).expect("JSON");
+        for act in [
+            Act::Answer(status, text.clone()),
+            Act::AnswerAndClose(status, text),
+        ] {
+            let mut client = client(upstream(act.clone()).await);
+            for _ in 0..3 {
+                let got = client.grant(&grant()).await.expect("a reply");
+                assert_eq!(got, reply(accepted), "{act:?}");
+                let state = client.state().await.expect("a reply");
+                assert_eq!(state, reply(accepted), "{act:?}");
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn health_is_read() {
+    let report = HealthReport {
+        slots: 4,
+        running: 1,
+        ..HealthReport::default()
+    };
+    let text = serde_json::to_string(&report).expect("JSON");
+    let mut client = client(upstream(Act::Answer(200, text)).await);
+    assert_eq!(client.health().await.expect("a report"), report);
+}
+
+struct Case {
+    name: &'static str,
+    act: Option<Act>,
+    had_no_effect: bool,
+    expected: fn(&ControlCallError) -> bool,
+}
+
+#[tokio::test]
+async fn failures_tell_whether_the_message_may_have_had_an_effect() {
+    let cases = [
+        Case {
+            name: "nobody listens",
+            act: None,
+            had_no_effect: true,
+            expected: |e| matches!(e, ControlCallError::Exchange { .. }),
+        },
+        Case {
+            name: "dropped",
+            act: Some(Act::Drop),
+            had_no_effect: false,
+            expected: |e| matches!(e, ControlCallError::Exchange { .. }),
+        },
+        Case {
+            name: "silence",
+            act: Some(Act::Silence),
+            had_no_effect: false,
+            expected: |e| matches!(e, ControlCallError::Timeout { .. }),
+        },
+        Case {
+            name: "another status",
+            act: Some(Act::Answer(500, "{}".to_owned())),
+            had_no_effect: false,
+            expected: |e| matches!(e, ControlCallError::Status { .. }),
+        },
+        Case {
+            name: "no JSON",
+            act: Some(Act::Answer(200, "[".to_owned())),
+            had_no_effect: false,
+            expected: |e| matches!(e, ControlCallError::BadReply { .. }),
+        },
+    ];
+    for case in cases {
+        let peer = match case.act {
+            Some(act) => upstream(act).await,
+            None => nobody().await,
+        };
+        let error = client(peer).grant(&grant()).await.expect_err(case.name);
+        assert!((case.expected)(&error), "{}: {error:?}", case.name);
+        assert_eq!(
+            error.had_no_effect(),
+            case.had_no_effect,
+            "{}: {error}",
+            case.name
+        );
+        assert!(
+            error.to_string().contains(&peer.to_string()),
+            "{}: {error}",
+            case.name
+        );
+    }
+}
--- /dev/null
+++ b/crates/gate/tests/peers.rs
@@ -0,0 +1,248 @@
+//! Connections between hosts: what breaks, and what the entry host may say of it.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::SinkExt;
+use gate::counters::Count;
+use gate::{GateContext, PeerTable};
+use ids::Reason;
+use support::caller::{Caller, get, post};
+use support::rig::{Rig, RigSettings};
+use support::until;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::Framed;
+use wire::FrameCodec;
+use wire::dispatch::{Ask, AskFrame, Cancel, Header, Request};
+
+async fn two_hosts() -> Rig {
+    Rig::start(RigSettings {
+        hosts: 2,
+        coordinator: 1,
+        ..RigSettings::default()
+    })
+    .await
+}
+
+/// Lets a host take `address` for that of the coordinating host.
+fn redirect(cx: &GateContext, to: &Rig, address: SocketAddr) {
+    let dispatch = [(to.hosts[1].id.clone(), address)].into_iter().collect();
+    cx.peers.store(Arc::new(PeerTable { dispatch }));
+}
+
+/// How a coordinating host fails.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    /// It does not listen.
+    Refuses,
+    /// It closes each connection at once.
+    Closes,
+    /// It reads some bytes and closes.
+    ReadsAndCloses,
+    /// It reads and never says anything.
+    Silent,
+    /// It sends what is no frame.
+    Garbage,
+}
+
+async fn faulty(fault: Fault) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    if matches!(fault, Fault::Refuses) {
+        return address;
+    }
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(fail(stream, fault));
+        }
+    });
+    address
+}
+
+async fn fail(mut stream: TcpStream, fault: Fault) {
+    let mut buf = [0; 4_096];
+    match fault {
+        Fault::Refuses | Fault::Closes => {}
+        Fault::ReadsAndCloses => drop(stream.read(&mut buf).await),
+        Fault::Silent => while stream.read(&mut buf).await.unwrap_or(0) > 0 {},
+        Fault::Garbage => {
+            let _ = stream.read(&mut buf).await;
+            let _ = stream.write_all(b"\x00\x00\x00\x03abc").await;
+            while stream.read(&mut buf).await.unwrap_or(0) > 0 {}
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Case {
+    fault: Fault,
+    outcomes: &'static [&'static str],
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_outcome_tells_whether_the_request_may_have_left() {
+    let cases = [
+        Case {
+            fault: Fault::Refuses,
+            outcomes: &["not-run"],
+        },
+        Case {
+            // The frame may have been written before the end was seen.
+            fault: Fault::Closes,
+            outcomes: &["not-run", "unknown"],
+        },
+        Case {
+            fault: Fault::ReadsAndCloses,
+            outcomes: &["unknown"],
+        },
+        Case {
+            fault: Fault::Silent,
+            outcomes: &["unknown"],
+        },
+        Case {
+            fault: Fault::Garbage,
+            outcomes: &["unknown"],
+        },
+    ];
+    for case in cases {
+        let rig = two_hosts().await;
+        let address = faulty(case.fault).await;
+        redirect(&rig.hosts[0].cx, &rig, address);
+        let mut caller = Caller::connect(rig.address(0)).await;
+        let headers = [("medlardyke-deadline-ms", "300")];
+        let begin = Instant::now();
+        let got = caller.ask(post("/any", &headers, "body")).await;
+        let name = format!("{case:?}: {got:?}");
+        assert!(case.outcomes.contains(&got.outcome()), "{name}");
+        assert!(begin.elapsed() < Duration::from_millis(900), "{name}");
+        assert_eq!(rig.upstream.opened(), 0, "{name}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_comes_back_is_used_again() {
+    let rig = two_hosts().await;
+    let address = faulty(Fault::Refuses).await;
+    redirect(&rig.hosts[0].cx, &rig, address);
+    let mut caller = Caller::connect(rig.address(0)).await;
+    let headers = [("x-key", "ESNQ"), ("medlardyke-deadline-ms", "100")];
+    let got = caller.ask(get("/look", &headers)).await;
+    assert_eq!(got.reason(), "host-unreachable", "{got:?}");
+    redirect(&rig.hosts[0].cx, &rig, rig.hosts[1].duty.address());
+    let got = caller.ask(get("/look", &[("x-key", "ESNQ")])).await;
+    assert_eq!(got.status, 200, "{got:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_requests_share_few_connections_and_never_mix() {
+    let rig = Rig::start(RigSettings {
+        hosts: 2,
+        coordinator: 1,
+        slots: 64,
+        ..RigSettings::default()
+    })
+    .await;
+    let mut tasks = Vec::new();
+    for n in 0..40 {
+        let address = rig.address(0);
+        tasks.push(tokio::spawn(async move {
+            let mut caller = Caller::connect(address).await;
+            for k in 0..20 {
+                let id = format!("req-{n}-{k}");
+                let key = format!("key-{n}");
+                let headers = [("x-key", key.as_str()), ("medlardyke-request-id", &id)];
+                let got = caller.ask(get("/look", &headers)).await;
+                assert_eq!(got.body, format!("answer to {id}"), "{got:?}");
+            }
+        }));
+    }
+    for task in tasks {
+        task.await.expect("all answers belong to their requests");
+    }
+    assert_eq!(rig.metrics(0).total(Count::HandedOn), 800);
+    assert_eq!(rig.metrics(1).total(Count::HandedIn), 800);
+    assert!(rig.metrics(0).total(Count::PeerConnected) <= 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn garbage_on_the_dispatch_port_harms_nobody() {
+    let rig = two_hosts().await;
+    for bytes in [
+        &b"\xff\xff\xff\xff"[..],
+        b"\x00\x00\x00\x02\xff\xff",
+        b"GET / HTTP/1.1\r\n\r\n",
+    ] {
+        let address = rig.hosts[1].duty.address();
+        let mut stream = TcpStream::connect(address).await.expect("connect");
+        stream.write_all(bytes).await.expect("write");
+        let mut buf = [0; 16];
+        let read = tokio::time::timeout(Duration::from_secs(5), stream.read(&mut buf)).await;
+        assert!(matches!(read, Ok(Ok(0) | Err(_))), "{bytes:?}: {read:?}");
+    }
+    let mut caller = Caller::connect(rig.address(0)).await;
+    let got = caller.ask(get("/look", &[("x-key", "ESNQ")])).await;
+    assert_eq!(got.status, 200, "{got:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_host_refuses_new_calls_and_finishes_the_rest() {
+    let rig = two_hosts().await;
+    let mut first = Caller::connect(rig.address(0)).await;
+    let slow = [("x-act", "slow:300"), ("medlardyke-request-id", "first")];
+    first.write(post("/any", &slow, "body")).await;
+    let upstream = rig.upstream.clone();
+    until("the first request runs", || upstream.times("first") == 1).await;
+    let tx = rig.hosts[1].duty.tx();
+    tx.tell(gate::ToDispatch::Leave).await.expect("duty");
+    let mut second = Caller::connect(rig.address(0)).await;
+    let headers = [
+        ("medlardyke-deadline-ms", "100"),
+        ("medlardyke-request-id", "second"),
+    ];
+    let got = second.ask(post("/any", &headers, "body")).await;
+    assert_eq!(got.outcome(), "not-run", "{got:?}");
+    assert!(rig.metrics(0).retries(Reason::Leaving) > 0, "{got:?}");
+    assert_eq!(rig.upstream.times("second"), 0);
+    assert_eq!(first.read().await.expect("an answer").status, 200);
+}
+
+fn slow_request(call: u64) -> Request {
+    let act = Header {
+        name: "x-act".to_owned(),
+        value: "slow:8000".into(),
+    };
+    Request {
+        call,
+        entry: "any".to_owned(),
+        upstream: "up-any".to_owned(),
+        remaining_us: 5_000_000,
+        request_id: format!("req-{call}"),
+        method: "POST".to_owned(),
+        path: "/any".to_owned(),
+        headers: vec![act],
+        ..Request::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_call_and_a_lost_entry_host_free_their_slots() {
+    let rig = two_hosts().await;
+    let stream = TcpStream::connect(rig.hosts[1].duty.address()).await;
+    let mut entry_host = Framed::new(stream.expect("connect"), FrameCodec::<AskFrame>::default());
+    for call in 1..=3 {
+        let ask = Some(Ask::Request(slow_request(call)));
+        entry_host.send(AskFrame { ask }).await.expect("send");
+    }
+    let upstream = rig.upstream.clone();
+    until("the requests run", || upstream.opened() == 3).await;
+    until("the requests run", || upstream.times("req-3") == 1).await;
+    let ask = Some(Ask::Cancel(Cancel { call: 2 }));
+    entry_host.send(AskFrame { ask }).await.expect("send");
+    until("one exchange ends", || upstream.left() == 1).await;
+    drop(entry_host);
+    until("the others end", || upstream.left() == 3).await;
+}
--- a/crates/gate/tests/support/rig.rs
+++ b/crates/gate/tests/support/rig.rs
@@ -31,6 +31,8 @@
     pub lease: Option<Duration>,
     /// Host that coordinates all upstreams.
     pub coordinator: usize,
+    /// Requests that each upstream runs at the same time.
+    pub slots: u32,
 }
 
 impl Default for RigSettings {
@@ -41,6 +43,7 @@
             dispatch: DispatchSettings::default(),
             lease: Some(Duration::from_mins(1)),
             coordinator: 0,
+            slots: 4,
         }
     }
 }
@@ -202,7 +205,7 @@
             let told = ToDispatch::Upstream {
                 upstream: id.clone(),
                 limits: UpstreamLimits {
-                    slots: declared.slots,
+                    slots: settings.slots,
                     connections: declared.connections,
                     queue: entry.limits.queue,
                     divided: !slices_of(id.as_str()).is_empty(),
--- a/crates/gate/tests/support/upstream.rs
+++ b/crates/gate/tests/support/upstream.rs
@@ -144,6 +144,7 @@
             let head = format!("connection: close\r\nmedlardyke-request-id: {id}\r\n");
             write_last(stream, &answer(200, &head, &body)).await
         }
+        "close-silent" => write_last(stream, &whole).await,
         "control" => {
             let head = format!(
                 "medlardyke-request-id: {id}\r\nmedlardyke-reason: forged\r\n\
