standin: a judge of records and journals

Fault tests need one verdict from the callers' records and the upstreams' journals: requests that ran twice or against their outcome, answers that are not the request's own, two owners of a slice or key at a time, falling epochs, work given to leaving upstreams, more work than slots; besides churn, unavailable time between two bounds, and balance.

--- a/crates/standin/src/args/mod.rs
+++ b/crates/standin/src/args/mod.rs
@@ -6,7 +6,9 @@
 //! - [`upstream`]: `standin upstream`.
 //! - [`proxy`]: `standin proxy`.
 //! - [`load`]: `standin load`.
+//! - [`judge`]: `standin judge`.
 
+pub mod judge;
 pub mod load;
 pub mod proxy;
 mod run;
@@ -14,6 +16,7 @@
 
 use clap::Subcommand;
 
+pub use judge::JudgeArgs;
 pub use load::LoadArgs;
 pub use proxy::ProxyArgs;
 pub use upstream::UpstreamArgs;
@@ -31,6 +34,11 @@
     /// Sends requests at a given rate and prints what became of them as one line of JSON.
     #[command(after_help = "Example: medlardyke standin load --target 127.0.0.1:8080 --rate 100")]
     Load(LoadArgs),
+    /// Judges a load by its records and the upstreams' journals; fails if there is any fault.
+    #[command(
+        after_help = "Example: medlardyke standin judge --records r.jsonl --journal up-1.jsonl"
+    )]
+    Judge(JudgeArgs),
 }
 
 impl StandinCommand {
@@ -44,6 +52,7 @@
             Self::Upstream(args) => args.run(),
             Self::Proxy(args) => args.run(),
             Self::Load(args) => args.run(),
+            Self::Judge(args) => args.run(),
         }
     }
 }
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use ids::{EntryId, Epoch, SliceNo, UpstreamId};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -15,13 +16,21 @@
 #[serde(rename_all = "kebab-case", tag = "event")]
 pub enum JournalEvent {
     /// The upstream started.
-    Boot,
+    Boot {
+        /// Entry that it serves.
+        entry: EntryId,
+        /// Requests that it runs at the same time.
+        slots: u32,
+    },
     /// A request starts to run; written before any of its work.
     Start(Started),
     /// The request that started under this number has run.
     End {
         /// Number of the execution.
         run: u64,
+        /// End of the last grant as the upstream knows it now, in microseconds; absent if it
+        /// checks no grants.
+        granted_until_us: Option<u64>,
     },
     /// The upstream announced that it wants to leave.
     Drain,
@@ -47,8 +56,6 @@
     pub key: Option<SmolStr>,
     /// How long the work is meant to take, in microseconds.
     pub planned_us: u64,
-    /// End of the grant at the start, in microseconds; absent if the upstream checks no grants.
-    pub granted_until_us: Option<u64>,
 }
 
 /// One line of a journal.
@@ -115,9 +122,7 @@
 ///
 /// Fails if the file can't be read or another line makes no sense.
 pub fn read_journal(path: &Path) -> anyhow::Result<Vec<JournalLine>> {
-    let text = std::fs::read_to_string(path)
-        .with_context(|| format!("read journal {}", path.display()))?;
-    parse_journal(&text).with_context(|| format!("parse journal {}", path.display()))
+    read_lines(path)
 }
 
 /// Parses JSON lines as the journal endpoint gives them; a last line cut short is left out.
@@ -126,6 +131,16 @@
 ///
 /// Fails if a whole line makes no sense.
 pub fn parse_journal(text: &str) -> anyhow::Result<Vec<JournalLine>> {
+    parse_lines(text)
+}
+
+/// Reads JSON lines from the file at `path`; a last line cut short is left out.
+pub(crate) fn read_lines<T: DeserializeOwned>(path: &Path) -> anyhow::Result<Vec<T>> {
+    let text = std::fs::read_to_string(path).with_context(|| format!("read {}", path.display()))?;
+    parse_lines(&text).with_context(|| format!("parse {}", path.display()))
+}
+
+fn parse_lines<T: DeserializeOwned>(text: &str) -> anyhow::Result<Vec<T>> {
     let whole = text.rfind('\n').map_or("", |end| &text[..end]);
     whole
         .lines()
--- /dev/null
+++ b/crates/standin/src/judge/execution.rs
@@ -0,0 +1,188 @@
+//! Executions as the upstreams' journals tell them.
+
+use ids::{EntryId, Epoch, SliceNo, UpstreamId};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::fault::Fault;
+use crate::journal::{JournalEvent, JournalLine, Started};
+
+/// Where and when a request ran.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct Place {
+    /// When it started, by the machine's clock since boot, in microseconds.
+    pub start_us: u64,
+    /// When it ended; absent if the upstream was killed before.
+    pub end_us: Option<u64>,
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Run of the upstream.
+    pub boot: u64,
+    /// Number of the execution within that run.
+    pub run: u64,
+}
+
+/// One execution of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Execution {
+    /// Where and when.
+    pub place: Place,
+    /// Id of the request.
+    pub id: Option<SmolStr>,
+    /// Entry.
+    pub entry: EntryId,
+    /// Slice of the key.
+    pub slice: Option<SliceNo>,
+    /// Key.
+    pub key: Option<SmolStr>,
+    /// Epoch.
+    pub epoch: Option<Epoch>,
+    /// Until when the upstream had the key to itself by this execution, in microseconds.
+    ///
+    /// That is the end, but no later than the work was meant to take and than the grant: an
+    /// upstream that stood still keeps no key for longer, and one that was killed for no time.
+    pub held_until_us: u64,
+}
+
+/// All that the journals tell.
+#[derive(Debug, Clone, Default)]
+pub struct Executions {
+    /// Executions by their starts.
+    pub all: Vec<Execution>,
+    /// Runs of upstreams.
+    pub boots: Vec<Boot>,
+    /// Times from which upstreams wanted to leave.
+    pub drains: Vec<Drain>,
+    /// What makes no sense in the journals.
+    pub faults: Vec<Fault>,
+}
+
+/// A run of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Boot {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Number drawn at its start.
+    pub boot: u64,
+    /// Entry that it serves.
+    pub entry: EntryId,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+}
+
+/// A time for which an upstream wanted to leave.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Drain {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Run of the upstream.
+    pub boot: u64,
+    /// Start, in microseconds.
+    pub from_us: u64,
+    /// End, in microseconds.
+    pub until_us: u64,
+}
+
+type RunKey = (UpstreamId, u64, u64);
+
+impl Executions {
+    /// Puts the journals of any number of upstreams together.
+    #[must_use]
+    pub fn of(lines: &[JournalLine]) -> Self {
+        let mut executions = Self::default();
+        let mut open = IndexMap::new();
+        for line in lines {
+            executions.take(line, &mut open);
+        }
+        let killed = open.into_values().map(|(place, started)| {
+            let held_until_us = place.start_us;
+            Execution::new(place, started, held_until_us)
+        });
+        executions.all.extend(killed);
+        executions.all.sort_by(|a, b| a.place.cmp(&b.place));
+        executions
+    }
+
+    fn take(&mut self, line: &JournalLine, open: &mut IndexMap<RunKey, (Place, Started)>) {
+        let run_key = |run| (line.upstream.clone(), line.boot, run);
+        match &line.event {
+            JournalEvent::Boot { entry, slots } => self.boots.push(Boot {
+                upstream: line.upstream.clone(),
+                boot: line.boot,
+                entry: entry.clone(),
+                slots: *slots,
+            }),
+            JournalEvent::Start(started) => {
+                let place = Place {
+                    start_us: line.at_us,
+                    end_us: None,
+                    upstream: line.upstream.clone(),
+                    boot: line.boot,
+                    run: started.run,
+                };
+                let before = open.insert(run_key(started.run), (place, started.clone()));
+                if let Some((place, _)) = before {
+                    self.faults.push(Fault::BadJournal { place });
+                }
+            }
+            JournalEvent::End {
+                run,
+                granted_until_us,
+            } => match open.swap_remove(&run_key(*run)) {
+                Some((place, started)) => {
+                    self.end(place, started, line.at_us, *granted_until_us);
+                }
+                None => self.faults.push(Fault::BadJournal {
+                    place: Place {
+                        start_us: line.at_us,
+                        end_us: Some(line.at_us),
+                        upstream: line.upstream.clone(),
+                        boot: line.boot,
+                        run: *run,
+                    },
+                }),
+            },
+            JournalEvent::Drain => self.drains.push(Drain {
+                upstream: line.upstream.clone(),
+                boot: line.boot,
+                from_us: line.at_us,
+                until_us: u64::MAX,
+            }),
+            JournalEvent::Undrain => {
+                let of_line = |d: &&mut Drain| d.upstream == line.upstream && d.boot == line.boot;
+                for drain in self.drains.iter_mut().filter(of_line) {
+                    drain.until_us = drain.until_us.min(line.at_us);
+                }
+            }
+        }
+    }
+
+    fn end(&mut self, mut place: Place, started: Started, at_us: u64, granted: Option<u64>) {
+        if at_us < place.start_us {
+            let place = place.clone();
+            self.faults.push(Fault::BadJournal { place });
+        }
+        let at_us = at_us.max(place.start_us);
+        place.end_us = Some(at_us);
+        let planned = place.start_us.saturating_add(started.planned_us);
+        let held_until_us = at_us.min(planned).min(granted.unwrap_or(u64::MAX));
+        let held_until_us = held_until_us.max(place.start_us);
+        self.all.push(Execution::new(place, started, held_until_us));
+    }
+}
+
+impl Execution {
+    fn new(place: Place, started: Started, held_until_us: u64) -> Self {
+        Self {
+            place,
+            id: started.id,
+            entry: started.entry,
+            slice: started.slice,
+            key: started.key,
+            epoch: started.epoch,
+            held_until_us,
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`platform`]: a server that plays the platform.
 //! - [`proxy`]: a TCP proxy that makes faults.
 //! - [`load`]: an open-loop load generator.
+//! - [`judge`]: what a load's records and the journals show of faults.
 //! - [`client`]: an HTTP client over one connection.
 //! - [`args`]: command lines of all these.
 
@@ -12,12 +13,14 @@
 pub mod client;
 mod http;
 pub mod journal;
+pub mod judge;
 pub mod load;
 pub mod platform;
 pub mod proxy;
 pub mod upstream;
 
 pub use journal::{JournalEvent, JournalLine, Started};
+pub use judge::{JudgeSettings, Report};
 pub use load::{EntryLoad, LoadRun, LoadSettings, Record, Seen};
 pub use platform::{PlatformSettings, StandinPlatform};
 pub use proxy::{Fault, FaultPlan, FaultProxy, ProxySettings};
--- a/crates/standin/src/upstream/core.rs
+++ b/crates/standin/src/upstream/core.rs
@@ -80,7 +80,11 @@
             frozen_until: watch::Sender::new(None),
             state: Mutex::new(state),
         };
-        core.write(&mut core.lock(), core.started, JournalEvent::Boot);
+        let boot = JournalEvent::Boot {
+            entry: core.cfg.entry.clone(),
+            slots: core.cfg.slots,
+        };
+        core.write(&mut core.lock(), core.started, boot);
         Ok(core)
     }
 
@@ -171,10 +175,6 @@
             epoch: req.epoch,
             key: req.key.clone(),
             planned_us: u64::try_from(time.as_micros()).unwrap_or(u64::MAX),
-            granted_until_us: self
-                .cfg
-                .checks_grants
-                .then(|| state.book.until().as_micros()),
         };
         self.write(&mut state, now, JournalEvent::Start(started));
         if let Some(slice) = req.slice {
@@ -192,7 +192,12 @@
     pub(crate) fn end(&self, run: Run) {
         let mut state = self.lock();
         let now = self.now();
-        self.write(&mut state, now, JournalEvent::End { run: run.number });
+        let until = state.book.until().as_micros();
+        let end = JournalEvent::End {
+            run: run.number,
+            granted_until_us: self.cfg.checks_grants.then_some(until),
+        };
+        self.write(&mut state, now, end);
         if let Some(slice) = run.slice {
             state.leave_slice(slice);
         }
--- a/crates/standin/tests/args.rs
+++ b/crates/standin/tests/args.rs
@@ -79,6 +79,7 @@
             StandinCommand::Upstream(args) => args.read().err(),
             StandinCommand::Proxy(args) => args.read().err(),
             StandinCommand::Load(args) => args.read().err(),
+            StandinCommand::Judge(args) => args.judge().err(),
         };
         let error = format!("{:#}", error.expect(case.name));
         assert!(error.contains(case.error), "{}: {error}", case.name);
