--- a/crates/catalogue/src/accept/draft.rs
+++ b/crates/catalogue/src/accept/draft.rs
@@ -78,7 +78,6 @@
     fn write_item(&mut self, change: &ItemChange) {
         let key = &change.item;
         let before = self.in_force.item(key);
-        let before = before.filter(|h| h.state != HeldState::Pruned);
         self.check(item_key(key), before.map(|h| h.revision));
         if let Some(before) = before {
             self.head.digest.remove(key, before.version);
--- a/crates/catalogue/src/base.rs
+++ b/crates/catalogue/src/base.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::in_force::{HeldState, InForce};
+use crate::in_force::InForce;
 use crate::item::{ContentHash, ItemKey};
 
 /// File of the base in a directory of declarations.
@@ -54,10 +54,7 @@
     #[must_use]
     pub fn of(in_force: &InForce) -> Self {
         let catalogue = in_force.catalogue();
-        let items = in_force
-            .items()
-            .filter(|(_, held)| held.state != HeldState::Pruned);
-        let items = items.map(|(key, held)| {
+        let items = in_force.items().map(|(key, held)| {
             let item = BaseItem {
                 version: held.version,
                 hash: catalogue.item(key).map(|i| i.hash()),
--- a/crates/catalogue/src/in_force.rs
+++ b/crates/catalogue/src/in_force.rs
@@ -20,6 +20,8 @@
 pub struct InForce {
     catalogue: Arc<Catalogue>,
     items: BTreeMap<ItemKey, Held>,
+    /// Revisions at which rows were deleted, so that older states of them don't come back.
+    deleted: BTreeMap<ItemKey, Revision>,
     head: Option<HeldHead>,
     digest: Digest,
     version: Version,
@@ -47,8 +49,6 @@
     Declared,
     /// It was removed; its row says so.
     Removed,
-    /// It was removed, and its row is gone.
-    Pruned,
 }
 
 /// The head's row.
@@ -96,9 +96,9 @@
         /// Version that is held.
         held: Version,
     },
-    /// The row of a declared item was deleted without a change that says so.
-    #[error("row {key} at revision {revision}: deleted though version {held} declares it")]
-    Vanished {
+    /// The head's row was deleted.
+    #[error("row {key} at revision {revision}: deleted though version {held} was there")]
+    HeadDeleted {
         /// Row.
         key: RowKey,
         /// Revision of its deletion.
@@ -183,17 +183,20 @@
             return Ok(());
         };
         let key: ItemKey = name.parse().map_err(|e| unreadable(row, &e))?;
-        if self
-            .items
-            .get(&key)
-            .is_some_and(|h| h.revision >= row.revision)
-        {
+        if row.revision <= self.known_revision(&key) {
             return Ok(());
         }
-        match &row.value {
-            Some(value) => self.take_item(row, key, value, applied),
-            None => self.take_deletion(row, &key),
-        }
+        let Some(value) = &row.value else {
+            self.take_deletion(row, key, applied);
+            return Ok(());
+        };
+        self.take_item(row, key, value, applied)
+    }
+
+    fn known_revision(&self, key: &ItemKey) -> Revision {
+        let held = self.items.get(key).map(|h| h.revision);
+        let deleted = self.deleted.get(key).copied();
+        held.max(deleted).unwrap_or_default()
     }
 
     fn take_head(&mut self, row: &Row) -> Result<(), RowFault> {
@@ -205,7 +208,11 @@
             return Ok(());
         }
         let Some(value) = &row.value else {
-            return Err(vanished(row, self.head_version()));
+            return Err(RowFault::HeadDeleted {
+                key: row.key.clone(),
+                revision: row.revision,
+                held: self.head_version(),
+            });
         };
         let head: Head = decode(value).map_err(|e| unreadable(row, &e))?;
         rises(row, head.version, self.head_version())?;
@@ -228,9 +235,7 @@
         let item = item.transpose().map_err(|e| unreadable(row, &e))?;
         if let Some(held) = self.items.get(&key) {
             rises(row, new.version, held.version)?;
-            if held.state != HeldState::Pruned {
-                self.digest.remove(&key, held.version);
-            }
+            self.digest.remove(&key, held.version);
         }
         self.digest.add(&key, new.version);
         let state = if item.is_some() {
@@ -246,28 +251,27 @@
             state,
         };
         self.items.insert(key.clone(), held);
-        if self.catalogue.item(&key) != item {
-            Arc::make_mut(&mut self.catalogue).set(&key, item);
-            applied.changed.push(key);
-        }
+        self.set(key, item, applied);
         Ok(())
     }
 
-    fn take_deletion(&mut self, row: &Row, key: &ItemKey) -> Result<(), RowFault> {
-        let Some(held) = self.items.get_mut(key) else {
-            return Ok(());
-        };
-        match held.state {
-            HeldState::Declared => {
-                let version = held.version;
-                return Err(vanished(row, version));
-            }
-            HeldState::Removed => self.digest.remove(key, held.version),
-            HeldState::Pruned => {}
+    /// Forgets an item whose row was deleted.
+    ///
+    /// That happens some time after it was removed, but a reader may have missed the removal.
+    fn take_deletion(&mut self, row: &Row, key: ItemKey, applied: &mut Applied) {
+        self.deleted.insert(key.clone(), row.revision);
+        if let Some(held) = self.items.remove(&key) {
+            self.digest.remove(&key, held.version);
         }
-        held.revision = row.revision;
-        held.state = HeldState::Pruned;
-        Ok(())
+        self.set(key, None, applied);
+    }
+
+    fn set(&mut self, key: ItemKey, item: Option<Item>, applied: &mut Applied) {
+        if self.catalogue.item(&key) == item {
+            return;
+        }
+        Arc::make_mut(&mut self.catalogue).set(&key, item);
+        applied.changed.push(key);
     }
 
     fn head_version(&self) -> Version {
@@ -304,11 +308,3 @@
         held,
     })
 }
-
-fn vanished(row: &Row, held: Version) -> RowFault {
-    RowFault::Vanished {
-        key: row.key.clone(),
-        revision: row.revision,
-        held,
-    }
-}
