standin: waits finer than a millisecond; cancelled work ends

The runtime's timers count whole milliseconds, which hides what a hop of some tenths of one costs. Waits of upstream and proxy now come from one thread with a heap.

The test of work that goes on now covers both ways.

--- a/crates/standin/src/args/run.rs
+++ b/crates/standin/src/args/run.rs
@@ -41,9 +41,13 @@
     out.flush().context("print line")
 }
 
+/// Threads of a stand-in's runtime; many stand-ins share a machine.
+const WORKER_THREADS: usize = 2;
+
 /// Creates the runtime of a stand-in.
 pub(crate) fn runtime() -> anyhow::Result<Runtime> {
     tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
         .enable_all()
         .build()
         .context("start runtime")
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -24,10 +24,12 @@
     },
     /// A request starts to run; written before any of its work.
     Start(Started),
-    /// The request that started under this number has run.
+    /// The request that started under this number has run, or its work was cancelled.
     End {
         /// Number of the execution.
         run: u64,
+        /// Whether its work was cancelled.
+        cancelled: bool,
         /// End of the last grant as the upstream knows it now, in microseconds; absent if it
         /// checks no grants.
         granted_until_us: Option<u64>,
--- a/crates/standin/src/judge/execution.rs
+++ b/crates/standin/src/judge/execution.rs
@@ -130,6 +130,7 @@
             JournalEvent::End {
                 run,
                 granted_until_us,
+                ..
             } => match open.swap_remove(&run_key(*run)) {
                 Some((place, started)) => {
                     self.end(place, started, line.at_us, *granted_until_us);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod load;
 pub mod platform;
 pub mod proxy;
+mod timer;
 pub mod upstream;
 
 pub use journal::{JournalEvent, JournalLine, Started};
--- a/crates/standin/src/proxy/pump.rs
+++ b/crates/standin/src/proxy/pump.rs
@@ -2,18 +2,19 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::exchange::{Exchange, Verdict, Way};
 use super::plan::NumberedPlan;
 use super::server::Shared;
+use crate::timer::sleep_until;
 
 /// Chunks that may be under way in one direction.
 const CHUNKS: usize = 256;
@@ -129,7 +130,7 @@
 
 async fn write(link: &Link, way: Way, mut to: OwnedWriteHalf, mut rx: mpsc::Receiver<Step>) {
     while let Some(Step { due, chunk, then }) = rx.recv().await {
-        tokio::time::sleep_until(due).await;
+        sleep_until(due).await;
         if to.write_all(&chunk).await.is_err() {
             return link.cut.cancel();
         }
--- a/crates/standin/src/upstream/core.rs
+++ b/crates/standin/src/upstream/core.rs
@@ -2,12 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ids::{BootClock, Clock, EntryId, Epoch, Reason, SliceNo, Timestamp};
 use smol_str::SmolStr;
 use tokio::sync::watch;
-use tokio::time::Instant;
 use wire::grant::{GrantRefusal, GrantReply, GrantRequest, GrantScope, HealthReport, SliceRunning};
 
 use super::admin::AdminCommand;
@@ -16,6 +15,7 @@
 use super::pace::Pace;
 use super::settings::{LoadReport, UpstreamSettings};
 use crate::journal::{Journal, JournalEvent, JournalLine, Started};
+use crate::timer::sleep_until;
 
 /// What a request says of itself.
 #[derive(Debug, Clone)]
@@ -119,7 +119,7 @@
                 return;
             };
             tokio::select! {
-                () = tokio::time::sleep_until(until) => {}
+                () = sleep_until(until) => {}
                 changed = rx.changed() => changed.expect("the sender lives as long as the upstream"),
             }
         }
@@ -188,13 +188,14 @@
         })
     }
 
-    /// Writes the end of a request down.
-    pub(crate) fn end(&self, run: Run) {
+    /// Writes the end of a request down, or that its work was cancelled.
+    pub(crate) fn end(&self, run: Run, cancelled: bool) {
         let mut state = self.lock();
         let now = self.now();
         let until = state.book.until().as_micros();
         let end = JournalEvent::End {
             run: run.number,
+            cancelled,
             granted_until_us: self.cfg.checks_grants.then_some(until),
         };
         self.write(&mut state, now, end);
--- a/crates/standin/src/upstream/server.rs
+++ b/crates/standin/src/upstream/server.rs
@@ -22,6 +22,7 @@
 use super::settings::UpstreamSettings;
 use crate::http::{Request, Whole, json, read_body, respond, serve_connection};
 use crate::journal::JournalLine;
+use crate::timer::sleep;
 
 /// A running upstream stand-in; it is killed when dropped.
 #[derive(Debug)]
@@ -143,7 +144,7 @@
             return;
         }
         self.core.thawed().await;
-        tokio::time::sleep(millis(self.core.cfg.connect_cost_ms)).await;
+        sleep(millis(self.core.cfg.connect_cost_ms)).await;
         let stop = self.stop.clone();
         serve_connection(socket, stop, |req| Arc::clone(&self).handle(req)).await;
     }
@@ -165,7 +166,7 @@
 
     async fn probe(&self) -> Whole {
         let slot = self.slots.try_acquire();
-        tokio::time::sleep(millis(self.core.cfg.probe_cost_ms)).await;
+        sleep(millis(self.core.cfg.probe_cost_ms)).await;
         self.core.thawed().await;
         drop(slot);
         json(StatusCode::OK, &self.core.health())
@@ -204,7 +205,7 @@
     /// Runs a request.
     ///
     /// The client's leaving drops this future: before the start nothing runs then, and after it
-    /// the work goes on in a task of its own.
+    /// the work ends in a task of its own.
     async fn serve(self: Arc<Self>, req: Request) -> Whole {
         let (parts, body) = req.into_parts();
         let claimed = read_head(&parts, &self.core.cfg, self.core.now());
@@ -248,15 +249,26 @@
         slot: OwnedSemaphorePermit,
     ) -> Whole {
         let server = Arc::clone(self);
+        let gone = CancellationToken::new();
+        let _client = gone.clone().drop_guard();
         let work = self.spawn(async move {
-            tokio::time::sleep(run.time).await;
+            let cancelled = server.work(run.time, gone).await;
             server.core.thawed().await;
-            server.core.end(run);
+            server.core.end(run, cancelled);
             drop(slot);
         });
         work.await.expect("the work does not panic");
         answer(req, body, &self.core.cfg)
     }
+
+    /// Works for `time`; tells whether the client left and that ended the work.
+    async fn work(&self, time: Duration, gone: CancellationToken) -> bool {
+        if self.core.cfg.cancels {
+            return gone.run_until_cancelled(sleep(time)).await.is_none();
+        }
+        sleep(time).await;
+        false
+    }
 }
 
 /// Counts a request out of the queue when dropped, also if its client leaves.
--- a/crates/standin/src/upstream/settings.rs
+++ b/crates/standin/src/upstream/settings.rs
@@ -103,6 +103,8 @@
     pub probe_cost_ms: f64,
     /// How true the reported load is.
     pub load_report: LoadReport,
+    /// Whether work ends when its client leaves; otherwise only work that waits is dropped.
+    pub cancels: bool,
     /// Requests that may wait for a slot; more are shed.
     pub shed_above: u32,
     /// Least size of an answer's body, in bytes; shorter ones are filled up.
@@ -127,6 +129,7 @@
             connect_cost_ms: 1.0,
             probe_cost_ms: 6.0,
             load_report: LoadReport::default(),
+            cancels: true,
             shed_above: 8,
             answer_bytes: 0,
             journal: None,
--- a/crates/standin/tests/judge.rs
+++ b/crates/standin/tests/judge.rs
@@ -91,6 +91,7 @@
         if let Some(end) = run.end {
             let event = JournalEvent::End {
                 run: number,
+                cancelled: false,
                 granted_until_us: run.granted_until.map(|ms| ms * MS),
             };
             lines.push(line(run.upstream, end, event));
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -134,17 +134,26 @@
 }
 
 #[tokio::test]
-async fn work_goes_on_when_its_client_leaves() {
-    let cfg = UpstreamSettings {
-        service_time: ServiceTime::Fixed { ms: 50.0 },
-        ..quick()
-    };
-    let upstream = Upstream::bind(cfg).await.unwrap();
-    let client = tokio::spawn(send(upstream.address(), request("r-1", &[], "")));
-    until(|| upstream.health().running == 1).await;
-    client.abort();
-    let is_end = |line: &JournalLine| matches!(line.event, JournalEvent::End { .. });
-    until(|| upstream.journal().iter().any(is_end)).await;
+async fn work_ends_when_its_client_leaves_if_the_upstream_cancels() {
+    for cancels in [false, true] {
+        let cfg = UpstreamSettings {
+            cancels,
+            service_time: ServiceTime::Fixed { ms: 100.0 },
+            ..quick()
+        };
+        let upstream = Upstream::bind(cfg).await.unwrap();
+        let client = tokio::spawn(send(upstream.address(), request("r-1", &[], "")));
+        until(|| upstream.health().running == 1).await;
+        client.abort();
+        until(|| upstream.health().running == 0).await;
+        let lines = upstream.journal();
+        let JournalEvent::End { cancelled, .. } = lines.last().unwrap().event else {
+            panic!("the last line is no end: {lines:?}");
+        };
+        assert_eq!(cancelled, cancels);
+        let took = lines.last().unwrap().at_us - lines[lines.len() - 2].at_us;
+        assert_eq!(took < 100_000, cancels, "{took} us");
+    }
 }
 
 fn grant(seq: u64, of: &GrantReply, slices: &[u64]) -> GrantRequest {
