spread: members over a simulated net

Tables of faults and a property test: lagging or empty lists, lost relays, pauses, cut domains, outages, restarts, own commits told at once. Hosts of a large domain beat and stand by less often, so that a host's traffic stays bounded; records of hosts are compared and exchanged between relays.

--- a/crates/spread/src/member.rs
+++ b/crates/spread/src/member.rs
@@ -40,6 +40,17 @@
 pub use event::{Action, Changed, Event, Evidence};
 pub use hosts::HostView;
 
+/// What the rest of a step has to see to.
+#[derive(Debug)]
+struct Todo {
+    /// Connections and heartbeats.
+    beats: bool,
+    /// Roles, as the hosts that they depend on may have changed.
+    roles: bool,
+    /// Telling that records of hosts changed.
+    hosts: bool,
+}
+
 /// The membership and spreading state of one host.
 #[derive(Debug)]
 pub struct Member {
@@ -52,8 +63,7 @@
     roles: Roles,
     /// Relays of all domains together.
     relays: usize,
-    /// Whether the hosts that roles depend on may have changed.
-    roles_stale: bool,
+    todo: Todo,
     /// Hosts that count as alive but don't answer this one.
     suspects: BTreeSet<HostId>,
     /// Since when this host watches others without a pause of its own.
@@ -68,7 +78,10 @@
     knowledge: Knowledge,
     /// Records to pass on, by receiver.
     news: BTreeMap<HostId, BTreeSet<HostId>>,
-    hosts_changed: bool,
+    /// When all records of another host were last asked for.
+    synced_at: Timestamp,
+    /// When evidence last came from the preferred feeder.
+    fed_at: Timestamp,
     /// Whether whole rows must be asked for.
     misfit: bool,
     /// When the next page of a long transfer may go out.
@@ -90,7 +103,11 @@
             pairs: BTreeSet::new(),
             roles: Roles::default(),
             relays: 0,
-            roles_stale: true,
+            todo: Todo {
+                beats: true,
+                roles: true,
+                hosts: false,
+            },
             suspects: BTreeSet::new(),
             watching_since: now,
             joined: None,
@@ -100,7 +117,8 @@
             polls: Polls::default(),
             knowledge: Knowledge::default(),
             news: BTreeMap::new(),
-            hosts_changed: false,
+            synced_at: Timestamp::ZERO,
+            fed_at: now,
             misfit: false,
             budget_at: now,
             transfers: 0,
@@ -134,8 +152,9 @@
         self.refresh_roles(now);
         self.report(now, actions);
         self.read_table(now, actions);
-        self.reach_out(now, actions);
-        self.send_beats(now, actions);
+        if std::mem::take(&mut self.todo.beats) {
+            self.send_beats(now, actions);
+        }
         self.feed(now, actions);
         self.pass_on_news(actions);
     }
@@ -229,6 +248,7 @@
     }
 
     fn tick(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        self.todo.beats = true;
         self.join_alone(now);
         self.find_suspects(now);
         self.report_silent(now, actions);
@@ -254,6 +274,19 @@
         }
     }
 
+    /// Returns the time between heartbeats to a host of the own domain.
+    fn heartbeat(&self) -> Duration {
+        if self.roles.mates() <= self.cfg.small_domain {
+            return self.cfg.heartbeat;
+        }
+        self.cfg.heartbeat.max(self.cfg.heartbeat_in_large)
+    }
+
+    /// Returns the time without a heartbeat after which a host counts as silent.
+    fn silent_after(&self) -> Duration {
+        self.cfg.silent_after.max(self.heartbeat() * 3)
+    }
+
     /// A host whose mates don't answer takes its place by itself.
     fn join_alone(&mut self, now: Timestamp) {
         if self.joined.is_some() || now.since(self.started) < self.cfg.join_within {
@@ -275,7 +308,7 @@
     fn join(&mut self, now: Timestamp) {
         if self.joined.is_none() {
             self.joined = Some(now);
-            self.roles_stale = true;
+            self.todo.roles = true;
         }
     }
 
@@ -301,20 +334,21 @@
 
     /// Works out anew what this host does for the others, if that may have changed.
     fn refresh_roles(&mut self, now: Timestamp) {
-        if !self.roles_stale {
+        if !self.todo.roles {
             return;
         }
-        self.roles_stale = false;
+        self.todo.roles = false;
         let was_relay = self.is_relay();
         let able = self.able();
         self.relays = able.values().map(|h| h.len().min(self.cfg.relays)).sum();
-        self.roles = roles::roles(
-            &self.cfg,
-            &self.me.host,
-            &self.me.domain,
-            &able,
-            &self.roles,
-        );
+        let domain = &self.me.domain;
+        let mates = self
+            .hosts
+            .iter()
+            .filter(|(_, r)| r.alive() && r.domain == *domain);
+        let mates: Vec<HostId> = mates.map(|(host, _)| host.clone()).collect();
+        self.roles = roles::roles(&self.cfg, &self.me.host, domain, &able, &mates, &self.roles);
+        self.todo.beats = true;
         if self.is_relay() != was_relay {
             let place = self.roles.relay.unwrap_or(0);
             self.polls.restart(&self.cfg, now, place);
@@ -349,7 +383,7 @@
         let changed = Changed {
             catalogue: self.replica.has_log(Prefix::Catalogue),
             own: self.replica.has_log(Prefix::Own),
-            hosts: std::mem::take(&mut self.hosts_changed),
+            hosts: std::mem::take(&mut self.todo.hosts),
         };
         if changed != Changed::default() {
             actions.push(Action::Changed(changed));
--- a/crates/spread/src/member/beats.rs
+++ b/crates/spread/src/member/beats.rs
@@ -14,6 +14,12 @@
 
 /// Attempts to reach hosts of which only the platform's list tells, at one time.
 const LISTED_AT_ONCE: usize = 4;
+/// Least time between two hastened heartbeats, as a share of the usual time.
+const HASTE: f64 = 0.7;
+/// Least time between two requests for all records of hosts.
+const SYNC_GAP: Duration = Duration::from_millis(250);
+/// How much longer the time between heartbeats to a host that stands by is in a large domain.
+const STANDBY_FACTOR: u32 = 4;
 /// Lead that another host's knowledge must have over a relay's own to be asked for.
 const FRESHER_BY: Duration = Duration::from_millis(300);
 
@@ -27,12 +33,14 @@
 impl Member {
     pub(super) fn connected(&mut self, now: Timestamp, host: HostId) {
         self.peers.entry(host).or_default().connect(now);
+        self.todo.beats = true;
     }
 
     pub(super) fn lost(&mut self, now: Timestamp, host: &HostId) {
         if let Some(peer) = self.peers.get_mut(host) {
             peer.disconnect(&self.cfg, now);
         }
+        self.todo.beats = true;
     }
 
     pub(super) fn is_connected(&self, host: &HostId) -> bool {
@@ -94,7 +102,7 @@
             peer.beat = peer.beat.min(record.beat);
         }
         if !alive {
-            self.roles_stale = true;
+            self.todo.roles = true;
         }
     }
 
@@ -154,6 +162,7 @@
         peer.reply = Some(Reply {
             holds,
             own_read: ago(reply.own_age_ms),
+            reach: ago(reply.reach_age_ms),
         });
         let differs = reply.members_hash != self.hosts.hash();
         peer.differs = differs.then(|| peer.differs.unwrap_or(now));
@@ -243,36 +252,36 @@
             return Vec::new();
         }
         let own_age = self.knowledge.age(now, Prefix::Own);
-        let fresher = |reply: &Reply| {
-            let age = reply.own_read.map(|read| now.since(read));
-            let ahead = reply.holds.own > marks.own || reply.holds.catalogue > marks.catalogue;
-            let newer = match (age, own_age) {
-                (Some(age), Some(own)) => age + FRESHER_BY < own,
-                (Some(_), None) => true,
-                (None, _) => false,
-            };
-            ahead || newer
-        };
-        let rank = |host: &HostId| self.peers.get(host).and_then(|p| p.reply);
-        let pick = |hosts: &[HostId]| {
-            let mut able: Vec<(Reply, HostId)> = hosts
-                .iter()
-                .filter_map(|h| Some((rank(h)?, h.clone())))
-                .filter(|(reply, _)| fresher(reply))
-                .collect();
-            able.sort_by_key(|(reply, _)| std::cmp::Reverse(reply.own_read));
-            able.into_iter().map(|(_, host)| host).collect::<Vec<_>>()
+        let bound = self.cfg.unreachable_after + self.cfg.far_heartbeat;
+        let reads = |r: &Reply| r.reach.is_some_and(|reach| now.since(reach) < bound);
+        let knows_more = |r: &Reply| {
+            let ahead = r.holds.own > marks.own || r.holds.catalogue > marks.catalogue;
+            let age = r.own_read.map(|read| now.since(read) + FRESHER_BY);
+            ahead || age.is_some_and(|age| own_age.is_none_or(|own| age < own))
         };
-        let mut feeders = pick(&self.roles.siblings);
-        feeders.extend(pick(&self.roles.far));
+        let mut feeders = self.that_replied(&self.roles.siblings, reads);
+        feeders.extend(self.that_replied(&self.roles.far, reads));
+        if feeders.is_empty() {
+            feeders = self.that_replied(&self.roles.siblings, knows_more);
+            feeders.extend(self.that_replied(&self.roles.far, knows_more));
+        }
         feeders
     }
 
+    /// Returns the hosts whose last reply is as asked for, the one that knows most first.
+    fn that_replied(&self, hosts: &[HostId], asked: impl Fn(&Reply) -> bool) -> Vec<HostId> {
+        let reply = |host: &HostId| self.peers.get(host).and_then(|p| p.reply);
+        let replied = hosts.iter().filter_map(|h| Some((reply(h)?, h)));
+        let mut able: Vec<_> = replied.filter(|(r, _)| asked(r)).collect();
+        able.sort_by_key(|(r, _)| std::cmp::Reverse(r.own_read));
+        able.into_iter().map(|(_, host)| host.clone()).collect()
+    }
+
     /// All hosts that this one sends heartbeats to.
     fn targets(&self, now: Timestamp) -> BTreeMap<HostId, Target> {
         let near = Target {
             feed: Feed::None,
-            every: self.cfg.heartbeat,
+            every: self.heartbeat(),
         };
         let far = Target {
             feed: Feed::None,
@@ -291,31 +300,53 @@
         }
         targets.extend(self.pairs.iter().map(|h| (h.clone(), near)));
         for (host, feed) in self.feeders(now) {
-            targets.insert(host, Target { feed, ..near });
+            let every = match feed {
+                Feed::Standby => self.standby_heartbeat(now),
+                _ => near.every,
+            };
+            let target = targets.entry(host).or_insert(Target { feed, every });
+            target.feed = feed;
+            target.every = target.every.min(every);
         }
         targets.remove(&self.me.host);
         targets
     }
 
+    /// In a large domain the host that stands by is asked for evidence seldom, but as often as
+    /// the first as soon as that one falls quiet.
+    fn standby_heartbeat(&self, now: Timestamp) -> Duration {
+        let every = self.heartbeat();
+        let small = self.roles.mates() <= self.cfg.small_domain;
+        let quiet = now.since(self.fed_at) > every.mul_f64(1.5);
+        if small || quiet {
+            return every;
+        }
+        every * STANDBY_FACTOR
+    }
+
     /// Sends the heartbeats that are due.
     pub(super) fn send_beats(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         let targets = self.targets(now);
+        self.reach_out(now, &targets, actions);
         for (host, peer) in &mut self.peers {
             if !targets.contains_key(host) {
                 peer.expected = None;
             }
         }
         for (host, target) in targets {
-            let sync = self.wants_sync(now, &host, target.feed);
+            let sync = self.wants_sync(now, &host);
             let peer = self.peers.entry(host.clone()).or_default();
             peer.expected.get_or_insert(now);
+            peer.beat_due = peer.beat_due.min(peer.beat_sent + target.every);
             if !peer.connected || now < peer.beat_due {
                 continue;
             }
             peer.beat_due = now + target.every;
             peer.beat_sent = now;
             if sync {
+                peer.synced = true;
                 peer.differs = None;
+                self.synced_at = now;
             }
             self.beat += 1;
             let whole = std::mem::take(&mut self.misfit);
@@ -336,12 +367,24 @@
         }
     }
 
-    fn wants_sync(&self, now: Timestamp, host: &HostId, feed: Feed) -> bool {
-        if feed != Feed::Full {
+    /// Tells whether to ask a host for all records: a starting host does at once, others if
+    /// theirs differ from the own ones, at once on a new connection and later if it lasts.
+    fn wants_sync(&self, now: Timestamp, host: &HostId) -> bool {
+        if self.joined.is_none() {
+            return true;
+        }
+        if !self.exchanges_with(host) || now.since(self.synced_at) < SYNC_GAP {
             return false;
         }
-        let differs = self.peers.get(host).and_then(|p| p.differs);
-        self.joined.is_none() || differs.is_some_and(|d| now.since(d) > self.cfg.sync_after)
+        let Some(peer) = self.peers.get(host) else {
+            return false;
+        };
+        let patience = if peer.synced {
+            self.cfg.sync_after
+        } else {
+            Duration::ZERO
+        };
+        peer.differs.is_some_and(|d| now.since(d) >= patience)
     }
 
     /// Brings the next heartbeats to feeders forward, so that each asks for evidence as soon as
@@ -353,18 +396,24 @@
         } else {
             Duration::ZERO
         };
-        let gap = self.cfg.heartbeat / 2;
-        for (host, _) in feeders {
+        let gap = self.heartbeat().mul_f64(HASTE);
+        for (host, _) in feeders.iter().filter(|(_, feed)| *feed == Feed::Full) {
             if let Some(peer) = self.peers.get_mut(host) {
                 let soonest = (now + settle).max(peer.beat_sent + gap);
                 peer.beat_due = peer.beat_due.min(soonest);
+                self.todo.beats |= peer.beat_due <= now;
             }
         }
     }
 
     /// Opens connections that are missing.
-    pub(super) fn reach_out(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let mut wanted: Vec<HostId> = self.targets(now).into_keys().collect();
+    fn reach_out(
+        &mut self,
+        now: Timestamp,
+        targets: &BTreeMap<HostId, Target>,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut wanted: Vec<HostId> = targets.keys().cloned().collect();
         wanted.extend(self.suspects.iter().cloned());
         wanted.extend(self.listed_mates());
         for host in wanted {
--- a/crates/spread/src/member/config.rs
+++ b/crates/spread/src/member/config.rs
@@ -10,9 +10,12 @@
 pub struct Config {
     /// Time between heartbeats to a host of the own domain.
     pub heartbeat: Duration,
+    /// The same in domains of more than `small_domain` hosts, if it is longer.
+    pub heartbeat_in_large: Duration,
     /// Time between heartbeats to a host of another domain.
     pub far_heartbeat: Duration,
-    /// Time without a heartbeat after which a host counts as silent.
+    /// Time without a heartbeat after which a host counts as silent, or three times that between
+    /// heartbeats if that is longer.
     pub silent_after: Duration,
     /// Time without a frame from any host of a domain after which the domain counts as unheard.
     pub domain_silent_after: Duration,
@@ -31,7 +34,7 @@
     pub unreachable_after: Duration,
     /// Hosts of each domain that read the table.
     pub relays: usize,
-    /// Hosts that one host feeds within its domain, and as many again for which it stands by.
+    /// Hosts that one host feeds within its domain; it stands by for as many again.
     pub fan_out: usize,
     /// Hosts that watch one host, besides its pairs.
     pub watchers: usize,
@@ -64,9 +67,10 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            heartbeat: Duration::from_millis(250),
+            heartbeat: Duration::from_millis(100),
+            heartbeat_in_large: Duration::from_millis(250),
             far_heartbeat: Duration::from_secs(1),
-            silent_after: Duration::from_millis(800),
+            silent_after: Duration::from_millis(500),
             domain_silent_after: Duration::from_secs(3),
             pause: Duration::from_millis(300),
             poll_own: Duration::from_millis(150),
@@ -75,7 +79,7 @@
             read_gap: Duration::from_millis(30),
             unreachable_after: Duration::from_millis(1_200),
             relays: 3,
-            fan_out: 8,
+            fan_out: 4,
             watchers: 3,
             small_domain: 12,
             settle: Duration::from_millis(30),
--- a/crates/spread/src/member/feeding.rs
+++ b/crates/spread/src/member/feeding.rs
@@ -63,7 +63,7 @@
             self.take_record(now, from, record, actions);
         }
         if message.all_hosts {
-            self.synced(now, from);
+            self.synced(now, from, &message.hosts);
         }
         for hint in &message.hints {
             if let Some(prefix) = Prefix::from_wire(hint.prefix) {
@@ -85,6 +85,7 @@
         if taken.misfit {
             self.misfit = true;
             peer.beat_due = now;
+            self.todo.beats = true;
         }
     }
 
@@ -100,6 +101,7 @@
         });
         let feeders = self.feeders(now);
         if feeders.first().is_some_and(|(host, _)| host == from) {
+            self.fed_at = now;
             self.hasten_beats(now, &feeders);
         }
     }
--- a/crates/spread/src/member/liveness.rs
+++ b/crates/spread/src/member/liveness.rs
@@ -20,8 +20,8 @@
     /// Takes the platform's list, which tells whom to try to reach and no more.
     pub(super) fn listed(&mut self, now: Timestamp, listed: &[ListedHost]) {
         if self.hosts.list(listed, now) {
-            self.roles_stale = true;
-            self.hosts_changed = true;
+            self.todo.roles = true;
+            self.todo.hosts = true;
         }
     }
 
@@ -54,8 +54,18 @@
         }
     }
 
-    /// A host of this domain has told of all hosts that it knows.
-    pub(super) fn synced(&mut self, now: Timestamp, from: &HostId) {
+    /// A host has told of all hosts that it knows; it is told of the others.
+    pub(super) fn synced(&mut self, now: Timestamp, from: &HostId, told: &[HostRecord]) {
+        let told: BTreeSet<&str> = told.iter().map(|r| r.host.as_str()).collect();
+        let heard = self
+            .hosts
+            .iter()
+            .filter(|(_, r)| r.incarnation.0 > 0 && !r.silent);
+        let missing = heard.filter(|(host, _)| !told.contains(host.as_str()) && *host != from);
+        let missing: BTreeSet<HostId> = missing.map(|(host, _)| host.clone()).collect();
+        if !missing.is_empty() {
+            self.news.entry(from.clone()).or_default().extend(missing);
+        }
         let record = self.hosts.get(from);
         if record.is_some_and(|r| r.domain == self.me.domain) {
             self.join(now);
@@ -64,8 +74,8 @@
 
     /// Notes that a record changed, and passes it on to all but the host that it came from.
     pub(super) fn host_changed(&mut self, host: &HostId, from: Option<&HostId>) {
-        self.hosts_changed = true;
-        self.roles_stale = true;
+        self.todo.hosts = true;
+        self.todo.roles = true;
         for neighbour in self.neighbours() {
             if Some(&neighbour) == from || neighbour == *host {
                 continue;
@@ -74,14 +84,23 @@
         }
     }
 
-    /// The hosts with which records are exchanged.
-    fn neighbours(&self) -> BTreeSet<HostId> {
-        let chosen = self
-            .roles
+    /// Tells whether a host is one that this one chose to exchange records with.
+    pub(super) fn exchanges_with(&self, host: &HostId) -> bool {
+        self.chosen().any(|chosen| chosen == host)
+    }
+
+    fn chosen(&self) -> impl Iterator<Item = &HostId> {
+        let roles = &self.roles;
+        roles
             .feeders
             .iter()
-            .chain(&self.roles.siblings)
-            .chain(&self.roles.far);
+            .chain(&roles.siblings)
+            .chain(&roles.far)
+    }
+
+    /// The hosts with which records are exchanged.
+    fn neighbours(&self) -> BTreeSet<HostId> {
+        let chosen = self.chosen();
         let fed = self.peers.iter().filter(|(_, p)| p.fed.feed != Feed::None);
         let all = chosen.cloned().chain(fed.map(|(host, _)| host.clone()));
         all.filter(|h| self.is_connected(h)).collect()
@@ -167,8 +186,8 @@
         let expected = record.since.max(self.watching_since);
         let heard = self.peers.get(host).and_then(|p| p.heard);
         match heard.filter(|h| *h > expected) {
-            Some(heard) => now.since(heard) > self.cfg.silent_after,
-            None => now.since(expected) > self.cfg.silent_after * FIRST_BEAT_FACTOR,
+            Some(heard) => now.since(heard) > self.silent_after(),
+            None => now.since(expected) > self.silent_after() * FIRST_BEAT_FACTOR,
         }
     }
 
@@ -190,13 +209,13 @@
                 return false;
             };
             let was = self.suspects.contains(host);
-            let quiet = peer.silence(now).is_some_and(|s| s > self.cfg.silent_after);
+            let quiet = peer.silence(now).is_some_and(|s| s > self.silent_after());
             let refused = !peer.connected && peer.attempts.failed_twice(&self.cfg);
             if was {
                 // One that became a suspect stays so until it is heard again.
                 return peer
                     .heard
-                    .is_none_or(|h| now.since(h) > self.cfg.silent_after)
+                    .is_none_or(|h| now.since(h) > self.silent_after())
                     || !peer.connected;
             }
             quiet || refused
@@ -210,7 +229,7 @@
             .collect();
         if suspects != self.suspects {
             self.suspects = suspects;
-            self.roles_stale = true;
+            self.todo.roles = true;
         }
     }
 
--- a/crates/spread/src/member/peer.rs
+++ b/crates/spread/src/member/peer.rs
@@ -36,6 +36,8 @@
     pub(super) attempts: Attempts,
     /// Since when its records of hosts differ from the own ones.
     pub(super) differs: Option<Timestamp>,
+    /// Whether all its records were asked for on this connection.
+    pub(super) synced: bool,
 }
 
 /// What a reply to a heartbeat said, with ages turned into readings of the own clock.
@@ -43,6 +45,8 @@
 pub(super) struct Reply {
     pub(super) holds: Watermarks,
     pub(super) own_read: Option<Timestamp>,
+    /// When a host of its domain last read the table.
+    pub(super) reach: Option<Timestamp>,
 }
 
 /// How this host feeds another.
@@ -142,6 +146,7 @@
         self.fed = Fed::default();
         self.reply = None;
         self.differs = None;
+        self.synced = false;
         self.beat_due = now;
         self.expected = Some(now);
     }
--- a/crates/spread/src/member/roles.rs
+++ b/crates/spread/src/member/roles.rs
@@ -27,19 +27,30 @@
     pub(super) watched: BTreeSet<HostId>,
     /// One host of each other domain, for a relay.
     pub(super) far: Vec<HostId>,
-    /// The hosts of the domain for which all this was worked out.
+    /// The live hosts of the domain for which this was worked out.
     mates: Vec<HostId>,
 }
 
+impl Roles {
+    /// Returns how many hosts of the domain are alive, this one included.
+    pub(super) fn mates(&self) -> usize {
+        self.mates.len()
+    }
+}
+
 /// The hosts that may have a part, by domain; the own domain's include this host.
 pub(super) type Able = BTreeMap<DomainId, Vec<HostId>>;
 
-/// Works out the part of `me`; `last` is what came out before.
+/// Works out the part of `me`.
+///
+/// `alive` are all hosts of the domain that count as alive, whether or not they can have a part;
+/// `last` is what came out before.
 pub(super) fn roles(
     cfg: &Config,
     me: &HostId,
     domain: &DomainId,
     able: &Able,
+    alive: &[HostId],
     last: &Roles,
 ) -> Roles {
     let mates = able.get(domain).map_or(&[][..], Vec::as_slice);
@@ -48,16 +59,16 @@
     let relays = &ranked[..cfg.relays.min(ranked.len())];
     let relay = place.filter(|p| *p < relays.len());
     // Who watches whom is costly to work out, and hosts of other domains have no say in it.
-    let (watchers, watched) = if last.mates == mates {
+    let (watchers, watched) = if last.mates == alive {
         (last.watchers.clone(), last.watched.clone())
     } else {
-        watch(cfg, me, mates)
+        watch(cfg, me, alive)
     };
     let mut roles = Roles {
         relay,
         watchers,
         watched,
-        mates: mates.to_vec(),
+        mates: alive.to_vec(),
         ..Roles::default()
     };
     match (relay, place) {
--- a/crates/spread/tests/common/mod.rs
+++ b/crates/spread/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+pub mod net;
+
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
--- /dev/null
+++ b/crates/spread/tests/faults.rs
@@ -0,0 +1,214 @@
+//! Arbitrary faults among hosts: what must always hold, and that all converge afterwards.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::net::{Net, Node, domain};
+use common::{encode, move_slice, own_key, own_row};
+use ids::{HostId, Incarnation, Revision, Timestamp};
+use proptest::prelude::*;
+use smol_str::{SmolStr, format_smolstr};
+use spread::{Config, Event, Prefix, Replica};
+
+const SIZES: [usize; 3] = [4, 2, 2];
+const HOSTS: usize = 8;
+const UPSTREAMS: usize = 4;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Kill(usize),
+    Start(usize),
+    Pause(usize, u64),
+    Cut(usize, usize),
+    TableDown,
+    NoTable(usize),
+    Heal,
+    EmptyList,
+    FullList,
+    /// A slice moves; the host that did it may learn of the rows at once.
+    Move {
+        slice: u64,
+        from: usize,
+        to: usize,
+        teller: Option<usize>,
+    },
+    Declare(u8),
+    Leave(usize),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => (0..HOSTS).prop_map(Step::Kill),
+        3 => (0..HOSTS).prop_map(Step::Start),
+        2 => (0..HOSTS, 100..2_500_u64).prop_map(|(n, ms)| Step::Pause(n, ms)),
+        1 => (0..3_usize, 0..3_usize).prop_map(|(a, b)| Step::Cut(a, b)),
+        1 => Just(Step::TableDown),
+        1 => (0..3_usize).prop_map(Step::NoTable),
+        2 => Just(Step::Heal),
+        1 => Just(Step::EmptyList),
+        1 => Just(Step::FullList),
+        6 => (0..8_u64, 0..UPSTREAMS, 0..UPSTREAMS, prop::option::of(0..HOSTS))
+            .prop_map(|(slice, from, to, teller)| Step::Move { slice, from, to, teller }),
+        2 => any::<u8>().prop_map(Step::Declare),
+        1 => (0..HOSTS).prop_map(Step::Leave),
+        6 => (1..900_u64).prop_map(Step::Wait),
+    ]
+}
+
+/// Revisions that each run of a host held.
+type Held = BTreeMap<(HostId, Incarnation), Vec<(Prefix, SmolStr, Revision)>>;
+
+struct World {
+    net: Net,
+    rows: Vec<wire::own::Row>,
+    held: Held,
+}
+
+impl World {
+    fn new() -> Self {
+        let rows: Vec<_> = (0..UPSTREAMS)
+            .map(|n| own_row(n as u64, n as u64 * 10, 4))
+            .collect();
+        let mut net = Net::of_domains(Config::default(), &SIZES);
+        for (n, row) in rows.iter().enumerate() {
+            net.commit(vec![(own_key(n), Some(encode(row)))]);
+        }
+        Self {
+            net,
+            rows,
+            held: Held::new(),
+        }
+    }
+
+    fn run(&mut self, step: &Step) {
+        let net = &mut self.net;
+        match *step {
+            Step::Kill(n) => net.kill(n),
+            Step::Start(n) => net.start(n),
+            Step::Pause(n, ms) => net.pause(n, Duration::from_millis(ms)),
+            Step::Cut(a, b) if a != b => net.cut(a, b),
+            Step::Cut(..) => {}
+            Step::TableDown => net.table_up = false,
+            Step::NoTable(d) => {
+                net.no_table.insert(domain(d));
+            }
+            Step::Heal => net.heal(),
+            Step::EmptyList => net.list_nobody(true),
+            Step::FullList => net.list_nobody(false),
+            Step::Move {
+                slice,
+                from,
+                to,
+                teller,
+            } => self.move_slice(slice, from, to, teller),
+            Step::Declare(value) => {
+                let key = format_smolstr!("catalogue/entry/{}", value % 3);
+                let value = (value > 20).then(|| Bytes::from(vec![value; 30]));
+                net.commit(vec![(key, value)]);
+            }
+            Step::Leave(n) => {
+                if net.node(n).up {
+                    net.tell(n, Event::Leaving);
+                }
+            }
+            Step::Wait(ms) => net.run(Duration::from_millis(ms)),
+        }
+    }
+
+    fn move_slice(&mut self, slice: u64, from: usize, to: usize, teller: Option<usize>) {
+        if from == to || !self.net.table_up {
+            return;
+        }
+        let mut source = self.rows[from].clone();
+        let mut target = self.rows[to].clone();
+        move_slice(slice, self.net.past.revision.0, &mut source, &mut target);
+        let rows = self.net.commit(vec![
+            (own_key(from), Some(encode(&source))),
+            (own_key(to), Some(encode(&target))),
+        ]);
+        self.rows[from] = source;
+        self.rows[to] = target;
+        if let Some(n) = teller.filter(|n| self.net.node(*n).up) {
+            self.net.tell(n, Event::Rows(rows));
+        }
+    }
+
+    /// Checks each host against the table's past and against its own.
+    fn check(&mut self) -> Result<(), String> {
+        if let Some(fault) = self.net.faults.first() {
+            return Err(fault.clone());
+        }
+        for (name, node) in self.net.live() {
+            let replica = node.member.replica();
+            self.net
+                .past
+                .check(replica)
+                .map_err(|e| format!("{name} {e}"))?;
+            let run = (name.clone(), node.member.me().incarnation);
+            let held = self.held.entry(run).or_default();
+            for (prefix, key, revision) in held.iter() {
+                let now = replica.get(*prefix, key).map(|(at, _)| at);
+                if now < Some(*revision) {
+                    return Err(format!("{name}: {key} fell from {revision} to {now:?}"));
+                }
+            }
+            *held = revisions(replica);
+        }
+        Ok(())
+    }
+}
+
+/// Tells whether a host holds all, has fresh evidence and knows all others.
+fn has_recovered(net: &Net, node: &Node, healed: Timestamp) -> bool {
+    net.past.equals(node.member.replica())
+        && node.evidence.is_some_and(|(_, as_of)| as_of > healed)
+        && node.member.hosts().filter(|h| h.alive).count() == HOSTS - 1
+}
+
+fn revisions(replica: &Replica) -> Vec<(Prefix, SmolStr, Revision)> {
+    let of = |prefix| {
+        let rows = replica.iter(prefix);
+        rows.map(move |(key, at, _)| (prefix, SmolStr::new(key), at))
+    };
+    Prefix::ALL.into_iter().flat_map(of).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, cases: 24, ..ProptestConfig::default() })]
+
+    /// Under any faults: versions on each host only rise, no watermark claims what is not held,
+    /// no evidence is newer than the truth. When the faults end, all hosts hold the same, have
+    /// fresh evidence and know each other.
+    #[test]
+    fn faults_never_break_what_hosts_claim(steps in prop::collection::vec(step(), 1..40)) {
+        let mut world = World::new();
+        for step in &steps {
+            world.run(step);
+            world.net.run(Duration::from_millis(20));
+            world.check().map_err(TestCaseError::fail)?;
+        }
+        world.net.list_nobody(false);
+        world.net.heal();
+        for n in 0..HOSTS {
+            if !world.net.node(n).up || world.net.node(n).leaving() {
+                world.net.start(n);
+            }
+        }
+        let healed = world.net.now;
+        world.net.wait_if(Duration::from_secs(12), |net| {
+            net.live().all(|(_, node)| has_recovered(net, node, healed))
+        });
+        world.check().map_err(TestCaseError::fail)?;
+        for (name, node) in world.net.live() {
+            prop_assert!(world.net.past.equals(node.member.replica()), "{name} does not converge");
+            prop_assert!(node.evidence.is_some_and(|(_, as_of)| as_of > healed), "{name}: stale evidence");
+            let alive = node.member.hosts().filter(|h| h.alive).count();
+            prop_assert_eq!(alive, HOSTS - 1, "{} sees {:?}", name, node.member.hosts().filter(|h| !h.alive).collect::<Vec<_>>());
+        }
+
+    }
+}
