--- a/crates/ids/src/arena.rs
+++ b/crates/ids/src/arena.rs
@@ -93,6 +93,14 @@
             .enumerate()
             .map(|(i, v)| (K::from_index(i), v))
     }
+
+    /// Iterates over keys and items in order of insertion, for change.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (K, &mut V)> {
+        self.items
+            .iter_mut()
+            .enumerate()
+            .map(|(i, v)| (K::from_index(i), v))
+    }
 }
 
 impl<K: ArenaKey, V> std::ops::Index<K> for Arena<K, V> {
