--- /dev/null
+++ b/crates/route/examples/limits/overload.rs
@@ -0,0 +1,135 @@
+//! One upstream under half, full and double load, and after it, for each order of its queue.
+
+use route::{DispatcherSettings, QueueOrder, QueueSettings};
+use serde::Serialize;
+
+use crate::world::{Config, Phase, Tally, World};
+
+/// One phase of one case.
+#[derive(Debug, Serialize)]
+struct Line {
+    case: &'static str,
+    order: String,
+    queue: u32,
+    target_services: f64,
+    refuse_early: bool,
+    returns: u32,
+    heeds_cancel: bool,
+    load: f64,
+    goodput_per_s: f64,
+    /// Goodput over the highest of any steady load below or at what all slots can do.
+    of_peak: f64,
+    p50_ms: f64,
+    p99_ms: f64,
+    wasted_per_s: f64,
+    /// Time from the phase's start to its last request that was not answered.
+    last_refused_s: f64,
+    refused: serde_json::Value,
+}
+
+const LOADS: [f64; 5] = [0.5, 0.9, 1.0, 2.0, 0.5];
+
+/// What a case varies.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    order: QueueOrder,
+    queue: u32,
+    target_services: f64,
+    refuse_early: bool,
+    returns: u32,
+    heeds_cancel: bool,
+}
+
+impl Case {
+    fn of(order: QueueOrder) -> Self {
+        Self {
+            order,
+            queue: 64,
+            target_services: QueueSettings::default().target_services,
+            refuse_early: true,
+            returns: 0,
+            heeds_cancel: true,
+        }
+    }
+}
+
+/// Runs all cases.
+pub fn run() {
+    for queue in [64, 1_000] {
+        for order in QueueOrder::ALL {
+            for refuse_early in [false, true] {
+                one(Case {
+                    queue,
+                    refuse_early,
+                    ..Case::of(order)
+                });
+            }
+        }
+    }
+    for order in [QueueOrder::Controlled, QueueOrder::ControlledLifo] {
+        for target_services in [1.5, 3.0, 6.0, 12.0] {
+            one(Case {
+                target_services,
+                ..Case::of(order)
+            });
+        }
+    }
+    for order in QueueOrder::ALL {
+        for heeds_cancel in [true, false] {
+            one(Case {
+                returns: 3,
+                heeds_cancel,
+                ..Case::of(order)
+            });
+        }
+    }
+}
+
+fn one(case: Case) {
+    let phase = |&load: &f64| Phase { secs: 20, load };
+    let cfg = Config {
+        queue: case.queue,
+        returns: case.returns,
+        heeds_cancel: case.heeds_cancel,
+        dispatcher: DispatcherSettings {
+            queue: QueueSettings {
+                order: case.order,
+                refuse_early: case.refuse_early,
+                target_services: case.target_services,
+                ..QueueSettings::default()
+            },
+            ..DispatcherSettings::default()
+        },
+        phases: LOADS.iter().map(phase).collect(),
+        ..Config::default()
+    };
+    let tallies = World::run(cfg);
+    let rate = |t: &Tally| t.good as f64 / t.secs as f64;
+    let peak = tallies[..3].iter().map(rate).fold(0.0, f64::max);
+    for (load, tally) in LOADS.iter().zip(&tallies) {
+        let line = Line {
+            case: "overload",
+            order: format!("{:?}", case.order),
+            queue: case.queue,
+            target_services: case.target_services,
+            refuse_early: case.refuse_early,
+            returns: case.returns,
+            heeds_cancel: case.heeds_cancel,
+            load: *load,
+            goodput_per_s: rate(tally),
+            of_peak: round(rate(tally) / peak),
+            p50_ms: round(tally.ms(0.5)),
+            p99_ms: round(tally.ms(0.99)),
+            wasted_per_s: round(tally.wasted as f64 / tally.secs as f64),
+            last_refused_s: round(tally.last_bad_us as f64 / 1e6),
+            refused: serde_json::json!(tally.refused),
+        };
+        let line = serde_json::to_string(&line).expect("a line is plain data");
+        println!("{line}");
+    }
+}
+
+/// Rounds to three digits after the point.
+pub fn round(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -1,12 +1,22 @@
 //! Rate and concurrency limits of entries at one entry host.
+//!
+//! An entry's rate holds over all entry hosts. Each host takes an equal share of it, by the
+//! number of live hosts that it is told; `docs/LIMITS.md` says what that gives up.
 
 use std::time::Duration;
 
+use catalogue::Limits;
 use ids::{ArenaKey, Reason, Timestamp};
 
 use crate::key::EntryKey;
 use crate::router::Router;
 
+/// Time for which a host may save up unused rate.
+const BURST: Duration = Duration::from_millis(200);
+
+/// When a caller that met the concurrency limit may come back.
+const CONCURRENCY_RETRY: Duration = Duration::from_millis(100);
+
 /// A request that the limits turned away; it was not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rejected {
@@ -29,9 +39,19 @@
     }
 }
 
+/// Limits of one entry at one host.
+#[derive(Debug, Clone, Default)]
+struct Gauge {
+    bucket: Option<Bucket>,
+    concurrency: u32,
+    under_way: u32,
+}
+
 /// Limits of all entries at one entry host.
 #[derive(Debug, Default)]
-pub struct Admission {}
+pub struct Admission {
+    gauges: Vec<Gauge>,
+}
 
 impl Admission {
     /// Creates admission without limits.
@@ -43,7 +63,9 @@
     /// Takes the limits from a new snapshot and the number of live entry hosts that share the
     /// entries' rates; requests under way keep their places.
     pub fn configure(&mut self, now: Timestamp, router: &Router, live_hosts: u32) {
-        todo!()
+        for (key, entry) in router.entries() {
+            self.gauge(key).configure(now, &entry.limits, live_hosts);
+        }
     }
 
     /// Lets a request in, or says why not.
@@ -52,12 +74,105 @@
     ///
     /// Fails if the entry's rate or concurrency limit is reached.
     pub fn admit(&mut self, now: Timestamp, entry: EntryKey) -> Result<Admitted, Rejected> {
-        todo!()
+        let gauge = self.gauge(entry);
+        if gauge.concurrency > 0 && gauge.under_way >= gauge.concurrency {
+            return Err(Rejected {
+                reason: Reason::ConcurrencyLimit,
+                retry_after: CONCURRENCY_RETRY,
+            });
+        }
+        if let Some(bucket) = &mut gauge.bucket {
+            bucket.take(now).map_err(|retry_after| Rejected {
+                reason: Reason::RateLimit,
+                retry_after,
+            })?;
+        }
+        gauge.under_way += 1;
+        Ok(Admitted(entry))
     }
 
     /// Gives a place back.
     #[expect(clippy::needless_pass_by_value, reason = "a place is given back once")]
     pub fn release(&mut self, place: Admitted) {
-        todo!()
+        let gauge = self.gauge(place.0);
+        debug_assert!(gauge.under_way > 0, "more places released than taken");
+        gauge.under_way = gauge.under_way.saturating_sub(1);
+    }
+
+    /// Returns how many requests of the entry are under way at this host.
+    #[must_use]
+    pub fn under_way(&self, entry: EntryKey) -> u32 {
+        self.gauges.get(entry.index()).map_or(0, |g| g.under_way)
+    }
+
+    fn gauge(&mut self, entry: EntryKey) -> &mut Gauge {
+        let index = entry.index();
+        if index >= self.gauges.len() {
+            self.gauges.resize_with(index + 1, Gauge::default);
+        }
+        &mut self.gauges[index]
+    }
+}
+
+impl Gauge {
+    fn configure(&mut self, now: Timestamp, limits: &Limits, live_hosts: u32) {
+        self.concurrency = limits.concurrency;
+        if limits.rate_per_s == 0 {
+            self.bucket = None;
+            return;
+        }
+        let rate = f64::from(limits.rate_per_s) / f64::from(live_hosts.max(1));
+        match &mut self.bucket {
+            Some(bucket) => bucket.set_rate(now, rate),
+            None => self.bucket = Some(Bucket::full(now, rate)),
+        }
+    }
+}
+
+/// A token bucket.
+#[derive(Debug, Clone)]
+struct Bucket {
+    /// Tokens a second.
+    rate: f64,
+    tokens: f64,
+    filled: Timestamp,
+}
+
+impl Bucket {
+    fn full(now: Timestamp, rate: f64) -> Self {
+        let mut bucket = Self {
+            rate,
+            tokens: 0.0,
+            filled: now,
+        };
+        bucket.tokens = bucket.capacity();
+        bucket
+    }
+
+    /// A host's share may be under one request for each [`BURST`]; it holds one token then.
+    fn capacity(&self) -> f64 {
+        (self.rate * BURST.as_secs_f64()).max(1.0)
+    }
+
+    fn set_rate(&mut self, now: Timestamp, rate: f64) {
+        self.fill(now);
+        self.rate = rate;
+        self.tokens = self.tokens.min(self.capacity());
+    }
+
+    fn fill(&mut self, now: Timestamp) {
+        let gained = now.since(self.filled).as_secs_f64() * self.rate;
+        self.tokens = (self.tokens + gained).min(self.capacity());
+        self.filled = self.filled.max(now);
+    }
+
+    /// Takes a token, or returns when there will be one.
+    fn take(&mut self, now: Timestamp) -> Result<(), Duration> {
+        self.fill(now);
+        if self.tokens < 1.0 {
+            return Err(Duration::from_secs_f64((1.0 - self.tokens) / self.rate));
+        }
+        self.tokens -= 1.0;
+        Ok(())
     }
 }
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -1,4 +1,15 @@
 //! Whether and when a request is tried again.
+//!
+//! The rules, in the order in which they are checked at the end of a try:
+//!
+//! 1. A request whose class is non-idempotent is tried again only if the try surely did not run.
+//! 2. A reason that another try can't mend ends the request.
+//! 3. Want of routing knowledge is mended by routing anew; such tries are bounded in number but
+//!    not charged to the retry budget, as they put no load on upstreams.
+//! 4. All other tries are charged to the budget.
+//! 5. If the deadline leaves no time for a pause and a try, the request ends at once.
+//!
+//! Once one try may have run, the request can't end as not run, whatever later tries say.
 
 use std::time::Duration;
 
@@ -93,37 +104,223 @@
     },
 }
 
+/// What can mend a failed try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Remedy {
+    /// Nothing that this host could do.
+    None,
+    /// Newer routing knowledge.
+    Reroute,
+    /// Another try at any upstream that may serve the request.
+    Again,
+    /// Another try at another upstream; the same one would say the same.
+    OtherUpstream,
+}
+
+/// Returns what can mend a try that failed for `reason`, if it may be repeated at all.
+const fn remedy(reason: Reason) -> Remedy {
+    match reason {
+        Reason::NoOwner
+        | Reason::NoLease
+        | Reason::HostUnreachable
+        | Reason::StaleRoute
+        | Reason::Moving
+        | Reason::Leaving
+        | Reason::GrantRefused => Remedy::Reroute,
+        Reason::ConnectFailed
+        | Reason::UpstreamShed
+        | Reason::AnswerCut
+        | Reason::AnswerMismatch
+        | Reason::UpstreamReset
+        | Reason::HostLost => Remedy::Again,
+        Reason::DeadlineTooShort | Reason::QueueFull | Reason::Overload => Remedy::OtherUpstream,
+        Reason::BadRequest
+        | Reason::MissingKey
+        | Reason::BadDeadline
+        | Reason::UnknownEntry
+        | Reason::HeadTooLarge
+        | Reason::BodyTooLarge
+        | Reason::BodyTimeout
+        | Reason::DeadlineExpired
+        | Reason::RateLimit
+        | Reason::ConcurrencyLimit
+        | Reason::NoCatalogue
+        | Reason::NoUpstream
+        | Reason::RetryBudget
+        | Reason::Duplicate
+        | Reason::DuplicateUnknown
+        | Reason::AnswerTimeout
+        | Reason::AnswerTooLarge
+        | Reason::CallerGone => Remedy::None,
+    }
+}
+
 /// One request, over all of its tries.
 #[derive(Debug)]
 pub struct Attempt<S> {
     settings: AttemptSettings,
+    idempotent: bool,
+    divided: bool,
+    deadline: Timestamp,
+    retries: u32,
+    reroutes: u32,
+    /// Reason of the first try that may have run.
+    unknown: Option<Reason>,
+    #[expect(dead_code, reason = "the state is in its type")]
     state: S,
 }
 
+impl<S> Attempt<S> {
+    /// Returns how many tries have failed so far.
+    #[must_use]
+    pub const fn failed_tries(&self) -> u32 {
+        self.retries + self.reroutes
+    }
+
+    /// Returns when the request's time is over.
+    #[must_use]
+    pub const fn deadline(&self) -> Timestamp {
+        self.deadline
+    }
+
+    fn into_state<T>(self, state: T) -> Attempt<T> {
+        Attempt {
+            settings: self.settings,
+            idempotent: self.idempotent,
+            divided: self.divided,
+            deadline: self.deadline,
+            retries: self.retries,
+            reroutes: self.reroutes,
+            unknown: self.unknown,
+            state,
+        }
+    }
+
+    /// Ends the request for `reason`, unless an earlier try may have run.
+    fn refuse(&self, reason: Reason, retry_after: Option<Duration>) -> Next {
+        let reason = match self.unknown {
+            Some(unknown) if reason.outcome() == Outcome::NotRun => unknown,
+            _ => reason,
+        };
+        Next::Done(Verdict {
+            outcome: reason.outcome(),
+            reason: Some(reason),
+            retry_after,
+        })
+    }
+
+    /// Returns the pause after `tries` failed ones.
+    fn pause(&self, tries: u32) -> Duration {
+        let doubled = self.settings.backoff.saturating_mul(1 << tries.min(16));
+        doubled.min(self.settings.backoff_max)
+    }
+}
+
 impl Attempt<Ready> {
     /// Creates a request that has not been tried; `divided` tells whether its entry is divided
     /// by key, so that only the key's owner can serve it.
     #[must_use]
-    pub fn new(
+    pub const fn new(
         settings: AttemptSettings,
         idempotent: bool,
         divided: bool,
         deadline: Timestamp,
     ) -> Self {
-        todo!()
+        Self {
+            settings,
+            idempotent,
+            divided,
+            deadline,
+            retries: 0,
+            reroutes: 0,
+            unknown: None,
+            state: Ready(()),
+        }
     }
 
-    /// Takes note that the request is handed on.
+    /// Takes note that the request is handed on, or that routing it is tried.
     #[must_use]
     pub fn start(self) -> Attempt<UnderWay> {
-        todo!()
+        self.into_state(UnderWay(()))
     }
 }
 
 impl Attempt<UnderWay> {
     /// Decides what follows from the end of a try.
     #[must_use]
-    pub fn ended(self, now: Timestamp, how: Try, budget: &mut RetryBudget) -> Next {
-        todo!()
+    pub fn ended(mut self, now: Timestamp, how: Try, budget: &mut RetryBudget) -> Next {
+        let Try::Failed {
+            reason,
+            retry_after,
+        } = how
+        else {
+            return Next::Done(Verdict {
+                outcome: Outcome::Answered,
+                reason: None,
+                retry_after: None,
+            });
+        };
+        if reason.outcome() == Outcome::Unknown {
+            self.unknown.get_or_insert(reason);
+            if !self.idempotent {
+                return self.refuse(reason, None);
+            }
+        }
+        match remedy(reason) {
+            Remedy::None => self.refuse(reason, retry_after),
+            Remedy::OtherUpstream if self.divided => self.refuse(reason, retry_after),
+            Remedy::Reroute => self.reroute(now, reason, retry_after),
+            Remedy::Again | Remedy::OtherUpstream => self.retry(now, reason, retry_after, budget),
+        }
+    }
+
+    fn reroute(mut self, now: Timestamp, reason: Reason, hint: Option<Duration>) -> Next {
+        let after = self.pause(self.reroutes).max(hint.unwrap_or_default());
+        if self.reroutes >= self.settings.reroutes_max || !self.has_time(now, after) {
+            return self.refuse(reason, Some(after));
+        }
+        self.reroutes += 1;
+        self.again(after, reason)
+    }
+
+    fn retry(
+        mut self,
+        now: Timestamp,
+        reason: Reason,
+        hint: Option<Duration>,
+        budget: &mut RetryBudget,
+    ) -> Next {
+        // Another upstream owes nothing to the refusing one's hint.
+        let hint = hint.filter(|_| self.divided).unwrap_or_default();
+        let after = self.pause(self.retries).max(hint);
+        if self.retries >= self.settings.retries_max || !self.has_time(now, after) {
+            return self.refuse(reason, Some(after));
+        }
+        if !budget.withdraw(now) {
+            return self.refuse(Reason::RetryBudget, Some(after));
+        }
+        self.retries += 1;
+        self.again(after, reason)
+    }
+
+    fn again(self, after: Duration, reason: Reason) -> Next {
+        let elsewhere = !self.divided;
+        let attempt = self.into_state(Ready(()));
+        if elsewhere {
+            return Next::Elsewhere {
+                attempt,
+                after,
+                reason,
+            };
+        }
+        Next::Retry {
+            attempt,
+            after,
+            reason,
+        }
+    }
+
+    fn has_time(&self, now: Timestamp, after: Duration) -> bool {
+        now + after + self.settings.least_try <= self.deadline
     }
 }
--- a/crates/route/src/deadline.rs
+++ b/crates/route/src/deadline.rs
@@ -14,7 +14,7 @@
 impl Default for DeadlineSettings {
     fn default() -> Self {
         Self {
-            cap: Duration::from_secs(60),
+            cap: Duration::from_mins(1),
         }
     }
 }
--- /dev/null
+++ b/crates/route/src/dispatch/call.rs
@@ -0,0 +1,59 @@
+//! One call, from its arrival to the end of all that it holds.
+
+use ids::Timestamp;
+
+use super::lane::LaneKey;
+use super::message::Arrival;
+use super::queue::Place;
+use crate::key::CallKey;
+
+/// Where a call stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// It waits for a slot.
+    Waiting(Place),
+    /// It waits for its slice to move.
+    Held,
+    /// It was sent; its answer is awaited.
+    Sent {
+        /// When it was sent.
+        at: Timestamp,
+    },
+    /// It was sent and aborted.
+    Stopping {
+        /// Whether its connection is closed.
+        closed: bool,
+        /// Whether the upstream has surely stopped, so that the slot is free.
+        stopped: bool,
+    },
+    /// It is a repeat of another one and gets that one's end.
+    Joined(CallKey),
+}
+
+/// One call.
+#[derive(Debug)]
+pub struct Call {
+    /// What came.
+    pub arrival: Arrival,
+    /// Lane.
+    pub lane: LaneKey,
+    /// Order of arrival.
+    pub number: u64,
+    /// Where it stands.
+    pub state: State,
+    /// Whether a final action is still due.
+    pub expected: bool,
+    /// Repeats that get this call's end.
+    pub joined: Vec<CallKey>,
+    /// When the state must be looked at again.
+    pub timer: Timestamp,
+    /// Whether its id is in the memory of repeats.
+    pub registered: bool,
+}
+
+impl Call {
+    /// Tells whether anybody waits for the call's end.
+    pub fn is_wanted(&self) -> bool {
+        self.expected || !self.joined.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/route/src/dispatch/lane.rs
@@ -0,0 +1,290 @@
+//! One upstream, as its coordinating host sees it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::{Epoch, Reason, SliceNo, Timestamp, UpstreamId};
+use indexmap::{IndexMap, IndexSet};
+
+use super::limit::Limiter;
+use super::message::{Ended, UpstreamLimits};
+use super::queue::Queue;
+use super::service::ServiceTime;
+use super::settings::DispatcherSettings;
+use crate::key::CallKey;
+
+ids::arena_key! {
+    /// Names a lane of a dispatcher.
+    LaneKey
+}
+
+/// Bounds on the hint when to come back.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(5));
+
+/// Times the usual time after which a call that is stopped counts as a fault of the upstream.
+const STUCK_TIMES: u32 = 4;
+
+/// The least time after which a call that is stopped counts as a fault of the upstream.
+const STUCK_LEAST: Duration = Duration::from_millis(100);
+
+/// The grant under which calls are sent.
+#[derive(Debug, Clone)]
+pub struct Lease {
+    /// Fencing token.
+    pub epoch: Epoch,
+    /// When it surely ends.
+    pub valid_until: Timestamp,
+    /// Slices, sorted.
+    pub slices: Arc<[SliceNo]>,
+}
+
+/// A slice that is about to move.
+#[derive(Debug)]
+pub struct Hold {
+    /// When the hold began.
+    pub since: Timestamp,
+    /// Calls that wait for its end, in order of arrival.
+    pub calls: IndexSet<CallKey>,
+    /// Whether it was told that nothing of the slice is under way.
+    pub drained: bool,
+}
+
+/// What becomes of a lane.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It takes calls.
+    Open,
+    /// It takes no new ones; whether the end of the last one was told.
+    Draining {
+        /// Whether it was told that nothing is under way.
+        drained: bool,
+    },
+    /// As draining, and forgotten once nothing is under way.
+    Removed,
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub struct Lane {
+    /// Upstream.
+    pub id: UpstreamId,
+    /// What is declared of it.
+    pub limits: UpstreamLimits,
+    /// Whether it takes calls.
+    pub stage: Stage,
+    /// Grant; none if there never was one.
+    pub lease: Option<Lease>,
+    /// Calls that wait for a slot.
+    pub queue: Queue,
+    /// Slices that are about to move.
+    pub holds: IndexMap<SliceNo, Hold>,
+    /// Calls that were sent and whose slot or connection is not surely free.
+    pub under_way: IndexSet<CallKey>,
+    /// Slots in use.
+    pub busy: u32,
+    /// Connections in use.
+    pub connections: u32,
+    /// How many calls may be under way.
+    pub limiter: Limiter,
+    /// How long calls take.
+    pub service: ServiceTime,
+}
+
+impl Lane {
+    /// Creates a lane without a lease.
+    pub fn new(
+        now: Timestamp,
+        id: UpstreamId,
+        limits: UpstreamLimits,
+        settings: &DispatcherSettings,
+    ) -> Self {
+        Self {
+            id,
+            limits,
+            stage: Stage::Open,
+            lease: None,
+            queue: Queue::new(now, settings.queue),
+            holds: IndexMap::new(),
+            under_way: IndexSet::new(),
+            busy: 0,
+            connections: 0,
+            limiter: Limiter::new(now, limits.slots, settings.limiter),
+            service: ServiceTime::default(),
+        }
+    }
+
+    /// Returns how many calls are under way or waiting.
+    pub fn load(&self) -> u32 {
+        self.busy + self.waiting() as u32
+    }
+
+    /// Returns how many calls wait, for a slot or for a move.
+    pub fn waiting(&self) -> usize {
+        let held: usize = self.holds.values().map(|h| h.calls.len()).sum();
+        self.queue.len() + held
+    }
+
+    /// Tells whether a call may be sent as far as slots and connections go.
+    pub fn has_room(&self, now: Timestamp) -> bool {
+        self.stage == Stage::Open
+            && self.busy < self.limiter.allowed(now)
+            && self.connections < self.limits.connections
+    }
+
+    /// Returns the reason for which a call may not be sent under the lease, if there is one.
+    pub fn lease_fault(
+        &self,
+        now: Timestamp,
+        slice: Option<SliceNo>,
+        margin: Duration,
+    ) -> Option<Reason> {
+        let Some(lease) = &self.lease else {
+            return Some(Reason::NoLease);
+        };
+        if self.is_lapsed(now, margin) {
+            return Some(Reason::NoLease);
+        }
+        match (self.limits.divided, slice) {
+            (false, None) => None,
+            (true, Some(slice)) if lease.slices.binary_search(&slice).is_ok() => None,
+            _ => Some(Reason::StaleRoute),
+        }
+    }
+
+    /// Returns the reason for which no call is taken at all, if there is one.
+    pub fn stage_fault(&self) -> Option<Reason> {
+        match self.stage {
+            Stage::Open => None,
+            Stage::Draining { .. } if self.limits.divided => Some(Reason::Moving),
+            Stage::Draining { .. } | Stage::Removed => Some(Reason::StaleRoute),
+        }
+    }
+
+    /// Returns the usual time between the ends of two calls while all slots are busy.
+    pub fn end_gap(&self, now: Timestamp) -> Duration {
+        self.service.mean() / self.limiter.allowed(now).max(1)
+    }
+
+    /// Tells whether a call that was sent now would surely be late by the estimate.
+    ///
+    /// While nothing is under way the estimate is not trusted, so that a call now and then
+    /// brings a new one.
+    pub fn too_late_to_send(&self, now: Timestamp, deadline: Timestamp) -> bool {
+        deadline <= now || (self.busy > 0 && deadline <= now + self.service.mean())
+    }
+
+    /// Tells whether a call that came now would be late by the estimate, given its place.
+    pub fn too_late_to_wait(&self, now: Timestamp, deadline: Timestamp) -> bool {
+        let ahead = self.queue.ahead(deadline);
+        if ahead == 0 && self.has_room(now) {
+            return self.too_late_to_send(now, deadline);
+        }
+        let wait = self.end_gap(now).saturating_mul(ahead as u32 + 1);
+        deadline <= now + wait + self.service.mean()
+    }
+
+    /// Returns when a refused caller may come back: once half of the queue is worked off.
+    pub fn retry_after(&self, now: Timestamp) -> Duration {
+        let half = self.waiting() as u32 / 2 + 1;
+        let wait = self.end_gap(now).saturating_mul(half);
+        wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1)
+    }
+
+    /// Takes new limits; the lane takes calls again if it did not.
+    pub fn declare(&mut self, now: Timestamp, limits: UpstreamLimits) {
+        self.limiter.set_slots(now, limits.slots);
+        self.limits = limits;
+        self.stage = Stage::Open;
+    }
+
+    /// Takes a grant or its renewal. One with a lower epoch is out of date and changes nothing.
+    pub fn grant(&mut self, epoch: Epoch, valid_until: Timestamp, slices: Option<Arc<[SliceNo]>>) {
+        let sorted = slices.as_ref().is_none_or(|s| s.is_sorted());
+        debug_assert!(sorted, "slices of a lease are sorted");
+        let Some(lease) = &mut self.lease else {
+            self.lease = Some(Lease {
+                epoch,
+                valid_until,
+                slices: slices.unwrap_or_default(),
+            });
+            return;
+        };
+        if epoch < lease.epoch {
+            return;
+        }
+        if epoch > lease.epoch {
+            lease.valid_until = valid_until;
+        }
+        lease.epoch = epoch;
+        lease.valid_until = lease.valid_until.max(valid_until);
+        if let Some(slices) = slices {
+            lease.slices = slices;
+        }
+    }
+
+    /// Ends the lease before its time.
+    pub fn lapse(&mut self) {
+        if let Some(lease) = &mut self.lease {
+            lease.valid_until = Timestamp::ZERO;
+        }
+    }
+
+    /// Tells whether nothing may be sent under the lease, whatever its slice.
+    pub fn is_lapsed(&self, now: Timestamp, margin: Duration) -> bool {
+        self.lease
+            .as_ref()
+            .is_none_or(|l| l.valid_until <= now + margin)
+    }
+
+    /// Begins to hold a slice. Returns whether it was not held before.
+    pub fn hold(&mut self, now: Timestamp, slice: SliceNo) -> bool {
+        if self.holds.contains_key(&slice) {
+            return false;
+        }
+        let hold = Hold {
+            since: now,
+            calls: IndexSet::new(),
+            drained: false,
+        };
+        self.holds.insert(slice, hold);
+        true
+    }
+
+    /// Learns from a call that is aborted. Returns when the upstream has surely stopped it, if it
+    /// heeds neither the cancellation nor the deadline's passing at once.
+    pub fn stop(&mut self, now: Timestamp, sent_at: Timestamp, deadline: Timestamp) -> Timestamp {
+        let elapsed = now.since(sent_at);
+        let stuck = (self.service.high() * STUCK_TIMES).max(STUCK_LEAST);
+        if elapsed >= stuck {
+            self.limiter.fault(now);
+        }
+        // A caller that left early tells nothing of an upstream that was never seen at work.
+        if deadline <= now || self.service.is_known() {
+            self.service.sample_at_least(elapsed);
+        }
+        if !self.service.is_known() {
+            return deadline;
+        }
+        (sent_at + self.service.high()).min(deadline).max(now)
+    }
+
+    /// Learns from the end of a call.
+    pub fn observe(&mut self, now: Timestamp, sent_at: Timestamp, how: Ended) {
+        let took = now.since(sent_at);
+        match how {
+            Ended::Answered { .. } | Ended::Failed(Reason::AnswerTooLarge) => {
+                self.service.sample(took);
+                self.limiter.answered(now);
+            }
+            Ended::Failed(Reason::UpstreamShed) => self.limiter.shed(now, sent_at),
+            Ended::Failed(
+                Reason::ConnectFailed
+                | Reason::UpstreamReset
+                | Reason::AnswerCut
+                | Reason::AnswerMismatch
+                | Reason::AnswerTimeout,
+            ) => self.limiter.fault(now),
+            Ended::Failed(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/dispatch/limit.rs
@@ -0,0 +1,210 @@
+//! How many calls an upstream is given at the same time.
+//!
+//! The declared slots are the most. Below them, only what this host observes counts: answers,
+//! calls that the upstream turned away, and broken or overdue ones. What the upstream reports of
+//! itself is believed only while there is nothing observed.
+
+use std::time::Duration;
+
+use ids::Timestamp;
+
+/// Settings of a [`Limiter`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimiterSettings {
+    /// Time over which the slots of a cold upstream are opened.
+    pub ramp: Duration,
+    /// Part of the limit that is left after the upstream turned a call away.
+    pub shed_factor: f64,
+    /// Slots regained each second.
+    pub regain_per_s: f64,
+    /// Faults in a row after which the upstream counts as failing.
+    pub faults: u32,
+    /// Time until a failing upstream is tried again; doubles with each further fault.
+    pub probe: Duration,
+    /// The longest time until a failing upstream is tried again.
+    pub probe_max: Duration,
+    /// Time for which an observation outweighs reports.
+    pub observation: Duration,
+}
+
+impl Default for LimiterSettings {
+    fn default() -> Self {
+        Self {
+            ramp: Duration::from_secs(3),
+            shed_factor: 0.75,
+            regain_per_s: 0.5,
+            faults: 3,
+            probe: Duration::from_millis(50),
+            probe_max: Duration::from_secs(1),
+            observation: Duration::from_secs(1),
+        }
+    }
+}
+
+/// The number of calls that one upstream is given at the same time.
+#[derive(Debug, Clone)]
+pub struct Limiter {
+    settings: LimiterSettings,
+    /// Declared slots.
+    slots: u32,
+    /// Limit as of `limit_at`.
+    limit: f64,
+    limit_at: Timestamp,
+    /// When the upstream was found cold.
+    cold_at: Option<Timestamp>,
+    /// Faults since the last answer.
+    faults: u32,
+    /// When a failing upstream may be tried again.
+    probe_at: Timestamp,
+    /// When a call's end last told something.
+    observed_at: Option<Timestamp>,
+}
+
+impl Limiter {
+    /// Creates a limiter that gives all slots.
+    #[must_use]
+    pub fn new(now: Timestamp, slots: u32, settings: LimiterSettings) -> Self {
+        Self {
+            settings,
+            slots,
+            limit: f64::from(slots),
+            limit_at: now,
+            cold_at: None,
+            faults: 0,
+            probe_at: Timestamp::ZERO,
+            observed_at: None,
+        }
+    }
+
+    /// Takes a new number of declared slots.
+    pub fn set_slots(&mut self, now: Timestamp, slots: u32) {
+        if slots == self.slots {
+            return;
+        }
+        let full = self.limit(now) >= f64::from(self.slots);
+        self.slots = slots;
+        if full {
+            self.limit = f64::from(slots);
+        }
+        self.limit = self.limit.min(f64::from(slots));
+    }
+
+    /// Returns how many calls may be under way now.
+    #[must_use]
+    pub fn allowed(&self, now: Timestamp) -> u32 {
+        if self.slots == 0 {
+            return 0;
+        }
+        if self.is_failing() {
+            return u32::from(self.probe_at <= now);
+        }
+        let limit = self.limit(now).min(self.ramp(now));
+        (limit as u32).clamp(1, self.slots)
+    }
+
+    /// Returns when [`Self::allowed`] rises by itself, if it will.
+    #[must_use]
+    pub fn next_rise(&self, now: Timestamp) -> Option<Timestamp> {
+        if self.is_failing() {
+            return Some(self.probe_at).filter(|&t| t > now);
+        }
+        let allowed = self.allowed(now);
+        if allowed >= self.slots {
+            return None;
+        }
+        let next = f64::from(allowed + 1);
+        let regained = (next - self.limit).max(0.0) / self.settings.regain_per_s.max(1e-3);
+        let by_limit = self.limit_at + Duration::from_secs_f64(regained);
+        let share = (next - 1.0) / f64::from(self.slots.max(2) - 1);
+        let by_ramp = self
+            .cold_at
+            .map(|t| t + self.settings.ramp.mul_f64(share.min(1.0)));
+        let at = by_limit.max(by_ramp.unwrap_or(Timestamp::ZERO));
+        // A reading is in whole microseconds: just after it the limit has surely risen.
+        Some(at.max(now) + Duration::from_micros(1))
+    }
+
+    /// Tells whether the upstream failed too often in a row.
+    #[must_use]
+    pub const fn is_failing(&self) -> bool {
+        self.faults >= self.settings.faults
+    }
+
+    /// Returns the time until a failing upstream is tried again, unless it may be now.
+    #[must_use]
+    pub fn closed_for(&self, now: Timestamp) -> Option<Duration> {
+        (self.is_failing() && self.probe_at > now).then(|| self.probe_at.since(now))
+    }
+
+    /// Takes note that the upstream restarted and opens its slots one by one.
+    pub fn cold(&mut self, now: Timestamp) {
+        self.cold_at = Some(now);
+        self.faults = 0;
+    }
+
+    /// Takes note of an answer.
+    pub fn answered(&mut self, now: Timestamp) {
+        self.observed_at = Some(now);
+        if self.is_failing() {
+            self.cold_at = Some(now);
+        }
+        self.faults = 0;
+    }
+
+    /// Takes note that the upstream turned a call away that was sent at `sent_at`.
+    ///
+    /// Calls that were sent before the last shrinking tell nothing new.
+    pub fn shed(&mut self, now: Timestamp, sent_at: Timestamp) {
+        self.observed_at = Some(now);
+        self.faults = 0;
+        if sent_at < self.limit_at && self.limit < f64::from(self.slots) {
+            return;
+        }
+        let limit = self.limit(now).min(f64::from(self.allowed(now)));
+        self.limit = (limit * self.settings.shed_factor).floor().max(1.0);
+        self.limit_at = now;
+    }
+
+    /// Takes note of a call that broke or took far too long.
+    pub fn fault(&mut self, now: Timestamp) {
+        self.observed_at = Some(now);
+        if self.is_failing() && self.probe_at > now {
+            return;
+        }
+        self.faults = self.faults.saturating_add(1);
+        if !self.is_failing() {
+            return;
+        }
+        let doublings = (self.faults - self.settings.faults).min(16);
+        let pause = self.settings.probe.saturating_mul(1 << doublings);
+        self.probe_at = now + pause.min(self.settings.probe_max);
+    }
+
+    /// Takes note of what the upstream says of itself.
+    pub fn report(&mut self, now: Timestamp, healthy: bool) {
+        let observed = self
+            .observed_at
+            .is_some_and(|t| now.since(t) < self.settings.observation);
+        if observed || healthy {
+            return;
+        }
+        self.cold_at = Some(now);
+    }
+
+    /// Returns the limit by what was turned away and regained since.
+    fn limit(&self, now: Timestamp) -> f64 {
+        let regained = now.since(self.limit_at).as_secs_f64() * self.settings.regain_per_s;
+        (self.limit + regained).min(f64::from(self.slots))
+    }
+
+    /// Returns the limit by the time since the upstream was found cold.
+    fn ramp(&self, now: Timestamp) -> f64 {
+        let slots = f64::from(self.slots);
+        let Some(from) = self.cold_at else {
+            return slots;
+        };
+        let ramp = self.settings.ramp.as_secs_f64().max(1e-6);
+        let risen = (now.since(from).as_secs_f64() / ramp).min(1.0);
+        1.0 + (slots - 1.0) * risen
+    }
+}
--- /dev/null
+++ b/crates/route/src/dispatch/queue.rs
@@ -0,0 +1,205 @@
+//! Calls that wait for a slot of one upstream.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ids::Timestamp;
+
+use crate::key::CallKey;
+
+/// In what order waiting calls are sent, and which are dropped.
+///
+/// `docs/LIMITS.md` has the figures that the default was chosen by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueOrder {
+    /// First come, first sent.
+    Fifo,
+    /// Last come, first sent.
+    Lifo,
+    /// Earliest deadline first.
+    Deadline,
+    /// First come, first sent; once the queue has stood for [`QueueSettings::interval`], calls
+    /// that waited longer than the target are dropped.
+    Controlled,
+    /// As [`Self::Controlled`], but last come, first sent while the queue stands.
+    ControlledLifo,
+}
+
+impl QueueOrder {
+    /// All orders.
+    pub const ALL: [Self; 5] = [
+        Self::Fifo,
+        Self::Lifo,
+        Self::Deadline,
+        Self::Controlled,
+        Self::ControlledLifo,
+    ];
+
+    const fn is_controlled(self) -> bool {
+        matches!(self, Self::Controlled | Self::ControlledLifo)
+    }
+}
+
+/// Settings of queues.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QueueSettings {
+    /// Order.
+    pub order: QueueOrder,
+    /// Time without an empty queue after which it counts as standing.
+    pub interval: Duration,
+    /// Wait that a standing queue allows at least.
+    pub target: Duration,
+    /// Wait that a standing queue allows, in mean service times.
+    pub target_services: f64,
+    /// Whether calls that would not finish in time by the estimate are refused as they come.
+    pub refuse_early: bool,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        Self {
+            order: QueueOrder::Controlled,
+            interval: Duration::from_millis(100),
+            target: Duration::from_millis(5),
+            target_services: 6.0,
+            refuse_early: true,
+        }
+    }
+}
+
+/// Place of a call in a [`Queue`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// The deadline if that gives the order, else the same for all.
+    due: Timestamp,
+    /// Order of arrival.
+    number: u64,
+}
+
+/// A waiting call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Waiting {
+    /// The call.
+    pub call: CallKey,
+    /// When it came.
+    pub since: Timestamp,
+}
+
+/// Calls that wait for a slot of one upstream.
+#[derive(Debug)]
+pub struct Queue {
+    settings: QueueSettings,
+    calls: BTreeMap<Place, Waiting>,
+    /// When a call last found the queue empty.
+    empty_at: Timestamp,
+}
+
+impl Queue {
+    /// Creates an empty queue.
+    #[must_use]
+    pub fn new(now: Timestamp, settings: QueueSettings) -> Self {
+        Self {
+            settings,
+            calls: BTreeMap::new(),
+            empty_at: now,
+        }
+    }
+
+    /// Returns how many calls wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Tells whether no call waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Returns how many calls would be sent before one that comes now.
+    #[must_use]
+    pub fn ahead(&self, deadline: Timestamp) -> usize {
+        match self.settings.order {
+            QueueOrder::Fifo | QueueOrder::Controlled => self.calls.len(),
+            QueueOrder::Lifo | QueueOrder::ControlledLifo => 0,
+            QueueOrder::Deadline => {
+                let end = Place {
+                    due: deadline,
+                    number: u64::MAX,
+                };
+                self.calls.range(..end).count()
+            }
+        }
+    }
+
+    /// Adds a call; `number` gives its order of arrival among all calls of the host.
+    pub fn push(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        waiting: Waiting,
+        deadline: Timestamp,
+    ) -> Place {
+        if self.calls.is_empty() {
+            self.empty_at = now;
+        }
+        let due = if self.settings.order == QueueOrder::Deadline {
+            deadline
+        } else {
+            Timestamp::ZERO
+        };
+        let place = Place { due, number };
+        let before = self.calls.insert(place, waiting);
+        debug_assert!(before.is_none(), "two calls at one place");
+        place
+    }
+
+    /// Takes a call out.
+    pub fn remove(&mut self, place: Place) -> Option<CallKey> {
+        self.calls.remove(&place).map(|w| w.call)
+    }
+
+    /// Takes out the call to send next.
+    pub fn pop(&mut self, now: Timestamp) -> Option<CallKey> {
+        let newest_first = match self.settings.order {
+            QueueOrder::Fifo | QueueOrder::Controlled | QueueOrder::Deadline => false,
+            QueueOrder::Lifo => true,
+            QueueOrder::ControlledLifo => self.is_standing(now),
+        };
+        let next = if newest_first {
+            self.calls.pop_last()
+        } else {
+            self.calls.pop_first()
+        };
+        next.map(|(_, w)| w.call)
+    }
+
+    /// Takes out the oldest call if it has waited too long; `service` is the mean time that calls
+    /// take once they are sent.
+    pub fn pop_overdue(&mut self, now: Timestamp, service: Duration) -> Option<CallKey> {
+        if !self.settings.order.is_controlled() || !self.is_standing(now) {
+            return None;
+        }
+        let (&place, oldest) = self.calls.first_key_value()?;
+        if now.since(oldest.since) <= self.target(service) {
+            return None;
+        }
+        self.remove(place)
+    }
+
+    /// Iterates over all waiting calls.
+    pub fn iter(&self) -> impl Iterator<Item = (Place, Waiting)> {
+        self.calls.iter().map(|(&p, &w)| (p, w))
+    }
+
+    fn is_standing(&self, now: Timestamp) -> bool {
+        now.since(self.empty_at) > self.settings.interval
+    }
+
+    fn target(&self, service: Duration) -> Duration {
+        service
+            .mul_f64(self.settings.target_services)
+            .max(self.settings.target)
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod dispatch;
 pub mod key;
 pub mod ownership;
+mod path;
 pub mod pick;
 pub mod router;
 
@@ -31,7 +32,10 @@
 pub use attempt::{Attempt, AttemptSettings, Next, Ready, Try, UnderWay, Verdict};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use deadline::DeadlineSettings;
-pub use dispatch::{Action, Arrival, Dispatcher, DispatcherSettings, Ended, Event, UpstreamLimits};
+pub use dispatch::{
+    Action, Arrival, Dispatcher, DispatcherSettings, Ended, Event, LimiterSettings, QueueOrder,
+    QueueSettings, UpstreamLimits,
+};
 pub use key::{CallKey, EntryKey, HostKey, UpstreamKey};
 pub use ownership::{Owned, Ownership, OwnershipChange};
 pub use pick::{Picker, PickerSettings};
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -1,8 +1,14 @@
 //! Choice of an upstream for entries that are not divided by key.
+//!
+//! What this host saw itself goes before what is reported: failures of its own tries put an
+//! upstream aside, and the load carried in replies is the coordinating host's true count of
+//! calls, never a figure of the upstream's own.
 
 use std::time::Duration;
 
-use ids::{Reason, Timestamp};
+use ids::{ArenaKey, DomainId, Reason, Timestamp};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 use crate::key::{EntryKey, UpstreamKey};
 use crate::router::Router;
@@ -12,6 +18,11 @@
 pub struct PickerSettings {
     /// Seed of the random draws.
     pub seed: u64,
+    /// Domain of this host; upstreams of other ones count as loaded by [`Self::remote_load`]
+    /// more.
+    pub domain: Option<DomainId>,
+    /// Load that the way to another domain is worth, in requests for each slot.
+    pub remote_load: f64,
     /// Time after which half of a reported load is forgotten.
     pub load_half_life: Duration,
     /// Time for which an upstream is passed over after a failure; doubles with each further one.
@@ -28,15 +39,35 @@
     fn default() -> Self {
         Self {
             seed: 0,
+            domain: None,
+            remote_load: 0.25,
             load_half_life: Duration::from_millis(100),
             cool_off: Duration::from_millis(100),
             cool_off_max: Duration::from_secs(2),
-            ramp: Duration::from_secs(5),
+            ramp: Duration::from_secs(3),
             ramp_start: 0.1,
         }
     }
 }
 
+/// What is known of one upstream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Gauge {
+    /// Calls that this picker has under way there.
+    under_way: u32,
+    /// Load at `reported_at`, with this picker's calls since then.
+    reported: f64,
+    reported_at: Timestamp,
+    /// Failures since the last reply.
+    failures: u32,
+    /// Until when the upstream is passed over.
+    aside_until: Timestamp,
+    /// When its share began to rise; none if it never had to.
+    ramp_from: Option<Timestamp>,
+    /// Whether the upstream was ever a candidate.
+    seen: bool,
+}
+
 /// Chooses the less loaded of two upstreams drawn at random.
 ///
 /// One thread of an entry host owns one; it counts what that thread has under way and what the
@@ -44,19 +75,50 @@
 #[derive(Debug)]
 pub struct Picker {
     settings: PickerSettings,
+    gauges: Vec<Gauge>,
+    /// Candidates of the current choice, kept to spare allocations.
+    candidates: Vec<UpstreamKey>,
+    rng: StdRng,
+    /// Whether upstreams that come into sight are new ones; not so for those there at first.
+    started: bool,
 }
 
 impl Picker {
     /// Creates a picker that knows nothing yet.
     #[must_use]
     pub fn new(settings: PickerSettings) -> Self {
-        Self { settings }
+        let rng = StdRng::seed_from_u64(settings.seed);
+        Self {
+            settings,
+            gauges: Vec::new(),
+            candidates: Vec::new(),
+            rng,
+            started: false,
+        }
+    }
+
+    /// Takes note of a new snapshot: upstreams that were in none before start with a small
+    /// share, but for those of the first snapshot.
+    pub fn adopt(&mut self, now: Timestamp, router: &Router) {
+        self.gauges
+            .resize_with(router.upstream_count(), Gauge::default);
+        let keys = router.entries().flat_map(|(_, e)| e.upstreams.iter());
+        for key in keys {
+            let gauge = &mut self.gauges[key.index()];
+            if !gauge.seen && self.started {
+                gauge.ramp_from = Some(now);
+            }
+            gauge.seen = true;
+        }
+        self.started = true;
     }
 
-    /// Chooses an upstream of `entry` and counts a request under way there; `avoid` holds
+    /// Chooses an upstream of `entry` and counts a call under way there; `avoid` holds
     /// upstreams already tried, taken only if there is no other.
     ///
-    /// The caller reports the end of the try by [`Self::replied`] or [`Self::failed`].
+    /// The caller reports the end of the try by [`Self::replied`], [`Self::failed`] or
+    /// [`Self::left`]. If all upstreams are set aside, they are all candidates again: a host
+    /// that sees none fit may be the one at fault.
     ///
     /// # Errors
     ///
@@ -69,17 +131,147 @@
         entry: EntryKey,
         avoid: &[UpstreamKey],
     ) -> Result<UpstreamKey, Reason> {
-        todo!()
+        if self.gauges.len() < router.upstream_count() {
+            self.adopt(now, router);
+        }
+        self.gather(now, router, entry, avoid)?;
+        let chosen = self.less_loaded(now, router);
+        let gauge = &mut self.gauges[chosen.index()];
+        gauge.under_way += 1;
+        gauge.reported += 1.0;
+        Ok(chosen)
     }
 
     /// Takes note of a reply (an answer or a refusal that tells no fault of the upstream) and of
     /// the load that it carried.
     pub fn replied(&mut self, now: Timestamp, upstream: UpstreamKey, load: u32) {
-        todo!()
+        let ramp = self.settings.ramp;
+        let Some(gauge) = self.end(upstream) else {
+            return;
+        };
+        gauge.reported = f64::from(load);
+        gauge.reported_at = now;
+        if gauge.failures == 0 {
+            return;
+        }
+        gauge.failures = 0;
+        let ramping = gauge.ramp_from.is_some_and(|t| now.since(t) < ramp);
+        if !ramping {
+            gauge.ramp_from = Some(now);
+        }
     }
 
     /// Takes note of a try that failed because of the upstream or its coordinating host.
     pub fn failed(&mut self, now: Timestamp, upstream: UpstreamKey) {
-        todo!()
+        let (first, longest) = (self.settings.cool_off, self.settings.cool_off_max);
+        let Some(gauge) = self.end(upstream) else {
+            return;
+        };
+        // Calls that were under way together fail together: they count as one failure.
+        if now < gauge.aside_until {
+            return;
+        }
+        let span = first.saturating_mul(1 << gauge.failures.min(16));
+        gauge.failures += 1;
+        gauge.aside_until = now + span.min(longest);
+    }
+
+    /// Takes note that a call ended without telling anything of the upstream.
+    pub fn left(&mut self, upstream: UpstreamKey) {
+        self.end(upstream);
+    }
+
+    /// Returns how many calls this picker has under way at an upstream.
+    #[must_use]
+    pub fn under_way(&self, upstream: UpstreamKey) -> u32 {
+        self.gauges.get(upstream.index()).map_or(0, |g| g.under_way)
+    }
+
+    fn end(&mut self, upstream: UpstreamKey) -> Option<&mut Gauge> {
+        let gauge = self.gauges.get_mut(upstream.index())?;
+        debug_assert!(gauge.under_way > 0, "more calls ended than picked");
+        gauge.under_way = gauge.under_way.saturating_sub(1);
+        gauge.reported = (gauge.reported - 1.0).max(0.0);
+        Some(gauge)
+    }
+
+    /// Fills `candidates`: the fit ones not yet tried, else the fit ones, else all.
+    fn gather(
+        &mut self,
+        now: Timestamp,
+        router: &Router,
+        entry: EntryKey,
+        avoid: &[UpstreamKey],
+    ) -> Result<(), Reason> {
+        let route = router.entry(entry).ok_or(Reason::UnknownEntry)?;
+        let taken = |k: &UpstreamKey| router.upstream(*k).is_some_and(|u| u.host.is_some());
+        let fit = |k: &UpstreamKey| self.gauges[k.index()].aside_until <= now;
+        let new = |k: &UpstreamKey| !avoid.contains(k);
+        let all = || route.upstreams.iter().copied().filter(taken);
+
+        self.candidates.clear();
+        self.candidates.extend(all().filter(fit).filter(new));
+        if self.candidates.is_empty() {
+            self.candidates.extend(all().filter(new));
+        }
+        if self.candidates.is_empty() {
+            self.candidates.extend(all());
+        }
+        if self.candidates.is_empty() {
+            return Err(Reason::NoUpstream);
+        }
+        Ok(())
+    }
+
+    /// Draws two of the candidates and returns the less loaded one.
+    fn less_loaded(&mut self, now: Timestamp, router: &Router) -> UpstreamKey {
+        let n = self.candidates.len();
+        debug_assert!(n > 0, "a choice needs candidates");
+        let i = self.rng.random_range(0..n);
+        let first = self.candidates[i];
+        if n == 1 {
+            return first;
+        }
+        let j = (i + self.rng.random_range(1..n)) % n;
+        let second = self.candidates[j];
+        if self.score(now, router, second) < self.score(now, router, first) {
+            return second;
+        }
+        first
+    }
+
+    /// Returns how loaded an upstream would be with one call more, in calls for each slot.
+    fn score(&self, now: Timestamp, router: &Router, key: UpstreamKey) -> f64 {
+        let gauge = &self.gauges[key.index()];
+        let Some(upstream) = router.upstream(key) else {
+            return f64::INFINITY;
+        };
+        let remote = self.settings.domain.is_some() && self.settings.domain != upstream.domain;
+        let way = if remote {
+            self.settings.remote_load
+        } else {
+            0.0
+        };
+        let slots = f64::from(upstream.slots.max(1));
+        ((self.load(now, gauge) + 1.0) / slots + way) / self.share(now, gauge)
+    }
+
+    /// Returns the load last reported, faded towards what this picker has under way itself.
+    fn load(&self, now: Timestamp, gauge: &Gauge) -> f64 {
+        let own = f64::from(gauge.under_way);
+        let age = now.since(gauge.reported_at).as_secs_f64();
+        let half_life = self.settings.load_half_life.as_secs_f64().max(1e-6);
+        let others = (gauge.reported - own).max(0.0);
+        own + others * (-age / half_life).exp2()
+    }
+
+    /// Returns the share of a full load that an upstream gets now.
+    fn share(&self, now: Timestamp, gauge: &Gauge) -> f64 {
+        let Some(from) = gauge.ramp_from else {
+            return 1.0;
+        };
+        let risen = now.since(from).as_secs_f64() / self.settings.ramp.as_secs_f64().max(1e-6);
+        let start = self.settings.ramp_start;
+        (start + (1.0 - start) * risen).clamp(start, 1.0)
     }
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,10 +1,9 @@
 //! The compiled snapshot from path and key to upstream and host.
 
-use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
-use catalogue::{Catalogue, Class, Entry, KeyLocation, Limits, Sharding, Upstream};
+use catalogue::{Catalogue, Class, Entry, KeyLocation, Limits, Sharding};
 use ids::{
     Arena, ArenaKey, DomainId, EntryId, HostId, KeyHash, Reason, Revision, SliceNo, UpstreamId,
 };
@@ -13,6 +12,10 @@
 
 use crate::key::{EntryKey, HostKey, UpstreamKey};
 use crate::ownership::{Ownership, OwnershipChange};
+use crate::path;
+
+/// Slices in one part of an entry's owners.
+const PART: usize = 512;
 
 /// One entry, as the path of a request needs it.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,8 +34,10 @@
     pub key: Option<KeyLocation>,
     /// Upstreams that serve the entry and are not leaving.
     pub upstreams: Vec<UpstreamKey>,
-    /// Owner of each slice.
-    owners: Arc<Vec<Option<UpstreamKey>>>,
+    /// Number of slices.
+    slices: u32,
+    /// Owner of each slice, in parts of [`PART`], so that a change copies one part only.
+    owners: Vec<Arc<[Option<UpstreamKey>; PART]>>,
     /// Owners of keys carved out, sorted by slice.
     hot: Arc<Vec<(SliceNo, UpstreamKey)>>,
 }
@@ -92,14 +97,118 @@
     names: Arc<Names>,
     paths: Arc<IndexMap<SmolStr, EntryKey>>,
     entries: Arena<EntryKey, Option<Arc<EntryRoute>>>,
-    upstreams: Arena<UpstreamKey, UpstreamRoute>,
+    upstreams: Arc<Arena<UpstreamKey, UpstreamRoute>>,
+}
+
+impl EntryRoute {
+    /// Returns the slice that holds a key and its owner, or nothing if the entry is not divided
+    /// by key.
+    #[must_use]
+    pub fn owner(&self, key: KeyHash) -> Option<(SliceNo, Option<UpstreamKey>)> {
+        if self.slices == 0 {
+            return None;
+        }
+        if !self.hot.is_empty() {
+            let slice = key.hot_slice();
+            if let Ok(i) = self.hot.binary_search_by_key(&slice, |&(s, _)| s) {
+                return Some((slice, Some(self.hot[i].1)));
+            }
+        }
+        let slice = key.slice(self.slices);
+        let place = slice.0 as usize;
+        Some((slice, self.owners[place / PART][place % PART]))
+    }
+
+    /// Returns how many ranges of key hashes the entry is divided into; zero if it is not.
+    #[must_use]
+    pub const fn slice_count(&self) -> u32 {
+        self.slices
+    }
+
+    /// Returns how many keys are carved out.
+    #[must_use]
+    pub fn hot_count(&self) -> usize {
+        self.hot.len()
+    }
+
+    fn declared(id: &EntryId, entry: &Entry) -> Self {
+        let (key, slices) = match &entry.sharding {
+            Sharding::None => (None, 0),
+            Sharding::Key { key, slices } => (Some(key.clone()), *slices),
+        };
+        let empty = Arc::new([None; PART]);
+        let parts = (slices as usize).div_ceil(PART);
+        Self {
+            id: id.clone(),
+            class: entry.class,
+            deadline: Duration::from_millis(u64::from(entry.deadline_ms)),
+            limits: entry.limits,
+            verify_echo: entry.verify_echo,
+            key,
+            upstreams: Vec::new(),
+            slices,
+            owners: std::iter::repeat_n(empty, parts).collect(),
+            hot: Arc::default(),
+        }
+    }
+
+    /// Adds an owner while a snapshot is built; [`Self::sort_hot`] must follow.
+    fn append(&mut self, slice: SliceNo, upstream: UpstreamKey) {
+        if slice.is_hot() {
+            Arc::make_mut(&mut self.hot).push((slice, upstream));
+            return;
+        }
+        self.set(slice, Some(upstream));
+    }
+
+    fn sort_hot(&mut self) {
+        if self.hot.is_empty() {
+            return;
+        }
+        let hot = Arc::make_mut(&mut self.hot);
+        hot.sort_unstable();
+        hot.dedup_by_key(|&mut (slice, _)| slice);
+    }
+
+    fn set(&mut self, slice: SliceNo, owner: Option<UpstreamKey>) {
+        if !slice.is_hot() {
+            let place = usize::try_from(slice.0).unwrap_or(usize::MAX);
+            if place < self.slices as usize {
+                Arc::make_mut(&mut self.owners[place / PART])[place % PART] = owner;
+            }
+            return;
+        }
+        let hot = Arc::make_mut(&mut self.hot);
+        match (hot.binary_search_by_key(&slice, |&(s, _)| s), owner) {
+            (Ok(i), Some(owner)) => hot[i].1 = owner,
+            (Ok(i), None) => drop(hot.remove(i)),
+            (Err(i), Some(owner)) => hot.insert(i, (slice, owner)),
+            (Err(_), None) => {}
+        }
+    }
+
+    fn bytes(&self) -> usize {
+        size_of::<Self>()
+            + self.upstreams.len() * size_of::<UpstreamKey>()
+            + self.owners.len() * size_of::<[Option<UpstreamKey>; PART]>()
+            + self.hot.len() * size_of::<(SliceNo, UpstreamKey)>()
+    }
 }
 
 impl Router {
     /// Builds a snapshot; keys of `previous` stay valid in it.
     #[must_use]
     pub fn build(previous: &Self, catalogue: &Catalogue, ownership: &Ownership) -> Self {
-        todo!()
+        let mut next = Self {
+            revision: ownership.revision,
+            names: Arc::clone(&previous.names),
+            ..Self::default()
+        };
+        next.add_names(catalogue, ownership);
+        next.add_upstreams(catalogue, ownership);
+        next.add_entries(catalogue);
+        next.assign(ownership);
+        next
     }
 
     /// Builds the snapshot that follows from this one by changes of ownership alone.
@@ -108,7 +217,12 @@
     /// the catalogue does not hold are passed over.
     #[must_use]
     pub fn changed(&self, revision: Revision, changes: &[OwnershipChange]) -> Self {
-        todo!()
+        let mut next = self.clone();
+        next.revision = self.revision.max(revision);
+        for change in changes {
+            next.change(change);
+        }
+        next
     }
 
     /// Returns the highest table revision that went into the snapshot.
@@ -132,7 +246,15 @@
         path: &'p str,
         header: impl Fn(&str) -> Option<&'h [u8]>,
     ) -> Result<Located<'p>, Reason> {
-        todo!()
+        let (name, rest) = path::first_segment(path)?;
+        let entry = *self.paths.get(name).ok_or(Reason::UnknownEntry)?;
+        let route = self.entry(entry).ok_or(Reason::UnknownEntry)?;
+        let key = match &route.key {
+            None => None,
+            Some(KeyLocation::Header(name)) => Some(path::header_key(header(name))?),
+            Some(KeyLocation::PathSegment(n)) => Some(path::segment_key(rest, *n)?),
+        };
+        Ok(Located { entry, key, rest })
     }
 
     /// Finds the slice, the upstream and the coordinating host that serve a key.
@@ -140,9 +262,13 @@
     /// # Errors
     ///
     /// Fails with [`Reason::NoOwner`] if nobody owns the key's slice or nobody coordinates its
-    /// owner, and with [`Reason::UnknownEntry`] if the entry is gone.
+    /// owner, and with [`Reason::UnknownEntry`] if the entry is gone or not divided by key.
     pub fn owner(&self, entry: EntryKey, key: KeyHash) -> Result<Target, Reason> {
-        todo!()
+        let route = self.entry(entry).ok_or(Reason::UnknownEntry)?;
+        let (slice, upstream) = route.owner(key).ok_or(Reason::UnknownEntry)?;
+        let mut target = self.target(upstream.ok_or(Reason::NoOwner)?)?;
+        target.slice = Some(slice);
+        Ok(target)
     }
 
     /// Builds the target of a request that is not divided by key, for the chosen upstream.
@@ -151,7 +277,12 @@
     ///
     /// Fails with [`Reason::NoOwner`] if nobody coordinates the upstream.
     pub fn target(&self, upstream: UpstreamKey) -> Result<Target, Reason> {
-        todo!()
+        let route = self.upstream(upstream).ok_or(Reason::NoOwner)?;
+        Ok(Target {
+            slice: None,
+            upstream,
+            host: route.host.ok_or(Reason::NoOwner)?,
+        })
     }
 
     /// Returns an entry, unless it is gone from the catalogue.
@@ -196,4 +327,146 @@
             .iter()
             .filter_map(|(k, e)| e.as_ref().map(|e| (k, e)))
     }
+
+    /// Returns how many upstreams this run has ever seen; their keys are the numbers below it.
+    #[must_use]
+    pub fn upstream_count(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Returns an estimate of the bytes that the snapshot holds.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let entries: usize = self.entries().map(|(_, e)| e.bytes()).sum();
+        let names = self.names.entries.len() * size_of::<EntryId>()
+            + self.names.upstreams.len() * size_of::<UpstreamId>()
+            + self.names.hosts.len() * size_of::<HostId>();
+        let paths = self.paths.len() * size_of::<(SmolStr, EntryKey)>();
+        let upstreams = self.upstreams.len() * size_of::<UpstreamRoute>();
+        entries + names + paths + upstreams
+    }
+
+    fn add_names(&mut self, catalogue: &Catalogue, ownership: &Ownership) {
+        let names = Arc::make_mut(&mut self.names);
+        for id in catalogue.entries.keys() {
+            names.entries.insert(id.clone());
+        }
+        for id in catalogue.upstreams.keys() {
+            names.upstreams.insert(id.clone());
+        }
+        for owned in ownership.upstreams.values() {
+            if let Some(host) = &owned.host {
+                names.hosts.insert(host.clone());
+            }
+        }
+    }
+
+    fn add_upstreams(&mut self, catalogue: &Catalogue, ownership: &Ownership) {
+        let names = Arc::clone(&self.names);
+        let upstreams = Arc::make_mut(&mut self.upstreams);
+        for id in &names.upstreams {
+            let declared = catalogue.upstreams.get(id);
+            let host = ownership.upstreams.get(id).and_then(|o| o.host.as_ref());
+            let host = host.and_then(|h| names.hosts.get_index_of(h));
+            let entry = declared.and_then(|u| names.entries.get_index_of(&u.entry));
+            upstreams.push(UpstreamRoute {
+                id: id.clone(),
+                entry: entry.map(EntryKey::from_index),
+                domain: declared.map(|u| u.domain.clone()),
+                slots: declared.map_or(0, |u| u.slots),
+                leaving: declared.is_none_or(|u| u.leaving),
+                host: host.map(HostKey::from_index),
+            });
+        }
+    }
+
+    fn add_entries(&mut self, catalogue: &Catalogue) {
+        let names = Arc::clone(&self.names);
+        let mut paths = IndexMap::with_capacity(catalogue.entries.len());
+        for id in &names.entries {
+            let declared = catalogue.entries.get(id);
+            let key = self
+                .entries
+                .push(declared.map(|e| Arc::new(EntryRoute::declared(id, e))));
+            if let Some(e) = declared {
+                paths.insert(e.path.clone(), key);
+            }
+        }
+        self.paths = Arc::new(paths);
+        for (key, upstream) in self.upstreams.iter() {
+            let Some(entry) = upstream.entry.filter(|_| !upstream.leaving) else {
+                continue;
+            };
+            if let Some(route) = &mut self.entries[entry] {
+                Arc::make_mut(route).upstreams.push(key);
+            }
+        }
+    }
+
+    fn assign(&mut self, ownership: &Ownership) {
+        for (id, owned) in &ownership.upstreams {
+            let Some(key) = self.upstream_key(id) else {
+                continue;
+            };
+            let Some(route) = self.entry_of(key) else {
+                continue;
+            };
+            for &slice in &owned.slices {
+                route.append(slice, key);
+            }
+        }
+        for (_, route) in self.entries.iter_mut() {
+            if let Some(route) = route {
+                Arc::make_mut(route).sort_hot();
+            }
+        }
+    }
+
+    fn change(&mut self, change: &OwnershipChange) {
+        match change {
+            OwnershipChange::Coordinator { upstream, host } => {
+                self.set_host(upstream, host.as_ref());
+            }
+            OwnershipChange::Assigned { upstream, slice } => {
+                let Some(key) = self.upstream_key(upstream) else {
+                    return;
+                };
+                if let Some(route) = self.entry_of(key) {
+                    route.set(*slice, Some(key));
+                }
+            }
+            OwnershipChange::Unassigned { upstream, slice } => {
+                let Some(key) = self.upstream_key(upstream) else {
+                    return;
+                };
+                if let Some(route) = self.entry_of(key) {
+                    route.set(*slice, None);
+                }
+            }
+        }
+    }
+
+    fn set_host(&mut self, upstream: &UpstreamId, host: Option<&HostId>) {
+        let Some(key) = self.upstream_key(upstream) else {
+            return;
+        };
+        let host = host.map(|h| self.host_key(h));
+        Arc::make_mut(&mut self.upstreams)[key].host = host;
+    }
+
+    fn host_key(&mut self, host: &HostId) -> HostKey {
+        if let Some(index) = self.names.hosts.get_index_of(host) {
+            return HostKey::from_index(index);
+        }
+        let names = Arc::make_mut(&mut self.names);
+        let (index, _) = names.hosts.insert_full(host.clone());
+        HostKey::from_index(index)
+    }
+
+    /// Returns the entry that an upstream serves, for change.
+    fn entry_of(&mut self, upstream: UpstreamKey) -> Option<&mut EntryRoute> {
+        let entry = self.upstreams.get(upstream)?.entry?;
+        let route = self.entries.get_mut(entry)?.as_mut()?;
+        Some(Arc::make_mut(route))
+    }
 }
--- /dev/null
+++ b/crates/route/tests/dispatch/main.rs
@@ -0,0 +1,765 @@
+//! Cases of the dispatcher, one event after the other.
+//!
+//! Each step is the time in milliseconds, an event in the words of [`script`], and the actions
+//! that must follow.
+
+mod script;
+
+use route::{Dispatcher, DispatcherSettings, LimiterSettings, QueueOrder, QueueSettings};
+use script::{ms, parse, show};
+
+/// Time in milliseconds, event, actions.
+type Step = (u64, &'static str, &'static [&'static str]);
+
+#[derive(Default)]
+struct Case {
+    name: &'static str,
+    settings: DispatcherSettings,
+    steps: &'static [Step],
+}
+
+fn case(name: &'static str, steps: &'static [Step]) -> Case {
+    Case {
+        name,
+        steps,
+        ..Case::default()
+    }
+}
+
+/// Runs each case on a dispatcher that coordinates `u1` under a lease on slice 1 until 10 s.
+fn run(cases: &[Case]) {
+    for case in cases {
+        let mut dispatcher = Dispatcher::new(case.settings.clone());
+        let mut actions = Vec::new();
+        let first: [Step; 2] = [
+            (0, "declare u1", &[]),
+            (0, "lease u1 epoch=5 until=10000 slices=1", &[]),
+        ];
+        for (i, (at, event, expect)) in first.iter().chain(case.steps).enumerate() {
+            let place = format!("{}: step {i}: {event}", case.name);
+            actions.clear();
+            dispatcher.step(ms(*at), parse(event), &mut actions);
+            let shown: Vec<String> = actions.iter().map(show).collect();
+            assert_eq!(shown, *expect, "{place}");
+            assert_eq!(dispatcher.verify(), [], "{place}");
+        }
+    }
+}
+
+/// Settings under which waiting calls are dropped for their deadline alone.
+fn first_come() -> DispatcherSettings {
+    DispatcherSettings {
+        queue: QueueSettings {
+            order: QueueOrder::Fifo,
+            ..QueueSettings::default()
+        },
+        ..DispatcherSettings::default()
+    }
+}
+
+#[test]
+fn slots_and_connections() {
+    run(&[
+        case(
+            "calls beyond the slots wait, and those beyond the queue are refused",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3", &[]),
+                (0, "arrive 4", &[]),
+                (0, "arrive 5", &[]),
+                (0, "arrive 6", &["refuse 6 queue-full"]),
+                (
+                    9,
+                    "answered 2",
+                    &["answer 2 from 2", "keep 2", "send 3 u1 e5"],
+                ),
+                (
+                    9,
+                    "failed 1 upstream-reset",
+                    &["refuse 1 upstream-reset", "send 4 u1 e5"],
+                ),
+            ],
+        ),
+        case(
+            "more slots are used at once",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3", &[]),
+                (1, "declare u1 slots=3", &["send 3 u1 e5"]),
+            ],
+        ),
+        case(
+            "connections are a limit of their own",
+            &[
+                (0, "declare u1 connections=1", &[]),
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &[]),
+                (
+                    5,
+                    "answered 1",
+                    &["answer 1 from 1", "keep 1", "send 2 u1 e5"],
+                ),
+            ],
+        ),
+        case(
+            "without a queue, a call is sent or refused",
+            &[
+                (0, "declare u1 queue=0 slots=1", &[]),
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["refuse 2 queue-full"]),
+            ],
+        ),
+        case(
+            "without slots nothing is sent",
+            &[
+                (0, "declare u1 slots=0", &[]),
+                (0, "arrive 1 deadline=50", &[]),
+                (50, "tick", &["refuse 1 deadline-expired"]),
+            ],
+        ),
+    ]);
+}
+
+#[test]
+fn deadlines() {
+    run(&[
+        case(
+            "a call that can't finish in time is refused as it comes",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (100, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (100, "arrive 2", &["send 2 u1 e5"]),
+                (100, "arrive 3", &["send 3 u1 e5"]),
+                (
+                    100,
+                    "arrive 4 deadline=240",
+                    &["refuse 4 deadline-too-short"],
+                ),
+                (100, "arrive 5 deadline=100", &["refuse 5 deadline-expired"]),
+                (100, "arrive 6 deadline=300", &[]),
+            ],
+        ),
+        case(
+            "a waiting call is dropped once it can't finish in time",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (100, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (100, "arrive 2", &["send 2 u1 e5"]),
+                (100, "arrive 3", &["send 3 u1 e5"]),
+                (100, "arrive 4 deadline=300", &[]),
+                (199, "tick", &[]),
+                (200, "tick", &["refuse 4 deadline-too-short"]),
+            ],
+        ),
+        case(
+            "without an estimate a waiting call is dropped at its deadline",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3 deadline=50", &[]),
+                (50, "tick", &["refuse 3 deadline-expired"]),
+            ],
+        ),
+        case(
+            "an idle upstream is given a call against the estimate, for a new one",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (900, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (901, "arrive 2 deadline=950", &["send 2 u1 e5"]),
+                (
+                    901,
+                    "arrive 3 deadline=950",
+                    &["refuse 3 deadline-too-short"],
+                ),
+            ],
+        ),
+        case(
+            "calls that waited too long in a queue that stands are dropped, oldest first",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (10, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (10, "arrive 2", &["send 2 u1 e5"]),
+                (10, "arrive 3", &["send 3 u1 e5"]),
+                (10, "arrive 4", &[]),
+                (
+                    60,
+                    "answered 2",
+                    &["answer 2 from 2", "keep 2", "send 4 u1 e5"],
+                ),
+                (60, "arrive 5", &[]),
+                (90, "arrive 6", &[]),
+                (150, "arrive 7", &[]),
+                (161, "arrive 8", &["refuse 5 overload"]),
+                (
+                    161,
+                    "answered 3",
+                    &["answer 3 from 3", "keep 3", "send 6 u1 e5"],
+                ),
+            ],
+        ),
+    ]);
+}
+
+#[test]
+fn what_is_observed() {
+    run(&[
+        case(
+            "a cold upstream's slots are opened one by one",
+            &[
+                (0, "booted u1", &[]),
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2 deadline=9000", &[]),
+                (2_999, "tick", &["refuse 1 answer-timeout", "abort 1"]),
+                (3_001, "tick", &["send 2 u1 e5"]),
+            ],
+        ),
+        Case {
+            name: "a call turned away shrinks the limit; it grows back slowly",
+            settings: first_come(),
+            steps: &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (1, "failed 1 upstream-shed", &["refuse 1 upstream-shed"]),
+                (1, "arrive 3 deadline=9000", &[]),
+                (
+                    2,
+                    "answered 2",
+                    &["answer 2 from 2", "keep 2", "send 3 u1 e5"],
+                ),
+                (3, "arrive 4 deadline=9000", &[]),
+                (1_999, "tick", &[]),
+                (2_002, "tick", &["send 4 u1 e5"]),
+            ],
+        },
+        case(
+            "calls sent before the limit shrank don't shrink it again",
+            &[
+                (0, "declare u1 slots=4 connections=9", &[]),
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3", &["send 3 u1 e5"]),
+                (0, "arrive 4", &["send 4 u1 e5"]),
+                (1, "failed 1 upstream-shed", &["refuse 1 upstream-shed"]),
+                (1, "failed 2 upstream-shed", &["refuse 2 upstream-shed"]),
+                (1, "failed 3 upstream-shed", &["refuse 3 upstream-shed"]),
+                (1, "arrive 5", &["send 5 u1 e5"]),
+                (1, "arrive 6", &["send 6 u1 e5"]),
+                (1, "arrive 7", &[]),
+            ],
+        ),
+        case(
+            "an upstream's word counts only where nothing was observed",
+            &[
+                (0, "unfit u1", &[]),
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &[]),
+                (
+                    5,
+                    "answered 1",
+                    &["answer 1 from 1", "keep 1", "send 2 u1 e5"],
+                ),
+                (3_000, "answered 2", &["answer 2 from 2", "keep 2"]),
+                (3_001, "unfit u1", &[]),
+                (3_002, "arrive 3 deadline=9000", &["send 3 u1 e5"]),
+                (3_002, "arrive 4 deadline=9000", &["send 4 u1 e5"]),
+            ],
+        ),
+    ]);
+}
+
+#[test]
+fn upstreams_that_fail() {
+    run(&[
+        case(
+            "an upstream that fails again and again is tried by one call at a time",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3", &[]),
+                (
+                    1,
+                    "failed 1 connect-failed",
+                    &["refuse 1 connect-failed", "send 3 u1 e5"],
+                ),
+                (2, "failed 2 connect-failed", &["refuse 2 connect-failed"]),
+                (2, "arrive 4", &["send 4 u1 e5"]),
+                (2, "arrive 5", &[]),
+                (
+                    3,
+                    "failed 3 connect-failed",
+                    &["refuse 3 connect-failed", "refuse 5 connect-failed"],
+                ),
+                (4, "failed 4 connect-failed", &["refuse 4 connect-failed"]),
+                (4, "arrive 6", &["refuse 6 connect-failed"]),
+                (53, "arrive 7", &["send 7 u1 e5"]),
+                (53, "arrive 8", &[]),
+                (
+                    54,
+                    "answered 7",
+                    &["answer 7 from 7", "keep 7", "send 8 u1 e5"],
+                ),
+            ],
+        ),
+        Case {
+            name: "a frozen upstream's calls are faults once they took far too long",
+            settings: DispatcherSettings {
+                limiter: LimiterSettings {
+                    faults: 1,
+                    ..LimiterSettings::default()
+                },
+                ..DispatcherSettings::default()
+            },
+            steps: &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (4, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (10, "arrive 2 deadline=60", &["send 2 u1 e5"]),
+                (60, "tick", &["refuse 2 answer-timeout", "abort 2"]),
+                (61, "arrive 3", &["send 3 u1 e5"]),
+                (1_000, "tick", &["refuse 3 answer-timeout", "abort 3"]),
+                (
+                    1_001,
+                    "arrive 4 deadline=9000",
+                    &["refuse 4 connect-failed"],
+                ),
+            ],
+        },
+    ]);
+}
+
+#[test]
+fn leases() {
+    run(&[
+        case(
+            "nothing is sent under a lapsing lease",
+            &[
+                (0, "lease u1 epoch=6 until=100 slices=1", &[]),
+                (79, "arrive 1", &["send 1 u1 e6"]),
+                (80, "arrive 2", &["refuse 2 no-lease"]),
+                (81, "lease u1 epoch=6 until=200", &[]),
+                (82, "arrive 3", &["send 3 u1 e6"]),
+            ],
+        ),
+        case(
+            "a lower epoch changes nothing, a higher one goes before a longer lease",
+            &[
+                (0, "lease u1 epoch=4 until=20000 slices=2", &[]),
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "lease u1 epoch=6 until=500 slices=1", &[]),
+                (490, "arrive 2", &["refuse 2 no-lease"]),
+            ],
+        ),
+        case(
+            "waiting calls are refused when the lease lapses",
+            &[
+                (0, "lease u1 epoch=6 until=100", &[]),
+                (0, "arrive 1", &["send 1 u1 e6"]),
+                (0, "arrive 2", &["send 2 u1 e6"]),
+                (0, "arrive 3", &[]),
+                (80, "tick", &["refuse 3 no-lease"]),
+                (90, "answered 1", &["answer 1 from 1", "keep 1"]),
+            ],
+        ),
+        case(
+            "a lost lease ends at once and can be granted again",
+            &[
+                (0, "lost u1", &[]),
+                (0, "arrive 1", &["refuse 1 no-lease"]),
+                (0, "lease u1 epoch=5 until=10000", &[]),
+                (0, "arrive 1", &["send 1 u1 e5"]),
+            ],
+        ),
+        case(
+            "only slices of the lease are sent, also after waiting",
+            &[
+                (0, "arrive 1 slice=2", &["refuse 1 stale-route"]),
+                (0, "arrive 2 slice=none", &["refuse 2 stale-route"]),
+                (0, "arrive 3 upstream=u9", &["refuse 3 stale-route"]),
+                (0, "arrive 4", &["send 4 u1 e5"]),
+                (0, "arrive 5", &["send 5 u1 e5"]),
+                (0, "arrive 6", &[]),
+                (0, "lease u1 epoch=5 until=10000 slices=2", &[]),
+                (
+                    1,
+                    "answered 4",
+                    &["answer 4 from 4", "keep 4", "refuse 6 stale-route"],
+                ),
+            ],
+        ),
+    ]);
+}
+
+#[test]
+fn callers_that_leave() {
+    run(&[
+        case(
+            "a waiting call's place is free",
+            &[
+                (0, "declare u1 queue=1", &[]),
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3", &[]),
+                (0, "gone 3", &[]),
+                (0, "arrive 4", &[]),
+                (
+                    1,
+                    "answered 1",
+                    &["answer 1 from 1", "keep 1", "send 4 u1 e5"],
+                ),
+            ],
+        ),
+        case(
+            "a call under way is aborted; its slot is free once the upstream surely stopped",
+            &[
+                (0, "arrive 9", &["send 9 u1 e5"]),
+                (4, "answered 9", &["answer 9 from 9", "keep 9"]),
+                (10, "arrive 1", &["send 1 u1 e5"]),
+                (10, "arrive 2", &["send 2 u1 e5"]),
+                (10, "arrive 3", &[]),
+                (11, "gone 1", &["abort 1"]),
+                (11, "failed 1 caller-gone", &[]),
+                (39, "tick", &[]),
+                (40, "tick", &["send 3 u1 e5"]),
+                (41, "arrive 4", &[]),
+            ],
+        ),
+        case(
+            "a call past its deadline is aborted, and its connection counts until it is closed",
+            &[
+                (0, "declare u1 connections=2", &[]),
+                (0, "arrive 1 deadline=40", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3", &[]),
+                (40, "tick", &["refuse 1 answer-timeout", "abort 1"]),
+                (60, "tick", &[]),
+                (70, "failed 1 answer-timeout", &["send 3 u1 e5"]),
+            ],
+        ),
+        case(
+            "a late answer of an aborted call goes to nobody",
+            &[
+                (0, "arrive 1 deadline=40", &["send 1 u1 e5"]),
+                (40, "tick", &["refuse 1 answer-timeout", "abort 1"]),
+                (41, "answered 1", &[]),
+                (42, "arrive 2 id=1", &["refuse 2 duplicate-unknown"]),
+            ],
+        ),
+        case(
+            "an end that crosses the caller's leaving is no fault",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (1, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (1, "gone 1", &[]),
+            ],
+        ),
+    ]);
+}
+
+#[test]
+fn repeats_under_way() {
+    run(&[
+        case(
+            "a repeat of a call under way gets the same end",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2 id=1", &[]),
+                (
+                    1,
+                    "answered 1",
+                    &["answer 1 from 1", "answer 2 from 1", "keep 1"],
+                ),
+            ],
+        ),
+        case(
+            "a repeat of a call that was turned away is told the same",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2 id=1", &[]),
+                (
+                    1,
+                    "failed 1 upstream-shed",
+                    &["refuse 1 upstream-shed", "refuse 2 upstream-shed"],
+                ),
+                (2, "arrive 3 id=1", &["send 3 u1 e5"]),
+            ],
+        ),
+        case(
+            "a repeat takes the place of a first call that leaves unsent",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3", &[]),
+                (0, "arrive 4 id=3", &[]),
+                (0, "arrive 5 id=3", &[]),
+                (1, "gone 3", &[]),
+                (
+                    2,
+                    "answered 1",
+                    &["answer 1 from 1", "keep 1", "send 4 u1 e5"],
+                ),
+                (
+                    3,
+                    "answered 4",
+                    &["answer 4 from 4", "answer 5 from 4", "keep 4"],
+                ),
+            ],
+        ),
+        case(
+            "a call under way goes on while a repeat waits for it",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2 id=1", &[]),
+                (1, "gone 1", &[]),
+                (2, "gone 2", &["abort 1"]),
+                (3, "arrive 3 id=1", &["refuse 3 duplicate-unknown"]),
+            ],
+        ),
+        case(
+            "a repeat has a deadline of its own",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2 id=1 deadline=5", &[]),
+                (0, "arrive 3", &["send 3 u1 e5"]),
+                (0, "arrive 4", &[]),
+                (0, "arrive 5 id=4 deadline=5", &[]),
+                (
+                    5,
+                    "tick",
+                    &["refuse 2 answer-timeout", "refuse 5 duplicate"],
+                ),
+                (
+                    6,
+                    "answered 1",
+                    &["answer 1 from 1", "keep 1", "send 4 u1 e5"],
+                ),
+            ],
+        ),
+    ]);
+}
+
+#[test]
+fn ids_used_again() {
+    run(&[
+        case(
+            "an id with other content is another request, and refused if it may not run twice",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2 id=1 fingerprint=8", &["refuse 2 duplicate"]),
+                (1, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (
+                    1,
+                    "arrive 3 id=1 fingerprint=8",
+                    &["refuse 3 duplicate-unknown"],
+                ),
+                (1, "arrive 4 id=1", &["answer 4 from 1"]),
+                (1, "arrive 5 id=1 entry=other", &["send 5 u1 e5"]),
+            ],
+        ),
+        case(
+            "an idempotent request with a used id and other content runs",
+            &[
+                (0, "arrive 1 idempotent", &["send 1 u1 e5"]),
+                (
+                    0,
+                    "arrive 2 id=1 idempotent fingerprint=8",
+                    &["send 2 u1 e5"],
+                ),
+                (1, "answered 2", &["answer 2 from 2"]),
+                (1, "arrive 3 id=1 idempotent", &[]),
+                (2, "answered 1", &["answer 1 from 1", "answer 3 from 1"]),
+            ],
+        ),
+    ]);
+}
+
+#[test]
+fn repeats_of_the_past() {
+    run(&[
+        case(
+            "idempotent requests are not remembered and run again",
+            &[
+                (0, "arrive 1 idempotent", &["send 1 u1 e5"]),
+                (1, "answered 1", &["answer 1 from 1"]),
+                (2, "arrive 2 id=1 idempotent", &["send 2 u1 e5"]),
+            ],
+        ),
+        case(
+            "a request that may have run is not run again, until its id is forgotten",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (1, "failed 1 answer-cut", &["refuse 1 answer-cut"]),
+                (2, "arrive 2 id=1", &["refuse 2 duplicate-unknown"]),
+                (70_000, "lease u1 epoch=5 until=90000", &[]),
+                (70_000, "arrive 3 id=1 deadline=71000", &["send 3 u1 e5"]),
+            ],
+        ),
+        Case {
+            name: "answers over the budget are not kept, their ids are",
+            settings: DispatcherSettings {
+                repeat_bytes: 15,
+                ..DispatcherSettings::default()
+            },
+            steps: &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (1, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (1, "arrive 2", &["send 2 u1 e5"]),
+                (2, "answered 2", &["answer 2 from 2", "keep 2", "discard 1"]),
+                (3, "arrive 3 id=1", &["refuse 3 duplicate-unknown"]),
+                (3, "arrive 4 id=2", &["answer 4 from 2"]),
+                (3, "arrive 5", &["send 5 u1 e5"]),
+                (4, "answered 5 bytes=16", &["answer 5 from 5"]),
+                (61_000, "tick", &["discard 2"]),
+            ],
+        },
+        Case {
+            name: "the oldest ids are forgotten first",
+            settings: DispatcherSettings {
+                repeat_ids: 1,
+                ..DispatcherSettings::default()
+            },
+            steps: &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (1, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (1, "arrive 2", &["send 2 u1 e5"]),
+                (2, "answered 2", &["answer 2 from 2", "keep 2", "discard 1"]),
+                (3, "arrive 3 id=1", &["send 3 u1 e5"]),
+            ],
+        },
+    ]);
+}
+
+#[test]
+fn moves() {
+    run(&[
+        case(
+            "calls wait while their slice moves away, and are sent back for newer knowledge",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3", &[]),
+                (1, "hold u1", &[]),
+                (1, "arrive 4", &[]),
+                (2, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (
+                    3,
+                    "answered 2",
+                    &["answer 2 from 2", "keep 2", "drained u1 1"],
+                ),
+                (
+                    4,
+                    "release u1",
+                    &["refuse 3 stale-route", "refuse 4 stale-route"],
+                ),
+            ],
+        ),
+        case(
+            "calls go on at an upstream that this host coordinates too",
+            &[
+                (0, "declare u2", &[]),
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "hold u1", &[]),
+                (0, "arrive 2", &[]),
+                (
+                    1,
+                    "answered 1",
+                    &["answer 1 from 1", "keep 1", "drained u1 1"],
+                ),
+                (1, "lease u2 epoch=9 until=10000 slices=1", &[]),
+                (2, "release u1 u2", &["send 2 u2 e9"]),
+            ],
+        ),
+        case(
+            "the new owner's host holds early calls until it has the slice",
+            &[
+                (0, "lease u1 epoch=5 until=10000 slices=", &[]),
+                (0, "hold u1", &["drained u1 1"]),
+                (0, "arrive 1", &[]),
+                (1, "lease u1 epoch=5 until=10000 slices=1", &[]),
+                (1, "release u1 u1", &["send 1 u1 e5"]),
+            ],
+        ),
+        case(
+            "an aborted call keeps its slice from being drained until it surely stopped",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (1, "gone 1", &["abort 1"]),
+                (1, "hold u1", &[]),
+                (2, "failed 1 caller-gone", &[]),
+                (1_019, "tick", &[]),
+                (1_020, "tick", &["drained u1 1"]),
+            ],
+        ),
+        case(
+            "a move that takes too long is not waited for",
+            &[
+                (0, "hold u1", &["drained u1 1"]),
+                (500, "arrive 1 deadline=9000", &[]),
+                (1_999, "tick", &[]),
+                (2_000, "tick", &["refuse 1 moving"]),
+            ],
+        ),
+        case(
+            "held calls are bounded as queued ones are",
+            &[
+                (0, "hold u1", &["drained u1 1"]),
+                (0, "arrive 1", &[]),
+                (0, "arrive 2", &[]),
+                (0, "arrive 3", &[]),
+                (0, "arrive 4", &["refuse 4 queue-full"]),
+                (0, "gone 1", &[]),
+                (0, "arrive 5", &[]),
+            ],
+        ),
+    ]);
+}
+
+#[test]
+fn upstreams_that_leave() {
+    run(&[
+        case(
+            "a draining upstream gets no new work and cuts none",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3", &[]),
+                (1, "draining u1", &["refuse 3 moving"]),
+                (1, "arrive 4", &["refuse 4 moving"]),
+                (2, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (
+                    3,
+                    "answered 2",
+                    &["answer 2 from 2", "keep 2", "drained u1"],
+                ),
+                (4, "declare u1", &[]),
+                (4, "arrive 5", &["send 5 u1 e5"]),
+            ],
+        ),
+        case(
+            "another upstream may serve what a draining one does not, if keys play no part",
+            &[
+                (0, "declare u1 undivided", &[]),
+                (0, "arrive 1 slice=none", &["send 1 u1 e5"]),
+                (1, "draining u1", &[]),
+                (1, "arrive 2 slice=none", &["refuse 2 stale-route"]),
+                (
+                    2,
+                    "answered 1",
+                    &["answer 1 from 1", "keep 1", "drained u1"],
+                ),
+            ],
+        ),
+        case(
+            "a removed upstream's calls under way end as they would have",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "hold u1", &[]),
+                (0, "arrive 2", &[]),
+                (1, "removed u1", &["refuse 2 stale-route"]),
+                (1, "arrive 3", &["refuse 3 stale-route"]),
+                (2, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (3, "arrive 4", &["refuse 4 stale-route"]),
+            ],
+        ),
+    ]);
+}
--- /dev/null
+++ b/crates/route/tests/dispatch/script.rs
@@ -0,0 +1,170 @@
+//! Events and actions in words.
+//!
+//! An event is a verb, a subject, and options such as `deadline=50`; what is left out is as in
+//! [`arrival`] and [`limits`].
+
+use ids::{EntryId, Epoch, Reason, RequestId, SliceNo, Timestamp, UpstreamId};
+use route::{Action, Arrival, CallKey, Ended, Event, UpstreamLimits};
+
+/// Builds a time from milliseconds.
+pub fn ms(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// The words of an event.
+struct Words<'a>(Vec<&'a str>);
+
+impl<'a> Words<'a> {
+    fn word(&self, i: usize) -> &'a str {
+        self.0.get(i).copied().unwrap_or_default()
+    }
+
+    fn has(&self, word: &str) -> bool {
+        self.0.contains(&word)
+    }
+
+    /// Returns the text after `name=`.
+    fn option(&self, name: &str) -> Option<&'a str> {
+        let value = |w: &&'a str| w.strip_prefix(name)?.strip_prefix('=');
+        self.0.iter().find_map(value)
+    }
+
+    fn number(&self, name: &str, default: u64) -> u64 {
+        self.option(name).map_or(default, number)
+    }
+
+    fn call(&self) -> CallKey {
+        CallKey(number(self.word(1)))
+    }
+
+    fn upstream(&self) -> UpstreamId {
+        upstream(self.word(1))
+    }
+}
+
+fn number(text: &str) -> u64 {
+    text.parse().expect("a number")
+}
+
+fn upstream(name: &str) -> UpstreamId {
+    UpstreamId::new(name).expect("a valid name")
+}
+
+/// Reads an event.
+pub fn parse(text: &str) -> Event {
+    let words = Words(text.split(' ').collect());
+    let upstream = || words.upstream();
+    let slice = SliceNo(1);
+    match words.word(0) {
+        "arrive" => Event::Arrive(arrival(&words)),
+        "answered" => {
+            let bytes = words.number("bytes", 10) as usize;
+            finished(&words, Ended::Answered { bytes })
+        }
+        "failed" => {
+            let reason: Reason = words.word(2).parse().expect("a reason");
+            finished(&words, Ended::Failed(reason))
+        }
+        "gone" => Event::CallerGone { call: words.call() },
+        "declare" => Event::Upstream {
+            upstream: upstream(),
+            limits: limits(&words),
+        },
+        "lease" => Event::Lease {
+            upstream: upstream(),
+            epoch: Epoch(words.number("epoch", 0)),
+            valid_until: ms(words.number("until", 0)),
+            slices: words.option("slices").map(slices),
+        },
+        "lost" => Event::LeaseLost {
+            upstream: upstream(),
+        },
+        "booted" => Event::Booted {
+            upstream: upstream(),
+        },
+        "draining" => Event::Draining {
+            upstream: upstream(),
+        },
+        "removed" => Event::Removed {
+            upstream: upstream(),
+        },
+        "unfit" => Event::Report {
+            upstream: upstream(),
+            healthy: false,
+        },
+        "hold" => Event::Hold {
+            upstream: upstream(),
+            slice,
+        },
+        "release" => Event::Release {
+            upstream: upstream(),
+            slice,
+            to: words.0.get(2).map(|to| self::upstream(to)),
+        },
+        "tick" => Event::Tick,
+        verb => panic!("{verb:?} is no event"),
+    }
+}
+
+fn slices(text: &str) -> std::sync::Arc<[SliceNo]> {
+    let numbers = text.split(',').filter(|n| !n.is_empty());
+    numbers.map(|n| SliceNo(number(n))).collect()
+}
+
+fn finished(words: &Words<'_>, how: Ended) -> Event {
+    Event::Finished {
+        call: words.call(),
+        how,
+    }
+}
+
+fn limits(words: &Words<'_>) -> UpstreamLimits {
+    UpstreamLimits {
+        slots: words.number("slots", 2) as u32,
+        connections: words.number("connections", 3) as u32,
+        queue: words.number("queue", 3) as u32,
+        divided: !words.has("undivided"),
+    }
+}
+
+/// A call for slice 1 of `u1`, not idempotent, with an id of its own and a deadline at 1 s.
+fn arrival(words: &Words<'_>) -> Arrival {
+    let call = words.call();
+    let slice = match words.option("slice") {
+        None => Some(SliceNo(1)),
+        Some("none") => None,
+        Some(n) => Some(SliceNo(number(n))),
+    };
+    let id = words.number("id", call.0);
+    Arrival {
+        call,
+        upstream: upstream(words.option("upstream").unwrap_or("u1")),
+        slice,
+        deadline: ms(words.number("deadline", 1_000)),
+        idempotent: words.has("idempotent"),
+        entry: EntryId::new(words.option("entry").unwrap_or("slotbook")).expect("a valid name"),
+        request_id: RequestId::new(format!("r{id}")).expect("a valid name"),
+        fingerprint: words.number("fingerprint", 7),
+    }
+}
+
+/// Says an action in words.
+pub fn show(action: &Action) -> String {
+    match action {
+        Action::Send {
+            call,
+            upstream,
+            epoch,
+            ..
+        } => format!("send {call} {upstream} e{epoch}"),
+        Action::Answer { call, from } => format!("answer {call} from {from}"),
+        Action::Refuse { call, reason, .. } => format!("refuse {call} {reason}"),
+        Action::Abort { call } => format!("abort {call}"),
+        Action::Keep { call } => format!("keep {call}"),
+        Action::Discard { call } => format!("discard {call}"),
+        Action::Drained { upstream, slice } => match slice {
+            Some(slice) => format!("drained {upstream} {slice}"),
+            None => format!("drained {upstream}"),
+        },
+    }
+}
