--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -1,12 +1,22 @@
 //! The load generator against the upstream stand-in.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use catalogue::KeyLocation;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use ids::{KeyHash, header};
 use smol_str::SmolStr;
 use standin::load::schedule::{Planned, Schedule};
 use standin::load::{self, KeyLoad, Summary};
-use standin::upstream::ServiceTime;
+use standin::upstream::{AnswerBody, ServiceTime};
 use standin::{AdminCommand, EntryLoad, JournalEvent, LoadSettings, Record, Seen};
 use standin::{Fault, FaultPlan, FaultProxy, ProxySettings, Upstream, UpstreamSettings};
 
@@ -308,3 +318,41 @@
     assert!((summary.goodput_per_s - 2.0).abs() < f64::EPSILON);
     assert!((1_990_000..2_010_000).contains(&summary.answers.max_us));
 }
+
+/// Answers as the upstream stand-in does, over HTTP/2; counts its connections.
+async fn serve_http2(listener: tokio::net::TcpListener, connections: Arc<AtomicUsize>) {
+    loop {
+        let (socket, _) = listener.accept().await.unwrap();
+        connections.fetch_add(1, Ordering::Relaxed);
+        let service = service_fn(|req: Request<Incoming>| async {
+            let id = req.headers()[header::REQUEST_ID].to_str().unwrap().into();
+            let body = req.into_body().collect().await?.to_bytes();
+            let answer = AnswerBody {
+                request_id: Some(id),
+                body_len: body.len() as u64,
+                body_hash: KeyHash::of(&body).0,
+                ..AnswerBody::default()
+            };
+            let body = serde_json::to_vec(&answer).unwrap();
+            Ok::<_, hyper::Error>(Response::new(Full::new(Bytes::from(body))))
+        });
+        let server = http2::Builder::new(TokioExecutor::new());
+        tokio::spawn(server.serve_connection(TokioIo::new(socket), service));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_share_a_connection_over_http2() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = listener.local_addr().unwrap();
+    let connections = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(serve_http2(listener, Arc::clone(&connections)));
+    let cfg = LoadSettings {
+        http2: true,
+        ..settings(target)
+    };
+    let run = load::run(cfg).await.unwrap();
+    assert!(run.summary.sent > 0);
+    assert_eq!(run.summary.answered, run.summary.sent, "{:?}", run.summary);
+    assert_eq!(connections.load(Ordering::Relaxed), 1);
+}
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use ids::{EntryId, Epoch, HostId, SliceNo, header};
 use standin::client::{self, Connection, Protocol};
-use standin::upstream::{ADMIN_PATH, AnswerBody, JOURNAL_PATH, LoadReport, ServiceTime};
+use standin::upstream::{ADMIN_PATH, AnswerBody, ColdStart, JOURNAL_PATH, LoadReport, ServiceTime};
 use standin::{AdminCommand, JournalEvent, JournalLine, Upstream, UpstreamSettings, journal};
 use wire::grant::{GRANT_PATH, GrantReply, GrantRequest, GrantScope, GrantSlices};
 use wire::grant::{HEALTH_PATH, HealthReport};
@@ -357,3 +357,57 @@
     let text = std::str::from_utf8(answer.body()).unwrap();
     assert_eq!(journal::parse_journal(text).unwrap(), upstream.journal());
 }
+
+#[tokio::test]
+async fn connections_over_the_limit_are_closed() {
+    let cfg = UpstreamSettings {
+        connections: 1,
+        ..quick()
+    };
+    let upstream = Upstream::bind(cfg).await.unwrap();
+    let peer = upstream.address();
+    let mut first = Connection::open(peer, Protocol::Http1).await.unwrap();
+    first.send(request("r-1", &[], "")).await.unwrap();
+    let mut second = Connection::open(peer, Protocol::Http1).await.unwrap();
+    second.send(request("r-2", &[], "")).await.unwrap_err();
+    drop(first);
+    let retry = async {
+        loop {
+            let mut next = Connection::open(peer, Protocol::Http1).await.unwrap();
+            if next.send(request("r-3", &[], "")).await.is_ok() {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, retry).await.unwrap();
+}
+
+#[tokio::test]
+async fn upstream_is_slow_after_its_start() {
+    let cfg = UpstreamSettings {
+        service_time: ServiceTime::Fixed { ms: 1.0 },
+        cold_start: ColdStart {
+            factor: 21.0,
+            decay_ms: 100,
+        },
+        ..quick()
+    };
+    let upstream = Upstream::bind(cfg).await.unwrap();
+    let planned = || {
+        let planned = |line: &JournalLine| match &line.event {
+            JournalEvent::Start(started) => Some(started.planned_us),
+            _ => None,
+        };
+        upstream.journal().iter().rev().find_map(planned)
+    };
+    send(upstream.address(), request("r-1", &[], "")).await;
+    let mut last = planned().unwrap();
+    assert!((1_001..=21_000).contains(&last), "{last} us");
+    while last > 1_000 {
+        send(upstream.address(), request("r-2", &[], "")).await;
+        let next = planned().unwrap();
+        assert!(next < last, "{next} us after {last} us");
+        last = next;
+    }
+    assert_eq!(last, 1_000);
+}
