--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -118,8 +118,12 @@
 }
 
 /// Returns what can mend a try that failed for `reason`, if it may be repeated at all.
-const fn remedy(reason: Reason) -> Remedy {
+///
+/// If only the key's owner can serve the request, an owner that can't be reached is a matter of
+/// routing: the key may get another owner.
+const fn remedy(reason: Reason, divided: bool) -> Remedy {
     match reason {
+        Reason::ConnectFailed if divided => Remedy::Reroute,
         Reason::NoOwner
         | Reason::NoLease
         | Reason::HostUnreachable
@@ -266,7 +270,7 @@
                 return self.refuse(reason, None);
             }
         }
-        match remedy(reason) {
+        match remedy(reason, self.divided) {
             Remedy::None => self.refuse(reason, retry_after),
             Remedy::OtherUpstream if self.divided => self.refuse(reason, retry_after),
             Remedy::Reroute => self.reroute(now, reason, retry_after),
--- /dev/null
+++ b/crates/route/tests/attempt.rs
@@ -0,0 +1,377 @@
+//! Cases of retries, budgets, admission and deadlines.
+
+use std::time::Duration;
+
+use ids::{Outcome, Reason, Timestamp};
+use proptest::prelude::*;
+use route::{
+    Attempt, AttemptSettings, BudgetSettings, DeadlineSettings, Next, RetryBudget, Try, Verdict,
+};
+
+fn ms(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn millis(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn failed(reason: Reason) -> Try {
+    Try::Failed {
+        reason,
+        retry_after: None,
+    }
+}
+
+/// What follows from a try, in short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Follows {
+    Answered,
+    Refused(Reason),
+    Retry(u64),
+    Elsewhere(u64),
+}
+
+struct Case {
+    name: &'static str,
+    idempotent: bool,
+    divided: bool,
+    /// Retries in the budget.
+    budget: u32,
+    deadline: u64,
+    /// Ends of tries one after the other, and what follows.
+    tries: &'static [(Try, Follows)],
+}
+
+impl Case {
+    const BASE: Self = Self {
+        name: "",
+        idempotent: true,
+        divided: true,
+        budget: 9,
+        deadline: 1_000,
+        tries: &[],
+    };
+}
+
+const fn no(reason: Reason) -> Try {
+    Try::Failed {
+        reason,
+        retry_after: None,
+    }
+}
+
+const fn hint(reason: Reason, after: u64) -> Try {
+    Try::Failed {
+        reason,
+        retry_after: Some(Duration::from_millis(after)),
+    }
+}
+
+use Follows::{Answered, Elsewhere, Refused, Retry};
+
+const CASES: &[Case] = &[
+    Case {
+        name: "an answer is final",
+        tries: &[(Try::Answered, Answered)],
+        ..Case::BASE
+    },
+    Case {
+        name: "what surely did not run is tried again, whatever the class",
+        idempotent: false,
+        tries: &[
+            (no(Reason::UpstreamShed), Retry(5)),
+            (no(Reason::UpstreamShed), Retry(10)),
+            (Try::Answered, Answered),
+        ],
+        ..Case::BASE
+    },
+    Case {
+        name: "what may have run is not, if it may run once only",
+        idempotent: false,
+        tries: &[(no(Reason::UpstreamReset), Refused(Reason::UpstreamReset))],
+        ..Case::BASE
+    },
+    Case {
+        name: "a lost host is no proof that nothing ran",
+        idempotent: false,
+        tries: &[
+            (no(Reason::HostUnreachable), Retry(5)),
+            (no(Reason::HostLost), Refused(Reason::HostLost)),
+        ],
+        ..Case::BASE
+    },
+    Case {
+        name: "an idempotent request is tried again after a break",
+        tries: &[(no(Reason::HostLost), Retry(5)), (Try::Answered, Answered)],
+        ..Case::BASE
+    },
+    Case {
+        name: "a later refusal does not hide that an earlier try may have run",
+        tries: &[
+            (no(Reason::AnswerCut), Retry(5)),
+            (no(Reason::NoLease), Retry(5)),
+            (no(Reason::QueueFull), Refused(Reason::AnswerCut)),
+        ],
+        ..Case::BASE
+    },
+    Case {
+        name: "nor does an empty budget",
+        budget: 1,
+        tries: &[
+            (no(Reason::UpstreamReset), Retry(5)),
+            (no(Reason::UpstreamShed), Refused(Reason::UpstreamReset)),
+        ],
+        ..Case::BASE
+    },
+    Case {
+        name: "retries are charged to the budget",
+        budget: 1,
+        tries: &[
+            (no(Reason::UpstreamShed), Retry(5)),
+            (no(Reason::UpstreamShed), Refused(Reason::RetryBudget)),
+        ],
+        ..Case::BASE
+    },
+    Case {
+        name: "routing anew is not, and backs off up to a bound",
+        budget: 0,
+        tries: &[
+            (no(Reason::StaleRoute), Retry(5)),
+            (no(Reason::NoLease), Retry(10)),
+            (no(Reason::Moving), Retry(20)),
+            (no(Reason::HostUnreachable), Retry(40)),
+            (no(Reason::NoOwner), Retry(80)),
+            (no(Reason::Leaving), Retry(100)),
+            (no(Reason::GrantRefused), Retry(100)),
+        ],
+        ..Case::BASE
+    },
+    Case {
+        name: "only the owner can serve a key, so a full queue ends it",
+        tries: &[(hint(Reason::QueueFull, 70), Refused(Reason::QueueFull))],
+        ..Case::BASE
+    },
+    Case {
+        name: "any other upstream can serve what is not divided, without regard to the hint",
+        divided: false,
+        tries: &[
+            (hint(Reason::QueueFull, 70), Elsewhere(5)),
+            (hint(Reason::Overload, 70), Elsewhere(10)),
+            (no(Reason::ConnectFailed), Elsewhere(20)),
+            (no(Reason::UpstreamShed), Refused(Reason::UpstreamShed)),
+        ],
+        ..Case::BASE
+    },
+    Case {
+        name: "the owner's hint is heeded",
+        tries: &[(hint(Reason::UpstreamShed, 70), Retry(70))],
+        ..Case::BASE
+    },
+    Case {
+        name: "a request without time for another try ends at once",
+        deadline: 7,
+        tries: &[
+            (no(Reason::StaleRoute), Retry(5)),
+            (no(Reason::StaleRoute), Refused(Reason::StaleRoute)),
+        ],
+        ..Case::BASE
+    },
+    Case {
+        name: "a hint beyond the deadline ends it at once",
+        tries: &[(hint(Reason::NoLease, 2_000), Refused(Reason::NoLease))],
+        ..Case::BASE
+    },
+    Case {
+        name: "an unreachable owner may lose the key, so that is routing, not load",
+        budget: 0,
+        tries: &[(hint(Reason::ConnectFailed, 50), Retry(50))],
+        ..Case::BASE
+    },
+    Case {
+        name: "what no try can mend is final",
+        divided: false,
+        tries: &[(no(Reason::Duplicate), Refused(Reason::Duplicate))],
+        ..Case::BASE
+    },
+];
+
+#[test]
+fn retries() {
+    for case in CASES {
+        let settings = AttemptSettings::default();
+        let deadline = ms(case.deadline);
+        let mut attempt = Attempt::new(settings, case.idempotent, case.divided, deadline);
+        let mut budget = RetryBudget::new(BudgetSettings {
+            percent: 0,
+            floor: case.budget,
+            ..BudgetSettings::default()
+        });
+        for (i, &(how, expect)) in case.tries.iter().enumerate() {
+            let place = format!("{}: try {i}", case.name);
+            let next = attempt.start().ended(ms(0), how, &mut budget);
+            let (found, again) = match next {
+                Next::Done(verdict) => (refused(verdict), None),
+                Next::Retry { attempt, after, .. } => {
+                    (Retry(after.as_millis() as u64), Some(attempt))
+                }
+                Next::Elsewhere { attempt, after, .. } => {
+                    (Elsewhere(after.as_millis() as u64), Some(attempt))
+                }
+            };
+            assert_eq!(found, expect, "{place}");
+            let Some(again) = again else {
+                assert_eq!(i + 1, case.tries.len(), "{place}");
+                break;
+            };
+            attempt = again;
+        }
+    }
+}
+
+fn refused(verdict: Verdict) -> Follows {
+    let Some(reason) = verdict.reason else {
+        assert_eq!(verdict.outcome, Outcome::Answered);
+        return Answered;
+    };
+    assert_eq!(verdict.outcome, reason.outcome());
+    Refused(reason)
+}
+
+#[test]
+fn reroutes_are_bounded() {
+    let settings = AttemptSettings {
+        reroutes_max: 4,
+        ..AttemptSettings::default()
+    };
+    let mut attempt = Attempt::new(settings, true, true, Timestamp::NEVER);
+    let mut budget = RetryBudget::new(BudgetSettings::default());
+    let mut tries = 0;
+    let verdict = loop {
+        tries += 1;
+        match attempt
+            .start()
+            .ended(ms(0), failed(Reason::NoOwner), &mut budget)
+        {
+            Next::Done(verdict) => break verdict,
+            Next::Retry { attempt: next, .. } | Next::Elsewhere { attempt: next, .. } => {
+                attempt = next;
+            }
+        }
+    };
+    assert_eq!((tries, verdict.reason), (5, Some(Reason::NoOwner)));
+    assert!(verdict.retry_after.is_some_and(|d| d > Duration::ZERO));
+}
+
+#[test]
+fn budgets_follow_the_window() {
+    let mut budget = RetryBudget::new(BudgetSettings {
+        percent: 10,
+        floor: 2,
+        window: millis(1_000),
+    });
+    let drain =
+        |budget: &mut RetryBudget, now| (0..1_000).take_while(|_| budget.withdraw(now)).count();
+    assert_eq!(drain(&mut budget, ms(0)), 2, "the floor");
+    for _ in 0..100 {
+        budget.request(ms(500));
+    }
+    assert_eq!(drain(&mut budget, ms(500)), 10, "a tenth of the requests");
+    assert_eq!(drain(&mut budget, ms(999)), 0, "spent");
+    assert_eq!(
+        drain(&mut budget, ms(1_050)),
+        2,
+        "the first ones are out of the window"
+    );
+    assert_eq!(drain(&mut budget, ms(1_499)), 0);
+    assert_eq!(
+        drain(&mut budget, ms(1_600)),
+        0,
+        "two of the floor are in the window yet"
+    );
+    assert_eq!(drain(&mut budget, ms(9_000)), 2, "all are out of it");
+    budget.configure(BudgetSettings {
+        floor: 5,
+        ..BudgetSettings::default()
+    });
+    assert_eq!(drain(&mut budget, ms(20_000)), 5);
+}
+
+#[test]
+fn deadlines() {
+    struct Case {
+        header: Option<&'static [u8]>,
+        expect: Result<u64, Reason>,
+    }
+    let cases = [
+        (None, Ok(700)),
+        (Some("1"), Ok(1)),
+        (Some("59999"), Ok(59_999)),
+        (Some("60001"), Ok(60_000)),
+        (Some("99999999999999999999999999"), Ok(60_000)),
+        (Some("0"), Err(Reason::DeadlineExpired)),
+        (Some("000"), Err(Reason::DeadlineExpired)),
+        (Some(""), Err(Reason::BadDeadline)),
+        (Some("-5"), Err(Reason::BadDeadline)),
+        (Some("+5"), Err(Reason::BadDeadline)),
+        (Some("5.0"), Err(Reason::BadDeadline)),
+        (Some("5 "), Err(Reason::BadDeadline)),
+        (Some("5s"), Err(Reason::BadDeadline)),
+    ];
+    let cases = cases.map(|(text, expect)| Case {
+        header: text.map(str::as_bytes),
+        expect,
+    });
+    for case in cases {
+        let left = DeadlineSettings::default().time_left(case.header, millis(700));
+        assert_eq!(left, case.expect.map(millis), "{:?}", case.header);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever the tries say: a request ends; a non-idempotent one is not tried again once it
+    /// may have run; and "not run" is said only if no try may have run.
+    #[test]
+    fn ends_are_truthful(
+        idempotent: bool,
+        divided: bool,
+        deadline in 0..3_000_u64,
+        tries in prop::collection::vec((0..Reason::ALL.len(), 0..40_u64), 1..200),
+    ) {
+        let settings = AttemptSettings::default();
+        let mut attempt = Attempt::new(settings, idempotent, divided, ms(deadline));
+        let mut budget = RetryBudget::new(BudgetSettings::default());
+        let mut now = 0;
+        let mut may_have_run = false;
+        let mut ended = false;
+        for (reason, took) in tries {
+            let reason = Reason::ALL[reason];
+            prop_assert!(idempotent || !may_have_run, "tried again though it may have run");
+            may_have_run |= reason.outcome() == Outcome::Unknown;
+            now += took;
+            match attempt.start().ended(ms(now), failed(reason), &mut budget) {
+                Next::Done(verdict) => {
+                    let not_run = verdict.outcome == Outcome::NotRun;
+                    prop_assert_eq!(not_run, !may_have_run);
+                    prop_assert_eq!(Some(verdict.outcome), verdict.reason.map(Reason::outcome));
+                    ended = true;
+                    break;
+                }
+                Next::Retry { attempt: next, after, .. } => {
+                    prop_assert!(divided);
+                    attempt = next;
+                    now += after.as_millis() as u64;
+                }
+                Next::Elsewhere { attempt: next, after, .. } => {
+                    prop_assert!(!divided);
+                    attempt = next;
+                    now += after.as_millis() as u64;
+                }
+            }
+            prop_assert!(now < deadline, "tried again without time");
+        }
+        prop_assert!(ended || now < deadline);
+    }
+}
