Serve a request from end to end

An entry host joins membership, ownership, dispatch and callers, a thread each; 'medlardyke dev' runs a platform stand-in, the example's upstream stand-ins and a host in each domain on loopback.

--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,99 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand, ValueEnum};
+
+/// Routes requests to upstreams that own their keys exclusively.
+#[derive(Debug)]
+#[derive(Parser)]
+#[command(name = "medlardyke", version, after_help = EXIT_CODES)]
+pub(crate) struct Args {
+    /// What to do.
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 a file is not valid, \
+                          4 conflict, 5 a process can't be reached, 6 unknown, \
+                          7 not in force everywhere yet.";
+
+/// What to do.
+#[derive(Debug)]
+#[derive(Subcommand)]
+pub(crate) enum Command {
+    /// Runs an entry host until it gets SIGTERM or SIGINT; then it leaves without cutting requests.
+    #[command(after_help = "Example: medlardyke serve --settings host.json")]
+    Serve(ServeArgs),
+    /// Runs everything on loopback in one process, to try it out.
+    #[command(after_help = "Example: medlardyke dev --example kotuku --listen 127.0.0.1:8080")]
+    Dev(DevArgs),
+    /// Checks settings files of hosts and directories of declarations; lists all faults.
+    #[command(after_help = "Example: medlardyke check host.json examples/landavgift")]
+    Check(CheckArgs),
+    /// Asks entry hosts how they are.
+    #[command(after_help = "Example: medlardyke status 127.0.0.1:8080 --json")]
+    Status(StatusArgs),
+}
+
+/// Arguments of `serve`.
+#[derive(Debug)]
+#[derive(clap::Args)]
+pub(crate) struct ServeArgs {
+    /// Settings file.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) settings: PathBuf,
+}
+
+/// Declarations that come with the program.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(ValueEnum)]
+pub(crate) enum Example {
+    /// Landing fees, in three domains.
+    Landavgift,
+    /// Satellite passes, in three domains.
+    Kotuku,
+}
+
+/// Arguments of `dev`.
+#[derive(Debug)]
+#[derive(clap::Args)]
+pub(crate) struct DevArgs {
+    /// Declarations to run.
+    #[arg(long, value_enum, default_value = "landavgift")]
+    pub(crate) example: Example,
+    /// Directory of declarations to run instead of an example.
+    #[arg(long, value_name = "DIR", conflicts_with = "example")]
+    pub(crate) catalogue: Option<PathBuf>,
+    /// Address for callers of the first host; port 0 lets the kernel choose.
+    #[arg(long, default_value = "127.0.0.1:8080")]
+    pub(crate) listen: SocketAddr,
+    /// Print the addresses as one JSON line.
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `check`.
+#[derive(Debug)]
+#[derive(clap::Args)]
+pub(crate) struct CheckArgs {
+    /// Settings files of hosts, or directories of declarations.
+    #[arg(required = true, value_name = "PATH")]
+    pub(crate) paths: Vec<PathBuf>,
+    /// Print the faults as JSON.
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `status`.
+#[derive(Debug)]
+#[derive(clap::Args)]
+pub(crate) struct StatusArgs {
+    /// Callers' addresses of the hosts.
+    #[arg(required = true, value_name = "ADDRESS")]
+    pub(crate) hosts: Vec<SocketAddr>,
+    /// Print what the hosts say as JSON, a line a host.
+    #[arg(long)]
+    pub(crate) json: bool,
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,23 @@
 //! The `medlardyke` command.
 
-fn main() {}
+mod args;
+mod check;
+mod dev;
+mod exit;
+mod serve;
+mod status;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use args::{Args, Command};
+
+fn main() -> ExitCode {
+    match Args::parse().command {
+        Command::Serve(args) => serve::run(&args),
+        Command::Dev(args) => dev::run(&args),
+        Command::Check(args) => check::run(&args),
+        Command::Status(args) => status::run(&args),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,73 @@
+//! `medlardyke serve`.
+
+use std::io::Write as _;
+use std::process::ExitCode;
+
+use anyhow::Context as _;
+use host::{Addresses, Host, Settings};
+use ids::HostId;
+use platform::Token;
+use serde::Serialize;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::args::ServeArgs;
+use crate::exit;
+
+/// What a host prints once it listens.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct Started<'a> {
+    host: &'a HostId,
+    listening: Addresses,
+}
+
+/// Runs an entry host.
+pub(crate) fn run(args: &ServeArgs) -> ExitCode {
+    let cfg = match host::load_settings(&args.settings) {
+        Ok(cfg) => cfg,
+        Err(faults) => return exit::fail(exit::INVALID, faults),
+    };
+    match serve(cfg) {
+        Ok(()) => ExitCode::from(exit::OK),
+        Err(e) => exit::fail(exit::FAILED, format!("{e:#}")),
+    }
+}
+
+fn serve(cfg: Settings) -> anyhow::Result<()> {
+    let token = token(&cfg)?;
+    let log = host::log::logger(&cfg);
+    let name = cfg.host.clone();
+    let host = Host::start(cfg, token, log)?;
+    let started = Started {
+        host: &name,
+        listening: host.addresses(),
+    };
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{}", serde_json::to_string(&started)?)?;
+    out.flush()?;
+    wait_for_signal()?;
+    host.leave();
+    Ok(())
+}
+
+fn token(cfg: &Settings) -> anyhow::Result<Token> {
+    let name = cfg.platform.token_env.as_str();
+    let text = std::env::var(name).unwrap_or_default();
+    Token::new(text).with_context(|| format!("read environment variable {name}"))
+}
+
+/// Waits for SIGTERM or SIGINT.
+pub(crate) fn wait_for_signal() -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        Ok(())
+    })
+}
--- a/crates/gate/src/grants.rs
+++ b/crates/gate/src/grants.rs
@@ -91,6 +91,18 @@
             }
         )
     }
+
+    /// Tells whether the upstream's address refused the connection: no process listens there.
+    #[must_use]
+    pub fn was_refused(&self) -> bool {
+        matches!(
+            self,
+            Self::Exchange {
+                cause: ExchangeError::Connect { cause, .. },
+                ..
+            } if cause.kind() == std::io::ErrorKind::ConnectionRefused
+        )
+    }
 }
 
 /// Gives grants to one upstream and asks for its health.
--- /dev/null
+++ b/crates/host/src/control/mod.rs
@@ -0,0 +1,21 @@
+//! The control duty: membership, ownership and placement, on a thread of its own.
+//!
+//! - [`input`]: what the duty is told.
+//! - [`duty`]: the thread's loop, and how the machines are joined.
+//! - [`links`]: control connections with other hosts.
+//! - [`pairs`]: the hosts that coordinate upstreams together with this one.
+//! - [`peers`]: other hosts, as the parts name them.
+//! - [`table`]: calls to the platform.
+//! - [`upstreams`]: grants and health requests.
+//! - [`routes`]: catalogue and ownership, compiled for the path of requests.
+//! - [`leases`]: what the dispatch duty is told.
+
+pub(crate) mod duty;
+pub(crate) mod input;
+mod leases;
+mod links;
+mod pairs;
+mod peers;
+mod routes;
+mod table;
+mod upstreams;
--- /dev/null
+++ b/crates/host/src/run.rs
@@ -0,0 +1,283 @@
+//! Starts and stops the duties of a host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::Context as _;
+use arc_swap::ArcSwap;
+use gate::callers::PathSettings;
+use gate::{
+    DispatchChannels, DispatchDuty, DispatchSettings, Gate, GateContext, GateSettings, Metrics,
+    ToDispatch,
+};
+use ids::{BootClock, Clock, Incarnation};
+use platform::{HttpPlatform, HttpSettings, Token};
+use route::DispatcherSettings;
+use serde::Serialize;
+use slog::{Logger, info, warn};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+
+use crate::control::duty::{Duty, Parts, Rings};
+use crate::control::input::{self, Input, InputTx};
+use crate::settings::Settings;
+use crate::status::{ControlStatus, StatusEndpoint};
+
+/// Notices that may wait for the control duty.
+const RING_NOTICES: usize = 4_096;
+/// Load samples that may wait for the control duty; more are dropped and counted.
+const RING_SAMPLES: usize = 16_384;
+/// Time between reports of metrics.
+const METRICS_EVERY: Duration = Duration::from_secs(1);
+
+/// Why a host could not start.
+pub type StartError = anyhow::Error;
+
+/// Addresses on which a host listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For requests of other hosts.
+    pub dispatch: SocketAddr,
+    /// For control connections of other hosts.
+    pub control: SocketAddr,
+}
+
+/// A running host.
+#[derive(Debug)]
+pub struct Host {
+    addresses: Addresses,
+    drain: Duration,
+    linger: Duration,
+    gate: Gate,
+    dispatch: DispatchDuty,
+    input: InputTx,
+    left: oneshot::Receiver<()>,
+    stop: oneshot::Sender<()>,
+    control: JoinHandle<()>,
+    log: Logger,
+}
+
+impl Host {
+    /// Starts all duties of a host; `token` is its credential at the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound or a thread can't be started.
+    pub fn start(cfg: Settings, token: Token, log: Logger) -> Result<Self, StartError> {
+        let clock: Arc<dyn Clock> = Arc::new(BootClock);
+        let metrics = Arc::new(metrics(&cfg)?);
+        let gate_log = log.clone();
+        let cx = Arc::new(GateContext::new(
+            cfg.host.clone(),
+            Arc::clone(&clock),
+            Arc::clone(&metrics),
+            gate_log,
+        ));
+        let (notices_tx, notices) = mpsc::channel(RING_NOTICES);
+        let (samples_tx, samples) = mpsc::channel(RING_SAMPLES);
+        let channels = DispatchChannels {
+            notices: notices_tx,
+            samples: samples_tx,
+        };
+        let listener = std::net::TcpListener::bind(cfg.listen.control)
+            .with_context(|| format!("bind control address {}", cfg.listen.control))?;
+        listener.set_nonblocking(true)?;
+        let dispatch = DispatchDuty::start(
+            dispatch_settings(&cfg),
+            DispatcherSettings::default(),
+            Arc::clone(&cx),
+            channels,
+        )?;
+        let incarnation = incarnation();
+        let status: Arc<ArcSwap<ControlStatus>> = Arc::default();
+        let endpoint = StatusEndpoint::new(
+            cfg.host.clone(),
+            cfg.domain.clone(),
+            incarnation,
+            Arc::clone(&cx),
+            Arc::clone(&status),
+        );
+        let gate = Gate::start(
+            gate_settings(&cfg),
+            PathSettings::default(),
+            Arc::clone(&cx),
+            dispatch.tx(),
+            Arc::new(endpoint),
+        )?;
+        let addresses = Addresses {
+            callers: gate.address(),
+            dispatch: dispatch.address(),
+            control: listener.local_addr()?,
+        };
+        let me = spread::Me {
+            host: cfg.host.clone(),
+            domain: cfg.domain.clone(),
+            incarnation,
+            control: addresses.control,
+            dispatch: addresses.dispatch,
+        };
+        let platform = HttpPlatform::new(HttpSettings {
+            address: cfg.platform.address,
+            token,
+            timeout: Duration::from_millis(cfg.platform.timeout_ms.into()),
+            ..HttpSettings::default()
+        });
+        let (left_tx, left) = oneshot::channel();
+        let (stop, stop_rx) = oneshot::channel();
+        let (input, inputs) = input::ring();
+        let rings = Rings {
+            inputs,
+            notices,
+            samples,
+            left: left_tx,
+            stop: stop_rx,
+        };
+        let drain = Duration::from_millis(cfg.callers.drain_timeout_ms.into());
+        let linger = Duration::from_millis(cfg.callers.linger_ms.into());
+        let parts = Parts {
+            own: cfg.ownership.own(),
+            spread: cfg.ownership.spread(),
+            cfg,
+            me,
+            clock,
+            cx,
+            dispatch: dispatch.tx(),
+            platform,
+            status,
+            log: log.clone(),
+        };
+        let control = start_control(parts, input.clone(), listener, rings)?;
+        start_metrics(&metrics, log.clone())?;
+        info!(log, "started"; "callers" => %addresses.callers);
+        Ok(Self {
+            addresses,
+            drain,
+            linger,
+            gate,
+            dispatch,
+            input,
+            left,
+            stop,
+            control,
+            log,
+        })
+    }
+
+    /// Returns the addresses on which the host listens.
+    #[must_use]
+    pub const fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Leaves: hands over all upstreams, goes on serving while the balancer turns away, finishes
+    /// all requests under way, and stops.
+    ///
+    /// It blocks the calling thread, which must not belong to an asynchronous runtime.
+    pub fn leave(self) {
+        self.input.blocking_send(Input::Leave);
+        let began = std::time::Instant::now();
+        if !wait_until_closed(self.left, self.drain) {
+            warn!(self.log, "not all upstreams were handed over in time");
+        }
+        std::thread::sleep(self.linger.saturating_sub(began.elapsed()));
+        self.gate.join();
+        let tx = self.dispatch.tx();
+        let _ended = tx.blocking_tell(ToDispatch::Leave);
+        let _ended = tx.blocking_tell(ToDispatch::Stop);
+        drop(tx);
+        self.dispatch.join();
+        let _ended = self.stop.send(());
+        if self.control.join().is_err() {
+            warn!(self.log, "the control duty panicked");
+        }
+        info!(self.log, "left");
+    }
+}
+
+/// Waits until the sender is dropped, at most for `limit`; tells whether it was.
+fn wait_until_closed(mut rx: oneshot::Receiver<()>, limit: Duration) -> bool {
+    const LOOK_EVERY: Duration = Duration::from_millis(5);
+    let began = std::time::Instant::now();
+    while began.elapsed() < limit {
+        if matches!(rx.try_recv(), Err(oneshot::error::TryRecvError::Closed)) {
+            return true;
+        }
+        std::thread::sleep(LOOK_EVERY);
+    }
+    false
+}
+
+fn start_control(
+    parts: Parts,
+    input: InputTx,
+    listener: std::net::TcpListener,
+    rings: Rings,
+) -> Result<JoinHandle<()>, StartError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let thread = std::thread::Builder::new().name("control".to_owned());
+    let run = move || {
+        let run = async move {
+            let listener = tokio::net::TcpListener::from_std(listener)
+                .expect("a bound listener joins the runtime");
+            Duty::new(parts, input).run(listener, rings).await;
+        };
+        runtime.block_on(LocalSet::new().run_until(run));
+    };
+    Ok(thread.spawn(run)?)
+}
+
+fn start_metrics(metrics: &Arc<Metrics>, log: Logger) -> Result<(), StartError> {
+    let weak = Arc::downgrade(metrics);
+    let thread = std::thread::Builder::new().name("metrics".to_owned());
+    thread.spawn(move || {
+        while let Some(metrics) = weak.upgrade() {
+            if let Err(e) = metrics.flush() {
+                warn!(log, "metrics were not sent"; "cause" => %e);
+            }
+            drop(metrics);
+            std::thread::sleep(METRICS_EVERY);
+        }
+    })?;
+    Ok(())
+}
+
+fn metrics(cfg: &Settings) -> Result<Metrics, StartError> {
+    match cfg.statsd {
+        Some(server) => Metrics::to_statsd(server)
+            .with_context(|| format!("open metrics socket towards {server}")),
+        None => Ok(Metrics::default()),
+    }
+}
+
+/// Draws the number of this run from the wall clock, as a host keeps nothing.
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    Incarnation(since_epoch.map_or(1, |d| d.as_micros() as u64))
+}
+
+fn gate_settings(cfg: &Settings) -> GateSettings {
+    GateSettings {
+        listen: cfg.listen.callers,
+        max_connections: cfg.callers.connections,
+        header_bytes: cfg.callers.head_bytes,
+        header_timeout_ms: cfg.callers.head_timeout_ms,
+        body_timeout_ms: cfg.callers.body_timeout_ms,
+        stop_ms: cfg.callers.drain_timeout_ms,
+        ..GateSettings::default()
+    }
+}
+
+fn dispatch_settings(cfg: &Settings) -> DispatchSettings {
+    DispatchSettings {
+        listen: cfg.listen.dispatch,
+        stop_ms: cfg.callers.drain_timeout_ms,
+        ..DispatchSettings::default()
+    }
+}
--- /dev/null
+++ b/crates/host/src/settings.rs
@@ -0,0 +1,279 @@
+//! Settings of an entry host, as written in its JSON file.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use ids::{DomainId, HostId};
+use indexmap::IndexMap;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// How long evidence holds against the silence after which a host counts as lost.
+const EVIDENCE_PER_SILENCE: f64 = 1.2;
+
+/// Settings of an entry host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the host; unique among all hosts.
+    pub host: HostId,
+    /// Failure domain of the host.
+    pub domain: DomainId,
+    /// Addresses on which the host listens.
+    #[serde(default)]
+    pub listen: Listen,
+    /// The platform's service.
+    pub platform: PlatformSettings,
+    /// Hosts to ask while the platform's list can't be read.
+    #[serde(default)]
+    pub seed_peers: Vec<SeedPeer>,
+    /// Addresses under which this host reaches others, where they differ from the listed ones.
+    #[serde(default)]
+    pub address_overrides: IndexMap<HostId, PeerAddresses>,
+    /// Address of a StatsD server; no metrics are sent without one.
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
+    /// Lowest level of log records that are written.
+    #[serde(default)]
+    pub log_level: LogLevel,
+    /// Limits towards callers.
+    #[serde(default)]
+    pub callers: CallerLimits,
+    /// Times of the ownership protocol; equal on all hosts.
+    #[serde(default)]
+    pub ownership: OwnershipTimes,
+}
+
+impl Settings {
+    /// Creates the settings of a host with the default for all that has one.
+    #[must_use]
+    pub fn new(host: HostId, domain: DomainId, platform: PlatformSettings) -> Self {
+        Self {
+            host,
+            domain,
+            listen: Listen::default(),
+            platform,
+            seed_peers: Vec::new(),
+            address_overrides: IndexMap::new(),
+            statsd: None,
+            log_level: LogLevel::default(),
+            callers: CallerLimits::default(),
+            ownership: OwnershipTimes::default(),
+        }
+    }
+}
+
+/// Addresses on which a host listens; port 0 lets the kernel choose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct Listen {
+    /// For callers' HTTP.
+    pub callers: SocketAddr,
+    /// For requests handed over by other hosts.
+    pub dispatch: SocketAddr,
+    /// For heartbeats and the spreading of rows.
+    pub control: SocketAddr,
+}
+
+impl Default for Listen {
+    fn default() -> Self {
+        let any_port = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        Self {
+            callers: any_port,
+            dispatch: any_port,
+            control: any_port,
+        }
+    }
+}
+
+/// How to reach the platform's service.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Address (IP and port).
+    pub address: SocketAddr,
+    /// Name of the environment variable that holds the host's token.
+    #[serde(default = "default_token_env")]
+    pub token_env: SmolStr,
+    /// Longest wait for an answer, in milliseconds.
+    #[serde(default = "default_platform_timeout_ms")]
+    #[schemars(range(min = 10, max = 60_000))]
+    pub timeout_ms: u32,
+}
+
+impl PlatformSettings {
+    /// Creates the settings of a platform at `address` with the default for the rest.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            token_env: default_token_env(),
+            timeout_ms: default_platform_timeout_ms(),
+        }
+    }
+}
+
+impl std::fmt::Debug for PlatformSettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PlatformSettings")
+            .field("address", &self.address)
+            .field("timeout_ms", &self.timeout_ms)
+            .finish_non_exhaustive()
+    }
+}
+
+fn default_token_env() -> SmolStr {
+    SmolStr::new_static("MEDLARDYKE_HOST_TOKEN")
+}
+
+const fn default_platform_timeout_ms() -> u32 {
+    500
+}
+
+/// A host that is known before the platform's list is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SeedPeer {
+    /// Name.
+    pub host: HostId,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Addresses.
+    pub addresses: PeerAddresses,
+}
+
+/// Addresses of another host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct PeerAddresses {
+    /// For requests handed over.
+    pub dispatch: SocketAddr,
+    /// For heartbeats and the spreading of rows.
+    pub control: SocketAddr,
+}
+
+/// Lowest level of log records that are written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogLevel {
+    /// All records.
+    Debug,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// What may need an operator.
+    Warning,
+    /// What surely needs one.
+    Error,
+}
+
+/// Limits towards callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Open connections.
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub connections: u32,
+    /// Largest request head, in bytes.
+    #[schemars(range(min = 8_192, max = 1_048_576))]
+    pub head_bytes: u32,
+    /// Longest time for a request's head to arrive, in milliseconds.
+    #[schemars(range(min = 10, max = 600_000))]
+    pub head_timeout_ms: u32,
+    /// Longest time for a request's body to arrive, in milliseconds.
+    #[schemars(range(min = 10, max = 600_000))]
+    pub body_timeout_ms: u32,
+    /// Longest time that a leaving host waits for requests under way, in milliseconds.
+    #[schemars(range(min = 100, max = 600_000))]
+    pub drain_timeout_ms: u32,
+    /// Time that a leaving host goes on serving at least, so that the balancer sees it, in
+    /// milliseconds.
+    #[schemars(range(min = 0, max = 600_000))]
+    pub linger_ms: u32,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 4_096,
+            head_bytes: 16_384,
+            head_timeout_ms: 5_000,
+            body_timeout_ms: 10_000,
+            drain_timeout_ms: 30_000,
+            linger_ms: 2_000,
+        }
+    }
+}
+
+/// Times of the ownership protocol.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct OwnershipTimes {
+    /// Time for which a grant holds, in milliseconds.
+    #[schemars(range(min = 50, max = 60_000))]
+    pub grant_ttl_ms: u32,
+    /// Time between renewals of a grant, in milliseconds.
+    #[schemars(range(min = 10, max = 20_000))]
+    pub renew_every_ms: u32,
+    /// Time between heartbeats, in milliseconds.
+    #[schemars(range(min = 10, max = 20_000))]
+    pub heartbeat_every_ms: u32,
+    /// Silence after which a host counts as lost, in milliseconds.
+    #[schemars(range(min = 50, max = 60_000))]
+    pub silence_ms: u32,
+    /// Time between reads of the table by a reader, in milliseconds.
+    #[schemars(range(min = 10, max = 60_000))]
+    pub poll_every_ms: u32,
+}
+
+impl Default for OwnershipTimes {
+    fn default() -> Self {
+        Self {
+            grant_ttl_ms: 600,
+            renew_every_ms: 150,
+            heartbeat_every_ms: 100,
+            silence_ms: 500,
+            poll_every_ms: 150,
+        }
+    }
+}
+
+impl OwnershipTimes {
+    /// Returns the settings of the ownership machine.
+    #[must_use]
+    pub fn own(&self) -> own::OwnSettings {
+        let silence = millis(self.silence_ms);
+        own::OwnSettings {
+            grant_ttl: millis(self.grant_ttl_ms),
+            renew_every: millis(self.renew_every_ms),
+            watch_every: millis(self.heartbeat_every_ms),
+            silence,
+            evidence: silence.mul_f64(EVIDENCE_PER_SILENCE),
+            ..own::OwnSettings::default()
+        }
+    }
+
+    /// Returns the settings of membership and spreading.
+    #[must_use]
+    pub fn spread(&self) -> spread::Config {
+        spread::Config {
+            heartbeat: millis(self.heartbeat_every_ms),
+            silent_after: millis(self.silence_ms),
+            poll_own: millis(self.poll_every_ms),
+            ..spread::Config::default()
+        }
+    }
+}
+
+const fn millis(ms: u32) -> Duration {
+    Duration::from_millis(ms as u64)
+}
--- /dev/null
+++ b/crates/host/src/status.rs
@@ -0,0 +1,109 @@
+//! What a host says of itself at `/medlardyke/status`.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use gate::counters::MetricsSnapshot;
+use gate::{GateContext, OwnAnswer, OwnEndpoints, OwnRequest, Phase};
+use http::StatusCode;
+use ids::{DomainId, HostId, Incarnation, Revision, Version};
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// Path of the status endpoint.
+pub const STATUS_PATH: &str = "/medlardyke/status";
+
+/// What the control duty says of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct ControlStatus {
+    /// Version of the catalogue in force.
+    pub catalogue_version: Version,
+    /// How long ago some host began the read that brought it, in milliseconds; absent if unknown.
+    pub catalogue_age_ms: Option<u64>,
+    /// Revision of ownership that is known.
+    pub revision: Revision,
+    /// How long ago some host began the read that brought it, in milliseconds; absent if unknown.
+    pub revision_age_ms: Option<u64>,
+    /// Hosts that count as alive, this one included.
+    pub live_hosts: u32,
+    /// Upstreams that this host coordinates.
+    pub upstreams: Vec<SmolStr>,
+    /// Whether this host reads the table for its domain.
+    pub reads_table: bool,
+}
+
+/// The whole status.
+#[derive(Debug, Serialize)]
+struct Status<'a> {
+    host: &'a HostId,
+    domain: &'a DomainId,
+    incarnation: Incarnation,
+    phase: &'static str,
+    #[serde(flatten)]
+    control: &'a ControlStatus,
+    counters: MetricsSnapshot,
+}
+
+/// Answers the host's own endpoints.
+#[derive(Debug)]
+pub struct StatusEndpoint {
+    host: HostId,
+    domain: DomainId,
+    incarnation: Incarnation,
+    cx: Arc<GateContext>,
+    control: Arc<ArcSwap<ControlStatus>>,
+}
+
+impl StatusEndpoint {
+    /// Creates the endpoint; the control duty stores its part in `control`.
+    #[must_use]
+    pub fn new(
+        host: HostId,
+        domain: DomainId,
+        incarnation: Incarnation,
+        cx: Arc<GateContext>,
+        control: Arc<ArcSwap<ControlStatus>>,
+    ) -> Self {
+        Self {
+            host,
+            domain,
+            incarnation,
+            cx,
+            control,
+        }
+    }
+
+    fn status(&self) -> OwnAnswer {
+        let control = self.control.load();
+        let status = Status {
+            host: &self.host,
+            domain: &self.domain,
+            incarnation: self.incarnation,
+            phase: phase_text(self.cx.phase()),
+            control: &control,
+            counters: self.cx.metrics.snapshot(),
+        };
+        let body = serde_json::to_vec(&status).expect("a status is plain JSON");
+        OwnAnswer {
+            status: StatusCode::OK,
+            content_type: "application/json",
+            body: Bytes::from(body),
+        }
+    }
+}
+
+impl OwnEndpoints for StatusEndpoint {
+    fn answer(&self, request: OwnRequest<'_>) -> Option<OwnAnswer> {
+        (request.path == STATUS_PATH).then(|| self.status())
+    }
+}
+
+const fn phase_text(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Starting => "starting",
+        Phase::Serving => "serving",
+        Phase::Leaving => "leaving",
+    }
+}
