Split the dispatcher, hold whole upstreams, follow carved-out keys

Change: one module each for arrival, sending, ends, time and moves; Hold and Release name a slice or all; Carved counts calls to the slice of their key, also those that came before; a call whose key is folded back while it is under way counts to whatever is held, until it ends. A removed upstream keeps neither lease nor holds, which a property over random events found; that property (at most the slots and connections, one end for each call, nothing sent twice, without lease, held or draining, drained told exactly, not-run true) is new in tests/properties.

--- a/crates/route/examples/limits/cost.rs
+++ b/crates/route/examples/limits/cost.rs
@@ -144,6 +144,7 @@
             upstream: upstream.clone(),
             slice: Some(SliceNo(number % 64)),
             deadline: Timestamp::from_millis(1_000_000_000),
+            key: None,
             idempotent: number.is_multiple_of(2),
             entry: entry.clone(),
             request_id: RequestId::new(format!("3f2504e0-4f89-11d3-9a0c-{number:012}"))
--- a/crates/route/examples/limits/world.rs
+++ b/crates/route/examples/limits/world.rs
@@ -527,6 +527,7 @@
             upstream: self.servers[index_of(tried.target.upstream)].name.clone(),
             slice: tried.target.slice,
             deadline: Timestamp::from_micros(deadline),
+            key: None,
             idempotent: true,
             entry: entry_id(),
             request_id: RequestId::new(format!("c{}", call.0)).expect("a valid name"),
--- a/crates/route/src/dispatch/call.rs
+++ b/crates/route/src/dispatch/call.rs
@@ -1,6 +1,6 @@
 //! One call, from its arrival to the end of all that it holds.
 
-use ids::Timestamp;
+use ids::{SliceNo, Timestamp};
 
 use super::lane::LaneKey;
 use super::message::Arrival;
@@ -47,6 +47,9 @@
     pub joined: Vec<CallKey>,
     /// When the state must be looked at again.
     pub timer: Timestamp,
+    /// Whether its slice was folded into another one since it was sent, so that it counts to
+    /// whatever slice is held.
+    pub loose: bool,
     /// Whether its id is in the memory of repeats.
     pub registered: bool,
 }
@@ -56,4 +59,9 @@
     pub fn is_wanted(&self) -> bool {
         self.expected || !self.joined.is_empty()
     }
+
+    /// Tells whether the call counts to a slice.
+    pub fn counts_to(&self, slice: Option<SliceNo>) -> bool {
+        self.loose || self.arrival.slice == slice
+    }
 }
--- a/crates/route/src/dispatch/lane.rs
+++ b/crates/route/src/dispatch/lane.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{Epoch, Reason, SliceNo, Timestamp, UpstreamId};
+use ids::{Epoch, KeyHash, Reason, SliceNo, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
 
 use super::limit::Limiter;
@@ -76,8 +76,10 @@
     pub lease: Option<Lease>,
     /// Calls that wait for a slot.
     pub queue: Queue,
-    /// Slices that are about to move.
-    pub holds: IndexMap<SliceNo, Hold>,
+    /// Slices that are about to move; none stands for all of them.
+    pub holds: IndexMap<Option<SliceNo>, Hold>,
+    /// Hot keys carved out of the upstream's slices, sorted.
+    pub carved: Arc<[SliceNo]>,
     /// Calls that were sent and whose slot or connection is not surely free.
     pub under_way: IndexSet<CallKey>,
     /// Slots in use.
@@ -105,6 +107,7 @@
             lease: None,
             queue: Queue::new(now, settings.queue),
             holds: IndexMap::new(),
+            carved: Arc::default(),
             under_way: IndexSet::new(),
             busy: 0,
             connections: 0,
@@ -197,8 +200,19 @@
         self.stage = Stage::Open;
     }
 
-    /// Takes a grant or its renewal. One with a lower epoch is out of date and changes nothing.
+    /// Gives the lane up: nothing of what was granted or held stands any more.
+    pub fn remove(&mut self) {
+        self.stage = Stage::Removed;
+        self.lease = None;
+        self.holds.clear();
+    }
+
+    /// Takes a grant or its renewal. One with a lower epoch is out of date and changes nothing,
+    /// nor does one for a lane that was given up.
     pub fn grant(&mut self, epoch: Epoch, valid_until: Timestamp, slices: Option<Arc<[SliceNo]>>) {
+        if self.stage == Stage::Removed {
+            return;
+        }
         let sorted = slices.as_ref().is_none_or(|s| s.is_sorted());
         debug_assert!(sorted, "slices of a lease are sorted");
         let Some(lease) = &mut self.lease else {
@@ -236,9 +250,32 @@
             .is_none_or(|l| l.valid_until <= now + margin)
     }
 
-    /// Begins to hold a slice. Returns whether it was not held before.
-    pub fn hold(&mut self, now: Timestamp, slice: SliceNo) -> bool {
-        if self.holds.contains_key(&slice) {
+    /// Returns the slice to which a call counts: its key's own one if that is carved out.
+    pub fn resolve(&self, slice: Option<SliceNo>, key: Option<KeyHash>) -> Option<SliceNo> {
+        let hot = key.map(KeyHash::hot_slice);
+        let carved = hot.filter(|h| self.carved.binary_search(h).is_ok());
+        if slice.is_some() {
+            carved.or(slice)
+        } else {
+            None
+        }
+    }
+
+    /// Tells whether calls of a slice wait for a move.
+    pub fn is_held(&self, slice: Option<SliceNo>) -> bool {
+        self.holds.contains_key(&slice) || self.holds.contains_key(&None)
+    }
+
+    /// Returns the hold behind which calls of a slice wait, if there is one.
+    pub fn hold_of(&mut self, slice: Option<SliceNo>) -> Option<&mut Hold> {
+        let named = [slice, None];
+        let name = named.into_iter().find(|n| self.holds.contains_key(n))?;
+        self.holds.get_mut(&name)
+    }
+
+    /// Begins to hold a slice, or all. Returns whether it was not held before.
+    pub fn hold(&mut self, now: Timestamp, slice: Option<SliceNo>) -> bool {
+        if self.stage == Stage::Removed || self.holds.contains_key(&slice) {
             return false;
         }
         let hold = Hold {
--- a/crates/route/src/dispatch/message.rs
+++ b/crates/route/src/dispatch/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{EntryId, Epoch, Reason, RequestId, SliceNo, Timestamp, UpstreamId};
+use ids::{EntryId, Epoch, KeyHash, Reason, RequestId, SliceNo, Timestamp, UpstreamId};
 
 use crate::key::CallKey;
 
@@ -29,6 +29,8 @@
     pub upstream: UpstreamId,
     /// Slice of the key; none if the entry is not divided by key.
     pub slice: Option<SliceNo>,
+    /// Hash of the key, by which a call is counted to its key's own slice once that is carved out.
+    pub key: Option<KeyHash>,
     /// When the caller's time is over, on this host's clock.
     pub deadline: Timestamp,
     /// Whether the request may run more than once.
@@ -108,19 +110,27 @@
         /// Upstream.
         upstream: UpstreamId,
     },
+    /// Keys were carved out of the upstream's slices, or folded back: calls count to the slice
+    /// of their key alone while it is among these.
+    Carved {
+        /// Upstream.
+        upstream: UpstreamId,
+        /// All hot slices carved out of the upstream's slices, sorted.
+        hot: Arc<[SliceNo]>,
+    },
     /// A slice is about to move, from or to the upstream: calls for it wait.
     Hold {
         /// Upstream.
         upstream: UpstreamId,
-        /// Slice.
-        slice: SliceNo,
+        /// Slice; all calls of the upstream wait if there is none.
+        slice: Option<SliceNo>,
     },
     /// The move is over or called off.
     Release {
         /// Upstream that held calls for the slice.
         upstream: UpstreamId,
-        /// Slice.
-        slice: SliceNo,
+        /// Slice, as it was held.
+        slice: Option<SliceNo>,
         /// Upstream that has the slice now. Calls go on there if this host coordinates it;
         /// else they are refused as [`Reason::StaleRoute`].
         to: Option<UpstreamId>,
@@ -182,11 +192,11 @@
         /// The call.
         call: CallKey,
     },
-    /// Nothing of the held slice, or of the draining upstream, is under way any more.
+    /// Nothing of the held slice, or of the held or draining upstream, is under way any more.
     Drained {
         /// Upstream.
         upstream: UpstreamId,
-        /// Slice; none if the whole upstream is drained.
+        /// Slice; none if nothing at all is under way.
         slice: Option<SliceNo>,
     },
 }
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -9,20 +9,26 @@
 //!   connection is idle again or closed, also after [`Action::Abort`].
 //! - [`Event::Tick`] comes no later than shortly after [`Dispatcher::next_wake`].
 //!
-//! A call goes through the modules in this order: [`repeat`] finds out whether its id is known,
-//! `lane` checks lease, stage and moves, [`queue`] orders it, [`limit`] and [`service`] say when
-//! the upstream takes it and whether it can still finish in time. [`verify`] checks that all of
-//! them agree.
+//! A call goes through the modules in this order: `arrive` takes it in, [`repeat`] finds out
+//! whether its id is known, `lane` checks lease, stage and moves, [`queue`] orders it, [`limit`]
+//! and [`service`] say when the upstream takes it and whether it can still finish in time, `send`
+//! sends it and `finish` ends it. `timer` and `moves` hold what time and changes of ownership
+//! bring about. [`verify`] checks that all of them agree.
 
+mod arrive;
 mod call;
 mod dispatcher;
+mod finish;
 mod lane;
 pub mod limit;
 mod message;
+mod moves;
 pub mod queue;
 pub mod repeat;
+mod send;
 pub mod service;
 mod settings;
+mod timer;
 pub mod verify;
 
 pub use dispatcher::Dispatcher;
--- a/crates/route/src/dispatch/verify.rs
+++ b/crates/route/src/dispatch/verify.rs
@@ -117,11 +117,12 @@
         let open = states().filter(|s| !matches!(s, State::Stopping { closed: true, .. }));
         let held_under_way = lane.under_way.iter().any(|c| {
             let slice = self.calls.get(c).and_then(|c| c.arrival.slice);
-            slice.is_some_and(|s| lane.holds.get(&s).is_some_and(|h| h.drained))
+            let drained = |name| lane.holds.get(&name).is_some_and(|h| h.drained);
+            drained(slice) || drained(None)
         });
         let held_queued = lane.queue.iter().any(|(_, w)| {
             let slice = self.calls.get(&w.call).and_then(|c| c.arrival.slice);
-            slice.is_some_and(|s| lane.holds.contains_key(&s))
+            lane.is_held(slice)
         });
         [
             (
--- a/crates/route/tests/dispatch/main.rs
+++ b/crates/route/tests/dispatch/main.rs
@@ -666,7 +666,7 @@
                     &["answer 1 from 1", "keep 1", "drained u1 1"],
                 ),
                 (1, "lease u2 epoch=9 until=10000 slices=1", &[]),
-                (2, "release u1 u2", &["send 2 u2 e9"]),
+                (2, "release u1 to=u2", &["send 2 u2 e9"]),
             ],
         ),
         case(
@@ -676,7 +676,7 @@
                 (0, "hold u1", &["drained u1 1"]),
                 (0, "arrive 1", &[]),
                 (1, "lease u1 epoch=5 until=10000 slices=1", &[]),
-                (1, "release u1 u1", &["send 1 u1 e5"]),
+                (1, "release u1 to=u1", &["send 1 u1 e5"]),
             ],
         ),
         case(
@@ -714,6 +714,85 @@
     ]);
 }
 
+#[test]
+fn keys_carved_out() {
+    run(&[
+        case(
+            "a hold of all calls waits for each that is under way",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (0, "hold u1 all", &[]),
+                (0, "arrive 2", &[]),
+                (
+                    1,
+                    "answered 1",
+                    &["answer 1 from 1", "keep 1", "drained u1"],
+                ),
+                (2, "release u1 all", &["refuse 2 stale-route"]),
+            ],
+        ),
+        case(
+            "a call that came before its key was carved out moves with the key",
+            &[
+                (0, "arrive 1 key=7", &["send 1 u1 e5"]),
+                (0, "arrive 2", &["send 2 u1 e5"]),
+                (0, "arrive 3 key=7", &[]),
+                (1, "carved u1 key=7", &[]),
+                (1, "hold u1 key=7", &[]),
+                (2, "answered 2", &["answer 2 from 2", "keep 2"]),
+                (
+                    3,
+                    "answered 1",
+                    &[
+                        "answer 1 from 1",
+                        "keep 1",
+                        "drained u1 hot-0000000000000003",
+                    ],
+                ),
+                (4, "release u1 key=7", &["refuse 3 stale-route"]),
+                (5, "arrive 4 key=7", &["refuse 4 stale-route"]),
+            ],
+        ),
+        case(
+            "calls of a key that was carved out don't keep its old slice from moving",
+            &[
+                (0, "lease u1 epoch=5 until=10000 slices=1,h8", &[]),
+                (0, "carved u1 key=8", &[]),
+                (0, "arrive 1 key=8", &["send 1 u1 e5"]),
+                (0, "hold u1", &["drained u1 1"]),
+            ],
+        ),
+        case(
+            "a call of a key that was folded back keeps any slice from moving until it ends",
+            &[
+                (0, "lease u1 epoch=5 until=10000 slices=1,h8", &[]),
+                (0, "carved u1 key=8", &[]),
+                (0, "arrive 1 key=8", &["send 1 u1 e5"]),
+                (0, "carved u1", &[]),
+                (0, "hold u1", &[]),
+                (
+                    1,
+                    "answered 1",
+                    &["answer 1 from 1", "keep 1", "drained u1 1"],
+                ),
+            ],
+        ),
+        case(
+            "a waiting call whose key is carved out waits behind the hold of its new slice",
+            &[
+                (0, "declare u1 slots=1", &[]),
+                (0, "arrive 1 key=20", &["send 1 u1 e5"]),
+                (0, "arrive 2 key=8", &[]),
+                (0, "hold u1 key=8", &["drained u1 hot-0000000000000004"]),
+                (0, "carved u1 key=8", &[]),
+                (1, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (1, "lease u1 epoch=5 until=10000 slices=1,h8", &[]),
+                (1, "release u1 key=8 to=u1", &["send 2 u1 e5"]),
+            ],
+        ),
+    ]);
+}
+
 #[test]
 fn upstreams_that_leave() {
     run(&[
--- a/crates/route/tests/dispatch/script.rs
+++ b/crates/route/tests/dispatch/script.rs
@@ -3,7 +3,7 @@
 //! An event is a verb, a subject, and options such as `deadline=50`; what is left out is as in
 //! [`arrival`] and [`limits`].
 
-use ids::{EntryId, Epoch, Reason, RequestId, SliceNo, Timestamp, UpstreamId};
+use ids::{EntryId, Epoch, KeyHash, Reason, RequestId, SliceNo, Timestamp, UpstreamId};
 use route::{Action, Arrival, CallKey, Ended, Event, UpstreamLimits};
 
 /// Builds a time from milliseconds.
@@ -33,6 +33,14 @@
         self.option(name).map_or(default, number)
     }
 
+    fn key(&self) -> Option<KeyHash> {
+        self.option("key").map(|n| KeyHash(number(n)))
+    }
+
+    fn hot(&self) -> Option<SliceNo> {
+        self.key().map(KeyHash::hot_slice)
+    }
+
     fn call(&self) -> CallKey {
         CallKey(number(self.word(1)))
     }
@@ -54,7 +62,7 @@
 pub fn parse(text: &str) -> Event {
     let words = Words(text.split(' ').collect());
     let upstream = || words.upstream();
-    let slice = SliceNo(1);
+    let slice = held(&words);
     match words.word(0) {
         "arrive" => Event::Arrive(arrival(&words)),
         "answered" => {
@@ -92,6 +100,10 @@
             upstream: upstream(),
             healthy: false,
         },
+        "carved" => Event::Carved {
+            upstream: upstream(),
+            hot: words.hot().into_iter().collect(),
+        },
         "hold" => Event::Hold {
             upstream: upstream(),
             slice,
@@ -99,16 +111,29 @@
         "release" => Event::Release {
             upstream: upstream(),
             slice,
-            to: words.0.get(2).map(|to| self::upstream(to)),
+            to: words.option("to").map(self::upstream),
         },
         "tick" => Event::Tick,
         verb => panic!("{verb:?} is no event"),
     }
 }
 
+/// Slice 1, the hot slice of a key, or all.
+fn held(words: &Words<'_>) -> Option<SliceNo> {
+    if words.has("all") {
+        return None;
+    }
+    words.hot().or(Some(SliceNo(1)))
+}
+
+/// Reads slices in rising order; one that begins with `h` is that of a single key.
 fn slices(text: &str) -> std::sync::Arc<[SliceNo]> {
-    let numbers = text.split(',').filter(|n| !n.is_empty());
-    numbers.map(|n| SliceNo(number(n))).collect()
+    let names = text.split(',').filter(|n| !n.is_empty());
+    let slice = |n: &str| match n.strip_prefix('h') {
+        Some(key) => KeyHash(number(key)).hot_slice(),
+        None => SliceNo(number(n)),
+    };
+    names.map(slice).collect()
 }
 
 fn finished(words: &Words<'_>, how: Ended) -> Event {
@@ -141,6 +166,7 @@
         upstream: upstream(words.option("upstream").unwrap_or("u1")),
         slice,
         deadline: ms(words.number("deadline", 1_000)),
+        key: words.key(),
         idempotent: words.has("idempotent"),
         entry: EntryId::new(words.option("entry").unwrap_or("slotbook")).expect("a valid name"),
         request_id: RequestId::new(format!("r{id}")).expect("a valid name"),
--- /dev/null
+++ b/crates/route/tests/properties/main.rs
@@ -0,0 +1,81 @@
+//! Properties of the dispatcher under any order of events.
+//!
+//! [`model`] holds what is true of each call apart from the dispatcher and judges every action.
+
+mod model;
+
+use model::Model;
+use proptest::prelude::*;
+use route::QueueOrder;
+
+/// One event; numbers choose among what there is.
+#[derive(Debug, Clone)]
+pub enum Op {
+    /// A call: upstream, slice, id, fingerprint, time left in milliseconds.
+    Arrive(u8, u8, u8, u8, u16),
+    /// The end of a call under way: which one, how.
+    Finish(u8, u8),
+    /// A caller leaves: which one.
+    Gone(u8),
+    /// A grant: upstream, steps of the epoch, length in milliseconds, slices as bits.
+    Lease(u8, u8, u16, u8),
+    /// The end of a lease.
+    Lost(u8),
+    /// A slice is held.
+    Hold(u8, u8),
+    /// A slice is released: upstream, slice, new owner.
+    Release(u8, u8, u8),
+    /// An upstream is declared: slots, connections.
+    Declare(u8, u8, u8),
+    /// An upstream drains.
+    Draining(u8),
+    /// An upstream is removed.
+    Removed(u8),
+    /// An upstream restarted.
+    Booted(u8),
+    /// An upstream calls itself unfit.
+    Unfit(u8),
+    /// Milliseconds pass.
+    Pass(u16),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let any = any::<u8>;
+    prop_oneof![
+        12 => (0..3_u8, 0..3_u8, 0..20_u8, 0..8_u8, 0..400_u16)
+            .prop_map(|(u, s, id, print, left)| Op::Arrive(u, s, id, print, left)),
+        9 => (any(), 0..8_u8).prop_map(|(i, how)| Op::Finish(i, how)),
+        2 => any().prop_map(Op::Gone),
+        3 => (0..3_u8, 0..3_u8, 0..500_u16, any())
+            .prop_map(|(u, step, len, slices)| Op::Lease(u, step, len, slices)),
+        1 => (0..3_u8).prop_map(Op::Lost),
+        2 => (0..2_u8, 0..3_u8).prop_map(|(u, s)| Op::Hold(u, s)),
+        2 => (0..2_u8, 0..3_u8, 0..4_u8).prop_map(|(u, s, to)| Op::Release(u, s, to)),
+        1 => (0..3_u8, 0..4_u8, 1..5_u8).prop_map(|(u, slots, n)| Op::Declare(u, slots, n)),
+        1 => (0..3_u8).prop_map(Op::Draining),
+        1 => (0..3_u8).prop_map(Op::Removed),
+        1 => (0..3_u8).prop_map(Op::Booted),
+        1 => (0..3_u8).prop_map(Op::Unfit),
+        5 => (0..60_u16).prop_map(Op::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn actions_hold_what_is_promised(
+        order in 0..QueueOrder::ALL.len(),
+        ops in prop::collection::vec(op(), 1..150),
+    ) {
+        let mut model = Model::new(QueueOrder::ALL[order]);
+        for op in &ops {
+            model.apply(op);
+        }
+        model.end();
+    }
+}
