--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -236,9 +236,11 @@
 /// Where a platform that runs as a process listens; it prints this as one JSON line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize)]
-struct Started {
-    address: SocketAddr,
-    admin_address: SocketAddr,
+pub(crate) struct Started {
+    /// Address for calls.
+    pub(crate) address: SocketAddr,
+    /// Address for commands of tests.
+    pub(crate) admin_address: SocketAddr,
 }
 
 /// Runs a platform until the process is interrupted.
--- a/crates/standin/src/platform/service.rs
+++ b/crates/standin/src/platform/service.rs
@@ -1,6 +1,7 @@
 //! Turns HTTP requests into calls on the store.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::AUTHORIZATION;
@@ -54,14 +55,21 @@
     let half_delay = shared.mode().half_delay();
     // A task of its own, as an effect that is under way doesn't end with its caller.
     let work = tokio::spawn(async move {
-        sleep(half_delay).await;
+        pass(half_delay).await;
         let answer = answer(&shared, &head, body);
-        sleep(half_delay).await;
+        pass(half_delay).await;
         answer
     });
     work.await.unwrap_or(Err(NoAnswer))
 }
 
+/// Waits, but not even for the timer's next tick if there is nothing to wait for.
+async fn pass(delay: Duration) {
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+}
+
 fn answer(shared: &Shared, head: &Parts, body: Bytes) -> Result<Whole, NoAnswer> {
     let mut store = shared.store();
     store.counters.bytes_in += body.len() as u64;
