Pass holds of whole upstreams and carved-out keys to the dispatch duty

A handover holds all calls of an upstream, and a call of a key that was carved out must count to the key's own slice, or a move of that slice would miss it.

--- a/crates/host/src/control/leases.rs
+++ b/crates/host/src/control/leases.rs
@@ -57,10 +57,16 @@
         }
         let told = &mut self.told[&lease.upstream];
         let carved: Arc<[SliceNo]> = lease.carved.iter().map(|c| c.hot).collect();
-        let same = told.slices.as_ref() == Some(&lease.slices) && told.carved == carved;
+        if told.carved != carved {
+            told.carved = Arc::clone(&carved);
+            self.out.push(ToDispatch::Event(Event::Carved {
+                upstream: lease.upstream.clone(),
+                hot: carved,
+            }));
+        }
+        let same = told.slices.as_ref() == Some(&lease.slices);
         if !same {
             told.slices = Some(Arc::clone(&lease.slices));
-            told.carved = Arc::clone(&carved);
         }
         self.out.push(ToDispatch::Event(Event::Lease {
             upstream: lease.upstream,
@@ -94,7 +100,7 @@
             Some(slices) => slices.iter().copied().map(Some).collect(),
             None => vec![None],
         };
-        for slice in slices.iter().copied().flatten() {
+        for &slice in &slices {
             let upstream = upstream.clone();
             self.out
                 .push(ToDispatch::Event(Event::Hold { upstream, slice }));
@@ -112,7 +118,7 @@
         let Some(hold) = self.holds.shift_remove(&hold) else {
             return;
         };
-        for slice in hold.slices.into_iter().flatten() {
+        for slice in hold.slices {
             self.out.push(ToDispatch::Event(Event::Release {
                 upstream: hold.upstream.clone(),
                 slice,
