Place slices by observed load

Each host feeds what its dispatch duty observes to the planner, hears the loads of other hosts' upstreams (sixteen hosts a second at most), and asks the ownership code for moves, carved keys and folds. Not measured yet with real processes.

--- a/crates/host/src/check.rs
+++ b/crates/host/src/check.rs
@@ -50,7 +50,7 @@
         faults.push(fault(
             file,
             "/ownership/grant_ttl_ms".to_owned(),
-            times.grant_ttl_ms,
+            &times.grant_ttl_ms,
             &format!("at least {RENEWALS_PER_GRANT} times renew_every_ms"),
         ));
     }
@@ -58,14 +58,14 @@
         faults.push(fault(
             file,
             "/ownership/silence_ms".to_owned(),
-            times.silence_ms,
+            &times.silence_ms,
             &format!("at least {HEARTBEATS_PER_SILENCE} times heartbeat_every_ms"),
         ));
     }
     faults
 }
 
-fn fault(file: &SmolStr, pointer: String, found: impl ToString, allowed: &str) -> Fault {
+fn fault(file: &SmolStr, pointer: String, found: &dyn ToString, allowed: &str) -> Fault {
     Fault {
         file: file.clone(),
         pointer,
--- a/crates/host/src/control/duty.rs
+++ b/crates/host/src/control/duty.rs
@@ -21,6 +21,7 @@
 use super::links::Links;
 use super::pairs::Pairs;
 use super::peers;
+use super::placement::{PLAN_EVERY, Placement};
 use super::routes::Routes;
 use super::table::PlatformCalls;
 use super::upstreams::{AskSettings, Upstreams};
@@ -29,6 +30,8 @@
 
 /// Inputs taken between two ticks at most, so that a flood can't keep time from passing.
 const BATCH_INPUTS: usize = 256;
+/// Hosts to which loads are sent at a time.
+const LOADS_TO: usize = 16;
 /// Time between reports of what the membership believes to the ownership code.
 const ROSTER_EVERY: Duration = Duration::from_millis(200);
 
@@ -83,6 +86,8 @@
     coordinated: IndexSet<UpstreamId>,
     draining: IndexSet<UpstreamId>,
     roster_due: Timestamp,
+    placement: Placement,
+    plan_due: Timestamp,
     left: bool,
 }
 
@@ -114,6 +119,8 @@
             coordinated: IndexSet::new(),
             draining: IndexSet::new(),
             roster_due: now,
+            placement: Placement::new(now),
+            plan_due: now + PLAN_EVERY,
             left: false,
             parts,
         }
@@ -167,6 +174,10 @@
             self.report_roster();
             self.publish_status(now);
         }
+        if now >= self.plan_due {
+            self.plan_due = now + PLAN_EVERY;
+            self.plan(now);
+        }
     }
 
     fn take(&mut self, input: Input) {
@@ -185,6 +196,12 @@
                 }
             }
             Input::ConnectFailed { host, refused } => self.connect_failed(host, refused),
+            Input::Frame {
+                frame: Frame {
+                    body: Some(Body::Loads(loads)),
+                },
+                ..
+            } => self.placement.learn(self.parts.clock.now(), &loads),
             Input::Frame { from, frame } => {
                 self.tell_member(spread::Event::Heard { from, frame });
             }
@@ -246,10 +263,11 @@
     fn connect_failed(&mut self, host: HostId, refused: bool) {
         let overridden = self.parts.cfg.address_overrides.contains_key(&host);
         // Behind an address that is not the host's own, a refusal says nothing of the host.
-        if refused && !overridden {
-            if let Some(view) = self.member.host(&host) {
-                self.tell_own(own::Event::PeerGone(peers::view_ref(&view)));
-            }
+        if refused
+            && !overridden
+            && let Some(view) = self.member.host(&host)
+        {
+            self.tell_own(own::Event::PeerGone(peers::view_ref(&view)));
         }
         self.tell_member(spread::Event::Lost { host });
     }
@@ -282,7 +300,44 @@
         }
     }
 
-    fn sample(&mut self, _sample: &LoadSample) {}
+    fn sample(&mut self, sample: &LoadSample) {
+        let now = self.parts.clock.now();
+        self.placement.sample(now, sample);
+    }
+
+    fn plan(&mut self, now: Timestamp) {
+        let catalogue = self.routes.catalogue();
+        let ownership = self.routes.ownership();
+        let wishes = self
+            .placement
+            .plan(now, &catalogue, ownership, &self.coordinated);
+        for wish in wishes {
+            debug!(self.parts.log, "placement"; "wish" => ?wish);
+            self.tell_own(wish);
+        }
+        self.send_loads(now);
+    }
+
+    /// Sends the loads of this host's upstreams to some others: to all while they are few, else
+    /// to a sample that changes from time to time, as a planner needs no more than some choice.
+    fn send_loads(&mut self, now: Timestamp) {
+        let Some(loads) = self.placement.summary(now) else {
+            return;
+        };
+        let alive: Vec<HostId> = self
+            .member
+            .hosts()
+            .filter(|h| h.alive)
+            .map(|h| h.host)
+            .collect();
+        let first = (now.as_micros() / PLAN_EVERY.as_micros() as u64) as usize * LOADS_TO;
+        let count = alive.len().min(LOADS_TO);
+        for i in 0..count {
+            let to = &alive[(first + i) % alive.len()];
+            let body = Some(Body::Loads(loads.clone()));
+            self.links.send(to, Frame { body });
+        }
+    }
 
     fn tell_member(&mut self, event: spread::Event) {
         self.queue.push_back(Told::Member(event));
@@ -389,6 +444,7 @@
         let catalogue = self.routes.catalogue();
         info!(self.parts.log, "catalogue in force"; "version" => self.routes.version().0);
         self.leases.catalogue(Arc::clone(&catalogue));
+        self.placement.catalogue(&catalogue);
         self.tell_own(own::Event::Catalogue(catalogue));
         if self.parts.cx.phase() == Phase::Starting {
             self.parts.cx.set_phase(Phase::Serving);
--- a/crates/host/src/control/mod.rs
+++ b/crates/host/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! - [`links`]: control connections with other hosts.
 //! - [`pairs`]: the hosts that coordinate upstreams together with this one.
 //! - [`peers`]: other hosts, as the parts name them.
+//! - [`placement`]: what moves for the sake of load.
 //! - [`table`]: calls to the platform.
 //! - [`upstreams`]: grants and health requests.
 //! - [`routes`]: catalogue and ownership, compiled for the path of requests.
@@ -16,6 +17,7 @@
 mod links;
 mod pairs;
 mod peers;
+mod placement;
 mod routes;
 mod table;
 mod upstreams;
--- a/crates/host/src/control/routes.rs
+++ b/crates/host/src/control/routes.rs
@@ -107,6 +107,11 @@
         out
     }
 
+    /// Returns what is known of ownership.
+    pub(crate) const fn ownership(&self) -> &Ownership {
+        &self.ownership
+    }
+
     /// Returns the highest table revision of ownership that is known.
     pub(crate) const fn revision(&self) -> Revision {
         self.ownership.revision
--- a/crates/host/src/log.rs
+++ b/crates/host/src/log.rs
@@ -19,11 +19,10 @@
 }
 
 /// Builds the root logger of a host; a thread of its own writes the records.
-#[must_use]
 pub fn logger(cfg: &Settings) -> Logger {
     let json = slog_json::Json::new(std::io::stderr())
         .add_default_keys()
-        .add_key_value(o!("at" => FnValue(|record| record.module())))
+        .add_key_value(o!("at" => FnValue(slog::Record::module)))
         .build()
         .ignore_res();
     let ring = slog_async::Async::new(json)
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -32,7 +32,7 @@
     /// Addresses under which this host reaches others, where they differ from the listed ones.
     #[serde(default)]
     pub address_overrides: IndexMap<HostId, PeerAddresses>,
-    /// Address of a StatsD server; no metrics are sent without one.
+    /// Address of a `StatsD` server; no metrics are sent without one.
     #[serde(default)]
     pub statsd: Option<SocketAddr>,
     /// Lowest level of log records that are written.
--- a/crates/spread/src/member/beats.rs
+++ b/crates/spread/src/member/beats.rs
@@ -74,7 +74,8 @@
                 from: from.clone(),
                 message,
             }),
-            None => {}
+            // Loads are for placement, which the host hands them to by itself.
+            Some(Body::Loads(_)) | None => {}
         }
     }
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -291,6 +291,25 @@
     pub hints: Vec<Hint>,
 }
 
+/// The load of one upstream.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct UpstreamLoad {
+    /// Upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Work, in thousandths of a busy slot.
+    #[prost(uint32, tag = "2")]
+    pub milli_slots: u32,
+}
+
+/// The loads of the upstreams that the sender coordinates, for placement.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Loads {
+    /// Upstreams.
+    #[prost(message, repeated, tag = "1")]
+    pub upstreams: Vec<UpstreamLoad>,
+}
+
 /// What a frame carries.
 #[derive(Clone, PartialEq, Eq, prost::Oneof)]
 pub enum Body {
@@ -309,12 +328,15 @@
     /// A message of the ownership code ([`crate::own`]), encoded.
     #[prost(bytes = "bytes", tag = "5")]
     Own(Bytes),
+    /// Loads of upstreams.
+    #[prost(message, tag = "6")]
+    Loads(Loads),
 }
 
 /// The frame of a control connection.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Frame {
     /// The message.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: Option<Body>,
 }
