--- a/crates/host/src/log.rs
+++ b/crates/host/src/log.rs
@@ -22,7 +22,7 @@
 pub fn logger(cfg: &Settings) -> Logger {
     let json = slog_json::Json::new(std::io::stderr())
         .add_default_keys()
-        .add_key_value(o!("at" => FnValue(slog::Record::module)))
+        .add_key_value(o!("at" => FnValue(module)))
         .build()
         .ignore_res();
     let ring = slog_async::Async::new(json)
@@ -35,3 +35,7 @@
         o!("host" => cfg.host.to_string(), "domain" => cfg.domain.to_string()),
     )
 }
+
+fn module(record: &slog::Record<'_>) -> &'static str {
+    record.module()
+}
