trial: real processes under load and faults

Change: crate trial starts platform, upstreams and hosts as processes of the program, cuts links by proxies, runs scenarios under load and has the journals judged; commands trial, catalogue, standin platform.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use standin::args::StandinCommand;
 
 /// Routes requests to upstreams that own their keys exclusively.
 #[derive(Debug)]
@@ -32,6 +33,13 @@
     /// Checks settings files of hosts and directories of declarations; lists all faults.
     #[command(after_help = "Example: medlardyke check host.json examples/landavgift")]
     Check(CheckArgs),
+    /// Looks at the catalogue and changes it.
+    Catalogue(operate::Args),
+    /// Runs one of the stand-ins that take the place of platform, upstreams and callers.
+    #[command(subcommand)]
+    Standin(StandinCommand),
+    /// Runs real processes under load and faults, and judges the outcome.
+    Trial(trial::Args),
     /// Asks entry hosts how they are.
     #[command(after_help = "Example: medlardyke status 127.0.0.1:8080 --json")]
     Status(StatusArgs),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod dev;
 mod exit;
+mod parts;
 mod serve;
 mod status;
 
@@ -18,6 +19,9 @@
         Command::Serve(args) => serve::run(&args),
         Command::Dev(args) => dev::run(&args),
         Command::Check(args) => check::run(&args),
+        Command::Catalogue(args) => parts::catalogue(args),
+        Command::Standin(command) => parts::standin(&command),
+        Command::Trial(args) => parts::trial(&args),
         Command::Status(args) => status::run(&args),
     }
 }
--- a/crates/standin/src/args/mod.rs
+++ b/crates/standin/src/args/mod.rs
@@ -4,12 +4,14 @@
 //! until SIGTERM or SIGINT. Settings come from a JSON file; arguments go before it.
 //!
 //! - [`upstream`]: `standin upstream`.
+//! - [`platform`]: `standin platform`.
 //! - [`proxy`]: `standin proxy`.
 //! - [`load`]: `standin load`.
 //! - [`judge`]: `standin judge`.
 
 pub mod judge;
 pub mod load;
+pub mod platform;
 pub mod proxy;
 mod run;
 pub mod upstream;
@@ -18,6 +20,7 @@
 
 pub use judge::JudgeArgs;
 pub use load::LoadArgs;
+pub use platform::PlatformArgs;
 pub use proxy::ProxyArgs;
 pub use upstream::UpstreamArgs;
 
@@ -25,6 +28,9 @@
 #[derive(Debug, Clone)]
 #[derive(Subcommand)]
 pub enum StandinCommand {
+    /// Runs a server that plays the platform.
+    #[command(after_help = "Example: medlardyke standin platform --settings platform.json")]
+    Platform(PlatformArgs),
     /// Runs a server that plays an upstream.
     #[command(after_help = "Example: medlardyke standin upstream --name up-1 --entry tariffbok")]
     Upstream(UpstreamArgs),
@@ -49,6 +55,7 @@
     /// Fails if the settings make no sense or the stand-in can't start.
     pub fn run(&self) -> anyhow::Result<()> {
         match self {
+            Self::Platform(args) => args.run(),
             Self::Upstream(args) => args.run(),
             Self::Proxy(args) => args.run(),
             Self::Load(args) => args.run(),
--- /dev/null
+++ b/crates/standin/src/args/platform.rs
@@ -0,0 +1,51 @@
+//! `standin platform`.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+
+use super::run::{interrupted, print_line, read_settings, runtime};
+use crate::platform::{PlatformSettings, StandinPlatform, Started};
+
+/// Arguments of `standin platform`.
+#[derive(Debug, Clone, Default)]
+#[derive(clap::Args)]
+pub struct PlatformArgs {
+    /// Settings file.
+    #[arg(long, value_name = "FILE")]
+    pub settings: Option<PathBuf>,
+    /// Address for calls; the kernel chooses a port on loopback by default.
+    #[arg(long, value_name = "ADDRESS")]
+    pub listen: Option<SocketAddr>,
+}
+
+impl PlatformArgs {
+    /// Returns the settings of the file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read or makes no sense.
+    pub fn read(&self) -> anyhow::Result<PlatformSettings> {
+        read_settings(self.settings.as_deref())
+    }
+
+    /// Runs the platform until the process is told to stop.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings make no sense or the platform can't start.
+    pub fn run(&self) -> anyhow::Result<()> {
+        let cfg = self.read()?;
+        let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let address = self.listen.unwrap_or(loopback);
+        runtime()?.block_on(async {
+            let platform = StandinPlatform::bind(address, cfg).await?;
+            print_line(&Started {
+                address: platform.address(),
+                admin_address: platform.admin_address(),
+            })?;
+            interrupted().await?;
+            platform.shutdown().await;
+            Ok(())
+        })
+    }
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -31,5 +31,6 @@
 pub use audit::AuditEntry;
 pub use counters::Counters;
 pub use faults::{Faults, LoseConfirmations, Mode};
+pub(crate) use server::Started;
 pub use server::{StandinPlatform, run};
 pub use settings::{PlatformSettings, Rates};
--- /dev/null
+++ b/crates/trial/src/cluster/process.rs
@@ -0,0 +1,141 @@
+//! One process of the program, and signals to it.
+
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead as _, BufReader};
+use std::path::Path;
+use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use anyhow::Context as _;
+use rustix::process::{Pid, Signal, kill_process};
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use tokio::time::sleep;
+
+use super::usage::Usage;
+
+/// Longest time until a process prints its line.
+const STARTS_WITHIN: Duration = Duration::from_secs(20);
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
+/// A process; dropping it kills it.
+#[derive(Debug)]
+pub struct Process {
+    name: SmolStr,
+    child: Child,
+    /// Kept open, as a process that prints into a closed pipe is killed.
+    stdout: Option<BufReader<ChildStdout>>,
+}
+
+impl Process {
+    /// Starts a process whose standard error goes to the end of the file at `log`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be started.
+    pub fn spawn(name: &str, mut command: Command, log: &Path) -> anyhow::Result<Self> {
+        let log = append_to(log)?;
+        let mut child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("start {name}"))?;
+        let stdout = child.stdout.take().map(BufReader::new);
+        Ok(Self {
+            name: SmolStr::new(name),
+            child,
+            stdout,
+        })
+    }
+
+    /// Waits for the line of JSON that the process prints once it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process ends first or prints something else.
+    pub async fn first_line<T: DeserializeOwned>(&mut self) -> anyhow::Result<T> {
+        let mut stdout = self.stdout.take().context("the line was read before")?;
+        let read = tokio::task::spawn_blocking(move || {
+            let mut line = String::new();
+            stdout.read_line(&mut line).map(|_| (stdout, line))
+        });
+        let name = self.name.clone();
+        let Ok(read) = tokio::time::timeout(STARTS_WITHIN, read).await else {
+            // The reader waits for the pipe's end.
+            self.kill()?;
+            anyhow::bail!("{name} printed no line in time");
+        };
+        let (stdout, line) = read?.with_context(|| format!("read what {name} prints"))?;
+        self.stdout = Some(stdout);
+        serde_json::from_str(&line).with_context(|| format!("{name} printed {line:?}"))
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has been waited for.
+    pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        let name = &self.name;
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.with_context(|| format!("{name} has no id"))?;
+        kill_process(pid, signal).with_context(|| format!("signal {name}"))
+    }
+
+    /// Kills the process and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be waited for.
+    pub fn kill(&mut self) -> anyhow::Result<()> {
+        let name = self.name.clone();
+        self.child.kill().with_context(|| format!("kill {name}"))?;
+        let waited = self.child.wait().map(drop);
+        waited.with_context(|| format!("wait for {name}"))
+    }
+
+    /// Tells whether the process runs, also if it stands still.
+    #[must_use]
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Waits until the process ends by itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not within `limit`.
+    pub async fn ended(&mut self, limit: Duration) -> anyhow::Result<ExitStatus> {
+        let began = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            let name = &self.name;
+            anyhow::ensure!(began.elapsed() < limit, "{name} runs on after {limit:?}");
+            sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Reads what the process has used so far; nothing once it is gone.
+    #[must_use]
+    pub fn usage(&self) -> Option<Usage> {
+        Usage::of(self.child.id())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ended = self.kill();
+    }
+}
+
+fn append_to(path: &Path) -> anyhow::Result<File> {
+    OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path)
+        .with_context(|| format!("open {}", path.display()))
+}
--- /dev/null
+++ b/crates/trial/src/cluster/usage.rs
@@ -0,0 +1,53 @@
+//! CPU time and memory of a process, from `/proc`.
+
+use std::fs;
+
+use serde::Serialize;
+
+/// Fields of `/proc/PID/stat` before the user time, counted from the one after the name.
+const FIELDS_BEFORE_UTIME: usize = 11;
+
+/// What a process has used.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize)]
+pub struct Usage {
+    /// CPU time in user and system mode, in seconds.
+    pub cpu_s: f64,
+    /// Most resident memory, in kibibytes.
+    pub rss_max_kib: u64,
+}
+
+impl Usage {
+    /// Reads what the process with this id has used.
+    #[must_use]
+    pub fn of(pid: u32) -> Option<Self> {
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        Some(Self {
+            cpu_s: cpu_s(&stat)?,
+            rss_max_kib: rss_max_kib(&status)?,
+        })
+    }
+
+    /// Adds what a later run of the same host used.
+    #[must_use]
+    pub fn and(self, later: Self) -> Self {
+        Self {
+            cpu_s: self.cpu_s + later.cpu_s,
+            rss_max_kib: self.rss_max_kib.max(later.rss_max_kib),
+        }
+    }
+}
+
+fn cpu_s(stat: &str) -> Option<f64> {
+    // The name stands in parentheses and may hold anything.
+    let (_, fields) = stat.rsplit_once(')')?;
+    let ticks = fields.split_whitespace().skip(FIELDS_BEFORE_UTIME).take(2);
+    let ticks: u64 = ticks.map(|t| t.parse::<u64>().ok()).sum::<Option<u64>>()?;
+    Some(ticks as f64 / rustix::param::clock_ticks_per_second() as f64)
+}
+
+fn rss_max_kib(status: &str) -> Option<u64> {
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/trial/src/scenario/act.rs
@@ -0,0 +1,79 @@
+//! Carries steps out.
+
+use std::time::Duration;
+
+use rustix::process::Signal;
+
+use super::changes::{self, ChangesReport};
+use super::picks::Picks;
+use super::step::Action;
+use crate::cluster::{Cluster, ready};
+
+/// Longest time for a host to leave.
+const LEAVES_WITHIN: Duration = Duration::from_secs(40);
+/// Longest time until a host that started answers.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+
+/// Carries out one step; changes of the catalogue report on themselves.
+///
+/// # Errors
+///
+/// Fails if a process doesn't do as it is told.
+pub async fn act(
+    cluster: &mut Cluster,
+    picks: &Picks,
+    action: &Action,
+) -> anyhow::Result<Option<ChangesReport>> {
+    match action {
+        Action::KillHost(pick) => cluster.hosts.kill(picks.host(*pick))?,
+        Action::StopHost(pick) => cluster.hosts.signal(picks.host(*pick), Signal::STOP)?,
+        Action::ContHost(pick) => cluster.hosts.signal(picks.host(*pick), Signal::CONT)?,
+        Action::LeaveHost(pick) => {
+            let status = cluster
+                .hosts
+                .leave(picks.host(*pick), LEAVES_WITHIN)
+                .await?;
+            anyhow::ensure!(status.success(), "host left with {status}");
+        }
+        Action::StartHost(pick) => cluster.start_host(picks.host(*pick)).await?,
+        Action::RollingRestart => rolling_restart(cluster).await?,
+        Action::KillUpstream(pick) => cluster.upstreams.kill(picks.upstream(*pick))?,
+        Action::StopUpstream(pick) => {
+            let name = picks.upstream(*pick);
+            cluster.upstreams.signal(name, Signal::STOP)?;
+        }
+        Action::ContUpstream(pick) => {
+            let name = picks.upstream(*pick);
+            cluster.upstreams.signal(name, Signal::CONT)?;
+        }
+        Action::StartUpstream(pick) => cluster.upstreams.restart(picks.upstream(*pick)).await?,
+        Action::TellUpstream(pick, command) => {
+            let name = picks.upstream(*pick);
+            cluster.upstreams.command(name, command).await?;
+        }
+        Action::UpstreamFaults(plan) => {
+            cluster.upstreams.set_plan(plan);
+            cluster.upstreams.cut_connections();
+        }
+        Action::Platform(faults) => cluster.platform.set_faults(*faults).await?,
+        Action::CutOthers => cluster.links.cut_from_others(&picks.domain),
+        Action::JoinOthers => cluster.links.join_with_others(&picks.domain),
+        Action::CutPlatform => cluster.links.cut_from_platform(&picks.domain),
+        Action::JoinPlatform => cluster.links.join_with_platform(&picks.domain),
+        Action::Changes { count } => {
+            return changes::run(cluster, picks, *count).await.map(Some);
+        }
+        Action::Nothing => {}
+    }
+    Ok(None)
+}
+
+async fn rolling_restart(cluster: &mut Cluster) -> anyhow::Result<()> {
+    for name in cluster.hosts.running() {
+        let status = cluster.hosts.leave(&name, LEAVES_WITHIN).await?;
+        anyhow::ensure!(status.success(), "host {name} left with {status}");
+        cluster.start_host(&name).await?;
+        ready::wait_for_host(cluster, &name, READY_WITHIN).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/trial/src/scenario/list.rs
@@ -0,0 +1,442 @@
+//! All scenarios.
+
+use standin::platform::{Faults, LoseConfirmations, Mode};
+use standin::proxy::{Delay, FaultShare};
+use standin::{AdminCommand, Fault, FaultPlan};
+
+use super::{Action, Expect, HostPick, Phase, Scenario, Step, UpstreamPick};
+
+const COORDINATOR: HostPick = HostPick::Coordinator;
+const DEPUTY: HostPick = HostPick::Deputy;
+const SPARE: HostPick = HostPick::Spare;
+const UPSTREAM: UpstreamPick = UpstreamPick::Checked;
+const UNCHECKED: UpstreamPick = UpstreamPick::Unchecked;
+/// When the first fault comes, in milliseconds after the start of the load.
+const FIRST_MS: u64 = 2_000;
+/// For how long processes stand still and links are cut, in milliseconds.
+const PAUSE_MS: u64 = 4_000;
+/// Longest unavailable time of a key after a single loss, in milliseconds.
+const SINGLE_LOSS_MS: f64 = 1_500.0;
+
+/// Returns all scenarios.
+#[must_use]
+pub fn all() -> Vec<Scenario> {
+    let mut all = vec![quiet(), mixed_faults()];
+    all.extend(leaving());
+    all.extend(losses());
+    all.extend(pauses());
+    all.extend(outages());
+    all.extend(cuts());
+    all.extend([catalogue_changes(), overload()]);
+    all
+}
+
+fn scenario(name: &str, about: &'static str, steps: Vec<Step>) -> Scenario {
+    Scenario {
+        name: name.into(),
+        about,
+        steps,
+        ..Scenario::default()
+    }
+}
+
+const fn at(at_ms: u64, action: Action) -> Step {
+    Step { at_ms, action }
+}
+
+const fn down() -> Action {
+    mode(Mode::Down)
+}
+
+const fn up() -> Action {
+    mode(Mode::Up)
+}
+
+const fn mode(mode: Mode) -> Action {
+    Action::Platform(Faults {
+        mode,
+        lose_confirmations: LoseConfirmations::None,
+    })
+}
+
+const fn single_loss() -> Expect {
+    Expect {
+        no_cut: false,
+        no_refusal: false,
+        no_churn: false,
+        unavailable_ms: Some(SINGLE_LOSS_MS),
+    }
+}
+
+const fn lost_host() -> Expect {
+    Expect {
+        no_churn: true,
+        ..single_loss()
+    }
+}
+
+const fn undisturbed() -> Expect {
+    Expect {
+        no_cut: true,
+        no_refusal: true,
+        no_churn: true,
+        unavailable_ms: Some(0.0),
+    }
+}
+
+fn quiet() -> Scenario {
+    Scenario {
+        expect: undisturbed(),
+        tail_ms: 1_000,
+        ..scenario(
+            "quiet",
+            "Nothing happens.",
+            vec![at(8_000, Action::Nothing)],
+        )
+    }
+}
+
+fn mixed_faults() -> Scenario {
+    let share = |fault, share| FaultShare { fault, share };
+    let plan = FaultPlan {
+        delay: Delay {
+            request_ms: 1.0,
+            answer_ms: 1.0,
+            jitter_ms: 8.0,
+        },
+        faults: vec![
+            share(Fault::CutBeforeRequest, 0.01),
+            share(Fault::CutRequestAfter(40), 0.01),
+            share(Fault::CutBeforeAnswer, 0.01),
+            share(Fault::CutAnswerAfter(60), 0.01),
+            share(Fault::DropAnswer, 0.005),
+            share(Fault::StallAnswer, 0.005),
+            share(Fault::StallRequest, 0.005),
+        ],
+        ..FaultPlan::default()
+    };
+    let steps = vec![
+        at(500, Action::UpstreamFaults(plan)),
+        at(15_500, Action::UpstreamFaults(FaultPlan::default())),
+    ];
+    Scenario {
+        upstream_proxies: true,
+        phases: vec![Phase {
+            rate: 1.5,
+            ms: None,
+        }],
+        tail_ms: 2_000,
+        ..scenario(
+            "mixed-faults",
+            "Upstreams behind proxies that delay, cut, halve, drop and stall.",
+            steps,
+        )
+    }
+}
+
+fn leaving() -> Vec<Scenario> {
+    let drain = |drain| Action::TellUpstream(UPSTREAM, drain);
+    let no_cut = Expect {
+        no_cut: true,
+        no_refusal: true,
+        ..Expect::default()
+    };
+    let host_term = Scenario {
+        expect: Expect {
+            no_churn: true,
+            unavailable_ms: Some(100.0),
+            ..no_cut
+        },
+        tail_ms: 2_000,
+        ..scenario(
+            "host-term",
+            "SIGTERM of a coordinating host under load.",
+            vec![at(FIRST_MS, Action::LeaveHost(COORDINATOR))],
+        )
+    };
+    let upstream_drain = Scenario {
+        expect: Expect {
+            unavailable_ms: Some(100.0),
+            ..no_cut
+        },
+        ..scenario(
+            "upstream-drain",
+            "An upstream says that it leaves, under load.",
+            vec![at(FIRST_MS, drain(AdminCommand::Drain))],
+        )
+    };
+    let rolling_restart = Scenario {
+        expect: no_cut,
+        tail_ms: 2_000,
+        ..scenario(
+            "rolling-restart",
+            "Each host in turn leaves and starts again.",
+            vec![at(1_000, Action::RollingRestart)],
+        )
+    };
+    vec![host_term, upstream_drain, rolling_restart]
+}
+
+fn losses() -> Vec<Scenario> {
+    let kill = |name: &str, about, expect, actions: Vec<Action>| Scenario {
+        expect,
+        ..scenario(
+            name,
+            about,
+            actions.into_iter().map(|a| at(FIRST_MS, a)).collect(),
+        )
+    };
+    vec![
+        kill(
+            "kill-coordinator",
+            "kill -9 of a coordinating host.",
+            lost_host(),
+            vec![Action::KillHost(COORDINATOR)],
+        ),
+        kill(
+            "kill-deputy",
+            "kill -9 of a deputy.",
+            lost_host(),
+            vec![Action::KillHost(DEPUTY)],
+        ),
+        kill(
+            "kill-upstream",
+            "kill -9 of an upstream that checks grants.",
+            single_loss(),
+            vec![Action::KillUpstream(UPSTREAM)],
+        ),
+        kill(
+            "kill-unchecked",
+            "kill -9 of an upstream that checks no grants.",
+            single_loss(),
+            vec![Action::KillUpstream(UNCHECKED)],
+        ),
+        kill(
+            "kill-coordinator-upstream",
+            "kill -9 of a coordinating host and its upstream.",
+            Expect::default(),
+            vec![
+                Action::KillHost(COORDINATOR),
+                Action::KillUpstream(UPSTREAM),
+            ],
+        ),
+        kill(
+            "kill-coordinator-deputy",
+            "kill -9 of a coordinating host and its deputy.",
+            Expect::default(),
+            vec![Action::KillHost(COORDINATOR), Action::KillHost(DEPUTY)],
+        ),
+        Scenario {
+            expect: lost_host(),
+            ..scenario(
+                "kill-and-return",
+                "kill -9 of a coordinating host, which starts again at once.",
+                vec![
+                    at(FIRST_MS, Action::KillHost(COORDINATOR)),
+                    at(FIRST_MS + 50, Action::StartHost(COORDINATOR)),
+                ],
+            )
+        },
+        Scenario {
+            expect: single_loss(),
+            ..scenario(
+                "upstream-returns",
+                "kill -9 of an upstream, which starts again at once.",
+                vec![
+                    at(FIRST_MS, Action::KillUpstream(UPSTREAM)),
+                    at(FIRST_MS + 50, Action::StartUpstream(UPSTREAM)),
+                ],
+            )
+        },
+    ]
+}
+
+fn pauses() -> Vec<Scenario> {
+    let pause = |name: &str, about, expect, stop: Vec<Action>, cont: Vec<Action>| {
+        let stop = stop.into_iter().map(|a| at(FIRST_MS, a));
+        let cont = cont.into_iter().map(|a| at(FIRST_MS + PAUSE_MS, a));
+        Scenario {
+            expect,
+            ..scenario(name, about, stop.chain(cont).collect())
+        }
+    };
+    vec![
+        pause(
+            "stop-coordinator",
+            "A coordinating host stands still and goes on.",
+            lost_host(),
+            vec![Action::StopHost(COORDINATOR)],
+            vec![Action::ContHost(COORDINATOR)],
+        ),
+        pause(
+            "stop-deputy",
+            "A deputy stands still and goes on.",
+            lost_host(),
+            vec![Action::StopHost(DEPUTY)],
+            vec![Action::ContHost(DEPUTY)],
+        ),
+        pause(
+            "stop-upstream",
+            "An upstream that checks grants stands still and goes on.",
+            single_loss(),
+            vec![Action::StopUpstream(UPSTREAM)],
+            vec![Action::ContUpstream(UPSTREAM)],
+        ),
+        pause(
+            "stop-unchecked",
+            "An upstream that checks no grants stands still and goes on.",
+            single_loss(),
+            vec![Action::StopUpstream(UNCHECKED)],
+            vec![Action::ContUpstream(UNCHECKED)],
+        ),
+        pause(
+            "stop-coordinator-upstream",
+            "A coordinating host and its upstream stand still and go on.",
+            Expect::default(),
+            vec![
+                Action::StopHost(COORDINATOR),
+                Action::StopUpstream(UPSTREAM),
+            ],
+            vec![
+                Action::ContHost(COORDINATOR),
+                Action::ContUpstream(UPSTREAM),
+            ],
+        ),
+        pause(
+            "stop-coordinator-deputy",
+            "A coordinating host and its deputy stand still and go on.",
+            Expect::default(),
+            vec![Action::StopHost(COORDINATOR), Action::StopHost(DEPUTY)],
+            vec![Action::ContHost(COORDINATOR), Action::ContHost(DEPUTY)],
+        ),
+    ]
+}
+
+fn outages() -> Vec<Scenario> {
+    let outage = |name: &str, about, seconds: u64, then: Option<Action>| {
+        let end = FIRST_MS + seconds * 1_000;
+        let mut steps = vec![at(FIRST_MS, down())];
+        let middle = FIRST_MS + seconds * 500;
+        steps.extend(then.clone().map(|action| at(middle, action)));
+        steps.push(at(end, up()));
+        Scenario {
+            expect: if then.is_some() {
+                Expect::default()
+            } else {
+                undisturbed()
+            },
+            tail_ms: 4_000,
+            ..scenario(name, about, steps)
+        }
+    };
+    let lose = Action::Platform(Faults {
+        mode: Mode::Up,
+        lose_confirmations: LoseConfirmations::Fraction { p: 0.5, seed: 1 },
+    });
+    let lost_confirmations = Scenario {
+        ..scenario(
+            "lost-confirmations",
+            "Half of the writes take effect without an answer, while hosts and upstreams are lost.",
+            vec![
+                at(500, lose),
+                at(FIRST_MS, Action::KillUpstream(UPSTREAM)),
+                at(FIRST_MS + 4_000, Action::KillHost(COORDINATOR)),
+                at(FIRST_MS + 8_000, Action::StartUpstream(UPSTREAM)),
+                at(FIRST_MS + 10_000, up()),
+            ],
+        )
+    };
+    let kill_host = Action::KillHost(COORDINATOR);
+    vec![
+        outage("outage-10s", "The platform is down for 10 s.", 10, None),
+        outage("outage-60s", "The platform is down for 60 s.", 60, None),
+        outage(
+            "outage-10s-kill-coordinator",
+            "kill -9 of a coordinating host while the platform is down for 10 s.",
+            10,
+            Some(kill_host.clone()),
+        ),
+        outage(
+            "outage-60s-kill-coordinator",
+            "kill -9 of a coordinating host while the platform is down for 60 s.",
+            60,
+            Some(kill_host),
+        ),
+        outage(
+            "outage-10s-kill-upstream",
+            "kill -9 of an upstream while the platform is down for 10 s.",
+            10,
+            Some(Action::KillUpstream(UPSTREAM)),
+        ),
+        outage(
+            "outage-10s-new-host",
+            "A new host starts while the platform is down for 10 s.",
+            10,
+            Some(Action::StartHost(SPARE)),
+        ),
+        lost_confirmations,
+    ]
+}
+
+fn cuts() -> Vec<Scenario> {
+    let cut = |name: &str, about, cut: Vec<Action>, join: Vec<Action>| {
+        let cut = cut.into_iter().map(|a| at(FIRST_MS, a));
+        let join = join.into_iter().map(|a| at(FIRST_MS + 2 * PAUSE_MS, a));
+        Scenario {
+            tail_ms: 4_000,
+            ..scenario(name, about, cut.chain(join).collect())
+        }
+    };
+    vec![
+        cut(
+            "cut-others",
+            "A domain is cut from the others.",
+            vec![Action::CutOthers],
+            vec![Action::JoinOthers],
+        ),
+        Scenario {
+            expect: undisturbed(),
+            ..cut(
+                "cut-platform",
+                "A domain is cut from the platform.",
+                vec![Action::CutPlatform],
+                vec![Action::JoinPlatform],
+            )
+        },
+        cut(
+            "cut-both",
+            "A domain is cut from the others and from the platform.",
+            vec![Action::CutOthers, Action::CutPlatform],
+            vec![Action::JoinOthers, Action::JoinPlatform],
+        ),
+    ]
+}
+
+fn catalogue_changes() -> Scenario {
+    Scenario {
+        expect: Expect {
+            no_cut: false,
+            ..Expect::default()
+        },
+        tail_ms: 1_000,
+        ..scenario(
+            "catalogue-changes",
+            "200 changes during traffic, with an outage of the platform and a cut domain.",
+            vec![at(1_000, Action::Changes { count: 200 })],
+        )
+    }
+}
+
+fn overload() -> Scenario {
+    let phase = |rate, ms| Phase { rate, ms: Some(ms) };
+    Scenario {
+        // With this service time the upstreams' slots take the layout's usual rate.
+        service_ms: Some(100.0),
+        phases: vec![phase(1.0, 8_000), phase(2.0, 8_000), phase(0.5, 5_000)],
+        ..scenario(
+            "overload-2x",
+            "Twice the load that the upstreams can take, and the time after it.",
+            Vec::new(),
+        )
+    }
+}
