Doubt an unfit upstream only until its first answer

Cause: an upstream that nothing was observed of and that called itself unfit was ramped like a cold one: with reports frozen at unfit, 9.2 % (load 0.5) and 29.4 % (0.95) of requests were refused in the first 5 s. Change: it is given one call at a time until its first answer.

--- a/crates/route/src/dispatch/limit.rs
+++ b/crates/route/src/dispatch/limit.rs
@@ -52,6 +52,8 @@
     limit_at: Timestamp,
     /// When the upstream was found cold.
     cold_at: Option<Timestamp>,
+    /// Whether the upstream calls itself unfit and nothing was observed against that yet.
+    doubted: bool,
     /// Faults since the last answer.
     faults: u32,
     /// When a failing upstream may be tried again.
@@ -70,6 +72,7 @@
             limit: f64::from(slots),
             limit_at: now,
             cold_at: None,
+            doubted: false,
             faults: 0,
             probe_at: Timestamp::ZERO,
             observed_at: None,
@@ -98,6 +101,9 @@
         if self.is_failing() {
             return u32::from(self.probe_at <= now);
         }
+        if self.doubted {
+            return 1;
+        }
         let limit = self.limit(now).min(self.ramp(now));
         (limit as u32).clamp(1, self.slots)
     }
@@ -109,7 +115,7 @@
             return Some(self.probe_at).filter(|&t| t > now);
         }
         let allowed = self.allowed(now);
-        if allowed >= self.slots {
+        if allowed >= self.slots || self.doubted {
             return None;
         }
         let next = f64::from(allowed + 1);
@@ -145,6 +151,7 @@
     /// Takes note of an answer.
     pub fn answered(&mut self, now: Timestamp) {
         self.observed_at = Some(now);
+        self.doubted = false;
         if self.is_failing() {
             self.cold_at = Some(now);
         }
@@ -180,15 +187,13 @@
         self.probe_at = now + pause.min(self.settings.probe_max);
     }
 
-    /// Takes note of what the upstream says of itself.
+    /// Takes note of what the upstream says of itself: one that calls itself unfit is given one
+    /// call at a time until the first answer.
     pub fn report(&mut self, now: Timestamp, healthy: bool) {
         let observed = self
             .observed_at
             .is_some_and(|t| now.since(t) < self.settings.observation);
-        if observed || healthy {
-            return;
-        }
-        self.cold_at = Some(now);
+        self.doubted = !observed && !healthy;
     }
 
     /// Returns the limit by what was turned away and regained since.
