--- a/crates/standin/tests/args.rs
+++ b/crates/standin/tests/args.rs
@@ -57,6 +57,12 @@
             settings: r#"{"name": "up 1"}"#,
             error: "is no upstream name",
         },
+        Case {
+            name: "an unknown field of the platform",
+            line: "platform",
+            settings: r#"{"tokens": []}"#,
+            error: "unknown field `tokens`",
+        },
         Case {
             name: "a proxy without target",
             line: "proxy",
@@ -76,6 +82,7 @@
         fs::write(&file, case.settings).unwrap();
         let line = format!("{} --settings {}", case.line, file.display());
         let error = match parse(&line) {
+            StandinCommand::Platform(args) => args.read().err(),
             StandinCommand::Upstream(args) => args.read().err(),
             StandinCommand::Proxy(args) => args.read().err(),
             StandinCommand::Load(args) => args.read().err(),
