--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -34,6 +34,7 @@
     pub address_overrides: IndexMap<HostId, PeerAddresses>,
     /// Address of a `StatsD` server; no metrics are sent without one.
     #[serde(default)]
+    #[schemars(extend("format" = "ip-and-port"))]
     pub statsd: Option<SocketAddr>,
     /// Lowest level of log records that are written.
     #[serde(default)]
@@ -71,10 +72,13 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Listen {
     /// For callers' HTTP.
+    #[schemars(extend("format" = "ip-and-port"))]
     pub callers: SocketAddr,
     /// For requests handed over by other hosts.
+    #[schemars(extend("format" = "ip-and-port"))]
     pub dispatch: SocketAddr,
     /// For heartbeats and the spreading of rows.
+    #[schemars(extend("format" = "ip-and-port"))]
     pub control: SocketAddr,
 }
 
@@ -95,6 +99,7 @@
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Address (IP and port).
+    #[schemars(extend("format" = "ip-and-port"))]
     pub address: SocketAddr,
     /// Name of the environment variable that holds the host's token.
     #[serde(default = "default_token_env")]
@@ -153,8 +158,10 @@
 #[serde(deny_unknown_fields)]
 pub struct PeerAddresses {
     /// For requests handed over.
+    #[schemars(extend("format" = "ip-and-port"))]
     pub dispatch: SocketAddr,
     /// For heartbeats and the spreading of rows.
+    #[schemars(extend("format" = "ip-and-port"))]
     pub control: SocketAddr,
 }
 
--- a/crates/ids/src/outcome.rs
+++ b/crates/ids/src/outcome.rs
@@ -6,7 +6,18 @@
 use serde::{Deserialize, Serialize};
 
 /// What a caller may rely on about its request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// The upstream's whole answer follows.
--- a/crates/ids/src/slice.rs
+++ b/crates/ids/src/slice.rs
@@ -41,7 +41,18 @@
 }
 
 /// A slice of an entry: a range of key hashes, or one hot key carved out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(transparent)]
 pub struct SliceNo(pub u64);
 
