--- a/crates/route/examples/limits/cost.rs
+++ b/crates/route/examples/limits/cost.rs
@@ -37,7 +37,7 @@
 fn measure_lookup(slices: u32, upstreams: usize, hosts: usize) {
     const ROUNDS: u64 = 2_000_000;
     const HOT: u64 = 360;
-    let (catalogue, ownership) = crate::world::large(slices, upstreams, hosts, HOT);
+    let (catalogue, ownership) = crate::world::declare::large(slices, upstreams, hosts, HOT);
     let start = Instant::now();
     let router = Router::build(&Router::default(), &catalogue, &ownership);
     let build_ms = start.elapsed().as_secs_f64() * 1e3;
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -11,11 +11,26 @@
 use crate::key::EntryKey;
 use crate::router::Router;
 
-/// Time for which a host may save up unused rate.
-const BURST: Duration = Duration::from_millis(200);
+/// Settings of [`Admission`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionSettings {
+    /// Time for which a host may save up unused rate.
+    pub burst: Duration,
+    /// Requests that a host may save up at least, however small its share of a rate is.
+    pub burst_least: f64,
+    /// When a caller that met the concurrency limit may come back.
+    pub concurrency_retry: Duration,
+}
 
-/// When a caller that met the concurrency limit may come back.
-const CONCURRENCY_RETRY: Duration = Duration::from_millis(100);
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            burst: Duration::from_millis(200),
+            burst_least: 4.0,
+            concurrency_retry: Duration::from_millis(100),
+        }
+    }
+}
 
 /// A request that the limits turned away; it was not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,21 +65,27 @@
 /// Limits of all entries at one entry host.
 #[derive(Debug, Default)]
 pub struct Admission {
+    settings: AdmissionSettings,
     gauges: Vec<Gauge>,
 }
 
 impl Admission {
     /// Creates admission without limits.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            settings,
+            gauges: Vec::new(),
+        }
     }
 
     /// Takes the limits from a new snapshot and the number of live entry hosts that share the
     /// entries' rates; requests under way keep their places.
     pub fn configure(&mut self, now: Timestamp, router: &Router, live_hosts: u32) {
+        let settings = self.settings;
         for (key, entry) in router.entries() {
-            self.gauge(key).configure(now, &entry.limits, live_hosts);
+            let gauge = self.gauge(key);
+            gauge.configure(now, settings, &entry.limits, live_hosts);
         }
     }
 
@@ -74,11 +95,12 @@
     ///
     /// Fails if the entry's rate or concurrency limit is reached.
     pub fn admit(&mut self, now: Timestamp, entry: EntryKey) -> Result<Admitted, Rejected> {
+        let concurrency_retry = self.settings.concurrency_retry;
         let gauge = self.gauge(entry);
         if gauge.concurrency > 0 && gauge.under_way >= gauge.concurrency {
             return Err(Rejected {
                 reason: Reason::ConcurrencyLimit,
-                retry_after: CONCURRENCY_RETRY,
+                retry_after: concurrency_retry,
             });
         }
         if let Some(bucket) = &mut gauge.bucket {
@@ -115,16 +137,23 @@
 }
 
 impl Gauge {
-    fn configure(&mut self, now: Timestamp, limits: &Limits, live_hosts: u32) {
+    fn configure(
+        &mut self,
+        now: Timestamp,
+        settings: AdmissionSettings,
+        limits: &Limits,
+        live_hosts: u32,
+    ) {
         self.concurrency = limits.concurrency;
         if limits.rate_per_s == 0 {
             self.bucket = None;
             return;
         }
         let rate = f64::from(limits.rate_per_s) / f64::from(live_hosts.max(1));
+        let capacity = (rate * settings.burst.as_secs_f64()).max(settings.burst_least.max(1.0));
         match &mut self.bucket {
-            Some(bucket) => bucket.set_rate(now, rate),
-            None => self.bucket = Some(Bucket::full(now, rate)),
+            Some(bucket) => bucket.set(now, rate, capacity),
+            None => self.bucket = Some(Bucket::full(now, rate, capacity)),
         }
     }
 }
@@ -134,35 +163,31 @@
 struct Bucket {
     /// Tokens a second.
     rate: f64,
+    capacity: f64,
     tokens: f64,
     filled: Timestamp,
 }
 
 impl Bucket {
-    fn full(now: Timestamp, rate: f64) -> Self {
-        let mut bucket = Self {
+    fn full(now: Timestamp, rate: f64, capacity: f64) -> Self {
+        Self {
             rate,
-            tokens: 0.0,
+            capacity,
+            tokens: capacity,
             filled: now,
-        };
-        bucket.tokens = bucket.capacity();
-        bucket
-    }
-
-    /// A host's share may be under one request for each [`BURST`]; it holds one token then.
-    fn capacity(&self) -> f64 {
-        (self.rate * BURST.as_secs_f64()).max(1.0)
+        }
     }
 
-    fn set_rate(&mut self, now: Timestamp, rate: f64) {
+    fn set(&mut self, now: Timestamp, rate: f64, capacity: f64) {
         self.fill(now);
         self.rate = rate;
-        self.tokens = self.tokens.min(self.capacity());
+        self.capacity = capacity;
+        self.tokens = self.tokens.min(capacity);
     }
 
     fn fill(&mut self, now: Timestamp) {
         let gained = now.since(self.filled).as_secs_f64() * self.rate;
-        self.tokens = (self.tokens + gained).min(self.capacity());
+        self.tokens = (self.tokens + gained).min(self.capacity);
         self.filled = self.filled.max(now);
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,7 +28,7 @@
 pub mod pick;
 pub mod router;
 
-pub use admit::{Admission, Admitted, Rejected};
+pub use admit::{Admission, AdmissionSettings, Admitted, Rejected};
 pub use attempt::{Attempt, AttemptSettings, Next, Ready, Try, UnderWay, Verdict};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use deadline::DeadlineSettings;
