--- a/crates/ids/tests/names.rs
+++ b/crates/ids/tests/names.rs
@@ -42,5 +42,6 @@
         assert!((400..600).contains(&reason.status()), "{reason}");
         assert_ne!(reason.outcome(), Outcome::Answered, "{reason}");
     }
-    assert!("no-such-reason".parse::<Reason>().is_err());
+    let unknown = "no-such-reason".parse::<Reason>();
+    assert!(matches!(unknown, Err(e) if e.0 == "no-such-reason"));
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`control`]: heartbeats and the spreading of table rows.
 //! - [`own`]: ownership messages between hosts, and what ownership rows hold.
 //! - [`grant`]: grants to upstreams, and their health, as JSON over HTTP.
+//! - [`traffic`]: counting the bytes of connections.
 //!
 //! Messages between own processes use `prost` by derive, so that the build needs no generator.
 
@@ -13,5 +14,7 @@
 pub mod frame;
 pub mod grant;
 pub mod own;
+pub mod traffic;
 
 pub use frame::{FrameCodec, FrameError, MAX_FRAME_BYTES};
+pub use traffic::{Counted, Traffic, TrafficSnapshot};
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -50,14 +50,20 @@
     let mut codec = FrameCodec::<Reply>::default();
     let mut buf = BytesMut::new();
     let large = reply(1, vec![0; MAX_FRAME_BYTES + 1]);
-    assert!(codec.encode(large, &mut buf).is_err());
+    codec
+        .encode(large, &mut buf)
+        .expect_err("the frame is over the limit");
     let mut claimed = BytesMut::from(&u32::MAX.to_be_bytes()[..]);
-    assert!(codec.decode(&mut claimed).is_err());
+    codec
+        .decode(&mut claimed)
+        .expect_err("the claimed length is over the limit");
 }
 
 #[test]
 fn bytes_that_are_no_message_are_refused() {
     let mut codec = FrameCodec::<Reply>::default();
     let mut buf = BytesMut::from(&[0, 0, 0, 2, 0xff, 0xff][..]);
-    assert!(codec.decode(&mut buf).is_err());
+    codec
+        .decode(&mut buf)
+        .expect_err("the bytes are no message");
 }
--- /dev/null
+++ b/crates/wire/tests/traffic.rs
@@ -0,0 +1,25 @@
+//! Counting the bytes of connections.
+
+use std::sync::Arc;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use wire::{Counted, Traffic};
+
+#[test]
+fn both_directions_of_all_connections_are_counted() {
+    let traffic: Arc<Traffic> = Arc::default();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        for _ in 0..2 {
+            let (near, mut far) = tokio::io::duplex(64);
+            let mut near = Counted::new(near, Arc::clone(&traffic));
+            near.write_all(b"question").await.expect("room");
+            far.write_all(b"answer").await.expect("room");
+            near.read_exact(&mut [0; 6]).await.expect("an answer");
+        }
+    });
+    let counted = traffic.snapshot();
+    assert_eq!((counted.sent, counted.received), (16, 12));
+}
