Count the bytes of control connections

Cause: what control costs a host in bytes was not known. Connections to other hosts, to upstreams (grants and health) and to the platform add what they send and receive to shared counters, and the status endpoint shows them as `traffic`. Connections that carry requests are not counted.

--- a/crates/gate/src/grants.rs
+++ b/crates/gate/src/grants.rs
@@ -3,6 +3,7 @@
 //! They share no connection with requests, so that neither waits for the other.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
+use wire::Traffic;
 use wire::grant::{GRANT_PATH, GrantReply, GrantRequest, HEALTH_PATH, HealthReport};
 
 use crate::upstream::{ExchangeError, UpstreamConn};
@@ -112,6 +114,7 @@
     peer: SocketAddr,
     host: String,
     kept: Option<UpstreamConn>,
+    traffic: Option<Arc<Traffic>>,
 }
 
 impl GrantClient {
@@ -123,6 +126,16 @@
             peer,
             host: peer.to_string(),
             kept: None,
+            traffic: None,
+        }
+    }
+
+    /// Adds the bytes of all connections to `traffic`.
+    #[must_use]
+    pub fn counted(self, traffic: Arc<Traffic>) -> Self {
+        Self {
+            traffic: Some(traffic),
+            ..self
         }
     }
 
@@ -226,7 +239,13 @@
 
     async fn open(&self) -> Result<UpstreamConn, ExchangeError> {
         let settings = &self.settings;
-        UpstreamConn::open(self.peer, settings.connect_timeout, settings.reply_bytes).await
+        UpstreamConn::open_counted(
+            self.peer,
+            settings.connect_timeout,
+            settings.reply_bytes,
+            self.traffic.clone(),
+        )
+        .await
     }
 }
 
--- a/crates/gate/src/upstream/conn.rs
+++ b/crates/gate/src/upstream/conn.rs
@@ -18,6 +18,7 @@
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use wire::Traffic;
 
 use crate::body::Gathered;
 use crate::upstream::CountedStream;
@@ -142,6 +143,20 @@
         peer: SocketAddr,
         timeout: Duration,
         header_bytes: usize,
+    ) -> Result<Self, ExchangeError> {
+        Self::open_counted(peer, timeout, header_bytes, None).await
+    }
+
+    /// Opens a connection whose bytes are added to `traffic`, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not open within `timeout`.
+    pub async fn open_counted(
+        peer: SocketAddr,
+        timeout: Duration,
+        header_bytes: usize,
+        traffic: Option<Arc<Traffic>>,
     ) -> Result<Self, ExchangeError> {
         let failed = |cause| ExchangeError::Connect { peer, cause };
         let connect = tokio::time::timeout(timeout, TcpStream::connect(peer));
@@ -150,7 +165,7 @@
             .map_err(|elapsed| failed(io::Error::new(io::ErrorKind::TimedOut, elapsed)))?
             .map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
-        let stream = CountedStream::new(stream);
+        let stream = CountedStream::new(stream, traffic);
         let written = stream.written();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(header_bytes.max(MIN_BUFFER))
--- a/crates/gate/src/upstream/stream.rs
+++ b/crates/gate/src/upstream/stream.rs
@@ -8,6 +8,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use wire::Traffic;
 
 /// A TCP stream that counts what was written to it, so that an error can be told apart by whether
 /// any byte had left.
@@ -15,15 +16,17 @@
 pub struct CountedStream {
     inner: TcpStream,
     written: Arc<AtomicU64>,
+    traffic: Option<Arc<Traffic>>,
 }
 
 impl CountedStream {
-    /// Wraps `inner`.
+    /// Wraps `inner`; its bytes are added to `traffic` as well, if there is one.
     #[must_use]
-    pub fn new(inner: TcpStream) -> Self {
+    pub fn new(inner: TcpStream, traffic: Option<Arc<Traffic>>) -> Self {
         Self {
             inner,
             written: Arc::default(),
+            traffic,
         }
     }
 
@@ -35,6 +38,9 @@
 
     fn add(&self, count: usize) {
         self.written.fetch_add(count as u64, Ordering::Relaxed);
+        if let Some(traffic) = &self.traffic {
+            traffic.add_sent(count);
+        }
     }
 }
 
@@ -44,7 +50,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        if let Some(traffic) = &self.traffic {
+            traffic.add_received(buf.filled().len() - before);
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/host/src/control/duty.rs
+++ b/crates/host/src/control/duty.rs
@@ -5,16 +5,13 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use gate::{DispatchTx, GateContext, LoadSample, Notice, Phase};
-use ids::{Clock, HostId, Timestamp, UpstreamId};
-use indexmap::IndexSet;
-use own::{CommitOutcome, HostRef, Stop};
+use gate::{DispatchTx, GateContext, LoadSample, Notice};
+use ids::{Clock, DomainId, Timestamp, UpstreamId};
+use indexmap::{IndexMap, IndexSet};
 use platform::HttpPlatform;
-use prost::Message;
-use slog::{Logger, debug, info, warn};
+use slog::Logger;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
-use wire::control::{Body, Frame};
 
 use super::input::{Input, InputTx};
 use super::leases::Leases;
@@ -26,14 +23,14 @@
 use super::table::PlatformCalls;
 use super::upstreams::{AskSettings, Upstreams};
 use crate::settings::Settings;
-use crate::status::ControlStatus;
+use crate::status::{ControlStatus, ControlTraffic};
 
 /// Inputs taken between two ticks at most, so that a flood can't keep time from passing.
 const BATCH_INPUTS: usize = 256;
-/// Hosts to which loads are sent at a time.
-const LOADS_TO: usize = 16;
 /// Time between reports of what the membership believes to the ownership code.
 const ROSTER_EVERY: Duration = Duration::from_millis(200);
+/// Hosts of each other domain that are reported.
+const ROSTER_PER_DOMAIN: usize = 8;
 
 /// What the control duty is made of.
 #[derive(Debug)]
@@ -46,6 +43,7 @@
     pub(crate) cx: Arc<GateContext>,
     pub(crate) dispatch: DispatchTx,
     pub(crate) platform: HttpPlatform,
+    pub(crate) traffic: ControlTraffic,
     pub(crate) status: Arc<ArcSwap<ControlStatus>>,
     pub(crate) log: Logger,
 }
@@ -71,24 +69,24 @@
 /// The control duty's state; all of it lives on one thread.
 #[derive(Debug)]
 pub(crate) struct Duty {
-    parts: Parts,
-    member: spread::Member,
-    machine: own::Machine,
-    routes: Routes,
-    leases: Leases,
-    links: Links,
-    upstreams: Upstreams,
-    platform: PlatformCalls,
+    pub(super) parts: Parts,
+    pub(super) member: spread::Member,
+    pub(super) machine: own::Machine,
+    pub(super) routes: Routes,
+    pub(super) leases: Leases,
+    pub(super) links: Links,
+    pub(super) upstreams: Upstreams,
+    pub(super) platform: PlatformCalls,
     queue: VecDeque<Told>,
-    member_actions: Vec<spread::Action>,
-    own_actions: Vec<own::Action>,
-    pairs: Pairs,
-    coordinated: IndexSet<UpstreamId>,
-    draining: IndexSet<UpstreamId>,
-    roster_due: Timestamp,
-    placement: Placement,
-    plan_due: Timestamp,
-    left: bool,
+    pub(super) member_actions: Vec<spread::Action>,
+    pub(super) own_actions: Vec<own::Action>,
+    pub(super) pairs: Pairs,
+    pub(super) coordinated: IndexSet<UpstreamId>,
+    pub(super) draining: IndexSet<UpstreamId>,
+    pub(super) roster_due: Timestamp,
+    pub(super) placement: Placement,
+    pub(super) plan_due: Timestamp,
+    pub(super) left: bool,
 }
 
 impl Duty {
@@ -97,7 +95,11 @@
         let now = parts.clock.now();
         let member = spread::Member::new(parts.spread.clone(), parts.me.clone(), now);
         let machine = own::Machine::new(parts.own, peers::own_ref(&parts.me));
-        let links = Links::new(input.clone(), member.hello());
+        let links = Links::new(
+            input.clone(),
+            member.hello(),
+            Arc::clone(&parts.traffic.hosts),
+        );
         let ask = AskSettings {
             timeout: parts.own.renew_every * 2,
             ..AskSettings::default()
@@ -110,7 +112,7 @@
             routes: Routes::default(),
             leases: Leases::default(),
             links,
-            upstreams: Upstreams::new(ask, input),
+            upstreams: Upstreams::new(ask, input, Arc::clone(&parts.traffic.upstreams)),
             platform,
             queue: VecDeque::new(),
             member_actions: Vec::new(),
@@ -180,170 +182,11 @@
         }
     }
 
-    fn take(&mut self, input: Input) {
-        match input {
-            Input::LinkAccepted(stream) => self.links.accepted(stream),
-            Input::LinkUp { host, link, first } => {
-                self.links.add(host.clone(), link);
-                let connected = spread::Event::Connected { host: host.clone() };
-                self.tell_member(connected);
-                let from = host;
-                self.tell_member(spread::Event::Heard { from, frame: first });
-            }
-            Input::LinkDown { host, no } => {
-                if self.links.remove(&host, no) {
-                    self.tell_member(spread::Event::Lost { host });
-                }
-            }
-            Input::ConnectFailed { host, refused } => self.connect_failed(host, refused),
-            Input::Frame {
-                frame: Frame {
-                    body: Some(Body::Loads(loads)),
-                },
-                ..
-            } => self.placement.learn(self.parts.clock.now(), &loads),
-            Input::Frame { from, frame } => {
-                self.tell_member(spread::Event::Heard { from, frame });
-            }
-            Input::Granted {
-                upstream,
-                attempt,
-                reply,
-            } => self.tell_own(own::Event::GrantReply {
-                upstream,
-                attempt,
-                reply,
-            }),
-            Input::Healthy { upstream, attempt } => {
-                self.tell_own(own::Event::Healthy { upstream, attempt });
-            }
-            Input::NoReply {
-                upstream,
-                attempt,
-                refused,
-            } => self.tell_own(own::Event::NoReply {
-                upstream,
-                attempt,
-                refused,
-            }),
-            Input::Health { upstream, report } => self.health(upstream, report.draining),
-            Input::Committed { txn, outcome, rows } => {
-                if !rows.is_empty() {
-                    self.tell_member(spread::Event::Rows(rows));
-                }
-                self.log_commit(txn, &outcome);
-                self.tell_own(own::Event::Committed { txn, outcome });
-            }
-            Input::TableRead {
-                prefix,
-                since,
-                began,
-                changes,
-            } => self.tell_member(spread::Event::TableRead {
-                prefix,
-                since,
-                began,
-                changes,
-            }),
-            Input::Listed(mut hosts) => {
-                peers::override_addresses(&mut hosts, &self.parts.cfg.address_overrides);
-                self.tell_member(spread::Event::Listed(hosts));
-            }
-            Input::Leave => self.leave(),
-        }
-    }
-
-    fn leave(&mut self) {
-        info!(self.parts.log, "leaving");
-        self.parts.cx.set_phase(Phase::Leaving);
-        self.tell_member(spread::Event::Leaving);
-        self.tell_own(own::Event::Leave);
-    }
-
-    fn connect_failed(&mut self, host: HostId, refused: bool) {
-        let overridden = self.parts.cfg.address_overrides.contains_key(&host);
-        // Behind an address that is not the host's own, a refusal says nothing of the host.
-        if refused
-            && !overridden
-            && let Some(view) = self.member.host(&host)
-        {
-            self.tell_own(own::Event::PeerGone(peers::view_ref(&view)));
-        }
-        self.tell_member(spread::Event::Lost { host });
-    }
-
-    fn health(&mut self, upstream: UpstreamId, draining: bool) {
-        let known = self.draining.contains(&upstream);
-        if known == draining {
-            return;
-        }
-        if draining {
-            self.draining.insert(upstream.clone());
-        } else {
-            self.draining.shift_remove(&upstream);
-        }
-        self.tell_own(own::Event::Draining { upstream, draining });
-    }
-
-    fn notice(&mut self, notice: Notice) {
-        match notice {
-            Notice::Drained { upstream, slice } => {
-                for hold in self.leases.drained(&upstream, slice) {
-                    let upstream = upstream.clone();
-                    self.tell_own(own::Event::Drained { upstream, hold });
-                }
-            }
-            Notice::UpstreamFault { upstream, reason } => {
-                debug!(self.parts.log, "upstream fault";
-                    "upstream" => %upstream, "reason" => reason.as_str());
-            }
-        }
-    }
-
-    fn sample(&mut self, sample: &LoadSample) {
-        let now = self.parts.clock.now();
-        self.placement.sample(now, sample);
-    }
-
-    fn plan(&mut self, now: Timestamp) {
-        let catalogue = self.routes.catalogue();
-        let ownership = self.routes.ownership();
-        let wishes = self
-            .placement
-            .plan(now, &catalogue, ownership, &self.coordinated);
-        for wish in wishes {
-            debug!(self.parts.log, "placement"; "wish" => ?wish);
-            self.tell_own(wish);
-        }
-        self.send_loads(now);
-    }
-
-    /// Sends the loads of this host's upstreams to some others: to all while they are few, else
-    /// to a sample that changes from time to time, as a planner needs no more than some choice.
-    fn send_loads(&mut self, now: Timestamp) {
-        let Some(loads) = self.placement.summary(now) else {
-            return;
-        };
-        let alive: Vec<HostId> = self
-            .member
-            .hosts()
-            .filter(|h| h.alive)
-            .map(|h| h.host)
-            .collect();
-        let first = (now.as_micros() / PLAN_EVERY.as_micros() as u64) as usize * LOADS_TO;
-        let count = alive.len().min(LOADS_TO);
-        for i in 0..count {
-            let to = &alive[(first + i) % alive.len()];
-            let body = Some(Body::Loads(loads.clone()));
-            self.links.send(to, Frame { body });
-        }
-    }
-
-    fn tell_member(&mut self, event: spread::Event) {
+    pub(super) fn tell_member(&mut self, event: spread::Event) {
         self.queue.push_back(Told::Member(event));
     }
 
-    fn tell_own(&mut self, event: own::Event) {
+    pub(super) fn tell_own(&mut self, event: own::Event) {
         self.queue.push_back(Told::Own(event));
     }
 
@@ -369,99 +212,19 @@
         }
     }
 
-    fn carry_out_member(&mut self, action: spread::Action) {
-        match action {
-            spread::Action::Send { to, frame } => {
-                self.links.send(&to, frame);
-            }
-            spread::Action::Connect { host, addr } => {
-                let overridden = self.parts.cfg.address_overrides.get(&host);
-                let addr = overridden.map_or(addr, |a| a.control);
-                self.links.connect(host, addr);
-            }
-            spread::Action::Disconnect { host } => self.links.disconnect(&host),
-            spread::Action::ReadTable { prefix, since } => self.platform.read(prefix, since),
-            spread::Action::Changed(changed) => self.changed(changed),
-            spread::Action::Evidence(evidence) => {
-                let as_of = evidence.as_of;
-                self.tell_own(own::Event::TableEvidence { as_of });
-            }
-            spread::Action::TableReachable(reachable) => {
-                self.tell_own(own::Event::TableReachable(reachable));
-            }
-            spread::Action::PeerAlive { host, echo_of, .. } => self.peer_alive(&host, echo_of),
-            spread::Action::PeerSilent { host, .. } => {
-                info!(self.parts.log, "host is silent"; "peer" => %host);
-            }
-            spread::Action::Own { message, .. } => self.own_message(&message),
-        }
-    }
-
-    fn peer_alive(&mut self, host: &HostId, echo_of: Timestamp) {
-        if let Some(view) = self.member.host(host) {
-            self.tell_own(own::Event::Peer {
-                from: peers::view_ref(&view),
-                echo_of: Some(echo_of),
-                leaving: view.leaving,
-            });
-        }
-    }
-
-    fn own_message(&mut self, message: &bytes::Bytes) {
-        match wire::own::PeerMessage::decode(message.as_ref()) {
-            Ok(message) => self.tell_own(own::Event::PeerMessage(Box::new(message))),
-            Err(e) => warn!(self.parts.log, "bad ownership message"; "cause" => %e),
-        }
-    }
-
-    fn changed(&mut self, changed: spread::Changed) {
-        let rows = self.member.take_changes();
-        for change in &rows {
-            if change.row.key.0.starts_with(own::row::PREFIX) {
-                self.pairs.take(&change.row);
-                self.tell_own(own::Event::Row(change.row.clone()));
+    /// Tells the ownership code of the live hosts of the own domain, and of a few of each other
+    /// one: all that it needs to choose a deputy, at a cost that does not grow with the system.
+    fn report_roster(&mut self) {
+        let mut seen: IndexMap<DomainId, usize> = IndexMap::new();
+        let mut reported = Vec::new();
+        for view in self.member.hosts().filter(|h| h.alive) {
+            let count = seen.entry(view.domain.clone()).or_default();
+            *count += 1;
+            if view.domain == self.parts.me.domain || *count <= ROSTER_PER_DOMAIN {
+                reported.push(view);
             }
         }
-        if let Some(pairs) = self.pairs.changed() {
-            self.tell_member(spread::Event::Pairs(pairs));
-        }
-        let routes = self.routes.take(&rows);
-        for fault in &routes.faults {
-            warn!(self.parts.log, "catalogue row not taken"; "cause" => %fault);
-        }
-        if routes.catalogue {
-            self.new_catalogue();
-        }
-        if routes.router {
-            self.parts.cx.router.store(self.routes.router());
-        }
-        if changed.hosts {
-            self.new_hosts();
-        }
-    }
-
-    fn new_catalogue(&mut self) {
-        let catalogue = self.routes.catalogue();
-        info!(self.parts.log, "catalogue in force"; "version" => self.routes.version().0);
-        self.leases.catalogue(Arc::clone(&catalogue));
-        self.placement.catalogue(&catalogue);
-        self.tell_own(own::Event::Catalogue(catalogue));
-        if self.parts.cx.phase() == Phase::Starting {
-            self.parts.cx.set_phase(Phase::Serving);
-        }
-    }
-
-    fn new_hosts(&mut self) {
-        let overrides = &self.parts.cfg.address_overrides;
-        let table = peers::dispatch_table(self.member.hosts(), overrides);
-        self.parts.cx.peers.store(Arc::new(table));
-        let live = self.member.hosts().filter(|h| h.alive).count() + 1;
-        self.parts.cx.set_live_hosts(live as u32);
-    }
-
-    fn report_roster(&mut self) {
-        let alive: Vec<spread::HostView> = self.member.hosts().filter(|h| h.alive).collect();
-        for view in alive {
+        for view in reported {
             self.tell_own(own::Event::Peer {
                 from: peers::view_ref(&view),
                 echo_of: None,
@@ -470,100 +233,6 @@
         }
     }
 
-    fn carry_out_own(&mut self, action: own::Action) {
-        match action {
-            own::Action::Commit { txn, body } => self.platform.commit(txn, body),
-            own::Action::SendGrant {
-                upstream,
-                attempt,
-                request,
-            } => self.grant(upstream, attempt, request),
-            own::Action::Probe { upstream, attempt } => self.probe(upstream, attempt),
-            own::Action::SendPeer { to, message } => self.send_own(&to, &message),
-            own::Action::Lease(lease) => {
-                if self.coordinated.insert(lease.upstream.clone()) {
-                    info!(self.parts.log, "coordinates upstream";
-                        "upstream" => %lease.upstream, "epoch" => lease.epoch.0);
-                }
-                self.leases.lease(lease);
-            }
-            own::Action::StopUpstream { upstream, why } => self.stop_upstream(upstream, why),
-            own::Action::Hold {
-                upstream,
-                hold,
-                slices,
-            } => self.leases.hold(&upstream, hold, slices),
-            own::Action::Release { hold, to, host, .. } => {
-                let here = host.is(self.machine.me());
-                self.leases.release(hold, here.then_some(&to));
-            }
-            own::Action::Left => {
-                info!(self.parts.log, "handed over all upstreams");
-                self.left = true;
-            }
-        }
-    }
-
-    fn grant(&mut self, upstream: UpstreamId, attempt: u64, request: wire::grant::GrantRequest) {
-        let catalogue = self.routes.catalogue();
-        if let Some(declared) = catalogue.upstreams.get(&upstream) {
-            let address = declared.address;
-            self.upstreams.grant(&upstream, address, attempt, request);
-            return;
-        }
-        self.undeclared(upstream, attempt);
-    }
-
-    fn probe(&mut self, upstream: UpstreamId, attempt: u64) {
-        let catalogue = self.routes.catalogue();
-        if let Some(declared) = catalogue.upstreams.get(&upstream) {
-            self.upstreams.probe(&upstream, declared.address, attempt);
-            return;
-        }
-        self.undeclared(upstream, attempt);
-    }
-
-    /// An upstream that the catalogue does not hold any more can't be asked.
-    fn undeclared(&mut self, upstream: UpstreamId, attempt: u64) {
-        self.tell_own(own::Event::NoReply {
-            upstream,
-            attempt,
-            refused: false,
-        });
-    }
-
-    fn send_own(&mut self, to: &HostRef, message: &wire::own::PeerMessage) {
-        if to.is(self.machine.me()) {
-            let message = Box::new(message.clone());
-            self.tell_own(own::Event::PeerMessage(message));
-            return;
-        }
-        let body = Body::Own(message.encode_to_vec().into());
-        let frame = Frame { body: Some(body) };
-        self.links.send(&to.host, frame);
-    }
-
-    fn stop_upstream(&mut self, upstream: UpstreamId, why: Stop) {
-        info!(self.parts.log, "stops sending to upstream";
-            "upstream" => %upstream, "why" => ?why);
-        let for_good = matches!(why, Stop::Replaced | Stop::HandedOver);
-        self.coordinated.shift_remove(&upstream);
-        if for_good {
-            self.upstreams.forget(&upstream);
-        }
-        self.leases.stop(upstream, for_good);
-    }
-
-    fn log_commit(&self, txn: u64, outcome: &CommitOutcome) {
-        let text = match outcome {
-            CommitOutcome::Done(_) => "done",
-            CommitOutcome::Conflict(_) => "conflict",
-            CommitOutcome::Unreachable => "unreachable",
-            CommitOutcome::Unconfirmed => "unconfirmed",
-        };
-        debug!(self.parts.log, "transaction ended"; "txn" => txn, "outcome" => text);
-    }
-
     fn publish_status(&self, now: Timestamp) {
         let age = |prefix| self.member.age(now, prefix).map(|d| d.as_millis() as u64);
         let status = ControlStatus {
--- a/crates/host/src/control/links.rs
+++ b/crates/host/src/control/links.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::{SinkExt, StreamExt};
@@ -15,8 +16,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
-use wire::FrameCodec;
 use wire::control::{Body, Frame};
+use wire::{Counted, FrameCodec, Traffic};
 
 use super::input::{Input, InputTx};
 
@@ -27,7 +28,7 @@
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-type Connection = Framed<TcpStream, FrameCodec<Frame>>;
+type Connection = Framed<Counted<TcpStream>, FrameCodec<Frame>>;
 
 /// Number of a control connection in this run of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,16 +46,19 @@
 pub(crate) struct Links {
     input: InputTx,
     hello: Frame,
+    traffic: Arc<Traffic>,
     next: u64,
     up: IndexMap<HostId, Vec<Link>>,
 }
 
 impl Links {
-    /// Creates the empty set; `hello` is the first frame on each connection.
-    pub(crate) fn new(input: InputTx, hello: Frame) -> Self {
+    /// Creates the empty set; `hello` is the first frame on each connection, and their bytes are
+    /// added to `traffic`.
+    pub(crate) fn new(input: InputTx, hello: Frame, traffic: Arc<Traffic>) -> Self {
         Self {
             input,
             hello,
+            traffic,
             next: 0,
             up: IndexMap::new(),
         }
@@ -78,6 +82,7 @@
         let no = self.number();
         let input = self.input.clone();
         let hello = self.hello.clone();
+        let stream = Counted::new(stream, Arc::clone(&self.traffic));
         tokio::task::spawn_local(async move {
             if let Ok((conn, host, first)) = greet_back(stream, hello).await {
                 serve(conn, no, host, first, &input).await;
@@ -90,8 +95,9 @@
         let no = self.number();
         let input = self.input.clone();
         let hello = self.hello.clone();
+        let traffic = Arc::clone(&self.traffic);
         tokio::task::spawn_local(async move {
-            match greet(addr, hello, &host).await {
+            match greet(addr, hello, &host, traffic).await {
                 Ok((conn, first)) => serve(conn, no, host, first, &input).await,
                 Err(e) => {
                     let refused = e.kind() == io::ErrorKind::ConnectionRefused;
@@ -139,9 +145,10 @@
     addr: SocketAddr,
     hello: Frame,
     expected: &HostId,
+    traffic: Arc<Traffic>,
 ) -> io::Result<(Connection, Frame)> {
     let stream = timeout(OPEN_TIMEOUT, TcpStream::connect(addr)).await??;
-    let mut conn = frame(stream)?;
+    let mut conn = frame(Counted::new(stream, traffic))?;
     conn.send(hello).await.map_err(io::Error::other)?;
     let first = first_frame(&mut conn).await?;
     if host_of(&first).as_ref() != Some(expected) {
@@ -150,7 +157,10 @@
     Ok((conn, first))
 }
 
-async fn greet_back(stream: TcpStream, hello: Frame) -> io::Result<(Connection, HostId, Frame)> {
+async fn greet_back(
+    stream: Counted<TcpStream>,
+    hello: Frame,
+) -> io::Result<(Connection, HostId, Frame)> {
     let mut conn = frame(stream)?;
     let first = first_frame(&mut conn).await?;
     let host = host_of(&first).ok_or_else(|| io::Error::other("no hello"))?;
@@ -158,8 +168,8 @@
     Ok((conn, host, first))
 }
 
-fn frame(stream: TcpStream) -> io::Result<Connection> {
-    stream.set_nodelay(true)?;
+fn frame(stream: Counted<TcpStream>) -> io::Result<Connection> {
+    stream.get_ref().set_nodelay(true)?;
     Ok(Framed::new(stream, FrameCodec::default()))
 }
 
--- a/crates/host/src/control/upstreams.rs
+++ b/crates/host/src/control/upstreams.rs
@@ -1,6 +1,7 @@
 //! Grants and health requests to upstreams, a task for each.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use gate::{ControlCallError, GrantClient, GrantSettings};
@@ -8,6 +9,7 @@
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, interval_at};
+use wire::Traffic;
 use wire::grant::GrantRequest;
 
 use super::input::{Input, InputTx};
@@ -51,15 +53,17 @@
 pub(crate) struct Upstreams {
     cfg: AskSettings,
     input: InputTx,
+    traffic: Arc<Traffic>,
     tasks: IndexMap<UpstreamId, Asked>,
 }
 
 impl Upstreams {
-    /// Creates the empty set.
-    pub(crate) fn new(cfg: AskSettings, input: InputTx) -> Self {
+    /// Creates the empty set; the bytes of all connections are added to `traffic`.
+    pub(crate) fn new(cfg: AskSettings, input: InputTx, traffic: Arc<Traffic>) -> Self {
         Self {
             cfg,
             input,
+            traffic,
             tasks: IndexMap::new(),
         }
     }
@@ -100,8 +104,10 @@
         let (tx, rx) = mpsc::channel(RING_ASKS);
         let cfg = self.cfg;
         let input = self.input.clone();
+        let traffic = Arc::clone(&self.traffic);
         tokio::task::spawn_local(async move {
-            Asker::new(cfg, upstream, address, input).run(rx).await;
+            let asker = Asker::new(cfg, upstream, address, input, traffic);
+            asker.run(rx).await;
         });
         tx
     }
@@ -115,7 +121,13 @@
 }
 
 impl Asker {
-    fn new(cfg: AskSettings, upstream: UpstreamId, address: SocketAddr, input: InputTx) -> Self {
+    fn new(
+        cfg: AskSettings,
+        upstream: UpstreamId,
+        address: SocketAddr,
+        input: InputTx,
+        traffic: Arc<Traffic>,
+    ) -> Self {
         let settings = GrantSettings {
             connect_timeout: cfg.timeout,
             timeout: cfg.timeout,
@@ -124,7 +136,7 @@
         Self {
             cfg,
             upstream,
-            client: GrantClient::new(settings, address),
+            client: GrantClient::new(settings, address).counted(traffic),
             input,
         }
     }
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -23,7 +23,7 @@
 use crate::control::duty::{Duty, Parts, Rings};
 use crate::control::input::{self, Input, InputTx};
 use crate::settings::Settings;
-use crate::status::{ControlStatus, StatusEndpoint};
+use crate::status::{ControlStatus, ControlTraffic, StatusEndpoint};
 
 /// Notices that may wait for the control duty.
 const RING_NOTICES: usize = 4_096;
@@ -69,64 +69,26 @@
     ///
     /// Fails if an address can't be bound or a thread can't be started.
     pub fn start(cfg: Settings, token: Token, log: Logger) -> Result<Self, StartError> {
-        let clock: Arc<dyn Clock> = Arc::new(BootClock);
-        let metrics = Arc::new(metrics(&cfg)?);
-        let gate_log = log.clone();
-        let cx = Arc::new(GateContext::new(
-            cfg.host.clone(),
-            Arc::clone(&clock),
-            Arc::clone(&metrics),
-            gate_log,
-        ));
+        let shared = Shared::new(&cfg, log)?;
         let (notices_tx, notices) = mpsc::channel(RING_NOTICES);
         let (samples_tx, samples) = mpsc::channel(RING_SAMPLES);
         let channels = DispatchChannels {
             notices: notices_tx,
             samples: samples_tx,
         };
-        let listener = std::net::TcpListener::bind(cfg.listen.control)
-            .with_context(|| format!("bind control address {}", cfg.listen.control))?;
-        listener.set_nonblocking(true)?;
+        let listener = bind(cfg.listen.control)?;
         let dispatch = DispatchDuty::start(
             dispatch_settings(&cfg),
             DispatcherSettings::default(),
-            Arc::clone(&cx),
+            Arc::clone(&shared.cx),
             channels,
         )?;
-        let incarnation = incarnation();
-        let status: Arc<ArcSwap<ControlStatus>> = Arc::default();
-        let endpoint = StatusEndpoint::new(
-            cfg.host.clone(),
-            cfg.domain.clone(),
-            incarnation,
-            Arc::clone(&cx),
-            Arc::clone(&status),
-        );
-        let gate = Gate::start(
-            gate_settings(&cfg),
-            PathSettings::default(),
-            Arc::clone(&cx),
-            dispatch.tx(),
-            Arc::new(endpoint),
-        )?;
+        let gate = shared.start_gate(&cfg, &dispatch)?;
         let addresses = Addresses {
             callers: gate.address(),
             dispatch: dispatch.address(),
             control: listener.local_addr()?,
         };
-        let me = spread::Me {
-            host: cfg.host.clone(),
-            domain: cfg.domain.clone(),
-            incarnation,
-            control: addresses.control,
-            dispatch: addresses.dispatch,
-        };
-        let platform = HttpPlatform::new(HttpSettings {
-            address: cfg.platform.address,
-            token,
-            timeout: Duration::from_millis(cfg.platform.timeout_ms.into()),
-            ..HttpSettings::default()
-        });
         let (left_tx, left) = oneshot::channel();
         let (stop, stop_rx) = oneshot::channel();
         let (input, inputs) = input::ring();
@@ -139,20 +101,10 @@
         };
         let drain = Duration::from_millis(cfg.callers.drain_timeout_ms.into());
         let linger = Duration::from_millis(cfg.callers.linger_ms.into());
-        let parts = Parts {
-            own: cfg.ownership.own(),
-            spread: cfg.ownership.spread(),
-            cfg,
-            me,
-            clock,
-            cx,
-            dispatch: dispatch.tx(),
-            platform,
-            status,
-            log: log.clone(),
-        };
+        let log = shared.log.clone();
+        start_metrics(&shared.cx.metrics, log.clone())?;
+        let parts = shared.into_parts(cfg, token, addresses, &dispatch);
         let control = start_control(parts, input.clone(), listener, rings)?;
-        start_metrics(&metrics, log.clone())?;
         info!(log, "started"; "callers" => %addresses.callers);
         Ok(Self {
             addresses,
@@ -199,6 +151,96 @@
     }
 }
 
+/// What the duties of one run share.
+#[derive(Debug)]
+struct Shared {
+    incarnation: Incarnation,
+    clock: Arc<dyn Clock>,
+    cx: Arc<GateContext>,
+    status: Arc<ArcSwap<ControlStatus>>,
+    traffic: ControlTraffic,
+    log: Logger,
+}
+
+impl Shared {
+    fn new(cfg: &Settings, log: Logger) -> Result<Self, StartError> {
+        let clock: Arc<dyn Clock> = Arc::new(BootClock);
+        let metrics = Arc::new(metrics(cfg)?);
+        let host = cfg.host.clone();
+        let cx = GateContext::new(host, Arc::clone(&clock), metrics, log.clone());
+        Ok(Self {
+            incarnation: incarnation(),
+            clock,
+            cx: Arc::new(cx),
+            status: Arc::default(),
+            traffic: ControlTraffic::default(),
+            log,
+        })
+    }
+
+    fn start_gate(&self, cfg: &Settings, dispatch: &DispatchDuty) -> Result<Gate, StartError> {
+        let endpoint = StatusEndpoint::new(
+            cfg.host.clone(),
+            cfg.domain.clone(),
+            self.incarnation,
+            Arc::clone(&self.cx),
+            Arc::clone(&self.status),
+            self.traffic.clone(),
+        );
+        let gate = Gate::start(
+            gate_settings(cfg),
+            PathSettings::default(),
+            Arc::clone(&self.cx),
+            dispatch.tx(),
+            Arc::new(endpoint),
+        )?;
+        Ok(gate)
+    }
+
+    fn into_parts(
+        self,
+        cfg: Settings,
+        token: Token,
+        addresses: Addresses,
+        dispatch: &DispatchDuty,
+    ) -> Parts {
+        let me = spread::Me {
+            host: cfg.host.clone(),
+            domain: cfg.domain.clone(),
+            incarnation: self.incarnation,
+            control: addresses.control,
+            dispatch: addresses.dispatch,
+        };
+        let settings = HttpSettings {
+            address: cfg.platform.address,
+            token,
+            timeout: Duration::from_millis(cfg.platform.timeout_ms.into()),
+            ..HttpSettings::default()
+        };
+        let platform = HttpPlatform::counted(settings, Arc::clone(&self.traffic.platform));
+        Parts {
+            own: cfg.ownership.own(),
+            spread: cfg.ownership.spread(),
+            cfg,
+            me,
+            clock: self.clock,
+            cx: self.cx,
+            dispatch: dispatch.tx(),
+            platform,
+            traffic: self.traffic,
+            status: self.status,
+            log: self.log,
+        }
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<std::net::TcpListener, StartError> {
+    let listener = std::net::TcpListener::bind(address)
+        .with_context(|| format!("bind control address {address}"))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 /// Waits until the sender is dropped, at most for `limit`; tells whether it was.
 fn wait_until_closed(mut rx: oneshot::Receiver<()>, limit: Duration) -> bool {
     const LOOK_EVERY: Duration = Duration::from_millis(5);
--- a/crates/host/src/status.rs
+++ b/crates/host/src/status.rs
@@ -10,6 +10,7 @@
 use ids::{DomainId, HostId, Incarnation, Revision, Version};
 use serde::Serialize;
 use smol_str::SmolStr;
+use wire::{Traffic, TrafficSnapshot};
 
 /// Path of the status endpoint.
 pub const STATUS_PATH: &str = "/medlardyke/status";
@@ -34,6 +35,36 @@
     pub reads_table: bool,
 }
 
+/// Counts of bytes on control connections, by the peers' kind; clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct ControlTraffic {
+    /// With other hosts.
+    pub hosts: Arc<Traffic>,
+    /// With upstreams: grants and health reports.
+    pub upstreams: Arc<Traffic>,
+    /// With the platform.
+    pub platform: Arc<Traffic>,
+}
+
+impl ControlTraffic {
+    fn snapshot(&self) -> TrafficStatus {
+        TrafficStatus {
+            hosts: self.hosts.snapshot(),
+            upstreams: self.upstreams.snapshot(),
+            platform: self.platform.snapshot(),
+        }
+    }
+}
+
+/// Bytes on control connections since the start of the process.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize)]
+struct TrafficStatus {
+    hosts: TrafficSnapshot,
+    upstreams: TrafficSnapshot,
+    platform: TrafficSnapshot,
+}
+
 /// The whole status.
 #[derive(Debug, Serialize)]
 struct Status<'a> {
@@ -43,6 +74,7 @@
     phase: &'static str,
     #[serde(flatten)]
     control: &'a ControlStatus,
+    traffic: TrafficStatus,
     counters: MetricsSnapshot,
 }
 
@@ -54,6 +86,7 @@
     incarnation: Incarnation,
     cx: Arc<GateContext>,
     control: Arc<ArcSwap<ControlStatus>>,
+    traffic: ControlTraffic,
 }
 
 impl StatusEndpoint {
@@ -65,6 +98,7 @@
         incarnation: Incarnation,
         cx: Arc<GateContext>,
         control: Arc<ArcSwap<ControlStatus>>,
+        traffic: ControlTraffic,
     ) -> Self {
         Self {
             host,
@@ -72,6 +106,7 @@
             incarnation,
             cx,
             control,
+            traffic,
         }
     }
 
@@ -83,6 +118,7 @@
             incarnation: self.incarnation,
             phase: phase_text(self.cx.phase()),
             control: &control,
+            traffic: self.traffic.snapshot(),
             counters: self.cx.metrics.snapshot(),
         };
         let body = serde_json::to_vec(&status).expect("a status is plain JSON");
--- a/crates/platform/src/client/exchange.rs
+++ b/crates/platform/src/client/exchange.rs
@@ -1,5 +1,6 @@
 //! Calls, and what is known of their effect when they fail.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::timeout;
+use wire::Traffic;
 
 use super::pool::{Connection, Pool};
 use super::settings::HttpSettings;
@@ -66,10 +68,10 @@
 }
 
 impl Exchange {
-    pub(super) fn new(settings: HttpSettings) -> Self {
+    pub(super) fn new(settings: HttpSettings, traffic: Arc<Traffic>) -> Self {
         let peer = format_smolstr!("{}", settings.address);
         Self {
-            pool: Pool::new(settings.address, settings.kept),
+            pool: Pool::new(settings.address, settings.kept, traffic),
             host: HeaderValue::from_str(&peer).expect("an address is a header value"),
             authorization: authorization(&settings),
             peer,
--- a/crates/platform/src/client/http_platform.rs
+++ b/crates/platform/src/client/http_platform.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol_str::{SmolStr, format_smolstr};
+use wire::Traffic;
 
 use super::exchange::{Call, Exchange, Kind};
 use super::pages::Pages;
@@ -34,8 +35,14 @@
     /// Builds a client; it opens connections only when they are needed.
     #[must_use]
     pub fn new(settings: HttpSettings) -> Self {
+        Self::counted(settings, Arc::default())
+    }
+
+    /// Builds a client whose bytes are added to `traffic`.
+    #[must_use]
+    pub fn counted(settings: HttpSettings, traffic: Arc<Traffic>) -> Self {
         Self {
-            exchange: Arc::new(Exchange::new(settings)),
+            exchange: Arc::new(Exchange::new(settings, traffic)),
         }
     }
 
--- a/crates/platform/src/client/pool.rs
+++ b/crates/platform/src/client/pool.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
+use wire::{Counted, Traffic};
 
 /// An open connection; dropping it closes it.
 #[derive(Debug)]
@@ -23,12 +24,12 @@
 }
 
 impl Connection {
-    async fn open(peer: SocketAddr) -> io::Result<Self> {
+    async fn open(peer: SocketAddr, traffic: Arc<Traffic>) -> io::Result<Self> {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
         let stream = stream.into_std()?;
         let probe = stream.try_clone()?;
-        let io = TokioIo::new(TcpStream::from_std(stream)?);
+        let io = TokioIo::new(Counted::new(TcpStream::from_std(stream)?, traffic));
         let (sender, conn) = handshake(io).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             // The caller learns of a failure from its exchange.
@@ -69,21 +70,23 @@
 pub(super) struct Pool {
     peer: SocketAddr,
     kept: usize,
+    traffic: Arc<Traffic>,
     idle: Mutex<Vec<Idle>>,
 }
 
 impl Pool {
-    pub(super) const fn new(peer: SocketAddr, kept: usize) -> Self {
+    pub(super) const fn new(peer: SocketAddr, kept: usize, traffic: Arc<Traffic>) -> Self {
         Self {
             peer,
             kept,
+            traffic,
             idle: Mutex::new(Vec::new()),
         }
     }
 
     /// Opens a new connection.
     pub(super) async fn open(&self) -> io::Result<Connection> {
-        Connection::open(self.peer).await
+        Connection::open(self.peer, Arc::clone(&self.traffic)).await
     }
 
     /// Returns a usable connection that rested for at most `longest`.
--- a/crates/trial/src/cluster/process.rs
+++ b/crates/trial/src/cluster/process.rs
@@ -118,6 +118,12 @@
         }
     }
 
+    /// Returns the process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Reads what the process has used so far; nothing once it is gone.
     #[must_use]
     pub fn usage(&self) -> Option<Usage> {
