Plan in stages: hot keys where they fit, then slices

The planner now waits 3 s and moves hot keys only to where they fit best, after 6 s to where they do least harm, and ordinary slices after 12 s; observation spans 3 s instead of 8, the sketch adds again what its compactions took off, and a carved-out key takes its load along.

--- a/crates/place/src/loads.rs
+++ b/crates/place/src/loads.rs
@@ -22,6 +22,9 @@
 /// The smallest share of its slots that an arriving upstream counts for.
 const MIN_RAMP_SHARE: f64 = 0.1;
 
+/// Bytes of an indexed map's table and hash for each entry.
+pub(crate) const INDEX_BYTES: usize = 18;
+
 /// Settings of [`Loads`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadsSettings {
@@ -36,7 +39,7 @@
 impl Default for LoadsSettings {
     fn default() -> Self {
         Self {
-            span: Duration::from_secs(8),
+            span: Duration::from_secs(3),
             summary_lag: Duration::from_secs(2),
             sketch: SketchSettings::default(),
         }
@@ -232,12 +235,14 @@
 
     /// Makes `to` the owner of a slice.
     ///
-    /// A slice that was held here brings its observed load along; another one starts with `load`
-    /// busy slots (as told by its last owner, or zero).
+    /// A slice that was held here brings its observed load along, and so does a key that is carved
+    /// out of one; another one starts with `load` busy slots (as told by its last owner, or zero).
     pub fn assign(&mut self, now: Timestamp, slice: SliceNo, to: UpstreamKey, load: f64) {
-        let sum = match self.take(slice) {
-            Some(sum) => sum,
-            None => self.decay.sum(now, load),
+        let sum = if let Some(sum) = self.take(slice) {
+            sum
+        } else {
+            let load = self.carve_out(now, slice).unwrap_or(load);
+            self.decay.sum(now, load)
         };
         let load = self.decay.rate(now, sum);
         let lag = self.cfg.summary_lag;
@@ -272,26 +277,6 @@
         self.take(slice);
     }
 
-    /// Moves the load of a key from the slice that held it to its own slice on `to`.
-    pub fn carve(
-        &mut self,
-        now: Timestamp,
-        key: KeyHash,
-        from: SliceNo,
-        to: UpstreamKey,
-        load: f64,
-    ) {
-        let moved = self.decay.sum(now, load);
-        if let Some(slice) = self.slices.get_mut(&from) {
-            let moved = moved.min(slice.sum);
-            slice.sum -= moved;
-            let upstream = &mut self.upstreams[slice.owner];
-            upstream.sum = (upstream.sum - moved).max(0.0);
-        }
-        self.sketch.forget(key);
-        self.assign(now, key.hot_slice(), to, load);
-    }
-
     /// Takes the work of one request. A slice that is not held here is ignored.
     pub fn record(&mut self, now: Timestamp, sample: Sample) {
         self.rebase(now);
@@ -350,6 +335,32 @@
             .map_or(0.0, |s| self.decay.rate(now, s.sum))
     }
 
+    /// Returns the slices of a local upstream with their loads, in busy slots.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `key` comes from another [`Loads`].
+    pub fn slice_loads(
+        &self,
+        now: Timestamp,
+        key: UpstreamKey,
+    ) -> impl Iterator<Item = (SliceNo, f64)> {
+        let one = self.decay.rate(now, 1.0);
+        let slices = self.upstreams[key].slices.iter().copied();
+        slices.map(move |slice| (slice, self.slices[&slice].sum * one))
+    }
+
+    /// Returns about how many bytes of memory the slices, upstreams and hot keys take.
+    #[must_use]
+    pub fn heap_bytes(&self) -> usize {
+        let slice = INDEX_BYTES + size_of::<(SliceNo, SliceLoad)>() + size_of::<SliceNo>();
+        let names = INDEX_BYTES + size_of::<(UpstreamId, UpstreamKey)>();
+        let upstream = size_of::<UpstreamLoad>() + names;
+        let hot = self.hot.capacity() * (INDEX_BYTES + size_of::<SliceNo>());
+        let upstreams = self.upstreams.len() * upstream;
+        self.slices.capacity() * slice + upstreams + hot + self.sketch.heap_bytes()
+    }
+
     /// Returns the load of an upstream, in busy slots: the observed one, and what its reports
     /// credibly add.
     ///
@@ -488,6 +499,17 @@
         Some(load.sum)
     }
 
+    /// Takes the load of a key that becomes the slice `hot` off the slice that held it.
+    fn carve_out(&mut self, now: Timestamp, hot: SliceNo) -> Option<f64> {
+        let found = self.sketch.take(now, hot)?;
+        let slice = self.slices.get_mut(&found.slice)?;
+        let moved = self.decay.sum(now, found.load).min(slice.sum);
+        slice.sum -= moved;
+        let owner = &mut self.upstreams[slice.owner];
+        owner.sum = (owner.sum - moved).max(0.0);
+        Some(self.decay.rate(now, moved))
+    }
+
     fn forget_slices(&mut self, key: UpstreamKey) {
         while let Some(slice) = self.upstreams[key].slices.last().copied() {
             self.take(slice);
--- a/crates/place/src/orphans.rs
+++ b/crates/place/src/orphans.rs
@@ -12,7 +12,7 @@
 pub struct Orphan {
     /// Slice.
     pub slice: SliceNo,
-    /// Busy slots; zero if unknown.
+    /// Busy slots. If unknown, an even part of what the lost upstream had by its last summary.
     pub load: f64,
 }
 
@@ -38,8 +38,9 @@
     pub to: UpstreamKey,
 }
 
-/// The least load that a slice counts for, so that unknown ones spread by number.
-const MIN_LOAD_SHARE: f64 = 1e-3;
+/// The least that all orphans together count for, as a part of the capacity, so that ones without
+/// load spread by number.
+const MIN_LOAD_SHARE: f64 = 0.02;
 
 #[derive(Debug, Clone, Copy)]
 struct Bin {
--- a/crates/place/src/plan/balance.rs
+++ b/crates/place/src/plan/balance.rs
@@ -13,6 +13,12 @@
 /// Part of the way from the emptiest upstream to the source within which others are eligible.
 const CHOICE_SPREAD: f64 = 0.25;
 
+/// Difference to the best fit up to which upstreams count as equally good.
+const FIT_SPREAD: f64 = 0.08;
+
+/// Part of its share that a key leaves to fill at most, if it exceeds any share.
+const NEARLY_EMPTY: f64 = 0.8;
+
 /// Load below which an entry counts as idle, in busy slots.
 const IDLE_LOAD: f64 = 1e-6;
 
@@ -22,19 +28,28 @@
     pub load: f64,
     pub share: f64,
     pub capacity: f64,
+    /// Load by share, minus one; zero without a share.
+    pub ratio: f64,
 }
 
 impl Standing {
-    pub(crate) fn ratio(&self) -> f64 {
-        if self.share <= 0.0 {
-            return 0.0;
-        }
-        self.load / self.share - 1.0
+    fn set_load(&mut self, load: f64) {
+        self.load = load.max(0.0);
+        self.ratio = if self.share > 0.0 {
+            self.load / self.share - 1.0
+        } else {
+            0.0
+        };
+    }
+
+    /// Returns the load above the share.
+    pub(crate) fn excess(&self) -> f64 {
+        (self.load - self.share).max(0.0)
     }
 
     pub(crate) fn end(&self, load: f64) -> End {
         End {
-            ratio: self.ratio(),
+            ratio: self.ratio,
             size: load / self.share.max(IDLE_LOAD),
         }
     }
@@ -58,7 +73,10 @@
     pub(crate) standings: Vec<Standing>,
     /// Upstreams with capacity, emptiest first.
     pub(crate) light: Vec<UpstreamKey>,
+    /// Local upstreams that may have to shed slices, the fullest first.
     pub(crate) sources: Vec<UpstreamKey>,
+    /// Local upstreams that are to be emptied.
+    pub(crate) leaving: Vec<UpstreamKey>,
     pub(crate) items: Vec<Item>,
     pub(crate) hot: Vec<HotKey>,
 }
@@ -69,26 +87,29 @@
         self.standings.clear();
         self.light.clear();
         self.sources.clear();
+        self.leaving.clear();
         self.standings.extend(loads.keys().map(|key| Standing {
             load: loads.load(now, key),
             share: 0.0,
             capacity: loads.capacity(key),
+            ratio: 0.0,
         }));
         let total: f64 = self.standings.iter().map(|s| s.load).sum();
         let capacity: f64 = self.standings.iter().map(|s| s.capacity).sum();
         for standing in &mut self.standings {
             standing.share = total.max(IDLE_LOAD) * standing.capacity / capacity.max(IDLE_LOAD);
+            standing.set_load(standing.load);
         }
         capacity
     }
 
     /// Orders the upstreams that can take slices.
     pub(crate) fn order(&mut self, loads: &Loads) {
-        self.light
-            .extend(loads.keys().filter(|key| loads.capacity(*key) > 0.0));
         let standings = &self.standings;
+        let eligible = |key: &UpstreamKey| standings[key.index()].capacity > 0.0;
+        self.light.extend(loads.keys().filter(eligible));
         self.light.sort_by(|a, b| {
-            let ratio = |key: &UpstreamKey| standings[key.index()].ratio();
+            let ratio = |key: &UpstreamKey| standings[key.index()].ratio;
             ratio(a)
                 .total_cmp(&ratio(b))
                 .then_with(|| loads.tag(*a).cmp(&loads.tag(*b)))
@@ -102,9 +123,10 @@
     /// Counts a load as moved, before the order is made.
     pub(crate) fn shift(&mut self, from: UpstreamKey, to: Option<UpstreamKey>, load: f64) {
         let source = &mut self.standings[from.index()];
-        source.load = (source.load - load).max(0.0);
+        source.set_load(source.load - load);
         if let Some(to) = to {
-            self.standings[to.index()].load += load;
+            let target = &mut self.standings[to.index()];
+            target.set_load(target.load + load);
         }
     }
 
@@ -115,6 +137,33 @@
         self.reorder(to);
     }
 
+    /// Returns the upstream that `item` fills best: of those that stay at or below `limit` with it,
+    /// and are nearly the fullest of them, the one that the slice's hash prefers.
+    ///
+    /// Small items so leave the largest gaps to large ones.
+    pub(crate) fn fit(
+        &self,
+        loads: &Loads,
+        item: &Item,
+        from: UpstreamKey,
+        limit: f64,
+    ) -> Option<UpstreamKey> {
+        let after = |key: UpstreamKey| {
+            let end = self.standing(key).end(item.load);
+            end.ratio + end.size
+        };
+        let largest = self.standing(from).end(item.load).size;
+        let limit = limit.max(largest - NEARLY_EMPTY);
+        let fitting = || {
+            let others = self.light.iter().copied().filter(|key| *key != from);
+            others.filter(|key| after(*key) <= limit)
+        };
+        let fullest = fitting().map(after).max_by(f64::total_cmp)?;
+        fitting()
+            .filter(|key| after(*key) >= fullest - FIT_SPREAD)
+            .max_by_key(|key| score(item.slice, loads.tag(*key)))
+    }
+
     /// Returns the upstream that should take `slice` off `from`: of a few nearly emptiest ones, the
     /// two that the slice's hash prefers are compared and the emptier is taken.
     pub(crate) fn choose(
@@ -124,15 +173,15 @@
         from: UpstreamKey,
     ) -> Option<UpstreamKey> {
         let emptiest = *self.light.iter().find(|key| **key != from)?;
-        let lowest = self.standing(emptiest).ratio();
-        let reach = (self.standing(from).ratio() - lowest).max(0.0) * CHOICE_SPREAD;
+        let lowest = self.standing(emptiest).ratio;
+        let reach = (self.standing(from).ratio - lowest).max(0.0) * CHOICE_SPREAD;
         let mut first: Option<(u64, UpstreamKey)> = None;
         let mut second: Option<(u64, UpstreamKey)> = None;
         for key in self.light.iter().copied().take(CHOICES + 1) {
             if key == from {
                 continue;
             }
-            if self.standing(key).ratio() > lowest + reach {
+            if self.standing(key).ratio > lowest + reach {
                 break;
             }
             let rank = Some((score(slice, loads.tag(key)), key));
@@ -147,7 +196,7 @@
         let Some((_, second)) = second else {
             return Some(first);
         };
-        let second_is_emptier = self.standing(second).ratio() < self.standing(first).ratio();
+        let second_is_emptier = self.standing(second).ratio < self.standing(first).ratio;
         Some(if second_is_emptier { second } else { first })
     }
 
@@ -156,11 +205,11 @@
             return;
         };
         self.light.remove(at);
-        let ratio = self.standing(key).ratio();
+        let ratio = self.standing(key).ratio;
         let standings = &self.standings;
         let at = self
             .light
-            .partition_point(|k| standings[k.index()].ratio() < ratio);
+            .partition_point(|k| standings[k.index()].ratio < ratio);
         self.light.insert(at, key);
     }
 }
--- a/crates/place/src/plan/budget.rs
+++ b/crates/place/src/plan/budget.rs
@@ -18,7 +18,7 @@
         Self {
             limit,
             window,
-            spent: VecDeque::with_capacity(limit),
+            spent: VecDeque::new(),
         }
     }
 
--- a/crates/place/src/plan/cost.rs
+++ b/crates/place/src/plan/cost.rs
@@ -12,7 +12,7 @@
 const EXCHANGE_RATE: f64 = 0.08;
 
 /// Cost of one move apart from its keys: a row written, a slice held up for a moment.
-const FIXED_COST: f64 = 0.004;
+const FIXED_COST: f64 = 0.0005;
 
 /// Part of its size by which a moved slice must lower the higher of the two ratios, lest a hot key
 /// wanders from one upstream to the next.
--- a/crates/place/src/plan/planner.rs
+++ b/crates/place/src/plan/planner.rs
@@ -47,7 +47,11 @@
 /// Why an upstream sheds slices, and how far.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Shed {
-    /// It is over the trigger: to any upstream, down to this ratio.
+    /// It has just got over the trigger: hot keys, to where they fit, down to this ratio.
+    Fitting(f64),
+    /// It has been over the trigger for a while: hot keys, to any upstream, down to this ratio.
+    Hot(f64),
+    /// It has been over the trigger: anything, to any upstream, down to this ratio.
     Over(f64),
     /// Others are far below their share: only to those, down to this ratio.
     Fill(f64),
@@ -91,10 +95,12 @@
             return;
         }
         self.count_pending(now, input.loads, cx);
-        cx.order(input.loads);
         self.watch(now, input, cx);
-        self.evacuate(now, input, cx, out);
-        self.shed(now, input, capacity, cx, out);
+        if !cx.leaving.is_empty() || !cx.sources.is_empty() {
+            cx.order(input.loads);
+            self.evacuate(now, input, cx, out);
+            self.shed(now, input, capacity, cx, out);
+        }
         self.fold(now, input, cx, out);
     }
 
@@ -140,44 +146,66 @@
     }
 
     /// Notes for how long upstreams have been above or below their shares, and lists those local
-    /// ones that shed.
+    /// ones that may have to shed.
     fn watch(&mut self, now: Timestamp, input: &PlanInput<'_>, cx: &mut PlanContext) {
+        let loads = input.loads;
         let base = self.cfg.trigger_for(input.objective);
-        for key in input.loads.keys() {
-            let ratio = cx.standing(key).ratio();
-            let state = input.loads.view(key).state;
+        let mut filling = false;
+        for key in loads.keys() {
+            let standing = cx.standing(key);
             let watch = self.watches.get_mut(key);
-            let eligible = input.loads.capacity(key) > 0.0;
-            note(
-                &mut watch.under,
-                eligible && ratio < -base * self.cfg.pull,
-                now,
-            );
-            if let (UpstreamState::Arriving { .. }, Some(since)) = (state, &mut watch.under) {
+            let view = loads.view(key);
+            let far_below = standing.capacity > 0.0 && standing.ratio < -base * self.cfg.pull;
+            note(&mut watch.under, far_below, now);
+            if let (UpstreamState::Arriving { .. }, Some(since)) = (view.state, &mut watch.under) {
                 *since = (*since).min(now - self.cfg.pull_persistence);
             }
-            if !input.loads.view(key).local || !eligible {
+            let lasting = |since| now.since(since) >= self.cfg.pull_persistence;
+            filling |= watch.under.is_some_and(lasting);
+            if !view.local {
                 continue;
             }
-            let trigger = base.max(noise(now, input.loads, key));
-            note(&mut watch.over, ratio > trigger, now);
-            let lasting = watch
-                .over
-                .is_some_and(|since| now.since(since) >= self.cfg.persistence);
-            watch.shedding = lasting || (watch.shedding && ratio > trigger * LOW_WATER);
-            if ratio > 0.0 {
-                cx.sources.push(key);
+            if standing.capacity > 0.0 {
+                self.watch_local(now, loads, key, base, standing.ratio);
+            } else if view.state == UpstreamState::Leaving {
+                cx.leaving.push(key);
             }
         }
+        let watches = &mut self.watches;
+        cx.sources.extend(loads.keys().filter(|key| {
+            let standing = cx.standings[key.index()];
+            let over = watches.get_mut(*key).sheds_hot || filling;
+            over && standing.ratio > 0.0 && loads.view(*key).local
+        }));
         let standings = &cx.standings;
+        let ratio = |key: &UpstreamKey| standings[key.index()].ratio;
         cx.sources.sort_by(|a, b| {
-            let ratio = |key: &UpstreamKey| standings[key.index()].ratio();
             ratio(b)
                 .total_cmp(&ratio(a))
-                .then_with(|| input.loads.tag(*a).cmp(&input.loads.tag(*b)))
+                .then_with(|| loads.tag(*a).cmp(&loads.tag(*b)))
         });
     }
 
+    /// Notes for how long a local upstream has been above the trigger.
+    fn watch_local(
+        &mut self,
+        now: Timestamp,
+        loads: &Loads,
+        key: UpstreamKey,
+        base: f64,
+        ratio: f64,
+    ) {
+        let trigger = base.max(noise(now, loads, key));
+        let watch = self.watches.get_mut(key);
+        note(&mut watch.over, ratio > trigger, now);
+        let over = watch.over;
+        let lasting = |span| over.is_some_and(|since| now.since(since) >= span);
+        let high = ratio > trigger * LOW_WATER;
+        watch.sheds_hot = lasting(self.cfg.hot_persistence) || (watch.sheds_hot && high);
+        watch.sheds_misfits = lasting(self.cfg.misfit_persistence) || (watch.sheds_misfits && high);
+        watch.sheds_all = lasting(self.cfg.persistence) || (watch.sheds_all && high);
+    }
+
     /// Moves slices off leaving upstreams, whatever it costs.
     fn evacuate(
         &mut self,
@@ -188,25 +216,20 @@
     ) {
         let loads = input.loads;
         let mut left = self.cfg.evacuations;
-        for from in loads.keys() {
-            let view = loads.view(from);
-            if !view.local || view.state != UpstreamState::Leaving {
-                continue;
-            }
-            for slice in loads.slices(from) {
+        for n in 0..cx.leaving.len() {
+            let from = cx.leaving[n];
+            for (slice, load) in loads.slice_loads(now, from) {
                 if left == 0 {
                     return;
                 }
-                if self.pending.contains_key(slice) {
+                if self.pending.contains_key(&slice) {
                     continue;
                 }
-                let Some(to) = cx.choose(loads, *slice, from) else {
+                let Some(to) = cx.choose(loads, slice, from) else {
                     return;
                 };
-                let load = loads.slice_load(now, *slice);
                 cx.transfer(from, to, load);
                 left -= 1;
-                let slice = *slice;
                 self.wish(
                     now,
                     Wish::Move {
@@ -236,7 +259,8 @@
                 continue;
             };
             self.collect(now, input, capacity, cx, from);
-            let items = std::mem::take(&mut cx.items);
+            let mut items = std::mem::take(&mut cx.items);
+            order(&mut items, cx.standing(from).excess());
             self.shed_items(now, input, cx, from, shed, &items, out);
             cx.items = items;
         }
@@ -256,10 +280,17 @@
             .trigger_for(input.objective)
             .max(noise(now, input.loads, from));
         let low = trigger * LOW_WATER;
-        let ratio = cx.standing(from).ratio();
-        if self.watches.get_mut(from).shedding && ratio > low {
+        let ratio = cx.standing(from).ratio;
+        let watch = self.watches.get_mut(from);
+        if watch.sheds_all && ratio > low {
             return Some(Shed::Over(low));
         }
+        if watch.sheds_misfits && ratio > low {
+            return Some(Shed::Hot(low));
+        }
+        if watch.sheds_hot && ratio > low {
+            return Some(Shed::Fitting(low));
+        }
         let emptiest = *cx.light.first()?;
         let under = self.watches.get_mut(emptiest).under?;
         let lasting = now.since(under) >= self.cfg.pull_persistence;
@@ -296,8 +327,8 @@
         let Some(emptiest) = cx.light.first() else {
             return;
         };
-        let reach = standing.ratio() - cx.standing(*emptiest).ratio();
-        for slice in loads.slices(from).iter().copied() {
+        let reach = standing.ratio - cx.standing(*emptiest).ratio;
+        for (slice, load) in loads.slice_loads(now, from) {
             let keys = if slice.is_hot() { 0.0 } else { slice_keys };
             let carved: f64 = cx
                 .hot
@@ -305,7 +336,7 @@
                 .filter(|hot| hot.slice == slice)
                 .map(|hot| hot.load)
                 .sum();
-            let load = loads.slice_load(now, slice) - carved;
+            let load = load - carved;
             let size = load / standing.share;
             if 2.0 * size * reach < cost::price(input.objective, keys) {
                 continue;
@@ -341,14 +372,16 @@
         items: &[Item],
         out: &mut Vec<Wish>,
     ) {
-        let (Shed::Over(low) | Shed::Fill(low)) = shed;
-        let start = cx.standing(from).ratio();
+        let (Shed::Fitting(low) | Shed::Hot(low) | Shed::Over(low) | Shed::Fill(low)) = shed;
+        let hot_only = matches!(shed, Shed::Fitting(_) | Shed::Hot(_));
+        let start = cx.standing(from).ratio;
         let stop = start - (start - low) * STEP;
         for item in items {
-            if cx.standing(from).ratio() <= stop.max(low) {
+            if cx.standing(from).ratio <= stop.max(low) {
                 return;
             }
-            if self.pending.contains_key(&item.slice) {
+            let ordinary = !item.slice.is_hot();
+            if self.pending.contains_key(&item.slice) || (ordinary && hot_only) {
                 continue;
             }
             let Some(to) = self.target(input, cx, from, shed, item) else {
@@ -371,14 +404,19 @@
         shed: Shed,
         item: &Item,
     ) -> Option<UpstreamKey> {
+        if item.slice.is_hot() {
+            let limit = self.cfg.trigger_for(input.objective);
+            let fit = cx.fit(input.loads, item, from, limit);
+            let fit = fit.filter(|to| pays(input, cx, from, *to, item));
+            if fit.is_some() || matches!(shed, Shed::Fitting(_)) {
+                return fit;
+            }
+        }
         let to = cx.choose(input.loads, item.slice, from)?;
         if matches!(shed, Shed::Fill(_)) {
             self.watches.get_mut(to).under?;
         }
-        let source = cx.standing(from).end(item.load);
-        let target = cx.standing(to).end(item.load);
-        let pays = cost::gain(source, target) > cost::price(input.objective, item.keys);
-        (pays && cost::improves(source, target)).then_some(to)
+        pays(input, cx, from, to, item).then_some(to)
     }
 
     /// Folds back keys that have been cool for long enough.
@@ -416,6 +454,42 @@
     }
 }
 
+/// Orders what could be moved: first hot keys that take away the whole `excess`, the lightest of
+/// them first; then other hot keys, the heaviest first; then slices, with the most load for their
+/// price first.
+fn order(items: &mut [Item], excess: f64) {
+    let class = |item: &Item| match item.slice.is_hot() {
+        true if item.load >= excess => 0,
+        true => 1,
+        false => 2,
+    };
+    items.sort_unstable_by(|a, b| {
+        let within = match class(a) {
+            0 => a.load.total_cmp(&b.load),
+            1 => b.load.total_cmp(&a.load),
+            _ => b.density.total_cmp(&a.density),
+        };
+        class(a)
+            .cmp(&class(b))
+            .then(within)
+            .then(a.slice.cmp(&b.slice))
+    });
+}
+
+/// Tells whether moving `item` is worth its churn.
+fn pays(
+    input: &PlanInput<'_>,
+    cx: &PlanContext,
+    from: UpstreamKey,
+    to: UpstreamKey,
+    item: &Item,
+) -> bool {
+    let source = cx.standing(from).end(item.load);
+    let target = cx.standing(to).end(item.load);
+    let gain = cost::gain(source, target);
+    gain > cost::price(input.objective, item.keys) && cost::improves(source, target)
+}
+
 fn wish_for(item: &Item, from: UpstreamKey, to: UpstreamKey) -> Wish {
     match item.carve {
         Some(hot) => Wish::Carve {
--- a/crates/place/src/plan/settings.rs
+++ b/crates/place/src/plan/settings.rs
@@ -14,7 +14,14 @@
 pub struct PlannerSettings {
     /// Ratio above which an upstream sheds slices, at equal weights.
     pub trigger: f64,
-    /// Time for which an upstream must be above the trigger before it sheds.
+    /// Time for which an upstream must be above the trigger before hot keys are moved off it, to
+    /// where they fit.
+    pub hot_persistence: Duration,
+    /// Time for which it must be above the trigger before hot keys that fit nowhere are moved to
+    /// where they do least harm.
+    pub misfit_persistence: Duration,
+    /// Time for which an upstream must be above the trigger before ordinary slices are moved off
+    /// it; longer, as the load often comes from a hot key that is soon moved.
     pub persistence: Duration,
     /// Multiple of the trigger by which an upstream must be below its share to be filled from
     /// upstreams that are not above the trigger.
@@ -40,7 +47,9 @@
     fn default() -> Self {
         Self {
             trigger: 0.08,
-            persistence: Duration::from_secs(3),
+            hot_persistence: Duration::from_secs(3),
+            misfit_persistence: Duration::from_secs(6),
+            persistence: Duration::from_secs(12),
             pull: 3.0,
             pull_persistence: Duration::from_secs(20),
             carve_share: 0.08,
--- a/crates/place/src/plan/watch.rs
+++ b/crates/place/src/plan/watch.rs
@@ -11,8 +11,12 @@
     pub over: Option<Timestamp>,
     /// Since when it has been so far below its share that it should be filled.
     pub under: Option<Timestamp>,
-    /// Whether it sheds slices until it is well below the trigger.
-    pub shedding: bool,
+    /// Whether it sheds hot keys until it is well below the trigger.
+    pub sheds_hot: bool,
+    /// Whether it sheds hot keys that fit nowhere as well.
+    pub sheds_misfits: bool,
+    /// Whether it sheds ordinary slices as well.
+    pub sheds_all: bool,
 }
 
 /// The watches of all upstreams.
--- a/crates/place/src/sketch.rs
+++ b/crates/place/src/sketch.rs
@@ -2,8 +2,9 @@
 //!
 //! Weighted frequent items after Misra and Gries, with the compaction done in batches: the sketch
 //! holds up to twice its capacity, and when full it subtracts the median from all counters and
-//! drops those that fall to zero. The cost per sample is constant on average, and no key's work is
-//! underestimated by more than the total work divided by the capacity.
+//! drops those that fall to zero. The cost per sample is constant on average, and a key with more
+//! than the total work divided by the capacity is surely held. What compactions took off a key
+//! since it came in is known, and added again when it is read.
 
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use indexmap::IndexMap;
 
 use crate::decay::Decay;
-use crate::loads::Sample;
+use crate::loads::{INDEX_BYTES, Sample};
 
 /// Settings of a [`Sketch`].
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -26,7 +27,7 @@
     fn default() -> Self {
         Self {
             capacity: 256,
-            span: Duration::from_secs(8),
+            span: Duration::from_secs(3),
         }
     }
 }
@@ -45,7 +46,17 @@
 #[derive(Debug, Clone, Copy)]
 struct Counter {
     slice: SliceNo,
+    /// Work counted, less what compactions took off.
     sum: f64,
+    /// [`Sketch::cuts`] when the key came in; what was added since belongs to the key's work.
+    cuts_before: f64,
+}
+
+impl Counter {
+    /// Returns the work counted since the key came in.
+    const fn work(&self, cuts: f64) -> f64 {
+        self.sum + cuts - self.cuts_before
+    }
 }
 
 /// Finds the keys with the most work among the samples of one entry.
@@ -54,6 +65,8 @@
     capacity: usize,
     decay: Decay,
     counters: IndexMap<KeyHash, Counter>,
+    /// All that compactions ever took off each counter.
+    cuts: f64,
     sums: Vec<f64>,
 }
 
@@ -66,6 +79,7 @@
             capacity: cfg.capacity,
             decay: Decay::new(cfg.span),
             counters: IndexMap::with_capacity(2 * cfg.capacity),
+            cuts: 0.0,
             sums: Vec::with_capacity(2 * cfg.capacity),
         }
     }
@@ -77,6 +91,7 @@
         let counter = self.counters.entry(sample.key).or_insert(Counter {
             slice: sample.slice,
             sum: 0.0,
+            cuts_before: self.cuts,
         });
         counter.slice = sample.slice;
         counter.sum += sum;
@@ -85,9 +100,21 @@
         }
     }
 
-    /// Drops a key, as it has a slice of its own now.
-    pub fn forget(&mut self, key: KeyHash) {
-        self.counters.swap_remove(&key);
+    /// Drops the key that has become the slice `hot`, and returns it with its load, if it is held.
+    pub fn take(&mut self, now: Timestamp, hot: SliceNo) -> Option<HotKey> {
+        if !hot.is_hot() {
+            return None;
+        }
+        let high_bits = hot.0 << 1;
+        let candidates = [KeyHash(high_bits), KeyHash(high_bits | 1)];
+        candidates.into_iter().find_map(|key| {
+            let counter = self.counters.swap_remove(&key)?;
+            Some(HotKey {
+                key,
+                slice: counter.slice,
+                load: self.decay.rate(now, counter.work(self.cuts)),
+            })
+        })
     }
 
     /// Writes the keys with at least `min_load` busy slots to `out`, heaviest first.
@@ -95,13 +122,14 @@
         out.clear();
         let min_sum = self.decay.sum(now, min_load);
         for (key, counter) in &self.counters {
-            if counter.sum < min_sum {
+            let work = counter.work(self.cuts);
+            if work < min_sum {
                 continue;
             }
             out.push(HotKey {
                 key: *key,
                 slice: counter.slice,
-                load: self.decay.rate(now, counter.sum),
+                load: self.decay.rate(now, work),
             });
         }
         out.sort_by(|a, b| b.load.total_cmp(&a.load).then(a.key.cmp(&b.key)));
@@ -119,6 +147,13 @@
         self.counters.is_empty()
     }
 
+    /// Returns about how many bytes of memory the counters take.
+    #[must_use]
+    pub fn heap_bytes(&self) -> usize {
+        let counter = INDEX_BYTES + size_of::<(KeyHash, Counter)>();
+        self.counters.capacity() * counter + self.sums.capacity() * size_of::<f64>()
+    }
+
     fn compact(&mut self) {
         self.sums.clear();
         self.sums.extend(self.counters.values().map(|c| c.sum));
@@ -126,6 +161,7 @@
             .sums
             .select_nth_unstable_by(self.capacity - 1, f64::total_cmp);
         let cut = *cut;
+        self.cuts += cut;
         self.counters.retain(|_, c| {
             c.sum -= cut;
             c.sum > 0.0
@@ -138,6 +174,8 @@
         };
         for counter in self.counters.values_mut() {
             counter.sum *= factor;
+            counter.cuts_before *= factor;
         }
+        self.cuts *= factor;
     }
 }
--- /dev/null
+++ b/crates/place/tests/planner.rs
@@ -0,0 +1,330 @@
+//! When the planner moves what, and what it must never do.
+
+mod support;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use catalogue::Objective;
+use ids::{KeyHash, SliceNo, Timestamp};
+use place::{PlannerSettings, UpstreamState, Wish};
+use proptest::prelude::*;
+use support::{Entry, SLICES};
+
+fn even() -> Vec<u32> {
+    vec![20; SLICES as usize]
+}
+
+/// Upstream 0 has slices 0, 4, 8, ...: `extra` more requests on each.
+fn skewed(extra: u32) -> Vec<u32> {
+    let rate = |slice: u32| {
+        if slice.is_multiple_of(4) {
+            20 + extra
+        } else {
+            20
+        }
+    };
+    (0..SLICES).map(rate).collect()
+}
+
+#[test]
+fn loads_call_for_moves_or_not() {
+    struct Case {
+        name: &'static str,
+        rates: Vec<u32>,
+        objective: Objective,
+        moves: bool,
+    }
+    let weights = |imbalance, churn| Objective { imbalance, churn };
+    let cases = [
+        Case {
+            name: "equal load stays",
+            rates: even(),
+            objective: weights(1.0, 1.0),
+            moves: false,
+        },
+        Case {
+            name: "a little more stays",
+            rates: skewed(1),
+            objective: weights(1.0, 1.0),
+            moves: false,
+        },
+        Case {
+            name: "half as much again moves",
+            rates: skewed(10),
+            objective: weights(1.0, 1.0),
+            moves: true,
+        },
+        Case {
+            name: "a fifth moves if imbalance weighs more",
+            rates: skewed(5),
+            objective: weights(2.0, 1.0),
+            moves: true,
+        },
+        Case {
+            name: "the same stays if churn weighs more",
+            rates: skewed(5),
+            objective: weights(1.0, 4.0),
+            moves: false,
+        },
+        Case {
+            name: "no load stays",
+            rates: vec![0; SLICES as usize],
+            objective: weights(1.0, 1.0),
+            moves: false,
+        },
+    ];
+    for case in cases {
+        let mut entry = Entry::new(4, PlannerSettings::default());
+        entry.objective = case.objective;
+        let mut moves = 0;
+        for _ in 0..60 {
+            entry.serve(&case.rates);
+            let wishes = entry.plan();
+            moves += wishes.len();
+            entry.carry_out(&wishes);
+        }
+        assert_eq!(moves > 0, case.moves, "{}: {moves} moves", case.name);
+        let limit = if case.moves { 1.1 } else { 1.25 };
+        assert!(
+            entry.imbalance() <= limit || entry.imbalance().is_nan(),
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn a_hot_key_is_carved_followed_and_folded() {
+    let mut entry = Entry::new(4, PlannerSettings::default());
+    let first = KeyHash::of(b"first");
+    let first_owner = entry.loads.owner(first.slice(SLICES));
+    let elsewhere = |key: &KeyHash| entry.loads.owner(key.slice(SLICES)) != first_owner;
+    let second = (0..).map(|n: u64| KeyHash::of(&n.to_le_bytes()));
+    let second = second.clone().find(elsewhere).expect("a key elsewhere");
+    let mut carved = None;
+    let mut folded = None;
+    for now in 0..240 {
+        entry.serve(&even());
+        let hot = if now < 60 { first } else { second };
+        for _ in 0..200 {
+            if now < 120 {
+                entry.request(hot, hot.slice(SLICES), 1000);
+            }
+        }
+        let wishes = entry.plan();
+        for wish in &wishes {
+            match *wish {
+                Wish::Carve { key, .. } if key == second => carved = Some(now),
+                Wish::Fold { slice, .. } if slice == second.hot_slice() => folded = Some(now),
+                _ => {}
+            }
+        }
+        entry.carry_out(&wishes);
+        if now == 59 || now == 90 {
+            assert!(entry.imbalance() < 1.25, "{}", entry.imbalance());
+        }
+    }
+    let carved = carved.expect("the second key is carved out");
+    assert!((60..90).contains(&carved), "carved at {carved}");
+    assert!(folded.expect("it is folded back") > 120);
+    assert_eq!(second.hot_slice().base(SLICES), second.slice(SLICES));
+}
+
+#[test]
+fn arriving_upstreams_fill_by_ramp_and_leaving_ones_empty() {
+    let mut entry = Entry::new(4, PlannerSettings::default());
+    let rates = even();
+    entry.set_state(3, UpstreamState::Leaving);
+    while !entry.loads.slices(entry.keys[3]).is_empty() {
+        entry.serve(&rates);
+        let wishes = entry.plan();
+        entry.carry_out(&wishes);
+        assert!(entry.second < 10, "a leaving upstream is emptied soon");
+    }
+    for (share, within) in [(0.25, 30), (1.0, 60)] {
+        entry.set_state(3, UpstreamState::Arriving { share });
+        for _ in 0..within {
+            entry.serve(&rates);
+            let wishes = entry.plan();
+            entry.carry_out(&wishes);
+        }
+        let part = entry.loads.slices(entry.keys[3]).len() as f64 / f64::from(SLICES);
+        let due = share / (3.0 + share);
+        assert!((part - due).abs() < 0.1, "{part} of the slices at {share}");
+    }
+}
+
+#[test]
+fn a_wish_that_was_not_settled_is_not_repeated_at_once() {
+    let mut entry = Entry::new(4, PlannerSettings::default());
+    let mut first = Vec::new();
+    while first.is_empty() {
+        entry.serve(&skewed(20));
+        first = entry.plan();
+    }
+    entry.serve(&skewed(20));
+    let second = entry.plan();
+    let repeated = |w: &Wish| first.iter().any(|f| f.slice() == w.slice());
+    assert!(!second.iter().any(repeated));
+}
+
+#[derive(Debug, Clone)]
+struct Step {
+    rates: Vec<u32>,
+    state: Option<(usize, UpstreamState)>,
+    reported: f64,
+}
+
+fn states() -> impl Strategy<Value = UpstreamState> {
+    prop_oneof![
+        Just(UpstreamState::Steady),
+        (0.1..1.0).prop_map(|share| UpstreamState::Arriving { share }),
+        Just(UpstreamState::Leaving),
+        Just(UpstreamState::Lost),
+    ]
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let rates = proptest::collection::vec(0..40_u32, SLICES as usize);
+    let state = proptest::option::weighted(0.2, (0..4_usize, states()));
+    let step = (rates, state, 0.0..8.0).prop_map(|(rates, state, reported)| Step {
+        rates,
+        state,
+        reported,
+    });
+    proptest::collection::vec(step, 1..40)
+}
+
+fn run(steps: &[Step], cfg: PlannerSettings) -> Vec<(u64, Wish)> {
+    let mut entry = Entry::new(4, cfg);
+    let mut all = Vec::new();
+    for step in steps {
+        if let Some((n, state)) = step.state {
+            entry.set_state(n, state);
+        }
+        entry.serve(&step.rates);
+        let now = entry.now();
+        let first = entry.keys[0];
+        entry.loads.report(now, first, step.reported);
+        let wishes = entry.plan();
+        for wish in &wishes {
+            let known = entry.loads.owner(wish.slice()).unwrap_or(wish.from());
+            assert_eq!(known, wish.from(), "only an owner gives away");
+            let state = |key| entry.loads.view(key).state;
+            assert_ne!(state(wish.from()), UpstreamState::Lost);
+            if let Some(to) = wish.to() {
+                let closed = [UpstreamState::Leaving, UpstreamState::Lost];
+                assert!(!closed.contains(&state(to)), "moved to {:?}", state(to));
+                assert_ne!(to, wish.from());
+            }
+        }
+        let evacuated = |w: &&Wish| {
+            let state = entry.loads.view(w.from()).state;
+            state == UpstreamState::Leaving && matches!(w, Wish::Move { .. })
+        };
+        assert!(wishes.iter().filter(evacuated).count() <= cfg.evacuations);
+        let planned = wishes.iter().filter(|w| !evacuated(w));
+        all.extend(planned.map(|w| (entry.second, *w)));
+        entry.carry_out(&wishes);
+    }
+    all
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn plans_keep_their_rules(steps in steps()) {
+        let cfg = PlannerSettings {
+            budget: 6,
+            window: Duration::from_secs(10),
+            persistence: Duration::from_secs(1),
+            ..PlannerSettings::default()
+        };
+        let wishes = run(&steps, cfg);
+        prop_assert_eq!(&wishes, &run(&steps, cfg), "the same inputs give the same wishes");
+        let mut window: VecDeque<u64> = VecDeque::new();
+        for (second, _) in wishes {
+            window.push_back(second);
+            while window.front().is_some_and(|first| second - first >= 10) {
+                window.pop_front();
+            }
+            prop_assert!(window.len() <= cfg.budget, "over budget at {}", second);
+        }
+    }
+}
+
+#[test]
+fn misleading_reports_change_no_plan() {
+    struct Case {
+        name: &'static str,
+        /// The report for an observed load.
+        report: fn(f64) -> f64,
+    }
+    let cases = [
+        Case {
+            name: "frozen at zero",
+            report: |_| 0.0,
+        },
+        Case {
+            name: "frozen at full",
+            report: |_| 4.0,
+        },
+        Case {
+            name: "inverted",
+            report: |load| 4.0 - load,
+        },
+        Case {
+            name: "not a number",
+            report: |_| f64::NAN,
+        },
+    ];
+    let plan_with = |report: Option<fn(f64) -> f64>| {
+        let mut entry = Entry::new(4, PlannerSettings::default());
+        let mut all = Vec::new();
+        for second in 0..120_u32 {
+            entry.serve(&skewed(second % 12));
+            for key in entry.keys.clone() {
+                let now = entry.now();
+                let load = entry.loads.load(now, key);
+                if let Some(report) = report {
+                    entry.loads.report(now, key, report(load));
+                }
+            }
+            let wishes = entry.plan();
+            entry.carry_out(&wishes);
+            all.extend(wishes);
+        }
+        all
+    };
+    let without = plan_with(None);
+    assert!(!without.is_empty());
+    for case in cases {
+        assert_eq!(plan_with(Some(case.report)), without, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_target_admits_only_what_does_not_overfill_it() {
+    let mut entry = Entry::new(4, PlannerSettings::default());
+    for _ in 0..10 {
+        entry.serve(&even());
+    }
+    let now = Timestamp::from_millis(10_000);
+    let share = entry.loads.load(now, entry.keys[0]);
+    for (part, admitted) in [(0.01, true), (0.5, false)] {
+        let input = place::PlanInput {
+            loads: &entry.loads,
+            objective: entry.objective,
+            slices: SLICES,
+        };
+        let wish = Wish::Move {
+            slice: SliceNo(0),
+            from: entry.keys[0],
+            to: entry.keys[1],
+            load: share * part,
+        };
+        assert_eq!(entry.planner.admits(now, &input, &wish), admitted, "{part}");
+    }
+}
