--- a/crates/operate/src/command/submit.rs
+++ b/crates/operate/src/command/submit.rs
@@ -67,9 +67,7 @@
             at_ms: now_ms(),
         })
     }
-}
 
-impl Context {
     /// Returns the context of a command that changes nothing.
     #[must_use]
     pub fn for_plan(operator: OperatorId) -> Self {
