trial: warm up before the measured load

Cause: placement moves slices in the first seconds of load, which hid the churn of the faults. Change: five seconds of load that don't count come first, and churn is counted from their end.

--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -5,14 +5,14 @@
 use std::time::{Duration, Instant};
 
 use catalogue::Catalogue;
-use ids::{DomainId, HostId};
+use ids::{BootClock, Clock as _, DomainId, HostId, Timestamp};
 use indexmap::IndexMap;
 use smol_str::{SmolStr, format_smolstr};
-use standin::judge::{GapSettings, JudgeSettings, judge};
+use standin::judge::{Churn, GapSettings, JudgeSettings, judge};
 use standin::load::{self, LoadRun, LoadSettings, RunningLoad, Seen, Summary};
 use standin::platform::Counters;
 use standin::upstream::settings::ServiceTime;
-use standin::{AdminCommand, Record};
+use standin::{AdminCommand, JournalLine, Record};
 use tokio::time::sleep;
 
 use crate::cluster::layout::Layout;
@@ -37,6 +37,8 @@
     pub rate: f64,
     /// Least length of the load, in seconds.
     pub seconds: Option<u64>,
+    /// Length of the load before the measured one, in which placement settles, in milliseconds.
+    pub warm_up_ms: u64,
     /// Latency up to which an answer counts as served at once, in milliseconds.
     pub at_once_ms: u64,
     /// Whether the folder with logs and journals is kept in any case.
@@ -53,6 +55,7 @@
             seed: 1,
             rate: 1.0,
             seconds: None,
+            warm_up_ms: 5_000,
             at_once_ms: 200,
             keep: false,
         }
@@ -65,6 +68,8 @@
     runs: Vec<LoadRun>,
     changes: Option<ChangesReport>,
     targets: Vec<HostId>,
+    /// When the measured load began.
+    began: Timestamp,
     before: Counters,
     after: Counters,
 }
@@ -103,6 +108,8 @@
         }
     }
     let targets = targets(cluster, scenario, &picks);
+    warm_up(cluster, cfg, &targets).await?;
+    let began = BootClock.now();
     let before = cluster.platform.counters().await?;
     let mut runs = Vec::new();
     let mut changes = None;
@@ -126,12 +133,24 @@
         runs,
         changes,
         targets,
+        began,
         before,
         after,
     };
     report(cluster, scenario, cfg, picks, outcome)
 }
 
+/// Loads the cluster for some time that doesn't count.
+async fn warm_up(cluster: &Cluster, cfg: &RunSettings, targets: &[HostId]) -> anyhow::Result<()> {
+    let rate = cfg.layout.rate_per_s * cfg.rate;
+    let load = LoadSettings {
+        duration_ms: cfg.warm_up_ms,
+        id_prefix: Some(SmolStr::new_static("warm-up")),
+        ..load_settings(cluster, cfg, targets, rate, 0)?
+    };
+    load::run(load).await.map(drop)
+}
+
 /// Returns the hosts to which callers go: a balancer turns away from hosts that stand still.
 fn targets(cluster: &Cluster, scenario: &Scenario, picks: &Picks) -> Vec<HostId> {
     let stopped: Vec<&HostId> = scenario
@@ -210,7 +229,9 @@
         },
         ..JudgeSettings::default()
     };
-    let judged = judge(&records, &cluster.upstreams.journals()?, judge_cfg);
+    let journals = cluster.upstreams.journals()?;
+    let judged = judge(&records, &journals, judge_cfg);
+    let churn = churn_since(outcome.began, journals);
     let at_home = at_home(&records, &outcome.targets, &cfg.layout, &cluster.catalogue);
     let faults = judged.faults.into_iter();
     let mut violations: Vec<Violation> = faults.map(|fault| Violation::Judged { fault }).collect();
@@ -237,7 +258,7 @@
         at_once_ms: cfg.at_once_ms,
         unavailable: judged.unavailable,
         unavailable_at_home: judge(&at_home, &[], judge_cfg).unavailable,
-        churn: judged.key_churn,
+        churn,
         violations,
         missed: Vec::new(),
         table: table_load(&outcome.before, &outcome.after, duration_ms),
@@ -270,6 +291,12 @@
     }
 }
 
+/// Counts changes of keys' owners from `began` on.
+fn churn_since(began: Timestamp, mut journals: Vec<JournalLine>) -> Churn {
+    journals.retain(|line| line.at_us >= began.as_micros());
+    judge(&[], &journals, JudgeSettings::default()).key_churn
+}
+
 /// Returns the requests that went to a host in the domain of the key's first owner.
 fn at_home(
     records: &[Record],
