--- a/crates/gate/src/callers/serve.rs
+++ b/crates/gate/src/callers/serve.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,7 +18,6 @@
 use ids::Reason;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -33,6 +31,7 @@
 use crate::counters::{Count, Latency};
 use crate::dispatch::DispatchTx;
 use crate::settings::{GateSettings, millis};
+use crate::thread::{self, PartEnd, PartGuard};
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 4_096;
@@ -60,7 +59,14 @@
 pub struct Gate {
     address: SocketAddr,
     stop: CancellationToken,
-    thread: JoinHandle<()>,
+    end: PartEnd,
+}
+
+/// A server that is bound but does not run yet.
+pub(crate) struct GatePart {
+    desk: Box<dyn FnOnce() -> Desk + Send>,
+    listener: TcpListener,
+    guard: PartGuard,
 }
 
 impl Gate {
@@ -76,47 +82,49 @@
         dispatch: DispatchTx,
         endpoints: Arc<dyn OwnEndpoints>,
     ) -> Result<Self, GateError> {
-        let failed = |step| {
-            let peer = settings.listen;
-            move |cause| GateError { step, peer, cause }
-        };
-        let thread_failed = failed("start thread");
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .map_err(failed("start runtime"))?;
-        let listener = {
+        let peer = settings.listen;
+        let failed = |step| move |cause| GateError { step, peer, cause };
+        let runtime = thread::runtime().map_err(failed("start runtime"))?;
+        let (gate, part) = {
             let _entered = runtime.enter();
-            bind(settings.listen).map_err(failed("bind"))?
+            Self::prepare(settings, path, cx, dispatch, endpoints)?
         };
+        thread::spawn("callers", runtime, || part.run()).map_err(failed("start thread"))?;
+        Ok(gate)
+    }
+
+    /// Binds the server; needs to be called with its runtime entered.
+    pub(crate) fn prepare(
+        settings: GateSettings,
+        path: PathSettings,
+        cx: Arc<GateContext>,
+        dispatch: DispatchTx,
+        endpoints: Arc<dyn OwnEndpoints>,
+    ) -> Result<(Self, GatePart), GateError> {
+        let peer = settings.listen;
+        let failed = |step| move |cause| GateError { step, peer, cause };
+        let listener = bind(peer).map_err(failed("bind"))?;
         let address = listener.local_addr().map_err(failed("read address"))?;
         let stop = CancellationToken::new();
         let stopped = stop.clone();
-        let thread = std::thread::Builder::new()
-            .name("callers".to_owned())
-            .spawn(move || {
-                let run = async move {
-                    let path = Path::new(Arc::clone(&cx), path, &settings, dispatch);
-                    let desk = Desk {
-                        path,
-                        settings,
-                        cx,
-                        endpoints,
-                        buffered: BufferedTotal::default(),
-                        connections: TaskTracker::new(),
-                        closing: Closing::default(),
-                        stop: stopped,
-                    };
-                    Rc::new(desk).run(listener).await;
-                };
-                runtime.block_on(LocalSet::new().run_until(run));
-            })
-            .map_err(thread_failed)?;
-        Ok(Self {
-            address,
-            stop,
-            thread,
-        })
+        let (guard, end) = thread::part();
+        let desk = move || Desk {
+            path: Path::new(Arc::clone(&cx), path, &settings, dispatch),
+            settings,
+            cx,
+            endpoints,
+            buffered: BufferedTotal::default(),
+            connections: TaskTracker::new(),
+            closing: Closing::default(),
+            stop: stopped,
+        };
+        let part = GatePart {
+            desk: Box::new(desk),
+            listener,
+            guard,
+        };
+        let gate = Self { address, stop, end };
+        Ok((gate, part))
     }
 
     /// Returns the address for callers.
@@ -140,9 +148,16 @@
     /// Panics if the thread did.
     pub fn join(self) {
         self.stop.cancel();
-        self.thread
-            .join()
-            .expect("the callers' thread does not panic");
+        self.end.wait();
+    }
+}
+
+impl GatePart {
+    /// Runs until the server is stopped, on a thread with local tasks.
+    pub(crate) async fn run(self) {
+        let desk = Rc::new((self.desk)());
+        desk.run(self.listener).await;
+        self.guard.end();
     }
 }
 
--- a/crates/gate/src/dispatch/duty.rs
+++ b/crates/gate/src/dispatch/duty.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -15,7 +14,6 @@
 use ids::{Epoch, Reason, SliceNo, Timestamp, UpstreamId};
 use route::{Action, Arrival, CallKey, Dispatcher, DispatcherSettings, Ended, Event};
 use thiserror::Error;
-use tokio::task::LocalSet;
 use tokio::time::{Instant, MissedTickBehavior};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -29,6 +27,7 @@
 use crate::dispatch::{DispatchChannels, DispatchTx, LoadSample, Notice, ToDispatch};
 use crate::peer::server::{PeerServer, PeerServerHandle};
 use crate::settings::{DispatchSettings, millis};
+use crate::thread::{self, PartEnd, PartGuard};
 
 /// Time between two looks at idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -54,7 +53,19 @@
 pub struct DispatchDuty {
     tx: DispatchTx,
     address: SocketAddr,
-    thread: JoinHandle<()>,
+    end: PartEnd,
+}
+
+/// A duty that is bound but does not run yet.
+pub(crate) struct DutyPart {
+    settings: DispatchSettings,
+    dispatcher: DispatcherSettings,
+    cx: Arc<GateContext>,
+    channels: DispatchChannels,
+    listener: std::net::TcpListener,
+    tx: DispatchTx,
+    rx: DispatchRx,
+    guard: PartGuard,
 }
 
 impl DispatchDuty {
@@ -69,35 +80,38 @@
         cx: Arc<GateContext>,
         channels: DispatchChannels,
     ) -> Result<Self, DutyError> {
-        let failed = |step| {
-            let peer = settings.listen;
-            move |cause| DutyError { step, peer, cause }
-        };
-        let listener = bind(settings.listen).map_err(failed("bind"))?;
+        let peer = settings.listen;
+        let failed = |step| move |cause| DutyError { step, peer, cause };
+        let runtime = thread::runtime().map_err(failed("start runtime"))?;
+        let (duty, part) = Self::prepare(settings, dispatcher, cx, channels)?;
+        thread::spawn("dispatch", runtime, || part.run()).map_err(failed("start thread"))?;
+        Ok(duty)
+    }
+
+    /// Binds the duty.
+    pub(crate) fn prepare(
+        settings: DispatchSettings,
+        dispatcher: DispatcherSettings,
+        cx: Arc<GateContext>,
+        channels: DispatchChannels,
+    ) -> Result<(Self, DutyPart), DutyError> {
+        let peer = settings.listen;
+        let failed = |step| move |cause| DutyError { step, peer, cause };
+        let listener = bind(peer).map_err(failed("bind"))?;
         let address = listener.local_addr().map_err(failed("read address"))?;
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .map_err(failed("start runtime"))?;
         let (tx, rx) = rings(settings.ring as usize);
-        let thread_failed = failed("start thread");
-        let server_tx = tx.clone();
-        let thread = std::thread::Builder::new()
-            .name("dispatch".to_owned())
-            .spawn(move || {
-                let run = async move {
-                    let server = PeerServer::start(listener, &settings, Arc::clone(&cx), server_tx);
-                    let duty = Duty::new(settings, dispatcher, cx, channels, server);
-                    duty.run(rx).await;
-                };
-                runtime.block_on(LocalSet::new().run_until(run));
-            })
-            .map_err(thread_failed)?;
-        Ok(Self {
-            tx,
-            address,
-            thread,
-        })
+        let (guard, end) = thread::part();
+        let part = DutyPart {
+            settings,
+            dispatcher,
+            cx,
+            channels,
+            listener,
+            tx: tx.clone(),
+            rx,
+            guard,
+        };
+        Ok((Self { tx, address, end }, part))
     }
 
     /// Returns the sending side of the duty's rings.
@@ -112,16 +126,30 @@
         self.address
     }
 
-    /// Waits for the thread to end, which [`ToDispatch::Stop`] asks for.
+    /// Waits for the duty to end, which [`ToDispatch::Stop`] asks for.
     ///
     /// # Panics
     ///
     /// Panics if the thread did.
     pub fn join(self) {
-        drop(self.tx);
-        self.thread
-            .join()
-            .expect("the dispatch duty does not panic");
+        self.end.wait();
+    }
+}
+
+impl DutyPart {
+    /// Runs until the duty is stopped, on a thread with local tasks.
+    pub(crate) async fn run(self) {
+        let cx = Arc::clone(&self.cx);
+        let server = PeerServer::start(self.listener, &self.settings, cx, self.tx);
+        let duty = Duty::new(
+            self.settings,
+            self.dispatcher,
+            self.cx,
+            self.channels,
+            server,
+        );
+        duty.run(self.rx).await;
+        self.guard.end();
     }
 }
 
@@ -273,6 +301,7 @@
             call: key,
             upstream: call.upstream.clone(),
             slice: call.slice,
+            key: call.key,
             deadline: call.deadline,
             idempotent: call.idempotent,
             entry: call.entry.clone(),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -28,9 +28,11 @@
 pub mod dispatch;
 pub mod grants;
 pub mod headers;
+pub mod joint;
 pub mod peer;
 pub mod problem;
 pub mod settings;
+mod thread;
 pub mod upstream;
 
 pub use call::{Answer, Call, Parts, Refusal, Reply};
@@ -41,4 +43,5 @@
     DispatchChannels, DispatchDuty, DispatchTx, LoadSample, Notice, ToDispatch, UpstreamTarget,
 };
 pub use grants::{ControlCallError, GrantClient, GrantSettings};
+pub use joint::{JointError, JointStart};
 pub use settings::{DispatchSettings, GateSettings, PeerSettings, UpstreamSettings};
--- a/crates/gate/tests/support/rig.rs
+++ b/crates/gate/tests/support/rig.rs
@@ -7,8 +7,8 @@
 use catalogue::Catalogue;
 
 use gate::{
-    DispatchChannels, DispatchDuty, DispatchSettings, Gate, GateContext, GateSettings, LoadSample,
-    Metrics, Notice, PathSettings, PeerTable, Phase, ToDispatch, UpstreamTarget,
+    DispatchChannels, DispatchDuty, DispatchSettings, Gate, GateContext, GateSettings, JointStart,
+    LoadSample, Metrics, Notice, PathSettings, PeerTable, Phase, ToDispatch, UpstreamTarget,
 };
 use ids::{BootClock, Clock, EntryId, Epoch, HostId, SliceNo, UpstreamId};
 use indexmap::IndexMap;
@@ -33,6 +33,8 @@
     pub coordinator: usize,
     /// Requests that each upstream runs at the same time.
     pub slots: u32,
+    /// Whether callers and dispatch share a thread.
+    pub joint: bool,
 }
 
 impl Default for RigSettings {
@@ -44,6 +46,7 @@
             lease: Some(Duration::from_mins(1)),
             coordinator: 0,
             slots: 4,
+            joint: false,
         }
     }
 }
@@ -148,21 +151,19 @@
         notices: notice_tx,
         samples: sample_tx,
     };
-    let duty = DispatchDuty::start(
-        settings.dispatch.clone(),
-        DispatcherSettings::default(),
-        Arc::clone(&cx),
+    let start = JointStart {
+        gate: settings.gate.clone(),
+        path: PathSettings::default(),
+        dispatch: settings.dispatch.clone(),
+        dispatcher: DispatcherSettings::default(),
         channels,
-    )
-    .expect("dispatch duty");
-    let gate = Gate::start(
-        settings.gate.clone(),
-        PathSettings::default(),
-        Arc::clone(&cx),
-        duty.tx(),
-        Arc::new(()),
-    )
-    .expect("gate");
+        endpoints: Arc::new(()),
+    };
+    let (gate, duty) = if settings.joint {
+        start.start(&cx).expect("both duties")
+    } else {
+        start_apart(start, &cx)
+    };
     Host {
         id,
         cx,
@@ -173,6 +174,14 @@
     }
 }
 
+fn start_apart(start: JointStart, cx: &Arc<GateContext>) -> (Gate, DispatchDuty) {
+    let here = || Arc::clone(cx);
+    let duty = DispatchDuty::start(start.dispatch, start.dispatcher, here(), start.channels);
+    let duty = duty.expect("dispatch duty");
+    let gate = Gate::start(start.gate, start.path, here(), duty.tx(), start.endpoints);
+    (gate.expect("gate"), duty)
+}
+
 impl Rig {
     pub async fn start(settings: RigSettings) -> Self {
         let upstream = Upstream::start().await;
--- a/crates/host/src/control/mod.rs
+++ b/crates/host/src/control/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! - [`input`]: what the duty is told.
 //! - [`duty`]: the thread's loop, and how the machines are joined.
+//! - `take`: takes the inputs.
+//! - [`member`], [`ownership`], [`planning`]: carry out what the machines want done.
 //! - [`links`]: control connections with other hosts.
 //! - [`pairs`]: the hosts that coordinate upstreams together with this one.
 //! - [`peers`]: other hosts, as the parts name them.
@@ -15,9 +17,13 @@
 pub(crate) mod input;
 mod leases;
 mod links;
+mod member;
+mod ownership;
 mod pairs;
 mod peers;
 mod placement;
+mod planning;
 mod routes;
 mod table;
+mod take;
 mod upstreams;
