--- /dev/null
+++ b/crates/measure/src/args.rs
@@ -0,0 +1,154 @@
+//! The commands `measure` and `report`.
+
+use std::path::PathBuf;
+
+use anyhow::Result;
+use clap::{Args, Subcommand, ValueEnum};
+use smol_str::SmolStr;
+
+use crate::workload::WorkloadSettings;
+use crate::{keep_alive, loss, placement, report, scaling};
+
+/// Largest part of an upstream's share that a key has in cases without giants.
+const LARGEST_KEY: f64 = 0.8;
+
+/// Measures placement over generated load; prints a JSON line per case.
+///
+/// Example: medlardyke measure placement --case tariffbok --seed 1
+#[derive(Debug)]
+#[derive(Args)]
+pub struct MeasureArgs {
+    /// What to measure.
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Debug, Clone)]
+#[derive(Subcommand)]
+enum What {
+    /// All ways of placing on the same load: imbalance, churn, settling time.
+    Placement {
+        /// Load.
+        #[arg(long, value_enum, default_value_t = Case::All)]
+        case: Case,
+        /// Seed of the load.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Length of the run in seconds of load; the first 120 don't count.
+        #[arg(long, default_value_t = 1200, value_parser = clap::value_parser!(u64).range(240..))]
+        seconds: u64,
+    },
+    /// Spread of the slices of one upstream, a tenth, or a domain that is lost.
+    Loss {
+        /// Seed of the hashes.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Time and memory of the planner against slices and upstreams.
+    Scaling {
+        /// Seed of the load.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Rules for closing idle upstream connections.
+    KeepAlive {
+        /// Seed of the arrivals.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(ValueEnum)]
+enum Case {
+    /// Landavgift's lookups; no key exceeds an upstream's share.
+    Tariffbok,
+    /// Kōtuku's pass windows; no key exceeds an upstream's share.
+    Windowcast,
+    /// Landavgift's lookups with the whole Zipf head: two keys exceed an upstream's share.
+    Giants,
+    /// Landavgift's lookups with bursts, night and day.
+    Bursts,
+    /// All of them.
+    All,
+}
+
+impl Case {
+    fn workloads(self) -> Vec<WorkloadSettings> {
+        match self {
+            Self::Tariffbok => vec![WorkloadSettings::tariffbok().without_giants(LARGEST_KEY)],
+            Self::Windowcast => vec![WorkloadSettings::windowcast().without_giants(LARGEST_KEY)],
+            Self::Giants => vec![WorkloadSettings {
+                name: SmolStr::new_static("tariffbok-giants"),
+                ..WorkloadSettings::tariffbok()
+            }],
+            Self::Bursts => vec![WorkloadSettings {
+                name: SmolStr::new_static("tariffbok-bursts"),
+                burst_every_s: 45,
+                day_s: 600,
+                ..WorkloadSettings::tariffbok().without_giants(LARGEST_KEY)
+            }],
+            Self::All => [
+                Self::Tariffbok,
+                Self::Windowcast,
+                Self::Giants,
+                Self::Bursts,
+            ]
+            .into_iter()
+            .flat_map(Self::workloads)
+            .collect(),
+        }
+    }
+}
+
+/// Turns JSON lines of measurements into one page that compares them.
+///
+/// Example: medlardyke report before.jsonl after.jsonl --out report.html
+#[derive(Debug)]
+#[derive(Args)]
+pub struct ReportArgs {
+    /// Files of JSON lines, one for each commit or run to compare.
+    #[arg(required = true)]
+    lines: Vec<PathBuf>,
+    /// Page to write.
+    #[arg(long, default_value = "report.html")]
+    out: PathBuf,
+}
+
+/// Runs `medlardyke measure`.
+///
+/// # Errors
+///
+/// Fails if a result can't be written.
+pub fn run_measure(args: &MeasureArgs) -> Result<()> {
+    match &args.what {
+        What::Placement {
+            case,
+            seed,
+            seconds,
+        } => run_placement(*case, *seed, *seconds),
+        What::Loss { seed } => loss::run(*seed),
+        What::Scaling { seed } => scaling::run(*seed),
+        What::KeepAlive { seed } => keep_alive::run(*seed),
+    }
+}
+
+/// Runs `medlardyke report`.
+///
+/// # Errors
+///
+/// Fails if a file can't be read or the page can't be written.
+pub fn run_report(args: &ReportArgs) -> Result<()> {
+    report::run(&args.lines, &args.out)
+}
+
+fn run_placement(case: Case, seed: u64, seconds: u64) -> Result<()> {
+    for workload in case.workloads() {
+        placement::run(&WorkloadSettings {
+            seed,
+            seconds,
+            ..workload
+        })?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/measure/src/placement.rs
@@ -0,0 +1,258 @@
+//! All policies on the same load.
+
+use std::time::Instant;
+
+use anyhow::Result;
+use catalogue::Objective;
+use ids::{ArenaKey, SliceNo, Timestamp};
+use indexmap::IndexSet;
+use place::even_split;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::line;
+use crate::policy::baseline::{Baseline, Rule, candidates};
+use crate::policy::planned::{Planned, PlannedSettings};
+use crate::policy::{Ownership, Policy};
+use crate::score::{Churn, Scores, Spread};
+use crate::workload::{Request, Workload, WorkloadSettings};
+
+/// Seconds at the start that don't count, in which every policy finds its first balance.
+const WARM_UP_S: u64 = 120;
+
+/// Seconds after a shift of the hot set after which the load counts as steady again.
+const STEADY_AFTER_S: u64 = 30;
+
+/// Max/mean that the users ask for.
+pub const AIM: f64 = 1.25;
+
+/// One result line.
+#[derive(Debug)]
+#[derive(Serialize)]
+pub struct PlacementLine {
+    /// Always `placement`.
+    pub kind: &'static str,
+    /// Load.
+    pub case: SmolStr,
+    /// Way of placing.
+    pub policy: SmolStr,
+    /// Seed of the load.
+    pub seed: u64,
+    /// Upstreams.
+    pub upstreams: u32,
+    /// Slices.
+    pub slices: u32,
+    /// Seconds that count.
+    pub seconds: u64,
+    /// Requests a second, on average.
+    pub rate: f64,
+    /// Part of an upstream's share that the heaviest key has; no placement gets below it.
+    pub top_key_shares: f64,
+    /// Max/mean of work per upstream and second, over all seconds.
+    pub max_by_mean: Spread,
+    /// The same for seconds in steady state: 30 s after each shift of the hot set.
+    pub steady_max_by_mean: Spread,
+    /// Coefficient of variation of work per upstream and second, over all seconds.
+    pub variation: Spread,
+    /// Seconds until a moved hot set had settled.
+    pub settling_s: Spread,
+    /// Changes of ownership.
+    pub churn: Churn,
+    /// Changes of owner per key and hour.
+    pub owner_changes_per_key_hour: f64,
+    /// Moves of slices and single keys per hour.
+    pub moves_per_hour: f64,
+    /// Part of all requests that came within a second after their slice's change of owner. Times
+    /// the measured length of a move in seconds, it gives the part of requests that meet a move:
+    /// a derived figure.
+    pub moved_requests: f64,
+    /// Wall time that the policy took, serving and planning, in seconds.
+    pub wall_s: f64,
+}
+
+#[derive(Debug)]
+struct Lane {
+    policy: Box<dyn Policy>,
+    scores: Scores,
+    steady: Scores,
+    churn_at_start: Churn,
+    changed: IndexSet<SliceNo>,
+    moved_requests: u64,
+    requests: u64,
+    wall_s: f64,
+}
+
+/// Runs all policies on the load that `cfg` describes and prints a line for each.
+///
+/// # Errors
+///
+/// Fails if standard output is closed.
+pub fn run(cfg: &WorkloadSettings) -> Result<Vec<PlacementLine>> {
+    let lines = compare(cfg, policies(cfg));
+    for result in &lines {
+        line::print(result)?;
+    }
+    Ok(lines)
+}
+
+/// Runs `policies` on the load that `cfg` describes.
+#[must_use]
+pub fn compare(cfg: &WorkloadSettings, policies: Vec<Box<dyn Policy>>) -> Vec<PlacementLine> {
+    let top_key_shares = cfg.top_key_part() * f64::from(cfg.upstreams);
+    let limit = AIM * top_key_shares.max(1.0);
+    let upstreams = cfg.upstreams as usize;
+    let mut lanes: Vec<Lane> = policies
+        .into_iter()
+        .map(|policy| Lane {
+            policy,
+            scores: Scores::new(upstreams, limit),
+            steady: Scores::new(upstreams, limit),
+            churn_at_start: Churn::default(),
+            changed: IndexSet::new(),
+            moved_requests: 0,
+            requests: 0,
+            wall_s: 0.0,
+        })
+        .collect();
+    let mut workload = Workload::new(cfg.clone());
+    let mut batch = Vec::new();
+    let mut since_shift = STEADY_AFTER_S;
+    for second in 0..cfg.seconds {
+        let shifted = workload.next_second(&mut batch);
+        since_shift = if shifted { 0 } else { since_shift + 1 };
+        let counted = second >= WARM_UP_S;
+        for lane in &mut lanes {
+            if second == WARM_UP_S {
+                lane.churn_at_start = lane.policy.ownership().churn();
+            }
+            if shifted && counted {
+                lane.scores.shift(second);
+            }
+            let steady = counted && since_shift >= STEADY_AFTER_S;
+            lane.second(second, &batch, counted, steady);
+        }
+    }
+    lanes
+        .iter()
+        .map(|lane| lane.line(cfg, top_key_shares))
+        .collect()
+}
+
+impl Lane {
+    fn second(&mut self, second: u64, batch: &[Request], counted: bool, steady: bool) {
+        if counted {
+            self.count_moved(batch);
+        }
+        let start = Instant::now();
+        let now = Timestamp::from_millis(second * 1000 + 500);
+        for req in batch {
+            let owner = self.policy.serve(now, req);
+            self.scores.add(owner, req.work_us);
+            self.steady.add(owner, req.work_us);
+        }
+        self.scores.close(second, counted);
+        self.steady.close(second, steady);
+        self.policy
+            .tick(Timestamp::from_millis((second + 1) * 1000));
+        self.wall_s += start.elapsed().as_secs_f64();
+    }
+
+    fn count_moved(&mut self, batch: &[Request]) {
+        self.policy.ownership_mut().take_changed(&mut self.changed);
+        self.requests += batch.len() as u64;
+        if self.changed.is_empty() {
+            return;
+        }
+        let ownership = self.policy.ownership();
+        let moved = |req: &&Request| {
+            let (slice, _) = ownership.locate(req.key, req.slice);
+            self.changed.contains(&slice)
+        };
+        self.moved_requests += batch.iter().filter(moved).count() as u64;
+    }
+
+    fn line(&self, cfg: &WorkloadSettings, top_key_shares: f64) -> PlacementLine {
+        let churn = self.policy.ownership().churn().since(&self.churn_at_start);
+        let seconds = cfg.seconds - WARM_UP_S;
+        let hours = seconds as f64 / 3600.0;
+        PlacementLine {
+            kind: "placement",
+            case: cfg.name.clone(),
+            policy: SmolStr::new(self.policy.name()),
+            seed: cfg.seed,
+            upstreams: cfg.upstreams,
+            slices: cfg.slices,
+            seconds,
+            rate: cfg.rate(),
+            top_key_shares,
+            max_by_mean: self.scores.max_by_mean(),
+            steady_max_by_mean: self.steady.max_by_mean(),
+            variation: self.scores.variation(),
+            settling_s: self.scores.settling(),
+            churn,
+            owner_changes_per_key_hour: churn.keys / cfg.keys as f64 / hours,
+            moves_per_hour: churn.moves() as f64 / hours,
+            moved_requests: self.moved_requests as f64 / self.requests.max(1) as f64,
+            wall_s: self.wall_s,
+        }
+    }
+}
+
+/// Returns the owners that every policy starts from.
+#[must_use]
+pub fn start(cfg: &WorkloadSettings) -> Ownership {
+    let owners = even_split(cfg.slices, &candidates(cfg.upstreams as usize));
+    let owners = owners.into_iter().map(ArenaKey::index).collect();
+    Ownership::new(owners, cfg.keys)
+}
+
+/// Landavgift's weights: moves are cheap beside an overloaded upstream.
+pub const LANDAVGIFT: Objective = Objective {
+    imbalance: 2.0,
+    churn: 1.0,
+};
+
+/// Kōtuku's weights: each change of owner risks a doubled booking.
+pub const KOTUKU: Objective = Objective {
+    imbalance: 1.0,
+    churn: 2.0,
+};
+
+fn policies(cfg: &WorkloadSettings) -> Vec<Box<dyn Policy>> {
+    let baseline = |name: &str, rule: Rule| -> Box<dyn Policy> {
+        Box::new(Baseline::new(name, rule, cfg.upstreams, start(cfg)))
+    };
+    let planned = |name: &'static str, hosts: usize, objective: Objective| -> Box<dyn Policy> {
+        let settings = PlannedSettings {
+            name: SmolStr::new_static(name),
+            hosts,
+            objective,
+            ..PlannedSettings::default()
+        };
+        Box::new(Planned::new(settings, cfg.upstreams, cfg.slots, start(cfg)))
+    };
+    let greedy = |slack: f64, moves: usize, every_s: u64| Rule::Greedy {
+        slack,
+        moves,
+        every_s,
+    };
+    let rendezvous = Rule::RendezvousBounded {
+        slack: 0.1,
+        every_s: 10,
+    };
+    let window = Rule::Window {
+        least: 0.002,
+        every_s: 30,
+    };
+    vec![
+        baseline("plain", Rule::Plain),
+        baseline("rendezvous-bounded", rendezvous),
+        baseline("greedy-10", greedy(0.1, 16, 5)),
+        baseline("greedy-20", greedy(0.2, 16, 10)),
+        baseline("window", window),
+        planned("place-central", 1, Objective::default()),
+        planned("place", 11, Objective::default()),
+        planned("place-landavgift", 11, LANDAVGIFT),
+        planned("place-kotuku", 11, KOTUKU),
+    ]
+}
--- /dev/null
+++ b/crates/measure/src/policy/baseline.rs
@@ -0,0 +1,218 @@
+//! Plain hashing, rendezvous hashing with bounded loads, greedy moves, and an optimisation over a
+//! window.
+//!
+//! All of them see the work of each slice in the same decayed form as the planner does.
+
+use ids::{ArenaKey, SliceNo, Timestamp};
+use place::{Candidate, Decay, LoadsSettings, Orphan, UpstreamKey, rendezvous_bounded};
+use smol_str::SmolStr;
+
+use super::planned::upstream_name;
+use super::{Ownership, Policy};
+use crate::workload::Request;
+
+/// How a [`Baseline`] chooses owners.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Rule {
+    /// Never moves anything.
+    Plain,
+    /// Places all slices anew by rendezvous hashing, no upstream above its share by more than
+    /// `slack`, every `every_s` seconds.
+    RendezvousBounded {
+        /// Part of its share by which an upstream may exceed it.
+        slack: f64,
+        /// Seconds between placements.
+        every_s: u64,
+    },
+    /// Moves slices from the fullest to the emptiest upstream while the fullest is above its share
+    /// by more than `slack`, at most `moves` every `every_s` seconds.
+    Greedy {
+        /// Part of its share by which an upstream may exceed it.
+        slack: f64,
+        /// Moves each time.
+        moves: usize,
+        /// Seconds between times.
+        every_s: u64,
+    },
+    /// Searches, every `every_s` seconds, the moves that lower the sum of squared loads of the last
+    /// window most, until none lowers it by more than `least` of a share squared.
+    Window {
+        /// Least gain of a move.
+        least: f64,
+        /// Seconds of the window.
+        every_s: u64,
+    },
+}
+
+/// A way of placing slices that the planner is weighed against.
+#[derive(Debug)]
+pub struct Baseline {
+    name: SmolStr,
+    rule: Rule,
+    ownership: Ownership,
+    upstreams: usize,
+    decay: Decay,
+    sums: Vec<f64>,
+    seconds: u64,
+}
+
+impl Baseline {
+    /// Creates one with the given owners to start from.
+    #[must_use]
+    pub fn new(name: &str, rule: Rule, upstreams: u32, ownership: Ownership) -> Self {
+        let span = LoadsSettings::default().span;
+        Self {
+            name: SmolStr::new(name),
+            rule,
+            upstreams: upstreams as usize,
+            decay: Decay::new(span),
+            sums: vec![0.0; ownership.slices().len()],
+            ownership,
+            seconds: 0,
+        }
+    }
+
+    fn slice_loads(&self, now: Timestamp) -> Vec<f64> {
+        self.sums.iter().map(|s| self.decay.rate(now, *s)).collect()
+    }
+
+    fn upstream_loads(&self, slices: &[f64]) -> Vec<f64> {
+        let mut loads = vec![0.0; self.upstreams];
+        for (slice, load) in slices.iter().enumerate() {
+            loads[self.ownership.slices()[slice]] += load;
+        }
+        loads
+    }
+
+    fn place_by_rendezvous(&mut self, now: Timestamp, slack: f64) {
+        let orphans: Vec<Orphan> = self
+            .slice_loads(now)
+            .into_iter()
+            .enumerate()
+            .map(|(slice, load)| Orphan {
+                slice: SliceNo(slice as u64),
+                load,
+            })
+            .collect();
+        let owners = rendezvous_bounded(&orphans, &candidates(self.upstreams), slack);
+        for (orphan, owner) in orphans.iter().zip(owners) {
+            self.ownership.set(orphan.slice, owner.index());
+        }
+    }
+
+    fn move_greedily(&mut self, now: Timestamp, slack: f64, moves: usize) {
+        let slices = self.slice_loads(now);
+        let mut loads = self.upstream_loads(&slices);
+        let share = loads.iter().sum::<f64>() / self.upstreams as f64;
+        for _ in 0..moves {
+            let (from, to) = extremes(&loads);
+            if loads[from] <= share * (1.0 + slack) {
+                return;
+            }
+            let gap = loads[from] - loads[to];
+            let heaviest = owned(&self.ownership, from)
+                .filter(|slice| slices[*slice] < gap)
+                .max_by(|a, b| {
+                    let balance = |s: &usize| slices[*s] * (gap - slices[*s]);
+                    balance(a).total_cmp(&balance(b))
+                });
+            let Some(slice) = heaviest else { return };
+            loads[from] -= slices[slice];
+            loads[to] += slices[slice];
+            self.ownership.set(SliceNo(slice as u64), to);
+        }
+    }
+
+    fn optimise(&mut self, now: Timestamp, least: f64) {
+        let slices = self.slice_loads(now);
+        let mut loads = self.upstream_loads(&slices);
+        let share = loads.iter().sum::<f64>() / self.upstreams as f64;
+        let gain = |loads: &[f64], slice: usize, from: usize, to: usize| {
+            2.0 * slices[slice] * (loads[from] - loads[to] - slices[slice])
+        };
+        for _ in 0..slices.len() {
+            let mut best = (least * share * share, None);
+            let (_, to) = extremes(&loads);
+            for slice in 0..slices.len() {
+                let from = self.ownership.slices()[slice];
+                let gain = gain(&loads, slice, from, to);
+                if gain > best.0 {
+                    best = (gain, Some((slice, from)));
+                }
+            }
+            let Some((slice, from)) = best.1 else { return };
+            loads[from] -= slices[slice];
+            loads[to] += slices[slice];
+            self.ownership.set(SliceNo(slice as u64), to);
+        }
+    }
+}
+
+impl Policy for Baseline {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn serve(&mut self, now: Timestamp, req: &Request) -> usize {
+        let (slice, owner) = self.ownership.locate(req.key, req.slice);
+        self.sums[slice.0 as usize] += f64::from(req.work_us) / 1e6 * self.decay.weight(now);
+        owner
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        if let Some(factor) = self.decay.rebase(now) {
+            for sum in &mut self.sums {
+                *sum *= factor;
+            }
+        }
+        self.seconds += 1;
+        match self.rule {
+            Rule::RendezvousBounded { slack, every_s } if self.seconds.is_multiple_of(every_s) => {
+                self.place_by_rendezvous(now, slack);
+            }
+            Rule::Greedy {
+                slack,
+                moves,
+                every_s,
+            } if self.seconds.is_multiple_of(every_s) => self.move_greedily(now, slack, moves),
+            Rule::Window { least, every_s } if self.seconds.is_multiple_of(every_s) => {
+                self.optimise(now, least);
+            }
+            _ => {}
+        }
+    }
+
+    fn ownership(&self) -> &Ownership {
+        &self.ownership
+    }
+
+    fn ownership_mut(&mut self) -> &mut Ownership {
+        &mut self.ownership
+    }
+}
+
+/// Returns `count` upstreams of one slot each without load.
+#[must_use]
+pub fn candidates(count: usize) -> Vec<Candidate> {
+    (0..count)
+        .map(|n| Candidate {
+            key: UpstreamKey::from_index(n),
+            tag: xxhash_rust::xxh3::xxh3_64(upstream_name(n).as_str().as_bytes()),
+            capacity: 1.0,
+            load: 0.0,
+        })
+        .collect()
+}
+
+fn owned(ownership: &Ownership, upstream: usize) -> impl Iterator<Item = usize> {
+    let owners = ownership.slices().iter().enumerate();
+    owners.filter_map(move |(slice, owner)| (*owner == upstream).then_some(slice))
+}
+
+/// Returns the fullest and the emptiest upstream.
+fn extremes(loads: &[f64]) -> (usize, usize) {
+    let by_load = |a: &usize, b: &usize| loads[*a].total_cmp(&loads[*b]);
+    let fullest = (0..loads.len()).max_by(by_load).unwrap_or(0);
+    let emptiest = (0..loads.len()).min_by(by_load).unwrap_or(0);
+    (fullest, emptiest)
+}
--- /dev/null
+++ b/crates/measure/src/policy/ownership.rs
@@ -0,0 +1,111 @@
+//! Who owns what, with a count of all changes.
+
+use ids::{KeyHash, SliceNo};
+use indexmap::{IndexMap, IndexSet};
+
+use crate::score::Churn;
+
+/// Owners of the slices of one entry, and of the keys that are carved out.
+#[derive(Debug, Clone)]
+pub struct Ownership {
+    slices: Vec<usize>,
+    hot: IndexMap<SliceNo, usize>,
+    keys_per_slice: f64,
+    churn: Churn,
+    changed: IndexSet<SliceNo>,
+}
+
+impl Ownership {
+    /// Starts with the given owners of the slices, among which `keys` keys are spread evenly.
+    #[must_use]
+    pub fn new(slices: Vec<usize>, keys: u64) -> Self {
+        let keys_per_slice = keys as f64 / slices.len().max(1) as f64;
+        Self {
+            slices,
+            hot: IndexMap::new(),
+            keys_per_slice,
+            churn: Churn::default(),
+            changed: IndexSet::new(),
+        }
+    }
+
+    /// Returns the slice under which a key is served, and its owner.
+    #[must_use]
+    pub fn locate(&self, key: KeyHash, base: SliceNo) -> (SliceNo, usize) {
+        if !self.hot.is_empty() {
+            let hot = key.hot_slice();
+            if let Some(owner) = self.hot.get(&hot) {
+                return (hot, *owner);
+            }
+        }
+        (base, self.slices[base.0 as usize])
+    }
+
+    /// Returns the owner of a slice or carved-out key.
+    #[must_use]
+    pub fn owner(&self, slice: SliceNo) -> Option<usize> {
+        if slice.is_hot() {
+            return self.hot.get(&slice).copied();
+        }
+        self.slices.get(slice.0 as usize).copied()
+    }
+
+    /// Returns the owners of all slices by their numbers.
+    #[must_use]
+    pub fn slices(&self) -> &[usize] {
+        &self.slices
+    }
+
+    /// Gives a slice or carved-out key to another owner.
+    pub fn set(&mut self, slice: SliceNo, to: usize) {
+        if slice.is_hot() {
+            if self.hot.insert(slice, to) != Some(to) {
+                self.count_key(slice);
+            }
+            return;
+        }
+        let owner = &mut self.slices[slice.0 as usize];
+        if *owner == to {
+            return;
+        }
+        *owner = to;
+        self.changed.insert(slice);
+        self.churn.slice_moves += 1;
+        self.churn.keys += self.keys_per_slice;
+    }
+
+    /// Gives a key a slice of its own.
+    pub fn carve(&mut self, key: KeyHash, base: SliceNo, to: usize) {
+        self.hot.insert(key.hot_slice(), to);
+        if self.owner(base) != Some(to) {
+            self.count_key(key.hot_slice());
+        }
+    }
+
+    /// Puts a carved-out key back into the slice that it came from.
+    pub fn fold(&mut self, hot: SliceNo) {
+        let base = hot.base(self.slices.len() as u32);
+        let owner = self.hot.swap_remove(&hot);
+        if owner.is_some() && owner != self.owner(base) {
+            self.count_key(hot);
+        }
+    }
+
+    /// Writes the slices that changed owner since the last call to `out`.
+    pub fn take_changed(&mut self, out: &mut IndexSet<SliceNo>) {
+        out.clear();
+        std::mem::swap(&mut self.changed, out);
+    }
+
+    fn count_key(&mut self, slice: SliceNo) {
+        self.changed.insert(slice);
+        self.churn.key_moves += 1;
+        self.churn.keys += 1.0;
+    }
+
+    /// Returns all changes of ownership so far.
+    #[must_use]
+    pub const fn churn(&self) -> Churn {
+        self.churn
+    }
+}
--- /dev/null
+++ b/crates/measure/src/policy/planned.rs
@@ -0,0 +1,279 @@
+//! The planner of the crate `place`, on one or more coordinating hosts.
+
+use std::time::{Duration, Instant};
+
+use catalogue::Objective;
+use ids::{ArenaKey, SliceNo, Timestamp, UpstreamId};
+use place::{
+    LoadSummary, Loads, LoadsSettings, PlanContext, PlanInput, Planner, PlannerSettings, Sample,
+    UpstreamKey, UpstreamState, UpstreamView, Wish,
+};
+use smol_str::SmolStr;
+
+use super::{Ownership, Policy};
+use crate::workload::Request;
+
+/// Settings of [`Planned`].
+#[derive(Debug, Clone)]
+pub struct PlannedSettings {
+    /// Name for results.
+    pub name: SmolStr,
+    /// Coordinating hosts, among which the upstreams are dealt out.
+    pub hosts: usize,
+    /// Weights.
+    pub objective: Objective,
+    /// Settings of the planners.
+    pub planner: PlannerSettings,
+    /// Settings of the observed loads.
+    pub loads: LoadsSettings,
+}
+
+impl Default for PlannedSettings {
+    fn default() -> Self {
+        Self {
+            name: SmolStr::new_static("place"),
+            hosts: 11,
+            objective: Objective::default(),
+            planner: PlannerSettings::default(),
+            loads: LoadsSettings::default(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Host {
+    loads: Loads,
+    planner: Planner,
+}
+
+/// What the planners did and cost.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PlanCost {
+    /// Time in all planners.
+    pub time: Duration,
+    /// Plans made.
+    pub plans: u64,
+    /// Wishes that the target's coordinating host declined.
+    pub declined: u64,
+    /// Keys carved out.
+    pub carved: u64,
+    /// Keys folded back.
+    pub folded: u64,
+}
+
+/// Places by the planner, one for each coordinating host.
+///
+/// A host hears of the others' loads as they were one second earlier.
+#[derive(Debug)]
+pub struct Planned {
+    cfg: PlannedSettings,
+    hosts: Vec<Host>,
+    ownership: Ownership,
+    summaries: Vec<LoadSummary>,
+    slices: u32,
+    cost: PlanCost,
+    cx: PlanContext,
+    wishes: Vec<Wish>,
+}
+
+impl Planned {
+    /// Creates the hosts, with the given owners to start from.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no host.
+    #[must_use]
+    pub fn new(cfg: PlannedSettings, upstreams: u32, slots: u32, ownership: Ownership) -> Self {
+        assert!(cfg.hosts > 0, "somebody has to plan");
+        let slices = ownership.slices().len() as u32;
+        let hosts = (0..cfg.hosts)
+            .map(|host| Host {
+                loads: host_loads(&cfg, host, upstreams, slots, &ownership),
+                planner: Planner::new(cfg.planner),
+            })
+            .collect();
+        Self {
+            cfg,
+            hosts,
+            ownership,
+            summaries: Vec::new(),
+            slices,
+            cost: PlanCost::default(),
+            cx: PlanContext::default(),
+            wishes: Vec::new(),
+        }
+    }
+
+    /// Returns what the planners did and cost.
+    #[must_use]
+    pub const fn cost(&self) -> PlanCost {
+        self.cost
+    }
+
+    fn exchange(&mut self, now: Timestamp) {
+        for host in &mut self.hosts {
+            for summary in &self.summaries {
+                let Some(key) = host.loads.upstream(&summary.upstream) else {
+                    continue;
+                };
+                if !host.loads.view(key).local {
+                    host.loads.learn(now, key, summary.load);
+                }
+            }
+        }
+        self.summaries.clear();
+        let mut own = Vec::new();
+        for host in &self.hosts {
+            host.loads.summaries(now, &mut own);
+            self.summaries.append(&mut own);
+        }
+    }
+
+    fn plan(&mut self, now: Timestamp, host: usize) {
+        self.wishes.clear();
+        let Host { loads, planner } = &mut self.hosts[host];
+        let input = PlanInput {
+            loads,
+            objective: self.cfg.objective,
+            slices: self.slices,
+        };
+        let start = Instant::now();
+        planner.plan(now, &input, &mut self.cx, &mut self.wishes);
+        self.cost.time += start.elapsed();
+        self.cost.plans += 1;
+    }
+
+    fn carry_out(&mut self, now: Timestamp, host: usize, wish: Wish) {
+        match wish {
+            Wish::Fold { slice, .. } => self.fold(host, slice),
+            Wish::Move {
+                slice, to, load, ..
+            } => {
+                if self.admitted(now, to, &wish) {
+                    self.ownership.set(slice, to.index());
+                    self.hosts[host].loads.assign(now, slice, to, load);
+                    self.receive(now, host, slice, to, load);
+                }
+            }
+            Wish::Carve {
+                key,
+                slice,
+                to,
+                load,
+                ..
+            } => {
+                if self.admitted(now, to, &wish) {
+                    self.cost.carved += 1;
+                    self.ownership.carve(key, slice, to.index());
+                    let hot = key.hot_slice();
+                    self.hosts[host].loads.assign(now, hot, to, load);
+                    self.receive(now, host, hot, to, load);
+                }
+            }
+        }
+        self.hosts[host].planner.settle(wish.slice());
+    }
+
+    fn admitted(&mut self, now: Timestamp, to: UpstreamKey, wish: &Wish) -> bool {
+        let target = &self.hosts[to.index() % self.cfg.hosts];
+        let input = PlanInput {
+            loads: &target.loads,
+            objective: self.cfg.objective,
+            slices: self.slices,
+        };
+        let admitted = target.planner.admits(now, &input, wish);
+        self.cost.declined += u64::from(!admitted);
+        admitted
+    }
+
+    fn receive(&mut self, now: Timestamp, host: usize, slice: SliceNo, to: UpstreamKey, load: f64) {
+        let target = to.index() % self.cfg.hosts;
+        if target != host {
+            self.hosts[target].loads.assign(now, slice, to, load);
+        }
+    }
+
+    fn fold(&mut self, host: usize, slice: SliceNo) {
+        self.cost.folded += 1;
+        self.hosts[host].loads.unassign(slice);
+        self.ownership.fold(slice);
+    }
+}
+
+impl Policy for Planned {
+    fn name(&self) -> &str {
+        &self.cfg.name
+    }
+
+    fn serve(&mut self, now: Timestamp, req: &Request) -> usize {
+        let (slice, owner) = self.ownership.locate(req.key, req.slice);
+        let sample = Sample {
+            key: req.key,
+            slice,
+            work_us: req.work_us,
+        };
+        let host = owner % self.cfg.hosts;
+        self.hosts[host].loads.record(now, sample);
+        owner
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        self.exchange(now);
+        for host in 0..self.hosts.len() {
+            self.plan(now, host);
+            let wishes = std::mem::take(&mut self.wishes);
+            for wish in &wishes {
+                self.carry_out(now, host, *wish);
+            }
+            self.wishes = wishes;
+        }
+        debug_assert!(self.hosts.iter().all(|h| h.loads.verify().is_empty()));
+    }
+
+    fn ownership(&self) -> &Ownership {
+        &self.ownership
+    }
+
+    fn ownership_mut(&mut self) -> &mut Ownership {
+        &mut self.ownership
+    }
+}
+
+fn host_loads(
+    cfg: &PlannedSettings,
+    host: usize,
+    upstreams: u32,
+    slots: u32,
+    ownership: &Ownership,
+) -> Loads {
+    let mut loads = Loads::new(cfg.loads);
+    let now = Timestamp::ZERO;
+    for n in 0..upstreams as usize {
+        loads.set_upstream(
+            now,
+            UpstreamView {
+                upstream: upstream_name(n),
+                slots,
+                state: UpstreamState::Steady,
+                local: n % cfg.hosts == host,
+            },
+        );
+    }
+    for (slice, owner) in ownership.slices().iter().enumerate() {
+        if owner % cfg.hosts == host {
+            let key = UpstreamKey::from_index(*owner);
+            loads.assign(now, SliceNo(slice as u64), key, 0.0);
+        }
+    }
+    loads
+}
+
+/// Returns the name of an upstream in measurements.
+///
+/// # Panics
+///
+/// Never: the name is valid.
+#[must_use]
+pub fn upstream_name(n: usize) -> UpstreamId {
+    UpstreamId::new(format!("upstream-{n:04}")).expect("letters and digits")
+}
--- /dev/null
+++ b/crates/measure/src/report.rs
@@ -0,0 +1,37 @@
+//! One page that compares sets of JSON lines, with plots.
+//!
+//! - [`cases`]: brings the lines of all sets together by what was measured.
+//! - [`plot`]: bar charts.
+//! - [`page`]: the page around them.
+
+pub mod cases;
+pub mod page;
+pub mod plot;
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result};
+use smol_str::SmolStr;
+
+use crate::line;
+
+/// Reads files of JSON lines and writes one page that compares them.
+///
+/// # Errors
+///
+/// Fails if a file can't be read, a line is no JSON, or the page can't be written.
+pub fn run(files: &[PathBuf], out: &Path) -> Result<()> {
+    let mut sets = Vec::new();
+    for file in files {
+        let name = file.file_stem().unwrap_or_default().to_string_lossy();
+        sets.push(cases::Set {
+            name: SmolStr::new(name),
+            lines: line::read(file)?,
+        });
+    }
+    let groups = cases::gather(&sets);
+    let names: Vec<SmolStr> = sets.into_iter().map(|set| set.name).collect();
+    let page = page::render(&names, &groups)?;
+    fs::write(out, page).with_context(|| format!("writing {}", out.display()))
+}
--- /dev/null
+++ b/crates/measure/src/report/cases.rs
@@ -0,0 +1,108 @@
+//! Brings the lines of all sets together by what was measured.
+
+use indexmap::IndexMap;
+use serde_json::Value;
+use smol_str::SmolStr;
+
+/// Fields that tell cases apart though they are numbers.
+const SIZES: [&str; 5] = ["hosts", "domains", "upstreams", "slices", "keys"];
+
+/// Fields that are neither results nor tell cases apart.
+const IGNORED: [&str; 2] = ["kind", "seed"];
+
+/// The lines of one file.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Set {
+    /// Name for the page.
+    pub name: SmolStr,
+    /// Lines.
+    pub lines: Vec<Value>,
+}
+
+/// The values of one metric for one case: one for each set, in their order.
+pub type Values = Vec<Option<f64>>;
+
+/// Results of one kind: for each metric, the cases with their values.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Group {
+    /// Metrics by name.
+    pub metrics: IndexMap<String, IndexMap<String, Values>>,
+}
+
+/// Gathers all lines by kind, metric and case.
+///
+/// A case that a set has several lines of counts with their mean.
+#[must_use]
+pub fn gather(sets: &[Set]) -> IndexMap<String, Group> {
+    let mut groups: IndexMap<String, Group> = IndexMap::new();
+    let mut counts: IndexMap<(String, String, usize), f64> = IndexMap::new();
+    for (n, set) in sets.iter().enumerate() {
+        for line in &set.lines {
+            let kind = text(line, "kind").unwrap_or("other").to_owned();
+            let case = case_name(line);
+            let count = counts.entry((kind.clone(), case.clone(), n)).or_default();
+            *count += 1.0;
+            let group = groups.entry(kind).or_default();
+            flatten("", line, &mut |metric, value| {
+                let cases = group.metrics.entry(metric.to_owned()).or_default();
+                let values = cases
+                    .entry(case.clone())
+                    .or_insert_with(|| vec![None; sets.len()]);
+                let mean = values[n].unwrap_or(0.0);
+                values[n] = Some(mean + (value - mean) / *count);
+            });
+        }
+    }
+    groups
+}
+
+fn text<'a>(line: &'a Value, field: &str) -> Option<&'a str> {
+    line.get(field).and_then(Value::as_str)
+}
+
+/// Joins the fields that tell a case apart.
+fn case_name(line: &Value) -> String {
+    let Some(fields) = line.as_object() else {
+        return String::new();
+    };
+    let mut parts = Vec::new();
+    for (name, value) in fields {
+        if IGNORED.contains(&name.as_str()) {
+            continue;
+        }
+        match value {
+            Value::String(value) => parts.push(value.clone()),
+            Value::Number(value) if SIZES.contains(&name.as_str()) => {
+                parts.push(format!("{value} {name}"));
+            }
+            _ => {}
+        }
+    }
+    parts.join(", ")
+}
+
+/// Calls `take` with the dotted name and value of each number below `value`.
+fn flatten(path: &str, value: &Value, take: &mut impl FnMut(&str, f64)) {
+    match value {
+        Value::Number(number) => {
+            if let Some(number) = number.as_f64() {
+                take(path, number);
+            }
+        }
+        Value::Object(fields) => {
+            for (name, value) in fields {
+                let known = IGNORED.contains(&name.as_str()) || SIZES.contains(&name.as_str());
+                if path.is_empty() && known {
+                    continue;
+                }
+                let path = if path.is_empty() {
+                    name.clone()
+                } else {
+                    format!("{path}.{name}")
+                };
+                flatten(&path, value, take);
+            }
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/measure/src/workload.rs
@@ -0,0 +1,267 @@
+//! Generated load: Zipf keys, a moving hot set, bursts, night and day.
+
+use ids::{KeyHash, SliceNo};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, Poisson, Zipf};
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// What load to generate.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
+pub struct WorkloadSettings {
+    /// Name of the case.
+    pub name: SmolStr,
+    /// Seed of all random numbers.
+    pub seed: u64,
+    /// Upstreams of the entry.
+    pub upstreams: u32,
+    /// Slots of each upstream.
+    pub slots: u32,
+    /// Slices of the entry.
+    pub slices: u32,
+    /// Number of keys.
+    pub keys: u64,
+    /// Exponent of the Zipf distribution of keys.
+    pub exponent: f64,
+    /// Heaviest ranks to leave out, so that no key exceeds an upstream's share.
+    pub skipped_ranks: u64,
+    /// Part of all slots that is busy on average.
+    pub utilisation: f64,
+    /// Mean work of a request in microseconds; exponentially distributed.
+    pub work_us: f64,
+    /// Heaviest ranks whose keys change with each shift.
+    pub hot_keys: usize,
+    /// Seconds between shifts of the hot set; zero for none.
+    pub shift_s: u64,
+    /// Seconds between bursts of one key; zero for none.
+    pub burst_every_s: u64,
+    /// Length of a burst, in seconds.
+    pub burst_s: u64,
+    /// Load of a burst, in parts of an upstream's share.
+    pub burst_share: f64,
+    /// Seconds of a day; zero for none.
+    pub day_s: u64,
+    /// Part of the mean rate by which night and day differ from it.
+    pub day_swing: f64,
+    /// Length of the run, in seconds.
+    pub seconds: u64,
+}
+
+impl Default for WorkloadSettings {
+    fn default() -> Self {
+        Self {
+            name: SmolStr::new_static("default"),
+            seed: 1,
+            upstreams: 20,
+            slots: 4,
+            slices: 1024,
+            keys: 1_000_000,
+            exponent: 1.1,
+            skipped_ranks: 0,
+            utilisation: 0.6,
+            work_us: 4000.0,
+            hot_keys: 20,
+            shift_s: 120,
+            burst_every_s: 0,
+            burst_s: 5,
+            burst_share: 0.5,
+            day_s: 0,
+            day_swing: 0.5,
+            seconds: 1200,
+        }
+    }
+}
+
+impl WorkloadSettings {
+    /// Landavgift's lookups: 20 upstreams.
+    #[must_use]
+    pub fn tariffbok() -> Self {
+        Self {
+            name: SmolStr::new_static("tariffbok"),
+            ..Self::default()
+        }
+    }
+
+    /// Kōtuku's pass windows: 15 upstreams, 6 ms a request.
+    #[must_use]
+    pub fn windowcast() -> Self {
+        Self {
+            name: SmolStr::new_static("windowcast"),
+            upstreams: 15,
+            work_us: 6000.0,
+            ..Self::default()
+        }
+    }
+
+    /// Leaves out as many of the heaviest ranks as needed for no key to exceed `part` of an
+    /// upstream's share.
+    #[must_use]
+    pub fn without_giants(mut self, part: f64) -> Self {
+        let weight = |rank: u64| (rank as f64).powf(-self.exponent);
+        let mut total: f64 = (1..=self.keys).map(weight).sum();
+        let mut skipped = 0;
+        while weight(skipped + 1) / total * f64::from(self.upstreams) > part {
+            total -= weight(skipped + 1);
+            skipped += 1;
+        }
+        self.skipped_ranks = skipped;
+        self
+    }
+
+    /// Returns requests per second, averaged over a day.
+    #[must_use]
+    pub fn rate(&self) -> f64 {
+        let slots = f64::from(self.upstreams) * f64::from(self.slots);
+        slots * self.utilisation / (self.work_us / 1e6)
+    }
+
+    /// Returns the part of all requests that the heaviest key has, by the Zipf distribution.
+    #[must_use]
+    pub fn top_key_part(&self) -> f64 {
+        let weight = |rank: u64| (rank as f64).powf(-self.exponent);
+        let total: f64 = (self.skipped_ranks + 1..=self.keys).map(weight).sum();
+        weight(self.skipped_ranks + 1) / total
+    }
+}
+
+/// One request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Request {
+    /// Hash of its key.
+    pub key: KeyHash,
+    /// Slice of the key, as long as that is not carved out.
+    pub slice: SliceNo,
+    /// Work, in microseconds.
+    pub work_us: u32,
+}
+
+/// Generates load second by second.
+#[derive(Debug)]
+pub struct Workload {
+    cfg: WorkloadSettings,
+    rng: StdRng,
+    ranks: Zipf<f64>,
+    work: Exp<f64>,
+    hot: Vec<u64>,
+    burst_key: u64,
+    second: u64,
+}
+
+impl Workload {
+    /// Creates the load that `cfg` describes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `cfg` describes no distribution: no keys, or no work.
+    #[must_use]
+    pub fn new(cfg: WorkloadSettings) -> Self {
+        let mut rng = StdRng::seed_from_u64(cfg.seed);
+        let ranks = Zipf::new(cfg.keys as f64, cfg.exponent).expect("a Zipf distribution");
+        let work = Exp::new(1.0 / cfg.work_us).expect("an exponential distribution");
+        let hot = (0..cfg.hot_keys)
+            .map(|_| draw_key(&mut rng, &cfg))
+            .collect();
+        Self {
+            cfg,
+            rng,
+            ranks,
+            work,
+            hot,
+            burst_key: 0,
+            second: 0,
+        }
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub fn settings(&self) -> &WorkloadSettings {
+        &self.cfg
+    }
+
+    /// Writes the requests of the next second to `out`; tells whether the hot set has just moved.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the settings give a rate that is not finite.
+    pub fn next_second(&mut self, out: &mut Vec<Request>) -> bool {
+        out.clear();
+        let second = self.second;
+        self.second += 1;
+        let shifted = second > 0 && self.cfg.shift_s > 0 && second.is_multiple_of(self.cfg.shift_s);
+        if shifted {
+            self.move_hot_set();
+        }
+        let rate = self.cfg.rate() * self.day_factor(second);
+        let count = self.draw_count(rate);
+        for _ in 0..count {
+            let key = self.draw_rank();
+            out.push(self.request(key));
+        }
+        self.add_burst(second, rate, out);
+        shifted
+    }
+
+    fn move_hot_set(&mut self) {
+        for key in &mut self.hot {
+            *key = draw_key(&mut self.rng, &self.cfg);
+        }
+    }
+
+    fn day_factor(&self, second: u64) -> f64 {
+        if self.cfg.day_s == 0 {
+            return 1.0;
+        }
+        let phase = second as f64 / self.cfg.day_s as f64 * std::f64::consts::TAU;
+        1.0 + self.cfg.day_swing * phase.sin()
+    }
+
+    fn add_burst(&mut self, second: u64, rate: f64, out: &mut Vec<Request>) {
+        if self.cfg.burst_every_s == 0 {
+            return;
+        }
+        let phase = second % self.cfg.burst_every_s;
+        if phase == 0 {
+            self.burst_key = draw_key(&mut self.rng, &self.cfg);
+        }
+        if phase >= self.cfg.burst_s {
+            return;
+        }
+        let extra = rate / f64::from(self.cfg.upstreams) * self.cfg.burst_share;
+        let count = self.draw_count(extra);
+        for _ in 0..count {
+            out.push(self.request(self.burst_key));
+        }
+    }
+
+    fn draw_count(&mut self, rate: f64) -> u64 {
+        let counts = Poisson::new(rate.max(f64::MIN_POSITIVE)).expect("a finite rate");
+        counts.sample(&mut self.rng) as u64
+    }
+
+    fn draw_rank(&mut self) -> u64 {
+        let skipped = self.cfg.skipped_ranks;
+        loop {
+            let rank = self.ranks.sample(&mut self.rng) as u64;
+            if rank <= skipped {
+                continue;
+            }
+            let place = (rank - skipped - 1) as usize;
+            return self.hot.get(place).copied().unwrap_or(rank);
+        }
+    }
+
+    fn request(&mut self, key: u64) -> Request {
+        let key = KeyHash::of(&key.to_le_bytes());
+        Request {
+            key,
+            slice: key.slice(self.cfg.slices),
+            work_us: self.work.sample(&mut self.rng) as u32 + 1,
+        }
+    }
+}
+
+fn draw_key(rng: &mut StdRng, cfg: &WorkloadSettings) -> u64 {
+    rng.random_range(cfg.keys / 2..cfg.keys)
+}
