own: verifier and tests of interleaved faults

Found on the way and mended: a silent host was named deputy again, a planned leave without the table stalled, a transaction without any answer was never submitted again.

--- a/crates/own/src/claim.rs
+++ b/crates/own/src/claim.rs
@@ -150,7 +150,8 @@
     /// Returns the hosts that are up, this one among them, that `fits` takes.
     pub(crate) fn candidates(&self, fits: impl Fn(&HostRef) -> bool) -> Vec<HostRef> {
         let me = (!self.leaving).then_some(&self.me);
-        let others = self.roster.alive(self.now, self.cfg.roster);
+        let bound = self.cfg.silence;
+        let others = self.roster.alive(self.now, bound, self.cfg.roster);
         let usable = |h: &&HostRef| fits(h) && !self.view.is_lost(&h.domain);
         me.into_iter()
             .chain(others)
--- a/crates/own/src/commits.rs
+++ b/crates/own/src/commits.rs
@@ -25,9 +25,16 @@
     pub(crate) sent_at: Timestamp,
     /// When to submit it again.
     pub(crate) again_at: Timestamp,
+    /// Whether a submission ended without a result.
+    pub(crate) in_doubt: bool,
 }
 
 impl Pending {
+    /// Tells whether a submission ended without a result.
+    pub(crate) const fn is_in_doubt(&self) -> bool {
+        self.in_doubt
+    }
+
     /// Tells whether a row at `revision` shows that no copy can take effect any more.
     fn is_overtaken(&self, key: &RowKey, revision: Revision) -> bool {
         let check = self.body.checks.iter().find(|c| c.key == *key);
@@ -78,6 +85,7 @@
     pub(crate) fn doubt(&mut self, txn: u64, now: Timestamp, wait: Duration) {
         if let Some(p) = self.pending.values_mut().find(|p| p.txn == txn) {
             p.again_at = now + wait;
+            p.in_doubt = true;
         }
     }
 
--- a/crates/own/src/evidence.rs
+++ b/crates/own/src/evidence.rs
@@ -54,6 +54,9 @@
 
     /// Returns the other host that may act for the upstream by its row.
     fn partner(&self, upstream: &UpstreamId, held: &Held) -> Option<&HostRef> {
+        if held.was_handed && !held.recorded {
+            return None;
+        }
         let row = &self.replica.get(upstream)?.row;
         let other = if held.recorded {
             &row.deputy
--- a/crates/own/src/handover.rs
+++ b/crates/own/src/handover.rs
@@ -5,7 +5,7 @@
 use ids::{Epoch, UpstreamId};
 use wire::own::{Body, Handover};
 
-use crate::commits::Subject;
+use crate::commits::{Pending, Subject};
 use crate::held::{Handed, Held};
 use crate::machine::Machine;
 use crate::roster::winner;
@@ -105,13 +105,15 @@
         });
     }
 
-    /// Hands an upstream to its deputy, which acts on its reserve, if the table did not answer.
-    pub(crate) fn hand_over_without_table(&mut self, txn: u64) {
+    /// Hands upstreams to their deputies, which act on their reserves, if the table does not
+    /// answer.
+    pub(crate) fn hand_over_without_table(&mut self) {
         let handing = self.held.iter().filter(|(_, h)| h.handing.is_some());
         let upstreams = handing.map(|(u, _)| u.clone()).collect::<Vec<_>>();
         for u in upstreams {
             let subject = Subject::Upstream(u.clone());
-            if self.commits.get(&subject).is_some_and(|p| p.txn == txn) {
+            let doubted = self.commits.get(&subject).is_some_and(Pending::is_in_doubt);
+            if doubted || !self.table_reachable {
                 self.hand_to_deputy(&u);
             }
         }
--- a/crates/own/src/held.rs
+++ b/crates/own/src/held.rs
@@ -17,6 +17,8 @@
     pub(crate) epoch: Epoch,
     /// Whether the row names this host as coordinating; else it acts on its reserve.
     pub(crate) recorded: bool,
+    /// Whether the coordinating host of the row stopped and handed the upstream to this one.
+    pub(crate) was_handed: bool,
     /// Highest own reading as of which somebody said that this host was not replaced.
     pub(crate) evidence: Option<Timestamp>,
     /// When the row before was first known.
@@ -46,6 +48,7 @@
             since: now,
             epoch,
             recorded,
+            was_handed: false,
             evidence: None,
             older_since: now,
             inherit: Inherit::none(),
--- a/crates/own/src/lib.rs
+++ b/crates/own/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`event`]: what a machine is told.
 //! - [`action`]: what a machine wants done.
 //! - [`machine`]: the machine itself.
+//! - [`mod@verify`]: checks a whole snapshot against the invariants.
 
 mod claim;
 mod commits;
@@ -31,6 +32,7 @@
 pub mod machine;
 pub mod row;
 pub mod settings;
+pub mod verify;
 
 pub use action::{Action, Lease, Stop};
 pub use event::{CommitOutcome, Event};
@@ -38,3 +40,4 @@
 pub use machine::Machine;
 pub use row::{Assigned, Carved, EntryRow, OwnChange, OwnRow, RowError, Writer};
 pub use settings::{OwnSettings, SettingsError};
+pub use verify::{Snapshot, Violation, verify};
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -182,6 +182,7 @@
         self.take_over_silent();
         self.advance_all();
         self.ask_deputies();
+        self.hand_over_without_table();
         self.pass_on_handed();
         self.release_settled();
         if self.now >= self.scan_at {
@@ -398,7 +399,7 @@
             }
             CommitOutcome::Unreachable | CommitOutcome::Unconfirmed => {
                 self.commits.doubt(txn, self.now, self.cfg.commit_retry);
-                self.hand_over_without_table(txn);
+                self.hand_over_without_table();
             }
         }
     }
@@ -452,7 +453,8 @@
             txn,
             body: body.clone(),
             sent_at: self.now,
-            again_at: Timestamp::NEVER,
+            again_at: self.now + self.cfg.commit_patience,
+            in_doubt: false,
         };
         self.commits.start(subject, pending);
         self.out.push(Action::Commit { txn, body });
@@ -462,7 +464,7 @@
     fn submit_again(&mut self) {
         for p in self.commits.due(self.now) {
             p.sent_at = self.now;
-            p.again_at = Timestamp::NEVER;
+            p.again_at = self.now + self.cfg.commit_patience;
             self.out.push(Action::Commit {
                 txn: p.txn,
                 body: p.body.clone(),
--- a/crates/own/src/peers.rs
+++ b/crates/own/src/peers.rs
@@ -298,6 +298,7 @@
         // Whoever hands over has no removal under way.
         self.marks.remove(upstream);
         self.take_over(upstream);
+        self.with_held(upstream, |_, h| h.was_handed = true);
     }
 
     fn on_serving(&mut self, from: &HostRef, m: &Serving) {
--- a/crates/own/src/roster.rs
+++ b/crates/own/src/roster.rs
@@ -226,13 +226,19 @@
         self.hosts.values().any(|h| within(h) && !h.leaving)
     }
 
-    /// Iterates over the other hosts that were heard of within `bound` and do not leave.
+    /// Iterates over the other hosts that are up, as far as this host knows, and do not leave.
+    ///
+    /// One that never spoke to this host itself is heard of through others, which takes longer.
     pub(crate) fn alive(
         &self,
         now: Timestamp,
-        bound: Duration,
+        direct: Duration,
+        through_others: Duration,
     ) -> impl Iterator<Item = &HostRef> + Clone {
-        let up = move |h: &&Heard| !h.gone && !h.leaving && now.since(h.any) <= bound;
+        let up = move |h: &&Heard| {
+            let bound = h.direct.map_or(through_others, |_| direct);
+            !h.gone && !h.leaving && now.since(h.any) < bound
+        };
         self.hosts.values().filter(up).map(|h| &h.host)
     }
 
--- a/crates/own/src/settings.rs
+++ b/crates/own/src/settings.rs
@@ -42,8 +42,10 @@
     pub drift_ppm: u32,
     /// Time that a request may stay under way at an upstream beyond its deadline.
     pub deadline_margin: Duration,
-    /// Time after which a transaction without a known result is tried again.
+    /// Time after which a transaction that was not confirmed is submitted again.
     pub commit_retry: Duration,
+    /// Time after which a transaction of which nothing was heard is submitted again.
+    pub commit_patience: Duration,
     /// Time after which a host that was heard of neither directly nor through others is no
     /// candidate for anything.
     pub roster: Duration,
@@ -72,6 +74,7 @@
             drift_ppm: 10_000,
             deadline_margin: Duration::from_millis(200),
             commit_retry: Duration::from_millis(300),
+            commit_patience: Duration::from_secs(1),
             roster: Duration::from_secs(1),
             hand_out_after: Duration::from_millis(400),
             foreign_after: Duration::from_secs(3),
--- /dev/null
+++ b/crates/own/src/verify.rs
@@ -0,0 +1,315 @@
+//! Checks a whole snapshot of a system against the invariants of ownership.
+//!
+//! No process ever has such a snapshot; tests take it from outside, at one moment.
+
+use std::collections::BTreeMap;
+
+use ids::{EntryId, Epoch, HostId, RequestId, SliceNo, UpstreamId};
+use thiserror::Error;
+
+use crate::{HostRef, OwnRow};
+
+/// An upstream as it is at one moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamState {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Entry that it serves.
+    pub entry: EntryId,
+    /// Whether it checks grants.
+    pub checks_grants: bool,
+    /// Its row.
+    pub row: Option<OwnRow>,
+    /// Epoch of the grant that lasts by its own clock, if it checks grants and has one.
+    pub granted: Option<Epoch>,
+    /// Slices of that grant.
+    pub slices: Vec<SliceNo>,
+}
+
+/// A lease that lasts by the clock of its host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseState {
+    /// Host.
+    pub host: HostRef,
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Epoch.
+    pub epoch: Epoch,
+    /// Slices.
+    pub slices: Vec<SliceNo>,
+}
+
+/// A request that was sent to an upstream that does not check grants, and may still start there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SentRequest {
+    /// Request.
+    pub request: RequestId,
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Slice.
+    pub slice: SliceNo,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+}
+
+/// An entry that is divided by key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryState {
+    /// Entry.
+    pub entry: EntryId,
+    /// Number of slices.
+    pub slices: u32,
+    /// Whether the table says that they were handed out.
+    pub handed_out: bool,
+}
+
+/// A whole system at one moment.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Entries.
+    pub entries: Vec<EntryState>,
+    /// Upstreams.
+    pub upstreams: Vec<UpstreamState>,
+    /// Leases.
+    pub leases: Vec<LeaseState>,
+    /// Requests that may still start.
+    pub sent: Vec<SentRequest>,
+}
+
+/// A broken invariant.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Violation {
+    /// Two upstreams may start requests of the same slice.
+    #[error("{entry}/{slice}: both {first} and {second} own it")]
+    TwoOwners {
+        /// Entry.
+        entry: EntryId,
+        /// Slice.
+        slice: SliceNo,
+        /// One owner.
+        first: UpstreamId,
+        /// The other.
+        second: UpstreamId,
+    },
+    /// A slice stands in two rows.
+    #[error("{entry}/{slice}: in the rows of both {first} and {second}")]
+    AssignedTwice {
+        /// Entry.
+        entry: EntryId,
+        /// Slice.
+        slice: SliceNo,
+        /// One upstream.
+        first: UpstreamId,
+        /// The other.
+        second: UpstreamId,
+    },
+    /// A slice that was handed out stands in no row: an assignment was lost.
+    #[error("{entry}/{slice}: in no row")]
+    Unassigned {
+        /// Entry.
+        entry: EntryId,
+        /// Slice.
+        slice: SliceNo,
+    },
+    /// An upstream may run requests of a slice that its row does not have.
+    #[error("{upstream}: may run {slice}, which its row does not have")]
+    BeyondRow {
+        /// Upstream.
+        upstream: UpstreamId,
+        /// Slice.
+        slice: SliceNo,
+    },
+    /// An epoch is in use that the row has not given out.
+    #[error("{upstream}: epoch {epoch} is in use, beyond the row's reserve")]
+    BeyondReserve {
+        /// Upstream.
+        upstream: UpstreamId,
+        /// Epoch.
+        epoch: Epoch,
+    },
+    /// Two hosts use the same epoch of an upstream.
+    #[error("{upstream}: both {first} and {second} use epoch {epoch}")]
+    SharedEpoch {
+        /// Upstream.
+        upstream: UpstreamId,
+        /// Epoch.
+        epoch: Epoch,
+        /// One host.
+        first: HostId,
+        /// The other.
+        second: HostId,
+    },
+    /// A request that must not run twice may start at an upstream while another one owns its slice.
+    #[error("{request}: may start at {upstream} though {owner} owns {slice}")]
+    StrayRequest {
+        /// Request.
+        request: RequestId,
+        /// Upstream at which it may start.
+        upstream: UpstreamId,
+        /// Owner.
+        owner: UpstreamId,
+        /// Slice.
+        slice: SliceNo,
+    },
+    /// A row's coordinating host is its deputy, too.
+    #[error("{upstream}: {host} is coordinating host and deputy")]
+    OwnDeputy {
+        /// Upstream.
+        upstream: UpstreamId,
+        /// Host.
+        host: HostId,
+    },
+    /// A hot key is carved out of a slice that the row does not have.
+    #[error("{upstream}: {hot} is carved out of {base}, which its row does not have")]
+    CarvedElsewhere {
+        /// Upstream.
+        upstream: UpstreamId,
+        /// Slice of the hot key.
+        hot: SliceNo,
+        /// Slice that held it.
+        base: SliceNo,
+    },
+}
+
+/// Checks all invariants and returns every violation.
+#[must_use]
+pub fn verify(snapshot: &Snapshot) -> Vec<Violation> {
+    let mut found = Vec::new();
+    check_rows(snapshot, &mut found);
+    check_assignment(snapshot, &mut found);
+    check_owners(snapshot, &mut found);
+    check_epochs(snapshot, &mut found);
+    found
+}
+
+fn check_rows(snapshot: &Snapshot, found: &mut Vec<Violation>) {
+    for u in &snapshot.upstreams {
+        let Some(row) = &u.row else {
+            continue;
+        };
+        if let (Some(c), Some(d)) = (&row.coordinator, &row.deputy)
+            && c.is(d)
+        {
+            found.push(Violation::OwnDeputy {
+                upstream: u.upstream.clone(),
+                host: c.host.clone(),
+            });
+        }
+        for c in row.carved.iter().filter(|c| !row.holds(c.base)) {
+            found.push(Violation::CarvedElsewhere {
+                upstream: u.upstream.clone(),
+                hot: c.hot,
+                base: c.base,
+            });
+        }
+    }
+}
+
+fn check_assignment(snapshot: &Snapshot, found: &mut Vec<Violation>) {
+    let mut rows = BTreeMap::<(&EntryId, SliceNo), &UpstreamId>::new();
+    for u in &snapshot.upstreams {
+        for a in u.row.iter().flat_map(|r| &r.slices) {
+            if let Some(first) = rows.insert((&u.entry, a.slice), &u.upstream) {
+                found.push(Violation::AssignedTwice {
+                    entry: u.entry.clone(),
+                    slice: a.slice,
+                    first: first.clone(),
+                    second: u.upstream.clone(),
+                });
+            }
+        }
+    }
+    for e in snapshot.entries.iter().filter(|e| e.handed_out) {
+        let all = (0..u64::from(e.slices)).map(SliceNo);
+        for slice in all.filter(|s| !rows.contains_key(&(&e.entry, *s))) {
+            found.push(Violation::Unassigned {
+                entry: e.entry.clone(),
+                slice,
+            });
+        }
+    }
+}
+
+/// Returns the slices of which an upstream may start requests.
+fn runnable(snapshot: &Snapshot, u: &UpstreamState) -> Vec<SliceNo> {
+    if u.checks_grants {
+        return u.slices.clone();
+    }
+    let leases = snapshot.leases.iter().filter(|l| l.upstream == u.upstream);
+    let mut slices = leases.flat_map(|l| l.slices.clone()).collect::<Vec<_>>();
+    slices.sort();
+    slices.dedup();
+    slices
+}
+
+fn check_owners(snapshot: &Snapshot, found: &mut Vec<Violation>) {
+    let mut owners = BTreeMap::<(&EntryId, SliceNo), &UpstreamId>::new();
+    for u in &snapshot.upstreams {
+        for slice in runnable(snapshot, u) {
+            if !u.row.as_ref().is_some_and(|r| r.holds(slice)) {
+                found.push(Violation::BeyondRow {
+                    upstream: u.upstream.clone(),
+                    slice,
+                });
+            }
+            if let Some(first) = owners.insert((&u.entry, slice), &u.upstream) {
+                found.push(Violation::TwoOwners {
+                    entry: u.entry.clone(),
+                    slice,
+                    first: first.clone(),
+                    second: u.upstream.clone(),
+                });
+            }
+        }
+    }
+    check_sent(snapshot, &owners, found);
+}
+
+fn check_sent(
+    snapshot: &Snapshot,
+    owners: &BTreeMap<(&EntryId, SliceNo), &UpstreamId>,
+    found: &mut Vec<Violation>,
+) {
+    for s in snapshot.sent.iter().filter(|s| !s.idempotent) {
+        let at = snapshot.upstreams.iter().find(|u| u.upstream == s.upstream);
+        let Some(at) = at else {
+            continue;
+        };
+        let owner = owners.get(&(&at.entry, s.slice));
+        if let Some(owner) = owner.filter(|o| ***o != s.upstream) {
+            found.push(Violation::StrayRequest {
+                request: s.request.clone(),
+                upstream: s.upstream.clone(),
+                owner: (*owner).clone(),
+                slice: s.slice,
+            });
+        }
+    }
+}
+
+fn check_epochs(snapshot: &Snapshot, found: &mut Vec<Violation>) {
+    let mut users = BTreeMap::<(&UpstreamId, Epoch), &HostRef>::new();
+    for l in &snapshot.leases {
+        if let Some(first) = users.insert((&l.upstream, l.epoch), &l.host)
+            && !first.is(&l.host)
+        {
+            found.push(Violation::SharedEpoch {
+                upstream: l.upstream.clone(),
+                epoch: l.epoch,
+                first: first.host.clone(),
+                second: l.host.host.clone(),
+            });
+        }
+    }
+    for u in &snapshot.upstreams {
+        let leases = snapshot.leases.iter().filter(|l| l.upstream == u.upstream);
+        let used = leases.map(|l| l.epoch).chain(u.granted).max();
+        let reserve = u.row.as_ref().map_or(Epoch(0), OwnRow::reserved);
+        if let Some(epoch) = used.filter(|e| *e > reserve) {
+            found.push(Violation::BeyondReserve {
+                upstream: u.upstream.clone(),
+                epoch,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/own/tests/own/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the ownership machine, many of them in one small world.
+
+mod interleaving;
+mod plain;
+mod world;
