Bound what silent hosts and callers that do not read may hold

A host that accepted calls and fell silent kept each of them until its deadline; now a call that times out while no other was replied to closes the connection, and calls then fail at once until it is open again. A caller that read nothing held its answers for ever; a write may now stall for 10 s. Requests and answers over the frame limit broke the connection of all; they are refused alone. Connections to hosts that left the peer table are closed.

--- a/crates/gate/src/callers/intake.rs
+++ b/crates/gate/src/callers/intake.rs
@@ -93,7 +93,8 @@
 
 fn new_id() -> RequestId {
     let mut buf = Uuid::encode_buffer();
-    let text: &str = Uuid::new_v4().simple().encode_lower(&mut buf);
+    let id = uuid::Builder::from_random_bytes(rand::random()).into_uuid();
+    let text: &str = id.simple().encode_lower(&mut buf);
     RequestId::new(SmolStr::new(text)).expect("hexadecimal digits make a valid name")
 }
 
--- a/crates/gate/src/callers/linger.rs
+++ b/crates/gate/src/callers/linger.rs
@@ -13,6 +13,7 @@
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 use tokio_util::task::TaskTracker;
 
 /// Longest time for which a closed stream is read.
@@ -70,14 +71,20 @@
     /// Whether the other side has closed or broken the connection.
     over: bool,
     closing: Closing,
+    /// Longest time for which the other side may take nothing.
+    stall_max: Duration,
+    /// Ends that time, while a write waits.
+    stall: Option<Pin<Box<Sleep>>>,
 }
 
 impl LingerStream {
-    pub(crate) fn new(inner: TcpStream, closing: Closing) -> Self {
+    pub(crate) fn new(inner: TcpStream, closing: Closing, stall_max: Duration) -> Self {
         Self {
             inner: Some(inner),
             over: false,
             closing,
+            stall_max,
+            stall: None,
         }
     }
 
@@ -85,6 +92,24 @@
         Pin::new(self.inner.as_mut().expect("taken on drop only"))
     }
 
+    /// Ends a write that waits for too long; `written` is what the stream says.
+    fn check_stall(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.stall = None;
+            return written;
+        }
+        let stall_max = self.stall_max;
+        let stall = self
+            .stall
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(stall_max)));
+        ready!(stall.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     fn note<T>(&mut self, result: &io::Result<T>) {
         self.over |= result.is_err();
     }
@@ -121,7 +146,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = ready!(self.stream().poll_write(cx, buf));
+        let written = self.stream().poll_write(cx, buf);
+        let result = ready!(self.check_stall(cx, written));
         self.note(&result);
         Poll::Ready(result)
     }
@@ -131,7 +157,8 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = ready!(self.stream().poll_write_vectored(cx, bufs));
+        let written = self.stream().poll_write_vectored(cx, bufs);
+        let result = ready!(self.check_stall(cx, written));
         self.note(&result);
         Poll::Ready(result)
     }
--- a/crates/gate/src/callers/serve.rs
+++ b/crates/gate/src/callers/serve.rs
@@ -273,7 +273,8 @@
             let desk = Rc::clone(&self);
             async move { Ok::<_, Infallible>(desk.answer(request).await) }
         });
-        let stream = LingerStream::new(stream, self.closing.clone());
+        let stall_max = millis(self.settings.write_timeout_ms);
+        let stream = LingerStream::new(stream, self.closing.clone(), stall_max);
         let connection = protocol.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut first = std::pin::pin!(tokio::time::sleep(millis(self.settings.header_timeout_ms)));
--- a/crates/gate/src/peer/client.rs
+++ b/crates/gate/src/peer/client.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::call::{Call, Reply};
-use crate::context::GateContext;
+use crate::context::{GateContext, PeerTable};
 use crate::counters::Count;
 use crate::peer::link::Link;
 use crate::settings::{PeerSettings, millis};
@@ -27,6 +27,8 @@
     cx: Arc<GateContext>,
     settings: PeerSettings,
     by_host: RefCell<IndexMap<HostId, Rc<Peer>>>,
+    /// The table that `by_host` follows.
+    table: RefCell<Arc<PeerTable>>,
 }
 
 /// One other host.
@@ -72,6 +74,7 @@
             cx,
             settings,
             by_host: RefCell::default(),
+            table: RefCell::default(),
         }
     }
 
@@ -101,22 +104,35 @@
         })
     }
 
-    /// Finds the connections to a host, made anew if its address changed.
+    /// Finds the connections to a host.
     fn peer(&self, host: &HostId) -> Option<Rc<Peer>> {
         let table = self.cx.peers.load();
-        let address = *table.dispatch.get(host)?;
-        let mut peers = self.by_host.borrow_mut();
-        if let Some(peer) = peers.get(host) {
-            if peer.address == address {
-                return Some(Rc::clone(peer));
-            }
-            peer.retire();
+        if !Arc::ptr_eq(&table, &self.table.borrow()) {
+            self.follow(Arc::clone(&table));
         }
+        if let Some(peer) = self.by_host.borrow().get(host) {
+            return Some(Rc::clone(peer));
+        }
+        let address = *table.dispatch.get(host)?;
         let peer = Rc::new(self.connect(address));
-        peers.insert(host.clone(), Rc::clone(&peer));
+        self.by_host
+            .borrow_mut()
+            .insert(host.clone(), Rc::clone(&peer));
         Some(peer)
     }
 
+    /// Retires the connections to hosts that are gone or have another address.
+    fn follow(&self, table: Arc<PeerTable>) {
+        self.by_host.borrow_mut().retain(|host, peer| {
+            let stays = table.dispatch.get(host) == Some(&peer.address);
+            if !stays {
+                peer.retire();
+            }
+            stays
+        });
+        *self.table.borrow_mut() = table;
+    }
+
     fn connect(&self, address: SocketAddr) -> Peer {
         let connections = (0..self.settings.connections.max(1))
             .map(|_| self.start(address))
@@ -178,19 +194,15 @@
             self.done = true;
             return reply;
         }
-        Reply::refused(self.give_up())
-    }
-
-    fn give_up(&mut self) -> Reason {
         self.done = true;
-        self.connection.link.give_up(self.number)
+        Reply::refused(self.connection.link.time_out(self.number))
     }
 }
 
 impl Drop for PeerCall {
     fn drop(&mut self) {
         if !self.done {
-            self.give_up();
+            self.connection.link.give_up(self.number);
         }
     }
 }
--- a/crates/gate/src/peer/link.rs
+++ b/crates/gate/src/peer/link.rs
@@ -1,22 +1,28 @@
 //! One connection to another host, and which of its calls were written.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 
 use bytes::BytesMut;
 use futures::StreamExt;
 use ids::Reason;
 use indexmap::IndexMap;
+use prost::Message;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{Notify, oneshot};
 use tokio_util::codec::{Encoder, FramedRead};
 use wire::dispatch::{Ask, AskFrame, Cancel, Reply as ReplyFrame};
-use wire::{FrameCodec, FrameError};
+use wire::{FrameCodec, FrameError, MAX_FRAME_BYTES};
 
 use crate::call::{Call, Reply, call_to_wire, reply_from_wire};
 use crate::context::GateContext;
 
+/// The most bytes of a request that fits into a frame.
+const MAX_ASK_BYTES: usize = MAX_FRAME_BYTES - FRAME_SLACK;
+/// Bytes of a frame that are not the request's own.
+const FRAME_SLACK: usize = 64;
 /// Bytes encoded before they are written.
 const WRITE_BYTES: usize = 64 << 10;
 
@@ -25,6 +31,8 @@
 struct Open {
     reply: oneshot::Sender<Reply>,
     stage: Stage,
+    /// How many replies had come when the call was made.
+    replies_before: u64,
 }
 
 /// How far a call got.
@@ -47,7 +55,11 @@
     to_cancel: RefCell<Vec<u64>>,
     next: Cell<u64>,
     written: Cell<u64>,
+    /// Replies that came.
+    replies: Cell<u64>,
     work: Notify,
+    /// Told when the other side has fallen silent.
+    silent: Notify,
 }
 
 impl Link {
@@ -61,7 +73,12 @@
         let number = self.next.get() + 1;
         self.next.set(number);
         let stage = Stage::Queued(Box::new(call));
-        self.open.borrow_mut().insert(number, Open { reply, stage });
+        let open = Open {
+            reply,
+            stage,
+            replies_before: self.replies.get(),
+        };
+        self.open.borrow_mut().insert(number, open);
         self.to_encode.borrow_mut().push(number);
         self.work.notify_one();
         number
@@ -83,6 +100,20 @@
         }
     }
 
+    /// Gives up a call whose time is over; returns the reason that it leaves behind.
+    ///
+    /// The other side replies to each call within its time. If it has replied to none since the
+    /// call was made, it has fallen silent, and the connection is closed.
+    pub(crate) fn time_out(&self, number: u64) -> Reason {
+        let replies_before = self.open.borrow().get(&number).map(|o| o.replies_before);
+        let reason = self.give_up(number);
+        let was_silent = replies_before == Some(self.replies.get());
+        if was_silent && reason == Reason::HostLost {
+            self.silent.notify_one();
+        }
+        reason
+    }
+
     /// Ends all calls after the connection broke, or failed to open.
     pub(crate) fn fail(&self) {
         let written = self.written.get();
@@ -106,6 +137,7 @@
         tokio::select! {
             ended = self.read(read) => ended,
             ended = self.write(cx, write) => ended,
+            () = self.silent.notified() => Err(io::Error::from(io::ErrorKind::TimedOut).into()),
         }
     }
 
@@ -113,6 +145,7 @@
         let mut reader = FramedRead::new(read, FrameCodec::<ReplyFrame>::default());
         while let Some(frame) = reader.next().await {
             let frame = frame?;
+            self.replies.set(self.replies.get() + 1);
             let open = self.open.borrow_mut().swap_remove(&frame.call);
             // A reply to a call that was given up goes to nobody.
             if let Some(open) = open {
@@ -165,6 +198,10 @@
                 continue;
             };
             let request = call_to_wire(*number, queued, cx.now());
+            if request.encoded_len() > MAX_ASK_BYTES {
+                refuse(&mut open, *number, Reason::BodyTooLarge);
+                continue;
+            }
             *encoded += put(codec, buf, Ask::Request(request))?;
             call.stage = Stage::Encoded(*encoded);
         }
@@ -173,6 +210,14 @@
     }
 }
 
+/// Ends a call that was not sent.
+fn refuse(open: &mut IndexMap<u64, Open>, number: u64, reason: Reason) {
+    if let Some(call) = open.swap_remove(&number) {
+        // Nobody waits any more if this fails.
+        let _ = call.reply.send(Reply::refused(reason));
+    }
+}
+
 /// Encodes one message and returns the bytes that it takes.
 fn put(codec: &mut FrameCodec<AskFrame>, buf: &mut BytesMut, ask: Ask) -> Result<u64, FrameError> {
     let before = buf.len();
--- a/crates/gate/src/peer/server.rs
+++ b/crates/gate/src/peer/server.rs
@@ -1,6 +1,7 @@
 //! Takes calls of other hosts.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 use futures::{SinkExt, StreamExt};
 use ids::Reason;
 use indexmap::IndexMap;
+use prost::Message;
 use route::CallKey;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -16,7 +18,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite};
 use tokio_util::sync::CancellationToken;
 use wire::dispatch::{Ask, AskFrame, Cancel, Reply as ReplyFrame, Request};
-use wire::{FrameCodec, FrameError};
+use wire::{FrameCodec, FrameError, MAX_FRAME_BYTES};
 
 use crate::call::{Reply, call_from_wire, reply_to_wire};
 use crate::context::GateContext;
@@ -135,6 +137,8 @@
     replies: mpsc::UnboundedSender<NumberedReply>,
     /// Calls without a reply, by their number on this connection.
     open: RefCell<IndexMap<u64, CallKey>>,
+    /// Refusals that were not written yet, at least.
+    unwritten: Cell<usize>,
 }
 
 impl Link {
@@ -147,6 +151,7 @@
             shared,
             replies,
             open: RefCell::default(),
+            unwritten: Cell::new(0),
         };
         tokio::select! {
             ended = link.read(FramedRead::new(read, FrameCodec::default())) => ended,
@@ -157,7 +162,7 @@
     async fn read(&self, mut reader: AskReader) -> Result<(), FrameError> {
         while let Some(frame) = reader.next().await {
             match frame?.ask {
-                Some(Ask::Request(request)) => self.request(request),
+                Some(Ask::Request(request)) => self.request(request)?,
                 Some(Ask::Cancel(cancel)) => self.cancel(cancel),
                 // A later version's message; nothing of it is known.
                 None => {}
@@ -175,17 +180,26 @@
         while rx.recv_many(&mut batch, BATCH).await > 0 {
             for NumberedReply { number, reply } in batch.drain(..) {
                 self.open.borrow_mut().swap_remove(&number);
-                writer.feed(reply_to_wire(number, reply)).await?;
+                self.unwritten.set(self.unwritten.get().saturating_sub(1));
+                let mut frame = reply_to_wire(number, reply);
+                if frame.encoded_len() > MAX_FRAME_BYTES {
+                    frame = reply_to_wire(number, Reply::refused(Reason::AnswerTooLarge));
+                }
+                writer.feed(frame).await?;
             }
             writer.flush().await?;
         }
         Ok(())
     }
 
-    fn request(&self, request: Request) {
+    fn request(&self, request: Request) -> Result<(), FrameError> {
         let number = request.call;
         let handed = self.hand_over(request);
         if let Err(reason) = handed {
+            if self.unwritten.get() > self.shared.outstanding {
+                return Err(io::Error::other("replies are not read").into());
+            }
+            self.unwritten.set(self.unwritten.get() + 1);
             let mut reply = Reply::refused(reason);
             if let Err(refusal) = &mut reply.result {
                 refusal.revision = self.shared.cx.router.load().revision();
@@ -193,6 +207,7 @@
             // Fails only once the connection has ended.
             let _ = self.replies.send(NumberedReply { number, reply });
         }
+        Ok(())
     }
 
     fn hand_over(&self, request: Request) -> Result<(), Reason> {
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -23,6 +23,8 @@
     pub header_timeout_ms: u32,
     /// Longest time for a body to arrive.
     pub body_timeout_ms: u32,
+    /// Longest time for which a caller may take nothing of its answer.
+    pub write_timeout_ms: u32,
     /// Bytes of request bodies that this host holds at the same time.
     pub buffered_bytes: u64,
     /// Longest deadline that a request may ask for.
@@ -44,6 +46,7 @@
             header_bytes: 16 << 10,
             header_timeout_ms: 60_000,
             body_timeout_ms: 10_000,
+            write_timeout_ms: 10_000,
             buffered_bytes: 64 << 20,
             deadline_cap_ms: 60_000,
             reply_reserve_ms: 10,
--- a/crates/gate/tests/callers.rs
+++ b/crates/gate/tests/callers.rs
@@ -303,3 +303,23 @@
     until("the break is counted", || gone() == 1).await;
     assert_eq!(rig.upstream.opened(), 0);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_does_not_read_its_answers_is_let_go() {
+    let rig = Rig::start(RigSettings {
+        gate: GateSettings {
+            write_timeout_ms: 100,
+            ..GateSettings::default()
+        },
+        ..RigSettings::default()
+    })
+    .await;
+    let mut caller = Caller::connect(rig.address(0)).await;
+    let one = get("/look", &[key(), ("x-act", "big")]);
+    caller.write(one.repeat(300)).await;
+    let metrics = rig.metrics(0);
+    let closed = || metrics.total(gate::counters::Count::CallersClosed) == 1;
+    until("the connection is closed", closed).await;
+    let answered = metrics.total(gate::counters::Count::Answered);
+    assert!(answered < 300, "{answered}");
+}
--- a/crates/gate/tests/path.rs
+++ b/crates/gate/tests/path.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
+use gate::counters::Count;
 use support::caller::{Caller, get, post};
 use support::rig::{Rig, RigSettings};
+use tokio::io::AsyncReadExt;
 
 #[derive(Debug)]
 struct Case {
@@ -43,10 +45,12 @@
             line: "POST /any/x HTTP/1.1",
         },
     ];
-    for case in cases {
+    let joint_too = [false, true];
+    for (case, joint) in cases.iter().flat_map(|c| joint_too.map(|j| (c, j))) {
         let rig = Rig::start(RigSettings {
             hosts: 2,
             coordinator: case.coordinator,
+            joint,
             ..RigSettings::default()
         })
         .await;
@@ -62,3 +66,38 @@
         assert_eq!(seen.header("medlardyke-epoch"), "3", "{name}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_without_a_body_keeps_its_declared_length() {
+    let rig = Rig::start(RigSettings::default()).await;
+    let mut caller = Caller::connect(rig.address(0)).await;
+    let head = get("/look", &[("x-key", "ESNQ"), ("x-act", "head")]).replacen("GET", "HEAD", 1);
+    caller.write(head).await;
+    let mut buf = [0; 1_024];
+    let count = caller.stream.read(&mut buf).await.expect("an answer");
+    let text = String::from_utf8_lossy(&buf[..count]).into_owned();
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    assert!(text.contains("content-length: 7"), "{text}");
+    assert!(text.contains("medlardyke-outcome: answered"), "{text}");
+    let got = caller.ask(get("/look", &[("x-key", "ESNQ")])).await;
+    assert_eq!(got.status, 200, "the connection goes on: {got:?}");
+    assert_eq!(rig.upstream.opened(), 1, "so does the upstream's");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_fits_into_no_frame_is_refused_and_the_connection_stays() {
+    let rig = Rig::start(RigSettings {
+        hosts: 2,
+        coordinator: 1,
+        ..RigSettings::default()
+    })
+    .await;
+    let mut caller = Caller::connect(rig.address(0)).await;
+    let got = caller.ask(post("/bulk", &[], &"b".repeat(17 << 20))).await;
+    assert_eq!(got.reason(), "body-too-large", "{got:?}");
+    let got = caller.ask(post("/bulk", &[("x-act", "bulk")], "b")).await;
+    assert_eq!(got.reason(), "answer-too-large", "{got:?}");
+    let got = caller.ask(post("/bulk", &[], &"b".repeat(8 << 20))).await;
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(rig.metrics(0).total(Count::PeerFailed), 0);
+}
--- a/crates/gate/tests/peers.rs
+++ b/crates/gate/tests/peers.rs
@@ -123,6 +123,31 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_host_is_given_up_so_that_others_do_not_wait() {
+    let rig = two_hosts().await;
+    let address = faulty(Fault::Silent).await;
+    redirect(&rig.hosts[0].cx, &rig, address);
+    let ask = |deadline: &'static str| {
+        let address = rig.address(0);
+        async move {
+            let mut caller = Caller::connect(address).await;
+            let headers = [("medlardyke-deadline-ms", deadline)];
+            let begin = Instant::now();
+            let got = caller.ask(post("/any", &headers, "body")).await;
+            (got, begin.elapsed())
+        }
+    };
+    // Both connections carry a patient request; the impatient ones find the host silent.
+    let (first, second, third, fourth) =
+        tokio::join!(ask("1900"), ask("1900"), ask("100"), ask("100"));
+    for (got, took) in [first, second, third, fourth] {
+        assert_eq!(got.reason(), "host-lost", "{got:?}");
+        assert!(took < Duration::from_millis(1_500), "{took:?}: {got:?}");
+    }
+    assert!(rig.metrics(0).total(Count::PeerFailed) >= 1);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_that_comes_back_is_used_again() {
     let rig = two_hosts().await;
--- a/crates/gate/tests/support/rig.rs
+++ b/crates/gate/tests/support/rig.rs
@@ -68,14 +68,16 @@
 }
 
 /// Entries: `look` is divided by the header `x-key` and idempotent, `seg` by a path segment and
-/// not idempotent, `any` is not divided and not idempotent, `echo` checks the echoed id.
+/// not idempotent, `any` is not divided and not idempotent, `echo` checks the echoed id, `bulk`
+/// takes and gives large bodies.
 pub fn catalogue(upstream: SocketAddr) -> Catalogue {
     let by_key = |key: &str| format!(r#"{{"by": "key", "key": {key}, "slices": {SLICES}}}"#);
     let entry = |name: &str, class: &str, sharding: &str, echo: bool| {
+        let bytes = if name == "bulk" { 32 << 20 } else { 65_536 };
         format!(
             r#""{name}": {{"owners": ["op"], "path": "{name}", "class": "{class}",
             "sharding": {sharding}, "deadline_ms": 2000, "verify_echo": {echo},
-            "limits": {{"request_bytes": 65536, "answer_bytes": 65536, "queue": 64}}}}"#
+            "limits": {{"request_bytes": {bytes}, "answer_bytes": {bytes}, "queue": 64}}}}"#
         )
     };
     let server = |name: &str| {
@@ -84,7 +86,7 @@
             "slots": 4}}"#
         )
     };
-    let names = ["look", "seg", "any", "echo"];
+    let names = ["look", "seg", "any", "echo", "bulk"];
     let entries = [
         entry(
             "look",
@@ -99,6 +101,7 @@
             false,
         ),
         entry("any", "non-idempotent", r#"{"by": "none"}"#, false),
+        entry("bulk", "non-idempotent", r#"{"by": "none"}"#, false),
         entry("echo", "non-idempotent", r#"{"by": "none"}"#, true),
     ];
     let text = format!(
--- a/crates/gate/tests/support/upstream.rs
+++ b/crates/gate/tests/support/upstream.rs
@@ -134,6 +134,9 @@
             write(stream, &answer(409, &head, "old epoch")).await
         }
         "huge" => write(stream, &answer(200, "", &"x".repeat(70_000))).await,
+        "big" => write(stream, &answer(200, "", &"x".repeat(60_000))).await,
+        "bulk" => write(stream, &answer(200, "", &"x".repeat(17 << 20))).await,
+        "head" => write(stream, "HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n").await,
         "twice" => write(stream, &format!("{whole}{whole}")).await,
         "late-extra" => {
             let sent = write(stream, &whole).await;
