--- a/crates/measure/src/policy/planned.rs
+++ b/crates/measure/src/policy/planned.rs
@@ -165,9 +165,9 @@
                 if self.admitted(now, to, &wish) {
                     self.cost.carved += 1;
                     self.ownership.carve(key, slice, to.index());
-                    let hot = key.hot_slice();
-                    self.hosts[host].loads.assign(now, hot, to, load);
-                    self.receive(now, host, hot, to, load);
+                    let own_slice = key.hot_slice();
+                    self.hosts[host].loads.assign(now, own_slice, to, load);
+                    self.receive(now, host, own_slice, to, load);
                 }
             }
         }
