Check addresses of settings with their place; name what replaced a change

An address that is none was reported for the whole settings file. A repeated apply whose change was accepted and replaced since said only that it was accepted.

--- a/crates/catalogue/src/declare.rs
+++ b/crates/catalogue/src/declare.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::shape::AddressSchema;
+
 /// All that is declared.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
@@ -173,7 +175,7 @@
     /// Entry that it serves.
     pub entry: EntryId,
     /// Address (IP and port).
-    #[schemars(extend("format" = "ip-and-port"))]
+    #[schemars(with = "AddressSchema")]
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: DomainId,
--- a/crates/catalogue/src/shape.rs
+++ b/crates/catalogue/src/shape.rs
@@ -1,5 +1,6 @@
 //! The shape of declarations: JSON schemas, and all faults against them.
 
+use std::borrow::Cow;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::LazyLock;
@@ -10,14 +11,32 @@
 use jsonschema::{ValidationError, Validator};
 use schemars::generate::SchemaSettings;
 use schemars::transform::RecursiveTransform;
-use schemars::{JsonSchema, Schema};
+use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
 use serde_json::Value;
 
 use crate::declare::{Domain, Entry, Upstream};
 use crate::strict;
 
 /// Format name of an address in the schemas.
-pub(crate) const ADDRESS_FORMAT: &str = "ip-and-port";
+const ADDRESS_FORMAT: &str = "ip-and-port";
+
+/// The schema of an address; stands in for [`SocketAddr`], whose own schema takes any text.
+#[derive(Debug)]
+pub struct AddressSchema;
+
+impl JsonSchema for AddressSchema {
+    fn inline_schema() -> bool {
+        true
+    }
+
+    fn schema_name() -> Cow<'static, str> {
+        "Address".into()
+    }
+
+    fn json_schema(_generator: &mut SchemaGenerator) -> Schema {
+        json_schema!({"type": "string", "format": ADDRESS_FORMAT})
+    }
+}
 
 pub(crate) const NAME_RULE: &str = "1 to 96 of a-z, A-Z, 0-9, '-', '_' and '.'";
 
--- a/crates/operate/src/render.rs
+++ b/crates/operate/src/render.rs
@@ -128,7 +128,8 @@
 
 fn accepted(version: Version, change: &ids::ChangeId, again: bool, plan: &Plan) -> String {
     if again {
-        return format!("change {change} was accepted before: version {version}");
+        let since = lines(&plan.conflicts, |other| format!("! since then, {other}"));
+        return format!("{since}change {change} was accepted before: version {version}");
     }
     let changes = lines(&plan.changes, item_change);
     let moves = lines(&plan.moves, moved);
--- a/crates/operate/src/settings.rs
+++ b/crates/operate/src/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, anyhow};
+use catalogue::shape::AddressSchema;
 use ids::OperatorId;
 use platform::{HttpPlatform, HttpSettings, Token};
 use schemars::JsonSchema;
@@ -34,10 +35,12 @@
     /// File with the token.
     pub token_file: Option<PathBuf>,
     /// The platform's address.
+    #[schemars(with = "Option<AddressSchema>")]
     pub platform: Option<SocketAddr>,
     /// Time for one call to the platform, in milliseconds.
     pub timeout_ms: Option<u32>,
     /// Addresses of entry hosts, for `status` and for waiting until a change is in force.
+    #[schemars(with = "Vec<AddressSchema>")]
     pub hosts: Vec<SocketAddr>,
 }
 
--- a/crates/operate/tests/outages.rs
+++ b/crates/operate/tests/outages.rs
@@ -170,6 +170,11 @@
         (&second.json["version"], &second.json["again"]),
         (&json!(2), &json!(true))
     );
+    assert!(
+        second
+            .text
+            .contains("since then, entry/slotbook: changed by anna")
+    );
     assert_eq!(versions(&platform), 3);
     let shown = report(show::show(&platform, &["entry/slotbook".parse().unwrap()], None).await);
     assert_eq!(shown.json["items"][0]["body"]["limits"]["queue"], 77);
--- a/crates/operate/tests/settings.rs
+++ b/crates/operate/tests/settings.rs
@@ -71,6 +71,11 @@
     let dir = write(r#"{"operater": "anna"}"#);
     let e = OperatorSettings::load(Some(&dir.path().join("operator.json"))).unwrap_err();
     assert!(e.to_string().contains("at /operater"), "{e}");
+    let dir = write(r#"{"platform": "10.0.0.1", "hosts": ["10.0.0.2:80", ":80"]}"#);
+    let e = OperatorSettings::load(Some(&dir.path().join("operator.json"))).unwrap_err();
+    let e = e.to_string();
+    assert!(e.contains("at /platform: found \"10.0.0.1\""), "{e}");
+    assert!(e.contains("at /hosts/1: found \":80\""), "{e}");
 }
 
 /// The command line as the binary mounts it.
