Measure the data path, overload and quiet control

Three commands run real processes of the program: `measure path` takes turns between the direct way, one hop and the in-domain hop on the same upstreams; `measure overload` goes to three times the capacity and back; `measure control` gives what quiet hosts cost, with slopes by least squares. CPU time comes from the scheduler's counts per thread, bytes from the hosts' status, calls of the table from the stand-in. `medlardyke measure` and `medlardyke report` are part of the command line now.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -40,6 +40,12 @@
     Standin(StandinCommand),
     /// Runs real processes under load and faults, and judges the outcome.
     Trial(trial::Args),
+    /// Measures; prints a JSON line per case.
+    #[command(after_help = "Example: medlardyke measure path --seed 1")]
+    Measure(measure::MeasureArgs),
+    /// Turns JSON lines of measurements into one page that compares them.
+    #[command(after_help = "Example: medlardyke report before.jsonl after.jsonl --out report.html")]
+    Report(measure::ReportArgs),
     /// Asks entry hosts how they are.
     #[command(after_help = "Example: medlardyke status 127.0.0.1:8080 --json")]
     Status(StatusArgs),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -22,6 +22,8 @@
         Command::Catalogue(args) => parts::catalogue(args),
         Command::Standin(command) => parts::standin(&command),
         Command::Trial(args) => parts::trial(&args),
+        Command::Measure(args) => parts::measure(&args),
+        Command::Report(args) => parts::report(&args),
         Command::Status(args) => status::run(&args),
     }
 }
--- a/crates/cli/src/parts.rs
+++ b/crates/cli/src/parts.rs
@@ -36,3 +36,20 @@
         Err(e) => exit::fail(exit::FAILED, format!("{e:#}")),
     }
 }
+
+/// Runs a measurement.
+pub(crate) fn measure(args: &measure::MeasureArgs) -> ExitCode {
+    done(measure::run_measure(args))
+}
+
+/// Writes the page that compares measurements.
+pub(crate) fn report(args: &measure::ReportArgs) -> ExitCode {
+    done(measure::run_report(args))
+}
+
+fn done(result: anyhow::Result<()>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::from(exit::OK),
+        Err(e) => exit::fail(exit::FAILED, format!("{e:#}")),
+    }
+}
--- a/crates/measure/src/args.rs
+++ b/crates/measure/src/args.rs
@@ -6,6 +6,7 @@
 use clap::{Args, Subcommand, ValueEnum};
 use smol_str::SmolStr;
 
+use crate::path::{self, args as path_args};
 use crate::workload::WorkloadSettings;
 use crate::{keep_alive, loss, placement, report, scaling};
 
@@ -56,6 +57,12 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Latency added by one hop and by two, against none, with real processes.
+    Path(path_args::AddedArgs),
+    /// Goodput and refusals at up to three times the capacity, with real processes.
+    Overload(path_args::OverloadArgs),
+    /// Cost of quiet hosts against hosts, upstreams and slices, with real processes.
+    Control(path_args::ControlArgs),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -130,6 +137,9 @@
         What::Loss { seed } => loss::run(*seed),
         What::Scaling { seed } => scaling::run(*seed),
         What::KeepAlive { seed } => keep_alive::run(*seed),
+        What::Path(args) => path::block_on(path::added::run(args)),
+        What::Overload(args) => path::block_on(path::overload::run(args)),
+        What::Control(args) => path::block_on(path::control::run(args)),
     }
 }
 
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -13,12 +13,14 @@
 //! - [`scaling`]: the planner's time and memory against slices and upstreams.
 //! - [`keep_alive`]: rules for closing idle upstream connections.
 //! - [`line`]: writing and reading JSON lines.
+//! - [`path`]: the cost of the data path, overload and quiet control, with real processes.
 //! - [`report`]: one page that compares two sets of lines.
 
 pub mod args;
 pub mod keep_alive;
 pub mod line;
 pub mod loss;
+pub mod path;
 pub mod placement;
 pub mod policy;
 pub mod report;
--- /dev/null
+++ b/crates/measure/src/path/added.rs
@@ -0,0 +1,281 @@
+//! Latency added by one hop and by two, against none, on the same upstreams in one run.
+//!
+//! The ways take turns under the same load, so that what else the machine does hits all of them
+//! alike; each figure is the median of the turns.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+use standin::load::{Latencies, Summary};
+use standin::upstream::settings::ServiceTime;
+use standin::{LoadSettings, load};
+
+use super::args::AddedArgs;
+use super::cluster::{Cluster, ClusterSettings, HostProcess, HostStatus};
+use super::fit::median;
+use super::machine::load_average;
+use super::usage::Reading;
+use crate::line;
+
+/// Length of the load that each way gets before the first turn, in milliseconds.
+const WARM_UP_MS: u64 = 500;
+/// How often a rate is measured anew because the upstreams were handed to another host meanwhile.
+const ATTEMPTS: u32 = 5;
+
+/// A way from the load generator to the upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Way {
+    /// Past all hosts.
+    Direct,
+    /// Through the host that coordinates the upstreams.
+    OneHop,
+    /// Through another host of the domain, which hands on to that one.
+    InDomainHop,
+}
+
+impl Way {
+    const ALL: [Self; 3] = [Self::Direct, Self::OneHop, Self::InDomainHop];
+}
+
+/// What one way gave in one turn.
+#[derive(Debug, Clone)]
+struct Turn {
+    summary: Summary,
+    used: Vec<Reading>,
+}
+
+/// What all ways gave at one rate.
+#[derive(Debug)]
+struct Measured {
+    share: f64,
+    rate_per_s: f64,
+    /// Number of the host that coordinated all upstreams.
+    coordinator: usize,
+    turns: Vec<[Turn; 3]>,
+}
+
+/// Percentiles, in microseconds.
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Serialize)]
+struct Percentiles {
+    #[serde(rename = "p50_us")]
+    p50: f64,
+    #[serde(rename = "p99_us")]
+    p99: f64,
+    #[serde(rename = "p999_us")]
+    p999: f64,
+}
+
+/// One way at one rate.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct Line {
+    kind: &'static str,
+    way: Way,
+    share: SmolStr,
+    seed: u64,
+    rate_per_s: f64,
+    turns: u32,
+    goodput_per_s: f64,
+    refused: u64,
+    latency: Percentiles,
+    /// Against the direct way of the same turn.
+    added: Percentiles,
+    /// CPU time of all hosts for each request, in microseconds.
+    cpu_us_per_request: f64,
+    /// Requests a second that one core of the hosts would carry at that cost.
+    requests_per_core_s: f64,
+    /// CPU time for each request by thread, in microseconds.
+    threads_us: indexmap::IndexMap<SmolStr, f64>,
+    /// Resident memory of the coordinating host after the last turn, in kibibytes.
+    coordinator_rss_kib: u64,
+    /// The same of the other host.
+    other_rss_kib: u64,
+    load_average: f64,
+}
+
+/// Runs `medlardyke measure path`.
+///
+/// # Errors
+///
+/// Fails if the processes don't start or a result can't be written.
+pub async fn run(args: &AddedArgs) -> anyhow::Result<()> {
+    let cfg = ClusterSettings {
+        upstreams: args.upstreams,
+        service: ServiceTime::Fixed {
+            ms: args.service_ms,
+        },
+        seed: args.seed,
+        ..ClusterSettings::new()?
+    };
+    let mut cluster = Cluster::start(cfg).await?;
+    cluster.start_hosts(1).await?;
+    cluster.settled().await?;
+    cluster.start_hosts(2).await?;
+    for share in &args.shares {
+        measure(args, &cluster, *share).await?;
+    }
+    Ok(())
+}
+
+/// Measures until the same host has coordinated all upstreams from the first turn to the last.
+async fn measure(args: &AddedArgs, cluster: &Cluster, share: f64) -> anyhow::Result<()> {
+    for _ in 0..ATTEMPTS {
+        let coordinator = coordinator(&cluster.settled().await?);
+        let Some(coordinator) = coordinator else {
+            continue;
+        };
+        let turns = take_turns(args, cluster, share, coordinator).await?;
+        if self::coordinator(&cluster.statuses().await?) != Some(coordinator) {
+            continue;
+        }
+        let measured = Measured {
+            share,
+            rate_per_s: cluster.capacity_per_s() * share,
+            coordinator,
+            turns,
+        };
+        for way in Way::ALL {
+            line::print(&sum_up(args, way, &measured))?;
+        }
+        return Ok(());
+    }
+    anyhow::bail!("the upstreams were handed to another host in each of {ATTEMPTS} attempts")
+}
+
+/// Returns the host that coordinates all upstreams, if one does.
+fn coordinator(statuses: &[HostStatus]) -> Option<usize> {
+    let mut coordinating = (0..statuses.len()).filter(|n| !statuses[*n].upstreams.is_empty());
+    let first = coordinating.next()?;
+    coordinating.next().is_none().then_some(first)
+}
+
+async fn take_turns(
+    args: &AddedArgs,
+    cluster: &Cluster,
+    share: f64,
+    coordinator: usize,
+) -> anyhow::Result<Vec<[Turn; 3]>> {
+    let rate_per_s = cluster.capacity_per_s() * share;
+    let mut turns = Vec::new();
+    let targets = Way::ALL.map(|way| targets(cluster, way, coordinator));
+    for targets in &targets {
+        turn(cluster, targets, rate_per_s, WARM_UP_MS, args.seed).await?;
+    }
+    for n in 0..args.turns {
+        let seed = args.seed.wrapping_add(u64::from(n));
+        let ms = args.turn_ms;
+        turns.push([
+            turn(cluster, &targets[0], rate_per_s, ms, seed).await?,
+            turn(cluster, &targets[1], rate_per_s, ms, seed).await?,
+            turn(cluster, &targets[2], rate_per_s, ms, seed).await?,
+        ]);
+    }
+    Ok(turns)
+}
+
+async fn turn(
+    cluster: &Cluster,
+    targets: &[SocketAddr],
+    rate_per_s: f64,
+    duration_ms: u64,
+    seed: u64,
+) -> anyhow::Result<Turn> {
+    let before = readings(cluster)?;
+    let cfg = LoadSettings {
+        rate_per_s,
+        duration_ms,
+        seed,
+        ..cluster.load(targets.to_vec())
+    };
+    let run = load::run(cfg).await?;
+    let after = readings(cluster)?;
+    let used = after.iter().zip(&before).map(|(a, b)| a.since(b));
+    Ok(Turn {
+        summary: run.summary,
+        used: used.collect(),
+    })
+}
+
+fn targets(cluster: &Cluster, way: Way, coordinator: usize) -> Vec<SocketAddr> {
+    match way {
+        Way::Direct => cluster.upstreams.clone(),
+        Way::OneHop => vec![cluster.hosts[coordinator].callers],
+        Way::InDomainHop => vec![cluster.hosts[1 - coordinator].callers],
+    }
+}
+
+fn readings(cluster: &Cluster) -> anyhow::Result<Vec<Reading>> {
+    cluster.hosts.iter().map(HostProcess::reading).collect()
+}
+
+fn sum_up(args: &AddedArgs, way: Way, measured: &Measured) -> Line {
+    let Measured {
+        share,
+        rate_per_s,
+        coordinator,
+        turns,
+    } = measured;
+    let own = || turns.iter().map(|t| &t[way as usize]);
+    let latency = |of: fn(&Latencies) -> u64| median(own().map(|t| of(&t.summary.answers) as f64));
+    let added = |of: fn(&Latencies) -> u64| {
+        median(turns.iter().map(|t| {
+            let direct = of(&t[Way::Direct as usize].summary.answers);
+            of(&t[way as usize].summary.answers) as f64 - direct as f64
+        }))
+    };
+    let percentiles = |value: &dyn Fn(fn(&Latencies) -> u64) -> f64| Percentiles {
+        p50: value(|l| l.p50_us),
+        p99: value(|l| l.p99_us),
+        p999: value(|l| l.p999_us),
+    };
+    let cpu_us_per_request = median(own().map(|t| {
+        let cpu: Duration = t.used.iter().map(Reading::cpu).sum();
+        micros(cpu) / t.summary.sent.max(1) as f64
+    }));
+    let last = turns.last().map(|t| &t[way as usize].used);
+    let rss_kib = |host: usize| last.map_or(0, |used| used[host].rss_kib);
+    Line {
+        kind: "path",
+        way,
+        share: format!("{share}").into(),
+        seed: args.seed,
+        rate_per_s: *rate_per_s,
+        turns: args.turns,
+        goodput_per_s: median(own().map(|t| t.summary.goodput_per_s)),
+        refused: own().map(|t| t.summary.sent - t.summary.answered).sum(),
+        latency: percentiles(&latency),
+        added: percentiles(&added),
+        cpu_us_per_request,
+        requests_per_core_s: 1e6 / cpu_us_per_request,
+        threads_us: threads(own()),
+        coordinator_rss_kib: rss_kib(*coordinator),
+        other_rss_kib: rss_kib(1 - coordinator),
+        load_average: load_average(),
+    }
+}
+
+/// Returns the CPU time for each request by thread, over all hosts and turns.
+fn threads<'a>(turns: impl Iterator<Item = &'a Turn>) -> indexmap::IndexMap<SmolStr, f64> {
+    let mut micros_of = indexmap::IndexMap::<SmolStr, f64>::new();
+    let mut sent = 0;
+    for turn in turns {
+        sent += turn.summary.sent;
+        let threads = turn.used.iter().flat_map(|r| &r.threads);
+        for (name, cpu) in threads {
+            *micros_of.entry(name.clone()).or_default() += micros(*cpu);
+        }
+    }
+    for value in micros_of.values_mut() {
+        *value /= sent.max(1) as f64;
+    }
+    micros_of
+}
+
+fn micros(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e6
+}
--- /dev/null
+++ b/crates/measure/src/path/control.rs
@@ -0,0 +1,302 @@
+//! Cost of quiet hosts against hosts, upstreams and slices.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use smol_str::SmolStr;
+use standin::platform::Counters;
+use tokio::time::sleep;
+
+use super::args::ControlArgs;
+use super::cluster::{Cluster, ClusterSettings, HostProcess, HostStatus, Traffic};
+use super::fit;
+use super::machine::load_average;
+use super::usage::Reading;
+use crate::line;
+
+/// Time after readiness in which the hosts come to rest.
+const REST: Duration = Duration::from_secs(3);
+
+/// How large a cluster is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+struct Size {
+    hosts: usize,
+    domains: usize,
+    upstreams: usize,
+    slices: u32,
+}
+
+/// What quiet costs; means are over hosts.
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Serialize)]
+struct Cost {
+    /// Part of a core, in percent.
+    cpu_percent: f64,
+    /// Part of a core that the control thread takes, in percent.
+    control_cpu_percent: f64,
+    /// The same of the host that takes most.
+    max_cpu_percent: f64,
+    /// Bytes sent to other hosts, upstreams and platform, a second.
+    sent_bytes_per_s: f64,
+    /// Bytes received from them, a second.
+    received_bytes_per_s: f64,
+    /// Sent and received by the host with most.
+    max_bytes_per_s: f64,
+    /// Sent to and received from other hosts.
+    hosts_bytes_per_s: f64,
+    /// Sent to and received from upstreams.
+    upstreams_bytes_per_s: f64,
+    /// Sent to and received from the platform.
+    platform_bytes_per_s: f64,
+    rss_kib: f64,
+    /// Calls to the platform by all hosts together, a second.
+    table_reads_per_s: f64,
+    /// Likewise.
+    table_writes_per_s: f64,
+    /// Likewise, of the list of hosts.
+    list_reads_per_s: f64,
+}
+
+#[derive(Debug)]
+#[derive(Serialize)]
+struct Line {
+    kind: &'static str,
+    #[serde(flatten)]
+    size: Size,
+    seed: u64,
+    #[serde(flatten)]
+    cost: Cost,
+    load_average: f64,
+}
+
+#[derive(Debug)]
+#[derive(Serialize)]
+struct SlopeLine {
+    kind: &'static str,
+    against: Cause,
+    of: SmolStr,
+    #[serde(flatten)]
+    line: fit::Line,
+}
+
+/// What all hosts and the platform say at one moment.
+struct Moment {
+    at: Instant,
+    used: Vec<Reading>,
+    statuses: Vec<HostStatus>,
+    platform: Counters,
+}
+
+/// Runs `medlardyke measure control`.
+///
+/// # Errors
+///
+/// Fails if the processes don't start or a result can't be written.
+pub async fn run(args: &ControlArgs) -> anyhow::Result<()> {
+    let mut measured: Vec<(Size, Cost)> = Vec::new();
+    for size in sizes(args)? {
+        let cost = measure(args, size).await?;
+        line::print(&Line {
+            kind: "control",
+            size,
+            seed: args.seed,
+            cost,
+            load_average: load_average(),
+        })?;
+        measured.push((size, cost));
+    }
+    print_slopes(&measured)
+}
+
+/// Each list is gone through with the first of the others.
+fn sizes(args: &ControlArgs) -> anyhow::Result<Vec<Size>> {
+    let lists = [&args.hosts, &args.upstreams, &args.domains];
+    let is_empty = lists.iter().any(|l| l.is_empty()) || args.slices.is_empty();
+    anyhow::ensure!(!is_empty, "each list needs a number");
+    let base = Size {
+        hosts: args.hosts[0],
+        domains: args.domains[0],
+        upstreams: args.upstreams[0],
+        slices: args.slices[0],
+    };
+    let mut sizes = vec![base];
+    let hosts = args.hosts[1..].iter();
+    sizes.extend(hosts.map(|&hosts| Size { hosts, ..base }));
+    let upstreams = args.upstreams[1..].iter();
+    sizes.extend(upstreams.map(|&upstreams| Size { upstreams, ..base }));
+    let slices = args.slices[1..].iter();
+    sizes.extend(slices.map(|&slices| Size { slices, ..base }));
+    let domains = args.domains[1..].iter();
+    sizes.extend(domains.map(|&domains| Size { domains, ..base }));
+    Ok(sizes)
+}
+
+async fn measure(args: &ControlArgs, size: Size) -> anyhow::Result<Cost> {
+    let cfg = ClusterSettings {
+        domains: size.domains,
+        upstreams: size.upstreams,
+        slices: Some(size.slices),
+        checks_grants: true,
+        upstream_processes: false,
+        seed: args.seed,
+        ..ClusterSettings::new()?
+    };
+    let mut cluster = Cluster::start(cfg).await?;
+    cluster.start_hosts(size.hosts).await?;
+    cluster.settled().await?;
+    sleep(REST).await;
+    let before = moment(&cluster).await?;
+    sleep(Duration::from_millis(args.measure_ms)).await;
+    let after = moment(&cluster).await?;
+    Ok(cost(&before, &after))
+}
+
+async fn moment(cluster: &Cluster) -> anyhow::Result<Moment> {
+    let used = cluster.hosts.iter().map(HostProcess::reading);
+    Ok(Moment {
+        at: Instant::now(),
+        used: used.collect::<anyhow::Result<_>>()?,
+        statuses: cluster.statuses().await?,
+        platform: cluster.platform.counters().await?,
+    })
+}
+
+fn cost(before: &Moment, after: &Moment) -> Cost {
+    let seconds = after.at.duration_since(before.at).as_secs_f64();
+    let used: Vec<Reading> = after
+        .used
+        .iter()
+        .zip(&before.used)
+        .map(|(a, b)| a.since(b))
+        .collect();
+    let traffic: Vec<Traffic> = after
+        .statuses
+        .iter()
+        .zip(&before.statuses)
+        .map(|(a, b)| a.traffic.since(b.traffic))
+        .collect();
+    let percent = |cpu: Duration| cpu.as_secs_f64() / seconds * 100.0;
+    let control = |r: &Reading| r.threads.get("control").copied().unwrap_or_default();
+    let mean_of =
+        |of: &dyn Fn(&Traffic) -> u64| mean(traffic.iter().map(|t| of(t) as f64 / seconds));
+    let platform =
+        |of: fn(&Counters) -> u64| (of(&after.platform) - of(&before.platform)) as f64 / seconds;
+    Cost {
+        cpu_percent: mean(used.iter().map(|r| percent(r.cpu()))),
+        control_cpu_percent: mean(used.iter().map(|r| percent(control(r)))),
+        max_cpu_percent: max(used.iter().map(|r| percent(r.cpu()))),
+        sent_bytes_per_s: mean_of(&Traffic::sent),
+        received_bytes_per_s: mean_of(&Traffic::received),
+        max_bytes_per_s: max(traffic
+            .iter()
+            .map(|t| (t.sent() + t.received()) as f64 / seconds)),
+        hosts_bytes_per_s: mean_of(&|t| t.hosts.both()),
+        upstreams_bytes_per_s: mean_of(&|t| t.upstreams.both()),
+        platform_bytes_per_s: mean_of(&|t| t.platform.both()),
+        rss_kib: mean(used.iter().map(|r| r.rss_kib as f64)),
+        table_reads_per_s: platform(|c| c.change_reads),
+        table_writes_per_s: platform(|c| c.writes),
+        list_reads_per_s: platform(|c| c.host_reads),
+    }
+}
+
+fn mean(values: impl ExactSizeIterator<Item = f64>) -> f64 {
+    let count = values.len().max(1) as f64;
+    values.sum::<f64>() / count
+}
+
+fn max(values: impl Iterator<Item = f64>) -> f64 {
+    values.fold(0.0, f64::max)
+}
+
+/// What is varied while the rest stays as it is in the first size.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Cause {
+    Hosts,
+    Upstreams,
+    Slices,
+    Domains,
+}
+
+impl Cause {
+    const ALL: [Self; 4] = [Self::Hosts, Self::Upstreams, Self::Slices, Self::Domains];
+
+    /// Returns the number that is varied.
+    fn of(self, size: Size) -> f64 {
+        match self {
+            Self::Hosts => size.hosts as f64,
+            Self::Upstreams => size.upstreams as f64,
+            Self::Slices => f64::from(size.slices),
+            Self::Domains => size.domains as f64,
+        }
+    }
+
+    /// Returns `size` with this number taken from `base`.
+    const fn reset(self, size: Size, base: Size) -> Size {
+        match self {
+            Self::Hosts => Size {
+                hosts: base.hosts,
+                ..size
+            },
+            Self::Upstreams => Size {
+                upstreams: base.upstreams,
+                ..size
+            },
+            Self::Slices => Size {
+                slices: base.slices,
+                ..size
+            },
+            Self::Domains => Size {
+                domains: base.domains,
+                ..size
+            },
+        }
+    }
+}
+
+fn print_slopes(measured: &[(Size, Cost)]) -> anyhow::Result<()> {
+    let Some((base, _)) = measured.first().copied() else {
+        return Ok(());
+    };
+    for against in Cause::ALL {
+        let varied = measured
+            .iter()
+            .filter(|(size, _)| against.reset(*size, base) == base);
+        for (of, points) in points(against, varied)? {
+            let Some(line) = fit::line(&points) else {
+                continue;
+            };
+            line::print(&SlopeLine {
+                kind: "control-slope",
+                against,
+                of,
+                line,
+            })?;
+        }
+    }
+    Ok(())
+}
+
+/// Returns points of (cause, cost) for each figure of the cost.
+fn points<'a>(
+    against: Cause,
+    varied: impl Iterator<Item = &'a (Size, Cost)>,
+) -> anyhow::Result<IndexMap<SmolStr, Vec<(f64, f64)>>> {
+    let mut points: IndexMap<SmolStr, Vec<(f64, f64)>> = IndexMap::new();
+    for (size, cost) in varied {
+        let costs = serde_json::to_value(cost)?;
+        for (of, value) in costs.as_object().into_iter().flatten() {
+            let value = value.as_f64().unwrap_or_default();
+            let of = SmolStr::new(of);
+            points
+                .entry(of)
+                .or_default()
+                .push((against.of(*size), value));
+        }
+    }
+    Ok(points)
+}
--- /dev/null
+++ b/crates/measure/src/path/fit.rs
@@ -0,0 +1,53 @@
+//! Medians, and slopes by least squares.
+
+use serde::Serialize;
+
+/// A straight line through measured points.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
+pub struct Line {
+    /// Rise for each unit of the cause.
+    pub slope: f64,
+    /// Value where the cause is zero.
+    pub intercept: f64,
+    /// Part of the variance that the line explains, at most one.
+    pub r_squared: f64,
+}
+
+/// Fits a line through points of (cause, effect) by least squares.
+///
+/// Returns nothing if all causes are the same.
+#[must_use]
+pub fn line(points: &[(f64, f64)]) -> Option<Line> {
+    let n = points.len() as f64;
+    let mean_x = points.iter().map(|p| p.0).sum::<f64>() / n;
+    let mean_y = points.iter().map(|p| p.1).sum::<f64>() / n;
+    let xx: f64 = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum();
+    let yy: f64 = points.iter().map(|p| (p.1 - mean_y).powi(2)).sum();
+    let xy: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
+    if points.len() < 2 || xx == 0.0 {
+        return None;
+    }
+    let slope = xy / xx;
+    let r_squared = if yy == 0.0 { 1.0 } else { xy * xy / (xx * yy) };
+    Some(Line {
+        slope,
+        intercept: mean_y - slope * mean_x,
+        r_squared,
+    })
+}
+
+/// Returns the median; zero of nothing.
+#[must_use]
+pub fn median(values: impl IntoIterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.into_iter().collect();
+    if values.is_empty() {
+        return 0.0;
+    }
+    values.sort_by(f64::total_cmp);
+    let mid = values.len() / 2;
+    if values.len() % 2 == 1 {
+        return values[mid];
+    }
+    f64::midpoint(values[mid - 1], values[mid])
+}
--- /dev/null
+++ b/crates/measure/src/path/usage.rs
@@ -0,0 +1,71 @@
+//! CPU time of each thread, and memory, of a process, from `/proc`.
+
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+
+/// What a process has used so far.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Reading {
+    /// CPU time by the name of the thread; threads of one name are summed up.
+    pub threads: IndexMap<SmolStr, Duration>,
+    /// Resident memory, in kibibytes.
+    pub rss_kib: u64,
+}
+
+impl Reading {
+    /// Reads what the process with this id has used; nothing if it is gone.
+    #[must_use]
+    pub fn of(pid: u32) -> Option<Self> {
+        let process = format!("/proc/{pid}");
+        let mut reading = Self {
+            threads: IndexMap::new(),
+            rss_kib: rss_kib(Path::new(&process))?,
+        };
+        for thread in fs::read_dir(format!("{process}/task")).ok()?.flatten() {
+            // A thread may end while the others are read.
+            if let Some((name, cpu)) = thread_of(&thread.path()) {
+                *reading.threads.entry(name).or_default() += cpu;
+            }
+        }
+        reading.threads.sort_unstable_keys();
+        Some(reading)
+    }
+
+    /// Returns the CPU time of all threads.
+    #[must_use]
+    pub fn cpu(&self) -> Duration {
+        self.threads.values().sum()
+    }
+
+    /// Returns what was used since an earlier reading of the same process; the memory is that of
+    /// this one.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        let used = |(name, cpu): (&SmolStr, &Duration)| {
+            let before = earlier.threads.get(name).copied().unwrap_or_default();
+            (name.clone(), cpu.saturating_sub(before))
+        };
+        Self {
+            threads: self.threads.iter().map(used).collect(),
+            rss_kib: self.rss_kib,
+        }
+    }
+}
+
+/// Reads the name of a thread and its CPU time, which the scheduler counts in nanoseconds.
+fn thread_of(thread: &Path) -> Option<(SmolStr, Duration)> {
+    let name = fs::read_to_string(thread.join("comm")).ok()?;
+    let times = fs::read_to_string(thread.join("schedstat")).ok()?;
+    let nanos = times.split_whitespace().next()?.parse().ok()?;
+    Some((SmolStr::new(name.trim()), Duration::from_nanos(nanos)))
+}
+
+fn rss_kib(process: &Path) -> Option<u64> {
+    let status = fs::read_to_string(process.join("status")).ok()?;
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
