spread: figures, and suspects judged by their own heartbeat times

Evidence waits for all levels below; one long transfer at a time; relays tell their siblings of catalogue rows they find first.

--- a/crates/spread/src/member.rs
+++ b/crates/spread/src/member.rs
@@ -80,6 +80,8 @@
     news: BTreeMap<HostId, BTreeSet<HostId>>,
     /// When all records of another host were last asked for.
     synced_at: Timestamp,
+    /// When a page that is not the last of its transfer came.
+    paged_at: Option<Timestamp>,
     /// When evidence last came from the preferred feeder.
     fed_at: Timestamp,
     /// Whether whole rows must be asked for.
@@ -118,6 +120,7 @@
             knowledge: Knowledge::default(),
             news: BTreeMap::new(),
             synced_at: Timestamp::ZERO,
+            paged_at: None,
             fed_at: now,
             misfit: false,
             budget_at: now,
@@ -144,7 +147,7 @@
                 since,
                 began,
                 changes,
-            } => self.table_read(now, prefix, since, began, changes),
+            } => self.table_read(now, prefix, since, began, changes, actions),
             Event::Rows(rows) => self.committed(now, &rows, actions),
             Event::Pairs(hosts) => self.pairs = hosts.into_iter().collect(),
             Event::Leaving => self.leave(now),
--- a/crates/spread/src/member/beats.rs
+++ b/crates/spread/src/member/beats.rs
@@ -229,7 +229,12 @@
         };
         let connected = candidates.into_iter().filter(|h| self.is_connected(h));
         let feeds = [Feed::Full, Feed::Standby];
-        connected.zip(feeds).collect()
+        // One long transfer at a time is enough.
+        let busy = self
+            .paged_at
+            .is_some_and(|at| now.since(at) < self.cfg.resend_after);
+        let count = if busy { 1 } else { feeds.len() };
+        connected.zip(feeds).take(count).collect()
     }
 
     fn connected_mates(&self) -> Vec<HostId> {
@@ -338,6 +343,7 @@
             let sync = self.wants_sync(now, &host);
             let peer = self.peers.entry(host.clone()).or_default();
             peer.expected.get_or_insert(now);
+            peer.every = target.every;
             peer.beat_due = peer.beat_due.min(peer.beat_sent + target.every);
             if !peer.connected || now < peer.beat_due {
                 continue;
@@ -389,14 +395,10 @@
     }
 
     /// Brings the next heartbeats to feeders forward, so that each asks for evidence as soon as
-    /// the last was given; a host with hosts of its own to feed lets them ask first.
+    /// the last was given. A host waits for all levels of hosts below it to ask first, so that
+    /// one read of the table serves them all.
     pub(super) fn hasten_beats(&mut self, now: Timestamp, feeders: &[(HostId, Feed)]) {
-        let feeds_others = self.peers.values().any(|p| p.fed.feed != Feed::None);
-        let settle = if feeds_others {
-            self.cfg.settle
-        } else {
-            Duration::ZERO
-        };
+        let settle = self.cfg.settle * self.roles.levels;
         let gap = self.heartbeat().mul_f64(HASTE);
         for (host, _) in feeders.iter().filter(|(_, feed)| *feed == Feed::Full) {
             if let Some(peer) = self.peers.get_mut(host) {
--- a/crates/spread/src/member/config.rs
+++ b/crates/spread/src/member/config.rs
@@ -40,7 +40,7 @@
     pub watchers: usize,
     /// Hosts of a domain up to which all of them watch each other.
     pub small_domain: usize,
-    /// Time that a host waits for its own feeders before it passes evidence's question on.
+    /// Time that a host gives each level of hosts below it to ask for evidence before it asks.
     pub settle: Duration,
     /// Lag after which a host that stands by sends changes.
     pub standby_lag: Duration,
@@ -86,7 +86,7 @@
             standby_lag: Duration::from_millis(400),
             resend_after: Duration::from_secs(1),
             page_bytes: 64 * 1024,
-            transfer_bytes_per_s: 2 * 1024 * 1024,
+            transfer_bytes_per_s: 8 * 1024 * 1024,
             join_within: Duration::from_secs(1),
             connect_first: Duration::from_millis(100),
             connect_at_most: Duration::from_secs(5),
--- a/crates/spread/src/member/feeding.rs
+++ b/crates/spread/src/member/feeding.rs
@@ -82,6 +82,10 @@
         let taken = self
             .replica
             .take_delta(&mut peer.intakes[at(prefix)], delta);
+        self.paged_at = delta.more.then_some(now).or(self.paged_at);
+        if taken.raised && !delta.more {
+            self.paged_at = None;
+        }
         if taken.misfit {
             self.misfit = true;
             peer.beat_due = now;
--- a/crates/spread/src/member/liveness.rs
+++ b/crates/spread/src/member/liveness.rs
@@ -11,6 +11,7 @@
 
 use super::event::Action;
 use super::hosts::{Merged, Record};
+use super::peer::Peer;
 use super::{Member, push};
 
 /// How much longer than usual a watcher waits for a host that it has not heard yet.
@@ -204,28 +205,22 @@
     /// Finds the hosts that count as alive but don't answer this one; it does without them until
     /// they do.
     pub(super) fn find_suspects(&mut self, now: Timestamp) {
-        let suspect = |host: &HostId| {
-            let Some(peer) = self.peers.get(host) else {
-                return false;
-            };
-            let was = self.suspects.contains(host);
-            let quiet = peer.silence(now).is_some_and(|s| s > self.silent_after());
-            let refused = !peer.connected && peer.attempts.failed_twice(&self.cfg);
-            if was {
+        let alive = |host: &HostId| self.hosts.get(host).is_some_and(Record::alive);
+        let suspect = |host: &HostId, peer: &Peer| {
+            let bound = self.silent_after().max(peer.every * 3);
+            if self.suspects.contains(host) {
                 // One that became a suspect stays so until it is heard again.
-                return peer
-                    .heard
-                    .is_none_or(|h| now.since(h) > self.silent_after())
-                    || !peer.connected;
+                let heard = peer.heard.is_some_and(|h| now.since(h) <= bound);
+                return !heard || !peer.connected;
             }
-            quiet || refused
+            let quiet = peer.silence(now).is_some_and(|s| s > bound);
+            quiet || (!peer.connected && peer.attempts.failed_twice(&self.cfg))
         };
-        let alive = self.hosts.iter().filter(|(_, r)| r.alive());
-        let others = alive.filter(|(host, _)| **host != self.me.host);
-        let suspects: BTreeSet<HostId> = others
-            .map(|(host, _)| host)
-            .filter(|host| suspect(host))
-            .cloned()
+        let suspects: BTreeSet<HostId> = self
+            .peers
+            .iter()
+            .filter(|(host, peer)| alive(host) && suspect(host, peer))
+            .map(|(host, _)| host.clone())
             .collect();
         if suspects != self.suspects {
             self.suspects = suspects;
--- a/crates/spread/src/member/peer.rs
+++ b/crates/spread/src/member/peer.rs
@@ -25,6 +25,8 @@
     pub(super) beat: u64,
     /// Since when this host expects to hear from it.
     pub(super) expected: Option<Timestamp>,
+    /// Time between heartbeats to it.
+    pub(super) every: Duration,
     /// When the next heartbeat to it is due.
     pub(super) beat_due: Timestamp,
     /// When the last heartbeat to it was sent.
--- a/crates/spread/src/member/polling.rs
+++ b/crates/spread/src/member/polling.rs
@@ -121,6 +121,7 @@
         since: Revision,
         began: Timestamp,
         changes: Option<Changes>,
+        actions: &mut Vec<Action>,
     ) {
         self.polls.prefixes[at(prefix)].asked = None;
         let Some(changes) = changes else { return };
@@ -132,6 +133,10 @@
         if self.replica.complete_up_to().get(prefix) < revision {
             return;
         }
+        if prefix == Prefix::Catalogue {
+            let newest = changes.rows.iter().map(|row| row.revision).max();
+            self.tell_siblings(prefix, newest, actions);
+        }
         self.knowledge.read(prefix, began);
         if prefix == Prefix::Own {
             self.knowledge.offer(Evidence {
@@ -160,11 +165,37 @@
             let feeder = self.feeders(now).into_iter().next();
             feeder.map(|(host, _)| host).into_iter().collect()
         };
+        self.send_hint(prefix, revision, &tell, actions);
+    }
+
+    /// Tells the other relays of rows that this one found first, so that a change of the
+    /// catalogue, which is seldom read, reaches all at once.
+    fn tell_siblings(
+        &mut self,
+        prefix: Prefix,
+        newest: Option<Revision>,
+        actions: &mut Vec<Action>,
+    ) {
+        let poll = &mut self.polls.prefixes[at(prefix)];
+        let Some(newest) = newest.filter(|n| *n > poll.hinted) else {
+            return;
+        };
+        poll.hinted = newest;
+        self.send_hint(prefix, newest, &self.roles.siblings, actions);
+    }
+
+    fn send_hint(
+        &self,
+        prefix: Prefix,
+        revision: Revision,
+        to: &[HostId],
+        actions: &mut Vec<Action>,
+    ) {
         let hint = Hint {
             prefix: prefix.to_wire(),
             revision: revision.0,
         };
-        for host in tell.iter().filter(|h| self.is_connected(h)) {
+        for host in to.iter().filter(|h| self.is_connected(h)) {
             actions.push(push(
                 host,
                 Push {
--- a/crates/spread/src/member/roles.rs
+++ b/crates/spread/src/member/roles.rs
@@ -19,6 +19,8 @@
     pub(super) relay: Option<usize>,
     /// Hosts that feed this one, the preferred one first; none for a relay.
     pub(super) feeders: Vec<HostId>,
+    /// How many levels of hosts are fed by this one, directly or through others.
+    pub(super) levels: u32,
     /// Other relays of the domain; empty if this host is none.
     pub(super) siblings: Vec<HostId>,
     /// Hosts that this one sends heartbeats to so that they watch it.
@@ -66,6 +68,7 @@
     };
     let mut roles = Roles {
         relay,
+        levels: place.map_or(0, |p| levels(cfg, p, ranked.len())),
         watchers,
         watched,
         mates: alive.to_vec(),
@@ -110,6 +113,17 @@
     feeders
 }
 
+/// How many levels of hosts stand below the one at `place` among `hosts`.
+fn levels(cfg: &Config, place: usize, hosts: usize) -> u32 {
+    let mut levels = 0;
+    let mut first = cfg.relays + place * cfg.fan_out.max(1);
+    while first < hosts {
+        levels += 1;
+        first = cfg.relays + first * cfg.fan_out.max(1);
+    }
+    levels
+}
+
 /// Who watches `me`, and whom `me` watches.
 fn watch(cfg: &Config, me: &HostId, mates: &[HostId]) -> (BTreeSet<HostId>, BTreeSet<HostId>) {
     let others = || mates.iter().filter(|h| *h != me);
--- a/crates/spread/tests/common/mod.rs
+++ b/crates/spread/tests/common/mod.rs
@@ -19,6 +19,8 @@
 pub struct Past {
     pub revision: Revision,
     states: BTreeMap<SmolStr, Vec<(Revision, Option<Bytes>)>>,
+    /// Keys that each transaction wrote.
+    log: Vec<Vec<SmolStr>>,
 }
 
 impl Past {
@@ -26,6 +28,8 @@
     pub fn commit(&mut self, writes: Vec<(SmolStr, Option<Bytes>)>) -> Vec<Row> {
         self.revision = self.revision.next();
         let revision = self.revision;
+        self.log
+            .push(writes.iter().map(|(key, _)| key.clone()).collect());
         let mut rows = Vec::new();
         for (key, value) in writes {
             let states = self.states.entry(key.clone()).or_default();
@@ -41,9 +45,20 @@
 
     /// Reads as the platform's table does.
     pub fn changes(&self, prefix: Prefix, since: Revision) -> Changes {
-        let mut rows = self.rows_at(prefix, self.revision);
-        rows.retain(|row| row.revision > since);
-        rows.sort_by_key(|row| row.revision);
+        let newer = self.log.iter().skip(since.0 as usize);
+        let last = newer
+            .flatten()
+            .filter_map(|key| Some((key, self.states[key].last()?)));
+        let below = last.filter(|(key, _)| key.starts_with(prefix.as_str()));
+        let mut rows: Vec<Row> = below
+            .map(|(key, (revision, value))| Row {
+                key: RowKey(key.clone()),
+                revision: *revision,
+                value: value.clone(),
+            })
+            .collect();
+        rows.sort_by(|a, b| (a.revision, &a.key).cmp(&(b.revision, &b.key)));
+        rows.dedup();
         Changes {
             revision: self.revision,
             rows,
--- a/crates/spread/tests/common/net.rs
+++ b/crates/spread/tests/common/net.rs
@@ -6,7 +6,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ids::{DomainId, HostId, Incarnation, Revision, Timestamp};
 use platform::{HostState, ListedHost, Row};
@@ -61,6 +61,8 @@
     pub sent_frames: u64,
     pub reads: u64,
     pub steps: u64,
+    /// Time spent in steps, by the machine's clock.
+    pub busy: Duration,
 }
 
 /// One host.
@@ -416,8 +418,10 @@
         let mut actions = Vec::new();
         let node = self.nodes.get_mut(at).unwrap();
         node.counts.steps += 1;
+        let began = Instant::now();
         node.member
             .step(self.now + node.offset, event, &mut actions);
+        node.counts.busy += began.elapsed();
         for action in actions {
             self.carry_out(at, action);
         }
