Let a planned stop leave no call between hosts in doubt

A dispatch duty that stopped closed its connections while replies were unwritten and calls unread; the entry hosts had to report those as unknown (a test of 30 calls at a stop showed it). The server now tells the other side to close, goes on refusing what still comes as not run, and ends when the other side has all replies. The duty also empties its ring before it ends.

--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -154,11 +154,7 @@
 #[must_use]
 pub fn reply_to_wire(call: u64, reply: Reply) -> frames::Reply {
     let result = match reply.result {
-        Ok(answer) => frames::Result::Answer(frames::Answer {
-            status: u32::from(answer.status.as_u16()),
-            headers: headers::to_wire(&answer.headers),
-            body: answer.body,
-        }),
+        Ok(answer) => frames::Result::Answer(answer_to_wire(answer)),
         Err(refusal) => frames::Result::Refusal(frames::Refusal {
             reason: refusal.reason.as_str().to_owned(),
             retry_after_ms: refusal.retry_after.map_or(0, |d| d.as_millis() as u32),
@@ -190,7 +186,19 @@
     }
 }
 
-fn answer_from_wire(m: frames::Answer) -> Option<Answer> {
+/// Writes an answer as its message.
+#[must_use]
+pub fn answer_to_wire(answer: Answer) -> frames::Answer {
+    frames::Answer {
+        status: u32::from(answer.status.as_u16()),
+        headers: headers::to_wire(&answer.headers),
+        body: answer.body,
+    }
+}
+
+/// Reads an answer from its message; none if a part of it is not valid.
+#[must_use]
+pub fn answer_from_wire(m: frames::Answer) -> Option<Answer> {
     let status = u16::try_from(m.status).ok()?;
     Some(Answer {
         status: StatusCode::from_u16(status).ok()?,
--- a/crates/gate/src/callers/path.rs
+++ b/crates/gate/src/callers/path.rs
@@ -38,13 +38,23 @@
 
 impl From<Reason> for Refused {
     fn from(reason: Reason) -> Self {
+        let retry_after = match reason {
+            Reason::NoCatalogue => Some(STARTING),
+            Reason::Overload => Some(CROWDED),
+            _ => None,
+        };
         Self {
             reason,
-            retry_after: None,
+            retry_after,
         }
     }
 }
 
+/// When to come back to a host that has no catalogue yet.
+const STARTING: Duration = Duration::from_secs(1);
+/// When to come back to a host that holds too many bodies.
+const CROWDED: Duration = Duration::from_millis(100);
+
 /// The entry side's state; all of it lives on the callers' thread.
 #[derive(Debug)]
 pub(crate) struct Path {
--- a/crates/gate/src/dispatch/duty.rs
+++ b/crates/gate/src/dispatch/duty.rs
@@ -148,7 +148,8 @@
             self.channels,
             server,
         );
-        duty.run(self.rx).await;
+        let server = duty.run(self.rx).await;
+        server.close().await;
         self.guard.end();
     }
 }
@@ -207,13 +208,14 @@
         }
     }
 
-    async fn run(mut self, mut rx: DispatchRx) {
+    /// Runs until it is stopped, and returns the server, which may have replies left to write.
+    async fn run(mut self, mut rx: DispatchRx) -> PeerServerHandle {
         let mut sweep = tokio::time::interval(SWEEP);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut wake = std::pin::pin!(tokio::time::sleep(Duration::ZERO));
         let mut batch = Vec::with_capacity(BATCH);
         let mut control_open = true;
-        while !self.is_over() {
+        while !self.is_over(&rx) {
             wake.as_mut().reset(self.next_wake());
             tokio::select! {
                 biased;
@@ -231,14 +233,15 @@
             self.tick();
             self.send_notices();
         }
-        self.server.close();
+        self.server
     }
 
-    fn is_over(&self) -> bool {
+    fn is_over(&self, rx: &DispatchRx) -> bool {
         let Some(stop_at) = self.stop_at else {
             return false;
         };
-        self.calls.is_empty() || self.cx.now() >= stop_at
+        let is_idle = self.calls.is_empty() && rx.calls.is_empty();
+        is_idle || self.cx.now() >= stop_at
     }
 
     fn next_wake(&self) -> Instant {
@@ -361,10 +364,10 @@
                 Ended::Answered { bytes }
             }
             Err(reason) => {
-                self.notices.push_back(Notice::UpstreamFault {
-                    upstream: ending.sample.upstream,
-                    reason,
-                });
+                let upstream = ending.sample.upstream;
+                let fault = Notice::UpstreamFault { upstream, reason };
+                // There will be more of them if it matters.
+                let _ = self.channels.notices.try_send(fault);
                 Ended::Failed(reason)
             }
         }
@@ -458,6 +461,7 @@
             epoch,
             slice,
             progress: Rc::clone(&progress),
+            sent_at: Cell::new(now),
         };
         let (abort, registration) = AbortHandle::new_pair();
         let exchange = Abortable::new(sending.run(), registration);
--- a/crates/gate/src/dispatch/exchange.rs
+++ b/crates/gate/src/dispatch/exchange.rs
@@ -38,6 +38,8 @@
     pub(crate) epoch: Epoch,
     pub(crate) slice: Option<SliceNo>,
     pub(crate) progress: Rc<Cell<Progress>>,
+    /// When the call was written.
+    pub(crate) sent_at: Cell<Timestamp>,
 }
 
 /// How an exchange ended; its connection is idle or closed by then.
@@ -51,9 +53,9 @@
 impl Sending {
     /// Sends the call once and reads the answer.
     pub(crate) async fn run(self) -> Ending {
-        let begin = self.cx.now();
+        self.sent_at.set(self.cx.now());
         let result = self.exchange().await;
-        let work = self.cx.now().since(begin);
+        let work = self.cx.now().since(self.sent_at.get());
         let sample = LoadSample {
             entry: self.call.entry,
             upstream: self.call.upstream,
@@ -71,6 +73,7 @@
             // Nothing is awaited from here to the write.
             self.check_time()?;
             self.progress.set(Progress::Sent);
+            self.cx.metrics.count(Count::Sent);
             match conn.exchange(request, self.answer_bytes()).await {
                 Ok(exchange) => return self.accept(exchange),
                 Err(ExchangeError::Unsent { request: again, .. }) => {
@@ -106,6 +109,7 @@
     /// Checks lease and deadline just before the write.
     fn check_time(&self) -> Result<(), Reason> {
         let now = self.cx.now();
+        self.sent_at.set(now);
         let margin = millis(self.settings.lease_margin_ms);
         if !self.upstream.lease.get().allows(self.epoch, now, margin) {
             return Err(Reason::NoLease);
@@ -124,7 +128,6 @@
         *request.uri_mut() = uri;
         *request.headers_mut() = parts.headers.clone();
         self.add_headers(request.headers_mut())?;
-        self.cx.metrics.count(Count::Sent);
         Ok(request)
     }
 
--- a/crates/gate/src/dispatch/ring.rs
+++ b/crates/gate/src/dispatch/ring.rs
@@ -47,17 +47,18 @@
     pub verify_echo: bool,
 }
 
-/// What the duty tells the control thread; none of these is ever lost.
+/// What the duty tells the control thread.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Notice {
-    /// Nothing of the held slice, or of the draining upstream, is under way any more.
+    /// Nothing of the held slice, or of the draining upstream, is under way any more. It is told
+    /// later if the ring is full.
     Drained {
         /// Upstream.
         upstream: UpstreamId,
         /// Slice; none if the whole upstream is drained.
         slice: Option<SliceNo>,
     },
-    /// A try failed in a way that tells of the upstream's state or of its grant.
+    /// A call that was sent, or was about to be, failed. It is not told if the ring is full.
     UpstreamFault {
         /// Upstream.
         upstream: UpstreamId,
@@ -84,7 +85,7 @@
 /// Where the duty sends what it tells.
 #[derive(Debug)]
 pub struct DispatchChannels {
-    /// Notices; the duty keeps those that find the ring full until there is room.
+    /// Notices.
     pub notices: mpsc::Sender<Notice>,
     /// Load samples.
     pub samples: mpsc::Sender<LoadSample>,
--- a/crates/gate/src/dispatch/work.rs
+++ b/crates/gate/src/dispatch/work.rs
@@ -3,12 +3,15 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use futures::future::AbortHandle;
 use ids::{Timestamp, UpstreamId};
 use indexmap::IndexMap;
+use prost::Message;
 use route::{Action, CallKey};
+use wire::dispatch as frames;
 
-use crate::call::{Answer, Call};
+use crate::call::{Answer, Call, answer_from_wire, answer_to_wire};
 use crate::dispatch::exchange::Progress;
 use crate::dispatch::ring::ReplyTo;
 
@@ -72,11 +75,31 @@
     }
 }
 
+/// An answer kept for repeats, as the bytes of its message.
+///
+/// Body and headers of an answer are parts of the buffer into which the connection read, so that
+/// to keep them would keep the whole buffer, many times the size of a short answer.
+#[derive(Debug)]
+struct KeptAnswer(Bytes);
+
+impl KeptAnswer {
+    fn new(answer: Answer) -> Self {
+        let message = answer_to_wire(answer).encode_to_vec();
+        Self(Bytes::from(message.into_boxed_slice()))
+    }
+
+    fn to_answer(&self) -> Option<Answer> {
+        let message = frames::Answer::decode(self.0.clone());
+        debug_assert!(message.is_ok(), "the message was encoded here");
+        answer_from_wire(message.ok()?)
+    }
+}
+
 /// Answers for calls and their repeats.
 #[derive(Debug, Default)]
 pub(crate) struct Answers {
     fresh: Option<(CallKey, Answer)>,
-    kept: IndexMap<CallKey, Answer>,
+    kept: IndexMap<CallKey, KeptAnswer>,
 }
 
 impl Answers {
@@ -94,7 +117,7 @@
     pub(crate) fn answer(&mut self, from: CallKey, rest: &[Action]) -> Option<Answer> {
         let is_fresh = self.fresh.as_ref().is_some_and(|(key, _)| *key == from);
         if !is_fresh {
-            return self.kept.get(&from).cloned();
+            return self.kept.get(&from).and_then(KeptAnswer::to_answer);
         }
         if rest.iter().any(|action| uses(action, from)) {
             return self.fresh.as_ref().map(|(_, answer)| answer.clone());
@@ -105,7 +128,7 @@
     /// Keeps the answer of the call that just finished.
     pub(crate) fn keep(&mut self, key: CallKey, rest: &[Action]) {
         if let Some(answer) = self.answer(key, rest) {
-            self.kept.insert(key, answer);
+            self.kept.insert(key, KeptAnswer::new(answer));
         }
     }
 
--- a/crates/gate/src/peer/client.rs
+++ b/crates/gate/src/peer/client.rs
@@ -173,7 +173,7 @@
     fn choose(&self) -> Option<Rc<Connection>> {
         self.connections
             .iter()
-            .filter(|c| c.state.get() == State::Ready)
+            .filter(|c| c.state.get() == State::Ready && c.link.is_usable())
             .min_by_key(|c| c.link.open())
             .map(Rc::clone)
     }
--- a/crates/gate/src/peer/link.rs
+++ b/crates/gate/src/peer/link.rs
@@ -18,6 +18,7 @@
 
 use crate::call::{Call, Reply, call_to_wire, reply_from_wire};
 use crate::context::GateContext;
+use crate::peer::GO_AWAY;
 
 /// The most bytes of a request that fits into a frame.
 const MAX_ASK_BYTES: usize = MAX_FRAME_BYTES - FRAME_SLACK;
@@ -57,6 +58,8 @@
     written: Cell<u64>,
     /// Replies that came.
     replies: Cell<u64>,
+    /// Whether the other side closes.
+    going: Cell<bool>,
     work: Notify,
     /// Told when the other side has fallen silent.
     silent: Notify,
@@ -68,6 +71,11 @@
         self.open.borrow().len()
     }
 
+    /// Tells whether calls may be made.
+    pub(crate) fn is_usable(&self) -> bool {
+        !self.going.get()
+    }
+
     /// Queues a call and returns its number.
     pub(crate) fn push(&self, call: Call, reply: oneshot::Sender<Reply>) -> u64 {
         let number = self.next.get() + 1;
@@ -129,6 +137,7 @@
         self.to_encode.borrow_mut().clear();
         self.to_cancel.borrow_mut().clear();
         self.written.set(0);
+        self.going.set(false);
     }
 
     /// Carries calls and replies until the connection ends.
@@ -145,12 +154,16 @@
         let mut reader = FramedRead::new(read, FrameCodec::<ReplyFrame>::default());
         while let Some(frame) = reader.next().await {
             let frame = frame?;
+            self.going.set(self.going.get() || frame.call == GO_AWAY);
             self.replies.set(self.replies.get() + 1);
             let open = self.open.borrow_mut().swap_remove(&frame.call);
             // A reply to a call that was given up goes to nobody.
             if let Some(open) = open {
                 let _ = open.reply.send(reply_from_wire(frame));
             }
+            if self.going.get() && self.open() == 0 {
+                return Ok(());
+            }
         }
         Ok(())
     }
--- a/crates/gate/src/peer/server.rs
+++ b/crates/gate/src/peer/server.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 use tokio_util::codec::{FramedRead, FramedWrite};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wire::dispatch::{Ask, AskFrame, Cancel, Reply as ReplyFrame, Request};
 use wire::{FrameCodec, FrameError, MAX_FRAME_BYTES};
 
@@ -25,10 +26,13 @@
 use crate::counters::Count;
 use crate::dispatch::DispatchTx;
 use crate::dispatch::ring::{NumberedReply, ReplyTo};
+use crate::peer::GO_AWAY;
 use crate::settings::DispatchSettings;
 
 /// Pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time for the other sides to close their connections when the server does.
+const CLOSE_MAX: Duration = Duration::from_millis(500);
 /// Replies written at once.
 const BATCH: usize = 64;
 
@@ -43,6 +47,7 @@
     outstanding: usize,
     leaving: Cell<bool>,
     closed: CancellationToken,
+    links: TaskTracker,
 }
 
 /// Starts servers of calls.
@@ -67,6 +72,7 @@
             outstanding: settings.outstanding as usize,
             leaving: Cell::new(false),
             closed: CancellationToken::new(),
+            links: TaskTracker::new(),
         });
         tokio::task::spawn_local(accept(listener, Rc::clone(&shared)));
         PeerServerHandle(shared)
@@ -79,9 +85,13 @@
         self.0.leaving.set(true);
     }
 
-    /// Closes all connections.
-    pub fn close(&self) {
+    /// Closes all connections once the other sides have all replies, or after a short time.
+    pub async fn close(self) {
+        self.leave();
         self.0.closed.cancel();
+        self.0.links.close();
+        // The other side of a connection that is still open does not answer.
+        let _ = tokio::time::timeout(CLOSE_MAX, self.0.links.wait()).await;
     }
 }
 
@@ -101,7 +111,8 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                tokio::task::spawn_local(serve(stream, peer, Rc::clone(&shared)));
+                let link = serve(stream, peer, Rc::clone(&shared));
+                shared.links.spawn_local(link);
             }
             Err(e) => {
                 slog::warn!(shared.cx.log, "accept of a host failed"; "error" => %e);
@@ -116,13 +127,9 @@
     if let Err(e) = stream.set_nodelay(true) {
         slog::debug!(shared.cx.log, "set no delay"; "peer" => %peer, "error" => %e);
     }
-    let closed = shared.closed.clone();
     let log = shared.cx.log.clone();
     let metrics = Arc::clone(&shared.cx.metrics);
-    let ended = tokio::select! {
-        ended = Link::run(shared, stream) => ended,
-        () = closed.cancelled() => Ok(()),
-    };
+    let ended = Link::run(shared, stream).await;
     if let Err(e) = ended {
         if matches!(e, FrameError::Decode(_)) {
             metrics.count(Count::PeerGarbage);
@@ -137,7 +144,7 @@
     replies: mpsc::UnboundedSender<NumberedReply>,
     /// Calls without a reply, by their number on this connection.
     open: RefCell<IndexMap<u64, CallKey>>,
-    /// Refusals that were not written yet, at least.
+    /// Replies to calls that are not open, which were not written yet, at least.
     unwritten: Cell<usize>,
 }
 
@@ -153,12 +160,33 @@
             open: RefCell::default(),
             unwritten: Cell::new(0),
         };
-        tokio::select! {
-            ended = link.read(FramedRead::new(read, FrameCodec::default())) => ended,
-            ended = link.write(FramedWrite::new(write, FrameCodec::default()), rx) => ended,
+        let reader = FramedRead::new(read, FrameCodec::default());
+        let writer = FramedWrite::new(write, FrameCodec::default());
+        let mut read = std::pin::pin!(link.read(reader));
+        let mut write = std::pin::pin!(link.write(writer, rx));
+        let mut closing = false;
+        loop {
+            tokio::select! {
+                ended = &mut read => return ended,
+                ended = &mut write => return ended,
+                () = link.shared.closed.cancelled(), if !closing => {
+                    closing = true;
+                    link.go_away();
+                }
+            }
         }
     }
 
+    /// Asks the other side to close the connection once it has all replies; calls that still
+    /// come are refused.
+    fn go_away(&self) {
+        debug_assert!(self.shared.leaving.get(), "a server closes after it left");
+        let reply = Reply::refused(Reason::Leaving);
+        let number = GO_AWAY;
+        // Fails only once the connection has ended.
+        let _ = self.replies.send(NumberedReply { number, reply });
+    }
+
     async fn read(&self, mut reader: AskReader) -> Result<(), FrameError> {
         while let Some(frame) = reader.next().await {
             match frame?.ask {
@@ -179,8 +207,7 @@
         let mut batch = Vec::with_capacity(BATCH);
         while rx.recv_many(&mut batch, BATCH).await > 0 {
             for NumberedReply { number, reply } in batch.drain(..) {
-                self.open.borrow_mut().swap_remove(&number);
-                self.unwritten.set(self.unwritten.get().saturating_sub(1));
+                self.written(number);
                 let mut frame = reply_to_wire(number, reply);
                 if frame.encoded_len() > MAX_FRAME_BYTES {
                     frame = reply_to_wire(number, Reply::refused(Reason::AnswerTooLarge));
@@ -192,6 +219,14 @@
         Ok(())
     }
 
+    /// Takes note that the reply to a call is being written.
+    fn written(&self, number: u64) {
+        let was_open = self.open.borrow_mut().swap_remove(&number).is_some();
+        if !was_open {
+            self.unwritten.set(self.unwritten.get().saturating_sub(1));
+        }
+    }
+
     fn request(&self, request: Request) -> Result<(), FrameError> {
         let number = request.call;
         let handed = self.hand_over(request);
--- a/crates/gate/tests/peers.rs
+++ b/crates/gate/tests/peers.rs
@@ -235,6 +235,35 @@
     assert_eq!(first.read().await.expect("an answer").status, 200);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_coordinating_host_that_stops_replies_to_all_calls_first() {
+    let mut rig = two_hosts().await;
+    let mut callers = Vec::new();
+    for n in 0..30 {
+        let mut caller = Caller::connect(rig.address(0)).await;
+        let id = format!("req-{n}");
+        let act = format!("slow:{}", 20 + n);
+        let headers = [("x-act", act.as_str()), ("medlardyke-request-id", &id)];
+        caller.write(post("/any", &headers, "body")).await;
+        callers.push((id, caller));
+    }
+    let upstream = rig.upstream.clone();
+    until("some run", || upstream.times("req-3") == 1).await;
+    let host = rig.hosts.remove(1);
+    let tx = host.duty.tx();
+    tx.tell(gate::ToDispatch::Stop).await.expect("duty");
+    let stopped = tokio::task::spawn_blocking(move || host.duty.join());
+    for (id, mut caller) in callers {
+        let got = caller.read().await.expect("an answer");
+        let expected = match upstream.times(&id) {
+            0 => "not-run",
+            _ => "answered",
+        };
+        assert_eq!(got.outcome(), expected, "{id}: {got:?}");
+    }
+    stopped.await.expect("the duty ends");
+}
+
 fn slow_request(call: u64) -> Request {
     let act = Header {
         name: "x-act".to_owned(),
