cli: no host without credential; tests of the command line and trials

Cause: a host whose token variable was missing started with an empty token and served nothing; found by the new test of exit codes, which hung on it. Change: serve refuses to start without a token, exit code 1. Tests of help, exit codes, settings and faults run the program; tests of trials run real processes over the small layout.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -53,6 +53,10 @@
 fn token(cfg: &Settings) -> anyhow::Result<Token> {
     let name = cfg.platform.token_env.as_str();
     let text = std::env::var(name).unwrap_or_default();
+    anyhow::ensure!(
+        !text.is_empty(),
+        "environment variable {name} holds no token for the platform"
+    );
     Token::new(text).with_context(|| format!("read environment variable {name}"))
 }
 
--- /dev/null
+++ b/crates/cli/tests/command_line.rs
@@ -0,0 +1,251 @@
+//! Help, exit codes, and what is said of bad input.
+
+use std::fs;
+use std::process::{Command, Output, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+/// Longest time for a command, also on a busy machine.
+const ENDS_WITHIN: Duration = Duration::from_secs(20);
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
+fn medlardyke(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_medlardyke"));
+    for name in [
+        "MEDLARDYKE_OPERATOR",
+        "MEDLARDYKE_TOKEN",
+        "MEDLARDYKE_PLATFORM",
+    ] {
+        command.env_remove(name);
+    }
+    command
+        .env_remove("MEDLARDYKE_HOST_TOKEN")
+        .args(args)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    let mut child = command.spawn().expect("the program starts");
+    let began = Instant::now();
+    while child.try_wait().expect("a child of ours").is_none() {
+        if began.elapsed() > ENDS_WITHIN {
+            child.kill().expect("a child of ours");
+            panic!("{args:?} goes on");
+        }
+        sleep(LOOK_EVERY);
+    }
+    child.wait_with_output().expect("pipes of ours")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn every_subcommand_has_help() {
+    struct Case {
+        args: &'static [&'static str],
+        says: &'static str,
+    }
+    let cases = [
+        Case {
+            args: &["--help"],
+            says: "Exit codes:",
+        },
+        Case {
+            args: &["serve", "--help"],
+            says: "Example: medlardyke serve",
+        },
+        Case {
+            args: &["dev", "--help"],
+            says: "Example: medlardyke dev",
+        },
+        Case {
+            args: &["check", "--help"],
+            says: "Example: medlardyke check",
+        },
+        Case {
+            args: &["status", "--help"],
+            says: "Example: medlardyke status",
+        },
+        Case {
+            args: &["catalogue", "--help"],
+            says: "Exit codes:",
+        },
+        Case {
+            args: &["catalogue", "apply", "--help"],
+            says: "--dry-run",
+        },
+        Case {
+            args: &["trial", "--help"],
+            says: "Example: medlardyke trial",
+        },
+        Case {
+            args: &["standin", "platform", "--help"],
+            says: "Example: medlardyke standin platform",
+        },
+        Case {
+            args: &["standin", "upstream", "--help"],
+            says: "Example: medlardyke standin upstream",
+        },
+    ];
+    for case in cases {
+        let output = medlardyke(case.args);
+        let out = text(&output.stdout);
+        assert_eq!(output.status.code(), Some(0), "{:?}", case.args);
+        assert!(out.contains(case.says), "{:?}: {out}", case.args);
+    }
+}
+
+#[test]
+fn exit_codes_say_how_a_command_ended() {
+    struct Case {
+        args: &'static [&'static str],
+        code: i32,
+        says: &'static str,
+    }
+    let cases = [
+        Case {
+            args: &["no-such-command"],
+            code: 2,
+            says: "unrecognized subcommand",
+        },
+        Case {
+            args: &["serve"],
+            code: 2,
+            says: "--settings",
+        },
+        Case {
+            args: &["serve", "--settings", "no-such-file.json"],
+            code: 3,
+            says: "no-such-file.json",
+        },
+        Case {
+            args: &["check", "no-such-file.json"],
+            code: 3,
+            says: "no-such-file.json",
+        },
+        Case {
+            // Nobody listens on port 1.
+            args: &["status", "127.0.0.1:1"],
+            code: 5,
+            says: "127.0.0.1:1",
+        },
+        Case {
+            args: &["catalogue", "show"],
+            code: 2,
+            says: "MEDLARDYKE_PLATFORM",
+        },
+        Case {
+            args: &["trial", "no-such-trial"],
+            code: 1,
+            says: "no trial \"no-such-trial\"",
+        },
+    ];
+    for case in cases {
+        let output = medlardyke(case.args);
+        let err = text(&output.stderr);
+        assert_eq!(
+            output.status.code(),
+            Some(case.code),
+            "{:?}: {err}",
+            case.args
+        );
+        assert!(err.contains(case.says), "{:?}: {err}", case.args);
+    }
+}
+
+#[test]
+fn check_accepts_the_examples() {
+    for example in ["landavgift", "kotuku"] {
+        let dir = format!("{}/../../examples/{example}", env!("CARGO_MANIFEST_DIR"));
+        let output = medlardyke(&["check", &dir]);
+        assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+    }
+}
+
+#[test]
+fn bad_settings_are_refused_with_all_faults() {
+    struct Case {
+        name: &'static str,
+        settings: Value,
+        says: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "an unknown field and a missing one",
+            settings: json!({
+                "host": "norr-1", "domain": "norr", "speed": 3, "platform": {},
+            }),
+            says: &["speed", "address"],
+        },
+        Case {
+            name: "a wrong type and an impossible limit",
+            settings: json!({
+                "host": "norr-1", "domain": "norr",
+                "platform": {"address": "127.0.0.1:9", "timeout_ms": "1s"},
+                "callers": {"connections": 0},
+            }),
+            says: &["/platform/timeout_ms", "/callers/connections"],
+        },
+        Case {
+            name: "no address",
+            settings: json!({
+                "host": "norr-1", "domain": "norr", "platform": {"address": "platform:80"},
+            }),
+            says: &["/platform/address", "platform:80"],
+        },
+        Case {
+            name: "a grant shorter than its renewals",
+            settings: json!({
+                "host": "norr-1", "domain": "norr", "platform": {"address": "127.0.0.1:9"},
+                "ownership": {"grant_ttl_ms": 200, "renew_every_ms": 150},
+            }),
+            says: &["/ownership"],
+        },
+    ];
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("host.json");
+    let file = path.to_str().expect("plain text");
+    for case in cases {
+        fs::write(&path, case.settings.to_string()).expect("a file");
+        for command in [&["check", file][..], &["serve", "--settings", file][..]] {
+            let output = medlardyke(command);
+            let err = text(&output.stderr);
+            assert_eq!(output.status.code(), Some(3), "{}: {err}", case.name);
+            assert!(err.contains(file), "{}: {err}", case.name);
+            for says in case.says {
+                assert!(err.contains(says), "{}: {says} is not in {err}", case.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn check_lists_faults_as_json() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("host.json");
+    let settings = json!({
+        "host": "norr 1", "domain": "norr", "platform": {"address": "127.0.0.1:9"}, "speed": 3,
+    });
+    fs::write(&path, settings.to_string()).expect("a file");
+    let output = medlardyke(&["check", "--json", path.to_str().expect("plain text")]);
+    let faults: Vec<Value> = serde_json::from_slice(&output.stdout).expect("a list");
+    assert_eq!(output.status.code(), Some(3));
+    assert_eq!(faults.len(), 2, "{faults:?}");
+}
+
+#[test]
+fn a_host_without_credential_does_not_start() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("host.json");
+    let settings = json!({
+        "host": "norr-1", "domain": "norr", "platform": {"address": "127.0.0.1:9"},
+    });
+    fs::write(&path, settings.to_string()).expect("a file");
+    let output = medlardyke(&["serve", "--settings", path.to_str().expect("plain text")]);
+    let err = text(&output.stderr);
+    assert_eq!(output.status.code(), Some(1), "{err}");
+    assert!(err.contains("MEDLARDYKE_HOST_TOKEN"), "{err}");
+}
--- /dev/null
+++ b/crates/cli/tests/leaving.rs
@@ -0,0 +1,27 @@
+//! Real processes that leave or come: no request is cut.
+
+mod support;
+
+use support::{assert_clean, assert_uncut, trial};
+
+#[test]
+fn a_host_leaves() {
+    let report = trial("host-term");
+    assert_clean(&report);
+    assert_uncut(&report);
+}
+
+#[test]
+fn an_upstream_leaves() {
+    // The judge takes new work later than 2 s after the announcement for a violation.
+    let report = trial("upstream-drain");
+    assert_clean(&report);
+    assert_uncut(&report);
+}
+
+#[test]
+fn nothing_happens() {
+    let report = trial("quiet");
+    assert_clean(&report);
+    assert_uncut(&report);
+}
--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,58 @@
+//! What the trials' tests share.
+
+use std::path::PathBuf;
+
+use tokio::sync::Semaphore;
+use trial::cluster::layout::Layout;
+use trial::report::{RunReport, Violation};
+use trial::run::RunSettings;
+
+/// Trials that run at the same time, each with more than a dozen processes.
+static TRIALS: Semaphore = Semaphore::const_new(3);
+
+/// Runs a trial over the small layout, at a rate that a busy machine bears; prints its line.
+pub fn trial(name: &str) -> RunReport {
+    let scenario = trial::all().into_iter().find(|s| s.name == name);
+    let scenario = scenario.unwrap_or_else(|| panic!("no trial {name}"));
+    let binary = PathBuf::from(env!("CARGO_BIN_EXE_medlardyke"));
+    let cfg = RunSettings {
+        rate: rate_of(name),
+        warm_up_ms: 1_000,
+        ..RunSettings::new(binary, Layout::small())
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    let report = runtime.block_on(async {
+        let _place = TRIALS.acquire().await.expect("never closed");
+        trial::run(&scenario, &cfg).await
+    });
+    let report = report.unwrap_or_else(|e| panic!("{name}: {e:#}"));
+    println!("{}", serde_json::to_string(&report).expect("plain data"));
+    report
+}
+
+/// Asserts that nothing happened that must not.
+pub fn assert_clean(report: &RunReport) {
+    let none: &[Violation] = &[];
+    assert_eq!(report.violations, none, "kept in {:?}", report.kept);
+    assert!(report.answered > 0, "no request was answered");
+}
+
+/// Asserts that no request was cut.
+pub fn assert_uncut(report: &RunReport) {
+    assert_eq!(report.cut, 0, "unknown: {:?}", report.unknown);
+}
+
+/// Asserts that keys were served again within a time that also a busy machine keeps to.
+pub fn assert_served_again(report: &RunReport, within_ms: f64) {
+    let longest = report.unavailable.longest_ms;
+    assert!(longest <= within_ms, "a key was away for {longest} ms");
+}
+
+/// Returns the factor on the usual rate; one trial has a count of requests to reach.
+fn rate_of(name: &str) -> f64 {
+    if name == "mixed-faults" { 1.0 } else { 0.5 }
+}
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -1,9 +1,10 @@
 //! Runs a scenario and judges it.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+use anyhow::Context as _;
 use catalogue::Catalogue;
 use ids::{BootClock, Clock as _, DomainId, HostId, Timestamp};
 use indexmap::IndexMap;
@@ -23,6 +24,8 @@
 
 /// Longest length of a load, whose end its steps decide.
 const LONGEST_MS: u64 = 600_000;
+/// File in the trial's folder with what became of each request.
+const RECORDS_FILE: &str = "records.jsonl";
 
 /// How to run scenarios.
 #[derive(Debug, Clone)]
@@ -222,6 +225,7 @@
     let duration_ms: u64 = outcome.runs.iter().map(|r| r.summary.duration_ms).sum();
     let records: Vec<Record> = outcome.runs.into_iter().flat_map(|r| r.records).collect();
     let summary = Summary::of(&records, duration_ms, LoadSettings::default().deadline_ms);
+    write_records(&cluster.dir().join(RECORDS_FILE), &records)?;
     let judge_cfg = JudgeSettings {
         gaps: GapSettings {
             at_once_ms: cfg.at_once_ms,
@@ -291,6 +295,16 @@
     }
 }
 
+/// Writes down what became of each request, in JSON lines.
+fn write_records(path: &Path, records: &[Record]) -> anyhow::Result<()> {
+    let mut text = Vec::new();
+    for record in records {
+        serde_json::to_writer(&mut text, record)?;
+        text.push(b'\n');
+    }
+    std::fs::write(path, text).with_context(|| format!("write {}", path.display()))
+}
+
 /// Counts changes of keys' owners from `began` on.
 fn churn_since(began: Timestamp, mut journals: Vec<JournalLine>) -> Churn {
     journals.retain(|line| line.at_us >= began.as_micros());
