Route by the last owner, whatever order its rows come in

Change: only the present owner loses a slice, another row that lists it wins, and requests go to the deputy while the coordinating host is silent. The model of the property test is corrected accordingly: it took a slice off whoever had it, which is what the fault did. Moves are not begun while the table can't be reached, as each would hold its slice for nothing.

--- a/crates/host/src/control/duty.rs
+++ b/crates/host/src/control/duty.rs
@@ -87,6 +87,8 @@
     pub(super) placement: Placement,
     pub(super) plan_due: Timestamp,
     pub(super) left: bool,
+    /// Whether the table answers, as far as the readers of the own domain can tell.
+    pub(super) table_reachable: bool,
 }
 
 impl Duty {
@@ -124,6 +126,7 @@
             placement: Placement::new(now),
             plan_due: now + PLAN_EVERY,
             left: false,
+            table_reachable: true,
             parts,
         }
     }
@@ -139,7 +142,10 @@
         let mut batch = Vec::with_capacity(BATCH_INPUTS);
         loop {
             tokio::select! {
-                _ = ticks.tick() => self.tick(),
+                _ = ticks.tick() => {
+                    self.samples(&mut rings.samples);
+                    self.tick();
+                }
                 count = rings.inputs.recv_many(&mut batch, BATCH_INPUTS) => {
                     debug_assert!(count > 0, "the duty's own tasks keep the ring open");
                     for input in batch.drain(..) {
@@ -147,7 +153,6 @@
                     }
                 }
                 Some(notice) = rings.notices.recv() => self.notice(notice),
-                Some(sample) = rings.samples.recv() => self.sample(&sample),
                 _ = &mut rings.stop => return,
             }
             self.settle();
--- a/crates/host/src/control/member.rs
+++ b/crates/host/src/control/member.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use gate::Phase;
-use ids::{HostId, Timestamp};
+use ids::{HostId, Incarnation, Timestamp};
 use prost::Message;
 use slog::{info, warn};
 
@@ -29,6 +29,7 @@
                 self.tell_own(own::Event::TableEvidence { as_of });
             }
             spread::Action::TableReachable(reachable) => {
+                self.table_reachable = reachable;
                 self.tell_own(own::Event::TableReachable(reachable));
             }
             spread::Action::PeerAlive { host, echo_of, .. } => self.peer_alive(&host, echo_of),
@@ -97,6 +98,11 @@
         let overrides = &self.parts.cfg.address_overrides;
         let table = peers::dispatch_table(self.member.hosts(), overrides);
         self.parts.cx.peers.store(Arc::new(table));
+        let heard_of = |h: &spread::HostView| h.incarnation != Incarnation(0);
+        let lost = self.member.hosts().filter(|h| !h.alive && heard_of(h));
+        if self.routes.silent(lost.map(|h| h.host).collect()) {
+            self.parts.cx.router.store(self.routes.router());
+        }
         let live = self.member.hosts().filter(|h| h.alive).count() + 1;
         self.parts.cx.set_live_hosts(live as u32);
     }
--- a/crates/host/src/control/planning.rs
+++ b/crates/host/src/control/planning.rs
@@ -17,6 +17,9 @@
         let wishes = self
             .placement
             .plan(now, &catalogue, ownership, &self.coordinated);
+        // A move that can't be recorded would hold its slice for nothing.
+        let wishes = wishes.into_iter().filter(|_| self.table_reachable);
+        let wishes: Vec<own::Event> = wishes.collect();
         for wish in wishes {
             debug!(self.parts.log, "placement"; "wish" => ?wish);
             self.tell_own(wish);
--- a/crates/host/src/control/routes.rs
+++ b/crates/host/src/control/routes.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use catalogue::{Catalogue, InForce, RowFault};
-use ids::{Revision, UpstreamId, Version};
+use ids::{EntryId, HostId, Revision, UpstreamId, Version};
+use indexmap::{IndexMap, IndexSet};
 use own::OwnChange;
 use platform::Row;
 use route::{Owned, Ownership, OwnershipChange, Router};
@@ -25,9 +26,33 @@
 pub(crate) struct Routes {
     in_force: InForce,
     ownership: Ownership,
+    /// Hosts of each upstream, as the rows name them.
+    hosts: IndexMap<UpstreamId, RowHosts>,
+    /// Hosts that are known and count as lost.
+    silent: IndexSet<HostId>,
     router: Arc<Router>,
 }
 
+/// Hosts of one upstream.
+#[derive(Debug, Default)]
+struct RowHosts {
+    coordinator: Option<HostId>,
+    deputy: Option<HostId>,
+}
+
+impl RowHosts {
+    /// Returns the host to which requests go: the deputy while the coordinating host is silent.
+    ///
+    /// A deputy that has taken over may be unable to record it. One that has not taken over yet
+    /// refuses, and the requests come again.
+    fn target(&self, silent: &IndexSet<HostId>) -> Option<&HostId> {
+        let lost = |h: &HostId| silent.contains(h);
+        let coordinator = self.coordinator.as_ref()?;
+        let deputy = self.deputy.as_ref().filter(|d| !lost(d));
+        deputy.filter(|_| lost(coordinator)).or(Some(coordinator))
+    }
+}
+
 impl Routes {
     /// Takes rows that changed.
     pub(crate) fn take(&mut self, changes: &[RowChange]) -> RoutesChange {
@@ -46,6 +71,34 @@
         }
     }
 
+    /// Takes which known hosts count as lost; returns whether there is another routing snapshot.
+    pub(crate) fn silent(&mut self, silent: IndexSet<HostId>) -> bool {
+        if silent == self.silent {
+            return false;
+        }
+        self.silent = silent;
+        let mut changes = Vec::new();
+        for (upstream, hosts) in &self.hosts {
+            let host = hosts.target(&self.silent).cloned();
+            let owned = self
+                .ownership
+                .upstreams
+                .entry(upstream.clone())
+                .or_default();
+            if owned.host != host {
+                owned.host.clone_from(&host);
+                let upstream = upstream.clone();
+                changes.push(OwnershipChange::Coordinator { upstream, host });
+            }
+        }
+        if changes.is_empty() {
+            return false;
+        }
+        let router = self.router.changed(self.ownership.revision, &changes);
+        self.router = Arc::new(router);
+        true
+    }
+
     /// Returns the catalogue in force.
     pub(crate) fn catalogue(&self) -> Arc<Catalogue> {
         self.in_force.snapshot()
@@ -92,8 +145,13 @@
                 .upstreams
                 .entry(upstream.clone())
                 .or_default();
-            let host = row.as_ref().and_then(|r| r.coordinator.as_ref());
-            let host = host.map(|h| h.host.clone());
+            let hosts = row.as_ref().map(|r| RowHosts {
+                coordinator: r.coordinator.as_ref().map(|h| h.host.clone()),
+                deputy: r.deputy.as_ref().map(|h| h.host.clone()),
+            });
+            let hosts = hosts.unwrap_or_default();
+            let host = hosts.target(&self.silent).cloned();
+            self.hosts.insert(upstream.clone(), hosts);
             if owned.host != host {
                 owned.host.clone_from(&host);
                 let upstream = upstream.clone();
@@ -103,10 +161,41 @@
             let before = std::mem::replace(&mut owned.slices, slices);
             diff(&upstream, &before, owned, &mut out, &mut assigned);
         }
+        let handed_on = self.other_owners(&out);
         out.append(&mut assigned);
+        out.extend(handed_on);
         out
     }
 
+    /// Finds the owners of slices that were taken off an upstream while another row that is known
+    /// lists them already: rows of one move come in any order.
+    fn other_owners(&self, changes: &[OwnershipChange]) -> Vec<OwnershipChange> {
+        let mut found = Vec::new();
+        for change in changes {
+            let OwnershipChange::Unassigned { upstream, slice } = change else {
+                continue;
+            };
+            let entry = self.entry_of(upstream);
+            let lists = |(other, owned): &(&UpstreamId, &Owned)| {
+                *other != upstream
+                    && owned.slices.binary_search(slice).is_ok()
+                    && self.entry_of(other) == entry
+            };
+            if let Some((other, _)) = self.ownership.upstreams.iter().find(lists) {
+                found.push(OwnershipChange::Assigned {
+                    upstream: other.clone(),
+                    slice: *slice,
+                });
+            }
+        }
+        found
+    }
+
+    fn entry_of(&self, upstream: &UpstreamId) -> Option<&EntryId> {
+        let declared = self.in_force.catalogue().upstreams.get(upstream)?;
+        Some(&declared.entry)
+    }
+
     /// Returns what is known of ownership.
     pub(crate) const fn ownership(&self) -> &Ownership {
         &self.ownership
--- a/crates/host/src/control/take.rs
+++ b/crates/host/src/control/take.rs
@@ -3,6 +3,7 @@
 use gate::{LoadSample, Notice, Phase};
 use ids::{HostId, UpstreamId};
 use slog::{debug, info};
+use tokio::sync::mpsc;
 use wire::control::{Body, Frame};
 
 use super::duty::Duty;
@@ -130,8 +131,15 @@
         }
     }
 
-    pub(super) fn sample(&mut self, sample: &LoadSample) {
+    /// Takes the load samples that have gathered; one that came by itself would wake the duty for
+    /// each request.
+    pub(super) fn samples(&mut self, samples: &mut mpsc::Receiver<LoadSample>) {
         let now = self.parts.clock.now();
-        self.placement.sample(now, sample);
+        for _ in 0..samples.len() {
+            let Ok(sample) = samples.try_recv() else {
+                return;
+            };
+            self.placement.sample(now, &sample);
+        }
     }
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -170,6 +170,16 @@
         hot.dedup_by_key(|&mut (slice, _)| slice);
     }
 
+    fn get(&self, slice: SliceNo) -> Option<UpstreamKey> {
+        if slice.is_hot() {
+            let place = self.hot.binary_search_by_key(&slice, |&(s, _)| s);
+            return place.ok().map(|i| self.hot[i].1);
+        }
+        let place = usize::try_from(slice.0).ok()?;
+        let part = self.owners.get(place / PART)?;
+        part[place % PART]
+    }
+
     fn set(&mut self, slice: SliceNo, owner: Option<UpstreamKey>) {
         if !slice.is_hot() {
             let place = usize::try_from(slice.0).unwrap_or(usize::MAX);
@@ -439,7 +449,10 @@
                 let Some(key) = self.upstream_key(upstream) else {
                     return;
                 };
-                if let Some(route) = self.entry_of(key) {
+                // The slice's next owner may have become known first.
+                if let Some(route) = self.entry_of(key)
+                    && route.get(*slice) == Some(key)
+                {
                     route.set(*slice, None);
                 }
             }
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -277,7 +277,10 @@
                 model.insert(slice, name);
                 OwnershipChange::Assigned { upstream, slice }
             } else {
-                model.remove(&slice);
+                // Only the owner loses a slice: its next owner may have become known first.
+                if model.get(&slice) == Some(&name) {
+                    model.remove(&slice);
+                }
                 OwnershipChange::Unassigned { upstream, slice }
             };
             router = router.changed(Revision(9), &[change]);
