Keep tests of hosts apart from each other's ports

A test failed once in about 40 runs: a stopped host's port went to a host of another test, which then answered the call. The test now takes the stopped host out of the peer table, as the control thread does, and addresses at which nobody listens stay reserved. The checks are the same.

--- a/crates/gate/tests/grants.rs
+++ b/crates/gate/tests/grants.rs
@@ -1,5 +1,7 @@
 //! Grants and health reports, and what is known when they fail.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -48,12 +50,6 @@
     address
 }
 
-/// Returns an address at which nobody listens.
-async fn nobody() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-    listener.local_addr().expect("address")
-}
-
 fn grant() -> GrantRequest {
     GrantRequest {
         epoch: Epoch(3),
@@ -160,10 +156,11 @@
             expected: |e| matches!(e, ControlCallError::BadReply { .. }),
         },
     ];
+    let (_socket, nobody) = support::nobody();
     for case in cases {
         let peer = match case.act {
             Some(act) => upstream(act).await,
-            None => nobody().await,
+            None => nobody,
         };
         let error = client(peer).grant(&grant()).await.expect_err(case.name);
         assert!((case.expected)(&error), "{}: {error:?}", case.name);
--- a/crates/gate/tests/peers.rs
+++ b/crates/gate/tests/peers.rs
@@ -12,7 +12,7 @@
 use ids::Reason;
 use support::caller::{Caller, get, post};
 use support::rig::{Rig, RigSettings};
-use support::until;
+use support::{nobody, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Framed;
@@ -50,11 +50,17 @@
 }
 
 async fn faulty(fault: Fault) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-    let address = listener.local_addr().expect("address");
     if matches!(fault, Fault::Refuses) {
+        let (socket, address) = nobody();
+        // Keeps the port until the test ends.
+        tokio::spawn(async move {
+            let _socket = socket;
+            std::future::pending::<()>().await;
+        });
         return address;
     }
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(fail(stream, fault));
@@ -253,6 +259,8 @@
     let tx = host.duty.tx();
     tx.tell(gate::ToDispatch::Stop).await.expect("duty");
     let stopped = tokio::task::spawn_blocking(move || host.duty.join());
+    // As the control thread does; the port may soon belong to another host.
+    rig.hosts[0].cx.peers.store(Arc::default());
     for (id, mut caller) in callers {
         let got = caller.read().await.expect("an answer");
         let expected = match upstream.times(&id) {
