Count a key's calls to its own slice as soon as that is held

Cause: a hold of a key's own slice that came before the news of its carving out was called drained while a call of the key, still counted to the old slice, was under way. A property found it once whole-upstream holds and carved-out keys were among its events; it also found the verifier calling a repeat misplaced whose lane was gone, which was no fault.

--- a/crates/route/src/dispatch/call.rs
+++ b/crates/route/src/dispatch/call.rs
@@ -47,8 +47,8 @@
     pub joined: Vec<CallKey>,
     /// When the state must be looked at again.
     pub timer: Timestamp,
-    /// Whether its slice was folded into another one since it was sent, so that it counts to
-    /// whatever slice is held.
+    /// Whether its key's own slice may have been folded into another one since it came, so that it
+    /// counts to whatever slice is held.
     pub loose: bool,
     /// Whether its id is in the memory of repeats.
     pub registered: bool,
--- a/crates/route/src/dispatch/dispatcher.rs
+++ b/crates/route/src/dispatch/dispatcher.rs
@@ -127,7 +127,7 @@
             Event::LeaseLost { upstream } => self.with_lane(cx, &upstream, |_, lane| {
                 lane.lapse();
             }),
-            Event::Carved { upstream, hot } => self.carved(cx, &upstream, &hot),
+            Event::Carved { upstream, hot } => self.carved(cx, &upstream, hot),
             Event::Hold { upstream, slice } => self.hold(cx, &upstream, slice),
             Event::Release {
                 upstream,
--- a/crates/route/src/dispatch/lane.rs
+++ b/crates/route/src/dispatch/lane.rs
@@ -250,15 +250,21 @@
             .is_none_or(|l| l.valid_until <= now + margin)
     }
 
-    /// Returns the slice to which a call counts: its key's own one if that is carved out.
+    /// Returns the slice to which a call counts: its key's own one if that is carved out, or held
+    /// because it is about to be.
     pub fn resolve(&self, slice: Option<SliceNo>, key: Option<KeyHash>) -> Option<SliceNo> {
-        let hot = key.map(KeyHash::hot_slice);
-        let carved = hot.filter(|h| self.carved.binary_search(h).is_ok());
-        if slice.is_some() {
-            carved.or(slice)
-        } else {
-            None
+        let Some(hot) = key.map(KeyHash::hot_slice) else {
+            return slice;
+        };
+        if slice.is_some() && self.is_apart(hot) {
+            return Some(hot);
         }
+        slice
+    }
+
+    /// Tells whether a key's own slice is carved out or held.
+    pub fn is_apart(&self, hot: SliceNo) -> bool {
+        self.carved.binary_search(&hot).is_ok() || self.holds.contains_key(&Some(hot))
     }
 
     /// Tells whether calls of a slice wait for a move.
--- a/crates/route/src/dispatch/moves.rs
+++ b/crates/route/src/dispatch/moves.rs
@@ -76,13 +76,7 @@
         if !lane.hold(cx.now, slice) {
             return;
         }
-        let waiting: Vec<CallKey> = lane.queue.iter().map(|(_, w)| w.call).collect();
-        for call in waiting {
-            if slice.is_none() || self.calls[&call].arrival.slice == slice {
-                self.take_off(call);
-                self.place(cx, call);
-            }
-        }
+        self.recount(cx, key);
         self.check_drained(cx, key);
     }
 
@@ -113,6 +107,7 @@
             self.resolve(target, call);
             self.place(cx, call);
         }
+        self.recount(cx, key);
         self.pump(cx, key);
         if let Some(target) = target {
             self.pump(cx, target);
@@ -163,7 +158,7 @@
 
     /// Takes the hot keys that are carved out of an upstream's slices; calls that came before
     /// count to the slices of their keys from now on, so that a hold finds them.
-    pub(super) fn carved(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId, hot: &Arc<[SliceNo]>) {
+    pub(super) fn carved(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId, hot: Arc<[SliceNo]>) {
         debug_assert!(hot.is_sorted(), "hot slices are sorted");
         let Some(&key) = self.names.get(upstream) else {
             return;
@@ -171,21 +166,29 @@
         let Some(lane) = &mut self.lanes[key] else {
             return;
         };
-        let before = std::mem::replace(&mut lane.carved, Arc::clone(hot));
+        lane.carved = hot;
+        self.recount(cx, key);
+        self.check_holds(cx, key);
+    }
+
+    /// Counts the calls of a lane to the slices that are carved out and held now, and puts
+    /// waiting ones behind the holds of theirs.
+    fn recount(&mut self, cx: &Cx<'_>, key: LaneKey) {
         let of_lane = self.calls.iter().filter(|(_, c)| c.lane == key);
         let calls: Vec<CallKey> = of_lane.map(|(&call, _)| call).collect();
         for call in calls {
-            let record = &mut self.calls[&call];
-            let folded =
-                |s: SliceNo| before.binary_search(&s).is_ok() && hot.binary_search(&s).is_err();
-            record.loose |= record.arrival.slice.is_some_and(folded);
             self.resolve(key, call);
-            if matches!(self.calls[&call].state, State::Waiting(_)) {
+            let record = &mut self.calls[&call];
+            let Some(lane) = &self.lanes[key] else {
+                return;
+            };
+            let slice = record.arrival.slice;
+            record.loose |= slice.is_some_and(|s| s.is_hot() && !lane.is_apart(s));
+            if matches!(record.state, State::Waiting(_)) && lane.is_held(slice) {
                 self.take_off(call);
                 self.place(cx, call);
             }
         }
-        self.check_holds(cx, key);
     }
 
     /// Looks at all holds of a lane.
--- a/crates/route/tests/dispatch/main.rs
+++ b/crates/route/tests/dispatch/main.rs
@@ -789,6 +789,24 @@
                 ),
             ],
         ),
+        case(
+            "a key's own slice that is held before the carving out is known counts its calls",
+            &[
+                (0, "arrive 1 key=8", &["send 1 u1 e5"]),
+                (0, "hold u1 key=8", &[]),
+                (0, "arrive 2 key=8", &[]),
+                (
+                    1,
+                    "answered 1",
+                    &[
+                        "answer 1 from 1",
+                        "keep 1",
+                        "drained u1 hot-0000000000000004",
+                    ],
+                ),
+                (2, "release u1 key=8", &["refuse 2 stale-route"]),
+            ],
+        ),
         case(
             "a waiting call whose key is carved out waits behind the hold of its new slice",
             &[
