Count the load that meets a move; leave cooling keys alone

Hot keys were moved at next to no price, several times after each shift, and keys that were cooling anyway were moved off full upstreams. A move's price now counts the part of the load that meets it like the part of the keys, and a carved-out key whose load falls is left alone.

--- a/crates/place/src/plan/cost.rs
+++ b/crates/place/src/plan/cost.rs
@@ -1,14 +1,14 @@
 //! What a move gains and what it costs.
 //!
-//! The cost of imbalance is the sum of the squared ratios, the cost of churn is the part of an
-//! upstream's keys that change owner. A move is worth it if the weighted gain exceeds the
-//! weighted cost.
+//! The cost of imbalance is the sum of the squared ratios. The cost of churn is the part of an
+//! upstream's keys that change owner and the part of its load that meets the move. A move is worth
+//! it if the weighted gain exceeds the weighted cost.
 
 use catalogue::Objective;
 
 use super::settings::churn_weight;
 
-/// Fall of the ratio that pays for moving a slice of average load, at equal weights.
+/// Part of the keys and load moved that each point of the ratio has to pay for, at equal weights.
 const EXCHANGE_RATE: f64 = 0.08;
 
 /// Cost of one move apart from its keys: a row written, a slice held up for a moment.
@@ -40,10 +40,11 @@
     after <= from.ratio - MIN_IMPROVEMENT * from.size
 }
 
-/// Returns what the gain must exceed to pay for moving the part `keys` of an upstream's keys.
+/// Returns what the gain must exceed to pay for moving `size` shares of load and the part `keys` of
+/// an upstream's keys.
 #[must_use]
-pub(crate) fn price(objective: Objective, keys: f64) -> f64 {
-    2.0 * EXCHANGE_RATE * churn_weight(objective) * (keys + FIXED_COST)
+pub(crate) fn price(objective: Objective, keys: f64, size: f64) -> f64 {
+    2.0 * EXCHANGE_RATE * churn_weight(objective) * (keys + size + FIXED_COST)
 }
 
 /// Returns the load moved for each unit of the price.
--- a/crates/place/src/plan/planner.rs
+++ b/crates/place/src/plan/planner.rs
@@ -24,6 +24,9 @@
 /// Part of the threshold for carving below which a carved-out key is cool.
 const COOL_SHARE: f64 = 0.25;
 
+/// Part of its load a second ago below which a carved-out key is falling.
+const FALLING: f64 = 0.85;
+
 /// Most slices of one upstream that a plan weighs closely.
 const MAX_ITEMS: usize = 512;
 
@@ -44,6 +47,15 @@
     since: Timestamp,
 }
 
+/// A carved-out key as it was at the last plan.
+#[derive(Debug, Clone, Copy)]
+struct Carved {
+    load: f64,
+    /// Whether its load falls as fast as if there were no more requests.
+    falling: bool,
+    cool_since: Option<Timestamp>,
+}
+
 /// Why an upstream sheds slices, and how far.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Shed {
@@ -64,7 +76,7 @@
     budget: Budget,
     watches: Watches,
     pending: IndexMap<SliceNo, Pending>,
-    cool: IndexMap<SliceNo, Timestamp>,
+    carved: IndexMap<SliceNo, Carved>,
 }
 
 impl Planner {
@@ -76,7 +88,7 @@
             budget: Budget::new(cfg.budget, cfg.window),
             watches: Watches::default(),
             pending: IndexMap::new(),
-            cool: IndexMap::new(),
+            carved: IndexMap::new(),
         }
     }
 
@@ -95,13 +107,14 @@
             return;
         }
         self.count_pending(now, input.loads, cx);
+        self.follow_carved(now, input.loads, cx);
         self.watch(now, input, cx);
         if !cx.leaving.is_empty() || !cx.sources.is_empty() {
             cx.order(input.loads);
             self.evacuate(now, input, cx, out);
             self.shed(now, input, capacity, cx, out);
         }
-        self.fold(now, input, cx, out);
+        self.fold(now, input.loads, out);
     }
 
     /// Takes note that the wish for `slice` (see [`Wish::slice`]) was carried out or has failed.
@@ -338,7 +351,7 @@
                 .sum();
             let load = load - carved;
             let size = load / standing.share;
-            if 2.0 * size * reach < cost::price(input.objective, keys) {
+            if 2.0 * size * reach < cost::price(input.objective, keys, size) {
                 continue;
             }
             cx.items.push(Item {
@@ -384,6 +397,10 @@
             if self.pending.contains_key(&item.slice) || (ordinary && hot_only) {
                 continue;
             }
+            let falling = |carved: &Carved| carved.falling;
+            if self.carved.get(&item.slice).is_some_and(falling) {
+                continue;
+            }
             let Some(to) = self.target(input, cx, from, shed, item) else {
                 continue;
             };
@@ -419,29 +436,43 @@
         pays(input, cx, from, to, item).then_some(to)
     }
 
-    /// Folds back keys that have been cool for long enough.
-    fn fold(
-        &mut self,
-        now: Timestamp,
-        input: &PlanInput<'_>,
-        cx: &PlanContext,
-        out: &mut Vec<Wish>,
-    ) {
-        let loads = input.loads;
-        self.cool.retain(|slice, _| loads.owner(*slice).is_some());
+    /// Notes which carved-out keys are cooling.
+    fn follow_carved(&mut self, now: Timestamp, loads: &Loads, cx: &PlanContext) {
+        self.carved.retain(|slice, _| loads.owner(*slice).is_some());
         for slice in loads.hot_slices() {
-            let Some(from) = loads.owner(slice) else {
+            let Some(owner) = loads.owner(slice) else {
                 continue;
             };
-            let limit = COOL_SHARE * self.cfg.carve_share * cx.standing(from).share;
-            if loads.slice_load(now, slice) >= limit {
-                self.cool.swap_remove(&slice);
+            let load = loads.slice_load(now, slice);
+            let carved = self.carved.entry(slice).or_insert(Carved {
+                load: 0.0,
+                falling: false,
+                cool_since: None,
+            });
+            carved.falling = load < carved.load * FALLING;
+            carved.load = load;
+            let limit = COOL_SHARE * self.cfg.carve_share * cx.standing(owner).share;
+            note(&mut carved.cool_since, load < limit, now);
+        }
+    }
+
+    /// Folds back keys that have been cool for long enough.
+    fn fold(&mut self, now: Timestamp, loads: &Loads, out: &mut Vec<Wish>) {
+        for n in 0..self.carved.len() {
+            let Some((&slice, carved)) = self.carved.get_index(n) else {
+                return;
+            };
+            let cool = carved
+                .cool_since
+                .is_some_and(|since| now.since(since) >= self.cfg.cooling);
+            if !cool || self.pending.contains_key(&slice) {
                 continue;
             }
-            let since = *self.cool.entry(slice).or_insert(now);
-            let cool = now.since(since) >= self.cfg.cooling;
-            if !cool || self.pending.contains_key(&slice) || !self.budget.spend(now) {
+            let Some(from) = loads.owner(slice) else {
                 continue;
+            };
+            if !self.budget.spend(now) {
+                return;
             }
             self.wish(now, Wish::Fold { slice, from }, out);
         }
@@ -487,7 +518,7 @@
     let source = cx.standing(from).end(item.load);
     let target = cx.standing(to).end(item.load);
     let gain = cost::gain(source, target);
-    gain > cost::price(input.objective, item.keys) && cost::improves(source, target)
+    gain > cost::price(input.objective, item.keys, source.size) && cost::improves(source, target)
 }
 
 fn wish_for(item: &Item, from: UpstreamKey, to: UpstreamKey) -> Wish {
