--- a/crates/own/src/claim.rs
+++ b/crates/own/src/claim.rs
@@ -40,14 +40,13 @@
             return false;
         }
         let bound = self.cfg.silence;
-        self.roster
-            .silent(self.now, coordinator, known.since, bound)
+        self.roster.silent(coordinator, known.awake_since, bound)
             && self.may_take_over(upstream, coordinator)
     }
 
     /// Looks for upstreams that this host should claim and slices that it should hand out.
     pub(crate) fn scan(&mut self) {
-        let settled = self.now.since(self.roster.listening()) >= self.cfg.watch_every * 3;
+        let settled = self.roster.awake().since(Timestamp::ZERO) >= self.cfg.watch_every * 3;
         if self.leaving || !settled || self.table_stamp.is_none() || !self.table_reachable {
             return;
         }
@@ -72,7 +71,8 @@
         let coordinator = known.as_ref().and_then(|k| k.row.coordinator.clone());
         match (known, coordinator) {
             (Some(known), Some(coordinator)) => {
-                self.is_due_to_replace(upstream, &known, &coordinator)
+                let of_use = self.view.upstream(upstream).is_some() || !known.row.slices.is_empty();
+                of_use && self.is_due_to_replace(upstream, &known, &coordinator)
             }
             (Some(known), None) => self.is_due_to_fill(upstream, !known.row.slices.is_empty()),
             (None, _) => self.is_due_to_fill(upstream, false),
@@ -129,7 +129,7 @@
             return false;
         }
         let bound = self.cfg.silence;
-        let forgotten = |h| self.roster.forgotten(self.now, h, known.since, bound);
+        let forgotten = |h| self.roster.forgotten(h, known.awake_since, bound);
         if !named.iter().all(forgotten) {
             return false;
         }
@@ -140,7 +140,7 @@
     fn all_unanswered(&mut self, hosts: &[HostRef]) -> bool {
         let mut unanswered = true;
         for h in hosts {
-            unanswered &= self.roster.ask(self.now, h, self.cfg.silence);
+            unanswered &= self.roster.ask(h, self.cfg.silence);
             let stamp_us = self.now.as_micros();
             self.send(h, Body::Ping(Ping { stamp_us }));
         }
@@ -151,7 +151,7 @@
     pub(crate) fn candidates(&self, fits: impl Fn(&HostRef) -> bool) -> Vec<HostRef> {
         let me = (!self.leaving).then_some(&self.me);
         let bound = self.cfg.silence;
-        let others = self.roster.alive(self.now, bound, self.cfg.roster);
+        let others = self.roster.alive(bound, self.cfg.roster);
         let usable = |h: &&HostRef| fits(h) && !self.view.is_lost(&h.domain);
         me.into_iter()
             .chain(others)
--- a/crates/own/src/evidence.rs
+++ b/crates/own/src/evidence.rs
@@ -3,7 +3,7 @@
 //! A host acts for an upstream only while it has evidence that is younger than the evidence
 //! window. Any of these counts, by the own reading as of which it holds:
 //!
-//! 1. the deputy promised not to act, or the table was read and named this host, or a transaction
+//! 1. the other host of the row promised not to act, or the table was read and named this host, or a transaction
 //!    that checks the row took effect;
 //! 2. if the table can't be reached, and the other host of the row is silent: any host returned a
 //!    reading of the own clock. Hosts of one domain aren't cut off from each other, so whoever
@@ -53,7 +53,7 @@
     }
 
     /// Returns the other host that may act for the upstream by its row.
-    fn partner(&self, upstream: &UpstreamId, held: &Held) -> Option<&HostRef> {
+    pub(crate) fn partner(&self, upstream: &UpstreamId, held: &Held) -> Option<&HostRef> {
         if held.was_handed && !held.recorded {
             return None;
         }
@@ -70,8 +70,9 @@
         if self.table_reachable || self.view.fails_over(upstream) || self.is_foreign(upstream) {
             return None;
         }
-        let since = self.replica.get(upstream).map_or(self.now, |k| k.since);
-        let silent = |p| self.roster.silent(self.now, p, since, self.cfg.silence);
+        let known = self.replica.get(upstream);
+        let since = known.map_or(self.roster.awake(), |k| k.awake_since);
+        let silent = |p| self.roster.silent(p, since, self.cfg.silence);
         if !partner.is_none_or(silent) {
             return None;
         }
--- a/crates/own/src/handover.rs
+++ b/crates/own/src/handover.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ids::{Epoch, UpstreamId};
+use ids::{Epoch, Timestamp, UpstreamId};
 use wire::own::{Body, Handover};
 
 use crate::commits::{Pending, Subject};
@@ -40,25 +40,29 @@
     }
 
     /// Returns the host that takes over an upstream of this host when it leaves.
+    ///
+    /// Best is the deputy, if it is in the upstream's domain, then another host there; without the
+    /// table only the deputy can.
     fn pick_heir(&self, upstream: &UpstreamId) -> Option<HostRef> {
         let row = &self.replica.get(upstream)?.row;
-        let deputy = row.deputy.as_ref();
-        if let Some(d) = deputy.filter(|d| !self.is_unfit_heir(d)) {
+        let deputy = row.deputy.as_ref().filter(|d| !self.is_unfit_heir(d));
+        let domain = self.view.upstream(upstream).map(|d| &d.domain);
+        let home = |h: &HostRef| Some(&h.domain) == domain;
+        if let Some(d) = deputy.filter(|d| home(d) || !self.table_reachable) {
             return Some(d.clone());
         }
-        let domain = self.view.upstream(upstream).map(|d| d.domain.clone());
-        let near = self.candidates(|h| Some(&h.domain) == domain.as_ref());
-        let all = self.candidates(|_| true);
+        let near = self.candidates(|h| home(h) && !h.is(&self.me));
+        let all = self.candidates(|h| !h.is(&self.me));
         let label = upstream.as_str();
         winner(label, near.iter())
+            .or(deputy)
             .or_else(|| winner(label, all.iter()))
             .cloned()
     }
 
     fn is_unfit_heir(&self, host: &HostRef) -> bool {
-        let forgotten =
-            self.roster
-                .forgotten(self.now, host, self.roster.listening(), self.cfg.silence);
+        let bound = self.cfg.silence;
+        let forgotten = self.roster.forgotten(host, Timestamp::ZERO, bound);
         forgotten || self.roster.is_leaving(host)
     }
 
@@ -67,11 +71,7 @@
         if held.end() > self.now && held.lease.is_some() {
             return;
         }
-        self.rewrite(upstream, |row| {
-            row.epoch = row.reserved().next();
-            row.coordinator = None;
-            row.deputy = None;
-        });
+        self.write_vacant(upstream);
     }
 
     fn cancel_handing(&mut self, upstream: &UpstreamId, held: &mut Held) {
@@ -150,6 +150,7 @@
             hold: handing.hold,
             epoch,
             since: self.now,
+            awake_since: self.roster.awake(),
             send_at: self.now,
             end,
         };
@@ -162,9 +163,7 @@
         let mut due = Vec::new();
         let mut over = Vec::new();
         for (u, h) in &mut self.handed {
-            let silent = self
-                .roster
-                .silent(self.now, &h.to, h.since, self.cfg.silence);
+            let silent = self.roster.silent(&h.to, h.awake_since, self.cfg.silence);
             if silent || self.now.since(h.since) >= LONGEST_WAIT {
                 over.push(u.clone());
             } else if self.now >= h.send_at {
--- a/crates/own/src/held.rs
+++ b/crates/own/src/held.rs
@@ -1,6 +1,6 @@
 //! What a host keeps of an upstream that it coordinates.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use ids::{Epoch, Revision, SliceNo, Timestamp, UpstreamId};
@@ -35,6 +35,8 @@
     pub(crate) removal: Option<Removal>,
     pub(crate) handing: Option<Handing>,
     pub(crate) wishes: BTreeMap<SliceNo, UpstreamId>,
+    /// Carved-out keys that should go back into their slices.
+    pub(crate) folds: BTreeSet<SliceNo>,
     /// Hosts that hold requests until the row of this revision is served.
     pub(crate) tells: Vec<(HostRef, Revision)>,
     /// Whether nothing is under way at an upstream that does not check grants.
@@ -43,7 +45,7 @@
 }
 
 impl Held {
-    pub(crate) fn new(now: Timestamp, epoch: Epoch, recorded: bool) -> Self {
+    pub(crate) fn new(now: Timestamp, awake: Timestamp, epoch: Epoch, recorded: bool) -> Self {
         Self {
             since: now,
             epoch,
@@ -52,7 +54,7 @@
             evidence: None,
             older_since: now,
             inherit: Inherit::none(),
-            link: Link::new(now),
+            link: Link::new(now, awake),
             lease: None,
             lease_end: Timestamp::ZERO,
             yielded: false,
@@ -60,12 +62,19 @@
             removal: None,
             handing: None,
             wishes: BTreeMap::new(),
+            folds: BTreeSet::new(),
             tells: Vec::new(),
             idle: false,
             draining: false,
         }
     }
 
+    /// Notes that a host holds requests until the row of `revision` is served.
+    pub(crate) fn tell_once_serving(&mut self, host: &HostRef, revision: Revision) {
+        self.tells.retain(|(h, _)| !h.is(host));
+        self.tells.push((host.clone(), revision));
+    }
+
     /// Returns the own clock at which all that this host and those before it granted is over.
     pub(crate) fn end(&self) -> Timestamp {
         let own = self.link.end().max(self.lease_end);
@@ -80,6 +89,8 @@
     Wish,
     /// The upstream is to be emptied.
     Emptying,
+    /// A carved-out key goes back into its slice at the same upstream.
+    Fold,
     /// The upstream is lost.
     Lost,
 }
@@ -149,6 +160,7 @@
     pub(crate) hold: u64,
     pub(crate) epoch: Epoch,
     pub(crate) since: Timestamp,
+    pub(crate) awake_since: Timestamp,
     pub(crate) send_at: Timestamp,
     /// Own clock at which all that was granted before is over.
     pub(crate) end: Timestamp,
--- a/crates/own/src/keep.rs
+++ b/crates/own/src/keep.rs
@@ -36,6 +36,10 @@
             self.name_deputy(upstream);
             return;
         }
+        if row.slices.is_empty() && self.view.upstream(upstream).is_none() {
+            self.write_vacant(upstream);
+            return;
+        }
         self.keep_open(upstream, held, &row);
         self.rebalance(upstream, held);
     }
@@ -96,6 +100,15 @@
         self.rewrite(upstream, |row| row.deputy = Some(deputy));
     }
 
+    /// Writes that nobody coordinates the upstream.
+    pub(crate) fn write_vacant(&mut self, upstream: &UpstreamId) {
+        self.rewrite(upstream, |row| {
+            row.epoch = row.reserved().next();
+            row.coordinator = None;
+            row.deputy = None;
+        });
+    }
+
     fn keep_open(&mut self, upstream: &UpstreamId, held: &Held, row: &OwnRow) {
         let leaving = self.is_emptying(upstream, held);
         let serving = self.is_serving(upstream, held);
@@ -126,7 +139,7 @@
         let Some(best) = winner(upstream.as_str(), home.iter()) else {
             return;
         };
-        if best.is(&self.me) || !self.roster.is_settled(self.now, best, span) {
+        if best.is(&self.me) || !self.roster.is_settled(best, span) {
             return;
         }
         self.start_handing(upstream, held, best.clone());
--- a/crates/own/src/link.rs
+++ b/crates/own/src/link.rs
@@ -61,7 +61,6 @@
 /// The grant of one upstream, as its coordinating host knows it.
 #[derive(Debug)]
 pub(crate) struct Link {
-    created: Timestamp,
     seq: u64,
     attempts: VecDeque<Attempt>,
     reading: Option<Reading>,
@@ -70,6 +69,8 @@
     end: Timestamp,
     next_at: Timestamp,
     last_reply: Option<Timestamp>,
+    /// The same, or else the beginning, in awake time.
+    last_awake: Timestamp,
     /// Attempts since the last reply.
     unanswered: u32,
     /// Whether the last attempt was refused by the transport.
@@ -97,9 +98,9 @@
 }
 
 impl Link {
-    pub(crate) fn new(now: Timestamp) -> Self {
+    pub(crate) fn new(now: Timestamp, awake: Timestamp) -> Self {
         Self {
-            created: now,
+            last_awake: awake,
             seq: 0,
             attempts: VecDeque::new(),
             reading: None,
@@ -188,7 +189,8 @@
     }
 
     /// Notes that an upstream that does not check grants is up.
-    pub(crate) const fn healthy(&mut self, now: Timestamp) {
+    pub(crate) const fn healthy(&mut self, now: Timestamp, awake: Timestamp) {
+        self.last_awake = awake;
         self.last_reply = Some(now);
         self.unanswered = 0;
         self.refused = false;
@@ -203,6 +205,7 @@
     pub(crate) fn reply(
         &mut self,
         now: Timestamp,
+        awake: Timestamp,
         cfg: &OwnSettings,
         number: u64,
         reply: &GrantReply,
@@ -212,6 +215,7 @@
             return;
         };
         self.last_reply = Some(now);
+        self.last_awake = awake;
         self.unanswered = 0;
         self.refused = false;
         self.take_reading(Reading {
@@ -321,9 +325,8 @@
     }
 
     /// Tells whether the upstream replied to nothing for the bound.
-    pub(crate) fn is_silent(&self, now: Timestamp, listening: Timestamp, bound: Duration) -> bool {
-        let last = self.last_reply.unwrap_or(self.created);
-        self.unanswered >= LOST_ATTEMPTS && now.since(last.max(listening)) >= bound
+    pub(crate) fn is_silent(&self, awake: Timestamp, bound: Duration) -> bool {
+        self.unanswered >= LOST_ATTEMPTS && awake.since(self.last_awake) >= bound
     }
 
     /// Tells whether the upstream replied to nothing since `start`.
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -41,8 +41,6 @@
     /// What this host promised as a deputy.
     pub(crate) marks: BTreeMap<UpstreamId, Mark>,
     pub(crate) settling: Vec<Settling>,
-    /// Entry of each upstream, kept when the upstream goes.
-    pub(crate) entry_of: BTreeMap<UpstreamId, EntryId>,
     /// Since when an entry waits for its slices to be handed out.
     pub(crate) unassigned: BTreeMap<EntryId, Timestamp>,
     /// Since when a domain has no host that is up.
@@ -75,7 +73,6 @@
             past: BTreeMap::new(),
             marks: BTreeMap::new(),
             settling: Vec::new(),
-            entry_of: BTreeMap::new(),
             unassigned: BTreeMap::new(),
             deserted: BTreeMap::new(),
             table_stamp: None,
@@ -137,10 +134,11 @@
                 attempt,
                 reply,
             } => self.with_held(&upstream, |m, h| {
-                h.link.reply(m.now, &m.cfg, attempt, &reply);
+                h.link
+                    .reply(m.now, m.roster.awake(), &m.cfg, attempt, &reply);
             }),
             Event::Healthy { upstream, .. } => self.with_held(&upstream, |m, h| {
-                h.link.healthy(m.now);
+                h.link.healthy(m.now, m.roster.awake());
             }),
             Event::NoReply {
                 upstream, refused, ..
@@ -151,7 +149,7 @@
                 leaving,
             } => self.on_peer(&from, echo_of, leaving),
             Event::PeerGone(host) => {
-                self.roster.gone(self.now, &host);
+                self.roster.gone(&host);
                 self.take_over_from(&host);
                 self.advance_all();
             }
@@ -181,7 +179,7 @@
         self.submit_again();
         self.take_over_silent();
         self.advance_all();
-        self.ask_deputies();
+        self.ask_partners();
         self.hand_over_without_table();
         self.pass_on_handed();
         self.release_settled();
@@ -201,10 +199,7 @@
     }
 
     fn on_catalogue(&mut self, catalogue: Arc<catalogue::Catalogue>) {
-        for (u, decl) in &catalogue.upstreams {
-            self.entry_of.insert(u.clone(), decl.entry.clone());
-        }
-        self.view = View::new(catalogue);
+        self.view.take(catalogue);
         self.advance_all();
     }
 
@@ -218,7 +213,7 @@
 
     /// Notes a sign of life.
     pub(crate) fn heard(&mut self, from: &HostRef, direct: bool) {
-        self.roster.heard(self.now, from, direct);
+        self.roster.heard(from, direct);
         if !direct {
             return;
         }
@@ -292,9 +287,14 @@
 
     /// Takes in a row of an upstream, from wherever it came.
     pub(crate) fn on_row(&mut self, upstream: &UpstreamId, revision: Revision, row: &Arc<OwnRow>) {
-        let taken = self
-            .replica
-            .take(self.now, &self.me, upstream, revision, Arc::clone(row));
+        let taken = self.replica.take(
+            self.now,
+            self.roster.awake(),
+            &self.me,
+            upstream,
+            revision,
+            Arc::clone(row),
+        );
         let Taken::News(before) = taken else {
             return;
         };
@@ -315,7 +315,7 @@
         if handed.is_some_and(|h| h.epoch > row.epoch) {
             return;
         }
-        let mut held = Held::new(self.now, row.epoch, true);
+        let mut held = Held::new(self.now, self.roster.awake(), row.epoch, true);
         self.inherit(&mut held, before);
         self.held.insert(upstream.clone(), held);
         self.advance(upstream);
--- a/crates/own/src/moves.rs
+++ b/crates/own/src/moves.rs
@@ -27,6 +27,9 @@
 /// From how many times more upstreams than are needed the emptiest are taken.
 const SAMPLE: usize = 4;
 
+/// Where slices should go.
+type Plan = BTreeMap<UpstreamId, Vec<SliceNo>>;
+
 impl Machine {
     pub(crate) fn on_wish(&mut self, entry: &EntryId, slice: SliceNo, to: UpstreamId) {
         let Some(upstream) = self.holder(entry, slice) else {
@@ -45,7 +48,8 @@
     fn holder(&self, entry: &EntryId, slice: SliceNo) -> Option<UpstreamId> {
         let owns = |u: &&UpstreamId| {
             let known = self.replica.get(u);
-            self.entry_of.get(*u) == Some(entry) && known.is_some_and(|k| k.row.holds(slice))
+            self.view.known(u).is_some_and(|d| d.entry == *entry)
+                && known.is_some_and(|k| k.row.holds(slice))
         };
         self.held.keys().find(owns).cloned()
     }
@@ -79,21 +83,32 @@
         let Some(upstream) = self.holder(entry, hot) else {
             return;
         };
-        let known = self.replica.get(&upstream);
-        if !known.is_some_and(|k| k.row.carved.iter().any(|c| c.hot == hot)) {
-            return;
-        }
-        self.rewrite(&upstream, |row| {
-            row.carved.retain(|c| c.hot != hot);
-            row.slices.retain(|a| a.slice != hot);
+        self.with_held(&upstream, |_, h| {
+            h.folds.insert(hot);
         });
     }
 
+    /// Returns the carved-out keys that should and can go back into their slices.
+    ///
+    /// They are revoked like slices that move: a deputy that knows only the row before would else
+    /// grant the key here after its slice moved on.
+    fn take_folds(upstream: &UpstreamId, held: &mut Held, known: &Known) -> Plan {
+        let folds = std::mem::take(&mut held.folds);
+        let row = &known.row;
+        let here = |s: &SliceNo| row.holds(*s) && row.carved.iter().any(|c| c.hot == *s);
+        let slices = folds.into_iter().filter(here).collect::<Vec<_>>();
+        let groups = (!slices.is_empty()).then(|| (upstream.clone(), slices));
+        groups.into_iter().collect()
+    }
+
     /// Starts and pursues the removal of slices that should go.
     pub(crate) fn move_slices(&mut self, upstream: &UpstreamId, held: &mut Held) {
         if !held.recorded || held.handing.is_some() || self.is_busy(upstream) {
             return;
         }
+        if self.has_yielded(upstream, held) {
+            return;
+        }
         if held.removal.is_none() {
             self.start_removal(upstream, held);
         }
@@ -108,7 +123,7 @@
     }
 
     fn start_removal(&mut self, upstream: &UpstreamId, kept: &mut Held) {
-        if self.leaving || !self.table_reachable || self.has_yielded(upstream, kept) {
+        if self.leaving || !self.table_reachable {
             return;
         }
         let Some(known) = self.replica.get(upstream).cloned() else {
@@ -120,8 +135,10 @@
         } else if self.is_emptying(upstream, kept) {
             let batch = all.take(self.cfg.move_batch);
             (Why::Emptying, self.spread(upstream, batch))
-        } else {
+        } else if kept.folds.is_empty() {
             (Why::Wish, self.take_wishes(upstream, kept, &known))
+        } else {
+            (Why::Fold, Self::take_folds(upstream, kept, &known))
         };
         if plan.is_empty() {
             return;
@@ -159,18 +176,12 @@
             return true;
         }
         let over = !self.checks_grants(upstream) || held.link.end() <= self.now;
-        over && held
-            .link
-            .is_silent(self.now, self.roster.listening(), self.cfg.silence)
+        over && held.link.is_silent(self.roster.awake(), self.cfg.silence)
     }
 
     /// Spreads slices over other upstreams of the same entry, the emptiest first.
-    fn spread(
-        &self,
-        upstream: &UpstreamId,
-        slices: impl Iterator<Item = SliceNo>,
-    ) -> BTreeMap<UpstreamId, Vec<SliceNo>> {
-        let mut plan = BTreeMap::<UpstreamId, Vec<SliceNo>>::new();
+    fn spread(&self, upstream: &UpstreamId, slices: impl Iterator<Item = SliceNo>) -> Plan {
+        let mut plan = Plan::new();
         let mut loads = self.targets(upstream);
         for slice in slices {
             let Some((load, to)) = loads.iter_mut().min() else {
@@ -187,7 +198,7 @@
     /// Each lost upstream takes its own sample, so that many lost at once don't all write the rows
     /// of the same few.
     fn targets(&self, upstream: &UpstreamId) -> Vec<(usize, UpstreamId)> {
-        let Some(entry) = self.entry_of.get(upstream) else {
+        let Some(entry) = self.view.known(upstream).map(|d| &d.entry) else {
             return Vec::new();
         };
         let mut open = self.open_upstreams(entry);
@@ -207,13 +218,8 @@
         held.is_some_and(|h| self.is_emptying(upstream, h) || !self.is_serving(upstream, h))
     }
 
-    fn take_wishes(
-        &self,
-        upstream: &UpstreamId,
-        held: &mut Held,
-        known: &Known,
-    ) -> BTreeMap<UpstreamId, Vec<SliceNo>> {
-        let mut plan = BTreeMap::<UpstreamId, Vec<SliceNo>>::new();
+    fn take_wishes(&self, upstream: &UpstreamId, held: &mut Held, known: &Known) -> Plan {
+        let mut plan = Plan::new();
         if held.inherit.quiet_at() > self.now {
             return plan;
         }
@@ -231,7 +237,7 @@
     }
 
     fn is_target(&self, from: &UpstreamId, to: &UpstreamId) -> bool {
-        let Some(entry) = self.entry_of.get(from) else {
+        let Some(entry) = self.view.known(from).map(|d| &d.entry) else {
             return false;
         };
         let mut open = self.open_upstreams(entry).into_iter();
@@ -245,7 +251,9 @@
         };
         match r.why {
             Why::Lost => !self.is_lost(upstream, held) && !held.link.is_silent_since(r.since),
-            Why::Wish => !self.table_reachable || self.now.since(r.since) >= LONGEST_WISH,
+            Why::Wish | Why::Fold => {
+                !self.table_reachable || self.now.since(r.since) >= LONGEST_WISH
+            }
             Why::Emptying => !self.table_reachable,
         }
     }
@@ -278,6 +286,10 @@
             return;
         }
         let slices = r.slices();
+        if let (Some(_), Some(deputy)) = (current, known.row.deputy.clone()) {
+            // It may not know the row yet, and can't promise anything about it then.
+            self.tell_newer(&deputy, upstream);
+        }
         let retiring = self.send_retire(upstream, held, slices);
         if let Some(r) = &mut held.removal {
             r.retiring = retiring;
@@ -332,7 +344,9 @@
             return over;
         }
         if self.checks_grants(upstream) {
-            return held.link.is_settled(held.epoch) || (over && r.why == Why::Lost);
+            // One that is lost, or not declared any more, can't be asked.
+            let unasked = r.why == Why::Lost || self.view.upstream(upstream).is_none();
+            return held.link.is_settled(held.epoch) || (over && unasked);
         }
         if held.link.is_refused() && r.why == Why::Lost {
             return over;
@@ -364,7 +378,7 @@
         });
         let targets = targets.collect::<Vec<_>>();
         debug_assert_eq!(targets.len(), r.groups.len(), "targets are known");
-        let close = r.why != Why::Wish;
+        let close = matches!(r.why, Why::Lost | Why::Emptying);
         let subject = Subject::Upstream(upstream.clone());
         self.commit(subject, |writer| {
             let mut from = OwnRow::clone(&known.row);
@@ -381,7 +395,7 @@
         };
         let mut all = true;
         for g in &mut r.groups {
-            if self.is_target(upstream, &g.to) {
+            if r.why == Why::Fold || self.is_target(upstream, &g.to) {
                 continue;
             }
             let plan = self.spread(upstream, g.slices.first().copied().into_iter());
@@ -478,6 +492,10 @@
     let mut checks = vec![check(upstream, Some(revision))];
     let mut rows = BTreeMap::<UpstreamId, OwnRow>::new();
     for (g, target) in groups {
+        if g.to == *upstream {
+            fold(&mut from, &g.slices);
+            continue;
+        }
         let row = rows.entry(g.to.clone()).or_insert_with(|| {
             checks.push(check(&g.to, Some(target.revision)));
             OwnRow::clone(&target.row)
@@ -490,6 +508,12 @@
     Txn { checks, writes }
 }
 
+/// Puts carved-out keys back into their slices.
+fn fold(row: &mut OwnRow, hot: &[SliceNo]) {
+    row.carved.retain(|c| hot.binary_search(&c.hot).is_err());
+    row.slices.retain(|a| hot.binary_search(&a.slice).is_err());
+}
+
 /// Moves slices, and the hot keys carved out of them, from one row to another.
 fn take_slices(from: &mut OwnRow, to: &mut OwnRow, slices: &[SliceNo]) {
     let within = |s: SliceNo| slices.binary_search(&s).is_ok();
--- a/crates/own/src/peers.rs
+++ b/crates/own/src/peers.rs
@@ -13,12 +13,11 @@
 use crate::row::OwnChange;
 use crate::{HostRef, OwnRow, Stop};
 
-/// A deputy's promise not to grant some slices of a row, or of rows before it.
+/// A deputy's promise not to grant some slices of a row.
 #[derive(Debug, Clone)]
 pub(crate) struct Mark {
     from: HostRef,
     seq: u64,
-    epoch: Epoch,
     pub(crate) revision: Revision,
     pub(crate) slices: Vec<SliceNo>,
 }
@@ -75,7 +74,7 @@
         self.send(from, Body::Promise(Promise { stamp_us, answers }));
     }
 
-    /// Returns what this host says, as a deputy, of a claim.
+    /// Returns what this host says of a claim of the other host of the row.
     fn standing(
         &mut self,
         from: &HostRef,
@@ -88,7 +87,10 @@
         };
         let is =
             |host: &Option<HostRef>, other: &HostRef| host.as_ref().is_some_and(|h| h.is(other));
-        let row = &known.row;
+        let row = Arc::clone(&known.row);
+        if is(&row.coordinator, &self.me) && is(&row.deputy, from) && row.reserved() == epoch {
+            return (self.yield_to_deputy(upstream), epoch);
+        }
         if row.epoch != epoch || !is(&row.coordinator, from) || !is(&row.deputy, &self.me) {
             return (Standing::Unknown, epoch);
         }
@@ -98,8 +100,18 @@
         (Standing::Promised, epoch)
     }
 
+    /// Stops acting for an upstream whose deputy acts, until that one is silent.
+    fn yield_to_deputy(&mut self, upstream: &UpstreamId) -> Standing {
+        self.with_held(upstream, |_, h| h.yielded = true);
+        match self.held.get(upstream) {
+            Some(h) if h.recorded && self.has_yielded(upstream, h) => Standing::Promised,
+            // Else it was handed over, or is not taken up yet.
+            _ => Standing::Unknown,
+        }
+    }
+
     /// Passes on what is known of an upstream's row.
-    fn tell_newer(&mut self, to: &HostRef, upstream: &UpstreamId) {
+    pub(crate) fn tell_newer(&mut self, to: &HostRef, upstream: &UpstreamId) {
         let Some(known) = self.replica.get(upstream) else {
             return;
         };
@@ -126,18 +138,18 @@
     }
 
     fn on_answer(&mut self, from: &HostRef, upstream: &UpstreamId, a: &Answer, stamp: Timestamp) {
-        let known = self.replica.get(upstream);
-        let deputy = known.and_then(|k| k.row.deputy.as_ref());
-        if !deputy.is_some_and(|d| d.is(from)) {
+        let held = self.held.get(upstream);
+        let partner = held.and_then(|h| self.partner(upstream, h));
+        if !partner.is_some_and(|p| p.is(from)) {
             return;
         }
         let epoch = Epoch(a.epoch);
         let mut unknown = false;
         self.with_held(upstream, |m, h| match a.standing() {
-            Standing::Promised if h.recorded && h.epoch == epoch => {
+            Standing::Promised if h.epoch == epoch => {
                 h.evidence = h.evidence.max(Some(stamp));
             }
-            Standing::Acting if epoch > h.epoch => {
+            Standing::Acting if h.recorded && epoch > h.epoch => {
                 h.yielded = true;
                 m.replica.note(upstream, epoch);
             }
@@ -155,26 +167,22 @@
         };
         let (epoch, revision) = (Epoch(m.epoch), Revision(m.revision));
         self.replica.note(&upstream, epoch);
-        // One that acts already, or knows a later row, can't promise anything about this one.
-        let later = self.replica.get(&upstream).map(|k| k.revision);
-        if self.held.contains_key(&upstream) || later.is_some_and(|r| r > revision) {
+        // One that acts already, or knows another row, can't promise anything about this one: a
+        // row before may not have the hot keys that were carved out since.
+        let known = self.replica.get(&upstream).map(|k| k.revision);
+        if self.held.contains_key(&upstream) || known != Some(revision) {
             return;
         }
-        let newer = self.marks.get(&upstream).is_none_or(|k| {
-            let order = if k.from.is(from) {
-                k.seq <= m.seq
-            } else {
-                k.epoch < epoch
-            };
-            order && k.revision <= revision
-        });
+        let newer = self
+            .marks
+            .get(&upstream)
+            .is_none_or(|k| k.revision < revision || (k.from.is(from) && k.seq <= m.seq));
         if !newer {
             return;
         }
         let mark = Mark {
             from: from.clone(),
             seq: m.seq,
-            epoch,
             revision,
             slices: m.slices.iter().copied().map(SliceNo).collect(),
         };
@@ -257,7 +265,7 @@
             return;
         };
         let revision = Revision(m.revision);
-        self.with_held(&upstream, |_, h| h.tells.push((from.clone(), revision)));
+        self.with_held(&upstream, |_, h| h.tell_once_serving(from, revision));
     }
 
     fn on_handover(&mut self, from: &HostRef, m: &Handover) {
@@ -270,7 +278,7 @@
         let revision = Revision(m.revision);
         self.with_held(&upstream, |_, h| {
             h.inherit.stopped(from, end);
-            h.tells.push((from.clone(), revision));
+            h.tell_once_serving(from, revision);
         });
     }
 
@@ -328,7 +336,7 @@
         let Some(known) = self.replica.get(upstream) else {
             return;
         };
-        let held = Held::new(self.now, known.row.reserved(), false);
+        let held = Held::new(self.now, self.roster.awake(), known.row.reserved(), false);
         self.held.insert(upstream.clone(), held);
         self.advance(upstream);
     }
--- a/crates/own/src/renew.rs
+++ b/crates/own/src/renew.rs
@@ -12,9 +12,7 @@
 
 impl Machine {
     pub(crate) fn checks_grants(&self, upstream: &UpstreamId) -> bool {
-        // An upstream that is not declared any more gets no sends, whichever kind it was.
-        let decl = self.view.upstream(upstream);
-        decl.is_none_or(|u| u.checks_grants)
+        self.view.known(upstream).is_none_or(|u| u.checks_grants)
     }
 
     pub(crate) fn want_scope(&self, upstream: &UpstreamId, held: &mut Held) {
@@ -97,7 +95,7 @@
         };
         let bound = self.cfg.silence;
         let deputy = known.row.deputy.as_ref();
-        deputy.is_some_and(|d| self.roster.silent(self.now, d, known.since, bound))
+        deputy.is_some_and(|d| self.roster.silent(d, known.awake_since, bound))
     }
 
     /// Sends a grant or a health request if one is due.
@@ -132,26 +130,26 @@
         });
     }
 
-    /// Asks the deputies for their promises, with one message to each.
-    pub(crate) fn ask_deputies(&mut self) {
+    /// Asks the other hosts of the rows for their promises, with one message to each.
+    pub(crate) fn ask_partners(&mut self) {
         if self.now < self.watch_at {
             return;
         }
         self.watch_at = self.now + self.cfg.watch_every;
         let mut asked = BTreeMap::<HostRef, Vec<Claim>>::new();
-        for (u, held) in self.held.iter().filter(|(_, h)| h.recorded) {
-            let known = self.replica.get(u);
-            let Some(deputy) = known.and_then(|k| k.row.deputy.clone()) else {
+        for (u, held) in &self.held {
+            let Some(partner) = self.partner(u, held) else {
                 continue;
             };
-            asked.entry(deputy).or_default().push(Claim {
+            let claims = asked.entry(partner.clone()).or_default();
+            claims.push(Claim {
                 upstream: u.as_str().to_owned(),
                 epoch: held.epoch.0,
             });
         }
         let stamp_us = self.now.as_micros();
-        for (deputy, claims) in asked {
-            self.send(&deputy, Body::Watch(Watch { stamp_us, claims }));
+        for (partner, claims) in asked {
+            self.send(&partner, Body::Watch(Watch { stamp_us, claims }));
         }
     }
 
--- a/crates/own/src/replica.rs
+++ b/crates/own/src/replica.rs
@@ -14,6 +14,8 @@
     pub(crate) row: Arc<OwnRow>,
     /// When this host first knew the row's epoch.
     pub(crate) since: Timestamp,
+    /// The same in awake time.
+    pub(crate) awake_since: Timestamp,
 }
 
 /// What became of a row that came in.
@@ -40,6 +42,7 @@
     pub(crate) fn take(
         &mut self,
         now: Timestamp,
+        awake: Timestamp,
         me: &HostRef,
         upstream: &UpstreamId,
         revision: Revision,
@@ -51,6 +54,7 @@
         }
         let kept = before.filter(|b| b.row.epoch == row.epoch);
         let since = kept.map_or(now, |b| b.since);
+        let awake_since = kept.map_or(awake, |b| b.awake_since);
         self.note(upstream, row.epoch);
         if row.deputy.as_ref().is_some_and(|d| d.is(me)) {
             self.deputy_of.insert(upstream.clone());
@@ -61,6 +65,7 @@
             revision,
             row,
             since,
+            awake_since,
         };
         Taken::News(self.rows.insert(upstream.clone(), known))
     }
--- a/crates/own/src/roster.rs
+++ b/crates/own/src/roster.rs
@@ -27,15 +27,14 @@
 
 /// Hosts that were heard of.
 ///
-/// Silence counts only while the own process ran: after a pause of its own, a host gives all
-/// others the whole bound again.
+/// Silence counts only while the own process ran: a pause of its own is no silence of others. All
+/// times kept here are of that count, which starts at zero and stands still during a pause.
 #[derive(Debug)]
 pub(crate) struct Roster {
     me: HostRef,
     hosts: BTreeMap<HostId, Heard>,
-    last_step: Timestamp,
-    /// Since when the own process ran without a pause.
-    listening: Timestamp,
+    last_step: Option<Timestamp>,
+    awake: Timestamp,
 }
 
 impl Roster {
@@ -43,31 +42,29 @@
         Self {
             me,
             hosts: BTreeMap::new(),
-            last_step: Timestamp::ZERO,
-            listening: Timestamp::ZERO,
+            last_step: None,
+            awake: Timestamp::ZERO,
         }
     }
 
-    /// Notes that the process runs at `now`; a gap above `pause` restarts all silences.
+    /// Notes that the process runs at `now`; a gap above `pause` does not count.
     pub(crate) fn runs(&mut self, now: Timestamp, pause: Duration) {
-        debug_assert!(now >= self.last_step, "the clock ran backwards");
-        let first = self.last_step == Timestamp::ZERO;
-        if first || now.since(self.last_step) > pause {
-            self.listening = now;
-            for h in self.hosts.values_mut() {
-                h.asked = None;
-            }
+        let last = self.last_step.replace(now).unwrap_or(now);
+        debug_assert!(now >= last, "the clock ran backwards");
+        let gap = now.since(last);
+        if gap <= pause {
+            self.awake += gap;
         }
-        self.last_step = now;
     }
 
-    /// Since when the own process ran without a pause.
-    pub(crate) const fn listening(&self) -> Timestamp {
-        self.listening
+    /// Returns for how long the own process ran.
+    pub(crate) const fn awake(&self) -> Timestamp {
+        self.awake
     }
 
     /// Notes a sign of life.
-    pub(crate) fn heard(&mut self, now: Timestamp, from: &HostRef, direct: bool) {
+    pub(crate) fn heard(&mut self, from: &HostRef, direct: bool) {
+        let now = self.awake;
         if from.host == self.me.host {
             return;
         }
@@ -89,9 +86,10 @@
             *h = fresh();
             return;
         }
-        if h.gone {
+        if h.gone && !direct {
             return;
         }
+        h.gone = false;
         h.any = now;
         h.asked = None;
         if direct {
@@ -114,8 +112,8 @@
     }
 
     /// Notes that a run of a host is surely over.
-    pub(crate) fn gone(&mut self, now: Timestamp, host: &HostRef) {
-        self.heard(now, host, false);
+    pub(crate) fn gone(&mut self, host: &HostRef) {
+        self.heard(host, false);
         if let Some(h) = self.of(host) {
             h.gone = true;
         }
@@ -147,45 +145,34 @@
         self.get(host).is_some_and(|h| h.leaving)
     }
 
-    /// Returns the last sign of life that came straight from the host.
+    /// Returns the last sign of life that came straight from the host, in awake time.
     pub(crate) fn direct(&self, host: &HostRef) -> Option<Timestamp> {
         self.get(host).and_then(|h| h.direct)
     }
 
-    /// Tells whether a host was silent towards this one for `bound`, counted from `since` at the
-    /// earliest.
-    pub(crate) fn silent(
-        &self,
-        now: Timestamp,
-        host: &HostRef,
-        since: Timestamp,
-        bound: Duration,
-    ) -> bool {
+    /// Tells whether a host was silent towards this one for `bound`, counted from `since` (in
+    /// awake time) at the earliest.
+    pub(crate) fn silent(&self, host: &HostRef, since: Timestamp, bound: Duration) -> bool {
         if self.is_over(host) {
             return true;
         }
         let heard = self.direct(host).unwrap_or(Timestamp::ZERO);
-        now.since(heard.max(since).max(self.listening)) >= bound
+        self.awake.since(heard.max(since)) >= bound
     }
 
     /// Tells whether nobody heard of a host for `bound`.
-    pub(crate) fn forgotten(
-        &self,
-        now: Timestamp,
-        host: &HostRef,
-        since: Timestamp,
-        bound: Duration,
-    ) -> bool {
+    pub(crate) fn forgotten(&self, host: &HostRef, since: Timestamp, bound: Duration) -> bool {
         if self.is_over(host) {
             return true;
         }
         let any = self.get(host).map_or(Timestamp::ZERO, |h| h.any);
-        now.since(any.max(since).max(self.listening)) >= bound
+        self.awake.since(any.max(since)) >= bound
     }
 
     /// Notes that a host is asked whether it is up, and tells whether it left such questions
     /// unanswered for `bound`.
-    pub(crate) fn ask(&mut self, now: Timestamp, host: &HostRef, bound: Duration) -> bool {
+    pub(crate) fn ask(&mut self, host: &HostRef, bound: Duration) -> bool {
+        let now = self.awake;
         if self.is_over(host) {
             return true;
         }
@@ -231,10 +218,10 @@
     /// One that never spoke to this host itself is heard of through others, which takes longer.
     pub(crate) fn alive(
         &self,
-        now: Timestamp,
         direct: Duration,
         through_others: Duration,
     ) -> impl Iterator<Item = &HostRef> + Clone {
+        let now = self.awake;
         let up = move |h: &&Heard| {
             let bound = h.direct.map_or(through_others, |_| direct);
             !h.gone && !h.leaving && now.since(h.any) < bound
@@ -243,8 +230,9 @@
     }
 
     /// Tells whether a host was first heard of at least `span` ago.
-    pub(crate) fn is_settled(&self, now: Timestamp, host: &HostRef, span: Duration) -> bool {
-        self.get(host).is_some_and(|h| now.since(h.first) >= span)
+    pub(crate) fn is_settled(&self, host: &HostRef, span: Duration) -> bool {
+        self.get(host)
+            .is_some_and(|h| self.awake.since(h.first) >= span)
     }
 }
 
--- a/crates/own/src/verify.rs
+++ b/crates/own/src/verify.rs
@@ -7,7 +7,7 @@
 use ids::{EntryId, Epoch, HostId, RequestId, SliceNo, UpstreamId};
 use thiserror::Error;
 
-use crate::{HostRef, OwnRow};
+use crate::{Carved, HostRef, OwnRow};
 
 /// An upstream as it is at one moment.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,6 +37,8 @@
     pub epoch: Epoch,
     /// Slices.
     pub slices: Vec<SliceNo>,
+    /// Hot keys that the host knows to be carved out of these slices.
+    pub carved: Vec<Carved>,
 }
 
 /// A request that was sent to an upstream that does not check grants, and may still start there.
@@ -151,6 +153,21 @@
         /// Slice.
         slice: SliceNo,
     },
+    /// A host may send requests of a hot key under the slice that held it before, to another
+    /// upstream than the key's owner.
+    #[error("{host} may send {hot} to {upstream} as part of {base}, though {owner} owns it")]
+    UnknownCarved {
+        /// Host.
+        host: HostId,
+        /// Upstream to which it may send.
+        upstream: UpstreamId,
+        /// Owner of the hot key.
+        owner: UpstreamId,
+        /// Slice of the hot key.
+        hot: SliceNo,
+        /// Slice that held it.
+        base: SliceNo,
+    },
     /// A row's coordinating host is its deputy, too.
     #[error("{upstream}: {host} is coordinating host and deputy")]
     OwnDeputy {
@@ -230,6 +247,9 @@
     }
 }
 
+/// Upstreams by the slices of which they may start requests.
+type Owners<'a> = BTreeMap<(&'a EntryId, SliceNo), &'a UpstreamId>;
+
 /// Returns the slices of which an upstream may start requests.
 fn runnable(snapshot: &Snapshot, u: &UpstreamState) -> Vec<SliceNo> {
     if u.checks_grants {
@@ -243,7 +263,7 @@
 }
 
 fn check_owners(snapshot: &Snapshot, found: &mut Vec<Violation>) {
-    let mut owners = BTreeMap::<(&EntryId, SliceNo), &UpstreamId>::new();
+    let mut owners = Owners::new();
     for u in &snapshot.upstreams {
         for slice in runnable(snapshot, u) {
             if !u.row.as_ref().is_some_and(|r| r.holds(slice)) {
@@ -262,14 +282,47 @@
             }
         }
     }
+    check_carved(snapshot, &owners, found);
     check_sent(snapshot, &owners, found);
 }
 
-fn check_sent(
+fn check_carved(snapshot: &Snapshot, owners: &Owners<'_>, found: &mut Vec<Violation>) {
+    for at in &snapshot.upstreams {
+        let rows = snapshot.upstreams.iter().filter(|u| u.entry == at.entry);
+        let carved = rows.flat_map(|u| u.row.iter().flat_map(|r| &r.carved));
+        for c in carved {
+            let owner = owners.get(&(&at.entry, c.hot));
+            if let Some(owner) = owner.filter(|o| **o != &at.upstream) {
+                check_leak(snapshot, at, c, owner, found);
+            }
+        }
+    }
+}
+
+fn check_leak(
     snapshot: &Snapshot,
-    owners: &BTreeMap<(&EntryId, SliceNo), &UpstreamId>,
+    at: &UpstreamState,
+    c: &Carved,
+    owner: &UpstreamId,
     found: &mut Vec<Violation>,
 ) {
+    let leases = snapshot.leases.iter().filter(|l| {
+        let runs =
+            !at.checks_grants || (at.granted == Some(l.epoch) && at.slices.contains(&c.base));
+        l.upstream == at.upstream && runs && l.slices.contains(&c.base)
+    });
+    for l in leases.filter(|l| !l.carved.contains(c)) {
+        found.push(Violation::UnknownCarved {
+            host: l.host.host.clone(),
+            upstream: at.upstream.clone(),
+            owner: owner.clone(),
+            hot: c.hot,
+            base: c.base,
+        });
+    }
+}
+
+fn check_sent(snapshot: &Snapshot, owners: &Owners<'_>, found: &mut Vec<Violation>) {
     for s in snapshot.sent.iter().filter(|s| !s.idempotent) {
         let at = snapshot.upstreams.iter().find(|u| u.upstream == s.upstream);
         let Some(at) = at else {
--- a/crates/own/src/view.rs
+++ b/crates/own/src/view.rs
@@ -1,31 +1,54 @@
 //! What ownership needs of the catalogue.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use catalogue::{Catalogue, Class, CutOff, Sharding, Upstream};
+use catalogue::{Catalogue, Class, CutOff, Entry, Sharding, Upstream};
 use ids::{DomainId, EntryId, UpstreamId};
 use wire::grant::{GrantScope, GrantSlices};
 
-/// The catalogue in force.
+/// The catalogue in force, and what was declared of upstreams that it does not hold any more.
 #[derive(Debug, Default)]
-pub(crate) struct View(Arc<Catalogue>);
+pub(crate) struct View {
+    now: Arc<Catalogue>,
+    former: BTreeMap<UpstreamId, Upstream>,
+}
 
 impl View {
-    pub(crate) const fn new(catalogue: Arc<Catalogue>) -> Self {
-        Self(catalogue)
+    /// Takes another catalogue.
+    pub(crate) fn take(&mut self, catalogue: Arc<Catalogue>) {
+        let before = std::mem::replace(&mut self.now, catalogue);
+        for (u, decl) in &before.upstreams {
+            if !self.now.upstreams.contains_key(u) {
+                self.former.insert(u.clone(), decl.clone());
+            }
+        }
+        self.former
+            .retain(|u, _| !self.now.upstreams.contains_key(u));
     }
 
+    /// Returns what is declared of an upstream.
     pub(crate) fn upstream(&self, upstream: &UpstreamId) -> Option<&Upstream> {
-        self.0.upstreams.get(upstream)
+        self.now.upstreams.get(upstream)
+    }
+
+    /// Returns what is, or was last, declared of an upstream.
+    pub(crate) fn known(&self, upstream: &UpstreamId) -> Option<&Upstream> {
+        self.upstream(upstream)
+            .or_else(|| self.former.get(upstream))
+    }
+
+    fn entry(&self, upstream: &UpstreamId) -> Option<&Entry> {
+        self.now.entries.get(&self.known(upstream)?.entry)
     }
 
     pub(crate) fn upstreams(&self) -> impl Iterator<Item = (&UpstreamId, &Upstream)> {
-        self.0.upstreams.iter()
+        self.now.upstreams.iter()
     }
 
     /// Iterates over the entries that are divided by key, with their numbers of slices.
     pub(crate) fn divided(&self) -> impl Iterator<Item = (&EntryId, u32)> {
-        self.0
+        self.now
             .entries
             .iter()
             .filter_map(|(id, e)| match e.sharding {
@@ -35,7 +58,7 @@
     }
 
     pub(crate) fn is_lost(&self, domain: &DomainId) -> bool {
-        self.0.domains.get(domain).is_some_and(|d| d.lost)
+        self.now.domains.get(domain).is_some_and(|d| d.lost)
     }
 
     /// Tells whether an upstream lies in a domain that an operator declared lost.
@@ -46,25 +69,18 @@
 
     /// Tells whether an upstream's keys fail over when its domain is cut off.
     pub(crate) fn fails_over(&self, upstream: &UpstreamId) -> bool {
-        let entry = self.upstream(upstream).map(|u| &u.entry);
-        entry
-            .and_then(|e| self.0.entries.get(e))
+        self.entry(upstream)
             .is_some_and(|e| e.cut_off == CutOff::FailOver)
     }
 
     pub(crate) fn is_idempotent(&self, upstream: &UpstreamId) -> bool {
-        let entry = self.upstream(upstream).map(|u| &u.entry);
-        entry
-            .and_then(|e| self.0.entries.get(e))
+        self.entry(upstream)
             .is_some_and(|e| e.class == Class::Idempotent)
     }
 
     /// Returns the deadline of the upstream's entry, in milliseconds.
     pub(crate) fn deadline_ms(&self, upstream: &UpstreamId) -> u32 {
-        let entry = self.upstream(upstream).map(|u| &u.entry);
-        entry
-            .and_then(|e| self.0.entries.get(e))
-            .map_or(0, |e| e.deadline_ms)
+        self.entry(upstream).map_or(0, |e| e.deadline_ms)
     }
 
     /// Returns the scope of a grant for `slices` of an upstream, unless it is not declared.
@@ -74,7 +90,7 @@
         slices: &[ids::SliceNo],
     ) -> Option<GrantScope> {
         let entry = &self.upstream(upstream)?.entry;
-        match self.0.entries.get(entry)?.sharding {
+        match self.now.entries.get(entry)?.sharding {
             Sharding::None => Some(GrantScope::Undivided),
             Sharding::Key { .. } => Some(GrantScope::Slices(GrantSlices {
                 entry: entry.clone(),
--- a/crates/own/tests/own/interleaving.rs
+++ b/crates/own/tests/own/interleaving.rs
@@ -34,7 +34,13 @@
         2 => (0..domains).prop_map(Fault::CutDomain),
         2 => (0..domains).prop_map(Fault::HealDomain),
         1 => (0..domains).prop_map(Fault::CutPlatform),
+        2 => (0..domains).prop_map(Fault::Isolate),
+        3 => (0..hosts, 0..hosts, pause()).prop_map(|(a, b, us)| Fault::CutHosts(a, b, us)),
+        3 => (0..hosts, 0..upstreams, pause()).prop_map(|(h, u, us)| Fault::CutUpstream(h, u, us)),
         4 => (0..8_u64, 0..upstreams).prop_map(|(s, u)| Fault::Wish(s, u)),
+        2 => (0..2_u64).prop_map(Fault::Carve),
+        3 => (0..2_u64, 0..upstreams).prop_map(|(s, u)| Fault::MoveHot(s, u)),
+        1 => (0..2_u64).prop_map(Fault::Fold),
     ]
 }
 
@@ -83,7 +89,7 @@
         let hosts = setup.hosts.iter().sum();
         let (upstreams, domains) = (setup.upstreams.len(), setup.hosts.len());
         let fault = (FAULTS_FROM..FAULTS_TO, fault(hosts, upstreams, domains));
-        let faults = prop::collection::vec(fault, 0..14);
+        let faults = prop::collection::vec(fault, 0..20);
         let emptied = prop::option::weighted(0.2, (FAULTS_FROM..FAULTS_TO, 0..upstreams));
         (Just(setup), faults, emptied).prop_map(|(setup, faults, emptied)| Trial {
             setup,
--- a/crates/own/tests/own/plain.rs
+++ b/crates/own/tests/own/plain.rs
@@ -97,6 +97,32 @@
             &[(0, TableDown), (1_500, LeaveHost(0))],
         ),
         moving(case("upstream emptied", 200, &[(0, EmptyUpstream(0))])),
+        moving(case("upstream removed", 1_000, &[(0, RemoveUpstream(0))])),
+        moving(case(
+            "hot key carved out and moved",
+            60,
+            &[(0, Carve(0)), (500, MoveHot(0, 2))],
+        )),
+        moving(case(
+            "hot key moved and folded back",
+            200,
+            &[
+                (0, Carve(0)),
+                (300, MoveHot(0, 1)),
+                (900, Wish(0, 1)),
+                (1_500, Fold(0)),
+            ],
+        )),
+        case(
+            "table down, then host paused",
+            1_500,
+            &[(0, TableDown), (1_500, PauseHost(0, 1_000 * MS))],
+        ),
+        case(
+            "table down, then other host paused",
+            1_500,
+            &[(0, TableDown), (1_500, PauseHost(1, 1_000 * MS))],
+        ),
         moving(case(
             "slice moved",
             200,
--- a/crates/own/tests/own/world/audit.rs
+++ b/crates/own/tests/own/world/audit.rs
@@ -76,6 +76,7 @@
                 upstream: l.upstream.clone(),
                 epoch: l.epoch,
                 slices: l.slices.to_vec(),
+                carved: l.carved.to_vec(),
             }));
         }
         all
--- a/crates/own/tests/own/world/dispatch.rs
+++ b/crates/own/tests/own/world/dispatch.rs
@@ -170,7 +170,7 @@
     }
 
     pub fn start_request(&mut self, u: usize, s: Sent) {
-        if self.is_cut(self.hosts[s.host].domain, self.upstreams[u].domain) {
+        if self.upstream_cut(s.host, u) {
             // The transport tries again until it gets through.
             self.push(50 * MS, Happening::Start(u, s));
             return;
--- a/crates/own/tests/own/world/mod.rs
+++ b/crates/own/tests/own/world/mod.rs
@@ -103,12 +103,22 @@
     StartUpstream(usize),
     PauseUpstream(usize, u64),
     EmptyUpstream(usize),
+    RemoveUpstream(usize),
+    Carve(u64),
+    Fold(u64),
+    MoveHot(u64, usize),
     TableDown,
     TableUp,
     TableSlow(u64),
     CutDomain(usize),
     HealDomain(usize),
     CutPlatform(usize),
+    /// Cuts a domain off from all others and from the platform.
+    Isolate(usize),
+    /// Cuts two hosts off from each other for some time, whichever domain they are in.
+    CutHosts(usize, usize, u64),
+    /// Cuts a host and an upstream off from each other for some time.
+    CutUpstream(usize, usize, u64),
     LoseDomain(usize),
     Wish(u64, usize),
 }
@@ -170,6 +180,10 @@
     pub table_slow_us: u64,
     pub cut: BTreeSet<usize>,
     pub cut_platform: BTreeSet<usize>,
+    /// Until when two hosts are cut off from each other.
+    cut_hosts: BTreeMap<(usize, usize), u64>,
+    /// Until when a host and an upstream are.
+    cut_upstreams: BTreeMap<(usize, usize), u64>,
     pub violations: Vec<(u64, Violation)>,
     pub broken: Vec<(u64, String)>,
     pub requests: dispatch::Requests,
@@ -189,6 +203,13 @@
     EntryId::new(ENTRY).unwrap()
 }
 
+/// Returns the slice of a hot key within `base`.
+pub fn hot(base: u64) -> ids::SliceNo {
+    // The middle of the slice's range of hashes.
+    let hash = u64::MAX / u64::from(SLICES) * base + u64::MAX / u64::from(SLICES) / 2;
+    ids::KeyHash(hash).hot_slice()
+}
+
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
@@ -282,6 +303,8 @@
             table_slow_us: 0,
             cut: BTreeSet::new(),
             cut_platform: BTreeSet::new(),
+            cut_hosts: BTreeMap::new(),
+            cut_upstreams: BTreeMap::new(),
             violations: Vec::new(),
             broken: Vec::new(),
             requests: dispatch::Requests::default(),
@@ -337,10 +360,24 @@
         usual
     }
 
-    pub fn is_cut(&self, a: usize, b: usize) -> bool {
+    fn is_cut(&self, a: usize, b: usize) -> bool {
         a != b && (self.cut.contains(&a) || self.cut.contains(&b))
     }
 
+    /// Tells whether two hosts are cut off from each other.
+    fn hosts_cut(&self, a: usize, b: usize) -> bool {
+        let until = self.cut_hosts.get(&(a.min(b), a.max(b)));
+        let cut = until.is_some_and(|u| *u > self.t);
+        cut || self.is_cut(self.hosts[a].domain, self.hosts[b].domain)
+    }
+
+    /// Tells whether a host and an upstream are cut off from each other.
+    pub fn upstream_cut(&self, h: usize, u: usize) -> bool {
+        let until = self.cut_upstreams.get(&(h, u));
+        let cut = until.is_some_and(|u| *u > self.t);
+        cut || self.is_cut(self.hosts[h].domain, self.upstreams[u].domain)
+    }
+
     fn sees_table(&self, host: usize) -> bool {
         let d = self.hosts[host].domain;
         !self.table_down && !self.cut_platform.contains(&d)
@@ -509,7 +546,7 @@
     }
 
     fn beat_to(&mut self, from: usize, to: usize, stamp: u64, echo: bool) {
-        if self.is_cut(self.hosts[from].domain, self.hosts[to].domain) {
+        if self.hosts_cut(from, to) {
             return;
         }
         let lost = self.setup.loss;
@@ -594,7 +631,7 @@
     /// Carries a grant or probe to an upstream.
     fn carry(&mut self, h: usize, name: &str, what: impl Fn(usize) -> Happening) {
         let u = self.upstream_index(name);
-        let cut = self.is_cut(self.hosts[h].domain, self.upstreams[u].domain);
+        let cut = self.upstream_cut(h, u);
         let (loss, twice) = (self.setup.loss, self.setup.twice);
         if cut || self.percent(loss) {
             return;
@@ -657,7 +694,7 @@
 
     fn reply(&mut self, h: usize, run: u64, u: usize, event: Event) {
         let loss = self.setup.loss;
-        let cut = self.is_cut(self.hosts[h].domain, self.upstreams[u].domain);
+        let cut = self.upstream_cut(h, u);
         if !cut && !self.percent(loss) {
             let delay = self.delay();
             self.push(delay, Happening::Tell(h, run, event));
@@ -670,7 +707,7 @@
             return;
         };
         let (loss, twice) = (self.setup.loss, self.setup.twice);
-        if self.is_cut(self.hosts[h].domain, self.hosts[to].domain) || self.percent(loss) {
+        if self.hosts_cut(h, to) || self.percent(loss) {
             return;
         }
         let run = self.hosts[to].run;
@@ -766,6 +803,26 @@
                 let name = self.upstreams[u].name.clone();
                 self.declare(|c| c.upstreams[&name].leaving = true);
             }
+            Fault::RemoveUpstream(u) => {
+                let name = self.upstreams[u].name.clone();
+                self.declare(|c| {
+                    c.upstreams.shift_remove(&name);
+                });
+            }
+            Fault::Carve(slice) => self.wish(|_| Event::CarveWish {
+                entry: entry_id(),
+                base: ids::SliceNo(slice),
+                hot: hot(slice),
+            }),
+            Fault::Fold(slice) => self.wish(|_| Event::FoldWish {
+                entry: entry_id(),
+                hot: hot(slice),
+            }),
+            Fault::MoveHot(slice, u) => self.wish(|w| Event::MoveWish {
+                entry: entry_id(),
+                slice: hot(slice),
+                to: w.upstreams[u].name.clone(),
+            }),
             Fault::TableDown => self.table_down = true,
             Fault::TableUp => {
                 self.table_down = false;
@@ -782,8 +839,22 @@
             Fault::CutPlatform(d) => {
                 self.cut_platform.insert(d);
             }
+            Fault::Isolate(d) => {
+                self.cut.insert(d);
+                self.cut_platform.insert(d);
+            }
+            Fault::CutHosts(a, b, us) => {
+                self.cut_hosts.insert((a.min(b), a.max(b)), self.t + us);
+            }
+            Fault::CutUpstream(h, u, us) => {
+                self.cut_upstreams.insert((h, u), self.t + us);
+            }
             Fault::LoseDomain(d) => self.lose_domain(d),
-            Fault::Wish(slice, u) => self.wish(slice, u),
+            Fault::Wish(slice, u) => self.wish(|w| Event::MoveWish {
+                entry: entry_id(),
+                slice: ids::SliceNo(slice),
+                to: w.upstreams[u].name.clone(),
+            }),
         }
     }
 
@@ -798,7 +869,7 @@
         }
         let who = self.hosts[h].me.clone();
         for to in 0..self.hosts.len() {
-            if !self.is_cut(self.hosts[h].domain, self.hosts[to].domain) {
+            if !self.hosts_cut(h, to) {
                 let run = self.hosts[to].run;
                 let delay = self.delay();
                 let event = Event::PeerGone(who.clone());
@@ -820,13 +891,9 @@
         self.declare(|c| c.domains[&domain_id(d)].lost = true);
     }
 
-    fn wish(&mut self, slice: u64, to: usize) {
+    fn wish(&mut self, event: impl Fn(&Self) -> Event) {
         for h in 0..self.hosts.len() {
-            let event = Event::MoveWish {
-                entry: entry_id(),
-                slice: ids::SliceNo(slice),
-                to: self.upstreams[to].name.clone(),
-            };
+            let event = event(self);
             self.tell(h, self.hosts[h].run, event);
         }
     }
@@ -837,6 +904,8 @@
         self.fault(Fault::TableUp);
         self.cut.clear();
         self.cut_platform.clear();
+        self.cut_hosts.clear();
+        self.cut_upstreams.clear();
         for h in 0..self.hosts.len() {
             self.hosts[h].paused_until = self.hosts[h].paused_until.min(self.t);
             self.fault(Fault::StartHost(h));
