Read the list of hosts more rarely the more hosts there are

Cause: each host read the whole list every second: as many reads a second as there are hosts, each as long as there are hosts. At 2,600 hosts that is 2,600 reads a second of a list of some hundred kilobytes each. Also: quiet control is measured without a burst of requests before, which made placement move slices.

--- a/crates/host/src/control/duty.rs
+++ b/crates/host/src/control/duty.rs
@@ -20,7 +20,7 @@
 use super::peers;
 use super::placement::{PLAN_EVERY, Placement};
 use super::routes::Routes;
-use super::table::PlatformCalls;
+use super::table::{PlatformCalls, list_pause};
 use super::upstreams::{AskSettings, Upstreams};
 use crate::settings::Settings;
 use crate::status::{ControlStatus, ControlTraffic};
@@ -180,6 +180,7 @@
             self.roster_due = now + ROSTER_EVERY;
             self.report_roster();
             self.publish_status(now);
+            self.pace_list();
         }
         if now >= self.plan_due {
             self.plan_due = now + PLAN_EVERY;
@@ -252,6 +253,12 @@
         self.parts.status.store(Arc::new(status));
     }
 
+    fn pace_list(&self) {
+        let live = self.parts.cx.live_hosts();
+        let pause = list_pause(live, self.member.is_relay());
+        self.platform.set_list_pause(pause);
+    }
+
     async fn tell_dispatch(&mut self) {
         for message in self.leases.take() {
             let _ended = self.parts.dispatch.tell(message).await;
--- a/crates/measure/src/path/cluster.rs
+++ b/crates/measure/src/path/cluster.rs
@@ -334,14 +334,27 @@
         Process::spawn(name, command, &log)
     }
 
-    /// Waits until all hosts know of each other, each upstream has one coordinating host, each
-    /// host answers a burst, and nothing of that has changed for a while; returns what the hosts
-    /// say.
+    /// Waits until the cluster is quiet and each host answers a burst; returns what the hosts say.
     ///
     /// # Errors
     ///
     /// Fails if that takes too long.
     pub async fn settled(&self) -> anyhow::Result<Vec<HostStatus>> {
+        let began = Instant::now();
+        self.quiet().await?;
+        for n in 0..self.hosts.len() {
+            self.answers(n, began).await?;
+        }
+        self.statuses().await
+    }
+
+    /// Waits until all hosts know of each other, each upstream has one coordinating host, and
+    /// nothing of that has changed for a while.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes too long.
+    pub async fn quiet(&self) -> anyhow::Result<()> {
         let began = Instant::now();
         let mut since = Instant::now();
         let mut last = Vec::new();
@@ -358,10 +371,7 @@
             );
             sleep(LOOK_EVERY).await;
         }
-        for n in 0..self.hosts.len() {
-            self.answers(n, began).await?;
-        }
-        self.statuses().await
+        Ok(())
     }
 
     /// Asks all hosts how they are.
--- a/crates/measure/src/path/control.rs
+++ b/crates/measure/src/path/control.rs
@@ -145,7 +145,7 @@
     };
     let mut cluster = Cluster::start(cfg).await?;
     cluster.start_hosts(size.hosts).await?;
-    cluster.settled().await?;
+    cluster.quiet().await?;
     sleep(REST).await;
     let before = moment(&cluster).await?;
     sleep(Duration::from_millis(args.measure_ms)).await;
