--- a/crates/spread/examples/figures.rs
+++ b/crates/spread/examples/figures.rs
@@ -83,7 +83,7 @@
         fan_out: 8,
         ..TARGET
     },
-    // 236 hosts in ten minutes.
+    // All hosts of the domain in ten minutes.
     Case {
         restarts_per_s: 0.4,
         ..TARGET
@@ -348,6 +348,8 @@
         all.sort_by(f64::total_cmp);
         json!({"p50": all[all.len() / 2].round(), "p99": all[all.len() * 99 / 100].round(), "max": all[all.len() - 1].round()})
     };
+    let busiest = domain.iter().max_by_key(|n| n.counts.sent_bytes);
+    let sent_as = busiest.map_or([0; 5], |n| n.counts.sent_as.map(|b| b / span.as_secs()));
     let reads: u64 = net.nodes.values().map(|n| n.counts.reads).sum();
     let worst = domain.iter().map(|n| n.worst_age).max().unwrap_or_default();
     let now: Timestamp = net.now;
@@ -364,7 +366,9 @@
             "sent_bytes_per_s": each(&|c| c.sent_bytes as f64),
             "received_bytes_per_s": each(&|c| c.received_bytes as f64),
             "sent_with_headers_per_s": each(&|c| (c.sent_bytes + c.sent_frames * HEADER_BYTES) as f64),
-            "core_percent": each(&|c| c.busy.as_secs_f64() * 100_000.0)["max"].as_f64().map(|m| m / 1_000.0),
+            "busiest_sends": {"heartbeats": sent_as[0], "replies": sent_as[1], "changes": sent_as[2],
+            "evidence": sent_as[3], "records": sent_as[4]},
+        "core_percent": each(&|c| c.busy.as_secs_f64() * 100_000.0)["max"].as_f64().map(|m| m / 1_000.0),
             "table_reads_per_s": (reads as f64 / seconds).round(),
             "evidence_age_max_ms": worst.as_millis() as u64,
             "evidence_over_600_ms": stale.count(),
--- a/crates/spread/src/member.rs
+++ b/crates/spread/src/member.rs
@@ -30,6 +30,7 @@
 use wire::control::{Body, Frame, Hello, Push};
 
 use crate::{Prefix, Replica, RowChange};
+use feeding::OldMarks;
 use hosts::Hosts;
 use knowledge::Knowledge;
 use peer::Peer;
@@ -80,6 +81,7 @@
     news: BTreeMap<HostId, BTreeSet<HostId>>,
     /// When all records of another host were last asked for.
     synced_at: Timestamp,
+    old_marks: OldMarks,
     /// When a page that is not the last of its transfer came.
     paged_at: Option<Timestamp>,
     /// When evidence last came from the preferred feeder.
@@ -120,6 +122,7 @@
             knowledge: Knowledge::default(),
             news: BTreeMap::new(),
             synced_at: Timestamp::ZERO,
+            old_marks: OldMarks::default(),
             paged_at: None,
             fed_at: now,
             misfit: false,
@@ -252,6 +255,8 @@
 
     fn tick(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         self.todo.beats = true;
+        let marks = self.replica.complete_up_to();
+        self.old_marks.turn(now, marks, self.cfg.standby_lag);
         self.join_alone(now);
         self.find_suspects(now);
         self.report_silent(now, actions);
--- a/crates/spread/src/member/beats.rs
+++ b/crates/spread/src/member/beats.rs
@@ -121,6 +121,13 @@
         peer.beat = beat.beat;
         let resend_after = self.cfg.resend_after;
         take_wishes(peer, now, beat, resend_after);
+        let old = self.old_marks.get();
+        let holds = peer.fed.holds;
+        let rows = self
+            .replica
+            .has_rows_past(Prefix::Catalogue, holds.catalogue);
+        peer.fed.lags[at(Prefix::Own)] = holds.own < old.own;
+        peer.fed.lags[at(Prefix::Catalogue)] = holds.catalogue < old.catalogue && rows;
         if beat.sync {
             self.send_all_hosts(from, actions);
         }
@@ -133,6 +140,12 @@
     fn reply(&self, now: Timestamp, beat: &Heartbeat) -> HeartbeatReply {
         let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
         let age = |prefix| self.knowledge.age(now, prefix).map(millis);
+        if beat.brief {
+            return HeartbeatReply {
+                echo_us: beat.sent_us,
+                ..HeartbeatReply::default()
+            };
+        }
         HeartbeatReply {
             echo_us: beat.sent_us,
             holds: Some(self.replica.complete_up_to().into()),
@@ -158,8 +171,17 @@
         let Some(peer) = self.peers.get_mut(from) else {
             return;
         };
-        let ago = |ms: Option<u32>| ms.map(|ms| now - Duration::from_millis(u64::from(ms)));
-        let holds = Watermarks::from(reply.holds.unwrap_or_default());
+        let incarnation = peer.incarnation;
+        // Ages count from when the heartbeat was sent: the reply may have been long on its way.
+        let sent = Timestamp::from_micros(reply.echo_us).min(now);
+        actions.push(Action::PeerAlive {
+            host: from.clone(),
+            incarnation,
+            echo_of: sent,
+        });
+        let Some(holds) = reply.holds else { return };
+        let ago = |ms: Option<u32>| ms.map(|ms| sent - Duration::from_millis(u64::from(ms) + 1));
+        let holds = Watermarks::from(holds);
         peer.reply = Some(Reply {
             holds,
             own_read: ago(reply.own_age_ms),
@@ -167,14 +189,8 @@
         });
         let differs = reply.members_hash != self.hosts.hash();
         peer.differs = differs.then(|| peer.differs.unwrap_or(now));
-        let incarnation = peer.incarnation;
         self.take_ages(holds, ago(reply.own_age_ms), ago(reply.catalogue_age_ms));
         self.take_domain_view(now, from, reply, ago(reply.reach_age_ms));
-        actions.push(Action::PeerAlive {
-            host: from.clone(),
-            incarnation,
-            echo_of: Timestamp::from_micros(reply.echo_us),
-        });
     }
 
     /// What another host knows is known here too if the replica holds as much.
@@ -334,13 +350,8 @@
     pub(super) fn send_beats(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         let targets = self.targets(now);
         self.reach_out(now, &targets, actions);
-        for (host, peer) in &mut self.peers {
-            if !targets.contains_key(host) {
-                peer.expected = None;
-            }
-        }
+        self.dismiss_others(now, &targets, actions);
         for (host, target) in targets {
-            let sync = self.wants_sync(now, &host);
             let peer = self.peers.entry(host.clone()).or_default();
             peer.expected.get_or_insert(now);
             peer.every = target.every;
@@ -350,28 +361,60 @@
             }
             peer.beat_due = now + target.every;
             peer.beat_sent = now;
-            if sync {
-                peer.synced = true;
-                peer.differs = None;
-                self.synced_at = now;
+            self.send_beat(now, host, target.feed, actions);
+        }
+    }
+
+    /// Tells hosts that need not feed this one any more.
+    fn dismiss_others(
+        &mut self,
+        now: Timestamp,
+        targets: &BTreeMap<HostId, Target>,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut dismissed = Vec::new();
+        for (host, peer) in &mut self.peers {
+            if targets.contains_key(host) {
+                continue;
+            }
+            peer.expected = None;
+            if peer.connected && peer.asked != Feed::None {
+                dismissed.push(host.clone());
             }
-            self.beat += 1;
-            let whole = std::mem::take(&mut self.misfit);
-            let beat = Heartbeat {
-                beat: self.beat,
-                sent_us: now.as_micros(),
-                holds: Some(self.replica.complete_up_to().into()),
-                feed: target.feed.into(),
-                members_hash: self.hosts.hash(),
-                sync,
-                whole: whole && target.feed != Feed::None,
-            };
-            self.misfit = whole && target.feed == Feed::None;
-            actions.push(Action::Send {
-                to: host,
-                frame: frame(Body::Heartbeat(beat)),
-            });
         }
+        for host in dismissed {
+            self.send_beat(now, host, Feed::None, actions);
+        }
+    }
+
+    fn send_beat(&mut self, now: Timestamp, to: HostId, feed: Feed, actions: &mut Vec<Action>) {
+        let sync = self.wants_sync(now, &to);
+        let Some(peer) = self.peers.get_mut(&to) else {
+            return;
+        };
+        peer.asked = feed;
+        if sync {
+            peer.synced = true;
+            peer.differs = None;
+            self.synced_at = now;
+        }
+        let whole = self.misfit && feed == Feed::Full;
+        self.misfit &= !whole;
+        self.beat += 1;
+        let beat = Heartbeat {
+            beat: self.beat,
+            sent_us: now.as_micros(),
+            holds: Some(self.replica.complete_up_to().into()),
+            feed: feed.into(),
+            members_hash: self.hosts.hash(),
+            sync,
+            whole,
+            brief: feed == Feed::None && !self.exchanges_with(&to),
+        };
+        actions.push(Action::Send {
+            to,
+            frame: frame(Body::Heartbeat(beat)),
+        });
     }
 
     /// Tells whether to ask a host for all records: a starting host does at once, others if
--- a/crates/spread/src/member/config.rs
+++ b/crates/spread/src/member/config.rs
@@ -68,7 +68,7 @@
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(100),
-            heartbeat_in_large: Duration::from_millis(250),
+            heartbeat_in_large: Duration::from_millis(300),
             far_heartbeat: Duration::from_secs(1),
             silent_after: Duration::from_millis(500),
             domain_silent_after: Duration::from_secs(3),
--- a/crates/spread/src/member/feeding.rs
+++ b/crates/spread/src/member/feeding.rs
@@ -9,11 +9,35 @@
 use super::event::{Action, Evidence};
 use super::peer::{Peer, at};
 use super::{Config, Member, push};
-use crate::{Prefix, Replica};
+use crate::{Prefix, Replica, Watermarks};
 
 /// Time between messages that only say that nothing changed in the catalogue.
 const QUIET_CATALOGUE: Duration = Duration::from_secs(1);
 
+/// To what the replica was complete a while ago.
+#[derive(Debug, Default)]
+pub(super) struct OldMarks {
+    turned: Timestamp,
+    older: Watermarks,
+    newer: Watermarks,
+}
+
+impl OldMarks {
+    /// Notes that the replica is complete to `marks`; what is told as old is so for at least
+    /// `span`.
+    pub(super) fn turn(&mut self, now: Timestamp, marks: Watermarks, span: Duration) {
+        if now.since(self.turned) < span {
+            return;
+        }
+        self.turned = now;
+        self.older = std::mem::replace(&mut self.newer, marks);
+    }
+
+    pub(super) const fn get(&self) -> Watermarks {
+        self.older
+    }
+}
+
 /// What a host draws on to feed another.
 struct Source<'a> {
     cfg: &'a Config,
@@ -180,21 +204,18 @@
     ) -> Option<()> {
         let fed = &mut peer.fed;
         let held = self.replica.complete_up_to().get(prefix);
-        let since = match fed.feed {
-            Feed::Standby => fed.holds.get(prefix).max(fed.sent.get(prefix)),
-            _ => fed.sent.get(prefix),
-        };
-        if held <= since {
+        let since = fed.sent.get(prefix);
+        let waits = fed.feed == Feed::Standby && !fed.lags[at(prefix)];
+        if held <= since || waits {
             fed.behind[at(prefix)] = None;
             return None;
         }
         let behind = *fed.behind[at(prefix)].get_or_insert(now);
         let waited = now.since(behind);
         let quiet = !self.replica.has_rows_past(prefix, since);
-        let patience = match (fed.feed, prefix) {
-            (Feed::Standby, _) => self.cfg.standby_lag,
-            (_, Prefix::Catalogue) if quiet => QUIET_CATALOGUE,
-            (_, Prefix::Own) if quiet && !with_evidence => self.cfg.heartbeat,
+        let patience = match prefix {
+            Prefix::Catalogue if quiet => QUIET_CATALOGUE,
+            Prefix::Own if quiet && !with_evidence => self.cfg.heartbeat,
             _ => Duration::ZERO,
         };
         if waited < patience {
@@ -206,6 +227,7 @@
             .pager(*self.transfers, prefix, since, fed.whole);
         fed.sent.raise(prefix, pager.up_to());
         fed.behind[at(prefix)] = None;
+        fed.lags[at(prefix)] = false;
         fed.pagers[at(prefix)] = Some(pager);
         Some(())
     }
--- a/crates/spread/src/member/peer.rs
+++ b/crates/spread/src/member/peer.rs
@@ -25,6 +25,8 @@
     pub(super) beat: u64,
     /// Since when this host expects to hear from it.
     pub(super) expected: Option<Timestamp>,
+    /// What it was asked for last.
+    pub(super) asked: Feed,
     /// Time between heartbeats to it.
     pub(super) every: Duration,
     /// When the next heartbeat to it is due.
@@ -61,6 +63,9 @@
     pub(super) sent: Watermarks,
     /// When something was last sent for each prefix.
     pub(super) sent_at: [Timestamp; 2],
+    /// Whether its last heartbeat showed that it lacks what it should have by now, for each
+    /// prefix.
+    pub(super) lags: [bool; 2],
     /// Since when it has been behind, for each prefix.
     pub(super) behind: [Option<Timestamp>; 2],
     pub(super) pagers: [Option<Pager>; 2],
@@ -80,6 +85,7 @@
             holds: Watermarks::default(),
             sent: Watermarks::default(),
             sent_at: [Timestamp::ZERO; 2],
+            lags: [false; 2],
             behind: [None; 2],
             pagers: [None, None],
             whole: false,
@@ -146,6 +152,7 @@
         self.attempts.succeeded();
         self.intakes = Default::default();
         self.fed = Fed::default();
+        self.asked = Feed::None;
         self.reply = None;
         self.differs = None;
         self.synced = false;
--- a/crates/spread/tests/common/net.rs
+++ b/crates/spread/tests/common/net.rs
@@ -13,7 +13,7 @@
 use prost::Message;
 use smol_str::{SmolStr, format_smolstr};
 use spread::{Action, Config, Event, Me, Member, Prefix};
-use wire::control::Frame;
+use wire::control::{Body, Frame};
 
 use super::Past;
 
@@ -59,6 +59,8 @@
     pub sent_bytes: u64,
     pub received_bytes: u64,
     pub sent_frames: u64,
+    /// Bytes sent as heartbeats, replies, changes, evidence without changes, and records.
+    pub sent_as: [u64; 5],
     pub reads: u64,
     pub steps: u64,
     /// Time spent in steps, by the machine's clock.
@@ -436,6 +438,7 @@
                 let node = self.nodes.get_mut(from).unwrap();
                 node.counts.sent_bytes += frame.encoded_len() as u64 + LENGTH_BYTES;
                 node.counts.sent_frames += 1;
+                node.counts.sent_as[kind(&frame)] += frame.encoded_len() as u64 + LENGTH_BYTES;
                 self.carry(from, &to, link, frame);
             }
             Action::Connect { host, .. } => self.connect(from, &host),
@@ -546,6 +549,22 @@
     }
 }
 
+fn kind(frame: &Frame) -> usize {
+    match &frame.body {
+        Some(Body::Heartbeat(_)) => 0,
+        Some(Body::Reply(_)) => 1,
+        Some(Body::Push(p))
+            if p.deltas
+                .iter()
+                .any(|d| !d.rows.is_empty() || !d.patches.is_empty()) =>
+        {
+            2
+        }
+        Some(Body::Push(p)) if p.hosts.is_empty() => 3,
+        _ => 4,
+    }
+}
+
 fn pair(a: &HostId, b: &HostId) -> (HostId, HostId) {
     if a < b {
         return (a.clone(), b.clone());
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -105,6 +105,9 @@
     /// Whether the sender could not apply a patch and asks for whole rows.
     #[prost(bool, tag = "7")]
     pub whole: bool,
+    /// Whether the reply need not say more than that it is one.
+    #[prost(bool, tag = "8")]
+    pub brief: bool,
 }
 
 /// Answers a [`Heartbeat`] at once.
@@ -113,7 +116,7 @@
     /// The heartbeat's `sent_us`.
     #[prost(uint64, tag = "1")]
     pub echo_us: u64,
-    /// What the answering host's replica holds.
+    /// What the answering host's replica holds; like all that follows absent from a brief reply.
     #[prost(message, optional, tag = "2")]
     pub holds: Option<Watermarks>,
     /// How old the answering host's knowledge of ownership is, in milliseconds: how long ago
