--- a/crates/place/src/plan/cost.rs
+++ b/crates/place/src/plan/cost.rs
@@ -11,6 +11,9 @@
 /// Part of the keys and load moved that each point of the ratio has to pay for, at equal weights.
 const EXCHANGE_RATE: f64 = 0.08;
 
+/// Cost of moving a part of the load, by that of moving the same part of the keys.
+const LOAD_COST: f64 = 0.5;
+
 /// Cost of one move apart from its keys: a row written, a slice held up for a moment.
 const FIXED_COST: f64 = 0.0005;
 
@@ -44,7 +47,7 @@
 /// an upstream's keys.
 #[must_use]
 pub(crate) fn price(objective: Objective, keys: f64, size: f64) -> f64 {
-    2.0 * EXCHANGE_RATE * churn_weight(objective) * (keys + size + FIXED_COST)
+    2.0 * EXCHANGE_RATE * churn_weight(objective) * (keys + LOAD_COST * size + FIXED_COST)
 }
 
 /// Returns the load moved for each unit of the price.
