trial tests: one binary, logs kept on failure; a panic ends a host

Cause: a panic of the control thread left a host that took callers and refused them with no-lease for the rest of the run (89 of 1764 requests in trial stop-unchecked, debug build). The trials' tests share one binary, at most three run at a time, and a failing one keeps its folder.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -33,7 +33,20 @@
     }
 }
 
+/// Makes a panic of any thread end the process.
+///
+/// A host that has lost one of its duties would go on taking callers whom it can't serve. Other
+/// hosts handle the loss of the whole process.
+fn end_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        std::process::abort();
+    }));
+}
+
 fn serve(cfg: Settings) -> anyhow::Result<()> {
+    end_on_panic();
     let token = token(&cfg)?;
     let log = host::log::logger(&cfg);
     let name = cfg.host.clone();
--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/trials/faults.rs
@@ -1,9 +1,7 @@
 //! Upstreams behind proxies that make faults: each caller has its own whole answer or a truthful
 //! outcome.
 
-mod support;
-
-use support::{assert_clean, trial};
+use crate::support::{assert_clean, trial};
 
 /// Requests that the trial sends at least.
 const REQUESTS: u64 = 5_000;
--- a/crates/cli/tests/leaving.rs
+++ b/crates/cli/tests/trials/leaving.rs
@@ -1,8 +1,6 @@
 //! Real processes that leave or come: no request is cut.
 
-mod support;
-
-use support::{assert_clean, assert_uncut, trial};
+use crate::support::{assert_clean, assert_uncut, trial};
 
 #[test]
 fn a_host_leaves() {
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/trials/losses.rs
@@ -1,9 +1,7 @@
 //! Real processes that are killed, stand still or are cut off: nothing wrong may happen, and keys
 //! are served again.
 
-mod support;
-
-use support::{assert_clean, assert_served_again, trial};
+use crate::support::{assert_clean, assert_served_again, trial};
 
 /// Time after which a key must be served again, on a machine however busy, in milliseconds.
 const SOON_MS: f64 = 5_000.0;
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/trials/support.rs
@@ -1,6 +1,8 @@
 //! What the trials' tests share.
 
+use std::ops::Deref;
 use std::path::PathBuf;
+use std::thread::panicking;
 
 use tokio::sync::Semaphore;
 use trial::cluster::layout::Layout;
@@ -11,12 +13,13 @@
 static TRIALS: Semaphore = Semaphore::const_new(3);
 
 /// Runs a trial over the small layout, at a rate that a busy machine bears; prints its line.
-pub fn trial(name: &str) -> RunReport {
+pub fn trial(name: &str) -> Trial {
     let scenario = trial::all().into_iter().find(|s| s.name == name);
     let scenario = scenario.unwrap_or_else(|| panic!("no trial {name}"));
     let binary = PathBuf::from(env!("CARGO_BIN_EXE_medlardyke"));
     let cfg = RunSettings {
         rate: rate_of(name),
+        keep: true,
         warm_up_ms: 1_000,
         ..RunSettings::new(binary, Layout::small())
     };
@@ -31,7 +34,29 @@
     });
     let report = report.unwrap_or_else(|e| panic!("{name}: {e:#}"));
     println!("{}", serde_json::to_string(&report).expect("plain data"));
-    report
+    Trial(report)
+}
+
+/// What a trial showed; its folder with logs and journals is kept if the test fails.
+pub struct Trial(RunReport);
+
+impl Deref for Trial {
+    type Target = RunReport;
+
+    fn deref(&self) -> &RunReport {
+        &self.0
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        let Some(dir) = &self.0.kept else { return };
+        if panicking() {
+            eprintln!("logs are in {dir}");
+        } else if let Err(e) = std::fs::remove_dir_all(dir) {
+            eprintln!("delete {dir}: {e}");
+        }
+    }
 }
 
 /// Asserts that nothing happened that must not.
