--- a/crates/catalogue/src/accept.rs
+++ b/crates/catalogue/src/accept.rs
@@ -364,11 +364,6 @@
         if !self.in_force.is_complete() {
             return self.failed(self.torn_read());
         }
-        if let Some((e, head)) = self.refused.take()
-            && head == self.head_revision()
-        {
-            return self.give_up(e);
-        }
         if !self.has_base {
             self.take_base();
         }
@@ -423,6 +418,11 @@
             // No attempt has landed so far, but one may yet, until another one is decided.
             return self.go(Step::ReadCatalogue);
         }
+        if let Some((e, head)) = self.refused.take()
+            && head == self.head_revision()
+        {
+            return self.give_up(e);
+        }
         self.proceed()
     }
 
@@ -518,8 +518,9 @@
 
     /// Finds out whether the platform refuses the operator, or just what was overtaken.
     ///
-    /// It may look at who may write what before it looks at the checks, and the row of a version
-    /// that another operator has made meanwhile can't be written again.
+    /// It may look at who may write what before it looks at the checks, and neither the row of a
+    /// version that another operator has made meanwhile can be written again, nor that of an id
+    /// that was withdrawn. So catalogue and id are read again first.
     fn was_refused(&mut self, e: PlatformError) -> Action {
         if self.step != Step::Commit {
             return self.give_up(e);
--- a/crates/catalogue/tests/concurrent/racing.rs
+++ b/crates/catalogue/tests/concurrent/racing.rs
@@ -48,6 +48,8 @@
     let history = world.history();
     assert_eq!(accepted.len(), history.len(), "one id for each version");
     for (row, _) in &history {
+        let told = world.told_nothing.contains(&row.at_ms);
+        assert!(!told, "{row:?} was made by a run that was told otherwise");
         assert_eq!(
             accepted.get(&row.change),
             Some(&row.version),
@@ -99,6 +101,7 @@
     assert!(in_force.is_complete());
     assert_eq!(in_force.version(), Version(states.len() as u64 - 1));
     assert_eq!(Some(in_force.catalogue()), states.last());
+    assert_eq!(world.refused, 0, "all operators own all entries");
     check_changes(world);
     check_seen(world);
 }
@@ -157,6 +160,41 @@
         ],
         versions: 3,
     },
+    Scenario {
+        name: "a run that loses each time says so, also after a lost confirmation",
+        steps: &[
+            Step::Edit(0, Edit::Limit(0)),
+            Step::Call(0, READ),
+            Step::Call(0, READ),
+            Step::Call(0, Fate::Late),
+            Step::Call(0, READ),
+            Step::Call(0, READ),
+            Step::Call(0, READ),
+            Step::Call(0, READ),
+            Step::Call(0, Fate::Late),
+            Step::Call(0, READ),
+            Step::Call(0, READ),
+            Step::Call(0, READ),
+            Step::Call(0, READ),
+            Step::Deliver,
+        ],
+        versions: 2,
+    },
+    Scenario {
+        name: "a run that finds its change withdrawn says so",
+        steps: &[
+            Step::Edit(0, Edit::Limit(0)),
+            Step::Call(0, READ),
+            Step::Call(0, READ),
+            Step::Kill(0),
+            Step::Call(0, READ),
+            Step::Call(0, READ),
+            Step::Call(0, READ),
+            Step::Withdraw(0),
+            Step::Call(0, Fate::AccessFirst),
+        ],
+        versions: 1,
+    },
     Scenario {
         name: "of two on the same entry one succeeds",
         steps: &[
--- a/crates/catalogue/tests/concurrent/world.rs
+++ b/crates/catalogue/tests/concurrent/world.rs
@@ -1,6 +1,6 @@
 //! Some operators who change one catalogue through a platform that fails.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use catalogue::accept::{Action, BaseFrom, Event, Intention, Patience};
 use catalogue::rows::{
@@ -125,6 +125,7 @@
     apply: Apply,
     action: Action,
     seen: Option<Seen>,
+    number: u64,
 }
 
 /// An operator with a directory of declarations.
@@ -161,6 +162,11 @@
     counter: u32,
     /// What is known of each change.
     pub tried: BTreeMap<ChangeId, Tried>,
+    /// Runs that were told that surely nothing was changed.
+    pub told_nothing: BTreeSet<u64>,
+    /// How many runs were told that they are not allowed to do this; all are.
+    pub refused: u32,
+    runs: u64,
     /// Every state that any row below `catalogue/` ever had, in order.
     pub written: Vec<Row>,
 }
@@ -268,6 +274,9 @@
             operators: Vec::new(),
             counter: 0,
             tried: BTreeMap::new(),
+            told_nothing: BTreeSet::new(),
+            refused: 0,
+            runs: 0,
             written: Vec::new(),
         };
         world.operators.push(Operator {
@@ -453,6 +462,7 @@
     }
 
     fn start(&mut self, o: usize) {
+        self.runs += 1;
         let operator = &mut self.operators[o];
         let base = match &operator.base {
             Some(base) => BaseFrom::Given(base.clone()),
@@ -467,7 +477,8 @@
             admin: false,
             change: None,
             message: SmolStr::default(),
-            at_ms: 0,
+            // Tells which run a change in the history comes from.
+            at_ms: self.runs,
         };
         operator.again = false;
         let mut apply = Apply::new(intention, PATIENCE);
@@ -482,6 +493,7 @@
             apply,
             action,
             seen,
+            number: self.runs,
         });
     }
 
@@ -560,6 +572,15 @@
 
     /// Notes what a run that ends says of its change.
     fn note(&mut self, o: usize, run: &Run, verdict: Option<&Verdict>) {
+        self.refused += u32::from(matches!(verdict, Some(Verdict::Refused(_))));
+        if !matches!(
+            verdict,
+            None | Some(
+                Verdict::Accepted { .. } | Verdict::InForce { .. } | Verdict::Unknown { .. }
+            )
+        ) {
+            self.told_nothing.insert(run.number);
+        }
         let plan = run.apply.plan();
         if plan.intended.is_empty() {
             return;
--- a/crates/operate/src/command.rs
+++ b/crates/operate/src/command.rs
@@ -13,6 +13,7 @@
 use crate::args::{Args, Command};
 use crate::exit::Exit;
 use crate::read::ReadError;
+use crate::render::count;
 use crate::settings::OperatorSettings;
 
 pub mod apply;
@@ -65,9 +66,9 @@
 
 impl From<Faults> for Report {
     fn from(faults: Faults) -> Self {
-        let count = faults.0.len();
+        let count = count(faults.0.len(), "fault");
         let json = json!({"faults": faults.0});
-        Self::new(Exit::Invalid, format!("{faults}\n{count} faults"), json)
+        Self::new(Exit::Invalid, format!("{faults}\n{count}"), json)
     }
 }
 
--- a/crates/operate/src/command/check.rs
+++ b/crates/operate/src/command/check.rs
@@ -8,6 +8,7 @@
 use super::{Outcome, Report};
 use crate::args::Kind;
 use crate::exit::Exit;
+use crate::render::count;
 
 /// Lists all faults of the directory `dir`.
 ///
@@ -18,7 +19,16 @@
     let catalogue = load(dir)?;
     let (domains, entries) = (catalogue.domains.len(), catalogue.entries.len());
     let upstreams = catalogue.upstreams.len();
-    let text = format!("no faults: {domains} domains, {entries} entries, {upstreams} upstreams");
+    let parts = [
+        count(domains, "domain"),
+        if entries == 1 {
+            "1 entry".to_owned()
+        } else {
+            format!("{entries} entries")
+        },
+        count(upstreams, "upstream"),
+    ];
+    let text = format!("no faults: {}", parts.join(", "));
     let json = json!({"domains": domains, "entries": entries, "upstreams": upstreams});
     Ok(Report::new(Exit::Done, text, json))
 }
--- a/crates/operate/src/command/pull.rs
+++ b/crates/operate/src/command/pull.rs
@@ -11,6 +11,7 @@
 use super::{Outcome, Report, failed};
 use crate::exit::Exit;
 use crate::read;
+use crate::render::count;
 
 /// What to do with items that both sides changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -139,9 +140,9 @@
             Exit::Conflict
         };
         let mut lines = vec![format!(
-            "version {}: {} items taken, {} changed here",
+            "version {}: {} taken, {} changed here",
             self.in_force.version(),
-            self.taken.len(),
+            count(self.taken.len(), "item"),
             self.mine.len()
         )];
         for key in &self.conflicts {
--- a/crates/operate/src/render.rs
+++ b/crates/operate/src/render.rs
@@ -1,14 +1,20 @@
 //! Text for people.
 
+use std::time::{Duration, UNIX_EPOCH};
+
 use catalogue::plan::{Denial, Move, Other};
 use catalogue::rows::{ChangeRow, ItemChange};
 use catalogue::{Difference, Faults, Plan, Verdict, differences};
+use httpdate::fmt_http_date;
 use ids::Version;
 use serde_json::Value;
 
 use crate::command::status::HostLine;
 use crate::command::wait::Waited;
 
+/// The end of the year 9999, in milliseconds since 1970; later times can't be written.
+const LATEST_MS: u64 = 253_402_300_799_000;
+
 /// Writes a plan that was made on `version`.
 #[must_use]
 pub fn plan(plan: &Plan, version: Version, faults: &Faults) -> String {
@@ -24,7 +30,10 @@
     if plan.is_empty() {
         lines.push("nothing would change".to_owned());
     } else {
-        lines.push(format!("{} items would change", plan.changes.len()));
+        lines.push(format!(
+            "{} would change",
+            count(plan.changes.len(), "item")
+        ));
     }
     lines.join("\n")
 }
@@ -142,12 +151,21 @@
     items.iter().map(|item| line(item) + "\n").collect()
 }
 
+/// Writes a number of things; `one` is the word for one of them.
+#[must_use]
+pub fn count(n: usize, one: &str) -> String {
+    let ending = if n == 1 { "" } else { "s" };
+    format!("{n} {one}{ending}")
+}
+
 /// Writes one change of the history.
 #[must_use]
 pub fn change(change: &ChangeRow, items: &[ItemChange]) -> String {
+    let at = Duration::from_millis(change.at_ms.min(LATEST_MS));
+    let at = fmt_http_date(UNIX_EPOCH + at);
     let mut head = format!(
-        "version {}  {}  {}  at {} ms",
-        change.version, change.operator, change.change, change.at_ms
+        "version {}  {}  {}  {at}",
+        change.version, change.operator, change.change
     );
     if !change.message.is_empty() {
         head = format!("{head}  {}", change.message);
