--- a/crates/own/src/moves.rs
+++ b/crates/own/src/moves.rs
@@ -378,6 +378,13 @@
         });
         let targets = targets.collect::<Vec<_>>();
         debug_assert_eq!(targets.len(), r.groups.len(), "targets are known");
+        // A target's row of an earlier move may have come ahead of this upstream's own.
+        let behind = |(g, target): &(Group, Known)| {
+            g.to != *upstream && g.slices.iter().any(|&s| target.row.holds(s))
+        };
+        if targets.iter().any(behind) {
+            return;
+        }
         let close = matches!(r.why, Why::Lost | Why::Emptying);
         let subject = Subject::Upstream(upstream.clone());
         self.commit(subject, |writer| {
