--- a/crates/catalogue/src/plan.rs
+++ b/crates/catalogue/src/plan.rs
@@ -1,20 +1,28 @@
 //! What applying declarations would change, and what stands against it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::fmt::Write as _;
 
-use ids::{ChangeId, EntryId, OperatorId, UpstreamId, Version};
+use ids::{ChangeId, EntryId, OperatorId, Version};
 use serde::Serialize;
 use thiserror::Error;
 
 use crate::base::{Base, BaseItem};
-use crate::declare::{Catalogue, Entry, Sharding};
+use crate::declare::Catalogue;
 use crate::fault::Fault;
 use crate::in_force::{Held, HeldState, InForce};
 use crate::item::{ContentHash, Item, ItemKey};
 use crate::rows::ItemChange;
 use crate::verify::{Sources, place, verify_from};
 
+mod fixed;
+mod moves;
+
+pub use moves::Move;
+
+use fixed::fixed_fields;
+use moves::moves;
+
 /// What an operator wants to be in force.
 #[derive(Debug, Clone)]
 pub struct Wanted {
@@ -100,24 +108,6 @@
     pub operator: OperatorId,
 }
 
-/// How many slices of an entry would change their upstream.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize)]
-pub struct Move {
-    /// Entry.
-    pub entry: EntryId,
-    /// Upstreams that take slices now and would not any more.
-    pub leaving: usize,
-    /// Upstreams that would newly take slices.
-    pub joining: usize,
-    /// Upstreams that take slices now.
-    pub before: usize,
-    /// About how many slices must move, were they spread evenly.
-    pub slices: u32,
-    /// All slices.
-    pub of: u32,
-}
-
 impl Plan {
     /// Tells whether nothing would change.
     #[must_use]
@@ -321,115 +311,6 @@
     faults
 }
 
-/// A field that never changes but did.
-struct Fixed {
-    pointer: &'static str,
-    before: String,
-    after: String,
-    instead: &'static str,
-}
-
-const NEW_UPSTREAM: &str = "it is fixed, so declare another upstream and let this one leave";
-const NEW_ENTRY: &str = "it is fixed, so declare another entry";
-
-/// Lists the changed fields that are fixed for an item's life.
-///
-/// Ownership goes by the names of upstreams and the numbers of slices: an upstream that became
-/// another server, or a slice that became another range, would have two owners for a while.
-fn fixed_fields(before: &Item, after: &Item) -> Vec<Fixed> {
-    let mut fixed = Vec::new();
-    let mut field = |pointer, before: String, after: String, instead| {
-        if before != after {
-            fixed.push(Fixed {
-                pointer,
-                before,
-                after,
-                instead,
-            });
-        }
-    };
-    match (before, after) {
-        (Item::Entry(b), Item::Entry(a)) => {
-            field("/sharding", sharding(b), sharding(a), NEW_ENTRY);
-        }
-        (Item::Upstream(b), Item::Upstream(a)) => {
-            field(
-                "/entry",
-                b.entry.to_string(),
-                a.entry.to_string(),
-                NEW_UPSTREAM,
-            );
-            let (old, new) = (b.address.to_string(), a.address.to_string());
-            field("/address", old, new, NEW_UPSTREAM);
-            field(
-                "/domain",
-                b.domain.to_string(),
-                a.domain.to_string(),
-                NEW_UPSTREAM,
-            );
-        }
-        _ => {}
-    }
-    fixed
-}
-
-fn sharding(entry: &Entry) -> String {
-    serde_json::to_string(&entry.sharding).expect("sharding is plain JSON")
-}
-
-/// Estimates for each entry divided by key how many slices must change their upstream.
-fn moves(before: &Catalogue, after: &Catalogue) -> Vec<Move> {
-    let (old, new) = (takers(before), takers(after));
-    let none = BTreeSet::new();
-    let mut moves = Vec::new();
-    for (id, entry) in &after.entries {
-        let Sharding::Key { slices, .. } = entry.sharding else {
-            continue;
-        };
-        let (old, new) = (old.get(id).unwrap_or(&none), new.get(id).unwrap_or(&none));
-        let leaving = old.difference(new).count();
-        let joining = new.difference(old).count();
-        if old.is_empty() || (leaving == 0 && joining == 0) {
-            continue;
-        }
-        moves.push(Move {
-            entry: id.clone(),
-            leaving,
-            joining,
-            before: old.len(),
-            slices: moved_slices(slices, old.len(), leaving, new.len(), joining),
-            of: slices,
-        });
-    }
-    moves
-}
-
-/// Returns about how many slices move: those of leaving upstreams, or the fair share of joining
-/// ones if that is more, as slices that must move anyway can go to these.
-fn moved_slices(slices: u32, before: usize, leaving: usize, after: usize, joining: usize) -> u32 {
-    let share = |part: usize, of: usize| {
-        let slices = u64::from(slices) * part as u64;
-        slices.div_ceil(of.max(1) as u64)
-    };
-    let moved = share(leaving, before).max(share(joining, after));
-    u32::try_from(moved).unwrap_or(slices)
-}
-
-/// Returns the upstreams that take slices, by entry.
-fn takers(catalogue: &Catalogue) -> BTreeMap<&EntryId, BTreeSet<&UpstreamId>> {
-    let mut takers: BTreeMap<&EntryId, BTreeSet<&UpstreamId>> = BTreeMap::new();
-    for (id, upstream) in &catalogue.upstreams {
-        let lost = catalogue
-            .domains
-            .get(&upstream.domain)
-            .is_some_and(|d| d.lost);
-        if !upstream.leaving && !lost {
-            takers.entry(&upstream.entry).or_default().insert(id);
-        }
-    }
-    takers
-}
-
 fn names(owners: &[OperatorId]) -> String {
     let names: Vec<&str> = owners.iter().map(OperatorId::as_str).collect();
     names.join(", ")
