--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -18,7 +18,7 @@
 
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 a file is not valid, \
                           4 conflict, 5 a process can't be reached, 6 unknown, \
-                          7 not in force everywhere yet.";
+                          7 not in force everywhere yet, 8 denied.";
 
 /// What to do.
 #[derive(Debug)]
