own: wait for the row that a transaction is for

A move in doubt was taken for dead once the target's row had a newer revision, although that revision could be its own and the source's row was still on its way; the source then granted the moved slices again. Only the row that a transaction is for settles it now, or an answer of the table.

--- a/crates/own/src/commits.rs
+++ b/crates/own/src/commits.rs
@@ -1,8 +1,9 @@
 //! Transactions whose result is not known yet.
 //!
-//! A transaction is submitted again, unchanged, until some row that it checks has a higher
-//! revision than it asks for. From then on no copy of it can take effect any more, and the rows
-//! themselves say what did.
+//! A transaction is submitted again, unchanged, until the row that it is for has a higher revision
+//! than it asks for. From then on no copy of it can take effect any more, and that row itself says
+//! what did. A higher revision of another row that it checks says less: the transaction may have
+//! taken effect before, and the row that it is for may be on its way here.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,6 +11,8 @@
 use ids::{EntryId, Revision, Timestamp, UpstreamId};
 use platform::{RowKey, Txn};
 
+use crate::{EntryRow, OwnRow};
+
 /// Whom a transaction is for; there is at most one at a time for each.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Subject {
@@ -29,6 +32,16 @@
     pub(crate) in_doubt: bool,
 }
 
+impl Subject {
+    /// Returns the key of the row that a transaction is for.
+    fn key(&self) -> RowKey {
+        match self {
+            Self::Upstream(u) => OwnRow::key(u),
+            Self::Entry(e) => EntryRow::key(e),
+        }
+    }
+}
+
 impl Pending {
     /// Tells whether a submission ended without a result.
     pub(crate) const fn is_in_doubt(&self) -> bool {
@@ -69,16 +82,14 @@
         self.pending.insert(subject, pending);
     }
 
-    /// Ends the transaction with this number.
-    pub(crate) fn end(&mut self, txn: u64) -> Option<(Subject, Pending)> {
-        let subject = self.subject(txn)?;
-        let pending = self.pending.remove(&subject)?;
-        Some((subject, pending))
+    /// Returns the transaction with this number.
+    pub(crate) fn find(&self, txn: u64) -> Option<&Pending> {
+        self.pending.values().find(|p| p.txn == txn)
     }
 
-    fn subject(&self, txn: u64) -> Option<Subject> {
-        let found = self.pending.iter().find(|(_, p)| p.txn == txn);
-        found.map(|(s, _)| s.clone())
+    /// Ends the transaction with this number.
+    pub(crate) fn end(&mut self, txn: u64) {
+        self.pending.retain(|_, p| p.txn != txn);
     }
 
     /// Lets the transaction with this number be submitted again after `wait`.
@@ -89,9 +100,15 @@
         }
     }
 
-    /// Ends the transactions that a row at `revision` has overtaken.
-    pub(crate) fn settle(&mut self, key: &RowKey, revision: Revision) {
-        self.pending.retain(|_, p| !p.is_overtaken(key, revision));
+    /// Ends the transaction that a row at `revision` has overtaken. Others that check the row are
+    /// due at once if they are in doubt: the answer will tell what became of them.
+    pub(crate) fn settle(&mut self, now: Timestamp, key: &RowKey, revision: Revision) {
+        self.pending
+            .retain(|s, p| s.key() != *key || !p.is_overtaken(key, revision));
+        let overtaken = |p: &&mut Pending| p.in_doubt && p.is_overtaken(key, revision);
+        for p in self.pending.values_mut().filter(overtaken) {
+            p.again_at = now;
+        }
     }
 
     /// Iterates over the transactions that are due to be submitted again.
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -280,7 +280,8 @@
     }
 
     fn on_entry_row(&mut self, entry: EntryId, revision: Revision, row: EntryRow) {
-        self.commits.settle(&EntryRow::key(&entry), revision);
+        self.commits
+            .settle(self.now, &EntryRow::key(&entry), revision);
         self.unassigned.remove(&entry);
         self.replica.take_entry(entry, revision, row);
     }
@@ -298,7 +299,8 @@
         let Taken::News(before) = taken else {
             return;
         };
-        self.commits.settle(&OwnRow::key(upstream), revision);
+        self.commits
+            .settle(self.now, &OwnRow::key(upstream), revision);
         let mine = row.coordinator.as_ref().is_some_and(|c| c.is(&self.me));
         match (mine, self.held.contains_key(upstream)) {
             (true, true) => self.keep(upstream, row, before.as_ref()),
@@ -391,10 +393,11 @@
         match outcome {
             CommitOutcome::Done(revision) => self.on_done(txn, revision),
             CommitOutcome::Conflict(rows) => {
-                self.commits.end(txn);
                 for row in &rows {
                     self.on_table_row(row);
                 }
+                // Only now, as an earlier copy may have written some of these rows.
+                self.commits.end(txn);
                 self.advance_all();
             }
             CommitOutcome::Unreachable | CommitOutcome::Unconfirmed => {
@@ -405,7 +408,7 @@
     }
 
     fn on_done(&mut self, txn: u64, revision: Revision) {
-        let Some((_, pending)) = self.commits.end(txn) else {
+        let Some(pending) = self.commits.find(txn).cloned() else {
             return;
         };
         for write in pending.body.writes {
@@ -418,6 +421,7 @@
             self.tell_row(&row);
         }
         // It was committed after it was sent, and only as no other row had come in between.
+        self.commits.end(txn);
         self.note_commit(&pending.body.checks, pending.sent_at);
     }
 
--- a/crates/own/tests/own/interleaving.rs
+++ b/crates/own/tests/own/interleaving.rs
@@ -35,6 +35,7 @@
         2 => (0..domains).prop_map(Fault::HealDomain),
         1 => (0..domains).prop_map(Fault::CutPlatform),
         2 => (0..domains).prop_map(Fault::Isolate),
+        4 => (0..hosts, pause()).prop_map(|(h, us)| Fault::CutAlone(h, us)),
         3 => (0..hosts, 0..hosts, pause()).prop_map(|(a, b, us)| Fault::CutHosts(a, b, us)),
         3 => (0..hosts, 0..upstreams, pause()).prop_map(|(h, u, us)| Fault::CutUpstream(h, u, us)),
         4 => (0..8_u64, 0..upstreams).prop_map(|(s, u)| Fault::Wish(s, u)),
--- a/crates/own/tests/own/world/mod.rs
+++ b/crates/own/tests/own/world/mod.rs
@@ -119,6 +119,8 @@
     CutHosts(usize, usize, u64),
     /// Cuts a host and an upstream off from each other for some time.
     CutUpstream(usize, usize, u64),
+    /// Cuts a host off from all hosts and upstreams for some time, but not from the table.
+    CutAlone(usize, u64),
     LoseDomain(usize),
     Wish(u64, usize),
 }
@@ -264,6 +266,33 @@
     c
 }
 
+/// Renders an action for a trace.
+fn brief(action: &Action) -> String {
+    match action {
+        Action::SendPeer { to, message } => format!("to {}: {:?}", to.host, message.body),
+        Action::Commit { txn, body } => {
+            let rows = body.writes.iter().map(|w| {
+                let row = platform::Row {
+                    key: w.key.clone(),
+                    revision: Revision(0),
+                    value: w.value.clone(),
+                };
+                format!("{:?}", own::OwnChange::parse(&row))
+            });
+            let checks = body
+                .checks
+                .iter()
+                .map(|c| format!("{}@{:?}", c.key, c.revision));
+            format!(
+                "commit {txn} {:?} {:?}",
+                checks.collect::<Vec<_>>(),
+                rows.collect::<Vec<_>>()
+            )
+        }
+        other => format!("{other:?}"),
+    }
+}
+
 impl World {
     pub fn new(setup: Setup) -> Self {
         let mut rng = StdRng::seed_from_u64(setup.seed);
@@ -588,7 +617,7 @@
         }
         for action in actions {
             if self.trace {
-                eprintln!("{} h{h} {action:?}", self.t / 1000);
+                eprintln!("{} h{h} {}", self.t / 1000, brief(&action));
             }
             // Leases must not overtake each other, and neither must a hold overtake a release.
             self.push(50, Happening::Act(h, run, action));
@@ -849,6 +878,14 @@
             Fault::CutUpstream(h, u, us) => {
                 self.cut_upstreams.insert((h, u), self.t + us);
             }
+            Fault::CutAlone(h, us) => {
+                for o in 0..self.hosts.len() {
+                    self.cut_hosts.insert((h.min(o), h.max(o)), self.t + us);
+                }
+                for u in 0..self.upstreams.len() {
+                    self.cut_upstreams.insert((h, u), self.t + us);
+                }
+            }
             Fault::LoseDomain(d) => self.lose_domain(d),
             Fault::Wish(slice, u) => self.wish(|w| Event::MoveWish {
                 entry: entry_id(),
