--- a/crates/gate/tests/path.rs
+++ b/crates/gate/tests/path.rs
@@ -101,3 +101,21 @@
     assert_eq!(got.status, 200, "{got:?}");
     assert_eq!(rig.metrics(0).total(Count::PeerFailed), 0);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_repeat_gets_the_whole_kept_answer_and_does_not_run() {
+    let rig = Rig::start(RigSettings::default()).await;
+    let mut caller = Caller::connect(rig.address(0)).await;
+    let request = post("/seg/ESNQ", &[("medlardyke-request-id", "req-7")], "landing");
+    let first = caller.ask(&request).await;
+    let again = caller.ask(&request).await;
+    assert_eq!(first.status, 200, "{first:?}");
+    assert_eq!(again.status, 200, "{again:?}");
+    assert_eq!(again.body, "answer to req-7");
+    assert_eq!(again.outcome(), "answered");
+    assert_eq!(
+        again.header("medlardyke-request-id"),
+        first.header("medlardyke-request-id")
+    );
+    assert_eq!(rig.upstream.times("req-7"), 1);
+}
