Give up a planned move that the table surely did not record

Change: submissions under way are counted, and whether one may have taken effect; a removal whose transaction surely had no effect, or was not submitted while the table can't be reached, is given up, its slices are granted and served again, and its wishes are dropped. A move whose transaction may stand still waits, as nobody can know the owner.

--- a/crates/own/src/claim.rs
+++ b/crates/own/src/claim.rs
@@ -50,19 +50,24 @@
         if self.leaving || !settled || self.table_stamp.is_none() || !self.table_reachable {
             return;
         }
-        let declared = self.view.upstreams().map(|(u, _)| u);
-        let mut all = declared.cloned().collect::<Vec<_>>();
-        let undeclared = self.replica.rows().map(|(u, _)| u);
-        let undeclared = undeclared.filter(|u| self.view.upstream(u).is_none());
-        all.extend(undeclared.cloned());
-        for u in &all {
-            if self.is_due_to_claim(u) {
-                self.claim(u);
+        for u in self.to_scan() {
+            if self.is_due_to_claim(&u) {
+                self.claim(&u);
             }
         }
         self.hand_out();
     }
 
+    /// Returns the upstreams that this host may have to claim: those near it, and all if a domain
+    /// is lost.
+    fn to_scan(&self) -> Vec<UpstreamId> {
+        let near = self.replica.near().iter();
+        let rest = self.view.has_lost_domain().then(|| self.replica.rows());
+        let rest = rest.into_iter().flatten().map(|(u, _)| u);
+        let rest = rest.filter(|u| !self.replica.near().contains(*u));
+        near.chain(&self.rowless).chain(rest).cloned().collect()
+    }
+
     fn is_due_to_claim(&mut self, upstream: &UpstreamId) -> bool {
         if self.held.contains_key(upstream) || self.is_busy(upstream) {
             return false;
@@ -121,6 +126,11 @@
         if row.deputy.as_ref().is_some_and(|d| d.is(&self.me)) {
             return false;
         }
+        let bound = self.cfg.silence;
+        let forgotten = |h: &HostRef| self.roster.forgotten(h, known.awake_since, bound);
+        if !forgotten(coordinator) || !row.deputy.as_ref().is_none_or(forgotten) {
+            return false;
+        }
         let named = [Some(coordinator), row.deputy.as_ref()];
         let named = named.into_iter().flatten().cloned().collect::<Vec<_>>();
         let mate = |h: &HostRef| named.iter().any(|n| n.domain == h.domain);
@@ -128,11 +138,6 @@
         if !self.wins(upstream, &mates) {
             return false;
         }
-        let bound = self.cfg.silence;
-        let forgotten = |h| self.roster.forgotten(h, known.awake_since, bound);
-        if !named.iter().all(forgotten) {
-            return false;
-        }
         self.all_unanswered(&named)
     }
 
--- a/crates/own/src/commits.rs
+++ b/crates/own/src/commits.rs
@@ -6,7 +6,6 @@
 //! taken effect before, and the row that it is for may be on its way here.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use ids::{EntryId, Revision, Timestamp, UpstreamId};
 use platform::{RowKey, Txn};
@@ -30,6 +29,10 @@
     pub(crate) again_at: Timestamp,
     /// Whether a submission ended without a result.
     pub(crate) in_doubt: bool,
+    /// Submissions that have not ended.
+    pub(crate) open: u32,
+    /// Whether a submission that ended may have taken effect.
+    pub(crate) unconfirmed: bool,
 }
 
 impl Subject {
@@ -48,6 +51,11 @@
         self.in_doubt
     }
 
+    /// Tells whether all submissions ended and surely had no effect.
+    pub(crate) const fn has_no_effect(&self) -> bool {
+        self.open == 0 && !self.unconfirmed
+    }
+
     /// Tells whether a row at `revision` shows that no copy can take effect any more.
     fn is_overtaken(&self, key: &RowKey, revision: Revision) -> bool {
         let check = self.body.checks.iter().find(|c| c.key == *key);
@@ -92,11 +100,14 @@
         self.pending.retain(|_, p| p.txn != txn);
     }
 
-    /// Lets the transaction with this number be submitted again after `wait`.
-    pub(crate) fn doubt(&mut self, txn: u64, now: Timestamp, wait: Duration) {
+    /// Takes the end of a submission without a result, and lets the transaction with this number
+    /// be submitted again at `again_at`.
+    pub(crate) fn doubt(&mut self, txn: u64, again_at: Timestamp, unconfirmed: bool) {
         if let Some(p) = self.pending.values_mut().find(|p| p.txn == txn) {
-            p.again_at = now + wait;
+            p.again_at = again_at;
             p.in_doubt = true;
+            p.open = p.open.saturating_sub(1);
+            p.unconfirmed |= unconfirmed;
         }
     }
 
--- a/crates/own/src/held.rs
+++ b/crates/own/src/held.rs
@@ -124,6 +124,8 @@
     /// Own clock at which every grant or lease with these slices is surely over, known from when
     /// they are not wanted any more.
     pub(crate) end: Option<Timestamp>,
+    /// Number of the transaction that was submitted last for it.
+    pub(crate) txn: Option<u64>,
 }
 
 impl Removal {
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -1,6 +1,6 @@
 //! One host's part in ownership.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -41,6 +41,8 @@
     /// What this host promised as a deputy.
     pub(crate) marks: BTreeMap<UpstreamId, Mark>,
     pub(crate) settling: Vec<Settling>,
+    /// Upstreams that are declared and have no row.
+    pub(crate) rowless: BTreeSet<UpstreamId>,
     /// Since when an entry waits for its slices to be handed out.
     pub(crate) unassigned: BTreeMap<EntryId, Timestamp>,
     /// Since when a domain has no host that is up.
@@ -73,6 +75,7 @@
             past: BTreeMap::new(),
             marks: BTreeMap::new(),
             settling: Vec::new(),
+            rowless: BTreeSet::new(),
             unassigned: BTreeMap::new(),
             deserted: BTreeMap::new(),
             table_stamp: None,
@@ -200,6 +203,9 @@
 
     fn on_catalogue(&mut self, catalogue: Arc<catalogue::Catalogue>) {
         self.view.take(catalogue);
+        let declared = self.view.upstreams().map(|(u, _)| u);
+        let rowless = declared.filter(|u| self.replica.get(u).is_none());
+        self.rowless = rowless.cloned().collect();
         self.advance_all();
     }
 
@@ -299,6 +305,7 @@
         let Taken::News(before) = taken else {
             return;
         };
+        self.rowless.remove(upstream);
         self.commits
             .settle(self.now, &OwnRow::key(upstream), revision);
         let mine = row.coordinator.as_ref().is_some_and(|c| c.is(&self.me));
@@ -401,7 +408,9 @@
                 self.advance_all();
             }
             CommitOutcome::Unreachable | CommitOutcome::Unconfirmed => {
-                self.commits.doubt(txn, self.now, self.cfg.commit_retry);
+                let unconfirmed = outcome == CommitOutcome::Unconfirmed;
+                let again_at = self.now + self.cfg.commit_retry;
+                self.commits.doubt(txn, again_at, unconfirmed);
                 self.hand_over_without_table();
             }
         }
@@ -459,6 +468,8 @@
             sent_at: self.now,
             again_at: self.now + self.cfg.commit_patience,
             in_doubt: false,
+            open: 1,
+            unconfirmed: false,
         };
         self.commits.start(subject, pending);
         self.out.push(Action::Commit { txn, body });
@@ -469,6 +480,7 @@
         for p in self.commits.due(self.now) {
             p.sent_at = self.now;
             p.again_at = self.now + self.cfg.commit_patience;
+            p.open += 1;
             self.out.push(Action::Commit {
                 txn: p.txn,
                 body: p.body.clone(),
--- a/crates/own/src/moves.rs
+++ b/crates/own/src/moves.rs
@@ -103,7 +103,11 @@
 
     /// Starts and pursues the removal of slices that should go.
     pub(crate) fn move_slices(&mut self, upstream: &UpstreamId, held: &mut Held) {
-        if !held.recorded || held.handing.is_some() || self.is_busy(upstream) {
+        if !held.recorded || held.handing.is_some() {
+            return;
+        }
+        if self.is_busy(upstream) {
+            self.give_up_unsent(upstream, held);
             return;
         }
         if self.has_yielded(upstream, held) {
@@ -165,6 +169,7 @@
             groups,
             retiring: None,
             end: None,
+            txn: None,
         });
         self.want_scope(upstream, kept);
         self.tell_lease(upstream, kept);
@@ -387,12 +392,39 @@
         }
         let close = matches!(r.why, Why::Lost | Why::Emptying);
         let subject = Subject::Upstream(upstream.clone());
-        self.commit(subject, |writer| {
+        let submitted = self.commit(subject.clone(), |writer| {
             let mut from = OwnRow::clone(&known.row);
             from.writer = writer;
             from.open &= !close;
             Some(moved(upstream, known.revision, from, &targets))
         });
+        if submitted && let Some(r) = &mut held.removal {
+            r.txn = self.commits.get(&subject).map(|p| p.txn);
+        }
+    }
+
+    /// Gives a removal up that surely was not recorded while the table can't be reached: its
+    /// slices would be held until it can.
+    fn give_up_unsent(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        let Some(r) = held.removal.as_ref().filter(|r| r.why != Why::Lost) else {
+            return;
+        };
+        let subject = Subject::Upstream(upstream.clone());
+        let Some(p) = self.commits.get(&subject) else {
+            return;
+        };
+        if r.txn != Some(p.txn) {
+            if !self.table_reachable {
+                self.cancel_removal(upstream, held);
+            }
+            return;
+        }
+        if p.has_no_effect() {
+            let txn = p.txn;
+            self.commits.end(txn);
+            held.wishes.clear();
+            self.cancel_removal(upstream, held);
+        }
     }
 
     /// Gives groups whose upstream can't take them any more another one.
--- a/crates/own/src/replica.rs
+++ b/crates/own/src/replica.rs
@@ -35,6 +35,9 @@
     /// Highest epoch that a peer spoke of; it may be ahead of the rows.
     noted: BTreeMap<UpstreamId, Epoch>,
     deputy_of: BTreeSet<UpstreamId>,
+    /// Upstreams that this host may have to claim by their rows: nobody coordinates them, or a host
+    /// of the own domain is coordinator or deputy.
+    near: BTreeSet<UpstreamId>,
 }
 
 impl Replica {
@@ -61,6 +64,11 @@
         } else {
             self.deputy_of.remove(upstream);
         }
+        if is_near(&row, me) {
+            self.near.insert(upstream.clone());
+        } else {
+            self.near.remove(upstream);
+        }
         let known = Known {
             revision,
             row,
@@ -103,8 +111,19 @@
         self.entries.contains_key(entry)
     }
 
+    /// Returns the upstreams that this host may have to claim by their rows.
+    pub(crate) const fn near(&self) -> &BTreeSet<UpstreamId> {
+        &self.near
+    }
+
     /// Returns the upstreams that this host is deputy of.
     pub(crate) const fn deputy_of(&self) -> &BTreeSet<UpstreamId> {
         &self.deputy_of
     }
 }
+
+fn is_near(row: &OwnRow, me: &HostRef) -> bool {
+    let near = |h: &HostRef| h.domain == me.domain;
+    let named = row.coordinator.as_ref();
+    named.is_none_or(near) || row.deputy.as_ref().is_some_and(near)
+}
--- a/crates/own/src/view.rs
+++ b/crates/own/src/view.rs
@@ -61,6 +61,11 @@
         self.now.domains.get(domain).is_some_and(|d| d.lost)
     }
 
+    /// Tells whether an operator declared any domain lost.
+    pub(crate) fn has_lost_domain(&self) -> bool {
+        self.now.domains.values().any(|d| d.lost)
+    }
+
     /// Tells whether an upstream lies in a domain that an operator declared lost.
     pub(crate) fn in_lost_domain(&self, upstream: &UpstreamId) -> bool {
         self.upstream(upstream)
