Trim what a request allocates and parses on its way

A profile showed the exchange of a call spending 6 % on building its request and 3 % on hashing header names. Names are checked once, the path is not parsed again, and giving up needs no atomics.

--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, StatusCode};
 use ids::{EntryId, KeyHash, Reason, RequestId, Revision, SliceNo, Timestamp, UpstreamId};
-use smol_str::SmolStr;
 use wire::dispatch as frames;
 
 use crate::headers;
@@ -17,7 +17,7 @@
     /// Method.
     pub method: Method,
     /// Path and query.
-    pub path: SmolStr,
+    pub path: PathAndQuery,
     /// Headers, without those that stay.
     pub headers: HeaderMap,
     /// The whole body.
@@ -143,7 +143,7 @@
         revision: Revision(m.revision),
         parts: Arc::new(Parts {
             method: Method::from_bytes(m.method.as_bytes()).ok()?,
-            path: m.path.into(),
+            path: PathAndQuery::from_maybe_shared(Bytes::from(m.path)).ok()?,
             headers: headers::from_wire(m.headers)?,
             body: m.body,
         }),
--- a/crates/gate/src/callers/intake.rs
+++ b/crates/gate/src/callers/intake.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, header, request};
 use hyper::body::{Body, Incoming};
 use ids::{KeyHash, Reason, RequestId, Timestamp};
@@ -16,7 +17,7 @@
 
 use crate::body::Gathered;
 use crate::call::Parts;
-use crate::headers::{head_bytes, strip_request};
+use crate::headers::{self, head_bytes, strip_request};
 use crate::settings::GateSettings;
 
 /// A whole request that may be admitted.
@@ -84,7 +85,7 @@
 ///
 /// Fails with a new id if the caller's is not valid.
 pub(crate) fn request_id(headers: &HeaderMap) -> Result<RequestId, RequestId> {
-    let Some(value) = headers.get(ids::header::REQUEST_ID) else {
+    let Some(value) = headers.get(&headers::REQUEST_ID) else {
         return Ok(new_id());
     };
     let text = value.to_str().map_err(|_invalid| new_id())?;
@@ -121,7 +122,7 @@
     let deadlines = DeadlineSettings {
         cap: crate::settings::millis(settings.deadline_cap_ms),
     };
-    let header = head.headers.get(ids::header::DEADLINE_MS);
+    let header = head.headers.get(&headers::DEADLINE_MS);
     let time_left = deadlines.time_left(header.map(HeaderValue::as_bytes), route.deadline)?;
     Ok(Located {
         entry: located.entry,
@@ -189,7 +190,10 @@
 }
 
 fn parts(head: request::Parts, body: Bytes, route: &EntryRoute) -> Parts {
-    let path = SmolStr::new(path_and_query(&head));
+    let path = head
+        .uri
+        .path_and_query()
+        .map_or_else(|| PathAndQuery::from_static("/"), PathAndQuery::clone);
     let mut headers = head.headers;
     strip_request(&mut headers, key_header(route));
     Parts {
--- a/crates/gate/src/callers/reply.rs
+++ b/crates/gate/src/callers/reply.rs
@@ -8,6 +8,7 @@
 use ids::{Outcome, Reason, RequestId};
 
 use crate::call::Answer;
+use crate::headers;
 use crate::problem::{PROBLEM_TYPE, problem_body, retry_after_seconds};
 
 /// Writes an upstream's whole answer.
@@ -30,10 +31,7 @@
         StatusCode::from_u16(reason.status()).expect("reasons have valid statuses");
     let headers = response.headers_mut();
     add_outcome(headers, reason.outcome(), id);
-    headers.insert(
-        ids::header::REASON,
-        HeaderValue::from_static(reason.as_str()),
-    );
+    headers.insert(&headers::REASON, HeaderValue::from_static(reason.as_str()));
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(PROBLEM_TYPE));
     if let Some(span) = retry_after {
         headers.insert(header::RETRY_AFTER, retry_after_seconds(span).into());
@@ -43,9 +41,9 @@
 
 fn add_outcome(headers: &mut HeaderMap, outcome: Outcome, id: &RequestId) {
     headers.insert(
-        ids::header::OUTCOME,
+        &headers::OUTCOME,
         HeaderValue::from_static(outcome.as_str()),
     );
     let id = HeaderValue::from_str(id.as_str()).expect("names are valid header values");
-    headers.insert(ids::header::REQUEST_ID, id);
+    headers.insert(&headers::REQUEST_ID, id);
 }
--- a/crates/gate/src/callers/serve.rs
+++ b/crates/gate/src/callers/serve.rs
@@ -271,7 +271,8 @@
         let service = service_fn(|request| {
             seen.set(true);
             let desk = Rc::clone(&self);
-            async move { Ok::<_, Infallible>(desk.answer(request).await) }
+            // The server moves the future around, which is large.
+            Box::pin(async move { Ok::<_, Infallible>(desk.answer(request).await) })
         });
         let stall_max = millis(self.settings.write_timeout_ms);
         let stream = LingerStream::new(stream, self.closing.clone(), stall_max);
--- a/crates/gate/src/dispatch/duty.rs
+++ b/crates/gate/src/dispatch/duty.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use futures::future::{AbortHandle, Abortable, LocalBoxFuture};
+use futures::future::LocalBoxFuture;
 use futures::stream::FuturesUnordered;
 use ids::{Epoch, Reason, SliceNo, Timestamp, UpstreamId};
 use route::{Action, Arrival, CallKey, Dispatcher, DispatcherSettings, Ended, Event};
@@ -20,6 +20,7 @@
 use crate::call::{Call, Parts, Refusal, Reply};
 use crate::context::GateContext;
 use crate::counters::{Count, Latency};
+use crate::dispatch::abort::Abort;
 use crate::dispatch::exchange::{Ending, Progress, Sending, given_up};
 use crate::dispatch::pool::Pool;
 use crate::dispatch::ring::{DispatchRx, Incoming, ReplyTo, rings};
@@ -449,7 +450,7 @@
             let done = Done { key, ending: None };
             let unsent = Rc::new(Cell::new(Progress::Unsent));
             self.exchanges.push(Box::pin(std::future::ready(done)));
-            self.mark(key, AbortHandle::new_pair().0, unsent);
+            self.mark(key, Abort::default(), unsent);
             return;
         };
         let progress = Rc::new(Cell::new(Progress::Unsent));
@@ -463,16 +464,16 @@
             progress: Rc::clone(&progress),
             sent_at: Cell::new(now),
         };
-        let (abort, registration) = AbortHandle::new_pair();
-        let exchange = Abortable::new(sending.run(), registration);
+        let abort = Abort::default();
+        let guard = abort.clone();
         self.exchanges.push(Box::pin(async move {
-            let ending = exchange.await.ok();
+            let ending = guard.guard(sending.run()).await;
             Done { key, ending }
         }));
         self.mark(key, abort, progress);
     }
 
-    fn mark(&mut self, key: CallKey, abort: AbortHandle, progress: Rc<Cell<Progress>>) {
+    fn mark(&mut self, key: CallKey, abort: Abort, progress: Rc<Cell<Progress>>) {
         if let Some(held) = self.calls.get_mut(key) {
             debug_assert!(held.exchange.is_none(), "a call has one exchange at a time");
             held.exchange = Some(UnderWay { abort, progress });
@@ -532,7 +533,7 @@
     let mut hash = Xxh3::new();
     hash.update(parts.method.as_str().as_bytes());
     hash.update(b" ");
-    hash.update(parts.path.as_bytes());
+    hash.update(parts.path.as_str().as_bytes());
     hash.update(b"\n");
     hash.update(&parts.body);
     hash.digest()
--- a/crates/gate/src/dispatch/exchange.rs
+++ b/crates/gate/src/dispatch/exchange.rs
@@ -15,7 +15,7 @@
 use crate::counters::Count;
 use crate::dispatch::LoadSample;
 use crate::dispatch::pool::PooledUpstream;
-use crate::headers::strip_answer;
+use crate::headers::{self, strip_answer};
 use crate::settings::{DispatchSettings, millis};
 use crate::upstream::conn::AnswerHead;
 use crate::upstream::{Exchange, ExchangeError, UpstreamConn};
@@ -122,10 +122,9 @@
 
     fn request(&self) -> Result<Request<Full<bytes::Bytes>>, Reason> {
         let parts = &self.call.parts;
-        let uri: Uri = parts.path.parse().map_err(|_invalid| Reason::BadRequest)?;
         let mut request = Request::new(Full::new(parts.body.clone()));
         *request.method_mut() = parts.method.clone();
-        *request.uri_mut() = uri;
+        *request.uri_mut() = Uri::from(parts.path.clone());
         *request.headers_mut() = parts.headers.clone();
         self.add_headers(request.headers_mut())?;
         Ok(request)
@@ -133,15 +132,12 @@
 
     fn add_headers(&self, headers: &mut HeaderMap) -> Result<(), Reason> {
         headers.insert(header::HOST, text(&self.upstream.authority)?);
-        headers.insert(
-            ids::header::REQUEST_ID,
-            text(self.call.request_id.as_str())?,
-        );
-        headers.insert(ids::header::ENTRY, text(self.call.entry.as_str())?);
-        headers.insert(ids::header::EPOCH, self.epoch.0.into());
-        headers.insert(ids::header::DEADLINE_MS, self.millis_left().into());
+        headers.insert(&headers::REQUEST_ID, text(self.call.request_id.as_str())?);
+        headers.insert(&headers::ENTRY, text(self.call.entry.as_str())?);
+        headers.insert(&headers::EPOCH, self.epoch.0.into());
+        headers.insert(&headers::DEADLINE_MS, self.millis_left().into());
         if let Some(slice) = self.slice {
-            headers.insert(ids::header::SLICE, slice.0.into());
+            headers.insert(&headers::SLICE, slice.0.into());
         }
         Ok(())
     }
@@ -179,7 +175,7 @@
 
     /// Checks that the answer belongs to this request, as far as it says.
     fn check_echo(&self, head: &AnswerHead) -> Result<(), Reason> {
-        let echo = head.headers.get(ids::header::REQUEST_ID);
+        let echo = head.headers.get(&headers::REQUEST_ID);
         let belongs = match echo {
             Some(id) => id.as_bytes() == self.call.request_id.as_str().as_bytes(),
             None => !self.upstream.target.verify_echo,
@@ -227,11 +223,11 @@
 
 /// Returns the upstream's reason, if it says that it did not run the request.
 fn not_run(head: &AnswerHead) -> Option<Reason> {
-    let outcome = head.headers.get(ids::header::OUTCOME)?;
+    let outcome = head.headers.get(&headers::OUTCOME)?;
     if outcome.as_bytes() != Outcome::NotRun.as_str().as_bytes() {
         return None;
     }
-    let reason = head.headers.get(ids::header::REASON);
+    let reason = head.headers.get(&headers::REASON);
     let refused = Reason::GrantRefused.as_str().as_bytes();
     if reason.is_some_and(|r| r.as_bytes() == refused) {
         return Some(Reason::GrantRefused);
--- a/crates/gate/src/dispatch/work.rs
+++ b/crates/gate/src/dispatch/work.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use futures::future::AbortHandle;
 use ids::{Timestamp, UpstreamId};
 use indexmap::IndexMap;
 use prost::Message;
@@ -12,13 +11,14 @@
 use wire::dispatch as frames;
 
 use crate::call::{Answer, Call, answer_from_wire, answer_to_wire};
+use crate::dispatch::abort::Abort;
 use crate::dispatch::exchange::Progress;
 use crate::dispatch::ring::ReplyTo;
 
 /// An exchange under way.
 #[derive(Debug)]
 pub(crate) struct UnderWay {
-    pub(crate) abort: AbortHandle,
+    pub(crate) abort: Abort,
     pub(crate) progress: Rc<Cell<Progress>>,
 }
 
--- a/crates/gate/src/headers.rs
+++ b/crates/gate/src/headers.rs
@@ -18,6 +18,21 @@
     header::UPGRADE,
 ];
 
+/// [`ids::header::REQUEST_ID`], checked and hashed in advance, as are those that follow.
+pub static REQUEST_ID: HeaderName = HeaderName::from_static(ids::header::REQUEST_ID);
+/// [`ids::header::DEADLINE_MS`].
+pub static DEADLINE_MS: HeaderName = HeaderName::from_static(ids::header::DEADLINE_MS);
+/// [`ids::header::OUTCOME`].
+pub static OUTCOME: HeaderName = HeaderName::from_static(ids::header::OUTCOME);
+/// [`ids::header::REASON`].
+pub static REASON: HeaderName = HeaderName::from_static(ids::header::REASON);
+/// [`ids::header::EPOCH`].
+pub static EPOCH: HeaderName = HeaderName::from_static(ids::header::EPOCH);
+/// [`ids::header::ENTRY`].
+pub static ENTRY: HeaderName = HeaderName::from_static(ids::header::ENTRY);
+/// [`ids::header::SLICE`].
+pub static SLICE: HeaderName = HeaderName::from_static(ids::header::SLICE);
+
 /// Begins the names of headers that callers and upstreams may not set for each other.
 const CONTROL_PREFIX: &str = "medlardyke-";
 
