Hand nothing to a host that counts as lost

Change: a host that is known and silent has no dispatch address, so that the request is surely not run and tried again within its deadline.

--- a/crates/host/src/control/member.rs
+++ b/crates/host/src/control/member.rs
@@ -95,11 +95,13 @@
     }
 
     pub(super) fn new_hosts(&mut self) {
+        let is_lost = |h: &spread::HostView| !h.alive && h.incarnation != Incarnation(0);
         let overrides = &self.parts.cfg.address_overrides;
-        let table = peers::dispatch_table(self.member.hosts(), overrides);
+        // What is handed to a host that is cut off ends as perhaps run; what is not is not run.
+        let reachable = self.member.hosts().filter(|h| !is_lost(h));
+        let table = peers::dispatch_table(reachable, overrides);
         self.parts.cx.peers.store(Arc::new(table));
-        let heard_of = |h: &spread::HostView| h.incarnation != Incarnation(0);
-        let lost = self.member.hosts().filter(|h| !h.alive && heard_of(h));
+        let lost = self.member.hosts().filter(is_lost);
         if self.routes.silent(lost.map(|h| h.host).collect()) {
             self.parts.cx.router.store(self.routes.router());
         }
