--- a/crates/own/tests/own/interleaving.rs
+++ b/crates/own/tests/own/interleaving.rs
@@ -8,9 +8,9 @@
 
 /// When faults start and end.
 const FAULTS_FROM: u64 = 200 * MS;
-const FAULTS_TO: u64 = 5_000 * MS;
+const FAULTS_TO: u64 = 4_000 * MS;
 /// Time after the last fault within which all must be served again.
-const RECOVERY: u64 = 6_000 * MS;
+const RECOVERY: u64 = 5_000 * MS;
 
 fn pause() -> impl Strategy<Value = u64> {
     prop_oneof![
--- a/crates/own/tests/own/main.rs
+++ b/crates/own/tests/own/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the ownership machine, many of them in one small world.
 
+mod cost;
 mod interleaving;
 mod plain;
 mod world;
--- a/crates/own/tests/own/plain.rs
+++ b/crates/own/tests/own/plain.rs
@@ -4,7 +4,7 @@
 
 fn started(setup: Setup) -> World {
     let mut w = World::new(setup);
-    w.run_until(2_500 * MS);
+    w.run_until(2_000 * MS);
     assert_eq!(w.violations, []);
     w.reset_unserved();
     w.requests.refused = 0;
@@ -146,7 +146,7 @@
     for (after_ms, fault) in case.faults {
         w.fault_at(start + after_ms * MS, *fault);
     }
-    w.run_until(start + 5_000 * MS);
+    w.run_until(start + 4_000 * MS);
     w.check_history();
     let unserved = w.unserved_ms();
     let moved = slices(&w) != before;
--- a/crates/own/tests/own/world/mod.rs
+++ b/crates/own/tests/own/world/mod.rs
@@ -216,7 +216,7 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-fn host_ref(index: usize, domain: usize, run: u64) -> HostRef {
+pub fn host_ref(index: usize, domain: usize, run: u64) -> HostRef {
     let port = 1 + u16::try_from(index).unwrap();
     HostRef {
         host: HostId::new(format!("h{index}")).unwrap(),
