Plan with fresh knowledge only, and mind declined moves

Among many hosts a planner hears of others only now and then, and kept asking upstreams that had declined. An upstream not heard of for 10 s is no target, one never heard of counts as average, and after a declined move its target is left alone for 5 s; misfits and slices go after 4 and 10 s instead of 6 and 12.

--- a/crates/measure/src/args.rs
+++ b/crates/measure/src/args.rs
@@ -76,7 +76,9 @@
     Giants,
     /// Landavgift's lookups with bursts, night and day.
     Bursts,
-    /// All of them.
+    /// An entry of 200 upstreams, whose hosts each hear of 16 others a second.
+    Wide,
+    /// All but the last.
     All,
 }
 
@@ -95,6 +97,7 @@
                 day_s: 600,
                 ..WorkloadSettings::tariffbok().without_giants(LARGEST_KEY)
             }],
+            Self::Wide => vec![WorkloadSettings::wide().without_giants(LARGEST_KEY)],
             Self::All => [
                 Self::Tariffbok,
                 Self::Windowcast,
--- a/crates/measure/src/placement.rs
+++ b/crates/measure/src/placement.rs
@@ -23,6 +23,9 @@
 /// Seconds after a shift of the hot set after which the load counts as steady again.
 const STEADY_AFTER_S: u64 = 30;
 
+/// Upstreams above which only the most telling policies are run, one host to 1.15 upstreams.
+const MANY_UPSTREAMS: u32 = 100;
+
 /// Max/mean that the users ask for.
 pub const AIM: f64 = 1.25;
 
@@ -244,15 +247,21 @@
         least: 0.002,
         every_s: 30,
     };
-    vec![
+    let mut policies = vec![
         baseline("plain", Rule::Plain),
-        baseline("rendezvous-bounded", rendezvous),
         baseline("greedy-10", greedy(0.1, 16, 5)),
         baseline("greedy-20", greedy(0.2, 16, 10)),
+        baseline("rendezvous-bounded", rendezvous),
         baseline("window", window),
         planned("place-central", 1, Objective::default()),
         planned("place", 11, Objective::default()),
         planned("place-landavgift", 11, LANDAVGIFT),
         planned("place-kotuku", 11, KOTUKU),
-    ]
+    ];
+    if cfg.upstreams > MANY_UPSTREAMS {
+        policies.truncate(2);
+        let hosts = cfg.upstreams as usize * 13 / 15;
+        policies.push(planned("place", hosts, Objective::default()));
+    }
+    policies
 }
--- a/crates/measure/src/policy/planned.rs
+++ b/crates/measure/src/policy/planned.rs
@@ -20,6 +20,8 @@
     pub name: SmolStr,
     /// Coordinating hosts, among which the upstreams are dealt out.
     pub hosts: usize,
+    /// Other hosts that a host tells of its loads in one second, in turn.
+    pub summaries_to: usize,
     /// Weights.
     pub objective: Objective,
     /// Settings of the planners.
@@ -33,6 +35,7 @@
         Self {
             name: SmolStr::new_static("place"),
             hosts: 11,
+            summaries_to: 16,
             objective: Objective::default(),
             planner: PlannerSettings::default(),
             loads: LoadsSettings::default(),
@@ -46,6 +49,16 @@
     planner: Planner,
 }
 
+impl Host {
+    fn learn(&mut self, now: Timestamp, summaries: &[LoadSummary]) {
+        for summary in summaries {
+            if let Some(key) = self.loads.upstream(&summary.upstream) {
+                self.loads.learn(now, key, summary.load);
+            }
+        }
+    }
+}
+
 /// What the planners did and cost.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PlanCost {
@@ -69,7 +82,8 @@
     cfg: PlannedSettings,
     hosts: Vec<Host>,
     ownership: Ownership,
-    summaries: Vec<LoadSummary>,
+    /// Of each host.
+    summaries: Vec<Vec<LoadSummary>>,
     slices: u32,
     cost: PlanCost,
     cx: PlanContext,
@@ -86,6 +100,7 @@
     pub fn new(cfg: PlannedSettings, upstreams: u32, slots: u32, ownership: Ownership) -> Self {
         assert!(cfg.hosts > 0, "somebody has to plan");
         let slices = ownership.slices().len() as u32;
+        let summaries = vec![Vec::new(); cfg.hosts];
         let hosts = (0..cfg.hosts)
             .map(|host| Host {
                 loads: host_loads(&cfg, host, upstreams, slots, &ownership),
@@ -96,7 +111,7 @@
             cfg,
             hosts,
             ownership,
-            summaries: Vec::new(),
+            summaries,
             slices,
             cost: PlanCost::default(),
             cx: PlanContext::default(),
@@ -110,22 +125,21 @@
         self.cost
     }
 
+    /// Hands each host the summaries of those whose turn it is, as they were a second ago.
     fn exchange(&mut self, now: Timestamp) {
-        for host in &mut self.hosts {
-            for summary in &self.summaries {
-                let Some(key) = host.loads.upstream(&summary.upstream) else {
-                    continue;
-                };
-                if !host.loads.view(key).local {
-                    host.loads.learn(now, key, summary.load);
+        let hosts = self.hosts.len();
+        let second = (now.as_micros() / 1_000_000) as usize;
+        for from in 0..hosts {
+            let first = from + 1 + second * self.cfg.summaries_to;
+            for n in 0..self.cfg.summaries_to.min(hosts - 1) {
+                let to = (first + n) % hosts;
+                if to != from {
+                    self.hosts[to].learn(now, &self.summaries[from]);
                 }
             }
         }
-        self.summaries.clear();
-        let mut own = Vec::new();
-        for host in &self.hosts {
-            host.loads.summaries(now, &mut own);
-            self.summaries.append(&mut own);
+        for (host, summary) in self.hosts.iter().zip(&mut self.summaries) {
+            host.loads.summaries(now, summary);
         }
     }
 
@@ -144,46 +158,52 @@
     }
 
     fn carry_out(&mut self, now: Timestamp, host: usize, wish: Wish) {
+        if !self.admitted(now, &wish) {
+            self.decline(now, host, &wish);
+            return;
+        }
+        let moved = wish.slice();
         match wish {
-            Wish::Fold { slice, .. } => self.fold(host, slice),
-            Wish::Move {
-                slice, to, load, ..
-            } => {
-                if self.admitted(now, to, &wish) {
-                    self.ownership.set(slice, to.index());
-                    self.hosts[host].loads.assign(now, slice, to, load);
-                    self.receive(now, host, slice, to, load);
-                }
+            Wish::Fold { slice, .. } => {
+                self.cost.folded += 1;
+                self.hosts[host].loads.unassign(slice);
+                self.ownership.fold(slice);
             }
-            Wish::Carve {
-                key,
-                slice,
-                to,
-                load,
-                ..
-            } => {
-                if self.admitted(now, to, &wish) {
-                    self.cost.carved += 1;
-                    self.ownership.carve(key, slice, to.index());
-                    let own_slice = key.hot_slice();
-                    self.hosts[host].loads.assign(now, own_slice, to, load);
-                    self.receive(now, host, own_slice, to, load);
-                }
+            Wish::Move { slice, to, .. } => self.ownership.set(slice, to.index()),
+            Wish::Carve { key, slice, to, .. } => {
+                self.cost.carved += 1;
+                self.ownership.carve(key, slice, to.index());
             }
         }
-        self.hosts[host].planner.settle(wish.slice());
+        if let Some(to) = wish.to() {
+            self.hosts[host].loads.assign(now, moved, to, wish.load());
+            self.receive(now, host, moved, to, wish.load());
+        }
+        self.hosts[host].planner.settle(moved);
     }
 
-    fn admitted(&mut self, now: Timestamp, to: UpstreamKey, wish: &Wish) -> bool {
+    /// Asks the target's coordinating host.
+    fn admitted(&self, now: Timestamp, wish: &Wish) -> bool {
+        let Some(to) = wish.to() else { return true };
         let target = &self.hosts[to.index() % self.cfg.hosts];
         let input = PlanInput {
             loads: &target.loads,
             objective: self.cfg.objective,
             slices: self.slices,
         };
-        let admitted = target.planner.admits(now, &input, wish);
-        self.cost.declined += u64::from(!admitted);
-        admitted
+        target.planner.admits(now, &input, wish)
+    }
+
+    /// Tells the source that the target declined, and what its load is.
+    fn decline(&mut self, now: Timestamp, host: usize, wish: &Wish) {
+        self.cost.declined += 1;
+        let Some(to) = wish.to() else { return };
+        let load = self.hosts[to.index() % self.cfg.hosts].loads.load(now, to);
+        let source = &mut self.hosts[host];
+        if !source.loads.view(to).local {
+            source.loads.learn(now, to, load);
+        }
+        source.planner.fail(now, wish.slice());
     }
 
     fn receive(&mut self, now: Timestamp, host: usize, slice: SliceNo, to: UpstreamKey, load: f64) {
@@ -192,12 +212,6 @@
             self.hosts[target].loads.assign(now, slice, to, load);
         }
     }
-
-    fn fold(&mut self, host: usize, slice: SliceNo) {
-        self.cost.folded += 1;
-        self.hosts[host].loads.unassign(slice);
-        self.ownership.fold(slice);
-    }
 }
 
 impl Policy for Planned {
--- a/crates/measure/src/workload.rs
+++ b/crates/measure/src/workload.rs
@@ -95,6 +95,20 @@
         }
     }
 
+    /// An entry of 200 upstreams, whose hosts each hear of 16 others a second.
+    #[must_use]
+    pub fn wide() -> Self {
+        Self {
+            name: SmolStr::new_static("wide"),
+            upstreams: 200,
+            slices: 10_000,
+            hot_keys: 24,
+            work_us: 8000.0,
+            seconds: 600,
+            ..Self::default()
+        }
+    }
+
     /// Leaves out as many of the heaviest ranks as needed for no key to exceed `part` of an
     /// upstream's share.
     #[must_use]
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -25,7 +25,8 @@
 pub use decay::Decay;
 pub use initial::{even_split, rendezvous_bounded};
 pub use loads::{
-    LoadSummary, Loads, LoadsSettings, Sample, UpstreamKey, UpstreamState, UpstreamView, ramp_share,
+    Knowledge, LoadSummary, Loads, LoadsSettings, Sample, UpstreamKey, UpstreamState, UpstreamView,
+    ramp_share,
 };
 pub use orphans::{Candidate, Orphan, Placed, spread_orphans};
 pub use plan::{PlanContext, PlanInput, Planner, PlannerSettings, Wish};
--- a/crates/place/src/loads.rs
+++ b/crates/place/src/loads.rs
@@ -32,6 +32,11 @@
     pub span: Duration,
     /// Time after which a move to an upstream of another host is taken to show in its summary.
     pub summary_lag: Duration,
+    /// Time for which a summary says enough of an upstream to move slices there.
+    ///
+    /// Among many hosts, each hears of a few others a second: this gives a planner some choice of
+    /// upstreams, and keeps it from those that it has not heard of for long.
+    pub fresh: Duration,
     /// Settings of the sketch that finds hot keys.
     pub sketch: SketchSettings,
 }
@@ -41,6 +46,7 @@
         Self {
             span: Duration::from_secs(3),
             summary_lag: Duration::from_secs(2),
+            fresh: Duration::from_secs(10),
             sketch: SketchSettings::default(),
         }
     }
@@ -96,6 +102,17 @@
     pub local: bool,
 }
 
+/// How much is known of an upstream's load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Knowledge {
+    /// Its load was observed or heard of lately.
+    Fresh,
+    /// Its load was heard of some time ago.
+    Old,
+    /// Its load was never heard of.
+    Nothing,
+}
+
 /// One upstream's load, for the other hosts.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LoadSummary {
@@ -125,6 +142,8 @@
     requests: f64,
     /// Load by the last summary, if not local.
     learned: f64,
+    /// When that came, if one ever did.
+    learned_at: Option<Timestamp>,
     /// Load of slices moved there since, and when the last one was.
     moved_in: f64,
     moved_at: Timestamp,
@@ -174,6 +193,7 @@
         let upstream = &mut self.upstreams[key];
         if was_local && !view.local {
             upstream.learned = load;
+            upstream.learned_at = Some(now);
         }
         upstream.view = view;
         key
@@ -302,6 +322,7 @@
             return;
         }
         upstream.learned = load;
+        upstream.learned_at = Some(now);
         if now.since(upstream.moved_at) > lag {
             upstream.moved_in = 0.0;
         }
@@ -377,6 +398,24 @@
         self.observed(now, key) + extra
     }
 
+    /// Tells how much is known of an upstream's load.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `key` comes from another [`Loads`].
+    #[must_use]
+    pub fn knowledge(&self, now: Timestamp, key: UpstreamKey) -> Knowledge {
+        let upstream = &self.upstreams[key];
+        if upstream.view.local {
+            return Knowledge::Fresh;
+        }
+        match upstream.learned_at {
+            None => Knowledge::Nothing,
+            Some(at) if now.since(at) > self.cfg.fresh => Knowledge::Old,
+            Some(_) => Knowledge::Fresh,
+        }
+    }
+
     /// Returns the decayed number of requests behind the load of a local upstream.
     ///
     /// # Panics
@@ -470,6 +509,7 @@
             sum: 0.0,
             requests: 0.0,
             learned: 0.0,
+            learned_at: None,
             moved_in: 0.0,
             moved_at: Timestamp::ZERO,
             reports: Reports::default(),
--- a/crates/place/src/plan/balance.rs
+++ b/crates/place/src/plan/balance.rs
@@ -4,7 +4,7 @@
 
 use super::cost::End;
 use crate::initial::score;
-use crate::loads::{Loads, UpstreamKey};
+use crate::loads::{Knowledge, Loads, UpstreamKey};
 use crate::sketch::HotKey;
 
 /// Upstreams among which the hash of a slice chooses, so that hosts don't all pick the emptiest.
@@ -30,9 +30,15 @@
     pub capacity: f64,
     /// Load by share, minus one; zero without a share.
     pub ratio: f64,
+    pub knowledge: Knowledge,
 }
 
 impl Standing {
+    /// Tells whether slices may be moved there.
+    pub(crate) fn is_open(&self) -> bool {
+        self.capacity > 0.0 && self.knowledge == Knowledge::Fresh
+    }
+
     fn set_load(&mut self, load: f64) {
         self.load = load.max(0.0);
         self.ratio = if self.share > 0.0 {
@@ -82,7 +88,8 @@
 }
 
 impl PlanContext {
-    /// Takes in all loads; returns the capacity of all upstreams.
+    /// Takes in all loads; returns the capacity of all upstreams. One that was never heard of counts
+    /// as having its share.
     pub(crate) fn begin(&mut self, now: Timestamp, loads: &Loads) -> f64 {
         self.standings.clear();
         self.light.clear();
@@ -93,20 +100,31 @@
             share: 0.0,
             capacity: loads.capacity(key),
             ratio: 0.0,
+            knowledge: loads.knowledge(now, key),
         }));
-        let total: f64 = self.standings.iter().map(|s| s.load).sum();
+        let known = || {
+            self.standings
+                .iter()
+                .filter(|s| s.knowledge != Knowledge::Nothing)
+        };
+        let total: f64 = known().map(|s| s.load).sum();
+        let known_capacity: f64 = known().map(|s| s.capacity).sum();
         let capacity: f64 = self.standings.iter().map(|s| s.capacity).sum();
+        let per_slot = total.max(IDLE_LOAD) / known_capacity.max(IDLE_LOAD);
         for standing in &mut self.standings {
-            standing.share = total.max(IDLE_LOAD) * standing.capacity / capacity.max(IDLE_LOAD);
+            standing.share = per_slot * standing.capacity;
+            if standing.knowledge == Knowledge::Nothing {
+                standing.load += standing.share;
+            }
             standing.set_load(standing.load);
         }
         capacity
     }
 
-    /// Orders the upstreams that can take slices.
-    pub(crate) fn order(&mut self, loads: &Loads) {
+    /// Orders the upstreams that can take slices, of those that `is_open` lets through.
+    pub(crate) fn order(&mut self, loads: &Loads, is_open: impl Fn(UpstreamKey) -> bool) {
         let standings = &self.standings;
-        let eligible = |key: &UpstreamKey| standings[key.index()].capacity > 0.0;
+        let eligible = |key: &UpstreamKey| standings[key.index()].is_open() && is_open(*key);
         self.light.extend(loads.keys().filter(eligible));
         self.light.sort_by(|a, b| {
             let ratio = |key: &UpstreamKey| standings[key.index()].ratio;
--- a/crates/place/src/plan/planner.rs
+++ b/crates/place/src/plan/planner.rs
@@ -110,18 +110,29 @@
         self.follow_carved(now, input.loads, cx);
         self.watch(now, input, cx);
         if !cx.leaving.is_empty() || !cx.sources.is_empty() {
-            cx.order(input.loads);
+            cx.order(input.loads, |key| self.watches.is_open(now, key));
             self.evacuate(now, input, cx, out);
             self.shed(now, input, capacity, cx, out);
         }
         self.fold(now, input.loads, out);
     }
 
-    /// Takes note that the wish for `slice` (see [`Wish::slice`]) was carried out or has failed.
+    /// Takes note that the wish for `slice` (see [`Wish::slice`]) was carried out.
     pub fn settle(&mut self, slice: SliceNo) {
         self.pending.swap_remove(&slice);
     }
 
+    /// Takes note that the wish for `slice` (see [`Wish::slice`]) has failed or was declined: nothing
+    /// is moved to its target for a while.
+    pub fn fail(&mut self, now: Timestamp, slice: SliceNo) {
+        let Some(pending) = self.pending.swap_remove(&slice) else {
+            return;
+        };
+        if let Some(to) = pending.wish.to() {
+            self.watches.get_mut(to).closed_until = now + self.cfg.patience;
+        }
+    }
+
     /// Tells whether a local upstream should take what another host wishes to move to it.
     ///
     /// Its own coordinating host knows its load best, and sees all moves to it: this check keeps
@@ -168,7 +179,7 @@
             let standing = cx.standing(key);
             let watch = self.watches.get_mut(key);
             let view = loads.view(key);
-            let far_below = standing.capacity > 0.0 && standing.ratio < -base * self.cfg.pull;
+            let far_below = standing.is_open() && standing.ratio < -base * self.cfg.pull;
             note(&mut watch.under, far_below, now);
             if let (UpstreamState::Arriving { .. }, Some(since)) = (view.state, &mut watch.under) {
                 *since = (*since).min(now - self.cfg.pull_persistence);
--- a/crates/place/src/plan/settings.rs
+++ b/crates/place/src/plan/settings.rs
@@ -39,7 +39,8 @@
     pub window: Duration,
     /// Most moves off leaving upstreams in one plan.
     pub evacuations: usize,
-    /// Time after which a wish that was not settled counts as failed.
+    /// Time after which a wish that was not settled counts as failed, and for which nothing is
+    /// moved to the target of a failed one.
     pub patience: Duration,
 }
 
@@ -48,8 +49,8 @@
         Self {
             trigger: 0.08,
             hot_persistence: Duration::from_secs(3),
-            misfit_persistence: Duration::from_secs(6),
-            persistence: Duration::from_secs(12),
+            misfit_persistence: Duration::from_secs(4),
+            persistence: Duration::from_secs(10),
             pull: 3.0,
             pull_persistence: Duration::from_secs(20),
             carve_share: 0.08,
--- a/crates/place/src/plan/watch.rs
+++ b/crates/place/src/plan/watch.rs
@@ -11,6 +11,8 @@
     pub over: Option<Timestamp>,
     /// Since when it has been so far below its share that it should be filled.
     pub under: Option<Timestamp>,
+    /// Until when nothing is moved to it, as it declined a move.
+    pub closed_until: Timestamp,
     /// Whether it sheds hot keys until it is well below the trigger.
     pub sheds_hot: bool,
     /// Whether it sheds hot keys that fit nowhere as well.
@@ -24,6 +26,13 @@
 pub(crate) struct Watches(Vec<Watch>);
 
 impl Watches {
+    /// Tells whether slices may be moved to `key`.
+    pub(crate) fn is_open(&self, now: Timestamp, key: UpstreamKey) -> bool {
+        self.0
+            .get(key.index())
+            .is_none_or(|watch| watch.closed_until <= now)
+    }
+
     pub(crate) fn get_mut(&mut self, key: UpstreamKey) -> &mut Watch {
         if self.0.len() <= key.index() {
             self.0.resize(key.index() + 1, Watch::default());
--- a/crates/place/src/plan/wish.rs
+++ b/crates/place/src/plan/wish.rs
@@ -6,8 +6,8 @@
 
 /// A change of ownership that the planner asks for.
 ///
-/// The caller tries it by compare-and-set, calls [`crate::Planner::settle`] when it knows how it
-/// went, and tells [`crate::Loads`] by [`crate::Loads::assign`] if it was done.
+/// The caller tries it by compare-and-set. If it is done, it tells [`crate::Loads::assign`] and
+/// [`crate::Planner::settle`]; if not, [`crate::Planner::fail`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Wish {
     /// A slice goes from one upstream to another.
--- a/crates/place/tests/loads.rs
+++ b/crates/place/tests/loads.rs
@@ -6,8 +6,9 @@
 
 use ids::{ArenaKey, KeyHash, SliceNo, Timestamp};
 use place::{
-    Candidate, Decay, Loads, LoadsSettings, Orphan, Reports, Sample, Sketch, SketchSettings,
-    UpstreamKey, UpstreamState, even_split, ramp_share, rendezvous_bounded, spread_orphans,
+    Candidate, Decay, Knowledge, Loads, LoadsSettings, Orphan, Reports, Sample, Sketch,
+    SketchSettings, UpstreamKey, UpstreamState, even_split, ramp_share, rendezvous_bounded,
+    spread_orphans,
 };
 use proptest::prelude::*;
 use support::view;
@@ -56,6 +57,9 @@
     loads.learn(at(3000), there, 3.1);
     assert!((loads.load(at(3000), there) - 3.1).abs() < 1e-9);
     assert_eq!(loads.owner(SliceNo(1)), None);
+    assert_eq!(loads.knowledge(at(4000), here), Knowledge::Fresh);
+    assert_eq!(loads.knowledge(at(4000), there), Knowledge::Fresh);
+    assert_eq!(loads.knowledge(at(60_000), there), Knowledge::Old);
 }
 
 #[test]
--- a/crates/place/tests/planner.rs
+++ b/crates/place/tests/planner.rs
@@ -169,6 +169,30 @@
     assert!(!second.iter().any(repeated));
 }
 
+#[test]
+fn nothing_goes_for_a_while_to_an_upstream_that_declined() {
+    let mut entry = Entry::new(4, PlannerSettings::default());
+    let mut wishes = Vec::new();
+    while wishes.is_empty() {
+        entry.serve(&skewed(20));
+        wishes = entry.plan();
+    }
+    let declined = wishes[0].to();
+    let now = entry.now();
+    for wish in &wishes {
+        entry.planner.fail(now, wish.slice());
+    }
+    entry.serve(&skewed(20));
+    let next = entry.plan();
+    assert!(next.iter().all(|w| w.to() != declined));
+    for _ in 0..30 {
+        entry.serve(&skewed(20));
+        let wishes = entry.plan();
+        entry.carry_out(&wishes);
+    }
+    assert!(entry.imbalance() < 1.1, "{}", entry.imbalance());
+}
+
 #[derive(Debug, Clone)]
 struct Step {
     rates: Vec<u32>,
