--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -2,10 +2,10 @@
 //!
 //! - [`ring`]: what the duty is told, and what it tells.
 //! - [`duty`]: the thread that feeds the dispatcher and carries out its actions.
-//! - [`pool`]: upstreams, their connections and leases.
-//! - [`exchange`]: one call's exchange with its upstream.
-//! - [`abort`]: gives an exchange up.
-//! - [`work`]: calls and answers that the duty holds.
+//! - `pool`: upstreams, their connections and leases.
+//! - `exchange`: one call's exchange with its upstream.
+//! - `abort`: gives an exchange up.
+//! - `work`: calls and answers that the duty holds.
 
 mod abort;
 pub mod duty;
--- a/crates/gate/tests/path.rs
+++ b/crates/gate/tests/path.rs
@@ -106,7 +106,11 @@
 async fn a_repeat_gets_the_whole_kept_answer_and_does_not_run() {
     let rig = Rig::start(RigSettings::default()).await;
     let mut caller = Caller::connect(rig.address(0)).await;
-    let request = post("/seg/ESNQ", &[("medlardyke-request-id", "req-7")], "landing");
+    let request = post(
+        "/seg/ESNQ",
+        &[("medlardyke-request-id", "req-7")],
+        "landing",
+    );
     let first = caller.ask(&request).await;
     let again = caller.ask(&request).await;
     assert_eq!(first.status, 200, "{first:?}");
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`name`]: checked text names (host, domain, upstream, entry, ...).
 //! - [`number`]: counters that only rise (epoch, revision, version, incarnation).
-//! - [`slice`]: how a key maps to a slice of its entry.
+//! - [`mod@slice`]: how a key maps to a slice of its entry.
 //! - [`clock`]: a clock that counts suspension, and its timestamps.
 //! - [`outcome`]: the three outcomes of a request and the reasons for them.
 //! - [`arena`]: small `Copy` keys into dense maps.
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`loss`]: spread of the slices of lost upstreams.
 //! - [`scaling`]: the planner's time and memory against slices and upstreams.
 //! - [`keep_alive`]: rules for closing idle upstream connections.
-//! - [`line`]: writing and reading JSON lines.
+//! - [`mod@line`]: writing and reading JSON lines.
 //! - [`path`]: the cost of the data path, overload and quiet control, with real processes.
 //! - [`report`]: one page that compares two sets of lines.
 
--- a/crates/own/tests/own/plain.rs
+++ b/crates/own/tests/own/plain.rs
@@ -123,6 +123,21 @@
             1_500,
             &[(0, TableDown), (1_500, PauseHost(1, 1_000 * MS))],
         ),
+        Case {
+            setup: Setup {
+                hosts: vec![3, 1],
+                ..Setup::default()
+            },
+            ..case(
+                "deputy acts in an outage and is paused as it ends",
+                1_500,
+                &[
+                    (0, TableDown),
+                    (500, KillHost(1)), (1_450, PauseHost(2, 1_500 * MS)),
+                    (1_500, TableUp),
+                ],
+            )
+        },
         moving(case(
             "slice moved",
             200,
--- a/crates/platform/src/client/http_platform.rs
+++ b/crates/platform/src/client/http_platform.rs
@@ -1,4 +1,4 @@
-//! [`HttpPlatform`], which speaks the [protocol](crate::protocol).
+//! [`HttpPlatform`], which speaks the protocol of [`crate::protocol`].
 
 use std::sync::Arc;
 
