--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`cluster`]: starts the processes and makes the faults.
 //! - [`scenario`]: what happens when, under which load.
-//! - [`run`]: runs a scenario and judges it.
+//! - [`mod@run`]: runs a scenario and judges it.
 //! - [`report`]: the line that a run prints.
 //! - [`args`]: the command line.
 
