--- a/crates/spread/src/member/beats.rs
+++ b/crates/spread/src/member/beats.rs
@@ -15,7 +15,7 @@
 /// Attempts to reach hosts of which only the platform's list tells, at one time.
 const LISTED_AT_ONCE: usize = 4;
 /// Least time between two hastened heartbeats, as a share of the usual time.
-const HASTE: f64 = 0.7;
+const HASTE: f64 = 0.4;
 /// Least time between two requests for all records of hosts.
 const SYNC_GAP: Duration = Duration::from_millis(250);
 /// How much longer the time between heartbeats to a host that stands by is in a large domain.
@@ -38,7 +38,8 @@
 
     pub(super) fn lost(&mut self, now: Timestamp, host: &HostId) {
         if let Some(peer) = self.peers.get_mut(host) {
-            peer.disconnect(&self.cfg, now);
+            peer.disconnect();
+            peer.attempts.failed(&self.cfg, now);
         }
         self.todo.beats = true;
     }
@@ -320,6 +321,10 @@
                 .chain(&self.roles.feeders);
             targets.extend(near_hosts.map(|h| (h.clone(), near)));
         }
+        // Suspects are asked too, so that they are found again.
+        for host in &self.suspects {
+            targets.entry(host.clone()).or_insert(far);
+        }
         targets.extend(self.pairs.iter().map(|h| (h.clone(), near)));
         for (host, feed) in self.feeders(now) {
             let every = match feed {
@@ -460,7 +465,7 @@
         actions: &mut Vec<Action>,
     ) {
         let mut wanted: Vec<HostId> = targets.keys().cloned().collect();
-        wanted.extend(self.suspects.iter().cloned());
+
         wanted.extend(self.listed_mates());
         for host in wanted {
             let Some(record) = self.hosts.get(&host) else {
@@ -494,7 +499,7 @@
         for (host, peer) in &mut self.peers {
             let idle = peer.heard.is_none_or(|h| now.since(h) > self.cfg.idle);
             if peer.connected && peer.expected.is_none() && idle {
-                peer.disconnect(&self.cfg, now);
+                peer.disconnect();
                 actions.push(Action::Disconnect { host: host.clone() });
             }
         }
--- a/crates/spread/src/member/feeding.rs
+++ b/crates/spread/src/member/feeding.rs
@@ -91,6 +91,7 @@
         }
         for hint in &message.hints {
             if let Some(prefix) = Prefix::from_wire(hint.prefix) {
+                self.keep_apart(now, from, prefix);
                 self.hint(now, prefix, Revision(hint.revision), actions);
             }
         }
--- a/crates/spread/src/member/liveness.rs
+++ b/crates/spread/src/member/liveness.rs
@@ -214,7 +214,8 @@
                 return !heard || !peer.connected;
             }
             let quiet = peer.silence(now).is_some_and(|s| s > bound);
-            quiet || (!peer.connected && peer.attempts.failed_twice(&self.cfg))
+            let wanted = peer.expected.is_some() && !peer.connected;
+            quiet || (wanted && peer.attempts.failed_twice(&self.cfg))
         };
         let suspects: BTreeSet<HostId> = self
             .peers
--- a/crates/spread/src/member/peer.rs
+++ b/crates/spread/src/member/peer.rs
@@ -160,11 +160,10 @@
         self.expected = Some(now);
     }
 
-    pub(super) fn disconnect(&mut self, cfg: &Config, now: Timestamp) {
+    pub(super) fn disconnect(&mut self) {
         self.connected = false;
         self.fed = Fed::default();
         self.reply = None;
-        self.attempts.failed(cfg, now);
     }
 
     /// Tells for how long nothing was heard although it was expected.
--- a/crates/spread/src/member/polling.rs
+++ b/crates/spread/src/member/polling.rs
@@ -63,6 +63,17 @@
     }
 }
 
+/// Returns the first time past `now` that is a whole number of intervals from `due`, so that
+/// reads out of turn leave the relays of a domain as far apart as they were.
+fn next_due(due: Timestamp, interval: Duration, now: Timestamp) -> Timestamp {
+    if due > now {
+        return due;
+    }
+    let micros = interval.as_micros().max(1);
+    let missed = now.since(due).as_micros() / micros + 1;
+    due + Duration::from_micros((missed * micros) as u64)
+}
+
 impl Member {
     /// Asks for the reads that are due.
     pub(super) fn read_table(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
@@ -77,7 +88,7 @@
             let poll = &mut self.polls.prefixes[at(prefix)];
             poll.asked = Some(now);
             poll.last = Some(now);
-            poll.due = now + interval;
+            poll.due = next_due(poll.due, interval, now);
             let since = self.replica.complete_up_to().get(prefix);
             actions.push(Action::ReadTable { prefix, since });
         }
@@ -168,6 +179,23 @@
         self.send_hint(prefix, revision, &tell, actions);
     }
 
+    /// Places this relay's reads of the catalogue between those of its siblings, one of which
+    /// has just read.
+    pub(super) fn keep_apart(&mut self, now: Timestamp, from: &HostId, prefix: Prefix) {
+        let Some(own) = self.roles.relay.filter(|_| prefix == Prefix::Catalogue) else {
+            return;
+        };
+        let Some(other) = self.roles.siblings.iter().position(|h| h == from) else {
+            return;
+        };
+        // The list of siblings leaves this host out.
+        let other = if other < own { other } else { other + 1 };
+        let relays = self.roles.siblings.len() + 1;
+        let steps = (own + relays - other) % relays;
+        let step = self.interval(prefix) / relays as u32;
+        self.polls.prefixes[at(prefix)].due = now + step * steps as u32;
+    }
+
     /// Tells the other relays of rows that this one found first, so that a change of the
     /// catalogue, which is seldom read, reaches all at once.
     fn tell_siblings(
