--- a/crates/own/tests/own/plain.rs
+++ b/crates/own/tests/own/plain.rs
@@ -44,7 +44,7 @@
     }
 }
 
-fn cases() -> Vec<Case> {
+fn losses() -> Vec<Case> {
     use Fault::*;
     vec![
         case("nothing", 60, &[]),
@@ -89,30 +89,17 @@
             60,
             &[(0, CutDomain(1)), (0, CutPlatform(1))],
         ),
-        case("planned leave of a host", 200, &[(0, LeaveHost(0))]),
-        case("planned leave of the other host", 200, &[(0, LeaveHost(1))]),
-        case(
-            "planned leave without the table",
-            400,
-            &[(0, TableDown), (1_500, LeaveHost(0))],
-        ),
-        moving(case("upstream emptied", 200, &[(0, EmptyUpstream(0))])),
-        moving(case("upstream removed", 1_000, &[(0, RemoveUpstream(0))])),
-        moving(case(
-            "hot key carved out and moved",
-            60,
-            &[(0, Carve(0)), (500, MoveHot(0, 2))],
-        )),
-        moving(case(
-            "hot key moved and folded back",
-            200,
-            &[
-                (0, Carve(0)),
-                (300, MoveHot(0, 1)),
-                (900, Wish(0, 1)),
-                (1_500, Fold(0)),
-            ],
-        )),
+        Case {
+            setup: Setup {
+                cut_off: catalogue::CutOff::FailOver,
+                ..Setup::default()
+            },
+            ..moving(case(
+                "domain cut off from all (fail-over)",
+                2_500,
+                &[(0, Isolate(1))],
+            ))
+        },
         case(
             "table down, then host paused",
             1_500,
@@ -133,17 +120,48 @@
                 1_500,
                 &[
                     (0, TableDown),
-                    (500, KillHost(2)), (1_450, PauseHost(1, 1_500 * MS)),
+                    (500, KillHost(2)),
+                    (1_450, PauseHost(0, 1_500 * MS)),
                     (1_500, TableUp),
                 ],
             )
         },
+        moving(case("domain declared lost", 2_500, &[(0, LoseDomain(1))])),
+    ]
+}
+
+fn planned() -> Vec<Case> {
+    use Fault::*;
+    vec![
+        case("planned leave of a host", 200, &[(0, LeaveHost(0))]),
+        case("planned leave of the other host", 200, &[(0, LeaveHost(1))]),
+        case(
+            "planned leave without the table",
+            400,
+            &[(0, TableDown), (1_500, LeaveHost(0))],
+        ),
+        moving(case("upstream emptied", 200, &[(0, EmptyUpstream(0))])),
+        moving(case("upstream removed", 1_000, &[(0, RemoveUpstream(0))])),
+        moving(case(
+            "hot key carved out and moved",
+            60,
+            &[(0, Carve(0)), (500, MoveHot(0, 2))],
+        )),
+        moving(case(
+            "hot key moved and folded back",
+            200,
+            &[
+                (0, Carve(0)),
+                (300, MoveHot(0, 1)),
+                (900, Wish(0, 1)),
+                (1_500, Fold(0)),
+            ],
+        )),
         moving(case(
             "slice moved",
             200,
             &[(0, Wish(0, 2)), (0, Wish(1, 2))],
         )),
-        moving(case("domain declared lost", 2_500, &[(0, LoseDomain(1))])),
     ]
 }
 
@@ -184,6 +202,7 @@
 
 #[test]
 fn one_fault_at_a_time() {
-    let wrong = cases().into_iter().flat_map(run).collect::<Vec<_>>();
+    let cases = losses().into_iter().chain(planned());
+    let wrong = cases.flat_map(run).collect::<Vec<_>>();
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
