--- a/crates/gate/tests/peers.rs
+++ b/crates/gate/tests/peers.rs
@@ -129,6 +129,20 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_of_which_only_a_part_left_is_not_run() {
+    let rig = two_hosts().await;
+    let address = faulty(Fault::ReadsAndCloses).await;
+    redirect(&rig.hosts[0].cx, &rig, address);
+    let mut caller = Caller::connect(rig.address(0)).await;
+    // More than the sockets' buffers take.
+    let body = "b".repeat(15 << 20);
+    let headers = [("medlardyke-deadline-ms", "3000")];
+    let got = caller.ask(post("/bulk", &headers, &body)).await;
+    assert_eq!(got.outcome(), "not-run", "{got:?}");
+    assert_eq!(got.reason(), "host-unreachable", "{got:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_silent_host_is_given_up_so_that_others_do_not_wait() {
     let rig = two_hosts().await;
