--- a/crates/host/src/control/placement.rs
+++ b/crates/host/src/control/placement.rs
@@ -198,30 +198,50 @@
             let is_local = view.local;
             self.loads.set_upstream(now, view);
             let slices = owned.filter(|_| is_local).map(|o| o.slices.as_slice());
-            self.assign(now, id, slices.unwrap_or_default());
+            self.assign(now, id, slices.unwrap_or_default(), ownership);
         }
     }
 
-    fn assign(&mut self, now: Timestamp, upstream: &UpstreamId, slices: &[SliceNo]) {
+    fn assign(
+        &mut self,
+        now: Timestamp,
+        upstream: &UpstreamId,
+        slices: &[SliceNo],
+        ownership: &Ownership,
+    ) {
         let Some(key) = self.loads.upstream(upstream) else {
             return;
         };
-        let known = self.assigned.entry(upstream.clone()).or_default();
+        let known = self.assigned.swap_remove(upstream).unwrap_or_default();
         if known.len() == slices.len() && slices.iter().all(|s| known.contains(s)) {
+            self.assigned.insert(upstream.clone(), known);
             return;
         }
         let fresh: IndexSet<SliceNo> = slices.iter().copied().collect();
         for &gone in known.difference(&fresh) {
             if self.loads.owner(gone) == Some(key) {
-                self.loads.unassign(gone);
+                // The load counts at the new owner until its host tells its own sum.
+                match self.loads_key_of(ownership, gone) {
+                    Some(to) if to != key => self.loads.assign(now, gone, to, 0.0),
+                    _ => self.loads.unassign(gone),
+                }
             }
             self.planner.settle(gone);
         }
-        for &came in fresh.difference(known) {
+        for &came in fresh.difference(&known) {
             self.loads.assign(now, came, key, 0.0);
             self.planner.settle(came);
         }
-        *known = fresh;
+        self.assigned.insert(upstream.clone(), fresh);
+    }
+
+    fn loads_key_of(&self, ownership: &Ownership, slice: SliceNo) -> Option<place::UpstreamKey> {
+        let lists = |id: &&UpstreamId| {
+            let owned = &ownership.upstreams[*id];
+            self.loads.upstream(id).is_some() && owned.slices.binary_search(&slice).is_ok()
+        };
+        let owner = ownership.upstreams.keys().find(lists)?;
+        self.loads.upstream(owner)
     }
 
     /// Turns a wish into what the ownership code is asked for.
--- a/crates/host/src/control/planning.rs
+++ b/crates/host/src/control/planning.rs
@@ -1,6 +1,6 @@
 //! Plans placement and tells other hosts of the loads here.
 
-use ids::{HostId, Timestamp};
+use ids::{HostId, KeyHash, Timestamp};
 use slog::debug;
 use wire::control::{Body, Frame};
 
@@ -39,10 +39,13 @@
             .filter(|h| h.alive)
             .map(|h| h.host)
             .collect();
-        let first = (now.as_micros() / PLAN_EVERY.as_micros() as u64) as usize * LOADS_TO;
+        let round = (now.as_micros() / PLAN_EVERY.as_micros() as u64) as usize;
+        // Each host begins elsewhere, so that not all tell the same ones at once.
+        let own = KeyHash::of(self.parts.me.host.as_str().as_bytes()).0 as usize;
+        let first = (round * LOADS_TO).wrapping_add(own);
         let count = alive.len().min(LOADS_TO);
         for i in 0..count {
-            let to = &alive[(first + i) % alive.len()];
+            let to = &alive[first.wrapping_add(i) % alive.len()];
             let body = Some(Body::Loads(loads.clone()));
             self.links.send(to, Frame { body });
         }
