spread: tests for optimistic senders and feeders out of reach

Two mutations went uncaught: a transfer that claims completeness whatever the receiver held, and feeders that are never changed. The replica test now goes on from what was sent whether or not it arrived, and a host is blocked from its feeders. Silence must be known everywhere within 2 s, sooner than records are compared.

--- a/crates/spread/tests/common/net.rs
+++ b/crates/spread/tests/common/net.rs
@@ -100,6 +100,8 @@
     pub no_table: BTreeSet<DomainId>,
     /// Pairs of domains that can't reach each other, the lesser first.
     pub cuts: BTreeSet<(DomainId, DomainId)>,
+    /// Pairs of hosts that can't reach each other, the lesser first.
+    pub blocked: BTreeSet<(HostId, HostId)>,
     pub faults: Vec<String>,
     /// Whether each evidence is checked against the table's past.
     pub check_evidence: bool,
@@ -137,6 +139,7 @@
             table_up: true,
             no_table: BTreeSet::new(),
             cuts: BTreeSet::new(),
+            blocked: BTreeSet::new(),
             faults: Vec::new(),
             check_evidence: true,
             cfg,
@@ -256,6 +259,7 @@
 
     pub fn heal(&mut self) {
         self.cuts.clear();
+        self.blocked.clear();
         self.no_table.clear();
         self.table_up = true;
         for (from, to, link, frame) in std::mem::take(&mut self.held) {
@@ -541,6 +545,9 @@
     }
 
     fn is_cut(&self, a: &HostId, b: &HostId) -> bool {
+        if self.blocked.contains(&pair(a, b)) {
+            return true;
+        }
         let (Some(a), Some(b)) = (self.nodes.get(a), self.nodes.get(b)) else {
             return false;
         };
--- a/crates/spread/tests/member.rs
+++ b/crates/spread/tests/member.rs
@@ -103,7 +103,7 @@
     }
     net.listed = listed;
     net.kill(1);
-    net.wait(4 * SECOND, "host 1 counts as silent", |net| {
+    net.wait(2 * SECOND, "host 1 counts as silent", |net| {
         net.live()
             .all(|(_, node)| !node.member.host(&host(1)).unwrap().alive)
     });
@@ -166,6 +166,29 @@
     no_faults(&net);
 }
 
+/// A host that can't reach those that feed it finds others, though all else find them alive.
+#[test]
+fn feeders_out_of_reach_are_replaced() {
+    let mut net = settled(&[8, 3]);
+    let relay = |net: &Net, n: usize| net.node(n).member.is_relay();
+    let leaf = (0..8).find(|n| !relay(&net, *n)).unwrap();
+    let relays: Vec<usize> = (0..8).filter(|n| relay(&net, *n)).collect();
+    for n in &relays[..2] {
+        let pair = (host(leaf).min(host(*n)), host(leaf).max(host(*n)));
+        net.blocked.insert(pair);
+    }
+    net.run(4 * SECOND);
+    let moment = net.now;
+    net.wait(SECOND, "evidence through the third", |net| {
+        net.node(leaf)
+            .evidence
+            .is_some_and(|(_, as_of)| as_of > moment)
+    });
+    net.heal();
+    net.run(2 * SECOND);
+    no_faults(&net);
+}
+
 #[test]
 fn a_domain_cut_from_the_platform_learns_from_others() {
     let mut net = settled(&TODAY);
--- a/crates/spread/tests/replica.rs
+++ b/crates/spread/tests/replica.rs
@@ -26,13 +26,21 @@
     Remove { upstream: usize },
     /// A replica reads the table.
     Read { replica: usize, prefix: Prefix },
+    /// A read that was asked for by an earlier run of the replica comes in.
+    ReadOf {
+        replica: usize,
+        prefix: Prefix,
+        since: u64,
+    },
     /// A replica learns the rows of the last transaction alone.
     Tell { replica: usize },
-    /// A replica gives pages of a few rows to another.
+    /// A replica gives pages of a few rows to another: from what that one holds,
+    /// or goes on from what it sent before, whether or not that arrived.
     Offer {
         from: usize,
         to: usize,
         prefix: Prefix,
+        goes_on: bool,
         whole: bool,
         max_bytes: usize,
         pages: usize,
@@ -55,10 +63,18 @@
         2 => (0..4_u8, any::<Option<u8>>()).prop_map(|(key, value)| Step::Declare { key, value }),
         1 => (0..UPSTREAMS).prop_map(|upstream| Step::Remove { upstream }),
         4 => (0..REPLICAS, prefix()).prop_map(|(replica, prefix)| Step::Read { replica, prefix }),
+        1 => (0..REPLICAS, prefix(), 0..40_u64)
+            .prop_map(|(replica, prefix, since)| Step::ReadOf { replica, prefix, since }),
         2 => (0..REPLICAS).prop_map(|replica| Step::Tell { replica }),
-        6 => (0..REPLICAS, 0..REPLICAS, prefix(), any::<bool>(), 1..400_usize, 1..5_usize).prop_map(
-            |(from, to, prefix, whole, max_bytes, pages)| Step::Offer {
-                from, to, prefix, whole, max_bytes, pages
+        6 => (0..REPLICAS, 0..REPLICAS, prefix(), any::<(bool, bool)>(), 1..400_usize, 1..5_usize).prop_map(
+            |(from, to, prefix, (goes_on, whole), max_bytes, pages)| Step::Offer {
+                from,
+                to,
+                prefix,
+                goes_on,
+                whole,
+                max_bytes,
+                pages
             }
         ),
         10 => any::<usize>().prop_map(|nth| Step::Arrive { nth }),
@@ -78,6 +94,12 @@
     /// Pages under way: sender, receiver, page.
     pages: Vec<(usize, usize, Delta)>,
     transfers: u64,
+    /// To what each receiver is complete if all that was sent arrived.
+    sent: Vec<Revision>,
+}
+
+fn link(from: usize, to: usize, prefix: Prefix) -> usize {
+    (from * REPLICAS + to) * 2 + prefix as usize
 }
 
 impl World {
@@ -92,6 +114,7 @@
             intakes: vec![Intake::default(); REPLICAS * REPLICAS * 2],
             pages: Vec::new(),
             transfers: 0,
+            sent: vec![Revision(0); REPLICAS * REPLICAS * 2],
         }
     }
 
@@ -141,6 +164,15 @@
                 let changes = self.past.changes(prefix, since);
                 replica.take_changes(prefix, since, changes.revision, &changes.rows);
             }
+            Step::ReadOf {
+                replica,
+                prefix,
+                since,
+            } => {
+                let since = Revision(since.min(self.past.revision.0));
+                let changes = self.past.changes(prefix, since);
+                self.replicas[replica].take_changes(prefix, since, changes.revision, &changes.rows);
+            }
             Step::Tell { replica } => {
                 self.replicas[replica].take_rows(&self.last);
             }
@@ -148,10 +180,14 @@
                 from,
                 to,
                 prefix,
+                goes_on,
                 whole,
                 max_bytes,
                 pages,
-            } => self.offer(from, to, prefix, whole, max_bytes, pages),
+            } => {
+                let since = self.since(from, to, prefix, goes_on);
+                self.offer(from, to, prefix, since, whole, max_bytes, pages);
+            }
             Step::Arrive { nth } if !self.pages.is_empty() => {
                 let (from, to, page) = self.pages[nth % self.pages.len()].clone();
                 self.arrive(from, to, &page);
@@ -170,28 +206,39 @@
         self.pages
             .retain(|(from, to, _)| *from != replica && *to != replica);
         for other in 0..REPLICAS {
-            for prefix in 0..2 {
-                self.intakes[(replica * REPLICAS + other) * 2 + prefix] = Intake::default();
-                self.intakes[(other * REPLICAS + replica) * 2 + prefix] = Intake::default();
+            for prefix in Prefix::ALL {
+                for link in [link(replica, other, prefix), link(other, replica, prefix)] {
+                    self.intakes[link] = Intake::default();
+                    self.sent[link] = Revision(0);
+                }
             }
         }
     }
 
+    fn since(&self, from: usize, to: usize, prefix: Prefix, goes_on: bool) -> Revision {
+        if goes_on {
+            return self.sent[link(from, to, prefix)];
+        }
+        self.replicas[to].complete_up_to().get(prefix)
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one for each field of the step")]
     fn offer(
         &mut self,
         from: usize,
         to: usize,
         prefix: Prefix,
+        since: Revision,
         whole: bool,
         max_bytes: usize,
         pages: usize,
     ) {
-        let since = self.replicas[to].complete_up_to().get(prefix);
         self.transfers += 1;
         let mut transfer = self.replicas[from].pager(self.transfers, prefix, since, whole);
         for _ in 0..pages {
             let page = self.replicas[from].page(&mut transfer, max_bytes);
             self.pages.push((from, to, page));
+            self.sent[link(from, to, prefix)] = transfer.up_to();
             if transfer.is_done() {
                 return;
             }
@@ -259,7 +306,8 @@
         for to in 1..REPLICAS {
             for whole in [false, true] {
                 world.pages.clear();
-                world.offer(0, to, prefix, whole, 64, usize::MAX);
+                let since = world.since(0, to, prefix, false);
+                world.offer(0, to, prefix, since, whole, 64, usize::MAX);
                 for (from, to, page) in world.pages.clone() {
                     world.arrive(from, to, &page);
                 }
