spread: losses passed on at once, feeders judged alone

Tests only: with nobody reporting silence, a host must find by itself that it can't reach its feeders; this catches feeders that are never changed.

--- a/crates/spread/tests/common/net.rs
+++ b/crates/spread/tests/common/net.rs
@@ -257,6 +257,11 @@
         self.cuts.insert((domain(a.min(b)), domain(a.max(b))));
     }
 
+    /// Keeps two hosts from reaching each other.
+    pub fn block(&mut self, a: usize, b: usize) {
+        self.blocked.insert(pair(&host(a), &host(b)));
+    }
+
     pub fn heal(&mut self) {
         self.cuts.clear();
         self.blocked.clear();
--- a/crates/spread/tests/member.rs
+++ b/crates/spread/tests/member.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::net::{Net, domain, host};
+use common::net::{Net, Node, domain, host};
 use common::{encode, own_key, own_row};
 use ids::Timestamp;
 use smol_str::{SmolStr, format_smolstr};
@@ -37,7 +37,11 @@
 
 /// A net that has settled, with a few rows in it.
 fn settled(sizes: &[usize]) -> Net {
-    let mut net = Net::of_domains(Config::default(), sizes);
+    settled_with(Config::default(), sizes)
+}
+
+fn settled_with(cfg: Config, sizes: &[usize]) -> Net {
+    let mut net = Net::of_domains(cfg, sizes);
     for n in 0..6 {
         net.commit(write(n, n as u64));
         net.commit(declare(n, "first"));
@@ -123,6 +127,21 @@
     no_faults(&net);
 }
 
+/// Each loss is known everywhere before records of hosts are compared.
+#[test]
+fn losses_are_passed_on_at_once() {
+    let mut net = settled(&TODAY);
+    for n in [1, 6, 9] {
+        net.kill(n);
+        net.wait(2 * SECOND, "known as silent", |net| {
+            let alive = |node: &Node| node.member.host(&host(n)).unwrap().alive;
+            net.live().all(|(_, node)| !alive(node))
+        });
+        net.run(SECOND / 2);
+    }
+    no_faults(&net);
+}
+
 #[test]
 fn a_paused_host_is_found_silent_and_alive_again() {
     let mut net = settled(&TODAY);
@@ -169,24 +188,31 @@
 /// A host that can't reach those that feed it finds others, though all else find them alive.
 #[test]
 fn feeders_out_of_reach_are_replaced() {
-    let mut net = settled(&[8, 3]);
-    let relay = |net: &Net, n: usize| net.node(n).member.is_relay();
-    let leaf = (0..8).find(|n| !relay(&net, *n)).unwrap();
-    let relays: Vec<usize> = (0..8).filter(|n| relay(&net, *n)).collect();
-    for n in &relays[..2] {
-        let pair = (host(leaf).min(host(*n)), host(leaf).max(host(*n)));
-        net.blocked.insert(pair);
+    for kept in 0..3 {
+        // Nobody reports anybody silent, so that each host counts on what it hears itself.
+        let cfg = Config {
+            small_domain: 1,
+            watchers: 0,
+            ..Config::default()
+        };
+        let mut net = settled_with(cfg, &[5, 2]);
+        let (relays, others): (Vec<usize>, Vec<usize>) =
+            (0..5).partition(|n| net.node(*n).member.is_relay());
+        let fed = others[0];
+        for n in relays.iter().filter(|n| **n != relays[kept]) {
+            net.block(fed, *n);
+        }
+        net.run(4 * SECOND);
+        let moment = net.now;
+        net.wait(SECOND, "evidence through the third relay", |net| {
+            net.node(fed)
+                .evidence
+                .is_some_and(|(_, as_of)| as_of > moment)
+        });
+        net.heal();
+        net.run(2 * SECOND);
+        no_faults(&net);
     }
-    net.run(4 * SECOND);
-    let moment = net.now;
-    net.wait(SECOND, "evidence through the third", |net| {
-        net.node(leaf)
-            .evidence
-            .is_some_and(|(_, as_of)| as_of > moment)
-    });
-    net.heal();
-    net.run(2 * SECOND);
-    no_faults(&net);
 }
 
 #[test]
