own: don't overtake requests that still run

A lost upstream that checks grants could still run a request that it started in time while the new owner started another of the same slice; slices with work under way now wait for it, or for its deadline, apart from the others, unless the upstream's connections are refused or requests may run twice. For an upstream that does not check grants, requests that were given up may still start after a freeze: without a refused connection or a declared loss such slices stay, and planned moves wait until it has answered for a deadline's length. The event Idle is gone, as nothing needs it. Planned moves no longer hold a batch for one slow request: slices go one by one, and those that don't drain within 50 ms (doubling up to 2 s) stay and are tried again.

--- a/crates/own/src/event.rs
+++ b/crates/own/src/event.rs
@@ -86,22 +86,14 @@
     PeerMessage(Box<wire::own::PeerMessage>),
     /// Another catalogue is in force.
     Catalogue(Arc<Catalogue>),
-    /// Nothing of these slices is under way to or at the upstream, and they are held; told once
-    /// for each [`Action::Hold`](crate::Action::Hold) as soon as it is true.
+    /// Nothing of these slices is under way to the upstream or, if it replies, at it, and they are
+    /// held; told once for each [`Action::Hold`](crate::Action::Hold) as soon as it is true.
     Drained {
         /// Upstream.
         upstream: UpstreamId,
         /// Number from [`Action::Hold`](crate::Action::Hold).
         hold: u64,
     },
-    /// Nothing at all is under way to or at the upstream, or something is again; only needed for
-    /// upstreams that don't check grants.
-    Idle {
-        /// Upstream.
-        upstream: UpstreamId,
-        /// Whether nothing is under way.
-        idle: bool,
-    },
     /// The upstream wants to leave, by its health report.
     Draining {
         /// Upstream.
--- a/crates/own/src/held.rs
+++ b/crates/own/src/held.rs
@@ -1,7 +1,7 @@
 //! What a host keeps of an upstream that it coordinates.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::time::Duration;
 
 use ids::{Epoch, Revision, SliceNo, Timestamp, UpstreamId};
 
@@ -9,6 +9,9 @@
 use crate::link::Link;
 use crate::{HostRef, Lease};
 
+/// How long a planned move waits first for requests under way.
+pub(crate) const SHORT_PATIENCE: Duration = Duration::from_millis(50);
+
 /// What a host keeps of an upstream that it coordinates.
 #[derive(Debug)]
 #[expect(clippy::struct_excessive_bools, reason = "each is a fact on its own")]
@@ -39,8 +42,12 @@
     pub(crate) folds: BTreeSet<SliceNo>,
     /// Hosts that hold requests until the row of this revision is served.
     pub(crate) tells: Vec<(HostRef, Revision)>,
-    /// Whether nothing is under way at an upstream that does not check grants.
-    pub(crate) idle: bool,
+    /// Slices of a lost upstream that have to wait for longer than others.
+    pub(crate) parked: Vec<Going>,
+    /// When every grant or lease with them is surely over.
+    pub(crate) parked_end: Option<Timestamp>,
+    /// How long a planned move waits for requests under way.
+    pub(crate) patience: Duration,
     pub(crate) draining: bool,
 }
 
@@ -64,7 +71,9 @@
             wishes: BTreeMap::new(),
             folds: BTreeSet::new(),
             tells: Vec::new(),
-            idle: false,
+            parked: Vec::new(),
+            parked_end: None,
+            patience: SHORT_PATIENCE,
             draining: false,
         }
     }
@@ -75,6 +84,22 @@
         self.tells.push((host.clone(), revision));
     }
 
+    /// Notes that nothing of a hold is under way.
+    pub(crate) fn drained(&mut self, hold: u64) {
+        let going = self.removal.iter_mut().flat_map(|r| &mut r.going);
+        let all = going.chain(&mut self.parked);
+        for g in all.filter(|g| g.hold == hold) {
+            g.drained = true;
+        }
+    }
+
+    /// Returns all holds.
+    pub(crate) fn holds(&self) -> Vec<u64> {
+        let going = self.removal.iter().flat_map(|r| &r.going);
+        let slices = going.chain(&self.parked).map(|g| g.hold);
+        slices.chain(self.handing.iter().map(|h| h.hold)).collect()
+    }
+
     /// Returns the own clock at which all that this host and those before it granted is over.
     pub(crate) fn end(&self) -> Timestamp {
         let own = self.link.end().max(self.lease_end);
@@ -95,12 +120,13 @@
     Lost,
 }
 
-/// Slices that go to the same upstream.
+/// A slice on its way.
 #[derive(Debug, Clone)]
-pub(crate) struct Group {
+pub(crate) struct Going {
+    pub(crate) slice: SliceNo,
     pub(crate) hold: u64,
     pub(crate) to: UpstreamId,
-    pub(crate) slices: Arc<[SliceNo]>,
+    /// Whether nothing of it is under way.
     pub(crate) drained: bool,
 }
 
@@ -119,7 +145,8 @@
 pub(crate) struct Removal {
     pub(crate) why: Why,
     pub(crate) since: Timestamp,
-    pub(crate) groups: Vec<Group>,
+    /// By rising slice.
+    pub(crate) going: Vec<Going>,
     pub(crate) retiring: Option<Retiring>,
     /// Own clock at which every grant or lease with these slices is surely over, known from when
     /// they are not wanted any more.
@@ -130,21 +157,17 @@
 
 impl Removal {
     pub(crate) fn holds(&self, slice: SliceNo) -> bool {
-        let within = |g: &Group| g.slices.binary_search(&slice).is_ok();
-        self.groups.iter().any(within)
+        self.going.binary_search_by_key(&slice, |g| g.slice).is_ok()
     }
 
     /// Returns all slices, rising.
     pub(crate) fn slices(&self) -> Vec<SliceNo> {
-        let all = self.groups.iter().flat_map(|g| g.slices.iter().copied());
-        let mut slices = all.collect::<Vec<_>>();
-        slices.sort();
-        slices
+        self.going.iter().map(|g| g.slice).collect()
     }
 
     /// Tells whether the upstream must not have the slices any more.
     pub(crate) fn is_revoking(&self) -> bool {
-        self.why == Why::Lost || self.groups.iter().all(|g| g.drained)
+        self.why == Why::Lost || self.going.iter().all(|g| g.drained)
     }
 }
 
--- a/crates/own/src/link.rs
+++ b/crates/own/src/link.rs
@@ -71,6 +71,8 @@
     last_reply: Option<Timestamp>,
     /// The same, or else the beginning, in awake time.
     last_awake: Timestamp,
+    /// Since when it replied without a longer gap.
+    steady_since: Timestamp,
     /// Attempts since the last reply.
     unanswered: u32,
     /// Whether the last attempt was refused by the transport.
@@ -108,6 +110,7 @@
             end: Timestamp::ZERO,
             next_at: now,
             last_reply: None,
+            steady_since: now,
             unanswered: 0,
             refused: false,
             outbid: None,
@@ -188,8 +191,11 @@
         self.next_at = now + cfg.renew_every;
     }
 
-    /// Notes that an upstream that does not check grants is up.
-    pub(crate) const fn healthy(&mut self, now: Timestamp, awake: Timestamp) {
+    /// Notes that the upstream replied.
+    pub(crate) fn healthy(&mut self, now: Timestamp, awake: Timestamp) {
+        if self.unanswered >= LOST_ATTEMPTS {
+            self.steady_since = now;
+        }
         self.last_awake = awake;
         self.last_reply = Some(now);
         self.unanswered = 0;
@@ -214,10 +220,7 @@
         let Some(attempt) = position.and_then(|p| self.attempts.remove(p)) else {
             return;
         };
-        self.last_reply = Some(now);
-        self.last_awake = awake;
-        self.unanswered = 0;
-        self.refused = false;
+        self.healthy(now, awake);
         self.take_reading(Reading {
             boot: reply.boot,
             value_us: reply.reading_us,
@@ -334,6 +337,11 @@
         self.last_reply.is_none_or(|last| last <= start)
     }
 
+    /// Since when the upstream replied without a longer gap.
+    pub(crate) const fn steady_since(&self) -> Timestamp {
+        self.steady_since
+    }
+
     /// Tells whether the last attempt was refused by the transport.
     pub(crate) const fn is_refused(&self) -> bool {
         self.refused
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -158,13 +158,9 @@
             }
             Event::PeerMessage(message) => self.on_message(&message),
             Event::Catalogue(catalogue) => self.on_catalogue(catalogue),
-            Event::Drained { upstream, hold } => self.with_held(&upstream, |_, h| {
-                let groups = h.removal.iter_mut().flat_map(|r| &mut r.groups);
-                for g in groups.filter(|g| g.hold == hold) {
-                    g.drained = true;
-                }
-            }),
-            Event::Idle { upstream, idle } => self.with_held(&upstream, |_, h| h.idle = idle),
+            Event::Drained { upstream, hold } => {
+                self.with_held(&upstream, |_, h| h.drained(hold));
+            }
             Event::Draining { upstream, draining } => {
                 self.with_held(&upstream, |_, h| h.draining = draining);
             }
@@ -388,10 +384,7 @@
             upstream: upstream.clone(),
             why,
         });
-        let groups = held.removal.iter().flat_map(|r| &r.groups);
-        let holds = groups.map(|g| g.hold);
-        let holds = holds.chain(held.handing.iter().map(|h| h.hold));
-        for hold in holds.collect::<Vec<_>>() {
+        for hold in held.holds() {
             self.settle_hold(upstream, hold, upstream.clone(), Revision(0));
         }
     }
@@ -537,7 +530,8 @@
         let removal = held.removal.as_ref().filter(|r| r.is_revoking());
         let kept = |s: &SliceNo| {
             let retired = mark.is_some_and(|m| m.slices.binary_search(s).is_ok());
-            !retired && removal.is_none_or(|r| !r.holds(*s))
+            let parked = held.parked.iter().any(|g| g.slice == *s);
+            !retired && !parked && removal.is_none_or(|r| !r.holds(*s))
         };
         let all = known.row.slices.iter().map(|a| a.slice);
         all.filter(kept).collect()
--- a/crates/own/src/moves.rs
+++ b/crates/own/src/moves.rs
@@ -5,7 +5,7 @@
 //! - the deputy promised not to grant them on its reserve, and
 //! - the upstream gave them up, or its grant is surely over.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 use wire::own::{Body, Retire};
 
 use crate::commits::Subject;
-use crate::held::{Group, Held, Removal, Retiring, Settling, Why};
+use crate::held::{Going, Held, Removal, Retiring, SHORT_PATIENCE, Settling, Why};
 use crate::machine::{Machine, check, write};
 use crate::replica::Known;
 use crate::roster::weight;
@@ -113,9 +113,13 @@
         if self.has_yielded(upstream, held) {
             return;
         }
+        if held.removal.is_none() {
+            self.unpark(upstream, held);
+        }
         if held.removal.is_none() {
             self.start_removal(upstream, held);
         }
+        self.leave_undrained(upstream, held);
         if self.is_hopeless(upstream, held) {
             self.cancel_removal(upstream, held);
             return;
@@ -147,26 +151,17 @@
         if plan.is_empty() {
             return;
         }
-        let mut groups = Vec::new();
+        let mut going = Vec::new();
         for (to, slices) in plan {
-            let hold = self.number();
-            let slices = Arc::<[SliceNo]>::from(slices);
-            self.out.push(Action::Hold {
-                upstream: upstream.clone(),
-                hold,
-                slices: Some(Arc::clone(&slices)),
-            });
-            groups.push(Group {
-                hold,
-                to,
-                slices,
-                drained: false,
-            });
+            going.extend(slices.into_iter().map(|s| (s, to.clone())));
         }
+        going.sort();
+        let going = going.into_iter().map(|(s, to)| self.hold(upstream, s, to));
+        let going = going.collect();
         kept.removal = Some(Removal {
             why,
             since: self.now,
-            groups,
+            going,
             retiring: None,
             end: None,
             txn: None,
@@ -175,6 +170,45 @@
         self.tell_lease(upstream, kept);
     }
 
+    /// Holds the requests of a slice that is to go.
+    fn hold(&mut self, upstream: &UpstreamId, slice: SliceNo, to: UpstreamId) -> Going {
+        let hold = self.number();
+        self.out.push(Action::Hold {
+            upstream: upstream.clone(),
+            hold,
+            slices: Some(Arc::from([slice])),
+        });
+        Going {
+            slice,
+            hold,
+            to,
+            drained: false,
+        }
+    }
+
+    /// Goes on with the slices of a lost upstream that had to wait.
+    fn unpark(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        let parked = std::mem::take(&mut held.parked);
+        if parked.is_empty() {
+            return;
+        }
+        if !self.is_lost(upstream, held) {
+            for g in parked {
+                self.release(upstream, g.hold, upstream.clone(), self.me.clone());
+            }
+            self.want_scope(upstream, held);
+            return;
+        }
+        held.removal = Some(Removal {
+            why: Why::Lost,
+            since: self.now,
+            going: parked,
+            retiring: None,
+            end: held.parked_end,
+            txn: None,
+        });
+    }
+
     /// Tells whether an upstream is lost: its grant is over and it replies to nothing.
     fn is_lost(&self, upstream: &UpstreamId, held: &Held) -> bool {
         if self.view.in_lost_domain(upstream) {
@@ -263,12 +297,35 @@
         }
     }
 
+    /// Lets slices of a planned move stay that don't drain: nobody waits for long for the requests
+    /// of others. The next try waits for longer.
+    fn leave_undrained(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        let Some(r) = &mut held.removal else {
+            return;
+        };
+        if r.is_revoking() || self.now.since(r.since) < held.patience {
+            return;
+        }
+        let busy = r.going.extract_if(.., |g| !g.drained).collect::<Vec<_>>();
+        let none = r.going.is_empty();
+        held.patience = (held.patience * 2).min(LONGEST_WISH);
+        for g in busy {
+            self.release(upstream, g.hold, upstream.clone(), self.me.clone());
+        }
+        if none {
+            self.cancel_removal(upstream, held);
+            return;
+        }
+        self.want_scope(upstream, held);
+        self.tell_lease(upstream, held);
+    }
+
     /// Gives a removal up: the slices stay.
     pub(crate) fn cancel_removal(&mut self, upstream: &UpstreamId, held: &mut Held) {
         let Some(r) = held.removal.take() else {
             return;
         };
-        for g in r.groups {
+        for g in r.going.into_iter().chain(held.parked.drain(..)) {
             self.release(upstream, g.hold, upstream.clone(), self.me.clone());
         }
         if r.retiring.is_some() {
@@ -336,57 +393,86 @@
             return false;
         };
         let retired = r.retiring.filter(|t| t.revision == known.revision);
+        // The end is known from when the slices are not wanted any more.
         retired.is_some_and(|t| t.promised)
             && r.is_revoking()
+            && r.end.is_some()
             && held.inherit.quiet_at() <= self.now
-            && self.is_given_up(upstream, held, r)
     }
 
-    /// Tells whether the upstream gave the slices up, or can't run requests of them any more.
-    fn is_given_up(&self, upstream: &UpstreamId, held: &Held, r: &Removal) -> bool {
+    /// Tells whether the upstream gave a slice up, or can't run requests of it any more.
+    fn is_given_up(&self, upstream: &UpstreamId, held: &Held, r: &Removal, g: &Going) -> bool {
         let over = r.end.is_some_and(|end| end <= self.now);
-        if self.view.in_lost_domain(upstream) {
+        let lost = r.why == Why::Lost;
+        if self.view.in_lost_domain(upstream) || (lost && held.link.is_refused()) {
             return over;
         }
+        let harmless = self.view.is_idempotent(upstream);
+        let finish = self.finish(upstream);
+        let others = held.inherit.quiet_at();
         if self.checks_grants(upstream) {
             // One that is lost, or not declared any more, can't be asked.
-            let unasked = r.why == Why::Lost || self.view.upstream(upstream).is_none();
-            return held.link.is_settled(held.epoch) || (over && unasked);
-        }
-        if held.link.is_refused() && r.why == Why::Lost {
-            return over;
-        }
-        let drained = r.groups.iter().all(|g| g.drained) || held.idle;
-        if drained && held.inherit.waiting().is_empty() {
-            return true;
-        }
-        // What was sent may still run at an upstream that froze, or may be sent by a host that
-        // did: only harmless if it may run twice.
-        let longest = Duration::from_millis(self.view.deadline_ms(upstream).into());
-        let finished = held.lease_end + longest + self.cfg.deadline_margin;
-        self.view.is_idempotent(upstream) && over && finished <= self.now
+            let unasked = lost || self.view.upstream(upstream).is_none();
+            let own_done = g.drained || r.end.is_some_and(|end| end + finish <= self.now);
+            // Others started their last ones before their last grant ended.
+            let rest = finish.saturating_sub(self.cfg.grant_ttl);
+            let done = harmless || (own_done && others + rest <= self.now);
+            return held.link.is_settled(held.epoch) || (unasked && over && done);
+        }
+        if harmless {
+            return over && (g.drained || held.lease_end + finish <= self.now);
+        }
+        // What was sent may still start at an upstream that froze, at any time; nor does anybody
+        // know what a host has in hand that froze.
+        let answers = held.link.steady_since() + finish <= self.now;
+        let others_done = held.inherit.waiting().is_empty() && others + finish <= self.now;
+        !lost && g.drained && answers && others_done
+    }
+
+    /// Returns how long a request may run at an upstream that replies.
+    fn finish(&self, upstream: &UpstreamId) -> Duration {
+        let deadline = Duration::from_millis(self.view.deadline_ms(upstream).into());
+        deadline + self.cfg.deadline_margin
+    }
+
+    /// Parks slices that have to wait for longer than the others; tells whether any is left.
+    fn park(&self, upstream: &UpstreamId, held: &mut Held) -> bool {
+        let Some(mut r) = held.removal.take() else {
+            return false;
+        };
+        let ready = |g: &Going| self.is_given_up(upstream, held, &r, g);
+        let ready = r.going.iter().map(ready).collect::<Vec<_>>();
+        let all = ready.iter().all(|r| *r);
+        let any = ready.iter().any(|r| *r);
+        if any && !all && r.why == Why::Lost {
+            let mut ready = ready.into_iter();
+            let waits = r.going.extract_if(.., |_| ready.next() == Some(false));
+            held.parked.extend(waits);
+            held.parked_end = r.end;
+        }
+        let split = any && (all || r.why == Why::Lost);
+        held.removal = Some(r);
+        split
     }
 
     fn submit_removal(&mut self, upstream: &UpstreamId, held: &mut Held) {
         let Some(known) = self.replica.get(upstream).cloned() else {
             return;
         };
-        if !self.retarget(upstream, held) {
+        if !self.park(upstream, held) || !self.retarget(upstream, held) {
             return;
         }
         let Some(r) = &held.removal else {
             return;
         };
-        let targets = r.groups.iter().filter_map(|g| {
+        let targets = r.going.iter().filter_map(|g| {
             let target = self.replica.get(&g.to)?.clone();
             Some((g.clone(), target))
         });
         let targets = targets.collect::<Vec<_>>();
-        debug_assert_eq!(targets.len(), r.groups.len(), "targets are known");
+        debug_assert_eq!(targets.len(), r.going.len(), "targets are known");
         // A target's row of an earlier move may have come ahead of this upstream's own.
-        let behind = |(g, target): &(Group, Known)| {
-            g.to != *upstream && g.slices.iter().any(|&s| target.row.holds(s))
-        };
+        let behind = |(g, target): &(Going, Known)| g.to != *upstream && target.row.holds(g.slice);
         if targets.iter().any(behind) {
             return;
         }
@@ -427,17 +513,18 @@
         }
     }
 
-    /// Gives groups whose upstream can't take them any more another one.
+    /// Gives slices whose upstream can't take them any more another one.
     fn retarget(&mut self, upstream: &UpstreamId, held: &mut Held) -> bool {
         let Some(mut r) = held.removal.take() else {
             return false;
         };
         let mut all = true;
-        for g in &mut r.groups {
-            if r.why == Why::Fold || self.is_target(upstream, &g.to) {
-                continue;
-            }
-            let plan = self.spread(upstream, g.slices.first().copied().into_iter());
+        let named = r.going.iter().map(|g| g.to.clone());
+        let named = named.collect::<BTreeSet<_>>().into_iter();
+        let unfit = named.filter(|to| r.why != Why::Fold && !self.is_target(upstream, to));
+        let unfit = unfit.collect::<BTreeSet<_>>();
+        for g in r.going.iter_mut().filter(|g| unfit.contains(&g.to)) {
+            let plan = self.spread(upstream, std::iter::once(g.slice));
             match plan.into_keys().next() {
                 Some(to) => g.to = to,
                 None => all = false,
@@ -461,8 +548,9 @@
         if r.slices().iter().any(|s| known.row.holds(*s)) {
             return;
         }
-        let groups = held.removal.take().map(|r| r.groups);
-        for g in groups.into_iter().flatten() {
+        held.patience = SHORT_PATIENCE;
+        let going = held.removal.take().map(|r| r.going);
+        for g in going.into_iter().flatten() {
             self.settle_hold(upstream, g.hold, g.to, known.revision);
         }
     }
@@ -521,18 +609,18 @@
     }
 }
 
-/// Builds the transaction that moves groups of slices off an upstream.
+/// Builds the transaction that moves slices off an upstream.
 fn moved(
     upstream: &UpstreamId,
     revision: Revision,
     mut from: OwnRow,
-    groups: &[(Group, Known)],
+    going: &[(Going, Known)],
 ) -> Txn {
     let mut checks = vec![check(upstream, Some(revision))];
     let mut rows = BTreeMap::<UpstreamId, OwnRow>::new();
-    for (g, target) in groups {
+    for (g, target) in going {
         if g.to == *upstream {
-            fold(&mut from, &g.slices);
+            fold(&mut from, g.slice);
             continue;
         }
         let row = rows.entry(g.to.clone()).or_insert_with(|| {
@@ -540,29 +628,28 @@
             OwnRow::clone(&target.row)
         });
         row.writer = from.writer.clone();
-        take_slices(&mut from, row, &g.slices);
+        take_slice(&mut from, row, g.slice);
     }
     let mut writes = vec![write(upstream, &from)];
     writes.extend(rows.iter().map(|(u, row)| write(u, row)));
     Txn { checks, writes }
 }
 
-/// Puts carved-out keys back into their slices.
-fn fold(row: &mut OwnRow, hot: &[SliceNo]) {
-    row.carved.retain(|c| hot.binary_search(&c.hot).is_err());
-    row.slices.retain(|a| hot.binary_search(&a.slice).is_err());
+/// Puts a carved-out key back into its slice.
+fn fold(row: &mut OwnRow, hot: SliceNo) {
+    row.carved.retain(|c| c.hot != hot);
+    row.slices.retain(|a| a.slice != hot);
 }
 
-/// Moves slices, and the hot keys carved out of them, from one row to another.
-fn take_slices(from: &mut OwnRow, to: &mut OwnRow, slices: &[SliceNo]) {
-    let within = |s: SliceNo| slices.binary_search(&s).is_ok();
-    let taken = from.slices.extract_if(.., |a| within(a.slice));
+/// Moves a slice, and the hot keys carved out of it, from one row to another.
+fn take_slice(from: &mut OwnRow, to: &mut OwnRow, slice: SliceNo) {
+    let taken = from.slices.extract_if(.., |a| a.slice == slice);
     to.slices.extend(taken.map(|a| Assigned {
         slice: a.slice,
         generation: a.generation + 1,
     }));
     to.slices.sort();
-    let carved = from.carved.extract_if(.., |c| within(c.base));
+    let carved = from.carved.extract_if(.., |c| c.base == slice);
     to.carved.extend(carved);
     to.carved.sort();
 }
--- a/crates/own/tests/own/interleaving.rs
+++ b/crates/own/tests/own/interleaving.rs
@@ -4,7 +4,7 @@
 use own::OwnSettings;
 use proptest::prelude::*;
 
-use crate::world::{Fault, MS, Setup, World};
+use crate::world::{Fault, MS, Setup, Step, World};
 
 /// When faults start and end.
 const FAULTS_FROM: u64 = 200 * MS;
@@ -19,11 +19,22 @@
     ]
 }
 
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => Just(Step::Commit),
+        2 => Just(Step::Grant),
+        1 => Just(Step::Peer),
+        1 => Just(Step::Lease),
+        2 => Just(Step::Request),
+    ]
+}
+
 fn fault(hosts: usize, upstreams: usize, domains: usize) -> impl Strategy<Value = Fault> {
     prop_oneof![
         3 => (0..hosts).prop_map(Fault::KillHost),
         2 => (0..hosts).prop_map(Fault::StartHost),
         6 => (0..hosts, pause()).prop_map(|(h, us)| Fault::PauseHost(h, us)),
+        8 => (0..hosts, step(), pause()).prop_map(|(h, s, us)| Fault::PauseBefore(h, s, us)),
         1 => (0..hosts).prop_map(Fault::LeaveHost),
         2 => (0..upstreams).prop_map(Fault::KillUpstream),
         2 => (0..upstreams).prop_map(Fault::StartUpstream),
@@ -75,6 +86,7 @@
             twice: noise.1,
             delay_us: noise.2,
             unconfirmed: noise.3,
+            long: 1,
             class: rest.0,
             cut_off: rest.1,
             ppm: rest.2,
--- a/crates/own/tests/own/world/dispatch.rs
+++ b/crates/own/tests/own/world/dispatch.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use catalogue::Class;
 use ids::{Epoch, SliceNo, UpstreamId};
 use own::{Action, Event, Lease};
 use rand::Rng;
 
-use super::{Happening, MS, SLICES, World};
+use super::{DEADLINE_MS, Happening, MS, SLICES, World};
 
 /// An upstream, and the slices of it that are held; all if absent.
 type Held = (UpstreamId, Option<Arc<[SliceNo]>>);
@@ -154,7 +155,8 @@
         let name = self.upstreams[upstream].name.clone();
         let under_way = &mut self.hosts[h].dispatch.under_way;
         under_way.insert(sent.id, (name, slice));
-        self.tell_idle(h, upstream);
+        // The dispatcher takes it for ended some time after its deadline, whatever became of it.
+        self.push((DEADLINE_MS + 100) * MS, Happening::GiveUp(sent));
         // The host may be paused just here, between the check and the send.
         self.push(20, Happening::Sent(sent));
     }
@@ -194,11 +196,30 @@
         }
         *self.requests.ran.entry(s.id).or_default() += 1;
         self.note_served(s.slice);
-        self.upstreams[u].running.insert(s.id, s.slice);
-        let work = self.rng.random_range(MS..15 * MS);
+        self.check_alone(u, s.slice);
+        let t = self.t;
+        self.upstreams[u].running.insert(s.id, (s.slice, t));
+        let work = if self.rng.random_range(0..100) < self.setup.long {
+            self.rng.random_range(MS..DEADLINE_MS * MS)
+        } else {
+            self.rng.random_range(MS..15 * MS)
+        };
         self.push(work, Happening::Finish(u, s));
     }
 
+    /// Checks that no other upstream runs requests of the slice, if that matters.
+    fn check_alone(&mut self, u: usize, slice: SliceNo) {
+        if self.setup.class == Class::Idempotent {
+            return;
+        }
+        for (o, other) in self.upstreams.iter().enumerate() {
+            if o != u && other.runs(slice) {
+                let both = format!("{slice} runs at u{o} and starts at u{u}");
+                self.broken.push((self.t, both));
+            }
+        }
+    }
+
     pub fn finish_request(&mut self, u: usize, s: &Sent) {
         let up = &mut self.upstreams[u];
         if up.boot != s.boot || up.gone {
@@ -214,24 +235,12 @@
         self.end_request(s);
     }
 
-    fn end_request(&mut self, s: &Sent) {
+    pub fn end_request(&mut self, s: &Sent) {
         if !self.is_run(s.host, s.run) {
             return;
         }
         self.hosts[s.host].dispatch.under_way.remove(&s.id);
         self.tell_drained(s.host);
-        self.tell_idle(s.host, s.upstream);
-    }
-
-    fn tell_idle(&mut self, h: usize, u: usize) {
-        if self.upstreams[u].checks {
-            return;
-        }
-        let upstream = self.upstreams[u].name.clone();
-        let under_way = &self.hosts[h].dispatch.under_way;
-        let idle = !under_way.values().any(|(n, _)| *n == upstream);
-        let run = self.hosts[h].run;
-        self.push(50, Happening::Tell(h, run, Event::Idle { upstream, idle }));
     }
 
     fn note_served(&mut self, slice: SliceNo) {
--- a/crates/own/tests/own/world/mod.rs
+++ b/crates/own/tests/own/world/mod.rs
@@ -26,6 +26,7 @@
 pub const MS: u64 = 1_000;
 pub const ENTRY: &str = "booking";
 pub const SLICES: u32 = 8;
+pub const DEADLINE_MS: u64 = 300;
 
 /// A clock with an offset and a rate of its own.
 #[derive(Debug, Clone, Copy)]
@@ -67,6 +68,8 @@
     pub delay_us: u64,
     /// Bound on clock rates, in millionths.
     pub ppm: i64,
+    /// Requests that run for up to their deadline, in percent.
+    pub long: u32,
     /// Confirmations of the table that are lost, in percent.
     pub unconfirmed: u32,
     pub settings: OwnSettings,
@@ -85,6 +88,7 @@
             twice: 0,
             delay_us: 2 * MS,
             ppm: 0,
+            long: 0,
             unconfirmed: 0,
             settings: OwnSettings::default(),
             weak: Weak::default(),
@@ -92,12 +96,24 @@
     }
 }
 
+/// What a host is about to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    Commit,
+    Grant,
+    Peer,
+    Lease,
+    Request,
+}
+
 /// Something that breaks, or is mended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     KillHost(usize),
     StartHost(usize),
     PauseHost(usize, u64),
+    /// Pauses a host just before its next step of this kind.
+    PauseBefore(usize, Step, u64),
     LeaveHost(usize),
     KillUpstream(usize),
     StartUpstream(usize),
@@ -140,6 +156,7 @@
     Sent(Sent),
     Start(usize, Sent),
     Finish(usize, Sent),
+    GiveUp(Sent),
     Load,
     Fault(Fault),
 }
@@ -160,6 +177,8 @@
     pub dispatch: Dispatcher,
     pub leaving: bool,
     pub left: bool,
+    /// The step before which to pause, and for how long.
+    armed: Option<(Step, u64)>,
     cursor: Revision,
     failed_polls: u32,
 }
@@ -244,7 +263,7 @@
             key: KeyLocation::PathSegment(0),
             slices: SLICES,
         },
-        deadline_ms: 300,
+        deadline_ms: DEADLINE_MS as u32,
         limits: catalogue::Limits::default(),
         cut_off: setup.cut_off,
         objective: catalogue::Objective::default(),
@@ -266,6 +285,20 @@
     c
 }
 
+/// Returns which kind of step a host is about to take.
+fn step(what: &Happening) -> Option<Step> {
+    let Happening::Act(_, _, action) = what else {
+        return matches!(what, Happening::Sent(_)).then_some(Step::Request);
+    };
+    match action {
+        Action::Commit { .. } => Some(Step::Commit),
+        Action::SendGrant { .. } => Some(Step::Grant),
+        Action::SendPeer { .. } => Some(Step::Peer),
+        Action::Lease(_) => Some(Step::Lease),
+        _ => None,
+    }
+}
+
 /// Renders an action for a trace.
 fn brief(action: &Action) -> String {
     match action {
@@ -316,6 +349,7 @@
             dispatch: Dispatcher::default(),
             leaving: false,
             left: false,
+            armed: None,
             cursor: Revision(0),
             failed_polls: 0,
         });
@@ -427,6 +461,14 @@
         None
     }
 
+    fn pause_before(&mut self, host: usize, step: Step) {
+        let t = self.t;
+        let h = &mut self.hosts[host];
+        if let Some((_, us)) = h.armed.take_if(|(s, _)| *s == step) {
+            h.paused_until = t + us;
+        }
+    }
+
     fn happen(&mut self, what: Happening) {
         let host = match &what {
             Happening::Tick(h, _)
@@ -436,9 +478,12 @@
             | Happening::Beaten(h, ..)
             | Happening::Tell(h, ..)
             | Happening::Act(h, ..) => Some(*h),
-            Happening::Sent(s) => Some(s.host),
+            Happening::Sent(s) | Happening::GiveUp(s) => Some(s.host),
             _ => None,
         };
+        if let (Some(h), Some(step)) = (host, step(&what)) {
+            self.pause_before(h, step);
+        }
         let what = match host {
             Some(h) => self.put_off(h, what),
             None => Some(what),
@@ -463,6 +508,7 @@
             Happening::Sent(s) => self.send_request(s),
             Happening::Start(u, s) => self.start_request(u, s),
             Happening::Finish(u, s) => self.finish_request(u, &s),
+            Happening::GiveUp(s) => self.end_request(&s),
             Happening::Load => self.load(),
             Happening::Fault(f) => self.fault(f),
         }
@@ -478,6 +524,7 @@
         h.leaving = false;
         h.left = false;
         h.paused_until = 0;
+        h.armed = None;
         h.cursor = Revision(0);
         h.failed_polls = 0;
         let run = h.run;
@@ -816,7 +863,11 @@
         match fault {
             Fault::KillHost(h) => self.kill_host(h),
             Fault::StartHost(h) if self.hosts[h].machine.is_none() => self.start_host(h),
-            Fault::PauseHost(h, us) => self.hosts[h].paused_until = self.t + us,
+            Fault::PauseBefore(h, step, us) => self.hosts[h].armed = Some((step, us)),
+            Fault::PauseHost(h, us) => {
+                let until = self.hosts[h].paused_until.max(self.t + us);
+                self.hosts[h].paused_until = until;
+            }
             Fault::LeaveHost(h) => {
                 self.hosts[h].leaving = true;
                 self.tell(h, self.hosts[h].run, Event::Leave);
@@ -827,7 +878,10 @@
             }
             Fault::StartUpstream(u) if self.upstreams[u].gone => self.upstreams[u].restart(),
             Fault::StartHost(_) | Fault::StartUpstream(_) => {}
-            Fault::PauseUpstream(u, us) => self.upstreams[u].paused_until = self.t + us,
+            Fault::PauseUpstream(u, us) => {
+                let until = self.upstreams[u].paused_until.max(self.t + us);
+                self.upstreams[u].paused_until = until;
+            }
             Fault::EmptyUpstream(u) => {
                 let name = self.upstreams[u].name.clone();
                 self.declare(|c| c.upstreams[&name].leaving = true);
@@ -945,10 +999,11 @@
         self.cut_upstreams.clear();
         for h in 0..self.hosts.len() {
             self.hosts[h].paused_until = self.hosts[h].paused_until.min(self.t);
+            self.hosts[h].armed = None;
             self.fault(Fault::StartHost(h));
         }
         for u in 0..self.upstreams.len() {
-            self.upstreams[u].paused_until = 0;
+            self.upstreams[u].paused_until = self.upstreams[u].paused_until.min(self.t);
             self.fault(Fault::StartUpstream(u));
         }
     }
--- a/crates/own/tests/own/world/upstream.rs
+++ b/crates/own/tests/own/world/upstream.rs
@@ -25,7 +25,8 @@
     seq: u64,
     coordinator: Option<HostId>,
     grant: Option<Grant>,
-    pub running: BTreeMap<u64, SliceNo>,
+    /// Requests that run: their slices, and when they started.
+    pub running: BTreeMap<u64, (SliceNo, u64)>,
     pub gone: bool,
     pub paused_until: u64,
     pub clock: super::NodeClock,
@@ -64,6 +65,12 @@
         Some((g.epoch, &g.slices))
     }
 
+    /// Tells whether a request of `slice` runs that was never held up by a pause.
+    pub fn runs(&self, slice: SliceNo) -> bool {
+        let running = |r: &(SliceNo, u64)| r.0 == slice && r.1 >= self.paused_until;
+        !self.gone && self.running.values().any(running)
+    }
+
     /// Tells whether a request may start at this reading.
     pub fn allows(&self, now_us: u64, epoch: Epoch, slice: SliceNo) -> bool {
         if !self.checks {
@@ -81,7 +88,7 @@
         let kept = self.grant.iter().flat_map(|g| &g.slices).copied();
         let kept = kept.collect::<Vec<_>>();
         let mut running = BTreeMap::<SliceNo, u32>::new();
-        for s in self.running.values().filter(|s| !kept.contains(s)) {
+        for (s, _) in self.running.values().filter(|(s, _)| !kept.contains(s)) {
             *running.entry(*s).or_default() += 1;
         }
         let running = running.into_iter();
