--- a/crates/host/src/control/duty.rs
+++ b/crates/host/src/control/duty.rs
@@ -87,6 +87,8 @@
     pub(super) placement: Placement,
     pub(super) plan_due: Timestamp,
     pub(super) left: bool,
+    /// Domains of which this host's domain heard nobody, as of the last table of peers.
+    pub(super) unheard: IndexSet<DomainId>,
     /// Whether the table answers, as far as the readers of the own domain can tell.
     pub(super) table_reachable: bool,
 }
@@ -126,6 +128,7 @@
             placement: Placement::new(now),
             plan_due: now + PLAN_EVERY,
             left: false,
+            unheard: IndexSet::new(),
             table_reachable: true,
             parts,
         }
@@ -179,6 +182,9 @@
         if now >= self.roster_due {
             self.roster_due = now + ROSTER_EVERY;
             self.report_roster();
+            if !self.member.unheard_domains().eq(&self.unheard) {
+                self.new_hosts();
+            }
             self.publish_status(now);
             self.pace_list();
         }
--- a/crates/host/src/control/member.rs
+++ b/crates/host/src/control/member.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use gate::Phase;
-use ids::{HostId, Incarnation, Timestamp};
+use ids::{DomainId, HostId, Incarnation, Timestamp};
+use indexmap::IndexSet;
 use prost::Message;
 use slog::{info, warn};
 
@@ -98,9 +99,12 @@
         let is_lost = |h: &spread::HostView| !h.alive && h.incarnation != Incarnation(0);
         let overrides = &self.parts.cfg.address_overrides;
         // What is handed to a host that is cut off ends as perhaps run; what is not is not run.
-        let reachable = self.member.hosts().filter(|h| !is_lost(h));
+        let unheard: IndexSet<DomainId> = self.member.unheard_domains().cloned().collect();
+        let hosts = self.member.hosts();
+        let reachable = hosts.filter(|h| !is_lost(h) && !unheard.contains(&h.domain));
         let table = peers::dispatch_table(reachable, overrides);
         self.parts.cx.peers.store(Arc::new(table));
+        self.unheard = unheard;
         let lost = self.member.hosts().filter(is_lost);
         if self.routes.silent(lost.map(|h| h.host).collect()) {
             self.parts.cx.router.store(self.routes.router());
