own: settle predecessors of upstreams that check nothing

A host paused between its check and its send may send to an upstream that checks no grants after two more takeovers, when the last successor no longer knows of it. Rows of such upstreams now name the hosts that never said that they stopped, and planned moves wait for each of them; such a move is not started, and nothing held, before it could go through.

--- a/crates/own/src/claim.rs
+++ b/crates/own/src/claim.rs
@@ -175,9 +175,11 @@
         let deputy = self.pick_deputy(upstream, &self.me, &[]);
         let open = self.view.upstream(upstream).is_some_and(|u| !u.leaving);
         let me = self.me.clone();
+        let unsettled = self.unsettled(upstream, None, Some(&self.me));
         let subject = Subject::Upstream(upstream.clone());
         self.commit(subject, |writer| {
-            let row = claimed(known.as_ref(), noted, open, me, deputy, writer);
+            let mut row = claimed(known.as_ref(), noted, open, me, deputy, writer);
+            row.unsettled = unsettled;
             Some(Txn {
                 checks: vec![check(upstream, known.as_ref().map(|k| k.revision))],
                 writes: vec![write(upstream, &row)],
@@ -277,6 +279,7 @@
         open: before.map_or(open, |r| r.open),
         slices: before.map(|r| r.slices.clone()).unwrap_or_default(),
         carved: before.map(|r| r.carved.clone()).unwrap_or_default(),
+        unsettled: Vec::new(),
         writer,
     }
 }
--- a/crates/own/src/handover.rs
+++ b/crates/own/src/handover.rs
@@ -35,7 +35,7 @@
             return;
         }
         if self.table_reachable {
-            self.record_handover(upstream, &to);
+            self.record_handover(upstream, held, &to);
         }
     }
 
@@ -71,7 +71,7 @@
         if held.end() > self.now && held.lease.is_some() {
             return;
         }
-        self.write_vacant(upstream);
+        self.write_vacant(upstream, held);
     }
 
     fn cancel_handing(&mut self, upstream: &UpstreamId, held: &mut Held) {
@@ -80,7 +80,7 @@
         }
     }
 
-    fn record_handover(&mut self, upstream: &UpstreamId, to: &HostRef) {
+    fn record_handover(&mut self, upstream: &UpstreamId, held: &Held, to: &HostRef) {
         let Some(known) = self.replica.get(upstream) else {
             return;
         };
@@ -92,6 +92,7 @@
             known.row.deputy.clone()
         };
         let noted = self.replica.noted(upstream);
+        let unsettled = self.unsettled(upstream, Some(held), Some(to));
         let to = to.clone();
         self.rewrite(upstream, |row| {
             // The heir's own reserve is as good; anybody else needs an epoch beyond it.
@@ -102,6 +103,7 @@
             };
             row.coordinator = Some(to);
             row.deputy = deputy;
+            row.unsettled = unsettled;
         });
     }
 
--- a/crates/own/src/keep.rs
+++ b/crates/own/src/keep.rs
@@ -29,7 +29,7 @@
             self.replica.note(upstream, epoch);
         }
         if self.is_outbid(upstream, held) || self.is_deputy_unfit(upstream, &row) {
-            self.rise(upstream, &row);
+            self.rise(upstream, held, &row);
             return;
         }
         if row.deputy.is_none() {
@@ -37,7 +37,7 @@
             return;
         }
         if row.slices.is_empty() && self.view.upstream(upstream).is_none() {
-            self.write_vacant(upstream);
+            self.write_vacant(upstream, held);
             return;
         }
         self.keep_open(upstream, held, &row);
@@ -58,10 +58,12 @@
         let not = before.iter().collect::<Vec<_>>();
         let deputy = self.pick_deputy(upstream, &self.me, &not);
         let me = self.me.clone();
+        let unsettled = self.unsettled(upstream, None, Some(&self.me));
         self.rewrite(upstream, |row| {
             row.epoch = row.reserved();
             row.coordinator = Some(me);
             row.deputy = deputy;
+            row.unsettled = unsettled;
         });
     }
 
@@ -82,13 +84,15 @@
     }
 
     /// Raises the epoch beyond the deputy's reserve and names another deputy.
-    fn rise(&mut self, upstream: &UpstreamId, row: &OwnRow) {
+    fn rise(&mut self, upstream: &UpstreamId, held: &Held, row: &OwnRow) {
         let not = row.deputy.iter().collect::<Vec<_>>();
         let deputy = self.pick_deputy(upstream, &self.me, &not);
         let noted = self.replica.noted(upstream);
+        let unsettled = self.unsettled(upstream, Some(held), Some(&self.me));
         self.rewrite(upstream, |row| {
             row.epoch = row.reserved().next().max(noted.next());
             row.deputy = deputy;
+            row.unsettled = unsettled;
         });
     }
 
@@ -101,11 +105,13 @@
     }
 
     /// Writes that nobody coordinates the upstream.
-    pub(crate) fn write_vacant(&mut self, upstream: &UpstreamId) {
+    pub(crate) fn write_vacant(&mut self, upstream: &UpstreamId, held: &Held) {
+        let unsettled = self.unsettled(upstream, Some(held), None);
         self.rewrite(upstream, |row| {
             row.epoch = row.reserved().next();
             row.coordinator = None;
             row.deputy = None;
+            row.unsettled = unsettled;
         });
     }
 
--- a/crates/own/src/link.rs
+++ b/crates/own/src/link.rs
@@ -71,8 +71,8 @@
     last_reply: Option<Timestamp>,
     /// The same, or else the beginning, in awake time.
     last_awake: Timestamp,
-    /// Since when it replied without a longer gap.
-    steady_since: Timestamp,
+    /// Since when it replied without a longer gap, if it ever did.
+    steady_since: Option<Timestamp>,
     /// Attempts since the last reply.
     unanswered: u32,
     /// Whether the last attempt was refused by the transport.
@@ -110,7 +110,7 @@
             end: Timestamp::ZERO,
             next_at: now,
             last_reply: None,
-            steady_since: now,
+            steady_since: None,
             unanswered: 0,
             refused: false,
             outbid: None,
@@ -193,8 +193,8 @@
 
     /// Notes that the upstream replied.
     pub(crate) fn healthy(&mut self, now: Timestamp, awake: Timestamp) {
-        if self.unanswered >= LOST_ATTEMPTS {
-            self.steady_since = now;
+        if self.unanswered >= LOST_ATTEMPTS || self.steady_since.is_none() {
+            self.steady_since = Some(now);
         }
         self.last_awake = awake;
         self.last_reply = Some(now);
@@ -337,9 +337,10 @@
         self.last_reply.is_none_or(|last| last <= start)
     }
 
-    /// Since when the upstream replied without a longer gap.
-    pub(crate) const fn steady_since(&self) -> Timestamp {
+    /// Since when the upstream replied without a longer gap, if it does.
+    pub(crate) fn steady_since(&self) -> Option<Timestamp> {
         self.steady_since
+            .filter(|_| self.unanswered < LOST_ATTEMPTS)
     }
 
     /// Tells whether the last attempt was refused by the transport.
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -321,7 +321,7 @@
             return;
         }
         let mut held = Held::new(self.now, self.roster.awake(), row.epoch, true);
-        self.inherit(&mut held, before);
+        self.inherit(&mut held, row, before);
         self.held.insert(upstream.clone(), held);
         self.advance(upstream);
     }
@@ -337,7 +337,7 @@
             held.yielded = false;
         }
         if before.is_none_or(|b| b.row.epoch != row.epoch) {
-            self.inherit(&mut held, before);
+            self.inherit(&mut held, row, before);
         }
         self.held.insert(upstream.clone(), held);
         self.after_row(upstream);
@@ -345,14 +345,16 @@
     }
 
     /// Notes those of the row before who may still act.
-    fn inherit(&self, held: &mut Held, before: Option<&Known>) {
+    fn inherit(&self, held: &mut Held, row: &OwnRow, before: Option<&Known>) {
         let Some(before) = before else {
-            held.inherit.add(self.now, &self.cfg, std::iter::empty());
+            let others = row.unsettled.iter().filter(|h| !h.is(&self.me));
+            held.inherit.add(self.now, &self.cfg, others.cloned());
             return;
         };
         held.older_since = before.since;
         let both = [&before.row.coordinator, &before.row.deputy];
-        let others = both.into_iter().flatten().filter(|h| !h.is(&self.me));
+        let named = both.into_iter().flatten().chain(&row.unsettled);
+        let others = named.filter(|h| !h.is(&self.me));
         held.inherit.add(self.now, &self.cfg, others.cloned());
     }
 
@@ -506,6 +508,29 @@
         })
     }
 
+    /// Returns the hosts that a row which replaces the known one must name as unsettled: those that
+    /// are still waited for, and those of the known row, but for the next coordinating host.
+    pub(crate) fn unsettled(
+        &self,
+        upstream: &UpstreamId,
+        held: Option<&Held>,
+        next: Option<&HostRef>,
+    ) -> Vec<HostRef> {
+        let known = self.replica.get(upstream);
+        let Some(known) = known.filter(|_| !self.checks_grants(upstream)) else {
+            return Vec::new();
+        };
+        let waiting = held.filter(|h| h.recorded).map(|h| h.inherit.waiting());
+        let earlier = waiting.unwrap_or(&known.row.unsettled).iter();
+        let both = [&known.row.coordinator, &known.row.deputy];
+        let all = earlier.chain(both.into_iter().flatten());
+        let others = all.filter(|h| next.is_none_or(|n| !h.is(n)));
+        let mut all = others.cloned().collect::<Vec<_>>();
+        all.sort();
+        all.dedup();
+        all
+    }
+
     pub(crate) fn send(&mut self, to: &HostRef, body: Body) {
         if to.is(&self.me) {
             return;
--- a/crates/own/src/moves.rs
+++ b/crates/own/src/moves.rs
@@ -140,6 +140,8 @@
         let all = known.row.slices.iter().map(|a| a.slice);
         let (why, plan) = if self.is_lost(upstream, kept) {
             (Why::Lost, self.spread(upstream, all))
+        } else if !self.may_plan(upstream, kept) {
+            return;
         } else if self.is_emptying(upstream, kept) {
             let batch = all.take(self.cfg.move_batch);
             (Why::Emptying, self.spread(upstream, batch))
@@ -259,9 +261,6 @@
 
     fn take_wishes(&self, upstream: &UpstreamId, held: &mut Held, known: &Known) -> Plan {
         let mut plan = Plan::new();
-        if held.inherit.quiet_at() > self.now {
-            return plan;
-        }
         let mut taken = 0;
         while let Some((slice, to)) = held.wishes.pop_first() {
             if known.row.holds(slice) && self.is_target(upstream, &to) {
@@ -290,13 +289,30 @@
         };
         match r.why {
             Why::Lost => !self.is_lost(upstream, held) && !held.link.is_silent_since(r.since),
-            Why::Wish | Why::Fold => {
-                !self.table_reachable || self.now.since(r.since) >= LONGEST_WISH
+            Why::Wish | Why::Fold | Why::Emptying => {
+                let long = self.now.since(r.since) >= LONGEST_WISH;
+                long || !self.table_reachable || !self.may_plan(upstream, held)
             }
-            Why::Emptying => !self.table_reachable,
         }
     }
 
+    /// Tells whether a planned move could go through, as far as those before this host go. Else
+    /// its slices would be held for nothing.
+    fn may_plan(&self, upstream: &UpstreamId, held: &Held) -> bool {
+        let checked = self.checks_grants(upstream) || self.view.is_idempotent(upstream);
+        held.inherit.quiet_at() <= self.now && (checked || self.others_done(upstream, held))
+    }
+
+    /// Tells whether nothing that others sent can start at an upstream that does not check grants:
+    /// each of them said that it stopped, and the upstream has answered for long enough since.
+    fn others_done(&self, upstream: &UpstreamId, held: &Held) -> bool {
+        let Some(steady) = held.link.steady_since() else {
+            return false;
+        };
+        let since = held.inherit.quiet_at().max(steady);
+        held.inherit.waiting().is_empty() && since + self.finish(upstream) <= self.now
+    }
+
     /// Lets slices of a planned move stay that don't drain: nobody waits for long for the requests
     /// of others. The next try waits for longer.
     fn leave_undrained(&mut self, upstream: &UpstreamId, held: &mut Held) {
@@ -424,9 +440,7 @@
         }
         // What was sent may still start at an upstream that froze, at any time; nor does anybody
         // know what a host has in hand that froze.
-        let answers = held.link.steady_since() + finish <= self.now;
-        let others_done = held.inherit.waiting().is_empty() && others + finish <= self.now;
-        !lost && g.drained && answers && others_done
+        !lost && g.drained && self.others_done(upstream, held)
     }
 
     /// Returns how long a request may run at an upstream that replies.
--- a/crates/own/src/row.rs
+++ b/crates/own/src/row.rs
@@ -84,6 +84,9 @@
     pub slices: Vec<Assigned>,
     /// Hot keys carved out of these slices, wherever they are now; rising.
     pub carved: Vec<Carved>,
+    /// Hosts that may have requests in hand for the upstream from before and never said that they
+    /// stopped; only kept if it does not check grants.
+    pub unsettled: Vec<HostRef>,
     /// Which write made the row.
     pub writer: Writer,
 }
@@ -133,6 +136,7 @@
             writer: row.writer.host.as_str().to_owned(),
             writer_incarnation: row.writer.incarnation.0,
             writer_seq: row.writer.seq,
+            unsettled: row.unsettled.iter().map(Into::into).collect(),
         }
     }
 }
@@ -166,6 +170,11 @@
                 })
                 .collect(),
             carved: row.carved.iter().map(carved).collect(),
+            unsettled: row
+                .unsettled
+                .iter()
+                .map(TryInto::try_into)
+                .collect::<Result<_, _>>()?,
             writer: Writer {
                 host: HostId::new(row.writer.as_str())?,
                 incarnation: Incarnation(row.writer_incarnation),
--- a/crates/own/tests/own/interleaving.rs
+++ b/crates/own/tests/own/interleaving.rs
@@ -1,10 +1,12 @@
 //! Any faults in any order: the invariants hold throughout, and afterwards all slices are served.
 
+use std::time::Duration;
+
 use catalogue::{Class, CutOff};
 use own::OwnSettings;
 use proptest::prelude::*;
 
-use crate::world::{Fault, MS, Setup, Step, World};
+use crate::world::{Fault, LONGEST_DELAY, MS, Setup, Step, World};
 
 /// When faults start and end.
 const FAULTS_FROM: u64 = 200 * MS;
@@ -91,7 +93,10 @@
             cut_off: rest.1,
             ppm: rest.2,
             seed: rest.3,
-            settings: OwnSettings::default(),
+            settings: OwnSettings {
+                deadline_margin: Duration::from_micros(LONGEST_DELAY),
+                ..OwnSettings::default()
+            },
             ..Setup::default()
         }
     })
--- a/crates/own/tests/own/world/dispatch.rs
+++ b/crates/own/tests/own/world/dispatch.rs
@@ -1,6 +1,6 @@
 //! Requests: sent once, under a lease that is checked just before.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use catalogue::Class;
@@ -8,7 +8,7 @@
 use own::{Action, Event, Lease};
 use rand::Rng;
 
-use super::{DEADLINE_MS, Happening, MS, SLICES, World};
+use super::{DEADLINE_MS, Happening, LONGEST_DELAY, MS, SLICES, World};
 
 /// An upstream, and the slices of it that are held; all if absent.
 type Held = (UpstreamId, Option<Arc<[SliceNo]>>);
@@ -42,6 +42,10 @@
     last: u64,
     /// Sent, but not started and not refused yet.
     pub may_start: BTreeMap<u64, Sent>,
+    /// Came to the upstream's machine, whether its process runs or not.
+    delivered: BTreeSet<u64>,
+    /// Their connections were reset.
+    aborted: BTreeSet<u64>,
     pub ran: BTreeMap<u64, u32>,
     pub not_run: Vec<u64>,
     /// When each slice was last served.
@@ -156,7 +160,7 @@
         let under_way = &mut self.hosts[h].dispatch.under_way;
         under_way.insert(sent.id, (name, slice));
         // The dispatcher takes it for ended some time after its deadline, whatever became of it.
-        self.push((DEADLINE_MS + 100) * MS, Happening::GiveUp(sent));
+        self.push(DEADLINE_MS * MS + LONGEST_DELAY, Happening::GiveUp(sent));
         // The host may be paused just here, between the check and the send.
         self.push(20, Happening::Sent(sent));
     }
@@ -172,10 +176,17 @@
     }
 
     pub fn start_request(&mut self, u: usize, s: Sent) {
-        if self.upstream_cut(s.host, u) {
-            // The transport tries again until it gets through.
-            self.push(50 * MS, Happening::Start(u, s));
-            return;
+        if !self.requests.delivered.contains(&s.id) {
+            if self.requests.aborted.contains(&s.id) {
+                self.requests.may_start.remove(&s.id);
+                return;
+            }
+            if self.upstream_cut(s.host, u) {
+                // The transport tries again until it gets through, or the host aborts it.
+                self.push(50 * MS, Happening::Start(u, s));
+                return;
+            }
+            self.requests.delivered.insert(s.id);
         }
         let up = &self.upstreams[u];
         if up.gone || up.boot != s.boot {
@@ -235,6 +246,15 @@
         self.end_request(s);
     }
 
+    /// Ends a request that was not answered in time, and resets its connection.
+    pub fn give_up(&mut self, s: &Sent) {
+        self.requests.aborted.insert(s.id);
+        if !self.requests.delivered.contains(&s.id) {
+            self.requests.may_start.remove(&s.id);
+        }
+        self.end_request(s);
+    }
+
     pub fn end_request(&mut self, s: &Sent) {
         if !self.is_run(s.host, s.run) {
             return;
--- a/crates/own/tests/own/world/mod.rs
+++ b/crates/own/tests/own/world/mod.rs
@@ -27,6 +27,8 @@
 pub const ENTRY: &str = "booking";
 pub const SLICES: u32 = 8;
 pub const DEADLINE_MS: u64 = 300;
+/// No message takes longer.
+pub const LONGEST_DELAY: u64 = 450 * MS;
 
 /// A clock with an offset and a rate of its own.
 #[derive(Debug, Clone, Copy)]
@@ -179,6 +181,8 @@
     pub left: bool,
     /// The step before which to pause, and for how long.
     armed: Option<(Step, u64)>,
+    /// Whether its address refuses connections when no process runs.
+    refuses: bool,
     cursor: Revision,
     failed_polls: u32,
 }
@@ -350,6 +354,7 @@
             leaving: false,
             left: false,
             armed: None,
+            refuses: true,
             cursor: Revision(0),
             failed_polls: 0,
         });
@@ -508,7 +513,7 @@
             Happening::Sent(s) => self.send_request(s),
             Happening::Start(u, s) => self.start_request(u, s),
             Happening::Finish(u, s) => self.finish_request(u, &s),
-            Happening::GiveUp(s) => self.end_request(&s),
+            Happening::GiveUp(s) => self.give_up(&s),
             Happening::Load => self.load(),
             Happening::Fault(f) => self.fault(f),
         }
@@ -690,6 +695,7 @@
             Action::SendPeer { to, message } => self.send_peer(h, &to, &message),
             Action::Left => {
                 self.hosts[h].left = true;
+                self.hosts[h].refuses = true;
                 self.hosts[h].machine = None;
             }
             other => {
@@ -782,6 +788,12 @@
         let Some(to) = found else {
             return;
         };
+        if self.hosts[to].machine.is_none() && self.hosts[to].refuses && !self.hosts_cut(h, to) {
+            let gone = Event::PeerGone(self.hosts[to].me.clone());
+            let run = self.hosts[h].run;
+            self.push(MS, Happening::Tell(h, run, gone));
+            return;
+        }
         let (loss, twice) = (self.setup.loss, self.setup.twice);
         if self.hosts_cut(h, to) || self.percent(loss) {
             return;
@@ -954,8 +966,9 @@
             return;
         }
         self.hosts[h].dispatch = Dispatcher::default();
-        // Others may be refused at its address, and so know at once.
-        if !self.percent(50) {
+        // Others may be refused at its address, and so know at once; or its machine is off.
+        self.hosts[h].refuses = self.percent(50);
+        if !self.hosts[h].refuses {
             return;
         }
         let who = self.hosts[h].me.clone();
@@ -989,8 +1002,12 @@
         }
     }
 
-    /// Mends all that can be mended, and makes no more faults.
+    /// Mends all that can be mended once no process is paused any more, and makes no more faults.
     pub fn mend(&mut self) {
+        let hosts = self.hosts.iter().map(|h| h.paused_until);
+        let upstreams = self.upstreams.iter().map(|u| u.paused_until);
+        let last = hosts.chain(upstreams).max().unwrap_or(0);
+        self.run_until(last.max(self.t));
         self.quiet = true;
         self.fault(Fault::TableUp);
         self.cut.clear();
@@ -998,12 +1015,10 @@
         self.cut_hosts.clear();
         self.cut_upstreams.clear();
         for h in 0..self.hosts.len() {
-            self.hosts[h].paused_until = self.hosts[h].paused_until.min(self.t);
             self.hosts[h].armed = None;
             self.fault(Fault::StartHost(h));
         }
         for u in 0..self.upstreams.len() {
-            self.upstreams[u].paused_until = self.upstreams[u].paused_until.min(self.t);
             self.fault(Fault::StartUpstream(u));
         }
     }
--- a/crates/wire/src/own.rs
+++ b/crates/wire/src/own.rs
@@ -69,6 +69,9 @@
     /// Number of that write in the run.
     #[prost(uint64, tag = "10")]
     pub writer_seq: u64,
+    /// Hosts that acted for the upstream before and never said that they stopped.
+    #[prost(message, repeated, tag = "11")]
+    pub unsettled: Vec<HostRef>,
 }
 
 /// Content of the row `own/entry/<entry>`: the entry's slices were handed out.
