--- a/crates/spread/src/member.rs
+++ b/crates/spread/src/member.rs
@@ -82,8 +82,8 @@
     /// When all records of another host were last asked for.
     synced_at: Timestamp,
     old_marks: OldMarks,
-    /// When a page that is not the last of its transfer came.
-    paged_at: Option<Timestamp>,
+    /// The host that a long transfer is coming from, and when its last page came.
+    paging: Option<(HostId, Timestamp)>,
     /// When evidence last came from the preferred feeder.
     fed_at: Timestamp,
     /// Whether whole rows must be asked for.
@@ -123,7 +123,7 @@
             news: BTreeMap::new(),
             synced_at: Timestamp::ZERO,
             old_marks: OldMarks::default(),
-            paged_at: None,
+            paging: None,
             fed_at: now,
             misfit: false,
             budget_at: now,
--- a/crates/spread/src/member/beats.rs
+++ b/crates/spread/src/member/beats.rs
@@ -9,6 +9,7 @@
 use super::event::Action;
 use super::hosts::{Merged, Record};
 use super::peer::{Peer, Reply, at};
+use super::roles::ranked;
 use super::{Member, frame};
 use crate::{Prefix, Watermarks};
 
@@ -37,11 +38,24 @@
     }
 
     pub(super) fn lost(&mut self, now: Timestamp, host: &HostId) {
-        if let Some(peer) = self.peers.get_mut(host) {
-            peer.disconnect();
-            peer.attempts.failed(&self.cfg, now);
-        }
+        let Some(peer) = self.peers.get_mut(host) else {
+            return;
+        };
+        let fed_this = peer.connected && peer.asked == Feed::Full;
+        peer.disconnect();
+        peer.attempts.failed(&self.cfg, now);
         self.todo.beats = true;
+        if fed_this {
+            self.turn_to_next_feeder(now);
+        }
+    }
+
+    /// Asks the host that stands by at once.
+    fn turn_to_next_feeder(&mut self, now: Timestamp) {
+        let next = self.feeders(now).into_iter().next();
+        if let Some(peer) = next.and_then(|(host, _)| self.peers.get_mut(&host)) {
+            peer.beat_due = now;
+        }
     }
 
     pub(super) fn is_connected(&self, host: &HostId) -> bool {
@@ -237,6 +251,13 @@
 
     /// The hosts that feed this one now, the preferred one first.
     pub(super) fn feeders(&self, now: Timestamp) -> Vec<(HostId, Feed)> {
+        // A long transfer goes on to its end, whoever should feed this host by now.
+        if let Some((host, at)) = &self.paging {
+            let goes_on = now.since(*at) < self.cfg.resend_after;
+            if goes_on && self.is_connected(host) {
+                return vec![(host.clone(), Feed::Full)];
+            }
+        }
         let candidates = if self.joined.is_none() {
             self.connected_mates()
         } else if self.roles.relay.is_some() {
@@ -244,14 +265,24 @@
         } else {
             self.roles.feeders.clone()
         };
-        let connected = candidates.into_iter().filter(|h| self.is_connected(h));
-        let feeds = [Feed::Full, Feed::Standby];
-        // One long transfer at a time is enough.
-        let busy = self
-            .paged_at
-            .is_some_and(|at| now.since(at) < self.cfg.resend_after);
-        let count = if busy { 1 } else { feeds.len() };
-        connected.zip(feeds).take(count).collect()
+        let mut connected: Vec<HostId> = candidates
+            .into_iter()
+            .filter(|h| self.is_connected(h))
+            .collect();
+        connected.sort_by_key(|host| !self.knows_enough(now, host));
+        connected
+            .into_iter()
+            .zip([Feed::Full, Feed::Standby])
+            .collect()
+    }
+
+    /// Tells whether a host's last reply showed knowledge that is fresh; that of a host that has
+    /// just started does not.
+    fn knows_enough(&self, now: Timestamp, host: &HostId) -> bool {
+        let bound = self.cfg.unreachable_after + self.standby_heartbeat(now);
+        let reply = self.peers.get(host).and_then(|p| p.reply);
+        let read = reply.and_then(|r| r.own_read);
+        read.is_some_and(|read| now.since(read) < bound)
     }
 
     fn connected_mates(&self) -> Vec<HostId> {
@@ -260,10 +291,14 @@
             record.is_some_and(|r| r.alive() && r.domain == self.me.domain)
         };
         let connected = self.peers.iter().filter(|(_, p)| p.connected);
-        connected
-            .map(|(host, _)| host.clone())
-            .filter(mate)
-            .collect()
+        let connected = connected.map(|(host, _)| host.clone());
+        self.in_own_order(&connected.filter(mate).collect::<Vec<_>>())
+    }
+
+    /// Sorts hosts by a hash over their names and this host's, so that hosts that start do not
+    /// all ask the same one.
+    fn in_own_order(&self, hosts: &[HostId]) -> Vec<HostId> {
+        ranked(self.me.host.as_str(), hosts)
     }
 
     /// A relay that can't read the table, or holds nothing yet, is fed by the relay that knows
@@ -487,7 +522,8 @@
             let waits = self.peers.get(host).is_some_and(|p| p.connected);
             record.incarnation.0 == 0 && record.domain == self.me.domain && !waits
         });
-        let mut hosts: Vec<HostId> = unheard.map(|(host, _)| host.clone()).collect();
+        let unheard: Vec<HostId> = unheard.map(|(host, _)| host.clone()).collect();
+        let mut hosts = self.in_own_order(&unheard);
         let due = |host: &HostId| self.peers.get(host).map(|p| p.attempts.due);
         hosts.sort_by_key(due);
         hosts.truncate(LISTED_AT_ONCE);
--- a/crates/spread/src/member/feeding.rs
+++ b/crates/spread/src/member/feeding.rs
@@ -107,9 +107,10 @@
         let taken = self
             .replica
             .take_delta(&mut peer.intakes[at(prefix)], delta);
-        self.paged_at = delta.more.then_some(now).or(self.paged_at);
-        if taken.raised && !delta.more {
-            self.paged_at = None;
+        if delta.more {
+            self.paging = Some((from.clone(), now));
+        } else if delta.page > 0 {
+            self.paging = None;
         }
         if taken.misfit {
             self.misfit = true;
--- a/crates/spread/src/member/roles.rs
+++ b/crates/spread/src/member/roles.rs
@@ -87,7 +87,7 @@
 }
 
 /// Sorts hosts by a hash over `salt` and their names, the highest first.
-fn ranked(salt: &str, hosts: &[HostId]) -> Vec<HostId> {
+pub(super) fn ranked(salt: &str, hosts: &[HostId]) -> Vec<HostId> {
     let mut ranked = hosts.to_vec();
     ranked.sort_by_cached_key(|h| (std::cmp::Reverse(weight(salt, h)), h.clone()));
     ranked
--- a/crates/spread/src/replica/patch.rs
+++ b/crates/spread/src/replica/patch.rs
@@ -89,14 +89,16 @@
     }
 }
 
-/// The row's fields that change with its hosts only.
+/// The row without what a patch says in other ways: what changes with its hosts only.
 fn head(row: &Row) -> Row {
     Row {
-        epoch: row.epoch,
-        coordinator: row.coordinator.clone(),
-        deputy: row.deputy.clone(),
-        open: row.open,
-        ..Row::default()
+        slices: Vec::new(),
+        generations: Vec::new(),
+        carved: Vec::new(),
+        writer: String::new(),
+        writer_incarnation: 0,
+        writer_seq: 0,
+        ..row.clone()
     }
 }
 
--- a/crates/spread/tests/common/mod.rs
+++ b/crates/spread/tests/common/mod.rs
@@ -154,7 +154,7 @@
         open: true,
         slices: (first..first + count).collect(),
         generations: vec![1; count as usize],
-        carved: Vec::new(),
+        ..own::Row::default()
     }
 }
 
