own: record planned moves first, carry them out then

Now the row of the new owner is written first, with a mark of where each slice comes from. The old owner keeps a slice, also if nobody knows whether the write stands, until its coordinating host says that it is free: drained, revoked, not grantable by the deputy or by those before. Only then is the new owner granted it; its row loses the mark by a write of its own half a second later, shared by all slices that came. Slices of a lost upstream are still recorded only after all waits. Folding a hot key back needs no revocation any more.

--- a/crates/own/src/claim.rs
+++ b/crates/own/src/claim.rs
@@ -279,6 +279,7 @@
         open: before.map_or(open, |r| r.open),
         slices: before.map(|r| r.slices.clone()).unwrap_or_default(),
         carved: before.map(|r| r.carved.clone()).unwrap_or_default(),
+        incoming: before.map(|r| r.incoming.clone()).unwrap_or_default(),
         unsettled: Vec::new(),
         writer,
     }
--- a/crates/own/src/handover.rs
+++ b/crates/own/src/handover.rs
@@ -22,6 +22,9 @@
         }
         if self.leaving && held.handing.is_none() {
             self.cancel_removal(upstream, held);
+            if self.awaits_free(held) {
+                return;
+            }
             match self.pick_heir(upstream) {
                 Some(heir) => self.start_handing(upstream, held, heir),
                 None => self.vacate(upstream, held),
@@ -39,6 +42,12 @@
         }
     }
 
+    /// Tells whether slices that moved away should be freed before this host leaves.
+    fn awaits_free(&self, held: &Held) -> bool {
+        let since = self.leaving_since.unwrap_or(self.now);
+        !held.outgoing.is_empty() && self.now.since(since) < LONGEST_WAIT / 2
+    }
+
     /// Returns the host that takes over an upstream of this host when it leaves.
     ///
     /// Best is the deputy, if it is in the upstream's domain, then another host there; without the
--- a/crates/own/src/held.rs
+++ b/crates/own/src/held.rs
@@ -17,6 +17,8 @@
 #[expect(clippy::struct_excessive_bools, reason = "each is a fact on its own")]
 pub(crate) struct Held {
     pub(crate) since: Timestamp,
+    /// The same in awake time.
+    pub(crate) awake_since: Timestamp,
     pub(crate) epoch: Epoch,
     /// Whether the row names this host as coordinating; else it acts on its reserve.
     pub(crate) recorded: bool,
@@ -38,10 +40,19 @@
     pub(crate) removal: Option<Removal>,
     pub(crate) handing: Option<Handing>,
     pub(crate) wishes: BTreeMap<SliceNo, UpstreamId>,
-    /// Carved-out keys that should go back into their slices.
-    pub(crate) folds: BTreeSet<SliceNo>,
+    /// Slices that moved away by the table and are not free here yet.
+    pub(crate) outgoing: BTreeMap<SliceNo, Outgoing>,
+    /// Slices that moved away and are free here.
+    pub(crate) freed: BTreeSet<SliceNo>,
+    /// Slices that came, by their generations, and are free at the upstream before.
+    pub(crate) released: BTreeSet<(SliceNo, u64)>,
+    pub(crate) ask_free_at: Timestamp,
+    /// When the row is to be rid of marks of slices that are released.
+    pub(crate) clear_at: Timestamp,
+    /// The deputy's promise not to grant slices.
+    pub(crate) retiring: Option<Retiring>,
     /// Hosts that hold requests until the row of this revision is served.
-    pub(crate) tells: Vec<(HostRef, Revision)>,
+    pub(crate) tells: Vec<Tell>,
     /// Slices of a lost upstream that have to wait for longer than others.
     pub(crate) parked: Vec<Going>,
     /// When every grant or lease with them is surely over.
@@ -55,6 +66,7 @@
     pub(crate) fn new(now: Timestamp, awake: Timestamp, epoch: Epoch, recorded: bool) -> Self {
         Self {
             since: now,
+            awake_since: awake,
             epoch,
             recorded,
             was_handed: false,
@@ -69,7 +81,12 @@
             removal: None,
             handing: None,
             wishes: BTreeMap::new(),
-            folds: BTreeSet::new(),
+            outgoing: BTreeMap::new(),
+            freed: BTreeSet::new(),
+            released: BTreeSet::new(),
+            ask_free_at: now,
+            clear_at: Timestamp::NEVER,
+            retiring: None,
             tells: Vec::new(),
             parked: Vec::new(),
             parked_end: None,
@@ -80,8 +97,12 @@
 
     /// Notes that a host holds requests until the row of `revision` is served.
     pub(crate) fn tell_once_serving(&mut self, host: &HostRef, revision: Revision) {
-        self.tells.retain(|(h, _)| !h.is(host));
-        self.tells.push((host.clone(), revision));
+        self.tells.retain(|t| !t.host.is(host));
+        self.tells.push(Tell {
+            host: host.clone(),
+            revision,
+            without: None,
+        });
     }
 
     /// Notes that nothing of a hold is under way.
@@ -91,13 +112,20 @@
         for g in all.filter(|g| g.hold == hold) {
             g.drained = true;
         }
+        let outgoing = self.outgoing.values_mut();
+        for o in outgoing.filter(|o| o.hold == Some(hold)) {
+            o.drained = true;
+        }
     }
 
     /// Returns all holds.
     pub(crate) fn holds(&self) -> Vec<u64> {
-        let going = self.removal.iter().flat_map(|r| &r.going);
+        let removal = self.removal.iter().filter(|r| !r.loosed);
+        let going = removal.flat_map(|r| &r.going);
         let slices = going.chain(&self.parked).map(|g| g.hold);
-        slices.chain(self.handing.iter().map(|h| h.hold)).collect()
+        let outgoing = self.outgoing.values().filter_map(|o| o.hold);
+        let handing = self.handing.iter().map(|h| h.hold);
+        slices.chain(outgoing).chain(handing).collect()
     }
 
     /// Returns the own clock at which all that this host and those before it granted is over.
@@ -107,6 +135,15 @@
     }
 }
 
+/// A host that holds requests until a row is served.
+#[derive(Debug, Clone)]
+pub(crate) struct Tell {
+    pub(crate) host: HostRef,
+    pub(crate) revision: Revision,
+    /// Slices of which it was told that they are not served yet.
+    pub(crate) without: Option<Vec<u64>>,
+}
+
 /// Why slices are taken off an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Why {
@@ -114,8 +151,6 @@
     Wish,
     /// The upstream is to be emptied.
     Emptying,
-    /// A carved-out key goes back into its slice at the same upstream.
-    Fold,
     /// The upstream is lost.
     Lost,
 }
@@ -124,16 +159,36 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Going {
     pub(crate) slice: SliceNo,
+    /// How often it will have changed its owner, with this move.
+    pub(crate) generation: u64,
     pub(crate) hold: u64,
     pub(crate) to: UpstreamId,
     /// Whether nothing of it is under way.
     pub(crate) drained: bool,
 }
 
-/// The deputy's promise not to grant the slices of a removal.
-#[derive(Debug, Clone, Copy)]
+/// A slice that moved away by the table, and that this upstream may still have.
+#[derive(Debug, Clone)]
+pub(crate) struct Outgoing {
+    pub(crate) to: UpstreamId,
+    /// How often it had changed its owner, with this move.
+    pub(crate) generation: u64,
+    pub(crate) hold: Option<u64>,
+    /// Whether nothing of it is under way.
+    pub(crate) drained: bool,
+    /// Whether this host had it granted here before it moved.
+    pub(crate) had: bool,
+    /// Own clock at which every grant or lease with it is surely over, known from when it is not
+    /// wanted any more.
+    pub(crate) end: Option<Timestamp>,
+}
+
+/// The deputy's promise not to grant slices.
+#[derive(Debug, Clone)]
 pub(crate) struct Retiring {
     pub(crate) seq: u64,
+    /// Rising.
+    pub(crate) slices: Vec<SliceNo>,
     /// Revision of the row that the promise is about.
     pub(crate) revision: Revision,
     pub(crate) promised: bool,
@@ -147,12 +202,13 @@
     pub(crate) since: Timestamp,
     /// By rising slice.
     pub(crate) going: Vec<Going>,
-    pub(crate) retiring: Option<Retiring>,
     /// Own clock at which every grant or lease with these slices is surely over, known from when
     /// they are not wanted any more.
     pub(crate) end: Option<Timestamp>,
     /// Number of the transaction that was submitted last for it.
     pub(crate) txn: Option<u64>,
+    /// Whether its requests go on, as the transaction takes long.
+    pub(crate) loosed: bool,
 }
 
 impl Removal {
@@ -167,7 +223,7 @@
 
     /// Tells whether the upstream must not have the slices any more.
     pub(crate) fn is_revoking(&self) -> bool {
-        self.why == Why::Lost || self.going.iter().all(|g| g.drained)
+        self.why == Why::Lost
     }
 }
 
@@ -197,6 +253,8 @@
     pub(crate) upstream: UpstreamId,
     pub(crate) hold: u64,
     pub(crate) to: UpstreamId,
+    /// Slice that must be served there, or all if absent.
+    pub(crate) slice: Option<SliceNo>,
     pub(crate) revision: Revision,
     pub(crate) until: Timestamp,
 }
--- a/crates/own/src/keep.rs
+++ b/crates/own/src/keep.rs
@@ -36,10 +36,15 @@
             self.name_deputy(upstream);
             return;
         }
-        if row.slices.is_empty() && self.view.upstream(upstream).is_none() {
+        let empty = row.slices.is_empty() && held.outgoing.is_empty();
+        if empty && self.view.upstream(upstream).is_none() {
             self.write_vacant(upstream, held);
             return;
         }
+        if self.now >= held.clear_at {
+            self.clear_incoming(upstream, held);
+            return;
+        }
         self.keep_open(upstream, held, &row);
         self.rebalance(upstream, held);
     }
@@ -134,7 +139,8 @@
     /// Starts to hand the upstream to the host of its domain that should have it.
     fn rebalance(&mut self, upstream: &UpstreamId, held: &mut Held) {
         let span = self.cfg.rebalance_after;
-        let quiet = held.removal.is_none() && held.inherit.quiet_at() <= self.now;
+        let still = held.removal.is_none() && held.outgoing.is_empty();
+        let quiet = still && held.inherit.quiet_at() <= self.now;
         if !quiet || self.now.since(held.since) < span || self.is_handing() {
             return;
         }
--- a/crates/own/src/lib.rs
+++ b/crates/own/src/lib.rs
@@ -24,6 +24,7 @@
 mod renew;
 mod replica;
 mod roster;
+mod transfer;
 mod view;
 
 pub mod action;
@@ -38,6 +39,6 @@
 pub use event::{CommitOutcome, Event};
 pub use host::HostRef;
 pub use machine::Machine;
-pub use row::{Assigned, Carved, EntryRow, OwnChange, OwnRow, RowError, Writer};
+pub use row::{Assigned, Carved, EntryRow, Incoming, OwnChange, OwnRow, RowError, Writer};
 pub use settings::{OwnSettings, SettingsError};
 pub use verify::{Snapshot, Violation, verify};
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -13,6 +13,7 @@
 use crate::peers::Mark;
 use crate::replica::{Known, Replica, Taken};
 use crate::roster::Roster;
+use crate::transfer::is_unreleased;
 use crate::view::View;
 use crate::{
     Action, CommitOutcome, EntryRow, Event, HostRef, OwnChange, OwnRow, OwnSettings, Stop, Writer,
@@ -28,6 +29,8 @@
     pub(crate) me: HostRef,
     pub(crate) now: Timestamp,
     pub(crate) out: Vec<Action>,
+    /// Messages to this host itself.
+    pub(crate) loopback: Vec<Body>,
     pub(crate) roster: Roster,
     pub(crate) replica: Replica,
     pub(crate) view: View,
@@ -52,6 +55,7 @@
     pub(crate) watch_at: Timestamp,
     pub(crate) scan_at: Timestamp,
     pub(crate) leaving: bool,
+    pub(crate) leaving_since: Option<Timestamp>,
     pub(crate) left: bool,
     last_number: u64,
 }
@@ -67,6 +71,7 @@
             me,
             now: Timestamp::ZERO,
             out: Vec::new(),
+            loopback: Vec::new(),
             replica: Replica::default(),
             view: View::default(),
             commits: Commits::default(),
@@ -83,6 +88,7 @@
             watch_at: Timestamp::ZERO,
             scan_at: Timestamp::ZERO,
             leaving: false,
+            leaving_since: None,
             left: false,
             last_number: 0,
         }
@@ -119,6 +125,10 @@
         self.now = now;
         self.roster.runs(now, self.cfg.pause());
         self.take(event);
+        while let Some(body) = self.loopback.pop() {
+            let me = self.me.clone();
+            self.on_body(&me, &body);
+        }
         actions.append(&mut self.out);
     }
 
@@ -169,6 +179,7 @@
             Event::FoldWish { entry, hot } => self.on_fold(&entry, hot),
             Event::Leave => {
                 self.leaving = true;
+                self.leaving_since = Some(self.now);
                 self.advance_all();
             }
         }
@@ -263,7 +274,10 @@
         self.ask_predecessors(upstream, &mut held);
         self.tell_serving(upstream, &mut held);
         self.keep_row(upstream, &mut held);
+        self.ask_free(upstream, &mut held);
         self.move_slices(upstream, &mut held);
+        self.ask_to_retire(upstream, &mut held);
+        self.free_outgoing(upstream, &mut held);
         self.hand_over(upstream, &mut held);
         self.held.insert(upstream.clone(), held);
     }
@@ -387,7 +401,7 @@
             why,
         });
         for hold in held.holds() {
-            self.settle_hold(upstream, hold, upstream.clone(), Revision(0));
+            self.settle_hold(upstream, hold, None, upstream.clone(), Revision(0));
         }
     }
 
@@ -533,6 +547,9 @@
 
     pub(crate) fn send(&mut self, to: &HostRef, body: Body) {
         if to.is(&self.me) {
+            if matches!(body, Body::AskFree(_) | Body::Freed(_)) {
+                self.loopback.push(body);
+            }
             return;
         }
         let message = Box::new(PeerMessage {
@@ -556,10 +573,16 @@
         let kept = |s: &SliceNo| {
             let retired = mark.is_some_and(|m| m.slices.binary_search(s).is_ok());
             let parked = held.parked.iter().any(|g| g.slice == *s);
-            !retired && !parked && removal.is_none_or(|r| !r.holds(*s))
+            let going = parked || removal.is_some_and(|r| r.holds(*s));
+            !retired && !going && !is_unreleased(&known.row, held, *s)
         };
         let all = known.row.slices.iter().map(|a| a.slice);
-        all.filter(kept).collect()
+        let outgoing = held.outgoing.iter();
+        let still = outgoing.filter(|(_, o)| o.had && o.end.is_none());
+        let mut wanted = all.filter(kept).collect::<Vec<_>>();
+        wanted.extend(still.map(|(s, _)| *s));
+        wanted.sort();
+        wanted
     }
 }
 
--- a/crates/own/src/moves.rs
+++ b/crates/own/src/moves.rs
@@ -1,24 +1,26 @@
 //! Taking slices off an upstream.
 //!
-//! Slices go in one transaction on the rows of both sides, and only once
+//! Slices that move as planned are recorded first, in one transaction on the rows of both sides,
+//! and go from one to the other then (see [`transfer`](crate::transfer)). Slices of a lost
+//! upstream are recorded only once
 //! - nobody who coordinated the upstream before can still grant them,
 //! - the deputy promised not to grant them on its reserve, and
-//! - the upstream gave them up, or its grant is surely over.
+//! - the upstream's grant is surely over.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{EntryId, Revision, SliceNo, UpstreamId};
+use ids::{EntryId, Revision, SliceNo, Timestamp, UpstreamId};
 use platform::Txn;
-use wire::own::{Body, Retire};
 
 use crate::commits::Subject;
-use crate::held::{Going, Held, Removal, Retiring, SHORT_PATIENCE, Settling, Why};
+use crate::held::{Going, Held, Removal, SHORT_PATIENCE, Settling, Why};
 use crate::machine::{Machine, check, write};
 use crate::replica::Known;
 use crate::roster::weight;
-use crate::{Action, Assigned, Carved, HostRef, OwnRow};
+use crate::transfer::is_unreleased;
+use crate::{Action, Assigned, Carved, HostRef, Incoming, OwnRow};
 
 /// Longest time that a wished move may take before it is given up.
 const LONGEST_WISH: Duration = Duration::from_secs(2);
@@ -65,7 +67,8 @@
         // Higher than any generation that the slice can have had before: each change of its
         // owner was a transaction of its own.
         let generation = known.revision.0 + 1;
-        if known.row.carved.iter().any(|c| c.hot == hot) {
+        let known_hot = known.row.carved.iter().any(|c| c.hot == hot);
+        if known_hot || self.is_on_its_way(&upstream, base) {
             return;
         }
         self.rewrite(&upstream, |row| {
@@ -83,22 +86,27 @@
         let Some(upstream) = self.holder(entry, hot) else {
             return;
         };
-        self.with_held(&upstream, |_, h| {
-            h.folds.insert(hot);
+        let known = self.replica.get(&upstream);
+        let carved = known.and_then(|k| k.row.carved.iter().find(|c| c.hot == hot));
+        let Some(base) = carved.map(|c| c.base) else {
+            return;
+        };
+        if self.is_on_its_way(&upstream, hot) || self.is_on_its_way(&upstream, base) {
+            return;
+        }
+        // The upstream has the key either way. A deputy that knows only the row before is asked
+        // before the slice moves on.
+        self.rewrite(&upstream, |row| {
+            row.carved.retain(|c| c.hot != hot);
+            row.slices.retain(|a| a.slice != hot);
         });
     }
 
-    /// Returns the carved-out keys that should and can go back into their slices.
-    ///
-    /// They are revoked like slices that move: a deputy that knows only the row before would else
-    /// grant the key here after its slice moved on.
-    fn take_folds(upstream: &UpstreamId, held: &mut Held, known: &Known) -> Plan {
-        let folds = std::mem::take(&mut held.folds);
-        let row = &known.row;
-        let here = |s: &SliceNo| row.holds(*s) && row.carved.iter().any(|c| c.hot == *s);
-        let slices = folds.into_iter().filter(here).collect::<Vec<_>>();
-        let groups = (!slices.is_empty()).then(|| (upstream.clone(), slices));
-        groups.into_iter().collect()
+    /// Tells whether a slice of an upstream of this host may still be another upstream's.
+    fn is_on_its_way(&self, upstream: &UpstreamId, slice: SliceNo) -> bool {
+        let held = self.held.get(upstream);
+        let waits = held.map(|h| self.unreleased(upstream, h));
+        waits.is_some_and(|w| w.iter().any(|i| i.slice == slice))
     }
 
     /// Starts and pursues the removal of slices that should go.
@@ -108,6 +116,7 @@
         }
         if self.is_busy(upstream) {
             self.give_up_unsent(upstream, held);
+            self.loose(upstream, held);
             return;
         }
         if self.has_yielded(upstream, held) {
@@ -124,12 +133,32 @@
             self.cancel_removal(upstream, held);
             return;
         }
-        self.ask_to_retire(upstream, held);
         if self.may_remove(upstream, held) {
             self.submit_removal(upstream, held);
         }
     }
 
+    /// Lets the requests of a planned move go on whose transaction takes long: the upstream has
+    /// the slices until they are freed, whatever became of it.
+    fn loose(&mut self, upstream: &UpstreamId, held: &mut Held) {
+        let subject = Subject::Upstream(upstream.clone());
+        let Some(p) = self.commits.get(&subject) else {
+            return;
+        };
+        let slow = p.is_in_doubt() || self.now.since(p.sent_at) >= self.cfg.loose_after;
+        let planned = |r: &&mut Removal| r.why != Why::Lost && !r.loosed && r.txn == Some(p.txn);
+        let Some(r) = held.removal.as_mut().filter(planned) else {
+            return;
+        };
+        if !slow {
+            return;
+        }
+        r.loosed = true;
+        for hold in r.going.iter().map(|g| g.hold).collect::<Vec<_>>() {
+            self.release(upstream, hold, upstream.clone(), self.me.clone());
+        }
+    }
+
     fn start_removal(&mut self, upstream: &UpstreamId, kept: &mut Held) {
         if self.leaving || !self.table_reachable {
             return;
@@ -140,15 +169,14 @@
         let all = known.row.slices.iter().map(|a| a.slice);
         let (why, plan) = if self.is_lost(upstream, kept) {
             (Why::Lost, self.spread(upstream, all))
-        } else if !self.may_plan(upstream, kept) {
+        } else if !kept.outgoing.is_empty() || !self.may_plan(upstream, kept) {
             return;
         } else if self.is_emptying(upstream, kept) {
-            let batch = all.take(self.cfg.move_batch);
+            let here = all.filter(|s| !is_unreleased(&known.row, kept, *s));
+            let batch = here.take(self.cfg.move_batch);
             (Why::Emptying, self.spread(upstream, batch))
-        } else if kept.folds.is_empty() {
-            (Why::Wish, self.take_wishes(upstream, kept, &known))
         } else {
-            (Why::Fold, Self::take_folds(upstream, kept, &known))
+            (Why::Wish, self.take_wishes(upstream, kept, &known))
         };
         if plan.is_empty() {
             return;
@@ -158,22 +186,31 @@
             going.extend(slices.into_iter().map(|s| (s, to.clone())));
         }
         going.sort();
-        let going = going.into_iter().map(|(s, to)| self.hold(upstream, s, to));
+        let going = going.into_iter().map(|(s, to)| {
+            let generation = known.row.generation(s).map_or(0, |g| g + 1);
+            self.hold(upstream, s, generation, to)
+        });
         let going = going.collect();
         kept.removal = Some(Removal {
             why,
             since: self.now,
             going,
-            retiring: None,
             end: None,
             txn: None,
+            loosed: false,
         });
         self.want_scope(upstream, kept);
         self.tell_lease(upstream, kept);
     }
 
     /// Holds the requests of a slice that is to go.
-    fn hold(&mut self, upstream: &UpstreamId, slice: SliceNo, to: UpstreamId) -> Going {
+    pub(crate) fn hold(
+        &mut self,
+        upstream: &UpstreamId,
+        slice: SliceNo,
+        generation: u64,
+        to: UpstreamId,
+    ) -> Going {
         let hold = self.number();
         self.out.push(Action::Hold {
             upstream: upstream.clone(),
@@ -182,6 +219,7 @@
         });
         Going {
             slice,
+            generation,
             hold,
             to,
             drained: false,
@@ -205,14 +243,14 @@
             why: Why::Lost,
             since: self.now,
             going: parked,
-            retiring: None,
             end: held.parked_end,
             txn: None,
+            loosed: false,
         });
     }
 
     /// Tells whether an upstream is lost: its grant is over and it replies to nothing.
-    fn is_lost(&self, upstream: &UpstreamId, held: &Held) -> bool {
+    pub(crate) fn is_lost(&self, upstream: &UpstreamId, held: &Held) -> bool {
         if self.view.in_lost_domain(upstream) {
             return true;
         }
@@ -263,7 +301,8 @@
         let mut plan = Plan::new();
         let mut taken = 0;
         while let Some((slice, to)) = held.wishes.pop_first() {
-            if known.row.holds(slice) && self.is_target(upstream, &to) {
+            let here = known.row.holds(slice) && !is_unreleased(&known.row, held, slice);
+            if here && self.is_target(upstream, &to) {
                 plan.entry(to).or_default().push(slice);
                 taken += 1;
             }
@@ -289,9 +328,9 @@
         };
         match r.why {
             Why::Lost => !self.is_lost(upstream, held) && !held.link.is_silent_since(r.since),
-            Why::Wish | Why::Fold | Why::Emptying => {
+            Why::Wish | Why::Emptying => {
                 let long = self.now.since(r.since) >= LONGEST_WISH;
-                long || !self.table_reachable || !self.may_plan(upstream, held)
+                long || r.loosed || !self.table_reachable || !self.may_plan(upstream, held)
             }
         }
     }
@@ -322,6 +361,9 @@
         if r.is_revoking() || self.now.since(r.since) < held.patience {
             return;
         }
+        if r.going.iter().all(|g| g.drained) {
+            return;
+        }
         let busy = r.going.extract_if(.., |g| !g.drained).collect::<Vec<_>>();
         let none = r.going.is_empty();
         held.patience = (held.patience * 2).min(LONGEST_WISH);
@@ -329,11 +371,8 @@
             self.release(upstream, g.hold, upstream.clone(), self.me.clone());
         }
         if none {
-            self.cancel_removal(upstream, held);
-            return;
+            held.removal = None;
         }
-        self.want_scope(upstream, held);
-        self.tell_lease(upstream, held);
     }
 
     /// Gives a removal up: the slices stay.
@@ -341,85 +380,36 @@
         let Some(r) = held.removal.take() else {
             return;
         };
-        for g in r.going.into_iter().chain(held.parked.drain(..)) {
+        let going = r.going.into_iter().filter(|_| !r.loosed);
+        for g in going.chain(held.parked.drain(..)) {
             self.release(upstream, g.hold, upstream.clone(), self.me.clone());
         }
-        if r.retiring.is_some() {
-            self.send_retire(upstream, held, Vec::new());
-        }
         self.want_scope(upstream, held);
     }
 
-    /// Asks the deputy not to grant the slices, until it promised for the row as it stands.
-    fn ask_to_retire(&mut self, upstream: &UpstreamId, held: &mut Held) {
-        let Some(r) = &held.removal else {
-            return;
-        };
-        let Some(known) = self.replica.get(upstream) else {
-            return;
-        };
-        let current = r.retiring.filter(|t| t.revision == known.revision);
-        let again = self.cfg.watch_every / 2;
-        if current.is_some_and(|t| t.promised || self.now.since(t.sent_at) < again) {
-            return;
-        }
-        let slices = r.slices();
-        if let (Some(_), Some(deputy)) = (current, known.row.deputy.clone()) {
-            // It may not know the row yet, and can't promise anything about it then.
-            self.tell_newer(&deputy, upstream);
-        }
-        let retiring = self.send_retire(upstream, held, slices);
-        if let Some(r) = &mut held.removal {
-            r.retiring = retiring;
-        }
-    }
-
-    fn send_retire(
-        &mut self,
-        upstream: &UpstreamId,
-        held: &Held,
-        slices: Vec<SliceNo>,
-    ) -> Option<Retiring> {
-        let known = self.replica.get(upstream)?.clone();
-        let seq = self.number();
-        if let Some(deputy) = &known.row.deputy {
-            let body = Retire {
-                upstream: upstream.as_str().to_owned(),
-                epoch: held.epoch.0,
-                revision: known.revision.0,
-                slices: slices.into_iter().map(|s| s.0).collect(),
-                seq,
-            };
-            self.send(deputy, Body::Retire(body));
-        }
-        Some(Retiring {
-            seq,
-            revision: known.revision,
-            promised: known.row.deputy.is_none(),
-            sent_at: self.now,
-        })
-    }
-
-    /// Tells whether nobody can grant the slices any more.
+    /// Tells whether a removal may be recorded.
     fn may_remove(&self, upstream: &UpstreamId, held: &Held) -> bool {
         let Some(r) = &held.removal else {
             return false;
         };
-        let Some(known) = self.replica.get(upstream) else {
-            return false;
-        };
-        let retired = r.retiring.filter(|t| t.revision == known.revision);
+        if !r.is_revoking() {
+            return r.going.iter().all(|g| g.drained);
+        }
         // The end is known from when the slices are not wanted any more.
-        retired.is_some_and(|t| t.promised)
-            && r.is_revoking()
-            && r.end.is_some()
-            && held.inherit.quiet_at() <= self.now
+        let retired = |g: &Going| self.is_retired(upstream, held, g.slice);
+        r.end.is_some() && held.inherit.quiet_at() <= self.now && r.going.iter().all(retired)
     }
 
     /// Tells whether the upstream gave a slice up, or can't run requests of it any more.
-    fn is_given_up(&self, upstream: &UpstreamId, held: &Held, r: &Removal, g: &Going) -> bool {
-        let over = r.end.is_some_and(|end| end <= self.now);
-        let lost = r.why == Why::Lost;
+    pub(crate) fn is_given_up(
+        &self,
+        upstream: &UpstreamId,
+        held: &Held,
+        lost: bool,
+        end: Option<Timestamp>,
+        drained: bool,
+    ) -> bool {
+        let over = end.is_some_and(|end| end <= self.now);
         if self.view.in_lost_domain(upstream) || (lost && held.link.is_refused()) {
             return over;
         }
@@ -429,18 +419,18 @@
         if self.checks_grants(upstream) {
             // One that is lost, or not declared any more, can't be asked.
             let unasked = lost || self.view.upstream(upstream).is_none();
-            let own_done = g.drained || r.end.is_some_and(|end| end + finish <= self.now);
+            let own_done = drained || end.is_some_and(|end| end + finish <= self.now);
             // Others started their last ones before their last grant ended.
             let rest = finish.saturating_sub(self.cfg.grant_ttl);
             let done = harmless || (own_done && others + rest <= self.now);
             return held.link.is_settled(held.epoch) || (unasked && over && done);
         }
         if harmless {
-            return over && (g.drained || held.lease_end + finish <= self.now);
+            return over && (drained || held.lease_end + finish <= self.now);
         }
         // What was sent may still start at an upstream that froze, at any time; nor does anybody
         // know what a host has in hand that froze.
-        !lost && g.drained && self.others_done(upstream, held)
+        !lost && drained && self.others_done(upstream, held)
     }
 
     /// Returns how long a request may run at an upstream that replies.
@@ -454,19 +444,22 @@
         let Some(mut r) = held.removal.take() else {
             return false;
         };
-        let ready = |g: &Going| self.is_given_up(upstream, held, &r, g);
+        if !r.is_revoking() {
+            held.removal = Some(r);
+            return true;
+        }
+        let ready = |g: &Going| self.is_given_up(upstream, held, true, r.end, g.drained);
         let ready = r.going.iter().map(ready).collect::<Vec<_>>();
         let all = ready.iter().all(|r| *r);
         let any = ready.iter().any(|r| *r);
-        if any && !all && r.why == Why::Lost {
+        if any && !all {
             let mut ready = ready.into_iter();
             let waits = r.going.extract_if(.., |_| ready.next() == Some(false));
             held.parked.extend(waits);
             held.parked_end = r.end;
         }
-        let split = any && (all || r.why == Why::Lost);
         held.removal = Some(r);
-        split
+        any
     }
 
     fn submit_removal(&mut self, upstream: &UpstreamId, held: &mut Held) {
@@ -491,12 +484,15 @@
             return;
         }
         let close = matches!(r.why, Why::Lost | Why::Emptying);
+        let planned = r.why != Why::Lost;
+        let waits = self.unreleased(upstream, held);
         let subject = Subject::Upstream(upstream.clone());
         let submitted = self.commit(subject.clone(), |writer| {
             let mut from = OwnRow::clone(&known.row);
             from.writer = writer;
             from.open &= !close;
-            Some(moved(upstream, known.revision, from, &targets))
+            from.incoming = waits;
+            Some(moved(upstream, known.revision, from, &targets, planned))
         });
         if submitted && let Some(r) = &mut held.removal {
             r.txn = self.commits.get(&subject).map(|p| p.txn);
@@ -535,7 +531,7 @@
         let mut all = true;
         let named = r.going.iter().map(|g| g.to.clone());
         let named = named.collect::<BTreeSet<_>>().into_iter();
-        let unfit = named.filter(|to| r.why != Why::Fold && !self.is_target(upstream, to));
+        let unfit = named.filter(|to| !self.is_target(upstream, to));
         let unfit = unfit.collect::<BTreeSet<_>>();
         for g in r.going.iter_mut().filter(|g| unfit.contains(&g.to)) {
             let plan = self.spread(upstream, std::iter::once(g.slice));
@@ -553,20 +549,22 @@
         let Some(known) = self.replica.get(upstream).cloned() else {
             return;
         };
-        let Some(held) = self.held.get_mut(upstream) else {
+        let Some(mut held) = self.held.remove(upstream) else {
             return;
         };
-        let Some(r) = &held.removal else {
-            return;
-        };
-        if r.slices().iter().any(|s| known.row.holds(*s)) {
-            return;
-        }
-        held.patience = SHORT_PATIENCE;
-        let going = held.removal.take().map(|r| r.going);
-        for g in going.into_iter().flatten() {
-            self.settle_hold(upstream, g.hold, g.to, known.revision);
+        self.forget_stays(upstream, &mut held);
+        let still = |r: &Removal| r.slices().iter().any(|s| known.row.holds(*s));
+        if let Some(r) = held.removal.take_if(|r| !still(r)) {
+            held.patience = SHORT_PATIENCE;
+            if r.is_revoking() {
+                for g in r.going {
+                    self.settle_hold(upstream, g.hold, Some(g.slice), g.to, known.revision);
+                }
+            } else {
+                self.start_outgoing(upstream, &mut held, r);
+            }
         }
+        self.held.insert(upstream.clone(), held);
     }
 
     /// Keeps requests held until `to` serves the row of this revision.
@@ -574,6 +572,7 @@
         &mut self,
         upstream: &UpstreamId,
         hold: u64,
+        slice: Option<SliceNo>,
         to: UpstreamId,
         revision: Revision,
     ) {
@@ -581,6 +580,7 @@
             upstream: upstream.clone(),
             hold,
             to,
+            slice,
             revision,
             until: self.now + LONGEST_HOLD,
         });
@@ -592,7 +592,11 @@
             let known = self.replica.get(&s.to);
             let newer = known.is_some_and(|k| k.revision >= s.revision);
             let held = self.held.get(&s.to);
-            newer && held.is_some_and(|h| self.is_serving(&s.to, h))
+            let came = |h: &Held| {
+                let waits = self.unreleased(&s.to, h);
+                waits.iter().all(|i| s.slice.is_some_and(|s| s != i.slice))
+            };
+            newer && held.is_some_and(|h| self.is_serving(&s.to, h) && came(h))
         };
         let done = |s: &Settling| self.now >= s.until || served(s);
         let (due, kept) = self.settling.iter().cloned().partition(done);
@@ -601,13 +605,22 @@
     }
 
     /// Releases requests that were held for a host which serves now.
-    pub(crate) fn release_served(&mut self, to: &UpstreamId, by: &HostRef, revision: Revision) {
+    pub(crate) fn release_served(
+        &mut self,
+        to: &UpstreamId,
+        by: &HostRef,
+        revision: Revision,
+        without: &[SliceNo],
+    ) {
         let known = self.replica.get(to);
         let named = known.and_then(|k| k.row.coordinator.as_ref());
         if !named.is_some_and(|c| c.is(by)) {
             return;
         }
-        let due = |s: &Settling| s.to == *to && s.revision <= revision;
+        let due = |s: &Settling| {
+            let came = s.slice.is_none_or(|s| without.binary_search(&s).is_err());
+            s.to == *to && s.revision <= revision && came
+        };
         let (due, kept) = self.settling.iter().cloned().partition(due);
         self.settling = kept;
         self.release_all(due);
@@ -629,32 +642,24 @@
     revision: Revision,
     mut from: OwnRow,
     going: &[(Going, Known)],
+    planned: bool,
 ) -> Txn {
     let mut checks = vec![check(upstream, Some(revision))];
     let mut rows = BTreeMap::<UpstreamId, OwnRow>::new();
     for (g, target) in going {
-        if g.to == *upstream {
-            fold(&mut from, g.slice);
-            continue;
-        }
         let row = rows.entry(g.to.clone()).or_insert_with(|| {
             checks.push(check(&g.to, Some(target.revision)));
             OwnRow::clone(&target.row)
         });
         row.writer = from.writer.clone();
         take_slice(&mut from, row, g.slice);
+        mark_incoming(upstream, &mut from, (&g.to, row), g.slice, planned);
     }
     let mut writes = vec![write(upstream, &from)];
     writes.extend(rows.iter().map(|(u, row)| write(u, row)));
     Txn { checks, writes }
 }
 
-/// Puts a carved-out key back into its slice.
-fn fold(row: &mut OwnRow, hot: SliceNo) {
-    row.carved.retain(|c| c.hot != hot);
-    row.slices.retain(|a| a.slice != hot);
-}
-
 /// Moves a slice, and the hot keys carved out of it, from one row to another.
 fn take_slice(from: &mut OwnRow, to: &mut OwnRow, slice: SliceNo) {
     let taken = from.slices.extract_if(.., |a| a.slice == slice);
@@ -667,3 +672,27 @@
     to.carved.extend(carved);
     to.carved.sort();
 }
+
+/// Marks a slice that moves as not free yet: at the upstream that it leaves, or, if that one is
+/// lost, at the one before if it was not free there.
+fn mark_incoming(
+    upstream: &UpstreamId,
+    from: &mut OwnRow,
+    (target, to): (&UpstreamId, &mut OwnRow),
+    slice: SliceNo,
+    planned: bool,
+) {
+    let before = from.incoming.extract_if(.., |i| i.slice == slice);
+    let before = before.map(|i| i.from).last();
+    let owner = if planned {
+        Some(upstream.clone())
+    } else {
+        before
+    };
+    // One that never let go of it has it again.
+    let owner = owner.filter(|o| o != target);
+    to.incoming.retain(|i| i.slice != slice);
+    to.incoming
+        .extend(owner.map(|from| Incoming { slice, from }));
+    to.incoming.sort();
+}
--- a/crates/own/src/peers.rs
+++ b/crates/own/src/peers.rs
@@ -33,23 +33,30 @@
             return;
         }
         self.heard(&from, true);
+        self.on_body(&from, body);
+    }
+
+    /// Takes in a message of another host, or one to this host itself.
+    pub(crate) fn on_body(&mut self, from: &HostRef, body: &Body) {
         match body {
-            Body::Watch(m) => self.on_watch(&from, m),
-            Body::Promise(m) => self.on_promise(&from, m),
-            Body::Retire(m) => self.on_retire(&from, m),
-            Body::Retired(m) => self.on_retired(&from, m),
-            Body::Supersede(m) => self.on_supersede(&from, m),
-            Body::Superseded(m) => self.on_superseded(&from, m),
-            Body::Told(m) => self.on_told(&from, m),
-            Body::Handover(m) => self.on_handover(&from, m),
-            Body::Serving(m) => self.on_serving(&from, m),
+            Body::Watch(m) => self.on_watch(from, m),
+            Body::Promise(m) => self.on_promise(from, m),
+            Body::Retire(m) => self.on_retire(from, m),
+            Body::Retired(m) => self.on_retired(from, m),
+            Body::Supersede(m) => self.on_supersede(from, m),
+            Body::Superseded(m) => self.on_superseded(from, m),
+            Body::Told(m) => self.on_told(from, m),
+            Body::Handover(m) => self.on_handover(from, m),
+            Body::Serving(m) => self.on_serving(from, m),
+            Body::AskFree(m) => self.on_ask_free(from, m),
+            Body::Freed(m) => self.on_freed(m),
             Body::Ping(Ping { stamp_us }) => {
                 let stamp_us = *stamp_us;
-                self.send(&from, Body::Pong(Pong { stamp_us }));
+                self.send(from, Body::Pong(Pong { stamp_us }));
             }
             Body::Pong(Pong { stamp_us }) => {
                 let echo = Timestamp::from_micros(*stamp_us);
-                self.roster.echoed(&from, echo.min(self.now));
+                self.roster.echoed(from, echo.min(self.now));
             }
         }
     }
@@ -162,6 +169,7 @@
     }
 
     fn on_retire(&mut self, from: &HostRef, m: &Retire) {
+        self.take_told(&m.upstream, m.revision, m.row.as_ref());
         let Ok(upstream) = UpstreamId::new(m.upstream.as_str()) else {
             return;
         };
@@ -204,7 +212,7 @@
             return;
         }
         self.with_held(&upstream, |_, h| {
-            let retiring = h.removal.as_mut().and_then(|r| r.retiring.as_mut());
+            let retiring = h.retiring.as_mut();
             if let Some(r) = retiring.filter(|r| r.seq == m.seq) {
                 r.promised = true;
             }
@@ -303,7 +311,7 @@
         if self.held.contains_key(upstream) {
             return;
         }
-        // Whoever hands over has no removal under way.
+        // Whoever hands over has no slices on their way.
         self.marks.remove(upstream);
         self.take_over(upstream);
         self.with_held(upstream, |_, h| h.was_handed = true);
@@ -317,7 +325,9 @@
         if done.is_some_and(|h| h.to.is(from) && m.epoch >= h.epoch.0) {
             self.release_handed(&upstream);
         }
-        self.release_served(&upstream, from, Revision(m.revision));
+        let without = m.without.iter().copied().map(SliceNo);
+        let without = without.collect::<Vec<_>>();
+        self.release_served(&upstream, from, Revision(m.revision), &without);
     }
 
     /// Passes a row that was just written on to the hosts that it names.
--- a/crates/own/src/renew.rs
+++ b/crates/own/src/renew.rs
@@ -15,14 +15,21 @@
         self.view.known(upstream).is_none_or(|u| u.checks_grants)
     }
 
+    /// Sets what the upstream should have. What is not wanted any more is over when all that was
+    /// granted or leased until now is.
     pub(crate) fn want_scope(&self, upstream: &UpstreamId, held: &mut Held) {
+        let end = held.link.end().max(held.lease_end);
+        let lost = self.is_lost(upstream, held);
+        let removal = held.removal.as_mut().filter(|r| r.is_revoking());
+        if let Some(r) = removal {
+            r.end = r.end.or(Some(end));
+        }
+        let outgoing = held.outgoing.values_mut();
+        for o in outgoing.filter(|o| o.drained || lost || !o.had) {
+            o.end = o.end.or(Some(end));
+        }
         let wanted = self.wanted(upstream, held);
-        let before = (held.link.end(), held.lease_end);
         held.link.want(self.now, &wanted);
-        let revoking = held.removal.as_mut().filter(|r| r.is_revoking());
-        if let Some(r) = revoking.filter(|r| r.end.is_none()) {
-            r.end = Some(before.0.max(before.1));
-        }
     }
 
     /// Tells the lease if it changed.
@@ -155,7 +162,10 @@
 
     /// Tells those who could act before that they were replaced, until they say that they stopped.
     pub(crate) fn ask_predecessors(&mut self, upstream: &UpstreamId, held: &mut Held) {
-        let over = |h: &&HostRef| self.roster.is_over(h);
+        let long = self.cfg.gone_after;
+        let over = |h: &&HostRef| {
+            self.roster.is_over(h) || self.roster.forgotten(h, held.awake_since, long)
+        };
         let gone = held.inherit.waiting().iter().filter(over).cloned();
         let last = self.now + self.cfg.outlast(self.cfg.grant_ttl);
         let end = last.max(held.older_since + self.cfg.quiet());
@@ -193,15 +203,25 @@
         let Some(revision) = self.replica.get(upstream).map(|k| k.revision) else {
             return;
         };
-        let due = |t: &(HostRef, ids::Revision)| t.1 <= revision;
-        let told = held.tells.extract_if(.., |t| due(t)).collect::<Vec<_>>();
-        for (host, _) in told {
+        let without = self.unreleased(upstream, held);
+        let without = without.iter().map(|i| i.slice.0).collect::<Vec<_>>();
+        let mut due = Vec::new();
+        for t in &mut held.tells {
+            if t.revision <= revision && t.without.as_ref() != Some(&without) {
+                t.without = Some(without.clone());
+                due.push(t.host.clone());
+            }
+        }
+        held.tells
+            .retain(|t| !t.without.as_ref().is_some_and(Vec::is_empty));
+        for host in due {
             self.send(
                 &host,
                 Body::Serving(Serving {
                     upstream: upstream.as_str().to_owned(),
                     epoch: held.epoch.0,
                     revision: revision.0,
+                    without: without.clone(),
                 }),
             );
         }
--- a/crates/own/src/replica.rs
+++ b/crates/own/src/replica.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Known {
     pub(crate) revision: Revision,
     pub(crate) row: Arc<OwnRow>,
+    /// When this host first knew the row.
+    pub(crate) taken: Timestamp,
     /// When this host first knew the row's epoch.
     pub(crate) since: Timestamp,
     /// The same in awake time.
@@ -72,6 +74,7 @@
         let known = Known {
             revision,
             row,
+            taken: now,
             since,
             awake_since,
         };
--- a/crates/own/src/row.rs
+++ b/crates/own/src/row.rs
@@ -58,6 +58,15 @@
     pub base: SliceNo,
 }
 
+/// A slice that came by a planned move, and that the upstream before may still have.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Incoming {
+    /// Slice.
+    pub slice: SliceNo,
+    /// Upstream that had it.
+    pub from: UpstreamId,
+}
+
 /// Which write made a row; no two writes have the same one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Writer {
@@ -84,6 +93,8 @@
     pub slices: Vec<Assigned>,
     /// Hot keys carved out of these slices, wherever they are now; rising.
     pub carved: Vec<Carved>,
+    /// Those of the slices that another upstream may still have; rising.
+    pub incoming: Vec<Incoming>,
     /// Hosts that may have requests in hand for the upstream from before and never said that they
     /// stopped; only kept if it does not check grants.
     pub unsettled: Vec<HostRef>,
@@ -106,6 +117,13 @@
             .is_ok()
     }
 
+    /// Returns how often `slice`, if it is the upstream's, changed its owner.
+    #[must_use]
+    pub fn generation(&self, slice: SliceNo) -> Option<u64> {
+        let found = self.slices.binary_search_by_key(&slice, |a| a.slice).ok()?;
+        Some(self.slices[found].generation)
+    }
+
     /// Encodes the row's value.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
@@ -125,6 +143,10 @@
             hot: c.hot.0,
             base: c.base.0,
         };
+        let incoming = |i: &Incoming| wire::own::Incoming {
+            slice: i.slice.0,
+            from: i.from.as_str().to_owned(),
+        };
         Self {
             epoch: row.epoch.0,
             coordinator: row.coordinator.as_ref().map(Into::into),
@@ -137,6 +159,7 @@
             writer_incarnation: row.writer.incarnation.0,
             writer_seq: row.writer.seq,
             unsettled: row.unsettled.iter().map(Into::into).collect(),
+            incoming: row.incoming.iter().map(incoming).collect(),
         }
     }
 }
@@ -154,6 +177,12 @@
             hot: SliceNo(c.hot),
             base: SliceNo(c.base),
         };
+        let incoming = |i: &wire::own::Incoming| -> Result<Incoming, RowError> {
+            Ok(Incoming {
+                slice: SliceNo(i.slice),
+                from: UpstreamId::new(i.from.as_str())?,
+            })
+        };
         Ok(Self {
             epoch: Epoch(row.epoch),
             coordinator: row
@@ -170,6 +199,11 @@
                 })
                 .collect(),
             carved: row.carved.iter().map(carved).collect(),
+            incoming: row
+                .incoming
+                .iter()
+                .map(incoming)
+                .collect::<Result<_, _>>()?,
             unsettled: row
                 .unsettled
                 .iter()
--- a/crates/own/src/settings.rs
+++ b/crates/own/src/settings.rs
@@ -49,6 +49,13 @@
     /// Time after which a host that was heard of neither directly nor through others is no
     /// candidate for anything.
     pub roster: Duration,
+    /// Time after which a planned move whose transaction has no result lets its requests go on.
+    pub loose_after: Duration,
+    /// Time after a slice came after which its row forgets where from.
+    pub clear_after: Duration,
+    /// Silence after which a host is taken for surely over: nothing that it had in hand can be sent
+    /// any more.
+    pub gone_after: Duration,
     /// Time for which an entry waits for all its upstreams before its slices are handed out.
     pub hand_out_after: Duration,
     /// Time after which an upstream whose domain has no host that is up may be claimed by hosts of
@@ -76,6 +83,9 @@
             commit_retry: Duration::from_millis(300),
             commit_patience: Duration::from_secs(1),
             roster: Duration::from_secs(1),
+            loose_after: Duration::from_millis(100),
+            clear_after: Duration::from_millis(500),
+            gone_after: Duration::from_mins(10),
             hand_out_after: Duration::from_millis(400),
             foreign_after: Duration::from_secs(3),
             rebalance_after: Duration::from_secs(10),
--- a/crates/own/tests/own/cost.rs
+++ b/crates/own/tests/own/cost.rs
@@ -53,6 +53,7 @@
             })
             .collect(),
         carved: Vec::new(),
+        incoming: Vec::new(),
         unsettled: Vec::new(),
         writer: Writer {
             host: host(c).host,
--- a/crates/own/tests/own/main.rs
+++ b/crates/own/tests/own/main.rs
@@ -3,4 +3,5 @@
 mod cost;
 mod interleaving;
 mod plain;
+mod times;
 mod world;
--- a/crates/own/tests/own/plain.rs
+++ b/crates/own/tests/own/plain.rs
@@ -23,8 +23,10 @@
     faults: &'static [(u64, Fault)],
     /// Longest time for which a slice may stay unserved, in milliseconds.
     unserved_ms: u64,
-    /// Whether slices may change their owner.
+    /// Whether slices change their owner.
     moves: bool,
+    /// Most writes to the table.
+    writes: u64,
 }
 
 fn case(name: &'static str, unserved_ms: u64, faults: &'static [(u64, Fault)]) -> Case {
@@ -34,6 +36,7 @@
         faults,
         unserved_ms,
         moves: false,
+        writes: 8,
     }
 }
 
@@ -140,6 +143,22 @@
             400,
             &[(0, TableDown), (1_500, LeaveHost(0))],
         ),
+        Case {
+            setup: Setup {
+                unconfirmed: 100,
+                ..Setup::default()
+            },
+            ..moving(case(
+                "move recorded as the table goes, and not confirmed",
+                300,
+                &[(0, Wish(0, 2)), (30, TableDown), (2_500, TableUp)],
+            ))
+        },
+        case(
+            "move not recorded as the table goes",
+            300,
+            &[(0, TableDown), (0, Wish(0, 2))],
+        ),
         moving(case("upstream emptied", 200, &[(0, EmptyUpstream(0))])),
         moving(case("upstream removed", 1_000, &[(0, RemoveUpstream(0))])),
         moving(case(
@@ -194,6 +213,9 @@
     if unserved > case.unserved_ms {
         wrong.push(format!("{}: unserved {unserved} ms", case.name));
     }
+    if writes > case.writes {
+        wrong.push(format!("{}: {writes} writes", case.name));
+    }
     if moved != case.moves {
         wrong.push(format!("{}: moved: {moved}", case.name));
     }
--- a/crates/wire/src/own.rs
+++ b/crates/wire/src/own.rs
@@ -36,6 +36,17 @@
     pub base: u64,
 }
 
+/// A slice that came by a planned move, and that the upstream before may still have.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Incoming {
+    /// Slice.
+    #[prost(fixed64, tag = "1")]
+    pub slice: u64,
+    /// Upstream that had it.
+    #[prost(string, tag = "2")]
+    pub from: String,
+}
+
 /// Content of the row `own/<upstream>`.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Row {
@@ -72,6 +83,9 @@
     /// Hosts that acted for the upstream before and never said that they stopped.
     #[prost(message, repeated, tag = "11")]
     pub unsettled: Vec<HostRef>,
+    /// Those of `slices` that another upstream may still have; rising.
+    #[prost(message, repeated, tag = "12")]
+    pub incoming: Vec<Incoming>,
 }
 
 /// Content of the row `own/entry/<entry>`: the entry's slices were handed out.
@@ -178,6 +192,9 @@
     /// Number of this question; the answer returns it.
     #[prost(uint64, tag = "5")]
     pub seq: u64,
+    /// The row, if the receiver may not know it yet: it can't promise anything about it then.
+    #[prost(message, optional, tag = "6")]
+    pub row: Option<Row>,
 }
 
 /// A deputy's promise on a [`Retire`].
@@ -270,6 +287,48 @@
     /// Revision of the row that it serves.
     #[prost(uint64, tag = "3")]
     pub revision: u64,
+    /// Slices of that row that it does not serve yet, rising.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub without: Vec<u64>,
+}
+
+/// A slice in one of its owners' hands.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Stay {
+    /// Slice.
+    #[prost(fixed64, tag = "1")]
+    pub slice: u64,
+    /// How often it had changed its owner, with the change to this one.
+    #[prost(uint64, tag = "2")]
+    pub generation: u64,
+}
+
+/// Asks the coordinating host of an upstream whether slices that moved away are free there.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct AskFree {
+    /// Upstream that had them.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Upstream that owns them now.
+    #[prost(string, tag = "2")]
+    pub to: String,
+    /// Slices, rising.
+    #[prost(message, repeated, tag = "3")]
+    pub slices: Vec<Stay>,
+}
+
+/// Says that slices that moved away are free: nobody grants them at the upstream before any more.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Freed {
+    /// Upstream that had them.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Upstream that owns them now.
+    #[prost(string, tag = "2")]
+    pub to: String,
+    /// Slices, rising.
+    #[prost(message, repeated, tag = "3")]
+    pub slices: Vec<Stay>,
 }
 
 /// Asks whether the receiver is up, before the sender claims upstreams of it.
@@ -324,6 +383,12 @@
     /// See [`Pong`].
     #[prost(message, tag = "12")]
     Pong(Pong),
+    /// See [`AskFree`].
+    #[prost(message, tag = "13")]
+    AskFree(AskFree),
+    /// See [`Freed`].
+    #[prost(message, tag = "14")]
+    Freed(Freed),
 }
 
 /// An ownership message from one host to another.
@@ -333,6 +398,6 @@
     #[prost(message, optional, tag = "1")]
     pub from: Option<HostRef>,
     /// What the message is about.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
