--- /dev/null
+++ b/crates/assign/src/keeper.rs
@@ -0,0 +1,558 @@
+//! Grants, renews, releases and moves the ranges of one entry.
+//!
+//! Every host has a keeper; only that of the host which the row names acts. It is told what was
+//! read and how calls ended, and returns the calls and commits to make.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use ids::{Revision, Timestamp, UpstreamId};
+use smol_str::SmolStr;
+
+use crate::evidence::Evidence;
+use crate::live::{Former, Live, carry_over};
+use crate::loads::KeyLoads;
+use crate::plan::{Planner, UpstreamView};
+use crate::range::{Fence, KeyRange};
+use crate::row::{EntryRow, Run};
+use crate::settings::AssignSettings;
+
+/// Time between two releases of the same keys, while none is answered.
+const RELEASE_EVERY: Duration = Duration::from_millis(500);
+/// Renewals that may fail before their upstream counts as silent.
+const FAILURES_OF_SILENT: u32 = 2;
+
+/// A call to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrderCall {
+    /// Names the call in [`Keeper::call_ended`].
+    pub id: u64,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// What it is told.
+    pub kind: CallKind,
+    /// The keys.
+    pub range: KeyRange,
+    /// Fence of the call.
+    pub fence: Fence,
+}
+
+/// What an upstream is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallKind {
+    /// It may run requests on the keys.
+    Grant {
+        /// For how long, from the call's arrival.
+        hold: Duration,
+        /// What the former owner handed over.
+        handover: Option<SmolStr>,
+    },
+    /// It must not begin requests on the keys; it answers when those that run have ended.
+    Release,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The upstream did what it was told; a release may bring something for the next owner.
+    Done {
+        /// What keeps the keys warm.
+        handover: Option<SmolStr>,
+    },
+    /// The upstream has seen a higher fence.
+    Fenced,
+    /// Another run of a server answered: the upstream is gone.
+    Gone,
+    /// No answer came.
+    NoAnswer {
+        /// Whether the call may have arrived.
+        maybe_sent: bool,
+    },
+}
+
+/// How a commit ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CommitEnd {
+    /// It stands, at this revision.
+    Done(Revision),
+    /// It does not; the row as it stands, if it could be read.
+    Conflict(Option<(EntryRow, Revision)>),
+    /// It may stand, or may come to.
+    Unknown,
+    /// It surely does not.
+    NotDone,
+}
+
+/// What a keeper wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Call an upstream.
+    Call(OrderCall),
+    /// Write the row if it still has the given revision, or doesn't exist.
+    Commit {
+        /// The row.
+        row: EntryRow,
+        /// Revision that the present row must have.
+        expected: Option<Revision>,
+    },
+}
+
+/// What the host knows beside the row.
+#[derive(Debug)]
+pub struct Standing<'a> {
+    /// Upstreams of the entry that take requests.
+    pub ready: &'a [UpstreamView],
+    /// How busy the keys are.
+    pub loads: &'a KeyLoads,
+    /// Whether this host may move keys: what it knows of upstreams is fresh.
+    pub may_move: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Health {
+    failures: u32,
+    failing_since: Timestamp,
+}
+
+#[derive(Debug)]
+struct Proposed {
+    row: EntryRow,
+    expected: Option<Revision>,
+}
+
+/// A grant that got no answer and may still be carried out.
+#[derive(Debug)]
+struct Unanswered {
+    upstream: UpstreamId,
+    range: KeyRange,
+    sent: Timestamp,
+}
+
+/// A call on its way.
+#[derive(Debug)]
+struct Underway {
+    call: OrderCall,
+    sent: Timestamp,
+    /// When the grant before this one was sent.
+    sent_before: Timestamp,
+}
+
+#[derive(Debug)]
+struct Known {
+    row: EntryRow,
+    revision: Revision,
+    live: Vec<Live>,
+}
+
+/// The keeper of one entry at one host.
+#[derive(Debug)]
+pub struct Keeper {
+    cfg: AssignSettings,
+    planner: Planner,
+    me: Run,
+    known: Option<Known>,
+    evidence: Evidence,
+    /// Until when grants of earlier granting hosts may hold.
+    others_until: Timestamp,
+    commit: Option<Proposed>,
+    calls: HashMap<u64, Underway>,
+    next_call: u64,
+    unanswered: Vec<Unanswered>,
+    health: HashMap<UpstreamId, Health>,
+    gone: HashSet<UpstreamId>,
+    plan_at: Timestamp,
+}
+
+impl Keeper {
+    /// Creates the keeper of one entry at the host `me`.
+    #[must_use]
+    pub fn new(me: Run, cfg: AssignSettings, planner: Planner) -> Self {
+        Self {
+            cfg,
+            planner,
+            me,
+            known: None,
+            evidence: Evidence::default(),
+            others_until: Timestamp::ZERO,
+            commit: None,
+            calls: HashMap::new(),
+            next_call: 0,
+            unanswered: Vec::new(),
+            health: HashMap::new(),
+            gone: HashSet::new(),
+            plan_at: Timestamp::ZERO,
+        }
+    }
+
+    /// Returns the row that the host knows.
+    #[must_use]
+    pub fn row(&self) -> Option<&EntryRow> {
+        self.known.as_ref().map(|k| &k.row)
+    }
+
+    /// Tells whether the row names this run of this host as the granting one.
+    #[must_use]
+    pub fn is_granter(&self) -> bool {
+        self.row().is_some_and(|row| row.granter == self.me)
+    }
+
+    /// Tells whether this host grants: the row names it, and it knew so lately.
+    #[must_use]
+    pub fn is_granting(&self, now: Timestamp) -> bool {
+        self.is_granter() && self.evidence.is_within(now, self.cfg.evidence)
+    }
+
+    /// Returns how old this host's knowledge of the row is.
+    #[must_use]
+    pub fn evidence_age(&self, now: Timestamp) -> Option<Duration> {
+        self.evidence.age(now)
+    }
+
+    /// Notes a read of the store that began at `began` and brought everything up to then.
+    pub fn read(&mut self, began: Timestamp) {
+        self.evidence.read(began);
+    }
+
+    /// Takes a row that was read; older ones than the known one are left.
+    ///
+    /// Tells whether it is news.
+    pub fn take(&mut self, now: Timestamp, row: EntryRow, revision: Revision) -> bool {
+        if self.known.as_ref().is_some_and(|k| k.revision >= revision) {
+            return false;
+        }
+        let was_granter = self.is_granter();
+        let old = self.known.as_ref().map(|k| (&k.row, k.live.as_slice()));
+        let live = carry_over(old, &row, now);
+        self.known = Some(Known {
+            row,
+            revision,
+            live,
+        });
+        // Calls on their way belong to pieces that may be others now; how they end still counts.
+        if was_granter != self.is_granter() {
+            self.health.clear();
+            self.plan_at = now + self.cfg.plan_every;
+        }
+        true
+    }
+
+    /// Proposes this host as the granting one.
+    ///
+    /// `is_over` says that the run which grants has surely ended or stopped. Without a row, all
+    /// keys are divided among `ready`.
+    pub fn take_over(
+        &mut self,
+        now: Timestamp,
+        is_over: bool,
+        ready: &[UpstreamView],
+        actions: &mut Vec<Action>,
+    ) {
+        if self.commit.is_some() || self.is_granter() {
+            return;
+        }
+        let Some(known) = &self.known else {
+            let owners: Vec<_> = ready.iter().map(|u| u.id.clone()).collect();
+            if !owners.is_empty() {
+                let row = EntryRow::even(self.me.clone(), &owners);
+                self.propose(row, None, actions);
+            }
+            return;
+        };
+        let row = EntryRow {
+            granter: self.me.clone(),
+            ..known.row.clone()
+        };
+        let revision = known.revision;
+        let stops_in = if is_over {
+            Duration::ZERO
+        } else {
+            self.cfg.evidence.mul_f64(1.0 + self.cfg.drift)
+        };
+        // Counted anew from the commit's answer, which comes later than its effect.
+        self.others_until = now + stops_in + self.cfg.outlast();
+        self.propose(row, Some(revision), actions);
+    }
+
+    /// Notes that the run which granted before this one has surely ended or stopped.
+    pub fn predecessor_is_over(&mut self, now: Timestamp) {
+        self.others_until = self.others_until.min(now + self.cfg.outlast());
+    }
+
+    fn propose(&mut self, row: EntryRow, expected: Option<Revision>, actions: &mut Vec<Action>) {
+        debug_assert!(row.check().is_ok(), "only valid rows are written");
+        self.commit = Some(Proposed {
+            row: row.clone(),
+            expected,
+        });
+        actions.push(Action::Commit { row, expected });
+    }
+
+    /// Notes how the commit ended.
+    pub fn commit_ended(&mut self, now: Timestamp, end: CommitEnd) {
+        let Some(proposed) = self.commit.take() else {
+            return;
+        };
+        match end {
+            CommitEnd::Done(revision) => {
+                let was_granter = self.is_granter();
+                let first = proposed.expected.is_none();
+                self.take(now, proposed.row, revision);
+                if !was_granter && !first {
+                    // The wait was counted from before the commit was sent.
+                    self.others_until = self.others_until.max(now + self.cfg.outlast());
+                }
+            }
+            CommitEnd::Conflict(Some((row, revision))) => {
+                self.take(now, row, revision);
+            }
+            CommitEnd::Conflict(None) | CommitEnd::Unknown | CommitEnd::NotDone => {}
+        }
+    }
+
+    /// Notes how a call ended.
+    pub fn call_ended(&mut self, now: Timestamp, id: u64, end: CallEnd) {
+        let Some(underway) = self.calls.remove(&id) else {
+            return;
+        };
+        let Underway { call, sent, .. } = &underway;
+        self.note_health(now, call, &end);
+        let is_grant = matches!(call.kind, CallKind::Grant { .. });
+        if is_grant && matches!(end, CallEnd::NoAnswer { maybe_sent: true }) {
+            self.unanswered.push(Unanswered {
+                upstream: call.upstream.clone(),
+                range: call.range,
+                sent: *sent,
+            });
+        }
+        if matches!(end, CallEnd::Gone) {
+            self.gone.insert(call.upstream.clone());
+        }
+        if is_grant {
+            self.grant_ended(now, &underway, &end);
+        } else {
+            self.release_ended(now, call, &end);
+        }
+    }
+
+    fn note_health(&mut self, now: Timestamp, call: &OrderCall, end: &CallEnd) {
+        if !matches!(end, CallEnd::NoAnswer { .. }) {
+            self.health.remove(&call.upstream);
+            return;
+        }
+        // A release is answered only when the work on its keys has ended.
+        if call.kind == CallKind::Release {
+            return;
+        }
+        let health = self.health.entry(call.upstream.clone()).or_insert(Health {
+            failures: 0,
+            failing_since: now,
+        });
+        health.failures += 1;
+    }
+
+    fn grant_ended(&mut self, now: Timestamp, underway: &Underway, end: &CallEnd) {
+        let every = self.cfg.renew_every;
+        if matches!(end, CallEnd::NoAnswer { maybe_sent: false }) {
+            self.forget_sent(underway);
+        }
+        let Some(live) = self.live_of(&underway.call) else {
+            return;
+        };
+        live.granting = false;
+        match end {
+            CallEnd::Done { .. } => {
+                live.handover = None;
+                live.next_at = underway.sent + every;
+            }
+            CallEnd::NoAnswer { .. } => live.next_at = now + every / 4,
+            CallEnd::Fenced | CallEnd::Gone => live.next_at = now + every,
+        }
+    }
+
+    /// Takes back that a grant was sent which surely did not leave: the one before it is the last.
+    fn forget_sent(&mut self, underway: &Underway) {
+        let Some(known) = &mut self.known else {
+            return;
+        };
+        let Underway {
+            call,
+            sent,
+            sent_before,
+        } = underway;
+        for (piece, live) in known.row.pieces.iter().zip(&mut known.live) {
+            if !piece.range.overlaps(call.range) {
+                continue;
+            }
+            if piece.owner == call.upstream && live.last_sent == *sent {
+                live.last_sent = *sent_before;
+            }
+            for former in &mut live.former {
+                if former.upstream == call.upstream && former.last_sent == *sent {
+                    former.last_sent = *sent_before;
+                }
+            }
+        }
+    }
+
+    fn release_ended(&mut self, now: Timestamp, call: &OrderCall, end: &CallEnd) {
+        let Some(known) = &mut self.known else {
+            return;
+        };
+        let pieces = known.row.pieces.iter().zip(&mut known.live);
+        for (piece, live) in pieces {
+            if piece.fence != call.fence || piece.range != call.range {
+                continue;
+            }
+            let Some(former) = live.former.iter_mut().find(|f| f.upstream == call.upstream) else {
+                continue;
+            };
+            former.releasing = false;
+            match end {
+                CallEnd::Done { handover } => {
+                    former.released = true;
+                    if handover.is_some() {
+                        live.handover.clone_from(handover);
+                    }
+                }
+                CallEnd::Gone | CallEnd::Fenced | CallEnd::NoAnswer { .. } => {
+                    former.release_at = now + RELEASE_EVERY;
+                }
+            }
+        }
+    }
+
+    fn live_of(&mut self, call: &OrderCall) -> Option<&mut Live> {
+        let known = self.known.as_mut()?;
+        let pieces = known.row.pieces.iter().zip(&mut known.live);
+        pieces
+            .filter(|(p, _)| p.fence == call.fence && p.range == call.range)
+            .find(|(p, _)| p.owner == call.upstream)
+            .map(|(_, live)| live)
+    }
+
+    /// Makes the calls and the commit that are due; returns when to be asked again at the latest.
+    pub fn poll(&mut self, now: Timestamp, standing: &Standing<'_>, actions: &mut Vec<Action>) {
+        if !self.is_granting(now) {
+            return;
+        }
+        let outlast = self.cfg.outlast();
+        self.unanswered.retain(|u| now < u.sent + outlast);
+        self.free_former(now);
+        self.call_upstreams(now, actions);
+        if now >= self.plan_at && self.commit.is_none() && standing.may_move {
+            self.plan_at = now + self.cfg.plan_every;
+            self.plan(now, standing, actions);
+        }
+    }
+
+    /// Finds former owners that surely hold nothing any more.
+    fn free_former(&mut self, now: Timestamp) {
+        let Some(known) = &mut self.known else {
+            return;
+        };
+        let outlast = self.cfg.outlast();
+        let (gone, unanswered, others_until) = (&self.gone, &self.unanswered, self.others_until);
+        for (piece, live) in known.row.pieces.iter().zip(&mut known.live) {
+            for former in &mut live.former {
+                let over = now >= (former.last_sent + outlast).max(others_until);
+                let may_come = unanswered
+                    .iter()
+                    .any(|u| u.upstream == former.upstream && u.range.overlaps(piece.range));
+                let released = former.released && !may_come && now >= others_until;
+                former.free |= over || released || gone.contains(&former.upstream);
+            }
+        }
+    }
+
+    fn call_upstreams(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let Some(known) = &mut self.known else {
+            return;
+        };
+        let (gone, calls, next_call) = (&self.gone, &mut self.calls, &mut self.next_call);
+        let mut call = |upstream: &UpstreamId, kind, range, fence, sent_before| {
+            *next_call += 1;
+            let call = OrderCall {
+                id: *next_call,
+                upstream: upstream.clone(),
+                kind,
+                range,
+                fence,
+            };
+            let underway = Underway {
+                call: call.clone(),
+                sent: now,
+                sent_before,
+            };
+            calls.insert(call.id, underway);
+            actions.push(Action::Call(call));
+        };
+        for (piece, live) in known.row.pieces.iter().zip(&mut known.live) {
+            for former in live.former.iter_mut().filter(|f| is_release_due(f, now)) {
+                former.releasing = true;
+                let (range, fence) = (piece.range, piece.fence);
+                call(&former.upstream, CallKind::Release, range, fence, now);
+            }
+            let due = live.is_free() && !live.granting && now >= live.next_at;
+            if !due || gone.contains(&piece.owner) {
+                continue;
+            }
+            live.granting = true;
+            let sent_before = std::mem::replace(&mut live.last_sent, now);
+            let kind = CallKind::Grant {
+                hold: self.cfg.hold,
+                handover: live.handover.clone(),
+            };
+            call(&piece.owner, kind, piece.range, piece.fence, sent_before);
+        }
+    }
+
+    fn plan(&mut self, now: Timestamp, standing: &Standing<'_>, actions: &mut Vec<Action>) {
+        let Some(known) = &self.known else {
+            return;
+        };
+        let takers: Vec<UpstreamView> = standing
+            .ready
+            .iter()
+            .filter(|u| !self.gone.contains(&u.id) && !self.is_silent(now, &u.id))
+            .cloned()
+            .collect();
+        // A host that hears only few upstreams is likely cut off itself.
+        if takers.len() * 2 < standing.ready.len() || takers.is_empty() {
+            return;
+        }
+        let mut row = known.row.clone();
+        let fence = row.fence.next();
+        let mut moves = self.planner.evacuate(&row, standing.loads, &takers);
+        if moves.is_empty() {
+            moves = self.planner.balance(&row, standing.loads, &takers);
+        }
+        let settled = known
+            .live
+            .iter()
+            .any(|l| !l.former.is_empty() && l.is_free());
+        if moves.is_empty() && !settled {
+            return;
+        }
+        for (piece, live) in row.pieces.iter_mut().zip(&known.live) {
+            piece.former.retain(|up| {
+                let former = live.former.iter().find(|f| f.upstream == *up);
+                former.is_none_or(|f| !f.free)
+            });
+        }
+        for m in moves {
+            row.give(m.range, &m.from, &m.to, fence);
+        }
+        let revision = known.revision;
+        self.propose(row, Some(revision), actions);
+    }
+
+    fn is_silent(&self, now: Timestamp, upstream: &UpstreamId) -> bool {
+        self.health.get(upstream).is_some_and(|h| {
+            h.failures >= FAILURES_OF_SILENT && now.since(h.failing_since) >= self.cfg.silence
+        })
+    }
+}
+
+fn is_release_due(former: &Former, now: Timestamp) -> bool {
+    !former.free && !former.released && !former.releasing && now >= former.release_at
+}
--- /dev/null
+++ b/crates/assign/src/lib.rs
@@ -0,0 +1,36 @@
+//! Which upstream owns which keys, where upstreams take fenced grants of key ranges.
+//!
+//! One row an entry, in the platform's store, says which upstream owns each range and under which
+//! fence, who owned it before, and which host grants. docs/OWNERSHIP.md gives the protocol and the
+//! argument for its safety. Nothing here does I/O or reads a clock.
+//!
+//! - [`range`]: ranges of keys, and fences.
+//! - [`row`]: the row of an entry.
+//! - [`owners`]: look-ups of a key's owner, for the path of requests.
+//! - [`settings`]: times and bounds.
+//! - [`loads`]: how busy each key is.
+//! - [`plan`]: which ranges should move.
+//! - [`evidence`]: how long a host may act on what it last read.
+//! - [`succession`]: when a host takes the granting over from another.
+//! - [`keeper`]: grants, renews, releases and moves the ranges of one entry.
+
+pub mod evidence;
+pub mod keeper;
+mod live;
+pub mod loads;
+pub mod owners;
+pub mod plan;
+pub mod range;
+pub mod row;
+pub mod settings;
+pub mod succession;
+
+pub use evidence::Evidence;
+pub use keeper::{Action, CallEnd, CallKind, CommitEnd, Keeper, OrderCall, Standing};
+pub use loads::KeyLoads;
+pub use owners::Owners;
+pub use plan::{Planner, UpstreamView};
+pub use range::{Fence, KeyRange};
+pub use row::{EntryRow, Piece, RowError, Run};
+pub use settings::AssignSettings;
+pub use succession::{Succession, SuccessionSettings, TakeOver, Word};
--- /dev/null
+++ b/crates/assign/src/row.rs
@@ -0,0 +1,204 @@
+//! The row of an entry in the platform's store.
+
+use ids::{HostId, Incarnation, UpstreamId};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::range::{Fence, KeyRange, LAST_KEY};
+
+/// One run of a host.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Run {
+    /// The host.
+    pub host: HostId,
+    /// Which of its runs.
+    pub incarnation: Incarnation,
+}
+
+/// A range with its owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Piece {
+    /// The keys.
+    #[serde(flatten)]
+    pub range: KeyRange,
+    /// The upstream that may run requests on them, once the former owners don't any more.
+    pub owner: UpstreamId,
+    /// Fence of its grants.
+    pub fence: Fence,
+    /// Earlier owners that may still hold some of the keys.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub former: Vec<UpstreamId>,
+}
+
+/// What the store holds of an entry that is divided by key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct EntryRow {
+    /// The host that alone grants, renews and releases.
+    pub granter: Run,
+    /// The highest fence given out.
+    pub fence: Fence,
+    /// All keys, in order and without gaps.
+    pub pieces: Vec<Piece>,
+}
+
+/// A row that breaks its own rules.
+#[derive(Debug, Error)]
+pub enum RowError {
+    /// It is not JSON of the right form.
+    #[error("decode row of owners: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The pieces leave a gap, overlap or end early.
+    #[error("row of owners: pieces don't join before key {at}")]
+    Gap {
+        /// The key at which they should.
+        at: u32,
+    },
+    /// A piece has a fence that the row never gave out.
+    #[error("row of owners: fence {fence} of {range} is above the row's {highest}")]
+    Fence {
+        /// The piece's keys.
+        range: KeyRange,
+        /// The piece's fence.
+        fence: Fence,
+        /// The row's highest fence.
+        highest: Fence,
+    },
+}
+
+impl EntryRow {
+    /// Reads a row and checks it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the row does not decode, or breaks one of its rules.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RowError> {
+        let row: Self = serde_json::from_slice(bytes)?;
+        row.check()?;
+        Ok(row)
+    }
+
+    /// Writes the row.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: all fields serialize.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("all fields serialize")
+    }
+
+    /// Checks that the pieces cover all keys once, under fences that were given out.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first piece that breaks a rule.
+    pub fn check(&self) -> Result<(), RowError> {
+        let mut at = 0;
+        for piece in &self.pieces {
+            if u32::from(piece.range.first) != at || piece.range.last < piece.range.first {
+                return Err(RowError::Gap { at });
+            }
+            if piece.fence > self.fence {
+                return Err(RowError::Fence {
+                    range: piece.range,
+                    fence: piece.fence,
+                    highest: self.fence,
+                });
+            }
+            at = u32::from(piece.range.last) + 1;
+        }
+        if at != u32::from(LAST_KEY) + 1 {
+            return Err(RowError::Gap { at });
+        }
+        Ok(())
+    }
+
+    /// Divides all keys evenly among `owners`, in their order.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there are no owners.
+    #[must_use]
+    pub fn even(granter: Run, owners: &[UpstreamId]) -> Self {
+        assert!(!owners.is_empty(), "keys need an owner");
+        let count = owners.len() as u64;
+        let fence = Fence(1);
+        let keys = u64::from(LAST_KEY) + 1;
+        let piece = |(i, owner): (usize, &UpstreamId)| {
+            let i = i as u64;
+            Piece {
+                range: KeyRange {
+                    first: (keys * i / count) as u16,
+                    last: (keys * (i + 1) / count - 1) as u16,
+                },
+                owner: owner.clone(),
+                fence,
+                former: Vec::new(),
+            }
+        };
+        Self {
+            granter,
+            fence,
+            pieces: owners.iter().enumerate().map(piece).collect(),
+        }
+    }
+
+    /// Gives the part of `range` that `from` owns to `to`, under `fence`.
+    ///
+    /// Pieces are split where the range cuts them; the former owner stays on record.
+    pub fn give(&mut self, range: KeyRange, from: &UpstreamId, to: &UpstreamId, fence: Fence) {
+        self.fence = self.fence.max(fence);
+        let mut pieces = Vec::with_capacity(self.pieces.len() + 2);
+        for piece in std::mem::take(&mut self.pieces) {
+            if piece.owner != *from || !piece.range.overlaps(range) {
+                pieces.push(piece);
+                continue;
+            }
+            cut(
+                piece,
+                range,
+                |mut inside| {
+                    if !inside.former.contains(&inside.owner) {
+                        inside.former.push(inside.owner);
+                    }
+                    inside.former.retain(|f| f != to);
+                    inside.owner = to.clone();
+                    inside.fence = fence;
+                    inside
+                },
+                &mut pieces,
+            );
+        }
+        self.pieces = pieces;
+    }
+}
+
+/// Splits `piece` at the ends of `range`, and changes the part inside.
+fn cut(piece: Piece, range: KeyRange, change: impl FnOnce(Piece) -> Piece, out: &mut Vec<Piece>) {
+    let mut inside = piece.clone();
+    if let Some((left, right)) = piece.range.split_at(range.first) {
+        out.push(Piece {
+            range: left,
+            ..piece.clone()
+        });
+        inside.range = right;
+    }
+    let after = range
+        .last
+        .checked_add(1)
+        .and_then(|key| inside.range.split_at(key));
+    match after {
+        Some((left, right)) => {
+            inside.range = left;
+            out.push(change(inside));
+            out.push(Piece {
+                range: right,
+                ..piece
+            });
+        }
+        None => out.push(change(inside)),
+    }
+}
--- /dev/null
+++ b/crates/assign/src/succession.rs
@@ -0,0 +1,122 @@
+//! When a host takes the granting of keys over from another.
+//!
+//! Any host may; the store lets one of those that try at once succeed. Taking over needlessly is
+//! safe but costs time: until the former granting host has surely stopped, keys of an upstream
+//! that is lost meanwhile can't go to others.
+
+use std::time::Duration;
+
+use ids::{Incarnation, Timestamp};
+
+use crate::row::Run;
+
+/// Settings of [`Succession`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuccessionSettings {
+    /// Time without a word of the granting host after which it is replaced: three heartbeats.
+    ///
+    /// The grants that it gave last must outlive this, a commit and the first renewals.
+    pub silence: Duration,
+    /// Age of the granting host's knowledge of the store at which it is replaced by a host that
+    /// can read the store: twice what it usually is.
+    pub blind: Duration,
+    /// Age of its own knowledge up to which a host may replace another.
+    pub fresh: Duration,
+}
+
+impl Default for SuccessionSettings {
+    fn default() -> Self {
+        Self {
+            silence: Duration::from_millis(1_200),
+            blind: Duration::from_millis(2_500),
+            fresh: Duration::from_millis(3_600),
+        }
+    }
+}
+
+/// What the granting host says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Word {
+    /// The run that speaks.
+    pub incarnation: Incarnation,
+    /// It grants no more and never will again.
+    pub has_stopped: bool,
+    /// Age of its knowledge of the store.
+    pub evidence: Option<Duration>,
+}
+
+/// A reason to take over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TakeOver {
+    /// The run that granted has surely ended or stopped.
+    pub is_over: bool,
+}
+
+/// What a host knows of the one that grants.
+#[derive(Debug, Clone)]
+pub struct Succession {
+    cfg: SuccessionSettings,
+    granter: Option<Run>,
+    since: Timestamp,
+    heard: Option<(Timestamp, Word)>,
+}
+
+impl Succession {
+    /// Knows no granting host yet.
+    #[must_use]
+    pub fn new(cfg: SuccessionSettings) -> Self {
+        Self {
+            cfg,
+            granter: None,
+            since: Timestamp::ZERO,
+            heard: None,
+        }
+    }
+
+    /// Notes which run grants by the row; tells whether that is news.
+    pub fn granter(&mut self, now: Timestamp, run: &Run) -> bool {
+        if self.granter.as_ref() == Some(run) {
+            return false;
+        }
+        self.granter = Some(run.clone());
+        self.since = now;
+        self.heard = None;
+        true
+    }
+
+    /// Notes what the host that grants by the row said.
+    pub fn heard(&mut self, now: Timestamp, word: Word) {
+        self.heard = Some((now, word));
+    }
+
+    /// Decides; `newest` is the newest known run of the granting host, `evidence` the age of the
+    /// own knowledge of the store, and `patience` is drawn by each host, so that one comes first.
+    #[must_use]
+    pub fn decide(
+        &self,
+        now: Timestamp,
+        newest: Option<Incarnation>,
+        evidence: Option<Duration>,
+        patience: Duration,
+    ) -> Option<TakeOver> {
+        let granter = self.granter.as_ref()?;
+        if evidence.is_none_or(|age| age > self.cfg.fresh) {
+            return None;
+        }
+        let said = self.heard.map(|(_, word)| word.incarnation);
+        let over = newest
+            .max(said)
+            .is_some_and(|run| run > granter.incarnation);
+        let stopped = self.heard.is_some_and(|(_, word)| word.has_stopped);
+        if over || stopped {
+            return Some(TakeOver { is_over: true });
+        }
+        let last = self.heard.map_or(self.since, |(at, _)| at);
+        let silent = now.since(last) > self.cfg.silence + patience;
+        let blind = self.heard.is_some_and(|(_, word)| {
+            word.evidence
+                .is_none_or(|age| age > self.cfg.blind + patience)
+        });
+        (silent || blind).then_some(TakeOver { is_over: false })
+    }
+}
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -27,6 +27,10 @@
     /// Runs an entry host until it gets SIGTERM or SIGINT; then it leaves without cutting requests.
     #[command(after_help = "Example: medlardyke serve --settings host.json")]
     Serve(ServeArgs),
+    /// Runs an entry host on the users' platform, which sends to upstreams itself, until it gets
+    /// SIGTERM or SIGINT; then it leaves without cutting requests.
+    #[command(after_help = "Example: medlardyke direct --settings settings.json")]
+    Direct(ServeArgs),
     /// Runs everything on loopback in one process, to try it out.
     #[command(after_help = "Example: medlardyke dev --example kotuku --listen 127.0.0.1:8080")]
     Dev(DevArgs),
--- /dev/null
+++ b/crates/cli/src/direct.rs
@@ -0,0 +1,20 @@
+//! `medlardyke direct`.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use adapter::{Headers, Store};
+
+use crate::args::ServeArgs;
+use crate::exit;
+use crate::serve::end_on_panic;
+
+/// Runs an entry host that sends to upstreams itself.
+pub(crate) fn run(args: &ServeArgs) -> ExitCode {
+    end_on_panic();
+    let store = |cfg: &front::Settings| Store::new(cfg.store.address);
+    match front::run(&args.settings, Arc::new(Headers), store) {
+        Ok(()) => ExitCode::from(exit::OK),
+        Err(e) => exit::fail(exit::FAILED, format!("{e:#}")),
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod check;
 mod dev;
+mod direct;
 mod exit;
 mod parts;
 mod serve;
@@ -17,6 +18,7 @@
 fn main() -> ExitCode {
     match Args::parse().command {
         Command::Serve(args) => serve::run(&args),
+        Command::Direct(args) => direct::run(&args),
         Command::Dev(args) => dev::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Catalogue(args) => parts::catalogue(args),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -37,7 +37,7 @@
 ///
 /// A host that has lost one of its duties would go on taking callers whom it can't serve. Other
 /// hosts handle the loss of the whole process.
-fn end_on_panic() {
+pub(crate) fn end_on_panic() {
     let report = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info| {
         report(info);
--- /dev/null
+++ b/crates/direct/src/choose.rs
@@ -0,0 +1,108 @@
+//! Which upstream gets a request that any upstream of its entry may run.
+//!
+//! The one expected to answer first wins, but an upstream of another failure domain has to be
+//! faster by a part of the objective, as traffic between domains is paid for.
+
+use std::time::Duration;
+
+use ids::Timestamp;
+
+use crate::load::{LoadSettings, UpstreamLoad};
+
+/// Settings of [`choose`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ChooseSettings {
+    /// Part of the objective by which a remote upstream has to be faster.
+    ///
+    /// A fifth keeps a local queue of less than one request for each slot local at today's
+    /// objectives, which are about three service times.
+    pub remote_price: f64,
+    /// How many times its expected time an upstream that always fails counts as slower.
+    pub failing_price: f64,
+    /// Most requests at an upstream for each of its slots, by what is known.
+    ///
+    /// Upstreams queue four requests a slot and break connections beyond that; the estimate of
+    /// the other hosts' requests is off by about one a slot.
+    pub crowd_max: f64,
+}
+
+impl Default for ChooseSettings {
+    fn default() -> Self {
+        Self {
+            remote_price: 0.2,
+            failing_price: 4.0,
+            crowd_max: 3.5,
+        }
+    }
+}
+
+/// An upstream that may get the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a, K> {
+    /// What names it to the asker.
+    pub key: K,
+    /// What is believed of it.
+    pub load: &'a UpstreamLoad,
+    /// Whether it lies in another failure domain than the asking host.
+    pub is_remote: bool,
+    /// Whether it is slow after its start.
+    pub is_cold: bool,
+}
+
+/// What became of a choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Choice<K> {
+    /// This one; its answer is expected after so many seconds.
+    Chosen {
+        /// What names it to the asker.
+        key: K,
+        /// Seconds until the answer.
+        expected: f64,
+    },
+    /// All have as many requests as they may; one has room again after about so many seconds.
+    Full {
+        /// Seconds until there may be room.
+        room_in: f64,
+    },
+    /// There is no upstream that could be asked.
+    None,
+}
+
+/// Chooses among `candidates`; `usual` is the entry's mean service time in seconds.
+///
+/// Those that can't be reached at the moment are chosen only if there are no others.
+pub fn choose<'a, K: Copy>(
+    now: Timestamp,
+    objective: Duration,
+    usual: f64,
+    candidates: impl Iterator<Item = Candidate<'a, K>>,
+    load: &LoadSettings,
+    cfg: &ChooseSettings,
+) -> Choice<K> {
+    let remote = objective.as_secs_f64() * cfg.remote_price;
+    let mut best: Option<(bool, f64, K, f64)> = None;
+    let mut room_in = f64::INFINITY;
+    for c in candidates {
+        let mut expected = c.load.expected(now, usual, load);
+        if c.is_cold {
+            expected *= load.cold_factor;
+        }
+        if c.load.crowd(now, load) >= cfg.crowd_max {
+            room_in = room_in.min(c.load.service().unwrap_or(usual));
+            continue;
+        }
+        let price = 1.0 + cfg.failing_price * c.load.failing(now, load);
+        let score = expected * price + if c.is_remote { remote } else { 0.0 };
+        let closed = c.load.is_closed(now);
+        let better =
+            best.is_none_or(|(b_closed, b_score, ..)| (closed, score) < (b_closed, b_score));
+        if better {
+            best = Some((closed, score, c.key, expected));
+        }
+    }
+    match best {
+        Some((_, _, key, expected)) => Choice::Chosen { key, expected },
+        None if room_in.is_finite() => Choice::Full { room_in },
+        None => Choice::None,
+    }
+}
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions of an entry host that sends requests to upstreams itself.
+//!
+//! Nothing here does I/O, reads a clock or draws random numbers of its own. A request meets the
+//! modules in this order:
+//!
+//! - [`config`]: what the operator's configuration says, once decoded.
+//! - [`routes`]: from host and path to a route, and from a route to the entry that serves it.
+//! - [`roster`]: the upstreams that registered themselves.
+//! - [`load`]: what this host believes of one upstream's load, speed and health.
+//! - [`choose`]: which upstream gets a request, or why none does.
+//! - [`repeat`]: whether a request whose try failed is sent again.
+
+pub mod choose;
+pub mod config;
+pub mod load;
+pub mod repeat;
+pub mod roster;
+pub mod routes;
+
+pub use choose::{Candidate, Choice, ChooseSettings, choose};
+pub use config::{CallerBounds, Configuration, EntrySpec, Route, Share};
+pub use load::{LoadReport, LoadSettings, Sent, UpstreamLoad};
+pub use repeat::{Ended, Next, RepeatSettings, Tries};
+pub use roster::{Registered, Roster, State};
+pub use routes::{RouteKey, RouteTable, Splitter};
--- /dev/null
+++ b/crates/direct/src/roster.rs
@@ -0,0 +1,93 @@
+//! The upstreams that registered themselves.
+//!
+//! An upstream is one run of a server: a server that starts again, or another one at the same
+//! address, has another id.
+
+use std::net::SocketAddr;
+
+use ids::{DomainId, EntryId, Timestamp, UpstreamId};
+use indexmap::IndexMap;
+
+/// What an upstream says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Registered {
+    /// This run of the server.
+    pub id: UpstreamId,
+    /// The entry that it serves.
+    pub entry: EntryId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: State,
+    /// Until when it is slow after its start, by the reader's clock.
+    pub cold_until: Timestamp,
+}
+
+/// Whether an upstream takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+}
+
+/// All upstreams that are registered.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Roster {
+    upstreams: IndexMap<UpstreamId, Registered>,
+}
+
+impl Roster {
+    /// Adds an upstream or takes what it says now; tells whether that is news.
+    ///
+    /// Its warm-up shrinking by itself is none.
+    pub fn put(&mut self, upstream: Registered) -> bool {
+        let Some(known) = self.upstreams.get_mut(&upstream.id) else {
+            self.upstreams.insert(upstream.id.clone(), upstream);
+            return true;
+        };
+        let same_cold = Registered {
+            cold_until: known.cold_until,
+            ..upstream
+        };
+        if *known == same_cold {
+            return false;
+        }
+        *known = same_cold;
+        true
+    }
+
+    /// Removes an upstream; tells whether it was there.
+    pub fn remove(&mut self, id: &UpstreamId) -> bool {
+        self.upstreams.shift_remove(id).is_some()
+    }
+
+    /// Removes all upstreams that `keep` refuses; tells whether there were any.
+    pub fn retain(&mut self, mut keep: impl FnMut(&UpstreamId) -> bool) -> bool {
+        let before = self.upstreams.len();
+        self.upstreams.retain(|id, _| keep(id));
+        self.upstreams.len() != before
+    }
+
+    /// Returns an upstream.
+    #[must_use]
+    pub fn get(&self, id: &UpstreamId) -> Option<&Registered> {
+        self.upstreams.get(id)
+    }
+
+    /// Iterates over all upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = &Registered> {
+        self.upstreams.values()
+    }
+
+    /// Iterates over the upstreams of `entry` that take requests.
+    pub fn ready<'a>(&'a self, entry: &'a EntryId) -> impl Iterator<Item = &'a Registered> {
+        self.iter()
+            .filter(move |u| u.state == State::Ready && u.entry == *entry)
+    }
+}
--- /dev/null
+++ b/crates/direct/src/routes.rs
@@ -0,0 +1,109 @@
+//! From host and path to a route, and from a route to the entry that serves it.
+
+use std::collections::HashMap;
+
+use ids::{Arena, EntryId, arena_key};
+use smol_str::SmolStr;
+
+use crate::config::{Configuration, Route};
+
+arena_key! {
+    /// Names a route of one [`RouteTable`].
+    RouteKey
+}
+
+/// The routes of one configuration, compiled for look-ups.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    routes: Arena<RouteKey, Route>,
+    /// Routes of each host, the longest prefix first.
+    by_host: HashMap<SmolStr, Vec<RouteKey>>,
+}
+
+impl RouteTable {
+    /// Compiles the routes of `cfg`.
+    #[must_use]
+    pub fn new(cfg: &Configuration) -> Self {
+        let mut table = Self::default();
+        for route in &cfg.routes {
+            let host = route.host.clone();
+            let key = table.routes.push(route.clone());
+            table.by_host.entry(host).or_default().push(key);
+        }
+        for keys in table.by_host.values_mut() {
+            keys.sort_by_key(|&k| std::cmp::Reverse(table.routes[k].prefix.len()));
+        }
+        table
+    }
+
+    /// Finds the route of `host` with the longest prefix that begins `path`.
+    ///
+    /// The case and the port of `host` don't matter.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<RouteKey> {
+        let keys = match self.by_host.get(without_port(host)) {
+            Some(keys) => keys,
+            None => self
+                .by_host
+                .get(without_port(host).to_ascii_lowercase().as_str())?,
+        };
+        let begins = |key: &RouteKey| path.starts_with(self.routes[*key].prefix.as_str());
+        keys.iter().copied().find(begins)
+    }
+
+    /// Returns the route that `key` names.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `key` comes from another table.
+    #[must_use]
+    pub fn route(&self, key: RouteKey) -> &Route {
+        &self.routes[key]
+    }
+
+    /// Iterates over all routes.
+    pub fn iter(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter().map(|(_, route)| route)
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
+/// Deals the requests of split routes to their entries by smooth weighted round robin.
+///
+/// Each host deals on its own; any run of requests is within one request of the weights, which
+/// random draws are not. Counts are kept by the route's name over configurations.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    credits: HashMap<SmolStr, Vec<i64>>,
+}
+
+impl Splitter {
+    /// Returns the entry that serves the next request of `route`; none if it has no entries.
+    pub fn deal<'a>(&mut self, route: &'a Route) -> Option<&'a EntryId> {
+        if let [only] = route.shares.as_slice() {
+            return Some(&only.entry);
+        }
+        if !self.credits.contains_key(&route.name) {
+            self.credits.insert(route.name.clone(), Vec::new());
+        }
+        let credits = self.credits.get_mut(&route.name)?;
+        credits.resize(route.shares.len(), 0);
+        let total: i64 = route.shares.iter().map(|s| i64::from(s.weight)).sum();
+        for (credit, share) in credits.iter_mut().zip(&route.shares) {
+            // Bounded, as weights change between configurations.
+            *credit = (*credit + i64::from(share.weight)).clamp(-total, total);
+        }
+        let (best, _) = credits
+            .iter()
+            .enumerate()
+            .max_by_key(|&(i, &credit)| (credit, std::cmp::Reverse(i)))?;
+        credits[best] -= total;
+        Some(&route.shares[best].entry)
+    }
+}
--- /dev/null
+++ b/crates/front/src/connections.rs
@@ -0,0 +1,85 @@
+//! Connections to upstreams that are kept between requests.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use direct::Registered;
+use gate::upstream::{ExchangeError, UpstreamConn};
+use ids::{Timestamp, UpstreamId};
+
+/// Longest time for a connection to open: many round trips between failure domains, and less than
+/// the shortest objective, so that another upstream can still be asked.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Largest head of an answer.
+const HEAD_BYTES: usize = 32 << 10;
+/// Time for which a connection is kept if the upstream doesn't say how long it does.
+const KEEP: Duration = Duration::from_secs(4);
+/// How much sooner than the upstream a connection is given up, so that a request doesn't meet the
+/// upstream's close.
+const KEEP_MARGIN: Duration = Duration::from_millis(1_500);
+/// Connections kept to one upstream; a host has seldom more requests at one.
+const KEPT: usize = 8;
+
+#[derive(Debug)]
+struct Resting {
+    conn: UpstreamConn,
+    until: Timestamp,
+}
+
+/// Connections at rest, by upstream.
+#[derive(Debug, Default)]
+pub struct Connections {
+    resting: RefCell<HashMap<UpstreamId, Vec<Resting>>>,
+}
+
+impl Connections {
+    /// Returns a connection at rest that can be used, the one used last.
+    pub async fn take(&self, now: Timestamp, upstream: &UpstreamId) -> Option<UpstreamConn> {
+        loop {
+            let mut resting = self.resting.borrow_mut().get_mut(upstream)?.pop()?;
+            if now < resting.until && resting.conn.is_usable_now().await {
+                return Some(resting.conn);
+            }
+        }
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not open in time.
+    pub async fn open(&self, address: SocketAddr) -> Result<UpstreamConn, ExchangeError> {
+        UpstreamConn::open(address, CONNECT_TIMEOUT, HEAD_BYTES).await
+    }
+
+    /// Keeps a connection for the next request; `keep_alive` is what the upstream said.
+    pub fn keep(
+        &self,
+        now: Timestamp,
+        upstream: &UpstreamId,
+        conn: UpstreamConn,
+        keep_alive: Option<Duration>,
+    ) {
+        let keep = keep_alive.map_or(KEEP, |k| k.saturating_sub(KEEP_MARGIN));
+        if keep.is_zero() {
+            return;
+        }
+        let mut all = self.resting.borrow_mut();
+        let kept = all.entry(upstream.clone()).or_default();
+        kept.retain(|r| now < r.until);
+        if kept.len() < KEPT {
+            kept.push(Resting {
+                conn,
+                until: now + keep,
+            });
+        }
+    }
+
+    /// Closes the connections to upstreams that `is_known` refuses.
+    pub fn retain(&self, is_known: impl Fn(&Registered) -> bool, roster: &direct::Roster) {
+        let known = |id: &UpstreamId| roster.get(id).is_some_and(&is_known);
+        self.resting.borrow_mut().retain(|id, _| known(id));
+    }
+}
--- /dev/null
+++ b/crates/front/src/control/beat.rs
@@ -0,0 +1,254 @@
+//! Heartbeats between hosts, in datagrams.
+//!
+//! Each host tells the one that grants keys how busy they are; the answer says that it is there
+//! and how old its knowledge of the store is.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use assign::Word;
+use ids::{BootClock, Clock, EntryId, HostId, Incarnation, UpstreamId};
+use indexmap::IndexMap;
+use prost::Message;
+use slog::debug;
+use tokio::net::UdpSocket;
+
+use crate::control::samples::{Sample, SampleRx};
+use crate::control::state::{Control, Ctl};
+use crate::view::Phase;
+
+/// Time between heartbeats: a third of the silence after which the granting host is replaced.
+const EVERY: Duration = Duration::from_millis(400);
+/// Largest datagram that is read.
+const DATAGRAM_BYTES: usize = 16 << 10;
+/// Most keys in one heartbeat, so that it stays within one packet; the busiest come first.
+const KEYS_MAX: usize = 150;
+
+/// What a host tells the one that grants the keys of an entry.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct Beat {
+    /// The entry.
+    #[prost(string, tag = "1")]
+    pub entry: String,
+    /// Answered requests by key, since the last heartbeat.
+    #[prost(message, repeated, tag = "2")]
+    pub keys: Vec<KeyCount>,
+    /// Times of upstreams for one request.
+    #[prost(message, repeated, tag = "3")]
+    pub services: Vec<Service>,
+    /// The answer, if this is one.
+    #[prost(message, optional, tag = "4")]
+    pub echo: Option<Echo>,
+}
+
+/// Answered requests on one key.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct KeyCount {
+    /// The key.
+    #[prost(uint32, tag = "1")]
+    pub key: u32,
+    /// How many.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+
+/// An upstream's time for one request that doesn't wait.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct Service {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// The time, in microseconds.
+    #[prost(uint32, tag = "2")]
+    pub micros: u32,
+}
+
+/// What the granting host says of itself.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct Echo {
+    /// The host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Its run.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// It grants no more and never will again.
+    #[prost(bool, tag = "3")]
+    pub has_stopped: bool,
+    /// Age of its knowledge of the store, in milliseconds.
+    #[prost(uint32, optional, tag = "4")]
+    pub evidence_ms: Option<u32>,
+}
+
+/// What was counted of one entry since the last heartbeat.
+#[derive(Debug, Default)]
+struct Counted {
+    keys: IndexMap<u16, u32>,
+    services: IndexMap<UpstreamId, f64>,
+}
+
+impl Counted {
+    fn add(&mut self, sample: Sample) {
+        *self.keys.entry(sample.key).or_default() += 1;
+        self.services.insert(sample.upstream, sample.service);
+    }
+
+    fn into_beat(mut self, entry: &EntryId) -> Beat {
+        self.keys.sort_by(|_, a, _, b| b.cmp(a));
+        let keys = self
+            .keys
+            .iter()
+            .take(KEYS_MAX)
+            .map(|(&key, &count)| KeyCount {
+                key: u32::from(key),
+                count,
+            });
+        let services = self.services.iter().map(|(id, seconds)| Service {
+            upstream: id.to_string(),
+            micros: (seconds * 1e6) as u32,
+        });
+        Beat {
+            entry: entry.to_string(),
+            keys: keys.collect(),
+            services: services.collect(),
+            echo: None,
+        }
+    }
+}
+
+/// Binds the socket for heartbeats.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub async fn bind(address: SocketAddr) -> io::Result<Rc<UdpSocket>> {
+    Ok(Rc::new(UdpSocket::bind(address).await?))
+}
+
+/// Sends heartbeats.
+pub async fn send(ctl: Ctl, socket: Rc<UdpSocket>, samples: SampleRx) {
+    let mut every = tokio::time::interval(EVERY);
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        let mut counted: IndexMap<EntryId, Counted> = IndexMap::new();
+        for sample in samples.drain() {
+            let entry = sample.entry.clone();
+            counted.entry(entry).or_default().add(sample);
+        }
+        for (to, beat) in ctl.with(|c| beats(c, &mut counted)) {
+            send_to(&ctl, &socket, &beat, to).await;
+        }
+    }
+}
+
+/// Builds the heartbeats to granting hosts; what this host grants itself it keeps.
+fn beats(c: &mut Control, counted: &mut IndexMap<EntryId, Counted>) -> Vec<(SocketAddr, Beat)> {
+    let mut beats = Vec::new();
+    for (entry, divided) in &mut c.divided {
+        let counted = counted.swap_remove(entry).unwrap_or_default();
+        let beat = counted.into_beat(entry);
+        let Some(granter) = divided.keeper.row().map(|row| &row.granter) else {
+            continue;
+        };
+        if *granter == c.me {
+            note(divided, &beat);
+        } else if let Some(host) = c.hosts.get(&granter.host) {
+            beats.push((host.peers, beat));
+        }
+    }
+    beats
+}
+
+/// Takes heartbeats and their answers.
+pub async fn receive(ctl: Ctl, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; DATAGRAM_BYTES];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                // A host that is gone may be reported to the sender of an earlier datagram.
+                ctl.with(|c| debug!(c.log, "receive heartbeat"; "error" => %e));
+                continue;
+            }
+        };
+        let beat = match Beat::decode(&buf[..len]) {
+            Ok(beat) => beat,
+            Err(e) => {
+                ctl.with(|c| debug!(c.log, "decode heartbeat"; "peer" => %from, "error" => %e));
+                continue;
+            }
+        };
+        if let Some(answer) = ctl.with(|c| take(c, &beat)) {
+            send_to(&ctl, &socket, &answer, from).await;
+        }
+    }
+}
+
+/// Takes a heartbeat; returns the answer if it is not one itself.
+fn take(c: &mut Control, beat: &Beat) -> Option<Beat> {
+    let entry = EntryId::new(beat.entry.as_str()).ok()?;
+    let now = BootClock.now();
+    let has_stopped = c.phase == Phase::Leaving;
+    let divided = c.divided.get_mut(&entry)?;
+    let Some(echo) = &beat.echo else {
+        note(divided, beat);
+        let evidence = divided.keeper.evidence_age(now);
+        let echo = Echo {
+            host: c.me.host.to_string(),
+            incarnation: c.me.incarnation.0,
+            has_stopped,
+            evidence_ms: evidence.map(|age| age.as_millis() as u32),
+        };
+        return Some(Beat {
+            entry: beat.entry.clone(),
+            echo: Some(echo),
+            ..Beat::default()
+        });
+    };
+    let granter = divided.keeper.row().map(|row| &row.granter.host);
+    let host = HostId::new(echo.host.as_str()).ok()?;
+    if granter == Some(&host) {
+        let word = Word {
+            incarnation: Incarnation(echo.incarnation),
+            has_stopped: echo.has_stopped,
+            evidence: echo
+                .evidence_ms
+                .map(|ms| Duration::from_millis(u64::from(ms))),
+        };
+        divided.succession.heard(now, word);
+    }
+    None
+}
+
+/// Adds what a heartbeat says of loads.
+fn note(divided: &mut crate::control::state::Divided, beat: &Beat) {
+    for counted in &beat.keys {
+        if let Ok(key) = u16::try_from(counted.key) {
+            divided.loads.add(key, counted.count);
+        }
+    }
+    for service in &beat.services {
+        if let Ok(id) = UpstreamId::new(service.upstream.as_str()) {
+            let seconds = f64::from(service.micros) / 1e6;
+            let known = divided.services.entry(id).or_insert(seconds);
+            *known += SERVICE_WEIGHT * (seconds - *known);
+        }
+    }
+}
+
+/// Weight of one host's word in the mean time of an upstream: with ten hosts that each send twice
+/// a second, a change is taken over within half a second.
+const SERVICE_WEIGHT: f64 = 0.25;
+
+async fn send_to(ctl: &Ctl, socket: &UdpSocket, beat: &Beat, to: SocketAddr) {
+    if let Err(e) = socket.send_to(&beat.encode_to_vec(), to).await {
+        ctl.with(|c| debug!(c.log, "send heartbeat"; "peer" => %to, "error" => %e));
+    }
+}
--- /dev/null
+++ b/crates/front/src/control/keys.rs
@@ -0,0 +1,185 @@
+//! Drives the keepers of entries that are divided by key.
+
+use std::time::Duration;
+
+use assign::{Action, CallEnd, CommitEnd, EntryRow, OrderCall, Standing, UpstreamView};
+use direct::Roster;
+use ids::{BootClock, Clock, EntryId, Timestamp};
+use platform::{Commit, PlatformError, RowKey};
+use rand::Rng;
+use slog::{info, warn};
+
+use crate::control::follow::{keys_row, keys_txn};
+use crate::control::state::{Control, Ctl, Divided};
+use crate::ports::Platform;
+use crate::view::Phase;
+
+/// Time between looks at what is due, at the host that grants: a seventh of a renewal.
+const GRANTER_TICK: Duration = Duration::from_millis(100);
+/// The same at other hosts, which only look whether the granting one is still there.
+const TICK: Duration = Duration::from_millis(300);
+/// Longest part of the wait before a take-over that a host draws at random.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// Age of the roster up to which keys may be moved.
+const ROSTER_FRESH: Duration = Duration::from_millis(1_500);
+/// Service time of an upstream of which nothing was observed, in seconds.
+const USUAL_SERVICE: f64 = 0.1;
+
+/// Drives all keepers.
+pub async fn drive(ctl: Ctl, platform: impl Platform) {
+    let patience = PATIENCE.mul_f64(rand::rng().random_range(0.0..1.0));
+    loop {
+        let now = BootClock.now();
+        let due = ctl.with(|c| due(c, now, patience));
+        let grants = ctl.with(|c| c.divided.values().any(|d| d.keeper.is_granter()));
+        for (entry, action) in due {
+            carry_out(&ctl, &platform, entry, action);
+        }
+        let tick = if grants { GRANTER_TICK } else { TICK };
+        // Whichever comes first.
+        let _ = tokio::time::timeout(tick, ctl.wake_keys.notified()).await;
+    }
+}
+
+fn due(c: &mut Control, now: Timestamp, patience: Duration) -> Vec<(EntryId, Action)> {
+    let may_move = c.store_settled(now) && now.since(c.roster_read) < ROSTER_FRESH;
+    let mut due = Vec::new();
+    for (entry, divided) in &mut c.divided {
+        let ready = ready(&c.roster, entry, divided);
+        let mut actions = Vec::new();
+        if c.phase == Phase::Leaving {
+            continue;
+        }
+        take_over(divided, &c.hosts, &ready, now, patience, &mut actions);
+        divided.loads.sum_up(now);
+        let standing = Standing {
+            ready: &ready,
+            loads: &divided.loads,
+            may_move,
+        };
+        divided.keeper.poll(now, &standing, &mut actions);
+        due.extend(actions.into_iter().map(|action| (entry.clone(), action)));
+    }
+    due
+}
+
+fn ready(roster: &Roster, entry: &EntryId, divided: &Divided) -> Vec<UpstreamView> {
+    let known: f64 = divided.services.values().sum();
+    let usual = if divided.services.is_empty() {
+        USUAL_SERVICE
+    } else {
+        known / divided.services.len() as f64
+    };
+    let view = |u: &direct::Registered| UpstreamView {
+        id: u.id.clone(),
+        slots: u.slots,
+        service: divided.services.get(&u.id).copied().unwrap_or(usual),
+    };
+    roster.ready(entry).map(view).collect()
+}
+
+fn take_over(
+    divided: &mut Divided,
+    hosts: &indexmap::IndexMap<ids::HostId, crate::control::state::HostRow>,
+    ready: &[UpstreamView],
+    now: Timestamp,
+    patience: Duration,
+    actions: &mut Vec<Action>,
+) {
+    let keeper = &mut divided.keeper;
+    let Some(granter) = keeper.row().map(|row| row.granter.clone()) else {
+        if keeper.evidence_age(now).is_some() {
+            keeper.take_over(now, true, ready, actions);
+        }
+        return;
+    };
+    let newest = hosts.get(&granter.host).map(|h| h.run.incarnation);
+    if keeper.is_granter() {
+        return;
+    }
+    let evidence = keeper.evidence_age(now);
+    if let Some(reason) = divided.succession.decide(now, newest, evidence, patience) {
+        keeper.take_over(now, reason.is_over, ready, actions);
+    }
+}
+
+fn carry_out(ctl: &Ctl, platform: &impl Platform, entry: EntryId, action: Action) {
+    let (ctl, platform) = (ctl.clone(), platform.clone());
+    match action {
+        Action::Call(call) => {
+            tokio::task::spawn_local(make_call(ctl, platform, entry, call));
+        }
+        Action::Commit { row, expected } => {
+            ctl.with(|c| {
+                info!(c.log, "change owners of keys"; "entry" => entry.as_str(),
+                    "granter" => row.granter.host.as_str(), "fence" => row.fence.0,
+                    "pieces" => row.pieces.len());
+            });
+            tokio::task::spawn_local(async move {
+                let key = keys_row(&entry);
+                let end = platform.commit(keys_txn(&entry, &row, expected)).await;
+                ctl.with(|c| commit_ended(c, &entry, &key, end));
+                ctl.wake_keys.notify_one();
+            });
+        }
+    }
+}
+
+async fn make_call(ctl: Ctl, platform: impl Platform, entry: EntryId, call: OrderCall) {
+    let address = ctl.with(|c| c.addresses.get(&call.upstream).copied());
+    let id = call.id;
+    let described = call.clone();
+    let end = match address {
+        Some(address) => platform.order(address, call).await,
+        None => CallEnd::NoAnswer { maybe_sent: false },
+    };
+    let now = BootClock.now();
+    ctl.with(|c| {
+        if !matches!(end, CallEnd::Done { .. }) {
+            info!(c.log, "order to upstream failed"; "upstream" => described.upstream.as_str(),
+                "kind" => ?described.kind, "keys" => %described.range,
+                "fence" => described.fence.0, "end" => ?end);
+        }
+        if let Some(divided) = c.divided.get_mut(&entry) {
+            divided.keeper.call_ended(now, id, end);
+        }
+    });
+    ctl.wake_keys.notify_one();
+}
+
+fn commit_ended(
+    c: &mut Control,
+    entry: &EntryId,
+    key: &RowKey,
+    result: Result<Commit, PlatformError>,
+) {
+    let now = BootClock.now();
+    let end = match result {
+        Ok(Commit::Done(revision)) => CommitEnd::Done(revision),
+        Ok(Commit::Conflict(rows)) => {
+            let row = rows.iter().find(|r| r.key == *key);
+            let row = row.and_then(|r| Some((r.value.as_ref()?, r.revision)));
+            let decoded = row.map(|(value, at)| EntryRow::decode(value).map(|row| (row, at)));
+            CommitEnd::Conflict(decoded.transpose().unwrap_or_else(|e| {
+                warn!(c.log, "row refused"; "row" => %key, "error" => %e);
+                None
+            }))
+        }
+        Err(e) => {
+            warn!(c.log, "change owners of keys failed"; "entry" => entry.as_str(), "error" => %e);
+            if e.had_no_effect() {
+                CommitEnd::NotDone
+            } else {
+                CommitEnd::Unknown
+            }
+        }
+    };
+    let Some(divided) = c.divided.get_mut(entry) else {
+        return;
+    };
+    divided.keeper.commit_ended(now, end);
+    if let Some(granter) = divided.keeper.row().map(|row| row.granter.clone()) {
+        divided.succession.granter(now, &granter);
+    }
+    c.publish();
+}
--- /dev/null
+++ b/crates/front/src/control/state.rs
@@ -0,0 +1,243 @@
+//! What the control duty knows, and the view that it publishes.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use assign::{
+    AssignSettings, EntryRow, Keeper, KeyLoads, Owners, Planner, Run, Succession,
+    SuccessionSettings,
+};
+use direct::{Configuration, Registered, Roster, RouteTable};
+use ids::{DomainId, EntryId, HostId, Revision, Timestamp, UpstreamId};
+use indexmap::IndexMap;
+use platform::PlatformError;
+use serde::{Deserialize, Serialize};
+use slog::{Logger, info, warn};
+use tokio::sync::Notify;
+
+use crate::settings::Settings;
+use crate::view::{InForce, Phase, Shared, View};
+
+/// How long after the store's return registrations are taken for gone if they are missing: those
+/// that lapsed meanwhile are written again within two seconds.
+pub(crate) const RETURN_TIME: Duration = Duration::from_millis(2_200);
+
+/// What a host tells the others of itself, in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct HostRow {
+    /// The run.
+    pub run: Run,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where it takes heartbeats.
+    pub peers: SocketAddr,
+}
+
+/// An entry that is divided by key.
+#[derive(Debug)]
+pub struct Divided {
+    /// Grants its keys.
+    pub keeper: Keeper,
+    /// Who should.
+    pub succession: Succession,
+    /// How busy its keys are.
+    pub loads: KeyLoads,
+    /// Mean times of its upstreams for one request, in seconds.
+    pub services: HashMap<UpstreamId, f64>,
+}
+
+/// The state of the control duty.
+#[derive(Debug)]
+pub struct Control {
+    /// Settings of the host.
+    pub cfg: Settings,
+    /// This run.
+    pub me: Run,
+    /// Whether the host takes callers.
+    pub phase: Phase,
+    /// The configuration in force.
+    pub in_force: Option<Arc<InForce>>,
+    /// The upstreams.
+    pub roster: Roster,
+    /// When the roster was last read.
+    pub roster_read: Timestamp,
+    /// Registrations that are missing since the store came back.
+    pub missing: Vec<UpstreamId>,
+    /// Since when the store answers.
+    pub store_since: Option<Timestamp>,
+    /// Where each upstream was last known to listen, also if it is no longer registered.
+    pub addresses: HashMap<UpstreamId, SocketAddr>,
+    /// All hosts that have written their row.
+    pub hosts: IndexMap<HostId, HostRow>,
+    /// Entries that are divided by key.
+    pub divided: IndexMap<EntryId, Divided>,
+    /// Where the view is published.
+    pub view: Shared,
+    /// Logger.
+    pub log: Logger,
+}
+
+/// The control duty's state, shared among its tasks on one thread.
+#[derive(Debug, Clone)]
+pub struct Ctl {
+    state: Rc<RefCell<Control>>,
+    /// Wakes the task that drives the keepers.
+    pub wake_keys: Rc<Notify>,
+}
+
+impl Ctl {
+    /// Shares `state`.
+    #[must_use]
+    pub fn new(state: Control) -> Self {
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            wake_keys: Rc::default(),
+        }
+    }
+
+    /// Reads or changes the state; `f` must not wait.
+    ///
+    /// # Panics
+    ///
+    /// Panics if called within itself.
+    pub fn with<T>(&self, f: impl FnOnce(&mut Control) -> T) -> T {
+        f(&mut self.state.borrow_mut())
+    }
+}
+
+impl Control {
+    /// Publishes what callers' duty has to know.
+    pub fn publish(&self) {
+        let owners = self
+            .divided
+            .iter()
+            .filter_map(|(entry, d)| Some((entry.clone(), Owners::new(d.keeper.row()?))));
+        let view = View {
+            phase: self.phase,
+            in_force: self.in_force.clone(),
+            roster: Arc::new(self.roster.clone()),
+            owners: Arc::new(owners.collect()),
+            hosts: self.hosts.len().max(1),
+        };
+        self.view.store(Arc::new(view));
+    }
+
+    /// Changes whether the host takes callers.
+    pub fn enter(&mut self, phase: Phase) {
+        if self.phase == phase {
+            return;
+        }
+        info!(self.log, "phase"; "from" => ?self.phase, "to" => ?phase);
+        self.phase = phase;
+        self.publish();
+    }
+
+    /// Takes a configuration unless a newer one is in force.
+    pub fn configure(&mut self, now: Timestamp, cfg: Configuration) {
+        if let Some(old) = &self.in_force
+            && old.cfg.version >= cfg.version
+        {
+            return;
+        }
+        info!(self.log, "configuration in force";
+            "version" => cfg.version.0, "routes" => cfg.routes.len());
+        for (entry, spec) in &cfg.entries {
+            if spec.divided && !self.divided.contains_key(entry) {
+                self.divided.insert(entry.clone(), self.divide(now));
+            }
+        }
+        let routes = RouteTable::new(&cfg);
+        self.in_force = Some(Arc::new(InForce { cfg, routes }));
+        if self.phase == Phase::Starting {
+            self.phase = Phase::Ready;
+        }
+        self.publish();
+    }
+
+    fn divide(&self, now: Timestamp) -> Divided {
+        let cfg = AssignSettings::default();
+        Divided {
+            keeper: Keeper::new(self.me.clone(), cfg, Planner::default()),
+            succession: Succession::new(SuccessionSettings::default()),
+            loads: KeyLoads::new(now),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Takes what an upstream says of itself.
+    pub fn register(&mut self, upstream: Registered) {
+        self.missing.retain(|id| *id != upstream.id);
+        self.addresses.insert(upstream.id.clone(), upstream.address);
+        let (id, entry) = (upstream.id.clone(), upstream.entry.clone());
+        let state = upstream.state;
+        if self.roster.put(upstream) {
+            info!(self.log, "upstream registered";
+                "upstream" => id.as_str(), "entry" => entry.as_str(), "state" => ?state);
+        }
+    }
+
+    /// Notes that a registration is gone; it may come back if the store was away.
+    pub fn unregister(&mut self, id: &UpstreamId) {
+        if self.roster.get(id).is_some() && !self.missing.contains(id) {
+            self.missing.push(id.clone());
+        }
+    }
+
+    /// Removes upstreams that stayed missing for long enough.
+    pub fn remove_missing(&mut self, now: Timestamp) {
+        let settled = self.store_settled(now);
+        if !settled || self.missing.is_empty() {
+            return;
+        }
+        for id in std::mem::take(&mut self.missing) {
+            if self.roster.remove(&id) {
+                info!(self.log, "upstream gone"; "upstream" => id.as_str());
+            }
+        }
+    }
+
+    /// Tells whether the store has answered for long enough that what it lacks is gone.
+    #[must_use]
+    pub fn store_settled(&self, now: Timestamp) -> bool {
+        self.store_since
+            .is_some_and(|since| now.since(since) >= RETURN_TIME)
+    }
+
+    /// Notes that the store answered.
+    pub fn store_answered(&mut self, now: Timestamp) {
+        if self.store_since.is_none() {
+            info!(self.log, "store regained");
+            self.store_since = Some(now);
+        }
+    }
+
+    /// Notes that the store did not answer.
+    pub fn store_failed(&mut self, e: &PlatformError) {
+        if self.store_since.take().is_some() {
+            warn!(self.log, "store lost"; "error" => %e);
+        }
+    }
+
+    /// Takes an entry's row.
+    pub fn take_row(&mut self, now: Timestamp, entry: &EntryId, row: EntryRow, at: Revision) {
+        if !self.divided.contains_key(entry) {
+            self.divided.insert(entry.clone(), self.divide(now));
+        }
+        let Some(divided) = self.divided.get_mut(entry) else {
+            return;
+        };
+        let granter = row.granter.clone();
+        if divided.keeper.take(now, row, at) {
+            if divided.succession.granter(now, &granter) {
+                info!(self.log, "keys are granted by"; "entry" => entry.as_str(),
+                    "granter" => granter.host.as_str(), "incarnation" => granter.incarnation.0);
+            }
+            self.publish();
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,24 @@
+//! An entry host that sends requests to upstreams itself.
+//!
+//! - [`settings`]: settings as written in the JSON file.
+//! - [`ports`]: what an adapter to a platform provides.
+//! - [`view`]: what the control duty tells the callers' duty.
+//! - [`run`]: starts and stops the duties.
+//!
+//! Duties, a thread each: callers ([`serve`], [`forward`], [`connections`]) and control
+//! ([`control`]). Control publishes a [`view::View`]; callers report samples of requests over a
+//! bounded ring.
+
+pub mod connections;
+pub mod control;
+pub mod forward;
+pub mod log;
+pub mod ports;
+pub mod run;
+pub mod serve;
+pub mod settings;
+pub mod view;
+
+pub use ports::{Asked, Dialect, Judged, Platform, Verdict};
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/front/src/ports.rs
@@ -0,0 +1,113 @@
+//! What an adapter to a platform provides.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use assign::{CallEnd, OrderCall};
+use direct::{Configuration, LoadReport, Registered};
+use gate::upstream::conn::AnswerHead;
+use http::HeaderMap;
+use ids::{Reason, Timestamp, UpstreamId};
+use platform::Watch;
+use smol_str::SmolStr;
+
+/// Table of the platform in which operators keep the configuration.
+pub const CONFIGURATION: &str = "configuration";
+/// Table of the platform in which upstreams register.
+pub const UPSTREAMS: &str = "upstreams";
+/// Table in which the hosts keep what they share.
+pub const SHARED: &str = "shared";
+
+/// What a caller's request says beside its HTTP parts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Asked {
+    /// Names the request; empty if it has no name.
+    pub id: SmolStr,
+    /// How long the caller waits.
+    pub wait: Option<Duration>,
+    /// The key, for entries that are divided by key.
+    pub key: Option<u16>,
+}
+
+/// What an upstream's answer means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is the answer to the request.
+    Answer,
+    /// The upstream did not run the request and never will.
+    NotRun,
+    /// The upstream does not hold the request's key, or is another one; it did not run it.
+    Misdirected,
+    /// It belongs to another request, or is no whole answer; the request may have run.
+    Foreign,
+}
+
+/// An upstream's answer, judged by its head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Judged {
+    /// What it means.
+    pub verdict: Verdict,
+    /// The load that the upstream reports.
+    pub load: Option<LoadReport>,
+    /// How long the upstream keeps the connection at rest, if it says so.
+    pub keep_alive: Option<Duration>,
+}
+
+/// How callers and upstreams put things into HTTP headers.
+pub trait Dialect: fmt::Debug + Send + Sync + 'static {
+    /// Reads what a caller's request says.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a header makes no sense.
+    fn asked(&self, headers: &HeaderMap) -> Result<Asked, Reason>;
+
+    /// Writes to which upstream a request goes, and how long its answer is waited for.
+    fn address(&self, headers: &mut HeaderMap, upstream: &UpstreamId, left: Duration);
+
+    /// Judges the head of the answer to the request `id`.
+    fn judge(&self, head: &AnswerHead, id: &str) -> Judged;
+
+    /// Returns the path by which the balancer asks whether the host is ready.
+    fn ready_path(&self) -> &'static str;
+}
+
+/// A row that could not be decoded.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("decode {row}: {cause}")]
+pub struct DecodeError {
+    /// The row.
+    pub row: SmolStr,
+    /// What is wrong with it.
+    pub cause: SmolStr,
+}
+
+/// The platform's store, and the upstreams' calls for control.
+pub trait Platform: Watch + Clone {
+    /// Decodes a row of [`CONFIGURATION`]; none if it is no configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the row is not a valid configuration.
+    fn configuration(&self, key: &str, value: &[u8]) -> Result<Option<Configuration>, DecodeError>;
+
+    /// Decodes a row of [`UPSTREAMS`] that was read at `now`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the row is not a valid registration.
+    fn registered(
+        &self,
+        key: &str,
+        value: &[u8],
+        now: Timestamp,
+    ) -> Result<Registered, DecodeError>;
+
+    /// Tells an upstream at `address` which keys it may run requests on, or must stop.
+    fn order(
+        &self,
+        address: SocketAddr,
+        call: OrderCall,
+    ) -> impl Future<Output = CallEnd> + 'static;
+}
--- /dev/null
+++ b/crates/front/src/run.rs
@@ -0,0 +1,188 @@
+//! Starts and stops the duties of a host.
+
+use std::collections::HashMap;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::Context as _;
+use arc_swap::ArcSwap;
+use assign::Run;
+use direct::Roster;
+use ids::{BootClock, Clock, Incarnation, Timestamp};
+use indexmap::IndexMap;
+use slog::{Logger, info};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::control::samples::{self, SampleRx, SampleTx};
+use crate::control::{Control, Ctl, beat, follow, keys};
+use crate::forward::Forwarder;
+use crate::ports::{Dialect, Platform};
+use crate::settings::{self, Settings};
+use crate::view::{Phase, Shared, View};
+use crate::{log, serve};
+
+/// Time for which a leaving host still takes connections: the balancer asks once a second and
+/// needs two answers.
+const LINGER: Duration = Duration::from_millis(2_300);
+/// Time kept free before the process would be killed.
+const LAST: Duration = Duration::from_millis(400);
+
+/// Runs an entry host until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if the settings are not valid, or an address can't be bound.
+pub fn run<P: Platform + Send>(
+    path: &Path,
+    dialect: Arc<dyn Dialect>,
+    platform: impl FnOnce(&Settings) -> P,
+) -> anyhow::Result<()> {
+    let cfg = settings::load(path)?;
+    let log = log::logger(&cfg);
+    let me = Run {
+        host: cfg.host.clone(),
+        incarnation: incarnation(),
+    };
+    info!(log, "host starts"; "incarnation" => me.incarnation.0, "domain" => cfg.domain.as_str());
+    let view: Shared = Arc::new(ArcSwap::from_pointee(View::default()));
+    let (samples_tx, samples_rx) = samples::ring();
+    let stop = CancellationToken::new();
+    let callers = Callers {
+        cfg: cfg.clone(),
+        view: Shared::clone(&view),
+        dialect: Arc::clone(&dialect),
+        samples: samples_tx,
+        stop: stop.clone(),
+        log: log.clone(),
+    };
+    let callers = std::thread::Builder::new()
+        .name("callers".to_owned())
+        .spawn(move || callers.run())
+        .context("start callers' thread")?;
+    let platform = platform(&cfg);
+    let control = Control {
+        me,
+        phase: Phase::Starting,
+        in_force: None,
+        roster: Roster::default(),
+        roster_read: Timestamp::ZERO,
+        missing: Vec::new(),
+        store_since: Some(BootClock.now()),
+        addresses: HashMap::new(),
+        hosts: IndexMap::new(),
+        divided: IndexMap::new(),
+        view,
+        log: log.clone(),
+        cfg,
+    };
+    let path = dialect.ready_path();
+    block_on(control_duty(control, platform, samples_rx, path, stop))??;
+    let ended = callers.join();
+    info!(log, "host stops");
+    match ended {
+        Ok(result) => result,
+        Err(_panic) => anyhow::bail!("callers' thread panicked"),
+    }
+}
+
+/// Returns a number that rises from run to run of a host: microseconds of the time of day.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Incarnation(since.map_or(0, |t| t.as_micros() as u64))
+}
+
+fn runtime() -> anyhow::Result<Runtime> {
+    Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("start runtime")
+}
+
+/// Runs `duty` with its local tasks on this thread.
+fn block_on<T>(duty: impl Future<Output = T>) -> anyhow::Result<T> {
+    let runtime = runtime()?;
+    Ok(runtime.block_on(LocalSet::new().run_until(duty)))
+}
+
+/// What the callers' thread begins with.
+struct Callers {
+    cfg: Settings,
+    view: Shared,
+    dialect: Arc<dyn Dialect>,
+    samples: SampleTx,
+    stop: CancellationToken,
+    log: Logger,
+}
+
+impl Callers {
+    fn run(self) -> anyhow::Result<()> {
+        block_on(async move {
+            let address = self.cfg.listen.callers;
+            let listener = serve::bind(address).with_context(|| format!("bind {address}"))?;
+            let forwarder = Rc::new(Forwarder::new(
+                self.cfg.domain,
+                Shared::clone(&self.view),
+                self.dialect,
+                self.cfg.repeats,
+                self.samples,
+                self.log.clone(),
+            ));
+            let grace = self.cfg.stop.grace().saturating_sub(LINGER + LAST);
+            serve::callers(listener, forwarder, self.view, self.stop, grace, self.log).await;
+            Ok(())
+        })?
+    }
+}
+
+async fn control_duty<P: Platform>(
+    control: Control,
+    platform: P,
+    samples: SampleRx,
+    ready_path: &'static str,
+    stop: CancellationToken,
+) -> anyhow::Result<()> {
+    let (listen, view, log) = (
+        control.cfg.listen,
+        Shared::clone(&control.view),
+        control.log.clone(),
+    );
+    let ready = serve::bind(listen.ready).with_context(|| format!("bind {}", listen.ready))?;
+    let socket = beat::bind(listen.peers)
+        .await
+        .with_context(|| format!("bind {}", listen.peers))?;
+    let ctl = Ctl::new(control);
+    tokio::task::spawn_local(serve::readiness(ready, ready_path, view, log.clone()));
+    tokio::task::spawn_local(follow::configuration(ctl.clone(), platform.clone()));
+    tokio::task::spawn_local(follow::upstreams(ctl.clone(), platform.clone()));
+    tokio::task::spawn_local(follow::shared(ctl.clone(), platform.clone()));
+    tokio::task::spawn_local(beat::send(ctl.clone(), Rc::clone(&socket), samples));
+    tokio::task::spawn_local(beat::receive(ctl.clone(), socket));
+    tokio::task::spawn_local(keys::drive(ctl.clone(), platform));
+    wait_for_stop(&log).await?;
+    ctl.with(|c| c.enter(Phase::Leaving));
+    tokio::time::sleep(LINGER).await;
+    stop.cancel();
+    Ok(())
+}
+
+/// Waits for the signal to stop; a signal to read the settings again changes nothing, as addresses
+/// and names are those of the process.
+async fn wait_for_stop(log: &Logger) -> anyhow::Result<()> {
+    let mut term = signal(SignalKind::terminate()).context("watch for SIGTERM")?;
+    let mut int = signal(SignalKind::interrupt()).context("watch for SIGINT")?;
+    let mut hup = signal(SignalKind::hangup()).context("watch for SIGHUP")?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => info!(log, "reload: nothing to change"),
+        }
+    }
+    info!(log, "told to stop");
+    Ok(())
+}
--- /dev/null
+++ b/crates/front/src/settings.rs
@@ -0,0 +1,111 @@
+//! Settings as written in the JSON file.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use ids::{DomainId, HostId};
+use serde::Deserialize;
+
+/// Settings of an entry host that sends to upstreams itself.
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
+pub struct Settings {
+    /// This host.
+    pub host: HostId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The platform's store.
+    pub store: Store,
+    /// The budget for sending requests again, over all hosts.
+    pub repeats: Repeats,
+    /// Times of stopping.
+    pub stop: Stop,
+}
+
+/// Addresses on which a host listens.
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether the host is ready.
+    pub ready: SocketAddr,
+    /// For heartbeats of other hosts.
+    pub peers: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
+pub struct Store {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Seconds between the heartbeats of an upstream.
+    pub heartbeat_s: f64,
+}
+
+/// The budget for sending requests again, over all hosts.
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
+pub struct Repeats {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beside those, in each window.
+    pub slack: f64,
+    /// Length of the window, in seconds.
+    pub window_s: f64,
+}
+
+/// Times of stopping.
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
+pub struct Stop {
+    /// Seconds from the signal to stop until the process is killed.
+    pub grace_s: f64,
+}
+
+impl Stop {
+    /// Returns the time from the signal until the process is killed.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s.max(0.0))
+    }
+}
+
+/// Reads the settings from `path`.
+///
+/// # Errors
+///
+/// Fails, naming the file and the field, if the file can't be read or is not valid.
+pub fn load(path: &Path) -> anyhow::Result<Settings> {
+    let text = std::fs::read(path).with_context(|| format!("read {}", path.display()))?;
+    let cfg: Settings =
+        serde_json::from_slice(&text).with_context(|| format!("decode {}", path.display()))?;
+    let file = path.display();
+    let repeats = cfg.repeats;
+    anyhow::ensure!(
+        repeats.ratio >= 0.0,
+        "{file}: repeats.ratio: must not be negative"
+    );
+    anyhow::ensure!(
+        repeats.slack >= 0.0,
+        "{file}: repeats.slack: must not be negative"
+    );
+    anyhow::ensure!(
+        repeats.window_s > 0.0,
+        "{file}: repeats.window_s: must be positive"
+    );
+    anyhow::ensure!(
+        cfg.store.heartbeat_s > 0.0,
+        "{file}: store.heartbeat_s: must be positive"
+    );
+    anyhow::ensure!(
+        cfg.stop.grace_s > 0.0,
+        "{file}: stop.grace_s: must be positive"
+    );
+    Ok(cfg)
+}
--- /dev/null
+++ b/crates/front/src/view.rs
@@ -0,0 +1,48 @@
+//! What the control duty tells the callers' duty.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use assign::Owners;
+use direct::{Configuration, Roster, RouteTable};
+use ids::EntryId;
+use indexmap::IndexMap;
+
+/// Whether a host takes callers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Phase {
+    /// It does not know enough yet.
+    #[default]
+    Starting,
+    /// It takes callers.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+}
+
+/// A configuration and its compiled routes.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// The configuration.
+    pub cfg: Configuration,
+    /// Its routes.
+    pub routes: RouteTable,
+}
+
+/// All that the path of a request needs to know; replaced as a whole.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Whether the host takes callers.
+    pub phase: Phase,
+    /// The configuration in force.
+    pub in_force: Option<Arc<InForce>>,
+    /// The upstreams.
+    pub roster: Arc<Roster>,
+    /// Owners of keys, for each entry that is divided by key.
+    pub owners: Arc<IndexMap<EntryId, Owners>>,
+    /// Hosts that share the budget for repeats; at least one.
+    pub hosts: usize,
+}
+
+/// The view in force, for all threads.
+pub type Shared = Arc<ArcSwap<View>>;
--- a/crates/gate/src/headers.rs
+++ b/crates/gate/src/headers.rs
@@ -91,7 +91,8 @@
     Some(map)
 }
 
-fn strip_connection_only(headers: &mut HeaderMap) {
+/// Removes headers that concern one connection only.
+pub fn strip_connection_only(headers: &mut HeaderMap) {
     for name in named_by_connection(headers) {
         headers.remove(name);
     }
--- a/crates/gate/src/upstream/conn.rs
+++ b/crates/gate/src/upstream/conn.rs
@@ -210,9 +210,23 @@
     /// Fails if the connection breaks, or the answer is cut or too large; the connection is
     /// closed then.
     pub async fn exchange(
+        self,
+        request: Request<RequestBody>,
+        limit: usize,
+    ) -> Result<Exchange, ExchangeError> {
+        self.exchange_ended(request, limit, BodyEnd::Declared).await
+    }
+
+    /// Does the same as [`Self::exchange`], for upstreams whose answers may end as `end` says.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::exchange`] does.
+    pub async fn exchange_ended(
         mut self,
         request: Request<RequestBody>,
         limit: usize,
+        end: BodyEnd,
     ) -> Result<Exchange, ExchangeError> {
         let is_head = request.method() == Method::HEAD;
         let response = self.send(request).await?;
@@ -222,7 +236,7 @@
             headers: parts.headers,
         };
         let bodiless = is_head || body.is_end_stream();
-        if !bodiless && !is_delimited(&head) {
+        if !bodiless && end == BodyEnd::Declared && !is_delimited(&head) {
             return Err(self.cut(head));
         }
         let body = match self.read_body(body, limit).await {
@@ -300,6 +314,15 @@
     }
 }
 
+/// What may say where an answer's body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// Its length, or its last chunk.
+    Declared,
+    /// Also the orderly end of the connection, of upstreams that reset it when they break off.
+    OrClosed,
+}
+
 /// Smallest read buffer that the library takes.
 const MIN_BUFFER: usize = 8 << 10;
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -3,14 +3,17 @@
 //! - [`settings`]: address, credentials and times.
 //! - [`http_platform`]: [`HttpPlatform`], which speaks the [protocol](crate::protocol).
 //!
-//! Below them, `pool` keeps connections, `exchange` makes calls and tells apart what is known
-//! of their effect, and `pages` joins pages of changes.
+//! - [`exchange`]: makes calls and tells apart what is known of their effect; adapters to other
+//!   protocols build on it.
+//!
+//! Below them, `pool` keeps connections and `pages` joins pages of changes.
 
-mod exchange;
+pub mod exchange;
 pub mod http_platform;
 mod pages;
 mod pool;
 pub mod settings;
 
+pub use exchange::{Answer, Call, Exchange, Kind};
 pub use http_platform::HttpPlatform;
 pub use settings::{HttpSettings, InvalidToken, Token};
--- a/crates/platform/src/client/exchange.rs
+++ b/crates/platform/src/client/exchange.rs
@@ -22,7 +22,7 @@
 
 /// What a call does, which says what a failure leaves open.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Kind {
+pub enum Kind {
     /// It has no effect, and may be repeated.
     Read,
     /// Its effect is the same however often it arrives.
@@ -33,19 +33,26 @@
 
 /// One call.
 #[derive(Debug, Clone)]
-pub(super) struct Call {
-    pub(super) step: &'static str,
-    pub(super) kind: Kind,
-    pub(super) method: Method,
-    pub(super) path: String,
-    pub(super) body: Bytes,
+pub struct Call {
+    /// What is being done, for errors.
+    pub step: &'static str,
+    /// What a failure leaves open.
+    pub kind: Kind,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Body, in JSON unless it is an object.
+    pub body: Bytes,
 }
 
 /// A whole answer.
 #[derive(Debug)]
-pub(super) struct Answer {
-    pub(super) status: StatusCode,
-    pub(super) body: Bytes,
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// The whole body.
+    pub body: Bytes,
 }
 
 /// Why one try of a call gave no answer.
@@ -59,7 +66,7 @@
 
 /// Makes calls over kept connections.
 #[derive(Debug)]
-pub(super) struct Exchange {
+pub struct Exchange {
     settings: HttpSettings,
     pool: Pool,
     peer: SmolStr,
@@ -68,7 +75,13 @@
 }
 
 impl Exchange {
-    pub(super) fn new(settings: HttpSettings, traffic: Arc<Traffic>) -> Self {
+    /// Builds an exchange; it opens connections only when they are needed.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the token is no header value, which [`Token`](super::Token) rules out.
+    #[must_use]
+    pub fn new(settings: HttpSettings, traffic: Arc<Traffic>) -> Self {
         let peer = format_smolstr!("{}", settings.address);
         Self {
             pool: Pool::new(settings.address, settings.kept, traffic),
@@ -80,22 +93,42 @@
     }
 
     /// Makes a call; an answer is one that says that the call was carried out, or `404`.
-    pub(super) async fn call(&self, call: &Call) -> Result<Answer, PlatformError> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if no such answer came in time.
+    pub async fn call(&self, call: &Call) -> Result<Answer, PlatformError> {
+        let answer = self.send(call, self.settings.timeout).await?;
+        self.judge(call, answer)
+    }
+
+    /// Makes a call that may take `limit`, and returns the answer whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no whole answer came in time.
+    pub async fn send(&self, call: &Call, limit: Duration) -> Result<Answer, PlatformError> {
         let mut sent = false;
         let tries = self.tries(call, &mut sent);
-        match timeout(self.settings.timeout, tries).await {
-            Ok(Ok(answer)) => self.judge(call, answer),
+        match timeout(limit, tries).await {
+            Ok(Ok(answer)) => Ok(answer),
             Ok(Err(cause)) => Err(self.no_answer(call, sent, cause)),
             Err(_) => Err(self.no_answer(call, sent, SmolStr::new_static("timeout"))),
         }
     }
 
+    /// Builds the error for a call that the platform surely did not carry out.
+    #[must_use]
+    pub fn turned_away(&self, step: &'static str, cause: impl Into<SmolStr>) -> PlatformError {
+        PlatformError::Unreachable {
+            step,
+            peer: self.peer.clone(),
+            cause: cause.into(),
+        }
+    }
+
     /// Builds the error for an answer that makes no sense.
-    pub(super) fn bad_answer(
-        &self,
-        step: &'static str,
-        cause: impl Into<SmolStr>,
-    ) -> PlatformError {
+    pub fn bad_answer(&self, step: &'static str, cause: impl Into<SmolStr>) -> PlatformError {
         PlatformError::BadAnswer {
             step,
             peer: self.peer.clone(),
