--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -23,8 +23,13 @@
 ///
 /// They say something several times a second, so that waiting for changes would mean more reads.
 const UPSTREAMS_EVERY: Duration = Duration::from_millis(650);
-/// Pause after a failed read.
+/// Pause after a failed read, and between reads that don't wait.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Time for which a host doesn't wait for changes in the store after the store was away.
+///
+/// A read that waits for changes when the store goes away hangs until its own end, which may be
+/// long after the store's return.
+const SETTLE: Duration = Duration::from_secs(3);
 
 /// Keys of rows of [`SHARED`] that hold an entry's owners.
 const KEYS_PREFIX: &str = "keys.";
@@ -225,9 +230,14 @@
     since: Revision,
     wait: Duration,
 ) -> Option<Delta> {
-    match platform.watch(table, since, wait).await {
+    let is_settled = ctl.with(|c| c.store_answers_for(BootClock.now(), SETTLE));
+    let asked = if is_settled { wait } else { Duration::ZERO };
+    match platform.watch(table, since, asked).await {
         Ok(delta) => {
             ctl.with(|c| c.store_answered(BootClock.now()));
+            if asked < wait {
+                tokio::time::sleep(PAUSE).await;
+            }
             Some(delta)
         }
         Err(e) => {
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -204,8 +204,14 @@
     /// Tells whether the store has answered for long enough that what it lacks is gone.
     #[must_use]
     pub fn store_settled(&self, now: Timestamp) -> bool {
+        self.store_answers_for(now, RETURN_TIME)
+    }
+
+    /// Tells whether the store has answered for `span` at least.
+    #[must_use]
+    pub fn store_answers_for(&self, now: Timestamp, span: Duration) -> bool {
         self.store_since
-            .is_some_and(|since| now.since(since) >= RETURN_TIME)
+            .is_some_and(|since| now.since(since) >= span)
     }
 
     /// Notes that the store answered.
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -72,7 +72,8 @@
         roster: Roster::default(),
         roster_read: Timestamp::ZERO,
         missing: Vec::new(),
-        store_since: Some(BootClock.now()),
+        // A host that starts has missed nothing.
+        store_since: Some(Timestamp::ZERO),
         addresses: HashMap::new(),
         hosts: IndexMap::new(),
         divided: IndexMap::new(),
