--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -10,7 +10,7 @@
 use arc_swap::ArcSwap;
 use assign::Run;
 use direct::Roster;
-use ids::{BootClock, Clock, Incarnation, Timestamp};
+use ids::{Incarnation, Timestamp};
 use indexmap::IndexMap;
 use slog::{Logger, info};
 use tokio::runtime::{Builder, Runtime};
