Release under a newer fence frees keys; calls given up are reset

So an answered release frees keys at once. Connections to upstreams are now closed with a reset. Ruled out: the chain of two take-overs.

--- a/crates/assign/src/keeper.rs
+++ b/crates/assign/src/keeper.rs
@@ -22,6 +22,12 @@
 /// Renewals that may fail before their upstream counts as silent.
 const FAILURES_OF_SILENT: u32 = 2;
 
+/// Time between two writes that only strike out former owners.
+///
+/// Whoever takes over releases them once more, which costs milliseconds; a write costs a read at
+/// each host.
+const TIDY_EVERY: Duration = Duration::from_secs(5);
+
 /// A call to an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OrderCall {
@@ -120,14 +126,6 @@
     expected: Option<Revision>,
 }
 
-/// A grant that got no answer and may still be carried out.
-#[derive(Debug)]
-struct Unanswered {
-    upstream: UpstreamId,
-    range: KeyRange,
-    sent: Timestamp,
-}
-
 /// A call on its way.
 #[derive(Debug)]
 struct Underway {
@@ -154,13 +152,15 @@
     evidence: Evidence,
     /// Until when grants of earlier granting hosts may hold.
     others_until: Timestamp,
+    /// The run that granted before this one.
+    predecessor: Option<Run>,
     commit: Option<Proposed>,
     calls: HashMap<u64, Underway>,
     next_call: u64,
-    unanswered: Vec<Unanswered>,
     health: HashMap<UpstreamId, Health>,
     gone: HashSet<UpstreamId>,
     plan_at: Timestamp,
+    tidy_at: Timestamp,
 }
 
 impl Keeper {
@@ -174,13 +174,14 @@
             known: None,
             evidence: Evidence::default(),
             others_until: Timestamp::ZERO,
+            predecessor: None,
             commit: None,
             calls: HashMap::new(),
             next_call: 0,
-            unanswered: Vec::new(),
             health: HashMap::new(),
             gone: HashSet::new(),
             plan_at: Timestamp::ZERO,
+            tidy_at: Timestamp::ZERO,
         }
     }
 
@@ -270,12 +271,20 @@
         };
         // Counted anew from the commit's answer, which comes later than its effect.
         self.others_until = now + stops_in + self.cfg.outlast();
+        self.predecessor = Some(known.row.granter.clone());
         self.propose(row, Some(revision), actions);
     }
 
+    /// Returns the run that granted before this one, if it is not known to be over.
+    #[must_use]
+    pub fn predecessor(&self) -> Option<&Run> {
+        self.predecessor.as_ref()
+    }
+
     /// Notes that the run which granted before this one has surely ended or stopped.
     pub fn predecessor_is_over(&mut self, now: Timestamp) {
         self.others_until = self.others_until.min(now + self.cfg.outlast());
+        self.predecessor = None;
     }
 
     fn propose(&mut self, row: EntryRow, expected: Option<Revision>, actions: &mut Vec<Action>) {
@@ -314,16 +323,9 @@
         let Some(underway) = self.calls.remove(&id) else {
             return;
         };
-        let Underway { call, sent, .. } = &underway;
+        let call = &underway.call;
         self.note_health(now, call, &end);
         let is_grant = matches!(call.kind, CallKind::Grant { .. });
-        if is_grant && matches!(end, CallEnd::NoAnswer { maybe_sent: true }) {
-            self.unanswered.push(Unanswered {
-                upstream: call.upstream.clone(),
-                range: call.range,
-                sent: *sent,
-            });
-        }
         if matches!(end, CallEnd::Gone) {
             self.gone.insert(call.upstream.clone());
         }
@@ -435,8 +437,6 @@
         if !self.is_granting(now) {
             return;
         }
-        let outlast = self.cfg.outlast();
-        self.unanswered.retain(|u| now < u.sent + outlast);
         self.free_former(now);
         self.call_upstreams(now, actions);
         if now >= self.plan_at && self.commit.is_none() && standing.may_move {
@@ -451,16 +451,12 @@
             return;
         };
         let outlast = self.cfg.outlast();
-        let (gone, unanswered, others_until) = (&self.gone, &self.unanswered, self.others_until);
-        for (piece, live) in known.row.pieces.iter().zip(&mut known.live) {
-            for former in &mut live.former {
-                let over = now >= (former.last_sent + outlast).max(others_until);
-                let may_come = unanswered
-                    .iter()
-                    .any(|u| u.upstream == former.upstream && u.range.overlaps(piece.range));
-                let released = former.released && !may_come && now >= others_until;
-                former.free |= over || released || gone.contains(&former.upstream);
-            }
+        let (gone, others_until) = (&self.gone, self.others_until);
+        for former in known.live.iter_mut().flat_map(|live| &mut live.former) {
+            let over = now >= (former.last_sent + outlast).max(others_until);
+            // A release under the piece's fence makes the upstream refuse all grants that were
+            // sent before, whoever sent them and however late they come.
+            former.free |= over || former.released || gone.contains(&former.upstream);
         }
     }
 
@@ -526,13 +522,15 @@
         if moves.is_empty() {
             moves = self.planner.balance(&row, standing.loads, &takers);
         }
-        let settled = known
+        let has_settled = known
             .live
             .iter()
             .any(|l| !l.former.is_empty() && l.is_free());
-        if moves.is_empty() && !settled {
+        let tidies = has_settled && now >= self.tidy_at;
+        if moves.is_empty() && !tidies {
             return;
         }
+        self.tidy_at = now + TIDY_EVERY;
         for (piece, live) in row.pieces.iter_mut().zip(&known.live) {
             piece.former.retain(|up| {
                 let former = live.former.iter().find(|f| f.upstream == *up);
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use assign::{Action, CallEnd, CommitEnd, EntryRow, OrderCall, Standing, UpstreamView};
+use assign::{Action, CallEnd, CommitEnd, EntryRow, OrderCall, Run, Standing, UpstreamView};
 use direct::Roster;
 use ids::{BootClock, Clock, EntryId, Timestamp};
 use platform::{Commit, PlatformError, RowKey};
@@ -93,10 +93,15 @@
         }
         return;
     };
-    let newest = hosts.get(&granter.host).map(|h| h.run.incarnation);
+    let newest = |run: &Run| hosts.get(&run.host).map(|h| h.run.incarnation);
     if keeper.is_granter() {
+        let is_over = |run: &Run| newest(run) > Some(run.incarnation);
+        if keeper.predecessor().is_some_and(is_over) {
+            keeper.predecessor_is_over(now);
+        }
         return;
     }
+    let newest = newest(&granter);
     let evidence = keeper.evidence_age(now);
     if let Some(reason) = divided.succession.decide(now, newest, evidence, patience) {
         keeper.take_over(now, reason.is_over, ready, actions);
--- a/crates/gate/src/upstream/conn.rs
+++ b/crates/gate/src/upstream/conn.rs
@@ -165,6 +165,9 @@
             .map_err(|elapsed| failed(io::Error::new(io::ErrorKind::TimedOut, elapsed)))?
             .map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
+        // A request that was given up must not arrive later: closing drops what the network has
+        // not delivered yet, and tells the upstream at once.
+        stream.set_zero_linger().map_err(failed)?;
         let stream = CountedStream::new(stream, traffic);
         let written = stream.written();
         let (sender, connection) = http1::Builder::new()
