Feed what is read of the store within a failure domain

Now a domain's first host reads, and feeds a tree of 16 children each; who falls silent is passed by.

--- a/crates/assign/src/succession.rs
+++ b/crates/assign/src/succession.rs
@@ -20,8 +20,6 @@
     /// Age of the granting host's knowledge of the store at which it is replaced by a host that
     /// can read the store: twice what it usually is.
     pub blind: Duration,
-    /// Age of its own knowledge up to which a host may replace another.
-    pub fresh: Duration,
 }
 
 impl Default for SuccessionSettings {
@@ -29,7 +27,6 @@
         Self {
             silence: Duration::from_millis(1_200),
             blind: Duration::from_millis(2_500),
-            fresh: Duration::from_millis(3_600),
         }
     }
 }
@@ -89,20 +86,18 @@
         self.heard = Some((now, word));
     }
 
-    /// Decides; `newest` is the newest known run of the granting host, `evidence` the age of the
-    /// own knowledge of the store, and `patience` is drawn by each host, so that one comes first.
+    /// Decides, at a host that can read the store.
+    ///
+    /// `newest` is the newest known run of the granting host, and `patience` is drawn by each host,
+    /// so that one comes first.
     #[must_use]
     pub fn decide(
         &self,
         now: Timestamp,
         newest: Option<Incarnation>,
-        evidence: Option<Duration>,
         patience: Duration,
     ) -> Option<TakeOver> {
         let granter = self.granter.as_ref()?;
-        if evidence.is_none_or(|age| age > self.cfg.fresh) {
-            return None;
-        }
         let said = self.heard.map(|(_, word)| word.incarnation);
         let over = newest
             .max(said)
--- /dev/null
+++ b/crates/front/src/control/copies.rs
@@ -0,0 +1,97 @@
+//! Copies of the store's tables, as far as this host needs to pass them on.
+
+use ids::Revision;
+use indexmap::IndexMap;
+use platform::{Delta, Row, RowKey};
+
+/// One row of a copy; no value if the row is gone.
+#[derive(Debug, Clone)]
+struct Copied {
+    row: Row,
+    /// Count of changes to the copy when this row changed.
+    generation: u64,
+}
+
+/// A copy of one table.
+#[derive(Debug, Default)]
+pub struct Copy {
+    rows: IndexMap<RowKey, Copied>,
+    revision: Revision,
+    generation: u64,
+}
+
+impl Copy {
+    /// Returns the revision of the store up to which the copy is complete.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the count of changes to the copy.
+    #[must_use]
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Takes what was read; returns the rows that are news, with removed ones.
+    ///
+    /// `is_news` says whether a row with a value matters; one that doesn't is left out of the copy.
+    pub fn take(&mut self, delta: Delta, mut is_news: impl FnMut(&Row) -> bool) -> Vec<Row> {
+        let mut news = Vec::new();
+        let changes = match delta {
+            Delta::Changes(changes) => changes,
+            Delta::Snapshot(all) => {
+                news.extend(self.drop_missing(&all.rows, all.revision));
+                all
+            }
+        };
+        for row in changes.rows {
+            let known = self.rows.get(&row.key).map(|c| &c.row);
+            if known.is_some_and(|known| known.revision >= row.revision) {
+                continue;
+            }
+            let was_gone = known.is_some_and(|known| known.value.is_none());
+            let matters = row.value.is_none() || is_news(&row);
+            if !matters && !was_gone {
+                continue;
+            }
+            self.put(row.clone());
+            news.push(row);
+        }
+        self.revision = self.revision.max(changes.revision);
+        news
+    }
+
+    /// Removes rows that a snapshot at `revision` lacks.
+    fn drop_missing(&mut self, all: &[Row], revision: Revision) -> Vec<Row> {
+        let is_missing = |c: &&Copied| {
+            let row = &c.row;
+            row.value.is_some() && row.revision <= revision && !all.iter().any(|r| r.key == row.key)
+        };
+        let gone = |c: &Copied| Row {
+            key: c.row.key.clone(),
+            revision,
+            value: None,
+        };
+        let missing: Vec<Row> = self.rows.values().filter(is_missing).map(gone).collect();
+        for row in &missing {
+            self.put(row.clone());
+        }
+        missing
+    }
+
+    fn put(&mut self, row: Row) {
+        self.generation += 1;
+        let generation = self.generation;
+        self.rows
+            .insert(row.key.clone(), Copied { row, generation });
+    }
+
+    /// Returns the rows that changed after `generation`, with removed ones.
+    pub fn since(&self, generation: u64) -> impl Iterator<Item = &Row> {
+        self.rows
+            .values()
+            .filter(move |c| c.generation > generation)
+            .map(|c| &c.row)
+    }
+}
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 
 use crate::control::follow::{keys_row, keys_txn};
-use crate::control::state::{Control, Ctl, Divided};
+use crate::control::state::{Control, Ctl, Divided, ROSTER_FRESH};
 use crate::ports::Platform;
 use crate::view::Phase;
 
@@ -20,8 +20,6 @@
 const TICK: Duration = Duration::from_millis(300);
 /// Longest part of the wait before a take-over that a host draws at random.
 const PATIENCE: Duration = Duration::from_millis(400);
-/// Age of the roster up to which keys may be moved.
-const ROSTER_FRESH: Duration = Duration::from_millis(1_500);
 /// Service time of an upstream of which nothing was observed, in seconds.
 const USUAL_SERVICE: f64 = 0.1;
 
@@ -31,7 +29,7 @@
     loop {
         let now = BootClock.now();
         let due = ctl.with(|c| due(c, now, patience));
-        let grants = ctl.with(|c| c.divided.values().any(|d| d.keeper.is_granter()));
+        let grants = ctl.with(|c| c.grants());
         for (entry, action) in due {
             carry_out(&ctl, &platform, entry, action);
         }
@@ -43,6 +41,7 @@
 
 fn due(c: &mut Control, now: Timestamp, patience: Duration) -> Vec<(EntryId, Action)> {
     let may_move = c.store_settled(now) && now.since(c.roster_read) < ROSTER_FRESH;
+    let is_fresh = c.is_fresh(now);
     let mut due = Vec::new();
     for (entry, divided) in &mut c.divided {
         let ready = ready(&c.roster, entry, divided);
@@ -50,7 +49,9 @@
         if c.phase == Phase::Leaving {
             continue;
         }
-        take_over(divided, &c.hosts, &ready, now, patience, &mut actions);
+        if is_fresh {
+            take_over(divided, &c.hosts, &ready, now, patience, &mut actions);
+        }
         divided.loads.sum_up(now);
         let standing = Standing {
             ready: &ready,
@@ -88,9 +89,7 @@
 ) {
     let keeper = &mut divided.keeper;
     let Some(granter) = keeper.row().map(|row| row.granter.clone()) else {
-        if keeper.evidence_age(now).is_some() {
-            keeper.take_over(now, true, ready, actions);
-        }
+        keeper.take_over(now, true, ready, actions);
         return;
     };
     let newest = |run: &Run| hosts.get(&run.host).map(|h| h.run.incarnation);
@@ -102,8 +101,7 @@
         return;
     }
     let newest = newest(&granter);
-    let evidence = keeper.evidence_age(now);
-    if let Some(reason) = divided.succession.decide(now, newest, evidence, patience) {
+    if let Some(reason) = divided.succession.decide(now, newest, patience) {
         keeper.take_over(now, reason.is_over, ready, actions);
     }
 }
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -2,14 +2,20 @@
 //!
 //! - [`samples`]: the ring of samples from the callers' duty.
 //! - [`state`]: what the duty knows, and the view that it publishes.
+//! - [`copies`]: copies of the store's tables.
+//! - [`take`](mod@take): takes what was read of the tables.
 //! - [`follow`]: reads the tables of the store as they change.
+//! - [`relay`]: passes what was read on within a failure domain.
 //! - [`beat`]: heartbeats between hosts.
 //! - [`keys`]: drives the keepers of entries that are divided by key.
 
 pub mod beat;
+pub mod copies;
 pub mod follow;
 pub mod keys;
+pub mod relay;
 pub mod samples;
 pub mod state;
+pub mod take;
 
 pub use state::{Control, Ctl};
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -17,7 +17,11 @@
 use platform::PlatformError;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
+
+use crate::control::copies::Copy;
+use crate::control::relay;
+use crate::control::take::Table;
 
 use crate::settings::Settings;
 use crate::view::{InForce, Phase, Shared, View};
@@ -26,6 +30,9 @@
 /// that lapsed meanwhile are written again within two seconds.
 pub(crate) const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
+/// Age of the roster up to which it counts as fresh: two reads.
+pub(crate) const ROSTER_FRESH: Duration = Duration::from_millis(1_500);
+
 /// What a host tells the others of itself, in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -76,6 +83,10 @@
     pub hosts: IndexMap<HostId, HostRow>,
     /// Entries that are divided by key.
     pub divided: IndexMap<EntryId, Divided>,
+    /// What was read of the store, in the order of [`Table::ALL`](super::take::Table::ALL).
+    pub copies: [Copy; Table::ALL.len()],
+    /// When another host last fed this one with fresh knowledge.
+    pub fed_at: Option<Timestamp>,
     /// Where the view is published.
     pub view: Shared,
     /// Logger.
@@ -88,6 +99,8 @@
     state: Rc<RefCell<Control>>,
     /// Wakes the task that drives the keepers.
     pub wake_keys: Rc<Notify>,
+    /// Tells the hosts that this one feeds that there is something new.
+    changes: Rc<watch::Sender<()>>,
 }
 
 impl Ctl {
@@ -97,9 +110,22 @@
         Self {
             state: Rc::new(RefCell::new(state)),
             wake_keys: Rc::default(),
+            changes: Rc::new(watch::Sender::new(())),
         }
     }
 
+    /// Returns what tells of changes to the copies of the store's tables.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
+    /// Tells everybody whom it concerns that what is known of the store has changed.
+    pub fn changed(&self) {
+        self.wake_keys.notify_one();
+        self.changes.send_replace(());
+    }
+
     /// Reads or changes the state; `f` must not wait.
     ///
     /// # Panics
@@ -169,16 +195,18 @@
         }
     }
 
-    /// Takes what an upstream says of itself.
-    pub fn register(&mut self, upstream: Registered) {
+    /// Takes what an upstream says of itself; tells whether it is news.
+    pub fn register(&mut self, upstream: Registered) -> bool {
         self.missing.retain(|id| *id != upstream.id);
         self.addresses.insert(upstream.id.clone(), upstream.address);
         let (id, entry) = (upstream.id.clone(), upstream.entry.clone());
         let state = upstream.state;
-        if self.roster.put(upstream) {
+        let is_news = self.roster.put(upstream);
+        if is_news {
             info!(self.log, "upstream registered";
                 "upstream" => id.as_str(), "entry" => entry.as_str(), "state" => ?state);
         }
+        is_news
     }
 
     /// Notes that a registration is gone; it may come back if the store was away.
@@ -188,17 +216,53 @@
         }
     }
 
-    /// Removes upstreams that stayed missing for long enough.
-    pub fn remove_missing(&mut self, now: Timestamp) {
-        let settled = self.store_settled(now);
-        if !settled || self.missing.is_empty() {
-            return;
+    /// Removes upstreams that stayed missing for long enough; tells whether there were any.
+    pub fn remove_missing(&mut self, now: Timestamp) -> bool {
+        if !self.store_settled(now) || self.missing.is_empty() {
+            return false;
         }
         for id in std::mem::take(&mut self.missing) {
             if self.roster.remove(&id) {
                 info!(self.log, "upstream gone"; "upstream" => id.as_str());
             }
         }
+        true
+    }
+
+    /// Tells whether this host grants keys of an entry.
+    #[must_use]
+    pub fn grants(&self) -> bool {
+        self.divided.values().any(|d| d.keeper.is_granter())
+    }
+
+    /// Notes that another host fed this one with fresh knowledge of the store.
+    pub fn fed(&mut self, now: Timestamp) {
+        self.fed_at = Some(now);
+        self.store_answered(now);
+    }
+
+    /// Tells whether another host feeds this one.
+    #[must_use]
+    pub fn is_fed(&self, now: Timestamp) -> bool {
+        self.fed_at.is_some_and(|at| now.since(at) < relay::SILENCE)
+    }
+
+    /// Tells whether what this host knows of the store is fresh, from the store or by another host.
+    #[must_use]
+    pub fn is_fresh(&self, now: Timestamp) -> bool {
+        self.store_since.is_some()
+            && self
+                .copies
+                .iter()
+                .all(|c| c.revision() > Revision::default())
+            && (self.is_fed(now) || now.since(self.roster_read) < ROSTER_FRESH)
+    }
+
+    /// Notes a read of what hosts share that began at `began` and brought everything up to then.
+    pub fn shared_read(&mut self, began: Timestamp) {
+        for divided in self.divided.values_mut() {
+            divided.keeper.read(began);
+        }
     }
 
     /// Tells whether the store has answered for long enough that what it lacks is gone.
--- /dev/null
+++ b/crates/front/src/control/take.rs
@@ -0,0 +1,144 @@
+//! Takes what was read of the store's tables, from the store itself or from another host.
+
+use assign::EntryRow;
+use ids::{EntryId, Timestamp, UpstreamId};
+use platform::{Delta, Row};
+use serde::de::DeserializeOwned;
+use slog::warn;
+
+use crate::control::state::{Control, HostRow};
+use crate::ports::Platform;
+
+/// The tables that each host follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Table {
+    /// The operator's configuration.
+    Configuration,
+    /// The upstreams' registrations.
+    Upstreams,
+    /// What the hosts share: owners of keys, and the hosts themselves.
+    Shared,
+}
+
+impl Table {
+    /// All tables.
+    pub const ALL: [Self; 3] = [Self::Configuration, Self::Upstreams, Self::Shared];
+
+    /// Returns the table's name.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => crate::ports::CONFIGURATION,
+            Self::Upstreams => crate::ports::UPSTREAMS,
+            Self::Shared => crate::ports::SHARED,
+        }
+    }
+
+    /// Returns the table's position in [`Self::ALL`].
+    #[must_use]
+    pub const fn index(self) -> usize {
+        self as usize
+    }
+}
+
+/// Keys of rows that hold an entry's owners.
+pub(crate) const KEYS_PREFIX: &str = "keys.";
+/// Keys of rows that hold a host.
+pub(crate) const HOST_PREFIX: &str = "host.";
+
+/// Takes what was read of `table`; tells whether anything changed.
+pub fn take(
+    c: &mut Control,
+    platform: &impl Platform,
+    table: Table,
+    delta: Delta,
+    now: Timestamp,
+) -> bool {
+    let mut copy = std::mem::take(&mut c.copies[table.index()]);
+    let rows = copy.take(delta, |row| match table {
+        Table::Upstreams => take_upstream(c, platform, row, now),
+        Table::Configuration | Table::Shared => true,
+    });
+    c.copies[table.index()] = copy;
+    for row in &rows {
+        match table {
+            Table::Upstreams => drop_upstream(c, row),
+            Table::Configuration => take_configuration(c, platform, row, now),
+            Table::Shared => take_shared(c, row, now),
+        }
+    }
+    if table == Table::Upstreams {
+        c.roster_read = now;
+    }
+    let removed = c.remove_missing(now);
+    let changed = !rows.is_empty() || removed;
+    if changed {
+        c.publish();
+    }
+    changed
+}
+
+/// Returns the key of a row within its table.
+fn key_of(row: &Row) -> &str {
+    row.key.0.split_once('/').map_or("", |(_, key)| key)
+}
+
+/// Takes a registration; tells whether it is news.
+fn take_upstream(c: &mut Control, platform: &impl Platform, row: &Row, now: Timestamp) -> bool {
+    let Some(value) = &row.value else {
+        return true;
+    };
+    match platform.registered(key_of(row), value, now) {
+        Ok(upstream) => c.register(upstream),
+        Err(e) => {
+            warn!(c.log, "registration refused"; "error" => %e);
+            false
+        }
+    }
+}
+
+fn drop_upstream(c: &mut Control, row: &Row) {
+    if row.value.is_none()
+        && let Ok(id) = UpstreamId::new(key_of(row))
+    {
+        c.unregister(&id);
+    }
+}
+
+fn take_configuration(c: &mut Control, platform: &impl Platform, row: &Row, now: Timestamp) {
+    let Some(value) = &row.value else {
+        return;
+    };
+    match platform.configuration(key_of(row), value) {
+        Ok(Some(cfg)) => c.configure(now, cfg),
+        Ok(None) => {}
+        Err(e) => warn!(c.log, "configuration refused"; "error" => %e),
+    }
+}
+
+fn take_shared(c: &mut Control, row: &Row, now: Timestamp) {
+    let key = key_of(row);
+    let Some(value) = &row.value else {
+        if let Some(host) = key.strip_prefix(HOST_PREFIX) {
+            c.hosts.retain(|id, _| id.as_str() != host);
+        }
+        return;
+    };
+    if key.starts_with(HOST_PREFIX) {
+        if let Some(host) = decode::<HostRow>(c, key, value) {
+            c.hosts.insert(host.run.host.clone(), host);
+        }
+    } else if let Some(entry) = key.strip_prefix(KEYS_PREFIX) {
+        match (EntryId::new(entry), EntryRow::decode(value)) {
+            (Ok(entry), Ok(keys)) => c.take_row(now, &entry, keys, row.revision),
+            (_, Err(e)) => warn!(c.log, "row refused"; "row" => key, "error" => %e),
+            (Err(e), _) => warn!(c.log, "row refused"; "row" => key, "error" => %e),
+        }
+    }
+}
+
+fn decode<T: DeserializeOwned>(c: &Control, key: &str, value: &[u8]) -> Option<T> {
+    serde_json::from_slice(value)
+        .inspect_err(|e| warn!(c.log, "row refused"; "row" => key, "error" => %e))
+        .ok()
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -19,7 +19,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control::samples::{self, SampleRx, SampleTx};
-use crate::control::{Control, Ctl, beat, follow, keys};
+use crate::control::take::Table;
+use crate::control::{Control, Ctl, beat, follow, keys, relay};
 use crate::forward::Forwarder;
 use crate::ports::{Dialect, Platform};
 use crate::settings::{self, Settings};
@@ -77,6 +78,8 @@
         addresses: HashMap::new(),
         hosts: IndexMap::new(),
         divided: IndexMap::new(),
+        copies: Default::default(),
+        fed_at: None,
         view,
         log: log.clone(),
         cfg,
@@ -156,11 +159,16 @@
     let socket = beat::bind(listen.peers)
         .await
         .with_context(|| format!("bind {}", listen.peers))?;
+    let relay_listener =
+        serve::bind(listen.peers).with_context(|| format!("bind {}", listen.peers))?;
     let ctl = Ctl::new(control);
     tokio::task::spawn_local(serve::readiness(ready, ready_path, view, log.clone()));
-    tokio::task::spawn_local(follow::configuration(ctl.clone(), platform.clone()));
-    tokio::task::spawn_local(follow::upstreams(ctl.clone(), platform.clone()));
-    tokio::task::spawn_local(follow::shared(ctl.clone(), platform.clone()));
+    for table in Table::ALL {
+        tokio::task::spawn_local(follow::follow(ctl.clone(), platform.clone(), table));
+    }
+    tokio::task::spawn_local(follow::announce(ctl.clone(), platform.clone()));
+    tokio::task::spawn_local(relay::feed(ctl.clone(), relay_listener));
+    tokio::task::spawn_local(relay::be_fed(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(beat::send(ctl.clone(), Rc::clone(&socket), samples));
     tokio::task::spawn_local(beat::receive(ctl.clone(), socket));
     tokio::task::spawn_local(keys::drive(ctl.clone(), platform));
