Watch new connections for a reset; hand keys out once the roster is steady

Keys were handed out to the 24 upstreams of 209 that had registered by then. Hosts without knowledge all began with the first upstream in the list (28 got no request).

--- a/crates/assign/src/plan.rs
+++ b/crates/assign/src/plan.rs
@@ -33,8 +33,11 @@
     pub trigger: f64,
     /// Busy slots for each slot below which an upstream gives nothing away: it has room.
     pub idle: f64,
-    /// Most moves in one plan.
-    pub moves: usize,
+    /// Most moves in one plan, as a part of the upstreams; at least six.
+    ///
+    /// A third more upstreams then get their keys within three plans, while a plan for twenty
+    /// stays small.
+    pub moves: f64,
 }
 
 impl Default for Planner {
@@ -42,7 +45,7 @@
         Self {
             trigger: 1.35,
             idle: 0.4,
-            moves: 6,
+            moves: 0.15,
         }
     }
 }
@@ -95,7 +98,8 @@
             return moves;
         }
         let fair = fair_level(&levels);
-        while moves.len() < self.moves {
+        let most = (ups.len() as f64 * self.moves).max(6.0) as usize;
+        while moves.len() < most {
             let Some(planned) = self.next(row, loads, &mut levels, fair) else {
                 break;
             };
--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -17,6 +17,11 @@
     /// A fifth keeps a local queue of less than one request for each slot local at today's
     /// objectives, which are about three service times.
     pub remote_price: f64,
+    /// Part of the objective by which an upstream without a connection at rest has to be faster.
+    ///
+    /// Opening one costs the upstream a millisecond of a slot; a host that keeps to a few upstreams
+    /// also knows their load better.
+    pub connect_price: f64,
     /// How many times its expected time an upstream that always fails counts as slower.
     pub failing_price: f64,
     /// Most requests at an upstream for each of its slots, by what is known.
@@ -30,6 +35,7 @@
     fn default() -> Self {
         Self {
             remote_price: 0.2,
+            connect_price: 0.05,
             failing_price: 4.0,
             crowd_max: 3.5,
         }
@@ -47,6 +53,8 @@
     pub is_remote: bool,
     /// Whether it is slow after its start.
     pub is_cold: bool,
+    /// Whether the asking host has a connection to it at rest.
+    pub is_connected: bool,
 }
 
 /// What became of a choice.
@@ -80,6 +88,7 @@
     cfg: &ChooseSettings,
 ) -> Choice<K> {
     let remote = objective.as_secs_f64() * cfg.remote_price;
+    let connect = objective.as_secs_f64() * cfg.connect_price;
     let mut best: Option<(bool, f64, K, f64)> = None;
     let mut room_in = f64::INFINITY;
     for c in candidates {
@@ -92,7 +101,13 @@
             continue;
         }
         let price = 1.0 + cfg.failing_price * c.load.failing(now, load);
-        let score = expected * price + if c.is_remote { remote } else { 0.0 };
+        let mut score = expected * price;
+        if c.is_remote {
+            score += remote;
+        }
+        if !c.is_connected {
+            score += connect;
+        }
         let closed = c.load.is_closed(now);
         let better =
             best.is_none_or(|(b_closed, b_score, ..)| (closed, score) < (b_closed, b_score));
--- a/crates/front/src/connections.rs
+++ b/crates/front/src/connections.rs
@@ -19,6 +19,9 @@
 /// How much sooner than the upstream a connection is given up, so that a request doesn't meet the
 /// upstream's close.
 const KEEP_MARGIN: Duration = Duration::from_millis(1_500);
+/// Time after which the reset of a new connection has come: a round trip between the failure
+/// domains of today's users, and as much for the upstream; a hundredth of the shortest objective.
+const RESET_WAIT: Duration = Duration::from_millis(5);
 /// Connections kept to one upstream; a host has seldom more requests at one.
 const KEPT: usize = 8;
 
@@ -45,13 +48,29 @@
         }
     }
 
-    /// Opens a connection.
+    /// Opens a connection; none if the upstream closed it at once.
+    ///
+    /// An upstream that has too many connections takes new ones and resets them. A request that was
+    /// written before the reset came may have run as far as anyone can tell, so nothing is written
+    /// until the reset would have come.
     ///
     /// # Errors
     ///
     /// Fails if it does not open in time.
-    pub async fn open(&self, address: SocketAddr) -> Result<UpstreamConn, ExchangeError> {
-        UpstreamConn::open(address, CONNECT_TIMEOUT, HEAD_BYTES).await
+    pub async fn open(&self, address: SocketAddr) -> Result<Option<UpstreamConn>, ExchangeError> {
+        let mut conn = UpstreamConn::open(address, CONNECT_TIMEOUT, HEAD_BYTES).await?;
+        tokio::time::sleep(RESET_WAIT).await;
+        let is_usable = conn.is_usable_now().await;
+        Ok(is_usable.then_some(conn))
+    }
+
+    /// Tells whether a connection to `upstream` is at rest.
+    #[must_use]
+    pub fn has(&self, now: Timestamp, upstream: &UpstreamId) -> bool {
+        let resting = self.resting.borrow();
+        resting
+            .get(upstream)
+            .is_some_and(|kept| kept.last().is_some_and(|r| now < r.until))
     }
 
     /// Keeps a connection for the next request; `keep_alive` is what the upstream said.
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -20,6 +20,9 @@
 const TICK: Duration = Duration::from_millis(300);
 /// Longest part of the wait before a take-over that a host draws at random.
 const PATIENCE: Duration = Duration::from_millis(400);
+/// Time without news of upstreams after which an entry's keys are first handed out: more than the
+/// time between two heartbeats of an upstream, so that all that start together are there.
+const ROSTER_STEADY: Duration = Duration::from_millis(1_300);
 /// Service time of an upstream of which nothing was observed, in seconds.
 const USUAL_SERVICE: f64 = 0.1;
 
@@ -42,6 +45,7 @@
 fn due(c: &mut Control, now: Timestamp, patience: Duration) -> Vec<(EntryId, Action)> {
     let may_move = c.store_settled(now) && now.since(c.roster_read) < ROSTER_FRESH;
     let is_fresh = c.is_fresh(now);
+    let is_steady = now.since(c.roster_changed) > ROSTER_STEADY;
     let mut due = Vec::new();
     for (entry, divided) in &mut c.divided {
         let ready = ready(&c.roster, entry, divided);
@@ -49,7 +53,7 @@
         if c.phase == Phase::Leaving {
             continue;
         }
-        if is_fresh {
+        if is_fresh && (is_steady || divided.keeper.row().is_some()) {
             take_over(divided, &c.hosts, &ready, now, patience, &mut actions);
         }
         divided.loads.sum_up(now);
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -73,6 +73,8 @@
     pub roster: Roster,
     /// When the roster was last read.
     pub roster_read: Timestamp,
+    /// When the roster last changed.
+    pub roster_changed: Timestamp,
     /// Registrations that are missing since the store came back.
     pub missing: Vec<UpstreamId>,
     /// Since when the store answers.
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -71,6 +71,9 @@
         c.roster_read = now;
     }
     let removed = c.remove_missing(now);
+    if removed || (table == Table::Upstreams && !rows.is_empty()) {
+        c.roster_changed = now;
+    }
     let changed = !rows.is_empty() || removed;
     if changed {
         c.publish();
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -292,16 +292,23 @@
                 loads.insert(up.id.clone(), UpstreamLoad::new(up.slots));
             }
         }
-        let fresh = view
+        let mut fresh: Vec<&Registered> = view
             .roster
             .ready(&job.entry)
-            .filter(|u| !tried.contains(&u.id));
-        let candidates = fresh.filter_map(|up| {
+            .filter(|u| !tried.contains(&u.id))
+            .collect();
+        if !fresh.is_empty() {
+            // Hosts that know nothing of the upstreams must not all begin with the same one.
+            let begin = rand::rng().random_range(0..fresh.len());
+            fresh.rotate_left(begin);
+        }
+        let candidates = fresh.into_iter().filter_map(|up| {
             Some(Candidate {
                 key: up,
                 load: loads.get(&up.id)?,
                 is_remote: up.domain != self.domain,
                 is_cold: now < up.cold_until,
+                is_connected: self.connections.has(now, &up.id),
             })
         });
         let objective = job.route.objective;
@@ -406,9 +413,11 @@
                 other => return other,
             }
         }
-        let conn = self.connections.open(target.address).await;
-        let conn = conn.map_err(|_refused_or_silent| Ended::Unsent(Reason::ConnectFailed))?;
-        self.exchange_on(conn, job, target).await
+        match self.connections.open(target.address).await {
+            Ok(Some(conn)) => self.exchange_on(conn, job, target).await,
+            Ok(None) => Err(Ended::NotRun(Reason::UpstreamShed)),
+            Err(_refused_or_silent) => Err(Ended::Unsent(Reason::ConnectFailed)),
+        }
     }
 
     async fn exchange_on(
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -72,6 +72,7 @@
         in_force: None,
         roster: Roster::default(),
         roster_read: Timestamp::ZERO,
+        roster_changed: Timestamp::ZERO,
         missing: Vec::new(),
         // A host that starts has missed nothing.
         store_since: Some(Timestamp::ZERO),
