--- a/crates/assign/src/keeper.rs
+++ b/crates/assign/src/keeper.rs
@@ -319,20 +319,20 @@
     }
 
     /// Notes how a call ended.
-    pub fn call_ended(&mut self, now: Timestamp, id: u64, end: CallEnd) {
+    pub fn call_ended(&mut self, now: Timestamp, id: u64, end: &CallEnd) {
         let Some(underway) = self.calls.remove(&id) else {
             return;
         };
         let call = &underway.call;
-        self.note_health(now, call, &end);
+        self.note_health(now, call, end);
         let is_grant = matches!(call.kind, CallKind::Grant { .. });
         if matches!(end, CallEnd::Gone) {
             self.gone.insert(call.upstream.clone());
         }
         if is_grant {
-            self.grant_ended(now, &underway, &end);
+            self.grant_ended(now, &underway, end);
         } else {
-            self.release_ended(now, call, &end);
+            self.release_ended(now, call, end);
         }
     }
 
--- /dev/null
+++ b/crates/assign/tests/ownership.rs
@@ -0,0 +1,138 @@
+//! No key ever has two holders, whatever goes wrong, and each has one again soon after.
+
+mod world;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use world::{Fault, Trouble, World};
+
+const HOSTS: usize = 3;
+const UPSTREAMS: usize = 5;
+
+fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+fn rng(seed: u64) -> StdRng {
+    StdRng::seed_from_u64(seed)
+}
+
+/// One kind of trouble, and for how long keys may have no holder.
+struct Case {
+    name: &'static str,
+    troubles: &'static [(Fault, f64, f64)],
+    /// Most keys of 48 without a holder at each of these seconds.
+    unserved: &'static [(f64, usize)],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "nothing",
+        troubles: &[],
+        unserved: &[(2.0, 0), (10.0, 0)],
+    },
+    Case {
+        name: "an outage of the store alone takes no keys",
+        troubles: &[(Fault::StoreDown, 5.0, 9.0)],
+        unserved: &[(6.0, 0), (10.0, 0), (13.9, 0), (16.0, 0)],
+    },
+    Case {
+        name: "a planned leave empties an upstream within its two seconds",
+        troubles: &[(Fault::UpstreamLeaves(1), 5.0, 30.0)],
+        unserved: &[(6.5, 0), (9.0, 0)],
+    },
+    Case {
+        name: "keys of a lost upstream go to others once its grant has run out",
+        troubles: &[(Fault::UpstreamDown(2), 5.0, 30.0)],
+        unserved: &[(10.0, 0)],
+    },
+    Case {
+        name: "a host that restarts takes over from itself and moves nothing",
+        troubles: &[(Fault::HostRestarts(0), 5.0, 0.02)],
+        unserved: &[(6.0, 0), (8.0, 0), (12.0, 0)],
+    },
+    Case {
+        name: "after a take-over from a host that may still grant, a planned leave is served at once",
+        troubles: &[
+            (Fault::HostPaused(0), 5.0, 20.0),
+            (Fault::TakeOver(1), 6.5, 0.1),
+            (Fault::UpstreamLeaves(1), 8.0, 30.0),
+        ],
+        unserved: &[(7.0, 0), (10.0, 0), (12.0, 0)],
+    },
+    Case {
+        name: "a host without the store grants on for its evidence, and its successor waits for that",
+        troubles: &[
+            (Fault::HostWithoutStore(0), 5.0, 40.0),
+            (Fault::HostWithoutUpstream(1, 2), 5.5, 40.0),
+            (Fault::TakeOver(1), 6.0, 0.1),
+        ],
+        unserved: &[(12.0, 0), (25.0, 0)],
+    },
+];
+
+#[test]
+fn keys_have_a_holder_again_in_time() {
+    for case in CASES {
+        let trouble = |&(fault, at, lasts): &(Fault, f64, f64)| Trouble {
+            fault,
+            at: seconds(at),
+            lasts: seconds(lasts),
+        };
+        let troubles = case.troubles.iter().map(trouble).collect();
+        let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(1));
+        for &(at, most) in case.unserved {
+            world.run(seconds(at)).expect(case.name);
+            let unserved = world.unserved();
+            assert!(
+                unserved <= most,
+                "{}: {unserved} keys without a holder at {at} s",
+                case.name
+            );
+        }
+    }
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let host = 0..HOSTS;
+    let upstream = 0..UPSTREAMS;
+    prop_oneof![
+        host.clone().prop_map(Fault::HostWithoutStore),
+        (host.clone(), upstream.clone()).prop_map(|(h, u)| Fault::HostWithoutUpstream(h, u)),
+        host.clone().prop_map(Fault::HostPaused),
+        host.clone().prop_map(Fault::HostRestarts),
+        host.prop_map(Fault::TakeOver),
+        upstream.clone().prop_map(Fault::UpstreamLeaves),
+        upstream.prop_map(Fault::UpstreamDown),
+        Just(Fault::StoreDown),
+        Just(Fault::LateOrders),
+        Just(Fault::LostCommits),
+    ]
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    (fault(), 2_000_u64..25_000, 20_u64..14_000).prop_map(|(fault, at, lasts)| Trouble {
+        fault,
+        at: Duration::from_millis(at),
+        lasts: Duration::from_millis(lasts),
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 150, ..ProptestConfig::default() })]
+
+    /// Faults overlap in any way; at the end all is quiet for long enough for every wait.
+    #[test]
+    fn no_key_has_two_holders(
+        troubles in prop::collection::vec(trouble(), 0..14),
+        seed: u64,
+    ) {
+        let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(seed));
+        prop_assert_eq!(world.run(seconds(60.0)), Ok(()));
+        prop_assert_eq!(world.unserved(), 0);
+        prop_assert!(world.holders() > 0);
+    }
+}
--- a/crates/cli/src/direct.rs
+++ b/crates/cli/src/direct.rs
@@ -13,7 +13,8 @@
 pub(crate) fn run(args: &ServeArgs) -> ExitCode {
     end_on_panic();
     let store = |cfg: &front::Settings| Store::new(cfg.store.address);
-    match front::run(&args.settings, Arc::new(Headers), store) {
+    let dialect: Arc<dyn front::Dialect> = Arc::new(Headers);
+    match front::run(&args.settings, &dialect, store) {
         Ok(()) => ExitCode::from(exit::OK),
         Err(e) => exit::fail(exit::FAILED, format!("{e:#}")),
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`routes`]: from host and path to a route, and from a route to the entry that serves it.
 //! - [`roster`]: the upstreams that registered themselves.
 //! - [`load`]: what this host believes of one upstream's load, speed and health.
-//! - [`choose`]: which upstream gets a request, or why none does.
+//! - [`choose`](mod@choose): which upstream gets a request, or why none does.
 //! - [`repeat`]: whether a request whose try failed is sent again.
 
 pub mod choose;
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -61,9 +61,8 @@
         (since, c.store_answers_for(began, SETTLE), c.grants())
     });
     let wait = match table {
-        Table::Configuration if settled => WAIT,
         Table::Shared if settled && grants => GRANTER_WAIT,
-        Table::Shared if settled => WAIT,
+        Table::Configuration | Table::Shared if settled => WAIT,
         _ => Duration::ZERO,
     };
     let delta = match platform.watch(table.name(), since, wait).await {
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -148,7 +148,7 @@
                 "fence" => described.fence.0, "end" => ?end);
         }
         if let Some(divided) = c.divided.get_mut(&entry) {
-            divided.keeper.call_ended(now, id, end);
+            divided.keeper.call_ended(now, id, &end);
         }
     });
     ctl.wake_keys.notify_one();
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -31,7 +31,7 @@
 const FEED_EVERY: Duration = Duration::from_millis(400);
 /// Silence after which a fed host reads the store itself: two messages and their way. What the
 /// store took must be known within two seconds.
-pub(crate) const SILENCE: Duration = Duration::from_millis(1_000);
+pub(crate) const SILENCE: Duration = Duration::from_secs(1);
 /// Time for a connection to a host of the same domain to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause before looking for a parent again.
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -92,7 +92,6 @@
 }
 
 /// A whole request of a caller, and what was found out about it.
-#[derive(Debug)]
 struct Job {
     parts: request::Parts,
     body: Bytes,
@@ -102,6 +101,8 @@
     is_divided: bool,
     arrived: Timestamp,
     deadline: Timestamp,
+    /// The last answer by which an upstream said that it failed.
+    failure: Cell<Option<Response<Full<Bytes>>>>,
 }
 
 /// Where a try goes.
@@ -175,23 +176,30 @@
         id: &Cell<SmolStr>,
     ) -> Result<Response<Full<Bytes>>, Refused> {
         let job = self.intake(req, arrived, id).await?;
+        let result = self.run(&job).await;
+        // An upstream's own failure says more than that there was one.
+        result.or_else(|refused| job.failure.take().ok_or(refused))
+    }
+
+    /// Tries until there is an answer or no more sense in it.
+    async fn run(&self, job: &Job) -> Result<Response<Full<Bytes>>, Refused> {
         let mut tries = Tries::default();
-        let mut tried: Vec<UpstreamId> = Vec::new();
+        let mut avoid: Vec<UpstreamId> = Vec::new();
         loop {
             let now = BootClock.now();
             if job.deadline.since(now) < LEAST_LEFT {
                 return Err(out_of_time(&tries));
             }
             let view = self.view.load_full();
-            let target = match self.pick(&view, &job, &tried, now) {
+            let target = match self.pick(&view, job, &avoid, now) {
                 Pick::To(target) => target,
                 Pick::Wait => {
-                    self.wait_for_owner(&job, &tries, now).await?;
+                    self.wait_for_owner(job, &tries, now).await?;
                     continue;
                 }
                 Pick::Refuse(refused) => return Err(truthful(refused, &tries)),
             };
-            let ended = match self.attempt(&job, &target).await {
+            let ended = match self.attempt(job, &target).await {
                 Ok(response) => return Ok(response),
                 Err(ended) => ended,
             };
@@ -213,7 +221,7 @@
                 }
                 Next::GiveUp => return Err(given_up(ended, &tries)),
             }
-            tried.push(target.id);
+            avoid.push(target.id);
         }
     }
 
@@ -255,6 +263,7 @@
             is_divided,
             arrived,
             deadline: arrived + wait,
+            failure: Cell::default(),
         })
     }
 
@@ -281,7 +290,7 @@
             .is_some_and(|e| e.budget.withdraw(now))
     }
 
-    fn pick(&self, view: &View, job: &Job, tried: &[UpstreamId], now: Timestamp) -> Pick {
+    fn pick(&self, view: &View, job: &Job, avoid: &[UpstreamId], now: Timestamp) -> Pick {
         if job.is_divided {
             return self.pick_owner(view, job, now);
         }
@@ -295,7 +304,7 @@
         let mut fresh: Vec<&Registered> = view
             .roster
             .ready(&job.entry)
-            .filter(|u| !tried.contains(&u.id))
+            .filter(|u| !avoid.contains(&u.id))
             .collect();
         if !fresh.is_empty() {
             // Hosts that know nothing of the upstreams must not all begin with the same one.
@@ -395,10 +404,7 @@
         drop(under_way);
         result
             .inspect(|_| self.answered(job, target, sent))
-            .map_err(|ended| {
-                self.note_failure(target, ended);
-                ended
-            })
+            .inspect_err(|&ended| self.note_failure(target, ended))
     }
 
     async fn exchange(
@@ -455,7 +461,9 @@
         }
         match judged.verdict {
             Verdict::Answer if done.head.status.is_server_error() && job.route.idempotent => {
-                // Whoever may ask again elsewhere does not want a failure of one upstream.
+                // Another upstream, or the same one later, may do better.
+                let failure = response(done.head.status, done.head.headers, done.body);
+                job.failure.set(Some(failure));
                 Err(Ended::Broken(Reason::UpstreamReset))
             }
             Verdict::Answer => Ok(response(done.head.status, done.head.headers, done.body)),
--- a/crates/front/src/log.rs
+++ b/crates/front/src/log.rs
@@ -11,7 +11,6 @@
 const RING_LINES: usize = 1_024;
 
 /// Builds the root logger of a host.
-#[must_use]
 pub fn logger(cfg: &Settings) -> Logger {
     let json = slog_json::Json::new(std::io::stdout())
         .add_default_keys()
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -40,7 +40,7 @@
 /// Fails if the settings are not valid, or an address can't be bound.
 pub fn run<P: Platform + Send>(
     path: &Path,
-    dialect: Arc<dyn Dialect>,
+    dialect: &Arc<dyn Dialect>,
     platform: impl FnOnce(&Settings) -> P,
 ) -> anyhow::Result<()> {
     let cfg = settings::load(path)?;
@@ -56,7 +56,7 @@
     let callers = Callers {
         cfg: cfg.clone(),
         view: Shared::clone(&view),
-        dialect: Arc::clone(&dialect),
+        dialect: Arc::clone(dialect),
         samples: samples_tx,
         stop: stop.clone(),
         log: log.clone(),
