--- /dev/null
+++ b/crates/assign/tests/plan.rs
@@ -0,0 +1,216 @@
+//! Which ranges move under which load.
+
+use assign::{EntryRow, Fence, KeyLoads, KeyRange, Planner, Run, UpstreamView};
+use ids::{HostId, Incarnation, Timestamp, UpstreamId};
+use std::collections::HashMap;
+
+fn id(i: usize) -> UpstreamId {
+    UpstreamId::new(format!("u{i}")).expect("a valid name")
+}
+
+fn row(owners: usize) -> EntryRow {
+    let run = Run {
+        host: HostId::new("h").expect("a valid name"),
+        incarnation: Incarnation(1),
+    };
+    let owners: Vec<_> = (0..owners).map(id).collect();
+    EntryRow::even(run, &owners)
+}
+
+fn views(services: &[f64]) -> Vec<UpstreamView> {
+    let view = |(i, &service): (usize, &f64)| UpstreamView {
+        id: id(i),
+        slots: 4,
+        service,
+    };
+    services.iter().enumerate().map(view).collect()
+}
+
+/// Loads of `even` requests a second over all keys, and `hot` over a stretch of 200 keys.
+fn loads(even: u32, hot: u32) -> KeyLoads {
+    let now = Timestamp::from_millis(1);
+    let mut loads = KeyLoads::new(now);
+    // A count of 4.33 is a request a second at a half-life of three seconds.
+    for i in 0..even * 433 / 100 {
+        loads.add((u64::from(i) * 15_013 % 65_536) as u16, 1);
+    }
+    for i in 0..hot * 433 / 100 {
+        loads.add(20_000 + (i % 200) as u16, 1);
+    }
+    loads.sum_up(now);
+    loads
+}
+
+fn levels(row: &EntryRow, loads: &KeyLoads, ups: &[UpstreamView]) -> HashMap<UpstreamId, f64> {
+    let mut levels: HashMap<UpstreamId, f64> = ups.iter().map(|u| (u.id.clone(), 0.0)).collect();
+    for piece in &row.pieces {
+        if let Some(level) = levels.get_mut(&piece.owner) {
+            let up = ups.iter().find(|u| u.id == piece.owner).expect("listed");
+            *level += loads.rate(piece.range) * up.service / f64::from(up.slots);
+        }
+    }
+    levels
+}
+
+/// Plans until nothing moves any more, as if each plan was carried out at once.
+fn settle(row: &mut EntryRow, loads: &KeyLoads, ups: &[UpstreamView]) -> usize {
+    let planner = Planner::default();
+    for plans in 0..60 {
+        let moves = planner.balance(row, loads, ups);
+        if moves.is_empty() {
+            return plans;
+        }
+        let fence = row.fence.next();
+        for m in moves {
+            row.give(m.range, &m.from, &m.to, fence);
+        }
+        for piece in &mut row.pieces {
+            piece.former.clear();
+        }
+        row.check().expect("a valid row");
+    }
+    panic!("the plan does not settle");
+}
+
+struct Case {
+    name: &'static str,
+    services: &'static [f64],
+    owners: usize,
+    even: u32,
+    hot: u32,
+    /// Highest level of an upstream, as a multiple of the mean, once nothing moves.
+    worst: f64,
+    /// Most plans until then.
+    plans: usize,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "even load stays",
+        services: &[0.1; 8],
+        owners: 8,
+        even: 200,
+        hot: 0,
+        worst: 1.35,
+        plans: 0,
+    },
+    Case {
+        name: "a stretch of hot keys is divided",
+        services: &[0.1; 8],
+        owners: 8,
+        even: 120,
+        hot: 100,
+        worst: 1.5,
+        plans: 12,
+    },
+    Case {
+        name: "slow upstreams get less",
+        services: &[0.07, 0.07, 0.16, 0.07, 0.07, 0.16],
+        owners: 6,
+        even: 200,
+        hot: 0,
+        worst: 1.5,
+        plans: 12,
+    },
+    Case {
+        name: "upstreams that join get keys",
+        services: &[0.1; 8],
+        owners: 5,
+        even: 200,
+        hot: 0,
+        worst: 1.5,
+        plans: 12,
+    },
+    Case {
+        name: "an idle entry stays as it is",
+        services: &[0.01; 8],
+        owners: 8,
+        even: 20,
+        hot: 20,
+        worst: 8.0,
+        plans: 0,
+    },
+];
+
+#[test]
+fn load_is_spread_by_speed_and_settles() {
+    for case in CASES {
+        let ups = views(case.services);
+        let mut row = row(case.owners);
+        let loads = loads(case.even, case.hot);
+        let plans = settle(&mut row, &loads, &ups);
+        assert!(plans <= case.plans, "{}: {plans} plans", case.name);
+        let levels = levels(&row, &loads, &ups);
+        let mean = levels.values().sum::<f64>() / levels.len() as f64;
+        let worst = levels.values().fold(0.0_f64, |a, &b| a.max(b));
+        assert!(
+            worst <= mean * case.worst,
+            "{}: {:.2} of {mean:.2}",
+            case.name,
+            worst
+        );
+    }
+}
+
+#[test]
+fn keys_of_a_lost_upstream_are_spread_over_several() {
+    let mut row = row(6);
+    let loads = loads(200, 0);
+    let ups: Vec<_> = views(&[0.1; 6])
+        .into_iter()
+        .filter(|u| u.id != id(2))
+        .collect();
+    let moves = Planner::default().evacuate(&row, &loads, &ups);
+    let takers: std::collections::HashSet<_> = moves.iter().map(|m| m.to.clone()).collect();
+    assert_eq!(takers.len(), 5);
+    for m in moves {
+        row.give(m.range, &m.from, &m.to, Fence(2));
+    }
+    row.check().expect("a valid row");
+    assert!(row.pieces.iter().all(|p| p.owner != id(2)));
+    let given = row.pieces.iter().filter(|p| !p.former.is_empty());
+    assert!(
+        given
+            .clone()
+            .all(|p| p.former == [id(2)] && p.fence == Fence(2))
+    );
+    assert!(given.count() >= 5);
+}
+
+#[test]
+fn giving_a_part_splits_its_piece() {
+    let mut row = row(2);
+    let part = KeyRange {
+        first: 100,
+        last: 199,
+    };
+    row.give(part, &id(0), &id(1), Fence(2));
+    row.check().expect("a valid row");
+    let owners: Vec<_> = row
+        .pieces
+        .iter()
+        .map(|p| (p.range.first, p.owner.as_str()))
+        .collect();
+    assert_eq!(
+        owners,
+        [(0, "u0"), (100, "u1"), (200, "u0"), (32_768, "u1")]
+    );
+    let decoded = EntryRow::decode(&row.encode()).expect("it decodes");
+    assert_eq!(decoded, row);
+}
+
+#[test]
+fn rows_that_break_their_rules_are_refused() {
+    let good = row(3);
+    let mut gap = good.clone();
+    gap.pieces.remove(1);
+    let mut fence = good.clone();
+    fence.pieces[0].fence = Fence(9);
+    let mut early = good.clone();
+    early.pieces.pop();
+    for bad in [gap, fence, early] {
+        assert!(EntryRow::decode(&bad.encode()).is_err(), "{bad:?}");
+    }
+    assert!(EntryRow::decode(b"{}").is_err());
+    EntryRow::decode(&good.encode()).expect("a valid row");
+}
--- a/crates/assign/tests/world/mod.rs
+++ b/crates/assign/tests/world/mod.rs
@@ -12,8 +12,8 @@
     OrderCall, Planner, Run, Standing, UpstreamView,
 };
 use ids::{HostId, Incarnation, Revision, Timestamp, UpstreamId};
-use rand::rngs::StdRng;
 use rand::Rng as _;
+use rand::rngs::StdRng;
 
 /// Length of one step.
 pub const STEP: Duration = Duration::from_millis(20);
@@ -338,9 +338,8 @@
         let granter = row.granter.clone();
         let newest = self.hosts.iter().find(|o| o.run.host == granter.host);
         let is_over = newest.is_some_and(|o| o.run.incarnation > granter.incarnation);
-        let begins = |t: &Trouble| {
-            matches!(t.fault, Fault::TakeOver(o) if o == h) && t.covers(self.now)
-        };
+        let begins =
+            |t: &Trouble| matches!(t.fault, Fault::TakeOver(o) if o == h) && t.covers(self.now);
         let forced = self.troubles.iter().any(begins);
         if is_over || forced {
             self.hosts[h].keeper.take_over(now, is_over, ready, actions);
@@ -352,10 +351,18 @@
         match action {
             Action::Call(call) => self.call(h, incarnation, call, now),
             Action::Commit { row, expected } => {
-                let lost = self.has(|f| matches!(f, Fault::LostCommits)) && self.rng.random_bool(0.5);
+                let lost =
+                    self.has(|f| matches!(f, Fault::LostCommits)) && self.rng.random_bool(0.5);
                 if !self.reaches_store(h) {
                     let end = CommitEnd::Unknown;
-                    self.send(CALL_TIMEOUT, Delivery::CommitEnd { host: h, incarnation, end });
+                    self.send(
+                        CALL_TIMEOUT,
+                        Delivery::CommitEnd {
+                            host: h,
+                            incarnation,
+                            end,
+                        },
+                    );
                     return;
                 }
                 let late = if lost {
@@ -373,7 +380,14 @@
                 self.send(WAY + late, commit);
                 if lost {
                     let end = CommitEnd::Unknown;
-                    self.send(CALL_TIMEOUT, Delivery::CommitEnd { host: h, incarnation, end });
+                    self.send(
+                        CALL_TIMEOUT,
+                        Delivery::CommitEnd {
+                            host: h,
+                            incarnation,
+                            end,
+                        },
+                    );
                 }
             }
         }
@@ -420,10 +434,9 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let (due, rest): (VecDeque<_>, VecDeque<_>) =
-            std::mem::take(&mut self.deliveries)
-                .into_iter()
-                .partition(|(at, _)| *at <= now);
+        let (due, rest): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.deliveries)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
         self.deliveries = rest;
         for (_, delivery) in due {
             self.arrive(delivery);
@@ -449,7 +462,12 @@
                 };
                 if answers {
                     let id = call.id;
-                    let end = Delivery::OrderEnd { host, incarnation, id, end };
+                    let end = Delivery::OrderEnd {
+                        host,
+                        incarnation,
+                        id,
+                        end,
+                    };
                     self.send(WAY, end);
                 }
             }
@@ -462,7 +480,11 @@
             } => {
                 let end = self.commit(row, expected);
                 if answers {
-                    let end = Delivery::CommitEnd { host, incarnation, end };
+                    let end = Delivery::CommitEnd {
+                        host,
+                        incarnation,
+                        end,
+                    };
                     self.send(WAY, end);
                 }
             }
@@ -472,13 +494,22 @@
             {
                 self.send(STEP, other);
             }
-            Delivery::OrderEnd { host, incarnation, id, end } => {
+            Delivery::OrderEnd {
+                host,
+                incarnation,
+                id,
+                end,
+            } => {
                 let host = &mut self.hosts[host];
                 if host.run.incarnation == incarnation {
                     host.keeper.call_ended(now, id, &end);
                 }
             }
-            Delivery::CommitEnd { host, incarnation, end } => {
+            Delivery::CommitEnd {
+                host,
+                incarnation,
+                end,
+            } => {
                 let host = &mut self.hosts[host];
                 if host.run.incarnation == incarnation {
                     host.keeper.commit_ended(now, end);
@@ -504,9 +535,12 @@
             let holds = |u: &&Upstream| u.is_up && now < u.held_until[probe];
             let holders: Vec<&Upstream> = self.upstreams.iter().filter(holds).collect();
             if holders.len() > 1 {
-                let names: HashMap<_, _> =
-                    holders.iter().map(|u| (&u.id, u.seen[probe])).collect();
-                return Err(format!("{:?}: key {} is held by {names:?}", self.now, key(probe)));
+                let names: HashMap<_, _> = holders.iter().map(|u| (&u.id, u.seen[probe])).collect();
+                return Err(format!(
+                    "{:?}: key {} is held by {names:?}",
+                    self.now,
+                    key(probe)
+                ));
             }
         }
         Ok(())
--- /dev/null
+++ b/crates/direct/tests/choose.rs
@@ -0,0 +1,190 @@
+//! Which upstream gets a request, by what is known of each.
+
+use std::time::Duration;
+
+use direct::{Candidate, Choice, ChooseSettings, LoadReport, LoadSettings, UpstreamLoad, choose};
+use ids::Timestamp;
+
+const OBJECTIVE: Duration = Duration::from_millis(300);
+const USUAL: f64 = 0.1;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(10_000 + ms)
+}
+
+/// What happened at one upstream.
+#[derive(Debug, Clone, Copy)]
+enum Seen {
+    Nothing,
+    /// Answered, each after so many milliseconds.
+    Answered(u64),
+    /// Reported so many requests.
+    Reported(u32),
+    /// Could not be reached just now.
+    Unreachable,
+    /// Failed each request.
+    Failing,
+    /// Turned a request away.
+    Shed,
+}
+
+#[derive(Debug)]
+struct Case {
+    name: &'static str,
+    upstreams: &'static [(Seen, bool)],
+    chosen: Choice<usize>,
+}
+
+const fn chosen(key: usize, expected: f64) -> Choice<usize> {
+    Choice::Chosen { key, expected }
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "none",
+        upstreams: &[],
+        chosen: Choice::None,
+    },
+    Case {
+        name: "the faster one",
+        upstreams: &[(Seen::Answered(200), false), (Seen::Answered(50), false)],
+        chosen: chosen(1, 0.05),
+    },
+    Case {
+        name: "a local one that is a little slower",
+        upstreams: &[(Seen::Answered(100), false), (Seen::Answered(60), true)],
+        chosen: chosen(0, 0.1),
+    },
+    Case {
+        name: "a remote one that is much faster",
+        upstreams: &[(Seen::Answered(200), false), (Seen::Answered(60), true)],
+        chosen: chosen(1, 0.06),
+    },
+    Case {
+        name: "the idle one by its reports",
+        upstreams: &[(Seen::Reported(10), false), (Seen::Reported(1), false)],
+        chosen: chosen(1, USUAL),
+    },
+    Case {
+        name: "not the one that can't be reached",
+        upstreams: &[(Seen::Unreachable, false), (Seen::Answered(250), true)],
+        chosen: chosen(1, 0.25),
+    },
+    Case {
+        name: "one that can't be reached, if there is no other",
+        upstreams: &[(Seen::Unreachable, false)],
+        chosen: chosen(0, USUAL),
+    },
+    Case {
+        name: "not the one that fails",
+        upstreams: &[(Seen::Failing, false), (Seen::Answered(150), false)],
+        chosen: chosen(1, 0.15),
+    },
+    Case {
+        name: "not the one that has just turned a request away",
+        upstreams: &[(Seen::Shed, false), (Seen::Nothing, false)],
+        chosen: chosen(1, USUAL),
+    },
+    Case {
+        name: "none of those that are full",
+        upstreams: &[(Seen::Reported(16), false), (Seen::Reported(18), false)],
+        chosen: Choice::Full { room_in: USUAL },
+    },
+];
+
+fn observed(seen: Seen, cfg: &LoadSettings) -> UpstreamLoad {
+    let mut load = UpstreamLoad::new(4);
+    match seen {
+        Seen::Nothing => {}
+        Seen::Answered(ms) => {
+            let sent = load.sent(at(0), cfg);
+            load.ended();
+            load.answered(at(ms), sent, cfg);
+        }
+        Seen::Reported(running) => {
+            let report = LoadReport {
+                running,
+                waiting: 0,
+                slots: 4,
+            };
+            load.reported(at(990), report);
+        }
+        Seen::Unreachable => load.unreachable(at(990), cfg),
+        Seen::Failing => (0..10).for_each(|_| load.failed(at(990), cfg)),
+        Seen::Shed => load.shed(at(990), cfg),
+    }
+    load
+}
+
+#[test]
+fn chooses_by_what_is_known() {
+    let load_cfg = LoadSettings::default();
+    for case in CASES {
+        let loads: Vec<_> = case
+            .upstreams
+            .iter()
+            .map(|&(seen, _)| observed(seen, &load_cfg))
+            .collect();
+        let candidates = loads.iter().enumerate().map(|(key, load)| Candidate {
+            key,
+            load,
+            is_remote: case.upstreams[key].1,
+            is_cold: false,
+            is_connected: true,
+        });
+        let cfg = ChooseSettings::default();
+        let choice = choose(at(1_000), OBJECTIVE, USUAL, candidates, &load_cfg, &cfg);
+        match (choice, case.chosen) {
+            (
+                Choice::Chosen { key, expected },
+                Choice::Chosen {
+                    key: k,
+                    expected: e,
+                },
+            ) => {
+                assert_eq!(key, k, "{}", case.name);
+                assert!((expected - e).abs() < 0.01, "{}: {expected}", case.name);
+            }
+            (choice, wanted) => assert_eq!(choice, wanted, "{}", case.name),
+        }
+    }
+}
+
+/// A host's own requests count at once, those of others fade with the age of the report.
+#[test]
+fn reports_fade_and_own_requests_stay() {
+    let cfg = LoadSettings::default();
+    let mut load = UpstreamLoad::new(4);
+    let report = LoadReport {
+        running: 4,
+        waiting: 4,
+        slots: 4,
+    };
+    load.reported(at(0), report);
+    assert!((load.crowd(at(0), &cfg) - 2.0).abs() < 1e-6);
+    assert!((load.crowd(at(500), &cfg) - 1.0).abs() < 1e-6);
+    for _ in 0..4 {
+        load.sent(at(60_000), &cfg);
+    }
+    assert!((load.crowd(at(60_000), &cfg) - 1.0).abs() < 1e-6);
+}
+
+/// An upstream that turns five times slower is seen as twice as slow within two answers.
+#[test]
+fn a_slow_upstream_is_seen_within_two_answers() {
+    let cfg = LoadSettings::default();
+    let mut load = UpstreamLoad::new(4);
+    let mut now = 0;
+    let mut answer = |load: &mut UpstreamLoad, ms: u64| {
+        let sent = load.sent(at(now), &cfg);
+        load.ended();
+        now += ms;
+        load.answered(at(now), sent, &cfg);
+    };
+    for _ in 0..20 {
+        answer(&mut load, 100);
+    }
+    answer(&mut load, 500);
+    answer(&mut load, 500);
+    assert!(load.service().expect("observed") > 0.2);
+}
