--- /dev/null
+++ b/crates/front/tests/copies.rs
@@ -0,0 +1,125 @@
+//! Copies of the store's tables, whatever order reads come in.
+
+use front::control::copies::Copy;
+use ids::Revision;
+use platform::{Changes, Delta, Row, RowKey};
+
+fn row(key: &str, revision: u64, value: Option<&'static str>) -> Row {
+    Row {
+        key: RowKey(key.into()),
+        revision: Revision(revision),
+        value: value.map(|v| v.as_bytes().into()),
+    }
+}
+
+fn changes(revision: u64, rows: Vec<Row>) -> Changes {
+    Changes {
+        revision: Revision(revision),
+        rows,
+    }
+}
+
+struct Case {
+    name: &'static str,
+    reads: Vec<Delta>,
+    /// Keys of the news of the last read, with whether the row is there.
+    news: Vec<(&'static str, bool)>,
+    /// Rows that somebody who has nothing must get.
+    all: Vec<(&'static str, bool)>,
+}
+
+fn cases() -> Vec<Case> {
+    let first = || {
+        Delta::Snapshot(changes(
+            5,
+            vec![row("a", 1, Some("1")), row("b", 2, Some("1"))],
+        ))
+    };
+    vec![
+        Case {
+            name: "a first snapshot is all news",
+            reads: vec![first()],
+            news: vec![("a", true), ("b", true)],
+            all: vec![("a", true), ("b", true)],
+        },
+        Case {
+            name: "an older row is left",
+            reads: vec![
+                first(),
+                Delta::Changes(changes(6, vec![row("a", 1, Some("0"))])),
+            ],
+            news: vec![],
+            all: vec![("a", true), ("b", true)],
+        },
+        Case {
+            name: "a removed row is news, and is passed on as removed",
+            reads: vec![first(), Delta::Changes(changes(6, vec![row("a", 6, None)]))],
+            news: vec![("a", false)],
+            all: vec![("a", false), ("b", true)],
+        },
+        Case {
+            name: "a row that a later snapshot lacks is removed",
+            reads: vec![
+                first(),
+                Delta::Snapshot(changes(9, vec![row("b", 2, Some("1"))])),
+            ],
+            news: vec![("a", false)],
+            all: vec![("a", false), ("b", true)],
+        },
+        Case {
+            name: "a snapshot older than a row does not remove it",
+            reads: vec![
+                first(),
+                Delta::Changes(changes(8, vec![row("c", 8, Some("1"))])),
+                Delta::Snapshot(changes(
+                    7,
+                    vec![row("a", 1, Some("1")), row("b", 2, Some("1"))],
+                )),
+            ],
+            news: vec![],
+            all: vec![("a", true), ("b", true), ("c", true)],
+        },
+        Case {
+            name: "a row that doesn't matter is left out",
+            reads: vec![
+                first(),
+                Delta::Changes(changes(6, vec![row("b", 6, Some("idle"))])),
+            ],
+            news: vec![],
+            all: vec![("a", true), ("b", true)],
+        },
+        Case {
+            name: "a row that came back matters, whatever it says",
+            reads: vec![
+                first(),
+                Delta::Changes(changes(6, vec![row("b", 6, None)])),
+                Delta::Changes(changes(7, vec![row("b", 7, Some("idle"))])),
+            ],
+            news: vec![("b", true)],
+            all: vec![("a", true), ("b", true)],
+        },
+    ]
+}
+
+fn keys<'a>(rows: impl Iterator<Item = &'a Row>) -> Vec<(&'a str, bool)> {
+    let mut keys: Vec<_> = rows
+        .map(|r| (r.key.0.as_str(), r.value.is_some()))
+        .collect();
+    keys.sort_unstable();
+    keys
+}
+
+#[test]
+fn copies_follow_what_was_read() {
+    for case in cases() {
+        let mut copy = Copy::default();
+        let mut news = Vec::new();
+        for delta in case.reads {
+            let is_news = |row: &Row| row.value.as_deref() != Some(b"idle");
+            news = copy.take(delta, is_news);
+        }
+        assert_eq!(keys(news.iter()), case.news, "{}", case.name);
+        assert_eq!(keys(copy.since(0)), case.all, "{}", case.name);
+        assert_eq!(copy.since(copy.generation()).count(), 0, "{}", case.name);
+    }
+}
