standin: the users' platform; end-to-end tests of real hosts under faults

Found: upstreams whose keys nobody asked for got more keys ("nothing moved" failed with fence 2); now only upstreams without keys are served first. The planner's case failed before (4 plans) and passes.

--- a/crates/assign/src/plan.rs
+++ b/crates/assign/src/plan.rs
@@ -67,6 +67,7 @@
     view: &'a UpstreamView,
     /// Requests a second.
     rate: f64,
+    has_keys: bool,
     gave: bool,
 }
 
@@ -116,12 +117,16 @@
         fair: f64,
     ) -> Option<Move> {
         let by_level = |&a: &usize, &b: &usize| levels[a].is().total_cmp(&levels[b].is());
-        let low = (0..levels.len()).min_by(by_level)?;
+        let by_need = |&a: &usize, &b: &usize| {
+            let keys = levels[a].has_keys.cmp(&levels[b].has_keys);
+            keys.then(by_level(&a, &b))
+        };
+        let low = (0..levels.len()).min_by(by_need)?;
         let givers = (0..levels.len()).filter(|&i| !levels[i].gave);
         let high = givers.max_by(by_level)?;
         let busy = levels[high].is() > self.idle && levels[high].is() > fair * self.trigger;
         // An upstream without keys would never show what it can do.
-        let starved = levels[low].rate <= 0.0 && levels[high].rate > 0.0;
+        let starved = !levels[low].has_keys && levels[high].rate > 0.0;
         if high == low || !(busy || starved) {
             return None;
         }
@@ -138,6 +143,7 @@
         }
         levels[high].rate -= rate;
         levels[low].rate += rate;
+        levels[low].has_keys = true;
         Some(Move {
             range,
             from: levels[high].view.id.clone(),
@@ -190,6 +196,7 @@
     let level = |view: &'a UpstreamView| Level {
         view,
         rate: rates.get(&view.id).copied().unwrap_or_default(),
+        has_keys: rates.contains_key(&view.id),
         gave: false,
     };
     ups.iter().map(level).collect()
--- a/crates/assign/tests/plan.rs
+++ b/crates/assign/tests/plan.rs
@@ -121,6 +121,15 @@
         worst: 1.5,
         plans: 12,
     },
+    Case {
+        name: "upstreams whose keys nobody asks for are no reason to move",
+        services: &[0.01; 8],
+        owners: 8,
+        even: 0,
+        hot: 20,
+        worst: 8.0,
+        plans: 0,
+    },
     Case {
         name: "an idle entry stays as it is",
         services: &[0.01; 8],
--- /dev/null
+++ b/crates/cli/tests/direct/main.rs
@@ -0,0 +1,314 @@
+//! Entry hosts as real processes on a stand-in for the users' platform, under faults.
+
+mod rig;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use rig::{Ask, Got, Rig, configuration, promises_not_run, send, until};
+use rustix::process::Signal;
+use standin::fleet::{Ran, StoreMode, TargetSettings, TargetTrouble};
+
+/// Time within which a configuration must be in force everywhere.
+const APPLY: Duration = Duration::from_secs(2);
+/// Time after which a leaving server must get nothing new.
+const DRAIN: Duration = Duration::from_secs(2);
+
+fn runs(ran: &[Ran], id: &str) -> usize {
+    ran.iter().filter(|r| r.request == id).count()
+}
+
+/// Checks that fences of a key only rise and that each fence has one owner.
+fn check_owners(ran: &[Ran]) {
+    let mut newest: HashMap<u16, (u64, &str)> = HashMap::new();
+    for r in ran {
+        let Some((key, fence)) = r.key else {
+            continue;
+        };
+        let (seen, owner) = newest.entry(key).or_insert((fence, &r.target));
+        assert!(fence >= *seen, "key {key} ran under {fence} after {seen}");
+        assert!(
+            fence > *seen || *owner == r.target,
+            "key {key}: two owners under {fence}"
+        );
+        (*seen, *owner) = (fence, &r.target);
+    }
+}
+
+fn answered(got: Option<&Got>, id: &str) -> bool {
+    got.is_some_and(|got| got.status == 200 && got.body.starts_with(id))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_calm_day_is_served() {
+    let rig = Rig::start(3).await;
+    for i in 0..60_u16 {
+        let host = usize::from(i % 3);
+        let read = Ask::read(&format!("read-{i}"), i * 1_000);
+        let post = Ask::post(&format!("post-{i}"));
+        let (read_got, post_got) = tokio::join!(rig.ask(host, &read), rig.ask(host, &post));
+        assert!(answered(read_got.as_ref(), &read.id), "{read_got:?}");
+        assert!(answered(post_got.as_ref(), &post.id), "{post_got:?}");
+    }
+    let ran = rig.journal.all();
+    for i in 0..60 {
+        assert_eq!(runs(&ran, &format!("post-{i}")), 1);
+    }
+    check_owners(&ran);
+    let unknown = Ask {
+        host: "nobody.example",
+        ..Ask::post("unknown")
+    };
+    assert_eq!(rig.ask(0, &unknown).await.map(|got| got.status), Some(404));
+    assert!(rig.is_ready(0).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_everywhere_and_never_reverts() {
+    let rig = Rig::start(3).await;
+    let settings = TargetSettings {
+        service: "other".into(),
+        ..TargetSettings::default()
+    };
+    let _other = rig.target(settings).await;
+    rig.store
+        .put_bytes("op", "config", b"{\"version\":\"0000000");
+    rig.store
+        .put("op", "config", &configuration(9, 4.0, "other"));
+    tokio::time::sleep(APPLY).await;
+    // An older one that turns up late changes nothing.
+    rig.store
+        .put("op", "config", &configuration(4, 4.0, "posts"));
+    for round in 0..10 {
+        for host in 0..3 {
+            let post = Ask::post(&format!("moved-{host}-{round}"));
+            let got = rig.ask(host, &post).await;
+            assert!(answered(got.as_ref(), &post.id), "{got:?}");
+        }
+    }
+    let ran = rig.journal.all();
+    let moved = ran.iter().filter(|r| r.request.starts_with("moved-"));
+    assert!(moved.clone().all(|r| r.service == "other"));
+    assert_eq!(moved.count(), 30);
+}
+
+/// A read that waited for changes when the store fell silent must not delay what comes after.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_right_after_an_outage_is_in_force_in_time() {
+    let rig = Rig::start(2).await;
+    let settings = TargetSettings {
+        service: "other".into(),
+        ..TargetSettings::default()
+    };
+    let _other = rig.target(settings).await;
+    rig.store.set_mode(StoreMode::Silent);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    rig.store.set_mode(StoreMode::Up);
+    rig.store
+        .put("op", "config", &configuration(9, 4.0, "other"));
+    tokio::time::sleep(APPLY).await;
+    for host in 0..2 {
+        let post = Ask::post(&format!("after-{host}"));
+        let got = rig.ask(host, &post).await;
+        assert!(answered(got.as_ref(), &post.id), "{got:?}");
+        let ran = rig.journal.all();
+        let at = ran
+            .iter()
+            .find(|r| r.request == post.id)
+            .map(|r| r.service.as_str());
+        assert_eq!(at, Some("other"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_stay_served_while_the_store_is_away() {
+    let rig = Rig::start(2).await;
+    for mode in [StoreMode::Silent, StoreMode::Busy, StoreMode::LostAnswers] {
+        rig.store.set_mode(mode);
+        for i in 0..25_u16 {
+            let read = Ask::read(&format!("{mode:?}-{i}"), i * 2_500);
+            let got = rig.ask(usize::from(i % 2), &read).await;
+            assert!(answered(got.as_ref(), &read.id), "{mode:?}: {got:?}");
+            tokio::time::sleep(Duration::from_millis(180)).await;
+        }
+        rig.store.set_mode(StoreMode::Up);
+    }
+    check_owners(&rig.journal.all());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_nothing() {
+    let mut rig = Rig::start(2).await;
+    let settings = TargetSettings {
+        service: "posts".into(),
+        work: Duration::from_millis(900),
+        ..TargetSettings::default()
+    };
+    let _slow = [
+        rig.target(settings.clone()).await,
+        rig.target(settings).await,
+    ];
+    rig.posts.clear();
+    until("the slow servers are known", async || {
+        let probe = Ask::post(&format!("probe-{:?}", Instant::now()));
+        answered(rig.ask(0, &probe).await.as_ref(), &probe.id)
+    })
+    .await;
+    let asks: Vec<Ask> = (0..8).map(|i| Ask::post(&format!("stop-{i}"))).collect();
+    let address = rig.callers(0);
+    let stopped = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        rig.signal(0, Signal::TERM);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert!(!rig.is_ready(0).await, "a leaving host is not ready");
+    };
+    let (got, ()) = tokio::join!(join_all(asks.iter().map(|ask| send(address, ask))), stopped);
+    for (ask, got) in asks.iter().zip(&got) {
+        assert!(answered(got.as_ref(), &ask.id), "{}: {got:?}", ask.id);
+    }
+    until("the host ends", async || rig.has_ended(0)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_loss_of_the_granting_host_leaves_keys_where_they_are() {
+    let rig = Rig::start(3).await;
+    let granter = rig.granter();
+    let other = (granter + 1) % 3;
+    rig.signal(granter, Signal::KILL);
+    let began = Instant::now();
+    let mut failed = 0;
+    for i in 0.. {
+        let key = (i * 997 % 65_536) as u16;
+        let read = Ask::read(&format!("kill-{i}"), key);
+        if !answered(rig.ask(other, &read).await.as_ref(), &read.id) {
+            failed += 1;
+        }
+        if began.elapsed() > Duration::from_secs(7) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(failed, 0, "keys were not served");
+    assert_ne!(rig.granter(), granter, "another host grants");
+    let ran = rig.journal.all();
+    check_owners(&ran);
+    let owners = |prefix: &str| {
+        let of = ran.iter().filter(|r| r.request.starts_with(prefix));
+        of.filter_map(|r| r.key).map(|(_, fence)| fence).max()
+    };
+    assert_eq!(owners("kill-"), owners("warm-"), "nothing moved");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_gets_nothing_new_and_its_keys_are_served() {
+    let rig = Rig::start(2).await;
+    let leaving = rig.reads[0].id().clone();
+    rig.reads[0].drain();
+    rig.posts[0].drain();
+    let left = Instant::now();
+    let stop = Arc::new(AtomicBool::new(false));
+    for i in 0..150_u16 {
+        let read = Ask::read(&format!("drain-{i}"), i * 436);
+        let post = Ask::post(&format!("drain-post-{i}"));
+        let (read_got, post_got) = tokio::join!(rig.ask(0, &read), rig.ask(1, &post));
+        assert!(answered(read_got.as_ref(), &read.id), "{read_got:?}");
+        assert!(answered(post_got.as_ref(), &post.id), "{post_got:?}");
+    }
+    stop.store(true, Ordering::SeqCst);
+    tokio::time::sleep(DRAIN.saturating_sub(left.elapsed())).await;
+    for i in 0..40_u16 {
+        let read = Ask::read(&format!("after-{i}"), i * 1_600);
+        assert!(answered(rig.ask(0, &read).await.as_ref(), &read.id));
+    }
+    let late =
+        |r: &&Ran| r.at > left + DRAIN && (r.target == leaving || r.target == *rig.posts[0].id());
+    let ran = rig.journal.all();
+    assert_eq!(ran.iter().filter(late).count(), 0, "new work after it left");
+    check_owners(&ran);
+}
+
+/// What a trouble of all servers does to either kind of request.
+struct Case {
+    trouble: TargetTrouble,
+    read: u16,
+    post: u16,
+    /// Runs of the post.
+    post_runs: usize,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        trouble: TargetTrouble::LosesAnswers,
+        read: 502,
+        post: 502,
+        post_runs: 1,
+    },
+    Case {
+        trouble: TargetTrouble::ForeignAnswers,
+        read: 502,
+        post: 502,
+        post_runs: 1,
+    },
+    Case {
+        trouble: TargetTrouble::Full,
+        read: 503,
+        post: 503,
+        post_runs: 0,
+    },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_are_true_and_come_at_once() {
+    let rig = Rig::start(1).await;
+    for case in CASES {
+        let all = || rig.reads.iter().chain(&rig.posts);
+        all().for_each(|t| t.set_trouble(case.trouble));
+        let read = Ask::read(&format!("read-{:?}", case.trouble), 7);
+        let post = Ask::post(&format!("post-{:?}", case.trouble));
+        let began = Instant::now();
+        let read_got = rig.ask(0, &read).await.expect("an answer");
+        let post_got = rig.ask(0, &post).await.expect("an answer");
+        let took = began.elapsed();
+        assert!(took < Duration::from_secs(2), "held for {took:?}");
+        assert_eq!(
+            (read_got.status, post_got.status),
+            (case.read, case.post),
+            "{:?}",
+            case.trouble
+        );
+        let ran = rig.journal.all();
+        assert_eq!(runs(&ran, &post.id), case.post_runs, "{:?}", case.trouble);
+        for got in [&read_got, &post_got] {
+            assert_eq!(promises_not_run(got), got.retry_after.is_some(), "{got:?}");
+        }
+        all().for_each(|t| t.set_trouble(TargetTrouble::None));
+        until("all is well again", async || {
+            let probe = Ask::post(&format!("probe-{:?}", Instant::now()));
+            answered(rig.ask(0, &probe).await.as_ref(), &probe.id)
+        })
+        .await;
+    }
+}
+
+/// A server over its limit resets new connections: what was not written did surely not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reset_before_the_request_is_no_run() {
+    let rig = Rig::start(1).await;
+    let settings = TargetSettings {
+        service: "other".into(),
+        connections: 0,
+        ..TargetSettings::default()
+    };
+    let _full = rig.target(settings).await;
+    rig.store
+        .put("op", "config", &configuration(9, 4.0, "other"));
+    tokio::time::sleep(APPLY).await;
+    for i in 0..5 {
+        let post = Ask::post(&format!("reset-{i}"));
+        let got = rig.ask(0, &post).await.expect("an answer");
+        assert!(promises_not_run(&got), "{got:?}");
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/direct/rig.rs
@@ -0,0 +1,358 @@
+//! Hosts as real processes, with the settings that the platform renders for them.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use standin::fleet::{FleetStore, FleetTarget, Journal, TargetSettings};
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+
+/// Longest wait for anything that must come soon, also on a busy machine.
+const SOON: Duration = Duration::from_secs(20);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// The settings template that is deployed.
+const TEMPLATE: &str = include_str!("../../../../deploy/settings.json");
+
+/// A host process.
+pub struct Host {
+    child: Child,
+    callers: SocketAddr,
+    ready: SocketAddr,
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Got {
+    pub status: u16,
+    pub body: String,
+    pub retry_after: Option<String>,
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    pub id: String,
+    pub method: &'static str,
+    pub host: &'static str,
+    pub path: &'static str,
+    pub key: Option<u16>,
+    pub wait_ms: u64,
+}
+
+impl Ask {
+    /// An idempotent request on a key.
+    pub fn read(id: &str, key: u16) -> Self {
+        Self {
+            id: id.to_owned(),
+            method: "GET",
+            host: "reads.example",
+            path: "/r/1",
+            key: Some(key),
+            wait_ms: 4_000,
+        }
+    }
+
+    /// A request that must not run twice.
+    pub fn post(id: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            method: "POST",
+            host: "posts.example",
+            path: "/p/1",
+            key: None,
+            wait_ms: 4_000,
+        }
+    }
+}
+
+/// Store, servers and hosts.
+pub struct Rig {
+    pub store: FleetStore,
+    pub journal: Journal,
+    pub reads: Vec<FleetTarget>,
+    pub posts: Vec<FleetTarget>,
+    pub hosts: Vec<Host>,
+    /// Begins the loopback addresses of this rig's hosts, which no other rig has.
+    net: String,
+    dir: TempDir,
+}
+
+/// Returns the first three parts of loopback addresses that no other rig of this machine uses.
+fn own_net() -> String {
+    static RIGS: AtomicU32 = AtomicU32::new(0);
+    let rig = RIGS.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    format!(
+        "127.{}.{}",
+        10 + (process / 8) % 200,
+        (process % 8) * 32 + rig % 32
+    )
+}
+
+/// Returns a free port of `ip`.
+fn free_port(ip: &str) -> u16 {
+    let listener = TcpListener::bind((ip, 0)).expect("a free port");
+    listener.local_addr().expect("an address").port()
+}
+
+/// The operator's configuration.
+pub fn configuration(version: u64, post_timeout_s: f64, post_service: &str) -> Value {
+    json!({
+        "version": format!("{version:08x}"),
+        "routes": {
+            "columns": ["name", "host", "prefix", "route_kind", "timeout_s", "aim_s", "priority",
+                "split", "max_attempts", "service"],
+            "rows": [
+                ["reads", "reads.example", "/r/", "safe", 4.0, 0.6, 1, null, 2, "reads"],
+                ["posts", "posts.example", "/p/", "unsafe", post_timeout_s, 0.8, 0, null, 2,
+                    post_service],
+            ],
+        },
+        "services": {
+            "columns": ["name", "health_path", "max_connections", "protocol", "tls", "sharded",
+                "warm_s", "grants"],
+            "rows": [
+                ["reads", "/healthz", 130, "h1", false, true, 2.0, "invoke"],
+                ["posts", "/healthz", 130, "h1", false, null, null, null],
+                ["other", "/healthz", 130, "h1", false, null, null, null],
+            ],
+        },
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576, "header_timeout_s": 3,
+            "idle_timeout_s": 15},
+    })
+}
+
+impl Rig {
+    /// Starts everything and waits until each host serves both routes.
+    pub async fn start(hosts: usize) -> Self {
+        let store = FleetStore::start().await.expect("store");
+        store.put("op", "config", &configuration(2, 4.0, "posts"));
+        let mut rig = Self {
+            store,
+            journal: Journal::default(),
+            reads: Vec::new(),
+            posts: Vec::new(),
+            hosts: Vec::new(),
+            net: own_net(),
+            dir: tempfile::tempdir().expect("a folder"),
+        };
+        for _ in 0..3 {
+            let settings = TargetSettings {
+                is_divided: true,
+                ..TargetSettings::default()
+            };
+            let target = rig.target(settings).await;
+            rig.reads.push(target);
+        }
+        for _ in 0..2 {
+            let settings = TargetSettings {
+                service: "posts".into(),
+                ..TargetSettings::default()
+            };
+            let target = rig.target(settings).await;
+            rig.posts.push(target);
+        }
+        for i in 0..hosts {
+            let host = rig.host(i);
+            rig.hosts.push(host);
+        }
+        for i in 0..hosts {
+            rig.until_serving(i).await;
+        }
+        rig
+    }
+
+    /// Starts a server.
+    pub async fn target(&self, settings: TargetSettings) -> FleetTarget {
+        let target = FleetTarget::start(&self.store, &self.journal, settings).await;
+        target.expect("a server")
+    }
+
+    /// Starts host number `i`.
+    pub fn host(&self, i: usize) -> Host {
+        let ip = format!("{}.{}", self.net, i + 2);
+        let (callers, ready, peers) = (free_port(&ip), free_port(&ip), free_port(&ip));
+        let path = self.dir.path().join(format!("host-{i}.json"));
+        fs::write(&path, self.settings(i, &ip, [callers, ready, peers])).expect("settings");
+        let log = fs::OpenOptions::new()
+            .append(true)
+            .create(true)
+            .open(self.log(i))
+            .expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_medlardyke"))
+            .args(["direct", "--settings"])
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .spawn()
+            .expect("the program starts");
+        let address = |port| format!("{ip}:{port}").parse().expect("an address");
+        Host {
+            child,
+            callers: address(callers),
+            ready: address(ready),
+        }
+    }
+
+    /// Returns the file that holds what host number `i` logged.
+    pub fn log(&self, i: usize) -> PathBuf {
+        self.dir.path().join(format!("host-{i}.log"))
+    }
+
+    /// Renders the template as the platform does.
+    fn settings(&self, i: usize, ip: &str, [callers, ready, peers]: [u16; 3]) -> String {
+        let values = [
+            ("node", format!("host-{i}")),
+            ("zone", "a".to_owned()),
+            ("ip", ip.to_owned()),
+            ("listen.front", format!("{ip}:{callers}")),
+            ("listen.ready", format!("{ip}:{ready}")),
+            ("internal_ports.0", peers.to_string()),
+            ("internal_ports.1", free_port(ip).to_string()),
+            ("platform.address", self.store.address().to_string()),
+            ("heartbeat_interval_s", "0.87".to_owned()),
+            ("bounds.budget_ratio", "0.2".to_owned()),
+            ("bounds.budget_slack", "62".to_owned()),
+            ("bounds.budget_window_s", "10".to_owned()),
+            ("bounds.grace_s", "6".to_owned()),
+        ];
+        let mut text = TEMPLATE.to_owned();
+        for (name, value) in values {
+            text = text.replace(&format!("{{{{{name}}}}}"), &value);
+        }
+        assert!(
+            !text.contains("{{"),
+            "a placeholder without a value: {text}"
+        );
+        text
+    }
+
+    async fn until_serving(&self, host: usize) {
+        let began = Instant::now();
+        for n in 0.. {
+            let post = self
+                .ask(host, &Ask::post(&format!("warm-{host}-{n}")))
+                .await;
+            let keys = [1_000, 30_000, 60_000];
+            let mut served = post.is_some_and(|got| got.status == 200);
+            for key in keys {
+                let read = Ask::read(&format!("warm-{host}-{n}-{key}"), key);
+                served &= self
+                    .ask(host, &read)
+                    .await
+                    .is_some_and(|got| got.status == 200);
+            }
+            if served {
+                return;
+            }
+            assert!(began.elapsed() < SOON, "host {host} does not serve");
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Asks host number `host`; nothing if the connection ended without an answer.
+    pub async fn ask(&self, host: usize, ask: &Ask) -> Option<Got> {
+        send(self.hosts[host].callers, ask).await
+    }
+
+    /// Returns the callers' address of host number `host`.
+    pub fn callers(&self, host: usize) -> SocketAddr {
+        self.hosts[host].callers
+    }
+
+    /// Tells whether host number `host` says that it is ready.
+    pub async fn is_ready(&self, host: usize) -> bool {
+        let ask = Ask {
+            id: String::new(),
+            method: "GET",
+            host: "balancer",
+            path: "/api/readyz",
+            key: None,
+            wait_ms: 1_000,
+        };
+        let got = send(self.hosts[host].ready, &ask).await;
+        got.is_some_and(|got| got.status == 200)
+    }
+
+    /// Sends `signal` to host number `host`.
+    pub fn signal(&self, host: usize, signal: rustix::process::Signal) {
+        let pid = self.hosts[host].child.id();
+        let pid = rustix::process::Pid::from_raw(pid.cast_signed()).expect("a process");
+        rustix::process::kill_process(pid, signal).expect("a child of ours");
+    }
+
+    /// Tells whether host number `host` has ended.
+    pub fn has_ended(&mut self, host: usize) -> bool {
+        let ended = self.hosts[host].child.try_wait();
+        ended.expect("a child of ours").is_some()
+    }
+
+    /// Returns the number of the host that grants keys.
+    pub fn granter(&self) -> usize {
+        let row = self.store.read("medlardyke", "keys.reads").expect("a row");
+        let name = row["granter"]["host"].as_str().expect("a host").to_owned();
+        let number = name.strip_prefix("host-").and_then(|n| n.parse().ok());
+        number.expect("a host of ours")
+    }
+}
+
+/// Sends a request on a connection of its own.
+pub async fn send(address: SocketAddr, ask: &Ask) -> Option<Got> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let driver = tokio::spawn(connection);
+    let mut req = http::Request::builder()
+        .method(ask.method)
+        .uri(ask.path)
+        .header("host", ask.host)
+        .header("medlardyke-request-id", &ask.id)
+        .header("medlardyke-deadline-ms", ask.wait_ms);
+    if let Some(key) = ask.key {
+        req = req.header("medlardyke-shard-key", key);
+    }
+    let body = if ask.method == "POST" { "a body" } else { "" };
+    let req = req.body(Full::new(Bytes::from(body))).expect("a request");
+    let response = sender.send_request(req).await.ok()?;
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    driver.abort();
+    let retry_after = parts.headers.get("retry-after");
+    Some(Got {
+        status: parts.status.as_u16(),
+        body: String::from_utf8_lossy(&body).into_owned(),
+        retry_after: retry_after.map(|v| v.to_str().expect("a number").to_owned()),
+    })
+}
+
+/// Waits until `is_so`; panics with `what` if it takes too long.
+pub async fn until(what: &str, mut is_so: impl AsyncFnMut() -> bool) {
+    let began = Instant::now();
+    while !is_so().await {
+        assert!(began.elapsed() < SOON, "it takes too long: {what}");
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Tells whether a refusal is one that promises that the request did not run.
+pub fn promises_not_run(got: &Got) -> bool {
+    let status = StatusCode::from_u16(got.status).expect("a status");
+    status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
+}
--- /dev/null
+++ b/crates/standin/src/fleet/mod.rs
@@ -0,0 +1,13 @@
+//! The users' platform by its published protocol: its metadata store, and servers that take fenced
+//! grants of key ranges.
+//!
+//! - [`store`]: the store and its faults.
+//! - [`keys`]: which keys a server holds.
+//! - [`target`]: a server, its faults, and what it wrote down of the requests that it ran.
+
+pub mod keys;
+pub mod store;
+pub mod target;
+
+pub use store::{FleetStore, StoreMode};
+pub use target::{FleetTarget, Journal, Ran, TargetSettings, TargetTrouble};
--- /dev/null
+++ b/crates/standin/src/fleet/store.rs
@@ -0,0 +1,314 @@
+//! The users' metadata store: tables of rows, transactions, and a feed of changes.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use ids::Revision;
+use platform::{Check, Commit, MemoryTable, Row, RowKey, Txn, Write};
+use serde_json::{Value, json};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::http::{Request, Whole, json as answer_json, read_body, respond, serve_connection};
+
+/// How the store answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreMode {
+    /// Normally.
+    Up,
+    /// Not at all; connections stay open, and those that met it never answer.
+    Silent,
+    /// With 503.
+    Busy,
+    /// Normally, but transactions are carried out and not answered.
+    LostAnswers,
+}
+
+#[derive(Debug)]
+struct Shared {
+    table: Mutex<MemoryTable>,
+    mode: watch::Sender<StoreMode>,
+    /// Changes with each commit.
+    commits: watch::Sender<u64>,
+    /// Revision up to which history is gone.
+    floor: Mutex<Revision>,
+    began: Instant,
+}
+
+/// A running store; it stops when the handle is dropped.
+#[derive(Debug, Clone)]
+pub struct FleetStore {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    _stop: Arc<DropGuard>,
+}
+
+impl FleetStore {
+    /// Starts a store on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            table: Mutex::new(MemoryTable::new()),
+            mode: watch::Sender::new(StoreMode::Up),
+            commits: watch::Sender::new(0),
+            floor: Mutex::default(),
+            began: Instant::now(),
+        });
+        let stop = CancellationToken::new();
+        tokio::spawn(accept(listener, Arc::clone(&shared), stop.clone()));
+        Ok(Self {
+            address,
+            shared,
+            _stop: Arc::new(stop.drop_guard()),
+        })
+    }
+
+    /// Returns the store's address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how the store answers.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.shared.mode.send_replace(mode);
+    }
+
+    /// Drops the history of changes.
+    pub fn compact(&self) {
+        let revision = self.shared.revision();
+        *lock(&self.shared.floor) = revision;
+    }
+
+    /// Writes a row, as operator or server.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        let bytes = serde_json::to_vec(value).expect("values serialize");
+        self.write(table, key, Some(bytes.into()));
+    }
+
+    /// Writes bytes that may be anything as a row.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        self.write(table, key, Some(Bytes::copy_from_slice(value)));
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.write(table, key, None);
+    }
+
+    /// Reads a row as JSON.
+    #[must_use]
+    pub fn read(&self, table: &str, key: &str) -> Option<Value> {
+        let table_lock = lock(&self.shared.table);
+        let row = table_lock.row(&row_key(table, key))?;
+        serde_json::from_slice(row.value.as_ref()?).ok()
+    }
+
+    fn write(&self, table: &str, key: &str, value: Option<Bytes>) {
+        let write = Write {
+            key: row_key(table, key),
+            value,
+        };
+        self.shared.commit(&Txn {
+            checks: Vec::new(),
+            writes: vec![write],
+        });
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn row_key(table: &str, key: &str) -> RowKey {
+    RowKey(format_smolstr!("{table}/{key}"))
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>, stop: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let Ok((socket, _)) = accepted else {
+            continue;
+        };
+        let shared = Arc::clone(&shared);
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            let handle = |req| handle(Arc::clone(&shared), req);
+            serve_connection(socket, stop, handle).await;
+        });
+    }
+}
+
+async fn handle(shared: Arc<Shared>, req: Request) -> Whole {
+    let mode = *shared.mode.borrow();
+    match mode {
+        StoreMode::Up | StoreMode::LostAnswers => {}
+        StoreMode::Busy => return respond(StatusCode::SERVICE_UNAVAILABLE, ""),
+        StoreMode::Silent => return std::future::pending().await,
+    }
+    let query = query(&req);
+    let text = |name: &str| query.get(name).cloned().unwrap_or_default();
+    let path = req.uri().path().to_owned();
+    let answer = match (req.method(), path.as_str()) {
+        (&Method::GET, "/api/rows-get") => shared.get(&text("table"), &text("from")),
+        (&Method::GET, "/api/rows-feed") => {
+            let after = Revision(text("after").parse().unwrap_or_default());
+            let wait = Duration::from_millis(text("wait_ms").parse().unwrap_or_default());
+            shared.feed(&text("table"), after, wait).await
+        }
+        (&Method::POST, "/api/rows-tx") => match read_body(req.into_body()).await {
+            Ok(body) => shared.transact(&body),
+            Err(e) => respond(StatusCode::BAD_REQUEST, e.to_string()),
+        },
+        _ => respond(StatusCode::NOT_FOUND, ""),
+    };
+    let mode = *shared.mode.borrow();
+    let is_lost = mode == StoreMode::LostAnswers && path == "/api/rows-tx";
+    if mode == StoreMode::Silent || is_lost {
+        return std::future::pending().await;
+    }
+    answer
+}
+
+fn query(req: &Request) -> HashMap<String, String> {
+    let text = req.uri().query().unwrap_or_default();
+    form_urlencoded::parse(text.as_bytes())
+        .into_owned()
+        .collect()
+}
+
+impl Shared {
+    fn revision(&self) -> Revision {
+        // No key begins so: only the revision is wanted.
+        lock(&self.table)
+            .changes("\0", Revision::default())
+            .revision
+    }
+
+    fn commit(&self, txn: &Txn) -> Commit {
+        let commit = lock(&self.table).commit(txn);
+        self.commits.send_modify(|n| *n += 1);
+        commit
+    }
+
+    fn body(&self, rows: impl Iterator<Item = Row>, revision: Revision) -> Value {
+        let rows: Vec<Value> = rows.map(|row| wire_row(&row)).collect();
+        json!({
+            "rows": rows,
+            "truncated": false,
+            "ver": revision.0,
+            "now_s": self.began.elapsed().as_secs_f64(),
+        })
+    }
+
+    fn get(&self, table: &str, from: &str) -> Whole {
+        let revision = self.revision();
+        let held = lock(&self.table);
+        let prefix = format!("{table}/");
+        let rows = held
+            .rows(&prefix)
+            .filter(|r| r.key.0[prefix.len()..] >= *from);
+        answer_json(StatusCode::OK, &self.body(rows.cloned(), revision))
+    }
+
+    async fn feed(&self, table: &str, after: Revision, wait: Duration) -> Whole {
+        if after < *lock(&self.floor) {
+            return respond(StatusCode::GONE, "{}");
+        }
+        let prefix = format!("{table}/");
+        let until = tokio::time::Instant::now() + wait;
+        let mut commits = self.commits.subscribe();
+        loop {
+            commits.borrow_and_update();
+            let changes = lock(&self.table).changes(&prefix, after);
+            let waited = tokio::time::timeout_at(until, commits.changed());
+            if !changes.rows.is_empty() || wait.is_zero() || waited.await.is_err() {
+                let body = self.body(changes.rows.into_iter(), changes.revision);
+                return answer_json(StatusCode::OK, &body);
+            }
+        }
+    }
+
+    fn transact(&self, body: &[u8]) -> Whole {
+        let Some(txn) = decode_txn(body) else {
+            return respond(StatusCode::BAD_REQUEST, "");
+        };
+        let is_foreign = |w: &Write| w.key.0.starts_with("op/") || w.key.0.starts_with("servers/");
+        if txn.writes.iter().any(is_foreign) {
+            return respond(StatusCode::FORBIDDEN, "");
+        }
+        match self.commit(&txn) {
+            Commit::Done(revision) => {
+                answer_json(StatusCode::OK, &self.body(std::iter::empty(), revision))
+            }
+            Commit::Conflict(rows) => {
+                let body = self.body(rows.into_iter(), self.revision());
+                answer_json(StatusCode::PRECONDITION_FAILED, &body)
+            }
+        }
+    }
+}
+
+fn wire_row(row: &Row) -> Value {
+    let (table, key) = row.key.0.split_once('/').unwrap_or_default();
+    let mut wire = json!({"table": table, "part": "", "key": key, "ver": row.revision.0});
+    match &row.value {
+        Some(value) => wire["value"] = STANDARD.encode(value).into(),
+        None => wire["tombstone"] = true.into(),
+    }
+    wire
+}
+
+fn decode_txn(body: &[u8]) -> Option<Txn> {
+    let body: Value = serde_json::from_slice(body).ok()?;
+    let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    let key = |row: &Value| -> Option<RowKey> {
+        Some(row_key(row["table"].as_str()?, row["key"].as_str()?))
+    };
+    let check = |row: &Value| -> Option<Check> {
+        let revision = row["ver"].as_u64()?;
+        Some(Check {
+            key: key(row)?,
+            revision: (revision > 0).then_some(Revision(revision)),
+        })
+    };
+    let write = |row: &Value| -> Option<Write> {
+        let value: SmolStr = row["value"].as_str()?.into();
+        Some(Write {
+            key: key(row)?,
+            value: Some(STANDARD.decode(value).ok()?.into()),
+        })
+    };
+    let remove = |row: &Value| -> Option<Write> {
+        Some(Write {
+            key: key(row)?,
+            value: None,
+        })
+    };
+    let checks: Option<Vec<_>> = list("precondition").iter().map(check).collect();
+    let writes: Option<Vec<_>> = list("writes").iter().map(write).collect();
+    let removes: Option<Vec<_>> = list("remove").iter().map(remove).collect();
+    let mut all = writes?;
+    all.extend(removes?);
+    Some(Txn {
+        checks: checks?,
+        writes: all,
+    })
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`upstream`]: a server that plays an upstream.
 //! - [`journal`]: what upstreams write down about the requests that they run.
 //! - [`platform`]: a server that plays the platform.
+//! - [`fleet`]: the users' platform by its published protocol.
 //! - [`proxy`]: a TCP proxy that makes faults.
 //! - [`load`]: an open-loop load generator.
 //! - [`judge`]: what a load's records and the journals show of faults.
@@ -11,6 +12,7 @@
 
 pub mod args;
 pub mod client;
+pub mod fleet;
 mod http;
 pub mod journal;
 pub mod judge;
