--- a/crates/assign/tests/plan.rs
+++ b/crates/assign/tests/plan.rs
@@ -218,8 +218,8 @@
     let mut early = good.clone();
     early.pieces.pop();
     for bad in [gap, fence, early] {
-        assert!(EntryRow::decode(&bad.encode()).is_err(), "{bad:?}");
+        EntryRow::decode(&bad.encode()).expect_err("a broken rule");
     }
-    assert!(EntryRow::decode(b"{}").is_err());
+    EntryRow::decode(b"{}").expect_err("no row");
     EntryRow::decode(&good.encode()).expect("a valid row");
 }
--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -123,6 +123,42 @@
     }
 }
 
+/// The first host of a domain reads the store for all of them; if the store turns it away, the
+/// others must not go on with what it knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_the_store_turns_away_keeps_nobody_behind() {
+    let rig = Rig::start(3).await;
+    let settings = TargetSettings {
+        service: "other".into(),
+        ..TargetSettings::default()
+    };
+    let _other = rig.target(settings).await;
+    // Long enough for the others to be fed.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for round in 0..4 {
+        rig.store.turn_away(rig.callers(0).ip(), true);
+        let service = if round % 2 == 0 { "other" } else { "posts" };
+        let version = 10 + round;
+        rig.store
+            .put("op", "config", &configuration(version, 4.0, service));
+        tokio::time::sleep(APPLY).await;
+        for host in 1..3 {
+            let post = Ask::post(&format!("behind-{round}-{host}"));
+            let got = rig.ask(host, &post).await;
+            assert!(answered(got.as_ref(), &post.id), "{got:?}");
+            let ran = rig.journal.all();
+            let at = ran.iter().find(|r| r.request == post.id);
+            assert_eq!(
+                at.map(|r| r.service.as_str()),
+                Some(service),
+                "round {round}"
+            );
+        }
+        rig.store.turn_away(rig.callers(0).ip(), false);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_stay_served_while_the_store_is_away() {
     let rig = Rig::start(2).await;
@@ -293,6 +329,14 @@
     }
 }
 
+/// A host that can't take callers must end, not stay and say that it is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_whose_address_is_taken_ends() {
+    let rig = Rig::start(1).await;
+    let mut second = rig.host_at(rig.callers(0));
+    until("the second host ends", async || second.has_ended()).await;
+}
+
 /// A server over its limit resets new connections: what was not written did surely not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_reset_before_the_request_is_no_run() {
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -1,10 +1,10 @@
 //! Hosts as real processes, with the settings that the platform renders for them.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
@@ -20,6 +20,9 @@
 /// Longest wait for anything that must come soon, also on a busy machine.
 const SOON: Duration = Duration::from_secs(20);
 const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// Ports of hosts.
+const LOWEST_PORT: u16 = 9_000;
+const HIGHEST_PORT: u16 = 15_000;
 /// The settings template that is deployed.
 const TEMPLATE: &str = include_str!("../../../../deploy/settings.json");
 
@@ -38,6 +41,14 @@
     }
 }
 
+impl Host {
+    /// Tells whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = self.child.try_wait();
+        ended.expect("a child of ours").is_some()
+    }
+}
+
 /// What a caller got.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Got {
@@ -107,10 +118,23 @@
     )
 }
 
-/// Returns a free port of `ip`.
-fn free_port(ip: &str) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("an address").port()
+/// Returns different free ports of `ip`.
+///
+/// They lie below those that the system gives to outgoing connections: between the look and the
+/// host's own bind, one of those may take any port of an address.
+fn free_ports<const N: usize>(ip: &str) -> [u16; N] {
+    static NEXT: AtomicU16 = AtomicU16::new(LOWEST_PORT);
+    let is_free =
+        |port: u16| TcpListener::bind((ip, port)).is_ok() && UdpSocket::bind((ip, port)).is_ok();
+    [(); N].map(|()| {
+        loop {
+            let port = NEXT.fetch_add(1, Ordering::Relaxed);
+            assert!(port < HIGHEST_PORT, "no free port is left");
+            if is_free(port) {
+                return port;
+            }
+        }
+    })
 }
 
 /// The operator's configuration.
@@ -189,9 +213,20 @@
     /// Starts host number `i`.
     pub fn host(&self, i: usize) -> Host {
         let ip = format!("{}.{}", self.net, i + 2);
-        let (callers, ready, peers) = (free_port(&ip), free_port(&ip), free_port(&ip));
+        self.spawn(i, &ip, free_ports(&ip))
+    }
+
+    /// Starts a further host that is to take callers at `callers`.
+    pub fn host_at(&self, callers: SocketAddr) -> Host {
+        let ip = callers.ip().to_string();
+        let [ready, peers] = free_ports(&ip);
+        self.spawn(self.hosts.len(), &ip, [callers.port(), ready, peers])
+    }
+
+    fn spawn(&self, i: usize, ip: &str, ports: [u16; 3]) -> Host {
+        let [callers, ready, _peers] = ports;
         let path = self.dir.path().join(format!("host-{i}.json"));
-        fs::write(&path, self.settings(i, &ip, [callers, ready, peers])).expect("settings");
+        fs::write(&path, self.settings(i, ip, ports)).expect("settings");
         let log = fs::OpenOptions::new()
             .append(true)
             .create(true)
@@ -201,6 +236,7 @@
             .args(["direct", "--settings"])
             .arg(&path)
             .stdin(Stdio::null())
+            .stderr(log.try_clone().expect("a log file"))
             .stdout(log)
             .spawn()
             .expect("the program starts");
@@ -226,7 +262,7 @@
             ("listen.front", format!("{ip}:{callers}")),
             ("listen.ready", format!("{ip}:{ready}")),
             ("internal_ports.0", peers.to_string()),
-            ("internal_ports.1", free_port(ip).to_string()),
+            ("internal_ports.1", free_ports::<1>(ip)[0].to_string()),
             ("platform.address", self.store.address().to_string()),
             ("heartbeat_interval_s", "0.87".to_owned()),
             ("bounds.budget_ratio", "0.2".to_owned()),
@@ -263,7 +299,10 @@
             if served {
                 return;
             }
-            assert!(began.elapsed() < SOON, "host {host} does not serve");
+            if began.elapsed() > SOON {
+                let log = fs::read_to_string(self.log(host)).expect("a log");
+                panic!("host {host} does not serve: {log}");
+            }
             tokio::time::sleep(LOOK_EVERY).await;
         }
     }
@@ -301,8 +340,7 @@
 
     /// Tells whether host number `host` has ended.
     pub fn has_ended(&mut self, host: usize) -> bool {
-        let ended = self.hosts[host].child.try_wait();
-        ended.expect("a child of ours").is_some()
+        self.hosts[host].has_ended()
     }
 
     /// Returns the number of the host that grants keys.
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -31,7 +31,7 @@
 /// long after the store's return.
 const SETTLE: Duration = Duration::from_secs(3);
 /// Time between looks whether this host still is fed by another.
-const FED_CHECK: Duration = Duration::from_millis(200);
+const FED_CHECK: Duration = Duration::from_millis(100);
 
 /// Follows `table`.
 pub async fn follow(ctl: Ctl, platform: impl Platform, table: Table) {
@@ -50,7 +50,7 @@
 fn must_read(c: &Control, table: Table) -> bool {
     let now = BootClock.now();
     let grants = c.grants();
-    (grants && table == Table::Shared) || !c.is_fed(now)
+    (grants && table == Table::Shared) || !c.freshness.is_fed(now)
 }
 
 /// Reads `table` once, waiting for a change where that is worth it.
@@ -68,13 +68,19 @@
     let delta = match platform.watch(table.name(), since, wait).await {
         Ok(delta) => delta,
         Err(e) => {
-            ctl.with(|c| c.store_failed(&e));
+            ctl.with(|c| {
+                c.freshness.failed(table);
+                c.store_failed(&e);
+            });
+            // Hosts that this one feeds must know at once.
+            ctl.changed();
             tokio::time::sleep(PAUSE).await;
             return;
         }
     };
     let now = BootClock.now();
     let changed = ctl.with(|c| {
+        c.freshness.read(table, began);
         c.store_answered(now);
         let changed = take(c, platform, table, delta, now);
         if table == Table::Shared {
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 
 use crate::control::follow::{keys_row, keys_txn};
-use crate::control::state::{Control, Ctl, Divided, ROSTER_FRESH};
+use crate::control::state::{Control, Ctl, Divided};
 use crate::ports::Platform;
 use crate::view::Phase;
 
@@ -43,8 +43,8 @@
 }
 
 fn due(c: &mut Control, now: Timestamp, patience: Duration) -> Vec<(EntryId, Action)> {
-    let may_move = c.store_settled(now) && now.since(c.roster_read) < ROSTER_FRESH;
-    let is_fresh = c.is_fresh(now);
+    let may_move = c.store_settled(now) && c.freshness.is_fresh(now);
+    let is_fresh = c.freshness.is_fresh(now);
     let is_steady = now.since(c.roster_changed) > ROSTER_STEADY;
     let mut due = Vec::new();
     for (entry, divided) in &mut c.divided {
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! - [`state`]: what the duty knows, and the view that it publishes.
 //! - [`copies`]: copies of the store's tables.
 //! - [`take`](mod@take): takes what was read of the tables.
+//! - [`freshness`]: until when what is known of the store is fresh.
 //! - [`follow`]: reads the tables of the store as they change.
 //! - [`relay`]: passes what was read on within a failure domain.
 //! - [`beat`]: heartbeats between hosts.
@@ -12,6 +13,7 @@
 pub mod beat;
 pub mod copies;
 pub mod follow;
+pub mod freshness;
 pub mod keys;
 pub mod relay;
 pub mod samples;
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -31,7 +31,7 @@
 const FEED_EVERY: Duration = Duration::from_millis(400);
 /// Silence after which a fed host reads the store itself: two messages and their way. What the
 /// store took must be known within two seconds.
-pub(crate) const SILENCE: Duration = Duration::from_secs(1);
+const SILENCE: Duration = Duration::from_secs(1);
 /// Time for a connection to a host of the same domain to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause before looking for a parent again.
@@ -44,9 +44,9 @@
     /// Changes of each table, in the order of [`Table::ALL`].
     #[prost(message, repeated, tag = "1")]
     pub tables: Vec<TableFeed>,
-    /// Whether the sender's knowledge of the store is fresh.
-    #[prost(bool, tag = "2")]
-    pub is_fresh: bool,
+    /// Milliseconds for which the sender's knowledge of the store stays fresh.
+    #[prost(uint32, tag = "2")]
+    pub fresh_ms: u32,
 }
 
 /// Changes of one table.
@@ -122,7 +122,7 @@
 fn next_feed(c: &Control, generations: &mut [u64; Table::ALL.len()]) -> Feed {
     let mut feed = Feed {
         tables: Vec::new(),
-        is_fresh: c.is_fresh(BootClock.now()),
+        fresh_ms: c.freshness.left(BootClock.now()).as_millis() as u32,
     };
     for (copy, generation) in c.copies.iter().zip(generations) {
         let rows = copy.since(*generation).map(|row| FeedRow {
@@ -143,7 +143,9 @@
 pub async fn be_fed(ctl: Ctl, platform: impl Platform) {
     loop {
         for parent in ctl.with(|c| parents(c)) {
-            if let Err(e) = fed_by(&ctl, &platform, parent).await {
+            let ended = fed_by(&ctl, &platform, parent).await;
+            ctl.with(|c| c.freshness.left_alone());
+            if let Err(e) = ended {
                 ctl.with(|c| debug!(c.log, "feed ended"; "peer" => %parent, "error" => %e));
             }
         }
@@ -193,7 +195,7 @@
             return Ok(());
         };
         let feed = feed?;
-        if ctl.with(|c| c.phase == Phase::Leaving) || !feed.is_fresh {
+        if ctl.with(|c| c.phase == Phase::Leaving) || feed.fresh_ms == 0 {
             return Ok(());
         }
         if is_first {
@@ -209,7 +211,9 @@
 /// Takes a message; tells whether anything changed.
 fn take_feed(c: &mut Control, platform: &impl Platform, feed: Feed) -> bool {
     let now = BootClock.now();
-    c.fed(now);
+    let left = Duration::from_millis(u64::from(feed.fresh_ms));
+    c.freshness.fed(now, left);
+    c.store_answered(now);
     let mut changed = false;
     for (table, part) in Table::ALL.into_iter().zip(feed.tables) {
         let rows = part.rows.into_iter().map(|row| Row {
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::control::copies::Copy;
-use crate::control::relay;
+use crate::control::freshness::Freshness;
 use crate::control::take::Table;
 
 use crate::settings::Settings;
@@ -30,9 +30,6 @@
 /// that lapsed meanwhile are written again within two seconds.
 pub(crate) const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
-/// Age of the roster up to which it counts as fresh: two reads.
-pub(crate) const ROSTER_FRESH: Duration = Duration::from_millis(1_500);
-
 /// What a host tells the others of itself, in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -71,8 +68,6 @@
     pub in_force: Option<Arc<InForce>>,
     /// The upstreams.
     pub roster: Roster,
-    /// When the roster was last read.
-    pub roster_read: Timestamp,
     /// When the roster last changed.
     pub roster_changed: Timestamp,
     /// Registrations that are missing since the store came back.
@@ -87,8 +82,8 @@
     pub divided: IndexMap<EntryId, Divided>,
     /// What was read of the store, in the order of [`Table::ALL`](super::take::Table::ALL).
     pub copies: [Copy; Table::ALL.len()],
-    /// When another host last fed this one with fresh knowledge.
-    pub fed_at: Option<Timestamp>,
+    /// Until when what is known of the store is fresh.
+    pub freshness: Freshness,
     /// Where the view is published.
     pub view: Shared,
     /// Logger.
@@ -237,29 +232,6 @@
         self.divided.values().any(|d| d.keeper.is_granter())
     }
 
-    /// Notes that another host fed this one with fresh knowledge of the store.
-    pub fn fed(&mut self, now: Timestamp) {
-        self.fed_at = Some(now);
-        self.store_answered(now);
-    }
-
-    /// Tells whether another host feeds this one.
-    #[must_use]
-    pub fn is_fed(&self, now: Timestamp) -> bool {
-        self.fed_at.is_some_and(|at| now.since(at) < relay::SILENCE)
-    }
-
-    /// Tells whether what this host knows of the store is fresh, from the store or by another host.
-    #[must_use]
-    pub fn is_fresh(&self, now: Timestamp) -> bool {
-        self.store_since.is_some()
-            && self
-                .copies
-                .iter()
-                .all(|c| c.revision() > Revision::default())
-            && (self.is_fed(now) || now.since(self.roster_read) < ROSTER_FRESH)
-    }
-
     /// Notes a read of what hosts share that began at `began` and brought everything up to then.
     pub fn shared_read(&mut self, began: Timestamp) {
         for divided in self.divided.values_mut() {
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -67,9 +67,6 @@
             Table::Shared => take_shared(c, row, now),
         }
     }
-    if table == Table::Upstreams {
-        c.roster_read = now;
-    }
     let removed = c.remove_missing(now);
     if removed || (table == Table::Upstreams && !rows.is_empty()) {
         c.roster_changed = now;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::mpsc::SyncSender;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context as _;
@@ -18,6 +19,7 @@
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::control::freshness::Freshness;
 use crate::control::samples::{self, SampleRx, SampleTx};
 use crate::control::take::Table;
 use crate::control::{Control, Ctl, beat, follow, keys, relay};
@@ -61,17 +63,19 @@
         stop: stop.clone(),
         log: log.clone(),
     };
+    let (bound_tx, bound_rx) = std::sync::mpsc::sync_channel(1);
     let callers = std::thread::Builder::new()
         .name("callers".to_owned())
-        .spawn(move || callers.run())
+        .spawn(move || callers.run(&bound_tx))
         .context("start callers' thread")?;
+    // A host that can't take callers must not say that it is ready.
+    bound_rx.recv().context("callers' thread ended")??;
     let platform = platform(&cfg);
     let control = Control {
         me,
         phase: Phase::Starting,
         in_force: None,
         roster: Roster::default(),
-        roster_read: Timestamp::ZERO,
         roster_changed: Timestamp::ZERO,
         missing: Vec::new(),
         // A host that starts has missed nothing.
@@ -80,7 +84,7 @@
         hosts: IndexMap::new(),
         divided: IndexMap::new(),
         copies: Default::default(),
-        fed_at: None,
+        freshness: Freshness::default(),
         view,
         log: log.clone(),
         cfg,
@@ -125,10 +129,18 @@
 }
 
 impl Callers {
-    fn run(self) -> anyhow::Result<()> {
+    /// Runs the callers' duty; says by `bound` whether it could begin.
+    fn run(self, bound: &SyncSender<anyhow::Result<()>>) -> anyhow::Result<()> {
         block_on(async move {
             let address = self.cfg.listen.callers;
-            let listener = serve::bind(address).with_context(|| format!("bind {address}"))?;
+            let listener = match serve::bind(address) {
+                Ok(listener) => listener,
+                Err(e) => {
+                    let e = anyhow::Error::new(e).context(format!("bind {address}"));
+                    return bound.send(Err(e)).context("report a failed start");
+                }
+            };
+            bound.send(Ok(())).context("report the start")?;
             let forwarder = Rc::new(Forwarder::new(
                 self.cfg.domain,
                 Shared::clone(&self.view),
--- /dev/null
+++ b/crates/front/tests/freshness.rs
@@ -0,0 +1,117 @@
+//! Whose knowledge of the store others may rely on.
+
+use std::time::Duration;
+
+use front::control::freshness::Freshness;
+use front::control::take::Table;
+use ids::Timestamp;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(100_000 + ms)
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Read(Table, u64),
+    Failed(Table),
+    Fed(u64, u64),
+    LeftAlone,
+}
+
+use Event::{Failed, Fed, LeftAlone, Read};
+use Table::{Configuration, Shared, Upstreams};
+
+struct Case {
+    name: &'static str,
+    events: &'static [Event],
+    now: u64,
+    left_ms: u64,
+}
+
+const WHOLE: [Event; 3] = [Read(Configuration, 0), Read(Shared, 0), Read(Upstreams, 0)];
+
+const CASES: &[Case] = &[
+    Case {
+        name: "nothing was read",
+        events: &[],
+        now: 0,
+        left_ms: 0,
+    },
+    Case {
+        name: "two of three tables were read",
+        events: &[Read(Upstreams, 0), Read(Shared, 0)],
+        now: 0,
+        left_ms: 0,
+    },
+    Case {
+        name: "all were read",
+        events: &WHOLE,
+        now: 200,
+        left_ms: 1_000,
+    },
+    Case {
+        name: "reads of the upstreams hang",
+        events: &WHOLE,
+        now: 1_200,
+        left_ms: 0,
+    },
+    Case {
+        name: "a read that waited since before ends well after another failed",
+        events: &[
+            WHOLE[0],
+            WHOLE[1],
+            WHOLE[2],
+            Failed(Upstreams),
+            Read(Configuration, 100),
+        ],
+        now: 300,
+        left_ms: 0,
+    },
+    Case {
+        name: "the same table can be read again",
+        events: &[
+            WHOLE[0],
+            WHOLE[1],
+            WHOLE[2],
+            Failed(Upstreams),
+            Read(Upstreams, 250),
+        ],
+        now: 300,
+        left_ms: 1_150,
+    },
+    Case {
+        name: "a fed host is as fresh as what it is fed with",
+        events: &[Fed(100, 700)],
+        now: 300,
+        left_ms: 500,
+    },
+    Case {
+        name: "a host that is left alone reads at once",
+        events: &[Fed(100, 700), LeftAlone],
+        now: 300,
+        left_ms: 0,
+    },
+];
+
+#[test]
+fn freshness_ends_with_the_first_failure() {
+    for case in CASES {
+        let mut freshness = Freshness::default();
+        for event in case.events {
+            match *event {
+                Read(table, began) => freshness.read(table, at(began)),
+                Failed(table) => freshness.failed(table),
+                Fed(now, left) => freshness.fed(at(now), Duration::from_millis(left)),
+                LeftAlone => freshness.left_alone(),
+            }
+        }
+        let left = Duration::from_millis(case.left_ms);
+        assert_eq!(freshness.left(at(case.now)), left, "{}", case.name);
+        assert_eq!(
+            freshness.is_fresh(at(case.now)),
+            case.left_ms > 0,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -1,8 +1,8 @@
 //! The users' metadata store: tables of rows, transactions, and a feed of changes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -41,6 +41,8 @@
     commits: watch::Sender<u64>,
     /// Revision up to which history is gone.
     floor: Mutex<Revision>,
+    /// Clients that get 429, and no news by the feeds that they wait for.
+    turned_away: Mutex<HashSet<IpAddr>>,
     began: Instant,
 }
 
@@ -66,6 +68,7 @@
             mode: watch::Sender::new(StoreMode::Up),
             commits: watch::Sender::new(0),
             floor: Mutex::default(),
+            turned_away: Mutex::default(),
             began: Instant::now(),
         });
         let stop = CancellationToken::new();
@@ -88,6 +91,16 @@
         self.shared.mode.send_replace(mode);
     }
 
+    /// Turns the calls of clients at `ip` away from now on, or takes them again.
+    pub fn turn_away(&self, ip: IpAddr, is_away: bool) {
+        let mut away = lock(&self.shared.turned_away);
+        if is_away {
+            away.insert(ip);
+        } else {
+            away.remove(&ip);
+        }
+    }
+
     /// Drops the history of changes.
     pub fn compact(&self) {
         let revision = self.shared.revision();
@@ -95,6 +108,10 @@
     }
 
     /// Writes a row, as operator or server.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: values serialize.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         let bytes = serde_json::to_vec(value).expect("values serialize");
         self.write(table, key, Some(bytes.into()));
@@ -144,19 +161,22 @@
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => return,
         };
-        let Ok((socket, _)) = accepted else {
+        let Ok((socket, client)) = accepted else {
             continue;
         };
         let shared = Arc::clone(&shared);
         let stop = stop.clone();
         tokio::spawn(async move {
-            let handle = |req| handle(Arc::clone(&shared), req);
+            let handle = |req| handle(Arc::clone(&shared), client.ip(), req);
             serve_connection(socket, stop, handle).await;
         });
     }
 }
 
-async fn handle(shared: Arc<Shared>, req: Request) -> Whole {
+async fn handle(shared: Arc<Shared>, client: IpAddr, req: Request) -> Whole {
+    if shared.turns_away(client) {
+        return respond(StatusCode::TOO_MANY_REQUESTS, "");
+    }
     let mode = *shared.mode.borrow();
     match mode {
         StoreMode::Up | StoreMode::LostAnswers => {}
@@ -171,7 +191,7 @@
         (&Method::GET, "/api/rows-feed") => {
             let after = Revision(text("after").parse().unwrap_or_default());
             let wait = Duration::from_millis(text("wait_ms").parse().unwrap_or_default());
-            shared.feed(&text("table"), after, wait).await
+            shared.feed(client, &text("table"), after, wait).await
         }
         (&Method::POST, "/api/rows-tx") => match read_body(req.into_body()).await {
             Ok(body) => shared.transact(&body),
@@ -195,6 +215,10 @@
 }
 
 impl Shared {
+    fn turns_away(&self, client: IpAddr) -> bool {
+        lock(&self.turned_away).contains(&client)
+    }
+
     fn revision(&self) -> Revision {
         // No key begins so: only the revision is wanted.
         lock(&self.table)
@@ -228,7 +252,7 @@
         answer_json(StatusCode::OK, &self.body(rows.cloned(), revision))
     }
 
-    async fn feed(&self, table: &str, after: Revision, wait: Duration) -> Whole {
+    async fn feed(&self, client: IpAddr, table: &str, after: Revision, wait: Duration) -> Whole {
         if after < *lock(&self.floor) {
             return respond(StatusCode::GONE, "{}");
         }
@@ -239,6 +263,11 @@
             commits.borrow_and_update();
             let changes = lock(&self.table).changes(&prefix, after);
             let waited = tokio::time::timeout_at(until, commits.changed());
+            if self.turns_away(client) {
+                tokio::time::sleep_until(until).await;
+                let body = self.body(std::iter::empty(), after);
+                return answer_json(StatusCode::OK, &body);
+            }
             if !changes.rows.is_empty() || wait.is_zero() || waited.await.is_err() {
                 let body = self.body(changes.rows.into_iter(), changes.revision);
                 return answer_json(StatusCode::OK, &body);
