--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -50,11 +50,24 @@
     /// Turns JSON lines of measurements into one page that compares them.
     #[command(after_help = "Example: medlardyke report before.jsonl after.jsonl --out report.html")]
     Report(measure::ReportArgs),
+    /// Prints the story of one request, from hosts' logs in files or on standard input.
+    #[command(after_help = "Example: medlardyke explain 9c41d07be2a35f68 host-*.log")]
+    Explain(ExplainArgs),
     /// Asks entry hosts how they are.
     #[command(after_help = "Example: medlardyke status 127.0.0.1:8080 --json")]
     Status(StatusArgs),
 }
 
+/// Arguments of `explain`.
+#[derive(Debug)]
+#[derive(clap::Args)]
+pub(crate) struct ExplainArgs {
+    /// The request's id.
+    pub(crate) request: String,
+    /// Files of log lines; standard input if there are none.
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Arguments of `serve`.
 #[derive(Debug)]
 #[derive(clap::Args)]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod dev;
 mod direct;
 mod exit;
+mod explain;
 mod parts;
 mod serve;
 mod status;
@@ -20,6 +21,7 @@
         Command::Serve(args) => serve::run(&args),
         Command::Direct(args) => direct::run(&args),
         Command::Dev(args) => dev::run(&args),
+        Command::Explain(args) => explain::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Catalogue(args) => parts::catalogue(args),
         Command::Standin(command) => parts::standin(&command),
--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -3,6 +3,7 @@
 mod rig;
 
 use std::collections::HashMap;
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -329,6 +330,57 @@
     }
 }
 
+/// Metrics and logs tell what became of a request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_can_be_explained() {
+    let rig = Rig::start(1).await;
+    let all = || rig.reads.iter().chain(&rig.posts);
+    all().for_each(|t| t.set_trouble(TargetTrouble::Full));
+    let post = Ask::post("why-not");
+    let got = rig.ask(0, &post).await.expect("an answer");
+    assert!(promises_not_run(&got), "{got:?}");
+    until("the log has it", async || {
+        let log = std::fs::read_to_string(rig.log(0)).expect("a log");
+        log.contains("\"why-not\"")
+    })
+    .await;
+    let story = Command::new(env!("CARGO_BIN_EXE_medlardyke"))
+        .args(["explain", "why-not"])
+        .arg(rig.log(0))
+        .output()
+        .expect("the program runs");
+    let story = String::from_utf8(story.stdout).expect("text");
+    let last = story
+        .lines()
+        .rfind(|line| line.contains("request not served"));
+    let last = last.expect(&story);
+    for wanted in [
+        "reason=\"upstream-shed\"",
+        "status=503",
+        "route=\"posts\"",
+        "version=2",
+    ] {
+        assert!(last.contains(wanted), "{wanted}: {story}");
+    }
+    for wanted in [
+        "request sent again",
+        "    known: ",
+        "configuration in force",
+    ] {
+        assert!(story.contains(wanted), "{wanted}: {story}");
+    }
+    let metrics = rig.metrics(0).await;
+    assert!(
+        metrics.contains("medlardyke_refused_upstream_shed_total 1\n"),
+        "{metrics}"
+    );
+    assert!(
+        metrics.contains("medlardyke_latency_answered_seconds_bucket"),
+        "{metrics}"
+    );
+    assert!(metrics.ends_with("# EOF\n"), "{metrics}");
+}
+
 /// A host that can't take callers must end, not stay and say that it is ready.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_whose_address_is_taken_ends() {
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -31,6 +31,7 @@
     child: Child,
     callers: SocketAddr,
     ready: SocketAddr,
+    metrics: SocketAddr,
 }
 
 impl Drop for Host {
@@ -219,12 +220,13 @@
     /// Starts a further host that is to take callers at `callers`.
     pub fn host_at(&self, callers: SocketAddr) -> Host {
         let ip = callers.ip().to_string();
-        let [ready, peers] = free_ports(&ip);
-        self.spawn(self.hosts.len(), &ip, [callers.port(), ready, peers])
+        let [ready, peers, metrics] = free_ports(&ip);
+        let ports = [callers.port(), ready, peers, metrics];
+        self.spawn(self.hosts.len(), &ip, ports)
     }
 
-    fn spawn(&self, i: usize, ip: &str, ports: [u16; 3]) -> Host {
-        let [callers, ready, _peers] = ports;
+    fn spawn(&self, i: usize, ip: &str, ports: [u16; 4]) -> Host {
+        let [callers, ready, _peers, metrics] = ports;
         let path = self.dir.path().join(format!("host-{i}.json"));
         fs::write(&path, self.settings(i, ip, ports)).expect("settings");
         let log = fs::OpenOptions::new()
@@ -245,6 +247,7 @@
             child,
             callers: address(callers),
             ready: address(ready),
+            metrics: address(metrics),
         }
     }
 
@@ -254,7 +257,7 @@
     }
 
     /// Renders the template as the platform does.
-    fn settings(&self, i: usize, ip: &str, [callers, ready, peers]: [u16; 3]) -> String {
+    fn settings(&self, i: usize, ip: &str, [callers, ready, peers, metrics]: [u16; 4]) -> String {
         let values = [
             ("node", format!("host-{i}")),
             ("zone", "a".to_owned()),
@@ -262,7 +265,7 @@
             ("listen.front", format!("{ip}:{callers}")),
             ("listen.ready", format!("{ip}:{ready}")),
             ("internal_ports.0", peers.to_string()),
-            ("internal_ports.1", free_ports::<1>(ip)[0].to_string()),
+            ("internal_ports.1", metrics.to_string()),
             ("platform.address", self.store.address().to_string()),
             ("heartbeat_interval_s", "0.87".to_owned()),
             ("bounds.budget_ratio", "0.2".to_owned()),
@@ -331,6 +334,16 @@
         got.is_some_and(|got| got.status == 200)
     }
 
+    /// Returns what host number `host` tells scrapers.
+    pub async fn metrics(&self, host: usize) -> String {
+        let ask = Ask {
+            path: "/metrics",
+            ..Ask::post("")
+        };
+        let got = send(self.hosts[host].metrics, &ask).await;
+        got.expect("metrics").body
+    }
+
     /// Sends `signal` to host number `host`.
     pub fn signal(&self, host: usize, signal: rustix::process::Signal) {
         let pid = self.hosts[host].child.id();
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -120,6 +120,12 @@
         now < self.closed_until
     }
 
+    /// Returns how old the upstream's last report of its load is, if there was one.
+    #[must_use]
+    pub fn report_age(&self, now: Timestamp) -> Option<Duration> {
+        (self.reported > Timestamp::ZERO).then(|| now.since(self.reported))
+    }
+
     /// Returns how many requests are at the upstream, by what is known, for each slot.
     #[must_use]
     pub fn crowd(&self, now: Timestamp, cfg: &LoadSettings) -> f64 {
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -11,6 +11,8 @@
     Candidate, Choice, ChooseSettings, Ended, LoadSettings, Next, Registered, RepeatSettings,
     Route, Sent, Splitter, State, Tries, UpstreamLoad, choose,
 };
+use gate::Metrics;
+use gate::counters::{Count, Latency};
 use gate::headers::strip_connection_only;
 use gate::upstream::{BodyEnd, ExchangeError, UpstreamConn};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
@@ -19,13 +21,13 @@
 use ids::{BootClock, Clock, DomainId, EntryId, Reason, Timestamp, UpstreamId};
 use rand::Rng;
 use route::{BudgetSettings, RetryBudget};
-use slog::{Logger, info};
-use smol_str::SmolStr;
+use slog::Logger;
 
 use crate::connections::Connections;
 use crate::control::samples::{Sample, SampleTx};
 use crate::ports::{Asked, Dialect, Verdict};
 use crate::settings::Repeats;
+use crate::story::{Story, Teller};
 use crate::view::{Phase, Shared, View};
 
 /// Largest answer; larger ones than those of today's upstreams by three orders of magnitude.
@@ -88,7 +90,8 @@
     load_cfg: LoadSettings,
     choose_cfg: ChooseSettings,
     repeat_cfg: RepeatSettings,
-    log: Logger,
+    teller: Teller,
+    metrics: Arc<Metrics>,
 }
 
 /// A whole request of a caller, and what was found out about it.
@@ -122,6 +125,7 @@
         dialect: Arc<dyn Dialect>,
         repeats: Repeats,
         samples: SampleTx,
+        metrics: Arc<Metrics>,
         log: Logger,
     ) -> Self {
         Self {
@@ -137,19 +141,31 @@
             load_cfg: LoadSettings::default(),
             choose_cfg: ChooseSettings::default(),
             repeat_cfg: RepeatSettings::default(),
-            log,
+            teller: Teller::new(log),
+            metrics,
         }
     }
 
     /// Answers a request.
     pub async fn answer(self: Rc<Self>, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let arrived = BootClock.now();
-        let id = Cell::new(SmolStr::default());
-        let result = self.serve(req, arrived, &id).await;
+        self.metrics.count(Count::Requests);
+        let story = RefCell::new(Story::default());
+        let result = self.serve(req, arrived, &story).await;
+        let story = story.into_inner();
         let mut response = match result {
-            Ok(response) => response,
+            Ok(response) => {
+                let status = response.status().as_u16();
+                self.teller.answered(&story, arrived, status, &self.metrics);
+                response
+            }
             Err(refused) => {
-                self.log_refused(&id.take(), arrived, refused);
+                let Refused {
+                    reason,
+                    retry_after,
+                } = refused;
+                self.teller
+                    .refused(&story, arrived, reason, retry_after, &self.metrics);
                 refusal(refused)
             }
         };
@@ -160,31 +176,27 @@
         response
     }
 
-    fn log_refused(&self, id: &SmolStr, arrived: Timestamp, refused: Refused) {
-        info!(self.log, "request not served";
-            "request" => id.as_str(),
-            "reason" => refused.reason.as_str(),
-            "outcome" => refused.reason.outcome().as_str(),
-            "retry_after_ms" => refused.retry_after.map(|t| t.as_millis() as u64),
-            "after_ms" => BootClock.now().since(arrived).as_millis() as u64);
-    }
-
     async fn serve(
         &self,
         req: Request<Incoming>,
         arrived: Timestamp,
-        id: &Cell<SmolStr>,
+        story: &RefCell<Story>,
     ) -> Result<Response<Full<Bytes>>, Refused> {
-        let job = self.intake(req, arrived, id).await?;
-        let result = self.run(&job).await;
+        let job = self.intake(req, arrived, story).await?;
+        let result = self.run(&job, story).await;
         // An upstream's own failure says more than that there was one.
         result.or_else(|refused| job.failure.take().ok_or(refused))
     }
 
     /// Tries until there is an answer or no more sense in it.
-    async fn run(&self, job: &Job) -> Result<Response<Full<Bytes>>, Refused> {
+    async fn run(
+        &self,
+        job: &Job,
+        story: &RefCell<Story>,
+    ) -> Result<Response<Full<Bytes>>, Refused> {
         let mut tries = Tries::default();
         let mut avoid: Vec<UpstreamId> = Vec::new();
+        let mut last: Option<Ended> = None;
         loop {
             let now = BootClock.now();
             if job.deadline.since(now) < LEAST_LEFT {
@@ -197,8 +209,16 @@
                     self.wait_for_owner(job, &tries, now).await?;
                     continue;
                 }
-                Pick::Refuse(refused) => return Err(truthful(refused, &tries)),
+                Pick::Refuse(refused) => {
+                    // That none is left to try says less than why the last one failed.
+                    let is_last = refused.reason == Reason::NoUpstream;
+                    let last = last
+                        .filter(|_| is_last)
+                        .map(|ended| given_up(ended, &tries));
+                    return Err(last.unwrap_or_else(|| truthful(refused, &tries)));
+                }
             };
+            self.tell_target(&mut story.borrow_mut(), &target, now);
             let ended = match self.attempt(job, &target).await {
                 Ok(response) => return Ok(response),
                 Err(ended) => ended,
@@ -215,6 +235,9 @@
             );
             match next {
                 Next::Again { pause } => {
+                    let reason = ended.reason();
+                    self.teller
+                        .sent_again(&story.borrow(), job.arrived, reason, &self.metrics);
                     if !pause.is_zero() {
                         tokio::time::sleep(pause).await;
                     }
@@ -222,6 +245,7 @@
                 Next::GiveUp => return Err(given_up(ended, &tries)),
             }
             avoid.push(target.id);
+            last = Some(ended);
         }
     }
 
@@ -230,11 +254,11 @@
         &self,
         req: Request<Incoming>,
         arrived: Timestamp,
-        id: &Cell<SmolStr>,
+        story: &RefCell<Story>,
     ) -> Result<Job, Refused> {
         let (parts, body) = req.into_parts();
         let asked = self.dialect.asked(&parts.headers)?;
-        id.set(asked.id.clone());
+        story.borrow_mut().id = asked.id.clone();
         let view = self.view.load_full();
         let Some(in_force) = view.in_force.clone() else {
             return Err(come_back(Reason::NoCatalogue, COME_BACK));
@@ -245,9 +269,11 @@
             .routes
             .route(key.ok_or(Reason::UnknownEntry)?)
             .clone();
+        story.borrow_mut().takes(&in_force.cfg, &route, asked.key);
         let body = read_body(body, in_force.cfg.bounds.body_bytes).await?;
         let entry = self.splitter.borrow_mut().deal(&route).cloned();
         let entry = entry.ok_or(Reason::UnknownEntry)?;
+        story.borrow_mut().entry = Some(entry.clone());
         let is_divided = in_force.cfg.entries.get(&entry).is_some_and(|e| e.divided);
         if is_divided && asked.key.is_none() {
             return Err(Reason::MissingKey.into());
@@ -392,6 +418,7 @@
         target: &Registered,
     ) -> Result<Response<Full<Bytes>>, Ended> {
         let now = BootClock.now();
+        self.metrics.count(Count::Sent);
         let sent = self.with_load(target, |load| load.sent(now, &self.load_cfg));
         let mut under_way = UnderWay {
             forwarder: self,
@@ -419,6 +446,7 @@
                 other => return other,
             }
         }
+        self.metrics.count(Count::UpstreamConnected);
         match self.connections.open(target.address).await {
             Ok(Some(conn)) => self.exchange_on(conn, job, target).await,
             Ok(None) => Err(Ended::NotRun(Reason::UpstreamShed)),
@@ -491,6 +519,13 @@
         req
     }
 
+    fn tell_target(&self, story: &mut Story, target: &Registered, now: Timestamp) {
+        self.with_load(target, |load| {
+            let crowd = load.crowd(now, &self.load_cfg);
+            story.goes_to(target, crowd, load.report_age(now));
+        });
+    }
+
     fn with_load<T>(&self, target: &Registered, f: impl FnOnce(&mut UpstreamLoad) -> T) -> T {
         let mut loads = self.loads.borrow_mut();
         let load = loads
@@ -501,6 +536,7 @@
 
     fn answered(&self, job: &Job, target: &Registered, sent: Sent) {
         let now = BootClock.now();
+        self.metrics.record(Latency::Upstream, now.since(sent.at()));
         let service = self.with_load(target, |load| {
             load.answered(now, sent, &self.load_cfg);
             load.service()
@@ -567,6 +603,9 @@
                 load.silent(waited, cfg);
             }
         });
+        if !self.is_over {
+            self.forwarder.metrics.count(Count::Aborted);
+        }
     }
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`settings`]: settings as written in the JSON file.
 //! - [`ports`]: what an adapter to a platform provides.
 //! - [`view`]: what the control duty tells the callers' duty.
+//! - [`story`]: log lines about single requests.
 //! - [`run`]: starts and stops the duties.
 //!
 //! Duties, a thread each: callers ([`serve`], [`forward`], [`connections`]) and control
@@ -17,6 +18,7 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+pub mod story;
 pub mod view;
 
 pub use ports::{Asked, Dialect, Judged, Platform, Verdict};
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use assign::Run;
 use direct::Roster;
+use gate::Metrics;
 use ids::{Incarnation, Timestamp};
 use indexmap::IndexMap;
 use slog::{Logger, info};
@@ -55,11 +56,13 @@
     let view: Shared = Arc::new(ArcSwap::from_pointee(View::default()));
     let (samples_tx, samples_rx) = samples::ring();
     let stop = CancellationToken::new();
+    let metrics: Arc<Metrics> = Arc::default();
     let callers = Callers {
         cfg: cfg.clone(),
         view: Shared::clone(&view),
         dialect: Arc::clone(dialect),
         samples: samples_tx,
+        metrics: Arc::clone(&metrics),
         stop: stop.clone(),
         log: log.clone(),
     };
@@ -89,8 +92,12 @@
         log: log.clone(),
         cfg,
     };
-    let path = dialect.ready_path();
-    block_on(control_duty(control, platform, samples_rx, path, stop))??;
+    let desk = Desk {
+        ready_path: dialect.ready_path(),
+        metrics,
+        stop,
+    };
+    block_on(control_duty(control, platform, samples_rx, desk))??;
     let ended = callers.join();
     info!(log, "host stops");
     match ended {
@@ -124,6 +131,7 @@
     view: Shared,
     dialect: Arc<dyn Dialect>,
     samples: SampleTx,
+    metrics: Arc<Metrics>,
     stop: CancellationToken,
     log: Logger,
 }
@@ -147,6 +155,7 @@
                 self.dialect,
                 self.cfg.repeats,
                 self.samples,
+                self.metrics,
                 self.log.clone(),
             ));
             let grace = self.cfg.stop.grace().saturating_sub(LINGER + LAST);
@@ -156,12 +165,18 @@
     }
 }
 
+/// What the control thread answers and stops beside its duty.
+struct Desk {
+    ready_path: &'static str,
+    metrics: Arc<Metrics>,
+    stop: CancellationToken,
+}
+
 async fn control_duty<P: Platform>(
     control: Control,
     platform: P,
     samples: SampleRx,
-    ready_path: &'static str,
-    stop: CancellationToken,
+    desk: Desk,
 ) -> anyhow::Result<()> {
     let (listen, view, log) = (
         control.cfg.listen,
@@ -175,7 +190,11 @@
     let relay_listener =
         serve::bind(listen.peers).with_context(|| format!("bind {}", listen.peers))?;
     let ctl = Ctl::new(control);
+    let scraped =
+        serve::bind(listen.metrics).with_context(|| format!("bind {}", listen.metrics))?;
+    let ready_path = desk.ready_path;
     tokio::task::spawn_local(serve::readiness(ready, ready_path, view, log.clone()));
+    tokio::task::spawn_local(serve::metrics(scraped, desk.metrics, log.clone()));
     for table in Table::ALL {
         tokio::task::spawn_local(follow::follow(ctl.clone(), platform.clone(), table));
     }
@@ -188,7 +207,7 @@
     wait_for_stop(&log).await?;
     ctl.with(|c| c.enter(Phase::Leaving));
     tokio::time::sleep(LINGER).await;
-    stop.cancel();
+    desk.stop.cancel();
     Ok(())
 }
 
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -4,10 +4,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use gate::Metrics;
+use gate::exposition::expose;
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -27,6 +30,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two clean-ups of what is known of upstreams.
 const CLEAN_EVERY: Duration = Duration::from_secs(2);
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
 /// Smallest read buffer that the library takes.
 const MIN_BUFFER: usize = 8 << 10;
 
@@ -124,23 +129,40 @@
 
 /// Answers the balancer's question whether the host is ready, on `listener`.
 pub async fn readiness(listener: TcpListener, path: &'static str, view: Shared, log: Logger) {
+    let answer = move |asked: &str| ready_answer(asked == path, view.load().phase);
+    questions(listener, answer, log).await;
+}
+
+/// Answers scrapers of metrics, on `listener`.
+pub async fn metrics(listener: TcpListener, metrics: Arc<Metrics>, log: Logger) {
+    let answer = move |asked: &str| metrics_answer(asked, &metrics);
+    questions(listener, answer, log).await;
+}
+
+/// Answers each request by its path alone.
+async fn questions(
+    listener: TcpListener,
+    answer: impl Fn(&str) -> Response<Full<Bytes>> + 'static,
+    log: Logger,
+) {
+    let answer = Rc::new(answer);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                warn!(log, "accept of the balancer failed"; "error" => %e);
+                warn!(log, "accept of a question failed"; "error" => %e);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        let view = Shared::clone(&view);
+        let answer = Rc::clone(&answer);
         let service = service_fn(move |req: Request<Incoming>| {
-            let response = ready_answer(req.uri().path() == path, view.load().phase);
+            let response = answer(req.uri().path());
             async move { Ok::<_, Infallible>(response) }
         });
         tokio::task::spawn_local(async move {
             let protocol = http1::Builder::new();
-            // The balancer asks again; a question that breaks off needs no answer.
+            // Whoever asked asks again; a question that breaks off needs no answer.
             let _ = protocol
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
@@ -148,6 +170,18 @@
     }
 }
 
+fn metrics_answer(path: &str, metrics: &Arc<Metrics>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    if path != METRICS_PATH {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    *response.body_mut() = Full::new(Bytes::from(expose(metrics)));
+    let kind = HeaderValue::from_static("application/openmetrics-text; version=1.0.0");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
 fn ready_answer(is_question: bool, phase: Phase) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = match (is_question, phase) {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -34,8 +34,10 @@
     pub callers: SocketAddr,
     /// For the balancer's question whether the host is ready.
     pub ready: SocketAddr,
-    /// For heartbeats of other hosts.
+    /// For heartbeats of other hosts, and for hosts that this one feeds.
     pub peers: SocketAddr,
+    /// For scrapers of metrics.
+    pub metrics: SocketAddr,
 }
 
 /// The platform's store.
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -16,6 +16,8 @@
 use indexmap::IndexMap;
 use serde::Serialize;
 
+use crate::exposition::Buckets;
+
 /// Begins the name of each metric.
 pub const PREFIX: &str = "medlardyke";
 /// Metrics that may wait to be sent; more are dropped.
@@ -236,6 +238,7 @@
     refused: Vec<Tally>,
     retried: Vec<Tally>,
     latencies: Vec<Mutex<Histogram<u32>>>,
+    buckets: Vec<Buckets>,
     client: StatsdClient,
 }
 
@@ -267,6 +270,7 @@
                 .iter()
                 .map(|_| Mutex::new(histogram()))
                 .collect(),
+            buckets: Latency::ALL.iter().map(|_| Buckets::default()).collect(),
             client,
         }
     }
@@ -306,6 +310,7 @@
 
     /// Records a latency.
     pub fn record(&self, latency: Latency, span: Duration) {
+        self.buckets[latency as usize].record(span);
         let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
         let histogram = &self.latencies[latency as usize];
         histogram
@@ -314,6 +319,11 @@
             .saturating_record(micros);
     }
 
+    /// Returns a latency since the start, by buckets.
+    pub(crate) fn buckets(&self, latency: Latency) -> &Buckets {
+        &self.buckets[latency as usize]
+    }
+
     /// Returns how often a request was refused for `reason`.
     #[must_use]
     pub fn refusals(&self, reason: Reason) -> u64 {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`headers`]: which headers go on and which stay.
 //! - [`problem`]: the body of a refusal.
 //! - [`counters`]: the metrics table and its counters.
+//! - [`exposition`]: the same as text, for scrapers.
 //!
 //! Beside the path, for control:
 //!
@@ -26,6 +27,7 @@
 pub mod context;
 pub mod counters;
 pub mod dispatch;
+pub mod exposition;
 pub mod grants;
 pub mod headers;
 pub mod joint;
