--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -25,6 +25,8 @@
     pub state: State,
     /// Until when it is slow after its start, by the reader's clock.
     pub cold_until: Timestamp,
+    /// Whether its registration is missing since the store came back, and may be written again.
+    pub is_missing: bool,
 }
 
 /// Whether an upstream takes new requests.
@@ -62,18 +64,19 @@
         true
     }
 
+    /// Notes that an upstream's registration is missing; tells whether that is news.
+    pub fn miss(&mut self, id: &UpstreamId) -> bool {
+        match self.upstreams.get_mut(id) {
+            Some(upstream) => !std::mem::replace(&mut upstream.is_missing, true),
+            None => false,
+        }
+    }
+
     /// Removes an upstream; tells whether it was there.
     pub fn remove(&mut self, id: &UpstreamId) -> bool {
         self.upstreams.shift_remove(id).is_some()
     }
 
-    /// Removes all upstreams that `keep` refuses; tells whether there were any.
-    pub fn retain(&mut self, mut keep: impl FnMut(&UpstreamId) -> bool) -> bool {
-        let before = self.upstreams.len();
-        self.upstreams.retain(|id, _| keep(id));
-        self.upstreams.len() != before
-    }
-
     /// Returns an upstream.
     #[must_use]
     pub fn get(&self, id: &UpstreamId) -> Option<&Registered> {
@@ -85,9 +88,19 @@
         self.upstreams.values()
     }
 
-    /// Iterates over the upstreams of `entry` that take requests.
-    pub fn ready<'a>(&'a self, entry: &'a EntryId) -> impl Iterator<Item = &'a Registered> {
-        self.iter()
-            .filter(move |u| u.state == State::Ready && u.entry == *entry)
+    /// Returns the upstreams of `entry` that take requests.
+    ///
+    /// Those whose registration is missing count only where they are more than half: one that is
+    /// missing alone has most likely left while the store could not be read, while an outage of the
+    /// store makes many registrations lapse whose upstreams are well.
+    #[must_use]
+    pub fn ready<'a>(&'a self, entry: &EntryId) -> Vec<&'a Registered> {
+        let takes = |u: &&Registered| u.state == State::Ready && u.entry == *entry;
+        let mut all: Vec<&Registered> = self.iter().filter(takes).collect();
+        let missing = all.iter().filter(|u| u.is_missing).count();
+        if missing * 2 <= all.len() {
+            all.retain(|u| !u.is_missing);
+        }
+        all
     }
 }
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -70,7 +70,7 @@
         Err(e) => {
             ctl.with(|c| {
                 c.freshness.failed(table);
-                c.store_failed(&e);
+                c.store_failed(began, &e);
             });
             // Hosts that this one feeds must know at once.
             ctl.changed();
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -80,7 +80,7 @@
         slots: u.slots,
         service: divided.services.get(&u.id).copied().unwrap_or(usual),
     };
-    roster.ready(entry).map(view).collect()
+    roster.ready(entry).into_iter().map(view).collect()
 }
 
 fn take_over(
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -208,7 +208,7 @@
 
     /// Notes that a registration is gone; it may come back if the store was away.
     pub fn unregister(&mut self, id: &UpstreamId) {
-        if self.roster.get(id).is_some() && !self.missing.contains(id) {
+        if self.roster.miss(id) {
             self.missing.push(id.clone());
         }
     }
@@ -260,9 +260,12 @@
         }
     }
 
-    /// Notes that the store did not answer.
-    pub fn store_failed(&mut self, e: &PlatformError) {
-        if self.store_since.take().is_some() {
+    /// Notes that the store did not answer a call that began at `began`.
+    ///
+    /// A call that began before the store came back says nothing of the time since.
+    pub fn store_failed(&mut self, began: Timestamp, e: &PlatformError) {
+        let is_old = self.store_since.is_some_and(|since| began < since);
+        if !is_old && self.store_since.take().is_some() {
             warn!(self.log, "store lost"; "error" => %e);
         }
     }
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -322,16 +322,13 @@
         }
         let usual = self.usual(&job.entry);
         let mut loads = self.loads.borrow_mut();
-        for up in view.roster.ready(&job.entry) {
+        let mut fresh = view.roster.ready(&job.entry);
+        for up in &fresh {
             if !loads.contains_key(&up.id) {
                 loads.insert(up.id.clone(), UpstreamLoad::new(up.slots));
             }
         }
-        let mut fresh: Vec<&Registered> = view
-            .roster
-            .ready(&job.entry)
-            .filter(|u| !avoid.contains(&u.id))
-            .collect();
+        fresh.retain(|u| !avoid.contains(&u.id));
         if !fresh.is_empty() {
             // Hosts that know nothing of the upstreams must not all begin with the same one.
             let begin = rand::rng().random_range(0..fresh.len());
