--- a/crates/assign/src/plan.rs
+++ b/crates/assign/src/plan.rs
@@ -109,6 +109,8 @@
         moves
     }
 
+    /// Plans the next move, from the highest upstream that has not given yet and has something to
+    /// give.
     fn next(
         &self,
         row: &EntryRow,
@@ -116,39 +118,35 @@
         levels: &mut [Level<'_>],
         fair: f64,
     ) -> Option<Move> {
-        let by_level = |&a: &usize, &b: &usize| levels[a].is().total_cmp(&levels[b].is());
-        let by_need = |&a: &usize, &b: &usize| {
-            let keys = levels[a].has_keys.cmp(&levels[b].has_keys);
-            keys.then(by_level(&a, &b))
-        };
-        let low = (0..levels.len()).min_by(by_need)?;
-        let givers = (0..levels.len()).filter(|&i| !levels[i].gave);
-        let high = givers.max_by(by_level)?;
-        let busy = levels[high].is() > self.idle && levels[high].is() > fair * self.trigger;
-        // An upstream without keys would never show what it can do.
-        let starved = !levels[low].has_keys && levels[high].rate > 0.0;
-        if high == low || !(busy || starved) {
-            return None;
-        }
-        levels[high].gave = true;
-        let excess = -levels[high].room(fair);
-        let wanted = excess
-            .max(levels[high].rate / 4.0)
-            .min(levels[low].room(fair));
-        let piece = busiest(row, loads, &levels[high].view.id)?;
-        let range = part(loads, piece.range, wanted)?;
-        let rate = loads.rate(range);
-        if levels[low].with(rate) >= levels[high].is() {
-            return None;
+        loop {
+            let by_level = |&a: &usize, &b: &usize| levels[a].is().total_cmp(&levels[b].is());
+            let by_need = |&a: &usize, &b: &usize| {
+                let keys = levels[a].has_keys.cmp(&levels[b].has_keys);
+                keys.then(by_level(&a, &b))
+            };
+            let low = (0..levels.len()).min_by(by_need)?;
+            let givers = (0..levels.len()).filter(|&i| !levels[i].gave);
+            let high = givers.max_by(by_level)?;
+            let busy = levels[high].is() > self.idle && levels[high].is() > fair * self.trigger;
+            // An upstream without keys would never show what it can do.
+            let starved = !levels[low].has_keys && levels[high].rate > 0.0;
+            if high == low || !(busy || starved) {
+                return None;
+            }
+            levels[high].gave = true;
+            let Some((range, to)) = relieve(row, loads, levels, high, low, fair) else {
+                continue;
+            };
+            let rate = loads.rate(range);
+            levels[high].rate -= rate;
+            levels[to].rate += rate;
+            levels[to].has_keys = true;
+            return Some(Move {
+                range,
+                from: levels[high].view.id.clone(),
+                to: levels[to].view.id.clone(),
+            });
         }
-        levels[high].rate -= rate;
-        levels[low].rate += rate;
-        levels[low].has_keys = true;
-        Some(Move {
-            range,
-            from: levels[high].view.id.clone(),
-            to: levels[low].view.id.clone(),
-        })
     }
 
     /// Plans where the pieces of upstreams that take nothing any more should go.
@@ -209,12 +207,85 @@
     rate / speed.max(1e-9)
 }
 
-/// Returns the piece of `owner` with the most requests that is not moving.
-fn busiest<'a>(row: &'a EntryRow, loads: &KeyLoads, owner: &UpstreamId) -> Option<&'a Piece> {
+/// Finds keys that `high` should give away, and to whom.
+fn relieve(
+    row: &EntryRow,
+    loads: &KeyLoads,
+    levels: &[Level<'_>],
+    high: usize,
+    low: usize,
+    fair: f64,
+) -> Option<(KeyRange, usize)> {
+    let giver = &levels[high];
+    let piece = pieces(row, &giver.view.id).max_by(by_rate(loads))?;
+    let excess = -giver.room(fair);
+    let wanted = excess.max(giver.rate / 4.0).min(levels[low].room(fair));
+    if wanted <= 0.0 {
+        return None;
+    }
+    if let Some(range) = part(loads, piece.range, wanted) {
+        let fits = levels[low].with(loads.rate(range)) < giver.is();
+        return fits.then_some((range, low));
+    }
+    let hot = loads.key_at(piece.range, wanted);
+    let rest = beside(row, loads, &giver.view.id, hot);
+    if let Some(range) = rest.filter(|&r| loads.rate(r) > giver.rate * WORTH_MOVING) {
+        let fits = levels[low].with(loads.rate(range)) < giver.is();
+        return fits.then_some((range, low));
+    }
+    faster(loads, levels, high, hot)
+}
+
+/// Returns the busiest range of `owner` beside the key `hot`: of the parts of its own piece, and of
+/// the other pieces.
+fn beside(row: &EntryRow, loads: &KeyLoads, owner: &UpstreamId, hot: u16) -> Option<KeyRange> {
+    let parts = pieces(row, owner).flat_map(|piece| {
+        if !piece.range.contains(hot) {
+            return vec![piece.range];
+        }
+        let left = piece.range.split_at(hot).map(|(left, _)| left);
+        let after = hot.checked_add(1).and_then(|key| piece.range.split_at(key));
+        left.into_iter()
+            .chain(after.map(|(_, right)| right))
+            .collect()
+    });
+    parts.max_by(|a, b| loads.rate(*a).total_cmp(&loads.rate(*b)))
+}
+
+/// Finds an upstream that works on the key `hot` much better than `high`, which has nothing else.
+fn faster(
+    loads: &KeyLoads,
+    levels: &[Level<'_>],
+    high: usize,
+    hot: u16,
+) -> Option<(KeyRange, usize)> {
+    let range = KeyRange {
+        first: hot,
+        last: hot,
+    };
+    let rate = loads.rate(range);
+    let with = |&i: &usize| levels[i].with(rate);
+    let others = (0..levels.len()).filter(|&i| i != high);
+    let best = others.min_by(|a, b| with(a).total_cmp(&with(b)))?;
+    (with(&best) < levels[high].is() * MUCH_FASTER).then_some((range, best))
+}
+
+/// Part of its own load that an upstream with a hot key must be able to give away beside it.
+const WORTH_MOVING: f64 = 0.04;
+/// Level at a faster upstream, as a part of the present one, at which a single hot key moves: its
+/// requests wait about a service time for it.
+const MUCH_FASTER: f64 = 0.75;
+
+/// Returns the pieces of `owner` that are not moving.
+fn pieces<'a>(row: &'a EntryRow, owner: &UpstreamId) -> impl Iterator<Item = &'a Piece> {
+    let owner = owner.clone();
     row.pieces
         .iter()
-        .filter(|p| p.owner == *owner && p.former.is_empty())
-        .max_by(|a, b| loads.rate(a.range).total_cmp(&loads.rate(b.range)))
+        .filter(move |p| p.owner == owner && p.former.is_empty())
+}
+
+fn by_rate<'a>(loads: &'a KeyLoads) -> impl Fn(&&Piece, &&Piece) -> std::cmp::Ordering + 'a {
+    |a, b| loads.rate(a.range).total_cmp(&loads.rate(b.range))
 }
 
 /// Returns the front part of `range` with about `wanted` requests a second; none if a single key
--- a/crates/assign/tests/plan.rs
+++ b/crates/assign/tests/plan.rs
@@ -223,3 +223,40 @@
     EntryRow::decode(b"{}").expect_err("no row");
     EntryRow::decode(&good.encode()).expect("a valid row");
 }
+
+/// A key that is too hot for any upstream gets the fastest one, nearly for itself.
+#[test]
+fn a_single_hot_key_gets_the_fastest_upstream() {
+    let services = [0.16, 0.16, 0.07, 0.16, 0.16, 0.16];
+    let ups = views(&services);
+    for owner_at_first in 0..services.len() {
+        let mut row = row(services.len());
+        let hot = row.pieces[owner_at_first].range.first + 500;
+        let now = Timestamp::from_millis(1);
+        let mut loads = KeyLoads::new(now);
+        for i in 0..60_u64 * 433 / 100 {
+            loads.add((i * 15_013 % 65_536) as u16, 1);
+        }
+        loads.add(hot, 50 * 433 / 100);
+        loads.sum_up(now);
+        let plans = settle(&mut row, &loads, &ups);
+        assert!(plans <= 12, "{plans} plans");
+        let piece = row
+            .pieces
+            .iter()
+            .find(|p| p.range.contains(hot))
+            .expect("a piece");
+        assert_eq!(piece.owner, id(2), "begun at {owner_at_first}");
+        let beside: f64 = row
+            .pieces
+            .iter()
+            .filter(|p| p.owner == id(2))
+            .map(|p| loads.rate(p.range))
+            .sum::<f64>()
+            - 50.0;
+        assert!(
+            beside < 6.0,
+            "{beside} requests a second beside the hot key"
+        );
+    }
+}
