front: report demand on keys, refused requests included

Cause: the planner saw only answered requests, so that a key that its upstream could not serve looked as hot as that upstream is fast.

--- a/crates/assign/src/plan.rs
+++ b/crates/assign/src/plan.rs
@@ -284,7 +284,7 @@
         .filter(move |p| p.owner == owner && p.former.is_empty())
 }
 
-fn by_rate<'a>(loads: &'a KeyLoads) -> impl Fn(&&Piece, &&Piece) -> std::cmp::Ordering + 'a {
+fn by_rate(loads: &KeyLoads) -> impl Fn(&&Piece, &&Piece) -> std::cmp::Ordering + '_ {
     |a, b| loads.rate(a.range).total_cmp(&loads.rate(b.range))
 }
 
--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -33,7 +33,7 @@
     /// The entry.
     #[prost(string, tag = "1")]
     pub entry: String,
-    /// Answered requests by key, since the last heartbeat.
+    /// Requests by key, since the last heartbeat.
     #[prost(message, repeated, tag = "2")]
     pub keys: Vec<KeyCount>,
     /// Times of upstreams for one request.
@@ -44,7 +44,7 @@
     pub echo: Option<Echo>,
 }
 
-/// Answered requests on one key.
+/// Requests on one key.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(prost::Message)]
 pub struct KeyCount {
@@ -96,7 +96,9 @@
 impl Counted {
     fn add(&mut self, sample: Sample) {
         *self.keys.entry(sample.key).or_default() += 1;
-        self.services.insert(sample.upstream, sample.service);
+        if let Some(service) = sample.service {
+            self.services.insert(sample.upstream, service);
+        }
     }
 
     fn into_beat(mut self, entry: &EntryId) -> Beat {
--- a/crates/front/src/control/samples.rs
+++ b/crates/front/src/control/samples.rs
@@ -8,17 +8,17 @@
 /// which only makes the loads of keys less exact.
 const RING_SAMPLES: usize = 2_048;
 
-/// An answered request of an entry that is divided by key.
+/// A request of an entry that is divided by key.
 #[derive(Debug, Clone)]
 pub struct Sample {
     /// The entry.
     pub entry: EntryId,
     /// The request's key.
     pub key: u16,
-    /// The upstream that answered.
+    /// The key's owner.
     pub upstream: UpstreamId,
-    /// Its mean time for a request that doesn't wait, in seconds.
-    pub service: f64,
+    /// Its mean time for a request that doesn't wait, in seconds, if it answered before.
+    pub service: Option<f64>,
 }
 
 /// The sending end of the ring; it wakes nobody.
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -194,6 +194,7 @@
         job: &Job,
         story: &RefCell<Story>,
     ) -> Result<Response<Full<Bytes>>, Refused> {
+        self.report_demand(&self.view.load(), job);
         let mut tries = Tries::default();
         let mut avoid: Vec<UpstreamId> = Vec::new();
         let mut last: Option<Ended> = None;
@@ -544,14 +545,25 @@
         if let Some(entry) = self.entries.borrow_mut().get_mut(&job.entry) {
             entry.service += SERVICE_WEIGHT * (service - entry.service);
         }
-        if let Some(key) = job.asked.key.filter(|_| job.is_divided) {
-            self.samples.send(Sample {
-                entry: job.entry.clone(),
-                key,
-                upstream: target.id.clone(),
-                service,
-            });
-        }
+    }
+
+    /// Reports a request on a key, whatever becomes of it: refused ones are demand too.
+    fn report_demand(&self, view: &View, job: &Job) {
+        let owners = view.owners.get(&job.entry);
+        let Some(key) = job.asked.key.filter(|_| job.is_divided) else {
+            return;
+        };
+        let Some(owner) = owners.and_then(|o| o.owner(key)) else {
+            return;
+        };
+        let loads = self.loads.borrow();
+        let service = loads.get(owner).and_then(UpstreamLoad::service);
+        self.samples.send(Sample {
+            entry: job.entry.clone(),
+            key,
+            upstream: owner.clone(),
+            service,
+        });
     }
 
     fn note_failure(&self, target: &Registered, ended: Ended) {
