front: a granting host that stops while the store is away grants to its end

Now it renews until somebody can take over, or to the end of its grace. The end-to-end test failed at 3.3 s before and passes.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -239,6 +239,37 @@
     assert_eq!(owners("kill-"), owners("warm-"), "nothing moved");
 }
 
+/// While the store is away nobody can take over from a granting host that is told to stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_granting_host_that_stops_in_an_outage_keeps_keys_to_the_end() {
+    let rig = Rig::start(2).await;
+    let granter = rig.granter();
+    rig.store.set_mode(StoreMode::Silent);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    rig.signal(granter, Signal::TERM);
+    let stopped = Instant::now();
+    let mut up = false;
+    for i in 0.. {
+        let read = Ask::read(&format!("stop-{i}"), (i * 997 % 65_536) as u16);
+        let got = rig.ask(1 - granter, &read).await;
+        assert!(
+            answered(got.as_ref(), &read.id),
+            "{:?}: {got:?}",
+            stopped.elapsed()
+        );
+        if !up && stopped.elapsed() > Duration::from_secs(5) {
+            rig.store.set_mode(StoreMode::Up);
+            up = true;
+        }
+        if stopped.elapsed() > Duration::from_secs(10) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    assert_eq!(rig.granter(), 1 - granter, "the other host took over");
+    check_owners(&rig.journal.all());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_server_gets_nothing_new_and_its_keys_are_served() {
     let rig = Rig::start(2).await;
--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -17,7 +17,6 @@
 
 use crate::control::samples::{Sample, SampleRx};
 use crate::control::state::{Control, Ctl};
-use crate::view::Phase;
 
 /// Time between heartbeats: a third of the silence after which the granting host is replaced.
 const EVERY: Duration = Duration::from_millis(400);
@@ -197,7 +196,7 @@
 fn take(c: &mut Control, beat: &Beat) -> Option<Beat> {
     let entry = EntryId::new(beat.entry.as_str()).ok()?;
     let now = BootClock.now();
-    let has_stopped = c.phase == Phase::Leaving;
+    let has_stopped = c.has_stopped;
     let divided = c.divided.get_mut(&entry)?;
     let Some(echo) = &beat.echo else {
         note(divided, beat);
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -46,14 +46,17 @@
     let may_move = c.store_settled(now) && c.freshness.is_fresh(now);
     let is_fresh = c.freshness.is_fresh(now);
     let is_steady = now.since(c.roster_changed) > ROSTER_STEADY;
+    // Others can take over as soon as they hear of it. While the store is away they can't, and keys
+    // are renewed until the end.
+    c.has_stopped |= c.phase == Phase::Leaving && is_fresh;
+    if c.has_stopped {
+        return Vec::new();
+    }
     let mut due = Vec::new();
     for (entry, divided) in &mut c.divided {
         let ready = ready(&c.roster, entry, divided);
         let mut actions = Vec::new();
-        if c.phase == Phase::Leaving {
-            continue;
-        }
-        if is_fresh && (is_steady || divided.keeper.row().is_some()) {
+        if is_fresh && c.phase != Phase::Leaving && (is_steady || divided.keeper.row().is_some()) {
             take_over(divided, &c.hosts, &ready, now, patience, &mut actions);
         }
         divided.loads.sum_up(now);
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -64,6 +64,8 @@
     pub me: Run,
     /// Whether the host takes callers.
     pub phase: Phase,
+    /// Whether this host grants keys no more and never will again.
+    pub has_stopped: bool,
     /// The configuration in force.
     pub in_force: Option<Arc<InForce>>,
     /// The upstreams.
@@ -232,6 +234,12 @@
         self.divided.values().any(|d| d.keeper.is_granter())
     }
 
+    /// Tells whether keys would be lost by this host's end: nobody can take their granting over.
+    #[must_use]
+    pub fn is_needed(&self) -> bool {
+        self.grants() && !self.has_stopped
+    }
+
     /// Notes a read of what hosts share that began at `began` and brought everything up to then.
     pub fn shared_read(&mut self, began: Timestamp) {
         for divided in self.divided.values_mut() {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -77,6 +77,7 @@
     let control = Control {
         me,
         phase: Phase::Starting,
+        has_stopped: false,
         in_force: None,
         roster: Roster::default(),
         roster_changed: Timestamp::ZERO,
@@ -205,9 +206,13 @@
     tokio::task::spawn_local(beat::receive(ctl.clone(), socket));
     tokio::task::spawn_local(keys::drive(ctl.clone(), platform));
     wait_for_stop(&log).await?;
+    let killed_at = tokio::time::Instant::now() + ctl.with(|c| c.cfg.stop.grace());
     ctl.with(|c| c.enter(Phase::Leaving));
     tokio::time::sleep(LINGER).await;
     desk.stop.cancel();
+    while tokio::time::Instant::now() + LAST < killed_at && ctl.with(|c| c.is_needed()) {
+        tokio::time::sleep(LAST / 4).await;
+    }
     Ok(())
 }
 
