--- /dev/null
+++ b/crates/front/src/forward/attempt.rs
@@ -0,0 +1,217 @@
+//! One try of a request: sending it to an upstream, and judging what comes back.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use direct::{Ended, Registered, Sent};
+use gate::counters::{Count, Latency};
+use gate::headers::strip_connection_only;
+use gate::upstream::{BodyEnd, ExchangeError, UpstreamConn};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
+use http_body_util::Full;
+use ids::{BootClock, Clock, Reason};
+
+use super::reply::response;
+use super::{Forwarder, Job, LEAST_LEFT};
+use crate::ports::Verdict;
+
+/// Largest answer; larger ones than those of today's upstreams by three orders of magnitude.
+const ANSWER_BYTES: usize = 32 << 20;
+/// Weight of one answer in an entry's mean service time.
+const SERVICE_WEIGHT: f64 = 0.05;
+
+impl Forwarder {
+    /// Sends the request to `target` and judges what comes back.
+    pub(super) async fn attempt(
+        &self,
+        job: &Job,
+        target: &Registered,
+    ) -> Result<Response<Full<Bytes>>, Ended> {
+        let now = BootClock.now();
+        self.metrics.count(Count::Sent);
+        let sent = self.with_load(target, |load| load.sent(now, &self.load_cfg));
+        let mut under_way = UnderWay {
+            forwarder: self,
+            target,
+            sent,
+            is_over: false,
+        };
+        let result = self.exchange(job, target).await;
+        under_way.end();
+        drop(under_way);
+        result
+            .inspect(|_| self.answered(job, target, sent))
+            .inspect_err(|&ended| self.note_failure(target, ended))
+    }
+
+    pub(super) async fn exchange(
+        &self,
+        job: &Job,
+        target: &Registered,
+    ) -> Result<Response<Full<Bytes>>, Ended> {
+        let now = BootClock.now();
+        if let Some(conn) = self.connections.take(now, &target.id).await {
+            match self.exchange_on(conn, job, target).await {
+                Err(Ended::Unsent(_)) => {}
+                other => return other,
+            }
+        }
+        self.metrics.count(Count::UpstreamConnected);
+        match self.connections.open(target.address).await {
+            Ok(Some(conn)) => self.exchange_on(conn, job, target).await,
+            Ok(None) => Err(Ended::NotRun(Reason::UpstreamShed)),
+            Err(_refused_or_silent) => Err(Ended::Unsent(Reason::ConnectFailed)),
+        }
+    }
+
+    pub(super) async fn exchange_on(
+        &self,
+        conn: UpstreamConn,
+        job: &Job,
+        target: &Registered,
+    ) -> Result<Response<Full<Bytes>>, Ended> {
+        let left = job.deadline.since(BootClock.now());
+        if left < LEAST_LEFT {
+            return Err(Ended::Unsent(Reason::DeadlineExpired));
+        }
+        let req = self.request(job, target, left);
+        let exchange = conn.exchange_ended(req, ANSWER_BYTES, BodyEnd::OrClosed);
+        let done = match tokio::time::timeout(left, exchange).await {
+            Ok(Ok(done)) => done,
+            Ok(Err(e)) => return Err(exchange_ended(&e)),
+            Err(_elapsed) => return Err(Ended::Broken(Reason::AnswerTimeout)),
+        };
+        let now = BootClock.now();
+        let judged = self.dialect.judge(&done.head, &job.asked.id);
+        if let Some(report) = judged.load {
+            self.with_load(target, |load| load.reported(now, report));
+        }
+        let closes = says_close(&done.head.headers);
+        match judged.verdict {
+            Verdict::Foreign => return Err(Ended::Broken(Reason::AnswerMismatch)),
+            _ if closes => {}
+            _ => {
+                if let Some(conn) = done.conn {
+                    self.connections
+                        .keep(now, &target.id, conn, judged.keep_alive);
+                }
+            }
+        }
+        match judged.verdict {
+            Verdict::Answer if done.head.status.is_server_error() && job.route.idempotent => {
+                // Another upstream, or the same one later, may do better.
+                let failure = response(done.head.status, done.head.headers, done.body);
+                job.failure.set(Some(failure));
+                Err(Ended::Broken(Reason::UpstreamReset))
+            }
+            Verdict::Answer => Ok(response(done.head.status, done.head.headers, done.body)),
+            Verdict::NotRun => Err(Ended::NotRun(Reason::UpstreamShed)),
+            Verdict::Misdirected => Err(Ended::Misdirected),
+            Verdict::Foreign => Err(Ended::Broken(Reason::AnswerMismatch)),
+        }
+    }
+
+    pub(super) fn request(
+        &self,
+        job: &Job,
+        target: &Registered,
+        left: Duration,
+    ) -> Request<Full<Bytes>> {
+        let mut headers = job.parts.headers.clone();
+        strip_connection_only(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        self.dialect.address(&mut headers, &target.id, left);
+        let mut req = Request::new(Full::new(job.body.clone()));
+        *req.method_mut() = job.parts.method.clone();
+        *req.uri_mut() = origin_form(&job.parts.uri);
+        *req.headers_mut() = headers;
+        let takes_length = !matches!(job.parts.method, Method::GET | Method::HEAD);
+        if takes_length && job.body.is_empty() {
+            let zero = HeaderValue::from_static("0");
+            req.headers_mut().insert(header::CONTENT_LENGTH, zero);
+        }
+        req
+    }
+
+    pub(super) fn answered(&self, job: &Job, target: &Registered, sent: Sent) {
+        let now = BootClock.now();
+        self.metrics.record(Latency::Upstream, now.since(sent.at()));
+        let service = self.with_load(target, |load| {
+            load.answered(now, sent, &self.load_cfg);
+            load.service()
+        });
+        let Some(service) = service else {
+            return;
+        };
+        if let Some(entry) = self.entries.borrow_mut().get_mut(&job.entry) {
+            entry.service += SERVICE_WEIGHT * (service - entry.service);
+        }
+    }
+
+    pub(super) fn note_failure(&self, target: &Registered, ended: Ended) {
+        let now = BootClock.now();
+        let cfg = &self.load_cfg;
+        self.with_load(target, |load| match ended {
+            Ended::Unsent(Reason::ConnectFailed) => load.unreachable(now, cfg),
+            Ended::Unsent(_) | Ended::Misdirected => {}
+            Ended::NotRun(_) => load.shed(now, cfg),
+            Ended::Broken(_) => load.failed(now, cfg),
+        });
+    }
+}
+
+/// A try under way; dropping it without its end means that the caller has gone.
+struct UnderWay<'a> {
+    forwarder: &'a Forwarder,
+    target: &'a Registered,
+    sent: Sent,
+    is_over: bool,
+}
+
+impl UnderWay<'_> {
+    fn end(&mut self) {
+        self.is_over = true;
+    }
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        let waited = BootClock.now().since(self.sent.at());
+        let cfg = &self.forwarder.load_cfg;
+        self.forwarder.with_load(self.target, |load| {
+            load.ended();
+            if !self.is_over {
+                load.silent(waited, cfg);
+            }
+        });
+        if !self.is_over {
+            self.forwarder.metrics.count(Count::Aborted);
+        }
+    }
+}
+
+fn exchange_ended(e: &ExchangeError) -> Ended {
+    match e {
+        ExchangeError::Connect { .. } => Ended::Unsent(Reason::ConnectFailed),
+        ExchangeError::Unsent { .. } => Ended::Unsent(Reason::UpstreamReset),
+        ExchangeError::Reset { .. } => Ended::Broken(Reason::UpstreamReset),
+        ExchangeError::Cut { .. } => Ended::Broken(Reason::AnswerCut),
+        ExchangeError::TooLarge { .. } => Ended::Broken(Reason::AnswerTooLarge),
+    }
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::CONNECTION)
+        .and_then(|v| v.to_str().ok())
+        .is_some_and(|v| v.eq_ignore_ascii_case("close"))
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    if uri.authority().is_none() {
+        return uri.clone();
+    }
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| uri.clone(), Uri::from)
+}
--- /dev/null
+++ b/crates/front/src/forward/pick.rs
@@ -0,0 +1,129 @@
+//! Where a try of a request goes.
+
+use std::time::Duration;
+
+use direct::{Candidate, Choice, Registered, State, Tries, UpstreamLoad, choose};
+use ids::{EntryId, Reason, Timestamp, UpstreamId};
+use rand::Rng;
+
+use super::reply::{COME_BACK, Refused, come_back, truthful};
+use super::{Forwarder, Job, USUAL_SERVICE};
+use crate::view::View;
+
+/// Pause between looks for the owner of a key that is moving.
+const OWNER_PAUSE: Duration = Duration::from_millis(50);
+/// Part of the objective for which a request waits for its key's owner.
+///
+/// A planned move takes less than a service time. Whoever waits longer meets a loss, which takes
+/// seconds, and is better told to come back.
+const OWNER_WAIT: f64 = 0.5;
+
+/// Where a try goes.
+pub(super) enum Pick {
+    To(Registered),
+    /// The key's owner is not known or not reachable now, which may change soon.
+    Wait,
+    /// Nobody gets it; the upstream that it would have gone to, if there is one.
+    Refuse(Refused, Option<Registered>),
+}
+
+impl Forwarder {
+    pub(super) fn pick(
+        &self,
+        view: &View,
+        job: &Job,
+        avoid: &[UpstreamId],
+        now: Timestamp,
+    ) -> Pick {
+        if job.is_divided {
+            return self.pick_owner(view, job, now);
+        }
+        let usual = self.usual(&job.entry);
+        let mut loads = self.loads.borrow_mut();
+        let mut fresh = view.roster.ready(&job.entry);
+        for up in &fresh {
+            if !loads.contains_key(&up.id) {
+                loads.insert(up.id.clone(), UpstreamLoad::new(up.slots));
+            }
+        }
+        fresh.retain(|u| !avoid.contains(&u.id));
+        if !fresh.is_empty() {
+            // Hosts that know nothing of the upstreams must not all begin with the same one.
+            let begin = rand::rng().random_range(0..fresh.len());
+            fresh.rotate_left(begin);
+        }
+        let candidates = fresh.into_iter().filter_map(|up| {
+            Some(Candidate {
+                key: up,
+                load: loads.get(&up.id)?,
+                is_remote: up.domain != self.domain,
+                is_cold: now < up.cold_until,
+                is_connected: self.connections.has(now, &up.id),
+            })
+        });
+        let objective = job.route.objective;
+        let (load, cfg) = (&self.load_cfg, &self.choose_cfg);
+        match choose(now, objective, usual, candidates, load, cfg) {
+            Choice::Chosen { key, expected } => {
+                let left = job.deadline.since(now).as_secs_f64();
+                if expected > left {
+                    let over = Duration::from_secs_f64(expected - left);
+                    let refused = come_back(Reason::DeadlineTooShort, over);
+                    return Pick::Refuse(refused, Some(key.clone()));
+                }
+                Pick::To(key.clone())
+            }
+            Choice::Full { room_in } => {
+                let room_in = Duration::from_secs_f64(room_in);
+                Pick::Refuse(come_back(Reason::QueueFull, room_in), None)
+            }
+            Choice::None => Pick::Refuse(come_back(Reason::NoUpstream, COME_BACK), None),
+        }
+    }
+
+    pub(super) fn pick_owner(&self, view: &View, job: &Job, now: Timestamp) -> Pick {
+        let owners = view.owners.get(&job.entry);
+        let owner = job.asked.key.and_then(|key| owners?.owner(key));
+        let Some(up) = owner.and_then(|id| view.roster.get(id)) else {
+            return Pick::Wait;
+        };
+        if up.state == State::Leaving {
+            return Pick::Wait;
+        }
+        let usual = self.usual(&job.entry);
+        let mut loads = self.loads.borrow_mut();
+        let load = loads
+            .entry(up.id.clone())
+            .or_insert_with(|| UpstreamLoad::new(up.slots));
+        if load.is_closed(now) {
+            return Pick::Wait;
+        }
+        let expected = load.expected(now, usual, &self.load_cfg);
+        let left = job.deadline.since(now).as_secs_f64();
+        if load.crowd(now, &self.load_cfg) >= self.choose_cfg.crowd_max || expected > left {
+            let room_in = load.service().unwrap_or(usual);
+            let room_in = Duration::from_secs_f64(room_in);
+            return Pick::Refuse(come_back(Reason::QueueFull, room_in), Some(up.clone()));
+        }
+        Pick::To(up.clone())
+    }
+
+    pub(super) async fn wait_for_owner(
+        &self,
+        job: &Job,
+        tries: &Tries,
+        now: Timestamp,
+    ) -> Result<(), Refused> {
+        let waited = now.since(job.arrived);
+        if waited > job.route.objective.mul_f64(OWNER_WAIT) {
+            return Err(truthful(come_back(Reason::NoOwner, COME_BACK), tries));
+        }
+        tokio::time::sleep(OWNER_PAUSE).await;
+        Ok(())
+    }
+
+    pub(super) fn usual(&self, entry: &EntryId) -> f64 {
+        let entries = self.entries.borrow();
+        entries.get(entry).map_or(USUAL_SERVICE, |e| e.service)
+    }
+}
--- /dev/null
+++ b/crates/front/src/forward/reply.rs
@@ -0,0 +1,108 @@
+//! What callers are told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use direct::{Ended, Tries};
+use gate::headers::strip_connection_only;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use ids::Reason;
+use rand::Rng;
+
+/// When a caller should come back if nothing better is known: a few service times.
+pub(super) const COME_BACK: Duration = Duration::from_millis(250);
+
+/// A request that is answered without an upstream's answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Refused {
+    /// Why.
+    pub reason: Reason,
+    /// When the caller should come back; only for requests that surely did not run.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<Reason> for Refused {
+    fn from(reason: Reason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+}
+
+pub(super) fn out_of_time(tries: &Tries) -> Refused {
+    if tries.may_have_run() {
+        Reason::AnswerTimeout.into()
+    } else {
+        come_back(Reason::DeadlineTooShort, COME_BACK)
+    }
+}
+
+/// Makes a refusal say no more than is known of earlier tries.
+pub(super) fn truthful(refused: Refused, tries: &Tries) -> Refused {
+    if tries.may_have_run() {
+        return Reason::UpstreamReset.into();
+    }
+    refused
+}
+
+pub(super) fn given_up(ended: Ended, tries: &Tries) -> Refused {
+    if tries.may_have_run() {
+        let reason = ended.reason();
+        let is_known = reason.outcome() == ids::Outcome::Unknown;
+        return if is_known {
+            reason
+        } else {
+            Reason::UpstreamReset
+        }
+        .into();
+    }
+    come_back(ended.reason(), COME_BACK)
+}
+
+/// Builds a refusal with a time to come back that is spread, so that callers who are refused
+/// together don't return together.
+pub(super) fn come_back(reason: Reason, after: Duration) -> Refused {
+    let spread = rand::rng().random_range(0.6..1.4);
+    Refused {
+        reason,
+        retry_after: Some(after.mul_f64(spread).max(Duration::from_millis(50))),
+    }
+}
+
+pub(super) fn refusal(refused: Refused) -> Response<Full<Bytes>> {
+    let reason = refused.reason;
+    let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let body = format!(
+        "{{\"status\":{},\"reason\":\"{}\",\"outcome\":\"{}\",\"detail\":\"{}\"}}",
+        status.as_u16(),
+        reason.as_str(),
+        reason.outcome().as_str(),
+        reason.about()
+    );
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/problem+json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    if let Some(after) = refused.retry_after {
+        let text = format!("{:.3}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+pub(super) fn response(
+    status: StatusCode,
+    mut headers: HeaderMap,
+    body: Bytes,
+) -> Response<Full<Bytes>> {
+    strip_connection_only(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
--- a/crates/front/src/story.rs
+++ b/crates/front/src/story.rs
@@ -34,7 +34,7 @@
     pub version: Version,
     /// Its key.
     pub key: Option<u16>,
-    /// The upstream that it was last sent to.
+    /// The upstream that it was last sent to, or that had no room for it.
     pub upstream: SmolStr,
     /// How crowded that upstream was thought to be: requests for each slot.
     pub crowd: f64,
@@ -52,12 +52,11 @@
         self.key = key;
     }
 
-    /// Notes that the request goes to `target`.
+    /// Notes that the request goes to `target`, or would if there were room.
     pub fn goes_to(&mut self, target: &Registered, crowd: f64, report_age: Option<Duration>) {
         self.upstream = SmolStr::new(target.id.as_str());
         self.crowd = crowd;
         self.report_age = report_age;
-        self.sent += 1;
     }
 }
 
--- a/crates/platform/src/client/exchange.rs
+++ b/crates/platform/src/client/exchange.rs
@@ -46,6 +46,20 @@
     pub body: Bytes,
 }
 
+impl Call {
+    /// Builds a call that only reads.
+    #[must_use]
+    pub const fn read(step: &'static str, path: String) -> Self {
+        Self {
+            step,
+            kind: Kind::Read,
+            method: Method::GET,
+            path,
+            body: Bytes::new(),
+        }
+    }
+}
+
 /// A whole answer.
 #[derive(Debug)]
 pub struct Answer {
--- a/crates/platform/src/client/http_platform.rs
+++ b/crates/platform/src/client/http_platform.rs
@@ -51,14 +51,7 @@
         step: &'static str,
         path: String,
     ) -> Result<B, PlatformError> {
-        let call = Call {
-            step,
-            kind: Kind::Read,
-            method: Method::GET,
-            path,
-            body: Bytes::new(),
-        };
-        self.call(&call).await
+        self.call(&Call::read(step, path)).await
     }
 
     async fn call<B: DeserializeOwned>(&self, call: &Call) -> Result<B, PlatformError> {
@@ -121,13 +114,7 @@
     }
 
     async fn get(&self, name: &str) -> Result<Option<Bytes>, PlatformError> {
-        let call = Call {
-            step: "read object",
-            kind: Kind::Read,
-            method: Method::GET,
-            path: protocol::object_path(name),
-            body: Bytes::new(),
-        };
+        let call = Call::read("read object", protocol::object_path(name));
         let answer = self.exchange.call(&call).await?;
         Ok((answer.status != StatusCode::NOT_FOUND).then_some(answer.body))
     }
