assign: a successor that is replaced leaves its wait to the next one

Cause, found by reading: a host that took over from one that may still grant waits 13.4 s for it; if it is itself replaced and known to be over, the next one waited only for it (3.2 s). Test first: key 27306 had two holders at 10.78 s. Now the row names earlier runs that may still grant until the wait is over. A run counts as over if its host announced another one since, whatever its number, as clocks may be set back.

--- a/crates/assign/src/keeper.rs
+++ b/crates/assign/src/keeper.rs
@@ -152,8 +152,10 @@
     evidence: Evidence,
     /// Until when grants of earlier granting hosts may hold.
     others_until: Timestamp,
-    /// The run that granted before this one.
-    predecessor: Option<Run>,
+    /// Earlier granting runs that are not known to be over.
+    earlier: Vec<Run>,
+    /// Revision of the row that this host replaced.
+    replaced_at: Revision,
     commit: Option<Proposed>,
     calls: HashMap<u64, Underway>,
     next_call: u64,
@@ -174,7 +176,8 @@
             known: None,
             evidence: Evidence::default(),
             others_until: Timestamp::ZERO,
-            predecessor: None,
+            earlier: Vec::new(),
+            replaced_at: Revision::default(),
             commit: None,
             calls: HashMap::new(),
             next_call: 0,
@@ -203,6 +206,12 @@
         self.is_granter() && self.evidence.is_within(now, self.cfg.evidence)
     }
 
+    /// Returns the revision of the row that the host knows.
+    #[must_use]
+    pub fn revision(&self) -> Option<Revision> {
+        self.known.as_ref().map(|k| k.revision)
+    }
+
     /// Returns how old this host's knowledge of the row is.
     #[must_use]
     pub fn evidence_age(&self, now: Timestamp) -> Option<Duration> {
@@ -259,32 +268,43 @@
             }
             return;
         };
-        let row = EntryRow {
-            granter: self.me.clone(),
-            ..known.row.clone()
-        };
+        let mut row = known.row.clone();
+        let replaced = std::mem::replace(&mut row.granter, self.me.clone());
+        if !is_over {
+            row.earlier.push(replaced);
+        }
         let revision = known.revision;
-        let stops_in = if is_over {
+        let stops_in = if row.earlier.is_empty() {
             Duration::ZERO
         } else {
             self.cfg.evidence.mul_f64(1.0 + self.cfg.drift)
         };
         // Counted anew from the commit's answer, which comes later than its effect.
         self.others_until = now + stops_in + self.cfg.outlast();
-        self.predecessor = Some(known.row.granter.clone());
+        self.earlier.clone_from(&row.earlier);
+        self.replaced_at = revision;
         self.propose(row, Some(revision), actions);
     }
 
-    /// Returns the run that granted before this one, if it is not known to be over.
+    /// Returns earlier granting runs that are not known to be over.
     #[must_use]
-    pub fn predecessor(&self) -> Option<&Run> {
-        self.predecessor.as_ref()
+    pub fn earlier(&self) -> &[Run] {
+        &self.earlier
     }
 
-    /// Notes that the run which granted before this one has surely ended or stopped.
-    pub fn predecessor_is_over(&mut self, now: Timestamp) {
-        self.others_until = self.others_until.min(now + self.cfg.outlast());
-        self.predecessor = None;
+    /// Returns the revision of the row that this host replaced: a run that was announced later is
+    /// another one than those that granted before.
+    #[must_use]
+    pub const fn replaced_at(&self) -> Revision {
+        self.replaced_at
+    }
+
+    /// Notes that an earlier granting run has surely ended or stopped.
+    pub fn is_over(&mut self, now: Timestamp, run: &Run) {
+        self.earlier.retain(|r| r != run);
+        if self.earlier.is_empty() {
+            self.others_until = self.others_until.min(now + self.cfg.outlast());
+        }
     }
 
     fn propose(&mut self, row: EntryRow, expected: Option<Revision>, actions: &mut Vec<Action>) {
@@ -522,10 +542,9 @@
         if moves.is_empty() {
             moves = self.planner.balance(&row, standing.loads, &takers);
         }
-        let has_settled = known
-            .live
-            .iter()
-            .any(|l| !l.former.is_empty() && l.is_free());
+        let are_quiet = now >= self.others_until && !row.earlier.is_empty();
+        let is_free = |l: &Live| !l.former.is_empty() && l.is_free();
+        let has_settled = are_quiet || known.live.iter().any(is_free);
         let tidies = has_settled && now >= self.tidy_at;
         if moves.is_empty() && !tidies {
             return;
@@ -537,6 +556,9 @@
                 former.is_none_or(|f| !f.free)
             });
         }
+        if are_quiet {
+            row.earlier.clear();
+        }
         for m in moves {
             row.give(m.range, &m.from, &m.to, fence);
         }
--- a/crates/assign/src/row.rs
+++ b/crates/assign/src/row.rs
@@ -38,6 +38,9 @@
 pub struct EntryRow {
     /// The host that alone grants, renews and releases.
     pub granter: Run,
+    /// Runs that granted before and may still do so, as they may not know that they were replaced.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier: Vec<Run>,
     /// The highest fence given out.
     pub fence: Fence,
     /// All keys, in order and without gaps.
@@ -141,6 +144,7 @@
         };
         Self {
             granter,
+            earlier: Vec::new(),
             fence,
             pieces: owners.iter().enumerate().map(piece).collect(),
         }
--- a/crates/assign/src/succession.rs
+++ b/crates/assign/src/succession.rs
@@ -88,8 +88,8 @@
 
     /// Decides, at a host that can read the store.
     ///
-    /// `newest` is the newest known run of the granting host, and `patience` is drawn by each host,
-    /// so that one comes first.
+    /// `newest` is the run that the granting host announced since the row named it, if it did, and
+    /// `patience` is drawn by each host, so that one comes first.
     #[must_use]
     pub fn decide(
         &self,
@@ -99,9 +99,9 @@
     ) -> Option<TakeOver> {
         let granter = self.granter.as_ref()?;
         let said = self.heard.map(|(_, word)| word.incarnation);
-        let over = newest
-            .max(said)
-            .is_some_and(|run| run > granter.incarnation);
+        // Another run, whatever its number: that comes from a clock that may have been set back.
+        let mut runs = newest.into_iter().chain(said);
+        let over = runs.any(|run| run != granter.incarnation);
         let stopped = self.heard.is_some_and(|(_, word)| word.has_stopped);
         if over || stopped {
             return Some(TakeOver { is_over: true });
--- a/crates/assign/tests/ownership.rs
+++ b/crates/assign/tests/ownership.rs
@@ -72,6 +72,17 @@
         ],
         unserved: &[(12.0, 0), (25.0, 0)],
     },
+    Case {
+        name: "a successor that is itself replaced leaves its wait to the next one",
+        troubles: &[
+            (Fault::HostWithoutStore(0), 5.0, 40.0),
+            (Fault::HostWithoutUpstream(1, 2), 5.5, 40.0),
+            (Fault::HostWithoutUpstream(2, 2), 5.5, 40.0),
+            (Fault::TakeOver(1), 6.0, 0.1),
+            (Fault::HostRestarts(1), 7.5, 0.02),
+        ],
+        unserved: &[(12.0, 0), (30.0, 0)],
+    },
 ];
 
 #[test]
--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -161,7 +161,7 @@
         if *granter == c.me {
             note(divided, &beat);
         } else if let Some(host) = c.hosts.get(&granter.host) {
-            beats.push((host.peers, beat));
+            beats.push((host.row.peers, beat));
         }
     }
     beats
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -4,13 +4,14 @@
 
 use assign::{Action, CallEnd, CommitEnd, EntryRow, OrderCall, Run, Standing, UpstreamView};
 use direct::Roster;
-use ids::{BootClock, Clock, EntryId, Timestamp};
+use ids::{BootClock, Clock, EntryId, HostId, Revision, Timestamp};
+use indexmap::IndexMap;
 use platform::{Commit, PlatformError, RowKey};
 use rand::Rng;
 use slog::{info, warn};
 
 use crate::control::follow::{keys_row, keys_txn};
-use crate::control::state::{Control, Ctl, Divided};
+use crate::control::state::{Control, Ctl, Divided, KnownHost};
 use crate::ports::Platform;
 use crate::view::Phase;
 
@@ -88,7 +89,7 @@
 
 fn take_over(
     divided: &mut Divided,
-    hosts: &indexmap::IndexMap<ids::HostId, crate::control::state::HostRow>,
+    hosts: &IndexMap<HostId, KnownHost>,
     ready: &[UpstreamView],
     now: Timestamp,
     patience: Duration,
@@ -99,15 +100,23 @@
         keeper.take_over(now, true, ready, actions);
         return;
     };
-    let newest = |run: &Run| hosts.get(&run.host).map(|h| h.run.incarnation);
+    // The run that a host announced after a revision.
+    let announced = |run: &Run, after: Revision| {
+        let host = hosts.get(&run.host).filter(|h| h.at > after);
+        host.map(|h| h.row.run.incarnation)
+    };
     if keeper.is_granter() {
-        let is_over = |run: &Run| newest(run) > Some(run.incarnation);
-        if keeper.predecessor().is_some_and(is_over) {
-            keeper.predecessor_is_over(now);
+        let after = keeper.replaced_at();
+        let is_over = |run: &&Run| announced(run, after).is_some_and(|i| i != run.incarnation);
+        let over: Vec<Run> = keeper.earlier().iter().filter(is_over).cloned().collect();
+        for run in over {
+            keeper.is_over(now, &run);
         }
         return;
     }
-    let newest = newest(&granter);
+    let newest = keeper
+        .revision()
+        .and_then(|named| announced(&granter, named));
     if let Some(reason) = divided.succession.decide(now, newest, patience) {
         keeper.take_over(now, reason.is_over, ready, actions);
     }
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -159,8 +159,8 @@
     let mut mates: Vec<_> = c
         .hosts
         .values()
-        .filter(|h| h.domain == c.cfg.domain)
-        .map(|h| (&h.run.host, h.peers))
+        .filter(|h| h.row.domain == c.cfg.domain)
+        .map(|h| (&h.row.run.host, h.row.peers))
         .collect();
     mates.sort();
     let Some(mut at) = mates.iter().position(|(host, _)| **host == c.me.host) else {
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -42,6 +42,15 @@
     pub peers: SocketAddr,
 }
 
+/// A host that has written its row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownHost {
+    /// The row.
+    pub row: HostRow,
+    /// Revision at which it was written.
+    pub at: Revision,
+}
+
 /// An entry that is divided by key.
 #[derive(Debug)]
 pub struct Divided {
@@ -79,7 +88,7 @@
     /// Where each upstream was last known to listen, also if it is no longer registered.
     pub addresses: HashMap<UpstreamId, SocketAddr>,
     /// All hosts that have written their row.
-    pub hosts: IndexMap<HostId, HostRow>,
+    pub hosts: IndexMap<HostId, KnownHost>,
     /// Entries that are divided by key.
     pub divided: IndexMap<EntryId, Divided>,
     /// What was read of the store, in the order of [`Table::ALL`](super::take::Table::ALL).
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use slog::warn;
 
-use crate::control::state::{Control, HostRow};
+use crate::control::state::{Control, HostRow, KnownHost};
 use crate::ports::Platform;
 
 /// The tables that each host follows.
@@ -126,7 +126,9 @@
     };
     if key.starts_with(HOST_PREFIX) {
         if let Some(host) = decode::<HostRow>(c, key, value) {
-            c.hosts.insert(host.run.host.clone(), host);
+            let name = host.run.host.clone();
+            let at = row.revision;
+            c.hosts.insert(name, KnownHost { row: host, at });
         }
     } else if let Some(entry) = key.strip_prefix(KEYS_PREFIX) {
         match (EntryId::new(entry), EntryRow::decode(value)) {
