front: a pause after news of hosts only

Cause: hosts that start together each write a row, and each row ended the waiting read of every other host.

--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -4,12 +4,12 @@
 
 use assign::EntryRow;
 use ids::{BootClock, Clock, EntryId, Revision};
-use platform::{Check, Commit, RowKey, Txn, Write};
+use platform::{Check, Commit, Delta, RowKey, Txn, Write};
 use serde::Serialize;
 use slog::warn;
 
 use crate::control::state::{Control, Ctl, HostRow};
-use crate::control::take::{HOST_PREFIX, KEYS_PREFIX, Table, take};
+use crate::control::take::{HOST_PREFIX, KEYS_PREFIX, Table, is_host_row, take};
 use crate::ports::{Platform, SHARED};
 
 /// Longest wait for a change in one read.
@@ -30,6 +30,9 @@
 /// A read that waits for changes when the store goes away hangs until its own end, which may be
 /// long after the store's return.
 const SETTLE: Duration = Duration::from_secs(3);
+/// Pause after a read that brought news of hosts only, which are in no hurry: hosts that start
+/// together each write a row, and each would be a read at each of the others.
+const HOSTS_PAUSE: Duration = Duration::from_millis(500);
 /// Time between looks whether this host still is fed by another.
 const FED_CHECK: Duration = Duration::from_millis(100);
 
@@ -78,6 +81,7 @@
             return;
         }
     };
+    let only_hosts = brings_only_hosts(&delta);
     let now = BootClock.now();
     let changed = ctl.with(|c| {
         c.freshness.read(table, began);
@@ -93,9 +97,18 @@
     }
     if !settled {
         tokio::time::sleep(PAUSE).await;
+    } else if only_hosts {
+        tokio::time::sleep(HOSTS_PAUSE).await;
     }
 }
 
+/// Tells whether a read brought rows of hosts and nothing else.
+fn brings_only_hosts(delta: &Delta) -> bool {
+    let (Delta::Changes(changes) | Delta::Snapshot(changes)) = delta;
+    let rows = &changes.rows;
+    !rows.is_empty() && rows.iter().all(is_host_row)
+}
+
 /// Writes this host's row, so that the others know where to reach it.
 pub async fn announce(ctl: Ctl, platform: impl Platform) {
     let row = ctl.with(|c| HostRow {
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -83,6 +83,11 @@
     row.key.0.split_once('/').map_or("", |(_, key)| key)
 }
 
+/// Tells whether a row holds a host.
+pub(crate) fn is_host_row(row: &Row) -> bool {
+    key_of(row).starts_with(HOST_PREFIX)
+}
+
 /// Takes a registration; tells whether it is news.
 fn take_upstream(c: &mut Control, platform: &impl Platform, row: &Row, now: Timestamp) -> bool {
     let Some(value) = &row.value else {
@@ -124,7 +129,7 @@
         }
         return;
     };
-    if key.starts_with(HOST_PREFIX) {
+    if is_host_row(row) {
         if let Some(host) = decode::<HostRow>(c, key, value) {
             let name = host.run.host.clone();
             let at = row.revision;
--- a/crates/front/src/story.rs
+++ b/crates/front/src/story.rs
@@ -81,7 +81,7 @@
             lines: Cell::new(0),
             left_out: Cell::new(0),
             answered: Cell::new(0),
-            reported: Cell::new(Timestamp::ZERO),
+            reported: Cell::new(BootClock.now()),
         }
     }
 
