front: what a feeder lacks at first is gone; bounds on what is remembered

Cause, found by reading: a host that is fed by one which began after an upstream's registration was removed never hears of the removal and goes on sending there. The first message of a feed now counts as all there is. Removed rows, addresses and ended upstreams are forgotten in time. Tests in relay.rs.

--- a/crates/assign/src/keeper.rs
+++ b/crates/assign/src/keeper.rs
@@ -14,7 +14,7 @@
 use crate::loads::KeyLoads;
 use crate::plan::{Planner, UpstreamView};
 use crate::range::{Fence, KeyRange};
-use crate::row::{EntryRow, Run};
+use crate::row::{EntryRow, Piece, Run};
 use crate::settings::AssignSettings;
 
 /// Time between two releases of the same keys, while none is answered.
@@ -208,6 +208,13 @@
         self.is_granter() && self.evidence.is_within(now, self.cfg.evidence)
     }
 
+    /// Tells whether the row names `upstream` as an owner or former owner.
+    #[must_use]
+    pub fn mentions(&self, upstream: &UpstreamId) -> bool {
+        let names = |p: &Piece| p.owner == *upstream || p.former.contains(upstream);
+        self.row().is_some_and(|row| row.pieces.iter().any(names))
+    }
+
     /// Returns the revision of the row that the host knows.
     #[must_use]
     pub fn revision(&self) -> Option<Revision> {
@@ -235,6 +242,11 @@
         let was_granter = self.is_granter();
         let old = self.known.as_ref().map(|k| (&k.row, k.live.as_slice()));
         let live = carry_over(old, &row, now);
+        self.gone.retain(|up| {
+            row.pieces
+                .iter()
+                .any(|p| p.owner == *up || p.former.contains(up))
+        });
         self.known = Some(Known {
             row,
             revision,
--- a/crates/front/src/control/copies.rs
+++ b/crates/front/src/control/copies.rs
@@ -4,6 +4,10 @@
 use indexmap::IndexMap;
 use platform::{Delta, Row, RowKey};
 
+/// Removed rows that are kept, so that a late read of an older state does not bring them back: more
+/// than a wave of restarts removes in the seconds that a read may be late.
+const REMOVED_KEPT: usize = 2_000;
+
 /// One row of a copy; no value if the row is gone.
 #[derive(Debug, Clone)]
 struct Copied {
@@ -83,8 +87,25 @@
     fn put(&mut self, row: Row) {
         self.generation += 1;
         let generation = self.generation;
+        let is_removed = row.value.is_none();
         self.rows
             .insert(row.key.clone(), Copied { row, generation });
+        if is_removed {
+            self.forget_removed();
+        }
+    }
+
+    /// Forgets the rows that were removed first, if there are many.
+    fn forget_removed(&mut self) {
+        let removed = self.rows.values().filter(|c| c.row.value.is_none());
+        let mut generations: Vec<u64> = removed.map(|c| c.generation).collect();
+        if generations.len() <= REMOVED_KEPT {
+            return;
+        }
+        generations.sort_unstable();
+        let oldest = generations[generations.len() - REMOVED_KEPT / 2];
+        self.rows
+            .retain(|_, c| c.row.value.is_some() || c.generation >= oldest);
     }
 
     /// Returns the rows that changed after `generation`, with removed ones.
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -199,33 +199,48 @@
             return Ok(());
         }
         if is_first {
-            is_first = false;
             ctl.with(|c| info!(c.log, "fed by"; "peer" => %parent));
         }
-        if ctl.with(|c| take_feed(c, platform, feed)) {
+        if ctl.with(|c| take_feed(c, platform, feed, is_first)) {
             ctl.changed();
         }
+        is_first = false;
     }
 }
 
 /// Takes a message; tells whether anything changed.
-fn take_feed(c: &mut Control, platform: &impl Platform, feed: Feed) -> bool {
+fn take_feed(c: &mut Control, platform: &impl Platform, feed: Feed, is_first: bool) -> bool {
     let now = BootClock.now();
     let left = Duration::from_millis(u64::from(feed.fresh_ms));
     c.freshness.fed(now, left);
     c.store_answered(now);
     let mut changed = false;
     for (table, part) in Table::ALL.into_iter().zip(feed.tables) {
-        let rows = part.rows.into_iter().map(|row| Row {
+        changed |= take(c, platform, table, part.into_delta(is_first), now);
+    }
+    changed
+}
+
+impl TableFeed {
+    /// Returns what to do with the rows.
+    ///
+    /// The first message of a connection brings all that the sender has. It may know nothing of
+    /// rows that were removed before it began, so what it lacks is gone.
+    #[must_use]
+    pub fn into_delta(self, is_first: bool) -> Delta {
+        let rows = self.rows.into_iter().map(|row| Row {
             key: RowKey(SmolStr::from(row.key)),
             revision: Revision(row.revision),
             value: row.value,
         });
-        let delta = Delta::Changes(Changes {
-            revision: Revision(part.revision),
+        let changes = Changes {
+            revision: Revision(self.revision),
             rows: rows.collect(),
-        });
-        changed |= take(c, platform, table, delta, now);
+        };
+        if is_first {
+            Delta::Snapshot(changes)
+        } else {
+            Delta::Changes(changes)
+        }
     }
-    changed
 }
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -234,9 +234,21 @@
                 info!(self.log, "upstream gone"; "upstream" => id.as_str());
             }
         }
+        self.forget_addresses();
         true
     }
 
+    /// Forgets the addresses of upstreams that are neither registered nor hold keys by any row.
+    fn forget_addresses(&mut self) {
+        let (roster, divided) = (&self.roster, &self.divided);
+        let holds = |id: &UpstreamId| divided.values().any(|d| d.keeper.mentions(id));
+        self.addresses
+            .retain(|id, _| roster.get(id).is_some() || holds(id));
+        for d in self.divided.values_mut() {
+            d.services.retain(|id, _| roster.get(id).is_some());
+        }
+    }
+
     /// Tells whether this host grants keys of an entry.
     #[must_use]
     pub fn grants(&self) -> bool {
--- /dev/null
+++ b/crates/front/tests/relay.rs
@@ -0,0 +1,67 @@
+//! What a host makes of what another one feeds it.
+
+use front::control::copies::Copy;
+use front::control::relay::{FeedRow, TableFeed};
+use ids::Revision;
+use platform::{Changes, Delta, Row, RowKey};
+
+fn feed(revision: u64, keys: &[&str]) -> TableFeed {
+    let row = |key: &&str| FeedRow {
+        key: (*key).to_owned(),
+        revision: 1,
+        value: Some("x".into()),
+    };
+    TableFeed {
+        revision,
+        rows: keys.iter().map(row).collect(),
+    }
+}
+
+fn copy_of(keys: &[&str]) -> Copy {
+    let row = |key: &&str| Row {
+        key: RowKey((*key).into()),
+        revision: Revision(1),
+        value: Some("x".into()),
+    };
+    let mut copy = Copy::default();
+    let all = Changes {
+        revision: Revision(1),
+        rows: keys.iter().map(row).collect(),
+    };
+    copy.take(Delta::Snapshot(all), |_| true);
+    copy
+}
+
+/// A feeder that began after a row was removed never heard of it; whoever still has the row must
+/// drop it, or it would go on sending to an upstream that has left.
+#[test]
+fn what_a_feeder_lacks_at_first_is_gone() {
+    let mut copy = copy_of(&["a", "b"]);
+    let news = copy.take(feed(9, &["a"]).into_delta(true), |_| true);
+    let gone: Vec<_> = news
+        .iter()
+        .map(|r| (r.key.0.as_str(), r.value.is_some()))
+        .collect();
+    assert_eq!(gone, [("b", false)]);
+    let news = copy.take(feed(10, &[]).into_delta(false), |_| true);
+    assert!(news.is_empty(), "later messages bring changes only");
+    assert_eq!(copy.revision(), Revision(10));
+}
+
+#[test]
+fn copies_forget_what_was_removed_long_ago() {
+    let mut copy = Copy::default();
+    for i in 0..10_000_u64 {
+        let row = Row {
+            key: RowKey(format!("gone-{i}").into()),
+            revision: Revision(i + 1),
+            value: None,
+        };
+        let changes = Changes {
+            revision: Revision(i + 1),
+            rows: vec![row],
+        };
+        copy.take(Delta::Changes(changes), |_| true);
+    }
+    assert!(copy.since(0).count() <= 2_000);
+}
--- a/crates/gate/tests/metrics.rs
+++ b/crates/gate/tests/metrics.rs
@@ -16,6 +16,10 @@
 `GET /medlardyke/status`. All names begin with `medlardyke.`. The table is made from the code: after a
 change run `BLESS=1 cargo test -p gate --test metrics`.
 
+Hosts on the users' platform serve the same counters as text for scrapers at `listen.metrics`, path
+`/metrics`: `medlardyke_refused_queue_full_total` for `refused.queue-full`, and latencies as histograms
+such as `medlardyke_latency_answered_seconds`. Counters of zero are left out.
+
 - A request that ends without an answer counts once under `refused.<reason>` and once under its
   outcome. Reasons are those of the `medlardyke-reason` header.
 - A try that failed and is followed by another one counts under `retried.<reason>`.
