assign: the wait for earlier granting hosts begins when the take-over stands

Cause, found by reading: the wait was counted from the proposal; one whose answer is lost may stand seconds later, and the host that it replaces reads until then that it grants.

--- a/crates/assign/src/keeper.rs
+++ b/crates/assign/src/keeper.rs
@@ -122,12 +122,6 @@
     failing_since: Timestamp,
 }
 
-#[derive(Debug)]
-struct Proposed {
-    row: EntryRow,
-    expected: Option<Revision>,
-}
-
 /// A call on its way.
 #[derive(Debug)]
 struct Underway {
@@ -158,7 +152,8 @@
     earlier: Vec<Run>,
     /// Revision of the row that this host replaced.
     replaced_at: Revision,
-    commit: Option<Proposed>,
+    /// The row of a commit that has not ended.
+    commit: Option<EntryRow>,
     calls: HashMap<u64, Underway>,
     next_call: u64,
     health: HashMap<UpstreamId, Health>,
@@ -253,9 +248,8 @@
             live,
         });
         // Calls on their way belong to pieces that may be others now; how they end still counts.
-        if was_granter != self.is_granter() {
-            self.health.clear();
-            self.plan_at = now + self.cfg.plan_every;
+        if !was_granter && self.is_granter() {
+            self.begin(now);
         }
         true
     }
@@ -264,13 +258,7 @@
     ///
     /// `is_over` says that the run which grants has surely ended or stopped. Without a row, all
     /// keys are divided among `ready`.
-    pub fn take_over(
-        &mut self,
-        now: Timestamp,
-        is_over: bool,
-        ready: &[UpstreamView],
-        actions: &mut Vec<Action>,
-    ) {
+    pub fn take_over(&mut self, is_over: bool, ready: &[UpstreamView], actions: &mut Vec<Action>) {
         if self.commit.is_some() || self.is_granter() {
             return;
         }
@@ -284,20 +272,32 @@
         };
         let mut row = known.row.clone();
         let replaced = std::mem::replace(&mut row.granter, self.me.clone());
-        if !is_over {
+        // What this run sent itself it knows.
+        row.earlier.retain(|run| *run != self.me);
+        if !is_over && !row.earlier.contains(&replaced) {
             row.earlier.push(replaced);
         }
         let revision = known.revision;
-        let stops_in = if row.earlier.is_empty() {
+        self.replaced_at = revision;
+        self.propose(row, Some(revision), actions);
+    }
+
+    /// Begins to grant: the row that names this host became known at `now`.
+    ///
+    /// The hosts that granted before may have read until just now that they do.
+    fn begin(&mut self, now: Timestamp) {
+        let Some(known) = &self.known else {
+            return;
+        };
+        self.earlier.clone_from(&known.row.earlier);
+        let stops_in = if self.earlier.is_empty() {
             Duration::ZERO
         } else {
             self.cfg.evidence.mul_f64(1.0 + self.cfg.drift)
         };
-        // Counted anew from the commit's answer, which comes later than its effect.
         self.others_until = now + stops_in + self.cfg.outlast();
-        self.earlier.clone_from(&row.earlier);
-        self.replaced_at = revision;
-        self.propose(row, Some(revision), actions);
+        self.health.clear();
+        self.plan_at = now + self.cfg.plan_every;
     }
 
     /// Returns earlier granting runs that are not known to be over.
@@ -323,10 +323,7 @@
 
     fn propose(&mut self, row: EntryRow, expected: Option<Revision>, actions: &mut Vec<Action>) {
         debug_assert!(row.check().is_ok(), "only valid rows are written");
-        self.commit = Some(Proposed {
-            row: row.clone(),
-            expected,
-        });
+        self.commit = Some(row.clone());
         actions.push(Action::Commit { row, expected });
     }
 
@@ -337,13 +334,7 @@
         };
         match end {
             CommitEnd::Done(revision) => {
-                let was_granter = self.is_granter();
-                let first = proposed.expected.is_none();
-                self.take(now, proposed.row, revision);
-                if !was_granter && !first {
-                    // The wait was counted from before the commit was sent.
-                    self.others_until = self.others_until.max(now + self.cfg.outlast());
-                }
+                self.take(now, proposed, revision);
             }
             CommitEnd::Conflict(Some((row, revision))) => {
                 self.take(now, row, revision);
--- a/crates/assign/tests/ownership.rs
+++ b/crates/assign/tests/ownership.rs
@@ -147,3 +147,26 @@
         prop_assert!(world.holders() > 0);
     }
 }
+
+/// A take-over whose answer is lost may stand seconds later; until then the host that it replaces
+/// goes on reading that it grants.
+#[test]
+fn a_take_over_that_stands_late_waits_from_then() {
+    let case = [
+        (Fault::TakeOver(1), 6.0, 0.1),
+        (Fault::LostCommits, 6.0, 0.3),
+        (Fault::HostWithoutStore(0), 8.0, 40.0),
+        (Fault::HostWithoutUpstream(1, 2), 5.5, 40.0),
+        (Fault::HostWithoutUpstream(2, 2), 5.5, 40.0),
+    ];
+    let trouble = |&(fault, at, lasts): &(Fault, f64, f64)| Trouble {
+        fault,
+        at: seconds(at),
+        lasts: seconds(lasts),
+    };
+    for seed in 0..60 {
+        let troubles = case.iter().map(trouble).collect();
+        let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(seed));
+        assert_eq!(world.run(seconds(30.0)), Ok(()), "seed {seed}");
+    }
+}
--- a/crates/assign/tests/world/mod.rs
+++ b/crates/assign/tests/world/mod.rs
@@ -283,7 +283,7 @@
         let ready = self.ready();
         self.read(h, now);
         let mut actions = Vec::new();
-        self.take_over(h, now, &ready, &mut actions);
+        self.take_over(h, &ready, &mut actions);
         let standing = Standing {
             ready: &ready,
             loads: &self.loads,
@@ -321,17 +321,11 @@
         host.keeper.read(now);
     }
 
-    fn take_over(
-        &mut self,
-        h: usize,
-        now: Timestamp,
-        ready: &[UpstreamView],
-        actions: &mut Vec<Action>,
-    ) {
+    fn take_over(&mut self, h: usize, ready: &[UpstreamView], actions: &mut Vec<Action>) {
         let host = &self.hosts[h];
         let Some(row) = host.keeper.row() else {
             if host.read_at > Timestamp::ZERO && self.store.is_none() {
-                self.hosts[h].keeper.take_over(now, true, ready, actions);
+                self.hosts[h].keeper.take_over(true, ready, actions);
             }
             return;
         };
@@ -342,7 +336,7 @@
             |t: &Trouble| matches!(t.fault, Fault::TakeOver(o) if o == h) && t.covers(self.now);
         let forced = self.troubles.iter().any(begins);
         if is_over || forced {
-            self.hosts[h].keeper.take_over(now, is_over, ready, actions);
+            self.hosts[h].keeper.take_over(is_over, ready, actions);
         }
     }
 
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -97,7 +97,7 @@
 ) {
     let keeper = &mut divided.keeper;
     let Some(granter) = keeper.row().map(|row| row.granter.clone()) else {
-        keeper.take_over(now, true, ready, actions);
+        keeper.take_over(true, ready, actions);
         return;
     };
     // The run that a host announced after a revision.
@@ -118,7 +118,7 @@
         .revision()
         .and_then(|named| announced(&granter, named));
     if let Some(reason) = divided.succession.decide(now, newest, patience) {
-        keeper.take_over(now, reason.is_over, ready, actions);
+        keeper.take_over(reason.is_over, ready, actions);
     }
 }
 
