--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`ports`]: what an adapter to a platform provides.
 //! - [`view`]: what the control duty tells the callers' duty.
 //! - [`story`]: log lines about single requests.
-//! - [`run`]: starts and stops the duties.
+//! - [`run`](mod@run): starts and stops the duties.
 //!
 //! Duties, a thread each: callers ([`serve`], [`forward`], [`connections`]) and control
 //! ([`control`]). Control publishes a [`view::View`]; callers report samples of requests over a
