--- a/crates/assign/src/lib.rs
+++ b/crates/assign/src/lib.rs
@@ -12,12 +12,14 @@
 //! - [`plan`]: which ranges should move.
 //! - [`evidence`]: how long a host may act on what it last read.
 //! - [`succession`]: when a host takes the granting over from another.
+//! - [`order`]: what a keeper wants done, and how it ends.
 //! - [`keeper`]: grants, renews, releases and moves the ranges of one entry.
 
 pub mod evidence;
 pub mod keeper;
 mod live;
 pub mod loads;
+pub mod order;
 pub mod owners;
 pub mod plan;
 pub mod range;
@@ -26,8 +28,9 @@
 pub mod succession;
 
 pub use evidence::Evidence;
-pub use keeper::{Action, CallEnd, CallKind, CommitEnd, Keeper, OrderCall, Standing};
+pub use keeper::Keeper;
 pub use loads::KeyLoads;
+pub use order::{Action, CallEnd, CallKind, CommitEnd, OrderCall, Standing};
 pub use owners::Owners;
 pub use plan::{Planner, UpstreamView};
 pub use range::{Fence, KeyRange};
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -109,7 +109,9 @@
     let mut changes = ctl.changes();
     loop {
         let feed = ctl.with(|c| next_feed(c, &mut generations));
-        link.send(feed).await?;
+        // A fed host that takes nothing must not hold its place for ever.
+        let sent = tokio::time::timeout(SILENCE, link.send(feed));
+        sent.await.map_err(std::io::Error::from)??;
         tokio::select! {
             // Whichever comes first.
             _ = tokio::time::timeout(FEED_EVERY, changes.changed()) => {}
