--- a/crates/platform/src/client/exchange.rs
+++ b/crates/platform/src/client/exchange.rs
@@ -141,6 +141,16 @@
         }
     }
 
+    /// Builds the error for a call that the platform does not allow.
+    #[must_use]
+    pub fn forbidden(&self, step: &'static str, cause: impl Into<SmolStr>) -> PlatformError {
+        PlatformError::Forbidden {
+            step,
+            peer: self.peer.clone(),
+            cause: cause.into(),
+        }
+    }
+
     /// Builds the error for an answer that makes no sense.
     pub fn bad_answer(&self, step: &'static str, cause: impl Into<SmolStr>) -> PlatformError {
         PlatformError::BadAnswer {
@@ -256,11 +266,7 @@
             return Err(self.no_answer(call, false, SmolStr::new_static("throttled")));
         }
         if status.is_client_error() {
-            return Err(PlatformError::Forbidden {
-                step: call.step,
-                peer: self.peer.clone(),
-                cause,
-            });
+            return Err(self.forbidden(call.step, cause));
         }
         Err(self.no_answer(call, true, cause))
     }
