front: a store that is away is looked for by few

Mend: only reads of the upstreams look for the store while it is away (but the granting host's of its row), and a host's pause is 250 ms times its place in its domain, 1.5 s at most; the first one feeds the rest as soon as it is back. Test: six hosts make fewer than 100 calls in 4 s of an outage (288 by the old pace). Also: the view is published once a change; fields of a configuration that nothing used are gone.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -174,6 +174,27 @@
     check_owners(&rig.journal.all());
 }
 
+/// Every host's looking for a store that is away would be the more calls the more hosts there are.
+#[tokio::test(flavor = "multi_thread")]
+async fn few_calls_look_for_a_store_that_is_away() {
+    let rig = Rig::start(6).await;
+    rig.store.set_mode(StoreMode::Busy);
+    // Reads that wait for changes end meanwhile.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let before = rig.store.calls();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let calls = rig.store.calls() - before;
+    // Six hosts that each read three tables every 250 ms would make 288.
+    assert!(calls < 100, "{calls} calls in four seconds");
+    rig.store.set_mode(StoreMode::Up);
+    rig.store
+        .put("op", "config", &configuration(9, 4.0, "posts"));
+    for host in 0..6 {
+        let post = Ask::post(&format!("back-{host}"));
+        assert!(answered(rig.ask(host, &post).await.as_ref(), &post.id));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_nothing() {
     let mut rig = Rig::start(2).await;
--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -56,10 +56,6 @@
 pub struct EntrySpec {
     /// Whether its upstreams own keys.
     pub divided: bool,
-    /// Connections that one upstream takes, from all hosts together.
-    pub connections: u32,
-    /// How long keys stay slow at an upstream that got them without a handover.
-    pub warm_up: Duration,
 }
 
 /// Limits on what callers may send, and how long they may take.
--- a/crates/direct/src/repeat.rs
+++ b/crates/direct/src/repeat.rs
@@ -75,12 +75,6 @@
         self.ran > 0
     }
 
-    /// Returns how often the request was sent.
-    #[must_use]
-    pub const fn sent(&self) -> u32 {
-        self.sent
-    }
-
     /// Notes how a try ended, and says what to do.
     ///
     /// `idempotent` and `max_attempts` are the route's; `withdraw` takes one arrival out of the
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -25,6 +25,12 @@
 const UPSTREAMS_EVERY: Duration = Duration::from_millis(650);
 /// Pause after a failed read, and between reads that don't wait.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause after a failed read, in units of [`PAUSE`].
+///
+/// While the store is away from all, the first host of a domain looks for it every 250 ms and feeds
+/// the others as soon as it is back; these look seldom, for the case that it is away from the first
+/// ones only. With 84 hosts that is 36 reads a second in place of 220.
+const LONGEST_PAUSE: u32 = 6;
 /// Time for which a host doesn't wait for changes in the store after the store was away.
 ///
 /// A read that waits for changes when the store goes away hangs until its own end, which may be
@@ -50,10 +56,25 @@
 }
 
 /// Tells whether this host has to read `table` itself.
+///
+/// While the store does not answer, reads of the upstreams find out when it does again. The host
+/// that grants has to know at once whether it still does.
 fn must_read(c: &Control, table: Table) -> bool {
-    let now = BootClock.now();
-    let grants = c.grants();
-    (grants && table == Table::Shared) || !c.freshness.is_fed(now)
+    if table == Table::Shared && c.grants() {
+        return true;
+    }
+    let is_away = c.store_since.is_none() && table != Table::Upstreams;
+    !is_away && !c.freshness.is_fed(BootClock.now())
+}
+
+/// Returns how long this host waits after a failed read.
+fn pause_after_failure(c: &Control) -> Duration {
+    // Its grants end if it does not read its row in time.
+    if c.grants() {
+        return PAUSE;
+    }
+    let steps = c.place_in_domain() + 1;
+    PAUSE * u32::try_from(steps).map_or(LONGEST_PAUSE, |steps| steps.min(LONGEST_PAUSE))
 }
 
 /// Reads `table` once, waiting for a change where that is worth it.
@@ -77,7 +98,8 @@
             });
             // Hosts that this one feeds must know at once.
             ctl.changed();
-            tokio::time::sleep(PAUSE).await;
+            let pause = ctl.with(|c| pause_after_failure(c));
+            tokio::time::sleep(pause).await;
             return;
         }
     };
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -158,13 +158,7 @@
 /// Returns the hosts that may feed this one, the best first: its ancestors in the tree, then all
 /// others before it.
 fn parents(c: &Control) -> Vec<SocketAddr> {
-    let mut mates: Vec<_> = c
-        .hosts
-        .values()
-        .filter(|h| h.row.domain == c.cfg.domain)
-        .map(|h| (&h.row.run.host, h.row.peers))
-        .collect();
-    mates.sort();
+    let mates = c.mates();
     let Some(mut at) = mates.iter().position(|(host, _)| **host == c.me.host) else {
         return Vec::new();
     };
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -171,7 +171,7 @@
         self.publish();
     }
 
-    /// Takes a configuration unless a newer one is in force.
+    /// Takes a configuration unless a newer one is in force; it is not published yet.
     pub fn configure(&mut self, now: Timestamp, cfg: Configuration) {
         if let Some(old) = &self.in_force
             && old.cfg.version >= cfg.version
@@ -190,7 +190,6 @@
         if self.phase == Phase::Starting {
             self.phase = Phase::Ready;
         }
-        self.publish();
     }
 
     fn divide(&self, now: Timestamp) -> Divided {
@@ -249,6 +248,24 @@
         }
     }
 
+    /// Returns the hosts of this one's domain with their addresses, in the order of their names.
+    #[must_use]
+    pub fn mates(&self) -> Vec<(&HostId, SocketAddr)> {
+        let in_domain = |h: &&KnownHost| h.row.domain == self.cfg.domain;
+        let hosts = self.hosts.values().filter(in_domain);
+        let mut mates: Vec<_> = hosts.map(|h| (&h.row.run.host, h.row.peers)).collect();
+        mates.sort();
+        mates
+    }
+
+    /// Returns which host of its domain this one is, counted from zero; also zero while that is
+    /// not known.
+    #[must_use]
+    pub fn place_in_domain(&self) -> usize {
+        let is_me = |(host, _): &(&HostId, SocketAddr)| **host == self.me.host;
+        self.mates().iter().position(is_me).unwrap_or_default()
+    }
+
     /// Tells whether this host grants keys of an entry.
     #[must_use]
     pub fn grants(&self) -> bool {
@@ -299,7 +316,7 @@
         }
     }
 
-    /// Takes an entry's row.
+    /// Takes an entry's row; it is not published yet.
     pub fn take_row(&mut self, now: Timestamp, entry: &EntryId, row: EntryRow, at: Revision) {
         if !self.divided.contains_key(entry) {
             self.divided.insert(entry.clone(), self.divide(now));
@@ -313,7 +330,6 @@
                 info!(self.log, "keys are granted by"; "entry" => entry.as_str(),
                     "granter" => granter.host.as_str(), "incarnation" => granter.incarnation.0);
             }
-            self.publish();
         }
     }
 }
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -43,6 +44,7 @@
     floor: Mutex<Revision>,
     /// Clients that get 429, and no news by the feeds that they wait for.
     turned_away: Mutex<HashSet<IpAddr>>,
+    calls: AtomicU64,
     began: Instant,
 }
 
@@ -69,6 +71,7 @@
             commits: watch::Sender::new(0),
             floor: Mutex::default(),
             turned_away: Mutex::default(),
+            calls: AtomicU64::new(0),
             began: Instant::now(),
         });
         let stop = CancellationToken::new();
@@ -101,6 +104,12 @@
         }
     }
 
+    /// Returns how many calls came, also those that were turned away.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::Relaxed)
+    }
+
     /// Drops the history of changes.
     pub fn compact(&self) {
         let revision = self.shared.revision();
@@ -174,6 +183,7 @@
 }
 
 async fn handle(shared: Arc<Shared>, client: IpAddr, req: Request) -> Whole {
+    shared.calls.fetch_add(1, Ordering::Relaxed);
     if shared.turns_away(client) {
         return respond(StatusCode::TOO_MANY_REQUESTS, "");
     }
