assign, front: a granting host that can't read the store is told of its successor, and grants leave at once or not at all

Mend: a granting host tells earlier ones the revision by which it replaced them; they grant nothing by older rows from then on and answer so, and the wait is one hold (3.4 s) from there. One that can't be reached is waited for as before. Found by reading: a grant counted from when it was decided on but left up to 400 ms later, when its connection was open; waits left 100 ms for that. A grant older than 200 ms does not leave, and the margin is 250 ms.

--- a/crates/assign/src/keeper.rs
+++ b/crates/assign/src/keeper.rs
@@ -38,7 +38,6 @@
 #[derive(Debug)]
 struct Underway {
     call: OrderCall,
-    sent: Timestamp,
     /// The grant before this one.
     earlier: LastGrant,
 }
@@ -64,6 +63,10 @@
     earlier: Vec<Run>,
     /// Revision of the row that this host replaced.
     replaced_at: Revision,
+    /// Revision of the row that made this host the granting one.
+    named_at: Revision,
+    /// Rows before this one don't let this host grant: it was told of its successor.
+    not_before: Revision,
     /// The row of a commit that has not ended.
     commit: Option<EntryRow>,
     calls: HashMap<u64, Underway>,
@@ -87,6 +90,8 @@
             others_until: Timestamp::ZERO,
             earlier: Vec::new(),
             replaced_at: Revision::default(),
+            named_at: Revision::default(),
+            not_before: Revision::default(),
             commit: None,
             calls: HashMap::new(),
             next_call: 0,
@@ -103,10 +108,11 @@
         self.known.as_ref().map(|k| &k.row)
     }
 
-    /// Tells whether the row names this run of this host as the granting one.
+    /// Tells whether the row names this run of this host as the granting one, as far as it knows.
     #[must_use]
     pub fn is_granter(&self) -> bool {
-        self.row().is_some_and(|row| row.granter == self.me)
+        let names_me = |k: &Known| k.row.granter == self.me && k.revision >= self.not_before;
+        self.known.as_ref().is_some_and(names_me)
     }
 
     /// Tells whether this host grants: the row names it, and it knew so lately.
@@ -202,6 +208,7 @@
             return;
         };
         self.earlier.clone_from(&known.row.earlier);
+        self.named_at = known.revision;
         let stops_in = if self.earlier.is_empty() {
             Duration::ZERO
         } else {
@@ -225,6 +232,41 @@
         self.replaced_at
     }
 
+    /// Returns the revision of the row that made this host the granting one.
+    ///
+    /// Earlier granting hosts that can't read the store are told of it, so that they stop.
+    #[must_use]
+    pub const fn named_at(&self) -> Revision {
+        self.named_at
+    }
+
+    /// Notes that the row at `revision` names another granting host: this one grants nothing by
+    /// rows before it.
+    pub fn replaced(&mut self, revision: Revision) {
+        self.not_before = self.not_before.max(revision);
+    }
+
+    /// Returns the revision below which no row lets this host grant.
+    #[must_use]
+    pub fn knows(&self) -> Revision {
+        self.revision().unwrap_or_default().max(self.not_before)
+    }
+
+    /// Notes that `run` grants nothing by rows before `knows`.
+    pub fn heard(&mut self, now: Timestamp, run: &Run, knows: Revision) {
+        if !self.is_granter() {
+            return;
+        }
+        let over = |earlier: &&Run| {
+            let has_ended = earlier.incarnation != run.incarnation;
+            earlier.host == run.host && (has_ended || knows >= self.named_at)
+        };
+        let over: Vec<Run> = self.earlier.iter().filter(over).cloned().collect();
+        for earlier in over {
+            self.is_over(now, &earlier);
+        }
+    }
+
     /// Notes that an earlier granting run has surely ended or stopped.
     pub fn is_over(&mut self, now: Timestamp, run: &Run) {
         self.earlier.retain(|r| r != run);
@@ -301,7 +343,7 @@
         match end {
             CallEnd::Done { .. } => {
                 live.handover = None;
-                live.next_at = underway.sent + every;
+                live.next_at = underway.call.decided + every;
             }
             CallEnd::NoAnswer { .. } => live.next_at = now + every / 4,
             CallEnd::Fenced | CallEnd::Gone => live.next_at = now + every,
@@ -409,10 +451,10 @@
                 kind,
                 range,
                 fence,
+                decided: now,
             };
             let underway = Underway {
                 call: call.clone(),
-                sent: now,
                 earlier,
             };
             calls.insert(call.id, underway);
--- a/crates/assign/src/order.rs
+++ b/crates/assign/src/order.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ids::{Revision, UpstreamId};
+use ids::{Revision, Timestamp, UpstreamId};
 use smol_str::SmolStr;
 
 use crate::loads::KeyLoads;
@@ -23,6 +23,9 @@
     pub range: KeyRange,
     /// Fence of the call.
     pub fence: Fence,
+    /// When the call was decided on; a grant must leave at once, as waits for its end count from
+    /// then.
+    pub decided: Timestamp,
 }
 
 /// What an upstream is told.
--- a/crates/assign/src/settings.rs
+++ b/crates/assign/src/settings.rs
@@ -14,7 +14,8 @@
     pub renew_every: Duration,
     /// How much slower an upstream's clock may run, as a part of the time.
     pub drift: f64,
-    /// Time added to waits for a grant's end, for the way of a call and the firing of timers.
+    /// Time added to waits for a grant's end: a grant leaves within 200 ms of when it was decided on,
+    /// or not at all, and the rest is for its way and the firing of timers.
     pub margin: Duration,
     /// How long the granting host goes on without having read its row.
     ///
@@ -34,7 +35,7 @@
             hold: Duration::from_secs(3),
             renew_every: Duration::from_millis(750),
             drift: 0.02,
-            margin: Duration::from_millis(100),
+            margin: Duration::from_millis(250),
             evidence: Duration::from_secs(10),
             silence: Duration::from_millis(1_500),
             plan_every: Duration::from_millis(500),
--- a/crates/assign/tests/ownership.rs
+++ b/crates/assign/tests/ownership.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use world::{Fault, Trouble, World};
+use world::{Fault, Talk, Trouble, World};
 
 const HOSTS: usize = 3;
 const UPSTREAMS: usize = 5;
@@ -24,6 +24,7 @@
 struct Case {
     name: &'static str,
     troubles: &'static [(Fault, f64, f64)],
+    talk: Talk,
     /// Most keys of 48 without a holder at each of these seconds.
     unserved: &'static [(f64, usize)],
 }
@@ -32,26 +33,31 @@
     Case {
         name: "nothing",
         troubles: &[],
+        talk: Talk::No,
         unserved: &[(2.0, 0), (10.0, 0)],
     },
     Case {
         name: "an outage of the store alone takes no keys",
         troubles: &[(Fault::StoreDown, 5.0, 9.0)],
+        talk: Talk::No,
         unserved: &[(6.0, 0), (10.0, 0), (13.9, 0), (16.0, 0)],
     },
     Case {
         name: "a planned leave empties an upstream within its two seconds",
         troubles: &[(Fault::UpstreamLeaves(1), 5.0, 30.0)],
+        talk: Talk::No,
         unserved: &[(6.5, 0), (9.0, 0)],
     },
     Case {
         name: "keys of a lost upstream go to others once its grant has run out",
         troubles: &[(Fault::UpstreamDown(2), 5.0, 30.0)],
+        talk: Talk::No,
         unserved: &[(10.0, 0)],
     },
     Case {
         name: "a host that restarts takes over from itself and moves nothing",
         troubles: &[(Fault::HostRestarts(0), 5.0, 0.02)],
+        talk: Talk::No,
         unserved: &[(6.0, 0), (8.0, 0), (12.0, 0)],
     },
     Case {
@@ -61,6 +67,7 @@
             (Fault::TakeOver(1), 6.5, 0.1),
             (Fault::UpstreamLeaves(1), 8.0, 30.0),
         ],
+        talk: Talk::No,
         unserved: &[(7.0, 0), (10.0, 0), (12.0, 0)],
     },
     Case {
@@ -70,6 +77,7 @@
             (Fault::HostWithoutUpstream(1, 2), 5.5, 40.0),
             (Fault::TakeOver(1), 6.0, 0.1),
         ],
+        talk: Talk::No,
         unserved: &[(12.0, 0), (25.0, 0)],
     },
     Case {
@@ -81,8 +89,44 @@
             (Fault::TakeOver(1), 6.0, 0.1),
             (Fault::HostRestarts(1), 7.5, 0.02),
         ],
+        talk: Talk::No,
         unserved: &[(12.0, 0), (30.0, 0)],
     },
+    Case {
+        name: "a host without the store that hears of its successor grants no more at once",
+        troubles: &[
+            (Fault::HostWithoutStore(0), 5.0, 40.0),
+            (Fault::HostWithoutUpstream(1, 2), 5.5, 40.0),
+            (Fault::HostWithoutUpstream(2, 2), 5.5, 40.0),
+            (Fault::TakeOver(1), 6.0, 0.1),
+        ],
+        talk: Talk::Yes,
+        unserved: &[(10.5, 0), (25.0, 0)],
+    },
+    Case {
+        name: "one that answers without having heard of it is waited for",
+        troubles: &[
+            (Fault::HostWithoutStore(0), 5.0, 40.0),
+            (Fault::HostWithoutUpstream(1, 2), 5.5, 40.0),
+            (Fault::HostWithoutUpstream(2, 2), 5.5, 40.0),
+            (Fault::NobodyTold, 5.0, 40.0),
+            (Fault::TakeOver(1), 6.0, 0.1),
+        ],
+        talk: Talk::Yes,
+        unserved: &[(12.0, 0), (25.0, 0)],
+    },
+    Case {
+        name: "one that can't hear of it is waited for",
+        troubles: &[
+            (Fault::HostWithoutStore(0), 5.0, 40.0),
+            (Fault::HostWithoutUpstream(1, 2), 5.5, 40.0),
+            (Fault::HostWithoutUpstream(2, 2), 5.5, 40.0),
+            (Fault::HostsApart(0, 1), 5.0, 40.0),
+            (Fault::TakeOver(1), 6.0, 0.1),
+        ],
+        talk: Talk::Yes,
+        unserved: &[(12.0, 0), (25.0, 0)],
+    },
 ];
 
 #[test]
@@ -94,7 +138,7 @@
             lasts: seconds(lasts),
         };
         let troubles = case.troubles.iter().map(trouble).collect();
-        let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(1));
+        let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(1), case.talk);
         for &(at, most) in case.unserved {
             world.run(seconds(at)).expect(case.name);
             let unserved = world.unserved();
@@ -132,6 +176,18 @@
     })
 }
 
+fn apart() -> impl Strategy<Value = Trouble> {
+    let faults = prop_oneof![
+        3 => (0..HOSTS, 1..HOSTS).prop_map(|(a, b)| Fault::HostsApart(a, (a + b) % HOSTS)),
+        1 => Just(Fault::NobodyTold),
+    ];
+    (faults, 2_000_u64..25_000, 20_u64..14_000).prop_map(|(fault, at, lasts)| Trouble {
+        fault,
+        at: Duration::from_millis(at),
+        lasts: Duration::from_millis(lasts),
+    })
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 150, ..ProptestConfig::default() })]
 
@@ -141,7 +197,20 @@
         troubles in prop::collection::vec(trouble(), 0..14),
         seed: u64,
     ) {
-        let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(seed));
+        let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(seed), Talk::No);
+        prop_assert_eq!(world.run(seconds(60.0)), Ok(()));
+        prop_assert_eq!(world.unserved(), 0);
+        prop_assert!(world.holders() > 0);
+    }
+
+    /// The same where earlier granting hosts are told that they were replaced, and some of them
+    /// can't be told.
+    #[test]
+    fn no_key_has_two_holders_where_hosts_talk(
+        troubles in prop::collection::vec(prop_oneof![4 => trouble(), 1 => apart()], 0..14),
+        seed: u64,
+    ) {
+        let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(seed), Talk::Yes);
         prop_assert_eq!(world.run(seconds(60.0)), Ok(()));
         prop_assert_eq!(world.unserved(), 0);
         prop_assert!(world.holders() > 0);
@@ -166,7 +235,7 @@
     };
     for seed in 0..60 {
         let troubles = case.iter().map(trouble).collect();
-        let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(seed));
+        let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(seed), Talk::No);
         assert_eq!(world.run(seconds(30.0)), Ok(()), "seed {seed}");
     }
 }
--- a/crates/assign/tests/world/mod.rs
+++ b/crates/assign/tests/world/mod.rs
@@ -51,6 +51,10 @@
     LateOrders,
     /// Commits get no answer, and some are carried out late.
     LostCommits,
+    /// Two hosts don't hear each other.
+    HostsApart(usize, usize),
+    /// Hosts that were replaced are asked, but not told.
+    NobodyTold,
 }
 
 /// A fault and its time.
@@ -156,6 +160,27 @@
         incarnation: Incarnation,
         end: CommitEnd,
     },
+    /// A granting host speaks to an earlier one, and may tell it that it was replaced.
+    Beat {
+        host: usize,
+        by: usize,
+        replaced: Option<Revision>,
+    },
+    /// The earlier one answers what it knows.
+    Knows {
+        host: usize,
+        run: Run,
+        revision: Revision,
+    },
+}
+
+/// Whether hosts talk to each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Talk {
+    /// A granting host tells earlier ones that they were replaced.
+    Yes,
+    /// Each host knows only what the store says.
+    No,
 }
 
 /// The world.
@@ -172,11 +197,18 @@
     loads: KeyLoads,
     rng: StdRng,
     cfg: AssignSettings,
+    talk: Talk,
 }
 
 impl World {
     /// Builds a world without owners.
-    pub fn new(hosts: usize, upstreams: usize, troubles: Vec<Trouble>, rng: StdRng) -> Self {
+    pub fn new(
+        hosts: usize,
+        upstreams: usize,
+        troubles: Vec<Trouble>,
+        rng: StdRng,
+        talk: Talk,
+    ) -> Self {
         let cfg = AssignSettings::default();
         let host = |i| Self::host(i, 1, cfg);
         Self {
@@ -191,6 +223,7 @@
             loads: KeyLoads::new(Timestamp::ZERO),
             rng,
             cfg,
+            talk,
         }
     }
 
@@ -282,6 +315,9 @@
         let now = Self::at(self.now);
         let ready = self.ready();
         self.read(h, now);
+        if self.talk == Talk::Yes {
+            self.tell_replaced(h);
+        }
         let mut actions = Vec::new();
         self.take_over(h, &ready, &mut actions);
         let standing = Standing {
@@ -321,6 +357,28 @@
         host.keeper.read(now);
     }
 
+    fn tell_replaced(&mut self, h: usize) {
+        let keeper = &self.hosts[h].keeper;
+        if !keeper.is_granter() {
+            return;
+        }
+        let revision = keeper.named_at();
+        let index = |run: &Run| self.hosts.iter().position(|o| o.run.host == run.host);
+        let earlier = keeper.earlier().iter().filter_map(index);
+        let told: Vec<usize> = earlier.filter(|&o| self.hear_each_other(h, o)).collect();
+        for host in told {
+            let is_told =
+                !self.has(|f| matches!(f, Fault::NobodyTold)) && self.rng.random_bool(0.3);
+            let replaced = is_told.then_some(revision);
+            let by = h;
+            self.send(WAY, Delivery::Beat { host, by, replaced });
+        }
+    }
+
+    fn hear_each_other(&self, a: usize, b: usize) -> bool {
+        !self.has(|f| matches!(f, Fault::HostsApart(x, y) if (x, y) == (a, b) || (x, y) == (b, a)))
+    }
+
     fn take_over(&mut self, h: usize, ready: &[UpstreamView], actions: &mut Vec<Action>) {
         let host = &self.hosts[h];
         let Some(row) = host.keeper.row() else {
@@ -408,15 +466,20 @@
         } else {
             Duration::ZERO
         };
+        // Opening a connection may take a while; a grant that is older then does not leave.
+        let opening = match self.talk {
+            Talk::Yes => Duration::from_millis(self.rng.random_range(0..200)),
+            Talk::No => Duration::ZERO,
+        };
         let order = Delivery::Order {
             host: h,
             incarnation,
             upstream,
             call,
-            arrived: now + WAY,
+            arrived: now + opening + WAY,
             answers: !late,
         };
-        self.send(WAY + delay, order);
+        self.send(opening + WAY + delay, order);
         if late {
             self.send(CALL_TIMEOUT, unsent(true));
         }
@@ -483,7 +546,10 @@
                 }
             }
             // A host that stands still takes its answers when it goes on.
-            other @ (Delivery::OrderEnd { host, .. } | Delivery::CommitEnd { host, .. })
+            other @ (Delivery::OrderEnd { host, .. }
+            | Delivery::CommitEnd { host, .. }
+            | Delivery::Beat { host, .. }
+            | Delivery::Knows { host, .. })
                 if self.paused(host) =>
             {
                 self.send(STEP, other);
@@ -509,6 +575,25 @@
                     host.keeper.commit_ended(now, end);
                 }
             }
+            Delivery::Beat { host, by, replaced } => {
+                let told = &mut self.hosts[host];
+                if let Some(revision) = replaced {
+                    told.keeper.replaced(revision);
+                }
+                let answer = Delivery::Knows {
+                    host: by,
+                    run: told.run.clone(),
+                    revision: told.keeper.knows(),
+                };
+                if self.hear_each_other(host, by) {
+                    self.send(WAY, answer);
+                }
+            }
+            Delivery::Knows {
+                host,
+                run,
+                revision,
+            } => self.hosts[host].keeper.heard(now, &run, revision),
         }
     }
 
--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -8,15 +8,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use assign::Word;
-use ids::{BootClock, Clock, EntryId, HostId, Incarnation, UpstreamId};
+use assign::{Keeper, Run, Word};
+use ids::{BootClock, Clock, EntryId, HostId, Incarnation, Revision, UpstreamId};
 use indexmap::IndexMap;
 use prost::Message;
-use slog::debug;
+use slog::{debug, info};
 use tokio::net::UdpSocket;
 
 use crate::control::samples::{Sample, SampleRx};
-use crate::control::state::{Control, Ctl};
+use crate::control::state::{Control, Ctl, KnownHost};
 
 /// Time between heartbeats: a third of the silence after which the granting host is replaced.
 const EVERY: Duration = Duration::from_millis(400);
@@ -41,6 +41,9 @@
     /// The answer, if this is one.
     #[prost(message, optional, tag = "4")]
     pub echo: Option<Echo>,
+    /// Revision of the row by which the sender grants in place of the receiver.
+    #[prost(uint64, optional, tag = "5")]
+    pub replaced_at: Option<u64>,
 }
 
 /// Requests on one key.
@@ -83,6 +86,9 @@
     /// Age of its knowledge of the store, in milliseconds.
     #[prost(uint32, optional, tag = "4")]
     pub evidence_ms: Option<u32>,
+    /// It grants nothing by rows before this revision.
+    #[prost(uint64, tag = "5")]
+    pub knows: u64,
 }
 
 /// What was counted of one entry since the last heartbeat.
@@ -118,7 +124,7 @@
             entry: entry.to_string(),
             keys: keys.collect(),
             services: services.collect(),
-            echo: None,
+            ..Beat::default()
         }
     }
 }
@@ -160,6 +166,7 @@
         };
         if *granter == c.me {
             note(divided, &beat);
+            beats.extend(notices(&divided.keeper, entry, &c.hosts));
         } else if let Some(host) = c.hosts.get(&granter.host) {
             beats.push((host.row.peers, beat));
         }
@@ -167,6 +174,27 @@
     beats
 }
 
+/// Builds what earlier granting hosts are told: one that can't read the store does not know that it
+/// was replaced, and keys that it may still grant have to wait until it surely stops.
+fn notices<'a>(
+    keeper: &'a Keeper,
+    entry: &'a EntryId,
+    hosts: &'a IndexMap<HostId, KnownHost>,
+) -> impl Iterator<Item = (SocketAddr, Beat)> + 'a {
+    let told = keeper
+        .earlier()
+        .iter()
+        .filter_map(|run| hosts.get(&run.host));
+    told.map(|host| {
+        let notice = Beat {
+            entry: entry.to_string(),
+            replaced_at: Some(keeper.named_at().0),
+            ..Beat::default()
+        };
+        (host.row.peers, notice)
+    })
+}
+
 /// Takes heartbeats and their answers.
 pub async fn receive(ctl: Ctl, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; DATAGRAM_BYTES];
@@ -200,12 +228,20 @@
     let divided = c.divided.get_mut(&entry)?;
     let Some(echo) = &beat.echo else {
         note(divided, beat);
+        if let Some(revision) = beat.replaced_at {
+            if divided.keeper.is_granter() {
+                info!(c.log, "replaced as granting host"; "entry" => entry.as_str(),
+                    "revision" => revision);
+            }
+            divided.keeper.replaced(Revision(revision));
+        }
         let evidence = divided.keeper.evidence_age(now);
         let echo = Echo {
             host: c.me.host.to_string(),
             incarnation: c.me.incarnation.0,
             has_stopped,
             evidence_ms: evidence.map(|age| age.as_millis() as u32),
+            knows: divided.keeper.knows().0,
         };
         return Some(Beat {
             entry: beat.entry.clone(),
@@ -213,11 +249,16 @@
             ..Beat::default()
         });
     };
-    let granter = divided.keeper.row().map(|row| &row.granter.host);
     let host = HostId::new(echo.host.as_str()).ok()?;
-    if granter == Some(&host) {
+    let run = Run {
+        host,
+        incarnation: Incarnation(echo.incarnation),
+    };
+    divided.keeper.heard(now, &run, Revision(echo.knows));
+    let granter = divided.keeper.row().map(|row| &row.granter.host);
+    if granter == Some(&run.host) {
         let word = Word {
-            incarnation: Incarnation(echo.incarnation),
+            incarnation: run.incarnation,
             has_stopped: echo.has_stopped,
             evidence: echo
                 .evidence_ms
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -325,11 +325,10 @@
             return;
         };
         let granter = row.granter.clone();
-        if divided.keeper.take(now, row, at) {
-            if divided.succession.granter(now, &granter) {
-                info!(self.log, "keys are granted by"; "entry" => entry.as_str(),
-                    "granter" => granter.host.as_str(), "incarnation" => granter.incarnation.0);
-            }
+        let is_news = divided.keeper.take(now, row, at);
+        if is_news && divided.succession.granter(now, &granter) {
+            info!(self.log, "keys are granted by"; "entry" => entry.as_str(),
+                "granter" => granter.host.as_str(), "incarnation" => granter.incarnation.0);
         }
     }
 }
