standin: hosts are told apart by the store's address that they use; test of keys that wait for a granting host that was turned away

Cause: connections over loopback all come from one address, so that turning a host away did nothing in the end-to-end tests: a_host_that_the_store_turns_away_keeps_nobody_behind tested an untroubled store.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -288,6 +288,38 @@
     assert_eq!(owners("kill-"), owners("warm-"), "nothing moved");
 }
 
+/// A granting host that the store turns away is replaced, and does not keep others waiting.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_of_a_lost_server_move_soon_after_the_granting_host_was_turned_away() {
+    let mut rig = Rig::start(3).await;
+    let granter = rig.granter();
+    rig.store.turn_away(rig.callers(granter).ip(), true);
+    until("another host grants", async || rig.granter() != granter).await;
+    let lost = rig.reads.remove(0);
+    rig.store.remove("servers", lost.id());
+    drop(lost);
+    let began = Instant::now();
+    let other = (granter + 1) % 3;
+    let mut last_failed = Duration::ZERO;
+    for i in 0.. {
+        let read = Ask::read(&format!("lost-{i}"), (i * 997 % 65_536) as u16);
+        if !answered(rig.ask(other, &read).await.as_ref(), &read.id) {
+            last_failed = began.elapsed();
+        }
+        if began.elapsed() > Duration::from_secs(12) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // Silence, the hold of the last grant, and a second for the machine.
+    let most = Duration::from_millis(1_500 + 3_400 + 1_000);
+    assert!(
+        last_failed < most,
+        "keys were not served after {last_failed:?}"
+    );
+    check_owners(&rig.journal.all());
+}
+
 /// While the store is away nobody can take over from a granting host that is told to stop.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_granting_host_that_stops_in_an_outage_keeps_keys_to_the_end() {
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -228,7 +228,9 @@
     fn spawn(&self, i: usize, ip: &str, ports: [u16; 4]) -> Host {
         let [callers, ready, _peers, metrics] = ports;
         let path = self.dir.path().join(format!("host-{i}.json"));
-        fs::write(&path, self.settings(i, ip, ports)).expect("settings");
+        let own = ip.parse().expect("an address");
+        let store = self.store.listen_at(own).expect("an address of the store");
+        fs::write(&path, Self::settings(i, ip, ports, store)).expect("settings");
         let log = fs::OpenOptions::new()
             .append(true)
             .create(true)
@@ -257,7 +259,8 @@
     }
 
     /// Renders the template as the platform does.
-    fn settings(&self, i: usize, ip: &str, [callers, ready, peers, metrics]: [u16; 4]) -> String {
+    fn settings(i: usize, ip: &str, ports: [u16; 4], store: SocketAddr) -> String {
+        let [callers, ready, peers, metrics] = ports;
         let values = [
             ("node", format!("host-{i}")),
             ("zone", "a".to_owned()),
@@ -266,7 +269,7 @@
             ("listen.ready", format!("{ip}:{ready}")),
             ("internal_ports.0", peers.to_string()),
             ("internal_ports.1", metrics.to_string()),
-            ("platform.address", self.store.address().to_string()),
+            ("platform.address", store.to_string()),
             ("bounds.budget_ratio", "0.2".to_owned()),
             ("bounds.budget_slack", "62".to_owned()),
             ("bounds.budget_window_s", "10".to_owned()),
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -42,7 +42,7 @@
     commits: watch::Sender<u64>,
     /// Revision up to which history is gone.
     floor: Mutex<Revision>,
-    /// Clients that get 429, and no news by the feeds that they wait for.
+    /// Addresses at which clients get 429, and no news by the feeds that they wait for.
     turned_away: Mutex<HashSet<IpAddr>>,
     calls: AtomicU64,
     began: Instant,
@@ -53,7 +53,8 @@
 pub struct FleetStore {
     address: SocketAddr,
     shared: Arc<Shared>,
-    _stop: Arc<DropGuard>,
+    stop: CancellationToken,
+    _stops: Arc<DropGuard>,
 }
 
 impl FleetStore {
@@ -79,7 +80,8 @@
         Ok(Self {
             address,
             shared,
-            _stop: Arc::new(stop.drop_guard()),
+            stop: stop.clone(),
+            _stops: Arc::new(stop.drop_guard()),
         })
     }
 
@@ -94,7 +96,29 @@
         self.shared.mode.send_replace(mode);
     }
 
-    /// Turns the calls of clients at `ip` away from now on, or takes them again.
+    /// Listens at a further address, on `ip`, and returns it.
+    ///
+    /// Loopback connections don't tell the hosts of one machine apart by where they come from, so
+    /// that each uses an address of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a runtime.
+    pub fn listen_at(&self, ip: IpAddr) -> io::Result<SocketAddr> {
+        let listener = std::net::TcpListener::bind((ip, 0))?;
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(accept(listener, shared, self.stop.clone()));
+        Ok(address)
+    }
+
+    /// Turns the calls that come to the address on `ip` away from now on, or takes them again.
     pub fn turn_away(&self, ip: IpAddr, is_away: bool) {
         let mut away = lock(&self.shared.turned_away);
         if is_away {
@@ -170,21 +194,24 @@
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => return,
         };
-        let Ok((socket, client)) = accepted else {
+        let Ok((socket, _)) = accepted else {
+            continue;
+        };
+        let Ok(at) = socket.local_addr() else {
             continue;
         };
         let shared = Arc::clone(&shared);
         let stop = stop.clone();
         tokio::spawn(async move {
-            let handle = |req| handle(Arc::clone(&shared), client.ip(), req);
+            let handle = |req| handle(Arc::clone(&shared), at.ip(), req);
             serve_connection(socket, stop, handle).await;
         });
     }
 }
 
-async fn handle(shared: Arc<Shared>, client: IpAddr, req: Request) -> Whole {
+async fn handle(shared: Arc<Shared>, at: IpAddr, req: Request) -> Whole {
     shared.calls.fetch_add(1, Ordering::Relaxed);
-    if shared.turns_away(client) {
+    if shared.turns_away(at) {
         return respond(StatusCode::TOO_MANY_REQUESTS, "");
     }
     let mode = *shared.mode.borrow();
@@ -201,7 +228,7 @@
         (&Method::GET, "/api/rows-feed") => {
             let after = Revision(text("after").parse().unwrap_or_default());
             let wait = Duration::from_millis(text("wait_ms").parse().unwrap_or_default());
-            shared.feed(client, &text("table"), after, wait).await
+            shared.feed(at, &text("table"), after, wait).await
         }
         (&Method::POST, "/api/rows-tx") => match read_body(req.into_body()).await {
             Ok(body) => shared.transact(&body),
@@ -225,8 +252,8 @@
 }
 
 impl Shared {
-    fn turns_away(&self, client: IpAddr) -> bool {
-        lock(&self.turned_away).contains(&client)
+    fn turns_away(&self, at: IpAddr) -> bool {
+        lock(&self.turned_away).contains(&at)
     }
 
     fn revision(&self) -> Revision {
@@ -262,7 +289,7 @@
         answer_json(StatusCode::OK, &self.body(rows.cloned(), revision))
     }
 
-    async fn feed(&self, client: IpAddr, table: &str, after: Revision, wait: Duration) -> Whole {
+    async fn feed(&self, at: IpAddr, table: &str, after: Revision, wait: Duration) -> Whole {
         if after < *lock(&self.floor) {
             return respond(StatusCode::GONE, "{}");
         }
@@ -273,7 +300,7 @@
             commits.borrow_and_update();
             let changes = lock(&self.table).changes(&prefix, after);
             let waited = tokio::time::timeout_at(until, commits.changed());
-            if self.turns_away(client) {
+            if self.turns_away(at) {
                 tokio::time::sleep_until(until).await;
                 let body = self.body(std::iter::empty(), after);
                 return answer_json(StatusCode::OK, &body);
