front: the strongest hosts grant keys

Change: hosts announce their processor; while a stronger host is known, a host waits 300 ms longer before it takes over. Hosts of a kind wait as before (0 to 300 ms drawn; 400 before). Test: strong hosts come first, and the last one still comes before holds end.

--- a/crates/assign/src/succession.rs
+++ b/crates/assign/src/succession.rs
@@ -20,6 +20,26 @@
     /// Age of the granting host's knowledge of the store at which it is replaced by a host that
     /// can read the store: twice what it usually is.
     pub blind: Duration,
+    /// Longest part of a host's patience that it draws, so that one comes first.
+    pub drawn: Duration,
+    /// Further patience of a host while there is a stronger one.
+    ///
+    /// Granting is the work of two hosts of a tenth of a core where 200 upstreams own keys: a host
+    /// that can't keep up falls silent and is replaced, and each change makes keys wait.
+    pub weaker: Duration,
+}
+
+impl SuccessionSettings {
+    /// Returns the patience of a host that drew `part` between zero and one.
+    #[must_use]
+    pub fn patience(&self, part: f64, has_stronger: bool) -> Duration {
+        let weaker = if has_stronger {
+            self.weaker
+        } else {
+            Duration::ZERO
+        };
+        self.drawn.mul_f64(part) + weaker
+    }
 }
 
 impl Default for SuccessionSettings {
@@ -27,6 +47,8 @@
         Self {
             silence: Duration::from_millis(1_200),
             blind: Duration::from_millis(2_500),
+            drawn: Duration::from_millis(300),
+            weaker: Duration::from_millis(300),
         }
     }
 }
--- a/crates/assign/tests/succession.rs
+++ b/crates/assign/tests/succession.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use assign::{Run, Succession, SuccessionSettings, TakeOver, Word};
+use assign::{AssignSettings, Run, Succession, SuccessionSettings, TakeOver, Word};
 use ids::{HostId, Incarnation, Timestamp};
 
 const PATIENCE: Duration = Duration::from_millis(100);
@@ -113,3 +113,15 @@
         assert_eq!(decided, wanted, "{}", case.name);
     }
 }
+
+#[test]
+fn strong_hosts_come_first_and_all_come_before_holds_end() {
+    let cfg = SuccessionSettings::default();
+    assert!(cfg.patience(1.0, false) <= cfg.patience(0.0, true));
+    // The last renewal may be as old as the time between two, and a commit and the first renewals
+    // of the new granting host take a while.
+    let assign = AssignSettings::default();
+    let rest = Duration::from_millis(300);
+    let latest = assign.renew_every + cfg.silence + cfg.patience(1.0, true) + rest;
+    assert!(latest < assign.hold, "{latest:?}");
+}
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -264,6 +264,8 @@
         let values = [
             ("node", format!("host-{i}")),
             ("zone", "a".to_owned()),
+            ("limits.cpu_share", "0.2".to_owned()),
+            ("limits.cores", "1".to_owned()),
             ("ip", ip.to_owned()),
             ("listen.front", format!("{ip}:{callers}")),
             ("listen.ready", format!("{ip}:{ready}")),
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use assign::{Action, CallEnd, CommitEnd, EntryRow, OrderCall, Run, Standing, UpstreamView};
+use assign::{
+    Action, CallEnd, CommitEnd, EntryRow, OrderCall, Run, Standing, SuccessionSettings,
+    UpstreamView,
+};
 use direct::Roster;
 use ids::{BootClock, Clock, EntryId, HostId, Revision, Timestamp};
 use indexmap::IndexMap;
@@ -19,8 +22,6 @@
 const GRANTER_TICK: Duration = Duration::from_millis(100);
 /// The same at other hosts, which only look whether the granting one is still there.
 const TICK: Duration = Duration::from_millis(300);
-/// Longest part of the wait before a take-over that a host draws at random.
-const PATIENCE: Duration = Duration::from_millis(400);
 /// Time without news of upstreams after which an entry's keys are first handed out: more than the
 /// time between two heartbeats of an upstream, so that all that start together are there.
 const ROSTER_STEADY: Duration = Duration::from_millis(1_300);
@@ -29,10 +30,10 @@
 
 /// Drives all keepers.
 pub async fn drive(ctl: Ctl, platform: impl Platform) {
-    let patience = PATIENCE.mul_f64(rand::rng().random_range(0.0..1.0));
+    let part = rand::rng().random_range(0.0..1.0);
     loop {
         let now = BootClock.now();
-        let due = ctl.with(|c| due(c, now, patience));
+        let due = ctl.with(|c| due(c, now, part));
         let grants = ctl.with(|c| c.grants());
         for (entry, action) in due {
             carry_out(&ctl, &platform, entry, action);
@@ -43,10 +44,12 @@
     }
 }
 
-fn due(c: &mut Control, now: Timestamp, patience: Duration) -> Vec<(EntryId, Action)> {
+/// Returns what is due; `part` of the patience before a take-over is this host's.
+fn due(c: &mut Control, now: Timestamp, part: f64) -> Vec<(EntryId, Action)> {
+    let patience = SuccessionSettings::default().patience(part, c.has_stronger());
     let may_move = c.store_settled(now) && c.freshness.is_fresh(now);
     let is_fresh = c.freshness.is_fresh(now);
-    let is_steady = now.since(c.roster_changed) > ROSTER_STEADY;
+    let is_steady = now.since(c.roster_changed) > ROSTER_STEADY + patience;
     // Others can take over as soon as they hear of it. While the store is away they can't, and keys
     // are renewed until the end.
     c.has_stopped |= c.phase == Phase::Leaving && is_fresh;
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -31,7 +31,7 @@
 pub(crate) const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
 /// What a host tells the others of itself, in the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct HostRow {
     /// The run.
@@ -40,10 +40,13 @@
     pub domain: DomainId,
     /// Where it takes heartbeats.
     pub peers: SocketAddr,
+    /// The work that it can do, in cores.
+    #[serde(default)]
+    pub capacity: f64,
 }
 
 /// A host that has written its row.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct KnownHost {
     /// The row.
     pub row: HostRow,
@@ -248,6 +251,13 @@
         }
     }
 
+    /// Tells whether another host can do more work than this one.
+    #[must_use]
+    pub fn has_stronger(&self) -> bool {
+        let own = self.cfg.processor.capacity();
+        self.hosts.values().any(|h| h.row.capacity > own)
+    }
+
     /// Returns the hosts of this one's domain with their addresses, in the order of their names.
     #[must_use]
     pub fn mates(&self) -> Vec<(&HostId, SocketAddr)> {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -16,6 +16,8 @@
     pub host: HostId,
     /// Its failure domain.
     pub domain: DomainId,
+    /// Its processor.
+    pub processor: Processor,
     /// Where it listens.
     pub listen: Listen,
     /// The platform's store.
@@ -26,6 +28,24 @@
     pub stop: Stop,
 }
 
+/// How much work a host can do.
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
+pub struct Processor {
+    /// Part of a core that the host may use.
+    pub share: f64,
+    /// Cores of which it may use that part.
+    pub cores: f64,
+}
+
+impl Processor {
+    /// Returns the work that the host can do, in cores.
+    #[must_use]
+    pub fn capacity(&self) -> f64 {
+        self.share * self.cores
+    }
+}
+
 /// Addresses on which a host listens.
 #[derive(Debug, Clone, Copy)]
 #[derive(Deserialize)]
@@ -87,6 +107,10 @@
         serde_json::from_slice(&text).with_context(|| format!("decode {}", path.display()))?;
     let file = path.display();
     let repeats = cfg.repeats;
+    anyhow::ensure!(
+        cfg.processor.capacity() > 0.0,
+        "{file}: processor.share, processor.cores: must be positive"
+    );
     anyhow::ensure!(
         repeats.ratio >= 0.0,
         "{file}: repeats.ratio: must not be negative"
