--- a/crates/assign/tests/ownership.rs
+++ b/crates/assign/tests/ownership/main.rs
@@ -1,5 +1,6 @@
 //! No key ever has two holders, whatever goes wrong, and each has one again soon after.
 
+mod costs;
 mod world;
 
 use std::time::Duration;
--- a/crates/assign/tests/world/mod.rs
+++ b/crates/assign/tests/ownership/world/mod.rs
@@ -4,6 +4,8 @@
 //! fence than was seen for a key is refused, and a release is never refused. Calls may lose their
 //! answer, and may be carried out seconds after that.
 
+mod tally;
+
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
@@ -15,6 +17,8 @@
 use rand::Rng as _;
 use rand::rngs::StdRng;
 
+use self::tally::Tally;
+
 /// Length of one step.
 pub const STEP: Duration = Duration::from_millis(20);
 /// Keys that are looked at.
@@ -198,6 +202,7 @@
     rng: StdRng,
     cfg: AssignSettings,
     talk: Talk,
+    tally: Tally,
 }
 
 impl World {
@@ -224,9 +229,20 @@
             rng,
             cfg,
             talk,
+            tally: Tally::default(),
         }
     }
 
+    /// Returns what the run cost so far.
+    pub const fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// Counts from here on.
+    pub fn tally_from_here(&mut self) {
+        self.tally = Tally::default();
+    }
+
     fn host(index: usize, incarnation: u64, cfg: AssignSettings) -> Host {
         let run = Run {
             host: HostId::new(format!("h{index}")).expect("a valid name"),
@@ -401,8 +417,12 @@
     fn carry_out(&mut self, h: usize, action: Action, now: Timestamp) {
         let incarnation = self.hosts[h].run.incarnation;
         match action {
-            Action::Call(call) => self.call(h, incarnation, call, now),
+            Action::Call(call) => {
+                self.tally.orders += 1;
+                self.call(h, incarnation, call, now);
+            }
             Action::Commit { row, expected } => {
+                self.tally.commits += 1;
                 let lost =
                     self.has(|f| matches!(f, Fault::LostCommits)) && self.rng.random_bool(0.5);
                 if !self.reaches_store(h) {
@@ -608,10 +628,12 @@
         CommitEnd::Done(revision)
     }
 
-    fn check(&self) -> Result<(), String> {
+    fn check(&mut self) -> Result<(), String> {
         let now = Self::at(self.now);
         for probe in 0..PROBES {
             let holds = |u: &&Upstream| u.is_up && now < u.held_until[probe];
+            let holder = self.upstreams.iter().position(|u| holds(&u));
+            self.tally.note(probe, holder);
             let holders: Vec<&Upstream> = self.upstreams.iter().filter(holds).collect();
             if holders.len() > 1 {
                 let names: HashMap<_, _> = holders.iter().map(|u| (&u.id, u.seen[probe])).collect();
