--- a/crates/assign/src/keeper.rs
+++ b/crates/assign/src/keeper.rs
@@ -19,6 +19,8 @@
 const RELEASE_EVERY: Duration = Duration::from_millis(500);
 /// Time between two plans while an owner of keys leaves: its requests wait for the move.
 const URGENT_EVERY: Duration = Duration::from_millis(100);
+/// Part of the time between renewals after which a piece is first renewed at the soonest.
+const SOONEST: f64 = 0.25;
 /// Renewals that may fail before their upstream counts as silent.
 const FAILURES_OF_SILENT: u32 = 2;
 
@@ -343,7 +345,14 @@
         match end {
             CallEnd::Done { .. } => {
                 live.handover = None;
-                live.next_at = underway.call.decided + every;
+                // Pieces that are granted together, as after a take-over, would always be.
+                let part = if live.is_apart {
+                    1.0
+                } else {
+                    live.is_apart = true;
+                    SOONEST + (1.0 - SOONEST) * underway.call.range.place()
+                };
+                live.next_at = underway.call.decided + every.mul_f64(part);
             }
             CallEnd::NoAnswer { .. } => live.next_at = now + every / 4,
             CallEnd::Fenced | CallEnd::Gone => live.next_at = now + every,
@@ -400,19 +409,28 @@
             .map(|(_, live)| live)
     }
 
-    /// Makes the calls and the commit that are due; returns when to be asked again at the latest.
-    pub fn poll(&mut self, now: Timestamp, standing: &Standing<'_>, actions: &mut Vec<Action>) {
+    /// Makes the calls that are due.
+    pub fn poll(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         if !self.is_granting(now) {
             return;
         }
         self.free_former(now);
         self.call_upstreams(now, actions);
+    }
+
+    /// Tells whether [`Self::plan`] may have something to do: what it needs costs some work.
+    #[must_use]
+    pub fn may_plan(&self, now: Timestamp) -> bool {
         let planned_at = self.plan_at - self.cfg.plan_every;
-        let is_urgent = now >= planned_at + URGENT_EVERY && self.has_leaving(standing.ready);
-        let is_due = is_urgent || now >= self.plan_at;
-        if is_due && self.commit.is_none() && standing.may_move {
+        self.is_granting(now) && self.commit.is_none() && now >= planned_at + URGENT_EVERY
+    }
+
+    /// Moves ranges, if it is time to or an owner of keys leaves.
+    pub fn plan(&mut self, now: Timestamp, standing: &Standing<'_>, actions: &mut Vec<Action>) {
+        let is_due = now >= self.plan_at || self.has_leaving(standing.ready);
+        if is_due && standing.may_move && self.may_plan(now) {
             self.plan_at = now + self.cfg.plan_every;
-            self.plan(now, standing, actions);
+            self.move_ranges(now, standing, actions);
         }
     }
 
@@ -491,7 +509,7 @@
         }
     }
 
-    fn plan(&mut self, now: Timestamp, standing: &Standing<'_>, actions: &mut Vec<Action>) {
+    fn move_ranges(&mut self, now: Timestamp, standing: &Standing<'_>, actions: &mut Vec<Action>) {
         let Some(known) = &self.known else {
             return;
         };
--- a/crates/assign/src/range.rs
+++ b/crates/assign/src/range.rs
@@ -42,6 +42,12 @@
         self.first <= other.first && other.last <= self.last
     }
 
+    /// Returns where among all keys the range begins: from zero to one.
+    #[must_use]
+    pub fn place(self) -> f64 {
+        f64::from(self.first) / (f64::from(LAST_KEY) + 1.0)
+    }
+
     /// Returns how many keys there are.
     #[must_use]
     pub const fn keys(self) -> u32 {
--- a/crates/assign/tests/ownership/world/mod.rs
+++ b/crates/assign/tests/ownership/world/mod.rs
@@ -341,7 +341,8 @@
             loads: &self.loads,
             may_move: self.reaches_store(h),
         };
-        self.hosts[h].keeper.poll(now, &standing, &mut actions);
+        self.hosts[h].keeper.poll(now, &mut actions);
+        self.hosts[h].keeper.plan(now, &standing, &mut actions);
         for action in actions {
             self.carry_out(h, action, now);
         }
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -1,17 +1,18 @@
 //! Drives the keepers of entries that are divided by key.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use assign::{
-    Action, CallEnd, CommitEnd, EntryRow, OrderCall, Run, Standing, SuccessionSettings,
+    Action, CallEnd, CallKind, CommitEnd, EntryRow, OrderCall, Run, Standing, SuccessionSettings,
     UpstreamView,
 };
 use direct::Roster;
-use ids::{BootClock, Clock, EntryId, HostId, Revision, Timestamp};
+use ids::{BootClock, Clock, EntryId, HostId, Revision, Timestamp, UpstreamId};
 use indexmap::IndexMap;
 use platform::{Commit, PlatformError, RowKey};
 use rand::Rng;
-use slog::{info, warn};
+use slog::{Logger, info, warn};
 
 use crate::control::follow::{keys_row, keys_txn};
 use crate::control::state::{Control, Ctl, Divided, KnownHost};
@@ -58,49 +59,64 @@
     }
     let mut due = Vec::new();
     for (entry, divided) in &mut c.divided {
-        let ready = ready(&c.roster, entry, divided);
         let mut actions = Vec::new();
         if is_fresh && c.phase != Phase::Leaving && (is_steady || divided.keeper.row().is_some()) {
-            take_over(divided, &c.hosts, &ready, now, patience, &mut actions);
+            take_over(
+                divided,
+                (&c.roster, entry),
+                &c.hosts,
+                now,
+                patience,
+                &mut actions,
+            );
+        }
+        divided.keeper.poll(now, &mut actions);
+        if divided.keeper.may_plan(now) {
+            divided.loads.sum_up(now);
+            let standing = Standing {
+                ready: &ready(&c.roster, entry, &divided.services),
+                loads: &divided.loads,
+                may_move,
+            };
+            divided.keeper.plan(now, &standing, &mut actions);
         }
-        divided.loads.sum_up(now);
-        let standing = Standing {
-            ready: &ready,
-            loads: &divided.loads,
-            may_move,
-        };
-        divided.keeper.poll(now, &standing, &mut actions);
         due.extend(actions.into_iter().map(|action| (entry.clone(), action)));
     }
     due
 }
 
-fn ready(roster: &Roster, entry: &EntryId, divided: &Divided) -> Vec<UpstreamView> {
-    let known: f64 = divided.services.values().sum();
-    let usual = if divided.services.is_empty() {
+/// Returns the upstreams of an entry that take requests, with their times for one request.
+fn ready(
+    roster: &Roster,
+    entry: &EntryId,
+    services: &HashMap<UpstreamId, f64>,
+) -> Vec<UpstreamView> {
+    let known: f64 = services.values().sum();
+    let usual = if services.is_empty() {
         USUAL_SERVICE
     } else {
-        known / divided.services.len() as f64
+        known / services.len() as f64
     };
     let view = |u: &direct::Registered| UpstreamView {
         id: u.id.clone(),
         slots: u.slots,
-        service: divided.services.get(&u.id).copied().unwrap_or(usual),
+        service: services.get(&u.id).copied().unwrap_or(usual),
     };
     roster.ready(entry).into_iter().map(view).collect()
 }
 
 fn take_over(
     divided: &mut Divided,
+    (roster, entry): (&Roster, &EntryId),
     hosts: &IndexMap<HostId, KnownHost>,
-    ready: &[UpstreamView],
     now: Timestamp,
     patience: Duration,
     actions: &mut Vec<Action>,
 ) {
     let keeper = &mut divided.keeper;
     let Some(granter) = keeper.row().map(|row| row.granter.clone()) else {
-        keeper.take_over(true, ready, actions);
+        let ready = ready(roster, entry, &divided.services);
+        keeper.take_over(true, &ready, actions);
         return;
     };
     // The run that a host announced after a revision.
@@ -121,7 +137,8 @@
         .revision()
         .and_then(|named| announced(&granter, named));
     if let Some(reason) = divided.succession.decide(now, newest, patience) {
-        keeper.take_over(reason.is_over, ready, actions);
+        // Owners are those of the row.
+        keeper.take_over(reason.is_over, &[], actions);
     }
 }
 
@@ -157,16 +174,40 @@
     };
     let now = BootClock.now();
     ctl.with(|c| {
-        if !matches!(end, CallEnd::Done { .. }) {
-            info!(c.log, "order to upstream failed"; "upstream" => described.upstream.as_str(),
-                "kind" => ?described.kind, "keys" => %described.range,
-                "fence" => described.fence.0, "end" => ?end);
-        }
-        if let Some(divided) = c.divided.get_mut(&entry) {
-            divided.keeper.call_ended(now, id, &end);
-        }
+        let Some(divided) = c.divided.get_mut(&entry) else {
+            return;
+        };
+        tell_order(&c.log, &mut divided.failing, &described, &end);
+        divided.keeper.call_ended(now, id, &end);
     });
-    ctl.wake_keys.notify_one();
+    // A renewal that went well is no reason to do anything else.
+    let is_done = matches!(end, CallEnd::Done { .. });
+    if !is_done || described.kind == CallKind::Release {
+        ctl.wake_keys.notify_one();
+    }
+}
+
+/// Logs the first of an upstream's orders that fails, and the first one that goes well again.
+fn tell_order(
+    log: &Logger,
+    failing: &mut HashMap<UpstreamId, u32>,
+    call: &OrderCall,
+    end: &CallEnd,
+) {
+    let upstream = &call.upstream;
+    if matches!(end, CallEnd::Done { .. }) {
+        if let Some(failed) = failing.remove(upstream) {
+            info!(log, "orders to upstream go well again"; "upstream" => upstream.as_str(),
+                "failed" => failed);
+        }
+        return;
+    }
+    let failed = failing.entry(upstream.clone()).or_default();
+    *failed += 1;
+    if *failed == 1 {
+        info!(log, "order to upstream failed"; "upstream" => upstream.as_str(),
+            "kind" => ?call.kind, "keys" => %call.range, "fence" => call.fence.0, "end" => ?end);
+    }
 }
 
 fn commit_ended(
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -65,6 +65,8 @@
     pub loads: KeyLoads,
     /// Mean times of its upstreams for one request, in seconds.
     pub services: HashMap<UpstreamId, f64>,
+    /// Upstreams whose orders fail, and how many have.
+    pub failing: HashMap<UpstreamId, u32>,
 }
 
 /// The state of the control duty.
@@ -202,6 +204,7 @@
             succession: Succession::new(SuccessionSettings::default()),
             loads: KeyLoads::new(now),
             services: HashMap::new(),
+            failing: HashMap::new(),
         }
     }
 
@@ -248,6 +251,7 @@
             .retain(|id, _| roster.get(id).is_some() || holds(id));
         for d in self.divided.values_mut() {
             d.services.retain(|id, _| roster.get(id).is_some());
+            d.failing.retain(|id, _| roster.get(id).is_some());
         }
     }
 
