front: callers of a key without an owner are told to come back when it may have one

Change: 1.5 s, spread by 0.6 to 1.4, where no owner came within the wait or the owner does not hold the key.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -301,10 +301,13 @@
     let began = Instant::now();
     let other = (granter + 1) % 3;
     let mut last_failed = Duration::ZERO;
+    let mut refused = Vec::new();
     for i in 0.. {
         let read = Ask::read(&format!("lost-{i}"), (i * 997 % 65_536) as u16);
-        if !answered(rig.ask(other, &read).await.as_ref(), &read.id) {
+        let got = rig.ask(other, &read).await;
+        if !answered(got.as_ref(), &read.id) {
             last_failed = began.elapsed();
+            refused.extend(got);
         }
         if began.elapsed() > Duration::from_secs(12) {
             break;
@@ -318,6 +321,10 @@
         "keys were not served after {last_failed:?}"
     );
     check_owners(&rig.journal.all());
+    // Callers are not told to come back before there is an owner again.
+    let after = |got: &Got| got.retry_after.as_ref()?.parse::<f64>().ok();
+    let soonest = refused.iter().filter_map(after).fold(f64::MAX, f64::min);
+    assert!(!refused.is_empty() && soonest >= 0.9, "{soonest} s");
 }
 
 /// While the store is away nobody can take over from a granting host that is told to stop.
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -6,7 +6,7 @@
 use ids::{EntryId, Reason, Timestamp, UpstreamId};
 use rand::Rng;
 
-use super::reply::{COME_BACK, Refused, come_back, truthful};
+use super::reply::{COME_BACK, KEY_COME_BACK, Refused, come_back, truthful};
 use super::{Forwarder, Job, USUAL_SERVICE};
 use crate::view::View;
 
@@ -116,7 +116,7 @@
     ) -> Result<(), Refused> {
         let waited = now.since(job.arrived);
         if waited > job.route.objective.mul_f64(OWNER_WAIT) {
-            return Err(truthful(come_back(Reason::NoOwner, COME_BACK), tries));
+            return Err(truthful(come_back(Reason::NoOwner, KEY_COME_BACK), tries));
         }
         tokio::time::sleep(OWNER_PAUSE).await;
         Ok(())
--- a/crates/front/src/forward/reply.rs
+++ b/crates/front/src/forward/reply.rs
@@ -13,6 +13,13 @@
 /// When a caller should come back if nothing better is known: a few service times.
 pub(super) const COME_BACK: Duration = Duration::from_millis(250);
 
+/// When a caller should come back if nobody serves its key.
+///
+/// Planned moves take less than a request waits for, so that the owner is lost: its keys are served
+/// again 3 to 5 s after its loss (docs/OWNERSHIP.md), half of which is left on average. Callers who
+/// come back after [`COME_BACK`] use up their tries before that.
+pub(super) const KEY_COME_BACK: Duration = Duration::from_millis(1_500);
+
 /// A request that is answered without an upstream's answer.
 #[derive(Debug, Clone, Copy)]
 pub struct Refused {
@@ -67,7 +74,11 @@
         }
         .into();
     }
-    come_back(ended.reason(), COME_BACK)
+    let after = match ended {
+        Ended::Misdirected => KEY_COME_BACK,
+        Ended::Unsent(_) | Ended::NotRun(_) | Ended::Broken(_) => COME_BACK,
+    };
+    come_back(ended.reason(), after)
 }
 
 /// Builds a refusal with a time to come back that is spread, so that callers who are refused
