--- /dev/null
+++ b/crates/assign/src/keeper/mod.rs
@@ -0,0 +1,292 @@
+//! Grants, renews, releases and moves the ranges of one entry.
+//!
+//! Every host has a keeper; only that of the host which the row names acts. It is told what was
+//! read and how calls ended, and returns the calls and commits to make.
+//!
+//! - `calls`: grants, renewals and releases, and what their ends say.
+//! - `moves`: moves of ranges to other owners.
+
+mod calls;
+mod moves;
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use ids::{Revision, Timestamp, UpstreamId};
+
+use crate::evidence::Evidence;
+use crate::live::{LastGrant, Live, carry_over};
+use crate::order::{Action, CommitEnd, OrderCall};
+use crate::plan::{Planner, UpstreamView};
+use crate::row::{EntryRow, Piece, Run};
+use crate::settings::AssignSettings;
+
+#[derive(Debug, Clone)]
+struct Health {
+    failures: u32,
+    failing_since: Timestamp,
+}
+
+/// A call on its way.
+#[derive(Debug)]
+struct Underway {
+    call: OrderCall,
+    /// The grant before this one.
+    earlier: LastGrant,
+}
+
+#[derive(Debug)]
+struct Known {
+    row: EntryRow,
+    revision: Revision,
+    live: Vec<Live>,
+}
+
+/// The keeper of one entry at one host.
+#[derive(Debug)]
+pub struct Keeper {
+    cfg: AssignSettings,
+    planner: Planner,
+    me: Run,
+    known: Option<Known>,
+    evidence: Evidence,
+    /// Until when grants of earlier granting hosts may hold.
+    others_until: Timestamp,
+    /// Earlier granting runs that are not known to be over.
+    earlier: Vec<Run>,
+    /// Revision of the row that this host replaced.
+    replaced_at: Revision,
+    /// Revision of the row that made this host the granting one.
+    named_at: Revision,
+    /// Rows before this one don't let this host grant: it was told of its successor.
+    not_before: Revision,
+    /// The row of a commit that has not ended.
+    commit: Option<EntryRow>,
+    calls: HashMap<u64, Underway>,
+    next_call: u64,
+    health: HashMap<UpstreamId, Health>,
+    gone: HashSet<UpstreamId>,
+    plan_at: Timestamp,
+    tidy_at: Timestamp,
+}
+
+impl Keeper {
+    /// Creates the keeper of one entry at the host `me`.
+    #[must_use]
+    pub fn new(me: Run, cfg: AssignSettings, planner: Planner) -> Self {
+        Self {
+            cfg,
+            planner,
+            me,
+            known: None,
+            evidence: Evidence::default(),
+            others_until: Timestamp::ZERO,
+            earlier: Vec::new(),
+            replaced_at: Revision::default(),
+            named_at: Revision::default(),
+            not_before: Revision::default(),
+            commit: None,
+            calls: HashMap::new(),
+            next_call: 0,
+            health: HashMap::new(),
+            gone: HashSet::new(),
+            plan_at: Timestamp::ZERO,
+            tidy_at: Timestamp::ZERO,
+        }
+    }
+
+    /// Returns the row that the host knows.
+    #[must_use]
+    pub fn row(&self) -> Option<&EntryRow> {
+        self.known.as_ref().map(|k| &k.row)
+    }
+
+    /// Tells whether the row names this run of this host as the granting one, as far as it knows.
+    #[must_use]
+    pub fn is_granter(&self) -> bool {
+        let names_me = |k: &Known| k.row.granter == self.me && k.revision >= self.not_before;
+        self.known.as_ref().is_some_and(names_me)
+    }
+
+    /// Tells whether this host grants: the row names it, and it knew so lately.
+    #[must_use]
+    pub fn is_granting(&self, now: Timestamp) -> bool {
+        self.is_granter() && self.evidence.is_within(now, self.cfg.evidence)
+    }
+
+    /// Tells whether the row names `upstream` as an owner or former owner.
+    #[must_use]
+    pub fn mentions(&self, upstream: &UpstreamId) -> bool {
+        let names = |p: &Piece| p.owner == *upstream || p.former.contains(upstream);
+        self.row().is_some_and(|row| row.pieces.iter().any(names))
+    }
+
+    /// Returns the revision of the row that the host knows.
+    #[must_use]
+    pub fn revision(&self) -> Option<Revision> {
+        self.known.as_ref().map(|k| k.revision)
+    }
+
+    /// Returns how old this host's knowledge of the row is.
+    #[must_use]
+    pub fn evidence_age(&self, now: Timestamp) -> Option<Duration> {
+        self.evidence.age(now)
+    }
+
+    /// Notes a read of the store that began at `began` and brought everything up to then.
+    pub fn read(&mut self, began: Timestamp) {
+        self.evidence.read(began);
+    }
+
+    /// Takes a row that was read; older ones than the known one are left.
+    ///
+    /// Tells whether it is news.
+    pub fn take(&mut self, now: Timestamp, row: EntryRow, revision: Revision) -> bool {
+        if self.known.as_ref().is_some_and(|k| k.revision >= revision) {
+            return false;
+        }
+        let was_granter = self.is_granter();
+        let old = self.known.as_ref().map(|k| (&k.row, k.live.as_slice()));
+        let live = carry_over(old, &row, now);
+        self.gone.retain(|up| {
+            row.pieces
+                .iter()
+                .any(|p| p.owner == *up || p.former.contains(up))
+        });
+        self.known = Some(Known {
+            row,
+            revision,
+            live,
+        });
+        // Calls on their way belong to pieces that may be others now; how they end still counts.
+        if !was_granter && self.is_granter() {
+            self.begin(now);
+        }
+        true
+    }
+
+    /// Proposes this host as the granting one.
+    ///
+    /// `is_over` says that the run which grants has surely ended or stopped. Without a row, all
+    /// keys are divided among `ready`.
+    pub fn take_over(&mut self, is_over: bool, ready: &[UpstreamView], actions: &mut Vec<Action>) {
+        if self.commit.is_some() || self.is_granter() {
+            return;
+        }
+        let Some(known) = &self.known else {
+            let owners: Vec<_> = ready.iter().map(|u| u.id.clone()).collect();
+            if !owners.is_empty() {
+                let row = EntryRow::even(self.me.clone(), &owners);
+                self.propose(row, None, actions);
+            }
+            return;
+        };
+        let mut row = known.row.clone();
+        let replaced = std::mem::replace(&mut row.granter, self.me.clone());
+        // What this run sent itself it knows.
+        row.earlier.retain(|run| *run != self.me);
+        if !is_over && !row.earlier.contains(&replaced) {
+            row.earlier.push(replaced);
+        }
+        let revision = known.revision;
+        self.replaced_at = revision;
+        self.propose(row, Some(revision), actions);
+    }
+
+    /// Begins to grant: the row that names this host became known at `now`.
+    ///
+    /// The hosts that granted before may have read until just now that they do.
+    fn begin(&mut self, now: Timestamp) {
+        let Some(known) = &self.known else {
+            return;
+        };
+        self.earlier.clone_from(&known.row.earlier);
+        self.named_at = known.revision;
+        let stops_in = if self.earlier.is_empty() {
+            Duration::ZERO
+        } else {
+            self.cfg.evidence.mul_f64(1.0 + self.cfg.drift)
+        };
+        self.others_until = now + stops_in + self.cfg.outlast();
+        self.health.clear();
+        self.plan_at = now + self.cfg.plan_every;
+    }
+
+    /// Returns earlier granting runs that are not known to be over.
+    #[must_use]
+    pub fn earlier(&self) -> &[Run] {
+        &self.earlier
+    }
+
+    /// Returns the revision of the row that this host replaced: a run that was announced later is
+    /// another one than those that granted before.
+    #[must_use]
+    pub const fn replaced_at(&self) -> Revision {
+        self.replaced_at
+    }
+
+    /// Returns the revision of the row that made this host the granting one.
+    ///
+    /// Earlier granting hosts that can't read the store are told of it, so that they stop.
+    #[must_use]
+    pub const fn named_at(&self) -> Revision {
+        self.named_at
+    }
+
+    /// Notes that the row at `revision` names another granting host: this one grants nothing by
+    /// rows before it.
+    pub fn replaced(&mut self, revision: Revision) {
+        self.not_before = self.not_before.max(revision);
+    }
+
+    /// Returns the revision below which no row lets this host grant.
+    #[must_use]
+    pub fn knows(&self) -> Revision {
+        self.revision().unwrap_or_default().max(self.not_before)
+    }
+
+    /// Notes that `run` grants nothing by rows before `knows`.
+    pub fn heard(&mut self, now: Timestamp, run: &Run, knows: Revision) {
+        if !self.is_granter() {
+            return;
+        }
+        let over = |earlier: &&Run| {
+            let has_ended = earlier.incarnation != run.incarnation;
+            earlier.host == run.host && (has_ended || knows >= self.named_at)
+        };
+        let over: Vec<Run> = self.earlier.iter().filter(over).cloned().collect();
+        for earlier in over {
+            self.is_over(now, &earlier);
+        }
+    }
+
+    /// Notes that an earlier granting run has surely ended or stopped.
+    pub fn is_over(&mut self, now: Timestamp, run: &Run) {
+        self.earlier.retain(|r| r != run);
+        if self.earlier.is_empty() {
+            self.others_until = self.others_until.min(now + self.cfg.outlast());
+        }
+    }
+
+    fn propose(&mut self, row: EntryRow, expected: Option<Revision>, actions: &mut Vec<Action>) {
+        debug_assert!(row.check().is_ok(), "only valid rows are written");
+        self.commit = Some(row.clone());
+        actions.push(Action::Commit { row, expected });
+    }
+
+    /// Notes how the commit ended.
+    pub fn commit_ended(&mut self, now: Timestamp, end: CommitEnd) {
+        let Some(proposed) = self.commit.take() else {
+            return;
+        };
+        match end {
+            CommitEnd::Done(revision) => {
+                self.take(now, proposed, revision);
+            }
+            CommitEnd::Conflict(Some((row, revision))) => {
+                self.take(now, row, revision);
+            }
+            CommitEnd::Conflict(None) | CommitEnd::Unknown | CommitEnd::NotDone => {}
+        }
+    }
+}
