assign: waits for earlier granting hosts end when it is known that they must

The row holds for each earlier run the revision of its last row; - the wait had begun at an earlier take-over and began anew at the next: hosts note when they first read that a run was replaced; - after an outage for all the first host to read took the granting host for blind: it has to have read for 2.5 s itself.

--- a/crates/assign/src/keeper/mod.rs
+++ b/crates/assign/src/keeper/mod.rs
@@ -18,7 +18,7 @@
 use crate::live::{LastGrant, Live, carry_over};
 use crate::order::{Action, CommitEnd, OrderCall};
 use crate::plan::{Planner, UpstreamView};
-use crate::row::{EntryRow, Piece, Run};
+use crate::row::{Earlier, EntryRow, Piece, Run};
 use crate::settings::AssignSettings;
 
 #[derive(Debug, Clone)]
@@ -53,9 +53,10 @@
     /// Until when grants of earlier granting hosts may hold.
     others_until: Timestamp,
     /// Earlier granting runs that are not known to be over.
-    earlier: Vec<Run>,
-    /// Revision of the row that this host replaced.
-    replaced_at: Revision,
+    earlier: Vec<Earlier>,
+    /// When this host first read that a run had been replaced: what that one read before then is
+    /// all that lets it grant. One that granted again since has another last row.
+    replaced_since: HashMap<Earlier, Timestamp>,
     /// Revision of the row that made this host the granting one.
     named_at: Revision,
     /// Rows before this one don't let this host grant: it was told of its successor.
@@ -82,7 +83,7 @@
             evidence: Evidence::default(),
             others_until: Timestamp::ZERO,
             earlier: Vec::new(),
-            replaced_at: Revision::default(),
+            replaced_since: HashMap::new(),
             named_at: Revision::default(),
             not_before: Revision::default(),
             commit: None,
@@ -153,6 +154,9 @@
                 .iter()
                 .any(|p| p.owner == *up || p.former.contains(up))
         });
+        let known = std::mem::take(&mut self.replaced_since);
+        let since = |e: &Earlier| (e.clone(), known.get(e).copied().unwrap_or(now));
+        self.replaced_since = row.earlier.iter().map(since).collect();
         self.known = Some(Known {
             row,
             revision,
@@ -183,13 +187,16 @@
         };
         let mut row = known.row.clone();
         let replaced = std::mem::replace(&mut row.granter, self.me.clone());
+        let revision = known.revision;
         // What this run sent itself it knows.
-        row.earlier.retain(|run| *run != self.me);
-        if !is_over && !row.earlier.contains(&replaced) {
-            row.earlier.push(replaced);
+        row.earlier
+            .retain(|e| e.run != self.me && e.run != replaced);
+        if !is_over {
+            row.earlier.push(Earlier {
+                run: replaced,
+                last: revision,
+            });
         }
-        let revision = known.revision;
-        self.replaced_at = revision;
         self.propose(row, Some(revision), actions);
     }
 
@@ -202,29 +209,20 @@
         };
         self.earlier.clone_from(&known.row.earlier);
         self.named_at = known.revision;
-        let stops_in = if self.earlier.is_empty() {
-            Duration::ZERO
-        } else {
-            self.cfg.evidence.mul_f64(1.0 + self.cfg.drift)
-        };
-        self.others_until = now + stops_in + self.cfg.outlast();
+        let evidence = self.cfg.evidence.mul_f64(1.0 + self.cfg.drift);
+        let stopped = |e: &Earlier| self.replaced_since.get(e).copied().unwrap_or(now) + evidence;
+        let stopped = self.earlier.iter().map(stopped).max();
+        self.others_until = stopped.unwrap_or(now).max(now) + self.cfg.outlast();
         self.health.clear();
         self.plan_at = now + self.cfg.plan_every;
     }
 
     /// Returns earlier granting runs that are not known to be over.
     #[must_use]
-    pub fn earlier(&self) -> &[Run] {
+    pub fn earlier(&self) -> &[Earlier] {
         &self.earlier
     }
 
-    /// Returns the revision of the row that this host replaced: a run that was announced later is
-    /// another one than those that granted before.
-    #[must_use]
-    pub const fn replaced_at(&self) -> Revision {
-        self.replaced_at
-    }
-
     /// Returns the revision of the row that made this host the granting one.
     ///
     /// Earlier granting hosts that can't read the store are told of it, so that they stop.
@@ -250,19 +248,20 @@
         if !self.is_granter() {
             return;
         }
-        let over = |earlier: &&Run| {
-            let has_ended = earlier.incarnation != run.incarnation;
-            earlier.host == run.host && (has_ended || knows >= self.named_at)
+        let over = |earlier: &&Earlier| {
+            let has_ended = earlier.run.incarnation != run.incarnation;
+            earlier.run.host == run.host && (has_ended || knows >= self.named_at)
         };
-        let over: Vec<Run> = self.earlier.iter().filter(over).cloned().collect();
-        for earlier in over {
-            self.is_over(now, &earlier);
+        let over = self.earlier.iter().filter(over);
+        let over: Vec<Run> = over.map(|e| e.run.clone()).collect();
+        for run in over {
+            self.is_over(now, &run);
         }
     }
 
     /// Notes that an earlier granting run has surely ended or stopped.
     pub fn is_over(&mut self, now: Timestamp, run: &Run) {
-        self.earlier.retain(|r| r != run);
+        self.earlier.retain(|e| e.run != *run);
         if self.earlier.is_empty() {
             self.others_until = self.others_until.min(now + self.cfg.outlast());
         }
--- a/crates/assign/src/lib.rs
+++ b/crates/assign/src/lib.rs
@@ -37,6 +37,6 @@
 pub use owners::Owners;
 pub use plan::{Planner, UpstreamView};
 pub use range::{Fence, KeyRange};
-pub use row::{EntryRow, Piece, RowError, Run};
+pub use row::{Earlier, EntryRow, Piece, RowError, Run};
 pub use settings::AssignSettings;
 pub use succession::{Succession, SuccessionSettings, TakeOver, Word};
--- a/crates/assign/src/packed.rs
+++ b/crates/assign/src/packed.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::range::{Fence, KeyRange};
-use crate::row::{EntryRow, Piece, RowError, Run};
+use crate::row::{Earlier, EntryRow, Piece, RowError, Run};
 
 /// A row as it is written.
 #[derive(Debug)]
@@ -16,7 +16,7 @@
 pub(crate) struct PackedRow {
     granter: Run,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    earlier: Vec<Run>,
+    earlier: Vec<Earlier>,
     fence: Fence,
     /// Owners and former owners.
     upstreams: IndexSet<UpstreamId>,
--- a/crates/assign/src/row.rs
+++ b/crates/assign/src/row.rs
@@ -1,6 +1,6 @@
 //! The row of an entry in the platform's store.
 
-use ids::{HostId, Incarnation, UpstreamId};
+use ids::{HostId, Incarnation, Revision, UpstreamId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -17,6 +17,18 @@
     pub incarnation: Incarnation,
 }
 
+/// A run that granted before and may still do so, as it may not know that it was replaced.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Earlier {
+    /// The run.
+    #[serde(flatten)]
+    pub run: Run,
+    /// Revision of the last row by which it granted: a run of its host that was announced later is
+    /// another one.
+    pub last: Revision,
+}
+
 /// A range with its owner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Piece {
@@ -35,8 +47,8 @@
 pub struct EntryRow {
     /// The host that alone grants, renews and releases.
     pub granter: Run,
-    /// Runs that granted before and may still do so, as they may not know that they were replaced.
-    pub earlier: Vec<Run>,
+    /// Runs that granted before and are not known to be over.
+    pub earlier: Vec<Earlier>,
     /// The highest fence given out.
     pub fence: Fence,
     /// All keys, in order and without gaps.
--- a/crates/assign/src/succession.rs
+++ b/crates/assign/src/succession.rs
@@ -108,7 +108,7 @@
         self.heard = Some((now, word));
     }
 
-    /// Decides, at a host that can read the store.
+    /// Decides, at a host that has read the store for the time `reads_for`.
     ///
     /// `newest` is the run that the granting host announced since the row named it, if it did, and
     /// `patience` is drawn by each host, so that one comes first.
@@ -117,6 +117,7 @@
         &self,
         now: Timestamp,
         newest: Option<Incarnation>,
+        reads_for: Duration,
         patience: Duration,
     ) -> Option<TakeOver> {
         let granter = self.granter.as_ref()?;
@@ -130,9 +131,10 @@
         }
         let last = self.heard.map_or(self.since, |(at, _)| at);
         let silent = now.since(last) > self.cfg.silence + patience;
+        // After an outage for all, whoever reads first must not take the others for blind.
         let blind = self.heard.is_some_and(|(_, word)| {
-            word.evidence
-                .is_none_or(|age| age > self.cfg.blind + patience)
+            let too_old = |age: Duration| age.min(reads_for) > self.cfg.blind + patience;
+            word.evidence.map_or(reads_for > self.cfg.blind, too_old)
         });
         (silent || blind).then_some(TakeOver { is_over: false })
     }
--- a/crates/assign/tests/ownership/world/mod.rs
+++ b/crates/assign/tests/ownership/world/mod.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use assign::{
-    Action, AssignSettings, CallEnd, CallKind, CommitEnd, EntryRow, Fence, Keeper, KeyLoads,
-    OrderCall, Planner, Run, Standing, UpstreamView,
+    Action, AssignSettings, CallEnd, CallKind, CommitEnd, Earlier, EntryRow, Fence, Keeper,
+    KeyLoads, OrderCall, Planner, Run, Standing, UpstreamView,
 };
 use ids::{HostId, Incarnation, Revision, Timestamp, UpstreamId};
 use rand::Rng as _;
@@ -380,7 +380,10 @@
             return;
         }
         let revision = keeper.named_at();
-        let index = |run: &Run| self.hosts.iter().position(|o| o.run.host == run.host);
+        let index = |e: &Earlier| {
+            let mut hosts = self.hosts.iter();
+            hosts.position(|o| o.run.host == e.run.host)
+        };
         let earlier = keeper.earlier().iter().filter_map(index);
         let told: Vec<usize> = earlier.filter(|&o| self.hear_each_other(h, o)).collect();
         for host in told {
--- a/crates/assign/tests/succession.rs
+++ b/crates/assign/tests/succession.rs
@@ -19,6 +19,8 @@
     heard: Option<(u64, u64, bool, Option<u64>)>,
     /// The run that its host announced since.
     announced: Option<u64>,
+    /// For how long the host that decides has read the store.
+    reads_for: u64,
     now: u64,
     decided: Option<bool>,
 }
@@ -28,6 +30,7 @@
         name: "a new granting host has time to speak",
         heard: None,
         announced: None,
+        reads_for: 60_000,
         now: 1_200,
         decided: None,
     },
@@ -35,6 +38,7 @@
         name: "one that never spoke is replaced, and may still grant",
         heard: None,
         announced: None,
+        reads_for: 60_000,
         now: 1_400,
         decided: Some(false),
     },
@@ -42,6 +46,7 @@
         name: "one that spoke lately stays",
         heard: Some((5_000, 5, false, Some(800))),
         announced: None,
+        reads_for: 60_000,
         now: 5_900,
         decided: None,
     },
@@ -49,6 +54,7 @@
         name: "one that fell silent is replaced",
         heard: Some((5_000, 5, false, Some(800))),
         announced: None,
+        reads_for: 60_000,
         now: 6_400,
         decided: Some(false),
     },
@@ -56,6 +62,23 @@
         name: "one that can't read the store is replaced by one that can",
         heard: Some((5_000, 5, false, Some(2_700))),
         announced: None,
+        reads_for: 60_000,
+        now: 5_100,
+        decided: Some(false),
+    },
+    Case {
+        name: "but not by one that can do so only since a moment, as after an outage for all",
+        heard: Some((5_000, 5, false, Some(8_000))),
+        announced: None,
+        reads_for: 2_000,
+        now: 5_100,
+        decided: None,
+    },
+    Case {
+        name: "one that still can't when others have for a while is replaced",
+        heard: Some((5_000, 5, false, Some(8_000))),
+        announced: None,
+        reads_for: 2_700,
         now: 5_100,
         decided: Some(false),
     },
@@ -63,6 +86,7 @@
         name: "one that stopped is surely over",
         heard: Some((5_000, 5, true, Some(800))),
         announced: None,
+        reads_for: 60_000,
         now: 5_100,
         decided: Some(true),
     },
@@ -70,6 +94,7 @@
         name: "one whose host announced another run is surely over",
         heard: Some((5_000, 5, false, Some(800))),
         announced: Some(6),
+        reads_for: 60_000,
         now: 5_100,
         decided: Some(true),
     },
@@ -77,6 +102,7 @@
         name: "also if that run has a lower number, as after its clock was set back",
         heard: None,
         announced: Some(3),
+        reads_for: 60_000,
         now: 100,
         decided: Some(true),
     },
@@ -84,6 +110,7 @@
         name: "another run that answers at its address tells the same",
         heard: Some((5_000, 7, false, Some(800))),
         announced: None,
+        reads_for: 60_000,
         now: 5_100,
         decided: Some(true),
     },
@@ -108,7 +135,10 @@
             succession.heard(at(ms), word);
         }
         let announced = case.announced.map(Incarnation);
-        let decided = succession.decide(at(case.now), announced, PATIENCE);
+        let decided = {
+            let reads_for = Duration::from_millis(case.reads_for);
+            succession.decide(at(case.now), announced, reads_for, PATIENCE)
+        };
         let wanted = case.decided.map(|is_over| TakeOver { is_over });
         assert_eq!(decided, wanted, "{}", case.name);
     }
--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -184,7 +184,7 @@
     let told = keeper
         .earlier()
         .iter()
-        .filter_map(|run| hosts.get(&run.host));
+        .filter_map(|e| hosts.get(&e.run.host));
     told.map(|host| {
         let notice = Beat {
             entry: entry.to_string(),
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use assign::{
-    Action, CallEnd, CallKind, CommitEnd, EntryRow, OrderCall, Run, Standing, SuccessionSettings,
-    UpstreamView,
+    Action, CallEnd, CallKind, CommitEnd, Earlier, EntryRow, OrderCall, Run, Standing,
+    SuccessionSettings, UpstreamView,
 };
 use direct::Roster;
 use ids::{BootClock, Clock, EntryId, HostId, Revision, Timestamp, UpstreamId};
@@ -50,6 +50,7 @@
     let patience = SuccessionSettings::default().patience(part, c.has_stronger());
     let may_move = c.store_settled(now) && c.freshness.is_fresh(now);
     let is_fresh = c.freshness.is_fresh(now);
+    let reads_for = c.store_since.map_or(Duration::ZERO, |s| now.since(s));
     let is_steady = now.since(c.roster_changed) > ROSTER_STEADY + patience;
     // Others can take over as soon as they hear of it. While the store is away they can't, and keys
     // are renewed until the end.
@@ -61,14 +62,14 @@
     for (entry, divided) in &mut c.divided {
         let mut actions = Vec::new();
         if is_fresh && c.phase != Phase::Leaving && (is_steady || divided.keeper.row().is_some()) {
-            take_over(
-                divided,
-                (&c.roster, entry),
-                &c.hosts,
-                now,
+            let outlook = Outlook {
+                hosts: &c.hosts,
+                reads_for,
                 patience,
-                &mut actions,
-            );
+            };
+            let ready = || ready(&c.roster, entry, &divided.services);
+            let first = (divided.keeper.row().is_none()).then(ready);
+            take_over(divided, first, now, &outlook, &mut actions);
         }
         divided.keeper.poll(now, &mut actions);
         if divided.keeper.may_plan(now) {
@@ -105,29 +106,39 @@
     roster.ready(entry).into_iter().map(view).collect()
 }
 
+/// What a host knows that may take the granting over.
+struct Outlook<'a> {
+    hosts: &'a IndexMap<HostId, KnownHost>,
+    /// For how long it has read the store.
+    reads_for: Duration,
+    patience: Duration,
+}
+
+/// Takes the granting over if there is a reason; `first` are the owners of an entry without a row.
 fn take_over(
     divided: &mut Divided,
-    (roster, entry): (&Roster, &EntryId),
-    hosts: &IndexMap<HostId, KnownHost>,
+    first: Option<Vec<UpstreamView>>,
     now: Timestamp,
-    patience: Duration,
+    outlook: &Outlook<'_>,
     actions: &mut Vec<Action>,
 ) {
     let keeper = &mut divided.keeper;
     let Some(granter) = keeper.row().map(|row| row.granter.clone()) else {
-        let ready = ready(roster, entry, &divided.services);
-        keeper.take_over(true, &ready, actions);
+        keeper.take_over(true, &first.unwrap_or_default(), actions);
         return;
     };
     // The run that a host announced after a revision.
     let announced = |run: &Run, after: Revision| {
-        let host = hosts.get(&run.host).filter(|h| h.at > after);
+        let host = outlook.hosts.get(&run.host).filter(|h| h.at > after);
         host.map(|h| h.row.run.incarnation)
     };
     if keeper.is_granter() {
-        let after = keeper.replaced_at();
-        let is_over = |run: &&Run| announced(run, after).is_some_and(|i| i != run.incarnation);
-        let over: Vec<Run> = keeper.earlier().iter().filter(is_over).cloned().collect();
+        let is_over = |e: &&Earlier| {
+            let announced = announced(&e.run, e.last);
+            announced.is_some_and(|i| i != e.run.incarnation)
+        };
+        let over = keeper.earlier().iter().filter(is_over);
+        let over: Vec<Run> = over.map(|e| e.run.clone()).collect();
         for run in over {
             keeper.is_over(now, &run);
         }
@@ -136,7 +147,9 @@
     let newest = keeper
         .revision()
         .and_then(|named| announced(&granter, named));
-    if let Some(reason) = divided.succession.decide(now, newest, patience) {
+    let (reads_for, patience) = (outlook.reads_for, outlook.patience);
+    let reason = divided.succession.decide(now, newest, reads_for, patience);
+    if let Some(reason) = reason {
         // Owners are those of the row.
         keeper.take_over(reason.is_over, &[], actions);
     }
