--- a/crates/assign/tests/ownership/main.rs
+++ b/crates/assign/tests/ownership/main.rs
@@ -116,6 +116,22 @@
         talk: Talk::Yes,
         unserved: &[(12.0, 0), (25.0, 0)],
     },
+    Case {
+        name: "one that granted again meanwhile is waited for from when it was replaced last",
+        troubles: &[
+            (Fault::TakeOver(1), 6.0, 0.1),
+            (Fault::HostWithoutStore(2), 8.0, 12.0),
+            (Fault::TakeOver(0), 9.0, 0.1),
+            (Fault::HostWithoutStore(0), 17.0, 60.0),
+            (Fault::HostWithoutUpstream(1, 2), 17.0, 60.0),
+            (Fault::HostWithoutUpstream(2, 2), 17.0, 60.0),
+            (Fault::TakeOver(1), 18.0, 0.1),
+            (Fault::HostRestarts(1), 21.5, 0.02),
+            (Fault::HostPaused(1), 21.5, 60.0),
+        ],
+        talk: Talk::No,
+        unserved: &[(20.0, 0), (45.0, 0)],
+    },
     Case {
         name: "one that can't hear of it is waited for",
         troubles: &[
