--- a/crates/assign/src/plan.rs
+++ b/crates/assign/src/plan.rs
@@ -44,6 +44,9 @@
     /// Each piece is a renewal every 750 ms and some 20 bytes of the row, whose size the store
     /// limits; a stretch of hot keys is spread well with three.
     pub pieces_each: usize,
+    /// The same for the whole row: at 21 bytes each and 15 for each upstream, 64 KiB hold these and
+    /// the names of 1,100 upstreams, with a quarter to spare for ranges that are moving.
+    pub pieces_all: usize,
 }
 
 impl Default for Planner {
@@ -53,6 +56,7 @@
             idle: 0.4,
             moves: 0.15,
             pieces_each: 4,
+            pieces_all: 1_600,
         }
     }
 }
@@ -114,7 +118,8 @@
 
     /// Returns how many pieces may be added to the row.
     pub(crate) fn room(&self, row: &EntryRow, ups: &[UpstreamView]) -> usize {
-        (self.pieces_each * ups.len()).saturating_sub(row.pieces.len())
+        let most = (self.pieces_each * ups.len()).min(self.pieces_all);
+        most.saturating_sub(row.pieces.len())
     }
 }
 
