--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -101,8 +101,12 @@
     #[arg(long, default_value = "127.0.0.1:8080")]
     pub(crate) listen: SocketAddr,
     /// Print the addresses as one JSON line.
-    #[arg(long)]
+    #[arg(long, conflicts_with = "platform")]
     pub(crate) json: bool,
+    /// Run hosts that send to upstreams themselves, as they are deployed on the users' platform;
+    /// `--listen` is the first one's loopback address, and the others have those behind it.
+    #[arg(long, conflicts_with_all = ["example", "catalogue"])]
+    pub(crate) platform: bool,
 }
 
 /// Arguments of `check`.
--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -17,7 +17,7 @@
 use tokio::runtime::Runtime;
 
 use crate::args::{DevArgs, Example};
-use crate::{exit, serve};
+use crate::{dev_platform, exit, serve};
 
 /// Operator who applies the declarations; it may change all of them.
 const OPERATOR: &str = "dev";
@@ -48,6 +48,12 @@
 
 /// Runs everything until it is interrupted.
 pub(crate) fn run(args: &DevArgs) -> ExitCode {
+    if args.platform {
+        return match dev_platform::run(args) {
+            Ok(()) => ExitCode::from(exit::OK),
+            Err(e) => exit::fail(exit::FAILED, format!("{e:#}")),
+        };
+    }
     let dir = directory(args);
     let catalogue = match catalogue::load(&dir) {
         Ok(catalogue) => catalogue,
--- /dev/null
+++ b/crates/cli/src/dev_platform.rs
@@ -0,0 +1,184 @@
+//! `medlardyke dev --platform`: the form in which the product is deployed, on loopback.
+//!
+//! The stand-in plays the platform's store and the upstreams; entry hosts are processes of this
+//! program with the settings that the deployed template renders.
+
+use std::fs::{self, File};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use anyhow::Context as _;
+use standin::fleet::deploy::{Node, configuration, render};
+use standin::fleet::{FleetStore, FleetTarget, Journal, TargetSettings};
+use tokio::runtime::Runtime;
+
+use crate::args::DevArgs;
+use crate::serve;
+
+/// The settings template that is deployed.
+const TEMPLATE: &str = include_str!("../../../deploy/settings.json");
+/// Entry hosts; each has a loopback address of its own.
+const HOSTS: u8 = 3;
+/// Upstreams of the entry that is divided by key, and of the other one.
+const READS: usize = 3;
+const POSTS: usize = 2;
+/// Ports of each host beside the one for callers.
+const READY_PORT: u16 = 8_081;
+const INTERNAL_PORTS: [u16; 2] = [8_082, 8_083];
+/// Longest wait that the operator allows, in seconds.
+const TIMEOUT_S: f64 = 4.0;
+/// Longest time until a key is served.
+const READY_WITHIN: Duration = Duration::from_secs(20);
+const ASK_EVERY: Duration = Duration::from_millis(100);
+
+/// Entry hosts that are killed when this is dropped.
+#[derive(Debug)]
+struct Hosts(Vec<Child>);
+
+impl Drop for Hosts {
+    fn drop(&mut self) {
+        for host in &mut self.0 {
+            // One that has ended by itself needs no kill.
+            if host.kill().is_ok() {
+                let _ = host.wait();
+            }
+        }
+    }
+}
+
+/// Runs everything until it is interrupted.
+pub(crate) fn run(args: &DevArgs) -> anyhow::Result<()> {
+    // Whoever is told to stop from here on still ends the hosts.
+    let stop = serve::Stop::watch()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    let (store, _upstreams) = runtime.block_on(start_platform())?;
+    let dir = std::env::temp_dir().join(format!("medlardyke-dev-{}", std::process::id()));
+    fs::create_dir_all(&dir).with_context(|| format!("create {}", dir.display()))?;
+    let began = Instant::now();
+    let mut hosts = Hosts(Vec::new());
+    let first = args.listen;
+    for callers in addresses(first)? {
+        hosts.0.push(start_host(&runtime, &store, &dir, callers)?);
+    }
+    wait_until_served(&runtime, first, &mut hosts)?;
+    println!("platform stand-in at {}", store.address());
+    println!(
+        "{HOSTS} entry hosts from {first} on; logs in {}",
+        dir.display()
+    );
+    println!(
+        "metrics at http://{}:{}/metrics",
+        first.ip(),
+        INTERNAL_PORTS[1]
+    );
+    println!(
+        "ready after {} ms; try:\n\n  curl -i -H 'host: reads.example' -H 'medlardyke-shard-key: 7' \
+         -H 'medlardyke-request-id: mine' http://{first}/r/x\n",
+        began.elapsed().as_millis()
+    );
+    println!("Ctrl-C ends it.");
+    stop.wait();
+    Ok(())
+}
+
+/// Returns the callers' addresses of the hosts: loopback addresses one after the other.
+fn addresses(first: SocketAddr) -> anyhow::Result<Vec<SocketAddr>> {
+    let IpAddr::V4(ip) = first.ip() else {
+        anyhow::bail!("--listen: {first}: must be an IPv4 address");
+    };
+    let [.., last] = ip.octets();
+    anyhow::ensure!(
+        ip.is_loopback() && last < u8::MAX - HOSTS && first.port() != 0,
+        "--listen: {first}: must be a loopback address with a port and room for {HOSTS} hosts"
+    );
+    let at = |i| SocketAddr::new(IpAddr::V4(Ipv4Addr::from(u32::from(ip) + i)), first.port());
+    Ok((0..u32::from(HOSTS)).map(at).collect())
+}
+
+async fn start_platform() -> anyhow::Result<(FleetStore, Vec<FleetTarget>)> {
+    let store = FleetStore::start().await?;
+    store.put("op", "config", &configuration(1, TIMEOUT_S, "posts"));
+    let journal = Journal::default();
+    let mut upstreams = Vec::new();
+    for i in 0..READS + POSTS {
+        let is_divided = i < READS;
+        let settings = TargetSettings {
+            service: if is_divided { "reads" } else { "posts" }.into(),
+            is_divided,
+            ..TargetSettings::default()
+        };
+        upstreams.push(FleetTarget::start(&store, &journal, settings).await?);
+    }
+    Ok((store, upstreams))
+}
+
+fn start_host(
+    runtime: &Runtime,
+    store: &FleetStore,
+    dir: &Path,
+    callers: SocketAddr,
+) -> anyhow::Result<Child> {
+    let _entered = runtime.enter();
+    let name = format!("host-{}", callers.ip());
+    let node = Node {
+        name: &name.replace('.', "-"),
+        zone: "dev",
+        callers,
+        ready: READY_PORT,
+        internal: INTERNAL_PORTS,
+        store: store.listen_at(callers.ip())?,
+    };
+    let settings = render(TEMPLATE, &node).map_err(anyhow::Error::msg)?;
+    let path = dir.join(format!("{name}.json"));
+    fs::write(&path, settings).with_context(|| format!("write {}", path.display()))?;
+    spawn(&path, &dir.join(format!("{name}.log")))
+}
+
+fn spawn(settings: &PathBuf, log: &Path) -> anyhow::Result<Child> {
+    let log = File::create(log).with_context(|| format!("create {}", log.display()))?;
+    let program = std::env::current_exe().context("find this program")?;
+    let host = Command::new(program)
+        .args(["direct", "--settings"])
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stderr(log.try_clone()?)
+        .stdout(log)
+        .spawn();
+    host.context("start a host")
+}
+
+fn wait_until_served(runtime: &Runtime, host: SocketAddr, hosts: &mut Hosts) -> anyhow::Result<()> {
+    let began = Instant::now();
+    loop {
+        let status = runtime.block_on(ask(host));
+        if matches!(status, Ok(status) if status.is_success()) {
+            return Ok(());
+        }
+        for child in &mut hosts.0 {
+            let ended = child.try_wait()?;
+            anyhow::ensure!(ended.is_none(), "a host ended: {ended:?}");
+        }
+        anyhow::ensure!(
+            began.elapsed() < READY_WITHIN,
+            "no answer within {} s; last: {status:?}",
+            READY_WITHIN.as_secs()
+        );
+        std::thread::sleep(ASK_EVERY);
+    }
+}
+
+async fn ask(host: SocketAddr) -> anyhow::Result<http::StatusCode> {
+    let req = http::Request::get("/r/first")
+        .header("host", "reads.example")
+        .header("medlardyke-request-id", "first")
+        .header("medlardyke-shard-key", "7")
+        .body(http_body_util::Full::new(bytes::Bytes::new()))?;
+    let protocol = standin::client::Protocol::Http1;
+    let mut conn = standin::client::Connection::open(host, protocol).await?;
+    Ok(conn.send(req).await?.status())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod check;
 mod dev;
+mod dev_platform;
 mod direct;
 mod exit;
 mod explain;
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -8,7 +8,8 @@
 use ids::HostId;
 use platform::Token;
 use serde::Serialize;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::args::ServeArgs;
 use crate::exit;
@@ -75,16 +76,38 @@
 
 /// Waits for SIGTERM or SIGINT.
 pub(crate) fn wait_for_signal() -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(async {
-        let mut term = signal(SignalKind::terminate())?;
-        let mut int = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
-        Ok(())
-    })
+    Stop::watch()?.wait();
+    Ok(())
+}
+
+/// SIGTERM and SIGINT, which end the process no more by themselves.
+#[derive(Debug)]
+pub(crate) struct Stop {
+    runtime: Runtime,
+    term: Signal,
+    int: Signal,
+}
+
+impl Stop {
+    /// Begins to watch for them.
+    pub(crate) fn watch() -> anyhow::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let entered = runtime.enter();
+        let term = signal(SignalKind::terminate())?;
+        let int = signal(SignalKind::interrupt())?;
+        drop(entered);
+        Ok(Self { runtime, term, int })
+    }
+
+    /// Waits for one of them, also one that came since the watch began.
+    pub(crate) fn wait(mut self) {
+        self.runtime.block_on(async {
+            tokio::select! {
+                _ = self.term.recv() => {}
+                _ = self.int.recv() => {}
+            }
+        });
+    }
 }
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -1,10 +1,12 @@
 //! Help, exit codes, and what is said of bad input.
 
 use std::fs;
+use std::io::{BufRead, BufReader};
 use std::process::{Command, Output, Stdio};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
 /// Longest time for a command, also on a busy machine.
@@ -249,3 +251,25 @@
     assert_eq!(output.status.code(), Some(1), "{err}");
     assert!(err.contains("MEDLARDYKE_HOST_TOKEN"), "{err}");
 }
+
+/// The deployed form serves its printed request on loopback, and ends on SIGINT.
+#[test]
+fn dev_runs_the_deployed_form() {
+    // An address that other tests of this machine don't use.
+    let process = std::process::id();
+    let listen = format!("127.{}.{}.1:8080", 220 + process / 250 % 30, process % 250);
+    let mut dev = Command::new(env!("CARGO_BIN_EXE_medlardyke"))
+        .args(["dev", "--platform", "--listen", &listen])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program runs");
+    let out = BufReader::new(dev.stdout.take().expect("piped"));
+    let lines = out.lines().map(|line| line.expect("text"));
+    let said: Vec<String> = lines.take_while(|l| !l.contains("Ctrl-C")).collect();
+    let pid = Pid::from_child(&dev);
+    kill_process(pid, Signal::INT).expect("it runs");
+    let code = dev.wait().expect("it ends").code();
+    assert_eq!(code, Some(0), "{said:?}");
+    let curl = said.iter().find(|l| l.contains("curl -i"));
+    assert!(curl.is_some_and(|l| l.contains(&listen)), "{said:?}");
+}
--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -7,8 +7,9 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use rig::{Ask, Got, Rig, configuration, promises_not_run, send, until};
+use rig::{Ask, Got, Rig, promises_not_run, send, until};
 use rustix::process::Signal;
+use standin::fleet::deploy::configuration;
 use standin::fleet::{Ran, StoreMode, TargetSettings, TargetTrouble};
 
 /// Time within which a configuration must be in force everywhere.
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -12,7 +12,7 @@
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use serde_json::{Value, json};
+use standin::fleet::deploy::{Node, configuration, render};
 use standin::fleet::{FleetStore, FleetTarget, Journal, TargetSettings};
 use tempfile::TempDir;
 use tokio::net::TcpStream;
@@ -138,33 +138,6 @@
     })
 }
 
-/// The operator's configuration.
-pub fn configuration(version: u64, post_timeout_s: f64, post_service: &str) -> Value {
-    json!({
-        "version": format!("{version:08x}"),
-        "routes": {
-            "columns": ["name", "host", "prefix", "route_kind", "timeout_s", "aim_s", "priority",
-                "split", "max_attempts", "service"],
-            "rows": [
-                ["reads", "reads.example", "/r/", "safe", 4.0, 0.6, 1, null, 2, "reads"],
-                ["posts", "posts.example", "/p/", "unsafe", post_timeout_s, 0.8, 0, null, 2,
-                    post_service],
-            ],
-        },
-        "services": {
-            "columns": ["name", "health_path", "max_connections", "protocol", "tls", "sharded",
-                "warm_s", "grants"],
-            "rows": [
-                ["reads", "/healthz", 130, "h1", false, true, 2.0, "invoke"],
-                ["posts", "/healthz", 130, "h1", false, null, null, null],
-                ["other", "/healthz", 130, "h1", false, null, null, null],
-            ],
-        },
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576, "header_timeout_s": 3,
-            "idle_timeout_s": 15},
-    })
-}
-
 impl Rig {
     /// Starts everything and waits until each host serves both routes.
     pub async fn start(hosts: usize) -> Self {
@@ -226,11 +199,19 @@
     }
 
     fn spawn(&self, i: usize, ip: &str, ports: [u16; 4]) -> Host {
-        let [callers, ready, _peers, metrics] = ports;
+        let [callers, ready, peers, metrics] = ports;
         let path = self.dir.path().join(format!("host-{i}.json"));
         let own = ip.parse().expect("an address");
         let store = self.store.listen_at(own).expect("an address of the store");
-        fs::write(&path, Self::settings(i, ip, ports, store)).expect("settings");
+        let node = Node {
+            name: &format!("host-{i}"),
+            zone: "a",
+            callers: SocketAddr::new(own, callers),
+            ready,
+            internal: [peers, metrics],
+            store,
+        };
+        fs::write(&path, render(TEMPLATE, &node).expect("settings")).expect("a file");
         let log = fs::OpenOptions::new()
             .append(true)
             .create(true)
@@ -258,36 +239,6 @@
         self.dir.path().join(format!("host-{i}.log"))
     }
 
-    /// Renders the template as the platform does.
-    fn settings(i: usize, ip: &str, ports: [u16; 4], store: SocketAddr) -> String {
-        let [callers, ready, peers, metrics] = ports;
-        let values = [
-            ("node", format!("host-{i}")),
-            ("zone", "a".to_owned()),
-            ("limits.cpu_share", "0.2".to_owned()),
-            ("limits.cores", "1".to_owned()),
-            ("ip", ip.to_owned()),
-            ("listen.front", format!("{ip}:{callers}")),
-            ("listen.ready", format!("{ip}:{ready}")),
-            ("internal_ports.0", peers.to_string()),
-            ("internal_ports.1", metrics.to_string()),
-            ("platform.address", store.to_string()),
-            ("bounds.budget_ratio", "0.2".to_owned()),
-            ("bounds.budget_slack", "62".to_owned()),
-            ("bounds.budget_window_s", "10".to_owned()),
-            ("bounds.grace_s", "6".to_owned()),
-        ];
-        let mut text = TEMPLATE.to_owned();
-        for (name, value) in values {
-            text = text.replace(&format!("{{{{{name}}}}}"), &value);
-        }
-        assert!(
-            !text.contains("{{"),
-            "a placeholder without a value: {text}"
-        );
-        text
-    }
-
     async fn until_serving(&self, host: usize) {
         let began = Instant::now();
         for n in 0.. {
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -1,10 +1,12 @@
 //! The users' platform by its published protocol: its metadata store, and servers that take fenced
 //! grants of key ranges.
 //!
+//! - [`deploy`]: what a process starts with.
 //! - [`store`]: the store and its faults.
 //! - [`keys`]: which keys a server holds.
 //! - [`target`]: a server, its faults, and what it wrote down of the requests that it ran.
 
+pub mod deploy;
 pub mod keys;
 pub mod store;
 pub mod target;
