direct: what can't be answered within its objective is refused where it would have to wait

Change: a request that would have to wait goes to an upstream only if it is expected within nine tenths of its objective; less urgent ones within the part of that which is not kept for urgent ones; urgent ones are not kept out by others. Up to 1.5 requests a slot are always admitted, so that slots stay busy.

--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -34,6 +34,14 @@
     /// At twice the load, a quarter of it urgent, nine tenths of the urgent requests are served in
     /// place of half of them, and as many requests as before in all.
     pub kept_for_urgent: f64,
+    /// Part of its objective within which a request that has to wait must be expected to be answered.
+    ///
+    /// At twice the load upstreams are as busy with a short queue as with a long one, but 95 % of the
+    /// answers are in time in place of a fifth to a third.
+    pub objective_part: f64,
+    /// Requests at an upstream for each of its slots up to which a further one always goes there: a
+    /// queue that keeps the slots busy between two looks.
+    pub crowd_min: f64,
 }
 
 impl Default for ChooseSettings {
@@ -44,20 +52,25 @@
             failing_price: 4.0,
             crowd_max: 3.5,
             kept_for_urgent: 0.25,
+            objective_part: 0.9,
+            crowd_min: 1.5,
         }
     }
 }
 
 impl ChooseSettings {
-    /// Returns the most requests at an upstream, for each of its slots, that let a further one in;
-    /// `is_outranked` tells whether more urgent ones go there as well.
+    /// Tells whether a request may go to an upstream that has `crowd` requests for each of its slots
+    /// and is `expected` to answer after so many seconds.
     #[must_use]
-    pub fn limit(&self, is_outranked: bool) -> f64 {
-        if is_outranked {
-            self.crowd_max * (1.0 - self.kept_for_urgent)
-        } else {
-            self.crowd_max
-        }
+    pub fn admits(&self, crowd: f64, expected: f64, wanted: &Wanted) -> bool {
+        let part = match wanted.rank {
+            Rank::Alone | Rank::Urgent => 1.0,
+            Rank::Outranked => 1.0 - self.kept_for_urgent,
+        };
+        // Urgent ones are not kept out by less urgent ones that came first.
+        let in_time = wanted.objective.as_secs_f64() * self.objective_part * part;
+        let may_wait = wanted.rank == Rank::Urgent || expected <= in_time;
+        crowd < self.crowd_min || (crowd < self.crowd_max * part && may_wait)
     }
 }
 
@@ -95,6 +108,17 @@
     None,
 }
 
+/// How urgent a request is among those that go to the same upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rank {
+    /// All are as urgent.
+    Alone,
+    /// None is more urgent, and some are less.
+    Urgent,
+    /// Some are more urgent.
+    Outranked,
+}
+
 /// What is chosen for.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted {
@@ -102,8 +126,8 @@
     pub objective: Duration,
     /// The entry's mean service time, in seconds.
     pub usual: f64,
-    /// Whether more urgent requests go to the same upstreams.
-    pub is_outranked: bool,
+    /// How urgent it is.
+    pub rank: Rank,
 }
 
 /// Chooses among `candidates`.
@@ -119,7 +143,6 @@
     let Wanted {
         objective, usual, ..
     } = wanted;
-    let limit = cfg.limit(wanted.is_outranked);
     let remote = objective.as_secs_f64() * cfg.remote_price;
     let connect = objective.as_secs_f64() * cfg.connect_price;
     let mut best: Option<(bool, f64, K, f64)> = None;
@@ -129,7 +152,7 @@
         if c.is_cold {
             expected *= load.cold_factor;
         }
-        if c.load.crowd(now, load) >= limit {
+        if !cfg.admits(c.load.crowd(now, load), expected, &wanted) {
             room_in = room_in.min(c.load.service().unwrap_or(usual));
             continue;
         }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod roster;
 pub mod routes;
 
-pub use choose::{Candidate, Choice, ChooseSettings, Wanted, choose};
+pub use choose::{Candidate, Choice, ChooseSettings, Rank, Wanted, choose};
 pub use config::{CallerBounds, Configuration, EntrySpec, Route, Share};
 pub use load::{LoadReport, LoadSettings, Sent, UpstreamLoad};
 pub use repeat::{Ended, Next, RepeatSettings, Tries};
--- a/crates/direct/src/routes.rs
+++ b/crates/direct/src/routes.rs
@@ -5,6 +5,7 @@
 use ids::{Arena, EntryId, arena_key};
 use smol_str::SmolStr;
 
+use crate::choose::Rank;
 use crate::config::{Configuration, Route};
 
 arena_key! {
@@ -18,8 +19,8 @@
     routes: Arena<RouteKey, Route>,
     /// Routes of each host, the longest prefix first.
     by_host: HashMap<SmolStr, Vec<RouteKey>>,
-    /// The most urgent priority of the routes to each entry.
-    most_urgent: HashMap<EntryId, u32>,
+    /// The most and the least urgent priority of the routes to each entry.
+    priorities: HashMap<EntryId, (u32, u32)>,
 }
 
 impl RouteTable {
@@ -29,9 +30,11 @@
         let mut table = Self::default();
         for route in &cfg.routes {
             for share in &route.shares {
-                let entry = table.most_urgent.entry(share.entry.clone());
-                let most = entry.or_insert(route.priority);
-                *most = route.priority.min(*most);
+                let priority = route.priority;
+                let known = table.priorities.entry(share.entry.clone());
+                let (most, least) = known.or_insert((priority, priority));
+                *most = priority.min(*most);
+                *least = priority.max(*least);
             }
             let host = route.host.clone();
             let key = table.routes.push(route.clone());
@@ -68,11 +71,14 @@
         &self.routes[key]
     }
 
-    /// Tells whether a more urgent route than `route` uses `entry` as well.
+    /// Returns how urgent requests of `route` are among those that go to `entry`.
     #[must_use]
-    pub fn is_outranked(&self, route: &Route, entry: &EntryId) -> bool {
-        let most = self.most_urgent.get(entry);
-        most.is_some_and(|&most| most < route.priority)
+    pub fn rank(&self, route: &Route, entry: &EntryId) -> Rank {
+        match self.priorities.get(entry) {
+            Some(&(most, _)) if most < route.priority => Rank::Outranked,
+            Some(&(_, least)) if route.priority < least => Rank::Urgent,
+            _ => Rank::Alone,
+        }
     }
 
     /// Iterates over all routes.
--- a/crates/direct/tests/choose.rs
+++ b/crates/direct/tests/choose.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use direct::{
-    Candidate, Choice, ChooseSettings, LoadReport, LoadSettings, UpstreamLoad, Wanted, choose,
+    Candidate, Choice, ChooseSettings, LoadReport, LoadSettings, Rank, UpstreamLoad, Wanted, choose,
 };
 use ids::Timestamp;
 
@@ -11,7 +11,7 @@
 const WANTED: Wanted = Wanted {
     objective: OBJECTIVE,
     usual: 0.1,
-    is_outranked: false,
+    rank: Rank::Alone,
 };
 
 fn at(ms: u64) -> Timestamp {
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -16,8 +16,8 @@
 
 use bytes::Bytes;
 use direct::{
-    ChooseSettings, Ended, LoadSettings, Next, Registered, RepeatSettings, Route, Splitter, Tries,
-    UpstreamLoad,
+    ChooseSettings, Ended, LoadSettings, Next, Rank, Registered, RepeatSettings, Route, Splitter,
+    Tries, UpstreamLoad,
 };
 use gate::Metrics;
 use gate::counters::Count;
@@ -83,8 +83,8 @@
     route: Route,
     entry: EntryId,
     is_divided: bool,
-    /// More urgent requests go to the same entry.
-    is_outranked: bool,
+    /// How urgent it is among the requests of its entry.
+    rank: Rank,
     arrived: Timestamp,
     deadline: Timestamp,
     /// The last answer by which an upstream said that it failed.
@@ -276,7 +276,7 @@
             parts,
             body,
             asked,
-            is_outranked: in_force.routes.is_outranked(&route, &entry),
+            rank: in_force.routes.rank(&route, &entry),
             route,
             entry,
             is_divided,
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -61,11 +61,7 @@
                 is_connected: self.connections.has(now, &up.id),
             })
         });
-        let wanted = Wanted {
-            objective: job.route.objective,
-            usual,
-            is_outranked: job.is_outranked,
-        };
+        let wanted = wanted(job, usual);
         let (load, cfg) = (&self.load_cfg, &self.choose_cfg);
         match choose(now, wanted, candidates, load, cfg) {
             Choice::Chosen { key, expected } => {
@@ -104,8 +100,9 @@
         }
         let expected = load.expected(now, usual, &self.load_cfg);
         let left = job.deadline.since(now).as_secs_f64();
-        let limit = self.choose_cfg.limit(job.is_outranked);
-        if load.crowd(now, &self.load_cfg) >= limit || expected > left {
+        let crowd = load.crowd(now, &self.load_cfg);
+        let is_admitted = self.choose_cfg.admits(crowd, expected, &wanted(job, usual));
+        if !is_admitted || expected > left {
             let room_in = load.service().unwrap_or(usual);
             let room_in = Duration::from_secs_f64(room_in);
             return Pick::Refuse(come_back(Reason::QueueFull, room_in), Some(up.clone()));
@@ -132,3 +129,11 @@
         entries.get(entry).map_or(USUAL_SERVICE, |e| e.service)
     }
 }
+
+fn wanted(job: &Job, usual: f64) -> Wanted {
+    Wanted {
+        objective: job.route.objective,
+        usual,
+        rank: job.rank,
+    }
+}
