--- a/crates/assign/tests/ownership/costs.rs
+++ b/crates/assign/tests/ownership/costs.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::world::{Fault, Talk, Trouble, World};
+use assign::AssignSettings;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -174,3 +175,93 @@
         );
     }
 }
+
+/// Times without a holder and calls, by the length of a hold.
+struct Hold {
+    seconds: f64,
+    /// Whether keys stay held when the granting host is lost and replaced as late as may be.
+    outlives_granter: bool,
+    /// Longest time for which a key of a lost upstream may have no holder, in seconds.
+    longest: f64,
+    /// Most orders a second while all is quiet.
+    orders: f64,
+}
+
+const HOLDS: &[Hold] = &[
+    Hold {
+        seconds: 2.0,
+        outlives_granter: false,
+        longest: 2.5,
+        orders: 21.0,
+    },
+    Hold {
+        seconds: 3.0,
+        outlives_granter: true,
+        longest: 3.5,
+        orders: 14.0,
+    },
+    Hold {
+        seconds: 4.0,
+        outlives_granter: true,
+        longest: 4.5,
+        orders: 11.0,
+    },
+    Hold {
+        seconds: 6.0,
+        outlives_granter: true,
+        longest: 6.7,
+        orders: 8.0,
+    },
+];
+
+/// Longest time from the loss of the granting host to its successor's first renewals: its silence,
+/// all patience and a commit.
+const REPLACED_AFTER: f64 = 1.2 + 0.6 + 0.1;
+
+fn play(faults: &[(Fault, f64, f64)], hold: f64, seed: u64) -> World {
+    let trouble = |&(fault, at, lasts): &(Fault, f64, f64)| Trouble {
+        fault,
+        at: Duration::from_secs_f64(at),
+        lasts: Duration::from_secs_f64(lasts),
+    };
+    let cfg = AssignSettings {
+        hold: Duration::from_secs_f64(hold),
+        renew_every: Duration::from_secs_f64(hold / 4.0),
+        ..AssignSettings::default()
+    };
+    let troubles = faults.iter().map(trouble).collect();
+    let rng = StdRng::seed_from_u64(seed);
+    let mut world = World::with_settings(HOSTS, UPSTREAMS, troubles, rng, Talk::Yes, cfg);
+    let settled = Duration::from_secs_f64(SETTLED);
+    world.run(settled).expect("settled");
+    world.tally_from_here();
+    let end = settled + Duration::from_secs_f64(COUNTED);
+    world.run(end).expect("one holder");
+    world
+}
+
+/// The hold is the shortest one that outlives a change of the granting host.
+#[test]
+fn a_hold_is_as_short_as_it_may_be() {
+    println!("hold | lost upstream, longest (s) | lost granting host, longest (s) | orders/s");
+    let longest = |faults: &[(Fault, f64, f64)], hold| {
+        let worst = (0..SEEDS / 4).map(|seed| play(faults, hold, seed).tally().unserved());
+        worst.filter_map(|hit| hit.last().copied()).max()
+    };
+    for hold in HOLDS {
+        let lost = longest(&[(Fault::UpstreamDown(1), 6.0, 60.0)], hold.seconds);
+        let replaced = (Fault::TakeOver(1), 6.0 + REPLACED_AFTER, 0.1);
+        let granter = longest(&[(Fault::HostPaused(0), 6.0, 60.0), replaced], hold.seconds);
+        let orders = f64::from(play(&[], hold.seconds, 1).tally().orders) / COUNTED;
+        let [lost, granter] = [lost, granter].map(|d| d.unwrap_or_default().as_secs_f64());
+        println!("{} | {lost:.2} | {granter:.2} | {orders:.1}", hold.seconds);
+        assert!(lost <= hold.longest, "{} s: {lost}", hold.seconds);
+        assert_eq!(
+            granter == 0.0,
+            hold.outlives_granter,
+            "{}: {granter}",
+            hold.seconds
+        );
+        assert!(orders <= hold.orders, "{} s: {orders}", hold.seconds);
+    }
+}
--- a/crates/assign/tests/ownership/world/mod.rs
+++ b/crates/assign/tests/ownership/world/mod.rs
@@ -215,6 +215,18 @@
         talk: Talk,
     ) -> Self {
         let cfg = AssignSettings::default();
+        Self::with_settings(hosts, upstreams, troubles, rng, talk, cfg)
+    }
+
+    /// Builds a world with other times.
+    pub fn with_settings(
+        hosts: usize,
+        upstreams: usize,
+        troubles: Vec<Trouble>,
+        rng: StdRng,
+        talk: Talk,
+        cfg: AssignSettings,
+    ) -> Self {
         let host = |i| Self::host(i, 1, cfg);
         Self {
             now: Duration::ZERO,
