--- a/crates/assign/tests/ownership/costs.rs
+++ b/crates/assign/tests/ownership/costs.rs
@@ -129,20 +129,8 @@
         let mut unserved: Vec<Duration> = Vec::new();
         let (mut moved, mut orders, mut commits) = (0.0, 0, 0);
         for seed in 0..SEEDS {
-            let trouble = |&(fault, at, lasts): &(Fault, f64, f64)| Trouble {
-                fault,
-                at: Duration::from_secs_f64(at),
-                lasts: Duration::from_secs_f64(lasts),
-            };
-            let troubles = case.faults.iter().map(trouble).collect();
-            let rng = StdRng::seed_from_u64(seed);
-            let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng, Talk::Yes);
-            world
-                .run(Duration::from_secs_f64(SETTLED))
-                .expect(case.name);
-            world.tally_from_here();
-            let end = Duration::from_secs_f64(SETTLED + COUNTED);
-            world.run(end).expect(case.name);
+            let hold = AssignSettings::default().hold.as_secs_f64();
+            let world = play(case.faults, hold, seed);
             assert_eq!(world.unserved(), 0, "{}: at the end", case.name);
             let tally = world.tally();
             unserved.extend(tally.unserved());
@@ -219,17 +207,12 @@
 const REPLACED_AFTER: f64 = 1.2 + 0.6 + 0.1;
 
 fn play(faults: &[(Fault, f64, f64)], hold: f64, seed: u64) -> World {
-    let trouble = |&(fault, at, lasts): &(Fault, f64, f64)| Trouble {
-        fault,
-        at: Duration::from_secs_f64(at),
-        lasts: Duration::from_secs_f64(lasts),
-    };
     let cfg = AssignSettings {
         hold: Duration::from_secs_f64(hold),
         renew_every: Duration::from_secs_f64(hold / 4.0),
         ..AssignSettings::default()
     };
-    let troubles = faults.iter().map(trouble).collect();
+    let troubles = Trouble::list(faults);
     let rng = StdRng::seed_from_u64(seed);
     let mut world = World::with_settings(HOSTS, UPSTREAMS, troubles, rng, Talk::Yes, cfg);
     let settled = Duration::from_secs_f64(SETTLED);
--- a/crates/assign/tests/ownership/main.rs
+++ b/crates/assign/tests/ownership/main.rs
@@ -149,12 +149,7 @@
 #[test]
 fn keys_have_a_holder_again_in_time() {
     for case in CASES {
-        let trouble = |&(fault, at, lasts): &(Fault, f64, f64)| Trouble {
-            fault,
-            at: seconds(at),
-            lasts: seconds(lasts),
-        };
-        let troubles = case.troubles.iter().map(trouble).collect();
+        let troubles = Trouble::list(case.troubles);
         let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(1), case.talk);
         for &(at, most) in case.unserved {
             world.run(seconds(at)).expect(case.name);
@@ -245,13 +240,8 @@
         (Fault::HostWithoutUpstream(1, 2), 5.5, 40.0),
         (Fault::HostWithoutUpstream(2, 2), 5.5, 40.0),
     ];
-    let trouble = |&(fault, at, lasts): &(Fault, f64, f64)| Trouble {
-        fault,
-        at: seconds(at),
-        lasts: seconds(lasts),
-    };
     for seed in 0..60 {
-        let troubles = case.iter().map(trouble).collect();
+        let troubles = Trouble::list(&case);
         let mut world = World::new(HOSTS, UPSTREAMS, troubles, rng(seed), Talk::No);
         assert_eq!(world.run(seconds(30.0)), Ok(()), "seed {seed}");
     }
--- a/crates/assign/tests/ownership/world/mod.rs
+++ b/crates/assign/tests/ownership/world/mod.rs
@@ -4,20 +4,24 @@
 //! fence than was seen for a key is refused, and a release is never refused. Calls may lose their
 //! answer, and may be carried out seconds after that.
 
+mod fault;
 mod tally;
+mod upstream;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use assign::{
-    Action, AssignSettings, CallEnd, CallKind, CommitEnd, Earlier, EntryRow, Fence, Keeper,
-    KeyLoads, OrderCall, Planner, Run, Standing, UpstreamView,
+    Action, AssignSettings, CallEnd, CommitEnd, Earlier, EntryRow, Keeper, KeyLoads, OrderCall,
+    Planner, Run, Standing, UpstreamView,
 };
-use ids::{HostId, Incarnation, Revision, Timestamp, UpstreamId};
+use ids::{HostId, Incarnation, Revision, Timestamp};
 use rand::Rng as _;
 use rand::rngs::StdRng;
 
+pub use self::fault::{Fault, Trouble};
 use self::tally::Tally;
+use self::upstream::{Upstream, key};
 
 /// Length of one step.
 pub const STEP: Duration = Duration::from_millis(20);
@@ -29,105 +33,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time between reads of the store.
 const READ_EVERY: Duration = Duration::from_millis(900);
-/// Part by which an upstream's clock runs slow.
-const SLOW_CLOCK: f64 = 0.02;
-
-/// Something that goes wrong.
-#[derive(Debug, Clone, Copy)]
-pub enum Fault {
-    /// A host does not reach the store.
-    HostWithoutStore(usize),
-    /// A host does not reach an upstream.
-    HostWithoutUpstream(usize, usize),
-    /// A host stands still.
-    HostPaused(usize),
-    /// A host ends, and begins again at once.
-    HostRestarts(usize),
-    /// A host takes over, for whatever reason.
-    TakeOver(usize),
-    /// An upstream takes nothing new.
-    UpstreamLeaves(usize),
-    /// An upstream ends, and another run of it begins when the fault is over.
-    UpstreamDown(usize),
-    /// The store does not answer anybody.
-    StoreDown,
-    /// Orders get no answer and are carried out late.
-    LateOrders,
-    /// Commits get no answer, and some are carried out late.
-    LostCommits,
-    /// Two hosts don't hear each other.
-    HostsApart(usize, usize),
-    /// Hosts that were replaced are asked, but not told.
-    NobodyTold,
-}
-
-/// A fault and its time.
-#[derive(Debug, Clone, Copy)]
-pub struct Trouble {
-    /// What goes wrong.
-    pub fault: Fault,
-    /// When it begins.
-    pub at: Duration,
-    /// How long it lasts.
-    pub lasts: Duration,
-}
-
-impl Trouble {
-    fn covers(&self, now: Duration) -> bool {
-        self.at <= now && now < self.at + self.lasts
-    }
-}
-
-#[derive(Debug)]
-struct Upstream {
-    id: UpstreamId,
-    is_up: bool,
-    held_until: [Timestamp; PROBES],
-    seen: [Fence; PROBES],
-}
-
-impl Upstream {
-    fn new(index: usize, life: u32) -> Self {
-        Self {
-            id: UpstreamId::new(format!("u{index}.{life}")).expect("a valid name"),
-            is_up: true,
-            held_until: [Timestamp::ZERO; PROBES],
-            seen: [Fence(0); PROBES],
-        }
-    }
-
-    fn carry_out(&mut self, call: &OrderCall, arrived: Timestamp, now: Timestamp) -> CallEnd {
-        let probes: Vec<usize> = (0..PROBES)
-            .filter(|&i| call.range.contains(key(i)))
-            .collect();
-        match call.kind {
-            CallKind::Grant { hold, .. } => {
-                if probes.iter().any(|&i| self.seen[i] > call.fence) {
-                    return CallEnd::Fenced;
-                }
-                let until = arrived + hold.mul_f64(1.0 + SLOW_CLOCK);
-                for i in probes {
-                    self.seen[i] = call.fence;
-                    self.held_until[i] = self.held_until[i].max(until);
-                }
-                CallEnd::Done { handover: None }
-            }
-            CallKind::Release => {
-                for i in probes {
-                    self.seen[i] = self.seen[i].max(call.fence);
-                    self.held_until[i] = now;
-                }
-                CallEnd::Done {
-                    handover: Some("warm".into()),
-                }
-            }
-        }
-    }
-}
-
-fn key(probe: usize) -> u16 {
-    (probe * (usize::from(u16::MAX) + 1) / PROBES) as u16
-}
 
 #[derive(Debug)]
 struct Host {
--- /dev/null
+++ b/crates/assign/tests/ownership/world/upstream.rs
@@ -0,0 +1,66 @@
+//! Upstreams that take fenced grants.
+
+use assign::{CallEnd, CallKind, Fence, OrderCall};
+use ids::{Timestamp, UpstreamId};
+
+use super::PROBES;
+
+/// Part by which an upstream's clock runs slow.
+const SLOW_CLOCK: f64 = 0.02;
+
+#[derive(Debug)]
+pub(super) struct Upstream {
+    pub(super) id: UpstreamId,
+    pub(super) is_up: bool,
+    pub(super) held_until: [Timestamp; PROBES],
+    pub(super) seen: [Fence; PROBES],
+}
+
+impl Upstream {
+    pub(super) fn new(index: usize, life: u32) -> Self {
+        Self {
+            id: UpstreamId::new(format!("u{index}.{life}")).expect("a valid name"),
+            is_up: true,
+            held_until: [Timestamp::ZERO; PROBES],
+            seen: [Fence(0); PROBES],
+        }
+    }
+
+    pub(super) fn carry_out(
+        &mut self,
+        call: &OrderCall,
+        arrived: Timestamp,
+        now: Timestamp,
+    ) -> CallEnd {
+        let probes: Vec<usize> = (0..PROBES)
+            .filter(|&i| call.range.contains(key(i)))
+            .collect();
+        match call.kind {
+            CallKind::Grant { hold, .. } => {
+                if probes.iter().any(|&i| self.seen[i] > call.fence) {
+                    return CallEnd::Fenced;
+                }
+                let until = arrived + hold.mul_f64(1.0 + SLOW_CLOCK);
+                for i in probes {
+                    self.seen[i] = call.fence;
+                    self.held_until[i] = self.held_until[i].max(until);
+                }
+                CallEnd::Done { handover: None }
+            }
+            CallKind::Release => {
+                for i in probes {
+                    self.seen[i] = self.seen[i].max(call.fence);
+                    self.held_until[i] = now;
+                }
+                CallEnd::Done {
+                    handover: Some("warm".into()),
+                }
+            }
+        }
+    }
+}
+
+/// Returns a key that is looked at.
+pub(super) fn key(probe: usize) -> u16 {
+    (probe * (usize::from(u16::MAX) + 1) / PROBES) as u16
+}
