assign: a key that became hot is known within a second

Change: keys with four requests in about the last second are also counted with a half-life of 750 ms, and the higher rate counts. Tests: half of its load known after a second; 1,000 cool keys seem no hotter than they are (tests/loads.rs). The loads of the plan tests are steady ones over 20 s in place of counts at one moment, which now look like a burst; bounds as before.

--- a/crates/assign/src/loads.rs
+++ b/crates/assign/src/loads.rs
@@ -11,13 +11,22 @@
 /// A hot key is then half known after this time, while a key with a request a second still has a
 /// count that differs little from one half-life to the next.
 const HALF_LIFE: Duration = Duration::from_secs(3);
+/// The same for keys that became hot just now.
+///
+/// A key is known for three fifths of its load after a second, and for a fifth by the other count.
+const HOT_HALF_LIFE: Duration = Duration::from_millis(750);
+/// Requests of the last second, about, from which on a key may count as hot: one with a request a
+/// second has as many in one second of fifty.
+const HOT_COUNT: f32 = 4.0;
 
 /// Requests a second of each key, as the hosts report them.
 #[derive(Debug)]
 pub struct KeyLoads {
     counts: Vec<f32>,
+    /// The same with [`HOT_HALF_LIFE`].
+    recent: Vec<f32>,
     faded_at: Timestamp,
-    /// Sum of the counts before each key, made by [`Self::sum_up`].
+    /// Sum of the requests a second before each key, made by [`Self::sum_up`].
     sums: Vec<f64>,
 }
 
@@ -28,6 +37,7 @@
         let keys = usize::from(LAST_KEY) + 1;
         Self {
             counts: vec![0.0; keys],
+            recent: vec![0.0; keys],
             faded_at: now,
             sums: vec![0.0; keys + 1],
         }
@@ -36,18 +46,26 @@
     /// Adds `count` requests on `key`.
     pub fn add(&mut self, key: u16, count: u32) {
         self.counts[usize::from(key)] += count as f32;
+        self.recent[usize::from(key)] += count as f32;
     }
 
     /// Fades all counts, and sums them up for [`Self::rate`].
     pub fn sum_up(&mut self, now: Timestamp) {
-        let age = now.since(self.faded_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let factor = (-age).exp2() as f32;
+        let age = now.since(self.faded_at).as_secs_f64();
+        let factor = (-age / HALF_LIFE.as_secs_f64()).exp2() as f32;
+        let hot_factor = (-age / HOT_HALF_LIFE.as_secs_f64()).exp2() as f32;
         self.faded_at = now;
         let mut sum = 0.0;
-        for (count, before) in self.counts.iter_mut().zip(&mut self.sums) {
+        let counts = self.counts.iter_mut().zip(&mut self.recent);
+        for ((count, recent), before) in counts.zip(&mut self.sums) {
             *count *= factor;
+            *recent *= hot_factor;
             *before = sum;
-            sum += f64::from(*count);
+            let mut rate = per_second(*count, HALF_LIFE);
+            if *recent >= HOT_COUNT {
+                rate = rate.max(per_second(*recent, HOT_HALF_LIFE));
+            }
+            sum += rate;
         }
         if let Some(all) = self.sums.last_mut() {
             *all = sum;
@@ -59,18 +77,22 @@
     pub fn rate(&self, range: KeyRange) -> f64 {
         let before = self.sums[usize::from(range.first)];
         let through = self.sums[usize::from(range.last) + 1];
-        (through - before) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+        through - before
     }
 
     /// Returns the first key of `range` with which the rate from its beginning exceeds `rate`.
     #[must_use]
     pub fn key_at(&self, range: KeyRange, rate: f64) -> u16 {
-        let count = rate * HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
         let first = usize::from(range.first);
-        let wanted = self.sums[first] + count;
+        let wanted = self.sums[first] + rate;
         let sums = &self.sums[first + 1..=usize::from(range.last) + 1];
         let steps = sums.partition_point(|&sum| sum <= wanted);
         let key = (first + steps).min(usize::from(range.last));
         u16::try_from(key).unwrap_or(range.last)
     }
 }
+
+/// Returns the requests a second that keep a count of this half-life where it is.
+fn per_second(count: f32, half_life: Duration) -> f64 {
+    f64::from(count) * std::f64::consts::LN_2 / half_life.as_secs_f64()
+}
--- /dev/null
+++ b/crates/assign/tests/loads.rs
@@ -0,0 +1,64 @@
+//! How soon a hot key is known, and how little others seem hot by chance.
+
+use std::time::Duration;
+
+use assign::{KeyLoads, KeyRange};
+use ids::Timestamp;
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
+
+/// Time between two reports of the hosts.
+const REPORTS: Duration = Duration::from_millis(400);
+const HOT: u16 = 30_000;
+
+fn only(key: u16) -> KeyRange {
+    KeyRange {
+        first: key,
+        last: key,
+    }
+}
+
+/// Plays 1,000 keys with a request in five seconds each, and one that gets 40 a second from `hot_at`
+/// on, to `end`.
+fn play(hot_at: Duration, end: Duration, seed: u64) -> KeyLoads {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut loads = KeyLoads::new(Timestamp::ZERO);
+    let mut at = Duration::ZERO;
+    while at < end {
+        at += REPORTS;
+        for key in 0..1_000 {
+            loads.add(
+                key * 60,
+                u32::from(rng.random_bool(0.2 * REPORTS.as_secs_f64())),
+            );
+        }
+        if at > hot_at {
+            loads.add(HOT, 16);
+        }
+        loads.sum_up(Timestamp::ZERO + at);
+    }
+    loads
+}
+
+#[test]
+fn a_key_that_becomes_hot_is_known_within_a_second() {
+    let hot_at = Duration::from_secs(20);
+    for seed in 0..20 {
+        let soon = play(hot_at, hot_at + Duration::from_secs(1), seed);
+        let rate = soon.rate(only(HOT));
+        assert!((20.0..50.0).contains(&rate), "{rate} of 40 a second");
+        let later = play(hot_at, hot_at + Duration::from_secs(15), seed);
+        let rate = later.rate(only(HOT));
+        assert!((35.0..52.0).contains(&rate), "{rate} of 40 a second");
+    }
+}
+
+#[test]
+fn chance_does_not_make_keys_hot() {
+    let never = Duration::from_secs(1_000);
+    for seed in 0..20 {
+        let loads = play(never, Duration::from_secs(20), seed);
+        let all = loads.rate(KeyRange::ALL);
+        assert!((160.0..250.0).contains(&all), "{all} of 200 a second");
+    }
+}
--- a/crates/assign/tests/plan.rs
+++ b/crates/assign/tests/plan.rs
@@ -3,6 +3,7 @@
 use assign::{EntryRow, Fence, KeyLoads, KeyRange, Planner, Run, UpstreamView};
 use ids::{HostId, Incarnation, Timestamp, UpstreamId};
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// Most bytes of a row in the store.
 const ROW_BYTES: usize = 65_536;
@@ -31,16 +32,25 @@
 
 /// Loads of `even` requests a second over all keys, and `hot` over a stretch of 200 keys.
 fn loads(even: u32, hot: u32) -> KeyLoads {
-    let now = Timestamp::from_millis(1);
-    let mut loads = KeyLoads::new(now);
-    // A count of 4.33 is a request a second at a half-life of three seconds.
-    for i in 0..even * 433 / 100 {
-        loads.add((u64::from(i) * 15_013 % 65_536) as u16, 1);
-    }
-    for i in 0..hot * 433 / 100 {
-        loads.add(20_000 + (i % 200) as u16, 1);
+    steady(even, |i| 20_000 + (i % 200) as u16, hot)
+}
+
+/// Loads of `even` requests a second over all keys, and `hot` on others, after 20 s of them.
+fn steady(even: u32, hot_key: impl Fn(u32) -> u16, hot: u32) -> KeyLoads {
+    let begin = Timestamp::from_millis(1);
+    let mut loads = KeyLoads::new(begin);
+    let (mut evens, mut hots) = (0, 0);
+    for step in 1..=40 {
+        while evens < even * step / 2 {
+            loads.add((u64::from(evens) * 15_013 % 65_536) as u16, 1);
+            evens += 1;
+        }
+        while hots < hot * step / 2 {
+            loads.add(hot_key(hots), 1);
+            hots += 1;
+        }
+        loads.sum_up(begin + Duration::from_millis(500) * step);
     }
-    loads.sum_up(now);
     loads
 }
 
@@ -271,13 +281,7 @@
     for owner_at_first in 0..services.len() {
         let mut row = row(services.len());
         let hot = row.pieces[owner_at_first].range.first + 500;
-        let now = Timestamp::from_millis(1);
-        let mut loads = KeyLoads::new(now);
-        for i in 0..60_u64 * 433 / 100 {
-            loads.add((i * 15_013 % 65_536) as u16, 1);
-        }
-        loads.add(hot, 50 * 433 / 100);
-        loads.sum_up(now);
+        let loads = steady(60, |_| hot, 50);
         let plans = settle(&mut row, &loads, &ups);
         assert!(plans <= 12, "{plans} plans");
         let piece = row
