--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -164,7 +164,7 @@
         let Some(granter) = divided.keeper.row().map(|row| &row.granter) else {
             continue;
         };
-        if *granter == c.me {
+        if divided.keeper.is_granter() {
             note(divided, &beat);
             beats.extend(notices(&divided.keeper, entry, &c.hosts));
         } else if let Some(host) = c.hosts.get(&granter.host) {
