A run of a server is told from the one before it; registrations that make no sense name nobody

Cause: a server that starts again under its id was taken for the run before it: its keys were renewed under the fence that the run before held them by, and nothing was known to have been lost. A registration that another writer had spoiled kept naming the upstream that it named before.

Ruled out: a fence for each connection (a commit for each connection that breaks); taking the later write of two runs as the living one (a write of the run before may still be on its way).

Change: an upstream is named by its server's name and its start. A later run replaces the one before, an earlier one counts after two seconds (a clock set back). Platforms that don't say when a run began have a name for each run and pay nothing. While the store is away nothing can be known, and grants go on. A registration that can't be read names nobody at once, is logged once and counted.

--- a/crates/assign/src/keeper/calls.rs
+++ b/crates/assign/src/keeper/calls.rs
@@ -33,6 +33,9 @@
     }
 
     fn note_health(&mut self, now: Timestamp, call: &OrderCall, end: &CallEnd) {
+        if matches!(end, CallEnd::NotYet) {
+            return;
+        }
         if !matches!(end, CallEnd::NoAnswer { .. }) {
             self.health.remove(&call.upstream);
             return;
@@ -50,7 +53,8 @@
 
     fn grant_ended(&mut self, now: Timestamp, underway: &Underway, end: &CallEnd) {
         let every = self.cfg.renew_every;
-        if matches!(end, CallEnd::NoAnswer { maybe_sent: false }) {
+        let surely_unsent = CallEnd::NoAnswer { maybe_sent: false };
+        if *end == surely_unsent || *end == CallEnd::NotYet {
             self.forget_sent(underway);
         }
         let Some(live) = self.live_of(&underway.call) else {
@@ -69,7 +73,7 @@
                 };
                 live.next_at = underway.call.decided + every.mul_f64(part);
             }
-            CallEnd::NoAnswer { .. } => live.next_at = now + every / 4,
+            CallEnd::NotYet | CallEnd::NoAnswer { .. } => live.next_at = now + every / 4,
             CallEnd::Fenced | CallEnd::Gone => live.next_at = now + every,
         }
     }
@@ -108,7 +112,7 @@
                         live.handover.clone_from(handover);
                     }
                 }
-                CallEnd::Gone | CallEnd::Fenced | CallEnd::NoAnswer { .. } => {
+                CallEnd::Gone | CallEnd::Fenced | CallEnd::NotYet | CallEnd::NoAnswer { .. } => {
                     former.release_at = now + RELEASE_EVERY;
                 }
             }
--- a/crates/assign/src/order.rs
+++ b/crates/assign/src/order.rs
@@ -54,6 +54,8 @@
     Fenced,
     /// Another run of a server answered: the upstream is gone.
     Gone,
+    /// It was not sent: which run of the server listens is not known yet.
+    NotYet,
     /// No answer came.
     NoAnswer {
         /// Whether the call may have arrived.
--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -21,20 +21,21 @@
     ran.iter().filter(|r| r.request == id).count()
 }
 
-/// Checks that fences of a key only rise and that each fence has one owner.
+/// Checks that fences of a key only rise and that each fence has one owner: one run of a server.
 fn check_owners(ran: &[Ran]) {
-    let mut newest: HashMap<u16, (u64, &str)> = HashMap::new();
+    let mut newest: HashMap<u16, (u64, (&str, u64))> = HashMap::new();
     for r in ran {
         let Some((key, fence)) = r.key else {
             continue;
         };
-        let (seen, owner) = newest.entry(key).or_insert((fence, &r.target));
+        let run = (r.target.as_str(), r.born);
+        let (seen, owner) = newest.entry(key).or_insert((fence, run));
         assert!(fence >= *seen, "key {key} ran under {fence} after {seen}");
         assert!(
-            fence > *seen || *owner == r.target,
+            fence > *seen || *owner == run,
             "key {key}: two owners under {fence}"
         );
-        (*seen, *owner) = (fence, &r.target);
+        (*seen, *owner) = (fence, run);
     }
 }
 
@@ -540,3 +541,71 @@
         assert!(promises_not_run(&got), "{got:?}");
     }
 }
+
+/// A server that starts again under its id and address holds nothing, and no grant that was meant for
+/// the run before may reach it: its keys come back under higher fences.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_starts_again_gets_its_keys_under_higher_fences() {
+    let mut rig = Rig::start(2).await;
+    let keys: Vec<u16> = (0..64).map(|i| i * 1_024).collect();
+    for round in 0..3_u64 {
+        // Shorter than the silence after which keys move, and than the time between two reads of
+        // the registrations.
+        let down = Duration::from_millis(50 + 200 * round);
+        let again = rig.reads.remove(0);
+        let again = again.start_again(down, Duration::from_millis(40)).await;
+        rig.reads.push(again.expect("the address is free"));
+        let deadline = Instant::now() + Duration::from_secs(8);
+        for (i, &key) in keys.iter().enumerate() {
+            let mut tries = 0;
+            loop {
+                tries += 1;
+                let ask = Ask::read(&format!("again-{round}-{i}-{tries}"), key);
+                if answered(rig.ask(i % 2, &ask).await.as_ref(), &ask.id) {
+                    break;
+                }
+                assert!(Instant::now() < deadline, "key {key} has no owner");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+    check_owners(&rig.journal.all());
+}
+
+/// What another writer puts in place of a registration names no upstream; the others hold, and the
+/// server's own next word brings it back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_registration_that_makes_no_sense_names_nobody() {
+    let rig = Rig::start(2).await;
+    let faulty = rig.posts[0].id().clone();
+    let words: [&[u8]; 4] = [
+        b"\xff\xfe",
+        b"{}",
+        br#"{"address":"127.0.0.1:1","info":{"service":7},"status":{}}"#,
+        br#"{"born":1.5,"address":"127.0.0.1:1","info":{"service":"posts","zone":"a","slots":4},"status":{"state":"ready"}}"#,
+    ];
+    for (round, word) in words.into_iter().enumerate() {
+        rig.store.put_bytes("servers", &faulty, word);
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        let began = Instant::now();
+        for i in 0..20 {
+            let post = Ask::post(&format!("odd-{round}-{i}"));
+            assert!(answered(rig.ask(i % 2, &post).await.as_ref(), &post.id));
+        }
+        let ran = rig.journal.all();
+        let there = ran.iter().filter(|r| r.target == faulty && r.at > began);
+        assert_eq!(there.count(), 0, "round {round}");
+    }
+    let metrics = rig.metrics(0).await;
+    assert!(metrics.contains("registrations_refused"), "{metrics}");
+    rig.posts[0].register_again();
+    until("the server is used again", async || {
+        // More at once than one server has slots.
+        let posts: Vec<Ask> = (0..12).map(|i| Ask::post(&format!("back-{i}"))).collect();
+        join_all(posts.iter().map(|post| rig.ask(0, post))).await;
+        let ran = rig.journal.all();
+        ran.iter()
+            .any(|r| r.request.starts_with("back-") && r.target == faulty)
+    })
+    .await;
+}
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -1,19 +1,26 @@
 //! The upstreams that registered themselves.
 //!
 //! An upstream is one run of a server: a server that starts again, or another one at the same
-//! address, has another id.
+//! address, is another upstream. A server may register all its runs under one name; the roster then
+//! knows one of them at a time.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use ids::{DomainId, EntryId, Timestamp, UpstreamId};
 use indexmap::IndexMap;
+use smol_str::SmolStr;
 
 /// What an upstream says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Registered {
     /// This run of the server.
     pub id: UpstreamId,
+    /// The name under which the server registers; all its runs may share it.
+    pub server: SmolStr,
+    /// When this run began, in milliseconds of the server's clock; none if servers don't say so,
+    /// and each run has a name of its own.
+    pub born: Option<u64>,
     /// The entry that it serves.
     pub entry: EntryId,
     /// Where it listens.
@@ -63,13 +70,29 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Roster {
     upstreams: IndexMap<UpstreamId, Registered>,
+    /// The run of each server that counts.
+    runs: IndexMap<SmolStr, UpstreamId>,
+    /// Servers that say they began earlier than the run that counts, and since when they do.
+    doubted: IndexMap<SmolStr, Timestamp>,
 }
 
+/// Time for which an earlier run than the known one must be registered to count.
+///
+/// A run that has ended may still have a write on its way, which the living one replaces with its
+/// next heartbeat, within a second. If the word stands for longer, the server's clock was set back.
+const DOUBT: Duration = Duration::from_secs(2);
+
 impl Roster {
     /// Adds an upstream or takes what it says now; tells whether that is news.
     ///
-    /// Its warm-up shrinking by itself is none.
-    pub fn put(&mut self, upstream: Registered) -> bool {
+    /// Its warm-up shrinking by itself is none. A later run of a server replaces the one before; an
+    /// earlier one counts only if it says so for [`DOUBT`].
+    pub fn put(&mut self, now: Timestamp, upstream: Registered) -> bool {
+        if !self.is_current(now, &upstream) {
+            return false;
+        }
+        self.runs
+            .insert(upstream.server.clone(), upstream.id.clone());
         let Some(known) = self.upstreams.get_mut(&upstream.id) else {
             self.upstreams.insert(upstream.id.clone(), upstream);
             return true;
@@ -86,6 +109,31 @@
         true
     }
 
+    /// Tells whether `upstream` is the run of its server that counts; the one before is removed.
+    fn is_current(&mut self, now: Timestamp, upstream: &Registered) -> bool {
+        let server = &upstream.server;
+        let Some(known) = self.run_of(server).filter(|k| k.id != upstream.id) else {
+            self.doubted.shift_remove(server);
+            return true;
+        };
+        let is_earlier = upstream.born < known.born;
+        let id = known.id.clone();
+        if is_earlier {
+            let since = *self.doubted.entry(server.clone()).or_insert(now);
+            if now.since(since) < DOUBT {
+                return false;
+            }
+        }
+        self.remove(&id);
+        true
+    }
+
+    /// Returns the run of `server` that counts.
+    #[must_use]
+    pub fn run_of(&self, server: &str) -> Option<&Registered> {
+        self.get(self.runs.get(server)?)
+    }
+
     /// Notes that an upstream's registration is missing; tells whether that is news.
     pub fn miss(&mut self, id: &UpstreamId) -> bool {
         match self.upstreams.get_mut(id) {
@@ -96,7 +144,12 @@
 
     /// Removes an upstream; tells whether it was there.
     pub fn remove(&mut self, id: &UpstreamId) -> bool {
-        self.upstreams.shift_remove(id).is_some()
+        let Some(removed) = self.upstreams.shift_remove(id) else {
+            return false;
+        };
+        self.runs.shift_remove(&removed.server);
+        self.doubted.shift_remove(&removed.server);
+        true
     }
 
     /// Returns an upstream.
--- a/crates/direct/tests/roster.rs
+++ b/crates/direct/tests/roster.rs
@@ -3,6 +3,8 @@
 use direct::{Registered, Roster, State};
 use ids::{DomainId, EntryId, Timestamp, UpstreamId};
 
+const NOW: Timestamp = Timestamp::from_millis(5_000);
+
 fn id(name: &str) -> UpstreamId {
     UpstreamId::new(name).expect("a valid name")
 }
@@ -14,6 +16,8 @@
 fn registered(name: &str, state: State) -> Registered {
     Registered {
         id: id(name),
+        server: name.into(),
+        born: None,
         entry: entry(),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: DomainId::new("a").expect("a valid name"),
@@ -74,11 +78,15 @@
     for case in CASES {
         let mut roster = Roster::default();
         for name in case.ready {
-            assert!(roster.put(registered(name, State::Ready)), "{}", case.name);
+            assert!(
+                roster.put(NOW, registered(name, State::Ready)),
+                "{}",
+                case.name
+            );
         }
         for name in case.leaving {
             assert!(
-                roster.put(registered(name, State::Leaving)),
+                roster.put(NOW, registered(name, State::Leaving)),
                 "{}",
                 case.name
             );
@@ -88,7 +96,11 @@
             assert!(!roster.miss(&id(name)), "{}: no news", case.name);
         }
         for name in case.back {
-            assert!(roster.put(registered(name, State::Ready)), "{}", case.name);
+            assert!(
+                roster.put(NOW, registered(name, State::Ready)),
+                "{}",
+                case.name
+            );
         }
         let chosen: Vec<_> = roster
             .ready(&entry())
@@ -103,16 +115,80 @@
 #[test]
 fn a_leaving_upstream_serves_its_keys_for_a_while() {
     let mut roster = Roster::default();
-    roster.put(registered("a", State::Ready));
-    roster.put(registered("a", State::Leaving));
+    roster.put(NOW, registered("a", State::Ready));
+    roster.put(NOW, registered("a", State::Leaving));
     let later = Registered {
         leaving_since: Some(Timestamp::from_millis(5_700)),
         ..registered("a", State::Leaving)
     };
-    assert!(!roster.put(later), "no news");
+    assert!(!roster.put(NOW, later), "no news");
     let upstream = roster.get(&id("a")).expect("it is there");
     for (ms, serves) in [(5_000, true), (5_700, true), (5_900, false), (9_000, false)] {
         let now = Timestamp::from_millis(ms);
         assert_eq!(upstream.serves_its_keys(now), serves, "at {ms}");
     }
 }
+
+/// What a server registered, in order, and which of its runs then counts.
+struct Life {
+    name: &'static str,
+    /// When it was read, and the start of the run.
+    words: &'static [(u64, Option<u64>)],
+    counts: &'static str,
+}
+
+const LIVES: &[Life] = &[
+    Life {
+        name: "a later run replaces the one before",
+        words: &[(5_000, Some(100)), (5_500, Some(200))],
+        counts: "s-200",
+    },
+    Life {
+        name: "a late word of the run before does not bring it back",
+        words: &[(5_000, Some(200)), (5_500, Some(100))],
+        counts: "s-200",
+    },
+    Life {
+        name: "nor do two, if the later run is heard between them",
+        words: &[
+            (5_000, Some(200)),
+            (5_500, Some(100)),
+            (6_000, Some(200)),
+            (7_600, Some(100)),
+        ],
+        counts: "s-200",
+    },
+    Life {
+        name: "an earlier one that goes on saying so has had its clock set back",
+        words: &[(5_000, Some(200)), (5_500, Some(100)), (7_500, Some(100))],
+        counts: "s-100",
+    },
+    Life {
+        name: "one that does not say any more when it began is not the run that did",
+        words: &[(5_000, Some(200)), (5_500, None)],
+        counts: "s-200",
+    },
+];
+
+#[test]
+fn one_run_of_a_server_counts() {
+    for case in LIVES {
+        let mut roster = Roster::default();
+        for &(ms, born) in case.words {
+            let run = Registered {
+                id: id(&format!("s-{}", born.unwrap_or_default())),
+                server: "s".into(),
+                born,
+                ..registered("s", State::Ready)
+            };
+            roster.put(Timestamp::from_millis(ms), run);
+        }
+        let all: Vec<_> = roster.iter().map(|u| u.id.to_string()).collect();
+        assert_eq!(all, [case.counts], "{}", case.name);
+        let run = roster.run_of("s").expect("one counts");
+        assert_eq!(run.id.as_str(), case.counts, "{}", case.name);
+        let run = run.id.clone();
+        assert!(roster.remove(&run), "{}", case.name);
+        assert!(roster.run_of("s").is_none(), "{}", case.name);
+    }
+}
--- a/crates/front/src/control/freshness.rs
+++ b/crates/front/src/control/freshness.rs
@@ -70,6 +70,13 @@
         read_until.max(self.fed_until).since(now)
     }
 
+    /// Returns as of when the host knows what upstreams have registered.
+    #[must_use]
+    pub fn upstreams_as_of(&self) -> Timestamp {
+        let fed = self.fed_until.since(Timestamp::ZERO + FRESH);
+        self.upstreams_began.max(Timestamp::ZERO + fed)
+    }
+
     /// Tells whether what the host knows is fresh.
     #[must_use]
     pub fn is_fresh(&self, now: Timestamp) -> bool {
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -15,7 +15,7 @@
 use slog::{Logger, info, warn};
 
 use crate::control::follow::{keys_row, keys_txn};
-use crate::control::state::{Control, Ctl, Divided, KnownHost};
+use crate::control::state::{Control, Ctl, Divided, KnownHost, OrderRoute};
 use crate::ports::Platform;
 use crate::view::Phase;
 
@@ -177,12 +177,13 @@
 }
 
 async fn make_call(ctl: Ctl, platform: impl Platform, entry: EntryId, call: OrderCall) {
-    let address = ctl.with(|c| c.addresses.get(&call.upstream).copied());
+    let route = ctl.with(|c| c.route_to(&call.upstream, BootClock.now()));
     let id = call.id;
     let described = call.clone();
-    let end = match address {
-        Some(address) => platform.order(address, call).await,
-        None => CallEnd::NoAnswer { maybe_sent: false },
+    let end = match route {
+        OrderRoute::To(to) => platform.order(to, call).await,
+        OrderRoute::Replaced => CallEnd::Gone,
+        OrderRoute::Unknown => CallEnd::NoAnswer { maybe_sent: false },
     };
     let now = BootClock.now();
     ctl.with(|c| {
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -12,17 +12,21 @@
     SuccessionSettings,
 };
 use direct::{Configuration, Registered, Roster, RouteTable};
+use gate::Metrics;
+use gate::counters::Count;
 use ids::{DomainId, EntryId, HostId, Revision, Timestamp, UpstreamId};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use platform::PlatformError;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
+use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
 use crate::control::copies::Copy;
 use crate::control::freshness::Freshness;
 use crate::control::take::Table;
 
+use crate::ports::{DecodeError, Destination, RunCheck};
 use crate::settings::Settings;
 use crate::view::{InForce, Phase, Shared, View};
 
@@ -69,6 +73,32 @@
     pub failing: HashMap<UpstreamId, u32>,
 }
 
+/// Where an upstream was last known to be.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// Where it listens.
+    address: SocketAddr,
+    /// The name under which its server registered.
+    server: SmolStr,
+    /// Whether runs of its server share that name.
+    shares_name: bool,
+}
+
+/// Whether an order can be sent to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderRoute {
+    /// It can.
+    To(Destination),
+    /// Its server has started again: the upstream is no more, and holds nothing.
+    Replaced,
+    /// Nothing is known of it.
+    Unknown,
+}
+
+/// Most servers with a registration that can't be read of which it is remembered that they were
+/// logged: a line for each, however often it is written.
+const UNREADABLE_MAX: usize = 1_000;
+
 /// The state of the control duty.
 #[derive(Debug)]
 pub struct Control {
@@ -91,7 +121,9 @@
     /// Since when the store answers.
     pub store_since: Option<Timestamp>,
     /// Where each upstream was last known to listen, also if it is no longer registered.
-    pub addresses: HashMap<UpstreamId, SocketAddr>,
+    pub places: HashMap<UpstreamId, Place>,
+    /// Servers whose registration can't be read.
+    pub unreadable: IndexSet<SmolStr>,
     /// All hosts that have written their row.
     pub hosts: IndexMap<HostId, KnownHost>,
     /// Entries that are divided by key.
@@ -102,6 +134,8 @@
     pub freshness: Freshness,
     /// Where the view is published.
     pub view: Shared,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
     /// Logger.
     pub log: Logger,
 }
@@ -209,12 +243,20 @@
     }
 
     /// Takes what an upstream says of itself; tells whether it is news.
-    pub fn register(&mut self, upstream: Registered) -> bool {
+    pub fn register(&mut self, now: Timestamp, upstream: Registered) -> bool {
         self.missing.retain(|id| *id != upstream.id);
-        self.addresses.insert(upstream.id.clone(), upstream.address);
+        self.unreadable.shift_remove(&upstream.server);
+        let place = Place {
+            address: upstream.address,
+            server: upstream.server.clone(),
+            shares_name: upstream.born.is_some(),
+        };
         let (id, entry) = (upstream.id.clone(), upstream.entry.clone());
         let state = upstream.state;
-        let is_news = self.roster.put(upstream);
+        let is_news = self.roster.put(now, upstream);
+        if self.roster.get(&id).is_some() {
+            self.places.insert(id.clone(), place);
+        }
         if is_news {
             info!(self.log, "upstream registered";
                 "upstream" => id.as_str(), "entry" => entry.as_str(), "state" => ?state);
@@ -222,11 +264,56 @@
         is_news
     }
 
-    /// Notes that a registration is gone; it may come back if the store was away.
-    pub fn unregister(&mut self, id: &UpstreamId) {
-        if self.roster.miss(id) {
-            self.missing.push(id.clone());
+    /// Notes a registration that can't be read: it names no upstream, whatever it said before.
+    ///
+    /// Tells whether that is news.
+    pub fn refuse(&mut self, e: &DecodeError) -> bool {
+        self.metrics.count(Count::RegistrationsRefused);
+        let id = self.roster.run_of(&e.row).map(|run| run.id.clone());
+        if let Some(id) = &id {
+            self.roster.remove(id);
+        }
+        if self.unreadable.len() >= UNREADABLE_MAX {
+            self.unreadable.clear();
         }
+        let is_first = self.unreadable.insert(e.row.clone());
+        if is_first || id.is_some() {
+            warn!(self.log, "registration refused"; "error" => %e,
+                "was_known" => id.is_some());
+        }
+        is_first || id.is_some()
+    }
+
+    /// Notes that the registration of `server` is gone; it may come back if the store was away.
+    pub fn unregister(&mut self, server: &str) {
+        let Some(id) = self.roster.run_of(server).map(|run| run.id.clone()) else {
+            return;
+        };
+        if self.roster.miss(&id) {
+            self.missing.push(id);
+        }
+    }
+
+    /// Returns where an order to `upstream` goes.
+    #[must_use]
+    pub fn route_to(&self, upstream: &UpstreamId, now: Timestamp) -> OrderRoute {
+        let Some(place) = self.places.get(upstream) else {
+            return OrderRoute::Unknown;
+        };
+        let run = self.roster.run_of(&place.server);
+        if run.is_some_and(|run| run.id != *upstream) {
+            return OrderRoute::Replaced;
+        }
+        let run = if place.shares_name && self.freshness.is_fresh(now) {
+            RunCheck::SeenAt(self.freshness.upstreams_as_of())
+        } else {
+            RunCheck::ByName
+        };
+        OrderRoute::To(Destination {
+            address: place.address,
+            server: place.server.clone(),
+            run,
+        })
     }
 
     /// Removes upstreams that stayed missing for long enough; tells whether there were any.
@@ -239,15 +326,15 @@
                 info!(self.log, "upstream gone"; "upstream" => id.as_str());
             }
         }
-        self.forget_addresses();
+        self.forget_places();
         true
     }
 
-    /// Forgets the addresses of upstreams that are neither registered nor hold keys by any row.
-    fn forget_addresses(&mut self) {
+    /// Forgets the places of upstreams that are neither registered nor hold keys by any row.
+    fn forget_places(&mut self) {
         let (roster, divided) = (&self.roster, &self.divided);
         let holds = |id: &UpstreamId| divided.values().any(|d| d.keeper.mentions(id));
-        self.addresses
+        self.places
             .retain(|id, _| roster.get(id).is_some() || holds(id));
         for d in self.divided.values_mut() {
             d.services.retain(|id, _| roster.get(id).is_some());
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -1,7 +1,7 @@
 //! Takes what was read of the store's tables, from the store itself or from another host.
 
 use assign::EntryRow;
-use ids::{EntryId, Timestamp, UpstreamId};
+use ids::{EntryId, Timestamp};
 use platform::{Delta, Row};
 use serde::de::DeserializeOwned;
 use slog::warn;
@@ -94,19 +94,14 @@
         return true;
     };
     match platform.registered(key_of(row), value, now) {
-        Ok(upstream) => c.register(upstream),
-        Err(e) => {
-            warn!(c.log, "registration refused"; "error" => %e);
-            false
-        }
+        Ok(upstream) => c.register(now, upstream),
+        Err(e) => c.refuse(&e),
     }
 }
 
 fn drop_upstream(c: &mut Control, row: &Row) {
-    if row.value.is_none()
-        && let Ok(id) = UpstreamId::new(key_of(row))
-    {
-        c.unregister(&id);
+    if row.value.is_none() {
+        c.unregister(key_of(row));
     }
 }
 
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -121,7 +121,7 @@
         strip_connection_only(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
-        self.dialect.address(&mut headers, &target.id, left);
+        self.dialect.address(&mut headers, &target.server, left);
         let mut req = Request::new(Full::new(job.body.clone()));
         *req.method_mut() = job.parts.method.clone();
         *req.uri_mut() = origin_form(&job.parts.uri);
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -84,7 +84,8 @@
     pub(super) fn pick_owner(&self, view: &View, job: &Job, now: Timestamp) -> Pick {
         let owners = view.owners.get(&job.entry);
         let owner = job.asked.key.and_then(|key| owners?.owner(key));
-        let Some(up) = owner.and_then(|id| view.roster.get(id)) else {
+        let up = owner.and_then(|id| view.roster.get(id));
+        let Some(up) = up.filter(|up| up.entry == job.entry) else {
             return Pick::Wait;
         };
         if !up.serves_its_keys(now) {
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -8,7 +8,7 @@
 use direct::{Configuration, LoadReport, Registered};
 use gate::upstream::conn::AnswerHead;
 use http::HeaderMap;
-use ids::{Reason, Timestamp, UpstreamId};
+use ids::{Reason, Timestamp};
 use platform::Watch;
 use smol_str::SmolStr;
 
@@ -63,8 +63,8 @@
     /// Fails if a header makes no sense.
     fn asked(&self, headers: &HeaderMap) -> Result<Asked, Reason>;
 
-    /// Writes to which upstream a request goes, and how long its answer is waited for.
-    fn address(&self, headers: &mut HeaderMap, upstream: &UpstreamId, left: Duration);
+    /// Writes to which server a request goes, and how long its answer is waited for.
+    fn address(&self, headers: &mut HeaderMap, server: &str, left: Duration);
 
     /// Judges the head of the answer to the request `id`.
     fn judge(&self, head: &AnswerHead, id: &str) -> Judged;
@@ -73,6 +73,28 @@
     fn ready_path(&self) -> &'static str;
 }
 
+/// Where an order goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Destination {
+    /// Where the upstream listens.
+    pub address: SocketAddr,
+    /// The name under which its server registered.
+    pub server: SmolStr,
+    /// How the run that is meant is told from others of its server.
+    pub run: RunCheck,
+}
+
+/// How one run of a server is told from another at the same address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunCheck {
+    /// Each run has a name of its own, and others refuse what is not meant for them; or nothing can
+    /// be known, as the store is away.
+    ByName,
+    /// All runs have the same name; the registrations as of this moment showed the run that is
+    /// meant. Only a connection that was open well before then surely leads to it.
+    SeenAt(Timestamp),
+}
+
 /// A row that could not be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("decode {row}: {cause}")]
@@ -104,10 +126,9 @@
         now: Timestamp,
     ) -> Result<Registered, DecodeError>;
 
-    /// Tells an upstream at `address` which keys it may run requests on, or must stop.
-    fn order(
-        &self,
-        address: SocketAddr,
-        call: OrderCall,
-    ) -> impl Future<Output = CallEnd> + 'static;
+    /// Tells an upstream which keys it may run requests on, or must stop.
+    ///
+    /// A grant must reach no other run of the server than the one that is meant, which would hold
+    /// keys under a fence that was not made for it.
+    fn order(&self, to: Destination, call: OrderCall) -> impl Future<Output = CallEnd> + 'static;
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -13,7 +13,7 @@
 use direct::Roster;
 use gate::Metrics;
 use ids::{Incarnation, Timestamp};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, info};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
@@ -85,12 +85,14 @@
         missing: Vec::new(),
         // A host that starts has missed nothing.
         store_since: Some(Timestamp::ZERO),
-        addresses: HashMap::new(),
+        places: HashMap::new(),
+        unreadable: IndexSet::new(),
         hosts: IndexMap::new(),
         divided: IndexMap::new(),
         copies: Default::default(),
         freshness: Freshness::default(),
         view,
+        metrics: Arc::clone(&metrics),
         log: log.clone(),
         cfg,
     };
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode};
@@ -18,6 +18,10 @@
 use super::store::FleetStore;
 use crate::http::{Request, Whole, read_body, respond, serve_connection};
 
+/// Tries to listen again at the address of a server that has just ended, and the pause between two.
+const BIND_TRIES: u32 = 50;
+const BIND_PAUSE: Duration = Duration::from_millis(10);
+
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// A request that a server ran.
@@ -27,6 +31,8 @@
     pub request: SmolStr,
     /// The server.
     pub target: SmolStr,
+    /// When this run of it began, in milliseconds.
+    pub born: u64,
     /// The service.
     pub service: SmolStr,
     /// Its key and the fence under which the server held it.
@@ -66,6 +72,8 @@
     pub slots: u32,
     /// Most connections; it resets those beyond.
     pub connections: u32,
+    /// Whether it says when it began.
+    pub says_born: bool,
 }
 
 impl Default for TargetSettings {
@@ -77,6 +85,7 @@
             work: Duration::from_millis(20),
             slots: 4,
             connections: 130,
+            says_born: true,
         }
     }
 }
@@ -99,6 +108,8 @@
 #[derive(Debug)]
 struct Shared {
     id: SmolStr,
+    /// When this run began, in milliseconds.
+    born: u64,
     settings: TargetSettings,
     journal: Journal,
     holds: Mutex<KeyHolds>,
@@ -129,10 +140,51 @@
         settings: TargetSettings,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
         let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+        let id = format_smolstr!("i-{id}");
+        let target = Self::run(id, listener, store, journal, settings)?;
+        target.register("ready");
+        Ok(target)
+    }
+
+    /// Ends the server as a crash would, after `down` starts it again under its id and address, and
+    /// registers it `silent` later; it knows nothing of before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address does not become free.
+    pub async fn start_again(self, down: Duration, silent: Duration) -> io::Result<Self> {
+        let (address, shared, store) = (self.address, Arc::clone(&self.shared), self.store.clone());
+        drop(self);
+        tokio::time::sleep(down).await;
+        let mut bound = TcpListener::bind(address).await;
+        for _ in 0..BIND_TRIES {
+            if bound.is_ok() {
+                break;
+            }
+            tokio::time::sleep(BIND_PAUSE).await;
+            bound = TcpListener::bind(address).await;
+        }
+        let (id, settings) = (shared.id.clone(), shared.settings.clone());
+        let target = Self::run(id, bound?, &store, &shared.journal, settings)?;
+        tokio::time::sleep(silent).await;
+        target.register("ready");
+        Ok(target)
+    }
+
+    /// Runs a server that has not registered yet.
+    fn run(
+        id: SmolStr,
+        listener: TcpListener,
+        store: &FleetStore,
+        journal: &Journal,
+        settings: TargetSettings,
+    ) -> io::Result<Self> {
+        let address = listener.local_addr()?;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
         let shared = Arc::new(Shared {
-            id: format_smolstr!("i-{id}"),
+            id,
+            born: born.unwrap_or_default().as_millis() as u64,
             journal: journal.clone(),
             holds: Mutex::default(),
             trouble: Mutex::new(TargetTrouble::None),
@@ -143,14 +195,12 @@
         });
         let stop = CancellationToken::new();
         tokio::spawn(accept(listener, Arc::clone(&shared), stop.clone()));
-        let target = Self {
+        Ok(Self {
             address,
             shared,
             store: store.clone(),
             _stop: stop.drop_guard(),
-        };
-        target.register("ready");
-        Ok(target)
+        })
     }
 
     /// Returns the server's id.
@@ -164,6 +214,11 @@
         *lock(&self.shared.trouble) = trouble;
     }
 
+    /// Writes the registration once more, as a heartbeat does.
+    pub fn register_again(&self) {
+        self.register("ready");
+    }
+
     /// Says that the server leaves.
     pub fn drain(&self) {
         self.register("draining");
@@ -176,7 +231,7 @@
 
     fn register(&self, state: &str) {
         let settings = &self.shared.settings;
-        let row = json!({
+        let mut row = json!({
             "address": self.address.to_string(),
             "info": {
                 "service": settings.service.as_str(),
@@ -186,6 +241,9 @@
             },
             "status": {"state": state, "seq": 1, "warmup_left_s": 0},
         });
+        if settings.says_born {
+            row["born"] = json!(self.shared.born);
+        }
         self.store.put("servers", &self.shared.id, &row);
     }
 }
@@ -262,6 +320,7 @@
     shared.journal.add(Ran {
         request: id.clone(),
         target: shared.id.clone(),
+        born: shared.born,
         service: shared.settings.service.clone(),
         key: held,
         at: Instant::now(),
