--- /dev/null
+++ b/crates/direct/src/places.rs
@@ -0,0 +1,243 @@
+//! Places at one upstream, which one host hands out to all that send to it.
+//!
+//! Hosts that meet an upstream less than once a second know nothing of its load. So they ask for a
+//! place before they send, and a request waits where it can still be refused truthfully, go to
+//! another owner of its key, or be overtaken by one that has more to gain.
+//!
+//! Requests that can still be answered within their objective go before those that are late in any
+//! case: an upstream that is asked for twice what it can do then answers as many in time as ever.
+
+use std::collections::VecDeque;
+use std::hash::Hash;
+use std::time::Duration;
+
+use ids::Timestamp;
+use indexmap::IndexMap;
+
+use crate::choose::Rank;
+use crate::load::LoadReport;
+
+/// Settings of [`Places`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlaceSettings {
+    /// Places beyond the upstream's slots, so that no slot is idle while a place changes hands: that
+    /// takes two ways between failure domains, a fiftieth of a service time.
+    pub beyond: u32,
+    /// Part of the time left to the objective within which an answer must be expected to count as in
+    /// time.
+    pub in_time_part: f64,
+    /// Part of the caller's time within which a late answer must be expected: those in time overtake.
+    pub late_part: f64,
+    /// Time after which a report of requests that have no place counts half.
+    pub report_half_life: Duration,
+    /// Weight of one observation in the mean service time.
+    pub service_weight: f64,
+    /// Time beyond its caller's for which a place is held if nobody gives it back.
+    pub grace: Duration,
+}
+
+impl Default for PlaceSettings {
+    fn default() -> Self {
+        Self {
+            beyond: 1,
+            in_time_part: 0.9,
+            late_part: 0.7,
+            report_half_life: Duration::from_millis(500),
+            service_weight: 0.1,
+            grace: Duration::from_millis(200),
+        }
+    }
+}
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Wish {
+    /// How urgent it is among those that go to the upstream.
+    pub rank: Rank,
+    /// Time left until its objective.
+    pub in_time: Duration,
+    /// Time for which its caller waits.
+    pub left: Duration,
+    /// Service time to assume if none was observed.
+    pub usual: Duration,
+}
+
+/// What becomes of a request that asked for a place.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Reply {
+    /// It has a place.
+    Go,
+    /// It waits; its answer is expected after this time.
+    Queued {
+        /// Time until the answer.
+        expected: Duration,
+    },
+    /// It can't be answered in time; there is room after about this time.
+    Full {
+        /// Time until there is room.
+        room_in: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct Waiting<K> {
+    key: K,
+    until: Timestamp,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    since: Timestamp,
+    until: Timestamp,
+    /// Requests at the upstream for each slot when this one went.
+    crowd: f64,
+}
+
+/// Lanes of the queue, the first one first: urgent requests, those in time, those that are late.
+const LANES: usize = 3;
+const URGENT: usize = 0;
+const IN_TIME: usize = 1;
+const LATE: usize = 2;
+
+/// The places at one upstream; `K` names a request.
+#[derive(Debug)]
+pub struct Places<K> {
+    cfg: PlaceSettings,
+    slots: u32,
+    service: Option<f64>,
+    held: IndexMap<K, Held>,
+    lanes: [VecDeque<Waiting<K>>; LANES],
+    /// Requests at the upstream that have no place here, when they were reported.
+    others: f64,
+    reported: Timestamp,
+}
+
+impl<K: Copy + Eq + Hash> Places<K> {
+    /// Knows nothing yet but the upstream's slots.
+    #[must_use]
+    pub fn new(slots: u32, cfg: PlaceSettings) -> Self {
+        Self {
+            cfg,
+            slots: slots.max(1),
+            service: None,
+            held: IndexMap::new(),
+            lanes: [(); LANES].map(|()| VecDeque::new()),
+            others: 0.0,
+            reported: Timestamp::ZERO,
+        }
+    }
+
+    /// Tells whether no request has or wants a place.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.held.is_empty() && !self.has_waiting()
+    }
+
+    /// Tells whether a request waits.
+    #[must_use]
+    pub fn has_waiting(&self) -> bool {
+        self.lanes.iter().any(|lane| !lane.is_empty())
+    }
+
+    /// Takes a request that wants a place.
+    pub fn ask(&mut self, now: Timestamp, key: K, wish: &Wish) -> Reply {
+        let until = now + wish.left;
+        if !self.has_waiting() && self.has_room(now) {
+            self.hold(now, key, until);
+            return Reply::Go;
+        }
+        let service = self.service.unwrap_or(wish.usual.as_secs_f64());
+        let expected = |lanes: &[VecDeque<Waiting<K>>]| {
+            let ahead: usize = lanes.iter().map(VecDeque::len).sum();
+            let crowd = (self.at_upstream(now) + ahead as f64 + 1.0) / f64::from(self.slots);
+            service * crowd.max(1.0)
+        };
+        let left = wish.left.as_secs_f64();
+        let in_time = wish.in_time.as_secs_f64() * self.cfg.in_time_part;
+        let in_lane = [0, 1, 2].map(|lane| expected(&self.lanes[..=lane]));
+        let lane = match wish.rank {
+            Rank::Urgent if in_lane[URGENT] <= left => URGENT,
+            _ if in_lane[IN_TIME] <= in_time => IN_TIME,
+            _ if in_lane[LATE] <= left * self.cfg.late_part => LATE,
+            _ => {
+                let room_in = (in_lane[LATE] - in_time).max(service / 2.0);
+                return Reply::Full {
+                    room_in: Duration::from_secs_f64(room_in),
+                };
+            }
+        };
+        self.lanes[lane].push_back(Waiting { key, until });
+        Reply::Queued {
+            expected: Duration::from_secs_f64(in_lane[lane]),
+        }
+    }
+
+    /// Notes that a request needs its place no more; `answered` says that the upstream answered it,
+    /// and `report` what it said of its load.
+    pub fn ended(&mut self, now: Timestamp, key: K, answered: bool, report: Option<LoadReport>) {
+        if let Some(report) = report {
+            let all = f64::from(report.running) + f64::from(report.waiting);
+            self.others = (all - self.held.len() as f64).max(0.0);
+            self.reported = now;
+            self.slots = report.slots.max(1);
+        }
+        for lane in &mut self.lanes {
+            lane.retain(|w| w.key != key);
+        }
+        let Some(held) = self.held.swap_remove(&key) else {
+            return;
+        };
+        if answered {
+            let alone = now.since(held.since).as_secs_f64() / held.crowd.max(1.0);
+            let service = self.service.unwrap_or(alone);
+            self.service = Some(service + self.cfg.service_weight * (alone - service));
+        }
+    }
+
+    /// Hands out places that are free, and refuses those whose time is over.
+    pub fn poll(&mut self, now: Timestamp) -> Vec<(K, Reply)> {
+        self.held.retain(|_, held| now < held.until);
+        let mut replies = Vec::new();
+        self.refuse_late(now, &mut replies);
+        while self.has_room(now) {
+            let Some(next) = self.lanes.iter_mut().find_map(VecDeque::pop_front) else {
+                break;
+            };
+            self.hold(now, next.key, next.until);
+            replies.push((next.key, Reply::Go));
+        }
+        replies
+    }
+
+    /// Refuses those that could not be answered in their time if they went now.
+    fn refuse_late(&mut self, now: Timestamp, replies: &mut Vec<(K, Reply)>) {
+        let service = Duration::from_secs_f64(self.service.unwrap_or_default());
+        let is_over = |w: &Waiting<K>| w.until.since(now) < service;
+        for lane in &mut self.lanes {
+            let over = lane.iter().filter(|w| is_over(w));
+            replies.extend(over.map(|w| (w.key, Reply::Full { room_in: service })));
+            lane.retain(|w| !is_over(w));
+        }
+    }
+
+    fn hold(&mut self, now: Timestamp, key: K, until: Timestamp) {
+        let crowd = (self.at_upstream(now) + 1.0) / f64::from(self.slots);
+        let held = Held {
+            since: now,
+            until: until + self.cfg.grace,
+            crowd,
+        };
+        self.held.insert(key, held);
+    }
+
+    /// Returns how many requests are at the upstream, by what is known.
+    fn at_upstream(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.reported).as_secs_f64();
+        let fade = (-age / self.cfg.report_half_life.as_secs_f64()).exp2();
+        self.held.len() as f64 + self.others * fade
+    }
+
+    fn has_room(&self, now: Timestamp) -> bool {
+        self.at_upstream(now) < f64::from(self.slots + self.cfg.beyond)
+    }
+}
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -44,6 +44,9 @@
     pub domain: DomainId,
     /// Where it takes heartbeats.
     pub peers: SocketAddr,
+    /// Where it is asked for places at upstreams; none if it hands out none.
+    #[serde(default)]
+    pub places: Option<SocketAddr>,
     /// The work that it can do, in cores.
     #[serde(default)]
     pub capacity: f64,
@@ -190,7 +193,13 @@
             .divided
             .iter()
             .filter_map(|(entry, d)| Some((entry.clone(), Owners::new(d.keeper.row()?))));
+        let mut doors: IndexMap<DomainId, Vec<SocketAddr>> = IndexMap::new();
+        for host in self.hosts.values() {
+            let in_domain = doors.entry(host.row.domain.clone()).or_default();
+            in_domain.extend(host.row.places);
+        }
         let view = View {
+            doors: Arc::new(doors),
             phase: self.phase,
             in_force: self.in_force.clone(),
             roster: Arc::new(self.roster.clone()),
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -85,6 +85,7 @@
         let judged = self.dialect.judge(&done.head, &job.asked.id);
         if let Some(report) = judged.load {
             self.with_load(target, |load| load.reported(now, report));
+            job.report.set(Some(report));
         }
         let closes = says_close(&done.head.headers);
         match judged.verdict {
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -16,8 +16,8 @@
 
 use bytes::Bytes;
 use direct::{
-    ChooseSettings, Ended, LoadSettings, Next, Rank, Registered, RepeatSettings, Route, Splitter,
-    Tries, UpstreamLoad,
+    ChooseSettings, Ended, LoadReport, LoadSettings, Next, Rank, Registered, RepeatSettings, Returns, Route,
+    Splitter, Tries, UpstreamLoad,
 };
 use gate::Metrics;
 use gate::counters::Count;
@@ -35,6 +35,7 @@
 };
 use crate::connections::Connections;
 use crate::control::samples::{Sample, SampleTx};
+use crate::places::Doorkeeper;
 use crate::ports::{Asked, Dialect};
 use crate::settings::Repeats;
 use crate::story::{Story, Teller};
@@ -63,7 +64,9 @@
     repeats: Repeats,
     samples: SampleTx,
     connections: Connections,
+    door: Rc<Doorkeeper>,
     splitter: RefCell<Splitter>,
+    returns: RefCell<Returns>,
     loads: RefCell<HashMap<UpstreamId, UpstreamLoad>>,
     entries: RefCell<HashMap<EntryId, EntryState>>,
     load_cfg: LoadSettings,
@@ -85,8 +88,12 @@
     is_divided: bool,
     /// How urgent it is among the requests of its entry.
     rank: Rank,
+    /// How long ago the caller first asked, if it was refused and has come back.
+    asked_before: Duration,
     arrived: Timestamp,
     deadline: Timestamp,
+    /// What the last upstream that answered said of its load.
+    report: Cell<Option<LoadReport>>,
     /// The last answer by which an upstream said that it failed.
     failure: Cell<Option<Response<Full<Bytes>>>>,
 }
@@ -100,6 +107,7 @@
         dialect: Arc<dyn Dialect>,
         repeats: Repeats,
         samples: SampleTx,
+        door: Rc<Doorkeeper>,
         metrics: Arc<Metrics>,
         log: Logger,
     ) -> Self {
@@ -110,7 +118,9 @@
             repeats,
             samples,
             connections: Connections::default(),
+            door,
             splitter: RefCell::default(),
+            returns: RefCell::default(),
             loads: RefCell::default(),
             entries: RefCell::default(),
             load_cfg: LoadSettings::default(),
@@ -206,12 +216,22 @@
                     return Err(last.unwrap_or_else(|| truthful(refused, &tries)));
                 }
             };
-            {
-                let mut story = story.borrow_mut();
-                self.tell_target(&mut story, &target, now);
-                story.sent += 1;
-            };
-            let ended = match self.attempt(job, &target).await {
+            self.tell_target(&mut story.borrow_mut(), &target, now);
+            let mut place = None;
+            if job.is_divided {
+                let admitted = self.admit(&view, job, &target, now).await;
+                place = admitted.map_err(|refused| truthful(refused, &tries))?;
+                if !self.is_still_owner(job, &target) {
+                    continue;
+                }
+            }
+            story.borrow_mut().sent += 1;
+            let result = self.attempt(job, &target).await;
+            if let Some(place) = &mut place {
+                place.ended(result.is_ok(), job.report.take());
+            }
+            drop(place);
+            let ended = match result {
                 Ok(response) => return Ok(response),
                 Err(ended) => ended,
             };
@@ -270,6 +290,10 @@
         if is_divided && asked.key.is_none() {
             return Err(Reason::MissingKey.into());
         }
+        let asked_before = asked.wait.map_or(Duration::ZERO, |wait| {
+            let mut returns = self.returns.borrow_mut();
+            returns.asked_before(&route.name, wait)
+        });
         let wait = asked.wait.unwrap_or(route.timeout).min(route.timeout);
         self.count_request(&view, &entry, BootClock.now());
         Ok(Job {
@@ -280,8 +304,10 @@
             route,
             entry,
             is_divided,
+            asked_before,
             arrived,
             deadline: arrived + wait,
+            report: Cell::default(),
             failure: Cell::default(),
         })
     }
@@ -302,6 +328,14 @@
         state.budget.request(now);
     }
 
+    /// Tells whether `target` owns the request's key, after a wait in which it may have moved.
+    fn is_still_owner(&self, job: &Job, target: &Registered) -> bool {
+        let view = self.view.load();
+        let owners = view.owners.get(&job.entry);
+        let owner = job.asked.key.and_then(|key| owners?.owner(key));
+        owner == Some(&target.id)
+    }
+
     fn withdraw(&self, entry: &EntryId, now: Timestamp) -> bool {
         let mut entries = self.entries.borrow_mut();
         entries
@@ -351,6 +385,7 @@
             .borrow_mut()
             .retain(|id, load| known(id) || load.in_flight() > 0);
         self.connections.retain(|_| true, &view.roster);
+        self.door.retain(known);
     }
 }
 
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use direct::{Candidate, Choice, Registered, Tries, UpstreamLoad, Wanted, choose};
+use direct::{Candidate, Choice, Registered, Tries, UpstreamLoad, Wanted, Wish, choose};
 use ids::{EntryId, Reason, Timestamp, UpstreamId};
 use rand::Rng;
 
 use super::reply::{COME_BACK, KEY_COME_BACK, Refused, come_back, truthful};
 use super::{Forwarder, Job, USUAL_SERVICE};
+use crate::places::{Admission, Place};
 use crate::view::View;
 
 /// Pause between looks for the owner of a key that is moving.
@@ -91,26 +92,58 @@
         if !up.serves_its_keys(now) {
             return Pick::Wait;
         }
-        let usual = self.usual(&job.entry);
-        let mut loads = self.loads.borrow_mut();
-        let load = loads
-            .entry(up.id.clone())
-            .or_insert_with(|| UpstreamLoad::new(up.slots));
-        if load.is_closed(now) {
+        if self.with_load(up, |load| load.is_closed(now)) {
             return Pick::Wait;
         }
-        let expected = load.expected(now, usual, &self.load_cfg);
-        let left = job.deadline.since(now).as_secs_f64();
-        let crowd = load.crowd(now, &self.load_cfg);
-        let is_admitted = self.choose_cfg.admits(crowd, expected, &wanted(job, usual));
-        if !is_admitted || expected > left {
-            let room_in = load.service().unwrap_or(usual);
-            let room_in = Duration::from_secs_f64(room_in);
-            return Pick::Refuse(come_back(Reason::QueueFull, room_in), Some(up.clone()));
-        }
         Pick::To(up.clone())
     }
 
+    /// Waits until a request on a key may go to the key's owner.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be answered in time.
+    pub(super) async fn admit(
+        &self,
+        view: &View,
+        job: &Job,
+        owner: &Registered,
+        now: Timestamp,
+    ) -> Result<Option<Place>, Refused> {
+        let usual = Duration::from_secs_f64(self.usual(&job.entry));
+        let spent = job.asked_before + now.since(job.arrived);
+        let wish = Wish {
+            rank: job.rank,
+            in_time: job.route.objective.saturating_sub(spent),
+            left: job.deadline.since(now),
+            usual,
+        };
+        let room_in = match self.door.admit(view, owner, &wish).await {
+            Admission::Go(place) => return Ok(Some(place)),
+            Admission::Full { room_in } => room_in,
+            Admission::Unknown => {
+                let Some(room_in) = self.full_by_own_view(job, owner, now) else {
+                    return Ok(None);
+                };
+                room_in
+            }
+        };
+        Err(come_back(Reason::QueueFull, room_in))
+    }
+
+    /// Returns when an owner has room that has none by what this host knows of it.
+    fn full_by_own_view(&self, job: &Job, owner: &Registered, now: Timestamp) -> Option<Duration> {
+        let usual = self.usual(&job.entry);
+        let left = job.deadline.since(now).as_secs_f64();
+        self.with_load(owner, |load| {
+            let expected = load.expected(now, usual, &self.load_cfg);
+            let crowd = load.crowd(now, &self.load_cfg);
+            let is_admitted = self.choose_cfg.admits(crowd, expected, &wanted(job, usual));
+            let is_full = !is_admitted || expected > left;
+            is_full.then(|| Duration::from_secs_f64(load.service().unwrap_or(usual)))
+        })
+    }
+
     pub(super) async fn wait_for_owner(
         &self,
         job: &Job,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,7 +6,8 @@
 //! - [`story`]: log lines about single requests.
 //! - [`run`](mod@run): starts and stops the duties.
 //!
-//! Duties, a thread each: callers ([`serve`], [`forward`], [`connections`]) and control
+//! Duties, a thread each: callers ([`serve`], [`forward`], [`connections`],
+//! [`places`]) and control
 //! ([`control`]). Control publishes a [`view::View`]; callers report samples of requests over a
 //! bounded ring.
 
@@ -14,6 +15,7 @@
 pub mod control;
 pub mod forward;
 pub mod log;
+pub mod places;
 pub mod ports;
 pub mod run;
 pub mod serve;
--- /dev/null
+++ b/crates/front/src/places.rs
@@ -0,0 +1,408 @@
+//! Places at upstreams, asked for and handed out in datagrams.
+//!
+//! Of each upstream one host of its failure domain hands out the places; who that is follows from the
+//! hosts that are known, so that none has to be named. Two of them for a while, or none, cost waiting
+//! and nothing else: a host that gets no reply sends by what it knows itself.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use direct::{LoadReport, PlaceSettings, Places, Rank, Registered, Reply, Wish};
+use gate::Metrics;
+use gate::counters::Count;
+use ids::{BootClock, Clock, KeyHash, Timestamp, UpstreamId};
+use prost::Message;
+use slog::{Logger, debug};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::view::View;
+
+/// Time for the reply to a question, which is given at once: ten ways between the failure domains of
+/// today's users, and the turn of a host that has a tenth of a core.
+const REPLY_WITHIN: Duration = Duration::from_millis(30);
+/// Time for which a host that did not reply is not asked, after the first time; it doubles.
+const SILENT_MIN: Duration = Duration::from_millis(500);
+/// The longest such time.
+const SILENT_MAX: Duration = Duration::from_secs(16);
+/// Time between two looks for requests whose time is over.
+const TICK: Duration = Duration::from_millis(20);
+/// Largest datagram that is read.
+const DATAGRAM_BYTES: usize = 512;
+/// Beyond the expected time, the part of it for which a request waits for its turn: a reply may be
+/// lost.
+const PATIENCE: f64 = 1.5;
+
+/// One datagram.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct Datagram {
+    /// Names the request at the host that asks.
+    #[prost(uint64, tag = "1")]
+    request: u64,
+    #[prost(oneof = "Word", tags = "2, 3, 4, 5, 6")]
+    word: Option<Word>,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
+enum Word {
+    /// Wants a place.
+    #[prost(message, tag = "2")]
+    Ask(Ask),
+    /// Needs it no more.
+    #[prost(message, tag = "3")]
+    End(End),
+    /// Has a place.
+    #[prost(bool, tag = "4")]
+    Go(bool),
+    /// Waits; milliseconds until the answer is expected.
+    #[prost(uint32, tag = "5")]
+    Queued(u32),
+    /// Is refused; milliseconds until there is room.
+    #[prost(uint32, tag = "6")]
+    Full(u32),
+}
+
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+struct Ask {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    #[prost(uint32, tag = "2")]
+    slots: u32,
+    #[prost(bool, tag = "3")]
+    is_urgent: bool,
+    /// Milliseconds until the objective.
+    #[prost(uint32, tag = "4")]
+    in_time_ms: u32,
+    /// Milliseconds for which the caller waits.
+    #[prost(uint32, tag = "5")]
+    left_ms: u32,
+    /// Service time to assume, in milliseconds.
+    #[prost(uint32, tag = "6")]
+    usual_ms: u32,
+}
+
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+struct End {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    /// Whether the upstream answered.
+    #[prost(bool, tag = "2")]
+    answered: bool,
+    /// Requests at the upstream, running and waiting, if it said so, and its slots.
+    #[prost(uint32, optional, tag = "3")]
+    at_upstream: Option<u32>,
+    #[prost(uint32, tag = "4")]
+    slots: u32,
+}
+
+/// Names a request at the host that hands out places.
+type Asker = (SocketAddr, u64);
+
+#[derive(Debug, Clone, Copy)]
+struct Silent {
+    until: Timestamp,
+    times: u32,
+}
+
+/// Asks for places and hands them out.
+#[derive(Debug)]
+pub struct Doorkeeper {
+    socket: UdpSocket,
+    cfg: PlaceSettings,
+    upstreams: RefCell<HashMap<UpstreamId, Places<Asker>>>,
+    asked: RefCell<HashMap<u64, mpsc::UnboundedSender<Reply>>>,
+    silent: RefCell<HashMap<SocketAddr, Silent>>,
+    next: Cell<u64>,
+    metrics: std::sync::Arc<Metrics>,
+    log: Logger,
+}
+
+/// What became of a question for a place.
+#[derive(Debug)]
+pub enum Admission {
+    /// The request may go.
+    Go(Place),
+    /// It can't be answered in time.
+    Full {
+        /// Time until there is room.
+        room_in: Duration,
+    },
+    /// Nobody could be asked.
+    Unknown,
+}
+
+impl Doorkeeper {
+    /// Binds the socket.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        metrics: std::sync::Arc<Metrics>,
+        log: Logger,
+    ) -> io::Result<Rc<Self>> {
+        Ok(Rc::new(Self {
+            socket: UdpSocket::bind(address).await?,
+            cfg: PlaceSettings::default(),
+            upstreams: RefCell::default(),
+            asked: RefCell::default(),
+            silent: RefCell::default(),
+            next: Cell::default(),
+            metrics,
+            log,
+        }))
+    }
+
+    /// Takes datagrams.
+    pub async fn receive(self: Rc<Self>) {
+        let mut buf = [0; DATAGRAM_BYTES];
+        loop {
+            let (len, from) = match self.socket.recv_from(&mut buf).await {
+                Ok(received) => received,
+                Err(e) => {
+                    // A host that is gone may be reported to the sender of an earlier datagram.
+                    debug!(self.log, "receive for places"; "error" => %e);
+                    continue;
+                }
+            };
+            match Datagram::decode(&buf[..len]) {
+                Ok(datagram) => self.take(from, datagram),
+                Err(e) => debug!(self.log, "decode for places"; "peer" => %from, "error" => %e),
+            }
+        }
+    }
+
+    /// Refuses requests whose time is over, and forgets upstreams that nobody asks for.
+    pub async fn tend(self: Rc<Self>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tick.tick().await;
+            let now = BootClock.now();
+            let mut replies = Vec::new();
+            for places in self.upstreams.borrow_mut().values_mut() {
+                replies.extend(places.poll(now));
+            }
+            self.reply(&replies);
+        }
+    }
+
+    /// Forgets upstreams that `is_known` refuses and that nobody has a place at.
+    pub fn retain(&self, is_known: impl Fn(&UpstreamId) -> bool) {
+        self.upstreams
+            .borrow_mut()
+            .retain(|id, places| is_known(id) || !places.is_idle());
+    }
+
+    fn take(&self, from: SocketAddr, datagram: Datagram) {
+        let request = datagram.request;
+        let reply = match datagram.word {
+            Some(Word::Ask(ask)) => return self.asked(from, request, &ask),
+            Some(Word::End(end)) => return self.given_back(from, request, &end),
+            Some(Word::Go(_)) => Reply::Go,
+            Some(Word::Queued(ms)) => Reply::Queued {
+                expected: Duration::from_millis(ms.into()),
+            },
+            Some(Word::Full(ms)) => Reply::Full {
+                room_in: Duration::from_millis(ms.into()),
+            },
+            None => return,
+        };
+        if let Some(tx) = self.asked.borrow().get(&request) {
+            // The request may have given up waiting just now.
+            let _ = tx.send(reply);
+        }
+    }
+
+    fn asked(&self, from: SocketAddr, request: u64, ask: &Ask) {
+        let Ok(upstream) = UpstreamId::new(ask.upstream.as_str()) else {
+            return;
+        };
+        let ms = |ms: u32| Duration::from_millis(ms.into());
+        let wish = Wish {
+            rank: if ask.is_urgent {
+                Rank::Urgent
+            } else {
+                Rank::Alone
+            },
+            in_time: ms(ask.in_time_ms),
+            left: ms(ask.left_ms),
+            usual: ms(ask.usual_ms),
+        };
+        let mut all = self.upstreams.borrow_mut();
+        let places = all
+            .entry(upstream)
+            .or_insert_with(|| Places::new(ask.slots, self.cfg));
+        let reply = places.ask(BootClock.now(), (from, request), &wish);
+        drop(all);
+        self.reply(&[((from, request), reply)]);
+    }
+
+    fn given_back(&self, from: SocketAddr, request: u64, end: &End) {
+        let Ok(upstream) = UpstreamId::new(end.upstream.as_str()) else {
+            return;
+        };
+        let mut all = self.upstreams.borrow_mut();
+        let Some(places) = all.get_mut(&upstream) else {
+            return;
+        };
+        let report = end.at_upstream.map(|running| LoadReport {
+            running,
+            waiting: 0,
+            slots: end.slots,
+        });
+        let now = BootClock.now();
+        places.ended(now, (from, request), end.answered, report);
+        let replies = places.poll(now);
+        drop(all);
+        self.reply(&replies);
+    }
+
+    fn reply(&self, replies: &[(Asker, Reply)]) {
+        for &((to, request), reply) in replies {
+            let word = match reply {
+                Reply::Go => Word::Go(true),
+                Reply::Queued { expected } => Word::Queued(expected.as_millis() as u32),
+                Reply::Full { room_in } => Word::Full(room_in.as_millis() as u32),
+            };
+            self.send(to, request, word);
+        }
+    }
+
+    fn send(&self, to: SocketAddr, request: u64, word: Word) {
+        let datagram = Datagram {
+            request,
+            word: Some(word),
+        };
+        let bytes = datagram.encode_to_vec();
+        // What the socket does not take is as good as lost on the way.
+        if let Err(e) = self.socket.try_send_to(&bytes, to) {
+            debug!(self.log, "send for places"; "peer" => %to, "error" => %e);
+        }
+    }
+
+    /// Returns the host that hands out the places at `target`, of those that are not silent.
+    fn host_of(&self, view: &View, target: &Registered, now: Timestamp) -> Option<SocketAddr> {
+        let silent = self.silent.borrow();
+        let is_silent = |a: &SocketAddr| silent.get(a).is_some_and(|s| now < s.until);
+        let hosts = view.doors.get(&target.domain)?;
+        let rank = |a: &&SocketAddr| KeyHash::of(format!("{a} {}", target.id).as_bytes());
+        let heard = hosts.iter().filter(|a| !is_silent(a));
+        heard.max_by_key(rank).copied()
+    }
+
+    /// Asks for a place at `target`.
+    pub async fn admit(self: &Rc<Self>, view: &View, target: &Registered, wish: &Wish) -> Admission {
+        let now = BootClock.now();
+        let Some(host) = self.host_of(view, target, now) else {
+            return Admission::Unknown;
+        };
+        let request = self.next.get();
+        self.next.set(request + 1);
+        let (tx, mut replies) = mpsc::unbounded_channel();
+        self.asked.borrow_mut().insert(request, tx);
+        let mut place = Place {
+            door: Rc::clone(self),
+            host,
+            upstream: target.id.clone(),
+            request,
+            answered: false,
+            report: None,
+        };
+        let ms = |d: Duration| d.as_millis() as u32;
+        let ask = Ask {
+            upstream: target.id.to_string(),
+            slots: target.slots,
+            is_urgent: wish.rank == Rank::Urgent,
+            in_time_ms: ms(wish.in_time),
+            left_ms: ms(wish.left),
+            usual_ms: ms(wish.usual),
+        };
+        self.send(host, request, Word::Ask(ask));
+        let mut within = REPLY_WITHIN;
+        let mut has_replied = false;
+        loop {
+            match tokio::time::timeout(within, replies.recv()).await {
+                Ok(Some(Reply::Go)) => {
+                    self.silent.borrow_mut().remove(&host);
+                    return Admission::Go(place);
+                }
+                Ok(Some(Reply::Full { room_in })) => {
+                    self.silent.borrow_mut().remove(&host);
+                    place.forget();
+                    return Admission::Full { room_in };
+                }
+                Ok(Some(Reply::Queued { expected })) => {
+                    has_replied = true;
+                    within = expected.mul_f64(PATIENCE) + REPLY_WITHIN;
+                }
+                // The reply that it may go was lost.
+                Err(_elapsed) if has_replied => return Admission::Go(place),
+                Ok(None) | Err(_) => {
+                    self.note_silent(host, BootClock.now());
+                    return Admission::Unknown;
+                }
+            }
+        }
+    }
+
+    fn note_silent(&self, host: SocketAddr, now: Timestamp) {
+        self.metrics.count(Count::DoorsSilent);
+        let mut all = self.silent.borrow_mut();
+        let silent = all.entry(host).or_insert(Silent {
+            until: now,
+            times: 0,
+        });
+        let pause = SILENT_MIN * (1 << silent.times.min(5));
+        silent.until = now + pause.min(SILENT_MAX);
+        silent.times += 1;
+    }
+}
+
+/// A place at an upstream, or the question for one; dropping it gives it back.
+#[derive(Debug)]
+pub struct Place {
+    door: Rc<Doorkeeper>,
+    host: SocketAddr,
+    upstream: UpstreamId,
+    request: u64,
+    answered: bool,
+    report: Option<LoadReport>,
+}
+
+impl Place {
+    /// Notes whether the upstream answered, and what it said of its load.
+    pub fn ended(&mut self, answered: bool, report: Option<LoadReport>) {
+        self.answered = answered;
+        self.report = report;
+    }
+
+    /// Drops a question that was refused: there is nothing to give back.
+    fn forget(&mut self) {
+        self.door.asked.borrow_mut().remove(&self.request);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.door.asked.borrow_mut().remove(&self.request).is_none() {
+            return;
+        }
+        let end = End {
+            upstream: self.upstream.to_string(),
+            answered: self.answered,
+            at_upstream: self.report.map(|r| r.running + r.waiting),
+            slots: self.report.map_or(0, |r| r.slots),
+        };
+        self.door.send(self.host, self.request, Word::End(end));
+    }
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -25,6 +25,7 @@
 use crate::control::take::Table;
 use crate::control::{Control, Ctl, beat, follow, keys, relay};
 use crate::forward::Forwarder;
+use crate::places::Doorkeeper;
 use crate::ports::{Dialect, Platform};
 use crate::settings::{self, Settings};
 use crate::view::{Phase, Shared, View};
@@ -152,13 +153,25 @@
                     return bound.send(Err(e)).context("report a failed start");
                 }
             };
+            let address = self.cfg.listen.places;
+            let metrics = Arc::clone(&self.metrics);
+            let door = match Doorkeeper::bind(address, metrics, self.log.clone()).await {
+                Ok(door) => door,
+                Err(e) => {
+                    let e = anyhow::Error::new(e).context(format!("bind {address}"));
+                    return bound.send(Err(e)).context("report a failed start");
+                }
+            };
             bound.send(Ok(())).context("report the start")?;
+            tokio::task::spawn_local(Rc::clone(&door).receive());
+            tokio::task::spawn_local(Rc::clone(&door).tend());
             let forwarder = Rc::new(Forwarder::new(
                 self.cfg.domain,
                 Shared::clone(&self.view),
                 self.dialect,
                 self.cfg.repeats,
                 self.samples,
+                door,
                 self.metrics,
                 self.log.clone(),
             ));
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -1,11 +1,12 @@
 //! What the control duty tells the callers' duty.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 use assign::Owners;
 use direct::{Configuration, Roster, RouteTable};
-use ids::EntryId;
+use ids::{DomainId, EntryId};
 use indexmap::IndexMap;
 
 /// Whether a host takes callers.
@@ -40,6 +41,8 @@
     pub roster: Arc<Roster>,
     /// Owners of keys, for each entry that is divided by key.
     pub owners: Arc<IndexMap<EntryId, Owners>>,
+    /// Where the hosts of each failure domain are asked for places at its upstreams.
+    pub doors: Arc<IndexMap<DomainId, Vec<SocketAddr>>>,
     /// Hosts that share the budget for repeats; at least one.
     pub hosts: usize,
 }
