direct: a remote upstream must be faster by three fifths of the objective

Ruled out: compression between hosts (bodies are as good as random, 7.9 bits a byte); owners near the callers of their keys (each key is asked for from all domains alike).

The case of a remote upstream that is chosen had a difference between the old price and the new one; it is now one that the new price allows, and the old figures stand as a case of the local one.

--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -14,8 +14,8 @@
 pub struct ChooseSettings {
     /// Part of the objective by which a remote upstream has to be faster.
     ///
-    /// A fifth keeps a local queue of less than one request for each slot local at today's
-    /// objectives, which are about three service times.
+    /// At three fifths a tenth of the bodies of entries without keys cross domains, at a fifth a
+    /// quarter, and one answer in a hundred is late that was not. Beyond that nothing is saved.
     pub remote_price: f64,
     /// Part of the objective by which an upstream without a connection at rest has to be faster.
     ///
@@ -47,7 +47,7 @@
 impl Default for ChooseSettings {
     fn default() -> Self {
         Self {
-            remote_price: 0.2,
+            remote_price: 0.6,
             connect_price: 0.05,
             failing_price: 4.0,
             crowd_max: 3.5,
--- a/crates/direct/tests/choose.rs
+++ b/crates/direct/tests/choose.rs
@@ -62,8 +62,13 @@
         chosen: chosen(0, 0.1),
     },
     Case {
-        name: "a remote one that is much faster",
+        name: "a local one that is slower by less than three fifths of the objective",
         upstreams: &[(Seen::Answered(200), false), (Seen::Answered(60), true)],
+        chosen: chosen(0, 0.2),
+    },
+    Case {
+        name: "a remote one that is much faster",
+        upstreams: &[(Seen::Answered(260), false), (Seen::Answered(60), true)],
         chosen: chosen(1, 0.06),
     },
     Case {
