assign: rates of keys are right from the first second

Cause: a count that fades with a half-life of 3 s shows a fifth of its rate after a second.

Change: rates are divided by the part that the counts have grown to.

Test: loads, rates in the first seconds (fails before: 21 in place of 100 after a second).

--- a/crates/assign/src/loads.rs
+++ b/crates/assign/src/loads.rs
@@ -19,14 +19,17 @@
 /// second has as many in one second of fifty.
 const HOT_COUNT: f32 = 4.0;
 
+/// Least part of its final value that a count is taken to have: that after half a second.
+const LEAST_GROWN: f64 = 0.1;
+
 /// Requests a second of each key, as the hosts report them.
 #[derive(Debug)]
 pub struct KeyLoads {
     counts: Vec<f32>,
     /// The same with [`HOT_HALF_LIFE`].
     recent: Vec<f32>,
-    /// Whether there has been any request.
-    is_asked: bool,
+    /// Since when there have been requests.
+    asked_since: Option<Timestamp>,
     faded_at: Timestamp,
     /// Sum of the requests a second before each key, made by [`Self::sum_up`].
     sums: Vec<f64>,
@@ -40,7 +43,7 @@
         Self {
             counts: vec![0.0; keys],
             recent: vec![0.0; keys],
-            is_asked: false,
+            asked_since: None,
             faded_at: now,
             sums: vec![0.0; keys + 1],
         }
@@ -50,7 +53,7 @@
     pub fn add(&mut self, key: u16, count: u32) {
         self.counts[usize::from(key)] += count as f32;
         self.recent[usize::from(key)] += count as f32;
-        self.is_asked = true;
+        self.asked_since.get_or_insert(self.faded_at);
     }
 
     /// Fades all counts, and sums them up for [`Self::rate`].
@@ -59,18 +62,24 @@
         let factor = (-age / HALF_LIFE.as_secs_f64()).exp2() as f32;
         let hot_factor = (-age / HOT_HALF_LIFE.as_secs_f64()).exp2() as f32;
         self.faded_at = now;
-        if !self.is_asked {
+        let Some(since) = self.asked_since else {
             return;
-        }
+        };
+        // Counts that have just begun to grow are below what they will be.
+        let grown = |half_life: Duration| {
+            let age = now.since(since).as_secs_f64() / half_life.as_secs_f64();
+            (1.0 - (-age).exp2()).max(LEAST_GROWN)
+        };
+        let (all_grown, hot_grown) = (grown(HALF_LIFE), grown(HOT_HALF_LIFE));
         let mut sum = 0.0;
         let counts = self.counts.iter_mut().zip(&mut self.recent);
         for ((count, recent), before) in counts.zip(&mut self.sums) {
             *count *= factor;
             *recent *= hot_factor;
             *before = sum;
-            let mut rate = per_second(*count, HALF_LIFE);
+            let mut rate = per_second(*count, HALF_LIFE) / all_grown;
             if *recent >= HOT_COUNT {
-                rate = rate.max(per_second(*recent, HOT_HALF_LIFE));
+                rate = rate.max(per_second(*recent, HOT_HALF_LIFE) / hot_grown);
             }
             sum += rate;
         }
--- a/crates/assign/tests/loads.rs
+++ b/crates/assign/tests/loads.rs
@@ -62,3 +62,25 @@
         assert!((160.0..250.0).contains(&all), "{all} of 200 a second");
     }
 }
+
+/// The first seconds of a day, when all owners have as many keys as any other: who is over shows in
+/// rates, and rates must not wait for the counts to grow.
+#[test]
+fn rates_are_right_from_the_first_second() {
+    let begin = Timestamp::from_millis(60_000);
+    // An idle entry: its counts begin to grow with the first request.
+    let mut loads = KeyLoads::new(Timestamp::ZERO);
+    loads.sum_up(begin);
+    for (from, second) in [(0, 1), (1, 2), (2, 4), (4, 12)] {
+        for ms in (from * 1_000..second * 1_000_u64).step_by(10) {
+            loads.add((ms * 7 % 65_536) as u16, 1);
+            if ms % 400 == 390 {
+                loads.sum_up(begin + Duration::from_millis(ms));
+            }
+        }
+        loads.sum_up(begin + Duration::from_secs(second));
+        let rate = loads.rate(KeyRange::ALL);
+        let off = (rate - 100.0).abs() / 100.0;
+        assert!(off < 0.05, "after {second} s: {rate} in place of 100");
+    }
+}
