--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -16,8 +16,8 @@
 
 use bytes::Bytes;
 use direct::{
-    ChooseSettings, Ended, LoadReport, LoadSettings, Next, Rank, Registered, RepeatSettings, Returns, Route,
-    Splitter, Tries, UpstreamLoad,
+    ChooseSettings, Ended, LoadReport, LoadSettings, Next, Rank, Registered, RepeatSettings,
+    Returns, Route, Splitter, Tries, UpstreamLoad,
 };
 use gate::Metrics;
 use gate::counters::Count;
--- a/crates/front/src/places.rs
+++ b/crates/front/src/places.rs
@@ -301,7 +301,12 @@
     }
 
     /// Asks for a place at `target`.
-    pub async fn admit(self: &Rc<Self>, view: &View, target: &Registered, wish: &Wish) -> Admission {
+    pub async fn admit(
+        self: &Rc<Self>,
+        view: &View,
+        target: &Registered,
+        wish: &Wish,
+    ) -> Admission {
         let now = BootClock.now();
         let Some(host) = self.host_of(view, target, now) else {
             return Admission::Unknown;
