gate: a stopping host keeps connections at rest for 700 ms

Traced in a test of the gate: a request 200 ms after the stop met a closed connection.

Change: connections stay open for 700 ms more, answers then carry Connection: close.

Test: gate callers, a request on a kept connection of a stopping host (fails before).

--- a/crates/gate/src/callers/serve.rs
+++ b/crates/gate/src/callers/serve.rs
@@ -39,6 +39,11 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Smallest read buffer that the library takes.
 const MIN_BUFFER: usize = 8 << 10;
+/// Time for which a stopping host keeps connections at rest.
+///
+/// A request that crosses their close gets no answer. Callers that send within this time are told by
+/// the answer to go elsewhere, so that none of a busy caller's requests meets the close.
+const REST: Duration = Duration::from_millis(700);
 /// Time between two signs of life on an HTTP/2 connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(20);
 
@@ -279,7 +284,10 @@
         let connection = protocol.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut first = std::pin::pin!(tokio::time::sleep(millis(self.settings.header_timeout_ms)));
-        let mut stop = std::pin::pin!(self.stop.cancelled());
+        let mut stop = std::pin::pin!(async {
+            self.stop.cancelled().await;
+            tokio::time::sleep(REST).await;
+        });
         let (mut first_checked, mut stopping) = (false, false);
         let ended = loop {
             tokio::select! {
@@ -322,7 +330,8 @@
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let version = request.version();
         let mut response = self.respond(request).await;
-        if self.cx.phase() == Phase::Leaving && version <= Version::HTTP_11 {
+        let is_last = self.cx.phase() == Phase::Leaving || self.stop.is_cancelled();
+        if is_last && version <= Version::HTTP_11 {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
--- a/crates/gate/tests/callers.rs
+++ b/crates/gate/tests/callers.rs
@@ -323,3 +323,19 @@
     let answered = metrics.total(gate::counters::Count::Answered);
     assert!(answered < 300, "{answered}");
 }
+
+/// A caller may have written its next request when the host begins to stop; it crosses the close of the
+/// connection unless the host keeps those at rest for a while.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_on_a_kept_connection_of_a_stopping_host_is_answered() {
+    let rig = Rig::start(RigSettings::default()).await;
+    let mut caller = Caller::connect(rig.address(0)).await;
+    let ask = |id: &str| get("/look", &[key(), ("medlardyke-request-id", id)]);
+    assert_eq!(caller.ask(ask("before")).await.body, "answer to before");
+    rig.hosts[0].gate.stop();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let got = caller.ask(ask("after")).await;
+    assert_eq!(got.body, "answer to after");
+    assert_eq!(got.header("connection"), "close");
+    assert!(caller.read().await.is_none(), "it stays open");
+}
