assign, front: hosts are told which keys wait for their owner, and for how long

Cause: the row names the owner of keys that move before that one may serve them: the former owner has to end its work (250 ms) or, if it is lost, its grants must run out (3.4 s). Hosts sent to the new owner all the while, were turned away with 421 up to four times a request, used up the budget for repeats and told callers no useful time.

Change: the granting host tells in datagrams, on each change and with each heartbeat's answer, which pieces nobody serves and for how long. Requests whose answer can still come in their time wait for the word that the owner was granted; others are refused at once with that time.

--- a/crates/assign/src/keeper/calls.rs
+++ b/crates/assign/src/keeper/calls.rs
@@ -64,6 +64,7 @@
         match end {
             CallEnd::Done { .. } => {
                 live.handover = None;
+                live.granted = true;
                 // Pieces that are granted together, as after a take-over, would always be.
                 let part = if live.is_apart {
                     1.0
--- a/crates/assign/src/keeper/mod.rs
+++ b/crates/assign/src/keeper/mod.rs
@@ -5,9 +5,11 @@
 //!
 //! - `calls`: grants, renewals and releases, and what their ends say.
 //! - `moves`: moves of ranges to other owners.
+//! - `waits`: how long keys that move wait for their owner.
 
 mod calls;
 mod moves;
+mod waits;
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -18,6 +20,7 @@
 use crate::live::{LastGrant, Live, carry_over};
 use crate::order::{Action, CommitEnd, OrderCall};
 use crate::plan::{Planner, UpstreamView};
+use crate::range::Fence;
 use crate::row::{Earlier, EntryRow, Piece, Run};
 use crate::settings::AssignSettings;
 
@@ -59,6 +62,8 @@
     replaced_since: HashMap<Earlier, Timestamp>,
     /// Revision of the row that made this host the granting one.
     named_at: Revision,
+    /// When that became known, and the highest fence then.
+    began: (Timestamp, Fence),
     /// Rows before this one don't let this host grant: it was told of its successor.
     not_before: Revision,
     /// The row of a commit that has not ended.
@@ -85,6 +90,7 @@
             earlier: Vec::new(),
             replaced_since: HashMap::new(),
             named_at: Revision::default(),
+            began: (Timestamp::ZERO, Fence::default()),
             not_before: Revision::default(),
             commit: None,
             calls: HashMap::new(),
@@ -209,6 +215,7 @@
         };
         self.earlier.clone_from(&known.row.earlier);
         self.named_at = known.revision;
+        self.began = (now, known.row.fence);
         let evidence = self.cfg.evidence.mul_f64(1.0 + self.cfg.drift);
         let stopped = |e: &Earlier| self.replaced_since.get(e).copied().unwrap_or(now) + evidence;
         let stopped = self.earlier.iter().map(stopped).max();
--- a/crates/assign/src/lib.rs
+++ b/crates/assign/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod row;
 pub mod settings;
 pub mod succession;
+pub mod unserved;
 
 pub use evidence::Evidence;
 pub use keeper::Keeper;
@@ -42,3 +43,4 @@
 pub use row::{Earlier, EntryRow, Piece, RowError, Run};
 pub use settings::AssignSettings;
 pub use succession::{Succession, SuccessionSettings, TakeOver, Word};
+pub use unserved::{Moving, Unserved};
--- a/crates/assign/src/live.rs
+++ b/crates/assign/src/live.rs
@@ -57,6 +57,8 @@
     /// When to send the next one.
     pub(crate) next_at: Timestamp,
     pub(crate) granting: bool,
+    /// The owner answered a grant under the piece's fence.
+    pub(crate) granted: bool,
     /// Its renewals have been moved apart from those of the pieces that were granted with it.
     pub(crate) is_apart: bool,
     /// What keeps the keys warm at the owner.
@@ -97,6 +99,7 @@
         last_grant: LastGrant::latest(same().map(|(_, l)| l.last_grant)),
         next_at: same().map(|(_, l)| l.next_at).min().unwrap_or(now),
         granting: false,
+        granted: whole.is_some_and(|(_, l)| l.granted),
         is_apart: whole.is_some_and(|(_, l)| l.is_apart),
         handover: whole.and_then(|(_, l)| l.handover.clone()),
     }
--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use assign::{Keeper, Run, Word};
-use ids::{BootClock, Clock, EntryId, HostId, Incarnation, Revision, UpstreamId};
+use assign::{Fence, Keeper, Moving, Run, Word};
+use ids::{BootClock, Clock, EntryId, HostId, Incarnation, Revision, Timestamp, UpstreamId};
 use indexmap::IndexMap;
 use prost::Message;
 use slog::{debug, info};
@@ -25,6 +25,10 @@
 /// Most keys in one heartbeat, so that it stays within one packet; the busiest come first.
 const KEYS_MAX: usize = 150;
 
+/// Hosts that are told at once that keys begin or end to wait for their owner; others hear of it with
+/// the answer to their next heartbeat.
+const TOLD_AT_ONCE: usize = 100;
+
 /// What a host tells the one that grants the keys of an entry.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
@@ -44,6 +48,67 @@
     /// Revision of the row by which the sender grants in place of the receiver.
     #[prost(uint64, optional, tag = "5")]
     pub replaced_at: Option<u64>,
+    /// Keys that nobody serves for the moment, if the sender grants.
+    #[prost(message, optional, tag = "6")]
+    pub moving: Option<MovingKeys>,
+}
+
+/// Keys that nobody serves for the moment, by one row.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct MovingKeys {
+    /// Revision of the row.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Its pieces whose owner can't serve them yet.
+    #[prost(message, repeated, tag = "2")]
+    pub pieces: Vec<MovingPiece>,
+}
+
+/// A piece whose owner can't serve it yet.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct MovingPiece {
+    /// Its first key.
+    #[prost(uint32, tag = "1")]
+    pub first: u32,
+    /// Its fence.
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    /// Time until its owner may serve it, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub left_ms: u32,
+}
+
+impl From<&Moving> for MovingKeys {
+    fn from(moving: &Moving) -> Self {
+        let piece = |&(first, fence, left): &(u16, Fence, Duration)| MovingPiece {
+            first: first.into(),
+            fence: fence.0,
+            left_ms: left.as_millis() as u32,
+        };
+        Self {
+            revision: moving.revision.0,
+            pieces: moving.pieces.iter().map(piece).collect(),
+        }
+    }
+}
+
+impl From<&MovingKeys> for Moving {
+    fn from(told: &MovingKeys) -> Self {
+        let piece = |p: &MovingPiece| {
+            let first = u16::try_from(p.first).ok()?;
+            Some((
+                first,
+                Fence(p.fence),
+                Duration::from_millis(p.left_ms.into()),
+            ))
+        };
+        Self {
+            revision: Revision(told.revision),
+            pieces: told.pieces.iter().filter_map(piece).collect(),
+        }
+    }
 }
 
 /// Requests on one key.
@@ -195,6 +260,40 @@
     })
 }
 
+/// Tells the other hosts which keys nobody serves, as soon as that changes; what is lost on the way
+/// comes with the answer to the next heartbeat.
+pub async fn tell_moving(ctl: &Ctl, socket: &UdpSocket, now: Timestamp) {
+    for (to, beat) in ctl.with(|c| moving_notices(c, now)) {
+        send_to(ctl, socket, &beat, to).await;
+    }
+}
+
+fn moving_notices(c: &mut Control, now: Timestamp) -> Vec<(SocketAddr, Beat)> {
+    let mut notices = Vec::new();
+    let mut has_changed = false;
+    for (entry, divided) in &mut c.divided {
+        let Some(moving) = divided.keeper.moving(now) else {
+            continue;
+        };
+        if !divided.unserved.hear(now, &moving) {
+            continue;
+        }
+        has_changed = true;
+        let beat = Beat {
+            entry: entry.to_string(),
+            moving: Some((&moving).into()),
+            ..Beat::default()
+        };
+        let others = c.hosts.values().filter(|h| h.row.run.host != c.me.host);
+        let told = others.take(TOLD_AT_ONCE);
+        notices.extend(told.map(|host| (host.row.peers, beat.clone())));
+    }
+    if has_changed {
+        c.publish();
+    }
+    notices
+}
+
 /// Takes heartbeats and their answers.
 pub async fn receive(ctl: Ctl, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; DATAGRAM_BYTES];
@@ -220,36 +319,68 @@
     }
 }
 
-/// Takes a heartbeat; returns the answer if it is not one itself.
+/// Takes a datagram; returns the answer if it is a heartbeat.
 fn take(c: &mut Control, beat: &Beat) -> Option<Beat> {
     let entry = EntryId::new(beat.entry.as_str()).ok()?;
     let now = BootClock.now();
-    let has_stopped = c.has_stopped;
-    let divided = c.divided.get_mut(&entry)?;
-    let Some(echo) = &beat.echo else {
-        note(divided, beat);
-        if let Some(revision) = beat.replaced_at {
-            if divided.keeper.is_granter() {
-                info!(c.log, "replaced as granting host"; "entry" => entry.as_str(),
-                    "revision" => revision);
-            }
-            divided.keeper.replaced(Revision(revision));
+    if let Some(moving) = &beat.moving {
+        hear_moving(c, &entry, moving, now);
+    }
+    match (&beat.echo, &beat.moving) {
+        (Some(echo), _) => {
+            take_echo(c, &entry, echo, now);
+            None
         }
-        let evidence = divided.keeper.evidence_age(now);
-        let echo = Echo {
-            host: c.me.host.to_string(),
-            incarnation: c.me.incarnation.0,
-            has_stopped,
-            evidence_ms: evidence.map(|age| age.as_millis() as u32),
-            knows: divided.keeper.knows().0,
-        };
-        return Some(Beat {
-            entry: beat.entry.clone(),
-            echo: Some(echo),
-            ..Beat::default()
-        });
+        (None, Some(_notice)) => None,
+        (None, None) => answer(c, &entry, beat, now),
+    }
+}
+
+fn hear_moving(c: &mut Control, entry: &EntryId, moving: &MovingKeys, now: Timestamp) {
+    let Some(divided) = c.divided.get_mut(entry) else {
+        return;
+    };
+    // The granting host knows better.
+    if !divided.keeper.is_granter() && divided.unserved.hear(now, &moving.into()) {
+        c.publish();
+    }
+}
+
+/// Takes a heartbeat and answers it.
+fn answer(c: &mut Control, entry: &EntryId, beat: &Beat, now: Timestamp) -> Option<Beat> {
+    let divided = c.divided.get_mut(entry)?;
+    note(divided, beat);
+    if let Some(revision) = beat.replaced_at {
+        if divided.keeper.is_granter() {
+            info!(c.log, "replaced as granting host"; "entry" => entry.as_str(),
+                "revision" => revision);
+        }
+        divided.keeper.replaced(Revision(revision));
+    }
+    let evidence = divided.keeper.evidence_age(now);
+    let echo = Echo {
+        host: c.me.host.to_string(),
+        incarnation: c.me.incarnation.0,
+        has_stopped: c.has_stopped,
+        evidence_ms: evidence.map(|age| age.as_millis() as u32),
+        knows: divided.keeper.knows().0,
+    };
+    Some(Beat {
+        entry: beat.entry.clone(),
+        echo: Some(echo),
+        moving: divided.keeper.moving(now).as_ref().map(MovingKeys::from),
+        ..Beat::default()
+    })
+}
+
+/// Takes the answer to a heartbeat.
+fn take_echo(c: &mut Control, entry: &EntryId, echo: &Echo, now: Timestamp) {
+    let Some(divided) = c.divided.get_mut(entry) else {
+        return;
+    };
+    let Ok(host) = HostId::new(echo.host.as_str()) else {
+        return;
     };
-    let host = HostId::new(echo.host.as_str()).ok()?;
     let run = Run {
         host,
         incarnation: Incarnation(echo.incarnation),
@@ -266,7 +397,6 @@
         };
         divided.succession.heard(now, word);
     }
-    None
 }
 
 /// Adds what a heartbeat says of loads.
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -1,6 +1,7 @@
 //! Drives the keepers of entries that are divided by key.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use assign::{
@@ -13,7 +14,9 @@
 use platform::{Commit, PlatformError, RowKey};
 use rand::Rng;
 use slog::{Logger, info, warn};
+use tokio::net::UdpSocket;
 
+use crate::control::beat;
 use crate::control::follow::{keys_row, keys_txn};
 use crate::control::state::{Control, Ctl, Divided, KnownHost, OrderRoute};
 use crate::ports::Platform;
@@ -30,7 +33,7 @@
 const USUAL_SERVICE: f64 = 0.1;
 
 /// Drives all keepers.
-pub async fn drive(ctl: Ctl, platform: impl Platform) {
+pub async fn drive(ctl: Ctl, platform: impl Platform, socket: Rc<UdpSocket>) {
     let part = rand::rng().random_range(0.0..1.0);
     loop {
         let now = BootClock.now();
@@ -39,6 +42,7 @@
         for (entry, action) in due {
             carry_out(&ctl, &platform, entry, action);
         }
+        beat::tell_moving(&ctl, &socket, BootClock.now()).await;
         let tick = if grants { GRANTER_TICK } else { TICK };
         // Whichever comes first.
         let _ = tokio::time::timeout(tick, ctl.wake_keys.notified()).await;
@@ -195,7 +199,8 @@
     });
     // A renewal that went well is no reason to do anything else.
     let is_done = matches!(end, CallEnd::Done { .. });
-    if !is_done || described.kind == CallKind::Release {
+    let is_awaited = ctl.with(|c| c.divided.get(&entry).is_some_and(|d| d.unserved.has_any()));
+    if !is_done || described.kind == CallKind::Release || is_awaited {
         ctl.wake_keys.notify_one();
     }
 }
@@ -254,6 +259,7 @@
         return;
     };
     divided.keeper.commit_ended(now, end);
+    divided.row_taken(now);
     if let Some(granter) = divided.keeper.row().map(|row| row.granter.clone()) {
         divided.succession.granter(now, &granter);
     }
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -9,7 +9,7 @@
 
 use assign::{
     AssignSettings, EntryRow, Keeper, KeyLoads, Owners, Planner, Run, Succession,
-    SuccessionSettings,
+    SuccessionSettings, Unserved,
 };
 use direct::{Configuration, Registered, Roster, RouteTable};
 use gate::Metrics;
@@ -68,6 +68,8 @@
     pub keeper: Keeper,
     /// Who should.
     pub succession: Succession,
+    /// Which keys nobody serves for the moment.
+    pub unserved: Unserved,
     /// How busy its keys are.
     pub loads: KeyLoads,
     /// Mean times of its upstreams for one request, in seconds.
@@ -76,6 +78,15 @@
     pub failing: HashMap<UpstreamId, u32>,
 }
 
+impl Divided {
+    /// Notes that the keeper may know a newer row.
+    pub fn row_taken(&mut self, now: Timestamp) {
+        if let (Some(row), Some(revision)) = (self.keeper.row(), self.keeper.revision()) {
+            self.unserved.row_read(now, row, revision);
+        }
+    }
+}
+
 /// Where an upstream was last known to be.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Place {
@@ -189,10 +200,10 @@
 impl Control {
     /// Publishes what callers' duty has to know.
     pub fn publish(&self) {
-        let owners = self
-            .divided
-            .iter()
-            .filter_map(|(entry, d)| Some((entry.clone(), Owners::new(d.keeper.row()?))));
+        let owners = self.divided.iter().filter_map(|(entry, d)| {
+            let owners = Owners::new(d.keeper.row()?, &d.unserved);
+            Some((entry.clone(), owners))
+        });
         let mut doors: IndexMap<DomainId, Vec<SocketAddr>> = IndexMap::new();
         for host in self.hosts.values() {
             let in_domain = doors.entry(host.row.domain.clone()).or_default();
@@ -245,6 +256,7 @@
         Divided {
             keeper: Keeper::new(self.me.clone(), cfg, Planner::default()),
             succession: Succession::new(SuccessionSettings::default()),
+            unserved: Unserved::default(),
             loads: KeyLoads::new(now),
             services: HashMap::new(),
             failing: HashMap::new(),
@@ -436,6 +448,7 @@
         };
         let granter = row.granter.clone();
         let is_news = divided.keeper.take(now, row, at);
+        divided.row_taken(now);
         if is_news && divided.succession.granter(now, &granter) {
             info!(self.log, "keys are granted by"; "entry" => entry.as_str(),
                 "granter" => granter.host.as_str(), "incarnation" => granter.incarnation.0);
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -29,7 +29,7 @@
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
 
-use self::pick::Pick;
+use self::pick::{MOVE_PAUSE, Pick};
 use self::reply::{
     COME_BACK, Refused, come_back, cut_off, given_up, out_of_time, refusal, truthful,
 };
@@ -204,6 +204,10 @@
                     self.wait_for_owner(job, &tries, now).await?;
                     continue;
                 }
+                Pick::WaitForMove => {
+                    tokio::time::sleep(MOVE_PAUSE).await;
+                    continue;
+                }
                 Pick::Refuse(refused, target) => {
                     if let Some(target) = target {
                         self.tell_target(&mut story.borrow_mut(), &target, now);
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -13,6 +13,8 @@
 
 /// Pause between looks for the owner of a key that is moving.
 const OWNER_PAUSE: Duration = Duration::from_millis(50);
+/// The same while it is known when the key gets its owner: the wait ends with the word that it has.
+pub(super) const MOVE_PAUSE: Duration = Duration::from_millis(15);
 /// Part of the objective for which a request waits for its key's owner.
 ///
 /// A planned move takes less than a service time. Whoever waits longer meets a loss, which takes
@@ -24,6 +26,8 @@
     To(Registered),
     /// The key's owner is not known or not reachable now, which may change soon.
     Wait,
+    /// The key gets its owner soon enough.
+    WaitForMove,
     /// Nobody gets it; the upstream that it would have gone to, if there is one.
     Refuse(Refused, Option<Registered>),
 }
@@ -84,8 +88,13 @@
 
     pub(super) fn pick_owner(&self, view: &View, job: &Job, now: Timestamp) -> Pick {
         let owners = view.owners.get(&job.entry);
-        let owner = job.asked.key.and_then(|key| owners?.owner(key));
-        let up = owner.and_then(|id| view.roster.get(id));
+        let piece = job.asked.key.and_then(|key| owners?.piece(key));
+        if let Some(until) = piece.and_then(|p| p.unserved_until)
+            && now < until
+        {
+            return self.wait_for_move(job, until.since(now), now);
+        }
+        let up = piece.and_then(|p| view.roster.get(&p.owner));
         let Some(up) = up.filter(|up| up.entry == job.entry) else {
             return Pick::Wait;
         };
@@ -98,6 +107,15 @@
         Pick::To(up.clone())
     }
 
+    /// Decides on a request whose key gets its owner in about `wait`.
+    fn wait_for_move(&self, job: &Job, wait: Duration, now: Timestamp) -> Pick {
+        let answered = wait.as_secs_f64() + self.usual(&job.entry);
+        if answered > job.deadline.since(now).as_secs_f64() {
+            return Pick::Refuse(come_back(Reason::NoOwner, wait), None);
+        }
+        Pick::WaitForMove
+    }
+
     /// Waits until a request on a key may go to the key's owner.
     ///
     /// # Errors
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -219,8 +219,8 @@
     tokio::task::spawn_local(relay::feed(ctl.clone(), relay_listener));
     tokio::task::spawn_local(relay::be_fed(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(beat::send(ctl.clone(), Rc::clone(&socket), samples));
+    tokio::task::spawn_local(keys::drive(ctl.clone(), platform, Rc::clone(&socket)));
     tokio::task::spawn_local(beat::receive(ctl.clone(), socket));
-    tokio::task::spawn_local(keys::drive(ctl.clone(), platform));
     wait_for_stop(&log).await?;
     let killed_at = tokio::time::Instant::now() + ctl.with(|c| c.cfg.stop.grace());
     ctl.with(|c| c.enter(Phase::Leaving));
