--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -78,6 +78,27 @@
     end: CancellationToken,
 }
 
+/// What a [`Forwarder`] is built of.
+#[derive(Debug)]
+pub struct ForwarderParts {
+    /// The host's failure domain.
+    pub domain: DomainId,
+    /// What the control duty knows.
+    pub view: Shared,
+    /// How callers and upstreams speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// The budget for repeats.
+    pub repeats: Repeats,
+    /// Where samples of requests go.
+    pub samples: SampleTx,
+    /// Where places at upstreams are asked for.
+    pub door: Rc<Doorkeeper>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Logger.
+    pub log: Logger,
+}
+
 /// A whole request of a caller, and what was found out about it.
 struct Job {
     parts: request::Parts,
@@ -99,26 +120,17 @@
 }
 
 impl Forwarder {
-    /// Builds the forwarder of a host in `domain`.
+    /// Builds the forwarder of a host.
     #[must_use]
-    pub fn new(
-        domain: DomainId,
-        view: Shared,
-        dialect: Arc<dyn Dialect>,
-        repeats: Repeats,
-        samples: SampleTx,
-        door: Rc<Doorkeeper>,
-        metrics: Arc<Metrics>,
-        log: Logger,
-    ) -> Self {
+    pub fn new(parts: ForwarderParts) -> Self {
         Self {
-            domain,
-            view,
-            dialect,
-            repeats,
-            samples,
+            domain: parts.domain,
+            view: parts.view,
+            dialect: parts.dialect,
+            repeats: parts.repeats,
+            samples: parts.samples,
             connections: Connections::default(),
-            door,
+            door: parts.door,
             splitter: RefCell::default(),
             returns: RefCell::default(),
             loads: RefCell::default(),
@@ -126,8 +138,8 @@
             load_cfg: LoadSettings::default(),
             choose_cfg: ChooseSettings::default(),
             repeat_cfg: RepeatSettings::default(),
-            teller: Teller::new(log),
-            metrics,
+            teller: Teller::new(parts.log),
+            metrics: parts.metrics,
             end: CancellationToken::new(),
         }
     }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -24,7 +24,7 @@
 use crate::control::samples::{self, SampleRx, SampleTx};
 use crate::control::take::Table;
 use crate::control::{Control, Ctl, beat, follow, keys, relay};
-use crate::forward::Forwarder;
+use crate::forward::{Forwarder, ForwarderParts};
 use crate::places::Doorkeeper;
 use crate::ports::{Dialect, Platform};
 use crate::settings::{self, Settings};
@@ -165,16 +165,16 @@
             bound.send(Ok(())).context("report the start")?;
             tokio::task::spawn_local(Rc::clone(&door).receive());
             tokio::task::spawn_local(Rc::clone(&door).tend());
-            let forwarder = Rc::new(Forwarder::new(
-                self.cfg.domain,
-                Shared::clone(&self.view),
-                self.dialect,
-                self.cfg.repeats,
-                self.samples,
+            let forwarder = Rc::new(Forwarder::new(ForwarderParts {
+                domain: self.cfg.domain,
+                view: Shared::clone(&self.view),
+                dialect: self.dialect,
+                repeats: self.cfg.repeats,
+                samples: self.samples,
                 door,
-                self.metrics,
-                self.log.clone(),
-            ));
+                metrics: self.metrics,
+                log: self.log.clone(),
+            }));
             let grace = self.cfg.stop.grace().saturating_sub(LINGER + LAST);
             serve::callers(listener, forwarder, self.view, self.stop, grace, self.log).await;
             Ok(())
