--- a/crates/front/src/permits.rs
+++ b/crates/front/src/permits.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use direct::{LoadReport, PermitRequest, PermitSettings, Permits, Rank, Registered, Reply};
@@ -16,6 +17,7 @@
 use gate::counters::Count;
 use ids::{BootClock, Clock, KeyHash, Timestamp, UpstreamId};
 use prost::Message;
+use rand::Rng;
 use slog::{Logger, debug};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -121,10 +123,12 @@
     socket: UdpSocket,
     cfg: PermitSettings,
     upstreams: RefCell<HashMap<UpstreamId, Permits<Asker>>>,
+    /// Requests of this host that wait for a reply or have a permit.
     asked: RefCell<HashMap<u64, mpsc::UnboundedSender<Reply>>>,
     silent: RefCell<HashMap<SocketAddr, Silent>>,
+    /// Names the next request.
     next: Cell<u64>,
-    metrics: std::sync::Arc<Metrics>,
+    metrics: Arc<Metrics>,
     log: Logger,
 }
 
@@ -150,7 +154,7 @@
     /// Fails if the address can't be bound.
     pub async fn bind(
         address: SocketAddr,
-        metrics: std::sync::Arc<Metrics>,
+        metrics: Arc<Metrics>,
         log: Logger,
     ) -> io::Result<Rc<Self>> {
         Ok(Rc::new(Self {
@@ -159,7 +163,8 @@
             upstreams: RefCell::default(),
             asked: RefCell::default(),
             silent: RefCell::default(),
-            next: Cell::default(),
+            // A reply to the run of this host before must not be taken for one to this run.
+            next: Cell::new(rand::rng().random::<u32>().into()),
             metrics,
             log,
         }))
