--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -18,7 +18,8 @@
 
 use crate::control::beat;
 use crate::control::follow::{keys_row, keys_txn};
-use crate::control::state::{Control, Ctl, Divided, KnownHost, OrderRoute};
+use crate::control::registry::OrderRoute;
+use crate::control::state::{Control, Ctl, Divided, KnownHost};
 use crate::ports::Platform;
 use crate::view::Phase;
 
--- /dev/null
+++ b/crates/front/src/control/messages.rs
@@ -0,0 +1,133 @@
+//! What hosts tell each other in datagrams of the control duty.
+
+use std::time::Duration;
+
+use assign::{Fence, Moving};
+use ids::Revision;
+
+/// What a host tells the one that grants the keys of an entry.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct Beat {
+    /// The entry.
+    #[prost(string, tag = "1")]
+    pub entry: String,
+    /// Requests by key, since the last heartbeat.
+    #[prost(message, repeated, tag = "2")]
+    pub keys: Vec<KeyCount>,
+    /// Times of upstreams for one request.
+    #[prost(message, repeated, tag = "3")]
+    pub services: Vec<Service>,
+    /// The answer, if this is one.
+    #[prost(message, optional, tag = "4")]
+    pub echo: Option<Echo>,
+    /// Revision of the row by which the sender grants in place of the receiver.
+    #[prost(uint64, optional, tag = "5")]
+    pub replaced_at: Option<u64>,
+    /// Keys that nobody serves for the moment, if the sender grants.
+    #[prost(message, optional, tag = "6")]
+    pub moving: Option<MovingKeys>,
+}
+
+/// Keys that nobody serves for the moment, by one row.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct MovingKeys {
+    /// Revision of the row.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Its pieces whose owner can't serve them yet.
+    #[prost(message, repeated, tag = "2")]
+    pub pieces: Vec<MovingPiece>,
+}
+
+/// A piece whose owner can't serve it yet.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct MovingPiece {
+    /// Its first key.
+    #[prost(uint32, tag = "1")]
+    pub first: u32,
+    /// Its fence.
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    /// Time until its owner may serve it, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub left_ms: u32,
+}
+
+impl From<&Moving> for MovingKeys {
+    fn from(moving: &Moving) -> Self {
+        let piece = |&(first, fence, left): &(u16, Fence, Duration)| MovingPiece {
+            first: first.into(),
+            fence: fence.0,
+            left_ms: left.as_millis() as u32,
+        };
+        Self {
+            revision: moving.revision.0,
+            pieces: moving.pieces.iter().map(piece).collect(),
+        }
+    }
+}
+
+impl From<&MovingKeys> for Moving {
+    fn from(told: &MovingKeys) -> Self {
+        let piece = |p: &MovingPiece| {
+            let first = u16::try_from(p.first).ok()?;
+            Some((
+                first,
+                Fence(p.fence),
+                Duration::from_millis(p.left_ms.into()),
+            ))
+        };
+        Self {
+            revision: Revision(told.revision),
+            pieces: told.pieces.iter().filter_map(piece).collect(),
+        }
+    }
+}
+
+/// Requests on one key.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct KeyCount {
+    /// The key.
+    #[prost(uint32, tag = "1")]
+    pub key: u32,
+    /// How many.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+
+/// An upstream's time for one request that doesn't wait.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct Service {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// The time, in microseconds.
+    #[prost(uint32, tag = "2")]
+    pub micros: u32,
+}
+
+/// What the granting host says of itself.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct Echo {
+    /// The host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Its run.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// It grants no more and never will again.
+    #[prost(bool, tag = "3")]
+    pub has_stopped: bool,
+    /// Age of its knowledge of the store, in milliseconds.
+    #[prost(uint32, optional, tag = "4")]
+    pub evidence_ms: Option<u32>,
+    /// It grants nothing by rows before this revision.
+    #[prost(uint64, tag = "5")]
+    pub knows: u64,
+}
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -7,7 +7,8 @@
 //! - [`freshness`]: until when what is known of the store is fresh.
 //! - [`follow`]: reads the tables of the store as they change.
 //! - [`relay`]: passes what was read on within a failure domain.
-//! - [`beat`]: heartbeats between hosts.
+//! - [`registry`]: what it makes of the upstreams' registrations.
+//! - [`beat`]: heartbeats between hosts; [`messages`]: what they say.
 //! - [`keys`]: drives the keepers of entries that are divided by key.
 
 pub mod beat;
@@ -15,6 +16,8 @@
 pub mod follow;
 pub mod freshness;
 pub mod keys;
+pub mod messages;
+pub mod registry;
 pub mod relay;
 pub mod samples;
 pub mod state;
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -11,9 +11,8 @@
     AssignSettings, EntryRow, Keeper, KeyLoads, Owners, Planner, Run, Succession,
     SuccessionSettings, Unserved,
 };
-use direct::{Configuration, Registered, Roster, RouteTable};
+use direct::{Configuration, Roster, RouteTable};
 use gate::Metrics;
-use gate::counters::Count;
 use ids::{DomainId, EntryId, HostId, Revision, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
 use platform::PlatformError;
@@ -26,14 +25,10 @@
 use crate::control::freshness::Freshness;
 use crate::control::take::Table;
 
-use crate::ports::{DecodeError, Destination, RunCheck};
+use crate::control::registry::Place;
 use crate::settings::Settings;
 use crate::view::{InForce, Phase, Shared, View};
 
-/// How long after the store's return registrations are taken for gone if they are missing: those
-/// that lapsed meanwhile are written again within two seconds.
-pub(crate) const RETURN_TIME: Duration = Duration::from_millis(2_200);
-
 /// What a host tells the others of itself, in the store.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -87,32 +82,6 @@
     }
 }
 
-/// Where an upstream was last known to be.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Place {
-    /// Where it listens.
-    address: SocketAddr,
-    /// The name under which its server registered.
-    server: SmolStr,
-    /// Whether runs of its server share that name.
-    shares_name: bool,
-}
-
-/// Whether an order can be sent to an upstream.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum OrderRoute {
-    /// It can.
-    To(Destination),
-    /// Its server has started again: the upstream is no more, and holds nothing.
-    Replaced,
-    /// Nothing is known of it.
-    Unknown,
-}
-
-/// Most servers with a registration that can't be read of which it is remembered that they were
-/// logged: a line for each, however often it is written.
-const UNREADABLE_MAX: usize = 1_000;
-
 /// The state of the control duty.
 #[derive(Debug)]
 pub struct Control {
@@ -263,106 +232,6 @@
         }
     }
 
-    /// Takes what an upstream says of itself; tells whether it is news.
-    pub fn register(&mut self, now: Timestamp, upstream: Registered) -> bool {
-        self.missing.retain(|id| *id != upstream.id);
-        self.unreadable.shift_remove(&upstream.server);
-        let place = Place {
-            address: upstream.address,
-            server: upstream.server.clone(),
-            shares_name: upstream.born.is_some(),
-        };
-        let (id, entry) = (upstream.id.clone(), upstream.entry.clone());
-        let state = upstream.state;
-        let is_news = self.roster.put(now, upstream);
-        if self.roster.get(&id).is_some() {
-            self.places.insert(id.clone(), place);
-        }
-        if is_news {
-            info!(self.log, "upstream registered";
-                "upstream" => id.as_str(), "entry" => entry.as_str(), "state" => ?state);
-        }
-        is_news
-    }
-
-    /// Notes a registration that can't be read: it names no upstream, whatever it said before.
-    ///
-    /// Tells whether that is news.
-    pub fn refuse(&mut self, e: &DecodeError) -> bool {
-        self.metrics.count(Count::RegistrationsRefused);
-        let id = self.roster.run_of(&e.row).map(|run| run.id.clone());
-        if let Some(id) = &id {
-            self.roster.remove(id);
-        }
-        if self.unreadable.len() >= UNREADABLE_MAX {
-            self.unreadable.clear();
-        }
-        let is_first = self.unreadable.insert(e.row.clone());
-        if is_first || id.is_some() {
-            warn!(self.log, "registration refused"; "error" => %e,
-                "was_known" => id.is_some());
-        }
-        is_first || id.is_some()
-    }
-
-    /// Notes that the registration of `server` is gone; it may come back if the store was away.
-    pub fn unregister(&mut self, server: &str) {
-        let Some(id) = self.roster.run_of(server).map(|run| run.id.clone()) else {
-            return;
-        };
-        if self.roster.miss(&id) {
-            self.missing.push(id);
-        }
-    }
-
-    /// Returns where an order to `upstream` goes.
-    #[must_use]
-    pub fn route_to(&self, upstream: &UpstreamId, now: Timestamp) -> OrderRoute {
-        let Some(place) = self.places.get(upstream) else {
-            return OrderRoute::Unknown;
-        };
-        let run = self.roster.run_of(&place.server);
-        if run.is_some_and(|run| run.id != *upstream) {
-            return OrderRoute::Replaced;
-        }
-        let run = if place.shares_name && self.freshness.is_fresh(now) {
-            RunCheck::SeenAt(self.freshness.upstreams_as_of())
-        } else {
-            RunCheck::ByName
-        };
-        OrderRoute::To(Destination {
-            address: place.address,
-            server: place.server.clone(),
-            run,
-        })
-    }
-
-    /// Removes upstreams that stayed missing for long enough; tells whether there were any.
-    pub fn remove_missing(&mut self, now: Timestamp) -> bool {
-        if !self.store_settled(now) || self.missing.is_empty() {
-            return false;
-        }
-        for id in std::mem::take(&mut self.missing) {
-            if self.roster.remove(&id) {
-                info!(self.log, "upstream gone"; "upstream" => id.as_str());
-            }
-        }
-        self.forget_places();
-        true
-    }
-
-    /// Forgets the places of upstreams that are neither registered nor hold keys by any row.
-    fn forget_places(&mut self) {
-        let (roster, divided) = (&self.roster, &self.divided);
-        let holds = |id: &UpstreamId| divided.values().any(|d| d.keeper.mentions(id));
-        self.places
-            .retain(|id, _| roster.get(id).is_some() || holds(id));
-        for d in self.divided.values_mut() {
-            d.services.retain(|id, _| roster.get(id).is_some());
-            d.failing.retain(|id, _| roster.get(id).is_some());
-        }
-    }
-
     /// Tells whether another host can do more work than this one.
     #[must_use]
     pub fn has_stronger(&self) -> bool {
@@ -407,12 +276,6 @@
         }
     }
 
-    /// Tells whether the store has answered for long enough that what it lacks is gone.
-    #[must_use]
-    pub fn store_settled(&self, now: Timestamp) -> bool {
-        self.store_answers_for(now, RETURN_TIME)
-    }
-
     /// Tells whether the store has answered for `span` at least.
     #[must_use]
     pub fn store_answers_for(&self, now: Timestamp, span: Duration) -> bool {
