--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -86,7 +86,7 @@
     /// Adds an upstream or takes what it says now; tells whether that is news.
     ///
     /// Its warm-up shrinking by itself is none. A later run of a server replaces the one before; an
-    /// earlier one counts only if it says so for [`DOUBT`].
+    /// earlier one counts only if it says so for two seconds.
     pub fn put(&mut self, now: Timestamp, upstream: Registered) -> bool {
         if !self.is_current(now, &upstream) {
             return false;
