--- a/crates/standin/src/proxy/pump.rs
+++ b/crates/standin/src/proxy/pump.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,6 +19,8 @@
 /// Chunks that may be under way in one direction.
 const CHUNKS: usize = 256;
 const CHUNK_BYTES: usize = 16 * 1024;
+/// Time between two looks whether a sender whose bytes are held has reset its connection.
+const RESET_LOOK: Duration = Duration::from_millis(10);
 
 /// What the writer of one way does next.
 struct Step {
@@ -88,7 +90,7 @@
         let ended = from.read_buf(&mut buf).await.is_err();
         debug_assert!(!ended || buf.is_empty(), "a failed read gives no bytes");
         let chunk = buf.split().freeze();
-        let Some(step) = next_step(link, way, chunk, &mut plan).await else {
+        let Some(step) = next_step(link, way, chunk, &from, &mut plan).await else {
             continue;
         };
         let is_last = step.then != Then::GoOn;
@@ -104,6 +106,7 @@
     link: &Link,
     way: Way,
     mut chunk: Bytes,
+    from: &OwnedReadHalf,
     plan: &mut watch::Receiver<Arc<NumberedPlan>>,
 ) -> Option<Step> {
     loop {
@@ -114,9 +117,16 @@
             Verdict::Forward => Then::GoOn,
             Verdict::Discard => return None,
             Verdict::Hold => {
-                let changed = plan.changed().await;
-                changed.expect("the sender lives as long as the connection");
-                continue;
+                tokio::select! {
+                    changed = plan.changed() => {
+                        changed.expect("the sender lives as long as the connection");
+                        continue;
+                    }
+                    () = reset(from) => {
+                        link.cut.cancel();
+                        return None;
+                    }
+                }
             }
             Verdict::Cut(len) => {
                 chunk.truncate(len);
@@ -128,6 +138,17 @@
     }
 }
 
+/// Waits until the sender has reset its connection: what a network holds back is then lost.
+async fn reset(from: &OwnedReadHalf) {
+    loop {
+        tokio::time::sleep(RESET_LOOK).await;
+        // A socket that can't even be asked is as good as reset.
+        if !matches!(from.as_ref().take_error(), Ok(None)) {
+            return;
+        }
+    }
+}
+
 async fn write(link: &Link, way: Way, mut to: OwnedWriteHalf, mut rx: mpsc::Receiver<Step>) {
     while let Some(Step { due, chunk, then }) = rx.recv().await {
         sleep_until(due).await;
--- a/crates/standin/tests/proxy.rs
+++ b/crates/standin/tests/proxy.rs
@@ -255,3 +255,29 @@
     let bad = client::call(peer, Method::POST, PLAN_PATH, Some(&"nonsense")).await;
     assert_eq!(bad.unwrap().status(), StatusCode::BAD_REQUEST);
 }
+
+/// What a network holds back is lost if its sender resets the connection meanwhile: a caller that has
+/// given its request up must not meet it again when the network recovers.
+#[tokio::test]
+async fn held_bytes_of_a_sender_that_reset_its_connection_are_lost() {
+    use tokio::io::AsyncWriteExt;
+    for fault in [Fault::Stall, Fault::StallRequest] {
+        let upstream = upstream().await;
+        let proxy = proxy(&upstream, FaultPlan::always(fault));
+        let mut socket = tokio::net::TcpStream::connect(proxy.address())
+            .await
+            .unwrap();
+        let head = "POST /entry HTTP/1.1\r\nhost: upstream\r\ncontent-length: 1\r\n";
+        let id = header::REQUEST_ID;
+        let text = format!("{head}{id}: r\r\n\r\nx");
+        socket.write_all(text.as_bytes()).await.unwrap();
+        until(|| proxy.counts().exchanges == 1).await;
+        socket.set_zero_linger().unwrap();
+        drop(socket);
+        tokio::time::sleep(SILENCE).await;
+        proxy.set_plan(FaultPlan::default());
+        tokio::time::sleep(SILENCE).await;
+        assert_eq!(runs(&upstream), 0, "{fault:?}");
+        assert_eq!(proxy.counts().request_bytes, 0, "{fault:?}");
+    }
+}
