front: whoever waited for its turn is not sent to an owner that has left

Cause, found by reading: a request may wait for a second for its turn at the owner of its key; whether the owner still takes requests was looked at before the wait alone. With what a leaving owner serves its keys for (0.8 s) and the time until hosts know (0.7 s) it could get new requests after more than two seconds.

Change: the owner is looked up again after the wait, as before it.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -609,3 +609,39 @@
     })
     .await;
 }
+
+/// A request that waits for its turn at the owner of its key must not be sent there any more once the
+/// owner has left, though nobody else can take the key.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_waits_for_its_turn_is_not_sent_to_one_that_has_left() {
+    let mut rig = Rig::start(1).await;
+    let slow = TargetSettings {
+        is_divided: true,
+        work: Duration::from_millis(300),
+        slots: 1,
+        ..TargetSettings::default()
+    };
+    let last = rig.target(slow).await;
+    for other in rig.reads.drain(..) {
+        other.unregister();
+    }
+    until("the last server has all keys", async || {
+        let ask = Ask::read("probe", 7);
+        answered(rig.ask(0, &ask).await.as_ref(), &ask.id)
+    })
+    .await;
+    let asks: Vec<Ask> = (0..12).map(|i| Ask::read(&format!("q-{i}"), 7)).collect();
+    let all = join_all(asks.iter().map(|ask| rig.ask(0, ask)));
+    let left_at = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        last.drain();
+        Instant::now()
+    };
+    let (got, left_at) = tokio::join!(all, left_at);
+    let ran = rig.journal.all();
+    let late = ran.iter().filter(|r| r.at > left_at + DRAIN);
+    assert_eq!(late.count(), 0, "sent to a server that has left");
+    for got in got.into_iter().flatten() {
+        assert!(got.status == 200 || promises_not_run(&got), "{got:?}");
+    }
+}
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -52,7 +52,7 @@
 enum Sent {
     /// The upstream answered, or the try ended without an answer for the caller.
     Ended(Result<Response<Full<Bytes>>, Ended>),
-    /// Its key got another owner while it waited.
+    /// While it waited, its key got another owner, or its owner left.
     Moved,
     /// The upstream has no room.
     Full { room_in: Duration },
@@ -303,7 +303,7 @@
                 Admission::Unknown => {}
             }
         }
-        if job.is_divided && !self.is_still_owner(job, target) {
+        if job.is_divided && !self.may_still_go(job, target) {
             return Sent::Moved;
         }
         story.borrow_mut().sent += 1;
@@ -381,12 +381,11 @@
         state.budget.request(now);
     }
 
-    /// Tells whether `target` owns the request's key, after a wait in which it may have moved.
-    fn is_still_owner(&self, job: &Job, target: &Registered) -> bool {
-        let view = self.view.load();
-        let owners = view.owners.get(&job.entry);
-        let owner = job.asked.key.and_then(|key| owners?.owner(key));
-        owner == Some(&target.id)
+    /// Tells whether a request on a key may go to `target` after a wait in which the key may have
+    /// moved, or its owner have left.
+    fn may_still_go(&self, job: &Job, target: &Registered) -> bool {
+        let pick = self.pick_owner(&self.view.load(), job, BootClock.now());
+        matches!(pick, Pick::To(owner) if owner.id == target.id)
     }
 
     fn withdraw(&self, entry: &EntryId, now: Timestamp) -> bool {
