--- a/crates/front/src/permits.rs
+++ b/crates/front/src/permits.rs
@@ -189,7 +189,7 @@
         }
     }
 
-    /// Refuses requests whose time is over, and forgets upstreams that nobody asks for.
+    /// Hands out permits that came back by themselves, and refuses requests whose time is over.
     pub async fn tend(self: Rc<Self>) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
