gate: a body whose end is told in two ways is refused

Cause: the HTTP library drops Content-Length where Transfer-Encoding comes first, and the deployed form and the own interface both answered such requests 200. Nobody behind the library can see it. Change: the bytes of callers' connections are looked at on their way to the library; the colon of the second header is struck out, so that the library refuses the head with 400 and closes. An answer of an upstream with both headers counts as cut (the library keeps both there).

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use rig::{Ask, Got, Rig, promises_not_run, send, until};
+use rig::{Ask, Got, Rig, promises_not_run, send, send_raw, until};
 use rustix::process::Signal;
 use standin::fleet::deploy::configuration;
 use standin::fleet::{Ran, StoreMode, TargetSettings, TargetTrouble};
@@ -443,6 +443,28 @@
     }
 }
 
+/// A body whose end is told in two ways may hide another request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_ends_in_two_ways_is_refused_and_not_sent_on() {
+    let rig = Rig::start(1).await;
+    let hidden = "POST /p/1 HTTP/1.1\r\nhost: posts.example\r\nmedlardyke-request-id: hidden\r\ncontent-length: 0\r\n\r\n";
+    let length = format!("content-length: {}\r\n", hidden.len() + 5);
+    let encoding = "transfer-encoding: chunked\r\n".to_owned();
+    let orders = [[&length, &encoding], [&encoding, &length]];
+    for (i, [first, second]) in orders.into_iter().enumerate() {
+        let sent = format!(
+            "POST /p/1 HTTP/1.1\r\nhost: posts.example\r\nmedlardyke-request-id: outer-{i}\r\n\
+             {first}{second}\r\n0\r\n\r\n{hidden}"
+        );
+        let got = send_raw(rig.callers(0), &sent).await;
+        assert!(got.starts_with("HTTP/1.1 400 "), "{got}");
+        assert_eq!(got.matches("HTTP/1.1").count(), 1, "{got}");
+    }
+    let ran = rig.journal.all();
+    let of_ours = |r: &&Ran| r.request == "hidden" || r.request.starts_with("outer");
+    assert_eq!(ran.iter().filter(of_ours).count(), 0);
+}
+
 /// Metrics and logs tell what became of a request.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_can_be_explained() {
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -15,6 +15,7 @@
 use standin::fleet::deploy::{Node, configuration, render};
 use standin::fleet::{FleetStore, FleetTarget, Journal, TargetSettings};
 use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Longest wait for anything that must come soon, also on a busy machine.
@@ -348,6 +349,17 @@
     })
 }
 
+/// Sends `bytes` on a connection of its own; returns all that comes until it is closed.
+pub async fn send_raw(address: SocketAddr, bytes: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let written = stream.write_all(bytes.as_bytes()).await;
+    written.expect("bytes are taken");
+    let mut got = Vec::new();
+    // A connection that is reset after its answer has brought the answer all the same.
+    let _ = stream.read_to_end(&mut got).await;
+    String::from_utf8_lossy(&got).into_owned()
+}
+
 /// Waits until `is_so`; panics with `what` if it takes too long.
 pub async fn until(what: &str, mut is_so: impl AsyncFnMut() -> bool) {
     let began = Instant::now();
--- a/crates/gate/src/callers/serve.rs
+++ b/crates/gate/src/callers/serve.rs
@@ -30,6 +30,7 @@
 use crate::context::{GateContext, Phase};
 use crate::counters::{Count, Latency};
 use crate::dispatch::DispatchTx;
+use crate::framing::FramedRequests;
 use crate::settings::{GateSettings, millis};
 use crate::thread::{self, PartEnd, PartGuard};
 
@@ -281,7 +282,8 @@
         });
         let stall_max = millis(self.settings.write_timeout_ms);
         let stream = LingerStream::new(stream, self.closing.clone(), stall_max);
-        let connection = protocol.serve_connection(TokioIo::new(stream), service);
+        let stream = TokioIo::new(FramedRequests::new(stream));
+        let connection = protocol.serve_connection(stream, service);
         let mut connection = std::pin::pin!(connection);
         let mut first = std::pin::pin!(tokio::time::sleep(millis(self.settings.header_timeout_ms)));
         let mut stop = std::pin::pin!(async {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`context`]: what the rest of the host tells all parts: routing snapshot, peers, phase.
 //! - [`call`]: a whole request, and the reply to it, between the parts.
 //! - [`headers`]: which headers go on and which stay.
+//! - [`framing`]: refuses requests that say in two ways where their body ends.
 //! - [`problem`]: the body of a refusal.
 //! - [`counters`]: the metrics table and its counters.
 //! - [`exposition`]: the same as text, for scrapers.
@@ -28,6 +29,7 @@
 pub mod counters;
 pub mod dispatch;
 pub mod exposition;
+pub mod framing;
 pub mod grants;
 pub mod headers;
 pub mod joint;
--- a/crates/gate/src/upstream/conn.rs
+++ b/crates/gate/src/upstream/conn.rs
@@ -238,6 +238,10 @@
             status: parts.status,
             headers: parts.headers,
         };
+        // An answer that says in two ways where it ends may hide another one.
+        if is_delimited_twice(&head) {
+            return Err(self.cut(head));
+        }
         let bodiless = is_head || body.is_end_stream();
         if !bodiless && end == BodyEnd::Declared && !is_delimited(&head) {
             return Err(self.cut(head));
@@ -334,6 +338,11 @@
     TooLarge,
 }
 
+fn is_delimited_twice(head: &AnswerHead) -> bool {
+    head.headers.contains_key(header::CONTENT_LENGTH)
+        && head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Tells whether something but the end of the connection says where the body ends.
 ///
 /// The end of a connection can't be told from a break.
--- a/crates/gate/tests/callers.rs
+++ b/crates/gate/tests/callers.rs
@@ -44,6 +44,9 @@
 fn heads() -> Vec<Case> {
     let two_lengths =
         "POST /any HTTP/1.1\r\nhost: g\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nx";
+    let with = |framing: &str| format!("POST /any HTTP/1.1\r\nhost: g\r\n{framing}\r\n0\r\n\r\n");
+    let length_first = with("content-length: 5\r\ntransfer-encoding: chunked\r\n");
+    let encoding_first = with("transfer-encoding: chunked\r\ncontent-length: 5\r\n");
     let long = get("/look", &[key(), ("x-long", &"x".repeat(9_000))]);
     let longer = get("/look", &[key(), ("x-long", &"x".repeat(80_000))]);
     let bad_id = get("/look", &[key(), ("medlardyke-request-id", "a b")]);
@@ -52,6 +55,8 @@
         Case::new("garbage", "\x16\x03\x01\x02\r\n\r\n", 400, bad).bare(),
         Case::new("no version", "GET /look\r\n\r\n", 400, bad).bare(),
         Case::new("two lengths", two_lengths, 400, bad).bare(),
+        Case::new("length, then encoding", length_first, 400, bad).bare(),
+        Case::new("encoding, then length", encoding_first, 400, bad).bare(),
         Case::new("bad request id", bad_id, 400, bad),
         Case::new("head over the limit", long, 431, Reason::HeadTooLarge),
         Case::new("head far over it", longer, 431, Reason::HeadTooLarge).bare(),
--- a/crates/gate/tests/support/upstream.rs
+++ b/crates/gate/tests/support/upstream.rs
@@ -114,6 +114,11 @@
             let text = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n8\r\nabc";
             write_last(stream, text).await
         }
+        "two-ends" => {
+            let text = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n\
+                        3\r\nabc\r\n0\r\n\r\n";
+            write_last(stream, text).await
+        }
         "unending" => write_last(stream, "HTTP/1.1 200 OK\r\n\r\nno end in sight").await,
         "garbage" => write_last(stream, "\x16\x03\x01 what is this\r\n\r\n").await,
         "drop" => false,
--- a/crates/gate/tests/upstreams.rs
+++ b/crates/gate/tests/upstreams.rs
@@ -52,6 +52,14 @@
         reason: "answer-cut",
         times: 1,
     },
+    Case {
+        act: "two-ends",
+        path: "/any",
+        status: 502,
+        outcome: "unknown",
+        reason: "answer-cut",
+        times: 1,
+    },
     Case {
         act: "unending",
         path: "/any",
