--- a/crates/assign/src/succession.rs
+++ b/crates/assign/src/succession.rs
@@ -20,26 +20,33 @@
     /// Age of the granting host's knowledge of the store at which it is replaced by a host that
     /// can read the store: twice what it usually is.
     pub blind: Duration,
-    /// Longest part of a host's patience that it draws, so that one comes first.
-    pub drawn: Duration,
-    /// Further patience of a host while there is a stronger one.
+    /// Heartbeats without an answer that make a silence: a host that stood still itself, or was busy
+    /// with something else, has not asked.
+    pub unanswered: u32,
+    /// Further patience of a host for each one that comes before it: time for that one's commit and
+    /// for the word of it.
     ///
-    /// Where 200 upstreams own keys, granting takes some 600 calls and 200 heartbeats a second, more
-    /// than a host of a tenth of a core does beside its requests: it falls silent and is replaced,
-    /// and each change makes keys wait.
-    pub weaker: Duration,
+    /// Hosts that all try at once each make a call to the store; at 295 hosts that were 70 to 200
+    /// calls at each change, which queue up before the ones that matter.
+    pub each_before: Duration,
+    /// Hosts that try one after the other; the others try together after them.
+    pub in_turn: u32,
+    /// Longest part of the patience that those others draw.
+    pub drawn: Duration,
 }
 
 impl SuccessionSettings {
-    /// Returns the patience of a host that drew `part` between zero and one.
+    /// Returns the patience of a host before which `rank` others try, and that drew `part` between
+    /// zero and one.
     #[must_use]
-    pub fn patience(&self, part: f64, has_stronger: bool) -> Duration {
-        let weaker = if has_stronger {
-            self.weaker
+    pub fn patience(&self, rank: usize, part: f64) -> Duration {
+        let before = u32::try_from(rank).unwrap_or(u32::MAX).min(self.in_turn);
+        let drawn = if before == self.in_turn {
+            self.drawn.mul_f64(part)
         } else {
             Duration::ZERO
         };
-        self.drawn.mul_f64(part) + weaker
+        self.each_before * before + drawn
     }
 }
 
@@ -48,8 +55,10 @@
         Self {
             silence: Duration::from_millis(1_200),
             blind: Duration::from_millis(2_500),
-            drawn: Duration::from_millis(300),
-            weaker: Duration::from_millis(300),
+            unanswered: 3,
+            each_before: Duration::from_millis(70),
+            in_turn: 8,
+            drawn: Duration::from_millis(140),
         }
     }
 }
@@ -79,6 +88,10 @@
     granter: Option<Run>,
     since: Timestamp,
     heard: Option<(Timestamp, Word)>,
+    /// Heartbeats since then that had no answer.
+    unanswered: u32,
+    /// Since when it is known that the granting run is over.
+    over_since: Option<Timestamp>,
 }
 
 impl Succession {
@@ -90,6 +103,8 @@
             granter: None,
             since: Timestamp::ZERO,
             heard: None,
+            unanswered: 0,
+            over_since: None,
         }
     }
 
@@ -101,21 +116,28 @@
         self.granter = Some(run.clone());
         self.since = now;
         self.heard = None;
+        self.unanswered = 0;
+        self.over_since = None;
         true
     }
 
     /// Notes what the host that grants by the row said.
     pub fn heard(&mut self, now: Timestamp, word: Word) {
         self.heard = Some((now, word));
+        self.unanswered = 0;
+    }
+
+    /// Notes a heartbeat to the host that grants by the row.
+    pub fn asked(&mut self) {
+        self.unanswered = self.unanswered.saturating_add(1);
     }
 
     /// Decides, at a host that has read the store for the time `reads_for`.
     ///
     /// `newest` is the run that the granting host announced since the row named it, if it did, and
-    /// `patience` is drawn by each host, so that one comes first.
-    #[must_use]
+    /// `patience` differs from host to host, so that one comes first.
     pub fn decide(
-        &self,
+        &mut self,
         now: Timestamp,
         newest: Option<Incarnation>,
         reads_for: Duration,
@@ -128,10 +150,12 @@
         let over = runs.any(|run| run != granter.incarnation);
         let stopped = self.heard.is_some_and(|(_, word)| word.has_stopped);
         if over || stopped {
-            return Some(TakeOver { is_over: true });
+            let since = *self.over_since.get_or_insert(now);
+            return (now.since(since) >= patience).then_some(TakeOver { is_over: true });
         }
         let last = self.heard.map_or(self.since, |(at, _)| at);
-        let silent = now.since(last) > self.cfg.silence + patience;
+        let silent =
+            now.since(last) > self.cfg.silence + patience && self.unanswered >= self.cfg.unanswered;
         // After an outage for all, whoever reads first must not take the others for blind.
         let blind = self.heard.is_some_and(|(_, word)| {
             let too_old = |age: Duration| age.min(reads_for) > self.cfg.blind + patience;
--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -109,9 +109,13 @@
         if divided.keeper.is_granter() {
             note(divided, &beat);
             beats.extend(notices(&divided.keeper, entry, &c.hosts));
-        } else if let Some(host) = c.hosts.get(&granter.host) {
+            continue;
+        }
+        if let Some(host) = c.hosts.get(&granter.host) {
             beats.push((host.row.peers, beat));
         }
+        // One whose address nobody knows won't answer either.
+        divided.succession.asked();
     }
     beats
 }
--- a/crates/front/src/control/copies.rs
+++ b/crates/front/src/control/copies.rs
@@ -1,5 +1,7 @@
 //! Copies of the store's tables, as far as this host needs to pass them on.
 
+use std::collections::HashSet;
+
 use ids::Revision;
 use indexmap::IndexMap;
 use platform::{Delta, Row, RowKey};
@@ -22,6 +24,8 @@
     rows: IndexMap<RowKey, Copied>,
     revision: Revision,
     generation: u64,
+    /// Since when all removals are among the rows.
+    whole_since: Revision,
 }
 
 impl Copy {
@@ -45,6 +49,9 @@
         let changes = match delta {
             Delta::Changes(changes) => changes,
             Delta::Snapshot(all) => {
+                if self.revision == Revision::default() {
+                    self.whole_since = all.revision;
+                }
                 news.extend(self.drop_missing(&all.rows, all.revision));
                 all
             }
@@ -68,9 +75,10 @@
 
     /// Removes rows that a snapshot at `revision` lacks.
     fn drop_missing(&mut self, all: &[Row], revision: Revision) -> Vec<Row> {
+        let there: HashSet<&RowKey> = all.iter().map(|row| &row.key).collect();
         let is_missing = |c: &&Copied| {
             let row = &c.row;
-            row.value.is_some() && row.revision <= revision && !all.iter().any(|r| r.key == row.key)
+            row.value.is_some() && row.revision <= revision && !there.contains(&row.key)
         };
         let gone = |c: &Copied| Row {
             key: c.row.key.clone(),
@@ -104,8 +112,11 @@
         }
         generations.sort_unstable();
         let oldest = generations[generations.len() - REMOVED_KEPT / 2];
-        self.rows
-            .retain(|_, c| c.row.value.is_some() || c.generation >= oldest);
+        let is_kept = |c: &Copied| c.row.value.is_some() || c.generation >= oldest;
+        let forgotten = self.rows.values().filter(|c| !is_kept(c));
+        let newest = forgotten.map(|c| c.row.revision).max();
+        self.whole_since = self.whole_since.max(newest.unwrap_or_default());
+        self.rows.retain(|_, c| is_kept(c));
     }
 
     /// Returns the rows that changed after `generation`, with removed ones.
@@ -115,4 +126,15 @@
             .filter(move |c| c.generation > generation)
             .map(|c| &c.row)
     }
+
+    /// Returns the rows that changed after `revision`, with removed ones, for a host that is complete
+    /// up to then; none if rows may be missing that were removed since.
+    #[must_use]
+    pub fn changed_since(&self, revision: Revision) -> Option<impl Iterator<Item = &Row>> {
+        let is_known = revision >= self.whole_since && revision != Revision::default();
+        is_known.then(|| {
+            let rows = self.rows.values().map(|c| &c.row);
+            rows.filter(move |row| row.revision > revision)
+        })
+    }
 }
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -1,15 +1,20 @@
 //! Reads the tables of the store as they change, while no other host feeds this one.
+//!
+//! A host that starts reads the hosts' rows, finds who feeds it, and reads the other tables itself only
+//! if nobody does.
 
 use std::time::Duration;
 
-use assign::EntryRow;
-use ids::{BootClock, Clock, EntryId, Revision};
+use assign::{EntryRow, Run};
+use ids::{BootClock, Clock, EntryId, Revision, Timestamp};
 use platform::{Check, Commit, Delta, RowKey, Txn, Write};
+use rand::Rng;
 use serde::Serialize;
 use slog::warn;
 
 use crate::control::state::{Control, Ctl, HostRow};
 use crate::control::take::{HOST_PREFIX, KEYS_PREFIX, Table, is_host_row, take};
+use crate::control::tree::Position;
 use crate::ports::{Platform, SHARED};
 
 /// Longest wait for a change in one read.
@@ -32,6 +37,19 @@
 /// ones only. With 84 hosts that is 36 reads a second in place of 220 (derived; six hosts made under
 /// 25 in place of 72, end-to-end test).
 const LONGEST_PAUSE: u32 = 6;
+/// Time that each domain's first host gives the first host of the domain before it to read the store
+/// after a start, and to feed it.
+const START_EACH: Duration = Duration::from_millis(150);
+/// Time after a start in which others than the first host of a domain wait to be fed: hosts that start
+/// together are there within 300 ms, and some read before they feed.
+const START_OTHERS: Duration = Duration::from_millis(700);
+/// Longest time after its start at which a host writes its row.
+///
+/// The store takes 200 rows a second; a few hundred hosts that start together and all write at once
+/// are turned away and write again. Who is not listed yet is fed all the same.
+const ANNOUNCE_WITHIN: Duration = Duration::from_millis(1_500);
+/// Time between looks whether this host's row has to be written.
+const ANNOUNCE_CHECK: Duration = Duration::from_millis(500);
 /// Time for which a host doesn't wait for changes in the store after the store was away.
 ///
 /// A read that waits for changes when the store goes away hangs until its own end, which may be
@@ -61,11 +79,30 @@
 /// While the store does not answer, reads of the upstreams find out when it does again. The host
 /// that grants has to know at once whether it still does.
 fn must_read(c: &Control, table: Table) -> bool {
+    let now = BootClock.now();
     if table == Table::Shared && c.grants() {
         return true;
     }
     let is_away = c.store_since.is_none() && table != Table::Upstreams;
-    !is_away && !c.freshness.is_fed(BootClock.now())
+    if is_away || c.freshness.is_fed(now) {
+        return false;
+    }
+    let is_starting = !c.freshness.has_known_all();
+    table == Table::Shared || !is_starting || is_first_to_read(c, now)
+}
+
+/// Tells whether this host, which has just started, is the first one that should read the store.
+fn is_first_to_read(c: &Control, now: Timestamp) -> bool {
+    let Some(known) = c.hosts_known else {
+        return false;
+    };
+    let wait = match c.position() {
+        Some(Position { domain, place: 0 }) => {
+            START_EACH * u32::try_from(domain).unwrap_or(u32::MAX)
+        }
+        _ => START_OTHERS,
+    };
+    now.since(known) >= wait.min(START_OTHERS)
 }
 
 /// Returns how long this host waits after a failed read.
@@ -74,7 +111,7 @@
     if c.grants() {
         return PAUSE;
     }
-    let steps = c.place_in_domain() + 1;
+    let steps = c.position().map_or(0, |p| p.place) + 1;
     PAUSE * u32::try_from(steps).map_or(LONGEST_PAUSE, |steps| steps.min(LONGEST_PAUSE))
 }
 
@@ -110,17 +147,22 @@
         c.freshness.read(table, began);
         c.store_answered(now);
         let changed = take(c, platform, table, delta, now);
+        c.reader = c.me.host.as_str().into();
         if table == Table::Shared {
             c.shared_read(began);
+            c.hosts_known.get_or_insert(now);
         }
         changed
     });
     if changed {
         ctl.changed();
+    } else if table == Table::Upstreams {
+        ctl.refreshed();
     }
+    let is_starting = ctl.with(|c| table == Table::Shared && !c.freshness.has_known_all());
     if !settled {
         tokio::time::sleep(PAUSE).await;
-    } else if only_hosts {
+    } else if only_hosts || is_starting {
         tokio::time::sleep(HOSTS_PAUSE).await;
     }
 }
@@ -132,7 +174,8 @@
     !rows.is_empty() && rows.iter().all(is_host_row)
 }
 
-/// Writes this host's row, so that the others know where to reach it.
+/// Writes this host's row, so that the others know where to reach it, whenever what stands there is
+/// not so or a run of this host may still seem to grant keys.
 pub async fn announce(ctl: Ctl, platform: impl Platform) {
     let row = ctl.with(|c| HostRow {
         run: c.me.clone(),
@@ -142,16 +185,70 @@
         capacity: c.cfg.processor.capacity(),
     });
     let key = RowKey(format!("{SHARED}/{HOST_PREFIX}{}", row.run.host).into());
+    let jitter = ANNOUNCE_WITHIN.mul_f64(rand::rng().random_range(0.0..1.0));
+    let may_wait_until = BootClock.now() + jitter;
     loop {
-        let txn = Txn {
-            checks: Vec::new(),
-            writes: vec![write_of(key.clone(), &row)],
+        let due = ctl.with(|c| announcement(c, &row));
+        let is_due = match due {
+            Announcement::Needless => false,
+            Announcement::Awaited => true,
+            Announcement::Missing => BootClock.now() >= may_wait_until,
         };
-        match platform.commit(txn).await {
-            Ok(Commit::Done(_) | Commit::Conflict(_)) => return,
-            Err(e) => ctl.with(|c| warn!(c.log, "announce host"; "error" => %e)),
+        if is_due {
+            let txn = Txn {
+                checks: Vec::new(),
+                writes: vec![write_of(key.clone(), &row)],
+            };
+            match platform.commit(txn).await {
+                Ok(Commit::Done(at)) => ctl.with(|c| c.note_host(&row, at)),
+                Ok(Commit::Conflict(_)) => {}
+                Err(e) => ctl.with(|c| warn!(c.log, "announce host"; "error" => %e)),
+            }
         }
-        tokio::time::sleep(PAUSE).await;
+        let pause = match due {
+            Announcement::Needless => ANNOUNCE_CHECK,
+            Announcement::Awaited | Announcement::Missing => PAUSE,
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Whether a host's row has to be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Announcement {
+    /// It says what others have to know.
+    Needless,
+    /// It is not there, or says something else.
+    Missing,
+    /// Others wait to read that the run which granted keys has ended.
+    Awaited,
+}
+
+fn announcement(c: &Control, row: &HostRow) -> Announcement {
+    if c.hosts_known.is_none() {
+        return Announcement::Needless;
+    }
+    let known = c.hosts.get(&row.run.host).map(|h| &h.row);
+    let is_told = known.is_some_and(|known| known.run == row.run);
+    let an_earlier_run = |run: &Run| run.host == row.run.host && *run != row.run;
+    let names_one = |keys: &EntryRow| {
+        an_earlier_run(&keys.granter) || keys.earlier.iter().any(|e| an_earlier_run(&e.run))
+    };
+    let mut rows = c.divided.values().filter_map(|d| d.keeper.row());
+    if !is_told && rows.any(names_one) {
+        return Announcement::Awaited;
+    }
+    let same_but_run = |known: &HostRow| {
+        let run = row.run.clone();
+        HostRow {
+            run,
+            ..known.clone()
+        } == *row
+    };
+    if known.is_some_and(same_but_run) {
+        Announcement::Needless
+    } else {
+        Announcement::Missing
     }
 }
 
--- a/crates/front/src/control/freshness.rs
+++ b/crates/front/src/control/freshness.rs
@@ -16,6 +16,13 @@
 /// this time and one read, within two seconds of whatever the store took.
 pub const FRESH: Duration = Duration::from_millis(1_200);
 
+/// Time for which a host that is fed no more looks for another that feeds it, before it reads itself.
+///
+/// A feeder that falls silent is noticed a second after its last word; this and a read of the store
+/// still end within two seconds of it. Without it, all hosts behind a lost feeder read the store at
+/// once: 60 hosts of a domain made 300 calls in two seconds.
+const LOOK_AROUND: Duration = Duration::from_millis(350);
+
 /// What is known of the reads of each table, and of being fed.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Freshness {
@@ -23,6 +30,8 @@
     is_failing: [bool; Table::ALL.len()],
     upstreams_began: Timestamp,
     fed_until: Timestamp,
+    /// Since when no host feeds this one.
+    alone_since: Option<Timestamp>,
 }
 
 impl Freshness {
@@ -44,25 +53,40 @@
     pub fn fed(&mut self, now: Timestamp, left: Duration) {
         self.has_read = [true; Table::ALL.len()];
         self.fed_until = now + left;
+        self.alone_since = None;
     }
 
-    /// Notes that no host feeds this one any more.
-    pub fn left_alone(&mut self) {
-        self.fed_until = Timestamp::ZERO;
+    /// Notes that no host feeds this one any more; what it was fed stays fresh for as long as was said.
+    pub fn left_alone(&mut self, now: Timestamp) {
+        self.alone_since.get_or_insert(now);
     }
 
-    /// Tells whether another host feeds this one.
+    /// Tells whether another host feeds this one, or it has only just begun to look for one.
     #[must_use]
     pub fn is_fed(&self, now: Timestamp) -> bool {
-        now < self.fed_until
+        match self.alone_since {
+            None => now < self.fed_until,
+            Some(since) => self.fed_until > Timestamp::ZERO && now.since(since) < LOOK_AROUND,
+        }
+    }
+
+    /// Tells whether the last read of some table failed.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        self.is_failing.contains(&true)
+    }
+
+    /// Tells whether the host has ever known all tables.
+    #[must_use]
+    pub fn has_known_all(&self) -> bool {
+        self.has_read.iter().all(|&read| read)
     }
 
     /// Returns for how long what the host knows stays fresh; zero if it is not.
     #[must_use]
     pub fn left(&self, now: Timestamp) -> Duration {
         let is_whole = self.has_read.iter().all(|&read| read);
-        let fails = self.is_failing.iter().any(|&failing| failing);
-        let read_until = if is_whole && !fails {
+        let read_until = if is_whole && !self.is_failing() {
             self.upstreams_began + FRESH
         } else {
             Timestamp::ZERO
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -9,7 +9,7 @@
     SuccessionSettings, UpstreamView,
 };
 use direct::Roster;
-use ids::{BootClock, Clock, EntryId, HostId, Revision, Timestamp, UpstreamId};
+use ids::{BootClock, Clock, EntryId, HostId, KeyHash, Revision, Timestamp, UpstreamId};
 use indexmap::IndexMap;
 use platform::{Commit, PlatformError, RowKey};
 use rand::Rng;
@@ -50,13 +50,11 @@
     }
 }
 
-/// Returns what is due; `part` of the patience before a take-over is this host's.
+/// Returns what is due; `part` is what this host drew of the patience before a take-over.
 fn due(c: &mut Control, now: Timestamp, part: f64) -> Vec<(EntryId, Action)> {
-    let patience = SuccessionSettings::default().patience(part, c.has_stronger());
     let is_fresh = c.freshness.is_fresh(now);
     let may_move = c.store_settled(now) && is_fresh;
     let reads_for = c.store_since.map_or(Duration::ZERO, |s| now.since(s));
-    let is_steady = now.since(c.roster_changed) > ROSTER_STEADY + patience;
     // Others can take over as soon as they hear of it. While the store is away they can't, and keys
     // are renewed until the end.
     c.has_stopped |= c.phase == Phase::Leaving && is_fresh;
@@ -64,8 +62,13 @@
         return Vec::new();
     }
     let mut due = Vec::new();
+    let (hosts, me, roster_changed) = (&c.hosts, &c.me.host, c.roster_changed);
     for (entry, divided) in &mut c.divided {
         let mut actions = Vec::new();
+        let granter = divided.keeper.row().map(|row| &row.granter.host);
+        let rank = succession_rank(hosts, entry, me, granter);
+        let patience = SuccessionSettings::default().patience(rank, part);
+        let is_steady = now.since(roster_changed) > ROSTER_STEADY + patience;
         if is_fresh && c.phase != Phase::Leaving && (is_steady || divided.keeper.row().is_some()) {
             let outlook = Outlook {
                 hosts: &c.hosts,
@@ -90,6 +93,26 @@
     due
 }
 
+/// Returns how many hosts come before `me` in taking the granting of `entry` over from `granter`: the
+/// stronger ones first, and among equals another one for each entry.
+fn succession_rank(
+    hosts: &IndexMap<HostId, KnownHost>,
+    entry: &EntryId,
+    me: &HostId,
+    granter: Option<&HostId>,
+) -> usize {
+    let order = |host: &KnownHost| {
+        let name = &host.row.run.host;
+        let hash = KeyHash::of(format!("{entry} {name}").as_bytes());
+        (host.row.capacity, hash)
+    };
+    let Some(own) = hosts.get(me).map(order) else {
+        return hosts.len();
+    };
+    let others = hosts.iter().filter(|(id, _)| Some(*id) != granter);
+    others.filter(|(_, host)| order(host) > own).count()
+}
+
 /// Returns the upstreams of an entry that take requests, with their times for one request.
 fn ready(
     roster: &Roster,
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -6,7 +6,7 @@
 //! - [`take`](mod@take): takes what was read of the tables.
 //! - [`freshness`]: until when what is known of the store is fresh.
 //! - [`follow`]: reads the tables of the store as they change.
-//! - [`relay`]: passes what was read on within a failure domain.
+//! - [`relay`]: passes what was read on to other hosts; [`tree`]: to whom.
 //! - [`registry`]: what it makes of the upstreams' registrations.
 //! - [`beat`]: heartbeats between hosts; [`messages`]: what they say.
 //! - [`keys`]: drives the keepers of entries that are divided by key.
@@ -22,5 +22,6 @@
 pub mod samples;
 pub mod state;
 pub mod take;
+pub mod tree;
 
 pub use state::{Control, Ctl};
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -1,8 +1,9 @@
-//! Passes what was read of the store on to other hosts of the same failure domain.
+//! Passes what was read of the store on to other hosts.
 //!
-//! The hosts of a domain form a tree by the order of their names, so that one of them reads the
-//! store for all, however many there are. A host whose parent falls silent, or is turned away by
-//! the store, reads the store itself until it is fed again.
+//! The hosts form a tree, the strongest ones of each domain at its root, and one host of all reads the
+//! store. Whoever has been fed before says up to where it is complete and gets what is newer. A host
+//! whose parent falls silent, or is turned away by the store, looks for another one and reads the store
+//! itself only if it finds none.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,19 +15,20 @@
 use prost::Message;
 use slog::{debug, info};
 use smol_str::SmolStr;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::Framed;
+use tokio_util::codec::{FramedRead, FramedWrite};
 use wire::FrameCodec;
 
+use crate::control::copies::Copy;
 use crate::control::state::{Control, Ctl};
 use crate::control::take::{Table, take};
+use crate::control::tree;
 use crate::ports::Platform;
 use crate::view::Phase;
 
-/// Hosts that one host feeds in the tree: three levels hold a domain of 500.
-const FANOUT: usize = 16;
 /// Most hosts that one host feeds when others take the place of lost parents.
-const FED_MAX: usize = 2 * FANOUT;
+const FED_MAX: usize = 2 * tree::FANOUT;
 /// Longest time between two messages to a fed host.
 const FEED_EVERY: Duration = Duration::from_millis(400);
 /// Silence after which a fed host reads the store itself: two messages and their way. What the
@@ -34,8 +36,23 @@
 const SILENCE: Duration = Duration::from_secs(1);
 /// Time for a connection to a host of the same domain to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for a message to be taken: all there is takes a second over a link of 10 Mbit/s that several
+/// hosts are fed over.
+const SEND_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Pause before looking for a parent again.
 const PAUSE: Duration = Duration::from_millis(700);
+/// The same while this host has never known all there is: others that started with it are about to.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// What a host that wants to be fed has.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Have {
+    /// Revision up to which it is complete, of each table in the order of [`Table::ALL`]; zero if it
+    /// has nothing of it.
+    #[prost(uint64, repeated, tag = "1")]
+    pub revisions: Vec<u64>,
+}
 
 /// What a host passes on.
 #[derive(Clone, PartialEq)]
@@ -44,9 +61,13 @@
     /// Changes of each table, in the order of [`Table::ALL`].
     #[prost(message, repeated, tag = "1")]
     pub tables: Vec<TableFeed>,
-    /// Milliseconds for which the sender's knowledge of the store stays fresh.
+    /// Milliseconds for which the sender's knowledge of the store stays fresh; zero if it is not fresh
+    /// and feeds nobody.
     #[prost(uint32, tag = "2")]
     pub fresh_ms: u32,
+    /// The host that read the store.
+    #[prost(string, tag = "3")]
+    pub reader: String,
 }
 
 /// Changes of one table.
@@ -59,6 +80,9 @@
     /// Rows that changed.
     #[prost(message, repeated, tag = "2")]
     pub rows: Vec<FeedRow>,
+    /// Whether these are all rows that there are, and others are gone.
+    #[prost(bool, tag = "3")]
+    pub is_whole: bool,
 }
 
 /// A row.
@@ -76,7 +100,22 @@
     pub value: Option<Bytes>,
 }
 
-type Link = Framed<TcpStream, FrameCodec<Feed>>;
+/// The two directions of a connection: messages of type `In` come, those of type `Out` go.
+struct Link<In, Out> {
+    incoming: FramedRead<OwnedReadHalf, FrameCodec<In>>,
+    outgoing: FramedWrite<OwnedWriteHalf, FrameCodec<Out>>,
+}
+
+impl<In: Message + Default, Out: Message + Default> Link<In, Out> {
+    fn new(stream: TcpStream) -> std::io::Result<Self> {
+        stream.set_nodelay(true)?;
+        let (read, write) = stream.into_split();
+        Ok(Self {
+            incoming: FramedRead::new(read, FrameCodec::default()),
+            outgoing: FramedWrite::new(write, FrameCodec::default()),
+        })
+    }
+}
 
 /// Feeds hosts that connect to `listener`.
 pub async fn feed(ctl: Ctl, listener: TcpListener) {
@@ -103,75 +142,114 @@
 }
 
 async fn feed_one(ctl: &Ctl, stream: TcpStream) -> Result<(), wire::FrameError> {
-    stream.set_nodelay(true)?;
-    let mut link: Link = Framed::new(stream, FrameCodec::default());
-    let mut generations = [0; Table::ALL.len()];
+    let mut link: Link<Have, Feed> = Link::new(stream)?;
+    let have = tokio::time::timeout(SILENCE, link.incoming.next());
+    let Some(have) = have.await.map_err(std::io::Error::from)? else {
+        return Ok(());
+    };
     let mut changes = ctl.changes();
+    let mut generations = [0; Table::ALL.len()];
+    let have = have?;
+    let mut feed = ctl.with(|c| first_feed(c, &have, &mut generations));
     loop {
-        let feed = ctl.with(|c| next_feed(c, &mut generations));
+        let is_last = feed.fresh_ms == 0;
         // A fed host that takes nothing must not hold its place for ever.
-        let sent = tokio::time::timeout(SILENCE, link.send(feed));
+        let sent = tokio::time::timeout(SEND_TIMEOUT, link.outgoing.send(feed));
         sent.await.map_err(std::io::Error::from)??;
+        if is_last {
+            return Ok(());
+        }
         tokio::select! {
             // Whichever comes first.
             _ = tokio::time::timeout(FEED_EVERY, changes.changed()) => {}
-            _ = link.next() => return Ok(()),
+            _ = link.incoming.next() => return Ok(()),
         }
+        feed = ctl.with(|c| next_feed(c, &mut generations));
+    }
+}
+
+/// Builds the first message to a host that has what it says.
+fn first_feed(c: &Control, have: &Have, generations: &mut [u64; Table::ALL.len()]) -> Feed {
+    let fresh_ms = fresh_ms(c);
+    if fresh_ms == 0 {
+        return Feed::default();
+    }
+    let tables = c.copies.iter().enumerate().map(|(i, copy)| {
+        let complete = have.revisions.get(i).copied().unwrap_or_default();
+        generations[i] = copy.generation();
+        TableFeed::first(copy, Revision(complete))
+    });
+    Feed {
+        tables: tables.collect(),
+        fresh_ms,
+        reader: c.reader.to_string(),
     }
 }
 
 /// Builds the next message to a host that has everything up to `generations`.
 fn next_feed(c: &Control, generations: &mut [u64; Table::ALL.len()]) -> Feed {
-    let mut feed = Feed {
-        tables: Vec::new(),
-        fresh_ms: c.freshness.left(BootClock.now()).as_millis() as u32,
-    };
-    for (copy, generation) in c.copies.iter().zip(generations) {
-        let rows = copy.since(*generation).map(|row| FeedRow {
+    let fresh_ms = fresh_ms(c);
+    if fresh_ms == 0 {
+        return Feed::default();
+    }
+    let tables = c.copies.iter().zip(generations).map(|(copy, generation)| {
+        let rows = copy.since(*generation).map(FeedRow::from).collect();
+        *generation = copy.generation();
+        TableFeed {
+            revision: copy.revision().0,
+            rows,
+            is_whole: false,
+        }
+    });
+    Feed {
+        tables: tables.collect(),
+        fresh_ms,
+        reader: c.reader.to_string(),
+    }
+}
+
+/// Returns for how long others may rely on what this host knows.
+fn fresh_ms(c: &Control) -> u32 {
+    c.freshness.left(BootClock.now()).as_millis() as u32
+}
+
+impl From<&Row> for FeedRow {
+    fn from(row: &Row) -> Self {
+        Self {
             key: row.key.0.to_string(),
             revision: row.revision.0,
             value: row.value.clone(),
-        });
-        feed.tables.push(TableFeed {
-            revision: copy.revision().0,
-            rows: rows.collect(),
-        });
-        *generation = copy.generation();
+        }
     }
-    feed
 }
 
-/// Lets other hosts feed this one, as far as there are any before it in its domain.
+/// Lets other hosts feed this one, as far as there are any.
 pub async fn be_fed(ctl: Ctl, platform: impl Platform) {
     loop {
         for parent in ctl.with(|c| parents(c)) {
             let ended = fed_by(&ctl, &platform, parent).await;
-            ctl.with(|c| c.freshness.left_alone());
+            ctl.with(|c| c.freshness.left_alone(BootClock.now()));
             if let Err(e) = ended {
                 ctl.with(|c| debug!(c.log, "feed ended"; "peer" => %parent, "error" => %e));
             }
         }
-        tokio::time::sleep(PAUSE).await;
+        let pause = if ctl.with(|c| c.freshness.has_known_all()) {
+            PAUSE
+        } else {
+            FIRST_PAUSE
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
-/// Returns the hosts that may feed this one, the best first: its ancestors in the tree, then all
-/// others before it.
+/// Returns the hosts that may feed this one, the best first.
 fn parents(c: &Control) -> Vec<SocketAddr> {
-    let mates = c.mates();
-    let Some(mut at) = mates.iter().position(|(host, _)| **host == c.me.host) else {
-        return Vec::new();
-    };
-    let before = &mates[..at];
-    let mut order = Vec::new();
-    while at > 0 {
-        at = (at - 1) / FANOUT;
-        order.push(before[at].1);
+    let domains = c.domains();
+    let mut parents = domains.before(&c.cfg.domain, &c.me.host);
+    if c.freshness.is_failing() {
+        parents.extend(domains.behind(&c.cfg.domain, &c.me.host));
     }
-    let others = before.iter().map(|&(_, peer)| peer);
-    let others: Vec<_> = others.filter(|peer| !order.contains(peer)).collect();
-    order.extend(others);
-    order
+    parents
 }
 
 /// Takes what the host at `parent` feeds, until it falls silent or is not fresh itself.
@@ -182,48 +260,72 @@
 ) -> Result<(), wire::FrameError> {
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(parent));
     let stream = connect.await.map_err(std::io::Error::from)??;
-    stream.set_nodelay(true)?;
-    let mut link: Link = Framed::new(stream, FrameCodec::default());
+    let mut link: Link<Feed, Have> = Link::new(stream)?;
+    let revisions = ctl.with(|c| c.copies.iter().map(|copy| copy.revision().0).collect());
+    link.outgoing.send(Have { revisions }).await?;
+    // Whoever has nothing yet gets everything at first.
+    let has_known_all = ctl.with(|c| c.freshness.has_known_all());
+    let mut within = if has_known_all { SILENCE } else { SEND_TIMEOUT };
     let mut is_first = true;
     loop {
-        let next = tokio::time::timeout(SILENCE, link.next());
+        let next = tokio::time::timeout(within, link.incoming.next());
+        within = SILENCE;
         let Some(feed) = next.await.map_err(std::io::Error::from)? else {
             return Ok(());
         };
         let feed = feed?;
-        if ctl.with(|c| c.phase == Phase::Leaving) || feed.fresh_ms == 0 {
+        // What this host read itself is no news to it.
+        let is_own = ctl.with(|c| feed.reader == c.me.host.as_str());
+        if ctl.with(|c| c.phase == Phase::Leaving) || feed.fresh_ms == 0 || is_own {
             return Ok(());
         }
         if is_first {
             ctl.with(|c| info!(c.log, "fed by"; "peer" => %parent));
         }
-        if ctl.with(|c| take_feed(c, platform, feed, is_first)) {
+        if ctl.with(|c| take_feed(c, platform, feed)) {
             ctl.changed();
+        } else {
+            ctl.refreshed();
         }
         is_first = false;
     }
 }
 
 /// Takes a message; tells whether anything changed.
-fn take_feed(c: &mut Control, platform: &impl Platform, feed: Feed, is_first: bool) -> bool {
+fn take_feed(c: &mut Control, platform: &impl Platform, feed: Feed) -> bool {
     let now = BootClock.now();
     let left = Duration::from_millis(u64::from(feed.fresh_ms));
     c.freshness.fed(now, left);
+    c.reader = feed.reader.into();
     c.store_answered(now);
     let mut changed = false;
     for (table, part) in Table::ALL.into_iter().zip(feed.tables) {
-        changed |= take(c, platform, table, part.into_delta(is_first), now);
+        changed |= take(c, platform, table, part.into_delta(), now);
     }
     changed
 }
 
 impl TableFeed {
+    /// Builds what a host gets first that is complete up to a revision: what is newer, or everything
+    /// if this host can't tell what was removed since.
+    #[must_use]
+    pub fn first(copy: &Copy, complete: Revision) -> Self {
+        let newer = copy.changed_since(complete);
+        let is_whole = newer.is_none();
+        let rows = match newer {
+            Some(newer) => newer.map(FeedRow::from).collect(),
+            None => copy.since(0).map(FeedRow::from).collect(),
+        };
+        Self {
+            revision: copy.revision().0,
+            rows,
+            is_whole,
+        }
+    }
+
     /// Returns what to do with the rows.
-    ///
-    /// The first message of a connection brings all that the sender has. It may know nothing of
-    /// rows that were removed before it began, so what it lacks is gone.
     #[must_use]
-    pub fn into_delta(self, is_first: bool) -> Delta {
+    pub fn into_delta(self) -> Delta {
         let rows = self.rows.into_iter().map(|row| Row {
             key: RowKey(SmolStr::from(row.key)),
             revision: Revision(row.revision),
@@ -233,7 +335,7 @@
             revision: Revision(self.revision),
             rows: rows.collect(),
         };
-        if is_first {
+        if self.is_whole {
             Delta::Snapshot(changes)
         } else {
             Delta::Changes(changes)
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -24,6 +24,7 @@
 use crate::control::copies::Copy;
 use crate::control::freshness::Freshness;
 use crate::control::take::Table;
+use crate::control::tree::{Domains, Member, Position};
 
 use crate::control::registry::Place;
 use crate::settings::Settings;
@@ -115,6 +116,10 @@
     pub copies: [Copy; Table::ALL.len()],
     /// Until when what is known of the store is fresh.
     pub freshness: Freshness,
+    /// The host that last read what is known of the store.
+    pub reader: SmolStr,
+    /// When the hosts' rows were first read.
+    pub hosts_known: Option<Timestamp>,
     /// Where the view is published.
     pub view: Shared,
     /// Counters.
@@ -129,7 +134,7 @@
     state: Rc<RefCell<Control>>,
     /// Wakes the task that drives the keepers.
     pub wake_keys: Rc<Notify>,
-    /// Tells the hosts that this one feeds that there is something new.
+    /// Tells the hosts that this one feeds that there is something new, or known to be still so.
     changes: Rc<watch::Sender<()>>,
 }
 
@@ -156,6 +161,13 @@
         self.changes.send_replace(());
     }
 
+    /// Tells the hosts that this one feeds that what is known of the store is still so.
+    ///
+    /// Each host passes that on at once, so that the last one in the tree is hardly behind the first.
+    pub fn refreshed(&self) {
+        self.changes.send_replace(());
+    }
+
     /// Reads or changes the state; `f` must not wait.
     ///
     /// # Panics
@@ -232,29 +244,25 @@
         }
     }
 
-    /// Tells whether another host can do more work than this one.
-    #[must_use]
-    pub fn has_stronger(&self) -> bool {
-        let own = self.cfg.processor.capacity();
-        self.hosts.values().any(|h| h.row.capacity > own)
-    }
-
-    /// Returns the hosts of this one's domain with their addresses, in the order of their names.
+    /// Returns the hosts in the order in which they feed each other.
     #[must_use]
-    pub fn mates(&self) -> Vec<(&HostId, SocketAddr)> {
-        let in_domain = |h: &&KnownHost| h.row.domain == self.cfg.domain;
-        let hosts = self.hosts.values().filter(in_domain);
-        let mut mates: Vec<_> = hosts.map(|h| (&h.row.run.host, h.row.peers)).collect();
-        mates.sort();
-        mates
+    pub fn domains(&self) -> Domains {
+        let member = |host: &KnownHost| {
+            let row = &host.row;
+            let member = Member {
+                host: row.run.host.clone(),
+                peers: row.peers,
+                capacity: row.capacity,
+            };
+            (row.domain.clone(), member)
+        };
+        Domains::new(self.hosts.values().map(member))
     }
 
-    /// Returns which host of its domain this one is, counted from zero; also zero while that is
-    /// not known.
+    /// Returns where this host stands in that order, if its row is known.
     #[must_use]
-    pub fn place_in_domain(&self) -> usize {
-        let is_me = |(host, _): &(&HostId, SocketAddr)| **host == self.me.host;
-        self.mates().iter().position(is_me).unwrap_or_default()
+    pub fn position(&self) -> Option<Position> {
+        self.domains().position(&self.cfg.domain, &self.me.host)
     }
 
     /// Tells whether this host grants keys of an entry.
@@ -269,6 +277,13 @@
         self.grants() && !self.has_stopped
     }
 
+    /// Notes that this host's row was written at `at`.
+    pub fn note_host(&mut self, row: &HostRow, at: Revision) {
+        let row = row.clone();
+        self.hosts
+            .insert(row.run.host.clone(), KnownHost { row, at });
+    }
+
     /// Notes a read of what hosts share that began at `began` and brought everything up to then.
     pub fn shared_read(&mut self, began: Timestamp) {
         for divided in self.divided.values_mut() {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -92,6 +92,8 @@
         divided: IndexMap::new(),
         copies: Default::default(),
         freshness: Freshness::default(),
+        reader: cfg.host.as_str().into(),
+        hosts_known: None,
         view,
         metrics: Arc::clone(&metrics),
         log: log.clone(),
--- a/crates/front/tests/copies.rs
+++ b/crates/front/tests/copies.rs
@@ -123,3 +123,45 @@
         assert_eq!(copy.since(copy.generation()).count(), 0, "{}", case.name);
     }
 }
+
+/// A host that is fed by another one than before has nearly everything already: at 990 upstreams a
+/// whole copy is 250 kB, and sixteen of them take a link of 20 Mbit/s two seconds.
+#[test]
+fn who_has_nearly_everything_gets_what_is_newer() {
+    let mut copy = Copy::default();
+    copy.take(
+        Delta::Snapshot(changes(
+            5,
+            vec![row("a", 1, Some("1")), row("b", 2, Some("1"))],
+        )),
+        |_| true,
+    );
+    let read = vec![row("a", 7, None), row("c", 8, Some("1"))];
+    copy.take(Delta::Changes(changes(9, read)), |_| true);
+    let newer = |revision| {
+        let rows = copy.changed_since(Revision(revision))?;
+        Some(rows.map(|r| r.key.0.to_string()).collect::<Vec<_>>())
+    };
+    assert_eq!(newer(6), Some(vec!["a".to_owned(), "c".to_owned()]));
+    assert_eq!(newer(7), Some(vec!["c".to_owned()]));
+    assert_eq!(newer(9), Some(vec![]));
+    // What was removed before the copy began is not known.
+    assert_eq!(newer(4), None);
+    assert_eq!(newer(0), None);
+}
+
+/// Once removed rows are forgotten, nobody who may still have them is told less than everything.
+#[test]
+fn forgotten_removals_are_not_left_out() {
+    let mut copy = Copy::default();
+    copy.take(
+        Delta::Snapshot(changes(1, vec![row("a", 1, Some("1"))])),
+        |_| true,
+    );
+    for i in 2..3_000 {
+        let gone = row(&format!("gone-{i}"), i, None);
+        copy.take(Delta::Changes(changes(i, vec![gone])), |_| true);
+    }
+    assert!(copy.changed_since(Revision(10)).is_none());
+    assert!(copy.changed_since(Revision(2_900)).is_some());
+}
