front: a host's row is written by a module of its own, at once when others wait for it

A host that starts again and granted keys before looked whether it had to write its row every 500 ms only; it now looks whenever something is news.

--- /dev/null
+++ b/crates/front/src/control/announce.rs
@@ -0,0 +1,114 @@
+//! Writes this host's row in the store, by which the others find it.
+//!
+//! A host that starts again where it was has nothing to write: hundreds that do so at once would keep the
+//! store from changes of owners.
+
+use std::time::Duration;
+
+use assign::{EntryRow, Run};
+use ids::{BootClock, Clock};
+use platform::{Commit, RowKey, Txn, Write};
+use rand::Rng;
+use slog::warn;
+
+use crate::control::state::{Control, Ctl, HostRow};
+use crate::control::take::HOST_PREFIX;
+use crate::ports::{Platform, SHARED};
+
+/// Longest time after its start at which a host writes its row.
+///
+/// The store takes 200 rows a second; a few hundred hosts that start together and all write at once
+/// are turned away and write again. Who is not listed yet is fed all the same.
+const ANNOUNCE_WITHIN: Duration = Duration::from_millis(1_500);
+/// Time between looks whether this host's row has to be written.
+const ANNOUNCE_CHECK: Duration = Duration::from_millis(500);
+/// Pause before a row is written that is to be soon, and after a write that failed.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Writes this host's row, so that the others know where to reach it, whenever what stands there is
+/// not so or a run of this host may still seem to grant keys.
+pub async fn announce(ctl: Ctl, platform: impl Platform) {
+    let row = ctl.with(|c| HostRow {
+        run: c.me.clone(),
+        domain: c.cfg.domain.clone(),
+        peers: c.cfg.listen.peers,
+        permits: Some(c.cfg.listen.permits),
+        capacity: c.cfg.processor.capacity(),
+    });
+    let key = RowKey(format!("{SHARED}/{HOST_PREFIX}{}", row.run.host).into());
+    let jitter = ANNOUNCE_WITHIN.mul_f64(rand::rng().random_range(0.0..1.0));
+    let may_wait_until = BootClock.now() + jitter;
+    let mut changes = ctl.changes();
+    loop {
+        let due = ctl.with(|c| announcement(c, &row));
+        let is_due = match due {
+            Announcement::Needless => false,
+            Announcement::Awaited => true,
+            Announcement::Missing => BootClock.now() >= may_wait_until,
+        };
+        if is_due {
+            let txn = Txn {
+                checks: Vec::new(),
+                writes: vec![write_of(key.clone(), &row)],
+            };
+            match platform.commit(txn).await {
+                Ok(Commit::Done(at)) => ctl.with(|c| c.note_host(&row, at)),
+                Ok(Commit::Conflict(_)) => {}
+                Err(e) => ctl.with(|c| warn!(c.log, "announce host"; "error" => %e)),
+            }
+        }
+        if due == Announcement::Needless {
+            // Whichever comes first.
+            let _ = tokio::time::timeout(ANNOUNCE_CHECK, changes.changed()).await;
+        } else {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Whether a host's row has to be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Announcement {
+    /// It says what others have to know.
+    Needless,
+    /// It is not there, or says something else.
+    Missing,
+    /// Others wait to read that the run which granted keys has ended.
+    Awaited,
+}
+
+fn announcement(c: &Control, row: &HostRow) -> Announcement {
+    if c.hosts_known.is_none() {
+        return Announcement::Needless;
+    }
+    let known = c.hosts.get(&row.run.host).map(|h| &h.row);
+    let is_told = known.is_some_and(|known| known.run == row.run);
+    let an_earlier_run = |run: &Run| run.host == row.run.host && *run != row.run;
+    let names_one = |keys: &EntryRow| {
+        an_earlier_run(&keys.granter) || keys.earlier.iter().any(|e| an_earlier_run(&e.run))
+    };
+    let mut rows = c.divided.values().filter_map(|d| d.keeper.row());
+    if !is_told && rows.any(names_one) {
+        return Announcement::Awaited;
+    }
+    let same_but_run = |known: &HostRow| {
+        let run = row.run.clone();
+        HostRow {
+            run,
+            ..known.clone()
+        } == *row
+    };
+    if known.is_some_and(same_but_run) {
+        Announcement::Needless
+    } else {
+        Announcement::Missing
+    }
+}
+
+fn write_of(key: RowKey, row: &HostRow) -> Write {
+    let json = serde_json::to_vec(row).expect("rows serialize");
+    Write {
+        key,
+        value: Some(json.into()),
+    }
+}
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -5,15 +5,12 @@
 
 use std::time::Duration;
 
-use assign::{EntryRow, Run};
+use assign::EntryRow;
 use ids::{BootClock, Clock, EntryId, Revision, Timestamp};
-use platform::{Check, Commit, Delta, RowKey, Txn, Write};
-use rand::Rng;
-use serde::Serialize;
-use slog::warn;
+use platform::{Check, Delta, RowKey, Txn, Write};
 
-use crate::control::state::{Control, Ctl, HostRow};
-use crate::control::take::{HOST_PREFIX, KEYS_PREFIX, Table, is_host_row, take};
+use crate::control::state::{Control, Ctl};
+use crate::control::take::{KEYS_PREFIX, Table, is_host_row, take};
 use crate::ports::{Platform, SHARED};
 
 /// Longest wait for a change in one read.
@@ -47,13 +44,6 @@
 /// Time for which a host that is not listed yet waits to be fed: those that start for the first time
 /// write their rows within this time and one read, and then know which of them reads for all.
 const START_UNLISTED: Duration = Duration::from_millis(2_500);
-/// Longest time after its start at which a host writes its row.
-///
-/// The store takes 200 rows a second; a few hundred hosts that start together and all write at once
-/// are turned away and write again. Who is not listed yet is fed all the same.
-const ANNOUNCE_WITHIN: Duration = Duration::from_millis(1_500);
-/// Time between looks whether this host's row has to be written.
-const ANNOUNCE_CHECK: Duration = Duration::from_millis(500);
 /// Time for which a host doesn't wait for changes in the store after the store was away.
 ///
 /// A read that waits for changes when the store goes away hangs until its own end, which may be
@@ -163,7 +153,9 @@
         c.freshness.read(table, began);
         c.store_answered(now);
         let changed = take(c, platform, table, delta, now);
-        c.reader = c.me.host.as_str().into();
+        if table == Table::Upstreams {
+            c.reader = c.me.host.as_str().into();
+        }
         if table == Table::Shared {
             c.shared_read(began);
             c.hosts_known.get_or_insert(now);
@@ -192,92 +184,6 @@
     !rows.is_empty() && rows.iter().all(is_host_row)
 }
 
-/// Writes this host's row, so that the others know where to reach it, whenever what stands there is
-/// not so or a run of this host may still seem to grant keys.
-pub async fn announce(ctl: Ctl, platform: impl Platform) {
-    let row = ctl.with(|c| HostRow {
-        run: c.me.clone(),
-        domain: c.cfg.domain.clone(),
-        peers: c.cfg.listen.peers,
-        permits: Some(c.cfg.listen.permits),
-        capacity: c.cfg.processor.capacity(),
-    });
-    let key = RowKey(format!("{SHARED}/{HOST_PREFIX}{}", row.run.host).into());
-    let jitter = ANNOUNCE_WITHIN.mul_f64(rand::rng().random_range(0.0..1.0));
-    let may_wait_until = BootClock.now() + jitter;
-    loop {
-        let due = ctl.with(|c| announcement(c, &row));
-        let is_due = match due {
-            Announcement::Needless => false,
-            Announcement::Awaited => true,
-            Announcement::Missing => BootClock.now() >= may_wait_until,
-        };
-        if is_due {
-            let txn = Txn {
-                checks: Vec::new(),
-                writes: vec![write_of(key.clone(), &row)],
-            };
-            match platform.commit(txn).await {
-                Ok(Commit::Done(at)) => ctl.with(|c| c.note_host(&row, at)),
-                Ok(Commit::Conflict(_)) => {}
-                Err(e) => ctl.with(|c| warn!(c.log, "announce host"; "error" => %e)),
-            }
-        }
-        let pause = match due {
-            Announcement::Needless => ANNOUNCE_CHECK,
-            Announcement::Awaited | Announcement::Missing => PAUSE,
-        };
-        tokio::time::sleep(pause).await;
-    }
-}
-
-/// Whether a host's row has to be written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Announcement {
-    /// It says what others have to know.
-    Needless,
-    /// It is not there, or says something else.
-    Missing,
-    /// Others wait to read that the run which granted keys has ended.
-    Awaited,
-}
-
-fn announcement(c: &Control, row: &HostRow) -> Announcement {
-    if c.hosts_known.is_none() {
-        return Announcement::Needless;
-    }
-    let known = c.hosts.get(&row.run.host).map(|h| &h.row);
-    let is_told = known.is_some_and(|known| known.run == row.run);
-    let an_earlier_run = |run: &Run| run.host == row.run.host && *run != row.run;
-    let names_one = |keys: &EntryRow| {
-        an_earlier_run(&keys.granter) || keys.earlier.iter().any(|e| an_earlier_run(&e.run))
-    };
-    let mut rows = c.divided.values().filter_map(|d| d.keeper.row());
-    if !is_told && rows.any(names_one) {
-        return Announcement::Awaited;
-    }
-    let same_but_run = |known: &HostRow| {
-        let run = row.run.clone();
-        HostRow {
-            run,
-            ..known.clone()
-        } == *row
-    };
-    if known.is_some_and(same_but_run) {
-        Announcement::Needless
-    } else {
-        Announcement::Missing
-    }
-}
-
-fn write_of(key: RowKey, value: &impl Serialize) -> Write {
-    let json = serde_json::to_vec(value).expect("rows serialize");
-    Write {
-        key,
-        value: Some(json.into()),
-    }
-}
-
 /// Returns the key of the row that holds the owners of `entry`.
 #[must_use]
 pub fn keys_row(entry: &EntryId) -> RowKey {
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -6,11 +6,13 @@
 //! - [`take`](mod@take): takes what was read of the tables.
 //! - [`freshness`]: until when what is known of the store is fresh.
 //! - [`follow`]: reads the tables of the store as they change.
+//! - [`announce`]: writes this host's own row.
 //! - [`relay`]: passes what was read on to other hosts; [`tree`]: to whom.
 //! - [`registry`]: what it makes of the upstreams' registrations.
 //! - [`beat`]: heartbeats between hosts; [`messages`]: what they say.
 //! - [`keys`]: drives the keepers of entries that are divided by key.
 
+pub mod announce;
 pub mod beat;
 pub mod copies;
 pub mod follow;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -23,7 +23,7 @@
 use crate::control::freshness::Freshness;
 use crate::control::samples::{self, SampleRx, SampleTx};
 use crate::control::take::Table;
-use crate::control::{Control, Ctl, beat, follow, keys, relay};
+use crate::control::{Control, Ctl, announce, beat, follow, keys, relay};
 use crate::forward::{Forwarder, ForwarderParts};
 use crate::permits::PermitService;
 use crate::ports::{Dialect, Platform};
@@ -218,7 +218,7 @@
     for table in Table::ALL {
         tokio::task::spawn_local(follow::follow(ctl.clone(), platform.clone(), table));
     }
-    tokio::task::spawn_local(follow::announce(ctl.clone(), platform.clone()));
+    tokio::task::spawn_local(announce::announce(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(relay::feed(ctl.clone(), relay_listener));
     tokio::task::spawn_local(relay::be_fed(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(beat::send(ctl.clone(), Rc::clone(&socket), samples));
