assign: what a busy host did not send is no silence of the upstream

Cause, read in the code while looking for why keys move when nothing is lost: a grant that could not leave within 200 ms was told as an answer that never came; two of them within 1.5 s made their upstream silent, and its keys went to others, which is more work for the host that could not keep up. Change: it is told as not sent, as a grant for a run that is not known yet was before. Test: assign busy (the first case failed before: keys moved); adapter orders expects the stricter word.

--- a/crates/assign/src/keeper/calls.rs
+++ b/crates/assign/src/keeper/calls.rs
@@ -33,7 +33,7 @@
     }
 
     fn note_health(&mut self, now: Timestamp, call: &OrderCall, end: &CallEnd) {
-        if matches!(end, CallEnd::NotYet) {
+        if matches!(end, CallEnd::NotSent) {
             return;
         }
         if !matches!(end, CallEnd::NoAnswer { .. }) {
@@ -54,7 +54,7 @@
     fn grant_ended(&mut self, now: Timestamp, underway: &Underway, end: &CallEnd) {
         let every = self.cfg.renew_every;
         let surely_unsent = CallEnd::NoAnswer { maybe_sent: false };
-        if *end == surely_unsent || *end == CallEnd::NotYet {
+        if *end == surely_unsent || *end == CallEnd::NotSent {
             self.forget_sent(underway);
         }
         let Some(live) = self.live_of(&underway.call) else {
@@ -74,7 +74,7 @@
                 };
                 live.next_at = underway.call.decided + every.mul_f64(part);
             }
-            CallEnd::NotYet | CallEnd::NoAnswer { .. } => live.next_at = now + every / 4,
+            CallEnd::NotSent | CallEnd::NoAnswer { .. } => live.next_at = now + every / 4,
             CallEnd::Fenced | CallEnd::Gone => live.next_at = now + every,
         }
     }
@@ -113,7 +113,7 @@
                         live.handover.clone_from(handover);
                     }
                 }
-                CallEnd::Gone | CallEnd::Fenced | CallEnd::NotYet | CallEnd::NoAnswer { .. } => {
+                CallEnd::Gone | CallEnd::Fenced | CallEnd::NotSent | CallEnd::NoAnswer { .. } => {
                     former.release_at = now + RELEASE_EVERY;
                 }
             }
--- a/crates/assign/src/order.rs
+++ b/crates/assign/src/order.rs
@@ -54,8 +54,9 @@
     Fenced,
     /// Another run of a server answered: the upstream is gone.
     Gone,
-    /// It was not sent: which run of the server listens is not known yet.
-    NotYet,
+    /// It was not sent, for a reason of this host's own: which run of the server listens is not known
+    /// yet, or the host was too busy to send it in time. That says nothing of the upstream.
+    NotSent,
     /// No answer came.
     NoAnswer {
         /// Whether the call may have arrived.
