direct: strong hosts hand out permits

Change: of the hosts of a domain those with at least half of the strongest one's capacity hand out permits; the others only while all of these are silent. Fleets of equal hosts change nothing. Test: direct permit_hosts.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,11 +10,13 @@
 //! - [`choose`](mod@choose): which upstream gets a request, or why none does.
 //! - [`returns`]: whether a caller was refused before and has come back.
 //! - [`permits`]: who may send to an upstream now, at the host that hands out its permits.
+//! - [`permit_hosts`]: which host that is.
 //! - [`repeat`]: whether a request whose try failed is sent again.
 
 pub mod choose;
 pub mod config;
 pub mod load;
+pub mod permit_hosts;
 pub mod permits;
 pub mod repeat;
 pub mod returns;
@@ -24,6 +26,7 @@
 pub use choose::{Candidate, Choice, ChooseSettings, Rank, Wanted, choose};
 pub use config::{CallerBounds, Configuration, EntrySpec, Route, Share};
 pub use load::{LoadReport, LoadSettings, Sent, UpstreamLoad};
+pub use permit_hosts::PermitHosts;
 pub use permits::{PermitRequest, PermitSettings, Permits, Reply};
 pub use repeat::{Ended, Next, RepeatSettings, Tries};
 pub use returns::Returns;
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -11,7 +11,7 @@
     AssignSettings, EntryRow, Keeper, KeyLoads, Owners, Planner, Run, Succession,
     SuccessionSettings, Unserved,
 };
-use direct::{Configuration, Roster, RouteTable};
+use direct::{Configuration, PermitHosts, Roster, RouteTable};
 use gate::Metrics;
 use ids::{DomainId, EntryId, HostId, Revision, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
@@ -187,10 +187,12 @@
             let owners = Owners::new(d.keeper.row()?, &d.unserved);
             Some((entry.clone(), owners))
         });
-        let mut permit_hosts: IndexMap<DomainId, Vec<SocketAddr>> = IndexMap::new();
+        let mut permit_hosts: IndexMap<DomainId, PermitHosts> = IndexMap::new();
         for host in self.hosts.values() {
             let in_domain = permit_hosts.entry(host.row.domain.clone()).or_default();
-            in_domain.extend(host.row.permits);
+            if let Some(address) = host.row.permits {
+                in_domain.add(address, host.row.capacity);
+            }
         }
         let view = View {
             permit_hosts: Arc::new(permit_hosts),
--- a/crates/front/src/permits.rs
+++ b/crates/front/src/permits.rs
@@ -15,7 +15,7 @@
 use direct::{LoadReport, PermitRequest, PermitSettings, Permits, Rank, Registered, Reply};
 use gate::Metrics;
 use gate::counters::Count;
-use ids::{BootClock, Clock, KeyHash, Timestamp, UpstreamId};
+use ids::{BootClock, Clock, Timestamp, UpstreamId};
 use prost::Message;
 use rand::Rng;
 use slog::{Logger, debug};
@@ -302,11 +302,9 @@
     /// Returns the host that hands out the permits at `target`, of those that are not silent.
     fn host_of(&self, view: &View, target: &Registered, now: Timestamp) -> Option<SocketAddr> {
         let silent = self.silent.borrow();
-        let is_silent = |a: &SocketAddr| silent.get(a).is_some_and(|s| now < s.until);
+        let is_silent = |a: SocketAddr| silent.get(&a).is_some_and(|s| now < s.until);
         let hosts = view.permit_hosts.get(&target.domain)?;
-        let rank = |a: &&SocketAddr| KeyHash::of(format!("{a} {}", target.id).as_bytes());
-        let heard = hosts.iter().filter(|a| !is_silent(a));
-        heard.max_by_key(rank).copied()
+        hosts.host_of(&target.id, is_silent)
     }
 
     /// Asks for a permit at `target`.
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -1,11 +1,10 @@
 //! What the control duty tells the callers' duty.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 use assign::Owners;
-use direct::{Configuration, Roster, RouteTable};
+use direct::{Configuration, PermitHosts, Roster, RouteTable};
 use ids::{DomainId, EntryId};
 use indexmap::IndexMap;
 
@@ -41,8 +40,8 @@
     pub roster: Arc<Roster>,
     /// Owners of keys, for each entry that is divided by key.
     pub owners: Arc<IndexMap<EntryId, Owners>>,
-    /// Where the hosts of each failure domain are asked for permits to send to its upstreams.
-    pub permit_hosts: Arc<IndexMap<DomainId, Vec<SocketAddr>>>,
+    /// The hosts of each failure domain that are asked for permits to send to its upstreams.
+    pub permit_hosts: Arc<IndexMap<DomainId, PermitHosts>>,
     /// Hosts that share the budget for repeats; at least one.
     pub hosts: usize,
 }
