--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -171,49 +171,39 @@
 
 /// Builds the first message to a host that has what it says.
 fn first_feed(c: &Control, have: &Have, generations: &mut [u64; Table::ALL.len()]) -> Feed {
-    let fresh_ms = fresh_ms(c);
-    if fresh_ms == 0 {
-        return Feed::default();
-    }
-    let tables = c.copies.iter().enumerate().map(|(i, copy)| {
-        let complete = have.revisions.get(i).copied().unwrap_or_default();
+    let complete = |i: usize| have.revisions.get(i).copied().unwrap_or_default();
+    feed_of(c, |i, copy| {
         generations[i] = copy.generation();
-        TableFeed::first(copy, Revision(complete))
-    });
-    Feed {
-        tables: tables.collect(),
-        fresh_ms,
-        reader: c.reader.to_string(),
-    }
+        TableFeed::first(copy, Revision(complete(i)))
+    })
 }
 
 /// Builds the next message to a host that has everything up to `generations`.
 fn next_feed(c: &Control, generations: &mut [u64; Table::ALL.len()]) -> Feed {
-    let fresh_ms = fresh_ms(c);
-    if fresh_ms == 0 {
-        return Feed::default();
-    }
-    let tables = c.copies.iter().zip(generations).map(|(copy, generation)| {
-        let rows = copy.since(*generation).map(FeedRow::from).collect();
-        *generation = copy.generation();
+    feed_of(c, |i, copy| {
+        let since = std::mem::replace(&mut generations[i], copy.generation());
         TableFeed {
             revision: copy.revision().0,
-            rows,
+            rows: copy.since(since).map(FeedRow::from).collect(),
             is_whole: false,
         }
-    });
+    })
+}
+
+/// Builds a message of what `table` makes of each copy; an empty one if this host is not fresh.
+fn feed_of(c: &Control, mut table: impl FnMut(usize, &Copy) -> TableFeed) -> Feed {
+    let fresh_ms = c.freshness.left(BootClock.now()).as_millis() as u32;
+    if fresh_ms == 0 {
+        return Feed::default();
+    }
+    let copies = c.copies.iter().enumerate();
     Feed {
-        tables: tables.collect(),
+        tables: copies.map(|(i, copy)| table(i, copy)).collect(),
         fresh_ms,
         reader: c.reader.to_string(),
     }
 }
 
-/// Returns for how long others may rely on what this host knows.
-fn fresh_ms(c: &Control) -> u32 {
-    c.freshness.left(BootClock.now()).as_millis() as u32
-}
-
 impl From<&Row> for FeedRow {
     fn from(row: &Row) -> Self {
         Self {
