--- a/crates/assign/tests/busy.rs
+++ b/crates/assign/tests/busy.rs
@@ -37,7 +37,7 @@
     let mut loads = KeyLoads::new(now);
     keeper.take(now, row, Revision(1));
     for _ in 0..50 {
-        now = now + STEP;
+        now += STEP;
         keeper.read(now);
         let mut actions = Vec::new();
         keeper.poll(now, &mut actions);
