relay: the first message of a feed is as fresh as when it was asked for

Its host was fed, and the word came late over a full link; what a message says of its freshness counted from its arrival. Change: that is so for the first message only, whose freshness counts from when it was asked for; later ones must be taken within the second of silence again.

--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use ids::{BootClock, Clock, Revision};
+use ids::{BootClock, Clock, Revision, Timestamp};
 use platform::{Changes, Delta, Row, RowKey};
 use prost::Message;
 use slog::{debug, info};
@@ -37,7 +37,7 @@
 /// Time for a connection to another host to open: twenty times their way to each other. Hosts that are
 /// gone for good are still listed, and each one that is tried delays the host that looks for a feeder.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for a message to be taken: all there is takes a second over a link of 10 Mbit/s that several
+/// Time for the first message to be taken: all there is takes a second over a link of 10 Mbit/s that several
 /// hosts are fed over.
 const SEND_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Pause before looking for a parent again.
@@ -152,11 +152,13 @@
     let mut generations = [0; Table::ALL.len()];
     let have = have?;
     let mut feed = ctl.with(|c| first_feed(c, &have, &mut generations));
+    let mut within = SEND_TIMEOUT;
     loop {
         let is_last = feed.fresh_ms == 0;
         // A fed host that takes nothing must not hold its place for ever.
-        let sent = tokio::time::timeout(SEND_TIMEOUT, link.outgoing.send(feed));
+        let sent = tokio::time::timeout(within, link.outgoing.send(feed));
         sent.await.map_err(std::io::Error::from)??;
+        within = SILENCE;
         if is_last {
             return Ok(());
         }
@@ -258,6 +260,7 @@
     // Whoever has nothing yet gets everything at first.
     let has_known_all = ctl.with(|c| c.freshness.has_known_all());
     let mut within = if has_known_all { SILENCE } else { SEND_TIMEOUT };
+    let asked = BootClock.now();
     let mut is_first = true;
     loop {
         let next = tokio::time::timeout(within, link.incoming.next());
@@ -274,7 +277,9 @@
         if is_first {
             ctl.with(|c| info!(c.log, "fed by"; "peer" => %parent));
         }
-        if ctl.with(|c| take_feed(c, platform, feed)) {
+        // The first message was built after it was asked for, and may have been long on its way.
+        let as_of = if is_first { asked } else { BootClock.now() };
+        if ctl.with(|c| take_feed(c, platform, feed, as_of)) {
             ctl.changed();
         } else {
             ctl.refreshed();
@@ -283,11 +288,11 @@
     }
 }
 
-/// Takes a message; tells whether anything changed.
-fn take_feed(c: &mut Control, platform: &impl Platform, feed: Feed) -> bool {
+/// Takes a message that was built at `as_of` or later; tells whether anything changed.
+fn take_feed(c: &mut Control, platform: &impl Platform, feed: Feed, as_of: Timestamp) -> bool {
     let now = BootClock.now();
     let left = Duration::from_millis(u64::from(feed.fresh_ms));
-    c.freshness.fed(now, left);
+    c.freshness.fed(as_of, left);
     c.reader = feed.reader.into();
     c.store_answered(now);
     let mut changed = false;
