assign: a successor waits for one heartbeat after the store's return, not two

The host that is to take over learns up to 1.4 s late that the store is back, and then waited 800 ms before it took silence for one: the hold of 3 s ends 0.4 s later. Change: 450 ms, a heartbeat and its answer.

--- a/crates/assign/src/succession.rs
+++ b/crates/assign/src/succession.rs
@@ -24,7 +24,7 @@
     /// with something else, has not asked.
     pub unanswered: u32,
     /// Time for which a host must have known the store's state again before it takes silence for one:
-    /// two heartbeats. One that was cut off itself would else replace, on its return, the host that
+    /// a heartbeat and its answer. One that was cut off itself would else replace, on its return, the host that
     /// granted all the while.
     pub back_for: Duration,
     /// Further patience of a host for each one that comes before it: time for that one's commit and
@@ -60,7 +60,7 @@
             silence: Duration::from_millis(1_200),
             blind: Duration::from_millis(2_500),
             unanswered: 3,
-            back_for: Duration::from_millis(800),
+            back_for: Duration::from_millis(450),
             each_before: Duration::from_millis(70),
             in_turn: 8,
             drawn: Duration::from_millis(140),
