--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -30,8 +30,8 @@
 /// Most hosts of an entry that are all told at once that keys begin or end to wait for their owner;
 /// of more, each hears of it with the answer to its next heartbeat, within 400 ms.
 ///
-/// Among 81 hosts each meets an owner once in twenty seconds, and telling all at once was half of the
-/// bytes between domains that control takes (0.004 of worth).
+/// Among 81 hosts each meets an owner once in twenty seconds, so that the word would come long before
+/// most callers need it, and telling all at once was half of the bytes between domains that control takes.
 const TOLD_AT_ONCE: usize = 24;
 
 /// Hosts that are asked whether they hear the granting host before it is replaced: with two, one that is
