--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -1,5 +1,7 @@
 //! Entry hosts as real processes on a stand-in for the users' platform, under faults.
 
+mod cold;
+mod drained;
 mod rig;
 
 use std::collections::HashMap;
--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -132,7 +132,8 @@
 
 /// Chooses among `candidates`.
 ///
-/// Those that can't be reached at the moment are chosen only if there are no others.
+/// Those that can't be reached at the moment are chosen only if there are no others; cold ones that have no
+/// room never are.
 pub fn choose<'a, K: Copy>(
     now: Timestamp,
     wanted: Wanted,
@@ -148,6 +149,11 @@
     let mut best: Option<(bool, f64, K, f64)> = None;
     let mut room_in = f64::INFINITY;
     for c in candidates {
+        let held_back = c.load.held_back(now);
+        if !held_back.is_zero() {
+            room_in = room_in.min(held_back.as_secs_f64());
+            continue;
+        }
         let mut expected = c.load.expected(now, usual, load);
         if c.is_cold {
             expected *= load.cold_factor;
--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -6,8 +6,10 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
+use crate::warmup::Warmup;
+
 /// A whole configuration, valid in itself.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Configuration {
     /// Rises with each configuration that the operator submits.
     pub version: Version,
@@ -52,10 +54,12 @@
 }
 
 /// What a configuration says of an entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct EntrySpec {
     /// Whether its upstreams own keys.
     pub divided: bool,
+    /// What its upstreams bear while they are cold; none if they bear as much as ever.
+    pub warmup: Option<Warmup>,
 }
 
 /// Limits on what callers may send, and how long they may take.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,7 +5,8 @@
 //!
 //! - [`config`]: what the operator's configuration says, once decoded.
 //! - [`routes`]: from host and path to a route, and from a route to the entry that serves it.
-//! - [`roster`]: the upstreams that registered themselves.
+//! - [`roster`]: the upstreams that registered themselves, and the failure domains that are drained.
+//! - [`warmup`]: how many requests an upstream bears while it is cold.
 //! - [`load`]: what this host believes of one upstream's load, speed and health.
 //! - [`choose`](mod@choose): which upstream gets a request, or why none does.
 //! - [`returns`]: whether a caller was refused before and has come back.
@@ -22,13 +23,15 @@
 pub mod returns;
 pub mod roster;
 pub mod routes;
+pub mod warmup;
 
 pub use choose::{Candidate, Choice, ChooseSettings, Rank, Wanted, choose};
 pub use config::{CallerBounds, Configuration, EntrySpec, Route, Share};
 pub use load::{LoadReport, LoadSettings, Sent, UpstreamLoad};
 pub use permit_hosts::PermitHosts;
-pub use permits::{PermitRequest, PermitSettings, Permits, Reply};
+pub use permits::{PermitEnd, PermitRequest, PermitSettings, Permits, Reply};
 pub use repeat::{Ended, Next, RepeatSettings, Tries};
 pub use returns::Returns;
 pub use roster::{Registered, Roster, State};
 pub use routes::{RouteKey, RouteTable, Splitter};
+pub use warmup::{ColdStart, Warmup, WarmupBounds};
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -83,6 +83,8 @@
     failed: Timestamp,
     unreachable: u32,
     closed_until: Timestamp,
+    /// Until when it gets nothing as it is cold.
+    held_back_until: Timestamp,
 }
 
 impl UpstreamLoad {
@@ -99,6 +101,7 @@
             failed: Timestamp::ZERO,
             unreachable: 0,
             closed_until: Timestamp::ZERO,
+            held_back_until: Timestamp::ZERO,
         }
     }
 
@@ -120,6 +123,17 @@
         now < self.closed_until
     }
 
+    /// Returns how long it gets nothing as it is cold; zero if it may be asked for a permit.
+    #[must_use]
+    pub fn held_back(&self, now: Timestamp) -> Duration {
+        self.held_back_until.since(now)
+    }
+
+    /// Notes that it is cold and has room only after `room_in`.
+    pub fn hold_back(&mut self, now: Timestamp, room_in: Duration) {
+        self.held_back_until = now + room_in;
+    }
+
     /// Returns how old the upstream's last report of its load is, if there was one.
     #[must_use]
     pub fn report_age(&self, now: Timestamp) -> Option<Duration> {
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -6,6 +6,9 @@
 //!
 //! Requests that can still be answered within their objective go before those that are late in any
 //! case: an upstream that is asked for twice what it can do then answers as many in time as ever.
+//!
+//! An upstream that is cold, or that has answered nobody for a while and may come back cold, gets no more
+//! requests within any second than it bears ([`warmup`](crate::warmup)).
 
 use std::collections::VecDeque;
 use std::hash::Hash;
@@ -16,6 +19,7 @@
 
 use crate::choose::Rank;
 use crate::load::LoadReport;
+use crate::warmup::{ColdStart, Starts};
 
 /// Settings of [`Permits`].
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -40,6 +44,9 @@
     pub service_weight: f64,
     /// Time beyond its caller's for which a permit is held if nobody gives it back.
     pub grace: Duration,
+    /// Time without any answer after which an upstream may come back cold, if two requests or more ended
+    /// without one meanwhile: a restart takes about as long, and a slow answer seldom does.
+    pub lost_after: Duration,
 }
 
 impl Default for PermitSettings {
@@ -52,6 +59,7 @@
             report_half_life: Duration::from_millis(500),
             service_weight: 0.1,
             grace: Duration::from_millis(200),
+            lost_after: Duration::from_millis(700),
         }
     }
 }
@@ -69,6 +77,8 @@
     pub usual: Duration,
     /// Whether it waits for its turn; one that may go to another upstream does not.
     pub may_wait: bool,
+    /// What is known of the upstream's warm-up; none if it bears as much as ever while it is cold.
+    pub cold: Option<ColdStart>,
 }
 
 /// What becomes of a request that asked for a permit.
@@ -86,6 +96,24 @@
         /// Time until there is room.
         room_in: Duration,
     },
+    /// The upstream is cold and gets no more for now, not even without a permit.
+    Cold {
+        /// Time until there is room.
+        room_in: Duration,
+    },
+}
+
+/// How a request that had a permit, or wanted one, ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum PermitEnd {
+    /// The upstream answered it.
+    Answered,
+    /// The upstream said something that is no answer.
+    Spoke,
+    /// The upstream could not be reached, or said nothing.
+    Silent,
+    /// Nothing is to be learnt of the upstream: it was not sent, or its caller left.
+    Unknown,
 }
 
 #[derive(Debug)]
@@ -108,6 +136,16 @@
 const IN_TIME: usize = 1;
 const LATE: usize = 2;
 
+/// Requests that ended without a word of the upstream since it last said something.
+#[derive(Debug, Clone, Copy)]
+struct Silence {
+    since: Timestamp,
+    requests: u32,
+}
+
+/// Least requests without a word for an upstream to count as lost.
+const SILENT_REQUESTS: u32 = 2;
+
 /// The permits at one upstream; `K` names a request.
 #[derive(Debug)]
 pub struct Permits<K> {
@@ -119,6 +157,11 @@
     /// Requests at the upstream that have no permit here, when they were reported.
     others: f64,
     reported: Timestamp,
+    /// What it bears while it is cold, as far as anybody has said.
+    cold: Option<ColdStart>,
+    cold_until: Timestamp,
+    starts: Starts,
+    silence: Option<Silence>,
 }
 
 impl<K: Copy + Eq + Hash> Permits<K> {
@@ -133,6 +176,10 @@
             lanes: [(); LANES].map(|()| VecDeque::new()),
             others: 0.0,
             reported: Timestamp::ZERO,
+            cold: None,
+            cold_until: Timestamp::ZERO,
+            starts: Starts::default(),
+            silence: None,
         }
     }
 
@@ -151,20 +198,35 @@
     /// Takes a request that wants a permit.
     pub fn ask(&mut self, now: Timestamp, key: K, wanted: &PermitRequest) -> Reply {
         let until = now + wanted.left;
+        if let Some(cold) = wanted.cold {
+            self.cold = Some(cold);
+            self.cold_until = self.cold_until.max(now + cold.left);
+        }
         if !self.has_waiting() && self.has_room(now) {
             self.hold(now, key, until);
             return Reply::Go;
         }
         let service = self.service.unwrap_or(wanted.usual.as_secs_f64());
+        let start_in = self.start_in(now);
         if !wanted.may_wait {
-            return Reply::Full {
-                room_in: Duration::from_secs_f64(service / 2.0),
+            return match start_in {
+                Some(room_in) if !room_in.is_zero() => Reply::Cold { room_in },
+                _ => Reply::Full {
+                    room_in: Duration::from_secs_f64(service / 2.0),
+                },
             };
         }
+        let pace = self.cold.filter(|_| start_in.is_some());
         let expected = |lanes: &[VecDeque<Waiting<K>>]| {
             let ahead: usize = lanes.iter().map(VecDeque::len).sum();
             let crowd = (self.at_upstream(now) + ahead as f64 + 1.0) / f64::from(self.slots);
-            service * crowd.max(1.0)
+            let queue = service * crowd.max(1.0);
+            // At a cold upstream it is not the work that is waited for.
+            let starts = pace.map_or(0.0, |cold| {
+                let first = start_in.unwrap_or_default().as_secs_f64();
+                first + ahead as f64 / f64::from(cold.most.max(1)) + service
+            });
+            queue.max(starts)
         };
         let left = wanted.left.as_secs_f64();
         let in_time = wanted.in_time.as_secs_f64() * self.cfg.in_time_part;
@@ -175,8 +237,11 @@
             _ if in_lane[LATE] <= left * self.cfg.late_part => LATE,
             _ => {
                 let room_in = (in_lane[LATE] - in_time).max(service / 2.0);
-                return Reply::Full {
-                    room_in: Duration::from_secs_f64(room_in),
+                let room_in = Duration::from_secs_f64(room_in);
+                return if pace.is_some() {
+                    Reply::Cold { room_in }
+                } else {
+                    Reply::Full { room_in }
                 };
             }
         };
@@ -186,9 +251,9 @@
         }
     }
 
-    /// Notes that a request needs its permit no more; `answered` says that the upstream answered it,
-    /// and `report` what it said of its load.
-    pub fn ended(&mut self, now: Timestamp, key: K, answered: bool, report: Option<LoadReport>) {
+    /// Notes that a request needs its permit no more, and what the upstream said of its load.
+    pub fn ended(&mut self, now: Timestamp, key: K, end: PermitEnd, report: Option<LoadReport>) {
+        self.note_silence(now, end);
         if let Some(report) = report {
             let all = f64::from(report.running) + f64::from(report.waiting);
             self.others = (all - self.held.len() as f64).max(0.0);
@@ -201,13 +266,48 @@
         let Some(held) = self.held.swap_remove(&key) else {
             return;
         };
-        if answered {
+        if end == PermitEnd::Answered {
             let alone = now.since(held.since).as_secs_f64() / held.crowd.max(1.0);
             let service = self.service.unwrap_or(alone);
             self.service = Some(service + self.cfg.service_weight * (alone - service));
         }
     }
 
+    /// Takes an upstream that says something again after a long silence for cold: it may have started
+    /// again, and may not have registered that yet.
+    fn note_silence(&mut self, now: Timestamp, end: PermitEnd) {
+        match end {
+            PermitEnd::Unknown => {}
+            PermitEnd::Silent => {
+                let silence = self.silence.get_or_insert(Silence {
+                    since: now,
+                    requests: 0,
+                });
+                silence.requests += 1;
+            }
+            PermitEnd::Answered | PermitEnd::Spoke => {
+                if let Some(cold) = self.cold.filter(|_| self.is_lost(now)) {
+                    self.cold_until = self.cold_until.max(now + cold.span);
+                }
+                self.silence = None;
+            }
+        }
+    }
+
+    /// Tells whether the upstream has been silent for so long that it may come back cold.
+    fn is_lost(&self, now: Timestamp) -> bool {
+        self.silence.is_some_and(|s| {
+            s.requests >= SILENT_REQUESTS && now.since(s.since) >= self.cfg.lost_after
+        })
+    }
+
+    /// Returns how long until one more request may start at a cold upstream; none if it is warm.
+    fn start_in(&self, now: Timestamp) -> Option<Duration> {
+        let cold = self.cold?;
+        let is_cold = now < self.cold_until || self.is_lost(now);
+        is_cold.then(|| self.starts.room_in(now, cold.most))
+    }
+
     /// Hands out permits that are free, and refuses those whose time is over.
     pub fn poll(&mut self, now: Timestamp) -> Vec<(K, Reply)> {
         self.held.retain(|_, held| now < held.until);
@@ -242,6 +342,7 @@
             crowd,
         };
         self.held.insert(key, held);
+        self.starts.note(now);
     }
 
     /// Returns how many requests are at the upstream, by what is known.
@@ -252,6 +353,7 @@
     }
 
     fn has_room(&self, now: Timestamp) -> bool {
-        self.at_upstream(now) < f64::from(self.slots + self.cfg.beyond)
+        let may_start = self.start_in(now).is_none_or(|wait| wait.is_zero());
+        may_start && self.at_upstream(now) < f64::from(self.slots + self.cfg.beyond)
     }
 }
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -3,11 +3,14 @@
 //! An upstream is one run of a server: a server that starts again, or another one at the same
 //! address, is another upstream. A server may register all its runs under one name; the roster then
 //! knows one of them at a time.
+//!
+//! The operator may drain a failure domain: nothing new goes to its upstreams until it is taken back, and
+//! keys that they own move to others.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{DomainId, EntryId, Timestamp, UpstreamId};
+use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
@@ -46,9 +49,9 @@
 const KEYS_STAY: Duration = Duration::from_millis(800);
 
 impl Registered {
-    /// Tells whether the upstream takes requests on keys that it owns.
+    /// Tells whether the upstream by itself takes requests on keys that it owns.
     #[must_use]
-    pub fn serves_its_keys(&self, now: Timestamp) -> bool {
+    fn serves_its_keys(&self, now: Timestamp) -> bool {
         match (self.state, self.leaving_since) {
             (State::Ready, _) => true,
             (State::Leaving, None) => false,
@@ -66,10 +69,28 @@
     Leaving,
 }
 
+/// Time for which the upstreams of a drained domain still get requests on keys that nobody else may run
+/// yet.
+///
+/// Moves of all keys of a domain of forty upstreams take 1.5 s. A host knows of the order within two
+/// seconds, and nothing may reach the domain five seconds after it.
+const DRAINED_KEYS_STAY: Duration = Duration::from_millis(2_500);
+
+/// How much longer than known an upstream must say that it stays cold for that to be news.
+///
+/// What it says is as old as its last heartbeat and the read of it, which together take up to 1.5 s and
+/// differ from read to read.
+const COLD_AGAIN: Duration = Duration::from_millis(1_500);
+
 /// All upstreams that are registered.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Roster {
     upstreams: IndexMap<UpstreamId, Registered>,
+    /// Failure domains that are drained, and since when this host knows; none if it was so when this
+    /// host started.
+    drained: IndexMap<DomainId, Option<Timestamp>>,
+    /// Upstreams that are taken for cold until they say otherwise after this revision.
+    presumed_cold: IndexMap<UpstreamId, Revision>,
     /// The run of each server that counts.
     runs: IndexMap<SmolStr, UpstreamId>,
     /// Servers that say they began earlier than the run that counts, and since when they do.
@@ -83,32 +104,101 @@
 const DOUBT: Duration = Duration::from_secs(2);
 
 impl Roster {
-    /// Adds an upstream or takes what it says now; tells whether that is news.
+    /// Adds an upstream or takes what it says now, as of the store's revision `at`; tells whether that is
+    /// news.
     ///
     /// Its warm-up shrinking by itself is none. A later run of a server replaces the one before; an
     /// earlier one counts only if it says so for two seconds.
-    pub fn put(&mut self, now: Timestamp, upstream: Registered) -> bool {
+    pub fn put(&mut self, now: Timestamp, at: Revision, upstream: Registered) -> bool {
         if !self.is_current(now, &upstream) {
             return false;
         }
+        let is_told = self.hear_warmup(at, &upstream);
         self.runs
             .insert(upstream.server.clone(), upstream.id.clone());
         let Some(known) = self.upstreams.get_mut(&upstream.id) else {
             self.upstreams.insert(upstream.id.clone(), upstream);
             return true;
         };
-        let same_cold = Registered {
-            cold_until: known.cold_until,
+        let is_cold_again = upstream.cold_until > known.cold_until.max(now) + COLD_AGAIN;
+        let cold_until = if is_cold_again || is_told {
+            upstream.cold_until
+        } else {
+            known.cold_until
+        };
+        let taken = Registered {
+            cold_until,
             leaving_since: known.leaving_since.or(upstream.leaving_since),
             ..upstream
         };
-        if *known == same_cold {
+        if *known == taken {
+            return false;
+        }
+        *known = taken;
+        true
+    }
+
+    /// Tells whether an upstream that was taken for cold has now said how cold it is, at `at`.
+    fn hear_warmup(&mut self, at: Revision, upstream: &Registered) -> bool {
+        let presumed = self.presumed_cold.get(&upstream.id);
+        let is_told = presumed.is_some_and(|&presumed| at > presumed);
+        if is_told {
+            self.presumed_cold.swap_remove(&upstream.id);
+        }
+        is_told
+    }
+
+    /// Drains a failure domain; tells whether that is news.
+    ///
+    /// `since` is when this host learnt of it, or none if it was so when the host started: then its keys
+    /// should have moved long ago, and it gets nothing at all.
+    pub fn drain(&mut self, domain: DomainId, since: Option<Timestamp>) -> bool {
+        if self.drained.contains_key(&domain) {
             return false;
         }
-        *known = same_cold;
+        self.drained.insert(domain, since);
         true
     }
 
+    /// Takes a drained failure domain back at the store's revision `at`; tells whether that is news.
+    ///
+    /// Its upstreams may have become cold meanwhile and not have said so yet: those for which
+    /// `cold_until` gives a time are taken for cold until then, or until they say otherwise.
+    pub fn take_back(
+        &mut self,
+        domain: &DomainId,
+        at: Revision,
+        cold_until: impl Fn(&EntryId) -> Option<Timestamp>,
+    ) -> bool {
+        if self.drained.shift_remove(domain).is_none() {
+            return false;
+        }
+        let there = self.upstreams.values_mut().filter(|u| u.domain == *domain);
+        for upstream in there {
+            if let Some(until) = cold_until(&upstream.entry) {
+                upstream.cold_until = upstream.cold_until.max(until);
+                self.presumed_cold.insert(upstream.id.clone(), at);
+            }
+        }
+        true
+    }
+
+    /// Returns the failure domains that are drained.
+    pub fn drained(&self) -> impl Iterator<Item = &DomainId> {
+        self.drained.keys()
+    }
+
+    /// Tells whether `upstream` takes requests on keys that it owns.
+    #[must_use]
+    pub fn serves_its_keys(&self, upstream: &Registered, now: Timestamp) -> bool {
+        let is_left = match self.drained.get(&upstream.domain) {
+            None => true,
+            Some(None) => false,
+            Some(Some(since)) => now.since(*since) < DRAINED_KEYS_STAY,
+        };
+        is_left && upstream.serves_its_keys(now)
+    }
+
     /// Tells whether `upstream` is the run of its server that counts; the one before is removed.
     fn is_current(&mut self, now: Timestamp, upstream: &Registered) -> bool {
         let server = &upstream.server;
@@ -149,6 +239,7 @@
         };
         self.runs.shift_remove(&removed.server);
         self.doubted.shift_remove(&removed.server);
+        self.presumed_cold.swap_remove(id);
         true
     }
 
@@ -163,7 +254,7 @@
         self.upstreams.values()
     }
 
-    /// Returns the upstreams of `entry` that take requests.
+    /// Returns the upstreams of `entry` that take requests; those of drained domains don't.
     ///
     /// Those whose registration is missing count only where they are more than half: one that is
     /// missing alone has most likely left while the store could not be read, while an outage of the
@@ -176,6 +267,7 @@
         if missing * 2 <= all.len() {
             all.retain(|u| !u.is_missing);
         }
+        all.retain(|u| !self.drained.contains_key(&u.domain));
         all
     }
 }
--- /dev/null
+++ b/crates/direct/tests/drained_domains.rs
@@ -0,0 +1,220 @@
+//! What goes to the upstreams of failure domains that the operator drains and takes back.
+
+use direct::{Registered, Roster, State};
+use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
+
+/// When the domain is drained, and taken back.
+const DRAINED_MS: u64 = 5_000;
+const BACK_MS: u64 = 20_000;
+/// Revision at which it is taken back.
+const BACK_AT: Revision = Revision(70);
+/// How long upstreams are cold after a start, as of today's deployments.
+const COLD_MS: u64 = 3_000;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn domain(name: &str) -> DomainId {
+    DomainId::new(name).expect("a valid name")
+}
+
+fn entry() -> EntryId {
+    EntryId::new("postings").expect("a valid name")
+}
+
+fn registered(name: &str, cold_until_ms: u64) -> Registered {
+    Registered {
+        id: UpstreamId::new(name).expect("a valid name"),
+        server: name.into(),
+        born: None,
+        entry: entry(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: domain(&name[..1]),
+        slots: 2,
+        state: State::Ready,
+        leaving_since: None,
+        cold_until: at(cold_until_ms),
+        is_missing: false,
+    }
+}
+
+/// Two upstreams in each of the domains a, b and c.
+fn roster() -> Roster {
+    let mut roster = Roster::default();
+    for name in ["a1", "a2", "b1", "b2", "c1", "c2"] {
+        roster.put(at(0), Revision(1), registered(name, 0));
+    }
+    roster
+}
+
+fn ready(roster: &Roster) -> Vec<&str> {
+    let ready = roster.ready(&entry());
+    ready.into_iter().map(|u| u.server.as_str()).collect()
+}
+
+fn cold_until(roster: &Roster, name: &str) -> Timestamp {
+    roster.run_of(name).expect("it is there").cold_until
+}
+
+#[test]
+fn drained_domains_take_nothing() {
+    struct Case {
+        name: &'static str,
+        drained: &'static [&'static str],
+        back: &'static [&'static str],
+        ready: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "one",
+            drained: &["b"],
+            back: &[],
+            ready: &["a1", "a2", "c1", "c2"],
+        },
+        Case {
+            name: "two at once",
+            drained: &["a", "b"],
+            back: &[],
+            ready: &["c1", "c2"],
+        },
+        Case {
+            name: "one after the other",
+            drained: &["a", "b"],
+            back: &["a"],
+            ready: &["a1", "a2", "c1", "c2"],
+        },
+        Case {
+            name: "all",
+            drained: &["a", "b", "c"],
+            back: &[],
+            ready: &[],
+        },
+        Case {
+            name: "one that nobody knows",
+            drained: &["x"],
+            back: &[],
+            ready: &["a1", "a2", "b1", "b2", "c1", "c2"],
+        },
+    ];
+    for case in cases {
+        let mut roster = roster();
+        for name in case.drained {
+            assert!(roster.drain(domain(name), Some(at(DRAINED_MS))));
+            assert!(!roster.drain(domain(name), Some(at(DRAINED_MS + 900))));
+        }
+        for name in case.back {
+            assert!(roster.take_back(&domain(name), BACK_AT, |_| None));
+            assert!(!roster.take_back(&domain(name), BACK_AT, |_| None));
+        }
+        assert_eq!(ready(&roster), case.ready, "{}", case.name);
+    }
+}
+
+/// One that registers, leaves or registers again while its domain is drained gets nothing either.
+#[test]
+fn whoever_registers_in_a_drained_domain_waits() {
+    let mut roster = roster();
+    roster.drain(domain("b"), Some(at(DRAINED_MS)));
+    roster.put(at(6_000), Revision(8), registered("b3", 9_000));
+    roster.put(at(6_500), Revision(9), registered("b1", 9_500));
+    assert_eq!(ready(&roster), ["a1", "a2", "c1", "c2"]);
+    roster.take_back(&domain("b"), BACK_AT, |_| None);
+    assert_eq!(ready(&roster).len(), 7);
+}
+
+/// Requests on its keys go on while these move, for less than half of the five seconds after which
+/// nothing may reach the domain; a host that starts meanwhile sends nothing there at all.
+#[test]
+fn keys_of_a_drained_domain_are_served_while_they_move() {
+    struct Case {
+        name: &'static str,
+        since: Option<Timestamp>,
+        /// How long after the order, and whether requests on keys go to their owner there.
+        serves: [(u64, bool); 3],
+    }
+    let cases = [
+        Case {
+            name: "it learns of the order",
+            since: Some(at(DRAINED_MS)),
+            serves: [(0, true), (1_500, true), (2_500, false)],
+        },
+        Case {
+            name: "it was so when the host started",
+            since: None,
+            serves: [(0, false), (1_500, false), (2_500, false)],
+        },
+    ];
+    for case in cases {
+        let mut roster = roster();
+        roster.drain(domain("b"), case.since);
+        let owner = roster.run_of("b1").expect("it is there");
+        for (ms, serves) in case.serves {
+            let now = at(DRAINED_MS + ms);
+            let is_served = roster.serves_its_keys(owner, now);
+            assert_eq!(is_served, serves, "{}: after {ms} ms", case.name);
+        }
+        let elsewhere = roster.run_of("c1").expect("it is there");
+        assert!(roster.serves_its_keys(elsewhere, at(DRAINED_MS + 9_000)));
+    }
+}
+
+/// While a domain is drained nobody sees how its upstreams are: they count as cold until each has said
+/// otherwise since.
+#[test]
+fn a_domain_comes_back_cold_until_its_upstreams_say_otherwise() {
+    struct Case {
+        name: &'static str,
+        /// Revision of the upstream's next word, and until when it is cold by it.
+        word: Option<(u64, u64)>,
+        cold_until_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "nothing is heard",
+            word: None,
+            cold_until_ms: BACK_MS + COLD_MS,
+        },
+        Case {
+            name: "what it said before counts for nothing",
+            word: Some((69, 0)),
+            cold_until_ms: BACK_MS + COLD_MS,
+        },
+        Case {
+            name: "it is warm",
+            word: Some((71, 0)),
+            cold_until_ms: 0,
+        },
+        Case {
+            name: "it is cold for a while",
+            word: Some((71, BACK_MS + 1_200)),
+            cold_until_ms: BACK_MS + 1_200,
+        },
+    ];
+    for case in cases {
+        let mut roster = roster();
+        roster.drain(domain("b"), Some(at(DRAINED_MS)));
+        let until = |_: &EntryId| Some(at(BACK_MS + COLD_MS));
+        roster.take_back(&domain("b"), BACK_AT, until);
+        assert_eq!(cold_until(&roster, "a1"), at(0), "{}", case.name);
+        if let Some((revision, cold_until_ms)) = case.word {
+            let word = registered("b1", cold_until_ms);
+            roster.put(at(BACK_MS + 600), Revision(revision), word);
+        }
+        let is = cold_until(&roster, "b1");
+        assert_eq!(is, at(case.cold_until_ms), "{}", case.name);
+    }
+}
+
+/// An upstream may become cold at any moment, while nothing else of its registration changes; its
+/// warm-up shrinking by itself, as each read tells it with another delay, is no news.
+#[test]
+fn an_upstream_that_became_cold_again_is_news() {
+    let mut roster = roster();
+    assert!(roster.put(at(8_000), Revision(8), registered("a1", 11_000)));
+    assert!(!roster.put(at(8_650), Revision(9), registered("a1", 11_400)));
+    assert_eq!(cold_until(&roster, "a1"), at(11_000));
+    assert!(!roster.put(at(12_000), Revision(10), registered("a1", 0)));
+    assert!(roster.put(at(13_000), Revision(11), registered("a1", 15_900)));
+    assert_eq!(cold_until(&roster, "a1"), at(15_900));
+}
--- a/crates/direct/tests/permits.rs
+++ b/crates/direct/tests/permits.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use direct::{LoadReport, PermitRequest, PermitSettings, Permits, Rank, Reply};
+use direct::{LoadReport, PermitEnd, PermitRequest, PermitSettings, Permits, Rank, Reply};
 use ids::Timestamp;
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -27,6 +27,7 @@
         left: Duration::from_millis(left_ms),
         usual: Duration::from_millis(WORK_MS),
         may_wait: true,
+        cold: None,
     }
 }
 
@@ -95,7 +96,7 @@
                     } else {
                         tally.late += 1;
                     }
-                    permits.ended(at(ms), request, true, None);
+                    permits.ended(at(ms), request, PermitEnd::Answered, None);
                 }
             }
         }
@@ -111,7 +112,7 @@
                     let answers = Event::Answers { request };
                     events.entry(*slot).or_default().push(answers);
                 }
-                Reply::Full { room_in } => {
+                Reply::Full { room_in } | Reply::Cold { room_in } => {
                     let waited = ms - asked;
                     tally.longest_refusal = tally.longest_refusal.max(waited);
                     let back = ms + 20 + room_in.as_millis() as u64;
@@ -199,7 +200,7 @@
     assert!(is_queued(permits.ask(at(2), 12, &urgent)));
     let mut order = Vec::new();
     for (request, ms) in [(0, 100), (1, 110), (2, 120)] {
-        permits.ended(at(ms), request, true, None);
+        permits.ended(at(ms), request, PermitEnd::Answered, None);
         order.extend(permits.poll(at(ms)));
     }
     assert_eq!(order, [(12, Reply::Go), (11, Reply::Go), (10, Reply::Go)]);
@@ -233,12 +234,12 @@
     let cases = [
         Case {
             name: "with an answer",
-            does: |permits| permits.ended(at(100), 0, true, None),
+            does: |permits| permits.ended(at(100), 0, PermitEnd::Answered, None),
             goes: true,
         },
         Case {
             name: "with the caller",
-            does: |permits| permits.ended(at(100), 0, false, None),
+            does: |permits| permits.ended(at(100), 0, PermitEnd::Unknown, None),
             goes: true,
         },
         Case {
@@ -249,13 +250,13 @@
                     waiting: 4,
                     slots: 2,
                 };
-                permits.ended(at(100), 0, true, Some(report));
+                permits.ended(at(100), 0, PermitEnd::Answered, Some(report));
             },
             goes: false,
         },
         Case {
             name: "not for one that has none",
-            does: |permits| permits.ended(at(100), 77, true, None),
+            does: |permits| permits.ended(at(100), 77, PermitEnd::Answered, None),
             goes: false,
         },
     ];
@@ -294,7 +295,12 @@
             match what {
                 0 if !held.is_empty() => {
                     let request = held.swap_remove(number as usize % held.len());
-                    permits.ended(at(now), request, number % 2 == 0, None);
+                    let end = if number % 2 == 0 {
+                        PermitEnd::Answered
+                    } else {
+                        PermitEnd::Unknown
+                    };
+                    permits.ended(at(now), request, end, None);
                 }
                 1 => {}
                 _ => {
@@ -313,7 +319,9 @@
                         prop_assert!(until.is_some_and(|until| now <= until), "late or twice");
                         held.push(request);
                     }
-                    Reply::Full { .. } => prop_assert!(open.remove(&request).is_some(), "twice"),
+                    Reply::Full { .. } | Reply::Cold { .. } => {
+                        prop_assert!(open.remove(&request).is_some(), "twice");
+                    }
                 }
             }
         }
--- a/crates/direct/tests/roster.rs
+++ b/crates/direct/tests/roster.rs
@@ -1,9 +1,11 @@
 //! Which upstreams take requests while registrations are missing.
 
 use direct::{Registered, Roster, State};
-use ids::{DomainId, EntryId, Timestamp, UpstreamId};
+use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
 
 const NOW: Timestamp = Timestamp::from_millis(5_000);
+/// Revision of the store as of which upstreams are known.
+const AT: Revision = Revision(7);
 
 fn id(name: &str) -> UpstreamId {
     UpstreamId::new(name).expect("a valid name")
@@ -79,14 +81,14 @@
         let mut roster = Roster::default();
         for name in case.ready {
             assert!(
-                roster.put(NOW, registered(name, State::Ready)),
+                roster.put(NOW, AT, registered(name, State::Ready)),
                 "{}",
                 case.name
             );
         }
         for name in case.leaving {
             assert!(
-                roster.put(NOW, registered(name, State::Leaving)),
+                roster.put(NOW, AT, registered(name, State::Leaving)),
                 "{}",
                 case.name
             );
@@ -97,7 +99,7 @@
         }
         for name in case.back {
             assert!(
-                roster.put(NOW, registered(name, State::Ready)),
+                roster.put(NOW, AT, registered(name, State::Ready)),
                 "{}",
                 case.name
             );
@@ -115,17 +117,17 @@
 #[test]
 fn a_leaving_upstream_serves_its_keys_for_a_while() {
     let mut roster = Roster::default();
-    roster.put(NOW, registered("a", State::Ready));
-    roster.put(NOW, registered("a", State::Leaving));
+    roster.put(NOW, AT, registered("a", State::Ready));
+    roster.put(NOW, AT, registered("a", State::Leaving));
     let later = Registered {
         leaving_since: Some(Timestamp::from_millis(5_700)),
         ..registered("a", State::Leaving)
     };
-    assert!(!roster.put(NOW, later), "no news");
+    assert!(!roster.put(NOW, AT, later), "no news");
     let upstream = roster.get(&id("a")).expect("it is there");
     for (ms, serves) in [(5_000, true), (5_700, true), (5_900, false), (9_000, false)] {
         let now = Timestamp::from_millis(ms);
-        assert_eq!(upstream.serves_its_keys(now), serves, "at {ms}");
+        assert_eq!(roster.serves_its_keys(upstream, now), serves, "at {ms}");
     }
 }
 
@@ -181,7 +183,7 @@
                 born,
                 ..registered("s", State::Ready)
             };
-            roster.put(Timestamp::from_millis(ms), run);
+            roster.put(Timestamp::from_millis(ms), AT, run);
         }
         let all: Vec<_> = roster.iter().map(|u| u.id.to_string()).collect();
         assert_eq!(all, [case.counts], "{}", case.name);
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -8,7 +8,7 @@
     Action, CallEnd, CallKind, CommitEnd, Earlier, EntryRow, OrderCall, Run, Standing,
     SuccessionSettings, UpstreamView,
 };
-use direct::Roster;
+use direct::{Roster, Warmup};
 use ids::{BootClock, Clock, EntryId, HostId, KeyHash, Revision, Timestamp, UpstreamId};
 use indexmap::IndexMap;
 use platform::{Commit, PlatformError, RowKey};
@@ -64,6 +64,8 @@
     let mut due = Vec::new();
     let (hosts, me, roster_changed) = (&c.hosts, &c.me.host, c.roster_changed);
     for (entry, divided) in &mut c.divided {
+        let spec = c.in_force.as_ref().and_then(|f| f.cfg.entries.get(entry));
+        let warmup = spec.and_then(|spec| spec.warmup);
         let mut actions = Vec::new();
         let granter = divided.keeper.row().map(|row| &row.granter.host);
         let rank = succession_rank(hosts, entry, me, granter);
@@ -75,14 +77,14 @@
                 reads_for,
                 patience,
             };
-            let ready = || ready(&c.roster, entry, &divided.services);
+            let ready = || ready(&c.roster, entry, &divided.services, warmup, now);
             let first = (divided.keeper.row().is_none()).then(ready);
             take_over(divided, first, now, &outlook, &mut actions);
         }
         divided.keeper.poll(now, &mut actions);
         if divided.keeper.may_plan(now) {
             let mut standing = Standing {
-                ready: &ready(&c.roster, entry, &divided.services),
+                ready: &ready(&c.roster, entry, &divided.services, warmup, now),
                 loads: &mut divided.loads,
                 may_move,
             };
@@ -114,10 +116,14 @@
 }
 
 /// Returns the upstreams of an entry that take requests, with their times for one request.
+///
+/// A cold one counts as so slow that what it bears keeps it busy: it gets few keys, and quiet ones.
 fn ready(
     roster: &Roster,
     entry: &EntryId,
     services: &HashMap<UpstreamId, f64>,
+    warmup: Option<Warmup>,
+    now: Timestamp,
 ) -> Vec<UpstreamView> {
     let known: f64 = services.values().sum();
     let usual = if services.is_empty() {
@@ -125,10 +131,17 @@
     } else {
         known / services.len() as f64
     };
+    let service = |u: &direct::Registered| {
+        let warm = services.get(&u.id).copied().unwrap_or(usual);
+        match warmup.filter(|_| now < u.cold_until) {
+            Some(warmup) => warm.max(f64::from(u.slots) / warmup.per_s),
+            None => warm,
+        }
+    };
     let view = |u: &direct::Registered| UpstreamView {
         id: u.id.clone(),
         slots: u.slots,
-        service: services.get(&u.id).copied().unwrap_or(usual),
+        service: service(u),
     };
     roster.ready(entry).into_iter().map(view).collect()
 }
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -5,7 +5,7 @@
 
 use direct::Registered;
 use gate::counters::Count;
-use ids::{Timestamp, UpstreamId};
+use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
 use slog::{info, warn};
 use smol_str::SmolStr;
 
@@ -44,7 +44,9 @@
 
 impl Control {
     /// Takes what an upstream says of itself; tells whether it is news.
-    pub fn register(&mut self, now: Timestamp, upstream: Registered) -> bool {
+    ///
+    /// It is what the store had at the revision `at`.
+    pub fn register(&mut self, now: Timestamp, at: Revision, upstream: Registered) -> bool {
         self.missing.retain(|id| *id != upstream.id);
         self.unreadable.shift_remove(&upstream.server);
         let place = Place {
@@ -54,7 +56,7 @@
         };
         let (id, entry) = (upstream.id.clone(), upstream.entry.clone());
         let state = upstream.state;
-        let is_news = self.roster.put(now, upstream);
+        let is_news = self.roster.put(now, at, upstream);
         if self.roster.get(&id).is_some() {
             self.places.insert(id.clone(), place);
         }
@@ -65,6 +67,30 @@
         is_news
     }
 
+    /// Drains a failure domain: from now on nothing new goes to its upstreams, and their keys move away.
+    ///
+    /// `since` is as [`Roster::drain`](direct::Roster::drain) has it.
+    pub fn drain(&mut self, domain: DomainId, since: Option<Timestamp>) {
+        let name = domain.clone();
+        if self.roster.drain(domain, since) {
+            self.metrics.count(Count::DomainsDrained);
+            info!(self.log, "domain drained"; "domain" => name.as_str(),
+                "at_start" => since.is_none());
+        }
+    }
+
+    /// Takes a drained failure domain back; its upstreams count as cold until they say otherwise.
+    pub fn take_back(&mut self, now: Timestamp, domain: &DomainId, at: Revision) {
+        let in_force = self.in_force.clone();
+        let cold_until = |entry: &EntryId| {
+            let spec = in_force.as_ref()?.cfg.entries.get(entry)?;
+            Some(now + spec.warmup?.span)
+        };
+        if self.roster.take_back(domain, at, cold_until) {
+            info!(self.log, "domain taken back"; "domain" => domain.as_str());
+        }
+    }
+
     /// Notes a registration that can't be read: it names no upstream, whatever it said before.
     ///
     /// Tells whether that is news.
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -1,7 +1,7 @@
 //! Takes what was read of the store's tables, from the store itself or from another host.
 
 use assign::EntryRow;
-use ids::{EntryId, Timestamp};
+use ids::{EntryId, Revision, Timestamp};
 use platform::{Delta, Row};
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
@@ -55,6 +55,7 @@
     now: Timestamp,
 ) -> bool {
     let mut copy = std::mem::take(&mut c.copies[table.index()]);
+    let is_first = copy.revision() == Revision::default();
     c.takes_all = matches!(delta, Delta::Snapshot(_));
     let rows = copy.take(delta, |row| match table {
         Table::Upstreams => take_upstream(c, platform, row, now),
@@ -67,7 +68,7 @@
     for row in &rows {
         match table {
             Table::Upstreams => drop_upstream(c, row),
-            Table::Configuration => take_configuration(c, platform, row, now),
+            Table::Configuration => take_order(c, platform, row, now, is_first),
             Table::Shared => take_shared(c, row, now),
         }
     }
@@ -98,7 +99,7 @@
         return true;
     };
     match platform.registered(key_of(row), value, now) {
-        Ok(upstream) => c.register(now, upstream),
+        Ok(upstream) => c.register(now, row.revision, upstream),
         Err(e) => c.refuse(&e),
     }
 }
@@ -109,6 +110,21 @@
     }
 }
 
+/// Takes a row of the operator's; `is_first` says that it is of the first read since the start.
+fn take_order(
+    c: &mut Control,
+    platform: &impl Platform,
+    row: &Row,
+    now: Timestamp,
+    is_first: bool,
+) {
+    match platform.drained_domain(key_of(row)) {
+        None => take_configuration(c, platform, row, now),
+        Some(domain) if row.value.is_some() => c.drain(domain, (!is_first).then_some(now)),
+        Some(domain) => c.take_back(now, &domain, row.revision),
+    }
+}
+
 fn take_configuration(c: &mut Control, platform: &impl Platform, row: &Row, now: Timestamp) {
     let Some(value) = &row.value else {
         return;
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -16,8 +16,8 @@
 
 use bytes::Bytes;
 use direct::{
-    ChooseSettings, Ended, LoadReport, LoadSettings, Next, Rank, Registered, RepeatSettings,
-    Returns, Route, Splitter, Tries, UpstreamLoad,
+    ChooseSettings, Ended, LoadReport, LoadSettings, Next, PermitEnd, Rank, Registered,
+    RepeatSettings, Returns, Route, Splitter, Tries, UpstreamLoad, Warmup, WarmupBounds,
 };
 use gate::Metrics;
 use gate::counters::Count;
@@ -56,6 +56,8 @@
     Moved,
     /// The upstream has no room.
     Full { room_in: Duration },
+    /// The upstream is cold and gets no more for now.
+    Cold { room_in: Duration },
 }
 
 /// What the callers' thread knows of an entry beside the view.
@@ -72,6 +74,7 @@
     view: Shared,
     dialect: Arc<dyn Dialect>,
     repeats: Repeats,
+    warmup: WarmupBounds,
     samples: SampleTx,
     connections: Connections,
     permits: Rc<PermitService>,
@@ -99,6 +102,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The budget for repeats.
     pub repeats: Repeats,
+    /// How far requests at cold upstreams may exceed what those bear.
+    pub warmup: WarmupBounds,
     /// Where samples of requests go.
     pub samples: SampleTx,
     /// Where permits to send are asked for.
@@ -117,6 +122,8 @@
     route: Route,
     entry: EntryId,
     is_divided: bool,
+    /// What the entry's upstreams bear while they are cold.
+    warmup: Option<Warmup>,
     /// How urgent it is among the requests of its entry.
     rank: Rank,
     /// How long ago the caller first asked, if it was refused and has come back.
@@ -138,6 +145,7 @@
             view: parts.view,
             dialect: parts.dialect,
             repeats: parts.repeats,
+            warmup: parts.warmup,
             samples: parts.samples,
             connections: Connections::default(),
             permits: parts.permits,
@@ -255,6 +263,15 @@
                     passed.full(target.id);
                     continue;
                 }
+                Sent::Cold { room_in } => {
+                    self.with_load(&target, |load| load.hold_back(now, room_in));
+                    if job.is_divided {
+                        let refused = come_back(Reason::QueueFull, room_in);
+                        return Err(truthful(refused, &tries));
+                    }
+                    passed.failed(target.id);
+                    continue;
+                }
             };
             let ended = match result {
                 Ok(response) => return Ok(response),
@@ -296,10 +313,13 @@
         story: &RefCell<Story>,
     ) -> Sent {
         let mut permit = None;
-        if job.is_divided || passed.may_ask() {
+        let is_cold = job.warmup.is_some() && BootClock.now() < target.cold_until;
+        if job.is_divided || passed.may_ask() || is_cold {
             match self.admit(view, job, target).await {
                 Admission::Go(granted) => permit = Some(granted),
+                Admission::Full { room_in } if is_cold => return Sent::Cold { room_in },
                 Admission::Full { room_in } => return Sent::Full { room_in },
+                Admission::Cold { room_in } => return Sent::Cold { room_in },
                 Admission::Unknown => {}
             }
         }
@@ -309,7 +329,7 @@
         story.borrow_mut().sent += 1;
         let result = self.attempt(job, target).await;
         if let Some(permit) = &mut permit {
-            permit.ended(result.is_ok(), job.report.take());
+            permit.ended(permit_end(&result), job.report.take());
         }
         Sent::Ended(result)
     }
@@ -339,7 +359,9 @@
         let entry = self.splitter.borrow_mut().deal(&route).cloned();
         let entry = entry.ok_or(Reason::UnknownEntry)?;
         story.borrow_mut().entry = Some(entry.clone());
-        let is_divided = in_force.cfg.entries.get(&entry).is_some_and(|e| e.divided);
+        let spec = in_force.cfg.entries.get(&entry);
+        let is_divided = spec.is_some_and(|e| e.divided);
+        let warmup = spec.and_then(|e| e.warmup);
         if is_divided && asked.key.is_none() {
             return Err(Reason::MissingKey.into());
         }
@@ -357,6 +379,7 @@
             route,
             entry,
             is_divided,
+            warmup,
             asked_before,
             arrived,
             deadline: arrived + wait,
@@ -441,6 +464,19 @@
     }
 }
 
+/// Returns what the host that hands out permits learns from the end of a try.
+fn permit_end(result: &Result<Response<Full<Bytes>>, Ended>) -> PermitEnd {
+    let Err(ended) = result else {
+        return PermitEnd::Answered;
+    };
+    match ended {
+        Ended::NotRun(_) | Ended::Misdirected => PermitEnd::Spoke,
+        Ended::Broken(Reason::AnswerMismatch | Reason::AnswerCut) => PermitEnd::Spoke,
+        Ended::Broken(_) | Ended::Unsent(Reason::ConnectFailed) => PermitEnd::Silent,
+        Ended::Unsent(_) => PermitEnd::Unknown,
+    }
+}
+
 fn host_of(parts: &request::Parts) -> Option<&str> {
     match parts.uri.authority() {
         Some(authority) => Some(authority.as_str()),
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use direct::{
-    Candidate, Choice, PermitRequest, PermitSettings, Registered, Tries, UpstreamLoad, Wanted,
-    choose,
+    Candidate, Choice, ColdStart, PermitRequest, PermitSettings, Registered, Tries, UpstreamLoad,
+    Wanted, choose,
 };
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp, UpstreamId};
 use rand::Rng;
@@ -140,7 +140,11 @@
         let Some(up) = up.filter(|up| up.entry == job.entry) else {
             return Pick::Wait;
         };
-        if !up.serves_its_keys(now) {
+        if !view.roster.serves_its_keys(up, now) {
+            // Nobody is left who could take the key.
+            if view.roster.ready(&job.entry).is_empty() {
+                return Pick::Refuse(come_back(Reason::NoUpstream, COME_BACK), None);
+            }
             return Pick::Wait;
         }
         if self.with_load(up, |load| load.is_closed(now)) {
@@ -162,7 +166,9 @@
     pub(super) async fn admit(&self, view: &View, job: &Job, target: &Registered) -> Admission {
         let now = BootClock.now();
         let usual = Duration::from_secs_f64(self.usual(&job.entry));
-        if usual < PermitSettings::default().least_service {
+        let cold = self.cold_start(job, target, now);
+        let is_cold = cold.is_some_and(|cold| !cold.left.is_zero());
+        if usual < PermitSettings::default().least_service && !is_cold {
             return self.admit_by_own_view(job, target, now);
         }
         let spent = job.asked_before + now.since(job.arrived);
@@ -172,6 +178,7 @@
             left: job.deadline.since(now),
             usual,
             may_wait: job.is_divided,
+            cold,
         };
         match self.permits.admit(view, target, &wanted).await {
             Admission::Unknown => self.admit_by_own_view(job, target, now),
@@ -179,6 +186,15 @@
         }
     }
 
+    /// Returns what `target` bears while it is cold, and how long it is.
+    fn cold_start(&self, job: &Job, target: &Registered, now: Timestamp) -> Option<ColdStart> {
+        job.warmup.map(|warmup| ColdStart {
+            most: warmup.most_starts(&self.warmup),
+            span: warmup.span,
+            left: target.cold_until.since(now),
+        })
+    }
+
     /// Decides by what this host alone knows whether a request on a key may go to its owner; where a
     /// request may go to several upstreams, the choice among them has decided.
     fn admit_by_own_view(&self, job: &Job, target: &Registered, now: Timestamp) -> Admission {
--- /dev/null
+++ b/crates/front/src/permits/messages.rs
@@ -0,0 +1,189 @@
+//! What hosts tell each other about permits, in datagrams.
+
+use std::time::Duration;
+
+use direct::{ColdStart, LoadReport, PermitEnd, PermitRequest, Rank, Reply};
+
+/// One datagram.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub(super) struct Datagram {
+    /// Names the request at the host that asks.
+    #[prost(uint64, tag = "1")]
+    pub(super) request: u64,
+    #[prost(oneof = "Word", tags = "2, 3, 4, 5, 6, 7")]
+    pub(super) word: Option<Word>,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
+pub(super) enum Word {
+    /// Wants a permit.
+    #[prost(message, tag = "2")]
+    Ask(Ask),
+    /// Needs it no more.
+    #[prost(message, tag = "3")]
+    End(End),
+    /// Has a permit.
+    #[prost(bool, tag = "4")]
+    Go(bool),
+    /// Waits; milliseconds until the answer is expected.
+    #[prost(uint32, tag = "5")]
+    Queued(u32),
+    /// Is refused; milliseconds until there is room.
+    #[prost(uint32, tag = "6")]
+    Full(u32),
+    /// Is refused as the upstream is cold; milliseconds until there is room.
+    #[prost(uint32, tag = "7")]
+    Cold(u32),
+}
+
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub(super) struct Ask {
+    #[prost(string, tag = "1")]
+    pub(super) upstream: String,
+    #[prost(uint32, tag = "2")]
+    pub(super) slots: u32,
+    #[prost(bool, tag = "3")]
+    is_urgent: bool,
+    /// Milliseconds until the objective.
+    #[prost(uint32, tag = "4")]
+    in_time_ms: u32,
+    /// Milliseconds for which the caller waits.
+    #[prost(uint32, tag = "5")]
+    left_ms: u32,
+    /// Service time to assume, in milliseconds.
+    #[prost(uint32, tag = "6")]
+    usual_ms: u32,
+    /// Whether the request waits for its turn.
+    #[prost(bool, tag = "7")]
+    may_wait: bool,
+    /// Requests that may start within a second while the upstream is cold; zero if it bears as many as
+    /// ever.
+    #[prost(uint32, tag = "8")]
+    cold_most: u32,
+    /// Milliseconds for which it is cold after a start.
+    #[prost(uint32, tag = "9")]
+    cold_span_ms: u32,
+    /// Milliseconds for which it stays cold.
+    #[prost(uint32, tag = "10")]
+    cold_left_ms: u32,
+}
+
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub(super) struct End {
+    #[prost(string, tag = "1")]
+    pub(super) upstream: String,
+    /// How it ended.
+    #[prost(enumeration = "EndKind", tag = "2")]
+    kind: i32,
+    /// Requests at the upstream, running and waiting, if it said so, and its slots.
+    #[prost(uint32, optional, tag = "3")]
+    at_upstream: Option<u32>,
+    #[prost(uint32, tag = "4")]
+    slots: u32,
+}
+
+/// [`PermitEnd`] on the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(prost::Enumeration)]
+enum EndKind {
+    Unknown = 0,
+    Answered = 1,
+    Spoke = 2,
+    Silent = 3,
+}
+
+impl Ask {
+    pub(super) fn new(upstream: String, slots: u32, wanted: &PermitRequest) -> Self {
+        let cold = wanted.cold;
+        Self {
+            upstream,
+            slots,
+            is_urgent: wanted.rank == Rank::Urgent,
+            in_time_ms: to_ms(wanted.in_time),
+            left_ms: to_ms(wanted.left),
+            usual_ms: to_ms(wanted.usual),
+            may_wait: wanted.may_wait,
+            cold_most: cold.map_or(0, |c| c.most),
+            cold_span_ms: cold.map_or(0, |c| to_ms(c.span)),
+            cold_left_ms: cold.map_or(0, |c| to_ms(c.left)),
+        }
+    }
+
+    pub(super) fn wanted(&self) -> PermitRequest {
+        let rank = if self.is_urgent {
+            Rank::Urgent
+        } else {
+            Rank::Alone
+        };
+        let cold = ColdStart {
+            most: self.cold_most,
+            span: from_ms(self.cold_span_ms),
+            left: from_ms(self.cold_left_ms),
+        };
+        PermitRequest {
+            rank,
+            in_time: from_ms(self.in_time_ms),
+            left: from_ms(self.left_ms),
+            usual: from_ms(self.usual_ms),
+            may_wait: self.may_wait,
+            cold: (cold.most > 0).then_some(cold),
+        }
+    }
+}
+
+impl End {
+    pub(super) fn new(upstream: String, end: PermitEnd, report: Option<LoadReport>) -> Self {
+        let kind = match end {
+            PermitEnd::Answered => EndKind::Answered,
+            PermitEnd::Spoke => EndKind::Spoke,
+            PermitEnd::Silent => EndKind::Silent,
+            PermitEnd::Unknown => EndKind::Unknown,
+        };
+        Self {
+            upstream,
+            kind: kind.into(),
+            at_upstream: report.map(|r| r.running + r.waiting),
+            slots: report.map_or(0, |r| r.slots),
+        }
+    }
+
+    pub(super) fn end(&self) -> PermitEnd {
+        match self.kind() {
+            EndKind::Answered => PermitEnd::Answered,
+            EndKind::Spoke => PermitEnd::Spoke,
+            EndKind::Silent => PermitEnd::Silent,
+            EndKind::Unknown => PermitEnd::Unknown,
+        }
+    }
+
+    pub(super) fn report(&self) -> Option<LoadReport> {
+        self.at_upstream.map(|running| LoadReport {
+            running,
+            waiting: 0,
+            slots: self.slots,
+        })
+    }
+}
+
+impl From<Reply> for Word {
+    fn from(reply: Reply) -> Self {
+        match reply {
+            Reply::Go => Self::Go(true),
+            Reply::Queued { expected } => Self::Queued(to_ms(expected)),
+            Reply::Full { room_in } => Self::Full(to_ms(room_in)),
+            Reply::Cold { room_in } => Self::Cold(to_ms(room_in)),
+        }
+    }
+}
+
+fn to_ms(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+pub(super) fn from_ms(ms: u32) -> Duration {
+    Duration::from_millis(ms.into())
+}
--- a/crates/front/src/permits/mod.rs
+++ b/crates/front/src/permits/mod.rs
@@ -2,7 +2,10 @@
 //!
 //! Of each upstream one host of its failure domain hands out the permits; who that is follows from the
 //! hosts that are known, so that none has to be named. Two of them for a while, or none, cost waiting
-//! and nothing else: a host that gets no reply sends by what it knows itself.
+//! and nothing else: a host that gets no reply sends by what it knows itself. Only to a cold upstream it
+//! sends nothing then, and it asks no other host, so that what goes there is counted in one place.
+
+mod messages;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -12,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use direct::{LoadReport, PermitRequest, PermitSettings, Permits, Rank, Registered, Reply};
+use direct::{LoadReport, PermitEnd, PermitRequest, PermitSettings, Permits, Registered, Reply};
 use gate::Metrics;
 use gate::counters::Count;
 use ids::{BootClock, Clock, Timestamp, UpstreamId};
@@ -22,6 +25,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use self::messages::{Ask, Datagram, End, Word, from_ms};
 use crate::view::View;
 
 /// Time for the reply to a question, which is given at once: ten ways between the failure domains of
@@ -35,79 +39,13 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 512;
+/// Time after which room is looked for again at a cold upstream whose permits nobody hands out: a third of
+/// what today's upstreams need to become warm.
+const COLD_COME_BACK: Duration = Duration::from_secs(1);
 /// Beyond the expected time, the part of it for which a request waits for its turn: a reply may be
 /// lost.
 const PATIENCE: f64 = 1.5;
 
-/// One datagram.
-#[derive(Clone, PartialEq)]
-#[derive(prost::Message)]
-struct Datagram {
-    /// Names the request at the host that asks.
-    #[prost(uint64, tag = "1")]
-    request: u64,
-    #[prost(oneof = "Word", tags = "2, 3, 4, 5, 6")]
-    word: Option<Word>,
-}
-
-#[derive(Clone, PartialEq)]
-#[derive(prost::Oneof)]
-enum Word {
-    /// Wants a permit.
-    #[prost(message, tag = "2")]
-    Ask(Ask),
-    /// Needs it no more.
-    #[prost(message, tag = "3")]
-    End(End),
-    /// Has a permit.
-    #[prost(bool, tag = "4")]
-    Go(bool),
-    /// Waits; milliseconds until the answer is expected.
-    #[prost(uint32, tag = "5")]
-    Queued(u32),
-    /// Is refused; milliseconds until there is room.
-    #[prost(uint32, tag = "6")]
-    Full(u32),
-}
-
-#[derive(Clone, PartialEq, Eq)]
-#[derive(prost::Message)]
-struct Ask {
-    #[prost(string, tag = "1")]
-    upstream: String,
-    #[prost(uint32, tag = "2")]
-    slots: u32,
-    #[prost(bool, tag = "3")]
-    is_urgent: bool,
-    /// Milliseconds until the objective.
-    #[prost(uint32, tag = "4")]
-    in_time_ms: u32,
-    /// Milliseconds for which the caller waits.
-    #[prost(uint32, tag = "5")]
-    left_ms: u32,
-    /// Service time to assume, in milliseconds.
-    #[prost(uint32, tag = "6")]
-    usual_ms: u32,
-    /// Whether the request waits for its turn.
-    #[prost(bool, tag = "7")]
-    may_wait: bool,
-}
-
-#[derive(Clone, PartialEq, Eq)]
-#[derive(prost::Message)]
-struct End {
-    #[prost(string, tag = "1")]
-    upstream: String,
-    /// Whether the upstream answered.
-    #[prost(bool, tag = "2")]
-    answered: bool,
-    /// Requests at the upstream, running and waiting, if it said so, and its slots.
-    #[prost(uint32, optional, tag = "3")]
-    at_upstream: Option<u32>,
-    #[prost(uint32, tag = "4")]
-    slots: u32,
-}
-
 /// Names a request at the host that hands out permits.
 type Asker = (SocketAddr, u64);
 
@@ -142,6 +80,11 @@
         /// Time until there is room.
         room_in: Duration,
     },
+    /// It may not go, as the upstream is cold and gets no more for now.
+    Cold {
+        /// Time until there is room.
+        room_in: Duration,
+    },
     /// Nobody could be asked.
     Unknown,
 }
@@ -218,10 +161,13 @@
             Some(Word::End(end)) => return self.given_back(from, request, &end),
             Some(Word::Go(_)) => Reply::Go,
             Some(Word::Queued(ms)) => Reply::Queued {
-                expected: Duration::from_millis(ms.into()),
+                expected: from_ms(ms),
             },
             Some(Word::Full(ms)) => Reply::Full {
-                room_in: Duration::from_millis(ms.into()),
+                room_in: from_ms(ms),
+            },
+            Some(Word::Cold(ms)) => Reply::Cold {
+                room_in: from_ms(ms),
             },
             None => return,
         };
@@ -235,23 +181,11 @@
         let Ok(upstream) = UpstreamId::new(ask.upstream.as_str()) else {
             return;
         };
-        let ms = |ms: u32| Duration::from_millis(ms.into());
-        let wanted = PermitRequest {
-            rank: if ask.is_urgent {
-                Rank::Urgent
-            } else {
-                Rank::Alone
-            },
-            in_time: ms(ask.in_time_ms),
-            left: ms(ask.left_ms),
-            usual: ms(ask.usual_ms),
-            may_wait: ask.may_wait,
-        };
         let mut all = self.upstreams.borrow_mut();
         let permits = all
             .entry(upstream)
             .or_insert_with(|| Permits::new(ask.slots, self.cfg));
-        let reply = permits.ask(BootClock.now(), (from, request), &wanted);
+        let reply = permits.ask(BootClock.now(), (from, request), &ask.wanted());
         drop(all);
         self.reply(&[((from, request), reply)]);
     }
@@ -264,13 +198,8 @@
         let Some(permits) = all.get_mut(&upstream) else {
             return;
         };
-        let report = end.at_upstream.map(|running| LoadReport {
-            running,
-            waiting: 0,
-            slots: end.slots,
-        });
         let now = BootClock.now();
-        permits.ended(now, (from, request), end.answered, report);
+        permits.ended(now, (from, request), end.end(), end.report());
         let replies = permits.poll(now);
         drop(all);
         self.reply(&replies);
@@ -278,12 +207,7 @@
 
     fn reply(&self, replies: &[(Asker, Reply)]) {
         for &((to, request), reply) in replies {
-            let word = match reply {
-                Reply::Go => Word::Go(true),
-                Reply::Queued { expected } => Word::Queued(expected.as_millis() as u32),
-                Reply::Full { room_in } => Word::Full(room_in.as_millis() as u32),
-            };
-            self.send(to, request, word);
+            self.send(to, request, reply.into());
         }
     }
 
@@ -301,21 +225,53 @@
 
     /// Returns the host that hands out the permits at `target`, of those that are not silent.
     fn host_of(&self, view: &View, target: &Registered, now: Timestamp) -> Option<SocketAddr> {
-        let silent = self.silent.borrow();
-        let is_silent = |a: SocketAddr| silent.get(&a).is_some_and(|s| now < s.until);
         let hosts = view.permit_hosts.get(&target.domain)?;
-        hosts.host_of(&target.id, is_silent)
+        hosts.host_of(&target.id, |address| self.is_silent(address, now))
+    }
+
+    /// Returns the host that hands out the permits at `target` by the hosts' rows alone, if it is not
+    /// silent.
+    fn only_host_of(&self, view: &View, target: &Registered, now: Timestamp) -> Option<SocketAddr> {
+        let hosts = view.permit_hosts.get(&target.domain)?;
+        let host = hosts.host_of(&target.id, |_| false)?;
+        (!self.is_silent(host, now)).then_some(host)
+    }
+
+    fn is_silent(&self, host: SocketAddr, now: Timestamp) -> bool {
+        let silent = self.silent.borrow();
+        silent.get(&host).is_some_and(|s| now < s.until)
     }
 
-    /// Asks for a permit at `target`.
+    /// Asks for a permit at `target`; at one that is known to be cold, what is not allowed is refused.
     pub async fn admit(
         self: &Rc<Self>,
         view: &View,
         target: &Registered,
         wanted: &PermitRequest,
+    ) -> Admission {
+        let is_cold = wanted.cold.is_some_and(|cold| !cold.left.is_zero());
+        let admission = self.ask(view, target, wanted, is_cold).await;
+        if is_cold && matches!(admission, Admission::Unknown) {
+            let room_in = COLD_COME_BACK;
+            return Admission::Cold { room_in };
+        }
+        admission
+    }
+
+    async fn ask(
+        self: &Rc<Self>,
+        view: &View,
+        target: &Registered,
+        wanted: &PermitRequest,
+        is_cold: bool,
     ) -> Admission {
         let now = BootClock.now();
-        let Some(host) = self.host_of(view, target, now) else {
+        let host = if is_cold {
+            self.only_host_of(view, target, now)
+        } else {
+            self.host_of(view, target, now)
+        };
+        let Some(host) = host else {
             return Admission::Unknown;
         };
         let request = self.next.get();
@@ -327,39 +283,34 @@
             host,
             upstream: target.id.clone(),
             request,
-            answered: false,
+            end: PermitEnd::Unknown,
             report: None,
         };
-        let ms = |d: Duration| d.as_millis() as u32;
-        let ask = Ask {
-            upstream: target.id.to_string(),
-            slots: target.slots,
-            is_urgent: wanted.rank == Rank::Urgent,
-            in_time_ms: ms(wanted.in_time),
-            left_ms: ms(wanted.left),
-            usual_ms: ms(wanted.usual),
-            may_wait: wanted.may_wait,
-        };
+        let ask = Ask::new(target.id.to_string(), target.slots, wanted);
         self.send(host, request, Word::Ask(ask));
         let mut within = REPLY_WITHIN;
         let mut has_replied = false;
         loop {
-            match tokio::time::timeout(within, replies.recv()).await {
-                Ok(Some(Reply::Go)) => {
-                    self.silent.borrow_mut().remove(&host);
-                    return Admission::Go(permit);
-                }
+            let reply = tokio::time::timeout(within, replies.recv()).await;
+            if matches!(reply, Ok(Some(_))) {
+                self.silent.borrow_mut().remove(&host);
+            }
+            match reply {
+                Ok(Some(Reply::Go)) => return Admission::Go(permit),
                 Ok(Some(Reply::Full { room_in })) => {
-                    self.silent.borrow_mut().remove(&host);
                     permit.forget();
                     return Admission::Full { room_in };
                 }
+                Ok(Some(Reply::Cold { room_in })) => {
+                    permit.forget();
+                    return Admission::Cold { room_in };
+                }
                 Ok(Some(Reply::Queued { expected })) => {
                     has_replied = true;
                     within = expected.mul_f64(PATIENCE) + REPLY_WITHIN;
                 }
                 // The reply that it may go was lost.
-                Err(_elapsed) if has_replied => return Admission::Go(permit),
+                Err(_elapsed) if has_replied && !is_cold => return Admission::Go(permit),
                 Ok(None) | Err(_) => {
                     self.note_silent(host, BootClock.now());
                     return Admission::Unknown;
@@ -388,14 +339,14 @@
     host: SocketAddr,
     upstream: UpstreamId,
     request: u64,
-    answered: bool,
+    end: PermitEnd,
     report: Option<LoadReport>,
 }
 
 impl Permit {
-    /// Notes whether the upstream answered, and what it said of its load.
-    pub fn ended(&mut self, answered: bool, report: Option<LoadReport>) {
-        self.answered = answered;
+    /// Notes how the request ended, and what the upstream said of its load.
+    pub fn ended(&mut self, end: PermitEnd, report: Option<LoadReport>) {
+        self.end = end;
         self.report = report;
     }
 
@@ -416,12 +367,7 @@
         {
             return;
         }
-        let end = End {
-            upstream: self.upstream.to_string(),
-            answered: self.answered,
-            at_upstream: self.report.map(|r| r.running + r.waiting),
-            slots: self.report.map_or(0, |r| r.slots),
-        };
+        let end = End::new(self.upstream.to_string(), self.end, self.report);
         self.service.send(self.host, self.request, Word::End(end));
     }
 }
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -8,7 +8,7 @@
 use direct::{Configuration, LoadReport, Registered};
 use gate::upstream::conn::AnswerHead;
 use http::HeaderMap;
-use ids::{Reason, Timestamp};
+use ids::{DomainId, Reason, Timestamp};
 use platform::Watch;
 use smol_str::SmolStr;
 
@@ -114,6 +114,10 @@
     /// Fails if the row is not a valid configuration.
     fn configuration(&self, key: &str, value: &[u8]) -> Result<Option<Configuration>, DecodeError>;
 
+    /// Returns the failure domain that is drained for as long as [`CONFIGURATION`] has a row with this key;
+    /// none if the row says something else.
+    fn drained_domain(&self, key: &str) -> Option<DomainId>;
+
     /// Decodes a row of [`UPSTREAMS`] that was read at `now`.
     ///
     /// # Errors
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -173,6 +173,7 @@
                 view: Shared::clone(&self.view),
                 dialect: self.dialect,
                 repeats: self.cfg.repeats,
+                warmup: self.cfg.warmup.bounds(),
                 samples: self.samples,
                 permits,
                 metrics: self.metrics,
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use direct::WarmupBounds;
 use ids::{DomainId, HostId};
 use serde::Deserialize;
 
@@ -24,6 +25,9 @@
     pub store: Store,
     /// The budget for sending requests again, over all hosts.
     pub repeats: Repeats,
+    /// How far requests at cold upstreams may exceed what those bear, over all hosts.
+    #[serde(default)]
+    pub warmup: Warmup,
     /// Times of stopping.
     pub stop: Stop,
 }
@@ -82,6 +86,28 @@
     pub window_s: f64,
 }
 
+/// How far requests at a cold upstream may exceed what it bears, over all hosts; by default not at all.
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Deserialize)]
+pub struct Warmup {
+    /// As a factor.
+    pub over: Option<f64>,
+    /// Requests beside that in one second.
+    pub slack: Option<f64>,
+}
+
+impl Warmup {
+    /// Returns the bounds, with defaults for what is not set.
+    #[must_use]
+    pub fn bounds(&self) -> WarmupBounds {
+        let default = WarmupBounds::default();
+        WarmupBounds {
+            over: self.over.unwrap_or(default.over),
+            slack: self.slack.unwrap_or(default.slack),
+        }
+    }
+}
+
 /// Times of stopping.
 #[derive(Debug, Clone, Copy)]
 #[derive(Deserialize)]
@@ -125,6 +151,15 @@
         repeats.window_s > 0.0,
         "{file}: repeats.window_s: must be positive"
     );
+    let warmup = cfg.warmup.bounds();
+    anyhow::ensure!(
+        warmup.over >= 1.0,
+        "{file}: warmup.over: must be at least 1"
+    );
+    anyhow::ensure!(
+        warmup.slack >= 0.0,
+        "{file}: warmup.slack: must not be negative"
+    );
     anyhow::ensure!(
         cfg.stop.grace_s > 0.0,
         "{file}: stop.grace_s: must be positive"
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -107,6 +107,7 @@
     UpstreamStale = "upstream.stale", "connections", "Kept connections to upstreams found closed before use.";
     Sent = "upstream.sent", "requests", "Requests written to upstreams.";
     Aborted = "upstream.aborted", "requests", "Requests to upstreams given up before their answer.";
+    DomainsDrained = "domains.drained", "orders", "Orders to drain a failure domain that the host took.";
     PermitsSilent = "permits.silent", "requests", "Requests for a permit to send that no host replied to.";
     RegistrationsRefused = "registrations.refused", "registrations", "Registrations of upstreams read that make no sense.";
     SamplesDropped = "samples.dropped", "samples", "Load samples dropped because their ring was full.";
--- a/crates/standin/src/fleet/deploy.rs
+++ b/crates/standin/src/fleet/deploy.rs
@@ -45,6 +45,10 @@
         ("bounds.budget_slack", "62".to_owned()),
         ("bounds.budget_window_s", "10".to_owned()),
         ("bounds.grace_s", "6".to_owned()),
+        ("#bounds.cold_over", String::new()),
+        ("bounds.cold_over", "1.5".to_owned()),
+        ("bounds.cold_slack", "8".to_owned()),
+        ("/bounds.cold_over", String::new()),
     ];
     let mut text = template.to_owned();
     for (name, value) in values {
@@ -115,3 +119,21 @@
             "idle_timeout_s": 15},
     })
 }
+
+/// Adds to an operator's configuration how long the servers of all services are cold after a start, and how
+/// many requests a second they bear meanwhile.
+///
+/// # Panics
+///
+/// Panics if `configuration` is none.
+#[must_use]
+pub fn with_warmup(mut configuration: Value, span_s: f64, per_s: f64) -> Value {
+    let services = &mut configuration["services"];
+    let columns = services["columns"].as_array_mut().expect("columns");
+    columns.extend([json!("warmup_s"), json!("warmup_per_s")]);
+    for row in services["rows"].as_array_mut().expect("rows") {
+        let row = row.as_array_mut().expect("a row");
+        row.extend([json!(span_s), json!(per_s)]);
+    }
+    configuration
+}
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -4,12 +4,15 @@
 //! - [`deploy`]: what a process starts with.
 //! - [`store`]: the store and its faults.
 //! - [`keys`]: which keys a server holds.
+//! - [`cold`]: what a server bears while it is cold.
 //! - [`target`]: a server, its faults, and what it wrote down of the requests that it ran.
 
+pub mod cold;
 pub mod deploy;
 pub mod keys;
 pub mod store;
 pub mod target;
 
+pub use cold::ColdSettings;
 pub use store::{FleetStore, StoreMode};
 pub use target::{FleetTarget, Journal, Ran, TargetSettings, TargetTrouble};
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -155,6 +155,16 @@
         self.put("op", "config", configuration);
     }
 
+    /// Drains the failure domain `zone`, as the operator does.
+    pub fn drain_zone(&self, zone: &str) {
+        self.put("op", &format!("evacuate/{zone}"), &json!({}));
+    }
+
+    /// Takes a drained failure domain back.
+    pub fn take_zone_back(&self, zone: &str) {
+        self.remove("op", &format!("evacuate/{zone}"));
+    }
+
     /// Writes bytes that may be anything as a row.
     pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
         self.write(table, key, Some(Bytes::copy_from_slice(value)));
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -14,6 +14,7 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use super::cold::{Cold, ColdSettings};
 use super::keys::{KeyHolds, Keys};
 use super::store::FleetStore;
 use crate::http::{Request, Whole, read_body, respond, serve_connection};
@@ -22,6 +23,9 @@
 const BIND_TRIES: u32 = 50;
 const BIND_PAUSE: Duration = Duration::from_millis(10);
 
+/// Path of health requests, as the operator's configuration has it.
+const HEALTH_PATH: &str = "/healthz";
+
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// A request that a server ran.
@@ -74,6 +78,12 @@
     pub connections: u32,
     /// Whether it says when it began.
     pub says_born: bool,
+    /// What it bears while it is cold; none if it bears as much as ever.
+    pub cold: Option<ColdSettings>,
+    /// Requests that may wait at it; it resets the connections of those beyond.
+    pub queue: u32,
+    /// How long work takes on its machine, in percent of the usual time; none if it doesn't say.
+    pub pace: Option<u32>,
 }
 
 impl Default for TargetSettings {
@@ -86,6 +96,9 @@
             slots: 4,
             connections: 130,
             says_born: true,
+            cold: None,
+            queue: u32::MAX,
+            pace: None,
         }
     }
 }
@@ -117,6 +130,9 @@
     slots: Semaphore,
     waiting: AtomicU32,
     open: AtomicU32,
+    cold: Mutex<Cold>,
+    /// It was sent so much while it was cold that it fell over.
+    has_fallen: AtomicBool,
 }
 
 /// A running server; it stops when the handle is dropped.
@@ -191,16 +207,20 @@
             slots: Semaphore::new(settings.slots as usize),
             waiting: AtomicU32::new(0),
             open: AtomicU32::new(0),
+            cold: Mutex::default(),
+            has_fallen: AtomicBool::new(false),
             settings,
         });
         let stop = CancellationToken::new();
         tokio::spawn(accept(listener, Arc::clone(&shared), stop.clone()));
-        Ok(Self {
+        let target = Self {
             address,
             shared,
             store: store.clone(),
             _stop: stop.drop_guard(),
-        })
+        };
+        target.become_cold();
+        Ok(target)
     }
 
     /// Returns the server's id.
@@ -214,6 +234,25 @@
         *lock(&self.shared.trouble) = trouble;
     }
 
+    /// Makes the server cold, as after a start; its next heartbeat says so.
+    pub fn become_cold(&self) {
+        if let Some(settings) = &self.shared.settings.cold {
+            lock(&self.shared.cold).begin(Instant::now(), settings);
+        }
+    }
+
+    /// Returns the most requests that reached the server within any second while it was cold.
+    #[must_use]
+    pub fn busiest_while_cold(&self) -> usize {
+        lock(&self.shared.cold).busiest()
+    }
+
+    /// Tells whether the server fell over as it was sent too much while it was cold.
+    #[must_use]
+    pub fn has_fallen(&self) -> bool {
+        self.shared.has_fallen.load(Ordering::SeqCst)
+    }
+
     /// Writes the registration once more, as a heartbeat does.
     pub fn register_again(&self) {
         self.register("ready");
@@ -239,7 +278,7 @@
                 "zone": settings.zone.as_str(),
                 "slots": settings.slots,
             },
-            "status": {"state": state, "seq": 1, "warmup_left_s": 0},
+            "status": {"state": state, "seq": 1, "warmup_left_s": self.shared.cold_left_s()},
         });
         if settings.says_born {
             row["born"] = json!(self.shared.born);
@@ -301,6 +340,13 @@
         "/api/release" => return shared.release(req).await,
         _ => {}
     }
+    if shared.has_fallen.load(Ordering::SeqCst) {
+        broken.cancel();
+        return std::future::pending().await;
+    }
+    if req.uri().path() == HEALTH_PATH {
+        return shared.healthy();
+    }
     let id = text("medlardyke-request-id").unwrap_or_default();
     let key = text("medlardyke-shard-key").and_then(|k| k.parse().ok());
     let trouble = *lock(&shared.trouble);
@@ -310,6 +356,10 @@
     if trouble == TargetTrouble::SilentlyFull {
         return std::future::pending().await;
     }
+    if shared.waiting.load(Ordering::SeqCst) >= shared.settings.queue {
+        broken.cancel();
+        return std::future::pending().await;
+    }
     shared.waiting.fetch_add(1, Ordering::SeqCst);
     let slot = shared.slots.acquire().await;
     shared.waiting.fetch_sub(1, Ordering::SeqCst);
@@ -317,6 +367,10 @@
     if shared.settings.is_divided && held.is_none() {
         return shared.not_run(StatusCode::MISDIRECTED_REQUEST, &id);
     }
+    if shared.falls_over() {
+        broken.cancel();
+        return std::future::pending().await;
+    }
     shared.journal.add(Ran {
         request: id.clone(),
         target: shared.id.clone(),
@@ -325,7 +379,7 @@
         key: held,
         at: Instant::now(),
     });
-    tokio::time::sleep(shared.settings.work).await;
+    tokio::time::sleep(shared.work()).await;
     drop(slot);
     if trouble == TargetTrouble::LosesAnswers {
         broken.cancel();
@@ -366,11 +420,43 @@
         let slots = self.settings.slots;
         let running = slots - self.slots.available_permits() as u32;
         let waiting = self.waiting.load(Ordering::SeqCst);
-        with(
-            response,
-            "medlardyke-instance-load",
-            &format!("{running},{waiting},{slots}"),
-        )
+        let load = format!("{running},{waiting},{slots}");
+        let load = match self.settings.pace {
+            Some(pace) => format!("{load},{pace}"),
+            None => load,
+        };
+        with(response, "medlardyke-instance-load", &load)
+    }
+
+    /// Answers a health request.
+    fn healthy(&self) -> Whole {
+        let answer = with(
+            respond(StatusCode::OK, ""),
+            "medlardyke-instance-id",
+            &self.id,
+        );
+        let left = lock(&self.cold).left(Instant::now()).as_millis();
+        self.loaded(with(answer, "medlardyke-warmup-ms", &left.to_string()))
+    }
+
+    fn cold_left_s(&self) -> f64 {
+        lock(&self.cold).left(Instant::now()).as_secs_f64()
+    }
+
+    /// Returns the time for one request now.
+    fn work(&self) -> Duration {
+        self.settings.work * self.settings.pace.unwrap_or(100) / 100
+    }
+
+    /// Notes a request that begins; tells whether the server falls over with it.
+    fn falls_over(&self) -> bool {
+        let arrived = lock(&self.cold).note(Instant::now());
+        let falls_at = self.settings.cold.map(|cold| cold.falls_at);
+        let falls = falls_at.is_some_and(|most| arrived >= most);
+        if falls {
+            self.has_fallen.store(true, Ordering::SeqCst);
+        }
+        falls
     }
 
     async fn grant(&self, req: Request) -> Whole {
