keys whose former owner is silent are told truthfully; another server at the address is believed at once

Earlier granting hosts stayed in the row for up to 5 s after the wait for them was over; a host that took over meanwhile waited for 13.6 s anew.

Change: two releases without an answer, or one that is overdue, make a silence; earlier hosts are struck out at once; a 421 of another server closes the upstream for this host for 5 s.

--- a/crates/assign/src/keeper/calls.rs
+++ b/crates/assign/src/keeper/calls.rs
@@ -113,7 +113,11 @@
                         live.handover.clone_from(handover);
                     }
                 }
-                CallEnd::Gone | CallEnd::Fenced | CallEnd::NotSent | CallEnd::NoAnswer { .. } => {
+                CallEnd::NoAnswer { .. } => {
+                    former.unanswered += 1;
+                    former.release_at = now + RELEASE_EVERY;
+                }
+                CallEnd::Gone | CallEnd::Fenced | CallEnd::NotSent => {
                     former.release_at = now + RELEASE_EVERY;
                 }
             }
@@ -179,6 +183,7 @@
         for (piece, live) in known.row.pieces.iter().zip(&mut known.live) {
             for former in live.former.iter_mut().filter(|f| is_release_due(f, now)) {
                 former.releasing = true;
+                former.release_sent = now;
                 let (range, fence) = (piece.range, piece.fence);
                 let none = LastGrant::default();
                 call(&former.upstream, CallKind::Release, range, fence, none);
--- a/crates/assign/src/keeper/moves.rs
+++ b/crates/assign/src/keeper/moves.rs
@@ -72,8 +72,9 @@
         }
         let are_quiet = now >= self.others_until && !row.earlier.is_empty();
         let is_free = |l: &Live| !l.former.is_empty() && l.is_free();
-        let has_settled = are_quiet || known.live.iter().any(is_free);
-        let tidies = has_settled && now >= self.tidy_at;
+        let has_settled = known.live.iter().any(is_free) && now >= self.tidy_at;
+        // Whoever takes over next waits for earlier granting hosts anew as long as the row names them.
+        let tidies = has_settled || are_quiet;
         if moves.is_empty() && !tidies {
             return;
         }
--- a/crates/assign/src/keeper/waits.rs
+++ b/crates/assign/src/keeper/waits.rs
@@ -12,6 +12,11 @@
 /// Time that a former owner which answers takes to finish its work on keys that it gives up: about a
 /// service time of today's upstreams.
 const RELEASE_USUAL: Duration = Duration::from_millis(250);
+/// Time without an answer to a release after which none is expected: longer than the longest work of
+/// today's upstreams.
+const RELEASE_LONGEST: Duration = Duration::from_secs(1);
+/// Releases without an answer after which none is expected.
+const UNANSWERED: u32 = 2;
 /// Time for a grant to a new owner.
 const GRANT_USUAL: Duration = Duration::from_millis(20);
 /// Most pieces that are told of, so that all fit into a datagram; requests on the keys of others are
@@ -51,7 +56,9 @@
         }
         let over = (former.last_grant.sent + self.cfg.outlast()).max(self.others_until);
         let waited_out = over.since(now) + GRANT_USUAL;
-        if self.health.contains_key(&former.upstream) {
+        let is_overdue = former.releasing && now.since(former.release_sent) > RELEASE_LONGEST;
+        let is_silent = former.unanswered >= UNANSWERED || is_overdue;
+        if is_silent || self.health.contains_key(&former.upstream) {
             waited_out
         } else {
             waited_out.min(RELEASE_USUAL)
--- a/crates/assign/src/live.rs
+++ b/crates/assign/src/live.rs
@@ -42,6 +42,10 @@
     /// When to send the next release.
     pub(crate) release_at: Timestamp,
     pub(crate) releasing: bool,
+    /// When the last release was sent.
+    pub(crate) release_sent: Timestamp,
+    /// Releases of these keys that had no answer.
+    pub(crate) unanswered: u32,
     /// It answered a release: its work on these keys is over.
     pub(crate) released: bool,
     /// It surely holds none of these keys any more.
@@ -138,6 +142,8 @@
         last_grant: LastGrant::latest(sent_as_owner.chain(sent_as_former)),
         release_at: now,
         releasing: false,
+        release_sent: now,
+        unanswered: 0,
         released: false,
         free: false,
     }
--- a/crates/assign/tests/unserved.rs
+++ b/crates/assign/tests/unserved.rs
@@ -156,6 +156,41 @@
     }
 }
 
+/// A host that has just begun to grant knows nothing of an upstream that is not registered any more but that
+/// its releases fail: callers must not be told to come back in a moment, over and over.
+#[test]
+fn keys_of_one_whose_releases_fail_wait_until_its_grants_have_run_out() {
+    let mut granter = Granter::new();
+    let lost = |call: &OrderCall| {
+        if call.upstream == id(0) {
+            CallEnd::NoAnswer { maybe_sent: false }
+        } else {
+            CallEnd::Done { handover: None }
+        }
+    };
+    let mut told = Vec::new();
+    let mut granted_at = None;
+    for ms in (5_000..12_000).step_by(100) {
+        granter.step(ms, &[1, 2], lost);
+        let (pieces, longest) = granter.moving(ms);
+        if pieces > 0 {
+            told.push((ms, longest.unwrap_or_default()));
+        } else if granted_at.is_none() {
+            granted_at = Some(ms);
+        }
+    }
+    let granted_at = granted_at.expect("the keys have an owner again");
+    assert!(granted_at > 7_000, "its grants ran out first: {granted_at}");
+    for (ms, left) in told.into_iter().filter(|(ms, _)| *ms >= 5_700) {
+        let really = Duration::from_millis(granted_at - ms);
+        let off = left.abs_diff(really);
+        assert!(
+            off <= Duration::from_millis(250),
+            "at {ms}: {left:?}, {really:?}"
+        );
+    }
+}
+
 /// First keys, fences and milliseconds left of pieces that nobody serves.
 type Told = &'static [(u16, u64, u64)];
 
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -27,6 +27,9 @@
     pub closed_max: Duration,
     /// Time for which it is passed over after its first failed connection.
     pub closed_min: Duration,
+    /// Time for which it is passed over if another server has its address: its registration is gone by then,
+    /// or comes once the store can be read again.
+    pub replaced_for: Duration,
 }
 
 impl Default for LoadSettings {
@@ -38,6 +41,7 @@
             cold_factor: 2.0,
             closed_max: Duration::from_secs(1),
             closed_min: Duration::from_millis(100),
+            replaced_for: Duration::from_secs(5),
         }
     }
 }
@@ -220,6 +224,11 @@
         }
     }
 
+    /// Notes that another server has the upstream's address now.
+    pub fn replaced(&mut self, now: Timestamp, cfg: &LoadSettings) {
+        self.closed_until = now + cfg.replaced_for;
+    }
+
     /// Notes a connection that could not be opened: the upstream is passed over for a while.
     pub fn unreachable(&mut self, now: Timestamp, cfg: &LoadSettings) {
         let longer = cfg.closed_min * (1 << self.unreachable.min(6));
--- a/crates/direct/src/repeat.rs
+++ b/crates/direct/src/repeat.rs
@@ -31,8 +31,10 @@
     Unsent(Reason),
     /// The upstream said that it did not run the request.
     NotRun(Reason),
-    /// The upstream does not hold the request's key, or is another one; it did not run it.
+    /// The upstream does not hold the request's key; it did not run it.
     Misdirected,
+    /// Another server has the upstream's address now; it did not run it.
+    Replaced,
     /// It may have run.
     Broken(Reason),
 }
@@ -43,7 +45,7 @@
     pub const fn reason(self) -> Reason {
         match self {
             Self::Unsent(reason) | Self::NotRun(reason) | Self::Broken(reason) => reason,
-            Self::Misdirected => Reason::StaleRoute,
+            Self::Misdirected | Self::Replaced => Reason::StaleRoute,
         }
     }
 }
@@ -98,7 +100,7 @@
                     Next::GiveUp
                 };
             }
-            Ended::NotRun(_) => Duration::ZERO,
+            Ended::NotRun(_) | Ended::Replaced => Duration::ZERO,
             Ended::Misdirected => cfg.key_pause * (self.sent + 1),
             Ended::Broken(_) => {
                 self.ran += 1;
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -82,7 +82,9 @@
             Err(_elapsed) => return Err(Ended::Broken(Reason::AnswerTimeout)),
         };
         let now = BootClock.now();
-        let judged = self.dialect.judge(&done.head, &job.asked.id);
+        let judged = self
+            .dialect
+            .judge(&done.head, &job.asked.id, &target.server);
         if let Some(report) = judged.load {
             self.with_load(target, |load| load.reported(now, report));
             job.report.set(Some(report));
@@ -90,6 +92,7 @@
         let closes = says_close(&done.head.headers);
         match judged.verdict {
             Verdict::Foreign => return Err(Ended::Broken(Reason::AnswerMismatch)),
+            Verdict::Replaced => return Err(Ended::Replaced),
             _ if closes => {}
             _ => {
                 if let Some(conn) = done.conn {
@@ -108,6 +111,7 @@
             Verdict::Answer => Ok(response(done.head.status, done.head.headers, done.body)),
             Verdict::NotRun => Err(Ended::NotRun(Reason::UpstreamShed)),
             Verdict::Misdirected => Err(Ended::Misdirected),
+            Verdict::Replaced => Err(Ended::Replaced),
             Verdict::Foreign => Err(Ended::Broken(Reason::AnswerMismatch)),
         }
     }
@@ -155,6 +159,7 @@
         let cfg = &self.load_cfg;
         self.with_load(target, |load| match ended {
             Ended::Unsent(Reason::ConnectFailed) => load.unreachable(now, cfg),
+            Ended::Replaced => load.replaced(now, cfg),
             Ended::Unsent(_) | Ended::Misdirected => {}
             Ended::NotRun(_) => load.shed(now, cfg),
             Ended::Broken(_) => load.failed(now, cfg),
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -471,6 +471,7 @@
     };
     match ended {
         Ended::NotRun(_) | Ended::Misdirected => PermitEnd::Spoke,
+        Ended::Replaced => PermitEnd::Unknown,
         Ended::Broken(Reason::AnswerMismatch | Reason::AnswerCut) => PermitEnd::Spoke,
         Ended::Broken(_) | Ended::Unsent(Reason::ConnectFailed) => PermitEnd::Silent,
         Ended::Unsent(_) => PermitEnd::Unknown,
--- a/crates/front/src/forward/reply.rs
+++ b/crates/front/src/forward/reply.rs
@@ -75,7 +75,7 @@
         .into();
     }
     let after = match ended {
-        Ended::Misdirected => KEY_COME_BACK,
+        Ended::Misdirected | Ended::Replaced => KEY_COME_BACK,
         Ended::Unsent(_) | Ended::NotRun(_) | Ended::Broken(_) => COME_BACK,
     };
     come_back(ended.reason(), after)
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -37,8 +37,10 @@
     Answer,
     /// The upstream did not run the request and never will.
     NotRun,
-    /// The upstream does not hold the request's key, or is another one; it did not run it.
+    /// The upstream does not hold the request's key, or is another run; it did not run it.
     Misdirected,
+    /// Another server has the address now, and did not run the request: the one that was meant is gone.
+    Replaced,
     /// It belongs to another request, or is no whole answer; the request may have run.
     Foreign,
 }
@@ -66,8 +68,8 @@
     /// Writes to which server a request goes, and how long its answer is waited for.
     fn address(&self, headers: &mut HeaderMap, server: &str, left: Duration);
 
-    /// Judges the head of the answer to the request `id`.
-    fn judge(&self, head: &AnswerHead, id: &str) -> Judged;
+    /// Judges the head of the answer to the request `id`, which went to `server`.
+    fn judge(&self, head: &AnswerHead, id: &str, server: &str) -> Judged;
 
     /// Returns the path by which the balancer asks whether the host is ready.
     fn ready_path(&self) -> &'static str;
