--- a/crates/assign/src/keeper/mod.rs
+++ b/crates/assign/src/keeper/mod.rs
@@ -16,6 +16,7 @@
 
 use ids::{Revision, Timestamp, UpstreamId};
 
+use crate::clock::StoreClock;
 use crate::evidence::Evidence;
 use crate::live::{LastGrant, Live, carry_over};
 use crate::order::{Action, CommitEnd, OrderCall};
@@ -59,7 +60,11 @@
     earlier: Vec<Earlier>,
     /// When this host first read that a run had been replaced: what that one read before then is
     /// all that lets it grant. One that granted again since has another last row.
-    replaced_since: HashMap<Earlier, Timestamp>,
+    replaced_since: Vec<(Earlier, Timestamp)>,
+    /// The newest reading of the store's clock.
+    clock: Option<StoreClock>,
+    /// When an earlier granting run was last found to be over.
+    over_at: Timestamp,
     /// Revision of the row that made this host the granting one.
     named_at: Revision,
     /// When that became known, and the highest fence then.
@@ -88,7 +93,9 @@
             evidence: Evidence::default(),
             others_until: Timestamp::ZERO,
             earlier: Vec::new(),
-            replaced_since: HashMap::new(),
+            replaced_since: Vec::new(),
+            clock: None,
+            over_at: Timestamp::ZERO,
             named_at: Revision::default(),
             began: (Timestamp::ZERO, Fence::default()),
             not_before: Revision::default(),
@@ -161,7 +168,10 @@
                 .any(|p| p.owner == *up || p.former.contains(up))
         });
         let known = std::mem::take(&mut self.replaced_since);
-        let since = |e: &Earlier| (e.clone(), known.get(e).copied().unwrap_or(now));
+        let since = |e: &Earlier| {
+            let known = known.iter().find(|(k, _)| k.is_same(e));
+            (e.clone(), known.map_or(now, |(_, since)| *since))
+        };
         self.replaced_since = row.earlier.iter().map(since).collect();
         self.known = Some(Known {
             row,
@@ -207,6 +217,7 @@
             row.earlier.push(Earlier {
                 run: replaced,
                 last: revision,
+                replaced_by_ms: None,
             });
         }
         self.propose(now, row, Some(revision), actions);
@@ -222,14 +233,58 @@
         self.earlier.clone_from(&known.row.earlier);
         self.named_at = known.revision;
         self.began = (now, known.row.fence);
-        let evidence = self.cfg.evidence.mul_f64(1.0 + self.cfg.drift);
-        let stopped = |e: &Earlier| self.replaced_since.get(e).copied().unwrap_or(now) + evidence;
-        let stopped = self.earlier.iter().map(stopped).max();
-        self.others_until = stopped.unwrap_or(now).max(now) + self.cfg.outlast();
+        self.over_at = Timestamp::ZERO;
+        self.others_until = self.wait_for_earlier(now);
         self.health.clear();
         self.plan_at = now + self.cfg.plan_every;
     }
 
+    /// Notes what the store's clock said.
+    pub fn clock_read(&mut self, now: Timestamp, clock: StoreClock) {
+        self.clock = Some(clock);
+        if self.is_granter() && !self.earlier.is_empty() {
+            self.others_until = self.others_until.min(self.wait_for_earlier(now));
+        }
+    }
+
+    /// Returns until when grants of earlier granting hosts may hold, as far as is known at `now`.
+    fn wait_for_earlier(&self, now: Timestamp) -> Timestamp {
+        let evidence = self.cfg.evidence.mul_f64(1.0 + self.cfg.drift);
+        let stopped = |e: &Earlier| self.replaced_before(e, now) + evidence;
+        let stopped = self.earlier.iter().map(stopped).max();
+        let (began, _) = self.began;
+        stopped.unwrap_or(began).max(began).max(self.over_at) + self.cfg.outlast()
+    }
+
+    /// Returns the earliest time before which the run `earlier` had surely been replaced, by this host's
+    /// clock.
+    fn replaced_before(&self, earlier: &Earlier, now: Timestamp) -> Timestamp {
+        let since = self.replaced_since.iter().find(|(e, _)| e.is_same(earlier));
+        let seen = since.map_or(now, |(_, since)| *since);
+        let (Some(ms), Some(clock)) = (earlier.replaced_by_ms, self.clock) else {
+            return seen;
+        };
+        let ago = clock.least(now, self.cfg.drift);
+        let ago = ago.saturating_sub(Duration::from_millis(ms));
+        seen.min(now - ago.mul_f64(1.0 - self.cfg.drift))
+    }
+
+    /// Writes into `row` by when earlier runs had been replaced that it doesn't say it of; tells whether
+    /// there were any.
+    ///
+    /// The reading must have been asked for after this host knew that it grants, as the runs had been
+    /// replaced by then.
+    fn note_replaced(&self, row: &mut EntryRow) -> bool {
+        let (began, _) = self.began;
+        let Some(clock) = self.clock.filter(|clock| clock.asked >= began) else {
+            return false;
+        };
+        let untold = row.earlier.iter_mut().filter(|e| e.replaced_by_ms.is_none());
+        let ms = u64::try_from(clock.reads.as_millis()).unwrap_or(u64::MAX);
+        let told = untold.map(|e| e.replaced_by_ms = Some(ms + 1));
+        told.count() > 0
+    }
+
     /// Returns earlier granting runs that are not known to be over.
     #[must_use]
     pub fn earlier(&self) -> &[Earlier] {
@@ -275,6 +330,7 @@
     /// Notes that an earlier granting run has surely ended or stopped.
     pub fn is_over(&mut self, now: Timestamp, run: &Run) {
         self.earlier.retain(|e| e.run != *run);
+        self.over_at = now;
         if self.earlier.is_empty() {
             self.others_until = self.others_until.min(now + self.cfg.outlast());
         }
--- a/crates/assign/src/keeper/moves.rs
+++ b/crates/assign/src/keeper/moves.rs
@@ -75,7 +75,8 @@
         let has_settled = known.live.iter().any(is_free) && now >= self.tidy_at;
         // Whoever takes over next waits for earlier granting hosts anew as long as the row names them.
         let tidies = has_settled || are_quiet;
-        if moves.is_empty() && !tidies {
+        let tells = !are_quiet && self.note_replaced(&mut row);
+        if moves.is_empty() && !tidies && !tells {
             return;
         }
         self.tidy_at = now + TIDY_EVERY;
--- a/crates/assign/src/lib.rs
+++ b/crates/assign/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`loads`]: how busy each key is.
 //! - [`plan`]: which ranges should move; `balance` evens out loads, `levels` says how loaded upstreams
 //!   are.
+//! - [`clock`]: the store's clock.
 //! - [`evidence`]: how long a host may act on what it last read.
 //! - [`succession`]: when a host takes the granting over from another.
 //! - [`order`]: what a keeper wants done, and how it ends.
@@ -18,6 +19,7 @@
 //!   the grants of a piece.
 
 mod balance;
+pub mod clock;
 pub mod evidence;
 pub mod keeper;
 mod levels;
@@ -33,6 +35,7 @@
 pub mod succession;
 pub mod unserved;
 
+pub use clock::StoreClock;
 pub use evidence::Evidence;
 pub use keeper::Keeper;
 pub use loads::KeyLoads;
--- a/crates/assign/src/live.rs
+++ b/crates/assign/src/live.rs
@@ -98,11 +98,15 @@
     let same = || known.iter().filter(|(p, _)| p.owner == piece.owner);
     let whole = same().find(|(p, _)| p.fence == piece.fence && p.range.covers(piece.range));
     let former = |upstream: &UpstreamId| former(&known, upstream, piece.range, now);
+    // A call on its way to the owner of an unchanged piece still tells how it ends. A second one beside it
+    // would count as sent where the first surely did not leave, and its keys wait for it to run out.
+    let is_unchanged = |(p, l): &&(&Piece, &Live)| l.granting && p.range == piece.range;
+    let is_granting = whole.filter(|known| is_unchanged(known)).is_some();
     Live {
         former: piece.former.iter().map(former).collect(),
         last_grant: LastGrant::latest(same().map(|(_, l)| l.last_grant)),
         next_at: same().map(|(_, l)| l.next_at).min().unwrap_or(now),
-        granting: false,
+        granting: is_granting,
         granted: whole.is_some_and(|(_, l)| l.granted),
         is_apart: whole.is_some_and(|(_, l)| l.is_apart),
         handover: whole.and_then(|(_, l)| l.handover.clone()),
--- a/crates/assign/src/row.rs
+++ b/crates/assign/src/row.rs
@@ -27,6 +27,18 @@
     /// Revision of the last row by which it granted: a run of its host that was announced later is
     /// another one.
     pub last: Revision,
+    /// A time of the store's clock, in milliseconds, by which the run had been replaced, once a later
+    /// granting host has read one. Hosts that start anew need not wait again for what is long over.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub replaced_by_ms: Option<u64>,
+}
+
+impl Earlier {
+    /// Tells whether both mean the same run with the same last row.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.run == other.run && self.last == other.last
+    }
 }
 
 /// A range with its owner.
--- a/crates/assign/tests/ownership/main.rs
+++ b/crates/assign/tests/ownership/main.rs
@@ -93,6 +93,18 @@
         talk: Talk::No,
         unserved: &[(12.0, 0), (30.0, 0)],
     },
+    Case {
+        name: "hosts that start anew go on with a wait for one that is gone for good",
+        troubles: &[
+            (Fault::HostPaused(0), 5.0, 60.0),
+            (Fault::TakeOver(1), 6.5, 0.1),
+            (Fault::UpstreamDown(2), 10.0, 60.0),
+            (Fault::HostRestarts(1), 17.0, 0.02),
+            (Fault::HostRestarts(2), 17.0, 0.02),
+        ],
+        talk: Talk::No,
+        unserved: &[(23.5, 0), (28.0, 0)],
+    },
     Case {
         name: "a host without the store that hears of its successor grants no more at once",
         troubles: &[
--- a/crates/assign/tests/ownership/world/mod.rs
+++ b/crates/assign/tests/ownership/world/mod.rs
@@ -13,7 +13,7 @@
 
 use assign::{
     Action, AssignSettings, CallEnd, CommitEnd, Earlier, EntryRow, Keeper, KeyLoads, OrderCall,
-    Planner, Run, Standing, UpstreamView,
+    Planner, Run, Standing, StoreClock, UpstreamView,
 };
 use ids::{HostId, Incarnation, Revision, Timestamp};
 use rand::Rng as _;
@@ -289,6 +289,12 @@
             host.keeper.take(now, row.clone(), *revision);
         }
         host.keeper.read(now);
+        let clock = StoreClock {
+            asked: now,
+            answered: now,
+            reads: self.now,
+        };
+        host.keeper.clock_read(now, clock);
     }
 
     fn tell_replaced(&mut self, h: usize) {
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -6,7 +6,7 @@
 
 use assign::{
     Action, CallEnd, CallKind, CommitEnd, Earlier, EntryRow, OrderCall, Run, Standing,
-    SuccessionSettings, UpstreamView,
+    StoreClock, SuccessionSettings, UpstreamView,
 };
 use direct::{Roster, Warmup};
 use ids::{BootClock, Clock, EntryId, HostId, KeyHash, Revision, Timestamp, UpstreamId};
@@ -38,7 +38,11 @@
     let part = rand::rng().random_range(0.0..1.0);
     loop {
         let now = BootClock.now();
-        let due = ctl.with(|c| due(c, now, part));
+        let clock = platform.store_clock();
+        let due = ctl.with(|c| {
+            note_clock(c, clock, now);
+            due(c, now, part)
+        });
         let grants = ctl.with(|c| c.grants());
         for (entry, action) in due {
             carry_out(&ctl, &platform, entry, action);
@@ -50,6 +54,15 @@
     }
 }
 
+fn note_clock(c: &mut Control, clock: Option<StoreClock>, now: Timestamp) {
+    let Some(clock) = clock else {
+        return;
+    };
+    for divided in c.divided.values_mut() {
+        divided.keeper.clock_read(now, clock);
+    }
+}
+
 /// Returns what is due; `part` is what this host drew of the patience before a take-over.
 fn due(c: &mut Control, now: Timestamp, part: f64) -> Vec<(EntryId, Action)> {
     let is_fresh = c.freshness.is_fresh(now);
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use assign::{CallEnd, OrderCall};
+use assign::{CallEnd, OrderCall, StoreClock};
 use direct::{Configuration, LoadReport, Registered};
 use gate::upstream::conn::AnswerHead;
 use http::HeaderMap;
@@ -132,6 +132,9 @@
         now: Timestamp,
     ) -> Result<Registered, DecodeError>;
 
+    /// Returns the newest reading of the store's clock, if it has one and has answered.
+    fn store_clock(&self) -> Option<StoreClock>;
+
     /// Tells an upstream which keys it may run requests on, or must stop.
     ///
     /// A grant must reach no other run of the server than the one that is meant, which would hold
