--- a/crates/assign/src/keeper/mod.rs
+++ b/crates/assign/src/keeper/mod.rs
@@ -279,7 +279,10 @@
         let Some(clock) = self.clock.filter(|clock| clock.asked >= began) else {
             return false;
         };
-        let untold = row.earlier.iter_mut().filter(|e| e.replaced_by_ms.is_none());
+        let untold = row
+            .earlier
+            .iter_mut()
+            .filter(|e| e.replaced_by_ms.is_none());
         let ms = u64::try_from(clock.reads.as_millis()).unwrap_or(u64::MAX);
         let told = untold.map(|e| e.replaced_by_ms = Some(ms + 1));
         told.count() > 0
--- a/crates/assign/src/keeper/waits.rs
+++ b/crates/assign/src/keeper/waits.rs
@@ -17,6 +17,9 @@
 const RELEASE_LONGEST: Duration = Duration::from_secs(1);
 /// Releases without an answer after which none is expected.
 const UNANSWERED: u32 = 2;
+/// Time within which earlier granting hosts that are there have said that they stop: two heartbeats. Until
+/// then callers are told as if they had.
+const EARLIER_SAY: Duration = Duration::from_secs(1);
 /// Time for a grant to a new owner.
 const GRANT_USUAL: Duration = Duration::from_millis(20);
 /// Most pieces that are told of, so that all fit into a datagram; requests on the keys of others are
@@ -54,7 +57,14 @@
         if former.free {
             return GRANT_USUAL;
         }
-        let over = (former.last_grant.sent + self.cfg.outlast()).max(self.others_until);
+        let (began, _) = self.began;
+        let outlast = self.cfg.outlast();
+        let others_until = if now.since(began) < EARLIER_SAY {
+            self.others_until.min(began + outlast)
+        } else {
+            self.others_until
+        };
+        let over = (former.last_grant.sent + outlast).max(others_until);
         let waited_out = over.since(now) + GRANT_USUAL;
         let is_overdue = former.releasing && now.since(former.release_sent) > RELEASE_LONGEST;
         let is_silent = former.unanswered >= UNANSWERED || is_overdue;
--- a/crates/assign/tests/ownership/main.rs
+++ b/crates/assign/tests/ownership/main.rs
@@ -105,6 +105,19 @@
         talk: Talk::No,
         unserved: &[(23.5, 0), (28.0, 0)],
     },
+    Case {
+        name: "hosts that start anew go on with a wait for one that still grants, to its end",
+        troubles: &[
+            (Fault::HostWithoutStore(0), 5.0, 40.0),
+            (Fault::HostWithoutUpstream(1, 2), 5.5, 40.0),
+            (Fault::HostWithoutUpstream(2, 2), 5.5, 40.0),
+            (Fault::TakeOver(1), 6.0, 0.1),
+            (Fault::HostRestarts(1), 8.5, 0.02),
+            (Fault::HostRestarts(2), 8.5, 0.02),
+        ],
+        talk: Talk::No,
+        unserved: &[(14.0, 0), (22.0, 0), (30.0, 0)],
+    },
     Case {
         name: "a host without the store that hears of its successor grants no more at once",
         troubles: &[
--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -333,11 +333,27 @@
     let mut refused = Vec::new();
     for i in 0.. {
         let read = Ask::read(&format!("lost-{i}"), (i * 997 % 65_536) as u16);
-        let got = rig.ask(other, &read).await;
+        // Whoever waits for long is served when the keys have moved; whoever can't is told so at once. For more
+        // than two seconds nobody may serve the lost server's keys, as its grants may hold on.
+        let hasty = Ask {
+            id: format!("hasty-{i}"),
+            wait_ms: 800,
+            ..read.clone()
+        };
+        let is_early = began.elapsed() < Duration::from_secs(1);
+        let (got, hasty_got) = tokio::join!(rig.ask(other, &read), async {
+            match is_early {
+                true => rig.ask(other, &hasty).await,
+                false => None,
+            }
+        });
         if !answered(got.as_ref(), &read.id) {
             last_failed = began.elapsed();
             refused.extend(got);
         }
+        if !answered(hasty_got.as_ref(), &hasty.id) {
+            refused.extend(hasty_got);
+        }
         if began.elapsed() > Duration::from_secs(12) {
             break;
         }
@@ -351,6 +367,7 @@
     );
     check_owners(&rig.journal.all());
     // Callers are not told to come back before there is an owner again.
+    assert!(refused.iter().all(promises_not_run), "{refused:?}");
     let after = |got: &Got| got.retry_after.as_ref()?.parse::<f64>().ok();
     let soonest = refused.iter().filter_map(after).fold(f64::MAX, f64::min);
     assert!(!refused.is_empty() && soonest >= 0.9, "{soonest} s");
--- a/crates/front/src/control/announce.rs
+++ b/crates/front/src/control/announce.rs
@@ -52,7 +52,12 @@
                 writes: vec![write_of(key.clone(), &row)],
             };
             match platform.commit(txn).await {
-                Ok(Commit::Done(at)) => ctl.with(|c| c.note_host(&row, at)),
+                Ok(Commit::Done(at)) => {
+                    ctl.with(|c| {
+                        c.row_written = BootClock.now();
+                        c.note_host(c.row_written, row.clone(), at);
+                    });
+                }
                 Ok(Commit::Conflict(_)) => {}
                 Err(e) => ctl.with(|c| warn!(c.log, "announce host"; "error" => %e)),
             }
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -52,6 +52,9 @@
 /// Pause after a read that brought news of hosts only, which are in no hurry: hosts that start
 /// together each write a row, and each would be a read at each of the others.
 const HOSTS_PAUSE: Duration = Duration::from_millis(500);
+/// The same for a host that has just started and is not listed: those that start together write their rows within a
+/// second and a half, and each read in between finds a few more of them.
+const UNLISTED_PAUSE: Duration = Duration::from_secs(1);
 /// Shortest time between looks whether this host still is fed by another.
 const FED_CHECK: Duration = Duration::from_millis(100);
 
@@ -106,9 +109,14 @@
     let Some(position) = c.position() else {
         return now.since(known) >= START_UNLISTED;
     };
+    // One that has just written its row has not read yet who else did.
+    if c.shared_began < c.row_written {
+        return false;
+    }
     // Of domains, two places are enough: the second is for the case that the first is gone.
     let before = (position.place + 2 * position.domain).min(START_MOST);
-    now.since(known) >= START_EACH * u32::try_from(before).unwrap_or_default()
+    // Each news of hosts may be that of one that comes before this one.
+    now.since(known.max(c.hosts_changed)) >= START_EACH * u32::try_from(before).unwrap_or_default()
 }
 
 /// Returns how long this host waits after a failed read.
@@ -172,6 +180,8 @@
     let is_empty = ctl.with(|c| c.copies[table.index()].revision() == Revision::default());
     if !settled || is_empty {
         tokio::time::sleep(PAUSE).await;
+    } else if is_starting && ctl.with(|c| c.position().is_none()) {
+        tokio::time::sleep(UNLISTED_PAUSE).await;
     } else if only_hosts || is_starting {
         tokio::time::sleep(HOSTS_PAUSE).await;
     }
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use assign::{
-    Action, CallEnd, CallKind, CommitEnd, Earlier, EntryRow, OrderCall, Run, Standing,
-    StoreClock, SuccessionSettings, UpstreamView,
+    Action, CallEnd, CallKind, CommitEnd, Earlier, EntryRow, OrderCall, Run, Standing, StoreClock,
+    SuccessionSettings, UpstreamView,
 };
 use direct::{Roster, Warmup};
 use ids::{BootClock, Clock, EntryId, HostId, KeyHash, Revision, Timestamp, UpstreamId};
@@ -30,6 +30,14 @@
 /// Time without news of upstreams after which an entry's keys are first handed out: more than the
 /// time between two heartbeats of an upstream, so that all that start together are there.
 const ROSTER_STEADY: Duration = Duration::from_millis(1_300);
+/// Time without news of hosts after which they are all known that started together: they write their rows within
+/// a second and a half, and are read every half second.
+const HOSTS_STEADY: Duration = Duration::from_millis(800);
+/// Further time for each host that comes before this one in handing out an entry's keys for the first time: a
+/// look of that one, and a read that brings the news of it.
+const FIRST_EACH: Duration = Duration::from_millis(850);
+/// Hosts that do so one after the other; the others come with the last of them.
+const FIRST_TURNS: u32 = 4;
 /// Service time of an upstream of which nothing was observed, in seconds.
 const USUAL_SERVICE: f64 = 0.1;
 
@@ -75,7 +83,9 @@
         return Vec::new();
     }
     let mut due = Vec::new();
-    let (hosts, me, roster_changed) = (&c.hosts, &c.me.host, c.roster_changed);
+    let (hosts, me) = (&c.hosts, &c.me.host);
+    // Who hands out keys first follows from the upstreams and hosts that are known.
+    let steady = (c.roster_changed + ROSTER_STEADY).max(c.hosts_changed + HOSTS_STEADY);
     for (entry, divided) in &mut c.divided {
         let spec = c.in_force.as_ref().and_then(|f| f.cfg.entries.get(entry));
         let warmup = spec.and_then(|spec| spec.warmup);
@@ -83,7 +93,8 @@
         let granter = divided.keeper.row().map(|row| &row.granter.host);
         let rank = succession_rank(hosts, entry, me, granter);
         let patience = SuccessionSettings::default().patience(rank, part);
-        let is_steady = now.since(roster_changed) > ROSTER_STEADY + patience;
+        let turns = u32::try_from(rank).unwrap_or(u32::MAX).min(FIRST_TURNS);
+        let is_steady = now > steady + FIRST_EACH * turns;
         if is_fresh && c.phase != Phase::Leaving && (is_steady || divided.keeper.row().is_some()) {
             let outlook = Outlook {
                 hosts: &c.hosts,
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -112,6 +112,12 @@
     pub unreadable: IndexSet<SmolStr>,
     /// All hosts that have written their row.
     pub hosts: IndexMap<HostId, KnownHost>,
+    /// When news of hosts last came.
+    pub hosts_changed: Timestamp,
+    /// When this host last wrote its own row.
+    pub row_written: Timestamp,
+    /// When the newest read of what hosts share began that ended well.
+    pub shared_began: Timestamp,
     /// Entries that are divided by key.
     pub divided: IndexMap<EntryId, Divided>,
     /// What was read of the store, in the order of [`Table::ALL`](super::take::Table::ALL).
@@ -281,15 +287,16 @@
         self.grants() && !self.has_stopped
     }
 
-    /// Notes that this host's row was written at `at`.
-    pub fn note_host(&mut self, row: &HostRow, at: Revision) {
-        let row = row.clone();
+    /// Notes that a host's row was written at `at`.
+    pub fn note_host(&mut self, now: Timestamp, row: HostRow, at: Revision) {
+        self.hosts_changed = now;
         self.hosts
             .insert(row.run.host.clone(), KnownHost { row, at });
     }
 
     /// Notes a read of what hosts share that began at `began` and brought everything up to then.
     pub fn shared_read(&mut self, began: Timestamp) {
+        self.shared_began = self.shared_began.max(began);
         for divided in self.divided.values_mut() {
             divided.keeper.read(began);
         }
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
 
-use crate::control::state::{Control, HostRow, KnownHost};
+use crate::control::state::{Control, HostRow};
 use crate::ports::Platform;
 
 /// The tables that each host follows.
@@ -146,9 +146,7 @@
     };
     if is_host_row(row) {
         if let Some(host) = decode::<HostRow>(c, key, value) {
-            let name = host.run.host.clone();
-            let at = row.revision;
-            c.hosts.insert(name, KnownHost { row: host, at });
+            c.note_host(now, host, row.revision);
         }
     } else if let Some(entry) = key.strip_prefix(KEYS_PREFIX) {
         match (EntryId::new(entry), EntryRow::decode(value)) {
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -247,7 +247,7 @@
                     let is_last = refused.reason == Reason::NoUpstream;
                     let last = last
                         .filter(|_| is_last)
-                        .map(|ended| given_up(ended, &tries));
+                        .map(|ended| given_up(ended, &tries, job.is_divided));
                     return Err(last.unwrap_or_else(|| truthful(refused, &tries)));
                 }
             };
@@ -296,7 +296,7 @@
                         tokio::time::sleep(pause).await;
                     }
                 }
-                Next::GiveUp => return Err(given_up(ended, &tries)),
+                Next::GiveUp => return Err(given_up(ended, &tries, job.is_divided)),
             }
             passed.failed(target.id);
             last = Some(ended);
--- a/crates/front/src/forward/reply.rs
+++ b/crates/front/src/forward/reply.rs
@@ -63,7 +63,9 @@
     refused
 }
 
-pub(super) fn given_up(ended: Ended, tries: &Tries) -> Refused {
+/// Builds what a caller is told whose last try ended as `ended`; `has_owner` says that one upstream alone may
+/// run the request.
+pub(super) fn given_up(ended: Ended, tries: &Tries, has_owner: bool) -> Refused {
     if tries.may_have_run() {
         let reason = ended.reason();
         let is_known = reason.outcome() == ids::Outcome::Unknown;
@@ -76,6 +78,8 @@
     }
     let after = match ended {
         Ended::Misdirected | Ended::Replaced => KEY_COME_BACK,
+        // Its keys go to others, which takes as long as if it were known to be lost.
+        Ended::Unsent(Reason::ConnectFailed) if has_owner => KEY_COME_BACK,
         Ended::Unsent(_) | Ended::NotRun(_) | Ended::Broken(_) => COME_BACK,
     };
     come_back(ended.reason(), after)
