an upstream that is slow at this moment sends away requests that may go elsewhere

Hypothesis: machines that upstreams share with others are three times slower for a fifth of the time, in stretches of 400 ms; the host that hands out an upstream's permits hears an answer every 70 ms and so knows it, while a sending host meets the upstream once in five seconds.

--- a/crates/assign/src/live.rs
+++ b/crates/assign/src/live.rs
@@ -100,8 +100,7 @@
     let former = |upstream: &UpstreamId| former(&known, upstream, piece.range, now);
     // A call on its way to the owner of an unchanged piece still tells how it ends. A second one beside it
     // would count as sent where the first surely did not leave, and its keys wait for it to run out.
-    let is_unchanged = |(p, l): &&(&Piece, &Live)| l.granting && p.range == piece.range;
-    let is_granting = whole.filter(|known| is_unchanged(known)).is_some();
+    let is_granting = whole.is_some_and(|(p, l)| l.granting && p.range == piece.range);
     Live {
         former: piece.former.iter().map(former).collect(),
         last_grant: LastGrant::latest(same().map(|(_, l)| l.last_grant)),
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -47,7 +47,7 @@
 }
 
 /// The load that an upstream reports.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadReport {
     /// Requests that it works on.
     pub running: u32,
@@ -55,6 +55,8 @@
     pub waiting: u32,
     /// Requests that it can work on at once.
     pub slots: u32,
+    /// How long work takes on its machine at this moment, as a factor; none if it doesn't say.
+    pub pace: Option<f64>,
 }
 
 /// A request on its way, as [`UpstreamLoad::sent`] noted it.
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -47,6 +47,11 @@
     /// Time without any answer after which an upstream may come back cold, if two requests or more ended
     /// without one meanwhile: a restart takes about as long, and a slow answer seldom does.
     pub lost_after: Duration,
+    /// How much longer than usual work must take at the upstream for a request that may go elsewhere to be
+    /// sent away.
+    pub slow_pace: f64,
+    /// How long what the upstream said of its pace counts: it changes several times a second.
+    pub pace_known: Duration,
 }
 
 impl Default for PermitSettings {
@@ -60,6 +65,8 @@
             service_weight: 0.1,
             grace: Duration::from_millis(200),
             lost_after: Duration::from_millis(700),
+            slow_pace: 2.0,
+            pace_known: Duration::from_millis(200),
         }
     }
 }
@@ -157,6 +164,8 @@
     /// Requests at the upstream that have no permit here, when they were reported.
     others: f64,
     reported: Timestamp,
+    /// How long work takes there, as a factor, and when it said so.
+    pace: (f64, Timestamp),
     /// What it bears while it is cold, as far as anybody has said.
     cold: Option<ColdStart>,
     cold_until: Timestamp,
@@ -176,6 +185,7 @@
             lanes: [(); LANES].map(|()| VecDeque::new()),
             others: 0.0,
             reported: Timestamp::ZERO,
+            pace: (1.0, Timestamp::ZERO),
             cold: None,
             cold_until: Timestamp::ZERO,
             starts: Starts::default(),
@@ -202,7 +212,8 @@
             self.cold = Some(cold);
             self.cold_until = self.cold_until.max(now + cold.left);
         }
-        if !self.has_waiting() && self.has_room(now) {
+        let is_elsewhere_better = !wanted.may_wait && self.is_slow_now(now);
+        if !self.has_waiting() && self.has_room(now) && !is_elsewhere_better {
             self.hold(now, key, until);
             return Reply::Go;
         }
@@ -259,6 +270,9 @@
             self.others = (all - self.held.len() as f64).max(0.0);
             self.reported = now;
             self.slots = report.slots.max(1);
+            if let Some(pace) = report.pace {
+                self.pace = (pace, now);
+            }
         }
         for lane in &mut self.lanes {
             lane.retain(|w| w.key != key);
@@ -273,6 +287,12 @@
         }
     }
 
+    /// Tells whether work takes so much longer at the upstream now that another one should get the request.
+    fn is_slow_now(&self, now: Timestamp) -> bool {
+        let (pace, said) = self.pace;
+        pace >= self.cfg.slow_pace && now.since(said) < self.cfg.pace_known
+    }
+
     /// Takes an upstream that says something again after a long silence for cold: it may have started
     /// again, and may not have registered that yet.
     fn note_silence(&mut self, now: Timestamp, end: PermitEnd) {
--- a/crates/direct/tests/choose.rs
+++ b/crates/direct/tests/choose.rs
@@ -119,6 +119,7 @@
                 running,
                 waiting: 0,
                 slots: 4,
+                pace: None,
             };
             load.reported(at(990), report);
         }
@@ -172,6 +173,7 @@
         running: 4,
         waiting: 4,
         slots: 4,
+        pace: None,
     };
     load.reported(at(0), report);
     assert!((load.crowd(at(0), &cfg) - 2.0).abs() < 1e-6);
--- a/crates/direct/tests/permits.rs
+++ b/crates/direct/tests/permits.rs
@@ -222,6 +222,73 @@
     assert!(!permits.has_waiting());
 }
 
+/// Machines that upstreams share with others are slow for some tenths of a second. Whoever may go elsewhere
+/// does; a request on a key has only this upstream, and one that heard nothing lately goes too.
+#[test]
+fn whoever_may_go_elsewhere_leaves_an_upstream_that_is_slow_now() {
+    struct Case {
+        name: &'static str,
+        pace: Option<f64>,
+        ago_ms: u64,
+        may_wait: bool,
+        goes: bool,
+    }
+    let cases = [
+        Case {
+            name: "three times slower just now",
+            pace: Some(3.0),
+            ago_ms: 100,
+            may_wait: false,
+            goes: false,
+        },
+        Case {
+            name: "on a key",
+            pace: Some(3.0),
+            ago_ms: 100,
+            may_wait: true,
+            goes: true,
+        },
+        Case {
+            name: "a while ago",
+            pace: Some(3.0),
+            ago_ms: 300,
+            may_wait: false,
+            goes: true,
+        },
+        Case {
+            name: "as usual",
+            pace: Some(1.0),
+            ago_ms: 100,
+            may_wait: false,
+            goes: true,
+        },
+        Case {
+            name: "one that does not say",
+            pace: None,
+            ago_ms: 100,
+            may_wait: false,
+            goes: true,
+        },
+    ];
+    for case in cases {
+        let mut permits = Permits::new(SLOTS, PermitSettings::default());
+        permits.ask(at(0), 0, &first_try());
+        let report = LoadReport {
+            running: 1,
+            waiting: 0,
+            slots: SLOTS,
+            pace: case.pace,
+        };
+        permits.ended(at(200), 0, PermitEnd::Answered, Some(report));
+        let wanted = PermitRequest {
+            may_wait: case.may_wait,
+            ..first_try()
+        };
+        let reply = permits.ask(at(200 + case.ago_ms), 1, &wanted);
+        assert_eq!(reply == Reply::Go, case.goes, "{}", case.name);
+    }
+}
+
 #[test]
 fn permits_come_back() {
     struct Case {
@@ -249,6 +316,7 @@
                     running: 2,
                     waiting: 4,
                     slots: 2,
+                    pace: None,
                 };
                 permits.ended(at(100), 0, PermitEnd::Answered, Some(report));
             },
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -470,11 +470,11 @@
         return PermitEnd::Answered;
     };
     match ended {
-        Ended::NotRun(_) | Ended::Misdirected => PermitEnd::Spoke,
-        Ended::Replaced => PermitEnd::Unknown,
-        Ended::Broken(Reason::AnswerMismatch | Reason::AnswerCut) => PermitEnd::Spoke,
+        Ended::NotRun(_)
+        | Ended::Misdirected
+        | Ended::Broken(Reason::AnswerMismatch | Reason::AnswerCut) => PermitEnd::Spoke,
         Ended::Broken(_) | Ended::Unsent(Reason::ConnectFailed) => PermitEnd::Silent,
-        Ended::Unsent(_) => PermitEnd::Unknown,
+        Ended::Replaced | Ended::Unsent(_) => PermitEnd::Unknown,
     }
 }
 
--- a/crates/front/src/permits/messages.rs
+++ b/crates/front/src/permits/messages.rs
@@ -84,6 +84,9 @@
     at_upstream: Option<u32>,
     #[prost(uint32, tag = "4")]
     slots: u32,
+    /// How long work takes there at this moment, in percent of the usual time, if it said so.
+    #[prost(uint32, optional, tag = "5")]
+    pace: Option<u32>,
 }
 
 /// [`PermitEnd`] on the wire.
@@ -148,6 +151,7 @@
             kind: kind.into(),
             at_upstream: report.map(|r| r.running + r.waiting),
             slots: report.map_or(0, |r| r.slots),
+            pace: report.and_then(|r| r.pace).map(|p| (p * 100.0) as u32),
         }
     }
 
@@ -165,6 +169,7 @@
             running,
             waiting: 0,
             slots: self.slots,
+            pace: self.pace.map(|percent| f64::from(percent) / 100.0),
         })
     }
 }
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -46,7 +46,7 @@
 }
 
 /// An upstream's answer, judged by its head.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Judged {
     /// What it means.
     pub verdict: Verdict,
