--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -342,9 +342,10 @@
         };
         let is_early = began.elapsed() < Duration::from_secs(1);
         let (got, hasty_got) = tokio::join!(rig.ask(other, &read), async {
-            match is_early {
-                true => rig.ask(other, &hasty).await,
-                false => None,
+            if is_early {
+                rig.ask(other, &hasty).await
+            } else {
+                None
             }
         });
         if !answered(got.as_ref(), &read.id) {
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -1,14 +1,16 @@
 //! The path of one request: from a caller to an upstream and back.
 //!
+//! - `intake`: reading a request and finding its route.
 //! - `pick`: where a try goes.
 //! - `attempt`: one try.
 //! - `reply`: what callers are told.
 
 mod attempt;
+mod intake;
 mod pick;
 mod reply;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,27 +18,26 @@
 
 use bytes::Bytes;
 use direct::{
-    ChooseSettings, Ended, LoadReport, LoadSettings, Next, PermitEnd, Rank, Registered,
-    RepeatSettings, Returns, Route, Splitter, Tries, UpstreamLoad, Warmup, WarmupBounds,
+    ChooseSettings, Ended, LoadSettings, Next, PermitEnd, Registered, RepeatSettings, Returns,
+    Splitter, Tries, UpstreamLoad, WarmupBounds,
 };
 use gate::Metrics;
 use gate::counters::Count;
-use http::{HeaderValue, Request, Response, header, request};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use ids::{BootClock, Clock, DomainId, EntryId, Reason, Timestamp, UpstreamId};
-use route::{BudgetSettings, RetryBudget};
+use route::RetryBudget;
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
 
+use self::intake::Job;
 use self::pick::{MOVE_PAUSE, PassedOver, Pick};
-use self::reply::{
-    COME_BACK, Refused, come_back, cut_off, given_up, out_of_time, refusal, truthful,
-};
+use self::reply::{Refused, come_back, cut_off, given_up, out_of_time, refusal, truthful};
 use crate::connections::Connections;
 use crate::control::samples::{Sample, SampleTx};
 use crate::permits::{Admission, PermitService};
-use crate::ports::{Asked, Dialect};
+use crate::ports::Dialect;
 use crate::settings::Repeats;
 use crate::story::{Story, Teller};
 use crate::view::{Phase, Shared, View};
@@ -45,8 +46,6 @@
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 /// Service time that is assumed until one was observed.
 const USUAL_SERVICE: f64 = 0.1;
-/// Part of the budget for repeats that this host uses: callers are not spread evenly over hosts.
-const BUDGET_PART: f64 = 0.7;
 
 /// What became of sending a request.
 enum Sent {
@@ -114,28 +113,6 @@
     pub log: Logger,
 }
 
-/// A whole request of a caller, and what was found out about it.
-struct Job {
-    parts: request::Parts,
-    body: Bytes,
-    asked: Asked,
-    route: Route,
-    entry: EntryId,
-    is_divided: bool,
-    /// What the entry's upstreams bear while they are cold.
-    warmup: Option<Warmup>,
-    /// How urgent it is among the requests of its entry.
-    rank: Rank,
-    /// How long ago the caller first asked, if it was refused and has come back.
-    asked_before: Duration,
-    arrived: Timestamp,
-    deadline: Timestamp,
-    /// What the last upstream that answered said of its load.
-    report: Cell<Option<LoadReport>>,
-    /// The last answer by which an upstream said that it failed.
-    failure: Cell<Option<Response<Full<Bytes>>>>,
-}
-
 impl Forwarder {
     /// Builds the forwarder of a host.
     #[must_use]
@@ -334,76 +311,6 @@
         Sent::Ended(result)
     }
 
-    /// Reads the whole request and finds its route.
-    async fn intake(
-        &self,
-        req: Request<Incoming>,
-        arrived: Timestamp,
-        story: &RefCell<Story>,
-    ) -> Result<Job, Refused> {
-        let (parts, body) = req.into_parts();
-        let asked = self.dialect.asked(&parts.headers)?;
-        story.borrow_mut().id = asked.id.clone();
-        let view = self.view.load_full();
-        let Some(in_force) = view.in_force.clone() else {
-            return Err(come_back(Reason::NoCatalogue, COME_BACK));
-        };
-        let host = host_of(&parts).ok_or(Reason::BadRequest)?;
-        let key = in_force.routes.find(host, parts.uri.path());
-        let route = in_force
-            .routes
-            .route(key.ok_or(Reason::UnknownEntry)?)
-            .clone();
-        story.borrow_mut().takes(&in_force.cfg, &route, asked.key);
-        let body = read_body(body, in_force.cfg.bounds.body_bytes).await?;
-        let entry = self.splitter.borrow_mut().deal(&route).cloned();
-        let entry = entry.ok_or(Reason::UnknownEntry)?;
-        story.borrow_mut().entry = Some(entry.clone());
-        let spec = in_force.cfg.entries.get(&entry);
-        let is_divided = spec.is_some_and(|e| e.divided);
-        let warmup = spec.and_then(|e| e.warmup);
-        if is_divided && asked.key.is_none() {
-            return Err(Reason::MissingKey.into());
-        }
-        let asked_before = asked.wait.map_or(Duration::ZERO, |wait| {
-            let mut returns = self.returns.borrow_mut();
-            returns.asked_before(&route.name, wait)
-        });
-        let wait = asked.wait.unwrap_or(route.timeout).min(route.timeout);
-        self.count_request(&view, &entry, BootClock.now());
-        Ok(Job {
-            parts,
-            body,
-            asked,
-            rank: in_force.routes.rank(&route, &entry),
-            route,
-            entry,
-            is_divided,
-            warmup,
-            asked_before,
-            arrived,
-            deadline: arrived + wait,
-            report: Cell::default(),
-            failure: Cell::default(),
-        })
-    }
-
-    /// Counts a request towards the budget for repeats.
-    fn count_request(&self, view: &View, entry: &EntryId, now: Timestamp) {
-        let settings = BudgetSettings {
-            percent: (self.repeats.ratio * 100.0 * BUDGET_PART) as u32,
-            floor: (self.repeats.slack * BUDGET_PART / view.hosts.max(1) as f64) as u32,
-            window: Duration::from_secs_f64(self.repeats.window_s),
-        };
-        let mut entries = self.entries.borrow_mut();
-        let state = entries.entry(entry.clone()).or_insert_with(|| EntryState {
-            service: USUAL_SERVICE,
-            budget: RetryBudget::new(settings),
-        });
-        state.budget.configure(settings);
-        state.budget.request(now);
-    }
-
     /// Tells whether a request on a key may go to `target` after a wait in which the key may have
     /// moved, or its owner have left.
     fn may_still_go(&self, job: &Job, target: &Registered) -> bool {
@@ -477,18 +384,3 @@
         Ended::Replaced | Ended::Unsent(_) => PermitEnd::Unknown,
     }
 }
-
-fn host_of(parts: &request::Parts) -> Option<&str> {
-    match parts.uri.authority() {
-        Some(authority) => Some(authority.as_str()),
-        None => parts.headers.get(header::HOST)?.to_str().ok(),
-    }
-}
-
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refused> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Reason::BodyTooLarge.into()),
-        Err(_broken) => Err(Reason::BodyTimeout.into()),
-    }
-}
--- /dev/null
+++ b/crates/standin/src/fleet/answers.rs
@@ -0,0 +1,225 @@
+//! What a server answers.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderValue, StatusCode};
+use serde_json::Value;
+use smol_str::SmolStr;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use super::keys::Keys;
+use super::target::{Ran, Shared, TargetTrouble, lock};
+use crate::http::{Request, Whole, read_body, respond, serve_connection};
+
+/// Path of health requests, as the operator's configuration has it.
+const HEALTH_PATH: &str = "/healthz";
+
+pub(super) async fn accept(listener: TcpListener, shared: Arc<Shared>, stop: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let Ok((socket, _)) = accepted else {
+            continue;
+        };
+        if shared.open.load(Ordering::SeqCst) >= shared.settings.connections {
+            reset(&socket);
+            continue;
+        }
+        shared.open.fetch_add(1, Ordering::SeqCst);
+        tokio::spawn(connection(socket, Arc::clone(&shared), stop.clone()));
+    }
+}
+
+fn reset(socket: &TcpStream) {
+    // Without it the client sees an orderly end, which is as good for the tests.
+    let _ = socket.set_zero_linger();
+}
+
+async fn connection(socket: TcpStream, shared: Arc<Shared>, stop: CancellationToken) {
+    let broken = CancellationToken::new();
+    let handle = |req| handle(Arc::clone(&shared), req, broken.clone());
+    tokio::select! {
+        () = serve_connection(socket, stop.clone(), handle) => {}
+        () = broken.cancelled() => {}
+        () = stop.cancelled() => {}
+    }
+    shared.open.fetch_sub(1, Ordering::SeqCst);
+}
+
+async fn handle(shared: Arc<Shared>, req: Request, broken: CancellationToken) -> Whole {
+    let text = |name: &str| header(&req, name);
+    let meant = text("medlardyke-target-instance");
+    if meant.as_ref().is_some_and(|id| *id != shared.id) {
+        return with(
+            respond(StatusCode::MISDIRECTED_REQUEST, ""),
+            "medlardyke-instance-id",
+            &shared.id,
+        );
+    }
+    match req.uri().path() {
+        "/api/grant" => return shared.grant(req).await,
+        "/api/release" => return shared.release(req).await,
+        _ => {}
+    }
+    if shared.has_fallen.load(Ordering::SeqCst) {
+        broken.cancel();
+        return std::future::pending().await;
+    }
+    if req.uri().path() == HEALTH_PATH {
+        return shared.healthy();
+    }
+    let id = text("medlardyke-request-id").unwrap_or_default();
+    let key = text("medlardyke-shard-key").and_then(|k| k.parse().ok());
+    let trouble = *lock(&shared.trouble);
+    if trouble == TargetTrouble::Full {
+        return shared.not_run(StatusCode::SERVICE_UNAVAILABLE, &id);
+    }
+    if trouble == TargetTrouble::SilentlyFull {
+        return std::future::pending().await;
+    }
+    if shared.waiting.load(Ordering::SeqCst) >= shared.settings.queue {
+        broken.cancel();
+        return std::future::pending().await;
+    }
+    shared.waiting.fetch_add(1, Ordering::SeqCst);
+    let slot = shared.slots.acquire().await;
+    shared.waiting.fetch_sub(1, Ordering::SeqCst);
+    let held = key.and_then(|key| Some((key, lock(&shared.holds).fence(Instant::now(), key)?)));
+    if shared.settings.is_divided && held.is_none() {
+        return shared.not_run(StatusCode::MISDIRECTED_REQUEST, &id);
+    }
+    if shared.falls_over() {
+        broken.cancel();
+        return std::future::pending().await;
+    }
+    shared.journal.add(Ran {
+        request: id.clone(),
+        target: shared.id.clone(),
+        born: shared.born,
+        service: shared.settings.service.clone(),
+        key: held,
+        at: Instant::now(),
+    });
+    tokio::time::sleep(shared.work()).await;
+    drop(slot);
+    if trouble == TargetTrouble::LosesAnswers {
+        broken.cancel();
+        return std::future::pending().await;
+    }
+    let named = if trouble == TargetTrouble::ForeignAnswers {
+        SmolStr::new_static("somebody-else")
+    } else {
+        id.clone()
+    };
+    let body = format!("{id} at {}", shared.id);
+    let answer = with(
+        respond(StatusCode::OK, body),
+        "medlardyke-request-id",
+        &named,
+    );
+    shared.loaded(with(answer, "medlardyke-response-seal", &id))
+}
+
+fn header(req: &Request, name: &str) -> Option<SmolStr> {
+    req.headers().get(name)?.to_str().ok().map(SmolStr::from)
+}
+
+fn with(mut response: Whole, name: &'static str, value: &str) -> Whole {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+    response
+}
+
+impl Shared {
+    fn not_run(&self, status: StatusCode, id: &SmolStr) -> Whole {
+        let answer = with(respond(status, ""), "medlardyke-not-executed", "1");
+        self.loaded(with(answer, "medlardyke-request-id", id))
+    }
+
+    fn loaded(&self, response: Whole) -> Whole {
+        let slots = self.settings.slots;
+        let running = slots - self.slots.available_permits() as u32;
+        let waiting = self.waiting.load(Ordering::SeqCst);
+        let load = format!("{running},{waiting},{slots}");
+        let load = match self.settings.pace {
+            Some(pace) => format!("{load},{pace}"),
+            None => load,
+        };
+        with(response, "medlardyke-instance-load", &load)
+    }
+
+    /// Answers a health request.
+    fn healthy(&self) -> Whole {
+        let answer = with(
+            respond(StatusCode::OK, ""),
+            "medlardyke-instance-id",
+            &self.id,
+        );
+        let left = lock(&self.cold).left(Instant::now()).as_millis();
+        self.loaded(with(answer, "medlardyke-warmup-ms", &left.to_string()))
+    }
+
+    pub(super) fn cold_left_s(&self) -> f64 {
+        lock(&self.cold).left(Instant::now()).as_secs_f64()
+    }
+
+    /// Returns the time for one request now.
+    fn work(&self) -> Duration {
+        self.settings.work * self.settings.pace.unwrap_or(100) / 100
+    }
+
+    /// Notes a request that begins; tells whether the server falls over with it.
+    fn falls_over(&self) -> bool {
+        let arrived = lock(&self.cold).note(Instant::now());
+        let falls_at = self.settings.cold.map(|cold| cold.falls_at);
+        let falls = falls_at.is_some_and(|most| arrived >= most);
+        if falls {
+            self.has_fallen.store(true, Ordering::SeqCst);
+        }
+        falls
+    }
+
+    async fn grant(&self, req: Request) -> Whole {
+        let Some((keys, fence, body)) = order(req).await else {
+            return respond(StatusCode::BAD_REQUEST, "");
+        };
+        let hold = body["hold_s"].as_f64().unwrap_or_default();
+        let hold = Duration::from_secs_f64(hold);
+        let accepted = lock(&self.holds).grant(Instant::now(), keys, fence, hold);
+        let status = if accepted {
+            StatusCode::OK
+        } else {
+            StatusCode::CONFLICT
+        };
+        respond(status, "")
+    }
+
+    /// Answers once the work that runs has ended.
+    async fn release(&self, req: Request) -> Whole {
+        let Some((keys, fence, _)) = order(req).await else {
+            return respond(StatusCode::BAD_REQUEST, "");
+        };
+        lock(&self.holds).release(keys, fence);
+        drop(self.slots.acquire_many(self.settings.slots).await);
+        with(respond(StatusCode::OK, ""), "medlardyke-handover", "warm")
+    }
+}
+
+async fn order(req: Request) -> Option<(Keys, u64, Value)> {
+    let body: Bytes = read_body(req.into_body()).await.ok()?;
+    let body: Value = serde_json::from_slice(&body).ok()?;
+    let key = |name: &str| u16::try_from(body[name].as_u64()?).ok();
+    let keys = Keys {
+        first: key("from")?,
+        last: key("target")?,
+    };
+    let fence = body["fence"].as_u64()?;
+    Some((keys, fence, body))
+}
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -5,8 +5,10 @@
 //! - [`store`]: the store and its faults.
 //! - [`keys`]: which keys a server holds.
 //! - [`cold`]: what a server bears while it is cold.
-//! - [`target`]: a server, its faults, and what it wrote down of the requests that it ran.
+//! - [`target`]: a server, its faults, and what it wrote down of the requests that it ran; `answers` is
+//!   what it answers.
 
+mod answers;
 pub mod cold;
 pub mod deploy;
 pub mod keys;
