--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -227,13 +227,13 @@
                 },
             };
         }
-        let pace = self.cold.filter(|_| start_in.is_some());
+        let cold = self.cold.filter(|_| start_in.is_some());
         let expected = |lanes: &[VecDeque<Waiting<K>>]| {
             let ahead: usize = lanes.iter().map(VecDeque::len).sum();
             let crowd = (self.at_upstream(now) + ahead as f64 + 1.0) / f64::from(self.slots);
             let queue = service * crowd.max(1.0);
             // At a cold upstream it is not the work that is waited for.
-            let starts = pace.map_or(0.0, |cold| {
+            let starts = cold.map_or(0.0, |cold| {
                 let first = start_in.unwrap_or_default().as_secs_f64();
                 first + ahead as f64 / f64::from(cold.most.max(1)) + service
             });
@@ -249,7 +249,7 @@
             _ => {
                 let room_in = (in_lane[LATE] - in_time).max(service / 2.0);
                 let room_in = Duration::from_secs_f64(room_in);
-                return if pace.is_some() {
+                return if cold.is_some() {
                     Reply::Cold { room_in }
                 } else {
                     Reply::Full { room_in }
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -78,9 +78,9 @@
 
 /// How much longer than known an upstream must say that it stays cold for that to be news.
 ///
-/// What it says is as old as its last heartbeat and the read of it, which together take up to 1.5 s and
-/// differ from read to read.
-const COLD_AGAIN: Duration = Duration::from_millis(1_500);
+/// What it says is as old as the read of it, which comes up to 650 ms after it was written, and differs from read
+/// to read. An upstream that is cold for three seconds is known to be by the first read.
+const COLD_AGAIN: Duration = Duration::from_secs(1);
 
 /// All upstreams that are registered.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -27,7 +27,7 @@
     pub repeats: Repeats,
     /// How far requests at cold upstreams may exceed what those bear, over all hosts.
     #[serde(default)]
-    pub warmup: Warmup,
+    pub warmup: WarmupSettings,
     /// Times of stopping.
     pub stop: Stop,
 }
@@ -89,14 +89,14 @@
 /// How far requests at a cold upstream may exceed what it bears, over all hosts; by default not at all.
 #[derive(Debug, Clone, Copy, Default)]
 #[derive(Deserialize)]
-pub struct Warmup {
+pub struct WarmupSettings {
     /// As a factor.
     pub over: Option<f64>,
     /// Requests beside that in one second.
     pub slack: Option<f64>,
 }
 
-impl Warmup {
+impl WarmupSettings {
     /// Returns the bounds, with defaults for what is not set.
     #[must_use]
     pub fn bounds(&self) -> WarmupBounds {
