--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -202,7 +202,7 @@
         loop {
             let now = BootClock.now();
             if job.deadline.since(now) < LEAST_LEFT {
-                return Err(out_of_time(&tries));
+                return Err(out_of_time(&tries, job.is_divided));
             }
             let view = self.view.load_full();
             let target = match self.pick(&view, job, &passed, now) {
--- a/crates/front/src/forward/reply.rs
+++ b/crates/front/src/forward/reply.rs
@@ -38,9 +38,13 @@
     }
 }
 
-pub(super) fn out_of_time(tries: &Tries) -> Refused {
+/// Builds what a caller is told whose time is over; `has_owner` says that one upstream alone may run the request.
+pub(super) fn out_of_time(tries: &Tries, has_owner: bool) -> Refused {
     if tries.may_have_run() {
         Reason::AnswerTimeout.into()
+    } else if has_owner {
+        // It has waited for its key's owner.
+        come_back(Reason::DeadlineTooShort, KEY_COME_BACK)
     } else {
         come_back(Reason::DeadlineTooShort, COME_BACK)
     }
