tests: a request that ends upstreams is sent on for ever, listed as known red

Callers see lookups fail in waves, as one upstream after the other ends under a request that comes again and again. The stand-in's servers can end under a path; the request is repeated at three hosts in turn, and servers that ended are replaced.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! Entry hosts as real processes on a stand-in for the users' platform, under faults.
 
 mod cold;
+mod crashing;
 mod drained;
 mod rig;
 
--- a/crates/standin/src/fleet/answers.rs
+++ b/crates/standin/src/fleet/answers.rs
@@ -108,6 +108,10 @@
     });
     tokio::time::sleep(shared.work()).await;
     drop(slot);
+    if matches!(trouble, TargetTrouble::EndsUnder(path) if path == req.uri().path()) {
+        shared.stop.cancel();
+        return std::future::pending().await;
+    }
     if trouble == TargetTrouble::LosesAnswers {
         broken.cancel();
         return std::future::pending().await;
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -111,6 +111,8 @@
     ForeignAnswers,
     /// It takes requests that it has no room for, runs none of them and never answers.
     SilentlyFull,
+    /// Its process ends while it runs a request for this path.
+    EndsUnder(&'static str),
 }
 
 #[derive(Debug)]
@@ -128,6 +130,8 @@
     pub(super) cold: Mutex<Cold>,
     /// It was sent so much while it was cold that it fell over.
     pub(super) has_fallen: AtomicBool,
+    /// Ends the server: it neither listens nor has connections any more.
+    pub(super) stop: CancellationToken,
 }
 
 /// A running server; it stops when the handle is dropped.
@@ -193,6 +197,7 @@
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let stop = CancellationToken::new();
         let shared = Arc::new(Shared {
             id,
             born: born.unwrap_or_default().as_millis() as u64,
@@ -204,9 +209,9 @@
             open: AtomicU32::new(0),
             cold: Mutex::default(),
             has_fallen: AtomicBool::new(false),
+            stop: stop.clone(),
             settings,
         });
-        let stop = CancellationToken::new();
         tokio::spawn(accept(listener, Arc::clone(&shared), stop.clone()));
         let target = Self {
             address,
@@ -248,6 +253,12 @@
         self.shared.has_fallen.load(Ordering::SeqCst)
     }
 
+    /// Tells whether the server's process has ended by itself.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.shared.stop.is_cancelled()
+    }
+
     /// Writes the registration once more, as a heartbeat does.
     pub fn register_again(&self) {
         self.register("ready");
