front: a request under which two upstreams ended is sent to no further one, by any host

Callers saw lookups fail in waves: one upstream after the other ended under one request that came again and again, and its keys were unserved each time. Hosts remembered failures by upstream alone, and a request by its id, which each repeat has anew.

What a request asks is now known by a hash. A host whose try broke off asks the upstream for a connection; if its system refuses, the process has ended, and two hosts of each domain count that. At the second end they quarantine the request for ten minutes: told directly within their domain, and by a row in the store to hosts that were cut off or start later. It holds as each send is checked, on both ways of a request and before each retry, and as counting needs neither the store nor other domains.

Ruled out: upstreams that fall over by load or cold (one at a time, always the owner of one key); hosts' own retries alone (each copy met its second owner only after the key had moved).

New: hosts that start later, an outage of the store, lost answers and popular requests, which are not to blame.

--- a/crates/cli/tests/direct/crashing.rs
+++ b/crates/cli/tests/direct/crashing.rs
@@ -3,14 +3,18 @@
 //! Callers saw lookups fail in waves: one upstream after the other ended, three to four seconds apart, and the
 //! keys of each were unserved until others had them. In each wave one request came again and again, by its
 //! caller's retries, with the same path and body and at any host; whoever got it sent it on as if it were new.
+//!
+//! The cause: nobody counted under which request upstreams ended. A host knew a request by its id, which each
+//! repeat has anew, and took an upstream that had ended for one that broke a connection. The hosts' own lines
+//! proved it: in a wave only requests of one content were cut by each of the upstreams that ended, at seven hosts.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use standin::fleet::{FleetTarget, TargetSettings, TargetTrouble};
+use standin::fleet::{FleetTarget, StoreMode, TargetSettings, TargetTrouble};
 use tokio::task::JoinSet;
 
-use crate::rig::{Ask, Rig, send};
+use crate::rig::{Ask, Got, Rig, promises_not_run, send, until};
 
 /// Time between two repeats of the request.
 const REPEAT_EVERY: Duration = Duration::from_millis(250);
@@ -57,8 +61,8 @@
 }
 
 /// Replaces servers that have ended for a while.
-async fn replace_ended(rig: &Rig, case: &Case, servers: &mut Vec<Watched>) {
-    for server in servers.iter_mut() {
+async fn replace_ended(rig: &Rig, case: &Case, servers: &mut [Watched]) {
+    for server in servers {
         if server.target.has_ended() && server.ended.is_none() {
             server.ended = Some(Instant::now());
         }
@@ -139,3 +143,145 @@
     })
     .await;
 }
+
+/// Path of the postings that end the servers which run them.
+const CRASH: &str = "/p/crash";
+
+fn crash(id: &str) -> Ask {
+    Ask {
+        path: CRASH,
+        wait_ms: 1_500,
+        ..Ask::post(id)
+    }
+}
+
+fn is_quarantined(got: Option<&Got>) -> bool {
+    got.is_some_and(|got| got.body.contains("crashes-upstreams"))
+}
+
+/// Lets a posting end the two servers of its entry; returns once each host refuses it.
+async fn quarantined(rig: &Rig) {
+    for posts in &rig.posts {
+        posts.set_trouble(TargetTrouble::EndsUnder(CRASH));
+    }
+    for host in 0..rig.hosts.len() {
+        until("the host refuses it", async || {
+            let id = format!("crash-{host}-{:?}", Instant::now());
+            is_quarantined(rig.ask(host, &crash(&id)).await.as_ref())
+        })
+        .await;
+    }
+}
+
+/// Starts a server that runs any posting, and waits until each host knows it.
+async fn sound_server(rig: &Rig) -> FleetTarget {
+    let settings = TargetSettings {
+        service: "posts".into(),
+        ..TargetSettings::default()
+    };
+    let sound = rig.target(settings).await;
+    for host in 0..rig.hosts.len() {
+        until("other postings are served", async || {
+            let post = Ask::post(&format!("other-{host}-{:?}", Instant::now()));
+            let got = rig.ask(host, &post).await;
+            got.is_some_and(|got| got.status == 200)
+        })
+        .await;
+    }
+    sound
+}
+
+/// Checks that each host refuses the posting at once, truthfully, and says when to come back.
+async fn check_refused(rig: &Rig) {
+    let before = rig.journal.all().len();
+    for host in 0..rig.hosts.len() {
+        let began = Instant::now();
+        let got = rig.ask(host, &crash(&format!("late-{host}"))).await;
+        let got = got.expect("an answer");
+        assert!(is_quarantined(Some(&got)), "{got:?}");
+        assert!(promises_not_run(&got), "{got:?}");
+        let after = got.retry_after.expect("a time").parse::<f64>();
+        assert!(after.expect("a number") > 60.0, "it stays so for minutes");
+        assert!(began.elapsed() < Duration::from_millis(500));
+    }
+    assert_eq!(rig.journal.all().len(), before, "nothing ran");
+}
+
+/// What hosts count would be lost with them.
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_that_start_later_know_what_ends_upstreams() {
+    let mut rig = Rig::start(3).await;
+    quarantined(&rig).await;
+    let _sound = sound_server(&rig).await;
+    check_refused(&rig).await;
+    until("it is in the store", async || {
+        rig.store.read("medlardyke", "quarantine").is_some()
+    })
+    .await;
+    for host in 0..rig.hosts.len() {
+        rig.hosts[host] = rig.host(host);
+    }
+    for host in 0..rig.hosts.len() {
+        until("the new host serves", async || {
+            let post = Ask::post(&format!("new-{host}-{:?}", Instant::now()));
+            let got = rig.ask(host, &post).await;
+            got.is_some_and(|got| got.status == 200)
+        })
+        .await;
+    }
+    check_refused(&rig).await;
+}
+
+/// Hosts tell each other directly: an outage of the store must not cost further servers.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_ends_upstreams_is_known_everywhere_while_the_store_is_away() {
+    let rig = Rig::start(3).await;
+    rig.store.set_mode(StoreMode::Busy);
+    quarantined(&rig).await;
+    check_refused(&rig).await;
+}
+
+/// An upstream that breaks connections has not ended, and its requests are not to blame.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_answers_are_lost_is_not_quarantined() {
+    let rig = Rig::start(2).await;
+    for posts in &rig.posts {
+        posts.set_trouble(TargetTrouble::LosesAnswers);
+    }
+    for n in 0..12 {
+        let got = rig.ask(n % 2, &Ask::post(&format!("lost-{n}"))).await;
+        assert_eq!(got.map(|got| got.status), Some(502));
+    }
+    for posts in &rig.posts {
+        posts.set_trouble(TargetTrouble::None);
+    }
+    for host in 0..2 {
+        let got = rig.ask(host, &Ask::post(&format!("found-{host}"))).await;
+        assert_eq!(got.map(|got| got.status), Some(200));
+    }
+}
+
+/// A request that many callers make may well be under way at two upstreams that end for another reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_answered_as_a_rule_is_not_quarantined() {
+    let mut rig = Rig::start(2).await;
+    let often = Ask::post("often");
+    for host in 0..2 {
+        let got = rig.ask(host, &often).await;
+        assert_eq!(got.map(|got| got.status), Some(200));
+    }
+    for posts in &rig.posts {
+        posts.set_trouble(TargetTrouble::EndsUnder(often.path));
+    }
+    for n in 0..2 {
+        let got = rig.ask(n, &Ask::post(&format!("cut-{n}"))).await;
+        assert!(!is_quarantined(got.as_ref()), "{got:?}");
+    }
+    until("the servers have ended", async || {
+        rig.ask(0, &Ask::post("cut")).await;
+        rig.posts.iter().all(FleetTarget::has_ended)
+    })
+    .await;
+    rig.posts.clear();
+    let _sound = sound_server(&rig).await;
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`load`]: what this host believes of one upstream's load, speed and health.
 //! - [`choose`](mod@choose): which upstream gets a request, or why none does.
 //! - [`returns`]: whether a caller was refused before and has come back.
+//! - [`crashes`]: requests under which upstreams end, and which are sent to none for a while.
 //! - [`permits`]: who may send to an upstream now, at the host that hands out its permits.
 //! - [`permit_hosts`]: which host that is.
 //! - [`repeat`]: whether a request whose try failed is sent again.
@@ -18,6 +19,7 @@
 pub mod choose;
 pub mod config;
 pub mod content;
+pub mod crashes;
 pub mod load;
 pub mod permit_hosts;
 pub mod permits;
@@ -30,6 +32,7 @@
 pub use choose::{Candidate, Choice, ChooseSettings, Rank, Wanted, choose};
 pub use config::{CallerBounds, Configuration, EntrySpec, Route, Share};
 pub use content::Content;
+pub use crashes::{Answered, CrashSettings, Crashes, Quarantine};
 pub use load::{LoadReport, LoadSettings, Sent, UpstreamLoad};
 pub use permit_hosts::PermitHosts;
 pub use permits::{PermitEnd, PermitRequest, PermitSettings, Permits, Reply};
--- a/crates/front/src/connections.rs
+++ b/crates/front/src/connections.rs
@@ -13,7 +13,7 @@
 /// the shortest objective, so that another upstream can still be asked.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest head of an answer.
-const HEAD_BYTES: usize = 32 << 10;
+pub(crate) const HEAD_BYTES: usize = 32 << 10;
 /// Time for which a connection is kept if the upstream doesn't say how long it does.
 const KEEP: Duration = Duration::from_secs(4);
 /// How much sooner than the upstream a connection is given up, so that a request doesn't meet the
--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -16,6 +16,7 @@
 use slog::{debug, info};
 use tokio::net::UdpSocket;
 
+use crate::control::crashes;
 use crate::control::messages::{Beat, Echo, Heard, KeyCount, MovingKeys, Service};
 use crate::control::samples::{Sample, SampleRx};
 use crate::control::state::{Control, Ctl, KnownHost};
@@ -224,16 +225,29 @@
                 continue;
             }
         };
-        if let Some(answer) = ctl.with(|c| take(c, &beat)) {
-            send_to(&ctl, &socket, &answer, from).await;
+        for (to, word) in ctl.with(|c| take(c, &beat, from)) {
+            send_to(&ctl, &socket, &word, to).await;
         }
     }
 }
 
-/// Takes a datagram; returns the answer if it is a heartbeat.
-fn take(c: &mut Control, beat: &Beat) -> Option<Beat> {
-    let entry = EntryId::new(beat.entry.as_str()).ok()?;
+/// Takes a datagram that came from `from`; returns what is to be said to whom.
+fn take(c: &mut Control, beat: &Beat, from: SocketAddr) -> Vec<(SocketAddr, Beat)> {
     let now = BootClock.now();
+    if let Some(told) = &beat.ended {
+        return crashes::hear_ended(c, told, now);
+    }
+    if let Some(told) = beat.quarantined {
+        crashes::hear_quarantined(c, told, now);
+        return Vec::new();
+    }
+    let answer = take_heartbeat(c, beat, now);
+    answer.into_iter().map(|beat| (from, beat)).collect()
+}
+
+/// Takes a word about the granting of an entry's keys; returns the answer if it is a heartbeat.
+fn take_heartbeat(c: &mut Control, beat: &Beat, now: Timestamp) -> Option<Beat> {
+    let entry = EntryId::new(beat.entry.as_str()).ok()?;
     if let Some(moving) = &beat.moving {
         hear_moving(c, &entry, moving, now);
     }
@@ -360,7 +374,8 @@
 /// a second, a change is taken over within half a second.
 const SERVICE_WEIGHT: f64 = 0.25;
 
-async fn send_to(ctl: &Ctl, socket: &UdpSocket, beat: &Beat, to: SocketAddr) {
+/// Sends a datagram; what is lost is as good as never sent.
+pub(super) async fn send_to(ctl: &Ctl, socket: &UdpSocket, beat: &Beat, to: SocketAddr) {
     if let Err(e) = socket.send_to(&beat.encode_to_vec(), to).await {
         ctl.with(|c| debug!(c.log, "send heartbeat"; "peer" => %to, "error" => %e));
     }
--- a/crates/front/src/control/messages.rs
+++ b/crates/front/src/control/messages.rs
@@ -33,6 +33,36 @@
     /// The answer to that.
     #[prost(message, optional, tag = "8")]
     pub heard: Option<Heard>,
+    /// An upstream that ended under a request; says nothing else.
+    #[prost(message, optional, tag = "9")]
+    pub ended: Option<EndedUnder>,
+    /// A request that is to be sent to no upstream; says nothing else.
+    #[prost(message, optional, tag = "10")]
+    pub quarantined: Option<Quarantined>,
+}
+
+/// An upstream that ended while it had a request.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct EndedUnder {
+    /// What the request asked, hashed.
+    #[prost(fixed64, tag = "1")]
+    pub content: u64,
+    /// The upstream.
+    #[prost(string, tag = "2")]
+    pub upstream: String,
+}
+
+/// A request under which upstreams ended, and that is to be sent to none.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct Quarantined {
+    /// What it asks, hashed.
+    #[prost(fixed64, tag = "1")]
+    pub content: u64,
+    /// For how long, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub left_ms: u32,
 }
 
 /// When a host last heard the one that grants.
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -10,11 +10,13 @@
 //! - [`relay`]: passes what was read on to other hosts; [`tree`]: to whom.
 //! - [`registry`]: what it makes of the upstreams' registrations.
 //! - [`beat`]: heartbeats between hosts; [`messages`]: what they say.
+//! - [`crashes`]: finds requests under which upstreams end, and keeps them from all upstreams.
 //! - [`keys`]: drives the keepers of entries that are divided by key.
 
 pub mod announce;
 pub mod beat;
 pub mod copies;
+pub mod crashes;
 pub mod follow;
 pub mod freshness;
 pub mod keys;
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::control::copies::Copy;
+use crate::control::crashes::CrashState;
 use crate::control::freshness::Freshness;
 use crate::control::take::Table;
 use crate::control::tree::{Domains, Member, Position};
@@ -126,6 +127,8 @@
     pub freshness: Freshness,
     /// The host that last read what is known of the store.
     pub reader: SmolStr,
+    /// What is known of requests under which upstreams ended.
+    pub crashes: CrashState,
     /// When the hosts' rows were first read.
     pub hosts_known: Option<Timestamp>,
     /// Where the view is published.
@@ -206,6 +209,7 @@
             in_force: self.in_force.clone(),
             roster: Arc::new(self.roster.clone()),
             owners: Arc::new(owners.collect()),
+            quarantine: self.crashes.quarantine(),
             hosts: self.hosts.len().max(1),
         };
         self.view.store(Arc::new(view));
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -6,6 +6,7 @@
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
 
+use crate::control::crashes::{self, QUARANTINE_ROW};
 use crate::control::state::{Control, HostRow};
 use crate::ports::Platform;
 
@@ -69,7 +70,7 @@
         match table {
             Table::Upstreams => drop_upstream(c, row),
             Table::Configuration => take_order(c, platform, row, now, is_first),
-            Table::Shared => take_shared(c, row, now),
+            Table::Shared => take_shared(c, platform, row, now),
         }
     }
     let removed = c.remove_missing(now);
@@ -136,7 +137,7 @@
     }
 }
 
-fn take_shared(c: &mut Control, row: &Row, now: Timestamp) {
+fn take_shared(c: &mut Control, platform: &impl Platform, row: &Row, now: Timestamp) {
     let key = key_of(row);
     let Some(value) = &row.value else {
         if let Some(host) = key.strip_prefix(HOST_PREFIX) {
@@ -148,6 +149,10 @@
         if let Some(host) = decode::<HostRow>(c, key, value) {
             c.note_host(now, host, row.revision);
         }
+    } else if key == QUARANTINE_ROW {
+        if let Some(quarantined) = decode(c, key, value) {
+            crashes::take_row(c, quarantined, row.revision, platform.store_clock(), now);
+        }
     } else if let Some(entry) = key.strip_prefix(KEYS_PREFIX) {
         match (EntryId::new(entry), EntryRow::decode(value)) {
             (Ok(entry), Ok(keys)) => c.take_row(now, &entry, keys, row.revision),
--- /dev/null
+++ b/crates/front/src/crashes.rs
@@ -0,0 +1,156 @@
+//! The callers' duty's part in finding requests under which upstreams end.
+//!
+//! A connection that breaks while a request is under way may mean little: full upstreams break theirs too, and
+//! some lose single answers. So the upstream is asked for another connection; if its system refuses that, its
+//! process has ended, and the control duty is told under which request.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use direct::{Answered, Content, Ended, Registered};
+use gate::Metrics;
+use gate::counters::Count;
+use gate::upstream::{ExchangeError, UpstreamConn};
+use ids::{BootClock, Clock, Reason, UpstreamId};
+use slog::{Logger, info};
+use smol_str::SmolStr;
+use tokio::sync::{OnceCell, mpsc};
+use tokio::task::JoinHandle;
+
+use crate::connections::{Connections, HEAD_BYTES};
+
+/// Time for the upstream's system to refuse a connection: many round trips between failure domains.
+const REFUSED_WITHIN: Duration = Duration::from_millis(150);
+/// Time for which a request that may be sent again waits after its upstream has ended: two ways between hosts and
+/// the turns of two of them, in which they may find that it is the cause.
+const VERDICT_WAIT: Duration = Duration::from_millis(40);
+/// Reports that may wait; later ones are dropped. A host has seldom more requests at one upstream, and two that
+/// are told are enough.
+const RING_REPORTS: usize = 256;
+
+/// An upstream that ended while a request of this host was under way there.
+#[derive(Debug, Clone)]
+pub struct CrashReport {
+    /// What the request asked.
+    pub content: Content,
+    /// The upstream.
+    pub upstream: UpstreamId,
+}
+
+/// The receiving end of the ring.
+pub type CrashRx = mpsc::Receiver<CrashReport>;
+/// The sending end of the ring.
+pub type CrashTx = mpsc::Sender<CrashReport>;
+
+/// Creates the ring of reports to the control duty.
+#[must_use]
+pub fn ring() -> (CrashTx, CrashRx) {
+    mpsc::channel(RING_REPORTS)
+}
+
+/// A question whether an upstream's process has ended, shared by all whose requests broke meanwhile.
+type Question = Rc<OnceCell<bool>>;
+
+/// Finds out whether upstreams have ended under requests.
+#[derive(Debug)]
+pub struct CrashWatch {
+    connections: Rc<Connections>,
+    questions: RefCell<HashMap<UpstreamId, Question>>,
+    answered: RefCell<Answered>,
+    reports: CrashTx,
+    metrics: Arc<Metrics>,
+    log: Logger,
+}
+
+impl CrashWatch {
+    /// Builds a watch that reports to `reports`.
+    #[must_use]
+    pub fn new(
+        connections: Rc<Connections>,
+        reports: CrashTx,
+        metrics: Arc<Metrics>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            connections,
+            questions: RefCell::default(),
+            answered: RefCell::default(),
+            reports,
+            metrics,
+            log,
+        }
+    }
+
+    /// Notes that a request was answered: its upstream lives.
+    pub fn answered(&self, content: Content) {
+        self.answered.borrow_mut().note(BootClock.now(), content);
+    }
+
+    /// Looks whether `target` has ended under a request whose try `ended` so, and reports it.
+    ///
+    /// The task ends once that is known, and once others had time to find that the request is the cause.
+    pub fn broken(
+        self: &Rc<Self>,
+        target: &Registered,
+        content: Content,
+        request: &SmolStr,
+        ended: Ended,
+    ) -> Option<JoinHandle<()>> {
+        let is_break = matches!(
+            ended,
+            Ended::Broken(Reason::UpstreamReset | Reason::AnswerCut)
+        );
+        if !is_break || self.answered.borrow().contains(content) {
+            return None;
+        }
+        let (watch, target, request) = (Rc::clone(self), target.clone(), request.clone());
+        Some(tokio::task::spawn_local(async move {
+            if watch.has_ended(&target).await {
+                watch.report(&target.id, content, &request);
+                tokio::time::sleep(VERDICT_WAIT).await;
+            }
+        }))
+    }
+
+    fn report(&self, upstream: &UpstreamId, content: Content, request: &SmolStr) {
+        self.metrics.count(Count::UpstreamsEnded);
+        info!(self.log, "upstream ended under request"; "request" => request.as_str(),
+            "content" => %content, "upstream" => upstream.as_str());
+        let report = CrashReport {
+            content,
+            upstream: upstream.clone(),
+        };
+        // A full ring loses a report; other hosts and the next end bring more.
+        let _ = self.reports.try_send(report);
+    }
+
+    /// Tells whether the process of `target` has ended: its system refuses connections.
+    async fn has_ended(&self, target: &Registered) -> bool {
+        let question = {
+            let mut questions = self.questions.borrow_mut();
+            Rc::clone(questions.entry(target.id.clone()).or_default())
+        };
+        let has_ended = *question.get_or_init(|| self.ask(target)).await;
+        // A later break asks anew.
+        self.questions.borrow_mut().remove(&target.id);
+        has_ended
+    }
+
+    async fn ask(&self, target: &Registered) -> bool {
+        match UpstreamConn::open(target.address, REFUSED_WITHIN, HEAD_BYTES).await {
+            Ok(conn) => {
+                self.connections
+                    .keep(BootClock.now(), &target.id, conn, None);
+                false
+            }
+            Err(ExchangeError::Connect { cause, .. }) => {
+                cause.kind() == io::ErrorKind::ConnectionRefused
+            }
+            Err(_) => false,
+        }
+    }
+}
--- a/crates/front/src/forward/intake.rs
+++ b/crates/front/src/forward/intake.rs
@@ -25,6 +25,7 @@
     pub(super) parts: request::Parts,
     pub(super) body: Bytes,
     pub(super) asked: Asked,
+    pub(super) content: Content,
     pub(super) route: Route,
     pub(super) entry: EntryId,
     pub(super) is_divided: bool,
@@ -65,7 +66,8 @@
             .clone();
         story.borrow_mut().takes(&in_force.cfg, &route, asked.key);
         let body = read_body(body, in_force.cfg.bounds.body_bytes).await?;
-        story.borrow_mut().content = content_of(&parts, host, &body);
+        let content = content_of(&parts, host, &body);
+        story.borrow_mut().content = content;
         let entry = self.splitter.borrow_mut().deal(&route).cloned();
         let entry = entry.ok_or(Reason::UnknownEntry)?;
         story.borrow_mut().entry = Some(entry.clone());
@@ -85,6 +87,7 @@
             parts,
             body,
             asked,
+            content,
             rank: in_force.routes.rank(&route, &entry),
             route,
             entry,
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -33,9 +33,12 @@
 
 use self::intake::Job;
 use self::pick::{MOVE_PAUSE, PassedOver, Pick};
-use self::reply::{Refused, come_back, cut_off, given_up, out_of_time, refusal, truthful};
+use self::reply::{
+    Refused, come_back, cut_off, given_up, out_of_time, quarantined, refusal, truthful,
+};
 use crate::connections::Connections;
 use crate::control::samples::{Sample, SampleTx};
+use crate::crashes::{CrashTx, CrashWatch};
 use crate::permits::{Admission, PermitService};
 use crate::ports::Dialect;
 use crate::settings::Repeats;
@@ -51,8 +54,8 @@
 enum Sent {
     /// The upstream answered, or the try ended without an answer for the caller.
     Ended(Result<Response<Full<Bytes>>, Ended>),
-    /// While it waited, its key got another owner, or its owner left.
-    Moved,
+    /// While it waited, its key got another owner, its owner left, or it was quarantined.
+    Overtaken,
     /// The upstream has no room.
     Full { room_in: Duration },
     /// The upstream is cold and gets no more for now.
@@ -75,7 +78,8 @@
     repeats: Repeats,
     warmup: WarmupBounds,
     samples: SampleTx,
-    connections: Connections,
+    connections: Rc<Connections>,
+    crashes: Rc<CrashWatch>,
     permits: Rc<PermitService>,
     splitter: RefCell<Splitter>,
     returns: RefCell<Returns>,
@@ -105,6 +109,8 @@
     pub warmup: WarmupBounds,
     /// Where samples of requests go.
     pub samples: SampleTx,
+    /// Where upstreams that ended under requests are reported.
+    pub crashes: CrashTx,
     /// Where permits to send are asked for.
     pub permits: Rc<PermitService>,
     /// Counters.
@@ -117,6 +123,13 @@
     /// Builds the forwarder of a host.
     #[must_use]
     pub fn new(parts: ForwarderParts) -> Self {
+        let connections: Rc<Connections> = Rc::default();
+        let crashes = CrashWatch::new(
+            Rc::clone(&connections),
+            parts.crashes,
+            Arc::clone(&parts.metrics),
+            parts.log.clone(),
+        );
         Self {
             domain: parts.domain,
             view: parts.view,
@@ -124,7 +137,8 @@
             repeats: parts.repeats,
             warmup: parts.warmup,
             samples: parts.samples,
-            connections: Connections::default(),
+            connections,
+            crashes: Rc::new(crashes),
             permits: parts.permits,
             splitter: RefCell::default(),
             returns: RefCell::default(),
@@ -205,6 +219,9 @@
                 return Err(out_of_time(&tries, job.is_divided));
             }
             let view = self.view.load_full();
+            if let Some(left) = view.quarantine.left(now, job.content) {
+                return Err(truthful(quarantined(left), &tries));
+            }
             let target = match self.pick(&view, job, &passed, now) {
                 Pick::To(target) => target,
                 Pick::Wait => {
@@ -231,7 +248,7 @@
             self.tell_target(&mut story.borrow_mut(), &target, now);
             let result = match self.send(&view, job, &target, &passed, story).await {
                 Sent::Ended(result) => result,
-                Sent::Moved => continue,
+                Sent::Overtaken => continue,
                 Sent::Full { room_in } if job.is_divided => {
                     let refused = come_back(Reason::QueueFull, room_in);
                     return Err(truthful(refused, &tries));
@@ -251,9 +268,20 @@
                 }
             };
             let ended = match result {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    self.crashes.answered(job.content);
+                    return Ok(response);
+                }
                 Err(ended) => ended,
             };
+            let looks = self
+                .crashes
+                .broken(&target, job.content, &job.asked.id, ended);
+            // One that ended its upstream must not be sent on before others could say that it ended theirs.
+            if let Some(looks) = looks.filter(|_| job.route.idempotent) {
+                // The task does not panic; without its word the request goes on as any other.
+                let _ = looks.await;
+            }
             let now = BootClock.now();
             let route = &job.route;
             let withdraw = || self.withdraw(&job.entry, now);
@@ -300,8 +328,8 @@
                 Admission::Unknown => {}
             }
         }
-        if job.is_divided && !self.may_still_go(job, target) {
-            return Sent::Moved;
+        if !self.may_still_go(job, target) {
+            return Sent::Overtaken;
         }
         story.borrow_mut().sent += 1;
         let result = self.attempt(job, target).await;
@@ -311,10 +339,18 @@
         Sent::Ended(result)
     }
 
-    /// Tells whether a request on a key may go to `target` after a wait in which the key may have
-    /// moved, or its owner have left.
+    /// Tells whether a request may go to `target` after a wait in which it may have been quarantined, its key
+    /// have moved, or the key's owner have left.
     fn may_still_go(&self, job: &Job, target: &Registered) -> bool {
-        let pick = self.pick_owner(&self.view.load(), job, BootClock.now());
+        let now = BootClock.now();
+        let view = self.view.load();
+        if view.quarantine.left(now, job.content).is_some() {
+            return false;
+        }
+        if !job.is_divided {
+            return true;
+        }
+        let pick = self.pick_owner(&view, job, now);
         matches!(pick, Pick::To(owner) if owner.id == target.id)
     }
 
--- a/crates/front/src/forward/reply.rs
+++ b/crates/front/src/forward/reply.rs
@@ -99,6 +99,17 @@
     }
 }
 
+/// Builds what the caller of a request is told that is quarantined for `left`.
+///
+/// Nobody is to come back before the end, nor all at the same moment after it.
+pub(super) fn quarantined(left: Duration) -> Refused {
+    let spread = rand::rng().random_range(1.0..1.4);
+    Refused {
+        reason: Reason::CrashesUpstreams,
+        retry_after: Some(left.mul_f64(spread)),
+    }
+}
+
 pub(super) fn refusal(refused: Refused) -> Response<Full<Bytes>> {
     let reason = refused.reason;
     let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod connections;
 pub mod control;
+pub mod crashes;
 pub mod forward;
 pub mod log;
 pub mod permits;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -20,10 +20,12 @@
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::control::crashes::CrashState;
 use crate::control::freshness::Freshness;
 use crate::control::samples::{self, SampleRx, SampleTx};
 use crate::control::take::Table;
-use crate::control::{Control, Ctl, announce, beat, follow, keys, relay};
+use crate::control::{self, Control, Ctl, announce, beat, follow, keys, relay};
+use crate::crashes::{self, CrashRx, CrashTx};
 use crate::forward::{Forwarder, ForwarderParts};
 use crate::permits::PermitService;
 use crate::ports::{Dialect, Platform};
@@ -57,6 +59,7 @@
     info!(log, "host starts"; "incarnation" => me.incarnation.0, "domain" => cfg.domain.as_str());
     let view: Shared = Arc::new(ArcSwap::from_pointee(View::default()));
     let (samples_tx, samples_rx) = samples::ring();
+    let (crashes_tx, crashes_rx) = crashes::ring();
     let stop = CancellationToken::new();
     let metrics: Arc<Metrics> = Arc::default();
     let callers = Callers {
@@ -64,6 +67,7 @@
         view: Shared::clone(&view),
         dialect: Arc::clone(dialect),
         samples: samples_tx,
+        crashes: crashes_tx,
         metrics: Arc::clone(&metrics),
         stop: stop.clone(),
         log: log.clone(),
@@ -97,6 +101,7 @@
         copies: Default::default(),
         freshness: Freshness::default(),
         reader: cfg.host.as_str().into(),
+        crashes: CrashState::default(),
         hosts_known: None,
         view,
         metrics: Arc::clone(&metrics),
@@ -108,7 +113,11 @@
         metrics,
         stop,
     };
-    block_on(control_duty(control, platform, samples_rx, desk))??;
+    let rings = Rings {
+        samples: samples_rx,
+        crashes: crashes_rx,
+    };
+    block_on(control_duty(control, platform, rings, desk))??;
     let ended = callers.join();
     info!(log, "host stops");
     match ended {
@@ -142,6 +151,7 @@
     view: Shared,
     dialect: Arc<dyn Dialect>,
     samples: SampleTx,
+    crashes: CrashTx,
     metrics: Arc<Metrics>,
     stop: CancellationToken,
     log: Logger,
@@ -178,6 +188,7 @@
                 repeats: self.cfg.repeats,
                 warmup: self.cfg.warmup.bounds(),
                 samples: self.samples,
+                crashes: self.crashes,
                 permits,
                 metrics: self.metrics,
                 log: self.log.clone(),
@@ -196,10 +207,16 @@
     stop: CancellationToken,
 }
 
+/// What the control duty hears of the callers' duty.
+struct Rings {
+    samples: SampleRx,
+    crashes: CrashRx,
+}
+
 async fn control_duty<P: Platform>(
     control: Control,
     platform: P,
-    samples: SampleRx,
+    rings: Rings,
     desk: Desk,
 ) -> anyhow::Result<()> {
     let (listen, view, log) = (
@@ -225,7 +242,11 @@
     tokio::task::spawn_local(announce::announce(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(relay::feed(ctl.clone(), relay_listener));
     tokio::task::spawn_local(relay::be_fed(ctl.clone(), platform.clone()));
+    let Rings { samples, crashes } = rings;
     tokio::task::spawn_local(beat::send(ctl.clone(), Rc::clone(&socket), samples));
+    let counted = control::crashes::watch(ctl.clone(), Rc::clone(&socket), crashes);
+    tokio::task::spawn_local(counted);
+    tokio::task::spawn_local(control::crashes::record(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(keys::drive(ctl.clone(), platform, Rc::clone(&socket)));
     tokio::task::spawn_local(beat::receive(ctl.clone(), socket));
     wait_for_stop(&log).await?;
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use assign::Owners;
-use direct::{Configuration, PermitHosts, Roster, RouteTable};
+use direct::{Configuration, PermitHosts, Quarantine, Roster, RouteTable};
 use ids::{DomainId, EntryId};
 use indexmap::IndexMap;
 
@@ -42,6 +42,8 @@
     pub owners: Arc<IndexMap<EntryId, Owners>>,
     /// The hosts of each failure domain that are asked for permits to send to its upstreams.
     pub permit_hosts: Arc<IndexMap<DomainId, PermitHosts>>,
+    /// Requests that are sent to no upstream, as upstreams ended under them.
+    pub quarantine: Arc<Quarantine>,
     /// Hosts that share the budget for repeats; at least one.
     pub hosts: usize,
 }
--- a/crates/ids/src/outcome.rs
+++ b/crates/ids/src/outcome.rs
@@ -110,6 +110,7 @@
     NoLease = "no-lease", NotRun, 503, "The coordinator's lease on the upstream has lapsed.";
     HostUnreachable = "host-unreachable", NotRun, 503, "The coordinating host could not be reached; nothing was sent.";
     StaleRoute = "stale-route", NotRun, 503, "The sending host's routing knowledge was out of date.";
+    CrashesUpstreams = "crashes-upstreams", NotRun, 503, "Upstreams ended under this request; it is sent to none for a while.";
     Moving = "moving", NotRun, 503, "The key is moving and the wait exceeded the deadline.";
     Leaving = "leaving", NotRun, 503, "The host is leaving.";
 
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -150,6 +150,7 @@
         | Reason::ConcurrencyLimit
         | Reason::NoCatalogue
         | Reason::NoUpstream
+        | Reason::CrashesUpstreams
         | Reason::RetryBudget
         | Reason::Duplicate
         | Reason::DuplicateUnknown
