front: an upstream that says in an answer that it leaves gets nothing new, whatever the store has

Callers' requests reached a server for twelve seconds after it had said so, as the store could not take its word meanwhile. Hosts knew of a leaving server by its registration alone; nobody read the answers for it.

Any answer that is the upstream's own counts, those to grants and releases too, so that the host that grants its keys moves them within a renewal. The word holds for the run that said it. While the store is away, when no key moves, requests on its keys are refused at once.

Ruled out: requests that waited at hosts (each was sent on within 30 ms); a word that was read and overruled by the copy of the store (nothing read it).

--- a/crates/cli/tests/direct/leaving.rs
+++ b/crates/cli/tests/direct/leaving.rs
@@ -2,6 +2,9 @@
 //!
 //! Callers saw requests reach a server for twelve seconds after it had said so, while the store was away and could
 //! not take the word: each host had passed on dozens of answers that told it.
+//!
+//! The cause: hosts knew of a leaving server by its registration alone, and nobody read the answers for it. What
+//! proved it: the server's share of requests did not change until the store was back, and no line named it.
 
 use std::time::{Duration, Instant};
 
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
 /// What an upstream says of itself.
@@ -82,6 +82,10 @@
 /// to read. An upstream that is cold for three seconds is known to be by the first read.
 const COLD_AGAIN: Duration = Duration::from_secs(1);
 
+/// Most upstreams of which it is remembered that they said they leave: more than leave within any minute, so that a
+/// registration that is lost and comes back meanwhile makes none of them ready again.
+const TOLD_MAX: usize = 1_024;
+
 /// All upstreams that are registered.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Roster {
@@ -91,6 +95,8 @@
     drained: IndexMap<DomainId, Option<Timestamp>>,
     /// Upstreams that are taken for cold until they say otherwise after this revision.
     presumed_cold: IndexMap<UpstreamId, Revision>,
+    /// Upstreams that said in an answer that they leave, whatever their registrations say.
+    told_leaving: IndexSet<UpstreamId>,
     /// The run of each server that counts.
     runs: IndexMap<SmolStr, UpstreamId>,
     /// Servers that say they began earlier than the run that counts, and since when they do.
@@ -109,10 +115,13 @@
     ///
     /// Its warm-up shrinking by itself is none. A later run of a server replaces the one before; an
     /// earlier one counts only if it says so for two seconds.
-    pub fn put(&mut self, now: Timestamp, at: Revision, upstream: Registered) -> bool {
+    pub fn put(&mut self, now: Timestamp, at: Revision, mut upstream: Registered) -> bool {
         if !self.is_current(now, &upstream) {
             return false;
         }
+        if self.told_leaving.contains(&upstream.id) {
+            upstream.state = State::Leaving;
+        }
         let is_told = self.hear_warmup(at, &upstream);
         self.runs
             .insert(upstream.server.clone(), upstream.id.clone());
@@ -138,6 +147,26 @@
         true
     }
 
+    /// Notes that an upstream said in an answer that it leaves; tells whether that is news.
+    ///
+    /// Its registration may say so much later, as the store has to take that first, and some never do. A run that
+    /// leaves does not come back.
+    pub fn hear_leaving(&mut self, now: Timestamp, id: &UpstreamId) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return false;
+        };
+        self.told_leaving.insert(id.clone());
+        if self.told_leaving.len() > TOLD_MAX {
+            self.told_leaving.shift_remove_index(0);
+        }
+        if upstream.state == State::Leaving {
+            return false;
+        }
+        upstream.state = State::Leaving;
+        upstream.leaving_since.get_or_insert(now);
+        true
+    }
+
     /// Tells whether an upstream that was taken for cold has now said how cold it is, at `at`.
     fn hear_warmup(&mut self, at: Revision, upstream: &Registered) -> bool {
         let presumed = self.presumed_cold.get(&upstream.id);
--- a/crates/direct/tests/roster.rs
+++ b/crates/direct/tests/roster.rs
@@ -1,5 +1,7 @@
 //! Which upstreams take requests while registrations are missing.
 
+use std::time::Duration;
+
 use direct::{Registered, Roster, State};
 use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
 
@@ -194,3 +196,36 @@
         assert!(roster.run_of("s").is_none(), "{}", case.name);
     }
 }
+
+/// An upstream says in its answers that it leaves, long before the store takes its word.
+#[test]
+fn who_said_that_it_leaves_is_not_ready_whatever_its_registration_says() {
+    let mut roster = Roster::default();
+    for name in ["a", "b"] {
+        roster.put(NOW, AT, registered(name, State::Ready));
+    }
+    let chosen = |roster: &Roster| -> Vec<String> {
+        let ready = roster.ready(&entry());
+        ready.iter().map(|u| u.id.to_string()).collect()
+    };
+    assert!(roster.hear_leaving(NOW, &id("b")));
+    assert!(!roster.hear_leaving(NOW, &id("b")), "once is news");
+    assert_eq!(chosen(&roster), ["a"]);
+    let later = NOW + Duration::from_millis(700);
+    assert!(!roster.put(later, Revision(9), registered("b", State::Ready)));
+    assert_eq!(chosen(&roster), ["a"]);
+    let b = roster.get(&id("b")).expect("it is there").clone();
+    assert_eq!(
+        b.leaving_since,
+        Some(NOW),
+        "its time runs from the first word"
+    );
+    assert!(roster.serves_its_keys(&b, later));
+    assert!(!roster.serves_its_keys(&b, NOW + Duration::from_secs(1)));
+    // Its registration is lost for a moment, and comes back as it was.
+    roster.remove(&id("b"));
+    assert_eq!(chosen(&roster), ["a"]);
+    roster.put(later, Revision(11), registered("b", State::Ready));
+    assert_eq!(chosen(&roster), ["a"]);
+    assert!(!roster.hear_leaving(NOW, &id("c")), "nobody knows it");
+}
--- a/crates/front/src/control/crashes.rs
+++ b/crates/front/src/control/crashes.rs
@@ -19,13 +19,10 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use crate::control::beat;
 use crate::control::messages::{Beat, EndedUnder, Quarantined};
 use crate::control::state::{Control, Ctl, KnownHost};
-use crate::crashes::{CrashReport, CrashRx};
 use crate::ports::{Platform, SHARED};
 
 /// Hosts of each failure domain that count the ends under a request: one of them may be lost.
@@ -97,29 +94,24 @@
     }
 }
 
-/// Takes the reports of this host's callers' duty.
-pub async fn watch(ctl: Ctl, socket: Rc<UdpSocket>, mut reports: CrashRx) {
-    while let Some(report) = reports.recv().await {
-        let now = BootClock.now();
-        for (to, beat) in ctl.with(|c| take_report(c, now, &report)) {
-            beat::send_to(&ctl, &socket, &beat, to).await;
-        }
-    }
-}
-
 /// Counts an end that this host saw, and builds what others are told of it.
-fn take_report(c: &mut Control, now: Timestamp, report: &CrashReport) -> Vec<(SocketAddr, Beat)> {
+pub fn take_end(
+    c: &mut Control,
+    now: Timestamp,
+    content: Content,
+    upstream: &UpstreamId,
+) -> Vec<(SocketAddr, Beat)> {
     let told = Beat {
         ended: Some(EndedUnder {
-            content: report.content.0,
-            upstream: report.upstream.to_string(),
+            content: content.0,
+            upstream: upstream.to_string(),
         }),
         ..Beat::default()
     };
-    let others = counting_hosts(c, report.content).into_iter();
+    let others = counting_hosts(c, content).into_iter();
     let mut notices: Vec<(SocketAddr, Beat)> = others.map(|to| (to, told.clone())).collect();
     // Whoever is cut off from all others still finds what its own callers send.
-    notices.extend(count(c, now, report.content, &report.upstream));
+    notices.extend(count(c, now, content, upstream));
     notices
 }
 
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -20,7 +20,7 @@
 use crate::control::follow::{keys_row, keys_txn};
 use crate::control::registry::OrderRoute;
 use crate::control::state::{Control, Ctl, Divided, KnownHost};
-use crate::ports::Platform;
+use crate::ports::{Ordered, Platform};
 use crate::view::Phase;
 
 /// Time between looks at what is due, at the host that grants: a seventh of a renewal.
@@ -245,12 +245,14 @@
     let route = ctl.with(|c| c.route_to(&call.upstream, BootClock.now()));
     let id = call.id;
     let described = call.clone();
-    let end = match route {
+    let Ordered { end, leaves } = match route {
         OrderRoute::To(to) => platform.order(to, call).await,
-        OrderRoute::Replaced => CallEnd::Gone,
-        OrderRoute::Unknown => CallEnd::NoAnswer { maybe_sent: false },
+        OrderRoute::Replaced => CallEnd::Gone.into(),
+        OrderRoute::Unknown => CallEnd::NoAnswer { maybe_sent: false }.into(),
     };
     let now = BootClock.now();
+    // Its keys move before the store has taken its word, and before callers meet it.
+    let is_news = leaves && ctl.with(|c| c.hear_leaving(now, &described.upstream));
     ctl.with(|c| {
         let Some(divided) = c.divided.get_mut(&entry) else {
             return;
@@ -261,7 +263,7 @@
     // A renewal that went well is no reason to do anything else.
     let is_done = matches!(end, CallEnd::Done { .. });
     let is_awaited = ctl.with(|c| c.divided.get(&entry).is_some_and(|d| d.unserved.has_any()));
-    if !is_done || described.kind == CallKind::Release || is_awaited {
+    if !is_done || is_news || described.kind == CallKind::Release || is_awaited {
         ctl.wake_keys.notify_one();
     }
 }
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -11,6 +11,7 @@
 //! - [`registry`]: what it makes of the upstreams' registrations.
 //! - [`beat`]: heartbeats between hosts; [`messages`]: what they say.
 //! - [`crashes`]: finds requests under which upstreams end, and keeps them from all upstreams.
+//! - [`sightings`]: what requests brought to light of upstreams.
 //! - [`keys`]: drives the keepers of entries that are divided by key.
 
 pub mod announce;
@@ -24,6 +25,7 @@
 pub mod registry;
 pub mod relay;
 pub mod samples;
+pub mod sightings;
 pub mod state;
 pub mod take;
 pub mod tree;
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -67,6 +67,17 @@
         is_news
     }
 
+    /// Notes that an upstream says in its answers that it leaves; tells whether that is news.
+    pub fn hear_leaving(&mut self, now: Timestamp, id: &UpstreamId) -> bool {
+        if !self.roster.hear_leaving(now, id) {
+            return false;
+        }
+        info!(self.log, "upstream says that it leaves"; "upstream" => id.as_str());
+        self.metrics.count(Count::UpstreamsLeaving);
+        self.publish();
+        true
+    }
+
     /// Drains a failure domain: from now on nothing new goes to its upstreams, and their keys move away.
     ///
     /// `since` is as [`Roster::drain`](direct::Roster::drain) has it.
--- /dev/null
+++ b/crates/front/src/control/sightings.rs
@@ -0,0 +1,30 @@
+//! Takes what the requests of this host's callers brought to light of upstreams.
+
+use std::rc::Rc;
+
+use ids::{BootClock, Clock};
+use tokio::net::UdpSocket;
+
+use crate::control::state::Ctl;
+use crate::control::{beat, crashes};
+use crate::news::{News, NewsRx};
+
+/// Takes news of the callers' duty as they come.
+pub async fn watch(ctl: Ctl, socket: Rc<UdpSocket>, mut news: NewsRx) {
+    while let Some(news) = news.next().await {
+        let now = BootClock.now();
+        match news {
+            News::Ended { content, upstream } => {
+                let told = ctl.with(|c| crashes::take_end(c, now, content, &upstream));
+                for (to, beat) in told {
+                    beat::send_to(&ctl, &socket, &beat, to).await;
+                }
+            }
+            News::Leaves { upstream } => {
+                if ctl.with(|c| c.hear_leaving(now, &upstream)) {
+                    ctl.wake_keys.notify_one();
+                }
+            }
+        }
+    }
+}
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -210,6 +210,7 @@
             roster: Arc::new(self.roster.clone()),
             owners: Arc::new(owners.collect()),
             quarantine: self.crashes.quarantine(),
+            is_store_away: self.store_since.is_none(),
             hosts: self.hosts.len().max(1),
         };
         self.view.store(Arc::new(view));
@@ -318,6 +319,7 @@
         if self.store_since.is_none() {
             info!(self.log, "store regained");
             self.store_since = Some(now);
+            self.publish();
         }
     }
 
@@ -328,6 +330,7 @@
         let is_old = self.store_since.is_some_and(|since| began < since);
         if !is_old && self.store_since.take().is_some() {
             warn!(self.log, "store lost"; "error" => %e);
+            self.publish();
         }
     }
 
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -18,40 +18,17 @@
 use ids::{BootClock, Clock, Reason, UpstreamId};
 use slog::{Logger, info};
 use smol_str::SmolStr;
-use tokio::sync::{OnceCell, mpsc};
+use tokio::sync::OnceCell;
 use tokio::task::JoinHandle;
 
 use crate::connections::{Connections, HEAD_BYTES};
+use crate::news::{News, NewsTx};
 
 /// Time for the upstream's system to refuse a connection: many round trips between failure domains.
 const REFUSED_WITHIN: Duration = Duration::from_millis(150);
 /// Time for which a request that may be sent again waits after its upstream has ended: two ways between hosts and
 /// the turns of two of them, in which they may find that it is the cause.
 const VERDICT_WAIT: Duration = Duration::from_millis(40);
-/// Reports that may wait; later ones are dropped. A host has seldom more requests at one upstream, and two that
-/// are told are enough.
-const RING_REPORTS: usize = 256;
-
-/// An upstream that ended while a request of this host was under way there.
-#[derive(Debug, Clone)]
-pub struct CrashReport {
-    /// What the request asked.
-    pub content: Content,
-    /// The upstream.
-    pub upstream: UpstreamId,
-}
-
-/// The receiving end of the ring.
-pub type CrashRx = mpsc::Receiver<CrashReport>;
-/// The sending end of the ring.
-pub type CrashTx = mpsc::Sender<CrashReport>;
-
-/// Creates the ring of reports to the control duty.
-#[must_use]
-pub fn ring() -> (CrashTx, CrashRx) {
-    mpsc::channel(RING_REPORTS)
-}
-
 /// A question whether an upstream's process has ended, shared by all whose requests broke meanwhile.
 type Question = Rc<OnceCell<bool>>;
 
@@ -61,17 +38,17 @@
     connections: Rc<Connections>,
     questions: RefCell<HashMap<UpstreamId, Question>>,
     answered: RefCell<Answered>,
-    reports: CrashTx,
+    news: NewsTx,
     metrics: Arc<Metrics>,
     log: Logger,
 }
 
 impl CrashWatch {
-    /// Builds a watch that reports to `reports`.
+    /// Builds a watch that tells `news` of ends.
     #[must_use]
     pub fn new(
         connections: Rc<Connections>,
-        reports: CrashTx,
+        news: NewsTx,
         metrics: Arc<Metrics>,
         log: Logger,
     ) -> Self {
@@ -79,7 +56,7 @@
             connections,
             questions: RefCell::default(),
             answered: RefCell::default(),
-            reports,
+            news,
             metrics,
             log,
         }
@@ -120,12 +97,10 @@
         self.metrics.count(Count::UpstreamsEnded);
         info!(self.log, "upstream ended under request"; "request" => request.as_str(),
             "content" => %content, "upstream" => upstream.as_str());
-        let report = CrashReport {
+        self.news.send(News::Ended {
             content,
             upstream: upstream.clone(),
-        };
-        // A full ring loses a report; other hosts and the next end bring more.
-        let _ = self.reports.try_send(report);
+        });
     }
 
     /// Tells whether the process of `target` has ended: its system refuses connections.
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use direct::{Ended, Registered, Sent};
+use direct::{Ended, Registered, Sent, State};
 use gate::counters::{Count, Latency};
 use gate::headers::strip_connection_only;
 use gate::upstream::{BodyEnd, ExchangeError, UpstreamConn};
@@ -13,7 +13,8 @@
 
 use super::reply::response;
 use super::{Forwarder, Job, LEAST_LEFT};
-use crate::ports::Verdict;
+use crate::news::News;
+use crate::ports::{Judged, Verdict};
 
 /// Largest answer; larger ones than those of today's upstreams by three orders of magnitude.
 const ANSWER_BYTES: usize = 32 << 20;
@@ -78,7 +79,10 @@
         let exchange = conn.exchange_ended(req, ANSWER_BYTES, BodyEnd::OrClosed);
         let done = match tokio::time::timeout(left, exchange).await {
             Ok(Ok(done)) => done,
-            Ok(Err(e)) => return Err(exchange_ended(&e)),
+            Ok(Err(e)) => {
+                self.hear_head(&e, job, target);
+                return Err(exchange_ended(&e));
+            }
             Err(_elapsed) => return Err(Ended::Broken(Reason::AnswerTimeout)),
         };
         let now = BootClock.now();
@@ -89,6 +93,7 @@
             self.with_load(target, |load| load.reported(now, report));
             job.report.set(Some(report));
         }
+        self.hear(&judged, target);
         let closes = says_close(&done.head.headers);
         match judged.verdict {
             Verdict::Foreign => return Err(Ended::Broken(Reason::AnswerMismatch)),
@@ -116,6 +121,25 @@
         }
     }
 
+    /// Takes what the head of an answer says that has no whole body.
+    fn hear_head(&self, e: &ExchangeError, job: &Job, target: &Registered) {
+        if let ExchangeError::Cut { head, .. } | ExchangeError::TooLarge { head, .. } = e {
+            let judged = self.dialect.judge(head, &job.asked.id, &target.server);
+            self.hear(&judged, target);
+        }
+    }
+
+    /// Takes what an upstream says of itself with an answer, whatever the answer is.
+    fn hear(&self, judged: &Judged, target: &Registered) {
+        let view = self.view.load();
+        let known = view.roster.get(&target.id);
+        if judged.leaves && known.is_some_and(|u| u.state == State::Ready) {
+            self.news.send(News::Leaves {
+                upstream: target.id.clone(),
+            });
+        }
+    }
+
     pub(super) fn request(
         &self,
         job: &Job,
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -38,7 +38,8 @@
 };
 use crate::connections::Connections;
 use crate::control::samples::{Sample, SampleTx};
-use crate::crashes::{CrashTx, CrashWatch};
+use crate::crashes::CrashWatch;
+use crate::news::NewsTx;
 use crate::permits::{Admission, PermitService};
 use crate::ports::Dialect;
 use crate::settings::Repeats;
@@ -80,6 +81,7 @@
     samples: SampleTx,
     connections: Rc<Connections>,
     crashes: Rc<CrashWatch>,
+    news: NewsTx,
     permits: Rc<PermitService>,
     splitter: RefCell<Splitter>,
     returns: RefCell<Returns>,
@@ -109,8 +111,8 @@
     pub warmup: WarmupBounds,
     /// Where samples of requests go.
     pub samples: SampleTx,
-    /// Where upstreams that ended under requests are reported.
-    pub crashes: CrashTx,
+    /// Where news of upstreams go.
+    pub news: NewsTx,
     /// Where permits to send are asked for.
     pub permits: Rc<PermitService>,
     /// Counters.
@@ -126,7 +128,7 @@
         let connections: Rc<Connections> = Rc::default();
         let crashes = CrashWatch::new(
             Rc::clone(&connections),
-            parts.crashes,
+            parts.news.clone(),
             Arc::clone(&parts.metrics),
             parts.log.clone(),
         );
@@ -139,6 +141,7 @@
             samples: parts.samples,
             connections,
             crashes: Rc::new(crashes),
+            news: parts.news,
             permits: parts.permits,
             splitter: RefCell::default(),
             returns: RefCell::default(),
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -141,7 +141,10 @@
             return Pick::Wait;
         };
         if !view.roster.serves_its_keys(up, now) {
-            // Nobody is left who could take the key.
+            // The key can't move: nobody is left who could take it, or nobody could know that it did.
+            if view.is_store_away {
+                return Pick::Refuse(come_back(Reason::NoOwner, KEY_COME_BACK), None);
+            }
             if view.roster.ready(&job.entry).is_empty() {
                 return Pick::Refuse(come_back(Reason::NoUpstream, COME_BACK), None);
             }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod crashes;
 pub mod forward;
 pub mod log;
+pub mod news;
 pub mod permits;
 pub mod ports;
 pub mod run;
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -50,6 +50,8 @@
 pub struct Judged {
     /// What it means.
     pub verdict: Verdict,
+    /// Whether the upstream says that it leaves.
+    pub leaves: bool,
     /// The load that the upstream reports.
     pub load: Option<LoadReport>,
     /// How long the upstream keeps the connection at rest, if it says so.
@@ -86,6 +88,21 @@
     pub run: RunCheck,
 }
 
+/// What became of an order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ordered {
+    /// How the call ended.
+    pub end: CallEnd,
+    /// Whether the upstream says in its answer that it leaves.
+    pub leaves: bool,
+}
+
+impl From<CallEnd> for Ordered {
+    fn from(end: CallEnd) -> Self {
+        Self { end, leaves: false }
+    }
+}
+
 /// How one run of a server is told from another at the same address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunCheck {
@@ -139,5 +156,5 @@
     ///
     /// A grant must reach no other run of the server than the one that is meant, which would hold
     /// keys under a fence that was not made for it.
-    fn order(&self, to: Destination, call: OrderCall) -> impl Future<Output = CallEnd> + 'static;
+    fn order(&self, to: Destination, call: OrderCall) -> impl Future<Output = Ordered> + 'static;
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -24,9 +24,9 @@
 use crate::control::freshness::Freshness;
 use crate::control::samples::{self, SampleRx, SampleTx};
 use crate::control::take::Table;
-use crate::control::{self, Control, Ctl, announce, beat, follow, keys, relay};
-use crate::crashes::{self, CrashRx, CrashTx};
+use crate::control::{Control, Ctl, announce, beat, crashes, follow, keys, relay, sightings};
 use crate::forward::{Forwarder, ForwarderParts};
+use crate::news::{self, NewsRx, NewsTx};
 use crate::permits::PermitService;
 use crate::ports::{Dialect, Platform};
 use crate::settings::{self, Settings};
@@ -59,7 +59,7 @@
     info!(log, "host starts"; "incarnation" => me.incarnation.0, "domain" => cfg.domain.as_str());
     let view: Shared = Arc::new(ArcSwap::from_pointee(View::default()));
     let (samples_tx, samples_rx) = samples::ring();
-    let (crashes_tx, crashes_rx) = crashes::ring();
+    let (news_tx, news_rx) = news::ring();
     let stop = CancellationToken::new();
     let metrics: Arc<Metrics> = Arc::default();
     let callers = Callers {
@@ -67,7 +67,7 @@
         view: Shared::clone(&view),
         dialect: Arc::clone(dialect),
         samples: samples_tx,
-        crashes: crashes_tx,
+        news: news_tx,
         metrics: Arc::clone(&metrics),
         stop: stop.clone(),
         log: log.clone(),
@@ -115,7 +115,7 @@
     };
     let rings = Rings {
         samples: samples_rx,
-        crashes: crashes_rx,
+        news: news_rx,
     };
     block_on(control_duty(control, platform, rings, desk))??;
     let ended = callers.join();
@@ -151,7 +151,7 @@
     view: Shared,
     dialect: Arc<dyn Dialect>,
     samples: SampleTx,
-    crashes: CrashTx,
+    news: NewsTx,
     metrics: Arc<Metrics>,
     stop: CancellationToken,
     log: Logger,
@@ -188,7 +188,7 @@
                 repeats: self.cfg.repeats,
                 warmup: self.cfg.warmup.bounds(),
                 samples: self.samples,
-                crashes: self.crashes,
+                news: self.news,
                 permits,
                 metrics: self.metrics,
                 log: self.log.clone(),
@@ -210,7 +210,7 @@
 /// What the control duty hears of the callers' duty.
 struct Rings {
     samples: SampleRx,
-    crashes: CrashRx,
+    news: NewsRx,
 }
 
 async fn control_duty<P: Platform>(
@@ -242,11 +242,10 @@
     tokio::task::spawn_local(announce::announce(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(relay::feed(ctl.clone(), relay_listener));
     tokio::task::spawn_local(relay::be_fed(ctl.clone(), platform.clone()));
-    let Rings { samples, crashes } = rings;
+    let Rings { samples, news } = rings;
     tokio::task::spawn_local(beat::send(ctl.clone(), Rc::clone(&socket), samples));
-    let counted = control::crashes::watch(ctl.clone(), Rc::clone(&socket), crashes);
-    tokio::task::spawn_local(counted);
-    tokio::task::spawn_local(control::crashes::record(ctl.clone(), platform.clone()));
+    tokio::task::spawn_local(sightings::watch(ctl.clone(), Rc::clone(&socket), news));
+    tokio::task::spawn_local(crashes::record(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(keys::drive(ctl.clone(), platform, Rc::clone(&socket)));
     tokio::task::spawn_local(beat::receive(ctl.clone(), socket));
     wait_for_stop(&log).await?;
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -44,6 +44,8 @@
     pub permit_hosts: Arc<IndexMap<DomainId, PermitHosts>>,
     /// Requests that are sent to no upstream, as upstreams ended under them.
     pub quarantine: Arc<Quarantine>,
+    /// Whether the store is away, so that no key moves.
+    pub is_store_away: bool,
     /// Hosts that share the budget for repeats; at least one.
     pub hosts: usize,
 }
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -109,6 +109,7 @@
     Aborted = "upstream.aborted", "requests", "Requests to upstreams given up before their answer.";
     DomainsDrained = "domains.drained", "orders", "Orders to drain a failure domain that the host took.";
     UpstreamsEnded = "upstream.ended-under", "requests", "Requests during which their upstream's process ended.";
+    UpstreamsLeaving = "upstream.leaving", "upstreams", "Upstreams that said in an answer that they leave, before their registration did.";
     Quarantined = "requests.quarantined", "requests", "Requests that the host learnt to send to no upstream, as upstreams ended under them.";
     PermitsSilent = "permits.silent", "requests", "Requests for a permit to send that no host replied to.";
     RegistrationsRefused = "registrations.refused", "registrations", "Registrations of upstreams read that make no sense.";
