--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod drained;
 mod leaving;
 mod rig;
+mod tired;
 
 use std::collections::HashMap;
 use std::process::Command;
--- a/crates/standin/src/fleet/answers.rs
+++ b/crates/standin/src/fleet/answers.rs
@@ -90,6 +90,11 @@
     if trouble == TargetTrouble::Full {
         return shared.not_run(StatusCode::SERVICE_UNAVAILABLE, &id);
     }
+    if let TargetTrouble::FullFor(seconds) = trouble {
+        lock(&shared.turned_away).push((id.clone(), Instant::now()));
+        let answer = shared.not_run(StatusCode::SERVICE_UNAVAILABLE, &id);
+        return with(answer, "retry-after", &seconds.to_string());
+    }
     if trouble == TargetTrouble::SilentlyFull {
         return std::future::pending().await;
     }
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -111,6 +111,8 @@
     ForeignAnswers,
     /// It takes requests that it has no room for, runs none of them and never answers.
     SilentlyFull,
+    /// It turns requests away and wants none for so many seconds.
+    FullFor(u32),
     /// Its process ends while it runs a request for this path.
     EndsUnder(&'static str),
 }
@@ -130,6 +132,8 @@
     pub(super) cold: Mutex<Cold>,
     /// It was sent so much while it was cold that it fell over.
     pub(super) has_fallen: AtomicBool,
+    /// Requests that it turned away as it wants none for a while, and when.
+    pub(super) turned_away: Mutex<Vec<(SmolStr, Instant)>>,
     /// It says in all its answers that it leaves.
     pub(super) says_leaving: AtomicBool,
     /// Ends the server: it neither listens nor has connections any more.
@@ -211,6 +215,7 @@
             open: AtomicU32::new(0),
             cold: Mutex::default(),
             has_fallen: AtomicBool::new(false),
+            turned_away: Mutex::default(),
             says_leaving: AtomicBool::new(false),
             stop: stop.clone(),
             settings,
@@ -256,6 +261,12 @@
         self.shared.has_fallen.load(Ordering::SeqCst)
     }
 
+    /// Returns the requests that the server turned away as it wants none for a while, and when.
+    #[must_use]
+    pub fn turned_away(&self) -> Vec<(SmolStr, Instant)> {
+        lock(&self.shared.turned_away).clone()
+    }
+
     /// Tells whether the server's process has ended by itself.
     #[must_use]
     pub fn has_ended(&self) -> bool {
