--- a/crates/assign/tests/ownership/main.rs
+++ b/crates/assign/tests/ownership/main.rs
@@ -271,3 +271,20 @@
         assert_eq!(world.run(seconds(30.0)), Ok(()), "seed {seed}");
     }
 }
+
+/// Seen with real hosts: a domain was cut off, and the host that granted was killed before it gave up a renewal to
+/// an upstream there. The network delivered that renewal 0.85 s after the cut, when the keys had long had another
+/// owner under a higher fence. Once the wait for the former owner was over, nobody told it of that fence any more.
+#[test]
+fn a_renewal_that_a_cut_held_is_refused_after_it() {
+    for killed_after_ms in (20..600).step_by(20) {
+        let killed = 5.0 + f64::from(killed_after_ms) / 1_000.0;
+        let case = [
+            (Fault::NetworkHolds(2), 5.0, 6.0),
+            (Fault::HostRestarts(0), killed, 0.02),
+        ];
+        let mut world = World::new(HOSTS, UPSTREAMS, Trouble::list(&case), rng(1), Talk::No);
+        assert_eq!(world.run(seconds(30.0)), Ok(()), "killed at {killed}");
+        assert_eq!(world.unserved(), 0);
+    }
+}
--- a/crates/assign/tests/ownership/world/fault.rs
+++ b/crates/assign/tests/ownership/world/fault.rs
@@ -15,6 +15,9 @@
     HostRestarts(usize),
     /// A host takes over, for whatever reason.
     TakeOver(usize),
+    /// The network holds what hosts send to an upstream, and delivers it a while after the fault unless the sender
+    /// has reset the connection, as it does with calls that it gives up and can't if it ends.
+    NetworkHolds(usize),
     /// An upstream takes nothing new.
     UpstreamLeaves(usize),
     /// An upstream ends, and another run of it begins when the fault is over.
--- a/crates/assign/tests/ownership/world/mod.rs
+++ b/crates/assign/tests/ownership/world/mod.rs
@@ -8,7 +8,7 @@
 mod tally;
 mod upstream;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use assign::{
@@ -31,6 +31,8 @@
 const WAY: Duration = Duration::from_millis(20);
 /// Time after which a call is given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after a cut until what it held is delivered: the sender's system tries again more and more seldom.
+const HELD_FOR: Duration = Duration::from_millis(850);
 /// Time between reads of the store.
 const READ_EVERY: Duration = Duration::from_millis(900);
 
@@ -108,6 +110,8 @@
     cfg: AssignSettings,
     talk: Talk,
     tally: Tally,
+    /// Calls whose connections were reset before the network delivered them.
+    reset: HashSet<(usize, Incarnation, u64)>,
 }
 
 impl World {
@@ -147,6 +151,7 @@
             cfg,
             talk,
             tally: Tally::default(),
+            reset: HashSet::new(),
         }
     }
 
@@ -413,6 +418,20 @@
             self.send(CALL_TIMEOUT, unsent(false));
             return;
         }
+        if let Some(over) = self.held_until(upstream) {
+            let after = over + HELD_FOR - self.now;
+            let order = Delivery::Order {
+                host: h,
+                incarnation,
+                upstream,
+                call,
+                arrived: now + after,
+                answers: false,
+            };
+            self.send(after, order);
+            self.send(CALL_TIMEOUT, unsent(true));
+            return;
+        }
         let late = self.has(|f| matches!(f, Fault::LateOrders)) && self.rng.random_bool(0.5);
         let delay = if late {
             Duration::from_millis(self.rng.random_range(2_000..12_000))
@@ -438,6 +457,15 @@
         }
     }
 
+    /// Returns when the network delivers again to an upstream, if it holds what is sent there.
+    fn held_until(&self, upstream: usize) -> Option<Duration> {
+        let holds = |t: &&Trouble| {
+            t.covers(self.now) && matches!(t.fault, Fault::NetworkHolds(u) if u == upstream)
+        };
+        let over = self.troubles.iter().filter(holds).map(|t| t.at + t.lasts);
+        over.max()
+    }
+
     fn send(&mut self, after: Duration, delivery: Delivery) {
         self.deliveries.push_back((self.now + after, delivery));
     }
@@ -464,6 +492,9 @@
                 arrived,
                 answers,
             } => {
+                if self.reset.contains(&(host, incarnation, call.id)) {
+                    return;
+                }
                 let up = &mut self.upstreams[upstream];
                 let end = if up.id == call.upstream {
                     up.carry_out(&call, arrived, now)
@@ -513,10 +544,13 @@
                 id,
                 end,
             } => {
-                let host = &mut self.hosts[host];
-                if host.run.incarnation == incarnation {
-                    host.keeper.call_ended(now, id, &end);
+                if self.hosts[host].run.incarnation != incarnation {
+                    return;
+                }
+                if matches!(end, CallEnd::NoAnswer { .. }) {
+                    self.reset.insert((host, incarnation, id));
                 }
+                self.hosts[host].keeper.call_ended(now, id, &end);
             }
             Delivery::CommitEnd {
                 host,
