assign: a former owner that was waited out is told of the newer fence until it answers

A key had two holders: a host that granted was killed while a cut held its last renewal, which its system could not reset any more; the network delivered it 0.85 s after the cut, and it counts from its arrival. The next granting host had tried to release the former owner twice, waited until its grants had surely run out, and then told it no more.

Not promised: a grant that comes within half a second of the cut's end.

--- a/crates/assign/src/keeper/calls.rs
+++ b/crates/assign/src/keeper/calls.rs
@@ -25,6 +25,9 @@
         if matches!(end, CallEnd::Gone) {
             self.gone.insert(call.upstream.clone());
         }
+        if self.stray_told(now, call, end) {
+            return;
+        }
         if is_grant {
             self.grant_ended(now, &underway, end);
         } else {
@@ -140,6 +143,7 @@
         }
         self.free_former(now);
         self.call_upstreams(now, actions);
+        self.tell_strays(now, actions);
     }
 
     /// Finds former owners that surely hold nothing any more.
@@ -149,11 +153,21 @@
         };
         let outlast = self.cfg.outlast();
         let (gone, others_until) = (&self.gone, self.others_until);
-        for former in known.live.iter_mut().flat_map(|live| &mut live.former) {
-            let over = now >= (former.last_grant.sent + outlast).max(others_until);
-            // A release under the piece's fence makes the upstream refuse all grants that were
-            // sent before, whoever sent them and however late they come.
-            former.free |= over || former.released || gone.contains(&former.upstream);
+        let mut strays = Vec::new();
+        for (piece, live) in known.row.pieces.iter().zip(&mut known.live) {
+            for former in live.former.iter_mut().filter(|f| !f.free) {
+                let over = now >= (former.last_grant.sent + outlast).max(others_until);
+                // A release under the piece's fence makes the upstream refuse all grants that were
+                // sent before, whoever sent them and however late they come.
+                let is_told = former.released || gone.contains(&former.upstream);
+                former.free = over || is_told;
+                if over && !is_told {
+                    strays.push((former.upstream.clone(), piece.range, piece.fence));
+                }
+            }
+        }
+        for (upstream, range, fence) in strays {
+            self.note_stray(now, upstream, range, fence);
         }
     }
 
--- a/crates/assign/src/keeper/mod.rs
+++ b/crates/assign/src/keeper/mod.rs
@@ -5,10 +5,12 @@
 //!
 //! - `calls`: grants, renewals and releases, and what their ends say.
 //! - `moves`: moves of ranges to other owners.
+//! - `strays`: former owners that a held-up grant may still reach.
 //! - `waits`: how long keys that move wait for their owner.
 
 mod calls;
 mod moves;
+mod strays;
 mod waits;
 
 use std::collections::{HashMap, HashSet};
@@ -25,6 +27,8 @@
 use crate::row::{Earlier, EntryRow, Piece, Run};
 use crate::settings::AssignSettings;
 
+use self::strays::Stray;
+
 #[derive(Debug, Clone)]
 struct Health {
     failures: u32,
@@ -77,6 +81,7 @@
     next_call: u64,
     health: HashMap<UpstreamId, Health>,
     gone: HashSet<UpstreamId>,
+    strays: Vec<Stray>,
     plan_at: Timestamp,
     tidy_at: Timestamp,
 }
@@ -104,6 +109,7 @@
             next_call: 0,
             health: HashMap::new(),
             gone: HashSet::new(),
+            strays: Vec::new(),
             plan_at: Timestamp::ZERO,
             tidy_at: Timestamp::ZERO,
         }
@@ -128,11 +134,11 @@
         self.is_granter() && self.evidence.is_within(now, self.cfg.evidence)
     }
 
-    /// Tells whether the row names `upstream` as an owner or former owner.
+    /// Tells whether the row names `upstream` as an owner or former owner, or it is still told that it is none.
     #[must_use]
     pub fn mentions(&self, upstream: &UpstreamId) -> bool {
         let names = |p: &Piece| p.owner == *upstream || p.former.contains(upstream);
-        self.row().is_some_and(|row| row.pieces.iter().any(names))
+        self.row().is_some_and(|row| row.pieces.iter().any(names)) || self.is_stray(upstream)
     }
 
     /// Returns the revision of the row that the host knows.
@@ -178,6 +184,7 @@
             revision,
             live,
         });
+        self.retain_strays();
         // Calls on their way belong to pieces that may be others now; how they end still counts.
         if !was_granter && self.is_granter() {
             self.begin(now);
--- a/crates/assign/src/keeper/moves.rs
+++ b/crates/assign/src/keeper/moves.rs
@@ -57,6 +57,7 @@
             .ready
             .iter()
             .filter(|u| !self.gone.contains(&u.id) && !self.is_silent(now, &u.id))
+            .filter(|u| !self.is_being_told(&u.id))
             .cloned()
             .collect();
         // A host that hears only few upstreams is likely cut off itself.
--- a/crates/assign/tests/ownership/world/mod.rs
+++ b/crates/assign/tests/ownership/world/mod.rs
@@ -419,7 +419,7 @@
             return;
         }
         if let Some(over) = self.held_until(upstream) {
-            let after = over + HELD_FOR - self.now;
+            let after = (over + HELD_FOR).saturating_sub(self.now);
             let order = Delivery::Order {
                 host: h,
                 incarnation,
