front: the way of a request from try to try has a module and short steps; quarantine apart from counting

No change of what is decided, but for two small things: an upstream that answers with a failure of its own is known to live and is not asked for another connection, and a request that any upstream may run is not sent to one that said meanwhile that it leaves. A failed test of real processes shows what the hosts logged.

--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -108,6 +108,19 @@
     dir: TempDir,
 }
 
+impl Drop for Rig {
+    /// Shows what the hosts of a failed test logged: many a failure comes once.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for i in 0..self.hosts.len() {
+            let log = fs::read_to_string(self.log(i)).unwrap_or_default();
+            eprintln!("host {i} logged:\n{log}");
+        }
+    }
+}
+
 /// Returns the first three parts of loopback addresses that no other rig of this machine uses.
 fn own_net() -> String {
     static RIGS: AtomicU32 = AtomicU32::new(0);
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -10,7 +10,8 @@
 //! - [`relay`]: passes what was read on to other hosts; [`tree`]: to whom.
 //! - [`registry`]: what it makes of the upstreams' registrations.
 //! - [`beat`]: heartbeats between hosts; [`messages`]: what they say.
-//! - [`crashes`]: finds requests under which upstreams end, and keeps them from all upstreams.
+//! - [`crashes`]: finds requests under which upstreams end.
+//! - [`quarantine`]: the requests that are sent to no upstream for now, and the store's row of them.
 //! - [`sightings`]: what requests brought to light of upstreams.
 //! - [`keys`]: drives the keepers of entries that are divided by key.
 
@@ -22,6 +23,7 @@
 pub mod freshness;
 pub mod keys;
 pub mod messages;
+pub mod quarantine;
 pub mod registry;
 pub mod relay;
 pub mod samples;
--- /dev/null
+++ b/crates/front/src/control/quarantine.rs
@@ -0,0 +1,208 @@
+//! The requests that are sent to no upstream for now, and the store's row of them.
+//!
+//! Hosts that find such a request tell each other directly ([`crashes`](super::crashes)). The row lasts: it reaches
+//! hosts that were cut off or have just started.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use assign::StoreClock;
+use direct::{Content, CrashSettings, Quarantine};
+use gate::counters::Count;
+use ids::{BootClock, Clock, Revision, Timestamp};
+use indexmap::{IndexMap, IndexSet};
+use platform::{Check, Commit, RowKey, Txn, Write};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::sync::Notify;
+
+use crate::control::state::{Control, Ctl};
+use crate::ports::{Platform, SHARED};
+
+/// Key of the row that holds the quarantined requests.
+pub(crate) const QUARANTINE_ROW: &str = "quarantine";
+/// Most requests in the row, which must stay within the 64 KiB that today's store takes; the earliest are left out.
+const ROW_MAX: usize = 1_000;
+/// Longest time before a host that quarantined a request writes it to the store: those that count the same request
+/// find it there then, and need not.
+const RECORD_WITHIN: Duration = Duration::from_millis(400);
+/// Pause after a write that failed.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// The quarantined requests, as this host and the store have them.
+#[derive(Debug, Default)]
+pub struct QuarantineState {
+    in_force: Arc<Quarantine>,
+    /// Those that this host quarantined and has not seen in the store yet.
+    unrecorded: IndexSet<Content>,
+    /// The store's row, and the revision at which it was written.
+    row: Option<(Revision, QuarantineRow)>,
+    /// Wakes the task that writes the row.
+    wake: Rc<Notify>,
+}
+
+impl QuarantineState {
+    /// Returns the requests that are sent to no upstream for now.
+    #[must_use]
+    pub fn in_force(&self) -> Arc<Quarantine> {
+        Arc::clone(&self.in_force)
+    }
+
+    /// Has a request that this host quarantined written to the store.
+    pub fn record(&mut self, content: Content) {
+        self.unrecorded.insert(content);
+        self.wake.notify_one();
+    }
+
+    /// Forgets what the store has by now or is over; returns the rest, and for how long it still is quarantined.
+    fn still_unrecorded(&mut self, now: Timestamp) -> Vec<(Content, Duration)> {
+        let (row, in_force) = (&self.row, &self.in_force);
+        let is_recorded = |content| row.as_ref().is_some_and(|(_, row)| row.contains(content));
+        self.unrecorded
+            .retain(|c| !is_recorded(*c) && in_force.left(now, *c).is_some());
+        let left = |c: &Content| Some((*c, in_force.left(now, *c)?));
+        self.unrecorded.iter().filter_map(left).collect()
+    }
+}
+
+/// The quarantined requests as the store has them.
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct QuarantineRow {
+    requests: Vec<QuarantineEntry>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
+struct QuarantineEntry {
+    content: u64,
+    /// Second of the store's clock at which it ends.
+    until_s: f64,
+}
+
+impl QuarantineRow {
+    /// Returns a row with what `quarantined` has beside what still counts of this one, by the store's clock.
+    fn with(&self, quarantined: &[(Content, Duration)], clock_s: f64) -> Self {
+        let mut all: IndexMap<u64, f64> = IndexMap::new();
+        let left = self.requests.iter().filter(|e| e.until_s > clock_s);
+        all.extend(left.map(|e| (e.content, e.until_s)));
+        for (content, left) in quarantined {
+            let until_s = clock_s + left.as_secs_f64();
+            all.entry(content.0).or_insert(until_s);
+        }
+        let over = all.len().saturating_sub(ROW_MAX);
+        let entry = |(content, until_s)| QuarantineEntry { content, until_s };
+        Self {
+            requests: all.into_iter().skip(over).map(entry).collect(),
+        }
+    }
+
+    fn contains(&self, content: Content) -> bool {
+        self.requests.iter().any(|e| e.content == content.0)
+    }
+}
+
+impl Control {
+    /// Sends requests of these contents to no upstream, each for a time.
+    pub fn quarantine(
+        &mut self,
+        now: Timestamp,
+        requests: impl IntoIterator<Item = (Content, Duration)>,
+    ) {
+        let mut is_news = false;
+        for (content, left) in requests {
+            let in_force = Arc::make_mut(&mut self.quarantined.in_force);
+            if !in_force.put(now, content, now + left) {
+                continue;
+            }
+            is_news = true;
+            self.metrics.count(Count::Quarantined);
+            info!(self.log, "request quarantined"; "content" => %content,
+                "left_ms" => left.as_millis() as u64);
+        }
+        if is_news {
+            self.publish();
+        }
+    }
+}
+
+/// Takes the store's row of quarantined requests; `clock` is the newest reading of its clock.
+pub fn take_row(
+    c: &mut Control,
+    row: QuarantineRow,
+    at: Revision,
+    clock: Option<StoreClock>,
+    now: Timestamp,
+) {
+    let whole = CrashSettings::default().quarantine;
+    let left = |entry: &QuarantineEntry| {
+        let left = match clock {
+            Some(clock) => entry.until_s - clock.least(now, 0.0).as_secs_f64(),
+            // Whoever has never heard the store's clock takes the longest time that is possible.
+            None => whole.as_secs_f64(),
+        };
+        let left = Duration::try_from_secs_f64(left).unwrap_or_default();
+        (Content(entry.content), left.min(whole))
+    };
+    c.quarantine(now, row.requests.iter().map(left));
+    c.quarantined.row = Some((at, row));
+}
+
+/// Writes what this host quarantined to the store, unless another host has.
+pub async fn record(ctl: Ctl, platform: impl Platform) {
+    let wake = ctl.with(|c| Rc::clone(&c.quarantined.wake));
+    loop {
+        if ctl.with(|c| c.quarantined.unrecorded.is_empty()) {
+            wake.notified().await;
+        }
+        let wait = RECORD_WITHIN.mul_f64(rand::rng().random_range(0.0..1.0));
+        tokio::time::sleep(wait).await;
+        let due = ctl.with(|c| transaction(c, platform.store_clock()));
+        let Some((row, txn)) = due else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        match platform.commit(txn).await {
+            Ok(Commit::Done(at)) => ctl.with(|c| c.quarantined.row = Some((at, row))),
+            // What stands there comes with the next read.
+            Ok(Commit::Conflict(_)) => tokio::time::sleep(PAUSE).await,
+            Err(e) => {
+                ctl.with(|c| warn!(c.log, "record quarantine"; "error" => %e));
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Builds the row with what this host has to record; none if there is nothing, or the store is away.
+fn transaction(c: &mut Control, clock: Option<StoreClock>) -> Option<(QuarantineRow, Txn)> {
+    let state = &mut c.quarantined;
+    let unrecorded = state.still_unrecorded(BootClock.now());
+    if unrecorded.is_empty() || c.store_since.is_none() {
+        return None;
+    }
+    let known = state.row.as_ref();
+    let now = BootClock.now();
+    let clock_s = clock?.least(now, 0.0).as_secs_f64();
+    let row = match known {
+        Some((_, row)) => row.with(&unrecorded, clock_s),
+        None => QuarantineRow::default().with(&unrecorded, clock_s),
+    };
+    let key = RowKey(format!("{SHARED}/{QUARANTINE_ROW}").into());
+    let check = Check {
+        key: key.clone(),
+        revision: known.map(|(at, _)| *at),
+    };
+    let value = serde_json::to_vec(&row).expect("rows serialize");
+    let write = Write {
+        key,
+        value: Some(value.into()),
+    };
+    let txn = Txn {
+        checks: vec![check],
+        writes: vec![write],
+    };
+    Some((row, txn))
+}
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -11,7 +11,7 @@
     AssignSettings, EntryRow, Keeper, KeyLoads, Owners, Planner, Run, Succession,
     SuccessionSettings, Unserved,
 };
-use direct::{Configuration, PermitHosts, Roster, RouteTable};
+use direct::{Configuration, Crashes, PermitHosts, Roster, RouteTable};
 use gate::Metrics;
 use ids::{DomainId, EntryId, HostId, Revision, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
@@ -22,11 +22,11 @@
 use tokio::sync::{Notify, watch};
 
 use crate::control::copies::Copy;
-use crate::control::crashes::CrashState;
 use crate::control::freshness::Freshness;
 use crate::control::take::Table;
 use crate::control::tree::{Domains, Member, Position};
 
+use crate::control::quarantine::QuarantineState;
 use crate::control::registry::Place;
 use crate::settings::Settings;
 use crate::view::{InForce, Phase, Shared, View};
@@ -127,8 +127,10 @@
     pub freshness: Freshness,
     /// The host that last read what is known of the store.
     pub reader: SmolStr,
-    /// What is known of requests under which upstreams ended.
-    pub crashes: CrashState,
+    /// Under which requests upstreams ended.
+    pub crashes: Crashes,
+    /// Requests that are sent to no upstream for now.
+    pub quarantined: QuarantineState,
     /// When the hosts' rows were first read.
     pub hosts_known: Option<Timestamp>,
     /// Where the view is published.
@@ -209,7 +211,7 @@
             in_force: self.in_force.clone(),
             roster: Arc::new(self.roster.clone()),
             owners: Arc::new(owners.collect()),
-            quarantine: self.crashes.quarantine(),
+            quarantine: self.quarantined.in_force(),
             is_store_away: self.store_since.is_none(),
             hosts: self.hosts.len().max(1),
         };
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
 
-use crate::control::crashes::{self, QUARANTINE_ROW};
+use crate::control::quarantine::{self, QUARANTINE_ROW};
 use crate::control::state::{Control, HostRow};
 use crate::ports::Platform;
 
@@ -151,7 +151,7 @@
         }
     } else if key == QUARANTINE_ROW {
         if let Some(quarantined) = decode(c, key, value) {
-            crashes::take_row(c, quarantined, row.revision, platform.store_clock(), now);
+            quarantine::take_row(c, quarantined, row.revision, platform.store_clock(), now);
         }
     } else if let Some(entry) = key.strip_prefix(KEYS_PREFIX) {
         match (EntryId::new(entry), EntryRow::decode(value)) {
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -29,6 +29,7 @@
 /// Time for which a request that may be sent again waits after its upstream has ended: two ways between hosts and
 /// the turns of two of them, in which they may find that it is the cause.
 const VERDICT_WAIT: Duration = Duration::from_millis(40);
+
 /// A question whether an upstream's process has ended, shared by all whose requests broke meanwhile.
 type Question = Rc<OnceCell<bool>>;
 
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -108,7 +108,8 @@
         }
         match judged.verdict {
             Verdict::Answer if done.head.status.is_server_error() && job.route.idempotent => {
-                // Another upstream, or the same one later, may do better.
+                // Another upstream, or the same one later, may do better; this one lives.
+                self.crashes.answered(job.content);
                 let failure = response(done.head.status, done.head.headers, done.body);
                 job.failure.set(Some(failure));
                 Err(Ended::Broken(Reason::UpstreamReset))
--- /dev/null
+++ b/crates/front/src/forward/course.rs
@@ -0,0 +1,260 @@
+//! The way of one request from try to try, until it has an answer or there is no more sense in it.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use bytes::Bytes;
+use direct::{Ended, Next, PermitEnd, Registered, State, Tries};
+use http::Response;
+use http_body_util::Full;
+use ids::{BootClock, Clock, EntryId, Reason, Timestamp};
+
+use super::intake::Job;
+use super::pick::{MOVE_PAUSE, PassedOver, Pick};
+use super::reply::{Refused, come_back, given_up, not_before, out_of_time, truthful};
+use super::{Forwarder, LEAST_LEFT};
+use crate::permits::Admission;
+use crate::story::Story;
+use crate::view::View;
+
+/// What became of sending a request.
+enum Sent {
+    /// The upstream answered, or the try ended without an answer for the caller.
+    Ended(Result<Response<Full<Bytes>>, Ended>),
+    /// While it waited, its key got another owner, its owner left, or it was quarantined.
+    Overtaken,
+    /// The upstream gets no more for now.
+    NoRoom(NoRoom),
+}
+
+/// Why an upstream gets no more for now.
+#[derive(Debug, Clone, Copy)]
+struct NoRoom {
+    /// Time until there is room.
+    room_in: Duration,
+    /// Whether that is as it is cold, and it bears less than it has room for.
+    is_cold: bool,
+}
+
+/// What a request has been through so far.
+#[derive(Debug, Default)]
+struct Course {
+    tries: Tries,
+    /// Upstreams that it is not sent to.
+    passed: PassedOver,
+    /// How the last try ended.
+    last: Option<Ended>,
+}
+
+impl Forwarder {
+    /// Tries until there is an answer or no more sense in it.
+    pub(super) async fn run(
+        &self,
+        job: &Job,
+        story: &RefCell<Story>,
+    ) -> Result<Response<Full<Bytes>>, Refused> {
+        self.report_demand(&self.view.load(), job);
+        let mut course = Course::default();
+        loop {
+            let view = self.view.load_full();
+            let Some(target) = self.next_target(&view, job, &mut course, story).await? else {
+                continue;
+            };
+            let now = BootClock.now();
+            self.tell_target(&mut story.borrow_mut(), &target, now);
+            let sent = self.send(&view, job, &target, &course.passed, story);
+            let result = match sent.await {
+                Sent::Ended(result) => result,
+                Sent::Overtaken => continue,
+                Sent::NoRoom(no_room) => {
+                    self.pass_over(job, target, no_room, &mut course)?;
+                    continue;
+                }
+            };
+            match result {
+                Ok(response) => {
+                    self.crashes.answered(job.content);
+                    return Ok(response);
+                }
+                Err(ended) => self.after(job, target, ended, &mut course, story).await?,
+            }
+        }
+    }
+
+    /// Returns where the next try goes; none if that has to be looked for again.
+    async fn next_target(
+        &self,
+        view: &View,
+        job: &Job,
+        course: &mut Course,
+        story: &RefCell<Story>,
+    ) -> Result<Option<Registered>, Refused> {
+        let now = BootClock.now();
+        let tries = &course.tries;
+        if job.deadline.since(now) < LEAST_LEFT {
+            return Err(out_of_time(tries, job.is_divided));
+        }
+        if let Some(left) = view.quarantine.left(now, job.content) {
+            return Err(truthful(not_before(Reason::CrashesUpstreams, left), tries));
+        }
+        match self.pick(view, job, &course.passed, now) {
+            Pick::To(target) => Ok(Some(target)),
+            Pick::Wait => {
+                self.wait_for_owner(job, tries, now).await?;
+                Ok(None)
+            }
+            Pick::WaitForMove => {
+                tokio::time::sleep(MOVE_PAUSE).await;
+                Ok(None)
+            }
+            Pick::Refuse(..) if course.passed.forget_full() => Ok(None),
+            Pick::Refuse(refused, target) => {
+                if let Some(target) = target {
+                    self.tell_target(&mut story.borrow_mut(), &target, now);
+                }
+                // That none is left to try says less than why the last one failed.
+                let is_last = refused.reason == Reason::NoUpstream;
+                let last = course.last.filter(|_| is_last);
+                let last = last.map(|ended| given_up(ended, tries, job.is_divided));
+                Err(last.unwrap_or_else(|| truthful(refused, tries)))
+            }
+        }
+    }
+
+    /// Takes note that `target` has no room; a request that nobody else may run is refused.
+    fn pass_over(
+        &self,
+        job: &Job,
+        target: Registered,
+        no_room: NoRoom,
+        course: &mut Course,
+    ) -> Result<(), Refused> {
+        let NoRoom { room_in, is_cold } = no_room;
+        if is_cold {
+            let now = BootClock.now();
+            self.with_load(&target, |load| load.hold_back(now, room_in));
+        }
+        if job.is_divided {
+            let refused = come_back(Reason::QueueFull, room_in);
+            return Err(truthful(refused, &course.tries));
+        }
+        if is_cold {
+            course.passed.failed(target.id);
+        } else {
+            course.passed.full(target.id);
+        }
+        Ok(())
+    }
+
+    /// Decides what becomes of a request whose try at `target` `ended` without an answer for the caller.
+    async fn after(
+        &self,
+        job: &Job,
+        target: Registered,
+        ended: Ended,
+        course: &mut Course,
+        story: &RefCell<Story>,
+    ) -> Result<(), Refused> {
+        let looks = self
+            .crashes
+            .broken(&target, job.content, &job.asked.id, ended);
+        // One that ended its upstream must not be sent on before others could say that it ended theirs.
+        if let Some(looks) = looks.filter(|_| job.route.idempotent) {
+            // The task does not panic; without its word the request goes on as any other.
+            let _ = looks.await;
+        }
+        let now = BootClock.now();
+        let route = &job.route;
+        let withdraw = || self.withdraw(&job.entry, now);
+        let next = course.tries.next(
+            ended,
+            route.idempotent,
+            route.max_attempts,
+            &self.repeat_cfg,
+            withdraw,
+        );
+        let Next::Again { pause } = next else {
+            return Err(given_up(ended, &course.tries, job.is_divided));
+        };
+        let reason = ended.reason();
+        self.teller
+            .sent_again(&story.borrow(), job.arrived, reason, &self.metrics);
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+        course.passed.failed(target.id);
+        course.last = Some(ended);
+        Ok(())
+    }
+
+    /// Sends the request to `target` once it may go there.
+    async fn send(
+        &self,
+        view: &View,
+        job: &Job,
+        target: &Registered,
+        passed: &PassedOver,
+        story: &RefCell<Story>,
+    ) -> Sent {
+        let mut permit = None;
+        let is_cold = job.warmup.is_some() && BootClock.now() < target.cold_until;
+        if job.is_divided || passed.may_ask() || is_cold {
+            match self.admit(view, job, target).await {
+                Admission::Go(granted) => permit = Some(granted),
+                Admission::Full { room_in } => return Sent::NoRoom(NoRoom { room_in, is_cold }),
+                Admission::Cold { room_in } => {
+                    let is_cold = true;
+                    return Sent::NoRoom(NoRoom { room_in, is_cold });
+                }
+                Admission::Unknown => {}
+            }
+        }
+        if !self.may_still_go(job, target) {
+            return Sent::Overtaken;
+        }
+        story.borrow_mut().sent += 1;
+        let result = self.attempt(job, target).await;
+        if let Some(permit) = &mut permit {
+            permit.ended(permit_end(&result), job.report.take());
+        }
+        Sent::Ended(result)
+    }
+
+    /// Tells whether a request may go to `target` after a wait in which it may have been quarantined, its key
+    /// have moved, or the upstream have left or said that it wants none.
+    fn may_still_go(&self, job: &Job, target: &Registered) -> bool {
+        let now = BootClock.now();
+        let view = self.view.load();
+        if view.quarantine.left(now, job.content).is_some() {
+            return false;
+        }
+        if !job.is_divided {
+            let takes_new = |up: &Registered| up.state == State::Ready;
+            let is_there = view.roster.get(&target.id).is_some_and(takes_new);
+            return is_there && self.with_load(target, |l| l.wants_none_for(now).is_zero());
+        }
+        let pick = self.pick_owner(&view, job, now);
+        matches!(pick, Pick::To(owner) if owner.id == target.id)
+    }
+
+    fn withdraw(&self, entry: &EntryId, now: Timestamp) -> bool {
+        let mut entries = self.entries.borrow_mut();
+        entries
+            .get_mut(entry)
+            .is_some_and(|e| e.budget.withdraw(now))
+    }
+}
+
+/// Returns what the host that hands out permits learns from the end of a try.
+fn permit_end(result: &Result<Response<Full<Bytes>>, Ended>) -> PermitEnd {
+    let Err(ended) = result else {
+        return PermitEnd::Answered;
+    };
+    match ended {
+        Ended::NotRun(_)
+        | Ended::Misdirected
+        | Ended::Broken(Reason::AnswerMismatch | Reason::AnswerCut) => PermitEnd::Spoke,
+        Ended::Broken(_) | Ended::Unsent(Reason::ConnectFailed) => PermitEnd::Silent,
+        Ended::Replaced | Ended::Unsent(_) => PermitEnd::Unknown,
+    }
+}
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -1,11 +1,13 @@
 //! The path of one request: from a caller to an upstream and back.
 //!
 //! - `intake`: reading a request and finding its route.
+//! - `course`: from try to try.
 //! - `pick`: where a try goes.
 //! - `attempt`: one try.
 //! - `reply`: what callers are told.
 
 mod attempt;
+mod course;
 mod intake;
 mod pick;
 mod reply;
@@ -18,29 +20,26 @@
 
 use bytes::Bytes;
 use direct::{
-    ChooseSettings, Ended, LoadSettings, Next, PermitEnd, Registered, RepeatSettings, Returns,
-    Splitter, Tries, UpstreamLoad, WarmupBounds,
+    ChooseSettings, LoadSettings, Registered, RepeatSettings, Returns, Splitter, UpstreamLoad,
+    WarmupBounds,
 };
 use gate::Metrics;
 use gate::counters::Count;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use ids::{BootClock, Clock, DomainId, EntryId, Reason, Timestamp, UpstreamId};
+use ids::{BootClock, Clock, DomainId, EntryId, Timestamp, UpstreamId};
 use route::RetryBudget;
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
 
 use self::intake::Job;
-use self::pick::{MOVE_PAUSE, PassedOver, Pick};
-use self::reply::{
-    Refused, come_back, cut_off, given_up, not_before, out_of_time, refusal, truthful,
-};
+use self::reply::{Refused, cut_off, refusal};
 use crate::connections::Connections;
 use crate::control::samples::{Sample, SampleTx};
 use crate::crashes::CrashWatch;
 use crate::news::NewsTx;
-use crate::permits::{Admission, PermitService};
+use crate::permits::PermitService;
 use crate::ports::Dialect;
 use crate::settings::Repeats;
 use crate::story::{Story, Teller};
@@ -51,18 +50,6 @@
 /// Service time that is assumed until one was observed.
 const USUAL_SERVICE: f64 = 0.1;
 
-/// What became of sending a request.
-enum Sent {
-    /// The upstream answered, or the try ended without an answer for the caller.
-    Ended(Result<Response<Full<Bytes>>, Ended>),
-    /// While it waited, its key got another owner, its owner left, or it was quarantined.
-    Overtaken,
-    /// The upstream has no room.
-    Full { room_in: Duration },
-    /// The upstream is cold and gets no more for now.
-    Cold { room_in: Duration },
-}
-
 /// What the callers' thread knows of an entry beside the view.
 #[derive(Debug)]
 struct EntryState {
@@ -206,164 +193,6 @@
         result.or_else(|refused| job.failure.take().ok_or(refused))
     }
 
-    /// Tries until there is an answer or no more sense in it.
-    async fn run(
-        &self,
-        job: &Job,
-        story: &RefCell<Story>,
-    ) -> Result<Response<Full<Bytes>>, Refused> {
-        self.report_demand(&self.view.load(), job);
-        let mut tries = Tries::default();
-        let mut passed = PassedOver::default();
-        let mut last: Option<Ended> = None;
-        loop {
-            let now = BootClock.now();
-            if job.deadline.since(now) < LEAST_LEFT {
-                return Err(out_of_time(&tries, job.is_divided));
-            }
-            let view = self.view.load_full();
-            if let Some(left) = view.quarantine.left(now, job.content) {
-                return Err(truthful(not_before(Reason::CrashesUpstreams, left), &tries));
-            }
-            let target = match self.pick(&view, job, &passed, now) {
-                Pick::To(target) => target,
-                Pick::Wait => {
-                    self.wait_for_owner(job, &tries, now).await?;
-                    continue;
-                }
-                Pick::WaitForMove => {
-                    tokio::time::sleep(MOVE_PAUSE).await;
-                    continue;
-                }
-                Pick::Refuse(..) if passed.forget_full() => continue,
-                Pick::Refuse(refused, target) => {
-                    if let Some(target) = target {
-                        self.tell_target(&mut story.borrow_mut(), &target, now);
-                    }
-                    // That none is left to try says less than why the last one failed.
-                    let is_last = refused.reason == Reason::NoUpstream;
-                    let last = last
-                        .filter(|_| is_last)
-                        .map(|ended| given_up(ended, &tries, job.is_divided));
-                    return Err(last.unwrap_or_else(|| truthful(refused, &tries)));
-                }
-            };
-            self.tell_target(&mut story.borrow_mut(), &target, now);
-            let result = match self.send(&view, job, &target, &passed, story).await {
-                Sent::Ended(result) => result,
-                Sent::Overtaken => continue,
-                Sent::Full { room_in } if job.is_divided => {
-                    let refused = come_back(Reason::QueueFull, room_in);
-                    return Err(truthful(refused, &tries));
-                }
-                Sent::Full { .. } => {
-                    passed.full(target.id);
-                    continue;
-                }
-                Sent::Cold { room_in } => {
-                    self.with_load(&target, |load| load.hold_back(now, room_in));
-                    if job.is_divided {
-                        let refused = come_back(Reason::QueueFull, room_in);
-                        return Err(truthful(refused, &tries));
-                    }
-                    passed.failed(target.id);
-                    continue;
-                }
-            };
-            let ended = match result {
-                Ok(response) => {
-                    self.crashes.answered(job.content);
-                    return Ok(response);
-                }
-                Err(ended) => ended,
-            };
-            let looks = self
-                .crashes
-                .broken(&target, job.content, &job.asked.id, ended);
-            // One that ended its upstream must not be sent on before others could say that it ended theirs.
-            if let Some(looks) = looks.filter(|_| job.route.idempotent) {
-                // The task does not panic; without its word the request goes on as any other.
-                let _ = looks.await;
-            }
-            let now = BootClock.now();
-            let route = &job.route;
-            let withdraw = || self.withdraw(&job.entry, now);
-            let next = tries.next(
-                ended,
-                route.idempotent,
-                route.max_attempts,
-                &self.repeat_cfg,
-                withdraw,
-            );
-            match next {
-                Next::Again { pause } => {
-                    let reason = ended.reason();
-                    self.teller
-                        .sent_again(&story.borrow(), job.arrived, reason, &self.metrics);
-                    if !pause.is_zero() {
-                        tokio::time::sleep(pause).await;
-                    }
-                }
-                Next::GiveUp => return Err(given_up(ended, &tries, job.is_divided)),
-            }
-            passed.failed(target.id);
-            last = Some(ended);
-        }
-    }
-
-    /// Sends the request to `target` once it may go there.
-    async fn send(
-        &self,
-        view: &View,
-        job: &Job,
-        target: &Registered,
-        passed: &PassedOver,
-        story: &RefCell<Story>,
-    ) -> Sent {
-        let mut permit = None;
-        let is_cold = job.warmup.is_some() && BootClock.now() < target.cold_until;
-        if job.is_divided || passed.may_ask() || is_cold {
-            match self.admit(view, job, target).await {
-                Admission::Go(granted) => permit = Some(granted),
-                Admission::Full { room_in } if is_cold => return Sent::Cold { room_in },
-                Admission::Full { room_in } => return Sent::Full { room_in },
-                Admission::Cold { room_in } => return Sent::Cold { room_in },
-                Admission::Unknown => {}
-            }
-        }
-        if !self.may_still_go(job, target) {
-            return Sent::Overtaken;
-        }
-        story.borrow_mut().sent += 1;
-        let result = self.attempt(job, target).await;
-        if let Some(permit) = &mut permit {
-            permit.ended(permit_end(&result), job.report.take());
-        }
-        Sent::Ended(result)
-    }
-
-    /// Tells whether a request may go to `target` after a wait in which it may have been quarantined, its key
-    /// have moved, or the upstream have left or said that it wants none.
-    fn may_still_go(&self, job: &Job, target: &Registered) -> bool {
-        let now = BootClock.now();
-        let view = self.view.load();
-        if view.quarantine.left(now, job.content).is_some() {
-            return false;
-        }
-        if !job.is_divided {
-            return self.with_load(target, |load| load.wants_none_for(now).is_zero());
-        }
-        let pick = self.pick_owner(&view, job, now);
-        matches!(pick, Pick::To(owner) if owner.id == target.id)
-    }
-
-    fn withdraw(&self, entry: &EntryId, now: Timestamp) -> bool {
-        let mut entries = self.entries.borrow_mut();
-        entries
-            .get_mut(entry)
-            .is_some_and(|e| e.budget.withdraw(now))
-    }
-
     fn tell_target(&self, story: &mut Story, target: &Registered, now: Timestamp) {
         self.with_load(target, |load| {
             let crowd = load.crowd(now, &self.load_cfg);
@@ -409,17 +238,3 @@
         self.permits.retain(known);
     }
 }
-
-/// Returns what the host that hands out permits learns from the end of a try.
-fn permit_end(result: &Result<Response<Full<Bytes>>, Ended>) -> PermitEnd {
-    let Err(ended) = result else {
-        return PermitEnd::Answered;
-    };
-    match ended {
-        Ended::NotRun(_)
-        | Ended::Misdirected
-        | Ended::Broken(Reason::AnswerMismatch | Reason::AnswerCut) => PermitEnd::Spoke,
-        Ended::Broken(_) | Ended::Unsent(Reason::ConnectFailed) => PermitEnd::Silent,
-        Ended::Replaced | Ended::Unsent(_) => PermitEnd::Unknown,
-    }
-}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -10,7 +10,7 @@
 use anyhow::Context as _;
 use arc_swap::ArcSwap;
 use assign::Run;
-use direct::Roster;
+use direct::{Crashes, Roster};
 use gate::Metrics;
 use ids::{Incarnation, Timestamp};
 use indexmap::{IndexMap, IndexSet};
@@ -20,11 +20,11 @@
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::control::crashes::CrashState;
 use crate::control::freshness::Freshness;
+use crate::control::quarantine::QuarantineState;
 use crate::control::samples::{self, SampleRx, SampleTx};
 use crate::control::take::Table;
-use crate::control::{Control, Ctl, announce, beat, crashes, follow, keys, relay, sightings};
+use crate::control::{Control, Ctl, announce, beat, follow, keys, quarantine, relay, sightings};
 use crate::forward::{Forwarder, ForwarderParts};
 use crate::news::{self, NewsRx, NewsTx};
 use crate::permits::PermitService;
@@ -101,7 +101,8 @@
         copies: Default::default(),
         freshness: Freshness::default(),
         reader: cfg.host.as_str().into(),
-        crashes: CrashState::default(),
+        crashes: Crashes::default(),
+        quarantined: QuarantineState::default(),
         hosts_known: None,
         view,
         metrics: Arc::clone(&metrics),
@@ -245,7 +246,7 @@
     let Rings { samples, news } = rings;
     tokio::task::spawn_local(beat::send(ctl.clone(), Rc::clone(&socket), samples));
     tokio::task::spawn_local(sightings::watch(ctl.clone(), Rc::clone(&socket), news));
-    tokio::task::spawn_local(crashes::record(ctl.clone(), platform.clone()));
+    tokio::task::spawn_local(quarantine::record(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(keys::drive(ctl.clone(), platform, Rc::clone(&socket)));
     tokio::task::spawn_local(beat::receive(ctl.clone(), socket));
     wait_for_stop(&log).await?;
