front: an upstream that still takes a connection after a break is looked at once more

Beside load a request that ended two upstreams was not quarantined: the second one was asked for a connection between the end of its connections and that of its listening, gave one, and was taken for alive. A process that ends closes what it has open one after the other.

It is looked at again after 250 ms, by the connection that it gave, without a further one if that is still open.

--- a/crates/cli/tests/direct/crashing.rs
+++ b/crates/cli/tests/direct/crashing.rs
@@ -161,8 +161,12 @@
 
 /// Lets a posting end the two servers of its entry; returns once each host refuses it.
 async fn quarantined(rig: &Rig) {
+    quarantined_by(rig, TargetTrouble::EndsUnder(CRASH)).await;
+}
+
+async fn quarantined_by(rig: &Rig, trouble: TargetTrouble) {
     for posts in &rig.posts {
-        posts.set_trouble(TargetTrouble::EndsUnder(CRASH));
+        posts.set_trouble(trouble);
     }
     for host in 0..rig.hosts.len() {
         until("the host refuses it", async || {
@@ -241,6 +245,14 @@
     check_refused(&rig).await;
 }
 
+/// Beside load a host asked an upstream that was about to end for a connection, got one, and took it for alive.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_that_takes_a_moment_is_found() {
+    let rig = Rig::start(2).await;
+    quarantined_by(&rig, TargetTrouble::EndsSlowlyUnder(CRASH)).await;
+    check_refused(&rig).await;
+}
+
 /// An upstream that breaks connections has not ended, and its requests are not to blame.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_answers_are_lost_is_not_quarantined() {
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -30,6 +30,10 @@
 /// the turns of two of them, in which they may find that it is the cause.
 const VERDICT_WAIT: Duration = Duration::from_millis(40);
 
+/// Time after which an upstream that still took a connection is looked at again: a process that ends closes what it
+/// has open one after the other, and the connections of requests may come first.
+const LOOK_AGAIN: Duration = Duration::from_millis(250);
+
 /// A question whether an upstream's process has ended, shared by all whose requests broke meanwhile.
 type Question = Rc<OnceCell<bool>>;
 
@@ -90,10 +94,26 @@
             if watch.has_ended(&target).await {
                 watch.report(&target.id, content, &request);
                 tokio::time::sleep(VERDICT_WAIT).await;
+            } else {
+                tokio::task::spawn_local(watch.look_again(target, content, request));
             }
         }))
     }
 
+    /// Looks once more whether `target` has ended under a request.
+    async fn look_again(self: Rc<Self>, target: Registered, content: Content, request: SmolStr) {
+        tokio::time::sleep(LOOK_AGAIN).await;
+        let now = BootClock.now();
+        if let Some(conn) = self.connections.take(now, &target.id).await {
+            // One that is open leads to a process that lives.
+            self.connections.keep(now, &target.id, conn, None);
+            return;
+        }
+        if self.has_ended(&target).await {
+            self.report(&target.id, content, &request);
+        }
+    }
+
     fn report(&self, upstream: &UpstreamId, content: Content, request: &SmolStr) {
         self.metrics.count(Count::UpstreamsEnded);
         info!(self.log, "upstream ended under request"; "request" => request.as_str(),
--- a/crates/standin/src/fleet/answers.rs
+++ b/crates/standin/src/fleet/answers.rs
@@ -47,6 +47,7 @@
     tokio::select! {
         () = serve_connection(socket, stop.clone(), handle) => {}
         () = broken.cancelled() => {}
+        () = shared.cut.cancelled() => {}
         () = stop.cancelled() => {}
     }
     shared.open.fetch_sub(1, Ordering::SeqCst);
@@ -123,6 +124,10 @@
     });
     tokio::time::sleep(shared.work()).await;
     drop(slot);
+    if matches!(trouble, TargetTrouble::EndsSlowlyUnder(path) if path == req.uri().path()) {
+        tokio::spawn(end_slowly(Arc::clone(&shared)));
+        return std::future::pending().await;
+    }
     if matches!(trouble, TargetTrouble::EndsUnder(path) if path == req.uri().path()) {
         shared.stop.cancel();
         return std::future::pending().await;
@@ -145,6 +150,15 @@
     shared.loaded(with(answer, "medlardyke-response-seal", &id))
 }
 
+/// Time between the end of a server's connections and that of its listening.
+const LISTENS_ON_FOR: Duration = Duration::from_millis(100);
+
+async fn end_slowly(shared: Arc<Shared>) {
+    shared.cut.cancel();
+    tokio::time::sleep(LISTENS_ON_FOR).await;
+    shared.stop.cancel();
+}
+
 fn header(req: &Request, name: &str) -> Option<SmolStr> {
     req.headers().get(name)?.to_str().ok().map(SmolStr::from)
 }
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -115,6 +115,8 @@
     FullFor(u32),
     /// Its process ends while it runs a request for this path.
     EndsUnder(&'static str),
+    /// The same, and its connections are closed a moment before it stops to listen.
+    EndsSlowlyUnder(&'static str),
 }
 
 #[derive(Debug)]
@@ -136,6 +138,8 @@
     pub(super) turned_away: Mutex<Vec<(SmolStr, Instant)>>,
     /// It says in all its answers that it leaves.
     pub(super) says_leaving: AtomicBool,
+    /// Closes all connections, also new ones.
+    pub(super) cut: CancellationToken,
     /// Ends the server: it neither listens nor has connections any more.
     pub(super) stop: CancellationToken,
 }
@@ -217,6 +221,7 @@
             has_fallen: AtomicBool::new(false),
             turned_away: Mutex::default(),
             says_leaving: AtomicBool::new(false),
+            cut: CancellationToken::new(),
             stop: stop.clone(),
             settings,
         });
