front: connections opened to see whether an upstream has ended rest for a moment only

A connection that was opened for that and never used was kept for four seconds, and one that was looked at began its rest anew, possibly beyond what its upstream had said; a posting on it could have met the upstream's close. Found by reading; looking leaves a connection's time as it is now, and unused ones rest for a second.

--- a/crates/front/src/connections.rs
+++ b/crates/front/src/connections.rs
@@ -16,6 +16,8 @@
 pub(crate) const HEAD_BYTES: usize = 32 << 10;
 /// Time for which a connection is kept if the upstream doesn't say how long it does.
 const KEEP: Duration = Duration::from_secs(4);
+/// The same if nothing was sent on it yet: upstreams may close such ones sooner.
+const KEEP_UNUSED: Duration = Duration::from_secs(1);
 /// How much sooner than the upstream a connection is given up, so that a request doesn't meet the
 /// upstream's close.
 const KEEP_MARGIN: Duration = Duration::from_millis(1_500);
@@ -48,6 +50,26 @@
         }
     }
 
+    /// Tells whether a connection at rest is open; it rests no longer for that.
+    pub async fn is_any_open(&self, now: Timestamp, upstream: &UpstreamId) -> bool {
+        loop {
+            let last = self
+                .resting
+                .borrow_mut()
+                .get_mut(upstream)
+                .and_then(Vec::pop);
+            let Some(mut resting) = last else {
+                return false;
+            };
+            if now >= resting.until || !resting.conn.is_usable_now().await {
+                continue;
+            }
+            let mut all = self.resting.borrow_mut();
+            all.entry(upstream.clone()).or_default().push(resting);
+            return true;
+        }
+    }
+
     /// Opens a connection; none if the upstream closed it at once.
     ///
     /// An upstream that has too many connections takes new ones and resets them. A request that was
@@ -73,6 +95,11 @@
             .is_some_and(|kept| kept.last().is_some_and(|r| now < r.until))
     }
 
+    /// Keeps a connection that no request has used yet, of which the upstream has said nothing, for a moment.
+    pub fn keep_unused(&self, now: Timestamp, upstream: &UpstreamId, conn: UpstreamConn) {
+        self.keep(now, upstream, conn, Some(KEEP_MARGIN + KEEP_UNUSED));
+    }
+
     /// Keeps a connection for the next request; `keep_alive` is what the upstream said.
     pub fn keep(
         &self,
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -29,7 +29,6 @@
 /// Time for which a request that may be sent again waits after its upstream has ended: two ways between hosts and
 /// the turns of two of them, in which they may find that it is the cause.
 const VERDICT_WAIT: Duration = Duration::from_millis(40);
-
 /// Time after which an upstream that still took a connection is looked at again: a process that ends closes what it
 /// has open one after the other, and the connections of requests may come first.
 const LOOK_AGAIN: Duration = Duration::from_millis(250);
@@ -103,13 +102,12 @@
     /// Looks once more whether `target` has ended under a request.
     async fn look_again(self: Rc<Self>, target: Registered, content: Content, request: SmolStr) {
         tokio::time::sleep(LOOK_AGAIN).await;
-        let now = BootClock.now();
-        if let Some(conn) = self.connections.take(now, &target.id).await {
-            // One that is open leads to a process that lives.
-            self.connections.keep(now, &target.id, conn, None);
-            return;
-        }
-        if self.has_ended(&target).await {
+        // One that is open leads to a process that lives.
+        let lives = self
+            .connections
+            .is_any_open(BootClock.now(), &target.id)
+            .await;
+        if !lives && self.has_ended(&target).await {
             self.report(&target.id, content, &request);
         }
     }
@@ -140,7 +138,7 @@
         match UpstreamConn::open(target.address, REFUSED_WITHIN, HEAD_BYTES).await {
             Ok(conn) => {
                 self.connections
-                    .keep(BootClock.now(), &target.id, conn, None);
+                    .keep_unused(BootClock.now(), &target.id, conn);
                 false
             }
             Err(ExchangeError::Connect { cause, .. }) => {
