assign: calls are begun in one place

Telling a former owner of the newer fence numbered, noted and issued its call by a copy of the lines that do so for grants and releases. No change of behaviour; tests of assign pass.

--- a/crates/assign/src/keeper/calls.rs
+++ b/crates/assign/src/keeper/calls.rs
@@ -16,7 +16,7 @@
 impl Keeper {
     /// Notes how a call ended.
     pub fn call_ended(&mut self, now: Timestamp, id: u64, end: &CallEnd) {
-        let Some(underway) = self.calls.remove(&id) else {
+        let Some(underway) = self.calls.underway.remove(&id) else {
             return;
         };
         let call = &underway.call;
@@ -175,24 +175,17 @@
         let Some(known) = &mut self.known else {
             return;
         };
-        let (gone, calls, next_call) = (&self.gone, &mut self.calls, &mut self.next_call);
+        let (gone, calls) = (&self.gone, &mut self.calls);
         let mut call = |upstream: &UpstreamId, kind, range, fence, earlier| {
-            *next_call += 1;
             let call = OrderCall {
-                id: *next_call,
+                id: 0,
                 upstream: upstream.clone(),
                 kind,
                 range,
                 fence,
                 decided: now,
             };
-            let underway = Underway {
-                call: call.clone(),
-                earlier,
-            };
-            calls.insert(call.id, underway);
-            actions.push(Action::Call(call));
-            *next_call
+            calls.begin(call, earlier, actions)
         };
         for (piece, live) in known.row.pieces.iter().zip(&mut known.live) {
             for former in live.former.iter_mut().filter(|f| is_release_due(f, now)) {
--- a/crates/assign/src/keeper/mod.rs
+++ b/crates/assign/src/keeper/mod.rs
@@ -43,6 +43,29 @@
     earlier: LastGrant,
 }
 
+/// The calls on their way.
+#[derive(Debug, Default)]
+struct Calls {
+    underway: HashMap<u64, Underway>,
+    /// The number of the call begun last.
+    last: u64,
+}
+
+impl Calls {
+    /// Begins `call` under a new number, which replaces its `id` and is returned; `earlier` is the grant before it.
+    fn begin(&mut self, mut call: OrderCall, earlier: LastGrant, actions: &mut Vec<Action>) -> u64 {
+        self.last += 1;
+        call.id = self.last;
+        let underway = Underway {
+            call: call.clone(),
+            earlier,
+        };
+        self.underway.insert(call.id, underway);
+        actions.push(Action::Call(call));
+        self.last
+    }
+}
+
 #[derive(Debug)]
 struct Known {
     row: EntryRow,
@@ -77,8 +100,7 @@
     not_before: Revision,
     /// The row of a commit that has not ended, and when it began.
     commit: Option<(EntryRow, Timestamp)>,
-    calls: HashMap<u64, Underway>,
-    next_call: u64,
+    calls: Calls,
     health: HashMap<UpstreamId, Health>,
     gone: HashSet<UpstreamId>,
     strays: Vec<Stray>,
@@ -105,8 +127,7 @@
             began: (Timestamp::ZERO, Fence::default()),
             not_before: Revision::default(),
             commit: None,
-            calls: HashMap::new(),
-            next_call: 0,
+            calls: Calls::default(),
             health: HashMap::new(),
             gone: HashSet::new(),
             strays: Vec::new(),
--- a/crates/assign/src/keeper/strays.rs
+++ b/crates/assign/src/keeper/strays.rs
@@ -9,7 +9,7 @@
 
 use ids::{Timestamp, UpstreamId};
 
-use super::{Keeper, Underway};
+use super::Keeper;
 use crate::live::LastGrant;
 use crate::order::{Action, CallEnd, CallKind, OrderCall};
 use crate::range::{Fence, KeyRange};
@@ -94,23 +94,16 @@
                 continue;
             }
             told.push(stray.upstream.clone());
-            self.next_call += 1;
-            stray.call = Some(self.next_call);
             let call = OrderCall {
-                id: self.next_call,
+                id: 0,
                 upstream: stray.upstream.clone(),
                 kind: CallKind::Release,
                 range: stray.range,
                 fence: stray.fence,
                 decided: now,
             };
-            let earlier = LastGrant::default();
-            let underway = Underway {
-                call: call.clone(),
-                earlier,
-            };
-            self.calls.insert(call.id, underway);
-            actions.push(Action::Call(call));
+            let id = self.calls.begin(call, LastGrant::default(), actions);
+            stray.call = Some(id);
         }
     }
 
