--- a/crates/cli/tests/direct/drained.rs
+++ b/crates/cli/tests/direct/drained.rs
@@ -5,7 +5,7 @@
 use standin::fleet::{FleetTarget, Ran, StoreMode, TargetSettings};
 
 use crate::rig::{Ask, Rig, promises_not_run, until};
-use crate::{answered, check_owners};
+use crate::{answered, check_all_are_answered, check_owners};
 
 /// Time after the order from which on nothing may reach the domain.
 const DRAINED: Duration = Duration::from_secs(5);
@@ -53,13 +53,7 @@
     ask_until(&rig, "early", all_work).await;
     rig.store.drain_zone("b");
     let ordered = Instant::now();
-    for i in 0..150_u16 {
-        let read = Ask::read(&format!("drain-{i}"), i * 436);
-        let post = Ask::post(&format!("drain-post-{i}"));
-        let (read_got, post_got) = tokio::join!(rig.ask(0, &read), rig.ask(1, &post));
-        assert!(answered(read_got.as_ref(), &read.id), "{read_got:?}");
-        assert!(answered(post_got.as_ref(), &post.id), "{post_got:?}");
-    }
+    check_all_are_answered(&rig, "drain").await;
     tokio::time::sleep(DRAINED.saturating_sub(ordered.elapsed())).await;
     // A host that starts while the store is away knows it from the others.
     rig.store.set_mode(StoreMode::Busy);
--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -48,6 +48,17 @@
     got.is_some_and(|got| got.status == 200 && got.body.starts_with(id))
 }
 
+/// Asks the first two hosts for 150 keys and as many posts, and checks that all are answered.
+async fn check_all_are_answered(rig: &Rig, name: &str) {
+    for i in 0..150_u16 {
+        let read = Ask::read(&format!("{name}-{i}"), i * 436);
+        let post = Ask::post(&format!("{name}-post-{i}"));
+        let (read_got, post_got) = tokio::join!(rig.ask(0, &read), rig.ask(1, &post));
+        assert!(answered(read_got.as_ref(), &read.id), "{read_got:?}");
+        assert!(answered(post_got.as_ref(), &post.id), "{post_got:?}");
+    }
+}
+
 /// Posts at `host` and checks that a server of `service` ran it.
 async fn check_posted_to(rig: &Rig, host: usize, service: &str) {
     let post = Ask::post(&format!("at-{service}-{host}"));
@@ -440,13 +451,7 @@
     rig.reads[0].drain();
     rig.posts[0].drain();
     let left = Instant::now();
-    for i in 0..150_u16 {
-        let read = Ask::read(&format!("drain-{i}"), i * 436);
-        let post = Ask::post(&format!("drain-post-{i}"));
-        let (read_got, post_got) = tokio::join!(rig.ask(0, &read), rig.ask(1, &post));
-        assert!(answered(read_got.as_ref(), &read.id), "{read_got:?}");
-        assert!(answered(post_got.as_ref(), &post.id), "{post_got:?}");
-    }
+    check_all_are_answered(&rig, "drain").await;
     tokio::time::sleep(DRAIN.saturating_sub(left.elapsed())).await;
     for i in 0..40_u16 {
         let read = Ask::read(&format!("after-{i}"), i * 1_600);
