front: what an upstream says of itself in an answer is one word with one way, and a limit is logged

Nothing acts on a limit yet: this only lets the lines tell the hypotheses of the incident apart. Leaving, wanting nothing and limiting are decoded in one place of the adapter, for answers to requests and to orders, and go one way to the callers' duty and the control duty.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`content`]: what a request asks, by which its repeats are known.
 //! - [`roster`]: the upstreams that registered themselves, and the failure domains that are drained.
 //! - [`warmup`]: how many requests an upstream bears while it is cold.
+//! - [`said`]: what an upstream says of itself in an answer.
 //! - [`load`]: what this host believes of one upstream's load, speed and health.
 //! - [`choose`](mod@choose): which upstream gets a request, or why none does.
 //! - [`returns`]: whether a caller was refused before and has come back.
@@ -27,6 +28,7 @@
 pub mod returns;
 pub mod roster;
 pub mod routes;
+pub mod said;
 pub mod warmup;
 
 pub use choose::{Candidate, Choice, ChooseSettings, Rank, Wanted, choose};
@@ -40,4 +42,5 @@
 pub use returns::Returns;
 pub use roster::{Registered, Roster, State};
 pub use routes::{RouteKey, RouteTable, Splitter};
+pub use said::{Limit, LimitWord, Said};
 pub use warmup::{ColdStart, Warmup, WarmupBounds};
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -8,6 +8,8 @@
 
 use ids::Timestamp;
 
+use crate::said::{Limit, Said};
+
 /// Settings of an [`UpstreamLoad`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadSettings {
@@ -96,6 +98,8 @@
     held_back_until: Timestamp,
     /// Until when it gets nothing as it said so.
     wants_none_until: Timestamp,
+    /// How many requests a second it takes from all hosts, as it said.
+    limit: Limit,
 }
 
 impl UpstreamLoad {
@@ -114,6 +118,7 @@
             closed_until: Timestamp::ZERO,
             held_back_until: Timestamp::ZERO,
             wants_none_until: Timestamp::ZERO,
+            limit: Limit::default(),
         }
     }
 
@@ -147,10 +152,14 @@
         self.wants_none_until.since(now)
     }
 
-    /// Notes that it said it wants no requests for `span`.
-    pub fn wants_none(&mut self, now: Timestamp, span: Duration) {
-        let until = now + span.min(WANTS_NONE_MAX);
-        self.wants_none_until = self.wants_none_until.max(until);
+    /// Takes what it says of itself in the answer to a request that was sent at `sent`; tells whether what it says of
+    /// a limit is news.
+    pub fn hear(&mut self, now: Timestamp, sent: Timestamp, said: &Said) -> bool {
+        if let Some(span) = said.wants_none_for {
+            let until = now + span.min(WANTS_NONE_MAX);
+            self.wants_none_until = self.wants_none_until.max(until);
+        }
+        self.limit.hear(now, sent, said.limit)
     }
 
     /// Notes that it is cold and has room only after `room_in`.
--- /dev/null
+++ b/crates/direct/src/said.rs
@@ -0,0 +1,100 @@
+//! What an upstream says of itself in an answer, whatever the answer is about.
+
+use std::time::Duration;
+
+use ids::Timestamp;
+
+/// What an answer says of the upstream that gave it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Said {
+    /// Whether it leaves.
+    pub leaves: bool,
+    /// For how long it wants no requests of this host, if it says so.
+    pub wants_none_for: Option<Duration>,
+    /// What it says of a limit.
+    pub limit: LimitWord,
+}
+
+/// What an answer says of how many requests its upstream takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum LimitWord {
+    /// Nothing: an answer of this kind need not name a limit that holds.
+    #[default]
+    Unsaid,
+    /// There is no limit, as the answer would name it.
+    Unlimited,
+    /// It takes so many requests a second from all hosts together.
+    PerSecond(f64),
+}
+
+/// Time after which a word that has not changed is news again, so that it goes before older ones of other hosts.
+const NEWS_EVERY: Duration = Duration::from_secs(1);
+
+/// The newest word of an upstream on how many requests a second it takes from all hosts together.
+///
+/// Words of several hosts are put in order by when they were heard. An upstream that never named a limit has none.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Limit {
+    /// The limit, or that it was taken back.
+    per_s: Option<f64>,
+    /// When that was last heard; zero if there never was a limit.
+    heard: Timestamp,
+    /// When it was last news.
+    told: Timestamp,
+}
+
+impl Limit {
+    /// Takes what the answer to a request says that was sent at `sent`; tells whether that is news.
+    ///
+    /// That there is no limit any more counts only from requests that were sent after the limit was last heard: the
+    /// answer to an earlier one may have been overtaken.
+    pub fn hear(&mut self, now: Timestamp, sent: Timestamp, word: LimitWord) -> bool {
+        match word {
+            LimitWord::Unsaid => false,
+            LimitWord::Unlimited if self.per_s.is_none() || sent <= self.heard => false,
+            LimitWord::Unlimited => self.set(now, None),
+            LimitWord::PerSecond(per_s) => self.set(now, Some(per_s)),
+        }
+    }
+
+    /// Takes what another host heard, if that is newer; tells whether it is.
+    pub fn take(&mut self, other: Self) -> bool {
+        let is_newer = other.heard > self.heard;
+        if is_newer {
+            *self = other;
+        }
+        is_newer
+    }
+
+    /// Returns a word that was heard at `heard`.
+    #[must_use]
+    pub const fn heard_at(heard: Timestamp, per_s: Option<f64>) -> Self {
+        Self {
+            per_s,
+            heard,
+            told: heard,
+        }
+    }
+
+    /// Returns how many requests a second the upstream takes; none if it names no limit.
+    #[must_use]
+    pub const fn per_s(&self) -> Option<f64> {
+        self.per_s
+    }
+
+    /// Returns how long ago the word was heard; none if there never was one.
+    #[must_use]
+    pub fn age(&self, now: Timestamp) -> Option<Duration> {
+        (self.heard > Timestamp::ZERO).then(|| now.since(self.heard))
+    }
+
+    fn set(&mut self, now: Timestamp, per_s: Option<f64>) -> bool {
+        let is_news = self.per_s != per_s || now.since(self.told) >= NEWS_EVERY;
+        self.per_s = per_s;
+        self.heard = now;
+        if is_news {
+            self.told = now;
+        }
+        is_news
+    }
+}
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -229,7 +229,7 @@
             ctl.with(|c| {
                 info!(c.log, "change owners of keys"; "entry" => entry.as_str(),
                     "granter" => row.granter.host.as_str(), "fence" => row.fence.0,
-                    "pieces" => row.pieces.len());
+                    "pieces" => row.pieces.len(), "most_pieces" => most_pieces(&row));
             });
             tokio::task::spawn_local(async move {
                 let key = keys_row(&entry);
@@ -241,18 +241,27 @@
     }
 }
 
+/// Returns how many pieces the upstream has that has most: each is renewed by itself.
+fn most_pieces(row: &EntryRow) -> usize {
+    let mut counts: HashMap<&UpstreamId, usize> = HashMap::new();
+    for piece in &row.pieces {
+        *counts.entry(&piece.owner).or_default() += 1;
+    }
+    counts.into_values().max().unwrap_or_default()
+}
+
 async fn make_call(ctl: Ctl, platform: impl Platform, entry: EntryId, call: OrderCall) {
     let route = ctl.with(|c| c.route_to(&call.upstream, BootClock.now()));
     let id = call.id;
     let described = call.clone();
-    let Ordered { end, leaves } = match route {
+    let Ordered { end, said } = match route {
         OrderRoute::To(to) => platform.order(to, call).await,
         OrderRoute::Replaced => CallEnd::Gone.into(),
         OrderRoute::Unknown => CallEnd::NoAnswer { maybe_sent: false }.into(),
     };
     let now = BootClock.now();
     // Its keys move before the store has taken its word, and before callers meet it.
-    let is_news = leaves && ctl.with(|c| c.hear_leaving(now, &described.upstream));
+    let is_news = ctl.with(|c| c.hear(now, described.decided, &described.upstream, &said));
     ctl.with(|c| {
         let Some(divided) = c.divided.get_mut(&entry) else {
             return;
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use direct::Registered;
+use direct::{LimitWord, Registered, Said};
 use gate::counters::Count;
 use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
 use slog::{info, warn};
@@ -67,8 +67,31 @@
         is_news
     }
 
-    /// Notes that an upstream says in its answers that it leaves; tells whether that is news.
-    pub fn hear_leaving(&mut self, now: Timestamp, id: &UpstreamId) -> bool {
+    /// Takes what an upstream says of itself in an answer; tells whether keys have to move.
+    ///
+    /// `sent` is when the answered request or order was sent.
+    pub fn hear(&mut self, now: Timestamp, sent: Timestamp, id: &UpstreamId, said: &Said) -> bool {
+        self.hear_limit(now, sent, id, said.limit);
+        said.leaves && self.hear_leaving(now, id)
+    }
+
+    fn hear_limit(&mut self, now: Timestamp, sent: Timestamp, id: &UpstreamId, word: LimitWord) {
+        if word == LimitWord::Unsaid || self.roster.get(id).is_none() {
+            return;
+        }
+        let limit = self.limits.entry(id.clone()).or_default();
+        let before = limit.per_s();
+        limit.hear(now, sent, word);
+        let per_s = limit.per_s();
+        if per_s == before {
+            return;
+        }
+        info!(self.log, "upstream limits requests"; "upstream" => id.as_str(), "per_s" => per_s,
+            "before" => before);
+        self.metrics.count(Count::UpstreamsLimited);
+    }
+
+    fn hear_leaving(&mut self, now: Timestamp, id: &UpstreamId) -> bool {
         if !self.roster.hear_leaving(now, id) {
             return false;
         }
@@ -174,6 +197,7 @@
         let holds = |id: &UpstreamId| divided.values().any(|d| d.keeper.mentions(id));
         self.places
             .retain(|id, _| roster.get(id).is_some() || holds(id));
+        self.limits.retain(|id, _| roster.get(id).is_some());
         for d in self.divided.values_mut() {
             d.services.retain(|id, _| roster.get(id).is_some());
             d.failing.retain(|id, _| roster.get(id).is_some());
--- a/crates/front/src/control/sightings.rs
+++ b/crates/front/src/control/sightings.rs
@@ -20,8 +20,12 @@
                     beat::send_to(&ctl, &socket, &beat, to).await;
                 }
             }
-            News::Leaves { upstream } => {
-                if ctl.with(|c| c.hear_leaving(now, &upstream)) {
+            News::Said {
+                upstream,
+                sent,
+                said,
+            } => {
+                if ctl.with(|c| c.hear(now, sent, &upstream, &said)) {
                     ctl.wake_keys.notify_one();
                 }
             }
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -11,7 +11,7 @@
     AssignSettings, EntryRow, Keeper, KeyLoads, Owners, Planner, Run, Succession,
     SuccessionSettings, Unserved,
 };
-use direct::{Configuration, Crashes, PermitHosts, Roster, RouteTable};
+use direct::{Configuration, Crashes, Limit, PermitHosts, Roster, RouteTable};
 use gate::Metrics;
 use ids::{DomainId, EntryId, HostId, Revision, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
@@ -107,6 +107,8 @@
     pub store_since: Option<Timestamp>,
     /// Where each upstream was last known to listen, also if it is no longer registered.
     pub places: HashMap<UpstreamId, Place>,
+    /// How many requests a second upstreams say they take, by the answers that this host got.
+    pub limits: HashMap<UpstreamId, Limit>,
     /// Whether a whole table is being taken, of which one line is logged and not one for each row.
     pub takes_all: bool,
     /// Servers whose registration can't be read.
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -3,18 +3,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use direct::{Ended, Registered, Sent, State};
+use direct::{Ended, Registered, Said, Sent, State};
 use gate::counters::{Count, Latency};
 use gate::headers::strip_connection_only;
 use gate::upstream::{BodyEnd, ExchangeError, UpstreamConn};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use http_body_util::Full;
-use ids::{BootClock, Clock, Reason};
+use ids::{BootClock, Clock, Reason, Timestamp};
 
 use super::reply::response;
 use super::{Forwarder, Job, LEAST_LEFT};
 use crate::news::News;
-use crate::ports::{Judged, Verdict};
+use crate::ports::Verdict;
 
 /// Largest answer; larger ones than those of today's upstreams by three orders of magnitude.
 const ANSWER_BYTES: usize = 32 << 20;
@@ -76,11 +76,12 @@
             return Err(Ended::Unsent(Reason::DeadlineExpired));
         }
         let req = self.request(job, target, left);
+        let sent = BootClock.now();
         let exchange = conn.exchange_ended(req, ANSWER_BYTES, BodyEnd::OrClosed);
         let done = match tokio::time::timeout(left, exchange).await {
             Ok(Ok(done)) => done,
             Ok(Err(e)) => {
-                self.hear_head(&e, job, target);
+                self.hear_head(&e, job, target, sent);
                 return Err(exchange_ended(&e));
             }
             Err(_elapsed) => return Err(Ended::Broken(Reason::AnswerTimeout)),
@@ -93,7 +94,7 @@
             self.with_load(target, |load| load.reported(now, report));
             job.report.set(Some(report));
         }
-        self.hear(&judged, target);
+        self.hear(&judged.said, target, sent);
         let closes = says_close(&done.head.headers);
         match judged.verdict {
             Verdict::Foreign => return Err(Ended::Broken(Reason::AnswerMismatch)),
@@ -123,24 +124,26 @@
     }
 
     /// Takes what the head of an answer says that has no whole body.
-    fn hear_head(&self, e: &ExchangeError, job: &Job, target: &Registered) {
+    fn hear_head(&self, e: &ExchangeError, job: &Job, target: &Registered, sent: Timestamp) {
         if let ExchangeError::Cut { head, .. } | ExchangeError::TooLarge { head, .. } = e {
             let judged = self.dialect.judge(head, &job.asked.id, &target.server);
-            self.hear(&judged, target);
+            self.hear(&judged.said, target, sent);
         }
     }
 
-    /// Takes what an upstream says of itself with an answer, whatever the answer is.
-    fn hear(&self, judged: &Judged, target: &Registered) {
-        if let Some(span) = judged.wants_none_for {
-            let now = BootClock.now();
-            self.with_load(target, |load| load.wants_none(now, span));
-        }
+    /// Takes what an upstream says of itself with the answer to a request that was sent at `sent`, whatever the
+    /// answer is.
+    fn hear(&self, said: &Said, target: &Registered, sent: Timestamp) {
+        let now = BootClock.now();
+        let is_limit_news = self.with_load(target, |load| load.hear(now, sent, said));
         let view = self.view.load();
         let known = view.roster.get(&target.id);
-        if judged.leaves && known.is_some_and(|u| u.state == State::Ready) {
-            self.news.send(News::Leaves {
+        let is_leaving_news = said.leaves && known.is_some_and(|u| u.state == State::Ready);
+        if is_limit_news || is_leaving_news {
+            self.news.send(News::Said {
                 upstream: target.id.clone(),
+                sent,
+                said: *said,
             });
         }
     }
--- a/crates/front/src/news.rs
+++ b/crates/front/src/news.rs
@@ -1,10 +1,10 @@
 //! News of upstreams, from the callers' duty to the control duty.
 
-use direct::Content;
-use ids::UpstreamId;
+use direct::{Content, Said};
+use ids::{Timestamp, UpstreamId};
 use tokio::sync::mpsc;
 
-/// News that may wait; later ones are dropped. Each of them comes again: a leaving upstream says so in each answer,
+/// News that may wait; later ones are dropped. Each of them comes again: an upstream says of itself the same in each answer,
 /// and a request under which one ended was seen by other hosts, or will be.
 const RING_NEWS: usize = 256;
 
@@ -18,10 +18,14 @@
         /// The upstream.
         upstream: UpstreamId,
     },
-    /// An upstream says in an answer that it leaves.
-    Leaves {
+    /// An upstream says something new of itself in an answer.
+    Said {
         /// The upstream.
         upstream: UpstreamId,
+        /// When the answered request was sent.
+        sent: Timestamp,
+        /// What it says.
+        said: Said,
     },
 }
 
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use assign::{CallEnd, OrderCall, StoreClock};
-use direct::{Configuration, LoadReport, Registered};
+use direct::{Configuration, LoadReport, Registered, Said};
 use gate::upstream::conn::AnswerHead;
 use http::HeaderMap;
 use ids::{DomainId, Reason, Timestamp};
@@ -50,10 +50,8 @@
 pub struct Judged {
     /// What it means.
     pub verdict: Verdict,
-    /// Whether the upstream says that it leaves.
-    pub leaves: bool,
-    /// For how long the upstream wants no requests of this host, if it says so.
-    pub wants_none_for: Option<Duration>,
+    /// What the upstream says of itself.
+    pub said: Said,
     /// The load that the upstream reports.
     pub load: Option<LoadReport>,
     /// How long the upstream keeps the connection at rest, if it says so.
@@ -91,17 +89,20 @@
 }
 
 /// What became of an order.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Ordered {
     /// How the call ended.
     pub end: CallEnd,
-    /// Whether the upstream says in its answer that it leaves.
-    pub leaves: bool,
+    /// What the upstream says of itself in its answer.
+    pub said: Said,
 }
 
 impl From<CallEnd> for Ordered {
     fn from(end: CallEnd) -> Self {
-        Self { end, leaves: false }
+        Self {
+            end,
+            said: Said::default(),
+        }
     }
 }
 
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -91,6 +91,7 @@
         // A host that starts has missed nothing.
         store_since: Some(Timestamp::ZERO),
         places: HashMap::new(),
+        limits: HashMap::new(),
         takes_all: false,
         unreadable: IndexSet::new(),
         hosts: IndexMap::new(),
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -109,6 +109,7 @@
     Aborted = "upstream.aborted", "requests", "Requests to upstreams given up before their answer.";
     DomainsDrained = "domains.drained", "orders", "Orders to drain a failure domain that the host took.";
     UpstreamsEnded = "upstream.ended-under", "requests", "Requests during which their upstream's process ended.";
+    UpstreamsLimited = "upstream.limited", "upstreams", "Words of upstreams that they take only so many requests a second, or as many as ever again.";
     UpstreamsLeaving = "upstream.leaving", "upstreams", "Upstreams that said in an answer that they leave, before their registration did.";
     Quarantined = "requests.quarantined", "requests", "Requests that the host learnt to send to no upstream, as upstreams ended under them.";
     PermitsSilent = "permits.silent", "requests", "Requests for a permit to send that no host replied to.";
