tests: servers that name a limit get as many requests as before, listed as known red

Six tests of real processes: with and without keys, all servers limited, servers that need no permits, hosts lost one after the other, and a limit that is lowered, taken back and not named by the next run.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -4,6 +4,7 @@
 mod crashing;
 mod drained;
 mod leaving;
+mod limited;
 mod rig;
 mod tired;
 
--- a/crates/standin/src/fleet/answers.rs
+++ b/crates/standin/src/fleet/answers.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::keys::Keys;
-use super::target::{Ran, Shared, TargetTrouble, lock};
+use super::target::{Arrived, Ran, Shared, TargetTrouble, lock};
 use crate::http::{Request, Whole, read_body, respond, serve_connection};
 
 /// Path of health requests, as the operator's configuration has it.
@@ -53,9 +53,12 @@
     shared.open.fetch_sub(1, Ordering::SeqCst);
 }
 
-/// Answers a request, and says so if the server leaves.
+/// Answers a request, and says of the server itself what it has to.
 async fn answer(shared: Arc<Shared>, req: Request, broken: CancellationToken) -> Whole {
-    let answer = handle(Arc::clone(&shared), req, broken).await;
+    let mut answer = handle(Arc::clone(&shared), req, broken).await;
+    if let Some(per_s) = *lock(&shared.limit) {
+        answer = with(answer, "server-limit", &per_s.to_string());
+    }
     if shared.says_leaving.load(Ordering::SeqCst) {
         with(answer, "server-leaving", "1")
     } else {
@@ -74,7 +77,10 @@
         );
     }
     match req.uri().path() {
-        "/api/grant" => return shared.grant(req).await,
+        "/api/grant" => {
+            shared.note_arrival(None);
+            return shared.grant(req).await;
+        }
         "/api/release" => return shared.release(req).await,
         _ => {}
     }
@@ -86,6 +92,7 @@
         return shared.healthy();
     }
     let id = text("medlardyke-request-id").unwrap_or_default();
+    shared.note_arrival(Some(id.clone()));
     let key = text("medlardyke-shard-key").and_then(|k| k.parse().ok());
     let trouble = *lock(&shared.trouble);
     if trouble == TargetTrouble::Full {
@@ -171,6 +178,11 @@
 }
 
 impl Shared {
+    fn note_arrival(&self, request: Option<SmolStr>) {
+        let at = Instant::now();
+        lock(&self.arrived).push(Arrived { request, at });
+    }
+
     fn not_run(&self, status: StatusCode, id: &SmolStr) -> Whole {
         let answer = with(respond(status, ""), "medlardyke-not-executed", "1");
         self.loaded(with(answer, "medlardyke-request-id", id))
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -40,6 +40,15 @@
     pub at: Instant,
 }
 
+/// A request or an order that reached a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrived {
+    /// The request; none if it was an order.
+    pub request: Option<SmolStr>,
+    /// When.
+    pub at: Instant,
+}
+
 /// What all servers wrote down.
 #[derive(Debug, Clone, Default)]
 pub struct Journal(Arc<Mutex<Vec<Ran>>>);
@@ -138,6 +147,10 @@
     pub(super) turned_away: Mutex<Vec<(SmolStr, Instant)>>,
     /// It says in all its answers that it leaves.
     pub(super) says_leaving: AtomicBool,
+    /// Requests a second that it says in all its answers it takes.
+    pub(super) limit: Mutex<Option<f64>>,
+    /// Requests and orders that reached it.
+    pub(super) arrived: Mutex<Vec<Arrived>>,
     /// Closes all connections, also new ones.
     pub(super) cut: CancellationToken,
     /// Ends the server: it neither listens nor has connections any more.
@@ -221,6 +234,8 @@
             has_fallen: AtomicBool::new(false),
             turned_away: Mutex::default(),
             says_leaving: AtomicBool::new(false),
+            limit: Mutex::default(),
+            arrived: Mutex::default(),
             cut: CancellationToken::new(),
             stop: stop.clone(),
             settings,
@@ -293,6 +308,17 @@
         self.shared.says_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Says in all its answers how many requests a second it takes, or says that no more.
+    pub fn name_limit(&self, per_s: Option<f64>) {
+        *lock(&self.shared.limit) = per_s;
+    }
+
+    /// Returns the requests and orders that reached the server, also those that it did not run.
+    #[must_use]
+    pub fn arrived(&self) -> Vec<Arrived> {
+        lock(&self.shared.arrived).clone()
+    }
+
     /// Takes the server off the store, as when it has left or was silent for long.
     pub fn unregister(&self) {
         self.store.remove("servers", &self.shared.id);
