--- a/crates/cli/tests/direct/limited.rs
+++ b/crates/cli/tests/direct/limited.rs
@@ -244,7 +244,13 @@
     let servers = || rig.posts.iter().chain(&rig.reads);
     let named = Instant::now();
     servers().for_each(|s| s.name_limit(Some(LIMIT)));
-    let either = |id: &str, n: usize| if n % 2 == 0 { post(id, n) } else { read(id, n) };
+    let either = |id: &str, n: usize| {
+        if n.is_multiple_of(2) {
+            post(id, n)
+        } else {
+            read(id, n)
+        }
+    };
     let mut asked = ask_for(&rig, &[0, 1, 2], "all", Duration::from_secs(5), either).await;
     rig.signal(0, Signal::STOP);
     asked.extend(ask_for(&rig, &[1, 2], "two", Duration::from_secs(5), either).await);
