assign: an upstream that limits its requests keeps two pieces at most

Each piece of a row is renewed by itself, four times in three seconds. The planner moves the quietest of its pieces whole, before it evens out loads. Failed before: assign plan, an upstream that should own few pieces (7 pieces, no move).

--- a/crates/assign/src/balance.rs
+++ b/crates/assign/src/balance.rs
@@ -53,8 +53,28 @@
         }
     }
 
-    /// Plans the next move, from the highest upstream that has something to give to the lowest.
+    /// Plans the next move.
     pub(crate) fn next(&mut self) -> Option<Move> {
+        self.next_surplus().or_else(|| self.next_by_level())
+    }
+
+    /// Plans to move the quietest piece of an upstream that has more of them than it should, to the lowest one.
+    fn next_surplus(&mut self) -> Option<Move> {
+        let most = |i: usize| self.levels[i].view.most_pieces;
+        let all = 0..self.levels.len();
+        let mut givers = all
+            .clone()
+            .filter(|&i| most(i).is_some_and(|most| self.pieces(i).count() > most));
+        let giver = givers.next()?;
+        let takers = all.filter(|&i| most(i).is_none());
+        let low = takers.min_by(|&a, &b| self.levels[a].is().total_cmp(&self.levels[b].is()))?;
+        let quietest = self.pieces(giver).min_by(by_rate(self.loads))?;
+        let range = quietest.range;
+        Some(self.give(range, giver, low))
+    }
+
+    /// Plans a move from the highest upstream that has something to give to the lowest.
+    fn next_by_level(&mut self) -> Option<Move> {
         loop {
             let by_level =
                 |&a: &usize, &b: &usize| self.levels[a].is().total_cmp(&self.levels[b].is());
--- a/crates/assign/src/plan.rs
+++ b/crates/assign/src/plan.rs
@@ -24,6 +24,8 @@
     pub slots: u32,
     /// Its time for one request, in seconds.
     pub service: f64,
+    /// Pieces that it should own at most; none if that doesn't matter. Each is renewed by itself.
+    pub most_pieces: Option<usize>,
 }
 
 /// Settings of a [`Planner`].
--- a/crates/assign/tests/busy.rs
+++ b/crates/assign/tests/busy.rs
@@ -31,6 +31,7 @@
             id: id.clone(),
             slots: 4,
             service: 0.1,
+            most_pieces: None,
         })
         .collect();
     let mut now = Timestamp::from_millis(100_000);
--- a/crates/assign/tests/ownership/world/mod.rs
+++ b/crates/assign/tests/ownership/world/mod.rs
@@ -279,6 +279,7 @@
                 id: up.id.clone(),
                 slots: 4,
                 service: 0.1,
+                most_pieces: None,
             })
             .collect()
     }
--- a/crates/assign/tests/plan.rs
+++ b/crates/assign/tests/plan.rs
@@ -26,6 +26,7 @@
         id: id(i),
         slots: 4,
         service,
+        most_pieces: None,
     };
     services.iter().enumerate().map(view).collect()
 }
@@ -221,6 +222,33 @@
     assert_eq!(decoded, row);
 }
 
+/// Renewals of many small pieces alone would be more than what an upstream in need says it takes.
+#[test]
+fn an_upstream_that_should_own_few_pieces_gives_the_quiet_ones_away() {
+    let mut row = row(4);
+    for i in 0..6_u16 {
+        let first = 20_000 + i * 1_000;
+        let last = first + 99;
+        row.give(KeyRange { first, last }, &id(1), &id(0), Fence(2));
+    }
+    // All of these moves are over.
+    for piece in &mut row.pieces {
+        piece.former.clear();
+    }
+    let mut ups = views(&[0.1; 4]);
+    ups[0].most_pieces = Some(2);
+    let pieces = |row: &EntryRow| row.pieces.iter().filter(|p| p.owner == id(0)).count();
+    assert_eq!(pieces(&row), 7);
+    let loads = loads(40, 0);
+    let moves = Planner::default().balance(&row, &loads, &ups);
+    for m in &moves {
+        assert_ne!(m.to, id(0));
+        row.give(m.range, &m.from, &m.to, Fence(3));
+    }
+    assert_eq!(pieces(&row), 2, "{moves:?}");
+    row.check().expect("a valid row");
+}
+
 #[test]
 fn rows_that_break_their_rules_are_refused() {
     let good = row(3);
--- a/crates/assign/tests/unserved.rs
+++ b/crates/assign/tests/unserved.rs
@@ -28,6 +28,7 @@
         id: id(i),
         slots: 2,
         service: 0.2,
+        most_pieces: None,
     }
 }
 
--- a/crates/cli/tests/direct/limited.rs
+++ b/crates/cli/tests/direct/limited.rs
@@ -137,6 +137,21 @@
     check_bound_after(STABLE, asked, server, named, per_s);
 }
 
+/// Checks that requests and renewals together stay within the bound once keys had time to move.
+fn check_bound_with_orders(server: &FleetTarget, named: Instant, per_s: f64) {
+    let allowed = per_s * SPAN.as_secs_f64() * OVER + SLACK;
+    let arrived = server.arrived();
+    for end in arrived.iter().map(|a| a.at) {
+        let within = arrived.iter().filter(|a| a.at <= end && a.at + SPAN > end);
+        let is_bound = end >= named + STABLE + SPAN;
+        let within = within.count();
+        assert!(
+            !is_bound || within as f64 <= allowed,
+            "{within} with renewals"
+        );
+    }
+}
+
 /// Checks that callers who were not served were told so truthfully, at once, and when to come back.
 fn check_refused(asked: &[Asked]) {
     let refused: Vec<&Asked> = asked.iter().filter(|a| !a.is_served()).collect();
@@ -184,6 +199,7 @@
     rig.reads[0].name_limit(Some(LIMIT));
     let asked = ask_for(&rig, &[0, 1, 2], "r", Duration::from_secs(12), read).await;
     check_bound(&asked, &rig.reads[0], named, LIMIT);
+    check_bound_with_orders(&rig.reads[0], named, LIMIT);
     check_refused(&asked);
     check_owners(&rig.journal.all());
     let late: Vec<&Asked> = asked
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -44,6 +44,9 @@
 /// Least requests a second that an upstream counts as able to take, whatever it says.
 const LEAST_PER_S: f64 = 0.1;
 
+/// Most pieces of an upstream that limits its requests: it gets their renewals as well, four in three seconds for each.
+const LIMITED_PIECES: usize = 2;
+
 /// Drives all keepers.
 pub async fn drive(ctl: Ctl, platform: impl Platform, socket: Rc<UdpSocket>) {
     let part = rand::rng().random_range(0.0..1.0);
@@ -185,10 +188,15 @@
             None => service,
         }
     };
+    let limits_requests = |u: &Registered| {
+        let limit = bounds.limits.get(&u.id);
+        limit.is_some_and(|limit| limit.per_s().is_some())
+    };
     let view = |u: &Registered| UpstreamView {
         id: u.id.clone(),
         slots: u.slots,
         service: service(u),
+        most_pieces: limits_requests(u).then_some(LIMITED_PIECES),
     };
     roster.ready(entry).into_iter().map(view).collect()
 }
