front: callers refused at an upstream that limits its requests are told so, and when it has room

They were told queue-full and a time around the one at which there is room, before half of which they would surely be refused again. The reason is upstream-limit, and the time is never too short.

--- a/crates/front/src/forward/course.rs
+++ b/crates/front/src/forward/course.rs
@@ -138,7 +138,7 @@
             self.with_load(&target, |load| load.hold_back(now, room_in));
         }
         if job.is_divided {
-            let refused = come_back(Reason::QueueFull, room_in);
+            let refused = self.no_room(&target, no_room);
             return Err(truthful(refused, &course.tries));
         }
         if is_bounded {
@@ -149,6 +149,16 @@
         Ok(())
     }
 
+    /// Builds what a caller is told whose key's owner has no room.
+    fn no_room(&self, owner: &Registered, no_room: NoRoom) -> Refused {
+        let limit = self.with_load(owner, |load| load.limit());
+        let room_in = no_room.room_in;
+        match limit.per_s() {
+            Some(_) if no_room.is_bounded => not_before(Reason::UpstreamLimit, room_in),
+            _ => come_back(Reason::QueueFull, room_in),
+        }
+    }
+
     /// Decides what becomes of a request whose try at `target` `ended` without an answer for the caller.
     async fn after(
         &self,
--- a/crates/ids/src/outcome.rs
+++ b/crates/ids/src/outcome.rs
@@ -103,6 +103,7 @@
     RateLimit = "rate-limit", NotRun, 429, "The entry's rate limit is reached.";
     ConcurrencyLimit = "concurrency-limit", NotRun, 429, "The entry's concurrency limit is reached.";
     QueueFull = "queue-full", NotRun, 503, "The upstream's queue is full.";
+    UpstreamLimit = "upstream-limit", NotRun, 503, "The upstream says how many requests a second it takes, and gets as many.";
     Overload = "overload", NotRun, 503, "The queue has stood too long; the request was dropped from it unsent.";
     NoCatalogue = "no-catalogue", NotRun, 503, "This host has no catalogue yet.";
     NoOwner = "no-owner", NotRun, 503, "No upstream owns the key at the moment.";
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -137,7 +137,9 @@
         | Reason::AnswerMismatch
         | Reason::UpstreamReset
         | Reason::HostLost => Remedy::Again,
-        Reason::DeadlineTooShort | Reason::QueueFull | Reason::Overload => Remedy::OtherUpstream,
+        Reason::DeadlineTooShort | Reason::QueueFull | Reason::UpstreamLimit | Reason::Overload => {
+            Remedy::OtherUpstream
+        }
         Reason::BadRequest
         | Reason::MissingKey
         | Reason::BadDeadline
