route: a repeat whose time is over joins no other call

A known red: a tick left something due. A call that waited behind a hold reached its deadline with repeats beside it; these come in again, the first of them is sent, and the next one joins it though its own deadline has passed, with a timer in the past. It is told at once what the timer would tell.

--- a/crates/route/src/dispatch/arrive.rs
+++ b/crates/route/src/dispatch/arrive.rs
@@ -52,6 +52,10 @@
             Some(Known::UnderWay(first)) => {
                 let first_arrival = &self.calls[&first].arrival;
                 if first_arrival.fingerprint == arrival.fingerprint {
+                    if arrival.deadline <= cx.now {
+                        cx.refuse(call, self.late_repeat(first), Duration::ZERO);
+                        return None;
+                    }
                     self.join(arrival.clone(), first);
                     return None;
                 }
--- a/crates/route/src/dispatch/timer.rs
+++ b/crates/route/src/dispatch/timer.rs
@@ -75,18 +75,21 @@
             State::Joined(first) => {
                 debug_assert!(deadline <= cx.now, "a repeat waits until its deadline");
                 self.forget(key);
-                let sent = matches!(self.calls[&first].state, State::Sent { .. });
-                let reason = if sent {
-                    Reason::AnswerTimeout
-                } else {
-                    Reason::Duplicate
-                };
+                let reason = self.late_repeat(first);
                 cx.refuse(key, reason, Duration::ZERO);
                 self.leave(cx, key, first);
             }
         }
     }
 
+    /// Returns the reason for which a repeat of `first` ends whose deadline has passed.
+    pub(super) fn late_repeat(&self, first: CallKey) -> Reason {
+        match self.calls[&first].state {
+            State::Sent { .. } => Reason::AnswerTimeout,
+            _ => Reason::Duplicate,
+        }
+    }
+
     pub(super) fn waited_long(&mut self, cx: &mut Cx<'_>, key: CallKey) {
         let call = &self.calls[&key];
         let Some(lane) = &self.lanes[call.lane] else {
--- a/crates/route/tests/properties/main.rs
+++ b/crates/route/tests/properties/main.rs
@@ -83,3 +83,42 @@
         model.end();
     }
 }
+
+/// An input that was drawn once, after which a tick left something due (`leaves-something-due.txt`).
+#[test]
+fn a_repeat_whose_time_is_over_joins_no_other_call() {
+    let first = Op::Arrive(0, 0, 0, 0, 0);
+    let ops = [
+        Op::Hold(0, 2),
+        first.clone(),
+        Op::Removed(2),
+        first.clone(),
+        Op::Arrive(0, 0, 5, 0, 0),
+        Op::Arrive(0, 2, 4, 1, 352),
+        Op::Pass(18),
+        Op::Pass(13),
+        Op::Pass(9),
+        Op::Pass(45),
+        first.clone(),
+        Op::Lease(0, 0, 0, 0),
+        Op::Pass(37),
+        Op::Pass(56),
+        Op::Pass(27),
+        Op::Pass(4),
+        Op::Pass(43),
+        Op::Arrive(1, 0, 4, 1, 101),
+        first,
+        Op::Pass(8),
+        Op::Pass(38),
+        Op::Arrive(0, 0, 4, 1, 54),
+    ];
+    play(&ops);
+}
+
+fn play(ops: &[Op]) {
+    let mut model = Model::new(QueueOrder::ALL[0]);
+    for op in ops {
+        model.apply(op);
+    }
+    model.end();
+}
