route: calls behind a hold that has lasted too long are refused as they come

They were put behind it with a timer in the past, to be refused at the next tick; a repeat that came in again within a tick was due again after it. Failed before: route properties, calls behind a hold that lasted too long do not wait.

--- a/crates/route/src/dispatch/arrive.rs
+++ b/crates/route/src/dispatch/arrive.rs
@@ -104,7 +104,11 @@
             return Some((reason, Duration::ZERO));
         }
         let full = lane.waiting() >= lane.limits.queue as usize;
-        if lane.is_held(arrival.slice) {
+        if let Some(since) = lane.held_since(arrival.slice) {
+            // Its time to wait for the move is over before it begins.
+            if since + self.settings.hold_max <= now {
+                return Some((Reason::Moving, lane.retry_after(now)));
+            }
             return full.then(|| (Reason::QueueFull, lane.retry_after(now)));
         }
         let margin = self.settings.lease_margin;
--- a/crates/route/src/dispatch/lane.rs
+++ b/crates/route/src/dispatch/lane.rs
@@ -272,6 +272,12 @@
         self.holds.contains_key(&slice) || self.holds.contains_key(&None)
     }
 
+    /// Returns since when calls of a slice wait for a move, if they do.
+    pub fn held_since(&self, slice: Option<SliceNo>) -> Option<Timestamp> {
+        let hold = self.holds.get(&slice).or_else(|| self.holds.get(&None));
+        hold.map(|hold| hold.since)
+    }
+
     /// Returns the hold behind which calls of a slice wait, if there is one.
     pub fn hold_of(&mut self, slice: Option<SliceNo>) -> Option<&mut Hold> {
         let named = [slice, None];
--- a/crates/route/tests/properties/main.rs
+++ b/crates/route/tests/properties/main.rs
@@ -115,6 +115,17 @@
     play(&ops);
 }
 
+/// A slice that is held for longer than calls wait for its move: what comes then would be due at once, and what is due
+/// at once with a repeat beside it was due again after the tick.
+#[test]
+fn calls_behind_a_hold_that_lasted_too_long_do_not_wait() {
+    let call = Op::Arrive(0, 2, 4, 1, 352);
+    let mut ops = vec![Op::Hold(0, 2)];
+    ops.extend(std::iter::repeat_n(Op::Pass(59), 35));
+    ops.extend([call.clone(), call, Op::Pass(5)]);
+    play(&ops);
+}
+
 fn play(ops: &[Op]) {
     let mut model = Model::new(QueueOrder::ALL[0]);
     for op in ops {
