--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`roster`]: the upstreams that registered themselves, and the failure domains that are drained.
 //! - [`warmup`]: how many requests an upstream bears while it is cold.
 //! - [`said`]: what an upstream says of itself in an answer.
-//! - `starts`: when the next request may start at an upstream that bears only so many.
+//! - `starts`, `pace`: when requests may start at an upstream that gets only so many.
 //! - [`load`]: what this host believes of one upstream's load, speed and health.
 //! - [`choose`](mod@choose): which upstream gets a request, or why none does.
 //! - [`returns`]: whether a caller was refused before and has come back.
@@ -23,6 +23,7 @@
 pub mod content;
 pub mod crashes;
 pub mod load;
+mod pace;
 pub mod permit_hosts;
 pub mod permits;
 pub mod repeat;
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -20,6 +20,7 @@
 
 use crate::choose::Rank;
 use crate::load::LoadReport;
+use crate::pace::Pace;
 use crate::said::Limit;
 use crate::starts::Starts;
 use crate::warmup::ColdStart;
@@ -150,30 +151,6 @@
 const IN_TIME: usize = 1;
 const LATE: usize = 2;
 
-/// When requests may start at an upstream that gets only so many.
-#[derive(Debug, Clone, Copy)]
-struct Pace {
-    /// Time until the first one may.
-    first: Duration,
-    /// How many may in a second after that.
-    per_s: f64,
-}
-
-impl Pace {
-    /// Returns the time until a request may start that has `ahead` others before it.
-    fn start_of(&self, ahead: usize) -> Duration {
-        self.first + Duration::from_secs_f64(ahead as f64 / self.per_s)
-    }
-
-    /// Returns what both allow.
-    fn slower(self, other: Self) -> Self {
-        Self {
-            first: self.first.max(other.first),
-            per_s: self.per_s.min(other.per_s),
-        }
-    }
-}
-
 /// Requests that ended without a word of the upstream since it last said something.
 #[derive(Debug, Clone, Copy)]
 struct Silence {
