--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -3,14 +3,12 @@
 //! Each host tells the one that grants keys how busy they are; the answer says that it is there
 //! and how old its knowledge of the store is.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use assign::{Keeper, Run, Word};
-use direct::{Limit, Roster};
 use ids::{BootClock, Clock, EntryId, HostId, Incarnation, Revision, Timestamp, UpstreamId};
 use indexmap::IndexMap;
 use prost::Message;
@@ -18,11 +16,10 @@
 use slog::{debug, info};
 use tokio::net::UdpSocket;
 
-use crate::control::crashes;
-use crate::control::messages::{Beat, Echo, Heard, KeyCount, MovingKeys, Service, UpstreamLimit};
+use crate::control::messages::{Beat, Echo, Heard, KeyCount, MovingKeys, Service};
 use crate::control::samples::{Sample, SampleRx};
 use crate::control::state::{Control, Ctl, KnownHost};
-use crate::limit_told::LimitTold;
+use crate::control::{crashes, limits};
 
 /// Time between heartbeats: a third of the silence after which the granting host is replaced.
 const EVERY: Duration = Duration::from_millis(400);
@@ -38,11 +35,6 @@
 /// most callers need it, and telling all at once was half of the bytes between domains that control takes.
 const TOLD_AT_ONCE: usize = 24;
 
-/// Time for which the granting host is told of a limit after this host last heard it: some heartbeats.
-const LIMIT_TOLD_FOR: Duration = Duration::from_secs(3);
-/// Most limits in one heartbeat, so that it stays within one packet.
-const LIMITS_MAX: usize = 64;
-
 /// Hosts that are asked whether they hear the granting host before it is replaced: with two, one that is
 /// cut off or slow itself does not matter.
 const WITNESSES: usize = 2;
@@ -118,7 +110,7 @@
     for (entry, divided) in &mut c.divided {
         let counted = counted.swap_remove(entry).unwrap_or_default();
         let beat = Beat {
-            limits: limits(&c.limits, &c.roster, entry, now),
+            limits: limits::heard_lately(&c.limits, &c.roster, entry, now),
             ..counted.into_beat(entry)
         };
         let Some(granter) = divided.keeper.row().map(|row| &row.granter) else {
@@ -142,34 +134,6 @@
     beats
 }
 
-/// Returns the limits of an entry's upstreams that this host heard lately.
-fn limits(
-    all: &HashMap<UpstreamId, Limit>,
-    roster: &Roster,
-    entry: &EntryId,
-    now: Timestamp,
-) -> Vec<UpstreamLimit> {
-    let is_of_entry = |id: &UpstreamId| roster.get(id).is_some_and(|u| u.entry == *entry);
-    let lately = all.iter().filter(|(id, limit)| {
-        limit.age(now).is_some_and(|age| age < LIMIT_TOLD_FOR) && is_of_entry(id)
-    });
-    let told = lately.map(|(id, limit)| UpstreamLimit {
-        upstream: id.to_string(),
-        told: LimitTold::new(now, limit),
-    });
-    told.take(LIMITS_MAX).collect()
-}
-
-/// Takes what another host heard of upstreams' limits.
-fn hear_limits(c: &mut Control, beat: &Beat, now: Timestamp) {
-    for limit in &beat.limits {
-        let id = UpstreamId::new(limit.upstream.as_str());
-        if let (Ok(id), Some(told)) = (id, limit.told) {
-            c.take_limit(&id, told.at(now));
-        }
-    }
-}
-
 /// Returns some hosts but those named.
 fn witnesses<'a>(
     hosts: &'a IndexMap<HostId, KnownHost>,
@@ -343,7 +307,7 @@
 
 /// Takes a heartbeat and answers it.
 fn answer(c: &mut Control, entry: &EntryId, beat: &Beat, now: Timestamp) -> Option<Beat> {
-    hear_limits(c, beat, now);
+    limits::hear(c, &beat.limits, now);
     let divided = c.divided.get_mut(entry)?;
     note(divided, beat);
     if let Some(revision) = beat.replaced_at {
--- /dev/null
+++ b/crates/front/src/control/limits.rs
@@ -0,0 +1,68 @@
+//! What the hosts know together of upstreams' limits: the granting host moves keys by it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use direct::{Limit, Roster};
+use gate::counters::Count;
+use ids::{EntryId, Timestamp, UpstreamId};
+use slog::info;
+
+use crate::control::messages::UpstreamLimit;
+use crate::control::state::Control;
+use crate::limit_told::LimitTold;
+
+/// Time for which the granting host is told of a limit after this host last heard it: some heartbeats.
+const LIMIT_TOLD_FOR: Duration = Duration::from_secs(3);
+/// Most limits in one heartbeat, so that it stays within one packet.
+const LIMITS_MAX: usize = 64;
+
+/// Returns the limits of an entry's upstreams that this host heard lately.
+pub(super) fn heard_lately(
+    all: &HashMap<UpstreamId, Limit>,
+    roster: &Roster,
+    entry: &EntryId,
+    now: Timestamp,
+) -> Vec<UpstreamLimit> {
+    let is_of_entry = |id: &UpstreamId| roster.get(id).is_some_and(|u| u.entry == *entry);
+    let lately = all.iter().filter(|(id, limit)| {
+        limit.age(now).is_some_and(|age| age < LIMIT_TOLD_FOR) && is_of_entry(id)
+    });
+    let told = lately.map(|(id, limit)| UpstreamLimit {
+        upstream: id.to_string(),
+        told: LimitTold::new(now, limit),
+    });
+    told.take(LIMITS_MAX).collect()
+}
+
+/// Takes what another host heard of upstreams' limits.
+pub(super) fn hear(c: &mut Control, limits: &[UpstreamLimit], now: Timestamp) {
+    for limit in limits {
+        let id = UpstreamId::new(limit.upstream.as_str());
+        if let (Ok(id), Some(told)) = (id, limit.told) {
+            let heard = told.at(now);
+            c.change_limit(&id, |limit| {
+                limit.take(heard);
+            });
+        }
+    }
+}
+
+impl Control {
+    /// Changes what is known of an upstream's limit, unless it is not registered.
+    pub(super) fn change_limit(&mut self, id: &UpstreamId, change: impl FnOnce(&mut Limit)) {
+        if self.roster.get(id).is_none() {
+            return;
+        }
+        let limit = self.limits.entry(id.clone()).or_default();
+        let before = limit.per_s();
+        change(limit);
+        let per_s = limit.per_s();
+        if per_s == before {
+            return;
+        }
+        info!(self.log, "upstream limits requests"; "upstream" => id.as_str(), "per_s" => per_s,
+            "before" => before);
+        self.metrics.count(Count::UpstreamsLimited);
+    }
+}
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -11,6 +11,7 @@
 //! - [`registry`]: what it makes of the upstreams' registrations.
 //! - [`beat`]: heartbeats between hosts; [`messages`]: what they say.
 //! - [`crashes`]: finds requests under which upstreams end.
+//! - [`limits`]: how many requests a second upstreams say they take.
 //! - [`quarantine`]: the requests that are sent to no upstream for now, and the store's row of them.
 //! - [`sightings`]: what requests brought to light of upstreams.
 //! - [`keys`]: drives the keepers of entries that are divided by key.
@@ -22,6 +23,7 @@
 pub mod follow;
 pub mod freshness;
 pub mod keys;
+pub mod limits;
 pub mod messages;
 pub mod quarantine;
 pub mod registry;
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use direct::{Limit, LimitWord, Registered, Said};
+use direct::{LimitWord, Registered, Said};
 use gate::counters::Count;
 use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
 use slog::{info, warn};
@@ -71,39 +71,12 @@
     ///
     /// `sent` is when the answered request or order was sent.
     pub fn hear(&mut self, now: Timestamp, sent: Timestamp, id: &UpstreamId, said: &Said) -> bool {
-        self.hear_limit(now, sent, id, said.limit);
-        said.leaves && self.hear_leaving(now, id)
-    }
-
-    fn hear_limit(&mut self, now: Timestamp, sent: Timestamp, id: &UpstreamId, word: LimitWord) {
-        if word == LimitWord::Unsaid || self.roster.get(id).is_none() {
-            return;
-        }
-        self.change_limit(id, |limit| {
-            limit.hear(now, sent, word);
-        });
-    }
-
-    /// Takes what another host heard of an upstream's limit.
-    pub fn take_limit(&mut self, id: &UpstreamId, heard: Limit) {
-        if self.roster.get(id).is_some() {
+        if said.limit != LimitWord::Unsaid {
             self.change_limit(id, |limit| {
-                limit.take(heard);
+                limit.hear(now, sent, said.limit);
             });
         }
-    }
-
-    fn change_limit(&mut self, id: &UpstreamId, change: impl FnOnce(&mut Limit)) {
-        let limit = self.limits.entry(id.clone()).or_default();
-        let before = limit.per_s();
-        change(limit);
-        let per_s = limit.per_s();
-        if per_s == before {
-            return;
-        }
-        info!(self.log, "upstream limits requests"; "upstream" => id.as_str(), "per_s" => per_s,
-            "before" => before);
-        self.metrics.count(Count::UpstreamsLimited);
+        said.leaves && self.hear_leaving(now, id)
     }
 
     fn hear_leaving(&mut self, now: Timestamp, id: &UpstreamId) -> bool {
