--- a/crates/own/src/moves.rs
+++ b/crates/own/src/moves/mod.rs
@@ -6,21 +6,30 @@
 //! - nobody who coordinated the upstream before can still grant them,
 //! - the deputy promised not to grant them on its reserve, and
 //! - the upstream's grant is surely over.
+//!
+//! - `wishes`: what others wish to move.
+//! - `targets`: where slices may go.
+//! - `rows`: the rows of both sides.
+//! - `settle`: what follows once a removal stands.
+
+mod rows;
+mod settle;
+mod targets;
+mod wishes;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{EntryId, Revision, SliceNo, Timestamp, UpstreamId};
-use platform::Txn;
+use ids::{SliceNo, Timestamp, UpstreamId};
 
+use self::rows::moved;
 use crate::commits::Subject;
-use crate::held::{Going, Held, Removal, SHORT_PATIENCE, Settling, Why};
-use crate::machine::{Machine, check, write};
+use crate::held::{Going, Held, Removal, Why};
+use crate::machine::Machine;
 use crate::replica::Known;
-use crate::roster::weight;
 use crate::transfer::is_unreleased;
-use crate::{Action, Assigned, Carved, HostRef, Incoming, OwnRow};
+use crate::{Action, OwnRow};
 
 /// Longest time that a wished move may take before it is given up.
 const LONGEST_WISH: Duration = Duration::from_secs(2);
@@ -33,82 +42,6 @@
 type Plan = BTreeMap<UpstreamId, Vec<SliceNo>>;
 
 impl Machine {
-    pub(crate) fn on_wish(&mut self, entry: &EntryId, slice: SliceNo, to: UpstreamId) {
-        let Some(upstream) = self.holder(entry, slice) else {
-            return;
-        };
-        self.with_held(&upstream.clone(), |_, h| {
-            if to == upstream {
-                h.wishes.remove(&slice);
-            } else {
-                h.wishes.insert(slice, to);
-            }
-        });
-    }
-
-    /// Returns the upstream, coordinated by this host, that owns a slice.
-    fn holder(&self, entry: &EntryId, slice: SliceNo) -> Option<UpstreamId> {
-        let owns = |u: &&UpstreamId| {
-            let known = self.replica.get(u);
-            self.view.known(u).is_some_and(|d| d.entry == *entry)
-                && known.is_some_and(|k| k.row.holds(slice))
-        };
-        self.held.keys().find(owns).cloned()
-    }
-
-    pub(crate) fn on_carve(&mut self, entry: &EntryId, base: SliceNo, hot: SliceNo) {
-        debug_assert!(hot.is_hot(), "only hot keys are carved out");
-        let Some(upstream) = self.holder(entry, base) else {
-            return;
-        };
-        let Some(known) = self.replica.get(&upstream) else {
-            return;
-        };
-        // Higher than any generation that the slice can have had before: each change of its
-        // owner was a transaction of its own.
-        let generation = known.revision.0 + 1;
-        let known_hot = known.row.carved.iter().any(|c| c.hot == hot);
-        if known_hot || self.is_on_its_way(&upstream, base) {
-            return;
-        }
-        self.rewrite(&upstream, |row| {
-            row.carved.push(Carved { hot, base });
-            row.carved.sort();
-            row.slices.push(Assigned {
-                slice: hot,
-                generation,
-            });
-            row.slices.sort();
-        });
-    }
-
-    pub(crate) fn on_fold(&mut self, entry: &EntryId, hot: SliceNo) {
-        let Some(upstream) = self.holder(entry, hot) else {
-            return;
-        };
-        let known = self.replica.get(&upstream);
-        let carved = known.and_then(|k| k.row.carved.iter().find(|c| c.hot == hot));
-        let Some(base) = carved.map(|c| c.base) else {
-            return;
-        };
-        if self.is_on_its_way(&upstream, hot) || self.is_on_its_way(&upstream, base) {
-            return;
-        }
-        // The upstream has the key either way. A deputy that knows only the row before is asked
-        // before the slice moves on.
-        self.rewrite(&upstream, |row| {
-            row.carved.retain(|c| c.hot != hot);
-            row.slices.retain(|a| a.slice != hot);
-        });
-    }
-
-    /// Tells whether a slice of an upstream of this host may still be another upstream's.
-    fn is_on_its_way(&self, upstream: &UpstreamId, slice: SliceNo) -> bool {
-        let held = self.held.get(upstream);
-        let waits = held.map(|h| self.unreleased(upstream, h));
-        waits.is_some_and(|w| w.iter().any(|i| i.slice == slice))
-    }
-
     /// Starts and pursues the removal of slices that should go.
     pub(crate) fn move_slices(&mut self, upstream: &UpstreamId, held: &mut Held) {
         if !held.recorded || held.handing.is_some() {
@@ -258,69 +191,6 @@
         over && held.link.is_silent(self.roster.awake(), self.cfg.silence)
     }
 
-    /// Spreads slices over other upstreams of the same entry, the emptiest first.
-    fn spread(&self, upstream: &UpstreamId, slices: impl Iterator<Item = SliceNo>) -> Plan {
-        let mut plan = Plan::new();
-        let mut loads = self.targets(upstream);
-        for slice in slices {
-            let Some((load, to)) = loads.iter_mut().min() else {
-                break;
-            };
-            *load += 1;
-            plan.entry(to.clone()).or_default().push(slice);
-        }
-        plan
-    }
-
-    /// Returns some upstreams that may take slices of this one, with how many they have.
-    ///
-    /// Each lost upstream takes its own sample, so that many lost at once don't all write the rows
-    /// of the same few.
-    fn targets(&self, upstream: &UpstreamId) -> Vec<(usize, UpstreamId)> {
-        let Some(entry) = self.view.known(upstream).map(|d| &d.entry) else {
-            return Vec::new();
-        };
-        let mut open = self.open_upstreams(entry);
-        open.retain(|(u, _)| u != upstream && !self.is_known_unfit(u));
-        open.sort_by_key(|(u, _)| weight(upstream.as_str(), u.as_str()));
-        open.truncate(self.cfg.spread_targets * SAMPLE);
-        let load = |(u, k): (UpstreamId, Known)| (k.row.slices.len(), u);
-        let mut loads = open.into_iter().map(load).collect::<Vec<_>>();
-        loads.sort();
-        loads.truncate(self.cfg.spread_targets);
-        loads
-    }
-
-    /// Tells whether this host, which coordinates an upstream, knows better than its row.
-    fn is_known_unfit(&self, upstream: &UpstreamId) -> bool {
-        let held = self.held.get(upstream);
-        held.is_some_and(|h| self.is_emptying(upstream, h) || !self.is_serving(upstream, h))
-    }
-
-    fn take_wishes(&self, upstream: &UpstreamId, held: &mut Held, known: &Known) -> Plan {
-        let mut plan = Plan::new();
-        let mut taken = 0;
-        while let Some((slice, to)) = held.wishes.pop_first() {
-            let here = known.row.holds(slice) && !is_unreleased(&known.row, held, slice);
-            if here && self.is_target(upstream, &to) {
-                plan.entry(to).or_default().push(slice);
-                taken += 1;
-            }
-            if taken == self.cfg.move_batch {
-                break;
-            }
-        }
-        plan
-    }
-
-    fn is_target(&self, from: &UpstreamId, to: &UpstreamId) -> bool {
-        let Some(entry) = self.view.known(from).map(|d| &d.entry) else {
-            return false;
-        };
-        let mut open = self.open_upstreams(entry).into_iter();
-        from != to && !self.is_known_unfit(to) && open.any(|(u, _)| u == *to)
-    }
-
     /// Tells whether a removal should be given up; none is while its transaction is in doubt.
     fn is_hopeless(&self, upstream: &UpstreamId, held: &Held) -> bool {
         let Some(r) = &held.removal else {
@@ -543,156 +413,4 @@
         held.removal = Some(r);
         all
     }
-
-    /// Ends a removal whose slices are gone from the row.
-    pub(crate) fn after_row(&mut self, upstream: &UpstreamId) {
-        let Some(known) = self.replica.get(upstream).cloned() else {
-            return;
-        };
-        let Some(mut held) = self.held.remove(upstream) else {
-            return;
-        };
-        self.forget_stays(upstream, &mut held);
-        let still = |r: &Removal| r.slices().iter().any(|s| known.row.holds(*s));
-        if let Some(r) = held.removal.take_if(|r| !still(r)) {
-            held.patience = SHORT_PATIENCE;
-            if r.is_revoking() {
-                for g in r.going {
-                    self.settle_hold(upstream, g.hold, Some(g.slice), g.to, known.revision);
-                }
-            } else {
-                self.start_outgoing(upstream, &mut held, r);
-            }
-        }
-        self.held.insert(upstream.clone(), held);
-    }
-
-    /// Keeps requests held until `to` serves the row of this revision.
-    pub(crate) fn settle_hold(
-        &mut self,
-        upstream: &UpstreamId,
-        hold: u64,
-        slice: Option<SliceNo>,
-        to: UpstreamId,
-        revision: Revision,
-    ) {
-        self.settling.push(Settling {
-            upstream: upstream.clone(),
-            hold,
-            to,
-            slice,
-            revision,
-            until: self.now + LONGEST_HOLD,
-        });
-    }
-
-    /// Releases requests whose upstream serves now, by what this host itself knows.
-    pub(crate) fn release_settled(&mut self) {
-        let served = |s: &Settling| {
-            let known = self.replica.get(&s.to);
-            let newer = known.is_some_and(|k| k.revision >= s.revision);
-            let held = self.held.get(&s.to);
-            let came = |h: &Held| {
-                let waits = self.unreleased(&s.to, h);
-                waits.iter().all(|i| s.slice.is_some_and(|s| s != i.slice))
-            };
-            newer && held.is_some_and(|h| self.is_serving(&s.to, h) && came(h))
-        };
-        let done = |s: &Settling| self.now >= s.until || served(s);
-        let (due, kept) = self.settling.iter().cloned().partition(done);
-        self.settling = kept;
-        self.release_all(due);
-    }
-
-    /// Releases requests that were held for a host which serves now.
-    pub(crate) fn release_served(
-        &mut self,
-        to: &UpstreamId,
-        by: &HostRef,
-        revision: Revision,
-        without: &[SliceNo],
-    ) {
-        let known = self.replica.get(to);
-        let named = known.and_then(|k| k.row.coordinator.as_ref());
-        if !named.is_some_and(|c| c.is(by)) {
-            return;
-        }
-        let due = |s: &Settling| {
-            let came = s.slice.is_none_or(|s| without.binary_search(&s).is_err());
-            s.to == *to && s.revision <= revision && came
-        };
-        let (due, kept) = self.settling.iter().cloned().partition(due);
-        self.settling = kept;
-        self.release_all(due);
-    }
-
-    fn release_all(&mut self, due: Vec<Settling>) {
-        for s in due {
-            let known = self.replica.get(&s.to);
-            let host = known.and_then(|k| k.row.coordinator.clone());
-            let host = host.unwrap_or_else(|| self.me.clone());
-            self.release(&s.upstream, s.hold, s.to, host);
-        }
-    }
-}
-
-/// Builds the transaction that moves slices off an upstream.
-fn moved(
-    upstream: &UpstreamId,
-    revision: Revision,
-    mut from: OwnRow,
-    going: &[(Going, Known)],
-    planned: bool,
-) -> Txn {
-    let mut checks = vec![check(upstream, Some(revision))];
-    let mut rows = BTreeMap::<UpstreamId, OwnRow>::new();
-    for (g, target) in going {
-        let row = rows.entry(g.to.clone()).or_insert_with(|| {
-            checks.push(check(&g.to, Some(target.revision)));
-            OwnRow::clone(&target.row)
-        });
-        row.writer = from.writer.clone();
-        take_slice(&mut from, row, g.slice);
-        mark_incoming(upstream, &mut from, (&g.to, row), g.slice, planned);
-    }
-    let mut writes = vec![write(upstream, &from)];
-    writes.extend(rows.iter().map(|(u, row)| write(u, row)));
-    Txn { checks, writes }
-}
-
-/// Moves a slice, and the hot keys carved out of it, from one row to another.
-fn take_slice(from: &mut OwnRow, to: &mut OwnRow, slice: SliceNo) {
-    let taken = from.slices.extract_if(.., |a| a.slice == slice);
-    to.slices.extend(taken.map(|a| Assigned {
-        slice: a.slice,
-        generation: a.generation + 1,
-    }));
-    to.slices.sort();
-    let carved = from.carved.extract_if(.., |c| c.base == slice);
-    to.carved.extend(carved);
-    to.carved.sort();
-}
-
-/// Marks a slice that moves as not free yet: at the upstream that it leaves, or, if that one is
-/// lost, at the one before if it was not free there.
-fn mark_incoming(
-    upstream: &UpstreamId,
-    from: &mut OwnRow,
-    (target, to): (&UpstreamId, &mut OwnRow),
-    slice: SliceNo,
-    planned: bool,
-) {
-    let before = from.incoming.extract_if(.., |i| i.slice == slice);
-    let before = before.map(|i| i.from).last();
-    let owner = if planned {
-        Some(upstream.clone())
-    } else {
-        before
-    };
-    // One that never let go of it has it again.
-    let owner = owner.filter(|o| o != target);
-    to.incoming.retain(|i| i.slice != slice);
-    to.incoming
-        .extend(owner.map(|from| Incoming { slice, from }));
-    to.incoming.sort();
 }
--- /dev/null
+++ b/crates/own/src/moves/rows.rs
@@ -0,0 +1,72 @@
+//! The rows of both sides of a move.
+
+use std::collections::BTreeMap;
+
+use ids::{Revision, SliceNo, UpstreamId};
+use platform::Txn;
+
+use crate::held::Going;
+use crate::machine::{check, write};
+use crate::replica::Known;
+use crate::{Assigned, Incoming, OwnRow};
+
+/// Builds the transaction that moves slices off an upstream.
+pub(super) fn moved(
+    upstream: &UpstreamId,
+    revision: Revision,
+    mut from: OwnRow,
+    going: &[(Going, Known)],
+    planned: bool,
+) -> Txn {
+    let mut checks = vec![check(upstream, Some(revision))];
+    let mut rows = BTreeMap::<UpstreamId, OwnRow>::new();
+    for (g, target) in going {
+        let row = rows.entry(g.to.clone()).or_insert_with(|| {
+            checks.push(check(&g.to, Some(target.revision)));
+            OwnRow::clone(&target.row)
+        });
+        row.writer = from.writer.clone();
+        take_slice(&mut from, row, g.slice);
+        mark_incoming(upstream, &mut from, (&g.to, row), g.slice, planned);
+    }
+    let mut writes = vec![write(upstream, &from)];
+    writes.extend(rows.iter().map(|(u, row)| write(u, row)));
+    Txn { checks, writes }
+}
+
+/// Moves a slice, and the hot keys carved out of it, from one row to another.
+fn take_slice(from: &mut OwnRow, to: &mut OwnRow, slice: SliceNo) {
+    let taken = from.slices.extract_if(.., |a| a.slice == slice);
+    to.slices.extend(taken.map(|a| Assigned {
+        slice: a.slice,
+        generation: a.generation + 1,
+    }));
+    to.slices.sort();
+    let carved = from.carved.extract_if(.., |c| c.base == slice);
+    to.carved.extend(carved);
+    to.carved.sort();
+}
+
+/// Marks a slice that moves as not free yet: at the upstream that it leaves, or, if that one is
+/// lost, at the one before if it was not free there.
+fn mark_incoming(
+    upstream: &UpstreamId,
+    from: &mut OwnRow,
+    (target, to): (&UpstreamId, &mut OwnRow),
+    slice: SliceNo,
+    planned: bool,
+) {
+    let before = from.incoming.extract_if(.., |i| i.slice == slice);
+    let before = before.map(|i| i.from).last();
+    let owner = if planned {
+        Some(upstream.clone())
+    } else {
+        before
+    };
+    // One that never let go of it has it again.
+    let owner = owner.filter(|o| o != target);
+    to.incoming.retain(|i| i.slice != slice);
+    to.incoming
+        .extend(owner.map(|from| Incoming { slice, from }));
+    to.incoming.sort();
+}
