--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -242,7 +242,11 @@
     let calls = rig.store.calls();
     // Servers write their registrations through the stand-in itself, which counts no call. Each host
     // reads the hosts' rows twice or thrice and writes its own; one of them reads the rest.
-    assert!(calls < 6 * hosts as u64, "{calls} calls");
+    assert!(
+        calls < 6 * hosts as u64,
+        "{calls} calls: {:#?}",
+        rig.store.calls_by()
+    );
 }
 
 /// A host that starts while the store is away knows no other host that could feed it, and has to find
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use ids::Revision;
+use indexmap::IndexMap;
 use platform::{Check, Commit, MemoryTable, Row, RowKey, Txn, Write};
 use serde_json::{Value, json};
 use smol_str::{SmolStr, format_smolstr};
@@ -47,6 +48,8 @@
     /// Addresses at which clients get 429, and no news by the feeds that they wait for.
     turned_away: Mutex<HashSet<IpAddr>>,
     calls: AtomicU64,
+    /// The same by the address to which they came, path and table.
+    calls_by: Mutex<IndexMap<(IpAddr, String), u64>>,
     /// Waits for changes that began, by table.
     feeds: Mutex<HashMap<SmolStr, u64>>,
     began: Instant,
@@ -77,6 +80,7 @@
             floor: Mutex::default(),
             turned_away: Mutex::default(),
             calls: AtomicU64::new(0),
+            calls_by: Mutex::default(),
             feeds: Mutex::default(),
             began: Instant::now(),
         });
@@ -139,6 +143,12 @@
         self.shared.calls.load(Ordering::Relaxed)
     }
 
+    /// Returns how many calls came, by the address to which they came, path and table.
+    #[must_use]
+    pub fn calls_by(&self) -> IndexMap<(IpAddr, String), u64> {
+        lock(&self.shared.calls_by).clone()
+    }
+
     /// Returns how many waits for changes of `table` began.
     #[must_use]
     pub fn feeds(&self, table: &str) -> u64 {
@@ -240,6 +250,12 @@
 
 async fn handle(shared: Arc<Shared>, at: IpAddr, req: Request) -> Whole {
     shared.calls.fetch_add(1, Ordering::Relaxed);
+    let called = format!(
+        "{} {}",
+        req.uri().path(),
+        query(&req).get("table").cloned().unwrap_or_default()
+    );
+    *lock(&shared.calls_by).entry((at, called)).or_default() += 1;
     if shared.turns_away(at) {
         return respond(StatusCode::TOO_MANY_REQUESTS, "");
     }
