--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -41,9 +41,6 @@
 /// Service time of an upstream of which nothing was observed, in seconds.
 const USUAL_SERVICE: f64 = 0.1;
 
-/// Least requests a second that an upstream counts as able to take, whatever it says.
-const LEAST_PER_S: f64 = 0.1;
-
 /// Most pieces of an upstream that limits its requests: it gets their renewals as well, four in three seconds for each.
 const LIMITED_PIECES: usize = 2;
 
@@ -94,7 +91,7 @@
     let steady = (c.roster_changed + ROSTER_STEADY).max(c.hosts_changed + HOSTS_STEADY);
     for (entry, divided) in &mut c.divided {
         let spec = c.in_force.as_ref().and_then(|f| f.cfg.entries.get(entry));
-        let known = Known {
+        let bounds = RequestBounds {
             warmup: spec.and_then(|spec| spec.warmup),
             limits: &c.limits,
         };
@@ -110,14 +107,14 @@
                 reads_for,
                 patience,
             };
-            let ready = || ready(&c.roster, entry, &divided.services, &known, now);
+            let ready = || ready(&c.roster, entry, &divided.services, &bounds, now);
             let first = (divided.keeper.row().is_none()).then(ready);
             take_over(divided, first, now, &outlook, &mut actions);
         }
         divided.keeper.poll(now, &mut actions);
         if divided.keeper.may_plan(now) {
             let mut standing = Standing {
-                ready: &ready(&c.roster, entry, &divided.services, &known, now),
+                ready: &ready(&c.roster, entry, &divided.services, &bounds, now),
                 loads: &mut divided.loads,
                 may_move,
             };
@@ -149,17 +146,23 @@
 }
 
 /// What is known of an entry's upstreams that get fewer requests than they could work on.
-struct Known<'a> {
+struct RequestBounds<'a> {
     warmup: Option<Warmup>,
     limits: &'a HashMap<UpstreamId, Limit>,
 }
 
-impl Known<'_> {
+impl RequestBounds<'_> {
+    /// Returns how many requests a second `upstream` says it takes; none if it names no limit.
+    fn limit(&self, upstream: &Registered) -> Option<f64> {
+        let limit = self.limits.get(&upstream.id)?;
+        limit.handed_out(0)
+    }
+
     /// Returns how many requests a second `upstream` gets at most; none if as many as it can work on.
     fn most_per_s(&self, upstream: &Registered, now: Timestamp) -> Option<f64> {
         let cold = self.warmup.filter(|_| now < upstream.cold_until);
-        let limit = self.limits.get(&upstream.id).and_then(Limit::per_s);
-        let bounds = cold.map(|warmup| warmup.per_s).into_iter().chain(limit);
+        let cold = cold.map(|warmup| warmup.per_s);
+        let bounds = cold.into_iter().chain(self.limit(upstream));
         bounds.min_by(f64::total_cmp)
     }
 }
@@ -172,7 +175,7 @@
     roster: &Roster,
     entry: &EntryId,
     services: &HashMap<UpstreamId, f64>,
-    bounds: &Known<'_>,
+    bounds: &RequestBounds<'_>,
     now: Timestamp,
 ) -> Vec<UpstreamView> {
     let known: f64 = services.values().sum();
@@ -184,19 +187,15 @@
     let service = |u: &Registered| {
         let service = services.get(&u.id).copied().unwrap_or(usual);
         match bounds.most_per_s(u, now) {
-            Some(per_s) => service.max(f64::from(u.slots) / per_s.max(LEAST_PER_S)),
+            Some(per_s) => service.max(f64::from(u.slots) / per_s),
             None => service,
         }
     };
-    let limits_requests = |u: &Registered| {
-        let limit = bounds.limits.get(&u.id);
-        limit.is_some_and(|limit| limit.per_s().is_some())
-    };
     let view = |u: &Registered| UpstreamView {
         id: u.id.clone(),
         slots: u.slots,
         service: service(u),
-        most_pieces: limits_requests(u).then_some(LIMITED_PIECES),
+        most_pieces: bounds.limit(u).map(|_| LIMITED_PIECES),
     };
     roster.ready(entry).into_iter().map(view).collect()
 }
