front, platform: routes with large bodies are read, and bodies stay within a budget of the host's memory

Callers of a deployment with uploads got no-catalogue for every request: one route kind that the adapter did not know refused the whole configuration. Its word is now read as a kind of its own, not idempotent and with large bodies; an unknown kind still refuses the configuration with field and cause, and the one in force goes on.

A host held each body whole, bounded for each but not over all. Bodies and answers now come out of one budget that follows from the host's memory; large ones take a part of it at most, so that small requests always find room. Over it a request is refused at once as host-memory, unrun, with a time to come back; the rest of its body is read and dropped so that the caller sees the refusal. A body that can't come before its deadline at the rate of the last second is refused then and not at the deadline. Answers are never refused: they count until their last byte has left.

--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -32,6 +32,8 @@
     pub prefix: SmolStr,
     /// Whether a request may run more than once.
     pub idempotent: bool,
+    /// Whether callers send large bodies, which may not take the memory that other requests need.
+    pub large_bodies: bool,
     /// Longest time for which a caller is kept waiting.
     pub timeout: Duration,
     /// Latency objective: an answer within this time has its full worth.
--- a/crates/direct/tests/routes.rs
+++ b/crates/direct/tests/routes.rs
@@ -16,6 +16,7 @@
         host: host.into(),
         prefix: prefix.into(),
         idempotent: true,
+        large_bodies: false,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(300),
         priority: 0,
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -86,6 +86,7 @@
             }
             Err(_elapsed) => return Err(Ended::Broken(Reason::AnswerTimeout)),
         };
+        let body = self.memory.hold_answer(done.body);
         let now = BootClock.now();
         let judged = self
             .dialect
@@ -111,11 +112,11 @@
             Verdict::Answer if done.head.status.is_server_error() && job.route.idempotent => {
                 // Another upstream, or the same one later, may do better; this one lives.
                 self.crashes.answered(job.content);
-                let failure = response(done.head.status, done.head.headers, done.body);
+                let failure = response(done.head.status, done.head.headers, body);
                 job.failure.set(Some(failure));
                 Err(Ended::Broken(Reason::UpstreamReset))
             }
-            Verdict::Answer => Ok(response(done.head.status, done.head.headers, done.body)),
+            Verdict::Answer => Ok(response(done.head.status, done.head.headers, body)),
             Verdict::NotRun => Err(Ended::NotRun(Reason::UpstreamShed)),
             Verdict::Misdirected => Err(Ended::Misdirected),
             Verdict::Replaced => Err(Ended::Replaced),
--- a/crates/front/src/forward/intake.rs
+++ b/crates/front/src/forward/intake.rs
@@ -6,13 +6,15 @@
 use bytes::Bytes;
 use direct::{Content, LoadReport, Rank, Route, Warmup};
 use http::{Request, Response, header, request};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp};
 use route::{BudgetSettings, RetryBudget};
 
+use super::body::{self, BodyBounds};
 use super::reply::{COME_BACK, Refused, come_back};
 use super::{EntryState, Forwarder, USUAL_SERVICE};
+use crate::memory::BodySize;
 use crate::ports::Asked;
 use crate::story::Story;
 use crate::view::View;
@@ -65,7 +67,18 @@
             .route(key.ok_or(Reason::UnknownEntry)?)
             .clone();
         story.borrow_mut().takes(&in_force.cfg, &route, asked.key);
-        let body = read_body(body, in_force.cfg.bounds.body_bytes).await?;
+        let wait = asked.wait.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = arrived + wait;
+        let size = if route.large_bodies {
+            BodySize::Large
+        } else {
+            BodySize::Small
+        };
+        let bounds = BodyBounds {
+            most: in_force.cfg.bounds.body_bytes,
+            deadline,
+        };
+        let body = body::read(body, bounds, self.memory.request(size)).await?;
         let content = content_of(&parts, host, &body);
         story.borrow_mut().content = content;
         let entry = self.splitter.borrow_mut().deal(&route).cloned();
@@ -81,7 +94,6 @@
             let mut returns = self.returns.borrow_mut();
             returns.asked_before(&route.name, wait)
         });
-        let wait = asked.wait.unwrap_or(route.timeout).min(route.timeout);
         self.count_request(&view, &entry, BootClock.now());
         Ok(Job {
             parts,
@@ -95,7 +107,7 @@
             warmup,
             asked_before,
             arrived,
-            deadline: arrived + wait,
+            deadline,
             report: Cell::default(),
             failure: Cell::default(),
         })
@@ -129,11 +141,3 @@
     let path = parts.uri.path_and_query().map_or("", |p| p.as_str());
     Content::of(parts.method.as_str(), host, path, body)
 }
-
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refused> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Reason::BodyTooLarge.into()),
-        Err(_broken) => Err(Reason::BodyTimeout.into()),
-    }
-}
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -1,12 +1,14 @@
 //! The path of one request: from a caller to an upstream and back.
 //!
 //! - `intake`: reading a request and finding its route.
+//! - [`body`]: reading a request's body.
 //! - `course`: from try to try.
 //! - `pick`: where a try goes.
 //! - `attempt`: one try.
 //! - `reply`: what callers are told.
 
 mod attempt;
+pub mod body;
 mod course;
 mod intake;
 mod pick;
@@ -38,6 +40,7 @@
 use crate::connections::Connections;
 use crate::control::samples::{Sample, SampleTx};
 use crate::crashes::CrashWatch;
+use crate::memory::MemoryBudget;
 use crate::news::NewsTx;
 use crate::permits::PermitService;
 use crate::ports::Dialect;
@@ -78,6 +81,7 @@
     choose_cfg: ChooseSettings,
     repeat_cfg: RepeatSettings,
     teller: Teller,
+    memory: MemoryBudget,
     metrics: Arc<Metrics>,
     /// Ends all requests that are under way.
     end: CancellationToken,
@@ -102,6 +106,8 @@
     pub news: NewsTx,
     /// Where permits to send are asked for.
     pub permits: Rc<PermitService>,
+    /// What bodies may take of the host's memory.
+    pub memory: MemoryBudget,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// Logger.
@@ -138,6 +144,7 @@
             choose_cfg: ChooseSettings::default(),
             repeat_cfg: RepeatSettings::default(),
             teller: Teller::new(parts.log),
+            memory: parts.memory,
             metrics: parts.metrics,
             end: CancellationToken::new(),
         }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`ports`]: what an adapter to a platform provides.
 //! - [`view`]: what the control duty tells the callers' duty.
 //! - [`limit_told`]: how hosts tell each other of upstreams' limits.
+//! - [`memory`]: what bodies may take of the host's memory.
 //! - [`story`]: log lines about single requests.
 //! - [`run`](mod@run): starts and stops the duties.
 //!
@@ -18,6 +19,7 @@
 pub mod forward;
 pub mod limit_told;
 pub mod log;
+pub mod memory;
 pub mod news;
 pub mod permits;
 pub mod ports;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -26,6 +26,7 @@
 use crate::control::take::Table;
 use crate::control::{Control, Ctl, announce, beat, follow, keys, quarantine, relay, sightings};
 use crate::forward::{Forwarder, ForwarderParts};
+use crate::memory::MemoryBudget;
 use crate::news::{self, NewsRx, NewsTx};
 use crate::permits::PermitService;
 use crate::ports::{Dialect, Platform};
@@ -183,6 +184,7 @@
             bound.send(Ok(())).context("report the start")?;
             tokio::task::spawn_local(Rc::clone(&permits).receive());
             tokio::task::spawn_local(Rc::clone(&permits).tend());
+            let memory = MemoryBudget::new(self.cfg.memory_bytes());
             let forwarder = Rc::new(Forwarder::new(ForwarderParts {
                 domain: self.cfg.domain,
                 view: Shared::clone(&self.view),
@@ -192,6 +194,7 @@
                 samples: self.samples,
                 news: self.news,
                 permits,
+                memory,
                 metrics: self.metrics,
                 log: self.log.clone(),
             }));
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -19,6 +19,9 @@
     pub domain: DomainId,
     /// Its processor.
     pub processor: Processor,
+    /// Memory that the host may use, in megabytes.
+    #[serde(default = "usual_memory_mb")]
+    pub memory_mb: usize,
     /// Where it listens.
     pub listen: Listen,
     /// The platform's store.
@@ -32,6 +35,19 @@
     pub stop: Stop,
 }
 
+/// Memory of a host whose settings don't name any, in megabytes.
+const fn usual_memory_mb() -> usize {
+    256
+}
+
+impl Settings {
+    /// Returns the memory that the host may use, in bytes.
+    #[must_use]
+    pub const fn memory_bytes(&self) -> usize {
+        self.memory_mb << 20
+    }
+}
+
 /// How much work a host can do.
 #[derive(Debug, Clone, Copy)]
 #[derive(Deserialize)]
@@ -139,6 +155,7 @@
         cfg.processor.capacity() > 0.0,
         "{file}: processor.share, processor.cores: must be positive"
     );
+    anyhow::ensure!(cfg.memory_mb > 0, "{file}: memory_mb: must be positive");
     anyhow::ensure!(
         repeats.ratio >= 0.0,
         "{file}: repeats.ratio: must not be negative"
--- a/crates/ids/src/outcome.rs
+++ b/crates/ids/src/outcome.rs
@@ -104,6 +104,7 @@
     ConcurrencyLimit = "concurrency-limit", NotRun, 429, "The entry's concurrency limit is reached.";
     QueueFull = "queue-full", NotRun, 503, "The upstream's queue is full.";
     UpstreamLimit = "upstream-limit", NotRun, 503, "The upstream says how many requests a second it takes, and gets as many.";
+    HostMemory = "host-memory", NotRun, 503, "The host holds as many bytes of requests and answers as it may.";
     Overload = "overload", NotRun, 503, "The queue has stood too long; the request was dropped from it unsent.";
     NoCatalogue = "no-catalogue", NotRun, 503, "This host has no catalogue yet.";
     NoOwner = "no-owner", NotRun, 503, "No upstream owns the key at the moment.";
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -159,7 +159,8 @@
         | Reason::AnswerTimeout
         | Reason::AnswerTooLarge
         | Reason::HostEnded
-        | Reason::CallerGone => Remedy::None,
+        | Reason::CallerGone
+        | Reason::HostMemory => Remedy::None,
     }
 }
 
