direct: a withdrawn limit is news for ten seconds, once a second

That an upstream takes as many requests as ever again was news only once, at the host that heard it first. If that one word was lost on the way (a full ring, a datagram, a host that was cut off), others went on pacing the upstream by a limit that was gone, and callers were refused upstream-limit, until they happened to send there themselves. Whoever knows of the withdrawal now tells it once a second for ten seconds, as a limit that holds is told; what is taken from another host does not begin that time again, so that hosts don't keep each other telling.

Test a_withdrawn_limit_is_news_again_to_those_who_missed_it, which failed at 'told again' before.

--- a/crates/direct/src/said.rs
+++ b/crates/direct/src/said.rs
@@ -30,6 +30,9 @@
 /// Time after which a word that has not changed is news again, so that it goes before older ones of other hosts.
 const NEWS_EVERY: Duration = Duration::from_secs(1);
 
+/// Time for which that a limit was taken back is news each time: who missed it would pace the upstream for good.
+const WITHDRAWAL_TOLD_FOR: Duration = Duration::from_secs(10);
+
 /// Part of what the host before it may hand out of a limit that a host hands out in its place.
 const DEPUTY_PART: f64 = 0.25;
 /// Part of a limit that all hosts together use which can ask nobody.
@@ -48,6 +51,8 @@
     heard: Timestamp,
     /// When it was last news.
     told: Timestamp,
+    /// When it first became known that the limit was taken back.
+    withdrawn: Timestamp,
 }
 
 impl Limit {
@@ -58,7 +63,7 @@
     pub fn hear(&mut self, now: Timestamp, sent: Timestamp, word: LimitWord) -> bool {
         match word {
             LimitWord::Unsaid => false,
-            LimitWord::Unlimited if self.per_s.is_none() || sent <= self.heard => false,
+            LimitWord::Unlimited if sent <= self.heard || self.is_long_gone(now) => false,
             LimitWord::Unlimited => self.set(now, None),
             LimitWord::PerSecond(per_s) => self.set(now, Some(per_s)),
         }
@@ -68,7 +73,14 @@
     pub fn take(&mut self, other: Self) -> bool {
         let is_newer = other.heard > self.heard;
         if is_newer {
-            *self = other;
+            let was_withdrawn = self.heard > Timestamp::ZERO && self.per_s.is_none();
+            // Hosts that know of a withdrawal must not keep each other telling it.
+            let withdrawn = if was_withdrawn && other.per_s.is_none() {
+                self.withdrawn
+            } else {
+                other.withdrawn
+            };
+            *self = Self { withdrawn, ..other };
         }
         is_newer
     }
@@ -80,6 +92,7 @@
             per_s,
             heard,
             told: heard,
+            withdrawn: heard,
         }
     }
 
@@ -113,8 +126,17 @@
         self.per_s.map(|per_s| per_s.max(LEAST_PER_S) * part)
     }
 
+    /// Tells whether there is no limit, and all hosts should know by now.
+    fn is_long_gone(&self, now: Timestamp) -> bool {
+        let never_was = self.heard == Timestamp::ZERO;
+        self.per_s.is_none() && (never_was || now.since(self.withdrawn) >= WITHDRAWAL_TOLD_FOR)
+    }
+
     fn set(&mut self, now: Timestamp, per_s: Option<f64>) -> bool {
         let is_news = self.per_s != per_s || now.since(self.told) >= NEWS_EVERY;
+        if self.per_s.is_some() && per_s.is_none() {
+            self.withdrawn = now;
+        }
         self.per_s = per_s;
         self.heard = now;
         if is_news {
--- a/crates/direct/tests/limited_upstreams.rs
+++ b/crates/direct/tests/limited_upstreams.rs
@@ -275,15 +275,30 @@
 fn a_withdrawn_limit_is_news_again_to_those_who_missed_it() {
     let mut known = Limit::default();
     assert!(known.hear(at(0), at(0), LimitWord::PerSecond(5.0)));
-    assert!(known.hear(at(100), at(50), LimitWord::Unlimited), "withdrawn");
-    assert!(!known.hear(at(200), at(150), LimitWord::Unlimited), "just told");
+    assert!(
+        known.hear(at(100), at(50), LimitWord::Unlimited),
+        "withdrawn"
+    );
+    assert!(
+        !known.hear(at(200), at(150), LimitWord::Unlimited),
+        "just told"
+    );
     let mut missed = limit(0, 5.0);
-    assert!(known.hear(at(1_200), at(1_150), LimitWord::Unlimited), "told again");
+    assert!(
+        known.hear(at(1_200), at(1_150), LimitWord::Unlimited),
+        "told again"
+    );
     assert!(missed.take(known));
     assert_eq!(missed.per_s(), None);
-    assert!(!missed.hear(at(1_300), at(1_250), LimitWord::Unlimited), "taken over as told");
+    assert!(
+        !missed.hear(at(1_300), at(1_250), LimitWord::Unlimited),
+        "taken over as told"
+    );
     let late = 60_000;
-    assert!(!known.hear(at(late), at(late), LimitWord::Unlimited), "all know by then");
+    assert!(
+        !known.hear(at(late), at(late), LimitWord::Unlimited),
+        "all know by then"
+    );
     assert!(known.hear(at(late + 10), at(late), LimitWord::PerSecond(3.0)));
     assert!(known.hear(at(late + 20), at(late + 15), LimitWord::Unlimited));
 }
--- a/crates/front/tests/memory.rs
+++ b/crates/front/tests/memory.rs
@@ -39,9 +39,7 @@
 fn answers_are_held_over_the_budget_until_they_have_left() {
     let budget = MemoryBudget::new(HOST);
     let body = Bytes::from(vec![7; 1 << 20]);
-    let answers: Vec<Bytes> = (0..100)
-        .map(|_| budget.hold_answer(body.clone()))
-        .collect();
+    let answers: Vec<Bytes> = (0..100).map(|_| budget.hold_answer(body.clone())).collect();
     assert!(budget.held() > budget.most());
     assert!(!budget.request(BodySize::Small).cover(1), "no room");
     let rest = answers[0].slice(10..20);
@@ -91,11 +89,19 @@
         let deadline = began + Duration::from_secs(12);
         let mut pace = Pace::new(began);
         let soon = began + Duration::from_millis(300);
-        assert!(pace.is_enough(soon, 0, case.left, deadline), "{}", case.name);
+        assert!(
+            pace.is_enough(soon, 0, case.left, deadline),
+            "{}",
+            case.name
+        );
         let later = began + Duration::from_secs(1);
         let enough = pace.is_enough(later, case.bytes_per_s, case.left, deadline);
         assert_eq!(enough, case.enough, "{}", case.name);
-        assert!(!pace.is_enough(deadline, case.left, 0, deadline), "{}", case.name);
+        assert!(
+            !pace.is_enough(deadline, case.left, 0, deadline),
+            "{}",
+            case.name
+        );
     }
 }
 
