assign, front: keys of an entry with many upstreams are granted in parts

With 5,495 upstreams and more, an entry never had owners: the first row of owners, one piece an upstream, is some 300 kB, the store takes 64 KiB, and each try to write it was refused for good.

An entry's keys are now divided into equal parts, each with its own row, fences, planner and granting host. How many follows from the upstreams that are known when the keys are first handed out, 512 each, and stands in each row; the row of the first part has the name that the one row had, so that a row of before is an entry of one part. An upstream belongs to one part by its name's hash, or to any if a part has none left. The strong hosts found one part each in their order. Requests on keys whose part has no row yet are refused at once. A host speaks to each granting host every turn up to 320 hosts and seldomer beyond, so that a granting host hears as many in each turn whatever their number; whose turn a take-over is gets looked up only if there is a reason for one, as that looks at all hosts.

--- a/crates/assign/src/keeper/mod.rs
+++ b/crates/assign/src/keeper/mod.rs
@@ -1,4 +1,4 @@
-//! Grants, renews, releases and moves the ranges of one entry.
+//! Grants, renews, releases and moves the ranges of one part of an entry's keys.
 //!
 //! Every host has a keeper; only that of the host which the row names acts. It is told what was
 //! read and how calls ended, and returns the calls and commits to make.
@@ -22,6 +22,7 @@
 use crate::evidence::Evidence;
 use crate::live::{LastGrant, Live, carry_over};
 use crate::order::{Action, CommitEnd, OrderCall};
+use crate::part::Part;
 use crate::plan::{Planner, UpstreamView};
 use crate::range::Fence;
 use crate::row::{Earlier, EntryRow, Piece, Run};
@@ -73,7 +74,7 @@
     live: Vec<Live>,
 }
 
-/// The keeper of one entry at one host.
+/// The keeper of one part of an entry's keys at one host.
 #[derive(Debug)]
 pub struct Keeper {
     cfg: AssignSettings,
@@ -109,7 +110,7 @@
 }
 
 impl Keeper {
-    /// Creates the keeper of one entry at the host `me`.
+    /// Creates the keeper of one part of an entry's keys at the host `me`.
     #[must_use]
     pub fn new(me: Run, cfg: AssignSettings, planner: Planner) -> Self {
         Self {
@@ -216,11 +217,12 @@
     /// Proposes this host as the granting one.
     ///
     /// `is_over` says that the run which grants has surely ended or stopped. Without a row, all
-    /// keys are divided among `ready`.
+    /// keys of `part` are divided among those of `ready` that own keys of it.
     pub fn take_over(
         &mut self,
         now: Timestamp,
         is_over: bool,
+        part: Part,
         ready: &[UpstreamView],
         actions: &mut Vec<Action>,
     ) {
@@ -228,9 +230,10 @@
             return;
         }
         let Some(known) = &self.known else {
-            let owners: Vec<_> = ready.iter().map(|u| u.id.clone()).collect();
+            let mut owners: Vec<_> = ready.iter().map(|u| u.id.clone()).collect();
+            part.retain(&mut owners, |id| id);
             if !owners.is_empty() {
-                let row = EntryRow::even(self.me.clone(), &owners);
+                let row = EntryRow::even(self.me.clone(), part, &owners);
                 self.propose(now, row, None, actions);
             }
             return;
--- a/crates/assign/src/lib.rs
+++ b/crates/assign/src/lib.rs
@@ -1,11 +1,12 @@
 //! Which upstream owns which keys, where upstreams take fenced grants of key ranges.
 //!
-//! One row an entry, in the platform's store, says which upstream owns each range and under which
+//! A row for each part of an entry's keys, in the platform's store, says which upstream owns each range and under which
 //! fence, who owned it before, and which host grants. docs/OWNERSHIP.md gives the protocol and the
 //! argument for its safety. Nothing here does I/O or reads a clock.
 //!
 //! - [`range`]: ranges of keys, and fences.
 //! - [`row`]: the row of an entry; `packed` is its form in the store.
+//! - [`part`]: parts of an entry's keys, each with a row and a granting host.
 //! - [`owners`]: look-ups of a key's owner, for the path of requests.
 //! - [`settings`]: times and bounds.
 //! - [`loads`]: how busy each key is.
@@ -28,6 +29,7 @@
 pub mod order;
 pub mod owners;
 mod packed;
+pub mod part;
 pub mod plan;
 pub mod range;
 pub mod row;
@@ -40,7 +42,8 @@
 pub use keeper::Keeper;
 pub use loads::KeyLoads;
 pub use order::{Action, CallEnd, CallKind, CommitEnd, OrderCall, Standing};
-pub use owners::Owners;
+pub use owners::{EntryOwners, Owners};
+pub use part::{Part, PartId};
 pub use plan::{Planner, UpstreamView};
 pub use range::{Fence, KeyRange};
 pub use row::{Earlier, EntryRow, Piece, RowError, Run};
--- a/crates/assign/src/packed.rs
+++ b/crates/assign/src/packed.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
+use crate::part::Part;
 use crate::range::{Fence, KeyRange};
 use crate::row::{Earlier, EntryRow, Piece, RowError, Run};
 
@@ -18,11 +19,18 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     earlier: Vec<Earlier>,
     fence: Fence,
+    /// Left out if the entry has one part only.
+    #[serde(default, skip_serializing_if = "is_whole")]
+    part: Part,
     /// Owners and former owners.
     upstreams: IndexSet<UpstreamId>,
     pieces: Vec<PackedPiece>,
 }
 
+fn is_whole(part: &Part) -> bool {
+    *part == Part::WHOLE
+}
+
 /// Last key, owner, fence and former owners of a piece.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
@@ -42,6 +50,7 @@
             granter: row.granter.clone(),
             earlier: row.earlier.clone(),
             fence: row.fence,
+            part: row.part,
             upstreams,
             pieces,
         }
@@ -53,7 +62,10 @@
             let known = self.upstreams.get_index(place).cloned();
             known.ok_or(RowError::Upstream { place })
         };
-        let mut at = 0;
+        if !self.part.is_valid() {
+            return Err(RowError::Part(self.part));
+        }
+        let mut at = u32::from(self.part.keys().first);
         let mut pieces = Vec::with_capacity(self.pieces.len());
         for PackedPiece(last, owner, fence, former) in self.pieces {
             let first = u16::try_from(at).map_err(|_past_the_end| RowError::Gap { at })?;
@@ -69,6 +81,7 @@
             granter: self.granter,
             earlier: self.earlier,
             fence: self.fence,
+            part: self.part,
             pieces,
         })
     }
--- a/crates/assign/src/row.rs
+++ b/crates/assign/src/row.rs
@@ -1,11 +1,12 @@
-//! The row of an entry in the platform's store.
+//! The row of a part of an entry's keys in the platform's store.
 
 use ids::{HostId, Incarnation, Revision, UpstreamId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::packed::PackedRow;
-use crate::range::{Fence, KeyRange, LAST_KEY};
+use crate::part::Part;
+use crate::range::{Fence, KeyRange};
 
 /// One run of a host.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -54,7 +55,7 @@
     pub former: Vec<UpstreamId>,
 }
 
-/// What the store holds of an entry that is divided by key.
+/// What the store holds of one part of the keys of an entry that is divided by key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EntryRow {
     /// The host that alone grants, renews and releases.
@@ -63,7 +64,9 @@
     pub earlier: Vec<Earlier>,
     /// The highest fence given out.
     pub fence: Fence,
-    /// All keys, in order and without gaps.
+    /// Which part of the entry's keys it is about.
+    pub part: Part,
+    /// All keys of the part, in order and without gaps.
     pub pieces: Vec<Piece>,
 }
 
@@ -79,6 +82,9 @@
         /// The place in the list that is named.
         place: usize,
     },
+    /// There is no such part.
+    #[error("row of owners: part {} of {}", .0.index, .0.count)]
+    Part(Part),
     /// The pieces leave a gap, overlap or end early.
     #[error("row of owners: pieces don't join before key {at}")]
     Gap {
@@ -121,13 +127,17 @@
         serde_json::to_vec(&PackedRow::new(self)).expect("all fields serialize")
     }
 
-    /// Checks that the pieces cover all keys once, under fences that were given out.
+    /// Checks that the pieces cover all keys of the part once, under fences that were given out.
     ///
     /// # Errors
     ///
     /// Fails at the first piece that breaks a rule.
     pub fn check(&self) -> Result<(), RowError> {
-        let mut at = 0;
+        if !self.part.is_valid() {
+            return Err(RowError::Part(self.part));
+        }
+        let keys = self.part.keys();
+        let mut at = u32::from(keys.first);
         for piece in &self.pieces {
             if u32::from(piece.range.first) != at || piece.range.last < piece.range.first {
                 return Err(RowError::Gap { at });
@@ -141,29 +151,31 @@
             }
             at = u32::from(piece.range.last) + 1;
         }
-        if at != u32::from(LAST_KEY) + 1 {
+        if at != u32::from(keys.last) + 1 {
             return Err(RowError::Gap { at });
         }
         Ok(())
     }
 
-    /// Divides all keys evenly among `owners`, in their order.
+    /// Divides the keys of `part` evenly among `owners`, in their order; those beyond the number of keys get none.
     ///
     /// # Panics
     ///
     /// Panics if there are no owners.
     #[must_use]
-    pub fn even(granter: Run, owners: &[UpstreamId]) -> Self {
+    pub fn even(granter: Run, part: Part, owners: &[UpstreamId]) -> Self {
         assert!(!owners.is_empty(), "keys need an owner");
+        let range = part.keys();
+        let owners = &owners[..owners.len().min(range.keys() as usize)];
         let count = owners.len() as u64;
         let fence = Fence(1);
-        let keys = u64::from(LAST_KEY) + 1;
+        let key = |i: u64| u64::from(range.first) + u64::from(range.keys()) * i / count;
         let piece = |(i, owner): (usize, &UpstreamId)| {
             let i = i as u64;
             Piece {
                 range: KeyRange {
-                    first: (keys * i / count) as u16,
-                    last: (keys * (i + 1) / count - 1) as u16,
+                    first: key(i) as u16,
+                    last: (key(i + 1) - 1) as u16,
                 },
                 owner: owner.clone(),
                 fence,
@@ -174,6 +186,7 @@
             granter,
             earlier: Vec::new(),
             fence,
+            part,
             pieces: owners.iter().enumerate().map(piece).collect(),
         }
     }
--- a/crates/assign/tests/busy.rs
+++ b/crates/assign/tests/busy.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use assign::{
-    Action, AssignSettings, CallEnd, CommitEnd, EntryRow, Keeper, KeyLoads, Planner, Run, Standing,
-    UpstreamView,
+    Action, AssignSettings, CallEnd, CommitEnd, EntryRow, Keeper, KeyLoads, Part, Planner, Run,
+    Standing, UpstreamView,
 };
 use ids::{HostId, Incarnation, Revision, Timestamp, UpstreamId};
 
@@ -23,7 +23,7 @@
         incarnation: Incarnation(1),
     };
     let owners: Vec<_> = (0..OWNERS).map(owner).collect();
-    let row = EntryRow::even(me.clone(), &owners);
+    let row = EntryRow::even(me.clone(), Part::WHOLE, &owners);
     let mut keeper = Keeper::new(me, AssignSettings::default(), Planner::default());
     let ready: Vec<_> = owners
         .iter()
--- a/crates/assign/tests/ownership/world/mod.rs
+++ b/crates/assign/tests/ownership/world/mod.rs
@@ -13,7 +13,7 @@
 
 use assign::{
     Action, AssignSettings, CallEnd, CommitEnd, Earlier, EntryRow, Keeper, KeyLoads, OrderCall,
-    Planner, Run, Standing, StoreClock, UpstreamView,
+    Part, Planner, Run, Standing, StoreClock, UpstreamView,
 };
 use ids::{HostId, Incarnation, Revision, Timestamp};
 use rand::Rng as _;
@@ -338,7 +338,9 @@
         let host = &self.hosts[h];
         let Some(row) = host.keeper.row() else {
             if host.read_at > Timestamp::ZERO && self.store.is_none() {
-                self.hosts[h].keeper.take_over(now, true, ready, actions);
+                self.hosts[h]
+                    .keeper
+                    .take_over(now, true, Part::WHOLE, ready, actions);
             }
             return;
         };
@@ -349,7 +351,9 @@
             |t: &Trouble| matches!(t.fault, Fault::TakeOver(o) if o == h) && t.covers(self.now);
         let forced = self.troubles.iter().any(begins);
         if is_over || forced {
-            self.hosts[h].keeper.take_over(now, is_over, ready, actions);
+            self.hosts[h]
+                .keeper
+                .take_over(now, is_over, Part::WHOLE, ready, actions);
         }
     }
 
--- a/crates/assign/tests/plan.rs
+++ b/crates/assign/tests/plan.rs
@@ -1,6 +1,6 @@
 //! Which ranges move under which load.
 
-use assign::{EntryRow, Fence, KeyLoads, KeyRange, Planner, Run, UpstreamView};
+use assign::{EntryRow, Fence, KeyLoads, KeyRange, Part, Planner, Run, UpstreamView};
 use ids::{HostId, Incarnation, Timestamp, UpstreamId};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -18,7 +18,7 @@
         incarnation: Incarnation(1),
     };
     let owners: Vec<_> = (0..owners).map(id).collect();
-    EntryRow::even(run, &owners)
+    EntryRow::even(run, Part::WHOLE, &owners)
 }
 
 fn views(services: &[f64]) -> Vec<UpstreamView> {
--- a/crates/assign/tests/take_over.rs
+++ b/crates/assign/tests/take_over.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use assign::{Action, AssignSettings, CommitEnd, EntryRow, Keeper, Planner, Run};
+use assign::{Action, AssignSettings, CommitEnd, EntryRow, Keeper, Part, Planner, Run};
 use ids::{HostId, Incarnation, Revision, Timestamp, UpstreamId};
 
 fn at(ms: u64) -> Timestamp {
@@ -56,10 +56,10 @@
         let cfg = AssignSettings::default();
         let mut keeper = Keeper::new(run("new"), cfg, Planner::default());
         let owner = UpstreamId::new("u").expect("a valid name");
-        let row = EntryRow::even(run("old"), &[owner]);
+        let row = EntryRow::even(run("old"), Part::WHOLE, &[owner]);
         keeper.take(at(0), row, Revision(7));
         let mut actions = Vec::new();
-        keeper.take_over(at(100), true, &[], &mut actions);
+        keeper.take_over(at(100), true, Part::WHOLE, &[], &mut actions);
         assert!(matches!(actions[..], [Action::Commit { .. }]));
         keeper.commit_ended(at(150), case.end);
         let age = case.evidence_ms.map(Duration::from_millis);
--- a/crates/assign/tests/unserved.rs
+++ b/crates/assign/tests/unserved.rs
@@ -4,7 +4,7 @@
 
 use assign::{
     Action, AssignSettings, CallEnd, CallKind, CommitEnd, EntryRow, Fence, Keeper, KeyLoads,
-    Moving, OrderCall, Planner, Run, Standing, Unserved, UpstreamView,
+    Moving, OrderCall, Part, Planner, Run, Standing, Unserved, UpstreamView,
 };
 use ids::{HostId, Incarnation, Revision, Timestamp, UpstreamId};
 
@@ -42,7 +42,7 @@
 impl Granter {
     fn new() -> Self {
         let mut keeper = Keeper::new(me(), AssignSettings::default(), Planner::default());
-        let row = EntryRow::even(me(), &[id(0), id(1), id(2)]);
+        let row = EntryRow::even(me(), Part::WHOLE, &[id(0), id(1), id(2)]);
         keeper.take(at(0), row, Revision(1));
         let mut granter = Self {
             keeper,
@@ -218,7 +218,7 @@
         },
     ];
     for case in cases {
-        let mut row = EntryRow::even(me(), &[id(0), id(1)]);
+        let mut row = EntryRow::even(me(), Part::WHOLE, &[id(0), id(1)]);
         let range = row.pieces[0].range;
         let fence = row.fence.next();
         row.give(range, &id(0), &id(2), fence);
--- a/crates/front/src/control/beat.rs
+++ b/crates/front/src/control/beat.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use assign::{Keeper, Run, Word};
-use ids::{BootClock, Clock, EntryId, HostId, Incarnation, Revision, Timestamp, UpstreamId};
+use assign::{Keeper, Part, PartId, Run, Word};
+use ids::{BootClock, Clock, HostId, Incarnation, Revision, Timestamp, UpstreamId};
 use indexmap::IndexMap;
 use prost::Message;
 use rand::Rng;
@@ -23,6 +23,8 @@
 
 /// Time between heartbeats: a third of the silence after which the granting host is replaced.
 const EVERY: Duration = Duration::from_millis(400);
+/// Hosts that a granting host hears in that time, and answers: a twentieth of a core for it.
+const HEARD_EACH_TURN: usize = 320;
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 16 << 10;
 /// Most keys in one heartbeat, so that it stays within one packet; the busiest come first.
@@ -39,7 +41,7 @@
 /// cut off or slow itself does not matter.
 const WITNESSES: usize = 2;
 
-/// What was counted of one entry since the last heartbeat.
+/// What was counted of one part of an entry's keys since the last heartbeat.
 #[derive(Debug, Default)]
 struct Counted {
     keys: IndexMap<u16, u32>,
@@ -54,7 +56,7 @@
         }
     }
 
-    fn into_beat(mut self, entry: &EntryId) -> Beat {
+    fn into_beat(mut self, part: &PartId) -> Beat {
         self.keys.sort_by(|_, a, _, b| b.cmp(a));
         let keys = self
             .keys
@@ -69,7 +71,7 @@
             micros: (seconds * 1e6) as u32,
         });
         Beat {
-            entry: entry.to_string(),
+            part: part.to_string(),
             keys: keys.collect(),
             services: services.collect(),
             ..Beat::default()
@@ -90,35 +92,62 @@
 pub async fn send(ctl: Ctl, socket: Rc<UdpSocket>, samples: SampleRx) {
     let mut every = tokio::time::interval(EVERY);
     every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut counted: IndexMap<PartId, Counted> = IndexMap::new();
+    let mut turn = rand::rng().random();
     loop {
         every.tick().await;
-        let mut counted: IndexMap<EntryId, Counted> = IndexMap::new();
-        for sample in samples.drain() {
-            let entry = sample.entry.clone();
-            counted.entry(entry).or_default().add(sample);
-        }
-        for (to, beat) in ctl.with(|c| beats(c, &mut counted)) {
+        turn = u32::wrapping_add(turn, 1);
+        ctl.with(|c| count(c, samples.drain(), &mut counted));
+        for (to, beat) in ctl.with(|c| beats(c, &mut counted, turn)) {
             send_to(&ctl, &socket, &beat, to).await;
         }
     }
 }
 
-/// Builds the heartbeats to granting hosts; what this host grants itself it keeps.
-fn beats(c: &mut Control, counted: &mut IndexMap<EntryId, Counted>) -> Vec<(SocketAddr, Beat)> {
+/// Adds samples to what was counted of the parts to which their keys belong.
+fn count(
+    c: &Control,
+    samples: impl Iterator<Item = Sample>,
+    counted: &mut IndexMap<PartId, Counted>,
+) {
+    for sample in samples {
+        let first = PartId::first(sample.entry.clone());
+        let Some(known) = c.divided.get(&first) else {
+            continue;
+        };
+        let part = PartId {
+            index: Part::of_key(sample.key, known.part.count).index,
+            ..first
+        };
+        counted.entry(part).or_default().add(sample);
+    }
+}
+
+/// Builds the heartbeats to granting hosts that are due in this turn; what this host grants itself it keeps.
+fn beats(
+    c: &mut Control,
+    counted: &mut IndexMap<PartId, Counted>,
+    turn: u32,
+) -> Vec<(SocketAddr, Beat)> {
     let now = BootClock.now();
     let mut beats = Vec::new();
-    for (entry, divided) in &mut c.divided {
-        let counted = counted.swap_remove(entry).unwrap_or_default();
-        let beat = Beat {
-            limits: limits::heard_lately(&c.limits, &c.roster, entry, now),
-            ..counted.into_beat(entry)
-        };
+    for (part, divided) in &mut c.divided {
         let Some(granter) = divided.keeper.row().map(|row| &row.granter) else {
             continue;
         };
-        if divided.keeper.is_granter() {
+        let is_granter = divided.keeper.is_granter();
+        let turns = turns(c.hosts.len(), divided.succession.is_doubtful());
+        if !is_granter && !(turn + u32::from(part.index)).is_multiple_of(turns) {
+            continue;
+        }
+        let counted = counted.swap_remove(part).unwrap_or_default();
+        let beat = Beat {
+            limits: limits::heard_lately(&c.limits, &c.roster, &part.entry, divided.part, now),
+            ..counted.into_beat(part)
+        };
+        if is_granter {
             note(divided, &beat);
-            beats.extend(notices(&divided.keeper, entry, &c.hosts));
+            beats.extend(notices(&divided.keeper, part, &c.hosts));
             continue;
         }
         if let Some(host) = c.hosts.get(&granter.host) {
@@ -126,7 +155,7 @@
         }
         if divided.succession.is_doubtful() {
             let others = witnesses(&c.hosts, [&c.me.host, &granter.host]);
-            beats.extend(others.map(|to| (to, question(entry))));
+            beats.extend(others.map(|to| (to, question(part))));
         }
         // One whose address nobody knows won't answer either.
         divided.succession.asked();
@@ -134,6 +163,17 @@
     beats
 }
 
+/// Returns in how many turns a host among `hosts` speaks to a granting host once, so that as many are heard in each
+/// turn whatever their number.
+///
+/// Whoever doubts that the granting host is there asks each turn.
+fn turns(hosts: usize, is_doubtful: bool) -> u32 {
+    if is_doubtful {
+        return 1;
+    }
+    u32::try_from(hosts.div_ceil(HEARD_EACH_TURN)).map_or(1, |turns| turns.max(1))
+}
+
 /// Returns some hosts but those named.
 fn witnesses<'a>(
     hosts: &'a IndexMap<HostId, KnownHost>,
@@ -145,9 +185,9 @@
     others.map(|h| h.row.peers).take(WITNESSES)
 }
 
-fn question(entry: &EntryId) -> Beat {
+fn question(part: &PartId) -> Beat {
     Beat {
-        entry: entry.to_string(),
+        part: part.to_string(),
         asks_when_heard: true,
         ..Beat::default()
     }
@@ -157,7 +197,7 @@
 /// was replaced, and keys that it may still grant have to wait until it surely stops.
 fn notices<'a>(
     keeper: &'a Keeper,
-    entry: &'a EntryId,
+    part: &'a PartId,
     hosts: &'a IndexMap<HostId, KnownHost>,
 ) -> impl Iterator<Item = (SocketAddr, Beat)> + 'a {
     let told = keeper
@@ -166,7 +206,7 @@
         .filter_map(|e| hosts.get(&e.run.host));
     told.map(|host| {
         let notice = Beat {
-            entry: entry.to_string(),
+            part: part.to_string(),
             replaced_at: Some(keeper.named_at().0),
             ..Beat::default()
         };
@@ -185,16 +225,16 @@
 fn moving_notices(c: &mut Control, now: Timestamp) -> Vec<(SocketAddr, Beat)> {
     let mut notices = Vec::new();
     let mut has_changed = false;
-    for (entry, divided) in &mut c.divided {
+    for (part, divided) in &mut c.divided {
         let Some(moving) = divided.keeper.moving(now) else {
             continue;
         };
-        if !divided.unserved.hear(now, &moving) {
+        if !divided.hear_moving(now, &moving) {
             continue;
         }
         has_changed = true;
         let beat = Beat {
-            entry: entry.to_string(),
+            part: part.to_string(),
             moving: Some((&moving).into()),
             ..Beat::default()
         };
@@ -251,15 +291,15 @@
 
 /// Takes a word about the granting of an entry's keys; returns the answer if it is a heartbeat.
 fn take_heartbeat(c: &mut Control, beat: &Beat, now: Timestamp) -> Option<Beat> {
-    let entry = EntryId::new(beat.entry.as_str()).ok()?;
+    let part: PartId = beat.part.parse().ok()?;
     if let Some(moving) = &beat.moving {
-        hear_moving(c, &entry, moving, now);
+        hear_moving(c, &part, moving, now);
     }
     if beat.asks_when_heard {
-        return when_heard(c, &entry, now);
+        return when_heard(c, &part, now);
     }
     if let Some(heard) = &beat.heard {
-        if let Some(divided) = c.divided.get_mut(&entry) {
+        if let Some(divided) = c.divided.get_mut(&part) {
             let ago = Duration::from_millis(heard.ago_ms.into());
             let incarnation = Incarnation(heard.incarnation);
             divided.succession.vouched(now, incarnation, ago);
@@ -268,17 +308,17 @@
     }
     match (&beat.echo, &beat.moving) {
         (Some(echo), _) => {
-            take_echo(c, &entry, echo, now);
+            take_echo(c, &part, echo, now);
             None
         }
         (None, Some(_notice)) => None,
-        (None, None) => answer(c, &entry, beat, now),
+        (None, None) => answer(c, &part, beat, now),
     }
 }
 
 /// Answers when this host last heard the granting one.
-fn when_heard(c: &Control, entry: &EntryId, now: Timestamp) -> Option<Beat> {
-    let divided = c.divided.get(entry)?;
+fn when_heard(c: &Control, part: &PartId, now: Timestamp) -> Option<Beat> {
+    let divided = c.divided.get(part)?;
     let (incarnation, ago) = if divided.keeper.is_granter() {
         (c.me.incarnation, Duration::ZERO)
     } else {
@@ -289,30 +329,30 @@
         ago_ms: ago.as_millis() as u32,
     };
     Some(Beat {
-        entry: entry.to_string(),
+        part: part.to_string(),
         heard: Some(heard),
         ..Beat::default()
     })
 }
 
-fn hear_moving(c: &mut Control, entry: &EntryId, moving: &MovingKeys, now: Timestamp) {
-    let Some(divided) = c.divided.get_mut(entry) else {
+fn hear_moving(c: &mut Control, part: &PartId, moving: &MovingKeys, now: Timestamp) {
+    let Some(divided) = c.divided.get_mut(part) else {
         return;
     };
     // The granting host knows better.
-    if !divided.keeper.is_granter() && divided.unserved.hear(now, &moving.into()) {
+    if !divided.keeper.is_granter() && divided.hear_moving(now, &moving.into()) {
         c.publish();
     }
 }
 
 /// Takes a heartbeat and answers it.
-fn answer(c: &mut Control, entry: &EntryId, beat: &Beat, now: Timestamp) -> Option<Beat> {
+fn answer(c: &mut Control, part: &PartId, beat: &Beat, now: Timestamp) -> Option<Beat> {
     limits::hear(c, &beat.limits, now);
-    let divided = c.divided.get_mut(entry)?;
+    let divided = c.divided.get_mut(part)?;
     note(divided, beat);
     if let Some(revision) = beat.replaced_at {
         if divided.keeper.is_granter() {
-            info!(c.log, "replaced as granting host"; "entry" => entry.as_str(),
+            info!(c.log, "replaced as granting host"; "part" => %part,
                 "revision" => revision);
         }
         divided.keeper.replaced(Revision(revision));
@@ -326,7 +366,7 @@
         knows: divided.keeper.knows().0,
     };
     Some(Beat {
-        entry: beat.entry.clone(),
+        part: beat.part.clone(),
         echo: Some(echo),
         moving: divided.keeper.moving(now).as_ref().map(MovingKeys::from),
         ..Beat::default()
@@ -334,8 +374,8 @@
 }
 
 /// Takes the answer to a heartbeat.
-fn take_echo(c: &mut Control, entry: &EntryId, echo: &Echo, now: Timestamp) {
-    let Some(divided) = c.divided.get_mut(entry) else {
+fn take_echo(c: &mut Control, part: &PartId, echo: &Echo, now: Timestamp) {
+    let Some(divided) = c.divided.get_mut(part) else {
         return;
     };
     let Ok(host) = HostId::new(echo.host.as_str()) else {
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use assign::EntryRow;
-use ids::{BootClock, Clock, EntryId, Revision, Timestamp};
+use assign::{EntryRow, PartId};
+use ids::{BootClock, Clock, Revision, Timestamp};
 use platform::{Check, Delta, RowKey, Txn, Write};
 
 use crate::control::state::{Control, Ctl};
@@ -195,16 +195,16 @@
     !rows.is_empty() && rows.iter().all(is_host_row)
 }
 
-/// Returns the key of the row that holds the owners of `entry`.
+/// Returns the key of the row that holds the owners of `part`.
 #[must_use]
-pub fn keys_row(entry: &EntryId) -> RowKey {
-    RowKey(format!("{SHARED}/{KEYS_PREFIX}{entry}").into())
+pub fn keys_row(part: &PartId) -> RowKey {
+    RowKey(format!("{SHARED}/{KEYS_PREFIX}{part}").into())
 }
 
-/// Builds the transaction that writes the owners of `entry`.
+/// Builds the transaction that writes the owners of `part`.
 #[must_use]
-pub fn keys_txn(entry: &EntryId, row: &EntryRow, expected: Option<Revision>) -> Txn {
-    let key = keys_row(entry);
+pub fn keys_txn(part: &PartId, row: &EntryRow, expected: Option<Revision>) -> Txn {
+    let key = keys_row(part);
     Txn {
         checks: vec![Check {
             key: key.clone(),
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use assign::{
-    Action, CallEnd, CallKind, CommitEnd, Earlier, EntryRow, OrderCall, Run, Standing, StoreClock,
-    SuccessionSettings, UpstreamView,
+    Action, CallEnd, CallKind, CommitEnd, Earlier, EntryRow, OrderCall, Part, PartId, Run,
+    Standing, StoreClock, SuccessionSettings, UpstreamView,
 };
 use direct::{Limit, Registered, Roster, Warmup};
 use ids::{BootClock, Clock, EntryId, HostId, KeyHash, Revision, Timestamp, UpstreamId};
@@ -46,17 +46,17 @@
 
 /// Drives all keepers.
 pub async fn drive(ctl: Ctl, platform: impl Platform, socket: Rc<UdpSocket>) {
-    let part = rand::rng().random_range(0.0..1.0);
+    let drawn = rand::rng().random_range(0.0..1.0);
     loop {
         let now = BootClock.now();
         let clock = platform.store_clock();
         let due = ctl.with(|c| {
             note_clock(c, clock, now);
-            due(c, now, part)
+            due(c, now, drawn)
         });
         let grants = ctl.with(|c| c.grants());
-        for (entry, action) in due {
-            carry_out(&ctl, &platform, entry, action);
+        for (part, action) in due {
+            carry_out(&ctl, &platform, part, action);
         }
         beat::tell_moving(&ctl, &socket, BootClock.now()).await;
         let tick = if grants { GRANTER_TICK } else { TICK };
@@ -74,8 +74,8 @@
     }
 }
 
-/// Returns what is due; `part` is what this host drew of the patience before a take-over.
-fn due(c: &mut Control, now: Timestamp, part: f64) -> Vec<(EntryId, Action)> {
+/// Returns what is due; `drawn` is what this host drew of the patience before a take-over.
+fn due(c: &mut Control, now: Timestamp, drawn: f64) -> Vec<(PartId, Action)> {
     let is_fresh = c.freshness.is_fresh(now);
     let may_move = c.store_settled(now) && is_fresh;
     let reads_for = c.store_since.map_or(Duration::ZERO, |s| now.since(s));
@@ -86,63 +86,80 @@
         return Vec::new();
     }
     let mut due = Vec::new();
-    let (hosts, me) = (&c.hosts, &c.me.host);
     // Who hands out keys first follows from the upstreams and hosts that are known.
     let steady = (c.roster_changed + ROSTER_STEADY).max(c.hosts_changed + HOSTS_STEADY);
-    for (entry, divided) in &mut c.divided {
+    for (id, divided) in &mut c.divided {
+        let entry = &id.entry;
         let spec = c.in_force.as_ref().and_then(|f| f.cfg.entries.get(entry));
         let bounds = RequestBounds {
             warmup: spec.and_then(|spec| spec.warmup),
             limits: &c.limits,
         };
         let mut actions = Vec::new();
-        let granter = divided.keeper.row().map(|row| &row.granter.host);
-        let rank = succession_rank(hosts, entry, me, granter);
-        let patience = SuccessionSettings::default().patience(rank, part);
-        let turns = u32::try_from(rank).unwrap_or(u32::MAX).min(FIRST_TURNS);
-        let is_steady = now > steady + FIRST_EACH * turns;
-        if is_fresh && c.phase != Phase::Leaving && (is_steady || divided.keeper.row().is_some()) {
+        if is_fresh && c.phase != Phase::Leaving {
             let outlook = Outlook {
                 hosts: &c.hosts,
+                me: &c.me.host,
+                steady,
                 reads_for,
-                patience,
+                drawn,
             };
-            let ready = || ready(&c.roster, entry, &divided.services, &bounds, now);
-            let first = (divided.keeper.row().is_none()).then(ready);
-            take_over(divided, first, now, &outlook, &mut actions);
+            match divided.keeper.row() {
+                Some(_) => take_over(id, divided, now, &outlook, &mut actions),
+                None if outlook.is_turn_to_found(id, divided.since, now) => {
+                    found(id, divided, &c.roster, &bounds, now, &mut actions);
+                }
+                None => {}
+            }
         }
         divided.keeper.poll(now, &mut actions);
         if divided.keeper.may_plan(now) {
             let mut standing = Standing {
-                ready: &ready(&c.roster, entry, &divided.services, &bounds, now),
+                ready: &ready(
+                    &c.roster,
+                    entry,
+                    divided.part,
+                    &divided.services,
+                    &bounds,
+                    now,
+                ),
                 loads: &mut divided.loads,
                 may_move,
             };
             divided.keeper.plan(now, &mut standing, &mut actions);
         }
-        due.extend(actions.into_iter().map(|action| (entry.clone(), action)));
+        due.extend(actions.into_iter().map(|action| (id.clone(), action)));
     }
     due
 }
 
-/// Returns how many hosts come before `me` in taking the granting of `entry` over from `granter`: the
-/// stronger ones first, and among equals another one for each entry.
+/// Returns how many hosts come before `me` in taking the granting of a part of an entry's keys over from `granter`:
+/// the stronger ones first, and among equals another one for each entry.
+///
+/// Each part begins with another host of that order, so that the strong ones grant about as many parts each.
 fn succession_rank(
     hosts: &IndexMap<HostId, KnownHost>,
-    entry: &EntryId,
+    part: &PartId,
     me: &HostId,
     granter: Option<&HostId>,
 ) -> usize {
+    let entry = &part.entry;
     let order = |host: &KnownHost| {
         let name = &host.row.run.host;
         let hash = KeyHash::of(format!("{entry} {name}").as_bytes());
         (host.row.capacity, hash)
     };
-    let Some(own) = hosts.get(me).map(order) else {
+    let place = |host: &KnownHost| {
+        let own = order(host);
+        let before = hosts.values().filter(|other| order(other) > own).count();
+        (before + hosts.len() - usize::from(part.index) % hosts.len()) % hosts.len()
+    };
+    let Some(own) = hosts.get(me).map(place) else {
         return hosts.len();
     };
-    let others = hosts.iter().filter(|(id, _)| Some(*id) != granter);
-    others.filter(|(_, host)| order(host) > own).count()
+    let granter = granter.filter(|&id| id != me).and_then(|id| hosts.get(id));
+    let is_after_granter = granter.is_some_and(|host| place(host) < own);
+    own - usize::from(is_after_granter)
 }
 
 /// What is known of an entry's upstreams that get fewer requests than they could work on.
@@ -167,13 +184,14 @@
     }
 }
 
-/// Returns the upstreams of an entry that take requests, with their times for one request.
+/// Returns the upstreams that take requests and may own keys of a part of an entry, with their times for one request.
 ///
 /// One that is cold or limits its requests counts as so slow that what it gets keeps it busy: it gets few keys, and
 /// quiet ones.
 fn ready(
     roster: &Roster,
     entry: &EntryId,
+    part: Part,
     services: &HashMap<UpstreamId, f64>,
     bounds: &RequestBounds<'_>,
     now: Timestamp,
@@ -197,28 +215,78 @@
         service: service(u),
         most_pieces: bounds.limit(u).map(|_| LIMITED_PIECES),
     };
-    roster.ready(entry).into_iter().map(view).collect()
+    let mut ready = roster.ready(entry);
+    part.retain(&mut ready, |u| &u.id);
+    ready.into_iter().map(view).collect()
 }
 
 /// What a host knows that may take the granting over.
 struct Outlook<'a> {
     hosts: &'a IndexMap<HostId, KnownHost>,
+    me: &'a HostId,
+    /// When all upstreams and hosts that started together are known.
+    steady: Timestamp,
     /// For how long it has read the store.
     reads_for: Duration,
-    patience: Duration,
+    /// What it drew of the patience before a take-over.
+    drawn: f64,
+}
+
+impl Outlook<'_> {
+    /// Tells whether it is this host's turn to hand out the keys of `part`, which nobody has, for the first time.
+    ///
+    /// Whoever handed out those of the first part had waited for all to be known.
+    fn is_turn_to_found(&self, part: &PartId, since: Timestamp, now: Timestamp) -> bool {
+        let begin = if part.index == 0 { self.steady } else { since };
+        if now <= begin {
+            return false;
+        }
+        let rank = succession_rank(self.hosts, part, self.me, None);
+        let turns = u32::try_from(rank).unwrap_or(u32::MAX).min(FIRST_TURNS);
+        now > begin + FIRST_EACH * turns
+    }
+
+    /// Returns how long this host lets others try first to take the granting of `part` over from `granter`.
+    fn patience(&self, part: &PartId, granter: &HostId) -> Duration {
+        let rank = succession_rank(self.hosts, part, self.me, Some(granter));
+        SuccessionSettings::default().patience(rank, self.drawn)
+    }
 }
 
-/// Takes the granting over if there is a reason; `first` are the owners of an entry without a row.
+/// Hands out the keys of a part for the first time.
+fn found(
+    id: &PartId,
+    divided: &mut Divided,
+    roster: &Roster,
+    bounds: &RequestBounds<'_>,
+    now: Timestamp,
+    actions: &mut Vec<Action>,
+) {
+    let ready = ready(
+        roster,
+        &id.entry,
+        Part::WHOLE,
+        &divided.services,
+        bounds,
+        now,
+    );
+    let part = match id.index {
+        0 => Part::first_of(ready.len()),
+        _ => divided.part,
+    };
+    divided.keeper.take_over(now, true, part, &ready, actions);
+}
+
+/// Takes the granting over if there is a reason.
 fn take_over(
+    id: &PartId,
     divided: &mut Divided,
-    first: Option<Vec<UpstreamView>>,
     now: Timestamp,
     outlook: &Outlook<'_>,
     actions: &mut Vec<Action>,
 ) {
     let keeper = &mut divided.keeper;
     let Some(granter) = keeper.row().map(|row| row.granter.clone()) else {
-        keeper.take_over(now, true, &first.unwrap_or_default(), actions);
         return;
     };
     // The run that a host announced after a revision.
@@ -241,30 +309,35 @@
     let newest = keeper
         .revision()
         .and_then(|named| announced(&granter, named));
-    let (reads_for, patience) = (outlook.reads_for, outlook.patience);
-    let reason = divided.succession.decide(now, newest, reads_for, patience);
-    if let Some(reason) = reason {
+    let reads_for = outlook.reads_for;
+    let mut decide = |patience| divided.succession.decide(now, newest, reads_for, patience);
+    // Whose turn it is takes a look at all hosts, and there is hardly ever a reason to know it.
+    if decide(Duration::ZERO).is_none() {
+        return;
+    }
+    let patience = outlook.patience(id, &granter.host);
+    if let Some(reason) = decide(patience) {
         // Owners are those of the row.
-        keeper.take_over(now, reason.is_over, &[], actions);
+        keeper.take_over(now, reason.is_over, divided.part, &[], actions);
     }
 }
 
-fn carry_out(ctl: &Ctl, platform: &impl Platform, entry: EntryId, action: Action) {
+fn carry_out(ctl: &Ctl, platform: &impl Platform, part: PartId, action: Action) {
     let (ctl, platform) = (ctl.clone(), platform.clone());
     match action {
         Action::Call(call) => {
-            tokio::task::spawn_local(make_call(ctl, platform, entry, call));
+            tokio::task::spawn_local(make_call(ctl, platform, part, call));
         }
         Action::Commit { row, expected } => {
             ctl.with(|c| {
-                info!(c.log, "change owners of keys"; "entry" => entry.as_str(),
+                info!(c.log, "change owners of keys"; "part" => %part,
                     "granter" => row.granter.host.as_str(), "fence" => row.fence.0,
                     "pieces" => row.pieces.len(), "most_pieces" => most_pieces(&row));
             });
             tokio::task::spawn_local(async move {
-                let key = keys_row(&entry);
-                let end = platform.commit(keys_txn(&entry, &row, expected)).await;
-                ctl.with(|c| commit_ended(c, &entry, &key, end));
+                let key = keys_row(&part);
+                let end = platform.commit(keys_txn(&part, &row, expected)).await;
+                ctl.with(|c| commit_ended(c, &part, &key, end));
                 ctl.wake_keys.notify_one();
             });
         }
@@ -280,7 +353,7 @@
     counts.into_values().max().unwrap_or_default()
 }
 
-async fn make_call(ctl: Ctl, platform: impl Platform, entry: EntryId, call: OrderCall) {
+async fn make_call(ctl: Ctl, platform: impl Platform, part: PartId, call: OrderCall) {
     let route = ctl.with(|c| c.route_to(&call.upstream, BootClock.now()));
     let id = call.id;
     let described = call.clone();
@@ -293,7 +366,7 @@
     // Its keys move before the store has taken its word, and before callers meet it.
     let is_news = ctl.with(|c| c.hear(now, described.decided, &described.upstream, &said));
     ctl.with(|c| {
-        let Some(divided) = c.divided.get_mut(&entry) else {
+        let Some(divided) = c.divided.get_mut(&part) else {
             return;
         };
         tell_order(&c.log, &mut divided.failing, &described, &end);
@@ -301,7 +374,7 @@
     });
     // A renewal that went well is no reason to do anything else.
     let is_done = matches!(end, CallEnd::Done { .. });
-    let is_awaited = ctl.with(|c| c.divided.get(&entry).is_some_and(|d| d.unserved.has_any()));
+    let is_awaited = ctl.with(|c| c.divided.get(&part).is_some_and(|d| d.unserved.has_any()));
     if !is_done || is_news || described.kind == CallKind::Release || is_awaited {
         ctl.wake_keys.notify_one();
     }
@@ -332,7 +405,7 @@
 
 fn commit_ended(
     c: &mut Control,
-    entry: &EntryId,
+    part: &PartId,
     key: &RowKey,
     result: Result<Commit, PlatformError>,
 ) {
@@ -349,7 +422,7 @@
             }))
         }
         Err(e) => {
-            warn!(c.log, "change owners of keys failed"; "entry" => entry.as_str(), "error" => %e);
+            warn!(c.log, "change owners of keys failed"; "part" => %part, "error" => %e);
             if e.had_no_effect() {
                 CommitEnd::NotDone
             } else {
@@ -357,7 +430,7 @@
             }
         }
     };
-    let Some(divided) = c.divided.get_mut(entry) else {
+    let Some(divided) = c.divided.get_mut(part) else {
         return;
     };
     divided.keeper.commit_ended(now, end);
--- a/crates/front/src/control/limits.rs
+++ b/crates/front/src/control/limits.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use assign::Part;
 use direct::{Limit, Roster};
 use gate::counters::Count;
 use ids::{EntryId, Timestamp, UpstreamId};
@@ -17,16 +18,18 @@
 /// Most limits in one heartbeat, so that it stays within one packet.
 const LIMITS_MAX: usize = 64;
 
-/// Returns the limits of an entry's upstreams that this host heard lately.
+/// Returns the limits of the upstreams of a part of an entry's keys that this host heard lately.
 pub(super) fn heard_lately(
     all: &HashMap<UpstreamId, Limit>,
     roster: &Roster,
     entry: &EntryId,
+    part: Part,
     now: Timestamp,
 ) -> Vec<UpstreamLimit> {
     let is_of_entry = |id: &UpstreamId| roster.get(id).is_some_and(|u| u.entry == *entry);
+    let is_of_part = |id: &UpstreamId| part.has(id) && is_of_entry(id);
     let lately = all.iter().filter(|(id, limit)| {
-        limit.age(now).is_some_and(|age| age < LIMIT_TOLD_FOR) && is_of_entry(id)
+        limit.age(now).is_some_and(|age| age < LIMIT_TOLD_FOR) && is_of_part(id)
     });
     let told = lately.map(|(id, limit)| UpstreamLimit {
         upstream: id.to_string(),
--- a/crates/front/src/control/messages.rs
+++ b/crates/front/src/control/messages.rs
@@ -7,13 +7,13 @@
 
 use crate::limit_told::LimitTold;
 
-/// What a host tells the one that grants the keys of an entry.
+/// What a host tells the one that grants the keys of a part of an entry.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub struct Beat {
-    /// The entry.
+    /// The part of the entry's keys.
     #[prost(string, tag = "1")]
-    pub entry: String,
+    pub part: String,
     /// Requests by key, since the last heartbeat.
     #[prost(message, repeated, tag = "2")]
     pub keys: Vec<KeyCount>,
@@ -41,7 +41,7 @@
     /// A request that is to be sent to no upstream; says nothing else.
     #[prost(message, optional, tag = "10")]
     pub quarantined: Option<Quarantined>,
-    /// Limits that upstreams of the entry named lately.
+    /// Limits that upstreams of the part named lately.
     #[prost(message, repeated, tag = "11")]
     pub limits: Vec<UpstreamLimit>,
 }
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use assign::{
-    AssignSettings, EntryRow, Keeper, KeyLoads, Owners, Planner, Run, Succession,
-    SuccessionSettings, Unserved,
+    AssignSettings, EntryOwners, EntryRow, Keeper, KeyLoads, Moving, Owners, Part, PartId, Planner,
+    Run, Succession, SuccessionSettings, Unserved,
 };
 use direct::{Configuration, Crashes, Limit, PermitHosts, Roster, RouteTable};
 use gate::Metrics;
@@ -58,9 +58,13 @@
     pub at: Revision,
 }
 
-/// An entry that is divided by key.
+/// A part of the keys of an entry that is divided by key.
 #[derive(Debug)]
 pub struct Divided {
+    /// Which part; of how many is known with the row of the first one.
+    pub part: Part,
+    /// Since when this host knows that there is this part.
+    pub since: Timestamp,
     /// Grants its keys.
     pub keeper: Keeper,
     /// Who should.
@@ -73,6 +77,8 @@
     pub services: HashMap<UpstreamId, f64>,
     /// Upstreams whose orders fail, and how many have.
     pub failing: HashMap<UpstreamId, u32>,
+    /// The owners as they were last published; none if that has changed.
+    owners: Option<Arc<Owners>>,
 }
 
 impl Divided {
@@ -80,8 +86,27 @@
     pub fn row_taken(&mut self, now: Timestamp) {
         if let (Some(row), Some(revision)) = (self.keeper.row(), self.keeper.revision()) {
             self.unserved.row_read(now, row, revision);
+            self.owners = None;
         }
     }
+
+    /// Takes what the granting host says of keys that nobody serves; tells whether that changes anything.
+    pub fn hear_moving(&mut self, now: Timestamp, moving: &Moving) -> bool {
+        let is_news = self.unserved.hear(now, moving);
+        if is_news {
+            self.owners = None;
+        }
+        is_news
+    }
+
+    /// Returns the owners of the part's keys, if its row is known.
+    fn owners(&mut self) -> Option<Arc<Owners>> {
+        if self.owners.is_none() {
+            let owners = Owners::new(self.keeper.row()?, &self.unserved);
+            self.owners = Some(Arc::new(owners));
+        }
+        self.owners.clone()
+    }
 }
 
 /// The state of the control duty.
@@ -121,8 +146,8 @@
     pub row_written: Timestamp,
     /// When the newest read of what hosts share began that ended well.
     pub shared_began: Timestamp,
-    /// Entries that are divided by key.
-    pub divided: IndexMap<EntryId, Divided>,
+    /// The parts of entries that are divided by key.
+    pub divided: IndexMap<PartId, Divided>,
     /// What was read of the store, in the order of [`Table::ALL`](super::take::Table::ALL).
     pub copies: [Copy; Table::ALL.len()],
     /// Until when what is known of the store is fresh.
@@ -195,11 +220,14 @@
 
 impl Control {
     /// Publishes what callers' duty has to know.
-    pub fn publish(&self) {
-        let owners = self.divided.iter().filter_map(|(entry, d)| {
-            let owners = Owners::new(d.keeper.row()?, &d.unserved);
-            Some((entry.clone(), owners))
-        });
+    pub fn publish(&mut self) {
+        let mut owners: IndexMap<EntryId, EntryOwners> = IndexMap::new();
+        for (id, divided) in &mut self.divided {
+            if let Some(known) = divided.owners() {
+                let entry = owners.entry(id.entry.clone()).or_default();
+                entry.put(divided.part, known);
+            }
+        }
         let mut permit_hosts: IndexMap<DomainId, PermitHosts> = IndexMap::new();
         for host in self.hosts.values() {
             let in_domain = permit_hosts.entry(host.row.domain.clone()).or_default();
@@ -212,7 +240,7 @@
             phase: self.phase,
             in_force: self.in_force.clone(),
             roster: Arc::new(self.roster.clone()),
-            owners: Arc::new(owners.collect()),
+            owners: Arc::new(owners),
             quarantine: self.quarantined.in_force(),
             is_store_away: self.store_since.is_none(),
             hosts: self.hosts.len().max(1),
@@ -240,8 +268,8 @@
         info!(self.log, "configuration in force";
             "version" => cfg.version.0, "routes" => cfg.routes.len());
         for (entry, spec) in &cfg.entries {
-            if spec.divided && !self.divided.contains_key(entry) {
-                self.divided.insert(entry.clone(), self.divide(now));
+            if spec.divided {
+                self.divide(now, entry, Part::WHOLE);
             }
         }
         let routes = RouteTable::new(&cfg);
@@ -251,16 +279,29 @@
         }
     }
 
-    fn divide(&self, now: Timestamp) -> Divided {
+    /// Begins to follow a part of an entry's keys, unless this host does.
+    fn divide(&mut self, now: Timestamp, entry: &EntryId, part: Part) {
+        let id = PartId {
+            entry: entry.clone(),
+            index: part.index,
+        };
+        if let Some(known) = self.divided.get_mut(&id) {
+            known.part.count = known.part.count.max(part.count);
+            return;
+        }
         let cfg = AssignSettings::default();
-        Divided {
+        let divided = Divided {
+            part,
+            since: now,
+            owners: None,
             keeper: Keeper::new(self.me.clone(), cfg, Planner::default()),
             succession: Succession::new(SuccessionSettings::default()),
             unserved: Unserved::default(),
             loads: KeyLoads::new(now),
             services: HashMap::new(),
             failing: HashMap::new(),
-        }
+        };
+        self.divided.insert(id, divided);
     }
 
     /// Returns the hosts in the order in which they feed each other.
@@ -338,19 +379,19 @@
         }
     }
 
-    /// Takes an entry's row; it is not published yet.
-    pub fn take_row(&mut self, now: Timestamp, entry: &EntryId, row: EntryRow, at: Revision) {
-        if !self.divided.contains_key(entry) {
-            self.divided.insert(entry.clone(), self.divide(now));
+    /// Takes the row of a part of an entry's keys; it is not published yet.
+    pub fn take_row(&mut self, now: Timestamp, id: &PartId, row: EntryRow, at: Revision) {
+        for part in row.part.all() {
+            self.divide(now, &id.entry, part);
         }
-        let Some(divided) = self.divided.get_mut(entry) else {
+        let Some(divided) = self.divided.get_mut(id) else {
             return;
         };
         let granter = row.granter.clone();
         let is_news = divided.keeper.take(now, row, at);
         divided.row_taken(now);
         if is_news && divided.succession.granter(now, &granter) {
-            info!(self.log, "keys are granted by"; "entry" => entry.as_str(),
+            info!(self.log, "keys are granted by"; "part" => %id,
                 "granter" => granter.host.as_str(), "incarnation" => granter.incarnation.0);
         }
     }
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -1,7 +1,7 @@
 //! Takes what was read of the store's tables, from the store itself or from another host.
 
-use assign::EntryRow;
-use ids::{EntryId, Revision, Timestamp};
+use assign::{EntryRow, PartId};
+use ids::{Revision, Timestamp};
 use platform::{Delta, Row};
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
@@ -42,7 +42,7 @@
     }
 }
 
-/// Keys of rows that hold an entry's owners.
+/// Keys of rows that hold the owners of a part of an entry's keys.
 pub(crate) const KEYS_PREFIX: &str = "keys.";
 /// Keys of rows that hold a host.
 pub(crate) const HOST_PREFIX: &str = "host.";
@@ -153,9 +153,15 @@
         if let Some(quarantined) = decode(c, key, value) {
             quarantine::take_row(c, quarantined, row.revision, platform.store_clock(), now);
         }
-    } else if let Some(entry) = key.strip_prefix(KEYS_PREFIX) {
-        match (EntryId::new(entry), EntryRow::decode(value)) {
-            (Ok(entry), Ok(keys)) => c.take_row(now, &entry, keys, row.revision),
+    } else if let Some(part) = key.strip_prefix(KEYS_PREFIX) {
+        match (part.parse::<PartId>(), EntryRow::decode(value)) {
+            (Ok(part), Ok(keys)) if part.index == keys.part.index => {
+                c.take_row(now, &part, keys, row.revision);
+            }
+            (Ok(_), Ok(keys)) => {
+                warn!(c.log, "row refused"; "row" => key, "error" => "it is of another part",
+                    "part" => keys.part.index);
+            }
             (_, Err(e)) => warn!(c.log, "row refused"; "row" => key, "error" => %e),
             (Err(e), _) => warn!(c.log, "row refused"; "row" => key, "error" => %e),
         }
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -133,13 +133,16 @@
 
     pub(super) fn pick_owner(&self, view: &View, job: &Job, now: Timestamp) -> Pick {
         let owners = view.owners.get(&job.entry);
-        let piece = job.asked.key.and_then(|key| owners?.piece(key));
-        if let Some(until) = piece.and_then(|p| p.unserved_until)
+        let Some(piece) = job.asked.key.and_then(|key| owners?.piece(key)) else {
+            // Nobody was ever given it, which takes longer than a caller is held for.
+            return Pick::Refuse(come_back(Reason::NoOwner, KEY_COME_BACK), None);
+        };
+        if let Some(until) = piece.unserved_until
             && now < until
         {
             return self.wait_for_move(job, until.since(now), now);
         }
-        let up = piece.and_then(|p| view.roster.get(&p.owner));
+        let up = view.roster.get(&piece.owner);
         let Some(up) = up.filter(|up| up.entry == job.entry) else {
             return Pick::Wait;
         };
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use assign::Owners;
+use assign::EntryOwners;
 use direct::{Configuration, PermitHosts, Quarantine, Roster, RouteTable};
 use ids::{DomainId, EntryId};
 use indexmap::IndexMap;
@@ -39,7 +39,7 @@
     /// The upstreams.
     pub roster: Arc<Roster>,
     /// Owners of keys, for each entry that is divided by key.
-    pub owners: Arc<IndexMap<EntryId, Owners>>,
+    pub owners: Arc<IndexMap<EntryId, EntryOwners>>,
     /// The hosts of each failure domain that are asked for permits to send to its upstreams.
     pub permit_hosts: Arc<IndexMap<DomainId, PermitHosts>>,
     /// Requests that are sent to no upstream, as upstreams ended under them.
