--- a/crates/assign/src/part.rs
+++ b/crates/assign/src/part.rs
@@ -13,9 +13,9 @@
 
 use crate::range::{KeyRange, LAST_KEY};
 
-/// Upstreams for each part: few enough for a row of 64 KiB with four pieces each and for one host to renew, and
-/// so many that a stretch of hot keys finds owners with room within its part.
-const UPSTREAMS_EACH: usize = 512;
+/// Usual number of upstreams for each part: few enough for a row of 64 KiB with four pieces each and for one host to
+/// renew, and so many that a stretch of hot keys finds owners with room within its part.
+pub const UPSTREAMS_EACH: usize = 512;
 /// Most parts: each must have more keys than upstreams.
 const MOST_PARTS: u16 = 64;
 /// Between the entry and the number in the name of a part; no name of an entry has it.
@@ -41,10 +41,10 @@
     /// All keys of an entry.
     pub const WHOLE: Self = Self { index: 0, count: 1 };
 
-    /// Returns the first part of an entry that has so many upstreams.
+    /// Returns the first part of an entry that has so many upstreams, about `each` for each part.
     #[must_use]
-    pub fn first_of(upstreams: usize) -> Self {
-        let count = (upstreams + UPSTREAMS_EACH / 2) / UPSTREAMS_EACH;
+    pub fn first_of(upstreams: usize, each: usize) -> Self {
+        let count = (upstreams + each / 2) / each.max(1);
         Self {
             index: 0,
             count: u16::try_from(count).map_or(MOST_PARTS, |c| c.clamp(1, MOST_PARTS)),
--- a/crates/assign/tests/part.rs
+++ b/crates/assign/tests/part.rs
@@ -1,5 +1,6 @@
 //! Entries with many upstreams: how their keys are divided into parts, and what a part costs.
 
+use assign::part::UPSTREAMS_EACH;
 use assign::{EntryOwners, EntryRow, Owners, Part, PartId, Planner, Run, Unserved};
 use ids::{HostId, Incarnation, UpstreamId};
 use proptest::prelude::*;
@@ -31,7 +32,7 @@
 
 /// Returns the row of each part of an entry that has `all` upstreams.
 fn founded(all: &[UpstreamId]) -> Vec<EntryRow> {
-    let parts = Part::first_of(all.len()).all();
+    let parts = Part::first_of(all.len(), UPSTREAMS_EACH).all();
     let row = |part: Part| {
         let mut own = all.to_vec();
         part.retain(&mut own, |id| id);
@@ -100,7 +101,7 @@
 #[test]
 fn a_part_that_grows_by_a_third_still_fits() {
     let all = upstreams(7_144);
-    let part = Part::first_of(all.len());
+    let part = Part::first_of(all.len(), UPSTREAMS_EACH);
     let mut own = upstreams(7_144 * 4 / 3);
     part.retain(&mut own, |id| id);
     let mut row = EntryRow::even(run(), part, &own);
--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod drained;
 mod leaving;
 mod limited;
+mod parts;
 mod rig;
 mod tired;
 
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -12,6 +12,7 @@
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
 use standin::fleet::deploy::{Node, configuration, render};
 use standin::fleet::{FleetStore, FleetTarget, Journal, TargetSettings};
 use tempfile::TempDir;
@@ -103,6 +104,8 @@
     pub reads: Vec<FleetTarget>,
     pub posts: Vec<FleetTarget>,
     pub hosts: Vec<Host>,
+    /// Upstreams for each part of an entry's keys; as usual if none.
+    upstreams_each: Option<usize>,
     /// Begins the loopback addresses of this rig's hosts, which no other rig has.
     net: String,
     dir: TempDir,
@@ -155,6 +158,15 @@
 impl Rig {
     /// Starts everything and waits until each host serves both routes.
     pub async fn start(hosts: usize) -> Self {
+        Self::start_with(hosts, 3, None).await
+    }
+
+    /// Does so with `reads` servers that own keys, whose entry has a part for each `each` of them.
+    pub async fn start_in_parts(hosts: usize, reads: usize, each: usize) -> Self {
+        Self::start_with(hosts, reads, Some(each)).await
+    }
+
+    async fn start_with(hosts: usize, reads: usize, upstreams_each: Option<usize>) -> Self {
         let store = FleetStore::start().await.expect("store");
         store.configure(&configuration(2, 4.0, "posts"));
         let mut rig = Self {
@@ -163,10 +175,11 @@
             reads: Vec::new(),
             posts: Vec::new(),
             hosts: Vec::new(),
+            upstreams_each,
             net: own_net(),
             dir: tempfile::tempdir().expect("a folder"),
         };
-        for _ in 0..3 {
+        for _ in 0..reads {
             let settings = TargetSettings {
                 is_divided: true,
                 ..TargetSettings::default()
@@ -225,7 +238,8 @@
             internal: [peers, metrics],
             store,
         };
-        fs::write(&path, render(TEMPLATE, &node).expect("settings")).expect("a file");
+        let settings = render(TEMPLATE, &node).expect("settings");
+        fs::write(&path, self.in_parts(&settings)).expect("a file");
         let log = fs::OpenOptions::new()
             .append(true)
             .create(true)
@@ -248,6 +262,15 @@
         }
     }
 
+    /// Adds to `settings` how many upstreams a part has.
+    fn in_parts(&self, settings: &str) -> String {
+        let mut settings: Value = serde_json::from_str(settings).expect("valid settings");
+        if let Some(each) = self.upstreams_each {
+            settings["keys"] = json!({"upstreams_each": each});
+        }
+        settings.to_string()
+    }
+
     /// Returns the file that holds what host number `i` logged.
     pub fn log(&self, i: usize) -> PathBuf {
         self.dir.path().join(format!("host-{i}.log"))
@@ -327,7 +350,12 @@
 
     /// Returns the number of the host that grants keys.
     pub fn granter(&self) -> usize {
-        let row = self.store.read("medlardyke", "keys.reads").expect("a row");
+        self.granter_of("keys.reads")
+    }
+
+    /// Returns the number of the host that grants the keys of the row `key`.
+    pub fn granter_of(&self, key: &str) -> usize {
+        let row = self.store.read("medlardyke", key).expect("a row");
         let name = row["granter"]["host"].as_str().expect("a host").to_owned();
         let number = name.strip_prefix("host-").and_then(|n| n.parse().ok());
         number.expect("a host of ours")
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -107,7 +107,8 @@
             match divided.keeper.row() {
                 Some(_) => take_over(id, divided, now, &outlook, &mut actions),
                 None if outlook.is_turn_to_found(id, divided.since, now) => {
-                    found(id, divided, &c.roster, &bounds, now, &mut actions);
+                    let each = c.cfg.keys.upstreams_each;
+                    found(id, divided, &c.roster, &bounds, each, now, &mut actions);
                 }
                 None => {}
             }
@@ -259,6 +260,7 @@
     divided: &mut Divided,
     roster: &Roster,
     bounds: &RequestBounds<'_>,
+    upstreams_each: usize,
     now: Timestamp,
     actions: &mut Vec<Action>,
 ) {
@@ -271,7 +273,7 @@
         now,
     );
     let part = match id.index {
-        0 => Part::first_of(ready.len()),
+        0 => Part::first_of(ready.len(), upstreams_each),
         _ => divided.part,
     };
     divided.keeper.take_over(now, true, part, &ready, actions);
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use assign::part::UPSTREAMS_EACH;
 use direct::WarmupBounds;
 use ids::{DomainId, HostId};
 use serde::Deserialize;
@@ -31,6 +32,9 @@
     /// How far requests at cold upstreams may exceed what those bear, over all hosts.
     #[serde(default)]
     pub warmup: WarmupSettings,
+    /// How keys are granted; the same at all hosts.
+    #[serde(default)]
+    pub keys: Keys,
     /// Times of stopping.
     pub stop: Stop,
 }
@@ -124,6 +128,23 @@
     }
 }
 
+/// How keys of entries are granted.
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
+#[serde(default)]
+pub struct Keys {
+    /// Upstreams for each part into which the keys of an entry are divided when they are first handed out.
+    pub upstreams_each: usize,
+}
+
+impl Default for Keys {
+    fn default() -> Self {
+        Self {
+            upstreams_each: UPSTREAMS_EACH,
+        }
+    }
+}
+
 /// Times of stopping.
 #[derive(Debug, Clone, Copy)]
 #[derive(Deserialize)]
@@ -156,6 +177,10 @@
         "{file}: processor.share, processor.cores: must be positive"
     );
     anyhow::ensure!(cfg.memory_mb > 0, "{file}: memory_mb: must be positive");
+    anyhow::ensure!(
+        cfg.keys.upstreams_each > 0,
+        "{file}: keys.upstreams_each: must be positive"
+    );
     anyhow::ensure!(
         repeats.ratio >= 0.0,
         "{file}: repeats.ratio: must not be negative"
--- a/crates/standin/src/fleet/deploy.rs
+++ b/crates/standin/src/fleet/deploy.rs
@@ -36,6 +36,7 @@
         ("ip", ip.to_string()),
         ("limits.cpu_share", "0.2".to_owned()),
         ("limits.cores", "1".to_owned()),
+        ("limits.memory_mb", "256".to_owned()),
         ("listen.front", node.callers.to_string()),
         ("listen.ready", format!("{ip}:{}", node.ready)),
         ("internal_ports.0", node.internal[0].to_string()),
