front: hosts that start together read the store one after the other, whatever their number, and weak links take all there is

When hundreds of hosts start together, each polled the hosts' rows until it was fed, and all but the first five of a domain came to read all upstreams, 24 pages of them, 100 ms after the last news: what is known needs seconds down a tree of 200 hosts a domain with links of 20 Mbit/s, and its first message, 3 MB, had to be taken whole in 2.5 s. Now a host that is listed, and has read since then who else is, polls no more; each waits 20 ms for every host before it, up to 5 s; a first message comes in parts of 1,500 rows with a time for each; and a host whose first message is no longer fresh when it is there counts as fed until the next one is due.

--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -37,11 +37,11 @@
 /// Time that a host which starts waits for each host before it to read the store and to feed it: a few
 /// reads and their way.
 ///
-/// Hosts that all start together are fed within a tenth of a second, by the first one of them that is
-/// there.
+/// The first hosts are fed within a tenth of a second, by the first one of them that is there; the last of
+/// hundreds in a domain wait until what is known has come down the tree.
 const START_EACH: Duration = Duration::from_millis(20);
-/// Hosts for which it waits at the most: callers wait for it.
-const START_MOST: usize = 5;
+/// Longest such wait: callers wait for it.
+const START_LONGEST: Duration = Duration::from_secs(5);
 /// Time for which a host that is not listed yet waits to be fed: those that start for the first time
 /// write their rows within this time and one read, and then know which of them reads for all.
 const START_UNLISTED: Duration = Duration::from_millis(2_500);
@@ -99,7 +99,13 @@
         return table == Table::Upstreams;
     }
     let is_starting = !c.freshness.has_known_all();
-    table == Table::Shared || !is_starting || is_first_to_read(c, now)
+    let looks_for_hosts = table == Table::Shared && !knows_who_starts(c);
+    !is_starting || looks_for_hosts || is_first_to_read(c, now)
+}
+
+/// Tells whether this host is listed and has read since then which others are.
+fn knows_who_starts(c: &Control) -> bool {
+    c.hosts_known.is_some() && c.position().is_some() && c.shared_began >= c.row_written
 }
 
 /// Tells whether this host, which has just started, is the first one that should read the store.
@@ -110,14 +116,14 @@
     let Some(position) = c.position() else {
         return now.since(known) >= START_UNLISTED;
     };
-    // One that has just written its row has not read yet who else did.
-    if c.shared_began < c.row_written {
+    if !knows_who_starts(c) {
         return false;
     }
     // Of domains, two places are enough: the second is for the case that the first is gone.
-    let before = (position.place + 2 * position.domain).min(START_MOST);
+    let before = u32::try_from(position.place + 2 * position.domain).unwrap_or(u32::MAX);
+    let wait = START_EACH.saturating_mul(before).min(START_LONGEST);
     // Each news of hosts may be that of one that comes before this one.
-    now.since(known.max(c.hosts_changed)) >= START_EACH * u32::try_from(before).unwrap_or_default()
+    now.since(known.max(c.hosts_changed)) >= wait
 }
 
 /// Returns how long this host waits after a failed read.
--- a/crates/front/src/control/freshness.rs
+++ b/crates/front/src/control/freshness.rs
@@ -30,6 +30,8 @@
     is_failing: [bool; Table::ALL.len()],
     upstreams_began: Timestamp,
     fed_until: Timestamp,
+    /// When another host last fed this one.
+    fed_at: Timestamp,
     /// Since when no host feeds this one.
     alone_since: Option<Timestamp>,
 }
@@ -49,10 +51,11 @@
         self.is_failing[table.index()] = true;
     }
 
-    /// Notes that another host fed this one with knowledge that stays fresh for `left`.
-    pub fn fed(&mut self, now: Timestamp, left: Duration) {
+    /// Notes that another host fed this one, with knowledge that stays fresh for `left` from `as_of` on.
+    pub fn fed(&mut self, now: Timestamp, as_of: Timestamp, left: Duration) {
         self.has_read = [true; Table::ALL.len()];
-        self.fed_until = now + left;
+        self.fed_until = as_of + left;
+        self.fed_at = now;
         self.alone_since = None;
     }
 
@@ -62,10 +65,13 @@
     }
 
     /// Tells whether another host feeds this one, or it has only just begun to look for one.
+    ///
+    /// What comes first may be long on its way, and no longer fresh when it is there; the next message is close behind.
     #[must_use]
     pub fn is_fed(&self, now: Timestamp) -> bool {
         match self.alone_since {
-            None => now < self.fed_until,
+            None if self.fed_until == Timestamp::ZERO => false,
+            None => now < self.fed_until.max(self.fed_at + LOOK_AROUND),
             Some(since) => self.fed_until > Timestamp::ZERO && now.since(since) < LOOK_AROUND,
         }
     }
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -31,13 +31,16 @@
 const FED_MAX: usize = 2 * tree::FANOUT;
 /// Longest time between two messages to a fed host.
 const FEED_EVERY: Duration = Duration::from_millis(400);
+/// Most rows in one message: a host that has nothing yet gets megabytes, which take seconds over a weak link, and each
+/// message has a time of its own in which it must get on.
+const ROWS_EACH: usize = 1_500;
 /// Silence after which a fed host reads the store itself: two messages and their way. What the
 /// store took must be known within two seconds.
 const SILENCE: Duration = Duration::from_secs(1);
 /// Time for a connection to another host to open: twenty times their way to each other. Hosts that are
 /// gone for good are still listed, and each one that is tried delays the host that looks for a feeder.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for the first message to be taken: all there is takes a second over a link of 10 Mbit/s that several
+/// Time for one of the first messages to be taken: half a megabyte takes that over a link of 10 Mbit/s that several
 /// hosts are fed over.
 const SEND_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Pause before looking for a parent again.
@@ -69,6 +72,44 @@
     /// The host that read the store.
     #[prost(string, tag = "3")]
     pub reader: String,
+    /// Whether rows are left out that come with the next message: both are to be taken as one.
+    #[prost(bool, tag = "4")]
+    pub goes_on: bool,
+}
+
+impl Feed {
+    /// Divides the feed into messages with at most `rows` rows each.
+    #[must_use]
+    pub fn split(mut self, rows: usize) -> Vec<Self> {
+        let mut messages = Vec::new();
+        while self.tables.iter().map(|t| t.rows.len()).sum::<usize>() > rows {
+            let mut room = rows;
+            let parts = self.tables.iter_mut().map(|table| {
+                let taken = table.rows.len().min(room);
+                room -= taken;
+                TableFeed {
+                    rows: table.rows.drain(..taken).collect(),
+                    ..TableFeed::default()
+                }
+            });
+            messages.push(Self {
+                tables: parts.collect(),
+                fresh_ms: self.fresh_ms,
+                reader: self.reader.clone(),
+                goes_on: true,
+            });
+        }
+        messages.push(self);
+        messages
+    }
+
+    /// Puts the rows of messages that came before into this one, which goes on from them.
+    pub fn follow(&mut self, before: Self) {
+        for (table, mut earlier) in self.tables.iter_mut().zip(before.tables) {
+            earlier.rows.append(&mut table.rows);
+            table.rows = earlier.rows;
+        }
+    }
 }
 
 /// Changes of one table.
@@ -155,9 +196,11 @@
     let mut within = SEND_TIMEOUT;
     loop {
         let is_last = feed.fresh_ms == 0;
-        // A fed host that takes nothing must not hold its place for ever.
-        let sent = tokio::time::timeout(within, link.outgoing.send(feed));
-        sent.await.map_err(std::io::Error::from)??;
+        for message in feed.split(ROWS_EACH) {
+            // A fed host that takes nothing must not hold its place for ever.
+            let sent = tokio::time::timeout(within, link.outgoing.send(message));
+            sent.await.map_err(std::io::Error::from)??;
+        }
         within = SILENCE;
         if is_last {
             return Ok(());
@@ -203,6 +246,7 @@
         tables: copies.map(|(i, copy)| table(i, copy)).collect(),
         fresh_ms,
         reader: c.reader.to_string(),
+        goes_on: false,
     }
 }
 
@@ -262,13 +306,21 @@
     let mut within = if has_known_all { SILENCE } else { SEND_TIMEOUT };
     let asked = BootClock.now();
     let mut is_first = true;
+    let mut before = None;
     loop {
         let next = tokio::time::timeout(within, link.incoming.next());
-        within = SILENCE;
         let Some(feed) = next.await.map_err(std::io::Error::from)? else {
             return Ok(());
         };
-        let feed = feed?;
+        let mut feed = feed?;
+        if let Some(before) = before.take() {
+            feed.follow(before);
+        }
+        if feed.goes_on {
+            before = Some(feed);
+            continue;
+        }
+        within = SILENCE;
         // What this host read itself is no news to it.
         let is_own = ctl.with(|c| feed.reader == c.me.host.as_str());
         if ctl.with(|c| c.phase == Phase::Leaving) || feed.fresh_ms == 0 || is_own {
@@ -292,7 +344,7 @@
 fn take_feed(c: &mut Control, platform: &impl Platform, feed: Feed, as_of: Timestamp) -> bool {
     let now = BootClock.now();
     let left = Duration::from_millis(u64::from(feed.fresh_ms));
-    c.freshness.fed(as_of, left);
+    c.freshness.fed(now, as_of, left);
     c.reader = feed.reader.into();
     c.store_answered(now);
     let mut changed = false;
--- a/crates/front/tests/freshness.rs
+++ b/crates/front/tests/freshness.rs
@@ -101,7 +101,7 @@
             match *event {
                 Read(table, began) => freshness.read(table, at(began)),
                 Failed(table) => freshness.failed(table),
-                Fed(now, left) => freshness.fed(at(now), Duration::from_millis(left)),
+                Fed(now, left) => freshness.fed(at(now), at(now), Duration::from_millis(left)),
                 LeftAlone(now) => freshness.left_alone(at(now)),
             }
         }
@@ -121,7 +121,7 @@
 fn a_host_that_is_left_alone_looks_for_another_feeder_before_it_reads() {
     let mut freshness = Freshness::default();
     assert!(!freshness.is_fed(at(0)), "nobody ever fed it");
-    freshness.fed(at(100), Duration::from_millis(700));
+    freshness.fed(at(100), at(100), Duration::from_millis(700));
     assert!(freshness.is_fed(at(799)));
     assert!(
         !freshness.is_fed(at(800)),
@@ -134,6 +134,17 @@
         !freshness.is_fed(at(1_050)),
         "counted from when it was left first"
     );
-    freshness.fed(at(1_100), Duration::from_millis(700));
+    freshness.fed(at(1_100), at(1_100), Duration::from_millis(700));
     assert!(freshness.is_fed(at(1_700)));
 }
+
+/// Guards against hosts that read the store as soon as their feeder's first message is there: over a weak link it takes
+/// longer than what it says stays fresh, and hundreds of hosts start together.
+#[test]
+fn a_host_whose_first_message_was_long_on_its_way_is_fed() {
+    let mut freshness = Freshness::default();
+    freshness.fed(at(3_000), at(0), Duration::from_millis(1_200));
+    assert!(!freshness.is_fresh(at(3_000)), "it is old news");
+    assert!(freshness.is_fed(at(3_100)), "the next one is close behind");
+    assert!(!freshness.is_fed(at(3_400)), "it did not come");
+}
--- a/crates/front/tests/relay.rs
+++ b/crates/front/tests/relay.rs
@@ -1,7 +1,7 @@
 //! What a host makes of what another one feeds it.
 
 use front::control::copies::Copy;
-use front::control::relay::{FeedRow, TableFeed};
+use front::control::relay::{Feed, FeedRow, TableFeed};
 use ids::Revision;
 use platform::{Changes, Delta, Row, RowKey};
 
@@ -66,3 +66,51 @@
     }
     assert!(copy.since(0).count() <= 2_000);
 }
+
+/// Guards against a first message that no weak link takes in its time: it is divided, and is the same again when it is
+/// there, also for tables that were divided in their middle.
+#[test]
+fn a_large_feed_comes_in_parts_and_is_taken_as_one() {
+    struct Case {
+        rows: [usize; 3],
+        messages: usize,
+    }
+    for case in [
+        Case {
+            rows: [0, 0, 0],
+            messages: 1,
+        },
+        Case {
+            rows: [1, 100, 0],
+            messages: 2,
+        },
+        Case {
+            rows: [1, 99, 0],
+            messages: 1,
+        },
+        Case {
+            rows: [1, 11_649, 1_000],
+            messages: 127,
+        },
+    ] {
+        let table = |(i, &rows): (usize, &usize)| {
+            let keys: Vec<String> = (0..rows).map(|row| format!("{i}-{row}")).collect();
+            let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+            feed(9, &keys, i == 1)
+        };
+        let whole = Feed {
+            tables: case.rows.iter().enumerate().map(table).collect(),
+            fresh_ms: 900,
+            reader: "host".to_owned(),
+            goes_on: false,
+        };
+        let messages = whole.clone().split(100);
+        assert_eq!(messages.len(), case.messages);
+        let taken = messages.into_iter().reduce(|before, mut next| {
+            assert!(before.goes_on);
+            next.follow(before);
+            next
+        });
+        assert_eq!(taken, Some(whole));
+    }
+}
