--- a/crates/assign/src/packed.rs
+++ b/crates/assign/src/packed.rs
@@ -20,17 +20,13 @@
     earlier: Vec<Earlier>,
     fence: Fence,
     /// Left out if the entry has one part only.
-    #[serde(default, skip_serializing_if = "is_whole")]
-    part: Part,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    part: Option<Part>,
     /// Owners and former owners.
     upstreams: IndexSet<UpstreamId>,
     pieces: Vec<PackedPiece>,
 }
 
-fn is_whole(part: &Part) -> bool {
-    *part == Part::WHOLE
-}
-
 /// Last key, owner, fence and former owners of a piece.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
@@ -50,7 +46,7 @@
             granter: row.granter.clone(),
             earlier: row.earlier.clone(),
             fence: row.fence,
-            part: row.part,
+            part: (row.part != Part::WHOLE).then_some(row.part),
             upstreams,
             pieces,
         }
@@ -62,10 +58,11 @@
             let known = self.upstreams.get_index(place).cloned();
             known.ok_or(RowError::Upstream { place })
         };
-        if !self.part.is_valid() {
-            return Err(RowError::Part(self.part));
+        let part = self.part.unwrap_or_default();
+        if !part.is_valid() {
+            return Err(RowError::Part(part));
         }
-        let mut at = u32::from(self.part.keys().first);
+        let mut at = u32::from(part.keys().first);
         let mut pieces = Vec::with_capacity(self.pieces.len());
         for PackedPiece(last, owner, fence, former) in self.pieces {
             let first = u16::try_from(at).map_err(|_past_the_end| RowError::Gap { at })?;
@@ -81,7 +78,7 @@
             granter: self.granter,
             earlier: self.earlier,
             fence: self.fence,
-            part: self.part,
+            part,
             pieces,
         })
     }
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -5,12 +5,9 @@
 use std::time::Duration;
 
 use assign::{
-    Action, CallEnd, CallKind, CommitEnd, Earlier, EntryRow, OrderCall, Part, PartId, Run,
-    Standing, StoreClock, SuccessionSettings, UpstreamView,
+    Action, CallEnd, CallKind, CommitEnd, EntryRow, OrderCall, Part, PartId, Standing, StoreClock,
 };
-use direct::{Limit, Registered, Roster, Warmup};
-use ids::{BootClock, Clock, EntryId, HostId, KeyHash, Revision, Timestamp, UpstreamId};
-use indexmap::IndexMap;
+use ids::{BootClock, Clock, Timestamp, UpstreamId};
 use platform::{Commit, PlatformError, RowKey};
 use rand::Rng;
 use slog::{Logger, info, warn};
@@ -19,7 +16,9 @@
 use crate::control::beat;
 use crate::control::follow::{keys_row, keys_txn};
 use crate::control::registry::OrderRoute;
-use crate::control::state::{Control, Ctl, Divided, KnownHost};
+use crate::control::state::{Control, Ctl};
+use crate::control::takers::Takers;
+use crate::control::turns::{self, Outlook, take_over};
 use crate::ports::{Ordered, Platform};
 use crate::view::Phase;
 
@@ -27,23 +26,6 @@
 const GRANTER_TICK: Duration = Duration::from_millis(100);
 /// The same at other hosts, which only look whether the granting one is still there.
 const TICK: Duration = Duration::from_millis(300);
-/// Time without news of upstreams after which an entry's keys are first handed out: more than the
-/// time between two heartbeats of an upstream, so that all that start together are there.
-const ROSTER_STEADY: Duration = Duration::from_millis(1_300);
-/// Time without news of hosts after which they are all known that started together: they write their rows within
-/// a second and a half, and are read every half second.
-const HOSTS_STEADY: Duration = Duration::from_millis(800);
-/// Further time for each host that comes before this one in handing out an entry's keys for the first time: a
-/// look of that one, and a read that brings the news of it.
-const FIRST_EACH: Duration = Duration::from_millis(850);
-/// Hosts that do so one after the other; the others come with the last of them.
-const FIRST_TURNS: u32 = 4;
-/// Service time of an upstream of which nothing was observed, in seconds.
-const USUAL_SERVICE: f64 = 0.1;
-
-/// Most pieces of an upstream that limits its requests: it gets their renewals as well, four in three seconds for each.
-const LIMITED_PIECES: usize = 2;
-
 /// Drives all keepers.
 pub async fn drive(ctl: Ctl, platform: impl Platform, socket: Rc<UdpSocket>) {
     let drawn = rand::rng().random_range(0.0..1.0);
@@ -86,44 +68,41 @@
         return Vec::new();
     }
     let mut due = Vec::new();
-    // Who hands out keys first follows from the upstreams and hosts that are known.
-    let steady = (c.roster_changed + ROSTER_STEADY).max(c.hosts_changed + HOSTS_STEADY);
+    let outlook = Outlook {
+        hosts: &c.hosts,
+        me: &c.me.host,
+        steady: turns::steady(c.roster_changed, c.hosts_changed),
+        reads_for,
+        drawn,
+    };
     for (id, divided) in &mut c.divided {
         let entry = &id.entry;
         let spec = c.in_force.as_ref().and_then(|f| f.cfg.entries.get(entry));
-        let bounds = RequestBounds {
+        let takers = Takers {
+            roster: &c.roster,
+            entry,
             warmup: spec.and_then(|spec| spec.warmup),
             limits: &c.limits,
         };
         let mut actions = Vec::new();
         if is_fresh && c.phase != Phase::Leaving {
-            let outlook = Outlook {
-                hosts: &c.hosts,
-                me: &c.me.host,
-                steady,
-                reads_for,
-                drawn,
-            };
-            match divided.keeper.row() {
-                Some(_) => take_over(id, divided, now, &outlook, &mut actions),
-                None if outlook.is_turn_to_found(id, divided.since, now) => {
-                    let each = c.cfg.keys.upstreams_each;
-                    found(id, divided, &c.roster, &bounds, each, now, &mut actions);
-                }
-                None => {}
+            if divided.keeper.row().is_some() {
+                take_over(id, divided, now, &outlook, &mut actions);
+            } else if outlook.is_turn_to_found(id, divided.since, now) {
+                let ready = takers.ready(Part::WHOLE, &divided.services, now);
+                let part = match id.index {
+                    0 => Part::first_of(ready.len(), c.cfg.keys.upstreams_each),
+                    _ => divided.part,
+                };
+                divided
+                    .keeper
+                    .take_over(now, true, part, &ready, &mut actions);
             }
         }
         divided.keeper.poll(now, &mut actions);
         if divided.keeper.may_plan(now) {
             let mut standing = Standing {
-                ready: &ready(
-                    &c.roster,
-                    entry,
-                    divided.part,
-                    &divided.services,
-                    &bounds,
-                    now,
-                ),
+                ready: &takers.ready(divided.part, &divided.services, now),
                 loads: &mut divided.loads,
                 may_move,
             };
@@ -134,196 +113,6 @@
     due
 }
 
-/// Returns how many hosts come before `me` in taking the granting of a part of an entry's keys over from `granter`:
-/// the stronger ones first, and among equals another one for each entry.
-///
-/// Each part begins with another host of that order, so that the strong ones grant about as many parts each.
-fn succession_rank(
-    hosts: &IndexMap<HostId, KnownHost>,
-    part: &PartId,
-    me: &HostId,
-    granter: Option<&HostId>,
-) -> usize {
-    let entry = &part.entry;
-    let order = |host: &KnownHost| {
-        let name = &host.row.run.host;
-        let hash = KeyHash::of(format!("{entry} {name}").as_bytes());
-        (host.row.capacity, hash)
-    };
-    let place = |host: &KnownHost| {
-        let own = order(host);
-        let before = hosts.values().filter(|other| order(other) > own).count();
-        (before + hosts.len() - usize::from(part.index) % hosts.len()) % hosts.len()
-    };
-    let Some(own) = hosts.get(me).map(place) else {
-        return hosts.len();
-    };
-    let granter = granter.filter(|&id| id != me).and_then(|id| hosts.get(id));
-    let is_after_granter = granter.is_some_and(|host| place(host) < own);
-    own - usize::from(is_after_granter)
-}
-
-/// What is known of an entry's upstreams that get fewer requests than they could work on.
-struct RequestBounds<'a> {
-    warmup: Option<Warmup>,
-    limits: &'a HashMap<UpstreamId, Limit>,
-}
-
-impl RequestBounds<'_> {
-    /// Returns how many requests a second `upstream` says it takes; none if it names no limit.
-    fn limit(&self, upstream: &Registered) -> Option<f64> {
-        let limit = self.limits.get(&upstream.id)?;
-        limit.handed_out(0)
-    }
-
-    /// Returns how many requests a second `upstream` gets at most; none if as many as it can work on.
-    fn most_per_s(&self, upstream: &Registered, now: Timestamp) -> Option<f64> {
-        let cold = self.warmup.filter(|_| now < upstream.cold_until);
-        let cold = cold.map(|warmup| warmup.per_s);
-        let bounds = cold.into_iter().chain(self.limit(upstream));
-        bounds.min_by(f64::total_cmp)
-    }
-}
-
-/// Returns the upstreams that take requests and may own keys of a part of an entry, with their times for one request.
-///
-/// One that is cold or limits its requests counts as so slow that what it gets keeps it busy: it gets few keys, and
-/// quiet ones.
-fn ready(
-    roster: &Roster,
-    entry: &EntryId,
-    part: Part,
-    services: &HashMap<UpstreamId, f64>,
-    bounds: &RequestBounds<'_>,
-    now: Timestamp,
-) -> Vec<UpstreamView> {
-    let known: f64 = services.values().sum();
-    let usual = if services.is_empty() {
-        USUAL_SERVICE
-    } else {
-        known / services.len() as f64
-    };
-    let service = |u: &Registered| {
-        let service = services.get(&u.id).copied().unwrap_or(usual);
-        match bounds.most_per_s(u, now) {
-            Some(per_s) => service.max(f64::from(u.slots) / per_s),
-            None => service,
-        }
-    };
-    let view = |u: &Registered| UpstreamView {
-        id: u.id.clone(),
-        slots: u.slots,
-        service: service(u),
-        most_pieces: bounds.limit(u).map(|_| LIMITED_PIECES),
-    };
-    let mut ready = roster.ready(entry);
-    part.retain(&mut ready, |u| &u.id);
-    ready.into_iter().map(view).collect()
-}
-
-/// What a host knows that may take the granting over.
-struct Outlook<'a> {
-    hosts: &'a IndexMap<HostId, KnownHost>,
-    me: &'a HostId,
-    /// When all upstreams and hosts that started together are known.
-    steady: Timestamp,
-    /// For how long it has read the store.
-    reads_for: Duration,
-    /// What it drew of the patience before a take-over.
-    drawn: f64,
-}
-
-impl Outlook<'_> {
-    /// Tells whether it is this host's turn to hand out the keys of `part`, which nobody has, for the first time.
-    ///
-    /// Whoever handed out those of the first part had waited for all to be known.
-    fn is_turn_to_found(&self, part: &PartId, since: Timestamp, now: Timestamp) -> bool {
-        let begin = if part.index == 0 { self.steady } else { since };
-        if now <= begin {
-            return false;
-        }
-        let rank = succession_rank(self.hosts, part, self.me, None);
-        let turns = u32::try_from(rank).unwrap_or(u32::MAX).min(FIRST_TURNS);
-        now > begin + FIRST_EACH * turns
-    }
-
-    /// Returns how long this host lets others try first to take the granting of `part` over from `granter`.
-    fn patience(&self, part: &PartId, granter: &HostId) -> Duration {
-        let rank = succession_rank(self.hosts, part, self.me, Some(granter));
-        SuccessionSettings::default().patience(rank, self.drawn)
-    }
-}
-
-/// Hands out the keys of a part for the first time.
-fn found(
-    id: &PartId,
-    divided: &mut Divided,
-    roster: &Roster,
-    bounds: &RequestBounds<'_>,
-    upstreams_each: usize,
-    now: Timestamp,
-    actions: &mut Vec<Action>,
-) {
-    let ready = ready(
-        roster,
-        &id.entry,
-        Part::WHOLE,
-        &divided.services,
-        bounds,
-        now,
-    );
-    let part = match id.index {
-        0 => Part::first_of(ready.len(), upstreams_each),
-        _ => divided.part,
-    };
-    divided.keeper.take_over(now, true, part, &ready, actions);
-}
-
-/// Takes the granting over if there is a reason.
-fn take_over(
-    id: &PartId,
-    divided: &mut Divided,
-    now: Timestamp,
-    outlook: &Outlook<'_>,
-    actions: &mut Vec<Action>,
-) {
-    let keeper = &mut divided.keeper;
-    let Some(granter) = keeper.row().map(|row| row.granter.clone()) else {
-        return;
-    };
-    // The run that a host announced after a revision.
-    let announced = |run: &Run, after: Revision| {
-        let host = outlook.hosts.get(&run.host).filter(|h| h.at > after);
-        host.map(|h| h.row.run.incarnation)
-    };
-    if keeper.is_granter() {
-        let is_over = |e: &&Earlier| {
-            let announced = announced(&e.run, e.last);
-            announced.is_some_and(|i| i != e.run.incarnation)
-        };
-        let over = keeper.earlier().iter().filter(is_over);
-        let over: Vec<Run> = over.map(|e| e.run.clone()).collect();
-        for run in over {
-            keeper.is_over(now, &run);
-        }
-        return;
-    }
-    let newest = keeper
-        .revision()
-        .and_then(|named| announced(&granter, named));
-    let reads_for = outlook.reads_for;
-    let mut decide = |patience| divided.succession.decide(now, newest, reads_for, patience);
-    // Whose turn it is takes a look at all hosts, and there is hardly ever a reason to know it.
-    if decide(Duration::ZERO).is_none() {
-        return;
-    }
-    let patience = outlook.patience(id, &granter.host);
-    if let Some(reason) = decide(patience) {
-        // Owners are those of the row.
-        keeper.take_over(now, reason.is_over, divided.part, &[], actions);
-    }
-}
-
 fn carry_out(ctl: &Ctl, platform: &impl Platform, part: PartId, action: Action) {
     let (ctl, platform) = (ctl.clone(), platform.clone());
     match action {
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -14,7 +14,8 @@
 //! - [`limits`]: how many requests a second upstreams say they take.
 //! - [`quarantine`]: the requests that are sent to no upstream for now, and the store's row of them.
 //! - [`sightings`]: what requests brought to light of upstreams.
-//! - [`keys`]: drives the keepers of entries that are divided by key.
+//! - [`keys`]: drives the keepers of entries that are divided by key; `turns` says whose turn it is to grant, `takers`
+//!   which upstreams may own keys.
 
 pub mod announce;
 pub mod beat;
@@ -32,6 +33,8 @@
 pub mod sightings;
 pub mod state;
 pub mod take;
+mod takers;
 pub mod tree;
+mod turns;
 
 pub use state::{Control, Ctl};
