front, platform: granting hosts read their own rows and no others

Each granting host read all that hosts share, to know at once whether its own row still names it. With parts, each change of one part's row was read by the granting hosts of all parts, so that bytes at the store grew with the square of their number (derived: 14 parts, 25 kB a row, two changes a second each: 10 MB/s). They now read their own rows every 900 ms, which is as much evidence, and are fed the rest like any host.

--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -10,7 +10,7 @@
 use platform::{Check, Delta, RowKey, Txn, Write};
 
 use crate::control::state::{Control, Ctl};
-use crate::control::take::{KEYS_PREFIX, Table, is_host_row, take};
+use crate::control::take::{KEYS_PREFIX, Table, is_host_row, take, take_row};
 use crate::ports::{Platform, SHARED};
 
 /// Longest wait for a change in one read.
@@ -19,8 +19,8 @@
 /// nothing; the read after it finds out. What was submitted two seconds ago must be in force three seconds after
 /// such an event: this and the time for a call are a little less.
 const WAIT: Duration = Duration::from_secs(2);
-/// The same for the host that grants keys: how old it lets its knowledge become.
-const GRANTER_WAIT: Duration = Duration::from_millis(900);
+/// Time between a granting host's reads of its rows: how old it lets its knowledge become.
+const CONFIRM_EVERY: Duration = Duration::from_millis(900);
 /// Time between reads of the upstreams: a third of the time that a leaving one still serves.
 ///
 /// They say something several times a second, so that waiting for changes would mean more reads.
@@ -63,7 +63,7 @@
 pub async fn follow(ctl: Ctl, platform: impl Platform, table: Table) {
     loop {
         while ctl.with(|c| !must_read(c, table)) {
-            tokio::time::sleep(ctl.with(|c| fed_for(c, table))).await;
+            tokio::time::sleep(ctl.with(|c| fed_for(c))).await;
         }
         read(&ctl, &platform, table).await;
         if table == Table::Upstreams {
@@ -72,26 +72,56 @@
     }
 }
 
-/// Returns how long this host surely need not read `table`.
+/// Reads the rows of the parts that this host grants, over and over: they show whether it still does.
 ///
-/// Whoever begins to grant keys has to read its row at once; the other tables can wait until what the
-/// host was fed is fresh no more. Each look costs a hundred hosts a wake-up of theirs.
-fn fed_for(c: &Control, table: Table) -> Duration {
-    match table {
-        Table::Shared => FED_CHECK,
-        Table::Configuration | Table::Upstreams => c.freshness.left(BootClock.now()).max(FED_CHECK),
+/// Other granting hosts' rows come by way of the tree: with each reading all rows, what is read of the store would grow
+/// with the square of their number.
+pub async fn confirm(ctl: Ctl, platform: impl Platform) {
+    loop {
+        let granted = ctl.with(|c| c.granted());
+        if granted.is_empty() {
+            tokio::time::sleep(FED_CHECK).await;
+            continue;
+        }
+        for part in granted {
+            confirm_part(&ctl, &platform, &part).await;
+        }
+        tokio::time::sleep(CONFIRM_EVERY).await;
     }
 }
 
+async fn confirm_part(ctl: &Ctl, platform: &impl Platform, part: &PartId) {
+    let began = BootClock.now();
+    let row = match platform.read_row(&keys_row(part)).await {
+        Ok(row) => row,
+        Err(e) => {
+            ctl.with(|c| c.store_failed(began, &e));
+            ctl.changed();
+            return;
+        }
+    };
+    let now = BootClock.now();
+    ctl.with(|c| {
+        c.store_answered(now);
+        if let Some(row) = row {
+            take_row(c, part, &row, now);
+        }
+        c.confirmed(part, began);
+    });
+}
+
+/// Returns how long this host surely need not read any table.
+///
+/// Each look costs a hundred hosts a wake-up of theirs.
+fn fed_for(c: &Control) -> Duration {
+    c.freshness.left(BootClock.now()).max(FED_CHECK)
+}
+
 /// Tells whether this host has to read `table` itself.
 ///
-/// While the store does not answer, reads of the upstreams find out when it does again. The host
-/// that grants has to know at once whether it still does.
+/// While the store does not answer, reads of the upstreams find out when it does again.
 fn must_read(c: &Control, table: Table) -> bool {
     let now = BootClock.now();
-    if table == Table::Shared && c.grants() {
-        return true;
-    }
     if c.freshness.is_fed(now) {
         return false;
     }
@@ -139,12 +169,11 @@
 /// Reads `table` once, waiting for a change where that is worth it.
 async fn read(ctl: &Ctl, platform: &impl Platform, table: Table) {
     let began = BootClock.now();
-    let (since, settled, grants) = ctl.with(|c| {
+    let (since, settled) = ctl.with(|c| {
         let since = c.copies[table.index()].revision();
-        (since, c.store_answers_for(began, SETTLE), c.grants())
+        (since, c.store_answers_for(began, SETTLE))
     });
     let wait = match table {
-        Table::Shared if settled && grants => GRANTER_WAIT,
         Table::Configuration | Table::Shared if settled => WAIT,
         _ => Duration::ZERO,
     };
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -331,6 +331,20 @@
         self.divided.values().any(|d| d.keeper.is_granter())
     }
 
+    /// Returns the parts whose keys this host grants.
+    #[must_use]
+    pub fn granted(&self) -> Vec<PartId> {
+        let granted = self.divided.iter().filter(|(_, d)| d.keeper.is_granter());
+        granted.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Notes a read of the row of `part` that began at `began`.
+    pub fn confirmed(&mut self, part: &PartId, began: Timestamp) {
+        if let Some(divided) = self.divided.get_mut(part) {
+            divided.keeper.read(began);
+        }
+    }
+
     /// Tells whether keys would be lost by this host's end: nobody can take their granting over.
     #[must_use]
     pub fn is_needed(&self) -> bool {
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -154,20 +154,26 @@
             quarantine::take_row(c, quarantined, row.revision, platform.store_clock(), now);
         }
     } else if let Some(part) = key.strip_prefix(KEYS_PREFIX) {
-        match (part.parse::<PartId>(), EntryRow::decode(value)) {
-            (Ok(part), Ok(keys)) if part.index == keys.part.index => {
-                c.take_row(now, &part, keys, row.revision);
-            }
-            (Ok(_), Ok(keys)) => {
-                warn!(c.log, "row refused"; "row" => key, "error" => "it is of another part",
-                    "part" => keys.part.index);
-            }
-            (_, Err(e)) => warn!(c.log, "row refused"; "row" => key, "error" => %e),
-            (Err(e), _) => warn!(c.log, "row refused"; "row" => key, "error" => %e),
+        match part.parse() {
+            Ok(part) => take_row(c, &part, row, now),
+            Err(e) => warn!(c.log, "row refused"; "row" => key, "error" => %e),
         }
     }
 }
 
+/// Takes the row of a part of an entry's keys.
+pub(crate) fn take_row(c: &mut Control, part: &PartId, row: &Row, now: Timestamp) {
+    let Some(value) = &row.value else {
+        return;
+    };
+    match EntryRow::decode(value) {
+        Ok(keys) if keys.part.index == part.index => c.take_row(now, part, keys, row.revision),
+        Ok(keys) => warn!(c.log, "row refused"; "part" => %part,
+            "error" => "it is of another part", "index" => keys.part.index),
+        Err(e) => warn!(c.log, "row refused"; "part" => %part, "error" => %e),
+    }
+}
+
 fn decode<T: DeserializeOwned>(c: &Control, key: &str, value: &[u8]) -> Option<T> {
     serde_json::from_slice(value)
         .inspect_err(|e| warn!(c.log, "row refused"; "row" => key, "error" => %e))
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -244,6 +244,7 @@
     for table in Table::ALL {
         tokio::task::spawn_local(follow::follow(ctl.clone(), platform.clone(), table));
     }
+    tokio::task::spawn_local(follow::confirm(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(announce::announce(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(relay::feed(ctl.clone(), relay_listener));
     tokio::task::spawn_local(relay::be_fed(ctl.clone(), platform.clone()));
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -5,7 +5,7 @@
 
 use ids::Revision;
 
-use crate::{Changes, Commit, PlatformError, Txn};
+use crate::{Changes, Commit, PlatformError, Row, RowKey, Txn};
 
 /// What a reader has to do to know a table's rows at a revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +31,16 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Delta, PlatformError>> + Send;
 
+    /// Reads the row `key`, which is `TABLE/KEY`; none if there is no such row.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached in time or refuses.
+    fn read_row(
+        &self,
+        key: &RowKey,
+    ) -> impl Future<Output = Result<Option<Row>, PlatformError>> + Send;
+
     /// Commits a transaction; keys of rows are `TABLE/KEY`.
     ///
     /// # Errors
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -269,7 +269,9 @@
     let text = |name: &str| query.get(name).cloned().unwrap_or_default();
     let path = req.uri().path().to_owned();
     let answer = match (req.method(), path.as_str()) {
-        (&Method::GET, "/api/rows-get") => shared.get(&text("table"), &text("from")),
+        (&Method::GET, "/api/rows-get") => {
+            shared.get(&text("table"), &text("from"), &text("target"))
+        }
         (&Method::GET, "/api/rows-feed") => {
             let after = Revision(text("after").parse().unwrap_or_default());
             let wait = Duration::from_millis(text("wait_ms").parse().unwrap_or_default());
@@ -324,13 +326,15 @@
         })
     }
 
-    fn get(&self, table: &str, from: &str) -> Whole {
+    /// Returns the rows of `table` from the key `from` on, up to but not with `to` if that is not empty.
+    fn get(&self, table: &str, from: &str, to: &str) -> Whole {
         let revision = self.revision();
         let held = lock(&self.table);
         let prefix = format!("{table}/");
         let rows = held
             .rows(&prefix)
-            .filter(|r| r.key.0[prefix.len()..] >= *from);
+            .filter(|r| r.key.0[prefix.len()..] >= *from)
+            .filter(|r| to.is_empty() || r.key.0[prefix.len()..] < *to);
         answer_json(StatusCode::OK, &self.body(rows.cloned(), revision))
     }
 
