front: hosts that start for the first time wait until all are listed before one of them reads the store

At a start of 985 hosts, each that had written its row early knew only the few that came before it, found itself among the first, and read everything: 869 of them read the upstreams within a second of the start; 4,972 writes of rows were turned away, as the store takes 200 a second and each was tried again after 250 ms; and the hosts' rows were read 3,216 times (trial of the start on the code before this, logs of all hosts). A host that was not listed at its first read now reads once more, when those that start with it have written, and takes its turn by that; a row that the store does not take is tried again after pauses that double up to 4 s. News of thousands of registrations have one line in the log and not one each: 11,649 lines at each host.

--- a/crates/front/src/control/announce.rs
+++ b/crates/front/src/control/announce.rs
@@ -22,8 +22,11 @@
 const ANNOUNCE_WITHIN: Duration = Duration::from_millis(1_500);
 /// Time between looks whether this host's row has to be written.
 const ANNOUNCE_CHECK: Duration = Duration::from_millis(500);
-/// Pause before a row is written that is to be soon, and after a write that failed.
+/// Pause before a row is written that is to be soon, and after a first write that failed.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Most pauses of that length between two tries: a thousand hosts that start together need five seconds at 200
+/// rows a second, and each try before that is turned away.
+const MOST_PAUSES: u32 = 16;
 
 /// Writes this host's row, so that the others know where to reach it, whenever what stands there is
 /// not so or a run of this host may still seem to grant keys.
@@ -39,6 +42,7 @@
     let jitter = ANNOUNCE_WITHIN.mul_f64(rand::rng().random_range(0.0..1.0));
     let may_wait_until = BootClock.now() + jitter;
     let mut changes = ctl.changes();
+    let mut pauses = 1;
     loop {
         let due = ctl.with(|c| announcement(c, &row));
         let is_due = match due {
@@ -53,20 +57,25 @@
             };
             match platform.commit(txn).await {
                 Ok(Commit::Done(at)) => {
+                    pauses = 1;
                     ctl.with(|c| {
                         c.row_written = BootClock.now();
                         c.note_host(c.row_written, row.clone(), at);
                     });
                 }
                 Ok(Commit::Conflict(_)) => {}
-                Err(e) => ctl.with(|c| warn!(c.log, "announce host"; "error" => %e)),
+                Err(e) => {
+                    pauses = (pauses * 2).min(MOST_PAUSES);
+                    ctl.with(|c| warn!(c.log, "announce host"; "error" => %e));
+                }
             }
         }
         if due == Announcement::Needless {
             // Whichever comes first.
             let _ = tokio::time::timeout(ANNOUNCE_CHECK, changes.changed()).await;
         } else {
-            tokio::time::sleep(PAUSE).await;
+            let part = rand::rng().random_range(0.5..1.5);
+            tokio::time::sleep((PAUSE * pauses).mul_f64(part)).await;
         }
     }
 }
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -42,9 +42,9 @@
 const START_EACH: Duration = Duration::from_millis(20);
 /// Longest such wait: callers wait for it.
 const START_LONGEST: Duration = Duration::from_secs(5);
-/// Time for which a host that is not listed yet waits to be fed: those that start for the first time
-/// write their rows within this time and one read, and then know which of them reads for all.
-const START_UNLISTED: Duration = Duration::from_millis(2_500);
+/// Time after which a host that was not listed when it started reads who else started: they write their rows
+/// within a second and a half. Until then it can't know which of them reads for all, and waits to be fed.
+const START_UNLISTED: Duration = Duration::from_millis(1_750);
 /// Time for which a host doesn't wait for changes in the store after the store was away.
 ///
 /// A read that waits for changes when the store goes away hangs until its own end, which may be
@@ -53,9 +53,6 @@
 /// Pause after a read that brought news of hosts only, which are in no hurry: hosts that start
 /// together each write a row, and each would be a read at each of the others.
 const HOSTS_PAUSE: Duration = Duration::from_millis(500);
-/// The same for a host that has just started and is not listed: those that start together write their rows within a
-/// second and a half, and each read in between finds a few more of them.
-const UNLISTED_PAUSE: Duration = Duration::from_secs(1);
 /// Shortest time between looks whether this host still is fed by another.
 const FED_CHECK: Duration = Duration::from_millis(100);
 
@@ -129,13 +126,27 @@
         return table == Table::Upstreams;
     }
     let is_starting = !c.freshness.has_known_all();
-    let looks_for_hosts = table == Table::Shared && !knows_who_starts(c);
+    let looks_for_hosts = table == Table::Shared && may_look_for_hosts(c, now);
     !is_starting || looks_for_hosts || is_first_to_read(c, now)
 }
 
-/// Tells whether this host is listed and has read since then which others are.
+/// Tells whether a read would show which other hosts there are that this one does not know of.
+fn may_look_for_hosts(c: &Control, now: Timestamp) -> bool {
+    let is_due = c.hosts_known.is_none() || now >= all_listed_at(c);
+    is_due && !knows_who_starts(c)
+}
+
+/// Tells whether this host has read which others start with it.
 fn knows_who_starts(c: &Control) -> bool {
-    c.hosts_known.is_some() && c.position().is_some() && c.shared_began >= c.row_written
+    c.hosts_known.is_some() && c.shared_began >= all_listed_at(c)
+}
+
+/// Returns when all hosts that started with this one are listed.
+fn all_listed_at(c: &Control) -> Timestamp {
+    match c.hosts_known {
+        Some(known) if !c.was_listed => c.row_written.max(known + START_UNLISTED),
+        Some(_) | None => c.row_written,
+    }
 }
 
 /// Tells whether this host, which has just started, is the first one that should read the store.
@@ -143,12 +154,13 @@
     let Some(known) = c.hosts_known else {
         return false;
     };
-    let Some(position) = c.position() else {
-        return now.since(known) >= START_UNLISTED;
-    };
     if !knows_who_starts(c) {
         return false;
     }
+    // The store does not take its row.
+    let Some(position) = c.position() else {
+        return now.since(known) >= START_LONGEST;
+    };
     // Of domains, two places are enough: the second is for the case that the first is gone.
     let before = u32::try_from(position.place + 2 * position.domain).unwrap_or(u32::MAX);
     let wait = START_EACH.saturating_mul(before).min(START_LONGEST);
@@ -202,7 +214,10 @@
         }
         if table == Table::Shared {
             c.shared_read(began);
-            c.hosts_known.get_or_insert(now);
+            if c.hosts_known.is_none() {
+                c.hosts_known = Some(now);
+                c.was_listed = c.position().is_some();
+            }
         }
         changed
     });
@@ -216,8 +231,6 @@
     let is_empty = ctl.with(|c| c.copies[table.index()].revision() == Revision::default());
     if !settled || is_empty {
         tokio::time::sleep(PAUSE).await;
-    } else if is_starting && ctl.with(|c| c.position().is_none()) {
-        tokio::time::sleep(UNLISTED_PAUSE).await;
     } else if only_hosts || is_starting {
         tokio::time::sleep(HOSTS_PAUSE).await;
     }
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -160,6 +160,8 @@
     pub quarantined: QuarantineState,
     /// When the hosts' rows were first read.
     pub hosts_known: Option<Timestamp>,
+    /// Whether this host was among them.
+    pub was_listed: bool,
     /// Where the view is published.
     pub view: Shared,
     /// Counters.
--- a/crates/front/src/control/take.rs
+++ b/crates/front/src/control/take.rs
@@ -42,6 +42,9 @@
     }
 }
 
+/// Most rows of one read of which each has a line in the log; of more there is one line for all.
+const TOLD_EACH: usize = 64;
+
 /// Keys of rows that hold the owners of a part of an entry's keys.
 pub(crate) const KEYS_PREFIX: &str = "keys.";
 /// Keys of rows that hold a host.
@@ -57,7 +60,8 @@
 ) -> bool {
     let mut copy = std::mem::take(&mut c.copies[table.index()]);
     let is_first = copy.revision() == Revision::default();
-    c.takes_all = matches!(delta, Delta::Snapshot(_));
+    let (Delta::Changes(all) | Delta::Snapshot(all)) = &delta;
+    c.takes_all = matches!(delta, Delta::Snapshot(_)) || all.rows.len() > TOLD_EACH;
     let rows = copy.take(delta, |row| match table {
         Table::Upstreams => take_upstream(c, platform, row, now),
         Table::Configuration | Table::Shared => true,
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -106,6 +106,7 @@
         crashes: Crashes::default(),
         quarantined: QuarantineState::default(),
         hosts_known: None,
+        was_listed: false,
         view,
         metrics: Arc::clone(&metrics),
         log: log.clone(),
