--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -40,6 +40,9 @@
 /// The first hosts are fed within a tenth of a second, by the first one of them that is there; the last of
 /// hundreds in a domain wait until what is known has come down the tree.
 const START_EACH: Duration = Duration::from_millis(20);
+/// Further time that hosts which start for the first time leave the first of them: it may have started a little later
+/// than they, and learns a little later who else did.
+const START_APART: Duration = Duration::from_millis(500);
 /// Longest such wait: callers wait for it.
 const START_LONGEST: Duration = Duration::from_secs(5);
 /// Time after which a host that was not listed when it started reads who else started: they write their rows
@@ -163,7 +166,13 @@
     };
     // Of domains, two places are enough: the second is for the case that the first is gone.
     let before = u32::try_from(position.place + 2 * position.domain).unwrap_or(u32::MAX);
-    let wait = START_EACH.saturating_mul(before).min(START_LONGEST);
+    let is_behind = before > 0 && !c.was_listed;
+    let apart = if is_behind {
+        START_APART
+    } else {
+        Duration::ZERO
+    };
+    let wait = (apart + START_EACH.saturating_mul(before)).min(START_LONGEST);
     // Each news of hosts may be that of one that comes before this one.
     now.since(known.max(c.hosts_changed)) >= wait
 }
