own: a failing test of epochs that fall at an upstream that checks no grants

One host, norr-3, coordinated the upstream all the while; it raised the epoch from 1 to 3 as its standby left. So the earlier request was written before the later one and read after it, on another connection.

--- a/crates/own/tests/own/simulation/dispatch.rs
+++ b/crates/own/tests/own/simulation/dispatch.rs
@@ -57,6 +57,10 @@
     pub longest_gaps: BTreeMap<SliceNo, u64>,
     /// Number of requests that no host could send.
     pub refused: u64,
+    /// Highest epoch under which a request started at each upstream.
+    highest_epochs: BTreeMap<usize, Epoch>,
+    /// Requests that started under a lower epoch than an earlier one at the same upstream.
+    pub epoch_falls: Vec<String>,
 }
 
 impl Dispatcher {
@@ -216,6 +220,7 @@
             return;
         }
         *self.requests.ran.entry(request.id).or_default() += 1;
+        self.record_epoch(u, request);
         self.record_served(request.slice);
         self.check_exclusive(u, request.slice);
         let t = self.t;
@@ -279,6 +284,16 @@
         self.report_drained(request.host);
     }
 
+    fn record_epoch(&mut self, u: usize, request: Request) {
+        let (id, epoch) = (request.id, request.epoch);
+        let highest = self.requests.highest_epochs.entry(u).or_default();
+        if epoch < *highest {
+            let fall = format!("request {id} starts at u{u} under {epoch} after {highest}");
+            self.requests.epoch_falls.push(fall);
+        }
+        *highest = epoch.max(*highest);
+    }
+
     fn record_served(&mut self, slice: SliceNo) {
         let t = self.t;
         let last = self.requests.last_served.insert(slice, t);
