own: one epoch for all requests of a host to an upstream that checks no grants

Callers saw nothing; an upstream that checks no grants started a request under a lower epoch after one under a higher epoch, at its one coordinating host.

Cause: a host that replaces its standby raises the epoch, and the requests that it wrote before and after may be read in another order, as each has a connection of its own.

Requests to such an upstream now bear the epoch under which their host began to act. It stays the same while the host acts without interruption, so the order of its connections doesn't matter. A later host has a higher one, as before; a host whose standby acted in between takes the row's epoch.

--- a/crates/own/src/coordinator.rs
+++ b/crates/own/src/coordinator.rs
@@ -20,6 +20,12 @@
     /// Uptime at `since`.
     pub(crate) since_uptime: Timestamp,
     pub(crate) epoch: Epoch,
+    /// Epoch attached to requests for an upstream that does not check grants: the one under which
+    /// this host began to act without interruption.
+    ///
+    /// Requests on different connections may start in another order than they were written. A later
+    /// epoch of this host would therefore appear to be older than one that the upstream has seen.
+    pub(crate) unchecked_epoch: Epoch,
     /// Whether the row names this host as coordinating host. Otherwise it acts under the reserved
     /// epoch.
     pub(crate) recorded: bool,
@@ -69,6 +75,7 @@
             since: now,
             since_uptime: uptime,
             epoch,
+            unchecked_epoch: epoch,
             recorded,
             received_by_handover: false,
             evidence: None,
@@ -96,6 +103,17 @@
         }
     }
 
+    /// Records that the row names this host as coordinating host under `epoch`.
+    pub(crate) const fn advance_epoch(&mut self, epoch: Epoch) {
+        if self.standby_acts {
+            // The standby sent requests under an epoch in between.
+            self.unchecked_epoch = epoch;
+        }
+        self.epoch = epoch;
+        self.recorded = true;
+        self.standby_acts = false;
+    }
+
     /// Records that a host holds requests until the row of `revision` is served.
     pub(crate) fn subscribe(&mut self, host: &HostRef, revision: Revision) {
         self.serving_subscribers.retain(|s| !s.host.is_same(host));
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -376,9 +376,7 @@
             return;
         };
         if row.epoch >= state.epoch {
-            state.epoch = row.epoch;
-            state.recorded = true;
-            state.standby_acts = false;
+            state.advance_epoch(row.epoch);
         }
         if before.is_none_or(|b| b.row.epoch != row.epoch) {
             self.record_previous_hosts(&mut state, row, before);
--- a/crates/own/src/renew.rs
+++ b/crates/own/src/renew.rs
@@ -71,7 +71,7 @@
             let slices = self.wanted_slices(upstream, state).into();
             return Ok(Lease {
                 upstream: upstream.clone(),
-                epoch: state.epoch,
+                epoch: state.unchecked_epoch,
                 valid_until: evidence_until,
                 carved: carved(&known.row.carved, &slices),
                 slices,
