gate, front: a planned stop accepts all connections before it closes its listener

Cause: closing a listener resets the connections that the kernel has opened and that wait to be accepted. On a busy machine they wait for the callers' thread, and that one for a processor. Evidence: 34 of 35 requests ended 2.00 to 2.03 s after their host said that it leaves, as its listener was closed, and no upstream saw them.

The kernel is told to ignore further handshakes, all connections that wait are accepted, then the listener is closed. The test blocks the callers' thread while 16 callers connect; before, the second one got no answer.

--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -61,6 +61,11 @@
     log: Logger,
 ) {
     let connections = TaskTracker::new();
+    let spawn = |stream| {
+        let forwarder = Rc::clone(&forwarder);
+        let connection = connection(stream, forwarder, SharedView::clone(&view), stop.clone());
+        connections.spawn_local(connection);
+    };
     let mut cleanup = tokio::time::interval(CLEANUP_INTERVAL);
     loop {
         let accepted = tokio::select! {
@@ -72,19 +77,14 @@
             () = stop.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let forwarder = Rc::clone(&forwarder);
-                let connection =
-                    connection(stream, forwarder, SharedView::clone(&view), stop.clone());
-                connections.spawn_local(connection);
-            }
+            Ok((stream, _)) => spawn(stream),
             Err(e) => {
                 warn!(log, "accepting a connection of a caller failed"; "error" => %e);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
-    drop(listener);
+    gate::listener::close(listener, &log, |stream, _| spawn(stream));
     connections.close();
     if tokio::time::timeout(grace, connections.wait())
         .await
--- a/crates/gate/src/callers/serve.rs
+++ b/crates/gate/src/callers/serve.rs
@@ -31,6 +31,7 @@
 use crate::counters::{Count, Latency};
 use crate::dispatch::DispatchTx;
 use crate::framing::ScannedStream;
+use crate::listener;
 use crate::settings::{GateSettings, millis};
 use crate::thread::{self, ServiceEnd, ServiceGuard};
 
@@ -223,7 +224,9 @@
                 }
             }
         }
-        drop(listener);
+        listener::close(listener, &self.cx.log, |stream, peer| {
+            self.accepted(stream, peer, &protocol);
+        });
         self.connections.close();
         let limit = millis(self.settings.stop_ms);
         let finished = tokio::time::timeout(limit, self.connections.wait()).await;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`context`]: state shared with the rest of the host: routing snapshot, peers, phase.
 //! - [`call`]: a whole request and the reply to it, as passed between modules and hosts.
 //! - [`headers`]: which headers are forwarded and which are removed.
+//! - [`listener`]: closes a listener without cutting the connections of callers.
 //! - [`framing`]: refuses requests with two contradictory body lengths.
 //! - [`problem`]: the body of a refusal.
 //! - [`counters`]: the metrics table and the counters.
@@ -33,6 +34,7 @@
 pub mod grants;
 pub mod headers;
 pub mod joint;
+pub mod listener;
 pub mod peer;
 pub mod problem;
 pub mod settings;
--- a/crates/gate/tests/stop.rs
+++ b/crates/gate/tests/stop.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use gate::{DispatchCommand, GateSettings, Phase};
+use gate::{DispatchCommand, GateSettings, HostAnswer, HostEndpoints, HostRequest, Phase};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http2::{self, SendRequest};
@@ -129,6 +130,51 @@
     .expect("both threads end");
 }
 
+/// An endpoint that blocks the callers' thread between two meetings at a barrier.
+#[derive(Debug)]
+struct Blocking(Arc<Barrier>);
+
+impl HostEndpoints for Blocking {
+    fn answer(&self, _request: HostRequest<'_>) -> Option<HostAnswer> {
+        self.0.wait();
+        self.0.wait();
+        None
+    }
+}
+
+/// Guards against requests that a planned stop cuts: their connections were opened, but not
+/// accepted yet as the callers' thread was late, and were reset when the listener was closed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_stop_answers_requests_on_connections_that_were_not_accepted_yet() {
+    const CALLERS: usize = 16;
+    let barrier = Arc::new(Barrier::new(2));
+    let rig = Rig::start(RigSettings {
+        endpoints: Arc::new(Blocking(Arc::clone(&barrier))),
+        ..RigSettings::default()
+    })
+    .await;
+    let meet = || {
+        let barrier = Arc::clone(&barrier);
+        tokio::task::spawn_blocking(move || drop(barrier.wait()))
+    };
+    let mut blocking = Caller::connect(rig.address(0)).await;
+    blocking.write(get("/medlardyke/blocking", &[])).await;
+    meet().await.expect("the callers' thread is blocked");
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        let mut caller = Caller::connect(rig.address(0)).await;
+        caller.write(get("/look", &[("x-key", "ESNQ")])).await;
+        callers.push(caller);
+    }
+    rig.hosts[0].gate.stop();
+    meet().await.expect("the callers' thread continues");
+    for (n, mut caller) in callers.into_iter().enumerate() {
+        let got = caller.read().await;
+        let status = got.map(|got| got.status);
+        assert_eq!(status, Some(200), "caller {n}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stop_ends_after_its_timeout() {
     let mut rig = Rig::start(RigSettings {
--- a/crates/gate/tests/support/rig.rs
+++ b/crates/gate/tests/support/rig.rs
@@ -8,8 +8,8 @@
 
 use gate::{
     DispatchChannels, DispatchCommand, DispatchEvent, DispatchSettings, DispatchThread, Gate,
-    GateContext, GateSettings, JointStart, LoadSample, Metrics, PathSettings, PeerTable, Phase,
-    UpstreamTarget,
+    GateContext, GateSettings, HostEndpoints, JointStart, LoadSample, Metrics, PathSettings,
+    PeerTable, Phase, UpstreamTarget,
 };
 use ids::{BootClock, Clock, EntryId, Epoch, HostId, SliceNo, UpstreamId};
 use indexmap::IndexMap;
@@ -36,6 +36,8 @@
     pub slots: u32,
     /// Whether the server for callers and dispatch share a thread.
     pub joint: bool,
+    /// The hosts' own endpoints.
+    pub endpoints: Arc<dyn HostEndpoints>,
 }
 
 impl Default for RigSettings {
@@ -48,6 +50,7 @@
             coordinator: 0,
             slots: 4,
             joint: false,
+            endpoints: Arc::new(()),
         }
     }
 }
@@ -163,7 +166,7 @@
         dispatch: settings.dispatch.clone(),
         dispatcher: DispatcherSettings::default(),
         channels,
-        endpoints: Arc::new(()),
+        endpoints: Arc::clone(&settings.endpoints),
     };
     let (gate, dispatch) = if settings.joint {
         start.start(&cx).expect("callers and dispatch")
