spread, host: a message for a host without a connection opens one

Cause: hosts connect to those that they send heartbeats to. The hosts of the previous and of the next owner of a key need not be among them if they are in different domains; what they say to each other about its release was dropped, without a line, and the key was granted to nobody.

The membership opens a connection when a message can't be sent; all such messages are repeated. The drop leaves a line.

--- a/crates/cli/tests/trials/support.rs
+++ b/crates/cli/tests/trials/support.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::thread::panicking;
 
+use ids::Reason;
 use tokio::sync::Semaphore;
 use trial::cluster::layout::Layout;
 use trial::report::{RunReport, Violation};
@@ -15,6 +16,11 @@
 /// Runs a trial in the small layout, at a rate that a busy machine sustains, and prints its report
 /// as a line of JSON.
 pub fn trial(name: &str) -> Trial {
+    trial_in(Layout::small(), name)
+}
+
+/// Runs a trial like [`trial`], in another layout.
+pub fn trial_in(layout: Layout, name: &str) -> Trial {
     let scenario = trial::all().into_iter().find(|s| s.name == name);
     let scenario = scenario.unwrap_or_else(|| panic!("no trial {name}"));
     let binary = PathBuf::from(env!("CARGO_BIN_EXE_medlardyke"));
@@ -22,7 +28,7 @@
         rate: rate_of(name),
         keep: true,
         warm_up_ms: 1_000,
-        ..RunSettings::new(binary, Layout::small())
+        ..RunSettings::new(binary, layout)
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(4)
@@ -78,6 +84,12 @@
     assert!(longest <= within_ms, "a key was unserved for {longest} ms");
 }
 
+/// Asserts that no request was refused for `reason`.
+pub fn assert_none_refused(report: &RunReport, reason: Reason) {
+    let refused = report.refused.get(reason.as_str());
+    assert_eq!(refused, None, "{reason}: {:?}", report.refused);
+}
+
 /// Returns the factor on the usual rate; `mixed-faults` must reach a minimum number of requests.
 fn rate_of(name: &str) -> f64 {
     if name == "mixed-faults" { 1.0 } else { 0.5 }
--- a/crates/host/src/control/ownership_actions.rs
+++ b/crates/host/src/control/ownership_actions.rs
@@ -91,7 +91,11 @@
         }
         let body = Body::Own(message.encode_to_vec().into());
         let frame = Frame { body: Some(body) };
-        self.connections.send(&to.host, frame);
+        if !self.connections.send(&to.host, frame) {
+            debug!(self.deps.log, "message to a host was not sent"; "peer" => %to.host);
+            let host = to.host.clone();
+            self.notify_membership(spread::Event::ConnectionNeeded { host });
+        }
     }
 
     pub(super) fn stop_upstream(&mut self, upstream: UpstreamId, reason: StopReason) {
--- a/crates/spread/src/membership.rs
+++ b/crates/spread/src/membership.rs
@@ -61,6 +61,8 @@
     replica: Replica,
     peers: BTreeMap<HostId, Peer>,
     counterparts: BTreeSet<HostId>,
+    /// Hosts to which a frame could not be sent, and when that last happened.
+    needed_connections: BTreeMap<HostId, Timestamp>,
     roles: Roles,
     /// Number of table readers in all domains together.
     reader_count: usize,
@@ -105,6 +107,7 @@
             replica: Replica::new(),
             peers: BTreeMap::new(),
             counterparts: BTreeSet::new(),
+            needed_connections: BTreeMap::new(),
             roles: Roles::default(),
             reader_count: 0,
             pending_work: PendingWork {
@@ -153,6 +156,7 @@
             } => self.on_table_read(now, prefix, since, began, changes, actions),
             Event::RowsCommitted(rows) => self.on_committed_rows(now, &rows, actions),
             Event::Counterparts(hosts) => self.counterparts = hosts.into_iter().collect(),
+            Event::ConnectionNeeded { host } => self.on_connection_needed(now, host),
             Event::Leaving => self.on_leaving(now),
         }
         self.refresh_roles(now);
--- a/crates/spread/src/membership/event.rs
+++ b/crates/spread/src/membership/event.rs
@@ -61,6 +61,11 @@
     /// The counterparts of this host: the other hosts that are coordinating host or standby of the
     /// same upstreams.
     Counterparts(Vec<HostId>),
+    /// A frame could not be sent, as there is no connection with the host.
+    ConnectionNeeded {
+        /// Receiver of the frame.
+        host: HostId,
+    },
     /// This host is about to leave.
     Leaving,
 }
--- a/crates/spread/src/membership/heartbeats.rs
+++ b/crates/spread/src/membership/heartbeats.rs
@@ -26,6 +26,10 @@
 /// them.
 const MIN_FRESHER_BY: Duration = Duration::from_millis(300);
 
+/// Time for which a connection is attempted after a frame could not be sent. A frame that is still
+/// needed then has been sent again.
+const NEEDED_CONNECTION_TIME: Duration = Duration::from_secs(1);
+
 /// What heartbeats to a host request, and how often they are sent.
 #[derive(Debug, Clone, Copy)]
 struct HeartbeatTarget {
@@ -52,6 +56,13 @@
         }
     }
 
+    /// Opens a connection with a host that is no target of heartbeats. It is closed once it has been
+    /// idle for some time.
+    pub(super) fn on_connection_needed(&mut self, now: Timestamp, host: HostId) {
+        self.needed_connections.insert(host, now);
+        self.pending_work.heartbeats = true;
+    }
+
     /// Sends the next relay source a heartbeat immediately.
     fn switch_to_next_source(&mut self, now: Timestamp) {
         let next = self.relay_sources(now).into_iter().next();
@@ -532,8 +543,10 @@
         targets: &BTreeMap<HostId, HeartbeatTarget>,
         actions: &mut Vec<Action>,
     ) {
+        self.needed_connections
+            .retain(|_, at| now.since(*at) < NEEDED_CONNECTION_TIME);
         let mut hosts: Vec<HostId> = targets.keys().cloned().collect();
-
+        hosts.extend(self.needed_connections.keys().cloned());
         hosts.extend(self.listed_domain_hosts());
         for host in hosts {
             let Some(record) = self.hosts.get(&host) else {
--- a/crates/spread/tests/common/net.rs
+++ b/crates/spread/tests/common/net.rs
@@ -575,6 +575,11 @@
         }
     }
 
+    /// Returns whether two hosts have a connection.
+    pub fn are_connected(&self, a: usize, b: usize) -> bool {
+        self.links.contains_key(&ordered_pair(&host(a), &host(b)))
+    }
+
     fn is_cut(&self, a: &HostId, b: &HostId) -> bool {
         if self.blocked.contains(&ordered_pair(a, b)) {
             return true;
--- a/crates/spread/tests/member.rs
+++ b/crates/spread/tests/member.rs
@@ -379,3 +379,34 @@
         "{rates:?}"
     );
 }
+
+/// Guards against messages between two hosts that are lost for as long as neither sends heartbeats
+/// to the other: moves of slices between hosts of different domains never ended.
+#[test]
+fn a_connection_is_opened_for_a_frame_that_could_not_be_sent() {
+    let cfg = MembershipSettings::default();
+    let idle = cfg.idle_timeout + SECOND;
+    let mut net = settled_network(&DOMAIN_SIZES);
+    net.advance(idle);
+    let (first, second) = (
+        0..DOMAIN_SIZES[0],
+        DOMAIN_SIZES[0]..DOMAIN_SIZES[0] + DOMAIN_SIZES[1],
+    );
+    let pairs: Vec<(usize, usize)> = first
+        .flat_map(|a| second.clone().map(move |b| (a, b)))
+        .filter(|&(a, b)| !net.are_connected(a, b))
+        .collect();
+    assert!(!pairs.is_empty(), "all hosts of two domains are connected");
+    for &(a, b) in &pairs {
+        net.deliver(a, Event::ConnectionNeeded { host: host(b) });
+        net.wait(SECOND / 10, "a connection", |net| net.are_connected(a, b));
+    }
+    net.advance(idle);
+    for (a, b) in pairs {
+        assert!(
+            !net.are_connected(a, b),
+            "{a} and {b} keep an idle connection"
+        );
+    }
+    assert_no_violations(&net);
+}
