gate: a bound of its own for idle connections

Cause: the HTTP library counts the time between two requests as time for the next head, so that each connection was closed after five idle seconds. Evidence: the host's line 'read header from client timeout' 6 ms after the request was sent and 10 ms before it was cut; no upstream saw it.

The time for a head runs from its first byte, in the stream that scans the callers' bytes; idle connections have callers.idle_timeout_ms, two minutes. The test fails without the change. The direct form keeps its bounds, which come from the configuration.

--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -123,13 +123,14 @@
         // Hyper moves the future, which is large.
         Box::pin(async move { Ok::<_, Infallible>(forwarder.answer(req).await) })
     });
+    // Hyper counts the idle time between requests as part of reading the next head.
+    let head_timeout = limits.idle_timeout.max(limits.head_timeout);
     let mut protocol = http1::Builder::new();
     protocol
         .timer(TokioTimer::new())
-        // Hyper counts the idle time between requests as part of reading the next head.
-        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
+        .header_read_timeout(head_timeout)
         .max_buf_size((2 * limits.head_bytes).max(MIN_BUFFER_BYTES));
-    let stream = TokioIo::new(ScannedStream::new(stream));
+    let stream = TokioIo::new(ScannedStream::new(stream, head_timeout));
     let connection = protocol.serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     // A connection that breaks drops its request's future, which the forwarder handles.
--- a/crates/gate/src/callers/serve.rs
+++ b/crates/gate/src/callers/serve.rs
@@ -240,7 +240,10 @@
 
     fn protocol(&self) -> ConnectionBuilder {
         let head = self.settings.header_bytes as usize;
-        let timeout = millis(self.settings.header_timeout_ms);
+        // The library counts the time between two requests as part of reading the next head. The
+        // stream itself limits the time for a head.
+        let idle_ms = self.settings.idle_timeout_ms;
+        let timeout = millis(idle_ms.max(self.settings.header_timeout_ms));
         let mut protocol = ConnectionBuilder::new(LocalExecutor);
         protocol
             .http1()
@@ -293,7 +296,8 @@
         });
         let write_timeout = millis(self.settings.write_timeout_ms);
         let stream = LingerStream::new(stream, self.lingering.clone(), write_timeout);
-        let stream = TokioIo::new(ScannedStream::new(stream));
+        let head_timeout = millis(self.settings.header_timeout_ms);
+        let stream = TokioIo::new(ScannedStream::new(stream, head_timeout));
         let connection = protocol.serve_connection(stream, service);
         let mut connection = std::pin::pin!(connection);
         let mut first_request_timer =
@@ -336,7 +340,7 @@
             self.cx.metrics.refused(Reason::HeadTooLarge);
         } else if e.is_parse() {
             self.cx.metrics.refused(Reason::BadRequest);
-        } else if e.is_timeout() {
+        } else if is_head_timeout(e) {
             self.cx.metrics.refused(Reason::BodyTimeout);
         }
     }
@@ -406,3 +410,9 @@
         self.path.run(&buffered, id).await
     }
 }
+
+/// Returns whether a connection failed because a head did not arrive in time.
+fn is_head_timeout(e: &hyper::Error) -> bool {
+    let cause = std::error::Error::source(e).and_then(|c| c.downcast_ref::<io::Error>());
+    cause.is_some_and(|c| c.kind() == io::ErrorKind::TimedOut)
+}
--- a/crates/gate/src/framing.rs
+++ b/crates/gate/src/framing.rs
@@ -9,8 +9,10 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Sleep;
 
 const CONTENT_LENGTH: &[u8] = b"content-length";
 const TRANSFER_ENCODING: &[u8] = b"transfer-encoding";
@@ -76,6 +78,16 @@
 }
 
 impl FramingScanner {
+    /// Returns whether a head has begun and is incomplete.
+    #[must_use]
+    pub fn is_in_head(&self) -> bool {
+        match self.position {
+            Position::FirstLine => !self.token.is_empty(),
+            Position::Name | Position::Value => true,
+            _ => false,
+        }
+    }
+
     /// Scans the next bytes, and invalidates a header that contradicts an earlier one.
     pub fn scan(&mut self, bytes: &mut [u8]) {
         let mut at = 0;
@@ -230,17 +242,43 @@
 pub struct ScannedStream<S> {
     inner: S,
     framing: FramingScanner,
+    /// Longest time for a head to arrive after its first byte.
+    head_timeout: Duration,
+    /// Timer of the head that is arriving, if any.
+    head_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl<S> ScannedStream<S> {
-    /// Wraps a stream that has not been read from.
+    /// Wraps a stream that has not been read from. A read fails with
+    /// [`io::ErrorKind::TimedOut`] if a head has not arrived `head_timeout` after its first byte.
     #[must_use]
-    pub fn new(inner: S) -> Self {
+    pub fn new(inner: S, head_timeout: Duration) -> Self {
         Self {
             inner,
             framing: FramingScanner::default(),
+            head_timeout,
+            head_timer: None,
         }
     }
+
+    fn update_head_timer(&mut self) {
+        if !self.framing.is_in_head() {
+            self.head_timer = None;
+            return;
+        }
+        let timeout = self.head_timeout;
+        self.head_timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
+    }
+
+    /// Fails a pending read once the head that is arriving has timed out.
+    fn poll_head_timer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(timer) = &mut self.head_timer else {
+            return Poll::Pending;
+        };
+        ready!(timer.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for ScannedStream<S> {
@@ -250,8 +288,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        let Poll::Ready(read) = Pin::new(&mut self.inner).poll_read(cx, buf) else {
+            return self.poll_head_timer(cx);
+        };
+        read?;
         self.framing.scan(&mut buf.filled_mut()[before..]);
+        self.update_head_timer();
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -19,8 +19,10 @@
     pub max_streams: u32,
     /// Largest head of a request, in bytes.
     pub header_bytes: u32,
-    /// Timeout for receiving a head; an idle connection is also closed after this time.
+    /// Timeout for receiving a head, and for the first request of a connection.
     pub header_timeout_ms: u32,
+    /// Time without a request after which a connection is closed.
+    pub idle_timeout_ms: u32,
     /// Timeout for receiving a body.
     pub body_timeout_ms: u32,
     /// Longest time for which a caller may read nothing of its answer.
@@ -46,6 +48,7 @@
             max_streams: 256,
             header_bytes: 16 << 10,
             header_timeout_ms: 60_000,
+            idle_timeout_ms: 60_000,
             body_timeout_ms: 10_000,
             write_timeout_ms: 10_000,
             buffered_bytes: 64 << 20,
--- a/crates/gate/tests/callers.rs
+++ b/crates/gate/tests/callers.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gate::GateSettings;
 use ids::Reason;
@@ -205,6 +205,31 @@
     assert_eq!(caller.read().await.expect("two").body, "answer to two");
 }
 
+/// Guards against requests that cross the close of their connection: the time between two requests
+/// counted as time for a head, so that connections were closed after a few idle seconds.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_idle_connection_outlasts_the_timeout_of_heads() {
+    let cfg = settings();
+    let head_timeout = Duration::from_millis(cfg.gate.header_timeout_ms.into());
+    let rig = Rig::start(cfg).await;
+    let mut caller = Caller::connect(rig.address(0)).await;
+    for n in 0..2 {
+        let id = format!("req-{n}");
+        let got = caller
+            .ask(get("/look", &[key(), ("medlardyke-request-id", &id)]))
+            .await;
+        assert_eq!(got.body, format!("answer to {id}"));
+        tokio::time::sleep(head_timeout * 3).await;
+    }
+    let started = Instant::now();
+    caller.write("GET /look HTTP/1.1\r\nhost: ga").await;
+    assert!(
+        caller.read().await.is_none(),
+        "an incomplete head is given up"
+    );
+    assert!(started.elapsed() >= head_timeout, "{:?}", started.elapsed());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn connections_over_the_limit_are_closed_at_once() {
     let rig = Rig::start(RigSettings {
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -314,6 +314,7 @@
         max_connections: cfg.callers.connections,
         header_bytes: cfg.callers.head_bytes,
         header_timeout_ms: cfg.callers.head_timeout_ms,
+        idle_timeout_ms: cfg.callers.idle_timeout_ms,
         body_timeout_ms: cfg.callers.body_timeout_ms,
         stop_ms: cfg.callers.drain_timeout_ms,
         ..GateSettings::default()
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -195,6 +195,11 @@
     /// Longest time for a request's head to arrive, in milliseconds.
     #[schemars(range(min = 10, max = 600_000))]
     pub head_timeout_ms: u32,
+    /// Time without a request after which a connection is closed, in milliseconds. It should be
+    /// longer than the time for which callers and load balancers keep idle connections, as a request
+    /// may cross the close.
+    #[schemars(range(min = 10, max = 3_600_000))]
+    pub idle_timeout_ms: u32,
     /// Longest time for a request's body to arrive, in milliseconds.
     #[schemars(range(min = 10, max = 600_000))]
     pub body_timeout_ms: u32,
@@ -213,6 +218,7 @@
             connections: 4_096,
             head_bytes: 16_384,
             head_timeout_ms: 5_000,
+            idle_timeout_ms: 120_000,
             body_timeout_ms: 10_000,
             drain_timeout_ms: 30_000,
             linger_ms: 2_000,
