assign: upstreams that join get further keys until a request is observed

Two upstreams that had joined were not both given work within 20 s (drained::a_drained_domain_..., seen once).

Cause: an upstream without keys is given some so that its speed is observed, chosen by the requests counted in the last seconds. With few requests counted that is one key or a narrow range around it, which may not be requested again, and an upstream that has keys was never given more.

An upstream at which no request was observed gets further keys once its counted share has fallen below a quarter of the mean. The new test fails without the change (no request within 15 s).

--- a/crates/assign/src/balance.rs
+++ b/crates/assign/src/balance.rs
@@ -1,6 +1,7 @@
 //! Evens out load: selects which upstreams give keys away, how many, and to which upstreams.
 
 use std::cmp::Ordering;
+use std::time::Duration;
 
 use ids::UpstreamId;
 
@@ -19,6 +20,13 @@
 /// Least fraction of the wanted load that a move must transfer to be worth its cost.
 const MIN_MOVE_FRACTION: f64 = 0.2;
 
+/// Fraction of the balanced utilization below which an upstream gets further keys if no request at
+/// it was observed yet. Counts of requests that are not repeated fall below it after six seconds.
+const MIN_UNOBSERVED_FRACTION: f64 = 0.25;
+/// Time for which requests must have been counted before that: after the start, most upstreams get
+/// their first request within it.
+const MIN_COUNTED_TIME: Duration = Duration::from_secs(5);
+
 /// A plan under construction: each move counts when the next ones are chosen.
 #[derive(Debug)]
 pub(crate) struct BalancePass<'a> {
@@ -91,9 +99,7 @@
                     .total_cmp(&self.upstreams[b].utilization())
             };
             let by_need = |a: &usize, b: &usize| {
-                let keys = self.upstreams[*a]
-                    .has_keys
-                    .cmp(&self.upstreams[*b].has_keys);
+                let keys = self.needs_keys(*b).cmp(&self.needs_keys(*a));
                 keys.then(by_utilization(a, b))
             };
             let low = (0..self.upstreams.len()).min_by(by_need)?;
@@ -110,12 +116,21 @@
     }
 
     fn is_due(&self, high: usize, low: usize) -> bool {
-        let (high, low) = (&self.upstreams[high], &self.upstreams[low]);
+        let needs_keys = self.needs_keys(low);
+        let high = &self.upstreams[high];
         let is_busy = high.utilization() > self.planner.idle_utilization
             && high.utilization() > self.balanced * self.planner.trigger_factor;
-        // Without keys, an upstream's speed would never be observed.
-        let needs_keys = !low.has_keys && high.rate > 0.0;
-        is_busy || needs_keys
+        is_busy || (needs_keys && high.rate > 0.0)
+    }
+
+    /// Returns whether an upstream needs keys whatever the utilization: without requests its speed
+    /// would never be observed. The keys that it was given first may not be requested any more.
+    fn needs_keys(&self, i: usize) -> bool {
+        let low = &self.upstreams[i];
+        let is_idle = low.utilization() < self.balanced * MIN_UNOBSERVED_FRACTION;
+        let is_unobserved =
+            !low.upstream.is_observed && self.loads.counted_for() >= MIN_COUNTED_TIME;
+        !low.has_keys || (is_unobserved && is_idle)
     }
 
     fn plan_move(&mut self, range: KeyRange, from: usize, to: usize) -> RangeMove {
--- a/crates/assign/src/loads.rs
+++ b/crates/assign/src/loads.rs
@@ -34,6 +34,8 @@
     recent: Vec<f32>,
     /// When the first request was counted.
     first_request_at: Option<Timestamp>,
+    /// Time from the first request to the last [`Self::sum_up`].
+    counted_for: Duration,
     decayed_at: Timestamp,
     /// Sum of the requests a second of all lower keys, for each key, computed by [`Self::sum_up`].
     prefix_sums: Vec<f64>,
@@ -47,6 +49,7 @@
             counts: Vec::new(),
             recent: Vec::new(),
             first_request_at: None,
+            counted_for: Duration::ZERO,
             decayed_at: now,
             prefix_sums: Vec::new(),
         }
@@ -74,9 +77,10 @@
         let Some(since) = self.first_request_at else {
             return;
         };
+        self.counted_for = now.since(since);
         // Corrects counts that have not had the time to reach their final value.
         let grown = |half_life: Duration| {
-            let age = now.since(since).as_secs_f64() / half_life.as_secs_f64();
+            let age = self.counted_for.as_secs_f64() / half_life.as_secs_f64();
             (1.0 - (-age).exp2()).max(MIN_GROWN)
         };
         let (all_grown, hot_grown) = (grown(HALF_LIFE), grown(HOT_HALF_LIFE));
@@ -104,6 +108,12 @@
         through(usize::from(range.last) + 1) - through(usize::from(range.first))
     }
 
+    /// Returns how long requests had been counted at the last [`Self::sum_up`].
+    #[must_use]
+    pub const fn counted_for(&self) -> Duration {
+        self.counted_for
+    }
+
     /// Returns the first key of `range` at which the total rate from the start of the range exceeds
     /// `rate`.
     #[must_use]
--- a/crates/assign/src/plan.rs
+++ b/crates/assign/src/plan.rs
@@ -25,6 +25,8 @@
     pub slots: u32,
     /// Its mean service time, in seconds.
     pub service_time: f64,
+    /// Whether a request at it was observed.
+    pub is_observed: bool,
     /// Most ranges that it should own, or `None` for no limit. Each range is renewed separately.
     pub max_ranges: Option<usize>,
 }
--- a/crates/assign/tests/busy.rs
+++ b/crates/assign/tests/busy.rs
@@ -31,6 +31,7 @@
             id: id.clone(),
             slots: 4,
             service_time: 0.1,
+            is_observed: true,
             max_ranges: None,
         })
         .collect();
--- a/crates/assign/tests/ownership/simulation/mod.rs
+++ b/crates/assign/tests/ownership/simulation/mod.rs
@@ -283,6 +283,7 @@
                 id: up.id.clone(),
                 slots: 4,
                 service_time: 0.1,
+                is_observed: true,
                 max_ranges: None,
             })
             .collect()
--- a/crates/assign/tests/plan.rs
+++ b/crates/assign/tests/plan.rs
@@ -29,6 +29,7 @@
         id: id(i),
         slots: 4,
         service_time,
+        is_observed: true,
         max_ranges: None,
     };
     services.iter().enumerate().map(upstream).collect()
@@ -420,3 +421,93 @@
     assert!(highest <= mean * 1.5, "{highest:.2} of {mean:.2}");
     assert!(row.ranges.len() <= 2 * all, "{} ranges", row.ranges.len());
 }
+
+/// Requests of a test: keys, from the first to the last.
+type KeySequence = fn(u32) -> u16;
+
+struct JoinCase {
+    name: &'static str,
+    /// Keys that are requested before the upstreams join and not any more afterwards, and how often.
+    before: (&'static [u16], u32),
+    /// Key of the `n`-th request after that.
+    key: KeySequence,
+    /// Time between two requests.
+    every: Duration,
+}
+
+/// Time in which upstreams that joined get requests at all.
+const FIRST_REQUEST_WITHIN: Duration = Duration::from_secs(15);
+
+/// Returns when each of two upstreams that join three others gets its first request.
+fn first_requests(case: &JoinCase) -> [Option<Duration>; 2] {
+    let planner = Planner::default();
+    let mut row = row(3);
+    let begin = Timestamp::from_millis(1);
+    let mut loads = KeyLoads::new(begin);
+    for &key in case.before.0 {
+        loads.add(key, case.before.1);
+    }
+    let mut first = [None; 2];
+    let mut requests = 0;
+    let plan_every = Duration::from_millis(500);
+    for plan in 1..=40 {
+        let now = begin + plan_every * plan;
+        while case.every * requests < plan_every * plan {
+            let key = (case.key)(requests);
+            loads.add(key, 1);
+            requests += 1;
+            let owner = row.ranges.iter().find(|r| r.range.contains(key));
+            let owner = &owner.expect("all keys have owners").owner;
+            for (i, first) in first.iter_mut().enumerate() {
+                if *owner == id(3 + i) {
+                    first.get_or_insert(case.every * requests);
+                }
+            }
+        }
+        loads.sum_up(now);
+        let mut ups = planned_upstreams(&[0.02; 5]);
+        for (up, first) in ups[3..].iter_mut().zip(&first) {
+            up.is_observed = first.is_some();
+        }
+        let token = row.highest_token.next();
+        for m in planner.balance(&row, &loads, &ups) {
+            row.reassign(m.range, &m.from, &m.to, token);
+        }
+        for range in &mut row.ranges {
+            range.previous_owners.clear();
+        }
+        row.merge_adjacent();
+    }
+    first
+}
+
+/// Guards against upstreams that join and get no requests: the keys that they were given had been
+/// requested before and were not requested any more.
+#[test]
+fn upstreams_that_join_get_requests_if_the_keys_requested_last_are_not_requested_again() {
+    let cases = [
+        JoinCase {
+            name: "two keys, then all from the lowest to the highest",
+            before: (&[1_000, 30_000], 4),
+            key: |n| ((n + 1) * 997 % 65_536) as u16,
+            every: Duration::from_millis(47),
+        },
+        JoinCase {
+            name: "three keys, then all in no order",
+            before: (&[1_000, 30_000, 60_000], 20),
+            key: |n| (n * 15_013 % 65_536) as u16,
+            every: Duration::from_millis(200),
+        },
+        JoinCase {
+            name: "three keys, then all from the highest to the lowest",
+            before: (&[1_000, 30_000, 60_000], 20),
+            key: |n| 65_535 - (n * 997 % 65_536) as u16,
+            every: Duration::from_millis(100),
+        },
+    ];
+    for case in &cases {
+        let first = first_requests(case);
+        let in_time = |t: &Option<Duration>| t.is_some_and(|t| t <= FIRST_REQUEST_WITHIN);
+        assert!(first.iter().all(in_time), "{}: {first:?}", case.name);
+    }
+}
--- a/crates/assign/tests/unserved.rs
+++ b/crates/assign/tests/unserved.rs
@@ -29,6 +29,7 @@
         id: id(i),
         slots: 2,
         service_time: 0.2,
+        is_observed: true,
         max_ranges: None,
     }
 }
--- a/crates/front/src/control/eligible_owners.rs
+++ b/crates/front/src/control/eligible_owners.rs
@@ -65,6 +65,7 @@
             id: u.id.clone(),
             slots: u.slots,
             service_time: service_time(u),
+            is_observed: service_times.contains_key(&u.id),
             max_ranges: self.limit(u).map(|_| LIMITED_MAX_RANGES),
         };
         let mut ready = self.registry.ready(self.entry);
