--- a/crates/assign/src/loads.rs
+++ b/crates/assign/src/loads.rs
@@ -34,8 +34,8 @@
     recent: Vec<f32>,
     /// When the first request was counted.
     first_request_at: Option<Timestamp>,
-    /// Time from the first request to the last [`Self::sum_up`].
-    counted_for: Duration,
+    /// When [`Self::sum_up`] first found a request.
+    first_summed_at: Option<Timestamp>,
     decayed_at: Timestamp,
     /// Sum of the requests a second of all lower keys, for each key, computed by [`Self::sum_up`].
     prefix_sums: Vec<f64>,
@@ -49,7 +49,7 @@
             counts: Vec::new(),
             recent: Vec::new(),
             first_request_at: None,
-            counted_for: Duration::ZERO,
+            first_summed_at: None,
             decayed_at: now,
             prefix_sums: Vec::new(),
         }
@@ -77,10 +77,10 @@
         let Some(since) = self.first_request_at else {
             return;
         };
-        self.counted_for = now.since(since);
+        self.first_summed_at.get_or_insert(now);
         // Corrects counts that have not had the time to reach their final value.
         let grown = |half_life: Duration| {
-            let age = self.counted_for.as_secs_f64() / half_life.as_secs_f64();
+            let age = now.since(since).as_secs_f64() / half_life.as_secs_f64();
             (1.0 - (-age).exp2()).max(MIN_GROWN)
         };
         let (all_grown, hot_grown) = (grown(HALF_LIFE), grown(HOT_HALF_LIFE));
@@ -108,10 +108,11 @@
         through(usize::from(range.last) + 1) - through(usize::from(range.first))
     }
 
-    /// Returns how long requests had been counted at the last [`Self::sum_up`].
+    /// Returns the time from the first [`Self::sum_up`] that found a request to the last one.
     #[must_use]
-    pub const fn counted_for(&self) -> Duration {
-        self.counted_for
+    pub fn counted_for(&self) -> Duration {
+        self.first_summed_at
+            .map_or(Duration::ZERO, |first| self.decayed_at.since(first))
     }
 
     /// Returns the first key of `range` at which the total rate from the start of the range exceeds
