standin: a stall that begins with the load's first request

What was seen: half the requests of the test waited for less than 1,699 us (150 ms are asked for), once, beside builds. Cause: the upstream was frozen by the clock, and the load began later by whatever its thread and connection waited for a processor. Half the delays are 200 ms less that time. Change: the first request holds the only connection for 300 ms; same limit, same assertion. A generator that counts from the time of sending fails it (0 us).

--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -180,16 +180,25 @@
     }
 }
 
+/// Guards against latencies that leave out the time before a request could be sent.
+///
+/// The stall begins with the first request, so that it holds up the others however late the load
+/// starts.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_held_up_by_a_stall_count_with_their_whole_delay() {
-    let upstream = upstream(0.0).await;
-    upstream.admin(&AdminCommand::FreezeMs(300));
+    let upstream = upstream(300.0).await;
     let cfg = LoadSettings {
         connections: 1,
         duration_ms: 200,
         ..settings(upstream.address())
     };
-    let run = load::run(cfg).await.unwrap();
+    let run = load::start(cfg).unwrap();
+    while starts(&upstream) == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let at_once = ServiceTime::Fixed { ms: 0.0 };
+    upstream.admin(&AdminCommand::ServiceTime(at_once));
+    let run = run.finish().await.unwrap();
     assert_eq!(run.summary.answered, run.summary.sent);
     let median = run.summary.answers.p50_us;
     assert!(
