own: the wait for a host with a higher epoch starts again with each epoch

Cause: UpstreamGrant kept the time of the first report of any higher epoch with the last epoch reported, so that a coordinating host waited only the first time before it raised its epoch above a standby's. Evidence: a test that fails first, 500, then 80 ms (500 are asked for). Change: time and epoch belong together; a higher report starts again.

--- a/crates/own/src/grant.rs
+++ b/crates/own/src/grant.rs
@@ -77,6 +77,7 @@
     unanswered: u32,
     /// Whether the connection of the last attempt was refused.
     connection_refused: bool,
+    /// Highest epoch of another host that the upstream reported, and the time of the first report.
     higher_epoch: Option<(Epoch, Timestamp)>,
     scope: Arc<[SliceNo]>,
     scope_version: u64,
@@ -232,8 +233,7 @@
             received_at: now,
         });
         if reply.refusal == Some(GrantRefusal::LowerEpoch) && reply.epoch > attempt.epoch {
-            let since = self.higher_epoch.map_or(now, |(_, since)| since);
-            self.higher_epoch = Some((reply.epoch, since));
+            self.record_higher_epoch(now, reply.epoch);
         }
         if !reply.accepted {
             self.seq = self
@@ -256,6 +256,14 @@
         }
     }
 
+    /// Records that another host granted under `epoch`. A host that raises it still acts, so the
+    /// time starts again.
+    fn record_higher_epoch(&mut self, now: Timestamp, epoch: Epoch) {
+        if self.higher_epoch.is_none_or(|(known, _)| epoch > known) {
+            self.higher_epoch = Some((epoch, now));
+        }
+    }
+
     fn update_reading(&mut self, new: ClockReading) {
         let older =
             |r: ClockReading| r.incarnation == new.incarnation && r.value_us >= new.value_us;
@@ -328,8 +336,8 @@
         self.expires_at
     }
 
-    /// Returns an epoch above `epoch` that the upstream reported, and the time since which it has
-    /// reported such epochs.
+    /// Returns the highest epoch that the upstream reported, if it is above `epoch`, and the time
+    /// of its first report.
     pub(crate) fn higher_epoch(&self, epoch: Epoch) -> Option<(Epoch, Timestamp)> {
         self.higher_epoch.filter(|(o, _)| *o > epoch)
     }
--- a/crates/own/tests/own/epochs.rs
+++ b/crates/own/tests/own/epochs.rs
@@ -68,3 +68,34 @@
         assert!(falls.is_empty(), "{}: {falls:?}", case.name);
     }
 }
+
+/// Lets the upstream report the standby's reserved epoch, as if the standby had acted and ended;
+/// returns after how many milliseconds the coordinating host raises its own above it.
+fn raised_after_ms(sim: &mut Simulation) -> u64 {
+    let name = UpstreamId::new("u0").unwrap();
+    let reserved = sim.row(&name).unwrap().reserved_epoch();
+    sim.upstreams[0].epoch = reserved;
+    let start = sim.t;
+    while sim.row(&name).unwrap().epoch <= reserved {
+        assert!(sim.t < start + 5_000 * MS, "the epoch was not raised");
+        sim.run_until(sim.t + MS);
+    }
+    (sim.t - start) / MS
+}
+
+/// Guards against a coordinating host that outbids a standby without having waited for it, because
+/// it counts from an epoch that another standby left behind long ago.
+#[test]
+fn each_higher_epoch_is_waited_for() {
+    let mut sim = Simulation::new(Setup {
+        hosts: vec![3],
+        upstreams: vec![(0, true)],
+        ..Setup::default()
+    });
+    let bound = sim.setup.settings.heartbeat_timeout.as_millis() as u64;
+    for time in ["first", "second", "third"] {
+        sim.run_until(sim.t + 3_000 * MS);
+        let waited = raised_after_ms(&mut sim);
+        assert!(waited >= bound, "{time} time: raised after {waited} ms");
+    }
+}
