--- a/crates/own/src/claim.rs
+++ b/crates/own/src/claim.rs
@@ -5,8 +5,9 @@
 use platform::{Txn, Write};
 use wire::own::{Body, LivenessRequest};
 
+use crate::commits::{row_check, row_write, value_write};
 use crate::liveness::rendezvous_winner;
-use crate::machine::{OwnershipMachine, row_check, row_write, value_write};
+use crate::machine::OwnershipMachine;
 use crate::replica::KnownRow;
 use crate::transactions::TxnSubject;
 use crate::{AssignedSlice, EntryRow, HostRef, OwnershipRow, WriteId};
--- a/crates/own/src/lib.rs
+++ b/crates/own/src/lib.rs
@@ -13,6 +13,8 @@
 //! - [`mod@verify`]: checks a whole snapshot against the invariants.
 
 mod claim;
+mod commits;
+mod coordination;
 mod coordinator;
 mod evidence;
 mod grant;
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -3,21 +3,19 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use bytes::Bytes;
 use ids::{DomainId, EntryId, Epoch, Revision, SliceNo, Timestamp, UpstreamId};
-use platform::{Check, Row, RowKey, Txn, Write};
+use platform::Row;
 use wire::own::{Body, PeerMessage};
 
 use crate::coordinator::{CompletedHandover, CoordinatorState, HeldRequests};
 use crate::liveness::HostLiveness;
 use crate::messages::PromisedSlices;
-use crate::replica::{KnownRow, Replica, RowUpdate};
-use crate::transactions::{PendingTxn, PendingTxns, TxnSubject};
+use crate::replica::{Replica, RowUpdate};
+use crate::transactions::PendingTxns;
 use crate::transfer::is_unreleased;
 use crate::view::CatalogueView;
 use crate::{
-    Action, CommitOutcome, EntryRow, Event, HostRef, OwnershipRow, OwnershipRowChange,
-    OwnershipSettings, StopReason, WriteId,
+    Action, EntryRow, Event, HostRef, OwnershipRow, OwnershipRowChange, OwnershipSettings,
 };
 
 /// State machine of one host's part in the ownership protocol: handles `(now, event)` and pushes
@@ -291,7 +289,7 @@
         self.coordinated.insert(upstream.clone(), state);
     }
 
-    fn on_table_row(&mut self, row: &Row) {
+    pub(crate) fn on_table_row(&mut self, row: &Row) {
         // A row that can't be decoded is ignored, and its revision is not recorded.
         match OwnershipRowChange::parse(row) {
             Ok(OwnershipRowChange::Upstream(u, revision, Some(content))) => {
@@ -348,248 +346,6 @@
         self.release_served_locally();
     }
 
-    /// Starts to coordinate an upstream whose row names this host.
-    fn start_coordinating(
-        &mut self,
-        upstream: &UpstreamId,
-        row: &OwnershipRow,
-        before: Option<&KnownRow>,
-    ) {
-        let completed = self.completed_handovers.get(upstream);
-        if completed.is_some_and(|h| h.epoch > row.epoch) {
-            return;
-        }
-        let mut state = CoordinatorState::new(self.now, self.liveness.uptime(), row.epoch, true);
-        self.record_previous_hosts(&mut state, row, before);
-        self.coordinated.insert(upstream.clone(), state);
-        self.advance(upstream);
-    }
-
-    /// Continues to coordinate an upstream whose row changed.
-    fn continue_coordinating(
-        &mut self,
-        upstream: &UpstreamId,
-        row: &OwnershipRow,
-        before: Option<&KnownRow>,
-    ) {
-        let Some(mut state) = self.coordinated.remove(upstream) else {
-            return;
-        };
-        if row.epoch >= state.epoch {
-            state.advance_epoch(row.epoch);
-        }
-        if before.is_none_or(|b| b.row.epoch != row.epoch) {
-            self.record_previous_hosts(&mut state, row, before);
-        }
-        self.coordinated.insert(upstream.clone(), state);
-        self.finish_recorded_removal(upstream);
-        self.advance(upstream);
-    }
-
-    /// Records the hosts of the previous row that may still act.
-    fn record_previous_hosts(
-        &self,
-        state: &mut CoordinatorState,
-        row: &OwnershipRow,
-        before: Option<&KnownRow>,
-    ) {
-        let Some(before) = before else {
-            let others = row.unsettled.iter().filter(|h| !h.is_same(&self.me));
-            state
-                .previous_hosts
-                .add(self.now, &self.cfg, others.cloned());
-            return;
-        };
-        state.previous_row_since = before.epoch_since;
-        let both = [&before.row.coordinator, &before.row.deputy];
-        let named = both.into_iter().flatten().chain(&row.unsettled);
-        let others = named.filter(|h| !h.is_same(&self.me));
-        state
-            .previous_hosts
-            .add(self.now, &self.cfg, others.cloned());
-    }
-
-    /// Stops coordinating an upstream if its row names another host.
-    fn check_replaced(&mut self, upstream: &UpstreamId, row: &OwnershipRow) {
-        let Some(state) = self.coordinated.get(upstream) else {
-            return;
-        };
-        let is_standby = row.deputy.as_ref().is_some_and(|d| d.is_same(&self.me));
-        if !state.recorded && is_standby && row.reserved_epoch() == state.epoch {
-            self.advance(upstream);
-            return;
-        }
-        let handover = state.handover.as_ref().map(|h| h.to.clone());
-        if handover.is_some_and(|to| row.coordinator.as_ref().is_some_and(|c| c.is_same(&to))) {
-            self.complete_handover(upstream, row.epoch);
-            return;
-        }
-        self.stop_coordinating(upstream, StopReason::Replaced);
-    }
-
-    /// Stops coordinating an upstream.
-    pub(crate) fn stop_coordinating(&mut self, upstream: &UpstreamId, reason: StopReason) {
-        let Some(state) = self.coordinated.remove(upstream) else {
-            return;
-        };
-        self.past_grants_expire_at
-            .insert(upstream.clone(), state.grants_expire_at());
-        self.actions.push(Action::StopUpstream {
-            upstream: upstream.clone(),
-            reason,
-        });
-        for hold in state.hold_numbers() {
-            self.hold_until_served(upstream, hold, None, upstream.clone(), Revision(0));
-        }
-    }
-
-    fn on_committed(&mut self, txn: u64, outcome: CommitOutcome) {
-        match outcome {
-            CommitOutcome::Done(revision) => self.on_done(txn, revision),
-            CommitOutcome::Conflict(rows) => {
-                for row in &rows {
-                    self.on_table_row(row);
-                }
-                // The transaction ends only after the rows are handled, as an earlier copy may have
-                // written some of them.
-                self.transactions.complete(txn);
-                self.advance_all();
-            }
-            CommitOutcome::Unreachable | CommitOutcome::Unconfirmed => {
-                let unconfirmed = outcome == CommitOutcome::Unconfirmed;
-                let resubmit_at = self.now + self.cfg.commit_retry_delay;
-                self.transactions
-                    .mark_in_doubt(txn, resubmit_at, unconfirmed);
-                self.complete_handovers_without_table();
-            }
-        }
-    }
-
-    fn on_done(&mut self, txn: u64, revision: Revision) {
-        let Some(pending) = self.transactions.find(txn).cloned() else {
-            return;
-        };
-        for write in pending.body.writes {
-            let row = Row {
-                key: write.key,
-                revision,
-                value: write.value,
-            };
-            self.on_table_row(&row);
-            self.relay_written_row(&row);
-        }
-        // The transaction was committed after it was sent, and only because no other row had
-        // intervened.
-        self.transactions.complete(txn);
-        self.record_commit_evidence(&pending.body.checks, pending.sent_at);
-    }
-
-    fn record_commit_evidence(&mut self, checks: &[Check], sent_at: Timestamp) {
-        for (u, state) in &mut self.coordinated {
-            let key = OwnershipRow::key(u);
-            if state.recorded && checks.iter().any(|c| c.key == key) {
-                state.evidence = state.evidence.max(Some(sent_at));
-            }
-        }
-        self.advance_all();
-    }
-
-    /// Submits a transaction for `subject` unless one is pending.
-    pub(crate) fn submit(
-        &mut self,
-        subject: TxnSubject,
-        build: impl FnOnce(WriteId) -> Option<Txn>,
-    ) -> bool {
-        if self.transactions.has_pending_txn(&subject) {
-            return false;
-        }
-        let txn = self.transactions.next_number();
-        let writer = WriteId {
-            host: self.me.host.clone(),
-            incarnation: self.me.incarnation,
-            seq: txn,
-        };
-        let Some(body) = build(writer) else {
-            return false;
-        };
-        let pending = PendingTxn {
-            txn,
-            body: body.clone(),
-            sent_at: self.now,
-            resubmit_at: self.now + self.cfg.commit_timeout,
-            in_doubt: false,
-            outstanding: 1,
-            unconfirmed: false,
-        };
-        self.transactions.start(subject, pending);
-        self.actions.push(Action::Commit { txn, body });
-        true
-    }
-
-    fn resubmit_due(&mut self) {
-        for p in self.transactions.due(self.now) {
-            p.sent_at = self.now;
-            p.resubmit_at = self.now + self.cfg.commit_timeout;
-            p.outstanding += 1;
-            self.actions.push(Action::Commit {
-                txn: p.txn,
-                body: p.body.clone(),
-            });
-        }
-    }
-
-    pub(crate) fn has_pending_txn(&self, upstream: &UpstreamId) -> bool {
-        self.transactions
-            .has_pending_txn(&TxnSubject::Upstream(upstream.clone()))
-    }
-
-    /// Rewrites the row of an upstream with `change`, provided that the known revision is current.
-    pub(crate) fn rewrite_row(
-        &mut self,
-        upstream: &UpstreamId,
-        change: impl FnOnce(&mut OwnershipRow),
-    ) -> bool {
-        let Some(known) = self.replica.get(upstream).cloned() else {
-            return false;
-        };
-        let subject = TxnSubject::Upstream(upstream.clone());
-        self.submit(subject, |writer| {
-            let mut row = OwnershipRow::clone(&known.row);
-            change(&mut row);
-            row.writer = writer;
-            Some(Txn {
-                checks: vec![row_check(upstream, Some(known.revision))],
-                writes: vec![row_write(upstream, &row)],
-            })
-        })
-    }
-
-    /// Returns the hosts that a replacement of the known row must list as unsettled: those that
-    /// have not confirmed that they stopped, and those of the known row, except for the next
-    /// coordinating host.
-    pub(crate) fn unsettled_hosts(
-        &self,
-        upstream: &UpstreamId,
-        state: Option<&CoordinatorState>,
-        next: Option<&HostRef>,
-    ) -> Vec<HostRef> {
-        let known = self.replica.get(upstream);
-        let Some(known) = known.filter(|_| !self.checks_grants(upstream)) else {
-            return Vec::new();
-        };
-        let unconfirmed = state
-            .filter(|s| s.recorded)
-            .map(|s| s.previous_hosts.unconfirmed());
-        let earlier = unconfirmed.unwrap_or(&known.row.unsettled).iter();
-        let both = [&known.row.coordinator, &known.row.deputy];
-        let all = earlier.chain(both.into_iter().flatten());
-        let others = all.filter(|h| next.is_none_or(|n| !h.is_same(n)));
-        let mut all = others.cloned().collect::<Vec<_>>();
-        all.sort();
-        all.dedup();
-        all
-    }
-
     pub(crate) fn send(&mut self, to: &HostRef, body: Body) {
         if to.is_same(&self.me) {
             if matches!(body, Body::ReleaseQuery(_) | Body::ReleaseConfirmation(_)) {
@@ -634,25 +390,3 @@
         wanted
     }
 }
-
-/// Builds the check that an upstream's row has this revision.
-pub(crate) fn row_check(upstream: &UpstreamId, revision: Option<Revision>) -> Check {
-    Check {
-        key: OwnershipRow::key(upstream),
-        revision,
-    }
-}
-
-/// Builds the write of an upstream's row.
-pub(crate) fn row_write(upstream: &UpstreamId, row: &OwnershipRow) -> Write {
-    debug_assert!(row.slices.is_sorted_by(|a, b| a.slice < b.slice));
-    value_write(OwnershipRow::key(upstream), row.encode())
-}
-
-/// Builds the write of a row with this value.
-pub(crate) fn value_write(key: RowKey, value: Vec<u8>) -> Write {
-    Write {
-        key,
-        value: Some(Bytes::from(value)),
-    }
-}
--- a/crates/own/src/moves/rows.rs
+++ b/crates/own/src/moves/rows.rs
@@ -5,8 +5,8 @@
 use ids::{Revision, SliceNo, UpstreamId};
 use platform::Txn;
 
+use crate::commits::{row_check, row_write};
 use crate::coordinator::SliceMove;
-use crate::machine::{row_check, row_write};
 use crate::replica::KnownRow;
 use crate::{AssignedSlice, IncomingSlice, OwnershipRow};
 
