--- a/crates/spread/src/membership.rs
+++ b/crates/spread/src/membership.rs
@@ -1,8 +1,9 @@
 //! The membership state machine of one host: heartbeats, relaying of rows and reads of the table.
 //!
+//! - `connections`: connections to other hosts.
 //! - `event`: events and actions.
 //! - `freshness`: how fresh the replica is.
-//! - `heartbeats`: heartbeats, their replies and the connections that carry them.
+//! - `heartbeats`: heartbeats and their replies.
 //! - `hosts`: records of all hosts.
 //! - `liveness`: detection of unresponsive hosts, and the exchange of host records.
 //! - `peer`: state kept for each host that this host communicates with.
@@ -10,7 +11,9 @@
 //! - `relaying`: changes and read leases sent to other hosts.
 //! - `roles`: which hosts read the table, relay to which others and watch which others.
 //! - `settings`: settings, and the identity of the host.
+//! - `sources`: hosts from which this one receives rows.
 
+mod connections;
 mod event;
 mod freshness;
 mod heartbeats;
@@ -21,6 +24,7 @@
 mod relaying;
 mod roles;
 mod settings;
+mod sources;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/spread/src/membership/heartbeats.rs
+++ b/crates/spread/src/membership/heartbeats.rs
@@ -1,80 +1,32 @@
-//! Heartbeats and their replies, and the connections that carry them.
+//! Heartbeats and their replies.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use ids::{HostId, Revision, Timestamp};
+use ids::{HostId, Timestamp};
 use wire::control::{Body, Frame, Heartbeat, HeartbeatReply, Hello, RelayMode};
 
 use super::event::Action;
 use super::hosts::{MergeOutcome, Record};
 use super::peer::{LastReply, Peer, prefix_index};
-use super::roles::ranked;
 use super::{Membership, frame};
 use crate::{Prefix, Watermarks};
 
-/// Maximum number of concurrent attempts to reach hosts that are known from the platform's list
-/// alone.
-const MAX_LISTED_ATTEMPTS: usize = 4;
 /// Minimum interval between two expedited heartbeats, as a fraction of the usual interval.
 const MIN_EXPEDITED_SHARE: f64 = 0.4;
 /// Minimum time between two requests for all host records.
 const MIN_SYNC_INTERVAL: Duration = Duration::from_millis(250);
 /// Factor by which heartbeats to the standby source are less frequent in a large domain.
 const STANDBY_FACTOR: u32 = 4;
-/// How much fresher another host's rows must be than a table reader's own for the reader to request
-/// them.
-const MIN_FRESHER_BY: Duration = Duration::from_millis(300);
-
-/// Time for which a connection is attempted after a frame could not be sent. A frame that is still
-/// needed then has been sent again.
-const NEEDED_CONNECTION_TIME: Duration = Duration::from_secs(1);
 
 /// What heartbeats to a host request, and how often they are sent.
 #[derive(Debug, Clone, Copy)]
-struct HeartbeatTarget {
+pub(super) struct HeartbeatTarget {
     mode: RelayMode,
     interval: Duration,
 }
 
 impl Membership {
-    pub(super) fn on_connected(&mut self, now: Timestamp, host: HostId) {
-        self.peers.entry(host).or_default().connect(now);
-        self.pending_work.heartbeats = true;
-    }
-
-    pub(super) fn on_disconnected(&mut self, now: Timestamp, host: &HostId) {
-        let Some(peer) = self.peers.get_mut(host) else {
-            return;
-        };
-        let was_source = peer.connected && peer.requested_mode == RelayMode::Full;
-        peer.disconnect();
-        peer.connect_attempts.record_failure(&self.settings, now);
-        self.pending_work.heartbeats = true;
-        if was_source {
-            self.switch_to_next_source(now);
-        }
-    }
-
-    /// Opens a connection with a host that is no target of heartbeats. It is closed once it has been
-    /// idle for some time.
-    pub(super) fn on_connection_needed(&mut self, now: Timestamp, host: HostId) {
-        self.needed_connections.insert(host, now);
-        self.pending_work.heartbeats = true;
-    }
-
-    /// Sends the next relay source a heartbeat immediately.
-    fn switch_to_next_source(&mut self, now: Timestamp) {
-        let next = self.relay_sources(now).into_iter().next();
-        if let Some(peer) = next.and_then(|(host, _)| self.peers.get_mut(&host)) {
-            peer.heartbeat_due = now;
-        }
-    }
-
-    pub(super) fn is_connected(&self, host: &HostId) -> bool {
-        self.peers.get(host).is_some_and(|p| p.connected)
-    }
-
     /// Handles a frame from a connected host.
     pub(super) fn on_frame(
         &mut self,
@@ -264,98 +216,6 @@
         }
     }
 
-    /// Returns the hosts that relay to this one now, the preferred one first.
-    pub(super) fn relay_sources(&self, now: Timestamp) -> Vec<(HostId, RelayMode)> {
-        // A transfer of several pages continues to its end, even if another host is the preferred
-        // source by now.
-        if let Some((host, at)) = &self.incoming_pages {
-            let continues = now.since(*at) < self.settings.resend_after;
-            if continues && self.is_connected(host) {
-                return vec![(host.clone(), RelayMode::Full)];
-            }
-        }
-        let candidates = if self.joined.is_none() {
-            self.connected_domain_hosts()
-        } else if self.roles.reader_rank.is_some() {
-            self.reader_sources(now)
-        } else {
-            self.roles.relay_sources.clone()
-        };
-        let mut connected: Vec<HostId> = candidates
-            .into_iter()
-            .filter(|h| self.is_connected(h))
-            .collect();
-        connected.sort_by_key(|host| !self.is_fresh(now, host));
-        connected
-            .into_iter()
-            .zip([RelayMode::Full, RelayMode::Standby])
-            .collect()
-    }
-
-    /// Returns whether a host's last reply showed that its ownership rows are fresh; those of a
-    /// host that has just started are not.
-    fn is_fresh(&self, now: Timestamp, host: &HostId) -> bool {
-        let max_age = self.settings.unreachable_after + self.standby_interval(now);
-        let reply = self.peers.get(host).and_then(|p| p.reply);
-        let read = reply.and_then(|r| r.own_read_at);
-        read.is_some_and(|read| now.since(read) < max_age)
-    }
-
-    fn connected_domain_hosts(&self) -> Vec<HostId> {
-        let is_in_domain = |host: &HostId| {
-            let record = self.hosts.get(host);
-            record.is_some_and(|r| r.is_alive() && r.domain == self.identity.domain)
-        };
-        let connected = self.peers.iter().filter(|(_, p)| p.connected);
-        let connected = connected.map(|(host, _)| host.clone());
-        self.in_local_order(&connected.filter(is_in_domain).collect::<Vec<_>>())
-    }
-
-    /// Sorts hosts by a hash over their names and this host's, so that starting hosts do not all
-    /// ask the same one.
-    fn in_local_order(&self, hosts: &[HostId]) -> Vec<HostId> {
-        ranked(self.identity.host.as_str(), hosts)
-    }
-
-    /// Returns the sources of a table reader that can't read the table or holds nothing yet:
-    /// readers of its own domain first, then those of others, each group by how fresh its rows are.
-    fn reader_sources(&self, now: Timestamp) -> Vec<HostId> {
-        let watermarks = self.replica.complete_up_to();
-        let empty = watermarks.own == Revision(0) || watermarks.catalogue == Revision(0);
-        if !empty && self.poll_schedule.failing_for(now) < self.settings.unreachable_after {
-            return Vec::new();
-        }
-        let own_age = self.freshness.age(now, Prefix::Own);
-        let max_age = self.settings.unreachable_after + self.settings.remote_heartbeat_interval;
-        let reads_table = |r: &LastReply| r.table_reached.is_some_and(|at| now.since(at) < max_age);
-        let is_ahead = |r: &LastReply| {
-            let ahead = r.holds.own > watermarks.own || r.holds.catalogue > watermarks.catalogue;
-            let age = r.own_read_at.map(|read| now.since(read) + MIN_FRESHER_BY);
-            ahead || age.is_some_and(|age| own_age.is_none_or(|own| age < own))
-        };
-        let mut relay_sources = self.hosts_with_reply(&self.roles.other_readers, reads_table);
-        relay_sources.extend(self.hosts_with_reply(&self.roles.remote_readers, reads_table));
-        if relay_sources.is_empty() {
-            relay_sources = self.hosts_with_reply(&self.roles.other_readers, is_ahead);
-            relay_sources.extend(self.hosts_with_reply(&self.roles.remote_readers, is_ahead));
-        }
-        relay_sources
-    }
-
-    /// Returns the hosts whose last reply satisfies `accept`, the one with the freshest ownership
-    /// rows first.
-    fn hosts_with_reply(
-        &self,
-        hosts: &[HostId],
-        accept: impl Fn(&LastReply) -> bool,
-    ) -> Vec<HostId> {
-        let reply = |host: &HostId| self.peers.get(host).and_then(|p| p.reply);
-        let replied = hosts.iter().filter_map(|h| Some((reply(h)?, h)));
-        let mut matching: Vec<_> = replied.filter(|(r, _)| accept(r)).collect();
-        matching.sort_by_key(|(r, _)| std::cmp::Reverse(r.own_read_at));
-        matching.into_iter().map(|(_, host)| host.clone()).collect()
-    }
-
     /// Returns all hosts that this one sends heartbeats to.
     fn targets(&self, now: Timestamp) -> BTreeMap<HostId, HeartbeatTarget> {
         let local = HeartbeatTarget {
@@ -404,7 +264,7 @@
 
     /// Returns the interval between heartbeats to the standby source. In a large domain they are
     /// less frequent, except while the preferred source is late with its read lease.
-    fn standby_interval(&self, now: Timestamp) -> Duration {
+    pub(super) fn standby_interval(&self, now: Timestamp) -> Duration {
         let interval = self.heartbeat_interval();
         let small = self.roles.domain_size() <= self.settings.small_domain;
         let lease_overdue = now.since(self.lease_received_at) > interval.mul_f64(1.5);
@@ -535,62 +395,6 @@
             }
         }
     }
-
-    /// Opens missing connections.
-    fn open_connections(
-        &mut self,
-        now: Timestamp,
-        targets: &BTreeMap<HostId, HeartbeatTarget>,
-        actions: &mut Vec<Action>,
-    ) {
-        self.needed_connections
-            .retain(|_, at| now.since(*at) < NEEDED_CONNECTION_TIME);
-        let mut hosts: Vec<HostId> = targets.keys().cloned().collect();
-        hosts.extend(self.needed_connections.keys().cloned());
-        hosts.extend(self.listed_domain_hosts());
-        for host in hosts {
-            let Some(record) = self.hosts.get(&host) else {
-                continue;
-            };
-            let addr = record.control;
-            let peer = self.peers.entry(host.clone()).or_default();
-            if peer.connected
-                || peer.connect_attempts.in_progress
-                || now < peer.connect_attempts.due
-            {
-                continue;
-            }
-            peer.connect_attempts.in_progress = true;
-            actions.push(Action::Connect { host, addr });
-        }
-    }
-
-    /// Returns a few hosts of the own domain that are known from the platform's list alone.
-    fn listed_domain_hosts(&self) -> Vec<HostId> {
-        let listed_only = self.hosts.iter().filter(|(host, record)| {
-            let connected = self.peers.get(host).is_some_and(|p| p.connected);
-            record.incarnation.0 == 0 && record.domain == self.identity.domain && !connected
-        });
-        let listed_only: Vec<HostId> = listed_only.map(|(host, _)| host.clone()).collect();
-        let mut hosts = self.in_local_order(&listed_only);
-        let due = |host: &HostId| self.peers.get(host).map(|p| p.connect_attempts.due);
-        hosts.sort_by_key(due);
-        hosts.truncate(MAX_LISTED_ATTEMPTS);
-        hosts
-    }
-
-    /// Closes connections that neither side uses.
-    pub(super) fn close_idle(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        for (host, peer) in &mut self.peers {
-            let idle = peer
-                .last_received
-                .is_none_or(|h| now.since(h) > self.settings.idle_timeout);
-            if peer.connected && peer.expected_since.is_none() && idle {
-                peer.disconnect();
-                actions.push(Action::Disconnect { host: host.clone() });
-            }
-        }
-    }
 }
 
 /// Records what the sender of a heartbeat holds and requests.
