--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -1,7 +1,8 @@
 //! Dispatch on the coordinating host: owns the dispatcher and the connections to upstreams.
 //!
 //! - [`channels`]: the channels to and from the dispatch thread.
-//! - [`thread`]: the thread that passes events to the dispatcher and executes its actions.
+//! - [`thread`]: start and end of the dispatch thread; `event_loop`: passes events to the dispatcher
+//!   and executes its actions.
 //! - `pool`: upstreams, their connections and leases.
 //! - `exchange`: the exchange of one call with its upstream.
 //! - `abort`: cancellation of an exchange.
@@ -10,6 +11,7 @@
 mod abort;
 mod calls;
 pub mod channels;
+mod event_loop;
 mod exchange;
 mod pool;
 pub mod thread;
--- a/crates/gate/tests/stop.rs
+++ b/crates/gate/tests/stop.rs
@@ -155,7 +155,7 @@
     .await;
     let meet = || {
         let barrier = Arc::clone(&barrier);
-        tokio::task::spawn_blocking(move || drop(barrier.wait()))
+        tokio::task::spawn_blocking(move || barrier.wait())
     };
     let mut blocking = Caller::connect(rig.address(0)).await;
     blocking.write(get("/medlardyke/blocking", &[])).await;
