front: no ring between the files of control

state used apply, quarantine, registry and freshness for their types, and they used state. The tables, the quarantined requests and the last known address are data apart from the passes now.

--- a/crates/front/src/control/announce.rs
+++ b/crates/front/src/control/announce.rs
@@ -11,8 +11,8 @@
 use rand::Rng;
 use slog::warn;
 
-use crate::control::apply::HOST_PREFIX;
 use crate::control::state::{ControlState, HostRow, SharedControl};
+use crate::control::tables::HOST_PREFIX;
 use crate::ports::{Platform, SHARED};
 
 /// Longest time after its start at which a host writes its row.
--- a/crates/front/src/control/apply.rs
+++ b/crates/front/src/control/apply.rs
@@ -8,48 +8,12 @@
 
 use crate::control::quarantine::{self, QUARANTINE_ROW};
 use crate::control::state::{ControlState, HostRow};
+use crate::control::tables::{HOST_PREFIX, PARTITION_PREFIX, Table};
 use crate::ports::Platform;
 
-/// The tables that each host follows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Table {
-    /// The operator's configuration.
-    Configuration,
-    /// The upstreams' registrations.
-    Upstreams,
-    /// The rows that the hosts share: owners of keys, and the hosts themselves.
-    Shared,
-}
-
-impl Table {
-    /// All tables.
-    pub const ALL: [Self; 3] = [Self::Configuration, Self::Upstreams, Self::Shared];
-
-    /// Returns the table's name.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Configuration => crate::ports::CONFIGURATION,
-            Self::Upstreams => crate::ports::UPSTREAMS,
-            Self::Shared => crate::ports::SHARED,
-        }
-    }
-
-    /// Returns the table's position in [`Self::ALL`].
-    #[must_use]
-    pub const fn index(self) -> usize {
-        self as usize
-    }
-}
-
 /// Most rows of one read that are logged one by one; for more rows there is one line for all.
 const MAX_LOGGED_ROWS: usize = 64;
 
-/// Prefix of the keys of partitions' rows.
-pub(crate) const PARTITION_PREFIX: &str = "keys.";
-/// Prefix of the keys of hosts' rows.
-pub(crate) const HOST_PREFIX: &str = "host.";
-
 /// Applies a read of `table`; returns whether anything changed.
 pub fn apply(
     c: &mut ControlState,
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -9,8 +9,9 @@
 use ids::{BootClock, Clock, Revision, Timestamp};
 use platform::{Check, Delta, RowKey, Txn, Write};
 
-use crate::control::apply::{PARTITION_PREFIX, Table, apply, apply_partition_row, is_host_row};
+use crate::control::apply::{apply, apply_partition_row, is_host_row};
 use crate::control::state::{ControlState, SharedControl};
+use crate::control::tables::{PARTITION_PREFIX, Table};
 use crate::ports::{Platform, SHARED};
 
 /// Longest wait for a change in one read.
--- a/crates/front/src/control/freshness.rs
+++ b/crates/front/src/control/freshness.rs
@@ -8,7 +8,7 @@
 
 use ids::Timestamp;
 
-use crate::control::apply::Table;
+use crate::control::tables::Table;
 
 /// Age up to which a read of the upstreams keeps the host's knowledge fresh.
 ///
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`samples`]: the ring of samples from the request thread.
 //! - [`state`]: the state of the control thread, and the view that it publishes.
+//! - [`tables`]: the tables of the store and the keys of their rows.
 //! - [`replica`]: replicas of the store's tables.
 //! - [`apply`](mod@apply): applies what was read of the tables to the state.
 //! - [`freshness`]: until when this host's knowledge of the store is fresh.
@@ -12,7 +13,8 @@
 //! - [`heartbeat`]: heartbeats between hosts; [`messages`]: their format.
 //! - [`crashes`]: finds requests that crash upstreams.
 //! - [`limits`]: rate limits that upstreams announce.
-//! - [`quarantine`]: the quarantined requests, and their row in the store.
+//! - [`quarantined`]: the quarantined requests and their row in the store; [`quarantine`]: adds and
+//!   writes them.
 //! - [`observations`]: what requests revealed about upstreams.
 //! - [`keys`]: drives the lease managers of sharded entries; `takeover` decides when this host
 //!   becomes the granting host, `eligible_owners` lists the upstreams that may own keys.
@@ -29,11 +31,13 @@
 pub mod messages;
 pub mod observations;
 pub mod quarantine;
+pub mod quarantined;
 pub mod registry;
 pub mod relay;
 pub mod replica;
 pub mod samples;
 pub mod state;
+pub mod tables;
 mod takeover;
 pub mod tree;
 
--- a/crates/front/src/control/quarantine.rs
+++ b/crates/front/src/control/quarantine.rs
@@ -1,4 +1,4 @@
-//! The quarantined requests, which are sent to no upstream for now, and their row in the store.
+//! Quarantines requests, and writes them to their row in the store.
 //!
 //! Hosts that find such a request notify each other directly ([`crashes`](super::crashes)). The row
 //! reaches hosts that were cut off or have just started.
@@ -8,112 +8,25 @@
 use std::time::Duration;
 
 use assign::StoreClock;
-use direct::{CrashSettings, Quarantine, RequestFingerprint};
+use direct::{CrashSettings, RequestFingerprint};
 use gate::counters::Count;
 use ids::{BootClock, Clock, Revision, Timestamp};
-use indexmap::{IndexMap, IndexSet};
 use platform::{Check, Commit, RowKey, Txn, Write};
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use tokio::sync::Notify;
 
+use crate::control::quarantined::{QuarantineEntry, QuarantineRow};
 use crate::control::state::{ControlState, SharedControl};
 use crate::ports::{Platform, SHARED};
 
 /// Key of the row that holds the quarantined requests.
 pub(crate) const QUARANTINE_ROW: &str = "quarantine";
-/// Most requests in the row, which must stay within the 64 KiB that today's store accepts; the
-/// earliest are left out.
-const MAX_ROW_REQUESTS: usize = 1_000;
 /// Longest time before a host that quarantined a request writes it to the store: other hosts that
 /// count the same request then find it there and need not write.
 const MAX_RECORD_DELAY: Duration = Duration::from_millis(400);
 /// Pause after a write that failed.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// The quarantined requests, as known to this host and to the store.
-#[derive(Debug, Default)]
-pub struct QuarantineState {
-    in_force: Arc<Quarantine>,
-    /// Requests that this host quarantined and has not seen in the store yet.
-    unrecorded: IndexSet<RequestFingerprint>,
-    /// The store's row, and the revision at which it was written.
-    row: Option<(Revision, QuarantineRow)>,
-    /// Wakes the task that writes the row.
-    wake: Rc<Notify>,
-}
-
-impl QuarantineState {
-    /// Returns the quarantined requests.
-    #[must_use]
-    pub fn in_force(&self) -> Arc<Quarantine> {
-        Arc::clone(&self.in_force)
-    }
-
-    /// Schedules a request that this host quarantined to be written to the store.
-    pub fn record(&mut self, fingerprint: RequestFingerprint) {
-        self.unrecorded.insert(fingerprint);
-        self.wake.notify_one();
-    }
-
-    /// Drops requests that the store has or whose quarantine has ended; returns the rest, with the
-    /// remaining times.
-    fn unrecorded_requests(&mut self, now: Timestamp) -> Vec<(RequestFingerprint, Duration)> {
-        let (row, in_force) = (&self.row, &self.in_force);
-        let is_recorded = |fingerprint| {
-            row.as_ref()
-                .is_some_and(|(_, row)| row.contains(fingerprint))
-        };
-        self.unrecorded
-            .retain(|c| !is_recorded(*c) && in_force.remaining(now, *c).is_some());
-        let left = |c: &RequestFingerprint| Some((*c, in_force.remaining(now, *c)?));
-        self.unrecorded.iter().filter_map(left).collect()
-    }
-}
-
-/// The row of quarantined requests in the store.
-#[derive(Debug, Clone, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub struct QuarantineRow {
-    requests: Vec<QuarantineEntry>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-#[derive(Serialize, Deserialize)]
-struct QuarantineEntry {
-    #[serde(rename = "content")]
-    fingerprint: u64,
-    /// Second of the store's clock at which the quarantine ends.
-    until_s: f64,
-}
-
-impl QuarantineRow {
-    /// Returns a row with `quarantined` and with the entries of this one that have not ended by the
-    /// store's clock.
-    fn merged(&self, quarantined: &[(RequestFingerprint, Duration)], clock_s: f64) -> Self {
-        let mut all: IndexMap<u64, f64> = IndexMap::new();
-        let left = self.requests.iter().filter(|e| e.until_s > clock_s);
-        all.extend(left.map(|e| (e.fingerprint, e.until_s)));
-        for (fingerprint, left) in quarantined {
-            let until_s = clock_s + left.as_secs_f64();
-            all.entry(fingerprint.0).or_insert(until_s);
-        }
-        let excess = all.len().saturating_sub(MAX_ROW_REQUESTS);
-        let entry = |(fingerprint, until_s)| QuarantineEntry {
-            fingerprint,
-            until_s,
-        };
-        Self {
-            requests: all.into_iter().skip(excess).map(entry).collect(),
-        }
-    }
-
-    fn contains(&self, fingerprint: RequestFingerprint) -> bool {
-        self.requests.iter().any(|e| e.fingerprint == fingerprint.0)
-    }
-}
-
 impl ControlState {
     /// Quarantines requests, each for its time.
     pub fn quarantine(
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -1,32 +1,19 @@
 //! Changes to the registry of upstreams, and to what depends on it.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use direct::{AnnouncedLimit, Registration, UpstreamStatus};
 use gate::counters::Count;
 use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
 use slog::{info, warn};
-use smol_str::SmolStr;
 
-use crate::control::state::ControlState;
+use crate::control::state::{ControlState, LastKnownAddress};
 use crate::ports::{DecodeError, Destination, IncarnationCheck};
 
 /// Time after the store's return after which missing registrations count as removed: upstreams
 /// renew registrations that expired meanwhile within two seconds.
 pub(crate) const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
-/// Last known address of an upstream.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LastKnownAddress {
-    /// Address on which it listens.
-    address: SocketAddr,
-    /// The name under which its server registered.
-    server: SmolStr,
-    /// Whether all incarnations of its server use that name.
-    shares_name: bool,
-}
-
 /// Whether a grant call can be sent to an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum GrantRoute {
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -20,9 +20,10 @@
 use tokio_util::codec::{FramedRead, FramedWrite};
 use wire::FrameCodec;
 
-use crate::control::apply::{Table, apply};
+use crate::control::apply::apply;
 use crate::control::replica::TableReplica;
 use crate::control::state::{ControlState, SharedControl};
+use crate::control::tables::Table;
 use crate::control::tree;
 use crate::ports::Platform;
 use crate::view::Phase;
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -22,13 +22,11 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
-use crate::control::apply::Table;
 use crate::control::freshness::Freshness;
+use crate::control::quarantined::QuarantineState;
 use crate::control::replica::TableReplica;
+use crate::control::tables::Table;
 use crate::control::tree::{Position, RelayHost, RelayTree};
-
-use crate::control::quarantine::QuarantineState;
-use crate::control::registry::LastKnownAddress;
 use crate::settings::Settings;
 use crate::view::{CompiledConfiguration, Phase, SharedView, View};
 
@@ -114,6 +112,17 @@
     }
 }
 
+/// Last known address of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LastKnownAddress {
+    /// Address on which it listens.
+    pub(super) address: SocketAddr,
+    /// The name under which its server registered.
+    pub(super) server: SmolStr,
+    /// Whether all incarnations of its server use that name.
+    pub(super) shares_name: bool,
+}
+
 /// The state of the control thread.
 #[derive(Debug)]
 pub struct ControlState {
@@ -153,7 +162,7 @@
     pub shared_read_at: Timestamp,
     /// The partitions of sharded entries.
     pub partitions: IndexMap<PartitionId, PartitionState>,
-    /// Replicas of the store's tables, in the order of [`Table::ALL`](super::apply::Table::ALL).
+    /// Replicas of the store's tables, in the order of [`Table::ALL`](super::tables::Table::ALL).
     pub replicas: [TableReplica; Table::ALL.len()],
     /// Until when this host's knowledge of the store is fresh.
     pub freshness: Freshness,
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -20,10 +20,10 @@
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::control::apply::Table;
 use crate::control::freshness::Freshness;
-use crate::control::quarantine::QuarantineState;
+use crate::control::quarantined::QuarantineState;
 use crate::control::samples::{self, SampleRx, SampleTx};
+use crate::control::tables::Table;
 use crate::control::{
     ControlState, SharedControl, announce, follow, heartbeat, keys, observations, quarantine, relay,
 };
--- a/crates/front/tests/freshness.rs
+++ b/crates/front/tests/freshness.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use front::control::apply::Table;
 use front::control::freshness::Freshness;
+use front::control::tables::Table;
 use ids::Timestamp;
 
 fn at(ms: u64) -> Timestamp {
