--- a/crates/own/src/claim.rs
+++ b/crates/own/src/claim.rs
@@ -22,11 +22,6 @@
         }
     }
 
-    /// Takes over, as standby, after an incarnation of a host has ended.
-    pub(crate) fn take_over_from(&mut self, _ended: &HostRef) {
-        self.take_over_unresponsive();
-    }
-
     fn is_due_to_take_over(&self, upstream: &UpstreamId) -> bool {
         if self.leaving || self.coordinated.contains_key(upstream) {
             return false;
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -166,7 +166,7 @@
             } => self.on_peer(&from, echo_of, leaving),
             Event::PeerEnded(host) => {
                 self.liveness.record_end(&host);
-                self.take_over_from(&host);
+                self.take_over_unresponsive();
                 self.advance_all();
             }
             Event::PeerMessage(message) => self.on_message(&message),
