--- a/crates/own/src/claim.rs
+++ b/crates/own/src/claim.rs
@@ -5,8 +5,9 @@
 use platform::{Txn, Write};
 use wire::own::{Body, LivenessRequest};
 
+use crate::commits::{row_check, row_write, value_write};
 use crate::liveness::rendezvous_winner;
-use crate::machine::{OwnershipMachine, row_check, row_write, value_write};
+use crate::machine::OwnershipMachine;
 use crate::replica::KnownRow;
 use crate::transactions::TxnSubject;
 use crate::{AssignedSlice, EntryRow, HostRef, OwnershipRow, WriteId};
@@ -21,11 +22,6 @@
         }
     }
 
-    /// Takes over, as standby, after an incarnation of a host has ended.
-    pub(crate) fn take_over_from(&mut self, _ended: &HostRef) {
-        self.take_over_unresponsive();
-    }
-
     fn is_due_to_take_over(&self, upstream: &UpstreamId) -> bool {
         if self.leaving || self.coordinated.contains_key(upstream) {
             return false;
