--- a/crates/gate/src/dispatch/thread.rs
+++ b/crates/gate/src/dispatch/thread.rs
@@ -105,7 +105,7 @@
         self.address
     }
 
-    /// Waits for dispatch to end; [`DispatchCommand::Stop`] stops it.
+    /// Waits for dispatch to end; [`DispatchCommand::Stop`](super::DispatchCommand::Stop) stops it.
     ///
     /// # Panics
     ///
