--- a/crates/cli/tests/trials/leaving.rs
+++ b/crates/cli/tests/trials/leaving.rs
@@ -3,7 +3,9 @@
 use ids::{Reason, UpstreamId};
 use trial::cluster::layout::Layout;
 
-use crate::support::{assert_clean, assert_none_refused, assert_uncut, trial, trial_in};
+use crate::support::{
+    assert_clean, assert_none_refused, assert_uncut, trial, trial_in, trials_at_once,
+};
 
 #[test]
 fn a_host_leaves() {
@@ -51,3 +53,13 @@
     assert_clean(&report);
     assert_uncut(&report);
 }
+
+/// Guards against requests that end without a known result at their deadline, because they were
+/// sent to their upstream too shortly before it for the answer to come back.
+#[test]
+fn eight_rolling_restarts_at_once() {
+    for report in &trials_at_once("rolling-restart", 1..=8) {
+        assert_clean(report);
+        assert_uncut(report);
+    }
+}
--- a/crates/cli/tests/trials/support.rs
+++ b/crates/cli/tests/trials/support.rs
@@ -1,17 +1,21 @@
 //! Helpers for the tests that run trials.
 
-use std::ops::Deref;
+use std::ops::{Deref, RangeInclusive};
 use std::path::PathBuf;
 use std::thread::panicking;
 
+use futures::future::join_all;
 use ids::Reason;
+use tokio::runtime::Runtime;
 use tokio::sync::Semaphore;
 use trial::cluster::layout::Layout;
 use trial::report::{RunReport, Violation};
 use trial::run::RunSettings;
 
-/// Limits the trials that run concurrently, as each starts more than a dozen processes.
-static RUNNING_TRIALS: Semaphore = Semaphore::const_new(3);
+/// Number of trials that usually run concurrently, as each starts more than a dozen processes.
+const MAX_TRIALS: usize = 3;
+
+static RUNNING_TRIALS: Semaphore = Semaphore::const_new(MAX_TRIALS);
 
 /// Runs a trial in the small layout, at a rate that a busy machine sustains, and prints its report
 /// as a line of JSON.
@@ -21,24 +25,51 @@
 
 /// Runs a trial like [`trial`], in another layout.
 pub fn trial_in(layout: Layout, name: &str) -> Trial {
-    let scenario = trial::all().into_iter().find(|s| s.name == name);
-    let scenario = scenario.unwrap_or_else(|| panic!("no trial {name}"));
-    let binary = PathBuf::from(env!("CARGO_BIN_EXE_medlardyke"));
     let cfg = RunSettings {
         rate: rate_of(name),
-        keep: true,
-        warm_up_ms: 1_000,
-        ..RunSettings::new(binary, layout)
+        ..settings(layout)
     };
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(4)
-        .enable_all()
-        .build()
-        .expect("a runtime starts");
-    let report = runtime.block_on(async {
+    runtime().block_on(async {
         let _permit = RUNNING_TRIALS.acquire().await.expect("never closed");
-        trial::run(&scenario, &cfg).await
-    });
+        play(name, &cfg).await
+    })
+}
+
+/// Runs a trial in the small layout once for each seed, all at once and at the usual rate, while no
+/// other trial runs.
+pub fn trials_at_once(name: &str, seeds: RangeInclusive<u64>) -> Vec<Trial> {
+    runtime().block_on(async {
+        let all = RUNNING_TRIALS.acquire_many(MAX_TRIALS as u32);
+        let _permits = all.await.expect("never closed");
+        let plays = seeds.map(|seed| async move {
+            let cfg = RunSettings {
+                seed,
+                ..settings(Layout::small())
+            };
+            play(name, &cfg).await
+        });
+        join_all(plays).await
+    })
+}
+
+fn settings(layout: Layout) -> RunSettings {
+    RunSettings {
+        keep: true,
+        warm_up_ms: 1_000,
+        ..RunSettings::new(PathBuf::from(env!("CARGO_BIN_EXE_medlardyke")), layout)
+    }
+}
+
+fn runtime() -> Runtime {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let runtime = builder.worker_threads(4).enable_all().build();
+    runtime.expect("a runtime starts")
+}
+
+async fn play(name: &str, cfg: &RunSettings) -> Trial {
+    let scenario = trial::all().into_iter().find(|s| s.name == name);
+    let scenario = scenario.unwrap_or_else(|| panic!("no trial {name}"));
+    let report = trial::run(&scenario, cfg).await;
     let report = report.unwrap_or_else(|e| panic!("{name}: {e:#}"));
     println!("{}", serde_json::to_string(&report).expect("plain data"));
     Trial(report)
