front: a line where a read of the store is behind an earlier one

The line gives the revision of the read and that of the replica. It comes with each such read, at the rate of the reads.

--- a/crates/front/src/control/apply.rs
+++ b/crates/front/src/control/apply.rs
@@ -25,6 +25,10 @@
     let mut replica = std::mem::take(&mut c.replicas[table.index()]);
     let is_first = replica.revision() == Revision::default();
     let (Delta::Changes(all) | Delta::Snapshot(all)) = &delta;
+    if all.revision < replica.revision() {
+        warn!(c.log, "store is behind an earlier read"; "table" => table.name(),
+            "revision" => all.revision.0, "known" => replica.revision().0, "rows" => all.rows.len());
+    }
     c.is_bulk_read = matches!(delta, Delta::Snapshot(_)) || all.rows.len() > MAX_LOGGED_ROWS;
     let rows = replica.apply(delta, |row| match table {
         Table::Upstreams => apply_registration(c, platform, row, now),
