--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! Tests of entry hosts as real processes on a stand-in for the users' platform, under faults.
 
 mod cold;
+mod copies;
 mod crashing;
 mod drained;
 mod leaving;
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -16,5 +16,5 @@
 pub mod target;
 
 pub use cold::ColdSettings;
-pub use store::{FleetStore, StoreMode};
+pub use store::{FleetStore, LostRows, StoreCopy, StoreMode};
 pub use target::{Arrival, ExecutedRequest, FleetTarget, Journal, TargetFault, TargetSettings};
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -1,6 +1,6 @@
 //! The users' metadata store: tables of rows, transactions, and a feed of changes.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -10,7 +10,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{HeaderName, HeaderValue, Method, StatusCode};
 use ids::Revision;
 use indexmap::IndexMap;
 use platform::{Check, Commit, MemoryTable, Row, RowKey, Txn, Write};
@@ -37,8 +37,25 @@
     LostAnswers,
     /// Answers normally, but a wait for changes that starts in this mode returns none, at its timeout.
     WithholdsChanges,
+    /// Sets transactions aside without answering them, until [`FleetStore::commit_delayed`]; answers
+    /// other calls normally.
+    DelaysWrites,
 }
 
+/// Rows of a [`FleetStore`] as of some moment, from which it can return.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(MemoryTable);
+
+/// Tables that operators and servers write. They write their rows again when the store has returned
+/// from a copy.
+const REWRITTEN_TABLES: [&str; 2] = ["op", "servers"];
+/// Most transactions that are kept for [`FleetStore::commit_again`].
+const MAX_KEPT_TXNS: usize = 200;
+/// Header of all answers: how often the store has returned from a copy.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+/// Era of a store that has not returned from a copy yet.
+const FIRST_ERA: u64 = 1;
+
 #[derive(Debug)]
 struct Shared {
     table: Mutex<MemoryTable>,
@@ -55,6 +72,12 @@
     /// Waits for changes that have started, by table.
     feed_waits: Mutex<HashMap<SmolStr, u64>>,
     started: Instant,
+    /// How often the store has returned from a copy, plus the number that it began with.
+    era: AtomicU64,
+    /// Latest transactions of hosts that took effect.
+    committed: Mutex<VecDeque<Txn>>,
+    /// Transactions that were set aside.
+    delayed: Mutex<Vec<Txn>>,
 }
 
 /// A running store; it stops when the handle is dropped.
@@ -85,6 +108,9 @@
             calls_by: Mutex::default(),
             feed_waits: Mutex::default(),
             started: Instant::now(),
+            era: AtomicU64::new(FIRST_ERA),
+            committed: Mutex::default(),
+            delayed: Mutex::default(),
         });
         let stop = CancellationToken::new();
         tokio::spawn(accept(listener, Arc::clone(&shared), stop.clone()));
@@ -166,6 +192,60 @@
         *lock(&self.shared.compacted_revision) = revision;
     }
 
+    /// Returns a copy of the present rows.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(lock(&self.shared.table).clone())
+    }
+
+    /// Returns from `copy`: what was written since is gone, its revisions are given out again, and the
+    /// era rises by one.
+    ///
+    /// Operators and servers have not written their rows again yet; see [`Self::rewrite_rows`].
+    pub fn return_from(&self, copy: &StoreCopy) -> LostRows {
+        let lost = {
+            let mut table = lock(&self.shared.table);
+            let lost = LostRows::between(&copy.0, &table);
+            table.clone_from(&copy.0);
+            self.shared.era.fetch_add(1, Ordering::SeqCst);
+            lost
+        };
+        *lock(&self.shared.compacted_revision) = Revision::default();
+        self.shared.commits.send_modify(|n| *n += 1);
+        lost
+    }
+
+    /// Writes the rows of operators and servers that the store had lost, as these do after its return.
+    pub fn rewrite_rows(&self, lost: LostRows) {
+        for write in lost.0 {
+            let txn = Txn {
+                checks: Vec::new(),
+                writes: vec![write],
+            };
+            self.shared.commit(&txn);
+        }
+    }
+
+    /// Returns the store's era.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.shared.era.load(Ordering::SeqCst)
+    }
+
+    /// Performs the transactions that were set aside, if their conditions still hold; returns how many
+    /// took effect.
+    pub fn commit_delayed(&self) -> usize {
+        let delayed = std::mem::take(&mut *lock(&self.shared.delayed));
+        self.shared.commit_all(&delayed)
+    }
+
+    /// Performs the latest transactions of hosts once more, if their conditions hold again; returns
+    /// how many took effect.
+    pub fn commit_again(&self) -> usize {
+        let committed: Vec<Txn> = lock(&self.shared.committed).iter().cloned().collect();
+        self.shared.commit_all(&committed)
+    }
+
     /// Writes a row in the role of operator or server.
     ///
     /// # Panics
@@ -221,6 +301,27 @@
     }
 }
 
+/// Rows of operators and servers that a store lost when it returned from a copy, as they were last
+/// written.
+#[derive(Debug, Clone, Default)]
+#[must_use]
+pub struct LostRows(Vec<Write>);
+
+impl LostRows {
+    /// Returns the rows of `now` that differ from those of `copy`.
+    fn between(copy: &MemoryTable, now: &MemoryTable) -> Self {
+        let changed = REWRITTEN_TABLES.iter().flat_map(|table| {
+            let changes = now.changes(&format!("{table}/"), copy.revision());
+            changes.rows.into_iter()
+        });
+        let write = |row: Row| Write {
+            key: row.key,
+            value: row.value,
+        };
+        Self(changed.map(write).collect())
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -251,6 +352,13 @@
 }
 
 async fn handle(shared: Arc<Shared>, at: IpAddr, req: Request) -> FullResponse {
+    let mut res = answer(&shared, at, req).await;
+    let era = shared.era.load(Ordering::SeqCst);
+    res.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
+    res
+}
+
+async fn answer(shared: &Arc<Shared>, at: IpAddr, req: Request) -> FullResponse {
     shared.calls.fetch_add(1, Ordering::Relaxed);
     let call_name = format!(
         "{} {}",
@@ -263,7 +371,10 @@
     }
     let mode = *shared.mode.borrow();
     match mode {
-        StoreMode::Up | StoreMode::LostAnswers | StoreMode::WithholdsChanges => {}
+        StoreMode::Up
+        | StoreMode::LostAnswers
+        | StoreMode::WithholdsChanges
+        | StoreMode::DelaysWrites => {}
         StoreMode::Unavailable => return respond(StatusCode::SERVICE_UNAVAILABLE, ""),
         StoreMode::Unresponsive => return std::future::pending().await,
     }
@@ -286,7 +397,8 @@
         _ => respond(StatusCode::NOT_FOUND, ""),
     };
     let mode = *shared.mode.borrow();
-    let is_lost = mode == StoreMode::LostAnswers && path == "/api/rows-tx";
+    let loses_writes = matches!(mode, StoreMode::LostAnswers | StoreMode::DelaysWrites);
+    let is_lost = loses_writes && path == "/api/rows-tx";
     if mode == StoreMode::Unresponsive || is_lost {
         return std::future::pending().await;
     }
@@ -318,6 +430,21 @@
         commit
     }
 
+    /// Keeps a transaction that took effect.
+    fn keep(&self, txn: Txn) {
+        let mut committed = lock(&self.committed);
+        committed.push_back(txn);
+        if committed.len() > MAX_KEPT_TXNS {
+            committed.pop_front();
+        }
+    }
+
+    /// Performs transactions in order; returns how many took effect.
+    fn commit_all(&self, txns: &[Txn]) -> usize {
+        let commits = txns.iter().map(|txn| self.commit(txn));
+        commits.filter(|c| matches!(c, Commit::Done(_))).count()
+    }
+
     fn body(&self, rows: impl Iterator<Item = Row>, revision: Revision) -> Value {
         let rows: Vec<Value> = rows.map(|row| wire_row(&row)).collect();
         json!({
@@ -344,6 +471,7 @@
         if after < *lock(&self.compacted_revision) {
             return respond(StatusCode::GONE, "{}");
         }
+        let era = self.era.load(Ordering::SeqCst);
         *lock(&self.feed_waits).entry(table.into()).or_default() += 1;
         let prefix = format!("{table}/");
         let until = tokio::time::Instant::now() + wait;
@@ -351,6 +479,9 @@
         let mut commits = self.commits.subscribe();
         loop {
             commits.borrow_and_update();
+            if after > self.revision() || self.era.load(Ordering::SeqCst) != era {
+                return respond(StatusCode::GONE, "{}");
+            }
             let changes = lock(&self.table).changes(&prefix, after);
             let waited = tokio::time::timeout_at(until, commits.changed());
             if self.is_throttled(at) || withholds_changes {
@@ -374,8 +505,13 @@
         if txn.writes.iter().any(is_forbidden) {
             return respond(StatusCode::FORBIDDEN, "");
         }
+        if *self.mode.borrow() == StoreMode::DelaysWrites {
+            lock(&self.delayed).push(txn);
+            return respond(StatusCode::OK, "");
+        }
         match self.commit(&txn) {
             Commit::Done(revision) => {
+                self.keep(txn);
                 answer_json(StatusCode::OK, &self.body(std::iter::empty(), revision))
             }
             Commit::Conflict(rows) => {
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -22,6 +22,11 @@
 const BIND_TRIES: u32 = 50;
 const BIND_PAUSE: Duration = Duration::from_millis(10);
 
+/// State of a server that takes new requests.
+const READY: &str = "ready";
+/// State of a server that has announced that it leaves.
+const DRAINING: &str = "draining";
+
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// A request that a server ran, as recorded in the journal.
@@ -153,6 +158,10 @@
     pub(super) limit: Mutex<Option<f64>>,
     /// Requests and grant calls that reached it.
     pub(super) arrivals: Mutex<Vec<Arrival>>,
+    /// State that it registers.
+    pub(super) state: Mutex<&'static str>,
+    /// Number of times that it has written its registration.
+    pub(super) registrations: AtomicU64,
     /// Closes all connections, including new ones.
     pub(super) cut: CancellationToken,
     /// Stops the server: closes its listener and all connections.
@@ -183,7 +192,7 @@
         let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let id = format_smolstr!("i-{id}");
         let target = Self::run(id, listener, store, journal, settings)?;
-        target.register("ready");
+        target.heartbeat();
         Ok(target)
     }
 
@@ -208,7 +217,7 @@
         let (id, settings) = (shared.id.clone(), shared.settings.clone());
         let target = Self::run(id, bound?, &store, &shared.journal, settings)?;
         tokio::time::sleep(registration_delay).await;
-        target.register("ready");
+        target.heartbeat();
         Ok(target)
     }
 
@@ -238,6 +247,8 @@
             announces_leaving: AtomicBool::new(false),
             limit: Mutex::default(),
             arrivals: Mutex::default(),
+            state: Mutex::new(READY),
+            registrations: AtomicU64::new(0),
             cut: CancellationToken::new(),
             stop: stop.clone(),
             settings,
@@ -295,14 +306,21 @@
         self.shared.stop.is_cancelled()
     }
 
-    /// Writes the registration again, like a heartbeat.
+    /// Writes the registration, with the present state.
+    pub fn heartbeat(&self) {
+        self.register(*lock(&self.shared.state));
+    }
+
+    /// Writes the registration again as that of a server that takes requests.
     pub fn register_again(&self) {
-        self.register("ready");
+        *lock(&self.shared.state) = READY;
+        self.heartbeat();
     }
 
     /// Announces in the store that the server is draining.
     pub fn drain(&self) {
-        self.register("draining");
+        *lock(&self.shared.state) = DRAINING;
+        self.heartbeat();
     }
 
     /// Announces in all answers, but not in the store, that the server is leaving.
@@ -329,6 +347,7 @@
 
     fn register(&self, state: &str) {
         let settings = &self.shared.settings;
+        let seq = self.shared.registrations.fetch_add(1, Ordering::SeqCst) + 1;
         let mut row = json!({
             "address": self.address.to_string(),
             "info": {
@@ -337,7 +356,7 @@
                 "zone": settings.domain.as_str(),
                 "slots": settings.slots,
             },
-            "status": {"state": state, "seq": 1, "warmup_left_s": self.shared.cold_left_s()},
+            "status": {"state": state, "seq": seq, "warmup_left_s": self.shared.cold_left_s()},
         });
         if settings.registers_incarnation {
             row["born"] = json!(self.shared.incarnation);
