--- a/crates/assign/src/clock.rs
+++ b/crates/assign/src/clock.rs
@@ -3,11 +3,13 @@
 
 use std::time::Duration;
 
-use ids::Timestamp;
+use ids::{StoreEra, Timestamp};
 
 /// A reading of the store's clock, returned with an answer of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreClock {
+    /// The store's era at that time; readings of different eras are not comparable.
+    pub era: StoreEra,
     /// When the call began, by the host's clock.
     pub requested_at: Timestamp,
     /// When the answer arrived, by the host's clock.
--- a/crates/assign/src/grant_call.rs
+++ b/crates/assign/src/grant_call.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ids::{Revision, Timestamp, UpstreamId};
+use ids::{Revision, StoreEra, Timestamp, UpstreamId};
 use smol_str::SmolStr;
 
 use crate::loads::KeyLoads;
@@ -90,6 +90,8 @@
         row: PartitionRow,
         /// Revision that the present row must have.
         expected: Option<Revision>,
+        /// The store's era in which the row is written; each era has a row of its own.
+        era: StoreEra,
     },
 }
 
--- a/crates/assign/src/lease_manager/calls.rs
+++ b/crates/assign/src/lease_manager/calls.rs
@@ -147,7 +147,8 @@
 
     /// Appends the calls that are due to `actions`.
     pub fn poll(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        if !self.is_granting(now) {
+        self.recover(now, actions);
+        if !self.may_grant(now) {
             return;
         }
         self.free_previous_owners(now);
--- a/crates/assign/src/lease_manager/mod.rs
+++ b/crates/assign/src/lease_manager/mod.rs
@@ -4,6 +4,7 @@
 //! names, acts. Its inputs are rows that were read and the outcomes of calls; its outputs are the
 //! calls and commits to make.
 //!
+//! - `recovery`: what follows when the store returns from a copy.
 //! - `calls`: grants, renewals and releases, and their outcomes.
 //! - `moves`: moves of ranges to other owners.
 //! - `unconfirmed`: releases that previous owners have not confirmed.
@@ -11,13 +12,14 @@
 
 mod calls;
 mod moves;
+mod recovery;
 mod unconfirmed;
 mod waits;
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use ids::{Revision, Timestamp, UpstreamId};
+use ids::{Revision, StoreEra, Timestamp, UpstreamId};
 
 use crate::clock::StoreClock;
 use crate::grant_call::{Action, CommitOutcome, GrantCall};
@@ -26,9 +28,10 @@
 use crate::plan::{PlannedUpstream, Planner};
 use crate::range::FencingToken;
 use crate::read_lease::ReadLease;
-use crate::row::{HostIncarnation, OwnedRange, PartitionRow, PreviousGranter};
+use crate::row::{HostIncarnation, OwnedRange, PartitionRow, PreviousGranter, Recovery};
 use crate::settings::AssignSettings;
 
+use self::recovery::EraRecovery;
 use self::unconfirmed::UnconfirmedRelease;
 
 #[derive(Debug, Clone)]
@@ -114,6 +117,7 @@
     unconfirmed: Vec<UnconfirmedRelease>,
     next_plan_at: Timestamp,
     next_cleanup_at: Timestamp,
+    recovery: EraRecovery,
 }
 
 impl PartitionLeaseManager {
@@ -141,6 +145,7 @@
             unconfirmed: Vec::new(),
             next_plan_at: Timestamp::ZERO,
             next_cleanup_at: Timestamp::ZERO,
+            recovery: EraRecovery::default(),
         }
     }
 
@@ -184,9 +189,15 @@
         self.read_lease.age(now)
     }
 
-    /// Records a read of the store that began at `began` and returned everything up to then.
-    pub fn record_read(&mut self, began: Timestamp) {
-        self.read_lease.record_read(began);
+    /// Records a read of the store that began at `began` and returned everything up to then; the
+    /// store was in `era`.
+    ///
+    /// A read of another era than that of the known row says nothing about that row.
+    pub fn record_read(&mut self, began: Timestamp, era: StoreEra) {
+        let row_era = self.known.as_ref().map(|k| k.revision.era());
+        if row_era.is_none_or(|row_era| row_era == era) {
+            self.read_lease.record_read(began);
+        }
     }
 
     /// Applies a row that was read, unless it is older than the known one.
@@ -197,6 +208,10 @@
             return false;
         }
         let was_granter = self.is_granter();
+        let is_new_era = self.revision().is_some_and(|r| r.era() < revision.era());
+        if is_new_era {
+            self.leave_era(now);
+        }
         let old = self.known.as_ref().map(|k| (&k.row, k.states.as_slice()));
         let states = transfer_states(old, &row, now);
         self.retired.retain(|up| {
@@ -218,7 +233,7 @@
         self.retain_unconfirmed();
         // The ranges of calls in flight may no longer exist in this row; the outcomes of the calls
         // still count.
-        if !was_granter && self.is_granter() {
+        if self.is_granter() && (is_new_era || !was_granter) {
             self.start_granting(now);
         }
         true
@@ -244,6 +259,7 @@
             partition.retain_eligible(&mut owners, |id| id);
             if !owners.is_empty() {
                 let row = PartitionRow::split_evenly(self.this_host.clone(), partition, &owners);
+                let row = self.first_row_of_era(row);
                 self.propose(now, row, None, actions);
             }
             return;
@@ -261,6 +277,11 @@
                 replaced_by_ms: None,
             });
         }
+        if self.is_row_of_past_era() {
+            let row = recovery::recovered_row(row, Recovery::Waits);
+            self.propose(now, row, None, actions);
+            return;
+        }
         self.propose(now, row, Some(revision), actions);
     }
 
@@ -275,6 +296,7 @@
             .clone_from(&known.row.previous_granters);
         self.granting_revision = known.revision;
         self.granting_since = (now, known.row.highest_token);
+        self.recovery.start_granting();
         self.ended_at = Timestamp::ZERO;
         self.previous_grants_until = self.previous_grants_end(now);
         self.health.clear();
@@ -309,7 +331,9 @@
             .iter()
             .find(|(e, _)| e.is_same(previous));
         let seen = since.map_or(now, |(_, since)| *since);
-        let (Some(ms), Some(clock)) = (previous.replaced_by_ms, self.clock) else {
+        let era = self.revision().unwrap_or_default().era();
+        let clock = self.clock.filter(|clock| clock.era == era);
+        let (Some(ms), Some(clock)) = (previous.replaced_by_ms, clock) else {
             return seen;
         };
         let ago = clock.lower_bound(now, self.cfg.clock_drift);
@@ -324,7 +348,9 @@
     /// granters had been replaced by then.
     fn write_replaced_by(&self, row: &mut PartitionRow) -> bool {
         let (began, _) = self.granting_since;
-        let Some(clock) = self.clock.filter(|clock| clock.requested_at >= began) else {
+        let era = self.revision().unwrap_or_default().era();
+        let is_usable = |clock: &StoreClock| clock.requested_at >= began && clock.era == era;
+        let Some(clock) = self.clock.filter(is_usable) else {
             return false;
         };
         let missing = row
@@ -405,7 +431,8 @@
     ) {
         debug_assert!(row.check().is_ok(), "only valid rows are written");
         self.pending_commit = Some((row.clone(), now));
-        actions.push(Action::Commit { row, expected });
+        let era = self.era();
+        actions.push(Action::Commit { row, expected, era });
     }
 
     /// Handles the outcome of the pending commit.
@@ -417,8 +444,8 @@
             CommitOutcome::Committed(revision) => {
                 // The store held this row after the commit began, so the commit renews the read
                 // lease as a read does.
-                self.read_lease.record_read(began);
                 self.apply_row(now, proposed, revision);
+                self.record_read(began, revision.era());
             }
             CommitOutcome::Conflict(Some((row, revision))) => {
                 self.apply_row(now, row, revision);
--- a/crates/assign/src/lease_manager/moves.rs
+++ b/crates/assign/src/lease_manager/moves.rs
@@ -28,6 +28,7 @@
     pub fn may_plan(&self, now: Timestamp) -> bool {
         let planned_at = self.next_plan_at - self.cfg.plan_every;
         self.is_granting(now)
+            && self.is_recovered()
             && self.pending_commit.is_none()
             && now >= planned_at + DRAINING_PLAN_EVERY
     }
--- a/crates/assign/src/lease_manager/waits.rs
+++ b/crates/assign/src/lease_manager/waits.rs
@@ -31,6 +31,9 @@
     #[must_use]
     pub fn moving_ranges(&self, now: Timestamp) -> Option<MovingRanges> {
         let known = self.known.as_ref().filter(|_| self.is_granting(now))?;
+        if let Some(at) = self.waits_until() {
+            return Some(self.waiting_ranges(now, at));
+        }
         let ranges = known.row.ranges.iter().zip(&known.states);
         let unserved = ranges.filter(|(owned, state)| self.is_unserved(now, owned, state));
         let reported = unserved.map(|(owned, state)| {
@@ -51,6 +54,21 @@
         })
     }
 
+    /// Returns all ranges as unserved until `at`, as soon as grants of the previous granting host have
+    /// expired.
+    fn waiting_ranges(&self, now: Timestamp, at: Timestamp) -> MovingRanges {
+        let (began, _) = self.granting_since;
+        let may_still_hold = self.may_grant(now) || now.since(began) < self.cfg.grant_ttl;
+        let known = self.known.iter().filter(|_| !may_still_hold);
+        let ranges = known.flat_map(|k| &k.row.ranges);
+        let left = at.since(now) + USUAL_GRANT_TIME;
+        let unserved = ranges.map(|owned| (owned.range.first, owned.token, left));
+        MovingRanges {
+            revision: self.revision().unwrap_or_default(),
+            ranges: unserved.take(MAX_REPORTED_RANGES).collect(),
+        }
+    }
+
     /// Returns whether no upstream serves the keys of a range.
     ///
     /// Grants of the previous granting host stay valid for a while.
--- a/crates/assign/src/lib.rs
+++ b/crates/assign/src/lib.rs
@@ -48,7 +48,7 @@
 pub use plan::{PlannedUpstream, Planner};
 pub use range::{FencingToken, KeyRange};
 pub use read_lease::ReadLease;
-pub use row::{HostIncarnation, OwnedRange, PartitionRow, PreviousGranter, RowError};
+pub use row::{HostIncarnation, OwnedRange, PartitionRow, PreviousGranter, Recovery, RowError};
 pub use settings::AssignSettings;
 pub use takeover::{GranterStatus, TakeoverMonitor, TakeoverReason, TakeoverSettings};
 pub use unserved::{MovingRanges, UnservedKeys};
--- a/crates/assign/src/packed.rs
+++ b/crates/assign/src/packed.rs
@@ -10,7 +10,7 @@
 
 use crate::partition::Partition;
 use crate::range::{FencingToken, KeyRange};
-use crate::row::{HostIncarnation, OwnedRange, PartitionRow, PreviousGranter, RowError};
+use crate::row::{HostIncarnation, OwnedRange, PartitionRow, PreviousGranter, Recovery, RowError};
 
 /// A row in its stored form.
 #[derive(Debug)]
@@ -28,6 +28,8 @@
     upstreams: IndexSet<UpstreamId>,
     #[serde(rename = "pieces")]
     ranges: Vec<PackedRange>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    recovery: Option<Recovery>,
 }
 
 /// Last key, owner, fencing token and previous owners of a range.
@@ -52,6 +54,7 @@
             partition: (row.partition != Partition::WHOLE).then_some(row.partition),
             upstreams,
             ranges,
+            recovery: row.recovery,
         }
     }
 
@@ -88,6 +91,7 @@
             highest_token: self.highest_token,
             partition,
             ranges,
+            recovery: self.recovery,
         })
     }
 }
--- a/crates/assign/src/range.rs
+++ b/crates/assign/src/range.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use ids::StoreEra;
 use serde::{Deserialize, Serialize};
 
 /// The highest key.
@@ -83,7 +84,8 @@
 /// key.
 ///
 /// Each change of a partition's row takes the next number, so that for each key tokens rise in the
-/// order in which the store accepted the changes, whichever upstream owns it.
+/// order in which the store accepted the changes, whichever upstream owns it. Tokens of a later era of
+/// the store are higher than all that were issued before.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 #[serde(transparent)]
@@ -95,8 +97,18 @@
     pub const fn next(self) -> Self {
         Self(self.0 + 1)
     }
+
+    /// Returns the next higher token that is higher than all tokens of eras before `era`.
+    #[must_use]
+    pub fn next_in(self, era: StoreEra) -> Self {
+        self.max(Self(era.0 << ERA_SHIFT)).next()
+    }
 }
 
+/// Bits of a token that count changes within an era: at ten changes a second, 19 days of them without
+/// a pause. Tokens of further changes still rise, but are no longer lower than all of the next era.
+const ERA_SHIFT: u32 = 24;
+
 impl fmt::Display for FencingToken {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/crates/assign/src/read_lease.rs
+++ b/crates/assign/src/read_lease.rs
@@ -26,6 +26,12 @@
         self.read_began.map(|at| now.since(at))
     }
 
+    /// Returns when the last read will have begun `limit` ago, or `None` before the first read.
+    #[must_use]
+    pub fn end(&self, limit: Duration) -> Option<Timestamp> {
+        self.read_began.map(|at| at + limit)
+    }
+
     /// Returns whether the last read began less than `limit` ago.
     #[must_use]
     pub fn is_within(&self, now: Timestamp, limit: Duration) -> bool {
--- a/crates/assign/src/row.rs
+++ b/crates/assign/src/row.rs
@@ -1,6 +1,6 @@
 //! The row of a partition of an entry's keys in the platform's store.
 
-use ids::{HostId, Incarnation, Revision, UpstreamId};
+use ids::{HostId, Incarnation, Revision, StoreEra, UpstreamId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -37,6 +37,22 @@
     pub replaced_by_ms: Option<u64>,
 }
 
+/// How far a row has been recovered since the store returned from a copy.
+///
+/// The row was made of what its writer knew of an earlier era, and the store may have lost what other
+/// hosts wrote then. Until no grant of that era can be valid, the row's fencing tokens stay those of
+/// that era and no keys move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Recovery {
+    /// The granting host renews the grants of the earlier era: no other host can have given the keys
+    /// to other owners without fencing them.
+    Renews,
+    /// Nothing is granted: the keys may have other owners than the row says.
+    Waits,
+}
+
 impl PreviousGranter {
     /// Returns whether both are the same host incarnation with the same last row.
     #[must_use]
@@ -71,6 +87,8 @@
     pub partition: Partition,
     /// All keys of the partition, in order and without gaps.
     pub ranges: Vec<OwnedRange>,
+    /// Set until grants of an earlier era of the store can't be valid any more.
+    pub recovery: Option<Recovery>,
 }
 
 /// Error for a row that does not decode or is inconsistent.
@@ -199,9 +217,18 @@
             highest_token: token,
             partition,
             ranges: owners.iter().enumerate().map(owned).collect(),
+            recovery: None,
         }
     }
 
+    /// Issues a fencing token of `era` for all ranges. It is higher than all tokens of earlier eras,
+    /// including those of rows that the store has lost.
+    pub fn renew_tokens(&mut self, era: StoreEra) {
+        let token = self.highest_token.next_in(era);
+        self.highest_token = token;
+        self.ranges.iter_mut().for_each(|owned| owned.token = token);
+    }
+
     /// Merges adjacent ranges that have the same owner and no previous owners.
     ///
     /// The merged range has the higher of the two fencing tokens: no other upstream was granted its
--- a/crates/assign/src/unserved.rs
+++ b/crates/assign/src/unserved.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::range::FencingToken;
-use crate::row::{OwnedRange, PartitionRow};
+use crate::row::{OwnedRange, PartitionRow, Recovery};
 
 /// Time for which keys of a new range count as unserved while the granting host has reported
 /// nothing about it: most of the time of a planned move.
@@ -38,6 +38,8 @@
     ranges: IndexMap<(u16, FencingToken), Timestamp>,
     /// The newest row's revision, when it was read, and its highest fencing token.
     newest_row: (Revision, Timestamp, FencingToken),
+    /// Whether nothing is granted by the newest row until grants of an earlier era have expired.
+    row_waits: bool,
 }
 
 impl UnservedKeys {
@@ -74,6 +76,7 @@
     pub fn record_row(&mut self, now: Timestamp, row: &PartitionRow, revision: Revision) {
         if revision > self.newest_row.0 {
             self.newest_row = (revision, now, row.highest_token);
+            self.row_waits = row.recovery == Some(Recovery::Waits);
         }
     }
 
@@ -81,13 +84,16 @@
     /// far as is known.
     #[must_use]
     pub fn until(&self, owned: &OwnedRange) -> Option<Timestamp> {
-        if owned.previous_owners.is_empty() {
+        if owned.previous_owners.is_empty() && !self.row_waits {
             return None;
         }
         let (revision, read_at, token) = self.newest_row;
         if let Some(&until) = self.ranges.get(&(owned.range.first, owned.token)) {
             return Some(until);
         }
+        if owned.previous_owners.is_empty() {
+            return None;
+        }
         let is_unreported = self.reported < revision && owned.token == token;
         is_unreported.then_some(read_at + UNREPORTED_WAIT)
     }
--- a/crates/assign/tests/busy.rs
+++ b/crates/assign/tests/busy.rs
@@ -6,7 +6,7 @@
     Action, AssignSettings, CommitOutcome, GrantCallOutcome, HostIncarnation, KeyLoads,
     LeaseContext, Partition, PartitionLeaseManager, PartitionRow, PlannedUpstream, Planner,
 };
-use ids::{HostId, Incarnation, Revision, Timestamp, UpstreamId};
+use ids::{HostId, Incarnation, Revision, StoreEra, Timestamp, UpstreamId};
 
 const OWNERS: usize = 4;
 const STEP: Duration = Duration::from_millis(100);
@@ -40,7 +40,7 @@
     manager.apply_row(now, row, Revision(1));
     for _ in 0..50 {
         now += STEP;
-        manager.record_read(now);
+        manager.record_read(now, StoreEra(0));
         let mut actions = Vec::new();
         manager.poll(now, &mut actions);
         let mut ctx = LeaseContext {
--- a/crates/assign/tests/ownership/main.rs
+++ b/crates/assign/tests/ownership/main.rs
@@ -17,6 +17,10 @@
     Duration::from_secs_f64(s)
 }
 
+const fn seconds_const(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
 fn rng(seed: u64) -> StdRng {
     StdRng::seed_from_u64(seed)
 }
@@ -157,6 +161,38 @@
         heartbeats: Heartbeats::Off,
         unserved: &[(20.0, 0), (45.0, 0)],
     },
+    Case {
+        name: "a return of the store from a copy alone leaves all keys with their holders",
+        faults: &[(Fault::StoreReturnsFromCopy(seconds_const(4)), 6.0, 2.0)],
+        heartbeats: Heartbeats::Off,
+        unserved: &[
+            (9.0, 0),
+            (15.0, 0),
+            (20.0, 0),
+            (22.5, 0),
+            (25.0, 0),
+            (30.0, 0),
+        ],
+    },
+    Case {
+        name: "keys of a draining upstream move soon after all hosts confirmed the new era",
+        faults: &[
+            (Fault::StoreReturnsFromCopy(seconds_const(4)), 6.0, 2.0),
+            (Fault::UpstreamDrains(1), 8.5, 30.0),
+        ],
+        heartbeats: Heartbeats::On,
+        unserved: &[(15.0, 0), (30.0, 0)],
+    },
+    Case {
+        name: "a granter that is lost at the store's return is replaced once its grants have expired",
+        faults: &[
+            (Fault::UpstreamDrains(1), 5.0, 60.0),
+            (Fault::StoreReturnsFromCopy(seconds_const(2)), 6.0, 1.0),
+            (Fault::HostRestarts(0), 6.5, 0.02),
+        ],
+        heartbeats: Heartbeats::On,
+        unserved: &[(14.0, 0), (30.0, 0)],
+    },
     Case {
         name: "the successor waits for a granter that can't be informed",
         faults: &[
@@ -257,6 +293,49 @@
     }
 }
 
+fn store_return() -> impl Strategy<Value = ScheduledFault> {
+    (0_u64..6_000, 2_000_u64..25_000, 20_u64..8_000).prop_map(|(age, at, lasts)| {
+        let age = Duration::from_millis(age);
+        ScheduledFault {
+            fault: Fault::StoreReturnsFromCopy(age),
+            at: Duration::from_millis(at),
+            lasts: Duration::from_millis(lasts),
+        }
+    })
+}
+
+/// Draws faults that overlap in any way, among them returns of the store from a copy.
+fn faults_with_returns() -> impl Strategy<Value = Vec<ScheduledFault>> {
+    let other = prop_oneof![4 => scheduled_fault(), 1 => connectivity_fault()];
+    (
+        prop::collection::vec(store_return(), 1..4),
+        prop::collection::vec(other, 0..12),
+    )
+        .prop_map(|(mut returns, others)| {
+            returns.extend(others);
+            returns
+        })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    /// Guards against two holders after the store has returned from a copy: hosts learn of it late,
+    /// and commits of the lost history arrive late or twice.
+    #[test]
+    fn no_key_has_two_holders_after_the_store_returned_from_a_copy(
+        faults in faults_with_returns(),
+        heartbeats: bool,
+        seed: u64,
+    ) {
+        let heartbeats = if heartbeats { Heartbeats::On } else { Heartbeats::Off };
+        let mut sim = Simulation::new(HOSTS, UPSTREAMS, faults, rng(seed), heartbeats);
+        prop_assert_eq!(sim.run(seconds(80.0)), Ok(()));
+        prop_assert_eq!(sim.unserved(), 0);
+        prop_assert!(sim.holders() > 0);
+    }
+}
+
 /// A takeover whose answer is lost may be committed seconds later; until then the host that it
 /// replaces still reads that it grants.
 #[test]
--- a/crates/assign/tests/ownership/simulation/fault.rs
+++ b/crates/assign/tests/ownership/simulation/fault.rs
@@ -25,6 +25,9 @@
     UpstreamDown(usize),
     /// The store answers no host.
     StoreDown,
+    /// The store answers no host, and then returns from a copy that was made this long before the
+    /// fault.
+    StoreReturnsFromCopy(Duration),
     /// Grant calls get no answer and are carried out late.
     LateCalls,
     /// Commits get no answer, and some are carried out late.
--- a/crates/assign/tests/ownership/simulation/mod.rs
+++ b/crates/assign/tests/ownership/simulation/mod.rs
@@ -5,6 +5,7 @@
 //! may lose their answer, and may be carried out seconds after that.
 
 mod fault;
+mod store;
 mod tally;
 mod upstream;
 
@@ -13,14 +14,15 @@
 
 use assign::{
     Action, AssignSettings, CommitOutcome, GrantCall, GrantCallOutcome, HostIncarnation, KeyLoads,
-    LeaseContext, Partition, PartitionLeaseManager, PartitionRow, PlannedUpstream, Planner,
-    PreviousGranter, StoreClock,
+    LeaseContext, Partition, PartitionLeaseManager, PlannedUpstream, Planner, PreviousGranter,
+    StoreClock,
 };
-use ids::{HostId, Incarnation, Revision, Timestamp};
+use ids::{HostId, Incarnation, Revision, StoreEra, Timestamp};
 use rand::Rng as _;
 use rand::rngs::StdRng;
 
 pub use self::fault::{Fault, ScheduledFault};
+use self::store::{SimulatedStore, StoreCommit};
 use self::tally::Tally;
 use self::upstream::{Upstream, key};
 
@@ -37,12 +39,16 @@
 const REDELIVERY_DELAY: Duration = Duration::from_millis(850);
 /// Time between reads of the store.
 const READ_EVERY: Duration = Duration::from_millis(900);
+/// Age of a granting host's last read at which others replace it.
+const MAX_READ_AGE: Duration = Duration::from_millis(2_500);
 
 #[derive(Debug)]
 struct Host {
     id: HostIncarnation,
     manager: PartitionLeaseManager,
     read_at: Timestamp,
+    /// The latest era that it has read.
+    era: Option<StoreEra>,
 }
 
 #[derive(Debug)]
@@ -64,8 +70,7 @@
     Commit {
         host: usize,
         incarnation: Incarnation,
-        row: PartitionRow,
-        expected: Option<Revision>,
+        commit: StoreCommit,
         answers: bool,
     },
     CommitOutcome {
@@ -79,6 +84,12 @@
         by: usize,
         replaced: Option<Revision>,
     },
+    /// A host reports to the granting host from which revision on it may grant.
+    Confirmation {
+        host: usize,
+        id: HostId,
+        revision: Revision,
+    },
     /// The previous one replies with the revision from which on it may grant.
     HeartbeatReply {
         host: usize,
@@ -103,8 +114,7 @@
     hosts: Vec<Host>,
     upstreams: Vec<Upstream>,
     upstream_incarnations: Vec<u32>,
-    store: Option<(PartitionRow, Revision)>,
-    revision: u64,
+    store: SimulatedStore,
     faults: Vec<ScheduledFault>,
     deliveries: VecDeque<(Duration, Delivery)>,
     loads: KeyLoads,
@@ -144,8 +154,7 @@
             hosts: (0..hosts).map(host).collect(),
             upstreams: (0..upstreams).map(|i| Upstream::new(i, 1)).collect(),
             upstream_incarnations: vec![1; upstreams],
-            store: None,
-            revision: 0,
+            store: SimulatedStore::default(),
             faults,
             deliveries: VecDeque::new(),
             loads: KeyLoads::new(Timestamp::ZERO),
@@ -176,6 +185,7 @@
             manager: PartitionLeaseManager::new(id.clone(), cfg, Planner::default()),
             id,
             read_at: Timestamp::ZERO,
+            era: None,
         }
     }
 
@@ -197,7 +207,7 @@
 
     fn reaches_store(&self, host: usize) -> bool {
         !self.is_active(|f| match f {
-            Fault::StoreDown => true,
+            Fault::StoreDown | Fault::StoreReturnsFromCopy(_) => true,
             Fault::HostWithoutStore(h) => h == host,
             _ => false,
         })
@@ -246,13 +256,37 @@
             }
         }
         for scheduled_fault in ended {
-            if let Fault::UpstreamDown(u) = scheduled_fault.fault {
-                self.upstream_incarnations[u] += 1;
-                self.upstreams[u] = Upstream::new(u, self.upstream_incarnations[u]);
+            match scheduled_fault.fault {
+                Fault::UpstreamDown(u) => {
+                    self.upstream_incarnations[u] += 1;
+                    self.upstreams[u] = Upstream::new(u, self.upstream_incarnations[u]);
+                }
+                Fault::StoreReturnsFromCopy(age) => {
+                    self.return_from_copy(scheduled_fault.at.saturating_sub(age));
+                }
+                _ => {}
             }
         }
     }
 
+    /// Lets the store return from the copy that was made at `at`. Some commits of the lost history
+    /// arrive once more, seconds later.
+    fn return_from_copy(&mut self, at: Duration) {
+        for commit in self.store.return_from_copy(at) {
+            if !self.rng.random_bool(0.5) {
+                continue;
+            }
+            let after = Duration::from_millis(self.rng.random_range(0..6_000));
+            let delivery = Delivery::Commit {
+                host: 0,
+                incarnation: Incarnation(0),
+                commit,
+                answers: false,
+            };
+            self.send(after, delivery);
+        }
+    }
+
     fn step_host(&mut self, h: usize) {
         let now = Self::at(self.now);
         let ready = self.ready();
@@ -296,11 +330,20 @@
         }
         let host = &mut self.hosts[h];
         host.read_at = now;
-        if let Some((row, revision)) = &self.store {
+        let era = self.store.era;
+        // A host that restarts may have missed a return of the store.
+        let restarted = host.id.incarnation > Incarnation(1);
+        let may_follow_another = restarted || host.era.is_some_and(|known| known < era);
+        host.era = Some(era);
+        host.manager.begin_era(now, era, may_follow_another);
+        let known = host.manager.row().is_some();
+        let latest = || self.store.latest_row().filter(|_| !known);
+        if let Some((row, revision)) = self.store.row().or_else(latest) {
             host.manager.apply_row(now, row.clone(), *revision);
         }
-        host.manager.record_read(now);
+        host.manager.record_read(now, era);
         let clock = StoreClock {
+            era,
             requested_at: now,
             answered_at: now,
             store_time: self.now,
@@ -309,6 +352,7 @@
     }
 
     fn send_heartbeats(&mut self, h: usize) {
+        self.send_confirmation(h);
         let manager = &self.hosts[h].manager;
         if !manager.is_granter() {
             return;
@@ -329,6 +373,26 @@
         }
     }
 
+    /// Reports to the granting host that `h` knows, which waits for all hosts to do so.
+    fn send_confirmation(&mut self, h: usize) {
+        let host = &self.hosts[h];
+        let Some(row) = host.manager.row() else {
+            return;
+        };
+        let granter = &row.granter.host;
+        let Some(to) = self.hosts.iter().position(|o| o.id.host == *granter) else {
+            return;
+        };
+        let confirmation = Delivery::Confirmation {
+            host: to,
+            id: host.id.host.clone(),
+            revision: host.manager.grants_from(),
+        };
+        if to != h && self.are_connected(h, to) && self.rng.random_bool(0.1) {
+            self.send(ONE_WAY_DELAY, confirmation);
+        }
+    }
+
     fn are_connected(&self, a: usize, b: usize) -> bool {
         !self.is_active(
             |f| matches!(f, Fault::HostsDisconnected(x, y) if (x, y) == (a, b) || (x, y) == (b, a)),
@@ -344,7 +408,7 @@
     ) {
         let host = &self.hosts[h];
         let Some(row) = host.manager.row() else {
-            if host.read_at > Timestamp::ZERO && self.store.is_none() {
+            if host.read_at > Timestamp::ZERO && self.store.is_empty() {
                 self.hosts[h]
                     .manager
                     .take_over(now, true, Partition::WHOLE, ready, actions);
@@ -358,7 +422,11 @@
             matches!(t.fault, Fault::Takeover(o) if o == h) && t.is_active_at(self.now)
         };
         let forced = self.faults.iter().any(begins);
-        if has_ended || forced {
+        // A granting host of an earlier era that does not write its row of this one reports that it
+        // can't read the store.
+        let cannot_read = host.manager.is_row_of_past_era()
+            && newest.is_some_and(|o| o.manager.read_age(now) > Some(MAX_READ_AGE));
+        if has_ended || forced || cannot_read {
             self.hosts[h]
                 .manager
                 .take_over(now, has_ended, Partition::WHOLE, ready, actions);
@@ -372,7 +440,7 @@
                 self.tally.calls += 1;
                 self.call(h, incarnation, call, now);
             }
-            Action::Commit { row, expected } => {
+            Action::Commit { row, expected, era } => {
                 self.tally.commits += 1;
                 let lost = self.is_active(|f| matches!(f, Fault::CommitAnswersLost))
                     && self.rng.random_bool(0.5);
@@ -396,8 +464,7 @@
                 let commit = Delivery::Commit {
                     host: h,
                     incarnation,
-                    row,
-                    expected,
+                    commit: StoreCommit { row, expected, era },
                     answers: !lost,
                 };
                 self.send(ONE_WAY_DELAY + late, commit);
@@ -528,11 +595,10 @@
             Delivery::Commit {
                 host,
                 incarnation,
-                row,
-                expected,
+                commit,
                 answers,
             } => {
-                let outcome = self.commit(row, expected);
+                let outcome = self.store.commit(self.now, commit);
                 if answers {
                     let outcome = Delivery::CommitOutcome {
                         host,
@@ -546,6 +612,7 @@
             other @ (Delivery::CallOutcome { host, .. }
             | Delivery::CommitOutcome { host, .. }
             | Delivery::Heartbeat { host, .. }
+            | Delivery::Confirmation { host, .. }
             | Delivery::HeartbeatReply { host, .. })
                 if self.is_paused(host) =>
             {
@@ -589,21 +656,23 @@
                     self.send(ONE_WAY_DELAY, reply);
                 }
             }
+            Delivery::Confirmation { host, id, revision } => {
+                self.confirm(host, &id, revision);
+            }
             Delivery::HeartbeatReply { host, id, revision } => self.hosts[host]
                 .manager
                 .granter_reported(now, &id, revision),
         }
     }
 
-    fn commit(&mut self, row: PartitionRow, expected: Option<Revision>) -> CommitOutcome {
-        let present = self.store.as_ref().map(|(_, revision)| *revision);
-        if present != expected {
-            return CommitOutcome::Conflict(self.store.clone());
+    fn confirm(&mut self, host: usize, by: &HostId, revision: Revision) {
+        let ids: Vec<HostId> = self.hosts.iter().map(|h| h.id.host.clone()).collect();
+        let manager = &mut self.hosts[host].manager;
+        manager.host_confirmed(by, revision);
+        let mut others = ids.iter().enumerate().filter(|(i, _)| *i != host);
+        if manager.needs_confirmations() && others.all(|(_, id)| manager.has_confirmed(id)) {
+            manager.all_confirmed(Self::at(self.now));
         }
-        self.revision += 1;
-        let revision = Revision(self.revision);
-        self.store = Some((row, revision));
-        CommitOutcome::Committed(revision)
     }
 
     fn check(&mut self) -> Result<(), String> {
--- a/crates/assign/tests/unserved.rs
+++ b/crates/assign/tests/unserved.rs
@@ -7,7 +7,7 @@
     HostIncarnation, KeyLoads, LeaseContext, MovingRanges, Partition, PartitionLeaseManager,
     PartitionRow, PlannedUpstream, Planner, UnservedKeys,
 };
-use ids::{HostId, Incarnation, Revision, Timestamp, UpstreamId};
+use ids::{HostId, Incarnation, Revision, StoreEra, Timestamp, UpstreamId};
 
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(60_000 + ms)
@@ -68,7 +68,7 @@
         end: impl Fn(&GrantCall) -> GrantCallOutcome,
     ) -> Vec<GrantCall> {
         let now = at(ms);
-        self.manager.record_read(now);
+        self.manager.record_read(now, StoreEra(0));
         let ready: Vec<_> = ready.iter().map(|&i| view(i)).collect();
         let mut ctx = LeaseContext {
             ready: &ready,
--- a/crates/cli/src/dev_platform.rs
+++ b/crates/cli/src/dev_platform.rs
@@ -133,6 +133,7 @@
         ready: READY_PORT,
         internal: INTERNAL_PORTS,
         store: store.listen_at(callers.ip())?,
+        is_first_start: true,
     };
     let settings = render(TEMPLATE, &node).map_err(anyhow::Error::msg)?;
     let path = dir.join(format!("{name}.json"));
--- a/crates/cli/tests/direct/drained.rs
+++ b/crates/cli/tests/direct/drained.rs
@@ -133,7 +133,7 @@
 
 /// Returns a key whose previous owner may still hold it.
 fn moving_key(rig: &Rig) -> Option<u16> {
-    let row = rig.store.read("medlardyke", "keys.reads")?;
+    let row = rig.partition_row("keys.reads")?;
     let ranges = row["pieces"].as_array()?;
     let is_moving = |range: &&serde_json::Value| {
         let previous_owners = range[3].as_array();
--- a/crates/cli/tests/direct/parts.rs
+++ b/crates/cli/tests/direct/parts.rs
@@ -46,7 +46,7 @@
 async fn keys_of_all_partitions_are_served_by_several_granting_hosts() {
     let rig = Rig::start_partitioned(HOSTS, UPSTREAMS, PER_PARTITION).await;
     wait_until("all partitions have a row", async || {
-        let exists = |row: &str| rig.store.read("medlardyke", row).is_some();
+        let exists = |row: &str| rig.partition_row(row).is_some();
         ROWS.iter().all(|row| exists(row))
     })
     .await;
@@ -62,7 +62,7 @@
 async fn the_loss_of_a_partitions_granting_host_moves_no_key() {
     let rig = Rig::start_partitioned(HOSTS, UPSTREAMS, PER_PARTITION).await;
     wait_until("the last partition has a row", async || {
-        rig.store.read("medlardyke", ROWS[3]).is_some()
+        rig.partition_row(ROWS[3]).is_some()
     })
     .await;
     check_all_are_answered(&rig, "before").await;
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -249,6 +249,7 @@
             ready,
             internal: [peers, metrics],
             store,
+            is_first_start: self.hosts.len() <= i,
         };
         let settings = render(TEMPLATE, &node).expect("settings");
         fs::write(&path, self.with_partition_size(&settings)).expect("a file");
@@ -361,6 +362,12 @@
         self.hosts[host].has_ended()
     }
 
+    /// Returns the row of a partition in the store's present era; `key` is its key without the era.
+    pub fn partition_row(&self, key: &str) -> Option<Value> {
+        let key = format!("{key}@{}", self.store.era());
+        self.store.read("medlardyke", &key)
+    }
+
     /// Returns the number of the granting host.
     pub fn granting_host(&self) -> usize {
         self.granting_host_of("keys.reads")
@@ -368,7 +375,7 @@
 
     /// Returns the number of the granting host that the row `key` names.
     pub fn granting_host_of(&self, key: &str) -> usize {
-        let row = self.store.read("medlardyke", key).expect("a row");
+        let row = self.partition_row(key).expect("a row");
         let name = row["granter"]["host"].as_str().expect("a host").to_owned();
         let number = name.strip_prefix("host-").and_then(|n| n.parse().ok());
         number.expect("a host of the rig")
--- a/crates/direct/src/registry.rs
+++ b/crates/direct/src/registry.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
+use ids::{DomainId, EntryId, Revision, StoreEra, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
@@ -24,6 +24,9 @@
     /// Start of this incarnation, in milliseconds of the server's clock; none if the server does
     /// not report it and registers each incarnation under a name of its own.
     pub started_ms: Option<u64>,
+    /// How often the server had written its registration; none if it does not count that. A lower
+    /// count is that of an older registration.
+    pub write_count: Option<u64>,
     /// The entry that it serves.
     pub entry: EntryId,
     /// Address on which it listens.
@@ -51,6 +54,13 @@
 const LEAVING_KEYS_GRACE: Duration = Duration::from_millis(800);
 
 impl Registration {
+    /// Returns whether this registration of an upstream was written before `other`, if both state how
+    /// often the server had written it.
+    fn is_written_before(&self, other: &Self) -> bool {
+        let counts = self.write_count.zip(other.write_count);
+        counts.is_some_and(|(count, other)| count < other)
+    }
+
     /// Returns whether its state allows requests on keys that it owns.
     #[must_use]
     fn state_allows_owned_keys(&self, now: Timestamp) -> bool {
@@ -107,8 +117,26 @@
     /// Servers that report an earlier start than that of the current incarnation, and since when
     /// they do.
     earlier_starts: IndexMap<SmolStr, Timestamp>,
+    /// Upstreams that were removed, the last of them at the end.
+    removed: IndexMap<UpstreamId, RemovedUpstream>,
+    /// Time until which the store may show an earlier incarnation of a server, as it has returned
+    /// from a copy.
+    may_lack_rows_until: Timestamp,
+}
+
+/// An upstream that was removed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct RemovedUpstream {
+    /// The store's era at that time.
+    era: StoreEra,
+    write_count: Option<u64>,
+    /// Revision of its registration in the copy from which the store has returned since.
+    copied_at: Option<Revision>,
 }
 
+/// Maximum number of removed upstreams that are remembered: more than end in any minute.
+const MAX_REMOVED: usize = 1_024;
+
 /// Time for which an incarnation with an earlier start must stay registered to replace the current
 /// one.
 ///
@@ -124,9 +152,10 @@
     /// The passing of its cold time is not a change. A later incarnation of a server replaces the
     /// current one; one with an earlier start does so only if it stays registered for two seconds.
     pub fn register(&mut self, now: Timestamp, at: Revision, mut upstream: Registration) -> bool {
-        if !self.is_current(now, &upstream) {
+        if self.is_outdated(at, &upstream) || !self.is_current(now, &upstream) {
             return false;
         }
+        self.removed.shift_remove(&upstream.id);
         if self.announced_leaving.contains(&upstream.id) {
             upstream.state = UpstreamState::Leaving;
         }
@@ -143,6 +172,7 @@
         } else {
             known.cold_until
         };
+        known.write_count = upstream.write_count;
         let updated = Registration {
             cold_until,
             leaving_since: known.leaving_since.or(upstream.leaving_since),
@@ -155,6 +185,32 @@
         true
     }
 
+    /// Records that the store has returned from a copy, and that its servers may not have registered
+    /// again until `may_lack_rows_until`.
+    pub fn begin_era(&mut self, may_lack_rows_until: Timestamp) {
+        self.may_lack_rows_until = may_lack_rows_until;
+    }
+
+    /// Returns whether a registration, as of the store's revision `at`, is older than what is known
+    /// of the upstream.
+    ///
+    /// A store that has returned from a copy has older registrations until servers write them again,
+    /// and those of upstreams that have ended until they expire.
+    fn is_outdated(&mut self, at: Revision, upstream: &Registration) -> bool {
+        if let Some(known) = self.upstreams.get(&upstream.id) {
+            return upstream.is_written_before(known);
+        }
+        let Some(removed) = self.removed.get_mut(&upstream.id) else {
+            return false;
+        };
+        let is_same_era = at.era() <= removed.era;
+        let counts = upstream.write_count.zip(removed.write_count);
+        if is_same_era || counts.is_none_or(|(count, last)| count > last) {
+            return false;
+        }
+        at <= *removed.copied_at.get_or_insert(at)
+    }
+
     /// Records that an upstream announced in an answer that it leaves; returns whether its
     /// state changed.
     ///
@@ -253,6 +309,7 @@
         let id = known.id.clone();
         if is_earlier {
             let since = *self.earlier_starts.entry(server.clone()).or_insert(now);
+            let since = since.max(self.may_lack_rows_until);
             if now.since(since) < EARLIER_START_DELAY {
                 return false;
             }
@@ -276,6 +333,25 @@
         }
     }
 
+    /// Removes an upstream whose registration was removed from the store in `era`; returns whether it
+    /// was registered.
+    pub fn remove_gone(&mut self, id: &UpstreamId, era: StoreEra) -> bool {
+        let write_count = self.upstreams.get(id).and_then(|u| u.write_count);
+        if !self.remove(id) {
+            return false;
+        }
+        let removed = RemovedUpstream {
+            era,
+            write_count,
+            copied_at: None,
+        };
+        self.removed.insert(id.clone(), removed);
+        if self.removed.len() > MAX_REMOVED {
+            self.removed.shift_remove_index(0);
+        }
+        true
+    }
+
     /// Removes an upstream; returns whether it was registered.
     pub fn remove(&mut self, id: &UpstreamId) -> bool {
         let Some(removed) = self.upstreams.shift_remove(id) else {
--- a/crates/direct/tests/drained_domains.rs
+++ b/crates/direct/tests/drained_domains.rs
@@ -28,6 +28,7 @@
         id: UpstreamId::new(name).expect("a valid name"),
         server: name.into(),
         started_ms: None,
+        write_count: None,
         entry: entry(),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: domain(&name[..1]),
--- a/crates/direct/tests/roster.rs
+++ b/crates/direct/tests/roster.rs
@@ -22,6 +22,7 @@
         id: id(name),
         server: name.into(),
         started_ms: None,
+        write_count: None,
         entry: entry(),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: DomainId::new("a").expect("a valid name"),
--- a/crates/front/src/control/announce.rs
+++ b/crates/front/src/control/announce.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use assign::{HostIncarnation, PartitionRow};
-use ids::{BootClock, Clock};
-use platform::{Commit, RowKey, Txn, Write};
+use ids::{BootClock, Clock, Revision};
+use platform::{Check, Commit, Row, RowKey, Txn, Write};
 use rand::Rng;
 use slog::warn;
 
-use crate::control::state::{ControlState, HostRow, SharedControl};
+use crate::control::apply::apply_shared_row;
+use crate::control::state::{ControlState, HostRow, KnownHost, SharedControl};
 use crate::control::tables::HOST_PREFIX;
 use crate::ports::{Platform, SHARED};
 
@@ -32,12 +33,13 @@
 /// Writes this host's row whenever the row in the store is outdated, or other hosts may take an
 /// earlier incarnation of this host for a granting host.
 pub async fn announce(ctl: SharedControl, platform: impl Platform) {
-    let row = ctl.with(|c| HostRow {
+    let mut row = ctl.with(|c| HostRow {
         incarnation: c.this_host.clone(),
         domain: c.cfg.domain.clone(),
         peers: c.cfg.listen.peers,
         permits: Some(c.cfg.listen.permits),
         capacity: c.cfg.processor.capacity(),
+        era: c.known_era.era,
     });
     let key = RowKey(format!("{SHARED}/{HOST_PREFIX}{}", row.incarnation.host).into());
     let jitter = MAX_ANNOUNCE_DELAY.mul_f64(rand::rng().random_range(0.0..1.0));
@@ -45,6 +47,7 @@
     let mut changes = ctl.subscribe();
     let mut pauses = 1;
     loop {
+        row.era = ctl.with(|c| c.known_era.era);
         let required = ctl.with(|c| required_write(c, &row));
         let writes_now = match required {
             RowWrite::NotNeeded => false,
@@ -52,19 +55,20 @@
             RowWrite::Needed => BootClock.now() >= write_by,
         };
         if writes_now {
-            let txn = Txn {
-                checks: Vec::new(),
-                writes: vec![row_write(key.clone(), &row)],
-            };
-            match platform.commit(txn).await {
+            let txn = row_txn(&key, &row, ctl.with(|c| written_revision(c, &row)));
+            match platform.commit(txn, row.era).await {
                 Ok(Commit::Done(at)) => {
                     pauses = 1;
                     ctl.with(|c| {
-                        c.row_written_at = BootClock.now();
-                        c.record_host(c.row_written_at, row.clone(), at);
+                        let now = BootClock.now();
+                        c.row_written_at = now;
+                        c.listed_since.get_or_insert(now);
+                        c.record_host(now, row.clone(), at);
                     });
                 }
-                Ok(Commit::Conflict(_)) => {}
+                // A write of an earlier incarnation was carried out late, or this host has not read
+                // its row yet.
+                Ok(Commit::Conflict(rows)) => ctl.with(|c| apply_conflict(c, &platform, &rows)),
                 Err(e) => {
                     pauses = (pauses * 2).min(MAX_PAUSES);
                     ctl.with(|c| warn!(c.log, "announcing host failed"; "error" => %e));
@@ -96,8 +100,9 @@
     if c.hosts_first_read.is_none() {
         return RowWrite::NotNeeded;
     }
-    let written = c.hosts.get(&row.incarnation.host).map(|h| &h.row);
-    let is_announced = written.is_some_and(|written| written.incarnation == row.incarnation);
+    let written = listed(c, row).map(|h| &h.row);
+    let is_announced = written
+        .is_some_and(|written| written.incarnation == row.incarnation && written.era == row.era);
     let is_earlier_incarnation = |granter: &HostIncarnation| {
         granter.host == row.incarnation.host && *granter != row.incarnation
     };
@@ -116,6 +121,7 @@
         let incarnation = row.incarnation.clone();
         HostRow {
             incarnation,
+            era: row.era,
             ..written.clone()
         } == *row
     };
@@ -126,10 +132,37 @@
     }
 }
 
-fn row_write(key: RowKey, row: &HostRow) -> Write {
+/// Returns this host as the store lists it.
+fn listed<'a>(c: &'a ControlState, row: &HostRow) -> Option<&'a KnownHost> {
+    let known = c.hosts.get(&row.incarnation.host);
+    known.filter(|host| host.is_listed)
+}
+
+/// Returns the revision at which this host's row was written, if the store has it.
+fn written_revision(c: &ControlState, row: &HostRow) -> Option<Revision> {
+    listed(c, row).map(|host| host.revision)
+}
+
+/// Builds the transaction that writes a host's row.
+///
+/// It is conditional, so that a write of an earlier incarnation that is carried out late does not
+/// replace the row of a later one.
+fn row_txn(key: &RowKey, row: &HostRow, expected: Option<Revision>) -> Txn {
     let json = serde_json::to_vec(row).expect("rows serialize");
-    Write {
-        key,
-        value: Some(json.into()),
+    Txn {
+        checks: vec![Check {
+            key: key.clone(),
+            revision: expected,
+        }],
+        writes: vec![Write {
+            key: key.clone(),
+            value: Some(json.into()),
+        }],
+    }
+}
+
+fn apply_conflict(c: &mut ControlState, platform: &impl Platform, rows: &[Row]) {
+    for row in rows {
+        apply_shared_row(c, platform, row, BootClock.now());
     }
 }
--- a/crates/front/src/control/apply.rs
+++ b/crates/front/src/control/apply.rs
@@ -1,6 +1,6 @@
 //! Applies reads of the store's tables, made by this host or relayed by another one.
 
-use assign::{PartitionId, PartitionRow};
+use assign::PartitionRow;
 use ids::{Revision, Timestamp};
 use platform::{Delta, Row};
 use serde::de::DeserializeOwned;
@@ -8,7 +8,7 @@
 
 use crate::control::quarantine::{self, QUARANTINE_ROW};
 use crate::control::state::{ControlState, HostRow};
-use crate::control::tables::{HOST_PREFIX, PARTITION_PREFIX, Table};
+use crate::control::tables::{HOST_PREFIX, PARTITION_PREFIX, PartitionKey, Table};
 use crate::ports::Platform;
 
 /// Most rows of one read that are logged one by one; for more rows there is one line for all.
@@ -25,14 +25,13 @@
     let mut replica = std::mem::take(&mut c.replicas[table.index()]);
     let is_first = replica.revision() == Revision::default();
     let (Delta::Changes(all) | Delta::Snapshot(all)) = &delta;
-    if all.revision < replica.revision() {
-        warn!(c.log, "store is behind an earlier read"; "table" => table.name(),
-            "revision" => all.revision.0, "known" => replica.revision().0, "rows" => all.rows.len());
-    }
+    c.observe_era(now, all.revision.era());
+    let is_new_era = !is_first && replica.revision().era() < all.revision.era();
     c.is_bulk_read = matches!(delta, Delta::Snapshot(_)) || all.rows.len() > MAX_LOGGED_ROWS;
     let rows = replica.apply(delta, |row| match table {
         Table::Upstreams => apply_registration(c, platform, row, now),
-        Table::Configuration | Table::Shared => true,
+        Table::Configuration => !is_outdated_configuration(c, platform, row),
+        Table::Shared => true,
     });
     c.replicas[table.index()] = replica;
     if std::mem::take(&mut c.is_bulk_read) {
@@ -41,11 +40,17 @@
     for row in &rows {
         match table {
             Table::Upstreams => remove_registration(c, row),
-            Table::Configuration => apply_operator_row(c, platform, row, now, is_first),
+            Table::Configuration => {
+                let read = OperatorRead {
+                    is_first,
+                    is_new_era,
+                };
+                apply_operator_row(c, platform, row, now, read);
+            }
             Table::Shared => apply_shared_row(c, platform, row, now),
         }
     }
-    let removed = c.remove_missing(now);
+    let removed = c.remove_missing(now) | c.apply_postponed_drains(now);
     if removed || (table == Table::Upstreams && !rows.is_empty()) {
         c.registry_changed_at = now;
     }
@@ -88,18 +93,51 @@
     }
 }
 
-/// Applies a row of the operator's; `is_first` is set for the first read since the start.
+/// Returns whether a row holds an older configuration than the one in force: the store has returned
+/// from a copy, or an operator's call was carried out late.
+fn is_outdated_configuration(c: &ControlState, platform: &impl Platform, row: &Row) -> bool {
+    let in_force = c.configuration.as_ref().map(|known| known.cfg.version);
+    let decoded = row
+        .value
+        .as_ref()
+        .map(|value| platform.configuration(key_of(row), value));
+    match decoded {
+        Some(Ok(Some(cfg))) => Some(cfg.version) < in_force,
+        _ => false,
+    }
+}
+
+/// A read of the operator's table.
+#[derive(Debug, Clone, Copy)]
+struct OperatorRead {
+    /// Whether it is the first one since the start.
+    is_first: bool,
+    /// Whether it is the first one since the store returned from a copy.
+    is_new_era: bool,
+}
+
+/// Applies a row of the operator's.
 fn apply_operator_row(
     c: &mut ControlState,
     platform: &impl Platform,
     row: &Row,
     now: Timestamp,
-    is_first: bool,
+    read: OperatorRead,
 ) {
-    match platform.drained_domain(key_of(row)) {
-        None => apply_configuration(c, platform, row, now),
-        Some(domain) if row.value.is_some() => c.drain(domain, (!is_first).then_some(now)),
-        Some(domain) => c.restore_domain(now, &domain, row.revision),
+    let Some(domain) = platform.drained_domain(key_of(row)) else {
+        apply_configuration(c, platform, row, now);
+        return;
+    };
+    let is_drained = row.value.is_some();
+    if read.is_new_era {
+        c.postpone_drain(domain, is_drained, row.revision);
+        return;
+    }
+    c.supersede_drain(&domain);
+    if is_drained {
+        c.drain(domain, (!read.is_first).then_some(now));
+    } else {
+        c.restore_domain(now, &domain, row.revision);
     }
 }
 
@@ -114,11 +152,18 @@
     }
 }
 
-fn apply_shared_row(c: &mut ControlState, platform: &impl Platform, row: &Row, now: Timestamp) {
+pub(crate) fn apply_shared_row(
+    c: &mut ControlState,
+    platform: &impl Platform,
+    row: &Row,
+    now: Timestamp,
+) {
     let key = key_of(row);
     let Some(value) = &row.value else {
         if let Some(host) = key.strip_prefix(HOST_PREFIX) {
-            c.hosts.retain(|id, _| id.as_str() != host);
+            c.record_unlisted_host(host);
+        } else if key == QUARANTINE_ROW {
+            c.quarantined.row_removed();
         }
         return;
     };
@@ -130,26 +175,39 @@
         if let Some(quarantined) = decode(c, key, value) {
             quarantine::apply_row(c, quarantined, row.revision, platform.store_clock(), now);
         }
-    } else if let Some(partition) = key.strip_prefix(PARTITION_PREFIX) {
-        match partition.parse() {
-            Ok(partition) => apply_partition_row(c, &partition, row, now),
+    } else if key.starts_with(PARTITION_PREFIX) {
+        match PartitionKey::parse(key) {
+            Ok(key) => apply_partition_row(c, &key, row, now),
             Err(e) => warn!(c.log, "row refused"; "row" => key, "error" => %e),
         }
     }
 }
 
 /// Applies the row of a partition.
+///
+/// The row of an earlier era is used only by a host that knows none: the store may have lost the
+/// latest rows of that era.
 pub(crate) fn apply_partition_row(
     c: &mut ControlState,
-    id: &PartitionId,
+    key: &PartitionKey,
     row: &Row,
     now: Timestamp,
 ) {
     let Some(value) = &row.value else {
         return;
     };
+    let id = &key.partition;
+    let is_past = key.era < row.revision.era();
+    if is_past
+        && c.partitions
+            .get(id)
+            .is_some_and(|known| known.lease_manager.row().is_some())
+    {
+        return;
+    }
+    let revision = row.revision.moved_to(key.era);
     match PartitionRow::decode(value) {
-        Ok(keys) if keys.partition.index == id.index => c.apply_row(now, id, keys, row.revision),
+        Ok(keys) if keys.partition.index == id.index => c.apply_row(now, id, keys, revision),
         Ok(keys) => warn!(c.log, "row refused"; "part" => %id,
             "error" => "row names another partition", "index" => keys.partition.index),
         Err(e) => warn!(c.log, "row refused"; "part" => %id, "error" => %e),
--- /dev/null
+++ b/crates/front/src/control/era.rs
@@ -0,0 +1,133 @@
+//! The store's era: how often the store has returned from an older copy of itself.
+//!
+//! What was written since the copy was made is gone, and operators and upstreams write it again. Until
+//! they have, what the copy lacks does not count as removed, and its registrations don't show which
+//! incarnations of servers are there now.
+
+use std::time::Duration;
+
+use gate::counters::Count;
+use ids::{DomainId, Revision, StoreEra, Timestamp};
+use indexmap::IndexMap;
+use slog::info;
+
+use crate::control::registry::RETURN_TIME;
+use crate::control::state::ControlState;
+
+/// Time for which a host must have been listed before it takes over as a granting host, so that the
+/// host that grants in the next era knows of all that may have granted in this one: longer than a
+/// short outage of the store.
+pub(super) const LISTED_BEFORE_TAKEOVER: Duration = Duration::from_secs(5);
+
+/// What this host knows of the store's era.
+#[derive(Debug, Default)]
+pub struct KnownEra {
+    /// The era; zero before the first read.
+    pub era: StoreEra,
+    /// When this host learned of it; none before the first read.
+    pub since: Option<Timestamp>,
+    /// Whether hosts may have granted keys in an earlier era.
+    pub(super) may_follow_another: bool,
+    /// The time as of which upstreams and hosts were known when the era began.
+    known_as_of: Timestamp,
+    /// Orders about failure domains in the copy that differ from those known before.
+    postponed_drains: IndexMap<DomainId, PostponedDrain>,
+}
+
+/// Whether the store's copy drains a failure domain, if that differs from what was known before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PostponedDrain {
+    is_drained: bool,
+    /// Revision of the copy.
+    revision: Revision,
+}
+
+impl KnownEra {
+    /// Returns whether operators and upstreams may not have written again what the store has lost.
+    fn may_lack_rows(&self, now: Timestamp) -> bool {
+        self.may_follow_another && self.since.is_some_and(|at| now < at + RETURN_TIME)
+    }
+}
+
+impl ControlState {
+    /// Records that rows that this host read, or that another host relayed, are of `era`.
+    pub fn observe_era(&mut self, now: Timestamp, era: StoreEra) {
+        let before = self.known_era.era;
+        let is_first = self.known_era.since.is_none();
+        if !is_first && era <= before {
+            return;
+        }
+        self.known_era = KnownEra {
+            era,
+            since: Some(now),
+            may_follow_another: !is_first || !self.cfg.store.is_new,
+            known_as_of: self.freshness.upstreams_as_of(),
+            postponed_drains: IndexMap::new(),
+        };
+        for state in self.partitions.values_mut() {
+            let may_follow_another = self.known_era.may_follow_another;
+            state.lease_manager.begin_era(now, era, may_follow_another);
+        }
+        if is_first {
+            return;
+        }
+        self.metrics.count(Count::StoreReturns);
+        info!(self.log, "store returned from a copy"; "era" => era.0, "before" => before.0);
+        // Registrations that the copy lacks are given the same time as after an outage.
+        self.store_available_since = self.store_available_since.map(|_| now);
+        self.registry.begin_era(now + RETURN_TIME);
+        self.quarantined.record_again();
+    }
+
+    /// Returns the time as of which the registrations show which incarnations of servers are there.
+    pub(super) fn registrations_as_of(&self) -> Timestamp {
+        let as_of = self.freshness.upstreams_as_of();
+        if self.known_era.may_lack_rows(as_of) {
+            return as_of.min(self.known_era.known_as_of);
+        }
+        as_of
+    }
+
+    /// Returns whether this host knows all hosts that may have granted keys in the era before: those
+    /// had been listed for some time before they could.
+    pub(super) fn knows_hosts_of_past_era(&self) -> bool {
+        let known_as_of = self.known_era.known_as_of;
+        let since = self.known_era.since.unwrap_or_default();
+        known_as_of > Timestamp::ZERO && since.since(known_as_of) < LISTED_BEFORE_TAKEOVER
+    }
+
+    /// Postpones an order of the copy about a failure domain until operators have written again what
+    /// the store has lost.
+    pub(super) fn postpone_drain(
+        &mut self,
+        domain: DomainId,
+        is_drained: bool,
+        revision: Revision,
+    ) {
+        let postponed = PostponedDrain {
+            is_drained,
+            revision,
+        };
+        self.known_era.postponed_drains.insert(domain, postponed);
+    }
+
+    /// Drops a postponed order because a later one arrived.
+    pub(super) fn supersede_drain(&mut self, domain: &DomainId) {
+        self.known_era.postponed_drains.shift_remove(domain);
+    }
+
+    /// Carries out postponed orders that are still in force; returns whether there were any.
+    pub(super) fn apply_postponed_drains(&mut self, now: Timestamp) -> bool {
+        if self.known_era.postponed_drains.is_empty() || self.known_era.may_lack_rows(now) {
+            return false;
+        }
+        for (domain, order) in std::mem::take(&mut self.known_era.postponed_drains) {
+            if order.is_drained {
+                self.drain(domain, Some(now));
+            } else {
+                self.restore_domain(now, &domain, order.revision);
+            }
+        }
+        true
+    }
+}
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -5,14 +5,14 @@
 
 use std::time::Duration;
 
-use assign::{PartitionId, PartitionRow};
-use ids::{BootClock, Clock, Revision, Timestamp};
-use platform::{Check, Delta, RowKey, Txn, Write};
+use assign::PartitionRow;
+use ids::{BootClock, Clock, Revision, StoreEra, Timestamp};
+use platform::{Check, Delta, Txn, Write};
 
 use crate::control::apply::{apply, apply_partition_row, is_host_row};
 use crate::control::state::{ControlState, SharedControl};
-use crate::control::tables::{PARTITION_PREFIX, Table};
-use crate::ports::{Platform, SHARED};
+use crate::control::tables::{PartitionKey, Table};
+use crate::ports::Platform;
 
 /// Longest wait for a change in one read.
 ///
@@ -83,21 +83,21 @@
 /// with the square of the number of granting hosts.
 pub async fn confirm(ctl: SharedControl, platform: impl Platform) {
     loop {
-        let granted_partitions = ctl.with(|c| c.granted_partitions());
+        let granted_partitions = ctl.with(|c| c.granted_rows());
         if granted_partitions.is_empty() {
             tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
             continue;
         }
-        for partition in granted_partitions {
-            confirm_partition(&ctl, &platform, &partition).await;
+        for key in granted_partitions {
+            confirm_partition(&ctl, &platform, &key).await;
         }
         tokio::time::sleep(CONFIRM_INTERVAL).await;
     }
 }
 
-async fn confirm_partition(ctl: &SharedControl, platform: &impl Platform, partition: &PartitionId) {
+async fn confirm_partition(ctl: &SharedControl, platform: &impl Platform, key: &PartitionKey) {
     let began = BootClock.now();
-    let row = match platform.read_row(&partition_row_key(partition)).await {
+    let row = match platform.read_row(&key.row_key()).await {
         Ok(row) => row,
         Err(e) => {
             ctl.with(|c| c.record_store_failure(began, &e));
@@ -108,10 +108,12 @@
     let now = BootClock.now();
     ctl.with(|c| {
         c.record_store_answer(now);
+        // A store that has lost the row does not show whether this host still grants.
         if let Some(row) = row {
-            apply_partition_row(c, partition, &row, now);
+            c.observe_era(now, row.revision.era());
+            apply_partition_row(c, key, &row, now);
+            c.record_row_read(&key.partition, began, row.revision.era());
         }
-        c.record_row_read(partition, began);
     });
 }
 
@@ -228,10 +230,12 @@
             c.reader = c.this_host.host.as_str().into();
         }
         if table == Table::Shared {
-            c.record_shared_read(began);
+            let era = c.replicas[table.index()].revision().era();
+            c.record_shared_read(began, era);
             if c.hosts_first_read.is_none() {
                 c.hosts_first_read = Some(now);
                 c.was_listed = c.position().is_some();
+                c.listed_since = c.was_listed.then_some(Timestamp::ZERO);
             }
         }
         changed
@@ -243,7 +247,7 @@
     }
     let is_starting = ctl.with(|c| table == Table::Shared && !c.freshness.has_known_all());
     // A store that has never been written to has no revision after which to wait for changes.
-    let is_empty = ctl.with(|c| c.replicas[table.index()].revision() == Revision::default());
+    let is_empty = ctl.with(|c| c.replicas[table.index()].revision().version() == 0);
     if !settled || is_empty {
         tokio::time::sleep(PAUSE).await;
     } else if only_hosts || is_starting {
@@ -258,28 +262,28 @@
     !rows.is_empty() && rows.iter().all(is_host_row)
 }
 
-/// Returns the key of the row of `partition`.
-#[must_use]
-pub fn partition_row_key(partition: &PartitionId) -> RowKey {
-    RowKey(format!("{SHARED}/{PARTITION_PREFIX}{partition}").into())
-}
-
-/// Builds the transaction that writes the row of `partition`.
+/// Builds the transaction that writes the row of a partition, and removes that of the earlier era
+/// `past`.
 #[must_use]
 pub fn partition_row_txn(
-    partition: &PartitionId,
+    key: &PartitionKey,
     row: &PartitionRow,
     expected: Option<Revision>,
+    past: Option<StoreEra>,
 ) -> Txn {
-    let key = partition_row_key(partition);
+    let write = Write {
+        key: key.row_key(),
+        value: Some(row.encode().into()),
+    };
+    let remove = past.map(|era| Write {
+        key: PartitionKey { era, ..key.clone() }.row_key(),
+        value: None,
+    });
     Txn {
         checks: vec![Check {
-            key: key.clone(),
+            key: key.row_key(),
             revision: expected,
         }],
-        writes: vec![Write {
-            key,
-            value: Some(row.encode().into()),
-        }],
+        writes: [write].into_iter().chain(remove).collect(),
     }
 }
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -8,17 +8,18 @@
     Action, CallKind, CommitOutcome, GrantCall, GrantCallOutcome, LeaseContext, Partition,
     PartitionId, PartitionRow, StoreClock,
 };
-use ids::{BootClock, Clock, Timestamp, UpstreamId};
-use platform::{Commit, PlatformError, RowKey};
+use ids::{BootClock, Clock, Revision, Timestamp, UpstreamId};
+use platform::{Commit, PlatformError};
 use rand::Rng;
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 
 use crate::control::eligible_owners::EligibleOwners;
-use crate::control::follow::{partition_row_key, partition_row_txn};
+use crate::control::follow::partition_row_txn;
 use crate::control::heartbeat;
 use crate::control::registry::GrantRoute;
 use crate::control::state::{ControlState, SharedControl};
+use crate::control::tables::PartitionKey;
 use crate::control::takeover::{self, TakeoverContext, take_over};
 use crate::ports::{GrantCallResponse, Platform};
 use crate::view::Phase;
@@ -52,6 +53,7 @@
     let Some(clock) = clock else {
         return;
     };
+    c.observe_era(now, clock.era);
     for state in c.partitions.values_mut() {
         state.lease_manager.record_clock(now, clock);
     }
@@ -72,12 +74,14 @@
         return Vec::new();
     }
     let mut due = Vec::new();
+    let may_take_over = c.may_take_over(now);
     let takeover_ctx = TakeoverContext {
         hosts: &c.hosts,
         this_host: &c.this_host.host,
         settled_at: takeover::settled_at(c.registry_changed_at, c.hosts_changed_at),
         reads_for,
         fraction,
+        may_take_over,
     };
     for (id, state) in &mut c.partitions {
         let entry = &id.entry;
@@ -126,18 +130,21 @@
         Action::Call(call) => {
             tokio::task::spawn_local(make_call(ctl, platform, partition, call));
         }
-        Action::Commit { row, expected } => {
-            ctl.with(|c| {
+        Action::Commit { row, expected, era } => {
+            let known = ctl.with(|c| {
                 info!(c.log, "change owners of keys"; "part" => %partition,
                     "granter" => row.granter.host.as_str(), "fence" => row.highest_token.0,
-                    "pieces" => row.ranges.len(), "most_pieces" => max_ranges_per_owner(&row));
+                    "pieces" => row.ranges.len(), "most_pieces" => max_ranges_per_owner(&row),
+                    "era" => era.0, "recovery" => ?row.recovery);
+                let known = c.partitions.get(&partition);
+                known.and_then(|d| d.lease_manager.revision())
             });
+            let past = known.map(Revision::era).filter(|known| *known < era);
             tokio::task::spawn_local(async move {
-                let key = partition_row_key(&partition);
-                let outcome = platform
-                    .commit(partition_row_txn(&partition, &row, expected))
-                    .await;
-                ctl.with(|c| commit_ended(c, &partition, &key, outcome));
+                let key = PartitionKey { partition, era };
+                let txn = partition_row_txn(&key, &row, expected, past);
+                let outcome = platform.commit(txn, era).await;
+                ctl.with(|c| commit_ended(c, &key, outcome));
                 ctl.wake_lease_managers.notify_one();
             });
         }
@@ -223,21 +230,17 @@
     }
 }
 
-fn commit_ended(
-    c: &mut ControlState,
-    partition: &PartitionId,
-    key: &RowKey,
-    result: Result<Commit, PlatformError>,
-) {
+fn commit_ended(c: &mut ControlState, key: &PartitionKey, result: Result<Commit, PlatformError>) {
     let now = BootClock.now();
+    let (partition, row_key) = (&key.partition, key.row_key());
     let outcome = match result {
         Ok(Commit::Done(revision)) => CommitOutcome::Committed(revision),
         Ok(Commit::Conflict(rows)) => {
-            let row = rows.iter().find(|r| r.key == *key);
+            let row = rows.iter().find(|r| r.key == row_key);
             let row = row.and_then(|r| Some((r.value.as_ref()?, r.revision)));
             let decoded = row.map(|(value, at)| PartitionRow::decode(value).map(|row| (row, at)));
             CommitOutcome::Conflict(decoded.transpose().unwrap_or_else(|e| {
-                warn!(c.log, "row refused"; "row" => %key, "error" => %e);
+                warn!(c.log, "row refused"; "row" => %row_key, "error" => %e);
                 None
             }))
         }
--- a/crates/front/src/control/messages.rs
+++ b/crates/front/src/control/messages.rs
@@ -44,6 +44,9 @@
     /// Limits that upstreams of the partition announced recently.
     #[prost(message, repeated, tag = "11")]
     pub limits: Vec<UpstreamLimit>,
+    /// Revision before which the sender grants by no row of the partition.
+    #[prost(uint64, optional, tag = "12")]
+    pub grants_from: Option<u64>,
 }
 
 /// The rate limit that an upstream announced to the sender.
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -6,6 +6,7 @@
 //! - [`replica`]: replicas of the store's tables.
 //! - [`apply`](mod@apply): applies what was read of the tables to the state.
 //! - [`freshness`]: until when this host's knowledge of the store is fresh.
+//! - [`era`]: how often the store has returned from an older copy of itself.
 //! - [`follow`]: reads the tables of the store as they change.
 //! - [`announce`]: writes this host's own row.
 //! - [`relay`]: passes rows of the store on from host to host; [`tree`]: from which host to which.
@@ -23,6 +24,7 @@
 pub mod apply;
 pub mod crashes;
 mod eligible_owners;
+pub mod era;
 pub mod follow;
 pub mod freshness;
 pub mod heartbeat;
--- a/crates/front/src/control/quarantine.rs
+++ b/crates/front/src/control/quarantine.rs
@@ -88,7 +88,8 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        match platform.commit(txn).await {
+        let era = ctl.with(|c| c.known_era.era);
+        match platform.commit(txn, era).await {
             Ok(Commit::Done(at)) => ctl.with(|c| c.quarantined.row = Some((at, row))),
             // The next read brings the row that is there.
             Ok(Commit::Conflict(_)) => tokio::time::sleep(PAUSE).await,
--- a/crates/front/src/control/quarantined.rs
+++ b/crates/front/src/control/quarantined.rs
@@ -22,6 +22,8 @@
     pub(super) unrecorded: IndexSet<RequestFingerprint>,
     /// The store's row, and the revision at which it was written.
     pub(super) row: Option<(Revision, QuarantineRow)>,
+    /// Requests that this host quarantined, whether the store has them or not.
+    own: IndexSet<RequestFingerprint>,
     /// Wakes the task that writes the row.
     pub(super) wake: Rc<Notify>,
 }
@@ -36,9 +38,24 @@
     /// Schedules a request that this host quarantined to be written to the store.
     pub fn record(&mut self, fingerprint: RequestFingerprint) {
         self.unrecorded.insert(fingerprint);
+        self.own.insert(fingerprint);
         self.wake.notify_one();
     }
 
+    /// Schedules all requests that this host quarantined to be written again, unless the store still
+    /// has them: it may have lost what was written last.
+    pub(super) fn record_again(&mut self) {
+        self.unrecorded.extend(self.own.iter().copied());
+        if !self.unrecorded.is_empty() {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Records that the store has no row.
+    pub(super) fn row_removed(&mut self) {
+        self.row = None;
+    }
+
     /// Drops requests that the store has or whose quarantine has ended; returns the rest, with the
     /// remaining times.
     pub(super) fn unrecorded_requests(
@@ -52,6 +69,7 @@
         };
         self.unrecorded
             .retain(|c| !is_recorded(*c) && in_force.remaining(now, *c).is_some());
+        self.own.retain(|c| in_force.remaining(now, *c).is_some());
         let left = |c: &RequestFingerprint| Some((*c, in_force.remaining(now, *c)?));
         self.unrecorded.iter().filter_map(left).collect()
     }
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -156,7 +156,7 @@
             return GrantRoute::Replaced;
         }
         let incarnation_check = if last_address.shares_name && self.freshness.is_fresh(now) {
-            IncarnationCheck::SeenAt(self.freshness.upstreams_as_of())
+            IncarnationCheck::SeenAt(self.registrations_as_of())
         } else {
             IncarnationCheck::ByName
         };
@@ -174,7 +174,7 @@
             return false;
         }
         for id in std::mem::take(&mut self.missing) {
-            if self.registry.remove(&id) {
+            if self.registry.remove_gone(&id, self.known_era.era) {
                 info!(self.log, "upstream gone"; "upstream" => id.as_str());
             }
         }
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use ids::{BootClock, Clock, Revision, Timestamp};
+use ids::{BootClock, Clock, Revision, StoreEra, Timestamp};
 use platform::{Changes, Delta, Row, RowKey};
 use prost::Message;
 use slog::{debug, info};
@@ -193,9 +193,9 @@
         return Ok(());
     };
     let mut changes = ctl.subscribe();
-    let mut generations = [0; Table::ALL.len()];
+    let mut sent = [SentTable::default(); Table::ALL.len()];
     let version = version?;
-    let mut rows = ctl.with(|c| first_message(c, &version, &mut generations));
+    let mut rows = ctl.with(|c| first_message(c, &version, &mut sent));
     let mut timeout = SEND_TIMEOUT;
     loop {
         let is_last = rows.fresh_ms == 0;
@@ -213,7 +213,25 @@
             _ = tokio::time::timeout(MAX_MESSAGE_INTERVAL, changes.changed()) => {}
             _ = link.incoming.next() => return Ok(()),
         }
-        rows = ctl.with(|c| next_message(c, &mut generations));
+        rows = ctl.with(|c| next_message(c, &mut sent));
+    }
+}
+
+/// Up to where a relay target has a table.
+#[derive(Debug, Clone, Copy, Default)]
+struct SentTable {
+    /// Generation of the replica.
+    generation: u64,
+    /// Era of the store.
+    era: StoreEra,
+}
+
+impl SentTable {
+    fn of(replica: &TableReplica) -> Self {
+        Self {
+            generation: replica.generation(),
+            era: replica.revision().era(),
+        }
     }
 }
 
@@ -221,23 +239,27 @@
 fn first_message(
     c: &ControlState,
     version: &ReplicaVersion,
-    generations: &mut [u64; Table::ALL.len()],
+    sent: &mut [SentTable; Table::ALL.len()],
 ) -> RelayedRows {
     let revision_of = |i: usize| version.revisions.get(i).copied().unwrap_or_default();
     build_message(c, |i, replica| {
-        generations[i] = replica.generation();
+        sent[i] = SentTable::of(replica);
         RelayedTable::first(replica, Revision(revision_of(i)))
     })
 }
 
-/// Builds the next message to a host that has everything up to `generations`.
-fn next_message(c: &ControlState, generations: &mut [u64; Table::ALL.len()]) -> RelayedRows {
+/// Builds the next message to a host that has everything up to `sent`.
+fn next_message(c: &ControlState, sent: &mut [SentTable; Table::ALL.len()]) -> RelayedRows {
     build_message(c, |i, replica| {
-        let since = std::mem::replace(&mut generations[i], replica.generation());
+        let SentTable { generation, era } = std::mem::replace(&mut sent[i], SentTable::of(replica));
+        if era != replica.revision().era() {
+            // The target may have rows that the store has lost and this host never had.
+            return RelayedTable::first(replica, Revision::default());
+        }
         RelayedTable {
             revision: replica.revision().0,
             rows: replica
-                .since_generation(since)
+                .since_generation(generation)
                 .map(RelayedRow::from)
                 .collect(),
             is_snapshot: false,
@@ -348,7 +370,9 @@
         timeout = RELAY_TIMEOUT;
         // Rows that this host read itself must not keep its own knowledge fresh.
         let is_own_read = ctl.with(|c| message.reader == c.this_host.host.as_str());
-        if ctl.with(|c| c.phase == Phase::Leaving) || message.fresh_ms == 0 || is_own_read {
+        let is_past = ctl.with(|c| is_of_past_era(c, &message));
+        let is_leaving = ctl.with(|c| c.phase == Phase::Leaving);
+        if is_leaving || message.fresh_ms == 0 || is_own_read || is_past {
             return Ok(());
         }
         if is_first {
@@ -369,6 +393,13 @@
     }
 }
 
+/// Returns whether a message has rows of an earlier era than this host has: its sender has not learned
+/// yet that the store returned from a copy.
+fn is_of_past_era(c: &ControlState, message: &RelayedRows) -> bool {
+    let mut tables = c.replicas.iter().zip(&message.tables);
+    tables.any(|(known, relayed)| Revision(relayed.revision).era() < known.revision().era())
+}
+
 /// Applies a message that was built at `as_of` or later; returns whether anything changed.
 fn apply_message(
     c: &mut ControlState,
--- a/crates/front/src/control/replica.rs
+++ b/crates/front/src/control/replica.rs
@@ -1,4 +1,7 @@
 //! Replicas of the store's tables, from which this host relays.
+//!
+//! Revisions rise also when the store returns from an older copy, as they begin with its era. The
+//! first read of an era is a snapshot, in which all rows are new, and replaces all that the copy lacks.
 
 use std::collections::HashSet;
 
@@ -47,10 +50,16 @@
     /// replica.
     pub fn apply(&mut self, delta: Delta, mut is_relevant: impl FnMut(&Row) -> bool) -> Vec<Row> {
         let mut applied = Vec::new();
+        let (Delta::Changes(read) | Delta::Snapshot(read)) = &delta;
+        let is_new_era = self.revision.era() < read.revision.era();
         let changes = match delta {
+            // Changes after a revision of an earlier era may leave out rows.
+            Delta::Changes(_) if is_new_era && self.revision != Revision::default() => {
+                return applied;
+            }
             Delta::Changes(changes) => changes,
             Delta::Snapshot(all) => {
-                if self.revision == Revision::default() {
+                if is_new_era || self.revision == Revision::default() {
                     self.removals_complete_since = all.revision;
                 }
                 applied.extend(self.remove_missing(&all.rows, all.revision));
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -14,7 +14,7 @@
 };
 use direct::{Configuration, CrashTracker, PermitHosts, RateLimit, RouteTable, UpstreamRegistry};
 use gate::Metrics;
-use ids::{DomainId, EntryId, HostId, Revision, Timestamp, UpstreamId};
+use ids::{DomainId, EntryId, HostId, Incarnation, Revision, StoreEra, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
 use platform::PlatformError;
 use serde::{Deserialize, Serialize};
@@ -22,10 +22,11 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
+use crate::control::era::{KnownEra, LISTED_BEFORE_TAKEOVER};
 use crate::control::freshness::Freshness;
 use crate::control::quarantined::QuarantineState;
 use crate::control::replica::TableReplica;
-use crate::control::tables::Table;
+use crate::control::tables::{PartitionKey, Table};
 use crate::control::tree::{Position, RelayHost, RelayTree};
 use crate::settings::Settings;
 use crate::view::{CompiledConfiguration, Phase, SharedView, View};
@@ -47,6 +48,9 @@
     /// Processor capacity, in cores.
     #[serde(default)]
     pub capacity: f64,
+    /// The store's era as known to the host when it wrote the row.
+    #[serde(default)]
+    pub era: StoreEra,
 }
 
 /// A host whose row was read.
@@ -56,6 +60,19 @@
     pub row: HostRow,
     /// Revision at which the row was written.
     pub revision: Revision,
+    /// Whether the store has the row. It may have lost it, and the host writes it again then.
+    pub is_listed: bool,
+}
+
+impl KnownHost {
+    /// Returns the incarnation that the host announced after the revision `after`, if the row was
+    /// written in that era: revisions of other eras say nothing about the order of writes.
+    #[must_use]
+    pub fn announced_after(&self, after: Revision) -> Option<Incarnation> {
+        let era = after.era();
+        let is_of_era = self.row.era == era && self.revision.era() == era;
+        (is_of_era && self.revision > after).then_some(self.row.incarnation.incarnation)
+    }
 }
 
 /// State of one partition of a sharded entry.
@@ -158,6 +175,10 @@
     pub hosts_changed_at: Timestamp,
     /// When this host last wrote its own row.
     pub row_written_at: Timestamp,
+    /// When this host's row was first in the store; zero if it was before this incarnation started.
+    pub listed_since: Option<Timestamp>,
+    /// What is known of the store's era.
+    pub known_era: KnownEra,
     /// Start of the newest successful read of the shared table.
     pub shared_read_at: Timestamp,
     /// The partitions of sharded entries.
@@ -307,7 +328,7 @@
             return;
         }
         let cfg = AssignSettings::default();
-        let state = PartitionState {
+        let mut state = PartitionState {
             partition,
             known_since: now,
             owners: None,
@@ -322,6 +343,12 @@
             service_times: HashMap::new(),
             failing_calls: HashMap::new(),
         };
+        if let Some(since) = self.known_era.since {
+            let era = &self.known_era;
+            state
+                .lease_manager
+                .begin_era(since, era.era, era.may_follow_another);
+        }
         self.partitions.insert(id, state);
     }
 
@@ -355,20 +382,24 @@
             .any(|d| d.lease_manager.is_granter())
     }
 
-    /// Returns the partitions whose granting host is this host.
+    /// Returns the keys of the rows that name this host as the granting host.
     #[must_use]
-    pub fn granted_partitions(&self) -> Vec<PartitionId> {
-        let granted_partitions = self
+    pub fn granted_rows(&self) -> Vec<PartitionKey> {
+        let granted = self
             .partitions
             .iter()
             .filter(|(_, d)| d.lease_manager.is_granter());
-        granted_partitions.map(|(id, _)| id.clone()).collect()
+        let key = |(id, d): (&PartitionId, &PartitionState)| PartitionKey {
+            partition: id.clone(),
+            era: d.lease_manager.revision().unwrap_or_default().era(),
+        };
+        granted.map(key).collect()
     }
 
-    /// Records a read of the row of `partition` that began at `began`.
-    pub fn record_row_read(&mut self, partition: &PartitionId, began: Timestamp) {
+    /// Records a read of the row of `partition` that began at `began`, when the store was in `era`.
+    pub fn record_row_read(&mut self, partition: &PartitionId, began: Timestamp, era: StoreEra) {
         if let Some(state) = self.partitions.get_mut(partition) {
-            state.lease_manager.record_read(began);
+            state.lease_manager.record_read(began, era);
         }
     }
 
@@ -382,18 +413,43 @@
     /// Records that a host's row was written at revision `at`.
     pub fn record_host(&mut self, now: Timestamp, row: HostRow, revision: Revision) {
         self.hosts_changed_at = now;
-        self.hosts
-            .insert(row.incarnation.host.clone(), KnownHost { row, revision });
+        let id = row.incarnation.host.clone();
+        let host = KnownHost {
+            row,
+            revision,
+            is_listed: true,
+        };
+        self.hosts.insert(id, host);
     }
 
-    /// Records a read of the shared table that began at `began` and brought everything up to then.
-    pub fn record_shared_read(&mut self, began: Timestamp) {
+    /// Records that the store does not have the row of `host`.
+    ///
+    /// Hosts don't remove their rows: the store has lost it. The host is still there, and is asked for
+    /// permits and answers heartbeats.
+    pub fn record_unlisted_host(&mut self, host: &str) {
+        let known = self.hosts.iter_mut().find(|(id, _)| id.as_str() == host);
+        if let Some((_, known)) = known {
+            known.is_listed = false;
+        }
+    }
+
+    /// Records a read of the shared table that began at `began` and brought everything up to then;
+    /// the store was in `era`.
+    pub fn record_shared_read(&mut self, began: Timestamp, era: StoreEra) {
         self.shared_read_at = self.shared_read_at.max(began);
         for state in self.partitions.values_mut() {
-            state.lease_manager.record_read(began);
+            state.lease_manager.record_read(began, era);
         }
     }
 
+    /// Returns whether this host has been listed for so long that it may take over as a granting
+    /// host.
+    #[must_use]
+    pub fn may_take_over(&self, now: Timestamp) -> bool {
+        self.listed_since
+            .is_some_and(|at| at == Timestamp::ZERO || now.since(at) >= LISTED_BEFORE_TAKEOVER)
+    }
+
     /// Returns whether the store has answered for at least `span`.
     #[must_use]
     pub fn store_available_for(&self, now: Timestamp, span: Duration) -> bool {
--- a/crates/front/src/control/takeover.rs
+++ b/crates/front/src/control/takeover.rs
@@ -38,6 +38,8 @@
     pub(super) reads_for: Duration,
     /// This host's random share of the longest random takeover delay.
     pub(super) fraction: f64,
+    /// Whether this host has been listed for long enough.
+    pub(super) may_take_over: bool,
 }
 
 impl TakeoverContext<'_> {
@@ -87,11 +89,8 @@
     };
     // Returns the incarnation that a host announced after a revision.
     let announced = |incarnation: &HostIncarnation, after: Revision| {
-        let host = ctx
-            .hosts
-            .get(&incarnation.host)
-            .filter(|h| h.revision > after);
-        host.map(|h| h.row.incarnation.incarnation)
+        let host = ctx.hosts.get(&incarnation.host)?;
+        host.announced_after(after)
     };
     if lease_manager.is_granter() {
         let has_ended = |e: &&PreviousGranter| {
@@ -105,6 +104,9 @@
         }
         return;
     }
+    if !ctx.may_take_over {
+        return;
+    }
     let newest_announced = lease_manager
         .revision()
         .and_then(|named| announced(&granter, named));
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -20,6 +20,7 @@
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::control::era::KnownEra;
 use crate::control::freshness::Freshness;
 use crate::control::quarantined::QuarantineState;
 use crate::control::samples::{self, SampleRx, SampleTx};
@@ -103,6 +104,8 @@
         hosts: IndexMap::new(),
         hosts_changed_at: Timestamp::ZERO,
         row_written_at: Timestamp::ZERO,
+        listed_since: None,
+        known_era: KnownEra::default(),
         shared_read_at: Timestamp::ZERO,
         partitions: IndexMap::new(),
         replicas: Default::default(),
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -93,6 +93,9 @@
 pub struct StoreSettings {
     /// Address on which the store listens.
     pub address: SocketAddr,
+    /// Whether all hosts start for the first time, so that none can have granted keys before.
+    #[serde(default)]
+    pub is_new: bool,
 }
 
 /// Retry budget, shared by all hosts.
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -107,6 +107,7 @@
     UpstreamStale = "upstream.stale", "connections", "Kept connections to upstreams found closed before use.";
     Sent = "upstream.sent", "requests", "Requests written to upstreams.";
     Aborted = "upstream.aborted", "requests", "Requests to upstreams given up before their answer.";
+    StoreReturns = "store.returns", "returns", "Returns of the store from an older copy of itself that the host noticed.";
     DomainsDrained = "domains.drained", "orders", "Orders to drain a failure domain that the host took.";
     UpstreamsEnded = "upstream.ended-under", "requests", "Requests during which their upstream's process ended.";
     UpstreamsLimited = "upstream.limited", "upstreams", "Words of upstreams that they take only so many requests a second, or as many as ever again.";
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -21,6 +21,6 @@
 pub use name::{
     ChangeId, DomainId, EntryId, HostId, InvalidName, OperatorId, RegionId, RequestId, UpstreamId,
 };
-pub use number::{Epoch, Incarnation, Revision, Version};
+pub use number::{Epoch, Incarnation, Revision, StoreEra, Version};
 pub use outcome::{Outcome, Reason};
 pub use slice::{KeyHash, SliceNo};
--- a/crates/platform/src/client/exchange.rs
+++ b/crates/platform/src/client/exchange.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
-use http::{HeaderValue, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::timeout;
@@ -65,6 +65,8 @@
 pub struct Answer {
     /// Status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
@@ -141,6 +143,16 @@
         }
     }
 
+    /// Creates the error for a call that may have had an effect.
+    #[must_use]
+    pub fn unconfirmed(&self, step: &'static str, cause: impl Into<SmolStr>) -> PlatformError {
+        PlatformError::Unconfirmed {
+            step,
+            peer: self.peer.clone(),
+            cause: cause.into(),
+        }
+    }
+
     /// Creates the error for a call that the platform does not allow.
     #[must_use]
     pub fn forbidden(&self, step: &'static str, cause: impl Into<SmolStr>) -> PlatformError {
@@ -212,13 +224,14 @@
                 None => AttemptError::Sent(cause),
             }
         })?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), self.settings.answer_bytes);
+        let (parts, body) = answer.into_parts();
+        let body = Limited::new(body, self.settings.answer_bytes);
         let body = body.collect().await;
         let body = body.map_err(|e| AttemptError::Sent(format_smolstr!("{e}")))?;
         self.pool.keep(connection, self.settings.read_idle);
         Ok(Answer {
-            status,
+            status: parts.status,
+            headers: parts.headers,
             body: body.to_bytes(),
         })
     }
--- a/crates/standin/src/fleet/deploy.rs
+++ b/crates/standin/src/fleet/deploy.rs
@@ -20,6 +20,8 @@
     pub internal: [u16; 2],
     /// Address of the store.
     pub store: SocketAddr,
+    /// Whether all hosts start for the first time.
+    pub is_first_start: bool,
 }
 
 /// Renders a template of settings for `host`.
@@ -50,7 +52,7 @@
         ("bounds.cold_slack", "8".to_owned()),
         ("/bounds.cold_over", String::new()),
     ];
-    let mut text = template.to_owned();
+    let mut text = render_first_start(template, host.is_first_start);
     for (name, value) in values {
         text = text.replace(&format!("{{{{{name}}}}}"), &value);
     }
@@ -63,6 +65,18 @@
     }
 }
 
+/// Renders the section of a template that is for the first start only.
+fn render_first_start(template: &str, is_first_start: bool) -> String {
+    let section = template
+        .split_once("{{#bootstrap}}")
+        .and_then(|(before, rest)| Some((before, rest.split_once("{{/bootstrap}}")?)));
+    match section {
+        None => template.to_owned(),
+        Some((before, (inside, after))) if is_first_start => format!("{before}{inside}{after}"),
+        Some((before, (_, after))) => format!("{before}{after}"),
+    }
+}
+
 /// An example of a caller's request.
 #[derive(Debug, Clone, Copy)]
 pub struct SampleRequest {
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -232,18 +232,16 @@
         self.shared.era.load(Ordering::SeqCst)
     }
 
-    /// Performs the transactions that were set aside, if their conditions still hold; returns how many
-    /// took effect.
-    pub fn commit_delayed(&self) -> usize {
+    /// Performs the transactions that were set aside, if their conditions still hold.
+    pub fn commit_delayed(&self) {
         let delayed = std::mem::take(&mut *lock(&self.shared.delayed));
-        self.shared.commit_all(&delayed)
+        self.shared.commit_all(&delayed);
     }
 
-    /// Performs the latest transactions of hosts once more, if their conditions hold again; returns
-    /// how many took effect.
-    pub fn commit_again(&self) -> usize {
+    /// Performs the latest transactions of hosts once more, if their conditions hold again.
+    pub fn commit_again(&self) {
         let committed: Vec<Txn> = lock(&self.shared.committed).iter().cloned().collect();
-        self.shared.commit_all(&committed)
+        self.shared.commit_all(&committed);
     }
 
     /// Writes a row in the role of operator or server.
@@ -439,10 +437,11 @@
         }
     }
 
-    /// Performs transactions in order; returns how many took effect.
-    fn commit_all(&self, txns: &[Txn]) -> usize {
-        let commits = txns.iter().map(|txn| self.commit(txn));
-        commits.filter(|c| matches!(c, Commit::Done(_))).count()
+    /// Performs transactions in order; those whose conditions don't hold have no effect.
+    fn commit_all(&self, txns: &[Txn]) {
+        for txn in txns {
+            self.commit(txn);
+        }
     }
 
     fn body(&self, rows: impl Iterator<Item = Row>, revision: Revision) -> Value {
