--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod limited;
 mod parts;
+mod returns;
 mod rig;
 mod tired;
 
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -33,6 +33,7 @@
     child: Child,
     callers: SocketAddr,
     ready: SocketAddr,
+    peers: SocketAddr,
     metrics: SocketAddr,
 }
 
@@ -45,6 +46,12 @@
 }
 
 impl Host {
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("a child process");
+        self.child.wait().expect("a child process");
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         let ended = self.child.try_wait();
@@ -234,6 +241,14 @@
         self.spawn(self.hosts.len(), &ip, ports)
     }
 
+    /// Starts host number `i` again, which has ended, at its addresses.
+    pub fn host_restarted(&self, i: usize) -> Host {
+        let host = &self.hosts[i];
+        let ip = host.callers.ip().to_string();
+        let addresses = [host.callers, host.ready, host.peers, host.metrics];
+        self.spawn(i, &ip, addresses.map(|address| address.port()))
+    }
+
     fn spawn(&self, i: usize, ip: &str, ports: [u16; 4]) -> Host {
         let [callers, ready, peers, metrics] = ports;
         let path = self.dir.path().join(format!("host-{i}.json"));
@@ -271,6 +286,7 @@
             child,
             callers: address(callers),
             ready: address(ready),
+            peers: address(peers),
             metrics: address(metrics),
         }
     }
--- a/crates/front/src/control/era.rs
+++ b/crates/front/src/control/era.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use assign::PartitionId;
 use gate::counters::Count;
 use ids::{DomainId, Revision, StoreEra, Timestamp};
 use indexmap::IndexMap;
@@ -28,6 +29,8 @@
     pub since: Option<Timestamp>,
     /// Whether hosts may have granted keys in an earlier era.
     pub(super) may_follow_another: bool,
+    /// Whether this host has known an earlier era.
+    has_followed: bool,
     /// The time as of which upstreams and hosts were known when the era began.
     known_as_of: Timestamp,
     /// Orders about failure domains in the copy that differ from those known before.
@@ -45,7 +48,13 @@
 impl KnownEra {
     /// Returns whether operators and upstreams may not have written again what the store has lost.
     fn may_lack_rows(&self, now: Timestamp) -> bool {
-        self.may_follow_another && self.since.is_some_and(|at| now < at + RETURN_TIME)
+        self.has_followed && self.is_recent(now)
+    }
+
+    /// Returns whether this host has known the era for less time than upstreams take to register
+    /// again.
+    fn is_recent(&self, now: Timestamp) -> bool {
+        self.since.is_some_and(|at| now < at + RETURN_TIME)
     }
 }
 
@@ -61,6 +70,7 @@
             era,
             since: Some(now),
             may_follow_another: !is_first || !self.cfg.store.is_new,
+            has_followed: !is_first,
             known_as_of: self.freshness.upstreams_as_of(),
             postponed_drains: IndexMap::new(),
         };
@@ -80,9 +90,15 @@
     }
 
     /// Returns the time as of which the registrations show which incarnations of servers are there.
-    pub(super) fn registrations_as_of(&self) -> Timestamp {
+    ///
+    /// A host that starts during the recovery of `partition` can't know when the store returned.
+    pub(super) fn registrations_as_of(&self, partition: &PartitionId) -> Timestamp {
         let as_of = self.freshness.upstreams_as_of();
-        if self.known_era.may_lack_rows(as_of) {
+        let state = self.partitions.get(partition);
+        let is_recovering = state.is_some_and(|d| !d.lease_manager.is_recovered());
+        let may_lack_rows = self.known_era.may_lack_rows(as_of)
+            || (is_recovering && self.known_era.is_recent(as_of));
+        if may_lack_rows {
             return as_of.min(self.known_era.known_as_of);
         }
         as_of
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use assign::PartitionId;
 use direct::{AnnouncedLimit, Registration, UpstreamStatus};
 use gate::counters::Count;
 use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
@@ -145,9 +146,14 @@
         }
     }
 
-    /// Returns the route of a grant call to `upstream`.
+    /// Returns the route of a grant call to `upstream` about keys of `partition`.
     #[must_use]
-    pub fn route_to(&self, upstream: &UpstreamId, now: Timestamp) -> GrantRoute {
+    pub fn route_to(
+        &self,
+        partition: &PartitionId,
+        upstream: &UpstreamId,
+        now: Timestamp,
+    ) -> GrantRoute {
         let Some(last_address) = self.last_addresses.get(upstream) else {
             return GrantRoute::Unknown;
         };
@@ -156,7 +162,7 @@
             return GrantRoute::Replaced;
         }
         let incarnation_check = if last_address.shares_name && self.freshness.is_fresh(now) {
-            IncarnationCheck::SeenAt(self.registrations_as_of())
+            IncarnationCheck::SeenAt(self.registrations_as_of(partition))
         } else {
             IncarnationCheck::ByName
         };
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -288,6 +288,12 @@
         lock(&self.shared.cold).max_in_window()
     }
 
+    /// Returns the fencing token under which the server holds `key` at present, if it does.
+    #[must_use]
+    pub fn fencing_token(&self, key: u16) -> Option<u64> {
+        lock(&self.shared.held_keys).fencing_token(Instant::now(), key)
+    }
+
     /// Returns whether the server failed because it received too many requests during the warm-up.
     #[must_use]
     pub fn has_failed(&self) -> bool {
