--- a/crates/cli/tests/direct/copies.rs
+++ b/crates/cli/tests/direct/copies.rs
@@ -19,6 +19,8 @@
 /// Time for which a restarting server is down, and from its start to its registration.
 const DOWN_TIME: Duration = Duration::from_millis(100);
 const RESTART_DELAY: Duration = Duration::from_millis(20);
+/// Time for which the store stays away after a server has restarted: several renewals.
+const OUTAGE_AFTER_RESTART: Duration = Duration::from_millis(2_500);
 /// Heartbeats of each server that are lost in these tests, so that revisions go back far.
 const LOST_HEARTBEATS: usize = 20;
 /// Number of keys, spread over the whole range, that are asked for.
@@ -211,6 +213,43 @@
     );
 }
 
+/// Guards against two owners under one fencing token: a server restarts under its name while the store
+/// is away, and is granted what its earlier incarnation held.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_restarts_while_the_store_is_away_gets_no_keys_of_before() {
+    let mut rig = Rig::start(2).await;
+    let keys = || (0..SAMPLED_KEYS).map(|i| i * (u16::MAX / SAMPLED_KEYS));
+    let before = keys()
+        .filter_map(|key| rig.reads[0].fencing_token(key))
+        .max();
+    rig.store.set_mode(StoreMode::Unavailable);
+    tokio::time::sleep(OUTAGE).await;
+    let server = rig.reads.remove(0);
+    let restarted = server.restart(DOWN_TIME, RESTART_DELAY).await;
+    rig.reads.insert(0, restarted.expect("its address is free"));
+    let start = Instant::now();
+    while start.elapsed() < OUTAGE_AFTER_RESTART {
+        let held = keys().find_map(|key| rig.reads[0].fencing_token(key));
+        assert_eq!(
+            held,
+            None,
+            "it holds keys {:?} after its start",
+            start.elapsed()
+        );
+        tokio::time::sleep(REWRITE_DELAY / 10).await;
+    }
+    rig.store.set_mode(StoreMode::Up);
+    wait_until_keys_are_served_without(&rig, "after", &[]).await;
+    let after = keys()
+        .filter_map(|key| rig.reads[0].fencing_token(key))
+        .max();
+    assert!(
+        before.is_some() && after > before,
+        "{after:?} after {before:?}"
+    );
+    check_owners(&rig.journal.all());
+}
+
 /// Sends some posts to each host and checks that all are answered.
 async fn send_posts(rig: &Rig, name: &str) {
     for round in 0..8 {
