front: grants only over connections that surely lead to the intended incarnation, also in outages

A server that restarts while the store is away was granted what its earlier incarnation held.

Cause: a host whose knowledge of the store is not fresh sent grants over any connection, as it can't know which incarnation listens. The connections that it has do lead to the intended one: only a new one may not.

Change: the check against the time of the registrations holds always.

--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -166,7 +166,7 @@
     partition: PartitionId,
     call: GrantCall,
 ) {
-    let route = ctl.with(|c| c.route_to(&partition, &call.upstream, BootClock.now()));
+    let route = ctl.with(|c| c.route_to(&partition, &call.upstream));
     let id = call.id;
     let sent_call = call.clone();
     let GrantCallResponse {
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -148,12 +148,7 @@
 
     /// Returns the route of a grant call to `upstream` about keys of `partition`.
     #[must_use]
-    pub fn route_to(
-        &self,
-        partition: &PartitionId,
-        upstream: &UpstreamId,
-        now: Timestamp,
-    ) -> GrantRoute {
+    pub fn route_to(&self, partition: &PartitionId, upstream: &UpstreamId) -> GrantRoute {
         let Some(last_address) = self.last_addresses.get(upstream) else {
             return GrantRoute::Unknown;
         };
@@ -161,7 +156,7 @@
         if registered.is_some_and(|registered| registered.id != *upstream) {
             return GrantRoute::Replaced;
         }
-        let incarnation_check = if last_address.shares_name && self.freshness.is_fresh(now) {
+        let incarnation_check = if last_address.shares_name {
             IncarnationCheck::SeenAt(self.registrations_as_of(partition))
         } else {
             IncarnationCheck::ByName
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -112,8 +112,7 @@
 /// How an incarnation of a server is distinguished from another at the same address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum IncarnationCheck {
-    /// Each incarnation has a name of its own and refuses calls for others, or nothing can be known
-    /// because the store is unreachable.
+    /// Each incarnation has a name of its own and refuses calls for others.
     ByName,
     /// All incarnations have the same name; the registrations as of this time showed the intended
     /// one. Only a connection opened well before that time is certain to lead to it.
