--- a/crates/assign/tests/unserved.rs
+++ b/crates/assign/tests/unserved.rs
@@ -185,6 +185,30 @@
     check_reported(&reported, 5_100, granted_at);
 }
 
+/// Guards against callers that are told to retry in a moment, for seconds: an upstream is lost between
+/// two renewals, so that the granting host knows only that a release to it could not be sent.
+#[test]
+fn keys_of_a_lost_upstream_wait_for_its_grants_from_the_first_release_on() {
+    for lost_at in (5_000..5_800).step_by(100) {
+        let mut granter = Granter::new();
+        for ms in (5_000..lost_at).step_by(100) {
+            granter.step(ms, &[0, 1, 2], done);
+        }
+        let unreachable = |call: &GrantCall| match call.upstream == id(0) {
+            true => GrantCallOutcome::NoAnswer { maybe_sent: false },
+            false => GrantCallOutcome::Done { handover: None },
+        };
+        granter.step(lost_at, &[1, 2], unreachable);
+        granter.step(lost_at + 100, &[1, 2], unreachable);
+        let (ranges, longest) = granter.unserved(lost_at + 100);
+        assert!(ranges > 0, "the keys of u0 move");
+        assert!(
+            longest > Some(Duration::from_secs(2)),
+            "{lost_at}: {longest:?}"
+        );
+    }
+}
+
 /// First keys, fencing tokens and milliseconds left of unserved ranges.
 type Report = &'static [(u16, u64, u64)];
 
