--- a/crates/assign/src/grant_state.rs
+++ b/crates/assign/src/grant_state.rs
@@ -46,8 +46,6 @@
     pub(crate) release_sent_at: Timestamp,
     /// Unanswered releases of these keys.
     pub(crate) unanswered: u32,
-    /// The last release could not be sent.
-    pub(crate) is_unreachable: bool,
     /// It answered a release: its requests on these keys have ended.
     pub(crate) released: bool,
     /// It can hold none of these keys any more.
@@ -157,7 +155,6 @@
         releasing: false,
         release_sent_at: now,
         unanswered: 0,
-        is_unreachable: false,
         released: false,
         free: false,
     }
--- a/crates/assign/src/lease_manager/calls.rs
+++ b/crates/assign/src/lease_manager/calls.rs
@@ -4,6 +4,7 @@
 
 use ids::{Timestamp, UpstreamId};
 
+use super::waits::MAX_UNANSWERED;
 use super::{Health, InFlight, PartitionLeaseManager};
 use crate::grant_call::{Action, CallKind, GrantCall, GrantCallOutcome};
 use crate::grant_state::{GrantState, LastGrant, PreviousOwner};
@@ -126,8 +127,8 @@
                     }
                 }
                 GrantCallOutcome::NoAnswer { maybe_sent } => {
-                    previous.unanswered += 1;
-                    previous.is_unreachable = !maybe_sent;
+                    // One that can't be reached will not answer the next release either.
+                    previous.unanswered += if *maybe_sent { 1 } else { MAX_UNANSWERED };
                     previous.next_release_at = now + RELEASE_EVERY;
                 }
                 GrantCallOutcome::Gone | GrantCallOutcome::Fenced | GrantCallOutcome::NotSent => {
--- a/crates/assign/src/lease_manager/waits.rs
+++ b/crates/assign/src/lease_manager/waits.rs
@@ -16,7 +16,7 @@
 /// request of current upstreams.
 const MAX_RELEASE_TIME: Duration = Duration::from_secs(1);
 /// Unanswered releases after which no answer is expected.
-const MAX_UNANSWERED: u32 = 2;
+pub(super) const MAX_UNANSWERED: u32 = 2;
 /// Time within which previous granting hosts that are up have reported that they stopped: two
 /// heartbeats. Until then the waits reported to callers assume that they have.
 const PREVIOUS_GRANTERS_REPORT_TIME: Duration = Duration::from_secs(1);
@@ -95,8 +95,7 @@
         let until_expiry = expires_at.since(now) + USUAL_GRANT_TIME;
         let is_overdue =
             previous.releasing && now.since(previous.release_sent_at) > MAX_RELEASE_TIME;
-        let is_unresponsive =
-            previous.unanswered >= MAX_UNANSWERED || previous.is_unreachable || is_overdue;
+        let is_unresponsive = previous.unanswered >= MAX_UNANSWERED || is_overdue;
         if is_unresponsive || self.health.contains_key(&previous.upstream) {
             until_expiry
         } else {
