--- a/crates/assign/tests/ownership/simulation/mod.rs
+++ b/crates/assign/tests/ownership/simulation/mod.rs
@@ -13,11 +13,11 @@
 use std::time::Duration;
 
 use assign::{
-    Action, AssignSettings, CommitOutcome, GrantCall, GrantCallOutcome, HostIncarnation, KeyLoads,
-    LeaseContext, Partition, PartitionLeaseManager, PlannedUpstream, Planner, PreviousGranter,
-    StoreClock,
+    Action, AssignSettings, CallKind, CommitOutcome, FencingToken, GrantCall, GrantCallOutcome,
+    HostIncarnation, KeyLoads, LeaseContext, Partition, PartitionLeaseManager, PlannedUpstream,
+    Planner, PreviousGranter, StoreClock,
 };
-use ids::{HostId, Incarnation, Revision, StoreEra, Timestamp};
+use ids::{HostId, Incarnation, Revision, StoreEra, Timestamp, UpstreamId};
 use rand::Rng as _;
 use rand::rngs::StdRng;
 
@@ -122,6 +122,9 @@
     cfg: AssignSettings,
     heartbeats: Heartbeats,
     tally: Tally,
+    /// The highest fencing token under which each checked key was granted, and to which upstream.
+    granted: Vec<(FencingToken, UpstreamId)>,
+    violation: Option<String>,
     /// Calls whose connections were reset before the network delivered them.
     reset_calls: HashSet<(usize, Incarnation, u64)>,
 }
@@ -162,6 +165,8 @@
             cfg,
             heartbeats,
             tally: Tally::default(),
+            granted: Vec::new(),
+            violation: None,
             reset_calls: HashSet::new(),
         }
     }
@@ -575,12 +580,7 @@
                 if self.reset_calls.contains(&(host, incarnation, call.id)) {
                     return;
                 }
-                let up = &mut self.upstreams[upstream];
-                let outcome = if up.id == call.upstream {
-                    up.execute(&call, arrived, now)
-                } else {
-                    GrantCallOutcome::Gone
-                };
+                let outcome = self.execute_call(upstream, &call, arrived);
                 if answers {
                     let id = call.id;
                     let outcome = Delivery::CallOutcome {
@@ -665,6 +665,48 @@
         }
     }
 
+    /// Executes a call at an upstream.
+    fn execute_call(
+        &mut self,
+        upstream: usize,
+        call: &GrantCall,
+        arrived: Timestamp,
+    ) -> GrantCallOutcome {
+        let now = Self::at(self.now);
+        let up = &mut self.upstreams[upstream];
+        if up.id != call.upstream {
+            return GrantCallOutcome::Gone;
+        }
+        let outcome = up.execute(call, arrived, now);
+        let is_grant = matches!(call.kind, CallKind::Grant { .. });
+        if is_grant && matches!(outcome, GrantCallOutcome::Done { .. }) {
+            self.record_grant(call, &call.upstream, arrived);
+        }
+        outcome
+    }
+
+    /// Records a grant, which must have a higher token than those of all other upstreams on its keys
+    /// unless it expired on its way.
+    fn record_grant(&mut self, call: &GrantCall, upstream: &UpstreamId, arrived: Timestamp) {
+        let none = || (FencingToken::default(), upstream.clone());
+        self.granted.resize_with(PROBES, none);
+        let has_expired = Self::at(self.now).since(arrived) >= self.cfg.grant_ttl;
+        for probe in (0..PROBES).filter(|&i| call.range.contains(key(i))) {
+            let (highest, owner) = &mut self.granted[probe];
+            let is_low = call.token <= *highest && owner != upstream;
+            if is_low && !has_expired {
+                self.violation = Some(format!(
+                    "key {}: {upstream} is granted it under {}, after {owner} under {highest}",
+                    key(probe),
+                    call.token
+                ));
+            }
+            if call.token > *highest {
+                (*highest, *owner) = (call.token, upstream.clone());
+            }
+        }
+    }
+
     fn confirm(&mut self, host: usize, by: &HostId, revision: Revision) {
         let ids: Vec<HostId> = self.hosts.iter().map(|h| h.id.host.clone()).collect();
         let manager = &mut self.hosts[host].manager;
@@ -676,6 +718,9 @@
     }
 
     fn check(&mut self) -> Result<(), String> {
+        if let Some(violation) = &self.violation {
+            return Err(format!("{:?}: {violation}", self.now));
+        }
         let now = Self::at(self.now);
         for probe in 0..PROBES {
             let holds = |u: &&Upstream| u.is_up && now < u.held_until[probe];
--- a/crates/assign/tests/unserved.rs
+++ b/crates/assign/tests/unserved.rs
@@ -126,17 +126,19 @@
     assert_eq!(granter.unserved(6_000), (0, None));
 }
 
+/// Ends a call as if u0 could not be reached.
+fn fails_for_u0(call: &GrantCall) -> GrantCallOutcome {
+    if call.upstream == id(0) {
+        GrantCallOutcome::NoAnswer { maybe_sent: false }
+    } else {
+        done(call)
+    }
+}
+
 /// Simulates seven seconds in which the calls to u0 fail, with the upstreams `ready`; returns the
 /// reported waits of unserved keys, and when the keys had an owner again.
 fn run_with_failing_calls(ready: &[usize]) -> (Vec<(u64, Duration)>, u64) {
     let mut granter = Granter::new();
-    let fails_for_u0 = |call: &GrantCall| {
-        if call.upstream == id(0) {
-            GrantCallOutcome::NoAnswer { maybe_sent: false }
-        } else {
-            GrantCallOutcome::Done { handover: None }
-        }
-    };
     let mut reported = Vec::new();
     let mut granted_at = None;
     for ms in (5_000..12_000).step_by(100) {
@@ -194,12 +196,8 @@
         for ms in (5_000..lost_at).step_by(100) {
             granter.step(ms, &[0, 1, 2], done);
         }
-        let unreachable = |call: &GrantCall| match call.upstream == id(0) {
-            true => GrantCallOutcome::NoAnswer { maybe_sent: false },
-            false => GrantCallOutcome::Done { handover: None },
-        };
-        granter.step(lost_at, &[1, 2], unreachable);
-        granter.step(lost_at + 100, &[1, 2], unreachable);
+        granter.step(lost_at, &[1, 2], fails_for_u0);
+        granter.step(lost_at + 100, &[1, 2], fails_for_u0);
         let (ranges, longest) = granter.unserved(lost_at + 100);
         assert!(ranges > 0, "the keys of u0 move");
         assert!(
