direct: what hosts wrote and the store has lost is written again

Tests of rows of hosts, the first assignment of keys and the quarantine. Confirmations of other hosts are looked at only while this host waits for them.

--- a/crates/cli/tests/direct/copies.rs
+++ b/crates/cli/tests/direct/copies.rs
@@ -213,6 +213,30 @@
     );
 }
 
+/// Guards against hosts that are not found any more, and keys without an owner, if the store has lost
+/// all that hosts wrote, the first assignment of keys among it.
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_write_again_what_the_store_has_lost() {
+    let mut rig = Rig::start(0).await;
+    let copy = rig.store.copy();
+    for i in 0..3 {
+        let host = rig.host(i);
+        rig.hosts.push(host);
+    }
+    wait_until_keys_are_served_without(&rig, "before", &[]).await;
+    return_from(&rig, &copy).await;
+    wait_until("the rows of hosts and owners are there again", async || {
+        let is_listed = |i| {
+            let key = format!("host.host-{i}");
+            rig.store.read("medlardyke", &key).is_some()
+        };
+        (0..3).all(is_listed) && rig.partition_row("keys.reads").is_some()
+    })
+    .await;
+    wait_until_keys_are_served_without(&rig, "after", &[]).await;
+    check_owners(&rig.journal.all());
+}
+
 /// Guards against two owners under one fencing token: a server restarts under its name while the store
 /// is away, and is granted what its earlier incarnation held.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/cli/tests/direct/crashing.rs
+++ b/crates/cli/tests/direct/crashing.rs
@@ -249,6 +249,24 @@
     check_refused(&rig).await;
 }
 
+/// Guards against quarantines that are lost when the store returns from a copy without them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantine_that_the_store_has_lost_is_written_again() {
+    let rig = Rig::start(3).await;
+    let copy = rig.store.copy();
+    quarantine_post(&rig).await;
+    let is_in_store = || rig.store.read("medlardyke", "quarantine").is_some();
+    wait_until("the quarantine is in the store", async || is_in_store()).await;
+    let lost = rig.store.return_from(&copy);
+    rig.store.rewrite_rows(lost);
+    assert!(!is_in_store());
+    wait_until("the quarantine is in the store again", async || {
+        is_in_store()
+    })
+    .await;
+    check_refused(&rig).await;
+}
+
 /// Hosts exchange quarantines directly, so that further upstreams don't crash during an outage of
 /// the store.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/front/src/control/heartbeat.rs
+++ b/crates/front/src/control/heartbeat.rs
@@ -311,8 +311,10 @@
         return;
     };
     let manager = &mut state.lease_manager;
-    let sender = c.hosts.values().find(|h| h.row.peers == from);
-    let Some(sender) = sender.filter(|_| manager.needs_confirmations()) else {
+    if !manager.needs_confirmations() {
+        return;
+    }
+    let Some(sender) = c.hosts.values().find(|h| h.row.peers == from) else {
         return;
     };
     manager.host_confirmed(&sender.row.incarnation.host, grants_from);
