--- a/crates/cli/tests/direct/copies.rs
+++ b/crates/cli/tests/direct/copies.rs
@@ -127,25 +127,35 @@
 /// store lacks the order.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drained_domain_gets_nothing_new_if_the_store_lost_the_order() {
-    let rig = Rig::start(2).await;
+    let mut rig = Rig::start(2).await;
     let settings = TargetSettings {
         service: "posts".into(),
         domain: "b".into(),
         ..TargetSettings::default()
     };
     let drained = rig.target(settings).await;
+    // Hosts prefer servers of their own domain.
+    rig.posts.iter().for_each(FleetTarget::unregister);
+    rig.posts.clear();
     tokio::time::sleep(APPLY_TIMEOUT).await;
     let copy = rig.store.copy();
     rig.store.drain_domain("b");
     tokio::time::sleep(APPLY_TIMEOUT).await;
     let lost = return_without_rewriting(&rig, &copy).await;
     let start = Instant::now();
-    while start.elapsed() < REWRITE_LIMIT {
-        send_posts(&rig, "drained").await;
+    let mut sent = 0;
+    while start.elapsed() < REWRITE_LIMIT + APPLY_TIMEOUT {
+        sent += 1;
+        let post = Request {
+            wait_ms: 100,
+            ..Request::post(&format!("drained-{sent}"))
+        };
+        let response = rig.send(sent % 2, &post).await;
+        assert!(!answered(response.as_ref(), &post.id), "{response:?}");
+        if start.elapsed() > REWRITE_LIMIT {
+            rig.store.rewrite_rows(lost.clone());
+        }
     }
-    rig.store.rewrite_rows(lost);
-    tokio::time::sleep(APPLY_TIMEOUT).await;
-    send_posts(&rig, "drained").await;
     assert_eq!(execution_count_at(&rig, "drained", drained.id()), 0);
 }
 
--- a/crates/cli/tests/direct/crashing.rs
+++ b/crates/cli/tests/direct/crashing.rs
@@ -257,6 +257,8 @@
     quarantine_post(&rig).await;
     let is_in_store = || rig.store.read("medlardyke", "quarantine").is_some();
     wait_until("the quarantine is in the store", async || is_in_store()).await;
+    // Long enough for all hosts to read it.
+    tokio::time::sleep(Duration::from_secs(3)).await;
     let lost = rig.store.return_from(&copy);
     rig.store.rewrite_rows(lost);
     assert!(!is_in_store());
