--- a/crates/front/src/control/announce.rs
+++ b/crates/front/src/control/announce.rs
@@ -12,7 +12,8 @@
 use slog::warn;
 
 use crate::control::apply::apply_shared_row;
-use crate::control::state::{ControlState, HostRow, KnownHost, SharedControl};
+use crate::control::hosts::{HostRow, KnownHost};
+use crate::control::state::{ControlState, SharedControl};
 use crate::control::tables::HOST_PREFIX;
 use crate::ports::{Platform, SHARED};
 
--- a/crates/front/src/control/apply.rs
+++ b/crates/front/src/control/apply.rs
@@ -6,8 +6,9 @@
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
 
+use crate::control::hosts::HostRow;
 use crate::control::quarantine::{self, QUARANTINE_ROW};
-use crate::control::state::{ControlState, HostRow};
+use crate::control::state::ControlState;
 use crate::control::tables::{HOST_PREFIX, PARTITION_PREFIX, PartitionKey, Table};
 use crate::ports::Platform;
 
--- a/crates/front/src/control/crashes.rs
+++ b/crates/front/src/control/crashes.rs
@@ -12,8 +12,9 @@
 use ids::{KeyHash, Timestamp, UpstreamId};
 use indexmap::IndexMap;
 
+use crate::control::hosts::KnownHost;
 use crate::control::messages::{CrashReport, Heartbeat, QuarantinedRequest};
-use crate::control::state::{ControlState, KnownHost};
+use crate::control::state::ControlState;
 
 /// Hosts of each failure domain that count the ends under a request: one of them may fail.
 const COUNTING_HOSTS: usize = 2;
--- a/crates/front/src/control/era.rs
+++ b/crates/front/src/control/era.rs
@@ -4,22 +4,16 @@
 //! they have, what the copy lacks does not count as removed, and its registrations don't show which
 //! incarnations of servers are there now.
 
-use std::time::Duration;
-
 use assign::PartitionId;
 use gate::counters::Count;
 use ids::{DomainId, Revision, StoreEra, Timestamp};
 use indexmap::IndexMap;
 use slog::info;
 
+use crate::control::hosts::LISTED_BEFORE_TAKEOVER;
 use crate::control::registry::RETURN_TIME;
 use crate::control::state::ControlState;
 
-/// Time for which a host must have been listed before it takes over as a granting host, so that the
-/// host that grants in the next era knows of all that may have granted in this one: longer than a
-/// short outage of the store.
-pub(super) const LISTED_BEFORE_TAKEOVER: Duration = Duration::from_secs(5);
-
 /// What this host knows of the store's era.
 #[derive(Debug, Default)]
 pub struct KnownEra {
--- a/crates/front/src/control/heartbeat.rs
+++ b/crates/front/src/control/heartbeat.rs
@@ -16,12 +16,13 @@
 use slog::{debug, info};
 use tokio::net::UdpSocket;
 
+use crate::control::hosts::KnownHost;
 use crate::control::messages::{
     GranterSighting, Heartbeat, HeartbeatReply, KeyCount, MovingRangesReport, ServiceTime,
 };
 use crate::control::samples::{Sample, SampleRx};
-use crate::control::state::{ControlState, KnownHost, SharedControl};
-use crate::control::{crashes, limits};
+use crate::control::state::{ControlState, SharedControl};
+use crate::control::{confirmations, crashes, limits};
 
 /// Interval of heartbeats: a third of the heartbeat timeout after which the granting host is
 /// replaced.
@@ -293,37 +294,13 @@
                 continue;
             }
         };
-        ctl.with(|c| confirm_grants(c, &heartbeat, from));
+        ctl.with(|c| confirmations::apply(c, &heartbeat, from));
         for (to, datagram) in ctl.with(|c| apply(c, &heartbeat, from)) {
             send_to(&ctl, &socket, &datagram, to).await;
         }
     }
 }
 
-/// Records up to which row the sender at `from` grants no keys, if this host waits for that.
-fn confirm_grants(c: &mut ControlState, heartbeat: &Heartbeat, from: SocketAddr) {
-    let Some(grants_from) = heartbeat.grants_from.map(Revision) else {
-        return;
-    };
-    let knows_hosts = c.knows_hosts_of_past_era();
-    let state = heartbeat.partition.parse().ok();
-    let Some(state) = state.and_then(|id: PartitionId| c.partitions.get_mut(&id)) else {
-        return;
-    };
-    let manager = &mut state.lease_manager;
-    if !manager.needs_confirmations() {
-        return;
-    }
-    let Some(sender) = c.hosts.values().find(|h| h.row.peers == from) else {
-        return;
-    };
-    manager.host_confirmed(&sender.row.incarnation.host, grants_from);
-    let mut others = c.hosts.keys().filter(|host| **host != c.this_host.host);
-    if knows_hosts && others.all(|host| manager.has_confirmed(host)) {
-        manager.all_confirmed(BootClock.now());
-    }
-}
-
 /// Applies a datagram from `from`; returns the datagrams to send and their receivers.
 fn apply(
     c: &mut ControlState,
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -11,7 +11,9 @@
 //! - [`announce`]: writes this host's own row.
 //! - [`relay`]: passes rows of the store on from host to host; [`tree`]: from which host to which.
 //! - [`registry`]: changes to the registry of upstreams.
-//! - [`heartbeat`]: heartbeats between hosts; [`messages`]: their format.
+//! - [`hosts`]: the hosts that have written their row.
+//! - [`heartbeat`]: heartbeats between hosts; [`messages`]: their format; `confirmations`: what they
+//!   say about grants by earlier rows.
 //! - [`crashes`]: finds requests that crash upstreams.
 //! - [`limits`]: rate limits that upstreams announce.
 //! - [`quarantined`]: the quarantined requests and their row in the store; [`quarantine`]: adds and
@@ -22,12 +24,14 @@
 
 pub mod announce;
 pub mod apply;
+mod confirmations;
 pub mod crashes;
 mod eligible_owners;
 pub mod era;
 pub mod follow;
 pub mod freshness;
 pub mod heartbeat;
+pub mod hosts;
 pub mod keys;
 pub mod limits;
 pub mod messages;
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -14,16 +14,16 @@
 };
 use direct::{Configuration, CrashTracker, PermitHosts, RateLimit, RouteTable, UpstreamRegistry};
 use gate::Metrics;
-use ids::{DomainId, EntryId, HostId, Incarnation, Revision, StoreEra, Timestamp, UpstreamId};
+use ids::{DomainId, EntryId, HostId, Revision, StoreEra, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
 use platform::PlatformError;
-use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
-use crate::control::era::{KnownEra, LISTED_BEFORE_TAKEOVER};
+use crate::control::era::KnownEra;
 use crate::control::freshness::Freshness;
+use crate::control::hosts::KnownHost;
 use crate::control::quarantined::QuarantineState;
 use crate::control::replica::TableReplica;
 use crate::control::tables::{PartitionKey, Table};
@@ -31,50 +31,6 @@
 use crate::settings::Settings;
 use crate::view::{CompiledConfiguration, Phase, SharedView, View};
 
-/// A host's row in the store, by which the other hosts find it.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub struct HostRow {
-    /// The host's incarnation.
-    #[serde(rename = "run")]
-    pub incarnation: HostIncarnation,
-    /// Its failure domain.
-    pub domain: DomainId,
-    /// Address for heartbeats and relay connections.
-    pub peers: SocketAddr,
-    /// Address for permit requests; none if the host grants no permits.
-    #[serde(default)]
-    pub permits: Option<SocketAddr>,
-    /// Processor capacity, in cores.
-    #[serde(default)]
-    pub capacity: f64,
-    /// The store's era as known to the host when it wrote the row.
-    #[serde(default)]
-    pub era: StoreEra,
-}
-
-/// A host whose row was read.
-#[derive(Debug, Clone, PartialEq)]
-pub struct KnownHost {
-    /// The row.
-    pub row: HostRow,
-    /// Revision at which the row was written.
-    pub revision: Revision,
-    /// Whether the store has the row. It may have lost it, and the host writes it again then.
-    pub is_listed: bool,
-}
-
-impl KnownHost {
-    /// Returns the incarnation that the host announced after the revision `after`, if the row was
-    /// written in that era: revisions of other eras say nothing about the order of writes.
-    #[must_use]
-    pub fn announced_after(&self, after: Revision) -> Option<Incarnation> {
-        let era = after.era();
-        let is_of_era = self.row.era == era && self.revision.era() == era;
-        (is_of_era && self.revision > after).then_some(self.row.incarnation.incarnation)
-    }
-}
-
 /// State of one partition of a sharded entry.
 #[derive(Debug)]
 pub struct PartitionState {
@@ -410,29 +366,6 @@
         self.grants() && !self.has_stopped
     }
 
-    /// Records that a host's row was written at revision `at`.
-    pub fn record_host(&mut self, now: Timestamp, row: HostRow, revision: Revision) {
-        self.hosts_changed_at = now;
-        let id = row.incarnation.host.clone();
-        let host = KnownHost {
-            row,
-            revision,
-            is_listed: true,
-        };
-        self.hosts.insert(id, host);
-    }
-
-    /// Records that the store does not have the row of `host`.
-    ///
-    /// Hosts don't remove their rows: the store has lost it. The host is still there, and is asked for
-    /// permits and answers heartbeats.
-    pub fn record_unlisted_host(&mut self, host: &str) {
-        let known = self.hosts.iter_mut().find(|(id, _)| id.as_str() == host);
-        if let Some((_, known)) = known {
-            known.is_listed = false;
-        }
-    }
-
     /// Records a read of the shared table that began at `began` and brought everything up to then;
     /// the store was in `era`.
     pub fn record_shared_read(&mut self, began: Timestamp, era: StoreEra) {
@@ -442,14 +375,6 @@
         }
     }
 
-    /// Returns whether this host has been listed for so long that it may take over as a granting
-    /// host.
-    #[must_use]
-    pub fn may_take_over(&self, now: Timestamp) -> bool {
-        self.listed_since
-            .is_some_and(|at| at == Timestamp::ZERO || now.since(at) >= LISTED_BEFORE_TAKEOVER)
-    }
-
     /// Returns whether the store has answered for at least `span`.
     #[must_use]
     pub fn store_available_for(&self, now: Timestamp, span: Duration) -> bool {
--- a/crates/front/src/control/takeover.rs
+++ b/crates/front/src/control/takeover.rs
@@ -7,7 +7,8 @@
 use ids::{HostId, KeyHash, Revision, Timestamp};
 use indexmap::IndexMap;
 
-use crate::control::state::{KnownHost, PartitionState};
+use crate::control::hosts::KnownHost;
+use crate::control::state::PartitionState;
 
 /// Time without a change of upstreams after which an entry's keys are first assigned: more than the
 /// time between two heartbeats of an upstream, so that all that start together are registered.
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -2,7 +2,7 @@
 //! servers that accept grants of key ranges with fencing tokens.
 //!
 //! - [`deploy`]: settings and configuration of a process.
-//! - [`store`]: the store and its faults.
+//! - [`store`]: the store and its faults; [`copies`]: its returns from copies of itself.
 //! - [`keys`]: keys that a server holds.
 //! - [`cold`]: limits of a server that is warming up.
 //! - [`target`]: a server, its faults, and the journal of the requests that it ran; `answers` holds
@@ -10,11 +10,13 @@
 
 mod answers;
 pub mod cold;
+pub mod copies;
 pub mod deploy;
 pub mod keys;
 pub mod store;
 pub mod target;
 
 pub use cold::ColdSettings;
-pub use store::{FleetStore, LostRows, StoreCopy, StoreMode};
+pub use copies::{LostRows, StoreCopy};
+pub use store::{FleetStore, StoreMode};
 pub use target::{Arrival, ExecutedRequest, FleetTarget, Journal, TargetFault, TargetSettings};
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -42,28 +42,19 @@
     DelaysWrites,
 }
 
-/// Rows of a [`FleetStore`] as of some moment, from which it can return.
-#[derive(Debug, Clone)]
-pub struct StoreCopy(MemoryTable);
-
-/// Tables that operators and servers write. They write their rows again when the store has returned
-/// from a copy.
-const REWRITTEN_TABLES: [&str; 2] = ["op", "servers"];
-/// Most transactions that are kept for [`FleetStore::commit_again`].
-const MAX_KEPT_TXNS: usize = 200;
 /// Header of all answers: how often the store has returned from a copy.
 const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
 /// Era of a store that has not returned from a copy yet.
 const FIRST_ERA: u64 = 1;
 
 #[derive(Debug)]
-struct Shared {
-    table: Mutex<MemoryTable>,
+pub(super) struct Shared {
+    pub(super) table: Mutex<MemoryTable>,
     mode: watch::Sender<StoreMode>,
     /// Incremented with each commit.
-    commits: watch::Sender<u64>,
+    pub(super) commits: watch::Sender<u64>,
     /// Revision up to which the history of changes was dropped.
-    compacted_revision: Mutex<Revision>,
+    pub(super) compacted_revision: Mutex<Revision>,
     /// Addresses at which clients get status 429, and no changes from the feeds that they wait for.
     throttled: Mutex<HashSet<IpAddr>>,
     calls: AtomicU64,
@@ -73,18 +64,18 @@
     feed_waits: Mutex<HashMap<SmolStr, u64>>,
     started: Instant,
     /// How often the store has returned from a copy, plus the number that it began with.
-    era: AtomicU64,
+    pub(super) era: AtomicU64,
     /// Latest transactions of hosts that took effect.
-    committed: Mutex<VecDeque<Txn>>,
+    pub(super) committed: Mutex<VecDeque<Txn>>,
     /// Transactions that were set aside.
-    delayed: Mutex<Vec<Txn>>,
+    pub(super) delayed: Mutex<Vec<Txn>>,
 }
 
 /// A running store; it stops when the handle is dropped.
 #[derive(Debug, Clone)]
 pub struct FleetStore {
     address: SocketAddr,
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
     stop: CancellationToken,
     _stop_guard: Arc<DropGuard>,
 }
@@ -192,58 +183,6 @@
         *lock(&self.shared.compacted_revision) = revision;
     }
 
-    /// Returns a copy of the present rows.
-    #[must_use]
-    pub fn copy(&self) -> StoreCopy {
-        StoreCopy(lock(&self.shared.table).clone())
-    }
-
-    /// Returns from `copy`: what was written since is gone, its revisions are given out again, and the
-    /// era rises by one.
-    ///
-    /// Operators and servers have not written their rows again yet; see [`Self::rewrite_rows`].
-    pub fn return_from(&self, copy: &StoreCopy) -> LostRows {
-        let lost = {
-            let mut table = lock(&self.shared.table);
-            let lost = LostRows::between(&copy.0, &table);
-            table.clone_from(&copy.0);
-            self.shared.era.fetch_add(1, Ordering::SeqCst);
-            lost
-        };
-        *lock(&self.shared.compacted_revision) = Revision::default();
-        self.shared.commits.send_modify(|n| *n += 1);
-        lost
-    }
-
-    /// Writes the rows of operators and servers that the store had lost, as these do after its return.
-    pub fn rewrite_rows(&self, lost: LostRows) {
-        for write in lost.0 {
-            let txn = Txn {
-                checks: Vec::new(),
-                writes: vec![write],
-            };
-            self.shared.commit(&txn);
-        }
-    }
-
-    /// Returns the store's era.
-    #[must_use]
-    pub fn era(&self) -> u64 {
-        self.shared.era.load(Ordering::SeqCst)
-    }
-
-    /// Performs the transactions that were set aside, if their conditions still hold.
-    pub fn commit_delayed(&self) {
-        let delayed = std::mem::take(&mut *lock(&self.shared.delayed));
-        self.shared.commit_all(&delayed);
-    }
-
-    /// Performs the latest transactions of hosts once more, if their conditions hold again.
-    pub fn commit_again(&self) {
-        let committed: Vec<Txn> = lock(&self.shared.committed).iter().cloned().collect();
-        self.shared.commit_all(&committed);
-    }
-
     /// Writes a row in the role of operator or server.
     ///
     /// # Panics
@@ -299,28 +238,7 @@
     }
 }
 
-/// Rows of operators and servers that a store lost when it returned from a copy, as they were last
-/// written.
-#[derive(Debug, Clone, Default)]
-#[must_use]
-pub struct LostRows(Vec<Write>);
-
-impl LostRows {
-    /// Returns the rows of `now` that differ from those of `copy`.
-    fn between(copy: &MemoryTable, now: &MemoryTable) -> Self {
-        let changed = REWRITTEN_TABLES.iter().flat_map(|table| {
-            let changes = now.changes(&format!("{table}/"), copy.revision());
-            changes.rows.into_iter()
-        });
-        let write = |row: Row| Write {
-            key: row.key,
-            value: row.value,
-        };
-        Self(changed.map(write).collect())
-    }
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -422,28 +340,12 @@
             .revision
     }
 
-    fn commit(&self, txn: &Txn) -> Commit {
+    pub(super) fn commit(&self, txn: &Txn) -> Commit {
         let commit = lock(&self.table).commit(txn);
         self.commits.send_modify(|n| *n += 1);
         commit
     }
 
-    /// Keeps a transaction that took effect.
-    fn keep(&self, txn: Txn) {
-        let mut committed = lock(&self.committed);
-        committed.push_back(txn);
-        if committed.len() > MAX_KEPT_TXNS {
-            committed.pop_front();
-        }
-    }
-
-    /// Performs transactions in order; those whose conditions don't hold have no effect.
-    fn commit_all(&self, txns: &[Txn]) {
-        for txn in txns {
-            self.commit(txn);
-        }
-    }
-
     fn body(&self, rows: impl Iterator<Item = Row>, revision: Revision) -> Value {
         let rows: Vec<Value> = rows.map(|row| wire_row(&row)).collect();
         json!({
