front: which hosts may have granted in an earlier era, counted without gaps

Found by reading: a host's knowledge of the others may be two seconds older than that of upstreams, as a wait for changes may receive none; and hosts that start together for the first time need not wait before they take over, as they know each other after 10 s. A row of an earlier era replaces one of a still earlier era that a host knows.

--- a/crates/front/src/control/apply.rs
+++ b/crates/front/src/control/apply.rs
@@ -185,8 +185,8 @@
 
 /// Applies the row of a partition.
 ///
-/// The row of an earlier era is used only by a host that knows none: the store may have lost the
-/// latest rows of that era.
+/// The row of an earlier era is used only by a host that knows none of that era or a later one: the
+/// store may have lost the latest rows.
 pub(crate) fn apply_partition_row(
     c: &mut ControlState,
     key: &PartitionKey,
@@ -197,12 +197,12 @@
         return;
     };
     let id = &key.partition;
+    let known = c
+        .partitions
+        .get(id)
+        .and_then(|d| d.lease_manager.revision());
     let is_past = key.era < row.revision.era();
-    if is_past
-        && c.partitions
-            .get(id)
-            .is_some_and(|known| known.lease_manager.row().is_some())
-    {
+    if is_past && known.is_some_and(|known| known.era() >= key.era) {
         return;
     }
     let revision = row.revision.moved_to(key.era);
--- a/crates/front/src/control/era.rs
+++ b/crates/front/src/control/era.rs
@@ -4,16 +4,22 @@
 //! they have, what the copy lacks does not count as removed, and its registrations don't show which
 //! incarnations of servers are there now.
 
+use std::time::Duration;
+
 use assign::PartitionId;
 use gate::counters::Count;
 use ids::{DomainId, Revision, StoreEra, Timestamp};
 use indexmap::IndexMap;
 use slog::info;
 
+use crate::control::follow::WATCH_TIMEOUT;
 use crate::control::hosts::LISTED_BEFORE_TAKEOVER;
 use crate::control::registry::RETURN_TIME;
 use crate::control::state::ControlState;
 
+/// Time within which hosts that start together are listed and known to each other.
+const FIRST_LISTED_TIME: Duration = Duration::from_secs(10);
+
 /// What this host knows of the store's era.
 #[derive(Debug, Default)]
 pub struct KnownEra {
@@ -25,8 +31,10 @@
     pub(super) may_follow_another: bool,
     /// Whether this host has known an earlier era.
     has_followed: bool,
-    /// The time as of which upstreams and hosts were known when the era began.
+    /// The time as of which upstreams were known when the era began.
     known_as_of: Timestamp,
+    /// Whether this host knows all hosts that may have granted keys in the era before.
+    knows_hosts: bool,
     /// Orders about failure domains in the copy that differ from those known before.
     postponed_drains: IndexMap<DomainId, PostponedDrain>,
 }
@@ -63,8 +71,10 @@
         if !is_first && era <= before {
             return;
         }
+        let knows_hosts = !is_first && self.knows_all_hosts(now);
         self.known_era = KnownEra {
             era,
+            knows_hosts,
             since: Some(now),
             may_follow_another: !is_first || !self.cfg.store.is_new,
             has_followed: !is_first,
@@ -101,12 +111,22 @@
         as_of
     }
 
-    /// Returns whether this host knows all hosts that may have granted keys in the era before: those
-    /// had been listed for some time before they could.
-    pub(super) fn knows_hosts_of_past_era(&self) -> bool {
-        let known_as_of = self.known_era.known_as_of;
-        let since = self.known_era.since.unwrap_or_default();
-        known_as_of > Timestamp::ZERO && since.since(known_as_of) < LISTED_BEFORE_TAKEOVER
+    /// Returns whether this host knows all hosts that may have granted keys in the present era.
+    ///
+    /// Those had been listed for some time before they could, unless they started for the first time
+    /// together with the others.
+    fn knows_all_hosts(&self, now: Timestamp) -> bool {
+        let known_as_of = self.freshness.upstreams_as_of();
+        let max_age = LISTED_BEFORE_TAKEOVER.saturating_sub(WATCH_TIMEOUT);
+        let era_age = self.known_era.since.map(|since| now.since(since));
+        known_as_of > Timestamp::ZERO
+            && now.since(known_as_of) < max_age
+            && era_age > Some(FIRST_LISTED_TIME)
+    }
+
+    /// Returns whether this host knows all hosts that may have granted keys in the era before.
+    pub(super) const fn knows_hosts_of_past_era(&self) -> bool {
+        self.known_era.knows_hosts
     }
 
     /// Postpones an order of the copy about a failure domain until operators have written again what
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -19,7 +19,7 @@
 /// A connection may fail without notice, and a wait that began before the store recovered may get
 /// no answer; the next read detects both. What was submitted two seconds ago must be in force three
 /// seconds after such an event: this time and that for a call are a little less.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval of a granting host's reads of its rows, and so the age that its knowledge of them
 /// reaches.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(900);
--- a/crates/front/src/control/hosts.rs
+++ b/crates/front/src/control/hosts.rs
@@ -10,9 +10,10 @@
 use crate::control::state::ControlState;
 
 /// Time for which a host must have been listed before it takes over as a granting host, so that the
-/// host that grants in the next era knows of all that may have granted in this one: longer than a
-/// short outage of the store.
-pub(super) const LISTED_BEFORE_TAKEOVER: Duration = Duration::from_secs(5);
+/// host that grants in the next era knows of all that may have granted in this one.
+///
+/// It is longer than a short outage of the store and a wait for changes that receives none.
+pub(super) const LISTED_BEFORE_TAKEOVER: Duration = Duration::from_secs(6);
 
 /// A host's row in the store, by which the other hosts find it.
 #[derive(Debug, Clone, PartialEq)]
@@ -83,9 +84,12 @@
     }
 
     /// Returns whether this host has been listed for so long that it may take over as a granting
-    /// host.
+    /// host. Hosts that start together for the first time need not wait.
     #[must_use]
     pub fn may_take_over(&self, now: Timestamp) -> bool {
+        if self.cfg.store.is_new {
+            return true;
+        }
         self.listed_since
             .is_some_and(|at| at == Timestamp::ZERO || now.since(at) >= LISTED_BEFORE_TAKEOVER)
     }
