--- a/crates/cli/tests/direct/copies.rs
+++ b/crates/cli/tests/direct/copies.rs
@@ -7,7 +7,7 @@
 use standin::fleet::deploy::configuration;
 use standin::fleet::{FleetTarget, LostRows, StoreCopy, StoreMode, TargetSettings};
 
-use crate::rig::{Request, Rig, wait_until};
+use crate::rig::{Host, Request, Rig, wait_until};
 use crate::{APPLY_TIMEOUT, DRAIN_TIMEOUT, answered, check_owners, check_post_executed_by};
 
 /// Time for which the store is away before it returns.
@@ -247,6 +247,29 @@
     check_owners(&rig.journal.all());
 }
 
+/// Guards against two owners of a key if all hosts end while the store is away, and it returns without
+/// the last change of owners: no host is left that knows of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn owners_stay_exclusive_if_all_hosts_end_and_the_store_returns_from_a_copy() {
+    let mut rig = Rig::start(3).await;
+    let copy = rig.store.copy();
+    rig.reads[0].drain();
+    wait_until_keys_are_served_without(&rig, "before", &[rig.reads[0].id()]).await;
+    rig.hosts.iter_mut().for_each(Host::kill);
+    return_from(&rig, &copy).await;
+    rig.hosts = (0..3).map(|i| rig.host_restarted(i)).collect();
+    wait_until("all hosts serve posts", async || {
+        let posts = (0..3).map(|i| Request::post(&format!("again-{i}-{:?}", Instant::now())));
+        let posts: Vec<_> = posts.collect();
+        let responses = join_all((0..3).map(|i| rig.send(i, &posts[i]))).await;
+        let mut all = posts.iter().zip(&responses);
+        all.all(|(post, response)| answered(response.as_ref(), &post.id))
+    })
+    .await;
+    wait_until_keys_are_served_without(&rig, "after", &[rig.reads[0].id()]).await;
+    check_owners(&rig.journal.all());
+}
+
 /// Guards against two owners under one fencing token: a server restarts under its name while the store
 /// is away, and is granted what its earlier incarnation held.
 #[tokio::test(flavor = "multi_thread")]
