assign: the last grant of an owner that got its keys back is remembered

Cause: an owner that can't be reached loses its keys, is named their owner again before it was granted them anew, and loses them to a third one. The state of the range began without the grants that it had been sent before, so that the third owner was granted at once.

--- a/crates/assign/src/grant_state.rs
+++ b/crates/assign/src/grant_state.rs
@@ -108,7 +108,7 @@
     let is_granting = covering.is_some_and(|(p, s)| s.granting && p.range == owned.range);
     GrantState {
         previous_owners: owned.previous_owners.iter().map(previous).collect(),
-        last_grant: LastGrant::latest(same().map(|(_, s)| s.last_grant)),
+        last_grant: last_grant_to(&known, &owned.owner),
         next_grant_at: same().map(|(_, s)| s.next_grant_at).min().unwrap_or(now),
         granting: is_granting,
         granted: covering.is_some_and(|(_, s)| s.granted),
@@ -139,18 +139,9 @@
             };
         }
     }
-    let sent_as_owner = known
-        .iter()
-        .filter(|(p, _)| p.owner == *upstream)
-        .map(|(_, s)| s.last_grant);
-    let sent_as_previous = known
-        .iter()
-        .flat_map(|(_, s)| s.previous_owners.iter())
-        .filter(|o| o.upstream == *upstream)
-        .map(|o| o.last_grant);
     PreviousOwner {
         upstream: upstream.clone(),
-        last_grant: LastGrant::latest(sent_as_owner.chain(sent_as_previous)),
+        last_grant: last_grant_to(known, upstream),
         next_release_at: now,
         releasing: false,
         release_sent_at: now,
@@ -159,3 +150,18 @@
         free: false,
     }
 }
+
+/// Returns the last grant of the keys of `known` that `upstream` was sent, as their owner or as a
+/// previous one: it may be their owner again before it was granted them anew.
+fn last_grant_to(known: &[(&OwnedRange, &GrantState)], upstream: &UpstreamId) -> LastGrant {
+    let sent_as_owner = known
+        .iter()
+        .filter(|(p, _)| p.owner == *upstream)
+        .map(|(_, s)| s.last_grant);
+    let sent_as_previous = known
+        .iter()
+        .flat_map(|(_, s)| s.previous_owners.iter())
+        .filter(|o| o.upstream == *upstream)
+        .map(|o| o.last_grant);
+    LastGrant::latest(sent_as_owner.chain(sent_as_previous))
+}
