standin: links between single hosts and upstreams hang, are reset, or refuse new connections

A host's connections to upstreams may start from a given local address (upstream_source), by which the stand-in tells hosts on loopback apart. A hanging link is a socket filter that drops the host's packets before the system acknowledges them, so that handshakes, data and probes are lost as in a partition. A refused link is one whose connections are accepted and reset: a listener can't refuse the connections of one address only.

--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -1,7 +1,7 @@
 //! Harness that starts hosts as real processes, with settings rendered from the deployed template.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use standin::fleet::deploy::{HostDeployment, configuration, render};
-use standin::fleet::{FleetStore, FleetTarget, Journal, TargetSettings};
+use standin::fleet::{FleetStore, FleetTarget, Journal, LinkCut, TargetSettings};
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -267,7 +267,7 @@
             is_first_start: self.hosts.len() <= i,
         };
         let settings = render(TEMPLATE, &node).expect("settings");
-        fs::write(&path, self.with_partition_size(&settings)).expect("a file");
+        fs::write(&path, self.adapt(&settings, host_ip)).expect("a file");
         let log = fs::OpenOptions::new()
             .append(true)
             .create(true)
@@ -291,9 +291,10 @@
         }
     }
 
-    /// Sets the number of upstreams in each partition in `settings`.
-    fn with_partition_size(&self, settings: &str) -> String {
+    /// Adapts `settings` to the rig: upstreams tell hosts apart by their addresses.
+    fn adapt(&self, settings: &str, host_ip: IpAddr) -> String {
         let mut settings: Value = serde_json::from_str(settings).expect("valid settings");
+        settings["upstream_source"] = json!(host_ip);
         if let Some(upstreams) = self.upstreams_per_partition {
             settings["keys"] = json!({"upstreams_each": upstreams});
         }
@@ -378,6 +379,21 @@
         self.hosts[host].has_ended()
     }
 
+    /// Cuts the links between host number `host` and all upstreams.
+    pub fn cut_links(&self, host: usize, cut: LinkCut) {
+        let ip = self.hosts[host].callers.ip();
+        for target in self.reads.iter().chain(&self.posts) {
+            target.cut_link(ip, cut);
+        }
+    }
+
+    /// Restores the links between all hosts and all upstreams.
+    pub fn restore_links(&self) {
+        for target in self.reads.iter().chain(&self.posts) {
+            target.restore_links();
+        }
+    }
+
     /// Returns the row of a partition in the store's present era; `key` is its key without the era.
     pub fn partition_row(&self, key: &str) -> Option<Value> {
         let key = format!("{key}@{}", self.store.era());
--- a/crates/front/src/connections.rs
+++ b/crates/front/src/connections.rs
@@ -2,18 +2,18 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use direct::Registration;
-use gate::upstream::{ExchangeError, UpstreamConn};
+use gate::upstream::{ConnSettings, ExchangeError, UpstreamConn};
 use ids::{Timestamp, UpstreamId};
 
 /// Timeout for opening a connection: many round trips between failure domains, and less than the
 /// shortest objective, so that another upstream can still be tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of the head of an answer.
-pub(crate) const MAX_HEAD_BYTES: usize = 32 << 10;
+const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Time for which an idle connection is kept if the upstream names no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Time for which an idle connection is kept if nothing was sent on it yet: upstreams may close
@@ -35,12 +35,23 @@
 }
 
 /// Idle connections by upstream.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionPool {
+    /// Local address of new connections; chosen by the system if there is none.
+    source: Option<IpAddr>,
     idle: RefCell<HashMap<UpstreamId, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
+    /// Creates a pool that opens connections from `source`, if given.
+    #[must_use]
+    pub fn new(source: Option<IpAddr>) -> Self {
+        Self {
+            source,
+            idle: RefCell::default(),
+        }
+    }
+
     /// Removes and returns the most recently used idle connection that is still usable.
     pub async fn take(&self, now: Timestamp, upstream: &UpstreamId) -> Option<UpstreamConn> {
         loop {
@@ -77,12 +88,31 @@
     ///
     /// Fails if the connection does not open in time.
     pub async fn open(&self, address: SocketAddr) -> Result<Option<UpstreamConn>, ExchangeError> {
-        let mut conn = UpstreamConn::open(address, CONNECT_TIMEOUT, MAX_HEAD_BYTES).await?;
+        let mut conn = self.connect(address, CONNECT_TIMEOUT).await?;
         tokio::time::sleep(RESET_WAIT).await;
         let is_usable = conn.is_usable_now().await;
         Ok(is_usable.then_some(conn))
     }
 
+    /// Opens a connection within `timeout`, without checking whether the upstream closes it at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does not open in time.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<UpstreamConn, ExchangeError> {
+        let cfg = ConnSettings {
+            timeout,
+            header_bytes: MAX_HEAD_BYTES,
+            source: self.source,
+            ..ConnSettings::default()
+        };
+        UpstreamConn::open_with(address, cfg).await
+    }
+
     /// Returns whether there is an idle connection to `upstream` that has not expired.
     #[must_use]
     pub fn has_idle(&self, now: Timestamp, upstream: &UpstreamId) -> bool {
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -15,14 +15,14 @@
 use direct::{AttemptEnd, RecentAnswers, Registration, RequestFingerprint};
 use gate::Metrics;
 use gate::counters::Count;
-use gate::upstream::{ExchangeError, UpstreamConn};
+use gate::upstream::ExchangeError;
 use ids::{BootClock, Clock, Reason, UpstreamId};
 use slog::{Logger, info};
 use smol_str::SmolStr;
 use tokio::sync::OnceCell;
 use tokio::task::JoinHandle;
 
-use crate::connections::{ConnectionPool, MAX_HEAD_BYTES};
+use crate::connections::ConnectionPool;
 use crate::observation::{ObservationTx, UpstreamObservation};
 
 /// Time within which the upstream's system refuses a connection: many round trips between failure
@@ -147,7 +147,8 @@
     }
 
     async fn probe(&self, target: &Registration) -> bool {
-        match UpstreamConn::open(target.address, PROBE_TIMEOUT, MAX_HEAD_BYTES).await {
+        let connected = self.connections.connect(target.address, PROBE_TIMEOUT);
+        match connected.await {
             Ok(conn) => {
                 self.connections
                     .keep_unused(BootClock.now(), &target.id, conn);
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -16,6 +16,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,6 +93,8 @@
 pub struct ForwarderParts {
     /// The host's failure domain.
     pub domain: DomainId,
+    /// Local address of connections to upstreams; chosen by the system if there is none.
+    pub upstream_source: Option<IpAddr>,
     /// State that the control thread publishes.
     pub view: SharedView,
     /// Format of the headers of callers and upstreams.
@@ -118,7 +121,7 @@
     /// Builds the forwarder of a host.
     #[must_use]
     pub fn new(parts: ForwarderParts) -> Self {
-        let connections: Rc<ConnectionPool> = Rc::default();
+        let connections = Rc::new(ConnectionPool::new(parts.upstream_source));
         let crash_detector = CrashDetector::new(
             Rc::clone(&connections),
             parts.observations.clone(),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -197,6 +197,7 @@
             let memory = MemoryBudget::new(self.cfg.memory_bytes());
             let forwarder = Rc::new(Forwarder::new(ForwarderParts {
                 domain: self.cfg.domain,
+                upstream_source: self.cfg.upstream_source,
                 view: SharedView::clone(&self.view),
                 header_format: self.header_format,
                 retry_budget: self.cfg.retry_budget,
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings from the JSON file.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
 
@@ -25,6 +25,9 @@
     pub memory_mb: usize,
     /// Addresses on which the host listens.
     pub listen: ListenSettings,
+    /// Local address of connections to upstreams; chosen by the system if there is none.
+    #[serde(default)]
+    pub upstream_source: Option<IpAddr>,
     /// The platform's store.
     pub store: StoreSettings,
     /// Retry budget, shared by all hosts.
--- a/crates/gate/src/grants.rs
+++ b/crates/gate/src/grants.rs
@@ -15,7 +15,7 @@
 use wire::Traffic;
 use wire::grant::{GRANT_PATH, GrantReply, GrantRequest, HEALTH_PATH, HealthReport};
 
-use crate::upstream::{ExchangeError, UpstreamConn};
+use crate::upstream::{ConnSettings, ExchangeError, UpstreamConn};
 
 /// Settings of a [`GrantClient`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -239,13 +239,13 @@
 
     async fn open(&self) -> Result<UpstreamConn, ExchangeError> {
         let settings = &self.settings;
-        UpstreamConn::open_counted(
-            self.peer,
-            settings.connect_timeout,
-            settings.reply_bytes,
-            self.traffic.clone(),
-        )
-        .await
+        let cfg = ConnSettings {
+            timeout: settings.connect_timeout,
+            header_bytes: settings.reply_bytes,
+            traffic: self.traffic.clone(),
+            ..ConnSettings::default()
+        };
+        UpstreamConn::open_with(self.peer, cfg).await
     }
 }
 
--- a/crates/gate/src/upstream/conn.rs
+++ b/crates/gate/src/upstream/conn.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::future::poll_fn;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,7 +17,7 @@
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use wire::Traffic;
 
 use crate::body::BodyBuffer;
@@ -145,22 +145,25 @@
         timeout: Duration,
         header_bytes: usize,
     ) -> Result<Self, ExchangeError> {
-        Self::open_counted(peer, timeout, header_bytes, None).await
+        Self::open_with(
+            peer,
+            ConnSettings {
+                timeout,
+                header_bytes,
+                ..ConnSettings::default()
+            },
+        )
+        .await
     }
 
-    /// Opens a connection whose bytes are counted in `traffic`, if given.
+    /// Opens a connection as `cfg` says.
     ///
     /// # Errors
     ///
-    /// Fails if it does not open within `timeout`.
-    pub async fn open_counted(
-        peer: SocketAddr,
-        timeout: Duration,
-        header_bytes: usize,
-        traffic: Option<Arc<Traffic>>,
-    ) -> Result<Self, ExchangeError> {
+    /// Fails if it does not open in time.
+    pub async fn open_with(peer: SocketAddr, cfg: ConnSettings) -> Result<Self, ExchangeError> {
         let failed = |cause| ExchangeError::Connect { peer, cause };
-        let connect = tokio::time::timeout(timeout, TcpStream::connect(peer));
+        let connect = tokio::time::timeout(cfg.timeout, connect(peer, cfg.source));
         let stream = connect
             .await
             .map_err(|elapsed| failed(io::Error::new(io::ErrorKind::TimedOut, elapsed)))?
@@ -169,10 +172,10 @@
         // An aborted request must not arrive later: closing the connection drops data that was
         // not delivered yet, and resets the connection at the upstream at once.
         stream.set_zero_linger().map_err(failed)?;
-        let stream = CountedStream::new(stream, traffic);
+        let stream = CountedStream::new(stream, cfg.traffic);
         let written = stream.written();
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(header_bytes.max(MIN_BUFFER))
+            .max_buf_size(cfg.header_bytes.max(MIN_BUFFER))
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| failed(io::Error::other(e)))?;
@@ -323,6 +326,42 @@
     }
 }
 
+/// How a connection to an upstream is opened.
+#[derive(Debug, Clone)]
+pub struct ConnSettings {
+    /// Time limit for opening it.
+    pub timeout: Duration,
+    /// Maximum size of the head of an answer, in bytes.
+    pub header_bytes: usize,
+    /// Local address; chosen by the system if there is none.
+    pub source: Option<IpAddr>,
+    /// Counts the bytes, if given.
+    pub traffic: Option<Arc<Traffic>>,
+}
+
+impl Default for ConnSettings {
+    fn default() -> Self {
+        Self {
+            timeout: Duration::from_secs(1),
+            header_bytes: MIN_BUFFER,
+            source: None,
+            traffic: None,
+        }
+    }
+}
+
+async fn connect(peer: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(peer).await;
+    };
+    let socket = match peer {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(peer).await
+}
+
 /// How the end of an answer's body may be marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
--- a/crates/standin/src/fleet/answers.rs
+++ b/crates/standin/src/fleet/answers.rs
@@ -1,5 +1,6 @@
 //! Responses of a simulated server.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -8,10 +9,13 @@
 use http::{HeaderValue, StatusCode};
 use serde_json::Value;
 use smol_str::SmolStr;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use super::keys::KeyRange;
+use super::links::{LinkCut, LinkCuts, apply_to_connection, apply_to_listener};
 use super::target::{Arrival, ExecutedRequest, Shared, TargetFault, lock};
 use crate::http::{FullResponse, Request, read_body, respond, serve_connection};
 
@@ -19,20 +23,25 @@
 const HEALTH_PATH: &str = "/healthz";
 
 pub(super) async fn accept(listener: TcpListener, shared: Arc<Shared>, stop: CancellationToken) {
+    let mut cuts = shared.link_cuts.subscribe();
     loop {
+        apply_to_listener(&listener, &cuts.borrow_and_update());
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            _ = cuts.changed() => continue,
             () = stop.cancelled() => return,
         };
-        let Ok((socket, _)) = accepted else {
+        let Ok((socket, peer)) = accepted else {
             continue;
         };
-        if shared.open.load(Ordering::SeqCst) >= shared.settings.connections {
+        let cut = cuts.borrow().get(&peer.ip()).copied();
+        let is_refused = matches!(cut, Some(LinkCut::Resets | LinkCut::RefusesNew));
+        if is_refused || shared.open.load(Ordering::SeqCst) >= shared.settings.connections {
             reset(&socket);
             continue;
         }
         shared.open.fetch_add(1, Ordering::SeqCst);
-        tokio::spawn(connection(socket, Arc::clone(&shared), stop.clone()));
+        tokio::spawn(connection(socket, peer, Arc::clone(&shared), stop.clone()));
     }
 }
 
@@ -41,11 +50,17 @@
     let _ = socket.set_zero_linger();
 }
 
-async fn connection(socket: TcpStream, shared: Arc<Shared>, stop: CancellationToken) {
+async fn connection(
+    socket: TcpStream,
+    peer: SocketAddr,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+) {
     let broken_connection = CancellationToken::new();
     let handle = |req| answer(Arc::clone(&shared), req, broken_connection.clone());
+    let cuts = shared.link_cuts.subscribe();
     tokio::select! {
-        () = serve_connection(socket, stop.clone(), handle) => {}
+        () = serve_over_link(socket, peer, cuts, stop.clone(), handle) => {}
         () = broken_connection.cancelled() => {}
         () = shared.cut.cancelled() => {}
         () = stop.cancelled() => {}
@@ -53,6 +68,38 @@
     shared.open.fetch_sub(1, Ordering::SeqCst);
 }
 
+/// Serves a connection; while the link to `peer` hangs, it receives and sends nothing.
+async fn serve_over_link<F, Fut>(
+    socket: TcpStream,
+    peer: SocketAddr,
+    mut cuts: watch::Receiver<LinkCuts>,
+    stop: CancellationToken,
+    handle: F,
+) where
+    F: Fn(Request) -> Fut,
+    Fut: Future<Output = FullResponse>,
+{
+    let Ok(handle_to_socket) = SockRef::from(&socket).try_clone() else {
+        return;
+    };
+    let mut served = std::pin::pin!(serve_connection(socket, stop, handle));
+    loop {
+        let cut = cuts.borrow_and_update().get(&peer.ip()).copied();
+        apply_to_connection(&handle_to_socket, peer.ip(), cut);
+        let changed = match cut {
+            Some(LinkCut::Resets) => return,
+            Some(LinkCut::Hangs) => cuts.changed().await,
+            Some(LinkCut::RefusesNew) | None => tokio::select! {
+                () = served.as_mut() => return,
+                changed = cuts.changed() => changed,
+            },
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
 /// Answers a request, and adds headers about the server's state.
 async fn answer(
     shared: Arc<Shared>,
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -1,7 +1,7 @@
 //! A simulated server of the users' platform.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -9,12 +9,13 @@
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::answers::accept;
 use super::cold::{ColdSettings, ColdState};
 use super::keys::HeldKeys;
+use super::links::{LinkCut, LinkCuts};
 use super::store::FleetStore;
 
 /// Attempts to listen again at the address of a server that has just ended, and the delay between
@@ -162,6 +163,8 @@
     pub(super) state: Mutex<&'static str>,
     /// Number of times that it has written its registration.
     pub(super) registrations: AtomicU64,
+    /// Failed links to hosts.
+    pub(super) link_cuts: watch::Sender<LinkCuts>,
     /// Closes all connections, including new ones.
     pub(super) cut: CancellationToken,
     /// Stops the server: closes its listener and all connections.
@@ -249,6 +252,7 @@
             arrivals: Mutex::default(),
             state: Mutex::new(READY),
             registrations: AtomicU64::new(0),
+            link_cuts: watch::Sender::default(),
             cut: CancellationToken::new(),
             stop: stop.clone(),
             settings,
@@ -275,6 +279,18 @@
         *lock(&self.shared.fault) = fault;
     }
 
+    /// Cuts the link to the host with this address.
+    pub fn cut_link(&self, host: IpAddr, cut: LinkCut) {
+        self.shared.link_cuts.send_modify(|cuts| {
+            cuts.insert(host, cut);
+        });
+    }
+
+    /// Restores all links.
+    pub fn restore_links(&self) {
+        self.shared.link_cuts.send_modify(LinkCuts::clear);
+    }
+
     /// Starts a warm-up, as after a start; the next heartbeat reports it.
     pub fn become_cold(&self) {
         if let Some(settings) = &self.shared.settings.cold {
