--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -3,6 +3,7 @@
 mod cold;
 mod copies;
 mod crashing;
+mod cut_off;
 mod drained;
 mod leaving;
 mod limited;
