front: requests to upstreams that this host does not reach go through a host that does

What callers saw: a host that was cut off from all upstreams refused its requests (connect-failed after 250 ms, no-owner), while the upstreams were there and other hosts reached them. Cause: a host had one way to an upstream, and took its own failures for the upstream's. Change: a link counts as lost once this host can't open a connection and another host says that it can; two such losses without a sign of any other upstream since mean all links. Requests then go to another host, which sends each at most once and returns the response; choice, permit, deadline, attempts and retries stay with the first host. Silence is noticed by the gap between responses, refusals at once. Lost links are probed twice a second. Why it works: nothing is sent by another host before it has the whole request, and a request that it may have sent is never handed to a second one; closing the connection cancels it.

--- a/crates/cli/src/dev_platform.rs
+++ b/crates/cli/src/dev_platform.rs
@@ -26,7 +26,7 @@
 const POSTS: usize = 2;
 /// Further ports of each host besides the one for callers.
 const READY_PORT: u16 = 8_081;
-const INTERNAL_PORTS: [u16; 2] = [8_082, 8_083];
+const INTERNAL_PORTS: [u16; 2] = [8_082, 8_089];
 /// Timeout of requests in the operator's configuration, in seconds.
 const TIMEOUT_S: f64 = 4.0;
 /// Timeout for the first successful answer.
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -1,7 +1,7 @@
 //! Harness that starts hosts as real processes, with settings rendered from the deployed template.
 
 use std::fs;
-use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
@@ -35,6 +35,7 @@
     ready: SocketAddr,
     peers: SocketAddr,
     metrics: SocketAddr,
+    exchanges: SocketAddr,
 }
 
 impl Drop for Host {
@@ -236,8 +237,8 @@
     /// Starts a further host that accepts callers at `callers`.
     pub fn host_at(&self, callers: SocketAddr) -> Host {
         let ip = callers.ip().to_string();
-        let [ready, peers, metrics] = free_ports(&ip);
-        let ports = [callers.port(), ready, peers, metrics];
+        let [ready, peers, metrics, exchanges] = free_ports(&ip);
+        let ports = [callers.port(), ready, peers, metrics, exchanges];
         self.spawn(self.hosts.len(), &ip, ports)
     }
 
@@ -245,12 +246,18 @@
     pub fn host_restarted(&self, i: usize) -> Host {
         let host = &self.hosts[i];
         let ip = host.callers.ip().to_string();
-        let addresses = [host.callers, host.ready, host.peers, host.metrics];
+        let addresses = [
+            host.callers,
+            host.ready,
+            host.peers,
+            host.metrics,
+            host.exchanges,
+        ];
         self.spawn(i, &ip, addresses.map(|address| address.port()))
     }
 
-    fn spawn(&self, i: usize, ip: &str, ports: [u16; 4]) -> Host {
-        let [callers, ready, peers, metrics] = ports;
+    fn spawn(&self, i: usize, ip: &str, ports: [u16; 5]) -> Host {
+        let [callers, ready, peers, metrics, exchanges] = ports;
         let path = self.dir.path().join(format!("host-{i}.json"));
         let host_ip = ip.parse().expect("an address");
         let store = self
@@ -267,7 +274,11 @@
             is_first_start: self.hosts.len() <= i,
         };
         let settings = render(TEMPLATE, &node).expect("settings");
-        fs::write(&path, self.adapt(&settings, host_ip)).expect("a file");
+        fs::write(
+            &path,
+            self.adapt(&settings, SocketAddr::new(host_ip, exchanges)),
+        )
+        .expect("a file");
         let log = fs::OpenOptions::new()
             .append(true)
             .create(true)
@@ -288,13 +299,15 @@
             ready: address(ready),
             peers: address(peers),
             metrics: address(metrics),
+            exchanges: address(exchanges),
         }
     }
 
     /// Adapts `settings` to the rig: upstreams tell hosts apart by their addresses.
-    fn adapt(&self, settings: &str, host_ip: IpAddr) -> String {
+    fn adapt(&self, settings: &str, exchanges: SocketAddr) -> String {
         let mut settings: Value = serde_json::from_str(settings).expect("valid settings");
-        settings["upstream_source"] = json!(host_ip);
+        settings["upstream_source"] = json!(exchanges.ip());
+        settings["listen"]["exchanges"] = json!(exchanges);
         if let Some(upstreams) = self.upstreams_per_partition {
             settings["keys"] = json!({"upstreams_each": upstreams});
         }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`status`]: status that an upstream reports with an answer.
 //! - `recent_starts`, `start_schedule`: when requests may start at an upstream that limits starts.
 //! - [`load`]: a host's estimate of the load, the speed and the health of an upstream.
+//! - [`links`]: which links to upstreams this host has lost.
+//! - [`peers`]: selection of the host through which requests go instead.
 //! - [`choose`](mod@choose): selection of the upstream for a request, or why there is none.
 //! - [`caller_retries`]: detection of callers that were refused before and try again.
 //! - [`crashes`]: detection and quarantine of requests that crash upstreams.
@@ -23,7 +25,9 @@
 pub mod config;
 pub mod crashes;
 pub mod fingerprint;
+pub mod links;
 pub mod load;
+pub mod peers;
 pub mod permit_hosts;
 pub mod permits;
 mod recent_starts;
@@ -39,7 +43,9 @@
 pub use config::{CallerLimits, Configuration, EntrySpec, Route, WeightedEntry};
 pub use crashes::{CrashSettings, CrashTracker, Quarantine, RecentAnswers};
 pub use fingerprint::RequestFingerprint;
+pub use links::{LinkLoss, LinkSettings, LinkState, UpstreamLinks};
 pub use load::{LoadReport, LoadSettings, SentRequest, UpstreamLoad};
+pub use peers::{PeerHost, PeerSelector, PeerSettings};
 pub use permit_hosts::{PermitHost, PermitHosts};
 pub use permits::{PermitEnd, PermitReply, PermitRequest, PermitSettings, Permits};
 pub use registry::{Registration, UpstreamRegistry, UpstreamState};
--- a/crates/front/src/connections.rs
+++ b/crates/front/src/connections.rs
@@ -88,18 +88,26 @@
     ///
     /// Fails if the connection does not open in time.
     pub async fn open(&self, address: SocketAddr) -> Result<Option<UpstreamConn>, ExchangeError> {
-        let mut conn = self.connect(address, CONNECT_TIMEOUT).await?;
-        tokio::time::sleep(RESET_WAIT).await;
-        let is_usable = conn.is_usable_now().await;
-        Ok(is_usable.then_some(conn))
+        self.connect_usable(address, CONNECT_TIMEOUT).await
     }
 
-    /// Opens a connection within `timeout`, without checking whether the upstream closes it at once.
+    /// Does the same as [`Self::open`], within `timeout`.
     ///
     /// # Errors
     ///
     /// Fails if the connection does not open in time.
-    pub async fn connect(
+    pub async fn connect_usable(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Option<UpstreamConn>, ExchangeError> {
+        let mut conn = self.connect(address, timeout).await?;
+        tokio::time::sleep(RESET_WAIT).await;
+        let is_usable = conn.is_usable_now().await;
+        Ok(is_usable.then_some(conn))
+    }
+
+    async fn connect(
         &self,
         address: SocketAddr,
         timeout: Duration,
@@ -121,6 +129,11 @@
             .is_some_and(|kept| kept.last().is_some_and(|r| now < r.expires_at))
     }
 
+    /// Closes the idle connections to `upstream`.
+    pub fn drop_idle(&self, upstream: &UpstreamId) {
+        self.idle.borrow_mut().remove(upstream);
+    }
+
     /// Keeps a connection for a short time that no request has used yet, so that the upstream has
     /// not named a keep-alive timeout for it.
     pub fn keep_unused(&self, now: Timestamp, upstream: &UpstreamId, conn: UpstreamConn) {
--- a/crates/front/src/control/announce.rs
+++ b/crates/front/src/control/announce.rs
@@ -39,6 +39,7 @@
         domain: c.cfg.domain.clone(),
         peers: c.cfg.listen.peers,
         permits: Some(c.cfg.listen.permits),
+        exchanges: Some(c.cfg.listen.exchanges()),
         capacity: c.cfg.processor.capacity(),
         era: c.known_era.era,
     });
--- a/crates/front/src/control/hosts.rs
+++ b/crates/front/src/control/hosts.rs
@@ -29,6 +29,9 @@
     /// Address for permit requests; none if the host grants no permits.
     #[serde(default)]
     pub permits: Option<SocketAddr>,
+    /// Address for requests that go through the host; none if it takes none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub exchanges: Option<SocketAddr>,
     /// Processor capacity, in cores.
     #[serde(default)]
     pub capacity: f64,
--- a/crates/front/src/control/relay.rs
+++ b/crates/front/src/control/relay.rs
@@ -15,16 +15,14 @@
 use prost::Message;
 use slog::{debug, info};
 use smol_str::SmolStr;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::{FramedRead, FramedWrite};
-use wire::FrameCodec;
 
 use crate::control::apply::apply;
 use crate::control::replica::TableReplica;
 use crate::control::state::{ControlState, SharedControl};
 use crate::control::tables::Table;
 use crate::control::tree;
+use crate::framed_conn::FramedConn;
 use crate::ports::Platform;
 use crate::view::Phase;
 
@@ -144,24 +142,6 @@
     pub value: Option<Bytes>,
 }
 
-/// The two directions of a connection: messages of type `In` are received, those of type `Out` are
-/// sent.
-struct Link<In, Out> {
-    incoming: FramedRead<OwnedReadHalf, FrameCodec<In>>,
-    outgoing: FramedWrite<OwnedWriteHalf, FrameCodec<Out>>,
-}
-
-impl<In: Message + Default, Out: Message + Default> Link<In, Out> {
-    fn new(stream: TcpStream) -> std::io::Result<Self> {
-        stream.set_nodelay(true)?;
-        let (read, write) = stream.into_split();
-        Ok(Self {
-            incoming: FramedRead::new(read, FrameCodec::default()),
-            outgoing: FramedWrite::new(write, FrameCodec::default()),
-        })
-    }
-}
-
 /// Relays to hosts that connect to `listener`.
 pub async fn serve(ctl: SharedControl, listener: TcpListener) {
     let targets = tokio_util::task::TaskTracker::new();
@@ -187,7 +167,7 @@
 }
 
 async fn serve_target(ctl: &SharedControl, stream: TcpStream) -> Result<(), wire::FrameError> {
-    let mut link: Link<ReplicaVersion, RelayedRows> = Link::new(stream)?;
+    let mut link: FramedConn<ReplicaVersion, RelayedRows> = FramedConn::new(stream)?;
     let version = tokio::time::timeout(RELAY_TIMEOUT, link.incoming.next());
     let Some(version) = version.await.map_err(std::io::Error::from)? else {
         return Ok(());
@@ -336,7 +316,7 @@
 ) -> Result<(), wire::FrameError> {
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(parent));
     let stream = connect.await.map_err(std::io::Error::from)??;
-    let mut link: Link<RelayedRows, ReplicaVersion> = Link::new(stream)?;
+    let mut link: FramedConn<RelayedRows, ReplicaVersion> = FramedConn::new(stream)?;
     let revisions = ctl.with(|c| {
         c.replicas
             .iter()
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -12,14 +12,16 @@
     PartitionLeaseManager, PartitionOwners, PartitionRow, Planner, TakeoverMonitor,
     TakeoverSettings, UnservedKeys,
 };
-use direct::{Configuration, CrashTracker, PermitHosts, RateLimit, RouteTable, UpstreamRegistry};
+use direct::{
+    Configuration, CrashTracker, PeerHost, PermitHosts, RateLimit, RouteTable, UpstreamRegistry,
+};
 use gate::Metrics;
 use ids::{DomainId, EntryId, HostId, Revision, StoreEra, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
 use platform::PlatformError;
 use slog::{Logger, info, warn};
 use smol_str::SmolStr;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::control::era::KnownEra;
 use crate::control::freshness::Freshness;
@@ -28,6 +30,7 @@
 use crate::control::replica::TableReplica;
 use crate::control::tables::{PartitionKey, Table};
 use crate::control::tree::{Position, RelayHost, RelayTree};
+use crate::links::SharedLostLinks;
 use crate::settings::Settings;
 use crate::view::{CompiledConfiguration, Phase, SharedView, View};
 
@@ -145,6 +148,10 @@
     pub freshness: Freshness,
     /// The host that made the last read of the store that this host's knowledge stems from.
     pub reader: SmolStr,
+    /// Links to upstreams that this host has lost.
+    pub lost_links: SharedLostLinks,
+    /// Where checks of links are requested.
+    pub link_checks: mpsc::Sender<UpstreamId>,
     /// Upstreams that ended, by request.
     pub crashes: CrashTracker,
     /// Quarantined requests.
@@ -229,7 +236,16 @@
                 hosts.add(address, host.row.capacity);
             }
         }
+        let others = self.hosts.values().map(|host| &host.row);
+        let others = others.filter(|row| row.incarnation.host != self.this_host.host);
+        let peers = others.filter_map(|row| {
+            Some(PeerHost {
+                address: row.exchanges?,
+                domain: row.domain.clone(),
+            })
+        });
         let view = View {
+            peers: Arc::new(peers.collect()),
             permit_hosts: Arc::new(permit_hosts),
             phase: self.phase,
             configuration: self.configuration.clone(),
--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -6,28 +6,22 @@
 //! reported to the control thread.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
-use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use direct::{AttemptEnd, RecentAnswers, Registration, RequestFingerprint};
+use direct::{AttemptEnd, LinkLoss, RecentAnswers, Registration, RequestFingerprint};
 use gate::Metrics;
 use gate::counters::Count;
-use gate::upstream::ExchangeError;
 use ids::{BootClock, Clock, Reason, UpstreamId};
 use slog::{Logger, info};
 use smol_str::SmolStr;
-use tokio::sync::OnceCell;
 use tokio::task::JoinHandle;
 
 use crate::connections::ConnectionPool;
 use crate::observation::{ObservationTx, UpstreamObservation};
+use crate::reach::{ProbeResult, ReachChecker};
 
-/// Time within which the upstream's system refuses a connection: many round trips between failure
-/// domains.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Delay before a request is retried whose upstream has crashed: two one-way trips between hosts
 /// and one turn of the processor at each of two hosts, in which they may find that the request is
 /// the cause.
@@ -37,15 +31,11 @@
 /// listener.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(250);
 
-/// A probe of an upstream's process, shared by all requests whose connections broke meanwhile.
-/// Holds whether the process has ended.
-type Probe = Rc<OnceCell<bool>>;
-
 /// Detects upstreams that crash during a request.
 #[derive(Debug)]
-pub struct CrashDetector {
+pub(crate) struct CrashDetector {
     connections: Rc<ConnectionPool>,
-    probes: RefCell<HashMap<UpstreamId, Probe>>,
+    reach: Rc<ReachChecker>,
     answered: RefCell<RecentAnswers>,
     observations: ObservationTx,
     metrics: Arc<Metrics>,
@@ -55,15 +45,16 @@
 impl CrashDetector {
     /// Builds a detector that sends crashes to `observations`.
     #[must_use]
-    pub fn new(
+    pub(crate) fn new(
         connections: Rc<ConnectionPool>,
+        reach: Rc<ReachChecker>,
         observations: ObservationTx,
         metrics: Arc<Metrics>,
         log: Logger,
     ) -> Self {
         Self {
             connections,
-            probes: RefCell::default(),
+            reach,
             answered: RefCell::default(),
             observations,
             metrics,
@@ -136,28 +127,6 @@
     /// Returns whether the process of `target` has ended, which its system shows by refusing
     /// connections.
     async fn has_ended(&self, target: &Registration) -> bool {
-        let probe = {
-            let mut probes = self.probes.borrow_mut();
-            Rc::clone(probes.entry(target.id.clone()).or_default())
-        };
-        let has_ended = *probe.get_or_init(|| self.probe(target)).await;
-        // The next broken connection starts a new probe.
-        self.probes.borrow_mut().remove(&target.id);
-        has_ended
-    }
-
-    async fn probe(&self, target: &Registration) -> bool {
-        let connected = self.connections.connect(target.address, PROBE_TIMEOUT);
-        match connected.await {
-            Ok(conn) => {
-                self.connections
-                    .keep_unused(BootClock.now(), &target.id, conn);
-                false
-            }
-            Err(ExchangeError::Connect { cause, .. }) => {
-                cause.kind() == io::ErrorKind::ConnectionRefused
-            }
-            Err(_) => false,
-        }
+        self.reach.probe(target).await == ProbeResult::Failed(LinkLoss::Refused)
     }
 }
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! - `retry_loop`: attempts of one request.
 //! - `pick`: selection of the target of an attempt.
 //! - `attempt`: one attempt.
+//! - `ways`: how an attempt reaches the upstream.
 //! - `reply`: refusals and other responses to callers.
 
 mod attempt;
@@ -13,13 +14,13 @@
 mod prepare;
 mod reply;
 mod retry_loop;
+mod ways;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use direct::{
@@ -34,6 +35,7 @@
 use ids::{BootClock, Clock, DomainId, EntryId, Timestamp, UpstreamId};
 use route::RetryBudget;
 use slog::Logger;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use self::prepare::CallerRequest;
@@ -41,16 +43,18 @@
 use crate::connections::ConnectionPool;
 use crate::control::samples::{Sample, SampleTx};
 use crate::crashes::CrashDetector;
+use crate::links::{LinkTracker, SharedLostLinks};
 use crate::memory::MemoryBudget;
 use crate::observation::ObservationTx;
+use crate::peer_exchange::{PeerClient, PeerServer};
 use crate::permits::PermitService;
 use crate::ports::HeaderFormat;
+use crate::reach::ReachChecker;
 use crate::request_log::{RequestLog, RequestLogger};
 use crate::settings::RetryBudgetSettings;
+use crate::upstream_client::{MIN_TIME_LEFT, UpstreamClient};
 use crate::view::{Phase, SharedView, View};
 
-/// Minimum time left before the deadline for a request to be sent.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Service time in seconds that is assumed until one was observed.
 const DEFAULT_SERVICE_TIME: f64 = 0.1;
 
@@ -71,6 +75,10 @@
     warmup: WarmupBounds,
     samples: SampleTx,
     connections: Rc<ConnectionPool>,
+    links: Rc<LinkTracker>,
+    reach: Rc<ReachChecker>,
+    client: Rc<UpstreamClient>,
+    peer_client: Rc<PeerClient>,
     crash_detector: Rc<CrashDetector>,
     observations: ObservationTx,
     permits: Rc<PermitService>,
@@ -82,6 +90,7 @@
     choose_cfg: ChooseSettings,
     retry_cfg: RetrySettings,
     logger: RequestLogger,
+    log: Logger,
     memory: MemoryBudget,
     metrics: Arc<Metrics>,
     /// Cancels all requests in flight.
@@ -97,6 +106,8 @@
     pub upstream_source: Option<IpAddr>,
     /// State that the control thread publishes.
     pub view: SharedView,
+    /// Where the lost links are published.
+    pub lost_links: SharedLostLinks,
     /// Format of the headers of callers and upstreams.
     pub header_format: Arc<dyn HeaderFormat>,
     /// The retry budget.
@@ -122,8 +133,28 @@
     #[must_use]
     pub fn new(parts: ForwarderParts) -> Self {
         let connections = Rc::new(ConnectionPool::new(parts.upstream_source));
+        let links = Rc::new(LinkTracker::new(
+            parts.lost_links,
+            Arc::clone(&parts.metrics),
+            parts.log.clone(),
+        ));
+        let peer_client: Rc<PeerClient> = Rc::default();
+        let reach = Rc::new(ReachChecker::new(
+            Rc::clone(&connections),
+            Rc::clone(&links),
+            Rc::clone(&peer_client),
+            SharedView::clone(&parts.view),
+        ));
+        let client = Rc::new(UpstreamClient {
+            connections: Rc::clone(&connections),
+            links: Rc::clone(&links),
+            header_format: Arc::clone(&parts.header_format),
+            memory: parts.memory.clone(),
+            metrics: Arc::clone(&parts.metrics),
+        });
         let crash_detector = CrashDetector::new(
             Rc::clone(&connections),
+            Rc::clone(&reach),
             parts.observations.clone(),
             Arc::clone(&parts.metrics),
             parts.log.clone(),
@@ -136,6 +167,10 @@
             warmup: parts.warmup,
             samples: parts.samples,
             connections,
+            links,
+            reach,
+            client,
+            peer_client,
             crash_detector: Rc::new(crash_detector),
             observations: parts.observations,
             permits: parts.permits,
@@ -146,13 +181,31 @@
             load_cfg: LoadSettings::default(),
             choose_cfg: ChooseSettings::default(),
             retry_cfg: RetrySettings::default(),
-            logger: RequestLogger::new(parts.log),
+            logger: RequestLogger::new(parts.log.clone()),
+            log: parts.log,
             memory: parts.memory,
             metrics: parts.metrics,
             shutdown: CancellationToken::new(),
         }
     }
 
+    /// Returns the server of requests of other hosts.
+    #[must_use]
+    pub fn peer_server(&self) -> Rc<PeerServer> {
+        Rc::new(PeerServer {
+            client: Rc::clone(&self.client),
+            reach: Rc::clone(&self.reach),
+            view: SharedView::clone(&self.view),
+            requests: Cell::new(0),
+            log: self.log.clone(),
+        })
+    }
+
+    /// Checks links to upstreams, also those that `requested` names.
+    pub async fn check_links(self: Rc<Self>, requested: mpsc::Receiver<UpstreamId>) {
+        Rc::clone(&self.reach).run(requested).await;
+    }
+
     /// Answers all requests in flight at once: the process is about to be killed, and an upstream
     /// that has not answered yet may never do so.
     pub fn cancel_requests(&self) {
@@ -247,5 +300,6 @@
             .retain(|id, load| known(id) || load.in_flight() > 0);
         self.connections.retain(|_| true, &view.registry);
         self.permits.retain(known);
+        self.reach.forget_unknown();
     }
 }
--- /dev/null
+++ b/crates/front/src/forward/ways.rs
@@ -0,0 +1,142 @@
+//! The ways to an upstream: over this host's own link, or through another host.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use direct::{AttemptEnd, LinkState, Registration};
+use gate::counters::Count;
+use gate::headers::strip_hop_by_hop;
+use http::{HeaderValue, Method, Request, Uri, header};
+use http_body_util::Full;
+use ids::{BootClock, Clock, Reason};
+
+use super::{CallerRequest, Forwarder};
+use crate::peer_exchange::PeerFailure;
+use crate::upstream_client::{DirectFailure, FailedExchange, Outgoing, UpstreamResponse};
+
+/// Hosts that are tried in turn for one request.
+const MAX_PEERS: usize = 3;
+
+impl Forwarder {
+    /// Sends the request to `target`, at most once: over this host's own link, or, if that is lost,
+    /// through a host that reaches `target`.
+    pub(super) async fn exchange_by_any_way(
+        &self,
+        request: &CallerRequest,
+        target: &Registration,
+    ) -> Result<UpstreamResponse, FailedExchange> {
+        let outgoing = self.outgoing(request, target);
+        let build = |left| {
+            let req = self.upstream_request(request, target, left);
+            req.map(Full::new)
+        };
+        match self.links.state(&target.id) {
+            LinkState::Usable => {
+                let since = BootClock.now();
+                let loss = match self.client.exchange(&outgoing, build).await {
+                    Ok(response) => return Ok(response),
+                    Err(DirectFailure::Exchange(failed)) => return Err(failed),
+                    Err(DirectFailure::Connect(loss)) => loss,
+                };
+                if !self.reach.confirm_lost(target, loss, since).await {
+                    return Err(AttemptEnd::Unsent(Reason::ConnectFailed).into());
+                }
+            }
+            LinkState::Lost(_) => {
+                // Connections that opened before the link was lost may still work.
+                let on_kept = self.client.exchange_on_kept(&outgoing, &build).await;
+                if let Some(result) = on_kept {
+                    return result;
+                }
+            }
+        }
+        self.exchange_through_peer(request, &outgoing).await
+    }
+
+    /// Sends the request through another host; tries the next one only if nothing was sent.
+    async fn exchange_through_peer(
+        &self,
+        request: &CallerRequest,
+        outgoing: &Outgoing<'_>,
+    ) -> Result<UpstreamResponse, FailedExchange> {
+        let domain = &outgoing.target.domain;
+        let mut tried: Vec<SocketAddr> = Vec::new();
+        for _ in 0..MAX_PEERS {
+            let Some(peer) = self.reach.select_peers(domain, &tried, 1).pop() else {
+                break;
+            };
+            tried.push(peer);
+            let left = outgoing.deadline.since(BootClock.now());
+            let req = self.upstream_request(request, outgoing.target, left);
+            let in_use = self.reach.use_peer(peer);
+            self.metrics.count(Count::PeerRequests);
+            let exchanged = self.peer_client.exchange(peer, outgoing, req).await;
+            drop(in_use);
+            match exchanged {
+                Ok(response) => {
+                    self.reach.peer_reached(peer);
+                    let body = self.memory.hold_answer(response.body);
+                    return Ok(UpstreamResponse { body, ..response });
+                }
+                Err(PeerFailure::Exchange(failed)) => {
+                    if failed.end == AttemptEnd::MayHaveRun(Reason::HostLost) {
+                        self.reach.peer_failed(peer);
+                    }
+                    return Err(failed);
+                }
+                Err(PeerFailure::PeerDown) => self.reach.peer_failed(peer),
+                Err(PeerFailure::Unreachable | PeerFailure::Busy) => {}
+            }
+        }
+        Err(AttemptEnd::Unsent(Reason::ConnectFailed).into())
+    }
+
+    fn outgoing<'a>(&self, request: &'a CallerRequest, target: &'a Registration) -> Outgoing<'a> {
+        let now = BootClock.now();
+        let service_time = self.entry_service_time(&request.entry);
+        let expected = self.with_load(target, |load| {
+            load.expected_time(now, service_time, &self.load_cfg)
+        });
+        Outgoing {
+            target,
+            id: &request.caller_headers.id,
+            deadline: request.deadline,
+            expected_time: Duration::from_secs_f64(expected),
+            is_idempotent: request.route.idempotent,
+        }
+    }
+
+    /// Builds the request to `target`, which has `left` for its answer.
+    fn upstream_request(
+        &self,
+        request: &CallerRequest,
+        target: &Registration,
+        left: Duration,
+    ) -> Request<Bytes> {
+        let mut headers = request.parts.headers.clone();
+        strip_hop_by_hop(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        self.header_format
+            .write_target(&mut headers, &target.server, left);
+        let mut req = Request::new(request.body.clone());
+        *req.method_mut() = request.parts.method.clone();
+        *req.uri_mut() = origin_form(&request.parts.uri);
+        *req.headers_mut() = headers;
+        let needs_length = !matches!(request.parts.method, Method::GET | Method::HEAD);
+        if needs_length && request.body.is_empty() {
+            let zero = HeaderValue::from_static("0");
+            req.headers_mut().insert(header::CONTENT_LENGTH, zero);
+        }
+        req
+    }
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    if uri.authority().is_none() {
+        return uri.clone();
+    }
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| uri.clone(), Uri::from)
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -12,11 +12,12 @@
 use assign::HostIncarnation;
 use direct::{CrashTracker, UpstreamRegistry};
 use gate::Metrics;
-use ids::{Incarnation, Timestamp};
+use ids::{Incarnation, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
@@ -29,6 +30,7 @@
     ControlState, SharedControl, announce, follow, heartbeat, keys, observations, quarantine, relay,
 };
 use crate::forward::{Forwarder, ForwarderParts};
+use crate::links::SharedLostLinks;
 use crate::memory::MemoryBudget;
 use crate::observation::{self, ObservationRx, ObservationTx};
 use crate::permits::PermitService;
@@ -43,6 +45,9 @@
 /// Time reserved before the process would be killed: requests that no upstream has answered by then
 /// are answered in its first half.
 const FINAL_ANSWERS: Duration = Duration::from_millis(400);
+/// Maximum number of queued link checks that the control thread requested; further ones are dropped,
+/// as each failed call requests another.
+const MAX_LINK_CHECKS: usize = 64;
 
 /// Runs an entry host until it receives a signal to stop.
 ///
@@ -65,6 +70,8 @@
     let view: SharedView = Arc::new(ArcSwap::from_pointee(View::default()));
     let (samples_tx, samples_rx) = samples::ring();
     let (observations_tx, observations_rx) = observation::channel();
+    let lost_links = SharedLostLinks::default();
+    let (link_checks_tx, link_checks_rx) = mpsc::channel(MAX_LINK_CHECKS);
     let stop = CancellationToken::new();
     let metrics: Arc<Metrics> = Arc::default();
     let request_thread = RequestThread {
@@ -73,6 +80,8 @@
         header_format: Arc::clone(header_format),
         samples: samples_tx,
         observations: observations_tx,
+        lost_links: SharedLostLinks::clone(&lost_links),
+        link_checks: link_checks_rx,
         metrics: Arc::clone(&metrics),
         stop: stop.clone(),
         log: log.clone(),
@@ -111,6 +120,8 @@
         replicas: Default::default(),
         freshness: Freshness::default(),
         reader: cfg.host.as_str().into(),
+        lost_links,
+        link_checks: link_checks_tx,
         crashes: CrashTracker::default(),
         quarantined: QuarantineState::default(),
         hosts_first_read: None,
@@ -165,6 +176,8 @@
     header_format: Arc<dyn HeaderFormat>,
     samples: SampleTx,
     observations: ObservationTx,
+    lost_links: SharedLostLinks,
+    link_checks: mpsc::Receiver<UpstreamId>,
     metrics: Arc<Metrics>,
     stop: CancellationToken,
     log: Logger,
@@ -182,6 +195,14 @@
                     return started.send(Err(e)).context("report a failed start");
                 }
             };
+            let address = self.cfg.listen.exchanges();
+            let peer_listener = match serve::bind(address) {
+                Ok(listener) => listener,
+                Err(e) => {
+                    let e = anyhow::Error::new(e).context(format!("bind {address}"));
+                    return started.send(Err(e)).context("report a failed start");
+                }
+            };
             let address = self.cfg.listen.permits;
             let metrics = Arc::clone(&self.metrics);
             let permits = match PermitService::bind(address, metrics, self.log.clone()).await {
@@ -199,6 +220,7 @@
                 domain: self.cfg.domain,
                 upstream_source: self.cfg.upstream_source,
                 view: SharedView::clone(&self.view),
+                lost_links: self.lost_links,
                 header_format: self.header_format,
                 retry_budget: self.cfg.retry_budget,
                 warmup: self.cfg.warmup.bounds(),
@@ -209,8 +231,31 @@
                 metrics: self.metrics,
                 log: self.log.clone(),
             }));
+            tokio::task::spawn_local(Rc::clone(&forwarder).check_links(self.link_checks));
+            let peer_server = forwarder.peer_server();
+            let others_served = peer_server.serve(peer_listener, self.stop.clone());
+            let others_served = tokio::task::spawn_local(others_served);
             let grace = self.cfg.stop.grace().saturating_sub(LINGER + FINAL_ANSWERS);
-            serve::serve_callers(listener, forwarder, self.view, self.stop, grace, self.log).await;
+            let log = self.log.clone();
+            let callers_served = serve::serve_callers(
+                listener,
+                forwarder,
+                self.view,
+                self.stop.clone(),
+                grace,
+                log,
+            );
+            let others_served = async {
+                self.stop.cancelled().await;
+                tokio::time::timeout(grace, others_served).await
+            };
+            let ((), others_served) = tokio::join!(callers_served, others_served);
+            if others_served.is_err() {
+                warn!(
+                    self.log,
+                    "grace period over, requests of other hosts are cancelled"
+                );
+            }
             Ok(())
         })?
     }
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -88,6 +88,19 @@
     pub permits: SocketAddr,
     /// For scrapers of metrics.
     pub metrics: SocketAddr,
+    /// For requests of hosts that do not reach an upstream; by default the port after `peers`.
+    #[serde(default)]
+    exchanges: Option<SocketAddr>,
+}
+
+impl ListenSettings {
+    /// Returns the address for requests of hosts that do not reach an upstream.
+    #[must_use]
+    pub fn exchanges(&self) -> SocketAddr {
+        let next_port = self.peers.port().wrapping_add(1);
+        self.exchanges
+            .unwrap_or_else(|| SocketAddr::new(self.peers.ip(), next_port))
+    }
 }
 
 /// The platform's store.
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use assign::EntryOwners;
-use direct::{Configuration, PermitHosts, Quarantine, RouteTable, UpstreamRegistry};
+use direct::{Configuration, PeerHost, PermitHosts, Quarantine, RouteTable, UpstreamRegistry};
 use ids::{DomainId, EntryId};
 use indexmap::IndexMap;
 
@@ -42,6 +42,8 @@
     pub owners: Arc<IndexMap<EntryId, EntryOwners>>,
     /// Hosts of each failure domain that grant permits at its upstreams.
     pub permit_hosts: Arc<IndexMap<DomainId, PermitHosts>>,
+    /// The other hosts, through which requests may go to upstreams that this one does not reach.
+    pub peers: Arc<Vec<PeerHost>>,
     /// Requests that are sent to no upstream, because upstreams crashed while running them.
     pub quarantine: Arc<Quarantine>,
     /// Whether the store is unreachable, so that no key moves.
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -113,6 +113,9 @@
     UpstreamsLimited = "upstream.limited", "upstreams", "Words of upstreams that they take only so many requests a second, or as many as ever again.";
     UpstreamsLeaving = "upstream.leaving", "upstreams", "Upstreams that said in an answer that they leave, before their registration did.";
     Quarantined = "requests.quarantined", "requests", "Requests that the host learnt to send to no upstream, as upstreams ended under them.";
+    LinksLost = "upstream.links-lost", "links", "Links to upstreams that this host lost while another host reached the upstream.";
+    PeerRequests = "peer.requests-sent", "requests", "Requests that went to their upstream through another host.";
+    PeerRequestsServed = "peer.requests-served", "requests", "Requests of other hosts that this one sent to an upstream.";
     PermitsSilent = "permits.silent", "requests", "Requests for a permit to send that no host replied to.";
     RegistrationsRefused = "registrations.refused", "registrations", "Registrations of upstreams read that make no sense.";
     SamplesDropped = "samples.dropped", "samples", "Load samples dropped because their ring was full.";
--- a/crates/gate/src/upstream.rs
+++ b/crates/gate/src/upstream.rs
@@ -6,5 +6,5 @@
 pub mod conn;
 pub mod stream;
 
-pub use conn::{BodyEnd, ConnSettings, Exchange, ExchangeError, UpstreamConn};
+pub use conn::{AnswerHead, BodyEnd, ConnSettings, Exchange, ExchangeError, UpstreamConn};
 pub use stream::CountedStream;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -30,8 +30,16 @@
 
 impl<M> Default for FrameCodec<M> {
     fn default() -> Self {
+        Self::with_limit(MAX_FRAME_BYTES)
+    }
+}
+
+impl<M> FrameCodec<M> {
+    /// Creates a codec for frames of at most `bytes`.
+    #[must_use]
+    pub fn with_limit(bytes: usize) -> Self {
         let inner = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_BYTES)
+            .max_frame_length(bytes)
             .new_codec();
         Self {
             inner,
