assign, front: a granting host that does not reach owners which others reach is replaced

Cause: others judged the granting host by its heartbeats and its reads of the store, both of which it had; its grants ran out. Change: the granting host says in its replies how many owners it does not reach although other hosts do; a host that reaches more of them takes over, one after the other as in each takeover. Grant calls without an answer have the link checked.

--- a/crates/assign/src/lib.rs
+++ b/crates/assign/src/lib.rs
@@ -50,5 +50,7 @@
 pub use read_lease::ReadLease;
 pub use row::{HostIncarnation, OwnedRange, PartitionRow, PreviousGranter, Recovery, RowError};
 pub use settings::AssignSettings;
-pub use takeover::{GranterStatus, TakeoverMonitor, TakeoverReason, TakeoverSettings};
+pub use takeover::{
+    DecisionContext, GranterStatus, TakeoverMonitor, TakeoverReason, TakeoverSettings,
+};
 pub use unserved::{MovingRanges, UnservedKeys};
--- a/crates/assign/src/takeover.rs
+++ b/crates/assign/src/takeover.rs
@@ -80,6 +80,8 @@
     pub has_stopped: bool,
     /// Age of its last read of the store.
     pub read_age: Option<Duration>,
+    /// Number of owners of keys that it does not reach, although other hosts do.
+    pub unreachable_owners: usize,
 }
 
 /// Reason for a takeover.
@@ -89,7 +91,20 @@
     pub has_ended: bool,
 }
 
-/// Tracks whether the granting host is alive and can read the store.
+/// What a host knows when it decides whether to take over.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DecisionContext {
+    /// The incarnation that the granting host announced since the row named it, if any.
+    pub newest: Option<Incarnation>,
+    /// How long this host has been reading the store.
+    pub reads_for: Duration,
+    /// Delay that differs from host to host, so that one tries first.
+    pub takeover_delay: Duration,
+    /// Number of owners of keys that this host does not reach, although other hosts do.
+    pub unreachable_owners: usize,
+}
+
+/// Tracks whether the granting host is alive, can read the store and reaches the owners of keys.
 #[derive(Debug, Clone)]
 pub struct TakeoverMonitor {
     cfg: TakeoverSettings,
@@ -102,6 +117,8 @@
     peer_reported_at: Timestamp,
     /// When this host learned that the granter has ended or stopped.
     ended_since: Option<Timestamp>,
+    /// When this host learned that the granter reaches fewer owners than itself.
+    unreachable_since: Option<Timestamp>,
 }
 
 impl TakeoverMonitor {
@@ -116,6 +133,7 @@
             unanswered: 0,
             peer_reported_at: Timestamp::ZERO,
             ended_since: None,
+            unreachable_since: None,
         }
     }
 
@@ -129,6 +147,7 @@
         self.last_report = None;
         self.unanswered = 0;
         self.ended_since = None;
+        self.unreachable_since = None;
         true
     }
 
@@ -169,18 +188,29 @@
         }
     }
 
-    /// Decides whether to take over, at a host that has been reading the store for `reads_for`.
-    ///
-    /// `newest` is the incarnation that the granting host announced since the row named it, if any.
-    /// `takeover_delay` differs from host to host, so that one tries first.
-    pub fn decide(
-        &mut self,
-        now: Timestamp,
-        newest: Option<Incarnation>,
-        reads_for: Duration,
-        takeover_delay: Duration,
-    ) -> Option<TakeoverReason> {
-        let granter = self.granter.as_ref()?;
+    /// Returns whether the granting host does not reach owners of which this host reaches more: it
+    /// can't renew their grants.
+    fn is_cut_off(&mut self, now: Timestamp, ctx: &DecisionContext) -> bool {
+        let unreachable = self
+            .last_report
+            .map_or(0, |(_, status)| status.unreachable_owners);
+        if unreachable <= ctx.unreachable_owners {
+            self.unreachable_since = None;
+            return false;
+        }
+        let since = *self.unreachable_since.get_or_insert(now);
+        now.since(since) >= ctx.takeover_delay
+    }
+
+    /// Decides whether to take over.
+    pub fn decide(&mut self, now: Timestamp, ctx: &DecisionContext) -> Option<TakeoverReason> {
+        let DecisionContext {
+            newest,
+            reads_for,
+            takeover_delay,
+            ..
+        } = *ctx;
+        let granter = self.granter.clone()?;
         let reported = self.last_report.map(|(_, status)| status.incarnation);
         // Any other incarnation, even a lower number: incarnations come from a clock that may have
         // been set back.
@@ -194,6 +224,7 @@
             return (now.since(since) >= takeover_delay)
                 .then_some(TakeoverReason { has_ended: true });
         }
+        let is_cut_off = self.is_cut_off(now, ctx);
         let last = self
             .last_report
             .map_or(self.granter_since, |(at, _)| at)
@@ -211,6 +242,6 @@
             let granter_for = now.since(self.granter_since).min(reads_for);
             too_old(status.read_age.unwrap_or(granter_for))
         });
-        (unresponsive || cannot_read).then_some(TakeoverReason { has_ended: false })
+        (unresponsive || cannot_read || is_cut_off).then_some(TakeoverReason { has_ended: false })
     }
 }
--- a/crates/assign/tests/succession.rs
+++ b/crates/assign/tests/succession.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use assign::{
-    AssignSettings, GranterStatus, HostIncarnation, TakeoverMonitor, TakeoverReason,
-    TakeoverSettings,
+    AssignSettings, DecisionContext, GranterStatus, HostIncarnation, TakeoverMonitor,
+    TakeoverReason, TakeoverSettings,
 };
 use ids::{HostId, Incarnation, Timestamp};
 
@@ -192,17 +192,23 @@
                 incarnation: Incarnation(incarnation),
                 has_stopped,
                 read_age: read_age.map(Duration::from_millis),
+                unreachable_owners: 0,
             };
             monitor.granter_reported(at(ms), status);
         }
         (0..case.unanswered).for_each(|_| monitor.heartbeat_sent());
         let announced = case.announced.map(Incarnation);
         let decided_at = {
-            let reads_for = Duration::from_millis(case.reads_for);
+            let ctx = DecisionContext {
+                newest: announced,
+                reads_for: Duration::from_millis(case.reads_for),
+                takeover_delay: TAKEOVER_DELAY,
+                unreachable_owners: 0,
+            };
             // An end that is certain must be known for as long as the takeover delay.
             let known = at(case.now) - TAKEOVER_DELAY;
-            let _ = monitor.decide(known, announced, reads_for, TAKEOVER_DELAY);
-            monitor.decide(at(case.now), announced, reads_for, TAKEOVER_DELAY)
+            let _ = monitor.decide(known, &ctx);
+            monitor.decide(at(case.now), &ctx)
         };
         let wanted = case
             .decided_at
@@ -233,10 +239,12 @@
             let ago = Duration::from_millis(ago);
             monitor.reported_by_peer(at(ms), Incarnation(incarnation), ago);
         }
-        let reads_for = Duration::from_mins(1);
-        monitor
-            .decide(at(2_000), None, reads_for, TAKEOVER_DELAY)
-            .is_some()
+        let ctx = DecisionContext {
+            reads_for: Duration::from_mins(1),
+            takeover_delay: TAKEOVER_DELAY,
+            ..DecisionContext::default()
+        };
+        monitor.decide(at(2_000), &ctx).is_some()
     };
     assert!(decides(None));
     assert!(!decides(Some((1_500, 5, 300))));
@@ -260,14 +268,18 @@
         incarnation: granter.incarnation,
         has_stopped: true,
         read_age: Some(Duration::ZERO),
+        unreachable_owners: 0,
     };
     let takes_at = |rank: usize| {
         let mut monitor = TakeoverMonitor::new(cfg);
         monitor.set_granter(at(0), &granter);
         monitor.granter_reported(at(0), status);
-        let delay = cfg.takeover_delay(rank, 0.5);
-        let reads_for = Duration::from_mins(1);
-        (0..2_000_u64).find(|&ms| monitor.decide(at(ms), None, reads_for, delay).is_some())
+        let ctx = DecisionContext {
+            reads_for: Duration::from_mins(1),
+            takeover_delay: cfg.takeover_delay(rank, 0.5),
+            ..DecisionContext::default()
+        };
+        (0..2_000_u64).find(|&ms| monitor.decide(at(ms), &ctx).is_some())
     };
     let times: Vec<_> = (0..5)
         .map(|rank| takes_at(rank).expect("it takes over"))
@@ -293,3 +305,53 @@
     let latest = assign.renew_every + cfg.heartbeat_timeout + cfg.takeover_delay(5_000, 1.0) + rest;
     assert!(latest < assign.grant_ttl, "{latest:?}");
 }
+
+/// A granting host that had lost its links to the owners of keys kept its part, as it read the store
+/// and answered heartbeats; no grant was renewed.
+#[test]
+fn a_granting_host_that_reaches_fewer_owners_is_replaced() {
+    struct Case {
+        granter: usize,
+        own: usize,
+        is_replaced: bool,
+    }
+    let cases = [
+        (0, 0, false),
+        (1, 0, true),
+        (4, 4, false),
+        (4, 2, true),
+        (2, 4, false),
+    ];
+    for (granter, own, is_replaced) in cases {
+        let case = Case {
+            granter,
+            own,
+            is_replaced,
+        };
+        let granter = HostIncarnation {
+            host: HostId::new("h").expect("a valid name"),
+            incarnation: Incarnation(5),
+        };
+        let mut monitor = TakeoverMonitor::new(TakeoverSettings::default());
+        monitor.set_granter(at(0), &granter);
+        let status = GranterStatus {
+            incarnation: granter.incarnation,
+            has_stopped: false,
+            read_age: Some(Duration::ZERO),
+            unreachable_owners: case.granter,
+        };
+        let ctx = DecisionContext {
+            reads_for: Duration::from_mins(1),
+            takeover_delay: TAKEOVER_DELAY,
+            unreachable_owners: case.own,
+            ..DecisionContext::default()
+        };
+        monitor.granter_reported(at(0), status);
+        assert_eq!(monitor.decide(at(0), &ctx), None, "others may be first");
+        let decided = monitor.decide(at(0) + TAKEOVER_DELAY, &ctx);
+        let wanted = case
+            .is_replaced
+            .then_some(TakeoverReason { has_ended: false });
+        assert_eq!(decided, wanted, "{} against {}", case.granter, case.own);
+    }
+}
--- a/crates/front/src/control/heartbeat.rs
+++ b/crates/front/src/control/heartbeat.rs
@@ -22,6 +22,7 @@
 };
 use crate::control::samples::{Sample, SampleRx};
 use crate::control::state::{ControlState, SharedControl};
+use crate::control::takeover::unreachable_owners;
 use crate::control::{confirmations, crashes, limits};
 
 /// Interval of heartbeats: a third of the heartbeat timeout after which the granting host is
@@ -411,7 +412,9 @@
         state.lease_manager.mark_replaced(Revision(revision));
     }
     let read_age = state.lease_manager.read_age(now);
+    let unreachable_owners = unreachable_owners(&state.lease_manager, &c.lost_links.load());
     let reply = HeartbeatReply {
+        unreachable_owners: u32::try_from(unreachable_owners).unwrap_or(u32::MAX),
         host: c.this_host.host.to_string(),
         incarnation: c.this_host.incarnation.0,
         has_stopped: c.has_stopped,
@@ -453,6 +456,7 @@
     let granter = state.lease_manager.row().map(|row| &row.granter.host);
     if granter == Some(&sender.host) {
         let status = GranterStatus {
+            unreachable_owners: usize::try_from(reply.unreachable_owners).unwrap_or(usize::MAX),
             incarnation: sender.incarnation,
             has_stopped: reply.has_stopped,
             read_age: reply
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -75,7 +75,9 @@
     }
     let mut due = Vec::new();
     let may_take_over = c.may_take_over(now);
+    let lost_links = c.lost_links.load_full();
     let takeover_ctx = TakeoverContext {
+        lost_links: &lost_links,
         hosts: &c.hosts,
         this_host: &c.this_host.host,
         settled_at: takeover::settled_at(c.registry_changed_at, c.hosts_changed_at),
@@ -192,6 +194,10 @@
             return;
         };
         log_call_end(&c.log, &mut state.failing_calls, &sent_call, &outcome);
+        if matches!(outcome, GrantCallOutcome::NoAnswer { .. }) {
+            // A request that finds no room is made again with the next failed call.
+            let _ = c.link_checks.try_send(sent_call.upstream.clone());
+        }
         state.lease_manager.call_ended(now, id, &outcome);
     });
     // A successful renewal makes nothing else due.
--- a/crates/front/src/control/messages.rs
+++ b/crates/front/src/control/messages.rs
@@ -198,4 +198,7 @@
     /// Revision of the oldest row by which it still grants.
     #[prost(uint64, tag = "5")]
     pub grants_from: u64,
+    /// Number of owners of the partition's keys that it does not reach, although other hosts do.
+    #[prost(uint32, tag = "6")]
+    pub unreachable_owners: u32,
 }
--- a/crates/front/src/control/takeover.rs
+++ b/crates/front/src/control/takeover.rs
@@ -3,12 +3,16 @@
 
 use std::time::Duration;
 
-use assign::{Action, HostIncarnation, PartitionId, PreviousGranter, TakeoverSettings};
-use ids::{HostId, KeyHash, Revision, Timestamp};
-use indexmap::IndexMap;
+use assign::{
+    Action, DecisionContext, HostIncarnation, PartitionId, PartitionLeaseManager, PreviousGranter,
+    TakeoverSettings,
+};
+use ids::{HostId, KeyHash, Revision, Timestamp, UpstreamId};
+use indexmap::{IndexMap, IndexSet};
 
 use crate::control::hosts::KnownHost;
 use crate::control::state::PartitionState;
+use crate::links::LostLinks;
 
 /// Time without a change of upstreams after which an entry's keys are first assigned: more than the
 /// time between two heartbeats of an upstream, so that all that start together are registered.
@@ -41,6 +45,8 @@
     pub(super) fraction: f64,
     /// Whether this host has been listed for long enough.
     pub(super) may_take_over: bool,
+    /// Links to upstreams that this host has lost.
+    pub(super) lost_links: &'a LostLinks,
 }
 
 impl TakeoverContext<'_> {
@@ -112,10 +118,15 @@
         .revision()
         .and_then(|named| announced(&granter, named));
     let reads_for = ctx.reads_for;
+    let unreachable_owners = unreachable_owners(lease_manager, ctx.lost_links);
     let mut decide = |takeover_delay| {
-        state
-            .takeover_monitor
-            .decide(now, newest_announced, reads_for, takeover_delay)
+        let decision_ctx = DecisionContext {
+            newest: newest_announced,
+            reads_for,
+            takeover_delay,
+            unreachable_owners,
+        };
+        state.takeover_monitor.decide(now, &decision_ctx)
     };
     // The takeover delay depends on all hosts, and is hardly ever needed.
     if decide(Duration::ZERO).is_none() {
@@ -128,6 +139,16 @@
     }
 }
 
+/// Returns the number of owners of a partition's keys to which the links in `lost` lead.
+pub(super) fn unreachable_owners(lease_manager: &PartitionLeaseManager, lost: &LostLinks) -> usize {
+    if lost.is_empty() {
+        return 0;
+    }
+    let ranges = lease_manager.row().map_or(&[][..], |row| &row.ranges);
+    let owners: IndexSet<&UpstreamId> = ranges.iter().map(|owned| &owned.owner).collect();
+    owners.iter().filter(|owner| lost.contains(owner)).count()
+}
+
 /// Returns how many hosts come before `this_host` in taking over a partition from `granter`: the
 /// stronger ones first, and hosts of equal strength in an order that differs by entry.
 ///
