front: a host that lost its link reports no crash of the upstream, and tries it again through another host

A host whose connections are reset and then refused found that each upstream had ended under its request, and other hosts quarantined these requests. Cause: a refused connection was taken for the end of the upstream's process; the host's own link may be the cause. Change: the process has ended only if no other host reaches the upstream either; and a request whose link was lost is sent to the same upstream again, through another host, if it may run twice.

--- a/crates/front/src/crashes.rs
+++ b/crates/front/src/crashes.rs
@@ -2,8 +2,8 @@
 //!
 //! A connection that breaks during a request does not prove a crash: upstreams at capacity break
 //! connections too, and some lose single answers. The detector therefore opens another connection
-//! to the upstream. If the upstream's system refuses it, the process has ended, and the request is
-//! reported to the control thread.
+//! to the upstream. If the upstream's system refuses it, and no other host reaches the upstream, the
+//! process has ended, and the request is reported to the control thread.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -124,9 +124,15 @@
         });
     }
 
-    /// Returns whether the process of `target` has ended, which its system shows by refusing
-    /// connections.
+    /// Returns whether the process of `target` has ended: its system refuses connections of this host,
+    /// and no other host reaches it. This host alone may have lost its link to it.
     async fn has_ended(&self, target: &Registration) -> bool {
-        self.reach.probe(target).await == ProbeResult::Failed(LinkLoss::Refused)
+        let since = BootClock.now();
+        let is_refused = self.reach.probe(target).await == ProbeResult::Failed(LinkLoss::Refused);
+        is_refused
+            && !self
+                .reach
+                .confirm_lost(target, LinkLoss::Refused, since)
+                .await
     }
 }
--- a/crates/front/src/forward/retry_loop.rs
+++ b/crates/front/src/forward/retry_loop.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use direct::{AttemptEnd, PermitEnd, Registration, RetryDecision, RetryState, UpstreamState};
+use direct::{
+    AttemptEnd, LinkState, PermitEnd, Registration, RetryDecision, RetryState, UpstreamState,
+};
 use http::Response;
 use http_body_util::Full;
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp};
@@ -214,7 +216,10 @@
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
-        progress.excluded.add_failed(target.id);
+        // An upstream is not to blame for a lost link, and is reached through another host.
+        if self.links.state(&target.id) == LinkState::Usable {
+            progress.excluded.add_failed(target.id);
+        }
         progress.last = Some(end);
         Ok(())
     }
