front: failures of a host's own links are not blamed on upstreams

Cause: a host that was cut off told permit hosts that upstreams had not responded, counted failures against them, and held requests on keys for half their objective while an owner was in backoff that nobody reaches. Change: while failures at several upstreams without a sign of any suggest that the links fail, or the link is lost, an attempt without a response counts for nothing; requests that neither this host nor those it asked can bring to the owner are refused at once. Test: failures_at_several_upstreams_are_not_blamed_on_them (when links are suspected).

--- a/crates/direct/tests/links.rs
+++ b/crates/direct/tests/links.rs
@@ -145,7 +145,11 @@
     },
     CheckCase {
         name: "a host with few requests waits for a multiple of the expected time",
-        events: &[(0, Responded("b")), (9_000, Responded("b")), (9_000, Sent("a"))],
+        events: &[
+            (0, Responded("b")),
+            (9_000, Responded("b")),
+            (9_000, Sent("a")),
+        ],
         checked_at: Some(9_200),
     },
     CheckCase {
@@ -217,3 +221,60 @@
     assert!(!links.are_all_lost());
     assert_eq!(due_at(&mut links, 999), [up("b")]);
 }
+
+struct SuspicionCase {
+    name: &'static str,
+    events: &'static [(u64, Event)],
+    are_suspect: bool,
+}
+
+const SUSPICION_CASES: &[SuspicionCase] = &[
+    SuspicionCase {
+        name: "one upstream fails",
+        events: &[(0, Failed("a")), (10, Failed("a"))],
+        are_suspect: false,
+    },
+    SuspicionCase {
+        name: "two upstreams fail",
+        events: &[(0, Failed("a")), (10, Failed("b"))],
+        are_suspect: true,
+    },
+    SuspicionCase {
+        name: "another upstream responds between two failures",
+        events: &[(0, Failed("a")), (5, Responded("c")), (10, Failed("b"))],
+        are_suspect: false,
+    },
+    SuspicionCase {
+        name: "all links were found lost",
+        events: &[
+            (0, Failed("a")),
+            (1, FoundLost("a", Silent)),
+            (2, Failed("b")),
+            (3, FoundLost("b", Silent)),
+        ],
+        are_suspect: true,
+    },
+    SuspicionCase {
+        name: "a connection opened after that",
+        events: &[
+            (0, Failed("a")),
+            (1, FoundLost("a", Silent)),
+            (2, Failed("b")),
+            (3, FoundLost("b", Silent)),
+            (500, Opened("a")),
+        ],
+        are_suspect: false,
+    },
+];
+
+/// A host that was cut off told permit hosts that upstreams did not respond, and estimated them to fail.
+#[test]
+fn failures_at_several_upstreams_are_not_blamed_on_them() {
+    for case in SUSPICION_CASES {
+        let mut links = UpstreamLinks::new(LinkSettings::default());
+        for (ms, event) in case.events {
+            apply(&mut links, *ms, event);
+        }
+        assert_eq!(links.are_suspect(), case.are_suspect, "{}", case.name);
+    }
+}
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -129,11 +129,13 @@
     pub(super) fn record_failure(&self, target: &Registration, end: AttemptEnd) {
         let now = BootClock.now();
         let cfg = &self.load_cfg;
+        let suspects_link = self.suspects_link(target);
         self.with_load(target, |load| match end {
             AttemptEnd::Unsent(Reason::ConnectFailed) => load.connect_failed(now, cfg),
             AttemptEnd::Replaced => load.replaced(now, cfg),
             AttemptEnd::Unsent(_) | AttemptEnd::Misdirected => {}
             AttemptEnd::NotRun(_) => load.shed(now, cfg),
+            AttemptEnd::MayHaveRun(_) if suspects_link => {}
             AttemptEnd::MayHaveRun(_) => load.failed(now, cfg),
         });
     }
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use direct::{
-    Candidate, Choice, ColdStart, PermitRequest, PermitSettings, Registration, RequestNeeds,
-    RetryState, UpstreamLoad, choose,
+    Candidate, Choice, ColdStart, LinkState, PermitRequest, PermitSettings, Registration,
+    RequestNeeds, RetryState, UpstreamLoad, choose,
 };
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp, UpstreamId};
 use rand::Rng;
@@ -187,6 +187,11 @@
             return Pick::Refuse(refusal, Some(up.clone()));
         }
         if self.with_load(up, |load| load.is_in_backoff(now)) {
+            if self.links.state(&up.id) != LinkState::Usable {
+                // Neither this host nor those that it asked reach the owner now.
+                let refusal = refuse_for_about(Reason::NoUpstream, DEFAULT_RETRY_AFTER);
+                return Pick::Refuse(refusal, Some(up.clone()));
+            }
             return Pick::Wait;
         }
         Pick::To(up.clone())
--- a/crates/front/src/forward/retry_loop.rs
+++ b/crates/front/src/forward/retry_loop.rs
@@ -260,7 +260,12 @@
         let result = self.attempt(request, target).await;
         if let Some(permit) = &mut permit {
             let limit = self.with_load(target, |load| load.limit());
-            permit.record_end(permit_end(&result), request.report.take(), limit);
+            let mut end = permit_end(&result);
+            // This host's links may be the cause.
+            if end == PermitEnd::NoResponse && self.suspects_link(target) {
+                end = PermitEnd::Unknown;
+            }
+            permit.record_end(end, request.report.take(), limit);
         }
         SendOutcome::Ended(result)
     }
@@ -293,6 +298,11 @@
         matches!(pick, Pick::To(owner) if owner.id == target.id)
     }
 
+    /// Returns whether a request to `target` may have failed because of this host's link to it.
+    pub(super) fn suspects_link(&self, target: &Registration) -> bool {
+        self.links.are_suspect() || self.links.state(&target.id) != LinkState::Usable
+    }
+
     fn withdraw(&self, entry: &EntryId, now: Timestamp) -> bool {
         let mut entries = self.entries.borrow_mut();
         entries
