--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -4,12 +4,14 @@
 mod copies;
 mod crashing;
 mod cut_off;
+mod cuts;
 mod drained;
 mod leaving;
 mod limited;
 mod parts;
 mod returns;
 mod rig;
+mod soak;
 mod tired;
 
 use std::collections::HashMap;
