own: a coordinating host hands an upstream that it does not reach to a host that does

What callers would see (serve form): keys of a coordinating host's upstreams unserved while it was cut off from them, although other hosts reached them. Found by asking the same of this form; not seen by users. Cause: missing replies were taken for the failure of the upstream. Its slices were taken off it after half a second and its grants' end; where upstreams check no grants, or the table was down, they waited for the whole cut. Change: after two attempts without a reply in 300 ms the host asks the standby and two other hosts, which call the upstream; the first that reaches it gets the upstream by the planned handover, slices stay.

--- a/crates/host/src/control/input.rs
+++ b/crates/host/src/control/input.rs
@@ -74,6 +74,13 @@
         /// Whether its address refused the connection.
         refused: bool,
     },
+    /// A call that checked whether this host reaches an upstream has ended.
+    ReachChecked {
+        /// Number of the call.
+        attempt: u64,
+        /// Whether the upstream replied.
+        is_reached: bool,
+    },
     /// An upstream answered a periodic health request.
     HealthReport {
         /// Upstream that answered.
--- a/crates/host/src/control/input_handlers.rs
+++ b/crates/host/src/control/input_handlers.rs
@@ -52,6 +52,13 @@
             Input::Healthy { upstream, attempt } => {
                 self.notify_ownership(own::Event::Healthy { upstream, attempt });
             }
+            Input::ReachChecked {
+                attempt,
+                is_reached,
+            } => self.notify_ownership(own::Event::ReachChecked {
+                attempt,
+                is_reached,
+            }),
             Input::NoReply {
                 upstream,
                 attempt,
--- a/crates/host/src/control/ownership_actions.rs
+++ b/crates/host/src/control/ownership_actions.rs
@@ -18,6 +18,7 @@
                 request,
             } => self.send_grant(upstream, attempt, request),
             own::Action::Probe { upstream, attempt } => self.send_probe(upstream, attempt),
+            own::Action::CheckReach { upstream, attempt } => self.check_reach(upstream, attempt),
             own::Action::SendPeer { to, message } => self.send_ownership_message(&to, &message),
             own::Action::Lease(lease) => {
                 if self.coordinated.insert(lease.upstream.clone()) {
@@ -69,6 +70,20 @@
         self.report_undeclared(upstream, attempt);
     }
 
+    fn check_reach(&mut self, upstream: UpstreamId, attempt: u64) {
+        let catalogue = self.routing.catalogue();
+        if let Some(declared) = catalogue.upstreams.get(&upstream) {
+            let address = declared.address;
+            self.upstream_clients
+                .check_reach(upstream, address, attempt);
+            return;
+        }
+        self.notify_ownership(own::Event::ReachChecked {
+            attempt,
+            is_reached: false,
+        });
+    }
+
     /// Reports that a call got no reply, as the catalogue no longer declares the upstream and so
     /// gives no address for it.
     pub(super) fn report_undeclared(&mut self, upstream: UpstreamId, attempt: u64) {
--- a/crates/host/src/control/upstream_clients.rs
+++ b/crates/host/src/control/upstream_clients.rs
@@ -84,6 +84,21 @@
         self.call(upstream, address, UpstreamCall::Probe { attempt });
     }
 
+    /// Sends a health request to the upstream at `address` over a connection of its own, which is then
+    /// closed.
+    pub(crate) fn check_reach(&self, upstream: UpstreamId, address: SocketAddr, attempt: u64) {
+        let (input, traffic) = (self.input.clone(), Arc::clone(&self.traffic));
+        let mut client = UpstreamClient::new(self.cfg, upstream, address, input, traffic);
+        tokio::task::spawn_local(async move {
+            let is_reached = client.client.health().await.is_ok();
+            let checked = Input::ReachChecked {
+                attempt,
+                is_reached,
+            };
+            client.input.send(checked).await;
+        });
+    }
+
     /// Stops the task of an upstream that this host no longer calls.
     pub(crate) fn remove(&mut self, upstream: &UpstreamId) {
         self.tasks.shift_remove(upstream);
--- a/crates/own/src/action.rs
+++ b/crates/own/src/action.rs
@@ -67,6 +67,14 @@
         /// Number that identifies the attempt.
         attempt: u64,
     },
+    /// Requests the health of an upstream that this host does not coordinate, over a connection of its
+    /// own. The result is reported as [`Event::ReachChecked`](crate::Event::ReachChecked).
+    CheckReach {
+        /// Upstream to call.
+        upstream: UpstreamId,
+        /// Number that identifies the call.
+        attempt: u64,
+    },
     /// Sends a message to another host. The message may be lost.
     SendPeer {
         /// Receiver.
--- a/crates/own/src/coordinator.rs
+++ b/crates/own/src/coordinator.rs
@@ -7,6 +7,7 @@
 
 use crate::grant::UpstreamGrant;
 use crate::previous_hosts::PreviousHosts;
+use crate::reach::PendingReachQuery;
 use crate::{HostRef, Lease};
 
 /// Initial time that a planned move waits for requests in flight.
@@ -67,6 +68,9 @@
     /// Time that a planned move waits for requests in flight.
     pub(crate) drain_timeout: Duration,
     pub(crate) draining: bool,
+    /// Question to other hosts whether they reach the upstream.
+    pub(crate) reach_query: Option<PendingReachQuery>,
+    pub(crate) next_reach_query_at: Timestamp,
 }
 
 impl CoordinatorState {
@@ -86,6 +90,8 @@
             lease_expires_at: Timestamp::ZERO,
             standby_acts: false,
             next_supersede_at: now,
+            reach_query: None,
+            next_reach_query_at: now,
             removal: None,
             handover: None,
             proposed_moves: BTreeMap::new(),
--- a/crates/own/src/event.rs
+++ b/crates/own/src/event.rs
@@ -70,6 +70,13 @@
         /// previous one has ended.
         refused: bool,
     },
+    /// A call that checked whether this host reaches an upstream has ended.
+    ReachChecked {
+        /// Number from [`Action::CheckReach`](crate::Action::CheckReach).
+        attempt: u64,
+        /// Whether the upstream replied.
+        is_reached: bool,
+    },
     /// A host was contacted, directly or through other hosts.
     PeerContact {
         /// Incarnation that was contacted.
--- a/crates/own/src/grant.rs
+++ b/crates/own/src/grant.rs
@@ -17,6 +17,8 @@
 const MAX_PENDING_ATTEMPTS: usize = 16;
 /// Number of unanswered attempts from which an upstream may be considered unresponsive.
 const UNRESPONSIVE_ATTEMPTS: u32 = 3;
+/// The same for it to be suspected.
+const SUSPECT_ATTEMPTS: u32 = 2;
 /// Minimum time between two attempts after a refusal.
 const REFUSAL_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -347,6 +349,12 @@
         self.unanswered >= UNRESPONSIVE_ATTEMPTS && uptime.since(self.last_reply_uptime) >= bound
     }
 
+    /// Returns whether several attempts got no reply for `span`, so that the upstream, or the link to
+    /// it, may have failed.
+    pub(crate) fn misses_replies(&self, uptime: Timestamp, span: Duration) -> bool {
+        self.unanswered >= SUSPECT_ATTEMPTS && uptime.since(self.last_reply_uptime) >= span
+    }
+
     /// Returns whether the upstream has not replied since `start`.
     pub(crate) fn has_no_reply_since(&self, start: Timestamp) -> bool {
         self.last_reply.is_none_or(|last| last <= start)
--- a/crates/own/src/lib.rs
+++ b/crates/own/src/lib.rs
@@ -23,6 +23,7 @@
 mod messages;
 mod moves;
 mod previous_hosts;
+mod reach;
 mod renew;
 mod replica;
 mod row_maintenance;
--- a/crates/own/src/machine.rs
+++ b/crates/own/src/machine.rs
@@ -10,6 +10,7 @@
 use crate::coordinator::{CompletedHandover, CoordinatorState, HeldRequests};
 use crate::liveness::HostLiveness;
 use crate::messages::PromisedSlices;
+use crate::reach::PendingProbe;
 use crate::replica::{Replica, RowUpdate};
 use crate::transactions::PendingTxns;
 use crate::transfer::is_unreleased;
@@ -45,6 +46,8 @@
     /// Slices that this host, as standby, promised not to grant.
     pub(crate) promised_slices: BTreeMap<UpstreamId, PromisedSlices>,
     pub(crate) held_requests: Vec<HeldRequests>,
+    /// Questions of other hosts that wait for upstreams' replies.
+    pub(crate) pending_probes: Vec<PendingProbe>,
     /// Declared upstreams without a row.
     pub(crate) upstreams_without_row: BTreeSet<UpstreamId>,
     /// Time since which an entry waits for the assignment of its slices.
@@ -81,6 +84,7 @@
             past_grants_expire_at: BTreeMap::new(),
             promised_slices: BTreeMap::new(),
             held_requests: Vec::new(),
+            pending_probes: Vec::new(),
             upstreams_without_row: BTreeSet::new(),
             unassigned_since: BTreeMap::new(),
             hostless_since: BTreeMap::new(),
@@ -159,6 +163,10 @@
             Event::NoReply {
                 upstream, refused, ..
             } => self.update_coordinated(&upstream, |_, s| s.grant.record_no_reply(refused)),
+            Event::ReachChecked {
+                attempt,
+                is_reached,
+            } => self.on_reach_checked(attempt, is_reached),
             Event::PeerContact {
                 from,
                 echo_of,
@@ -285,6 +293,7 @@
         self.move_slices(upstream, &mut state);
         self.request_promise(upstream, &mut state);
         self.release_outgoing(upstream, &mut state);
+        self.ask_reach(upstream, &mut state);
         self.advance_handover(upstream, &mut state);
         self.coordinated.insert(upstream.clone(), state);
     }
--- a/crates/own/src/messages.rs
+++ b/crates/own/src/messages.rs
@@ -51,6 +51,8 @@
             Body::Serving(m) => self.on_serving(from, m),
             Body::ReleaseQuery(m) => self.on_release_query(from, m),
             Body::ReleaseConfirmation(m) => self.on_released(m),
+            Body::ReachQuery(m) => self.on_reach_query(from, m),
+            Body::ReachConfirmation(m) => self.on_reach_confirmed(from, m),
             Body::LivenessRequest(LivenessRequest { stamp_us }) => {
                 let stamp_us = *stamp_us;
                 self.send(from, Body::LivenessReply(LivenessReply { stamp_us }));
--- a/crates/own/tests/own/plain.rs
+++ b/crates/own/tests/own/plain.rs
@@ -129,6 +129,57 @@
                 ],
             )
         },
+        // A host that did not reach an upstream took the slices off it, or refused them while the
+        // upstream did not check grants, although the other host of the domain reached it.
+        case(
+            "host cut off from upstreams",
+            600,
+            &[
+                (0, CutUpstream(0, 0, 3_000 * MS)),
+                (0, CutUpstream(0, 1, 3_000 * MS)),
+            ],
+        ),
+        case(
+            "other host cut off from upstreams",
+            600,
+            &[
+                (0, CutUpstream(1, 0, 3_000 * MS)),
+                (0, CutUpstream(1, 1, 3_000 * MS)),
+            ],
+        ),
+        Case {
+            setup: Setup {
+                upstreams: vec![(0, false), (0, false), (1, false)],
+                ..Setup::default()
+            },
+            ..case(
+                "host cut off from upstreams that do not check grants",
+                600,
+                &[
+                    (0, CutUpstream(0, 0, 3_000 * MS)),
+                    (0, CutUpstream(0, 1, 3_000 * MS)),
+                ],
+            )
+        },
+        case(
+            "host cut off from upstreams, then the other host",
+            700,
+            &[
+                (0, CutUpstream(0, 0, 1_400 * MS)),
+                (0, CutUpstream(0, 1, 1_400 * MS)),
+                (1_500, CutUpstream(1, 0, 2_000 * MS)),
+                (1_500, CutUpstream(1, 1, 2_000 * MS)),
+            ],
+        ),
+        case(
+            "table down, then host cut off from upstreams",
+            700,
+            &[
+                (0, TableDown),
+                (500, CutUpstream(0, 0, 3_000 * MS)),
+                (500, CutUpstream(0, 1, 3_000 * MS)),
+            ],
+        ),
         with_moves(case("domain declared lost", 2_500, &[(0, LoseDomain(1))])),
     ]
 }
--- a/crates/own/tests/own/simulation/mod.rs
+++ b/crates/own/tests/own/simulation/mod.rs
@@ -179,6 +179,8 @@
     Grant(usize, usize, u64, GrantRequest),
     /// A health request arrives at an upstream.
     Probe(usize, usize, u64),
+    /// A health request of a host that does not coordinate the upstream arrives at it.
+    CheckReach(usize, usize, u64),
     /// A transaction arrives at the table.
     Apply(usize, u64, Txn, bool),
     /// A host sends a request whose lease it has checked.
@@ -552,6 +554,7 @@
             SimEvent::Perform(h, incarnation, action) => self.perform(h, incarnation, action),
             SimEvent::Grant(h, u, attempt, req) => self.deliver_grant(h, u, attempt, &req),
             SimEvent::Probe(h, u, attempt) => self.deliver_probe(h, u, attempt),
+            SimEvent::CheckReach(h, u, attempt) => self.deliver_reach_check(h, u, attempt),
             SimEvent::Apply(h, n, txn, report_result) => self.apply(h, n, &txn, report_result),
             SimEvent::SendRequest(s) => self.send_request(s),
             SimEvent::StartRequest(u, s) => self.start_request(u, s),
@@ -742,6 +745,10 @@
             Action::Probe { upstream, attempt } => {
                 self.send_to_upstream(h, upstream.as_str(), |u| SimEvent::Probe(h, u, attempt));
             }
+            Action::CheckReach { upstream, attempt } => {
+                let check = |u| SimEvent::CheckReach(h, u, attempt);
+                self.send_to_upstream(h, upstream.as_str(), check);
+            }
             Action::SendPeer { to, message } => self.send_to_host(h, &to, &message),
             Action::LeaveComplete => {
                 self.hosts[h].left = true;
@@ -815,6 +822,21 @@
         self.send_reply(h, incarnation, u, Event::Healthy { upstream, attempt });
     }
 
+    fn deliver_reach_check(&mut self, h: usize, u: usize, attempt: u64) {
+        let incarnation = self.hosts[h].incarnation;
+        let is_reached = !self.upstreams[u].stopped;
+        if is_reached && self.upstreams[u].paused_until > self.t {
+            let after = self.upstreams[u].paused_until - self.t;
+            self.push(after, SimEvent::CheckReach(h, u, attempt));
+            return;
+        }
+        let event = Event::ReachChecked {
+            attempt,
+            is_reached,
+        };
+        self.send_reply(h, incarnation, u, event);
+    }
+
     /// Refuses the connection of a host to an upstream whose process does not run.
     fn refuse(&mut self, h: usize, incarnation: u64, upstream: ids::UpstreamId, attempt: u64) {
         let event = Event::NoReply {
--- a/crates/wire/src/own.rs
+++ b/crates/wire/src/own.rs
@@ -352,6 +352,28 @@
     pub stamp_us: u64,
 }
 
+/// Asks a host whether it reaches an upstream, which does not reply to the sender.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ReachQuery {
+    /// Upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Number of the question.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+}
+
+/// Says that the sender reaches an upstream.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ReachConfirmation {
+    /// Upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Number of the question.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+}
+
 /// The content of a message.
 #[derive(Clone, PartialEq, Eq, prost::Oneof)]
 pub enum Body {
@@ -394,6 +416,12 @@
     /// See [`ReleaseConfirmation`].
     #[prost(message, tag = "14")]
     ReleaseConfirmation(ReleaseConfirmation),
+    /// See [`ReachQuery`].
+    #[prost(message, tag = "15")]
+    ReachQuery(ReachQuery),
+    /// See [`ReachConfirmation`].
+    #[prost(message, tag = "16")]
+    ReachConfirmation(ReachConfirmation),
 }
 
 /// An ownership message from one host to another.
@@ -403,6 +431,9 @@
     #[prost(message, optional, tag = "1")]
     pub from: Option<HostRef>,
     /// Content of the message.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(
+        oneof = "Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+    )]
     pub body: Option<Body>,
 }
