standin, trial: hosts of the serve form lose their links to upstreams; trials of each kind of cut

The stand-in of an upstream cuts links by the host's address, as the one of the users' platform does; hosts of both forms may connect to upstreams from a given address. The simulation cuts a host off from all upstreams at random moments (CutLinks).

--- a/crates/cli/tests/direct/cut_off.rs
+++ b/crates/cli/tests/direct/cut_off.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use standin::fleet::LinkCut;
+use standin::LinkCut;
 
 use crate::rig::{Request, Response, Rig, guarantees_not_executed, send};
 use crate::{answered, check_all_are_answered, check_owners, execution_count};
--- a/crates/cli/tests/direct/cuts.rs
+++ b/crates/cli/tests/direct/cuts.rs
@@ -8,7 +8,7 @@
 use futures::future::join_all;
 use rand::Rng as _;
 use rand::rngs::StdRng;
-use standin::fleet::LinkCut;
+use standin::LinkCut;
 
 use crate::soak::{self, Event, HOSTS};
 
--- a/crates/cli/tests/direct/soak.rs
+++ b/crates/cli/tests/direct/soak.rs
@@ -9,8 +9,9 @@
 use futures::future::join_all;
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng};
+use standin::LinkCut;
 use standin::fleet::deploy::configuration;
-use standin::fleet::{FleetTarget, LinkCut, StoreCopy, StoreMode, TargetSettings};
+use standin::fleet::{FleetTarget, StoreCopy, StoreMode, TargetSettings};
 use tokio::sync::Mutex;
 
 use crate::rig::{Request, Rig, guarantees_not_executed, send, wait_until};
--- a/crates/cli/tests/trials/losses.rs
+++ b/crates/cli/tests/trials/losses.rs
@@ -75,3 +75,14 @@
         max_unavailable_ms: cut_ms + RECOVERY_LIMIT_MS,
     });
 }
+
+/// A coordinating host that did not reach its upstreams took them for failed.
+#[test]
+fn a_coordinating_host_is_cut_off_from_upstreams() {
+    for trial in ["cut-links-hang", "cut-links-reset", "cut-links-refuse"] {
+        run(&Case {
+            trial,
+            max_unavailable_ms: RECOVERY_LIMIT_MS,
+        });
+    }
+}
--- a/crates/gate/src/dispatch/exchange.rs
+++ b/crates/gate/src/dispatch/exchange.rs
@@ -18,7 +18,7 @@
 use crate::headers::{self, strip_answer};
 use crate::settings::{DispatchSettings, millis};
 use crate::upstream::conn::AnswerHead;
-use crate::upstream::{Exchange, ExchangeError, UpstreamConn};
+use crate::upstream::{ConnSettings, Exchange, ExchangeError, UpstreamConn};
 
 /// Progress of an exchange; read when it is aborted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -98,12 +98,16 @@
         let left = self.call.deadline.since(self.cx.now());
         let timeout = millis(settings.connect_timeout_ms).min(left);
         let address = self.upstream.target.address;
-        let conn = UpstreamConn::open(address, timeout, settings.header_bytes as usize)
-            .await
-            .map_err(|e| {
-                slog::debug!(self.cx.log, "upstream connection failed"; "error" => %e);
-                Reason::ConnectFailed
-            })?;
+        let cfg = ConnSettings {
+            timeout,
+            header_bytes: settings.header_bytes as usize,
+            source: settings.source,
+            ..ConnSettings::default()
+        };
+        let conn = UpstreamConn::open_with(address, cfg).await.map_err(|e| {
+            slog::debug!(self.cx.log, "upstream connection failed"; "error" => %e);
+            Reason::ConnectFailed
+        })?;
         self.cx.metrics.count(Count::UpstreamConnected);
         Ok(conn)
     }
--- a/crates/gate/src/grants.rs
+++ b/crates/gate/src/grants.rs
@@ -2,7 +2,7 @@
 //!
 //! They share no connection with requests, so that neither has to wait for the other.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +26,8 @@
     pub timeout: Duration,
     /// Largest accepted reply, in bytes.
     pub reply_bytes: usize,
+    /// Local address of connections; chosen by the system if there is none.
+    pub source: Option<IpAddr>,
 }
 
 impl Default for GrantSettings {
@@ -34,6 +36,7 @@
             connect_timeout: Duration::from_millis(250),
             timeout: Duration::from_millis(500),
             reply_bytes: 8 << 20,
+            source: None,
         }
     }
 }
@@ -242,8 +245,8 @@
         let cfg = ConnSettings {
             timeout: settings.connect_timeout,
             header_bytes: settings.reply_bytes,
+            source: settings.source,
             traffic: self.traffic.clone(),
-            ..ConnSettings::default()
         };
         UpstreamConn::open_with(self.peer, cfg).await
     }
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -132,11 +132,14 @@
     pub idle_ms: u32,
     /// Largest head of an answer, in bytes.
     pub header_bytes: u32,
+    /// Local address of connections; chosen by the system if there is none.
+    pub source: Option<IpAddr>,
 }
 
 impl Default for UpstreamSettings {
     fn default() -> Self {
         Self {
+            source: None,
             connect_timeout_ms: 500,
             idle_ms: 30_000,
             header_bytes: 32 << 10,
--- a/crates/host/src/control/thread.rs
+++ b/crates/host/src/control/thread.rs
@@ -1,6 +1,7 @@
 //! The control thread, which drives membership, ownership and placement.
 
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,6 +39,8 @@
     pub(crate) cfg: Settings,
     pub(crate) identity: spread::HostIdentity,
     pub(crate) ownership_settings: own::OwnershipSettings,
+    /// Local address of connections to upstreams; chosen by the system if there is none.
+    pub(crate) upstream_source: Option<IpAddr>,
     pub(crate) membership_settings: spread::MembershipSettings,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) cx: Arc<GateContext>,
@@ -112,6 +115,7 @@
         );
         let call_settings = UpstreamCallSettings {
             timeout: deps.ownership_settings.renew_every * 2,
+            source: deps.upstream_source,
             ..UpstreamCallSettings::default()
         };
         let clock = Arc::clone(&deps.clock);
--- a/crates/host/src/control/upstream_clients.rs
+++ b/crates/host/src/control/upstream_clients.rs
@@ -1,6 +1,6 @@
 //! Grants and health requests to upstreams. Each upstream has its own task.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +31,8 @@
     pub(crate) timeout: Duration,
     /// Time between health reports.
     pub(crate) health_interval: Duration,
+    /// Local address of connections; chosen by the system if there is none.
+    pub(crate) source: Option<IpAddr>,
 }
 
 impl Default for UpstreamCallSettings {
@@ -38,6 +40,7 @@
         Self {
             timeout: Duration::from_millis(300),
             health_interval: Duration::from_secs(1),
+            source: None,
         }
     }
 }
@@ -147,6 +150,7 @@
         let settings = GrantSettings {
             connect_timeout: cfg.timeout,
             timeout: cfg.timeout,
+            source: cfg.source,
             ..GrantSettings::default()
         };
         Self {
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -10,7 +10,7 @@
 use gate::callers::PathSettings;
 use gate::{
     DispatchChannels, DispatchCommand, DispatchSettings, DispatchThread, Gate, GateContext,
-    GateSettings, Metrics,
+    GateSettings, Metrics, UpstreamSettings,
 };
 use ids::{BootClock, Clock, Incarnation};
 use platform::{HttpPlatform, HttpSettings, Token};
@@ -221,6 +221,7 @@
         let platform = HttpPlatform::counted(settings, Arc::clone(&self.traffic.platform));
         Dependencies {
             ownership_settings: cfg.ownership.ownership_settings(),
+            upstream_source: cfg.upstream_source,
             membership_settings: cfg.ownership.membership_settings(),
             cfg,
             identity,
@@ -325,6 +326,10 @@
     DispatchSettings {
         listen: cfg.listen.dispatch,
         stop_ms: cfg.callers.drain_timeout_ms,
+        upstream: UpstreamSettings {
+            source: cfg.upstream_source,
+            ..UpstreamSettings::default()
+        },
         ..DispatchSettings::default()
     }
 }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -24,6 +24,9 @@
     /// Addresses on which the host listens.
     #[serde(default)]
     pub listen: ListenAddresses,
+    /// Local address of connections to upstreams; chosen by the system if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub upstream_source: Option<IpAddr>,
     /// Connection to the platform.
     pub platform: PlatformSettings,
     /// Hosts to contact while the platform's list of hosts can't be read.
@@ -55,6 +58,7 @@
             host,
             domain,
             listen: ListenAddresses::default(),
+            upstream_source: None,
             platform,
             seed_peers: Vec::new(),
             address_overrides: IndexMap::new(),
--- a/crates/own/tests/own/interleaving.rs
+++ b/crates/own/tests/own/interleaving.rs
@@ -52,6 +52,7 @@
         4 => (0..hosts, pause()).prop_map(|(h, us)| Fault::CutHost(h, us)),
         3 => (0..hosts, 0..hosts, pause()).prop_map(|(a, b, us)| Fault::CutHosts(a, b, us)),
         3 => (0..hosts, 0..upstreams, pause()).prop_map(|(h, u, us)| Fault::CutUpstream(h, u, us)),
+        3 => (0..hosts, pause()).prop_map(|(h, us)| Fault::CutLinks(h, us)),
         4 => (0..8_u64, 0..upstreams).prop_map(|(s, u)| Fault::MoveSlice(s, u)),
         2 => (0..2_u64).prop_map(Fault::Carve),
         3 => (0..2_u64, 0..upstreams).prop_map(|(s, u)| Fault::MoveHot(s, u)),
--- a/crates/own/tests/own/simulation/mod.rs
+++ b/crates/own/tests/own/simulation/mod.rs
@@ -149,6 +149,8 @@
     CutHosts(usize, usize, u64),
     /// Cuts a host and an upstream off from each other for a duration.
     CutUpstream(usize, usize, u64),
+    /// Cuts a host off from all upstreams for a duration.
+    CutLinks(usize, u64),
     /// Cuts a host off from all hosts and upstreams for a duration, but not from the table.
     CutHost(usize, u64),
     /// Kills all processes of a domain and declares the domain lost.
@@ -1029,6 +1031,11 @@
             Fault::CutUpstream(h, u, us) => {
                 self.cut_upstreams.insert((h, u), self.t + us);
             }
+            Fault::CutLinks(h, us) => {
+                for u in 0..self.upstreams.len() {
+                    self.cut_upstreams.insert((h, u), self.t + us);
+                }
+            }
             Fault::CutHost(h, us) => {
                 for o in 0..self.hosts.len() {
                     self.cut_hosts.insert((h.min(o), h.max(o)), self.t + us);
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -5,7 +5,6 @@
 //! - [`store`]: the store and its faults; [`copies`]: its returns from copies of itself.
 //! - [`keys`]: keys that a server holds.
 //! - [`cold`]: limits of a server that is warming up.
-//! - [`links`]: failures of the links between hosts and servers.
 //! - [`target`]: a server, its faults, and the journal of the requests that it ran; `answers` holds
 //!   its responses.
 
@@ -14,12 +13,10 @@
 pub mod copies;
 pub mod deploy;
 pub mod keys;
-pub mod links;
 pub mod store;
 pub mod target;
 
 pub use cold::ColdSettings;
 pub use copies::{LostRows, StoreCopy};
-pub use links::LinkCut;
 pub use store::{FleetStore, StoreMode};
 pub use target::{Arrival, ExecutedRequest, FleetTarget, Journal, TargetFault, TargetSettings};
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -15,8 +15,8 @@
 use super::answers::accept;
 use super::cold::{ColdSettings, ColdState};
 use super::keys::HeldKeys;
-use super::links::{LinkCut, LinkCuts};
 use super::store::FleetStore;
+use crate::links::{LinkCut, LinkCuts};
 
 /// Attempts to listen again at the address of a server that has just ended, and the delay between
 /// two attempts.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`proxy`]: a TCP proxy that injects faults.
 //! - [`load`]: an open-loop load generator.
 //! - [`judge`]: detects faults from a load's records and the journals.
+//! - [`links`]: failures of the links between hosts and upstreams.
 //! - [`client`]: an HTTP client over one connection.
 //! - [`args`]: command-line arguments of the stand-ins.
 
@@ -16,6 +17,7 @@
 mod http;
 pub mod journal;
 pub mod judge;
+pub mod links;
 pub mod load;
 pub mod platform;
 pub mod proxy;
@@ -24,6 +26,7 @@
 
 pub use journal::{JournalEvent, JournalLine, Started};
 pub use judge::{JudgeSettings, Report};
+pub use links::LinkCut;
 pub use load::{ClientOutcome, EntryLoad, LoadResult, LoadSettings, Record};
 pub use platform::{PlatformSettings, StandinPlatform};
 pub use proxy::{Fault, FaultPlan, FaultProxy, ProxySettings};
--- a/crates/standin/src/upstream/admin.rs
+++ b/crates/standin/src/upstream/admin.rs
@@ -1,8 +1,11 @@
 //! Commands to an upstream stand-in.
 
+use std::net::IpAddr;
+
 use serde::{Deserialize, Serialize};
 
 use super::settings::{LoadReport, ServiceTime};
+use crate::links::LinkCut;
 
 /// Path of the admin endpoint: `POST` an [`AdminCommand`] in JSON.
 pub const ADMIN_PATH: &str = "/admin";
@@ -26,4 +29,13 @@
     ServiceTime(ServiceTime),
     /// Sheds all requests, or stops doing so.
     Shed(bool),
+    /// Cuts the links to the hosts with these addresses.
+    CutLinks {
+        /// Addresses of the hosts.
+        hosts: Vec<IpAddr>,
+        /// How the links fail.
+        how: LinkCut,
+    },
+    /// Restores the links to all hosts.
+    RestoreLinks,
 }
--- a/crates/standin/src/upstream/core.rs
+++ b/crates/standin/src/upstream/core.rs
@@ -15,6 +15,7 @@
 use super::service_time::ServiceTimeSampler;
 use super::settings::{LoadReport, UpstreamSettings};
 use crate::journal::{Journal, JournalEvent, JournalLine, Started};
+use crate::links::LinkCuts;
 use crate::timer::sleep_until;
 
 /// The fields of a request's headers that the upstream evaluates.
@@ -43,6 +44,8 @@
     clock: BootClock,
     started: Timestamp,
     frozen_until: watch::Sender<Option<Instant>>,
+    /// Failed links to hosts.
+    pub(crate) link_cuts: watch::Sender<LinkCuts>,
     state: Mutex<State>,
 }
 
@@ -78,6 +81,7 @@
             clock,
             started: clock.now(),
             frozen_until: watch::Sender::new(None),
+            link_cuts: watch::Sender::default(),
             state: Mutex::new(state),
         };
         let boot = JournalEvent::Boot {
@@ -257,6 +261,10 @@
             AdminCommand::LoadReport(kind) => state.load_report = *kind,
             AdminCommand::ServiceTime(kind) => state.service_time.set_kind(*kind),
             AdminCommand::Shed(on) => state.shedding = *on,
+            AdminCommand::CutLinks { hosts, how } => self.link_cuts.send_modify(|cuts| {
+                cuts.extend(hosts.iter().map(|host| (*host, *how)));
+            }),
+            AdminCommand::RestoreLinks => self.link_cuts.send_modify(LinkCuts::clear),
         }
     }
 }
--- a/crates/standin/src/upstream/server.rs
+++ b/crates/standin/src/upstream/server.rs
@@ -20,8 +20,9 @@
 use super::answer::{answer, read_head, refusal};
 use super::core::{Core, Execution, RequestHead};
 use super::settings::UpstreamSettings;
-use crate::http::{FullResponse, Request, json, read_body, respond, serve_connection};
+use crate::http::{FullResponse, Request, json, read_body, respond};
 use crate::journal::JournalLine;
+use crate::links::{accepts_from, apply_to_listener, serve_over_link};
 use crate::timer::sleep;
 
 /// A running upstream stand-in; dropping it has the effect of [`Upstream::kill`].
@@ -122,32 +123,47 @@
     }
 
     async fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut cuts = self.core.link_cuts.subscribe();
         loop {
+            apply_to_listener(&listener, &cuts.borrow_and_update());
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
+                _ = cuts.changed() => continue,
                 () = self.stop.cancelled() => return,
             };
             // Accepting fails if descriptors are exhausted or the client has already disconnected.
-            let Ok((socket, _)) = accepted else {
+            let Ok((socket, peer)) = accepted else {
                 tokio::time::sleep(Duration::from_millis(1)).await;
                 continue;
             };
+            if !accepts_from(&cuts.borrow(), peer.ip()) {
+                // If this fails, the host observes an orderly close.
+                let _ = socket.set_zero_linger();
+                continue;
+            }
             let Ok(permit) = Arc::clone(&self.connections).try_acquire_owned() else {
                 continue;
             };
             let server = Arc::clone(&self);
-            self.spawn(server.connection(socket, permit));
+            self.spawn(server.connection(socket, peer, permit));
         }
     }
 
-    async fn connection(self: Arc<Self>, socket: TcpStream, _permit: OwnedSemaphorePermit) {
+    async fn connection(
+        self: Arc<Self>,
+        socket: TcpStream,
+        peer: SocketAddr,
+        _permit: OwnedSemaphorePermit,
+    ) {
         if socket.set_nodelay(true).is_err() {
             return;
         }
         self.core.wait_while_frozen().await;
         sleep(millis(self.core.cfg.connect_cost_ms)).await;
         let stop = self.stop.clone();
-        serve_connection(socket, stop, |req| Arc::clone(&self).handle(req)).await;
+        let cuts = self.core.link_cuts.subscribe();
+        let handle = |req| Arc::clone(&self).handle(req);
+        serve_over_link(socket, peer, cuts, stop, handle).await;
     }
 
     async fn handle(self: Arc<Self>, req: Request) -> FullResponse {
--- a/crates/trial/src/cluster/hosts.rs
+++ b/crates/trial/src/cluster/hosts.rs
@@ -1,6 +1,6 @@
 //! The hosts' processes.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitStatus};
 use std::time::Duration;
@@ -176,6 +176,7 @@
                 dispatch: ports.dispatch.address(),
                 control: ports.control.address(),
             },
+            upstream_source: Some(self.upstream_source(name)?),
             address_overrides: links.address_overrides(&spec.domain),
             seed_peers: self.seeds(spec, links)?,
             log_level: LogLevel::Debug,
@@ -223,6 +224,18 @@
         found.with_context(|| format!("no host {name}"))
     }
 
+    /// Returns the address from which a host connects to upstreams, by which they tell hosts apart.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such host.
+    pub fn upstream_source(&self, name: &HostId) -> anyhow::Result<IpAddr> {
+        let position = self.all.get_index_of(name);
+        let position = position.with_context(|| format!("no host {name}"))?;
+        let [high, low] = u16::try_from(position + 1)?.to_be_bytes();
+        Ok(Ipv4Addr::new(127, 1, high, low).into())
+    }
+
     /// Returns the hosts that have a process, including paused ones.
     #[must_use]
     pub fn running(&self) -> Vec<HostId> {
--- a/crates/trial/src/cluster/upstreams.rs
+++ b/crates/trial/src/cluster/upstreams.rs
@@ -157,6 +157,19 @@
         Ok(())
     }
 
+    /// Sends an admin command to all upstreams that run.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one doesn't answer or refuses the command.
+    pub async fn command_all(&self, command: &AdminCommand) -> anyhow::Result<()> {
+        let running = self.all.iter().filter(|(_, u)| u.process.is_some());
+        for (name, _) in running {
+            self.command(name, command).await?;
+        }
+        Ok(())
+    }
+
     /// Replaces the fault plan of all upstreams' proxies.
     pub fn set_plan(&self, plan: &FaultPlan) {
         let proxies = self.all.values().filter_map(|u| u.proxy.as_ref());
--- a/crates/trial/src/scenario/act.rs
+++ b/crates/trial/src/scenario/act.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
+use standin::AdminCommand;
 
 use super::changes::{self, ChangesReport};
 use super::picks::Picks;
@@ -55,6 +56,15 @@
             cluster.upstreams.set_plan(plan);
             cluster.upstreams.cut_connections();
         }
+        Action::CutLinks(role, how) => {
+            let hosts = vec![cluster.hosts.upstream_source(picks.host(*role))?];
+            let command = AdminCommand::CutLinks { hosts, how: *how };
+            cluster.upstreams.command_all(&command).await?;
+        }
+        Action::RestoreLinks => {
+            let command = AdminCommand::RestoreLinks;
+            cluster.upstreams.command_all(&command).await?;
+        }
         Action::PlatformFaults(faults) => cluster.platform.set_faults(*faults).await?,
         Action::CutOthers => cluster.links.cut_from_others(&picks.domain),
         Action::ReconnectOthers => cluster.links.reconnect_to_others(&picks.domain),
--- a/crates/trial/src/scenario/list.rs
+++ b/crates/trial/src/scenario/list.rs
@@ -2,7 +2,7 @@
 
 use standin::platform::{Faults, LoseConfirmations, Mode};
 use standin::proxy::{Delay, FaultShare};
-use standin::{AdminCommand, Fault, FaultPlan};
+use standin::{AdminCommand, Fault, FaultPlan, LinkCut};
 
 use super::{Action, Expectations, HostRole, Phase, Scenario, Step, UpstreamRole};
 
@@ -27,6 +27,7 @@
     all.extend(pauses());
     all.extend(outages());
     all.extend(domain_cuts());
+    all.extend(link_cuts());
     all.extend([catalogue_changes(), overload()]);
     all
 }
@@ -416,6 +417,39 @@
     ]
 }
 
+fn link_cuts() -> Vec<Scenario> {
+    let cut = |name: &str, description, how| {
+        let steps = vec![
+            at(FIRST_MS, Action::CutLinks(COORDINATOR, how)),
+            at(FIRST_MS + PAUSE_MS, Action::RestoreLinks),
+            at(FIRST_MS + 2 * PAUSE_MS, Action::CutLinks(STANDBY, how)),
+            at(FIRST_MS + 3 * PAUSE_MS, Action::RestoreLinks),
+        ];
+        Scenario {
+            expect: host_loss(),
+            tail_ms: 2_000,
+            ..scenario(name, description, steps)
+        }
+    };
+    vec![
+        cut(
+            "cut-links-hang",
+            "The links between a host and all upstreams hang, then those of another host.",
+            LinkCut::Hangs,
+        ),
+        cut(
+            "cut-links-reset",
+            "The connections between a host and all upstreams are reset, then those of another host.",
+            LinkCut::Resets,
+        ),
+        cut(
+            "cut-links-refuse",
+            "New connections of a host to all upstreams are refused, then those of another host.",
+            LinkCut::RefusesNew,
+        ),
+    ]
+}
+
 fn catalogue_changes() -> Scenario {
     Scenario {
         expect: Expectations {
--- a/crates/trial/src/scenario/step.rs
+++ b/crates/trial/src/scenario/step.rs
@@ -1,7 +1,7 @@
 //! Steps of a trial and their actions.
 
 use standin::platform::Faults;
-use standin::{AdminCommand, FaultPlan};
+use standin::{AdminCommand, FaultPlan, LinkCut};
 
 use super::picks::{HostRole, UpstreamRole};
 
@@ -45,6 +45,10 @@
     UpstreamFaults(FaultPlan),
     /// Replaces the faults that the platform injects.
     PlatformFaults(Faults),
+    /// Cuts the links between a host and all upstreams.
+    CutLinks(HostRole, LinkCut),
+    /// Restores the links between all hosts and upstreams.
+    RestoreLinks,
     /// Cuts the links between the picked domain and the others.
     CutOthers,
     /// Restores the links between the picked domain and the others.
