front: nothing is sent on silent connections of a lost link; a single silent upstream delays no request; lists of hosts are built once

Cause and change: of links that are inferred to be lost, idle connections were still used, on which a request got no response before its deadline (the sans-IO rule has a test, silent_connections_get_no_requests). A request that met a silent upstream waited for other hosts' probes of it, up to 400 ms, although other upstreams responded to this host: they are now asked beside it. Hosts that take no more requests are passed over for a while. The lists of hosts in the view are built when hosts change, not with each publication.

--- a/crates/direct/src/links.rs
+++ b/crates/direct/src/links.rs
@@ -66,6 +66,16 @@
     Lost(LinkLoss),
 }
 
+impl LinkState {
+    /// Returns whether requests may be sent on connections that are open.
+    ///
+    /// On a silent one they would get no response before their deadlines.
+    #[must_use]
+    pub const fn allows_open_connections(self) -> bool {
+        !matches!(self, Self::Lost(LinkLoss::Silent))
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct LostLink {
     loss: LinkLoss,
--- a/crates/direct/tests/links.rs
+++ b/crates/direct/tests/links.rs
@@ -278,3 +278,11 @@
         assert_eq!(links.are_suspect(), case.are_suspect, "{}", case.name);
     }
 }
+
+/// Requests that were sent on silent connections waited for their whole deadlines.
+#[test]
+fn silent_connections_get_no_requests() {
+    assert!(LinkState::Usable.allows_open_connections());
+    assert!(LinkState::Lost(Refused).allows_open_connections());
+    assert!(!LinkState::Lost(Silent).allows_open_connections());
+}
--- a/crates/front/src/control/hosts.rs
+++ b/crates/front/src/control/hosts.rs
@@ -66,6 +66,7 @@
     /// Records that a host's row was written at revision `at`.
     pub fn record_host(&mut self, now: Timestamp, row: HostRow, revision: Revision) {
         self.hosts_changed_at = now;
+        self.host_lists = None;
         let id = row.incarnation.host.clone();
         let host = KnownHost {
             row,
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -88,6 +88,9 @@
     }
 }
 
+/// The hosts that grant permits, by domain, and the hosts through which requests may go.
+pub type HostLists = (Arc<IndexMap<DomainId, PermitHosts>>, Arc<Vec<PeerHost>>);
+
 /// Last known address of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LastKnownAddress {
@@ -132,6 +135,8 @@
     pub hosts: IndexMap<HostId, KnownHost>,
     /// When the last change of hosts was read.
     pub hosts_changed_at: Timestamp,
+    /// Lists of the hosts as last published; none if the hosts have changed since.
+    pub host_lists: Option<HostLists>,
     /// When this host last wrote its own row.
     pub row_written_at: Timestamp,
     /// When this host's row was first in the store; zero if it was before this incarnation started.
@@ -229,24 +234,10 @@
                 entry.insert(state.partition, known);
             }
         }
-        let mut permit_hosts: IndexMap<DomainId, PermitHosts> = IndexMap::new();
-        for host in self.hosts.values() {
-            let hosts = permit_hosts.entry(host.row.domain.clone()).or_default();
-            if let Some(address) = host.row.permits {
-                hosts.add(address, host.row.capacity);
-            }
-        }
-        let others = self.hosts.values().map(|host| &host.row);
-        let others = others.filter(|row| row.incarnation.host != self.this_host.host);
-        let peers = others.filter_map(|row| {
-            Some(PeerHost {
-                address: row.exchanges?,
-                domain: row.domain.clone(),
-            })
-        });
+        let (permit_hosts, peers) = self.host_lists();
         let view = View {
-            peers: Arc::new(peers.collect()),
-            permit_hosts: Arc::new(permit_hosts),
+            peers,
+            permit_hosts,
             phase: self.phase,
             configuration: self.configuration.clone(),
             registry: Arc::new(self.registry.clone()),
@@ -258,6 +249,30 @@
         self.view.store(Arc::new(view));
     }
 
+    /// Returns the hosts that grant permits, and those through which requests may go. They are built
+    /// anew only if the hosts have changed.
+    fn host_lists(&mut self) -> HostLists {
+        let (hosts, this_host) = (&self.hosts, &self.this_host.host);
+        let lists = self.host_lists.get_or_insert_with(|| {
+            let mut permit_hosts: IndexMap<DomainId, PermitHosts> = IndexMap::new();
+            let mut peers = Vec::new();
+            for row in hosts.values().map(|host| &host.row) {
+                let of_domain = permit_hosts.entry(row.domain.clone()).or_default();
+                if let Some(address) = row.permits {
+                    of_domain.add(address, row.capacity);
+                }
+                if let Some(address) = row.exchanges
+                    && row.incarnation.host != *this_host
+                {
+                    let domain = row.domain.clone();
+                    peers.push(PeerHost { address, domain });
+                }
+            }
+            (Arc::new(permit_hosts), Arc::new(peers))
+        });
+        lists.clone()
+    }
+
     /// Changes the phase of the host.
     pub fn set_phase(&mut self, phase: Phase) {
         if self.phase == phase {
--- a/crates/front/src/forward/ways.rs
+++ b/crates/front/src/forward/ways.rs
@@ -1,15 +1,16 @@
 //! The ways to an upstream: over this host's own link, or through another host.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use direct::{AttemptEnd, LinkState, Registration};
+use direct::{AttemptEnd, LinkLoss, LinkState, Registration};
 use gate::counters::Count;
 use gate::headers::strip_hop_by_hop;
 use http::{HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
-use ids::{BootClock, Clock, Reason};
+use ids::{BootClock, Clock, Reason, Timestamp};
 
 use super::{CallerRequest, Forwarder};
 use crate::peer_exchange::PeerFailure;
@@ -31,29 +32,40 @@
             let req = self.upstream_request(request, target, left);
             req.map(Full::new)
         };
-        match self.links.state(&target.id) {
-            LinkState::Usable => {
-                let since = BootClock.now();
-                let loss = match self.client.exchange(&outgoing, build).await {
-                    Ok(response) => return Ok(response),
-                    Err(DirectFailure::Exchange(failed)) => return Err(failed),
-                    Err(DirectFailure::Connect(loss)) => loss,
-                };
-                if !self.reach.confirm_lost(target, loss, since).await {
-                    return Err(AttemptEnd::Unsent(Reason::ConnectFailed).into());
-                }
-            }
-            LinkState::Lost(_) => {
-                // Connections that opened before the link was lost may still work.
-                let on_kept = self.client.exchange_on_kept(&outgoing, &build).await;
-                if let Some(result) = on_kept {
-                    return result;
-                }
+        let state = self.links.state(&target.id);
+        if state == LinkState::Usable {
+            let since = BootClock.now();
+            let loss = match self.client.exchange(&outgoing, build).await {
+                Ok(response) => return Ok(response),
+                Err(DirectFailure::Exchange(failed)) => return Err(failed),
+                Err(DirectFailure::Connect(loss)) => loss,
+            };
+            if !self.is_link_lost(target, loss, since).await {
+                return Err(AttemptEnd::Unsent(Reason::ConnectFailed).into());
             }
+        } else if state.allows_open_connections()
+            && let Some(result) = self.client.exchange_on_kept(&outgoing, &build).await
+        {
+            return result;
         }
         self.exchange_through_peer(request, &outgoing).await
     }
 
+    /// Returns whether this host has lost its link to `target`, to which it could not open a
+    /// connection after `since`.
+    async fn is_link_lost(&self, target: &Registration, loss: LinkLoss, since: Timestamp) -> bool {
+        // An upstream that alone is silent has probably failed. Other hosts would have to wait for it
+        // too, so the request goes elsewhere meanwhile.
+        if loss == LinkLoss::Silent && self.links.had_sign_after(since) {
+            let (reach, target) = (Rc::clone(&self.reach), target.clone());
+            tokio::task::spawn_local(async move {
+                reach.confirm_lost(&target, loss, since).await;
+            });
+            return false;
+        }
+        self.reach.confirm_lost(target, loss, since).await
+    }
+
     /// Sends the request through another host; tries the next one only if nothing was sent.
     async fn exchange_through_peer(
         &self,
@@ -85,8 +97,8 @@
                     }
                     return Err(failed);
                 }
-                Err(PeerFailure::PeerDown) => self.reach.peer_failed(peer),
-                Err(PeerFailure::Unreachable | PeerFailure::Busy) => {}
+                Err(PeerFailure::PeerDown | PeerFailure::Busy) => self.reach.peer_failed(peer),
+                Err(PeerFailure::Unreachable) => {}
             }
         }
         Err(AttemptEnd::Unsent(Reason::ConnectFailed).into())
--- a/crates/front/src/links.rs
+++ b/crates/front/src/links.rs
@@ -72,6 +72,10 @@
         self.links.borrow().are_suspect()
     }
 
+    pub(crate) fn had_sign_after(&self, since: Timestamp) -> bool {
+        self.links.borrow().had_sign_after(since)
+    }
+
     /// Returns whether something arrived from `upstream` after `since`.
     pub(crate) fn is_proven_after(&self, since: Timestamp, upstream: &UpstreamId) -> bool {
         self.links.borrow().is_proven_after(since, upstream)
--- a/crates/front/src/reach.rs
+++ b/crates/front/src/reach.rs
@@ -30,6 +30,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 /// Number of hosts that are asked at once: where most hosts are cut off, one of them hardly is.
 const ASKED_HOSTS: usize = 4;
+/// Maximum number of hosts that are asked about an upstream.
+const MAX_ASKED_HOSTS: usize = 3 * ASKED_HOSTS;
 /// Interval of checks whether requests wait for too long.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -189,9 +191,13 @@
 
     async fn ask(&self, target: &Registration, since: Timestamp) -> bool {
         let mut asked = Vec::new();
-        // Those that don't reach it may all be cut off; others are asked then.
-        for _ in 0..2 {
+        let mut all_down = true;
+        // If those that are asked first are all cut off themselves, others are asked.
+        while all_down && asked.len() < MAX_ASKED_HOSTS {
             let peers = self.select_peers(&target.domain, &asked, ASKED_HOSTS);
+            if peers.is_empty() {
+                break;
+            }
             let probes = peers.iter().map(|&peer| async move {
                 let probe = self.client.probe(peer, target, since, ASK_TIMEOUT).await;
                 (peer, probe)
@@ -202,8 +208,9 @@
                     self.peer_reached(peer);
                     return true;
                 }
-                if probe != PeerProbe::Unreachable {
-                    self.peer_failed(peer);
+                match probe {
+                    PeerProbe::Unreachable => all_down = false,
+                    _ => self.peer_failed(peer),
                 }
             }
             drop(probes);
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -112,6 +112,7 @@
         unreadable_servers: IndexSet::new(),
         hosts: IndexMap::new(),
         hosts_changed_at: Timestamp::ZERO,
+        host_lists: None,
         row_written_at: Timestamp::ZERO,
         listed_since: None,
         known_era: KnownEra::default(),
