front, adapter: a granting host that lost its links grants through other hosts

What callers would see: with the store away, no host can take over from a granting host that is cut off, and its keys are served nowhere from 3 s on for the rest of the outage. Cause: grants had one way, this host's own link. Change: grant calls to upstreams whose links are lost go through a host that reaches them. So that a grant still leaves within 200 ms of its decision, the other host measures the time since its own last message on the connection, which came before; a late one is not sent. Calls for upstreams whose incarnations share a name are not sent this way, as nothing is known of the other host's connections.

--- a/crates/cli/tests/direct/cut_off.rs
+++ b/crates/cli/tests/direct/cut_off.rs
@@ -4,6 +4,7 @@
 
 use futures::future::join_all;
 use standin::LinkCut;
+use standin::fleet::StoreMode;
 
 use crate::rig::{Request, Response, Rig, guarantees_not_executed, send};
 use crate::{answered, check_all_are_answered, check_owners, execution_count};
@@ -151,3 +152,21 @@
     tokio::time::sleep(RECOVERY_LIMIT).await;
     check_all_are_answered(&rig, "restored").await;
 }
+
+/// While the store is away no other host can take over from a granting host that lost its links, and
+/// the keys had no owner when its grants had run out.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_granting_host_without_links_grants_through_others_while_the_store_is_away() {
+    let rig = Rig::start_with_unique_names(HOSTS).await;
+    rig.store.set_mode(StoreMode::Unavailable);
+    rig.cut_links(rig.granting_host(), LinkCut::Hangs);
+    let first = send_to_all(&rig, "first", RECOVERY_LIMIT).await;
+    check_posts("store away", &rig, &first);
+    let sent = send_to_all(&rig, "later", CUT_FOR).await;
+    check_posts("store away", &rig, &sent);
+    check_answered("store away", &sent);
+    rig.store.set_mode(StoreMode::Up);
+    rig.restore_links();
+    tokio::time::sleep(RECOVERY_LIMIT).await;
+    check_all_are_answered(&rig, "restored").await;
+}
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -180,10 +180,30 @@
         Self::start_with(hosts, reads, Some(upstreams_per_partition)).await
     }
 
+    /// Like `start`, but with upstreams whose incarnations have names of their own, as the users'
+    /// servers have.
+    pub async fn start_with_unique_names(hosts: usize) -> Self {
+        let settings = TargetSettings {
+            registers_incarnation: false,
+            ..TargetSettings::default()
+        };
+        Self::start_with_targets(hosts, 3, None, &settings).await
+    }
+
     async fn start_with(
         hosts: usize,
         reads: usize,
         upstreams_per_partition: Option<usize>,
+    ) -> Self {
+        let settings = TargetSettings::default();
+        Self::start_with_targets(hosts, reads, upstreams_per_partition, &settings).await
+    }
+
+    async fn start_with_targets(
+        hosts: usize,
+        reads: usize,
+        upstreams_per_partition: Option<usize>,
+        target_settings: &TargetSettings,
     ) -> Self {
         let store = FleetStore::start().await.expect("store");
         store.configure(&configuration(2, 4.0, "posts"));
@@ -200,7 +220,7 @@
         for _ in 0..reads {
             let settings = TargetSettings {
                 is_divided: true,
-                ..TargetSettings::default()
+                ..target_settings.clone()
             };
             let target = rig.target(settings).await;
             rig.reads.push(target);
@@ -208,7 +228,7 @@
         for _ in 0..2 {
             let settings = TargetSettings {
                 service: "posts".into(),
-                ..TargetSettings::default()
+                ..target_settings.clone()
             };
             let target = rig.target(settings).await;
             rig.posts.push(target);
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -175,7 +175,10 @@
         outcome,
         upstream_status,
     } = match route {
-        GrantRoute::To(to) => platform.send_grant_call(to, call).await,
+        GrantRoute::To(to) => {
+            let way = ctl.with(|c| c.way_to(&call.upstream));
+            platform.send_grant_call(to, call, way).await
+        }
         GrantRoute::Replaced => GrantCallOutcome::Gone.into(),
         GrantRoute::Unknown => GrantCallOutcome::NoAnswer { maybe_sent: false }.into(),
     };
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 
 use crate::control::state::{ControlState, LastKnownAddress};
-use crate::ports::{DecodeError, Destination, IncarnationCheck};
+use crate::ports::{DecodeError, Destination, GrantWay, IncarnationCheck};
 
 /// Time after the store's return after which missing registrations count as removed: upstreams
 /// renew registrations that expired meanwhile within two seconds.
@@ -168,6 +168,18 @@
         })
     }
 
+    /// Returns the way of a grant call to an upstream.
+    ///
+    /// While the store is away, no other host can take over from this one.
+    #[must_use]
+    pub fn way_to(&self, upstream: &UpstreamId) -> GrantWay {
+        if self.lost_links.load().contains(upstream) {
+            GrantWay::ThroughPeer(self.peer_calls.clone())
+        } else {
+            GrantWay::Direct
+        }
+    }
+
     /// Removes upstreams whose registrations stayed missing for long enough; returns whether there
     /// were any.
     pub fn remove_missing(&mut self, now: Timestamp) -> bool {
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -31,6 +31,7 @@
 use crate::control::tables::{PartitionKey, Table};
 use crate::control::tree::{Position, RelayHost, RelayTree};
 use crate::links::SharedLostLinks;
+use crate::peer_exchange::PeerCalls;
 use crate::settings::Settings;
 use crate::view::{CompiledConfiguration, Phase, SharedView, View};
 
@@ -157,6 +158,8 @@
     pub lost_links: SharedLostLinks,
     /// Where checks of links are requested.
     pub link_checks: mpsc::Sender<UpstreamId>,
+    /// Sends calls to upstreams through other hosts.
+    pub peer_calls: PeerCalls,
     /// Upstreams that ended, by request.
     pub crashes: CrashTracker,
     /// Quarantined requests.
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -46,7 +46,7 @@
 use crate::links::{LinkTracker, SharedLostLinks};
 use crate::memory::MemoryBudget;
 use crate::observation::ObservationTx;
-use crate::peer_exchange::{PeerClient, PeerServer};
+use crate::peer_exchange::{PeerCallsRx, PeerClient, PeerServer};
 use crate::permits::PermitService;
 use crate::ports::HeaderFormat;
 use crate::reach::ReachChecker;
@@ -201,6 +201,12 @@
         })
     }
 
+    /// Carries out control calls that go through other hosts.
+    pub async fn serve_peer_calls(self: Rc<Self>, calls: PeerCallsRx) {
+        let view = SharedView::clone(&self.view);
+        calls.run(Rc::clone(&self.reach), view).await;
+    }
+
     /// Checks links to upstreams, also those that `requested` names.
     pub async fn check_links(self: Rc<Self>, requested: mpsc::Receiver<UpstreamId>) {
         Rc::clone(&self.reach).run(requested).await;
--- a/crates/front/src/forward/ways.rs
+++ b/crates/front/src/forward/ways.rs
@@ -116,6 +116,7 @@
             deadline: request.deadline,
             expected_time: Duration::from_secs_f64(expected),
             is_idempotent: request.route.idempotent,
+            send_before: None,
         }
     }
 
--- a/crates/front/src/peer_exchange/client.rs
+++ b/crates/front/src/peer_exchange/client.rs
@@ -11,14 +11,20 @@
 use http::Request;
 use ids::{BootClock, Clock, Reason, Timestamp};
 use tokio::net::TcpStream;
+use tokio::time::error::Elapsed;
 
 use super::MAX_MESSAGE_BYTES;
+use super::calls::PeerCall;
 use super::messages::{Ask, ExchangeRequest, Outcome, PeerReply, PeerRequest, ProbeRequest};
 use crate::framed_conn::FramedConn;
 use crate::upstream_client::{FailedExchange, Outgoing, UpstreamResponse};
 
 /// Time limit for connecting to another host: twenty times the latency between hosts.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time limit for the probe before a control call.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Age of a sign of the upstream up to which another host reaches it, for control calls.
+const PROOF_AGE_MS: u32 = 500;
 /// Time for which an idle connection is kept: less than the other host keeps it.
 const KEEP_IDLE: Duration = Duration::from_secs(4);
 /// Maximum number of idle connections to one host.
@@ -79,33 +85,35 @@
         let left = outgoing.deadline.since(BootClock.now());
         let request = ExchangeRequest::new(outgoing, left, request);
         let asked = self.ask(peer, conn, Ask::Exchange(request));
-        let failed = |reason| PeerFailure::Exchange(AttemptEnd::MayHaveRun(reason).into());
-        let outcome = match tokio::time::timeout(left, asked).await {
-            Ok(Some(outcome)) => outcome,
-            // It was handed over, and nothing is known of it.
-            Ok(None) => return Err(failed(Reason::HostLost)),
-            Err(_elapsed) => return Err(failed(Reason::AnswerTimeout)),
+        response(tokio::time::timeout(left, asked).await)
+    }
+
+    /// Sends a control call to its upstream through the host at `peer`.
+    ///
+    /// The probe before it starts the time within which that host must send it.
+    pub(crate) async fn call(
+        &self,
+        peer: SocketAddr,
+        call: &PeerCall,
+    ) -> Result<UpstreamResponse, PeerFailure> {
+        let mut conn = self.connect(peer).await.ok_or(PeerFailure::PeerDown)?;
+        let asked_at = BootClock.now();
+        let probe = ProbeRequest {
+            upstream: call.upstream.to_string(),
+            since_ms: PROOF_AGE_MS,
         };
-        match outcome {
-            Outcome::Response(response) => match response.head() {
-                Ok(head) => Ok(UpstreamResponse {
-                    head,
-                    body: response.body,
-                }),
-                Err(_invalid) => Err(failed(Reason::AnswerMismatch)),
-            },
-            Outcome::Failed(failure) => {
-                let head = failure.head.as_ref().and_then(|head| head.head().ok());
-                Err(PeerFailure::Exchange(FailedExchange {
-                    end: failure.end(),
-                    head: head.map(Box::new),
-                }))
-            }
-            Outcome::Unreachable(true) => Err(PeerFailure::PeerDown),
-            Outcome::Unreachable(false) => Err(PeerFailure::Unreachable),
-            Outcome::Busy(_) => Err(PeerFailure::Busy),
-            Outcome::Reached(_) => Err(failed(Reason::AnswerMismatch)),
+        let probed = exchange_messages(&mut conn, Ask::Probe(probe));
+        match tokio::time::timeout(PROBE_TIMEOUT, probed).await {
+            Ok(Some(Outcome::Reached(_))) => {}
+            Ok(Some(Outcome::Unreachable(false))) => return Err(PeerFailure::Unreachable),
+            _ => return Err(PeerFailure::PeerDown),
         }
+        let left = call.deadline.since(BootClock.now());
+        let decided_before = asked_at.since(call.decided_at);
+        let send_within = call.max_age.map(|age| age.saturating_sub(decided_before));
+        let request = ExchangeRequest::control(call, left, send_within);
+        let asked = self.ask(peer, conn, Ask::Exchange(request));
+        response(tokio::time::timeout(left, asked).await)
     }
 
     /// Asks the host at `peer` whether it reaches `target`.
@@ -153,11 +161,9 @@
 
     /// Sends a message and returns the reply; none if the connection broke.
     async fn ask(&self, peer: SocketAddr, mut conn: Conn, ask: Ask) -> Option<Outcome> {
-        let request = PeerRequest { ask: Some(ask) };
-        conn.outgoing.send(request).await.ok()?;
-        let reply = conn.incoming.next().await?.ok()?;
+        let outcome = exchange_messages(&mut conn, ask).await?;
         self.keep(peer, conn);
-        reply.outcome
+        Some(outcome)
     }
 
     fn keep(&self, peer: SocketAddr, conn: Conn) {
@@ -182,3 +188,38 @@
         });
     }
 }
+
+/// Sends a message and returns the reply; none if the connection broke.
+async fn exchange_messages(conn: &mut Conn, ask: Ask) -> Option<Outcome> {
+    let request = PeerRequest { ask: Some(ask) };
+    conn.outgoing.send(request).await.ok()?;
+    conn.incoming.next().await?.ok()?.outcome
+}
+
+/// Returns the upstream's response in the reply of another host, to which a request was handed over.
+fn response(reply: Result<Option<Outcome>, Elapsed>) -> Result<UpstreamResponse, PeerFailure> {
+    let failed = |reason| PeerFailure::Exchange(AttemptEnd::MayHaveRun(reason).into());
+    match reply {
+        Ok(Some(Outcome::Response(response))) => match response.head() {
+            Ok(head) => Ok(UpstreamResponse {
+                head,
+                body: response.body,
+            }),
+            Err(_invalid) => Err(failed(Reason::AnswerMismatch)),
+        },
+        Ok(Some(Outcome::Failed(failure))) => {
+            let head = failure.head.as_ref().and_then(|head| head.head().ok());
+            Err(PeerFailure::Exchange(FailedExchange {
+                end: failure.end(),
+                head: head.map(Box::new),
+            }))
+        }
+        Ok(Some(Outcome::Unreachable(true))) => Err(PeerFailure::PeerDown),
+        Ok(Some(Outcome::Unreachable(false))) => Err(PeerFailure::Unreachable),
+        Ok(Some(Outcome::Busy(_))) => Err(PeerFailure::Busy),
+        Ok(Some(Outcome::Reached(_))) => Err(failed(Reason::AnswerMismatch)),
+        // Nothing is known of the request.
+        Ok(None) => Err(failed(Reason::HostLost)),
+        Err(_elapsed) => Err(failed(Reason::AnswerTimeout)),
+    }
+}
--- a/crates/front/src/peer_exchange/messages.rs
+++ b/crates/front/src/peer_exchange/messages.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use ids::Reason;
 
+use super::calls::PeerCall;
 use crate::upstream_client::Outgoing;
 
 /// What a host asks another one for.
@@ -64,6 +65,13 @@
     /// Whether the request may be given up and sent again if the link is lost meanwhile.
     #[prost(bool, tag = "8")]
     pub(super) is_idempotent: bool,
+    /// Milliseconds since the receiver's last message on this connection after which the request is not
+    /// sent to the upstream.
+    #[prost(uint32, optional, tag = "9")]
+    pub(super) send_within_ms: Option<u32>,
+    /// Whether it is a control call, whose headers are sent as they are.
+    #[prost(bool, tag = "10")]
+    pub(super) is_control: bool,
 }
 
 #[derive(Clone, PartialEq, Eq)]
@@ -151,12 +159,30 @@
         Self {
             upstream: outgoing.target.id.to_string(),
             id: outgoing.id.to_owned(),
-            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            left_ms: to_ms(left),
             method: parts.method.to_string(),
             path: parts.uri.to_string(),
             headers: encode_headers(&parts.headers),
             body,
             is_idempotent: outgoing.is_idempotent,
+            send_within_ms: None,
+            is_control: false,
+        }
+    }
+
+    /// Builds the message of a control call that must be sent within `send_within`, if given.
+    pub(super) fn control(call: &PeerCall, left: Duration, send_within: Option<Duration>) -> Self {
+        let request = &call.request;
+        Self {
+            upstream: call.upstream.to_string(),
+            left_ms: to_ms(left),
+            method: request.method().to_string(),
+            path: request.uri().to_string(),
+            headers: encode_headers(request.headers()),
+            body: request.body().clone(),
+            send_within_ms: send_within.map(to_ms),
+            is_control: true,
+            ..Self::default()
         }
     }
 
@@ -226,6 +252,10 @@
     }
 }
 
+fn to_ms(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn encode_headers(headers: &HeaderMap) -> Vec<Header> {
     let header = |(name, value): (&HeaderName, &HeaderValue)| Header {
         name: name.as_str().to_owned(),
--- a/crates/front/src/peer_exchange/mod.rs
+++ b/crates/front/src/peer_exchange/mod.rs
@@ -5,14 +5,20 @@
 //! upstream, the permit, the deadline and retries. A connection carries one request at a time, so that
 //! closing it cancels the request.
 //!
+//! Grants may be late only by little. A host that sends one for another therefore measures the time since
+//! its own last message on the connection, after which the call was decided on.
+//!
+//! - `calls`: control calls through other hosts.
 //! - `client`: requests through other hosts.
 //! - `server`: requests of other hosts.
 //! - `messages`: what they exchange.
 
+pub mod calls;
 mod client;
 mod messages;
 mod server;
 
+pub use calls::{PeerCall, PeerCallError, PeerCalls, PeerCallsRx};
 pub use client::PeerClient;
 pub(crate) use client::{PeerFailure, PeerProbe};
 pub use server::PeerServer;
--- a/crates/front/src/peer_exchange/server.rs
+++ b/crates/front/src/peer_exchange/server.rs
@@ -8,7 +8,7 @@
 use direct::{LinkState, Registration};
 use futures::{SinkExt, StreamExt};
 use gate::counters::Count;
-use ids::{BootClock, Clock, UpstreamId};
+use ids::{BootClock, Clock, Timestamp, UpstreamId};
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -78,6 +78,7 @@
         let Ok(mut conn) = Conn::with_limit(stream, MAX_MESSAGE_BYTES) else {
             return;
         };
+        let mut replied_at = None;
         loop {
             let received = tokio::select! {
                 received = tokio::time::timeout(IDLE_TIMEOUT, conn.incoming.next()) => received,
@@ -95,23 +96,26 @@
                 }
             };
             let outcome = tokio::select! {
-                outcome = self.answer(ask) => outcome,
+                outcome = self.answer(ask, replied_at) => outcome,
                 // The host closed the connection, so it gave the request up.
                 _ = conn.incoming.next() => return,
             };
             let reply = PeerReply {
                 outcome: Some(outcome),
             };
+            let sent_at = BootClock.now();
             if let Err(e) = conn.outgoing.send(reply).await {
                 debug!(self.log, "send to a host"; "peer" => %peer, "error" => %e);
                 return;
             }
+            replied_at = Some(sent_at);
         }
     }
 
-    async fn answer(&self, ask: Ask) -> Outcome {
+    /// Answers a message on a connection on which this host last replied at `replied_at`.
+    async fn answer(&self, ask: Ask, replied_at: Option<Timestamp>) -> Outcome {
         match ask {
-            Ask::Exchange(request) => self.exchange(request).await,
+            Ask::Exchange(request) => self.exchange(request, replied_at).await,
             Ask::Probe(probe) => self.probe(&probe).await,
         }
     }
@@ -138,7 +142,7 @@
         Outcome::Unreachable(self.client.links.are_suspect())
     }
 
-    async fn exchange(&self, request: ExchangeRequest) -> Outcome {
+    async fn exchange(&self, request: ExchangeRequest, replied_at: Option<Timestamp>) -> Outcome {
         let arrived = BootClock.now();
         let Some(target) = self.target(&request.upstream) else {
             return Outcome::Unreachable(false);
@@ -160,6 +164,10 @@
             }
         };
         self.client.metrics.count(Count::PeerRequestsServed);
+        let send_before = request.send_within_ms.map(|ms| {
+            let span = Duration::from_millis(ms.into());
+            replied_at.map_or(Timestamp::ZERO, |at| at + span)
+        });
         let left = Duration::from_millis(request.left_ms.into());
         let outgoing = Outgoing {
             target: &target,
@@ -167,11 +175,14 @@
             deadline: arrived + left,
             expected_time: left,
             is_idempotent: request.is_idempotent,
+            send_before,
         };
         let format = &self.client.header_format;
         let build = |left| {
             let mut req = base.clone();
-            format.write_target(req.headers_mut(), &target.server, left);
+            if !request.is_control {
+                format.write_target(req.headers_mut(), &target.server, left);
+            }
             req
         };
         match self.client.exchange(&outgoing, build).await {
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -12,6 +12,8 @@
 use platform::Watch;
 use smol_str::SmolStr;
 
+pub use crate::peer_exchange::{PeerCall, PeerCallError, PeerCalls};
+
 /// Table of the platform in which operators keep the configuration.
 pub const CONFIGURATION: &str = "configuration";
 /// Table of the platform in which upstreams register.
@@ -109,6 +111,15 @@
     }
 }
 
+/// The way of a grant call to its upstream.
+#[derive(Debug, Clone)]
+pub enum GrantWay {
+    /// Over this host's own connections.
+    Direct,
+    /// Through another host, as this host has lost its link to the upstream.
+    ThroughPeer(PeerCalls),
+}
+
 /// How an incarnation of a server is distinguished from another at the same address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum IncarnationCheck {
@@ -165,5 +176,6 @@
         &self,
         to: Destination,
         call: GrantCall,
+        way: GrantWay,
     ) -> impl Future<Output = GrantCallResponse> + 'static;
 }
--- a/crates/front/src/reach.rs
+++ b/crates/front/src/reach.rs
@@ -232,6 +232,11 @@
         peers.select(now, &view.peers, domain, excluded, start, most)
     }
 
+    /// Returns the client of other hosts.
+    pub(crate) fn peer_client(&self) -> &PeerClient {
+        &self.client
+    }
+
     /// Records that the host at `peer` reached an upstream.
     pub(crate) fn peer_reached(&self, peer: SocketAddr) {
         self.peers.borrow_mut().reached(BootClock.now(), peer);
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -33,6 +33,7 @@
 use crate::links::SharedLostLinks;
 use crate::memory::MemoryBudget;
 use crate::observation::{self, ObservationRx, ObservationTx};
+use crate::peer_exchange::{self, PeerCallsRx};
 use crate::permits::PermitService;
 use crate::ports::{HeaderFormat, Platform};
 use crate::settings::{self, Settings};
@@ -71,6 +72,7 @@
     let (samples_tx, samples_rx) = samples::ring();
     let (observations_tx, observations_rx) = observation::channel();
     let lost_links = SharedLostLinks::default();
+    let (peer_calls_tx, peer_calls_rx) = peer_exchange::calls::channel();
     let (link_checks_tx, link_checks_rx) = mpsc::channel(MAX_LINK_CHECKS);
     let stop = CancellationToken::new();
     let metrics: Arc<Metrics> = Arc::default();
@@ -82,6 +84,7 @@
         observations: observations_tx,
         lost_links: SharedLostLinks::clone(&lost_links),
         link_checks: link_checks_rx,
+        peer_calls: peer_calls_rx,
         metrics: Arc::clone(&metrics),
         stop: stop.clone(),
         log: log.clone(),
@@ -123,6 +126,7 @@
         reader: cfg.host.as_str().into(),
         lost_links,
         link_checks: link_checks_tx,
+        peer_calls: peer_calls_tx,
         crashes: CrashTracker::default(),
         quarantined: QuarantineState::default(),
         hosts_first_read: None,
@@ -179,6 +183,7 @@
     observations: ObservationTx,
     lost_links: SharedLostLinks,
     link_checks: mpsc::Receiver<UpstreamId>,
+    peer_calls: PeerCallsRx,
     metrics: Arc<Metrics>,
     stop: CancellationToken,
     log: Logger,
@@ -233,6 +238,7 @@
                 log: self.log.clone(),
             }));
             tokio::task::spawn_local(Rc::clone(&forwarder).check_links(self.link_checks));
+            tokio::task::spawn_local(Rc::clone(&forwarder).serve_peer_calls(self.peer_calls));
             let peer_server = forwarder.peer_server();
             let others_served = peer_server.serve(peer_listener, self.stop.clone());
             let others_served = tokio::task::spawn_local(others_served);
--- a/crates/front/src/upstream_client.rs
+++ b/crates/front/src/upstream_client.rs
@@ -72,6 +72,8 @@
     pub(crate) expected_time: Duration,
     /// Whether it may be sent again if it is given up because the link is lost.
     pub(crate) is_idempotent: bool,
+    /// When it is too late to send it, apart from the deadline.
+    pub(crate) send_before: Option<Timestamp>,
 }
 
 /// How an exchange that could not be sent failed.
@@ -149,7 +151,8 @@
     ) -> Result<UpstreamResponse, FailedExchange> {
         let target = outgoing.target;
         let left = outgoing.deadline.since(BootClock.now());
-        if left < MIN_TIME_LEFT {
+        let is_late = |at: Timestamp| BootClock.now() >= at;
+        if left < MIN_TIME_LEFT || outgoing.send_before.is_some_and(is_late) {
             return Err(AttemptEnd::Unsent(Reason::DeadlineExpired).into());
         }
         let exchange =
