front: a stopping host ends the requests of other hosts and turns further ones away

Cause: the listener was dropped with connections that waited, and idle ones were closed at once; a request on its way there ended as unknown at the caller's host. Change: connections that wait are accepted, requests on their way are turned away for 100 ms, and a host that is turned away closes its connection.

--- a/crates/front/src/peer_exchange/server.rs
+++ b/crates/front/src/peer_exchange/server.rs
@@ -29,6 +29,8 @@
 const MAX_REQUESTS: u32 = 512;
 /// Time without a message after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a stopping host still reads requests that are on their way, and turns them away.
+const LAST_REQUESTS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -48,23 +50,24 @@
     /// Serves other hosts on `listener` until `stop`, then finishes what is under way.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: CancellationToken) {
         let connections = TaskTracker::new();
+        let spawn = |stream, peer| {
+            let connection = Rc::clone(&self).connection(stream, peer, stop.clone());
+            connections.spawn_local(connection);
+        };
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 () = stop.cancelled() => break,
             };
             match accepted {
-                Ok((stream, peer)) => {
-                    let connection = Rc::clone(&self).connection(stream, peer, stop.clone());
-                    connections.spawn_local(connection);
-                }
+                Ok((stream, peer)) => spawn(stream, peer),
                 Err(e) => {
                     warn!(self.log, "accepting a connection of a host failed"; "error" => %e);
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
-        drop(listener);
+        gate::listener::close(listener, &self.log, spawn);
         connections.close();
         connections.wait().await;
     }
@@ -80,11 +83,17 @@
         };
         let mut replied_at = None;
         loop {
+            let idle_until = async {
+                tokio::select! {
+                    () = tokio::time::sleep(IDLE_TIMEOUT) => {}
+                    () = stop.cancelled() => tokio::time::sleep(LAST_REQUESTS_TIMEOUT).await,
+                }
+            };
             let received = tokio::select! {
-                received = tokio::time::timeout(IDLE_TIMEOUT, conn.incoming.next()) => received,
-                () = stop.cancelled() => return,
+                received = conn.incoming.next() => received,
+                () = idle_until => return,
             };
-            let Ok(Some(received)) = received else {
+            let Some(received) = received else {
                 return;
             };
             let ask = match received {
@@ -100,6 +109,8 @@
                 // The host closed the connection, so it gave the request up.
                 _ = conn.incoming.next() => return,
             };
+            // A host that is told so closes its connection too.
+            let is_last = matches!(outcome, Outcome::Busy(_));
             let reply = PeerReply {
                 outcome: Some(outcome),
             };
@@ -108,6 +119,9 @@
                 debug!(self.log, "send to a host"; "peer" => %peer, "error" => %e);
                 return;
             }
+            if is_last {
+                return;
+            }
             replied_at = Some(sent_at);
         }
     }
