--- a/crates/cli/tests/direct/soak.rs
+++ b/crates/cli/tests/direct/soak.rs
@@ -11,7 +11,7 @@
 use rand::{Rng as _, SeedableRng};
 use standin::LinkCut;
 use standin::fleet::deploy::configuration;
-use standin::fleet::{FleetTarget, StoreCopy, StoreMode, TargetSettings};
+use standin::fleet::{FleetTarget, StoreCopy, StoreMode};
 use tokio::sync::Mutex;
 
 use crate::rig::{Request, Rig, guarantees_not_executed, send, wait_until};
@@ -208,28 +208,8 @@
                 let rig = self.rig.lock().await;
                 rig.store.set_throttled(rig.callers(i).ip(), is_throttled);
             }
-            Event::ReplaceServer(i) => {
-                let settings = TargetSettings {
-                    is_divided: true,
-                    ..TargetSettings::default()
-                };
-                let mut rig = self.rig.lock().await;
-                let joined = rig.target(settings).await;
-                let left = std::mem::replace(&mut rig.reads[i], joined);
-                left.drain();
-                self.left.lock().await.push((left, Instant::now()));
-            }
-            Event::ReplacePosts(i) => {
-                let settings = TargetSettings {
-                    service: "posts".into(),
-                    ..TargetSettings::default()
-                };
-                let mut rig = self.rig.lock().await;
-                let joined = rig.target(settings).await;
-                let left = std::mem::replace(&mut rig.posts[i], joined);
-                left.drain();
-                self.left.lock().await.push((left, Instant::now()));
-            }
+            Event::ReplaceServer(i) => self.replace(|rig| &mut rig.reads[i]).await,
+            Event::ReplacePosts(i) => self.replace(|rig| &mut rig.posts[i]).await,
             Event::RestartServer(i) => {
                 let mut rig = self.rig.lock().await;
                 let server = rig.reads.remove(i);
@@ -251,6 +231,16 @@
         }
     }
 
+    /// Starts a server like the one that `slot` returns, which leaves.
+    async fn replace(&self, slot: impl Fn(&mut Rig) -> &mut FleetTarget) {
+        let mut rig = self.rig.lock().await;
+        let settings = slot(&mut rig).settings().clone();
+        let joined = rig.target(settings).await;
+        let left = std::mem::replace(slot(&mut rig), joined);
+        left.drain();
+        self.left.lock().await.push((left, Instant::now()));
+    }
+
     async fn return_from_copy(&self, age: Duration, away: Duration, rng: &mut StdRng) {
         let rig = self.rig.lock().await;
         if !away.is_zero() {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod rate_limit_message;
 mod reach;
 pub mod request_log;
+mod request_thread;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -4,7 +4,6 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::mpsc::SyncSender;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context as _;
@@ -29,13 +28,11 @@
 use crate::control::{
     ControlState, SharedControl, announce, follow, heartbeat, keys, observations, quarantine, relay,
 };
-use crate::forward::{Forwarder, ForwarderParts};
 use crate::links::SharedLostLinks;
-use crate::memory::MemoryBudget;
 use crate::observation::{self, ObservationRx, ObservationTx};
-use crate::peer_exchange::{self, PeerCallsRx};
-use crate::permits::PermitService;
+use crate::peer_exchange;
 use crate::ports::{HeaderFormat, Platform};
+use crate::request_thread::RequestThread;
 use crate::settings::{self, Settings};
 use crate::view::{Phase, SharedView, View};
 use crate::{log, serve};
@@ -89,10 +86,11 @@
         stop: stop.clone(),
         log: log.clone(),
     };
+    let grace = cfg.stop.grace().saturating_sub(LINGER + FINAL_ANSWERS);
     let (started_tx, started_rx) = std::sync::mpsc::sync_channel(1);
     let request_thread = std::thread::Builder::new()
         .name("callers".to_owned())
-        .spawn(move || request_thread.run(&started_tx))
+        .spawn(move || block_on(request_thread.run(&started_tx, grace))?)
         .context("start the request thread")?;
     // A host that can't accept callers must not report that it is ready.
     started_rx
@@ -174,100 +172,6 @@
     Ok(runtime.block_on(LocalSet::new().run_until(main)))
 }
 
-/// State that the request thread starts with.
-struct RequestThread {
-    cfg: Settings,
-    view: SharedView,
-    header_format: Arc<dyn HeaderFormat>,
-    samples: SampleTx,
-    observations: ObservationTx,
-    lost_links: SharedLostLinks,
-    link_checks: mpsc::Receiver<UpstreamId>,
-    peer_calls: PeerCallsRx,
-    metrics: Arc<Metrics>,
-    stop: CancellationToken,
-    log: Logger,
-}
-
-impl RequestThread {
-    /// Runs the request thread; sends to `started` whether it could start.
-    fn run(self, started: &SyncSender<anyhow::Result<()>>) -> anyhow::Result<()> {
-        block_on(async move {
-            let address = self.cfg.listen.callers;
-            let listener = match serve::bind(address) {
-                Ok(listener) => listener,
-                Err(e) => {
-                    let e = anyhow::Error::new(e).context(format!("bind {address}"));
-                    return started.send(Err(e)).context("report a failed start");
-                }
-            };
-            let address = self.cfg.listen.exchanges();
-            let peer_listener = match serve::bind(address) {
-                Ok(listener) => listener,
-                Err(e) => {
-                    let e = anyhow::Error::new(e).context(format!("bind {address}"));
-                    return started.send(Err(e)).context("report a failed start");
-                }
-            };
-            let address = self.cfg.listen.permits;
-            let metrics = Arc::clone(&self.metrics);
-            let permits = match PermitService::bind(address, metrics, self.log.clone()).await {
-                Ok(permits) => permits,
-                Err(e) => {
-                    let e = anyhow::Error::new(e).context(format!("bind {address}"));
-                    return started.send(Err(e)).context("report a failed start");
-                }
-            };
-            started.send(Ok(())).context("report the start")?;
-            tokio::task::spawn_local(Rc::clone(&permits).receive());
-            tokio::task::spawn_local(Rc::clone(&permits).tick());
-            let memory = MemoryBudget::new(self.cfg.memory_bytes());
-            let forwarder = Rc::new(Forwarder::new(ForwarderParts {
-                domain: self.cfg.domain,
-                upstream_source: self.cfg.upstream_source,
-                view: SharedView::clone(&self.view),
-                lost_links: self.lost_links,
-                header_format: self.header_format,
-                retry_budget: self.cfg.retry_budget,
-                warmup: self.cfg.warmup.bounds(),
-                samples: self.samples,
-                observations: self.observations,
-                permits,
-                memory,
-                metrics: self.metrics,
-                log: self.log.clone(),
-            }));
-            tokio::task::spawn_local(Rc::clone(&forwarder).check_links(self.link_checks));
-            tokio::task::spawn_local(Rc::clone(&forwarder).serve_peer_calls(self.peer_calls));
-            let peer_server = forwarder.peer_server();
-            let others_served = peer_server.serve(peer_listener, self.stop.clone());
-            let others_served = tokio::task::spawn_local(others_served);
-            let grace = self.cfg.stop.grace().saturating_sub(LINGER + FINAL_ANSWERS);
-            let log = self.log.clone();
-            let callers_served = serve::serve_callers(
-                listener,
-                forwarder,
-                self.view,
-                self.stop.clone(),
-                grace,
-                log,
-            );
-            let others_served = async {
-                self.stop.cancelled().await;
-                tokio::time::timeout(grace, others_served).await
-            };
-            let ((), others_served) = tokio::join!(callers_served, others_served);
-            if others_served.is_err() {
-                warn!(
-                    self.log,
-                    "grace period over, requests of other hosts are cancelled"
-                );
-            }
-            Ok(())
-        })?
-    }
-}
-
 /// What the control thread serves and stops besides running the control tasks.
 struct ControlServices {
     ready_path: &'static str,
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -274,6 +274,12 @@
         &self.shared.id
     }
 
+    /// Returns the settings with which the server was started.
+    #[must_use]
+    pub fn settings(&self) -> &TargetSettings {
+        &self.shared.settings
+    }
+
     /// Sets the fault of the server.
     pub fn set_fault(&self, fault: TargetFault) {
         *lock(&self.shared.fault) = fault;
