--- a/crates/own/src/coordination.rs
+++ b/crates/own/src/coordination.rs
@@ -19,6 +19,7 @@
         if completed.is_some_and(|h| h.epoch > row.epoch) {
             return;
         }
+        self.resume_handed_over(upstream);
         let mut state = CoordinatorState::new(self.now, self.liveness.uptime(), row.epoch, true);
         self.record_previous_hosts(&mut state, row, before);
         self.coordinated.insert(upstream.clone(), state);
--- a/crates/own/src/handover.rs
+++ b/crates/own/src/handover.rs
@@ -33,7 +33,9 @@
         let Some(to) = state.handover.as_ref().map(|h| h.to.clone()) else {
             return;
         };
-        if self.is_unfit_successor(&to) {
+        // A host that stays can't hand over without the table: nobody would act if its message is lost.
+        let needs_table = !self.leaving && !self.table_reachable;
+        if needs_table || self.is_unfit_successor(&to) {
             self.cancel_handover(upstream, state);
             return;
         }
@@ -117,9 +119,12 @@
         });
     }
 
-    /// Hands upstreams over to their standbys, which act under their reserved epochs, if the table
-    /// does not answer.
+    /// Hands upstreams of a leaving host over to their standbys, which act under their reserved epochs,
+    /// if the table does not answer.
     pub(crate) fn complete_handovers_without_table(&mut self) {
+        if !self.leaving {
+            return;
+        }
         let in_progress = self
             .coordinated
             .iter()
@@ -213,6 +218,15 @@
         }
     }
 
+    /// Releases the requests held for a host that an upstream was handed over to, as this host
+    /// coordinates it again.
+    pub(crate) fn resume_handed_over(&mut self, upstream: &UpstreamId) {
+        if let Some(h) = self.completed_handovers.remove(upstream) {
+            let me = self.me.clone();
+            self.release_hold(upstream, h.hold, upstream.clone(), me);
+        }
+    }
+
     /// Releases the requests held for a host that an upstream was handed over to.
     pub(crate) fn release_handover(&mut self, upstream: &UpstreamId) {
         if let Some(h) = self.completed_handovers.remove(upstream) {
--- a/crates/own/src/messages.rs
+++ b/crates/own/src/messages.rs
@@ -371,6 +371,7 @@
 
     /// Starts to act for an upstream under this host's reserved epoch.
     pub(crate) fn take_over(&mut self, upstream: &UpstreamId) {
+        self.resume_handed_over(upstream);
         let Some(known) = self.replica.get(upstream) else {
             return;
         };
--- a/crates/own/src/reach.rs
+++ b/crates/own/src/reach.rs
@@ -41,6 +41,8 @@
     /// that does.
     pub(crate) fn ask_reach(&mut self, upstream: &UpstreamId, state: &mut CoordinatorState) {
         let is_stable = state.recorded && state.handover.is_none() && !self.leaving;
+        // Only the table settles who coordinates the upstream if the other host does not hear of it.
+        let is_stable = is_stable && self.table_reachable;
         let (uptime, span) = (self.liveness.uptime(), self.cfg.renew_every * 2);
         if !is_stable || !state.grant.misses_replies(uptime, span) {
             state.reach_query = None;
@@ -86,26 +88,17 @@
         self.start_handover(upstream, state, to);
     }
 
-    /// Returns the hosts that are asked: the standby, which alone can take over without the table, and
-    /// others of the upstream's domain, or of any other one if there are none.
+    /// Returns the hosts that are asked: the standby and others. All are of the upstream's domain, as hosts
+    /// of different domains may be cut off from each other and from the table, and could not find out
+    /// which of them coordinates the upstream.
     fn hosts_to_ask(&self, upstream: &UpstreamId) -> Vec<HostRef> {
-        let deputy = self
-            .replica
-            .get(upstream)
-            .and_then(|known| known.row.deputy.clone());
-        if !self.table_reachable {
-            return deputy.into_iter().collect();
-        }
         let domain = self.catalogue.upstream(upstream).map(|d| &d.domain);
-        let is_other =
-            |h: &HostRef| !h.is_same(&self.me) && !deputy.as_ref().is_some_and(|d| d.is_same(h));
-        let near = self.candidates(|h| is_other(h) && Some(&h.domain) == domain);
-        let mut others = if near.is_empty() {
-            self.candidates(is_other)
-        } else {
-            near
-        };
-        let mut asked: Vec<HostRef> = deputy.into_iter().collect();
+        let is_home = |h: &HostRef| !h.is_same(&self.me) && Some(&h.domain) == domain;
+        let known = self.replica.get(upstream);
+        let deputy = known.and_then(|known| known.row.deputy.clone());
+        let mut asked: Vec<HostRef> = deputy.into_iter().filter(is_home).collect();
+        let mut others = self.candidates(is_home);
+        others.retain(|h| !asked.iter().any(|a| a.is_same(h)));
         let label = format!("{upstream} {}", self.now.as_micros());
         while asked.len() < ASKED_HOSTS
             && let Some(host) = rendezvous_winner(&label, others.iter()).cloned()
--- a/crates/own/tests/own/plain.rs
+++ b/crates/own/tests/own/plain.rs
@@ -178,9 +178,28 @@
                 (1_500, CutUpstream(1, 1, 2_000 * MS)),
             ],
         ),
+        // Requests that were held for the first handover were never released.
+        Case {
+            // A handover writes the row twice: with the next host, and with its next standby.
+            writes: 16,
+            ..case(
+                "hosts cut off in turn, so that upstreams are handed over, back, and over again",
+                700,
+                &[
+                    (0, CutUpstream(0, 0, 600 * MS)),
+                    (0, CutUpstream(0, 1, 600 * MS)),
+                    (700, CutUpstream(1, 0, 600 * MS)),
+                    (700, CutUpstream(1, 1, 600 * MS)),
+                    (1_400, CutUpstream(0, 0, 600 * MS)),
+                    (1_400, CutUpstream(0, 1, 600 * MS)),
+                    (2_100, CutUpstream(1, 0, 600 * MS)),
+                    (2_100, CutUpstream(1, 1, 600 * MS)),
+                ],
+            )
+        },
         case(
             "table down, then host cut off from upstreams",
-            700,
+            3_200,
             &[
                 (0, TableDown),
                 (500, CutUpstream(0, 0, 3_000 * MS)),
