own: a confirmed transaction is evidence from its first submission on

Cause: a transaction that was submitted again counted from the last submission, but the confirmation may be that of an earlier copy. A host that was paused for 1.8 s after its commit took effect, and submitted it again as it went on, issued a lease 600 ms long, while its successor had taken slices off the upstream: two owners for a moment. Test: a_replaced_host_that_goes_on_issues_no_lease (drawn; NotInRow without the change).

--- a/crates/own/src/commits.rs
+++ b/crates/own/src/commits.rs
@@ -44,8 +44,8 @@
             self.on_table_row(&row);
             self.relay_written_row(&row);
         }
-        // The transaction was committed after it was sent, and only because no other row had
-        // intervened.
+        // The transaction was committed after it was first sent, and only because no other row had
+        // intervened. Which of its copies it was is not known.
         self.transactions.complete(txn);
         self.record_commit_evidence(&pending.body.checks, pending.sent_at);
     }
@@ -94,7 +94,6 @@
 
     pub(crate) fn resubmit_due(&mut self) {
         for p in self.transactions.due(self.now) {
-            p.sent_at = self.now;
             p.resubmit_at = self.now + self.cfg.commit_timeout;
             p.outstanding += 1;
             self.actions.push(Action::Commit {
--- a/crates/own/src/transactions.rs
+++ b/crates/own/src/transactions.rs
@@ -24,6 +24,7 @@
 pub(crate) struct PendingTxn {
     pub(crate) txn: u64,
     pub(crate) body: Txn,
+    /// Time of the first submission.
     pub(crate) sent_at: Timestamp,
     /// Time of the next submission.
     pub(crate) resubmit_at: Timestamp,
