--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -176,8 +176,8 @@
         upstream_status,
     } = match route {
         GrantRoute::To(to) => {
-            let way = ctl.with(|c| c.way_to(&call.upstream));
-            platform.send_grant_call(to, call, way).await
+            let path = ctl.with(|c| c.path_to(&call.upstream));
+            platform.send_grant_call(to, call, path).await
         }
         GrantRoute::Replaced => GrantCallOutcome::Gone.into(),
         GrantRoute::Unknown => GrantCallOutcome::NoAnswer { maybe_sent: false }.into(),
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 
 use crate::control::state::{ControlState, LastKnownAddress};
-use crate::ports::{DecodeError, Destination, GrantWay, IncarnationCheck};
+use crate::ports::{DecodeError, Destination, GrantPath, IncarnationCheck};
 
 /// Time after the store's return after which missing registrations count as removed: upstreams
 /// renew registrations that expired meanwhile within two seconds.
@@ -168,15 +168,15 @@
         })
     }
 
-    /// Returns the way of a grant call to an upstream.
+    /// Returns how a grant call reaches an upstream.
     ///
     /// While the store is away, no other host can take over from this one.
     #[must_use]
-    pub fn way_to(&self, upstream: &UpstreamId) -> GrantWay {
+    pub fn path_to(&self, upstream: &UpstreamId) -> GrantPath {
         if self.lost_links.load().contains(upstream) {
-            GrantWay::ThroughPeer(self.peer_calls.clone())
+            GrantPath::ThroughPeer(self.peer_calls.clone())
         } else {
-            GrantWay::Direct
+            GrantPath::Direct
         }
     }
 
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -46,7 +46,7 @@
         target: &Registration,
     ) -> Result<Response<Full<Bytes>>, AttemptEnd> {
         let sent = BootClock.now();
-        let exchanged = self.exchange_by_any_way(request, target).await;
+        let exchanged = self.exchange_with_target(request, target).await;
         let response = exchanged.map_err(|failed| {
             if let Some(head) = &failed.head {
                 let classified = self.classify(head, request, target);
--- a/crates/front/src/forward/ways.rs
+++ b/crates/front/src/forward/exchange.rs
@@ -1,4 +1,4 @@
-//! The ways to an upstream: over this host's own link, or through another host.
+//! One exchange with an upstream: over this host's own link, or through another host.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,7 +22,7 @@
 impl Forwarder {
     /// Sends the request to `target`, at most once: over this host's own link, or, if that is lost,
     /// through a host that reaches `target`.
-    pub(super) async fn exchange_by_any_way(
+    pub(super) async fn exchange_with_target(
         &self,
         request: &CallerRequest,
         target: &Registration,
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -5,16 +5,16 @@
 //! - `retry_loop`: attempts of one request.
 //! - `pick`: selection of the target of an attempt.
 //! - `attempt`: one attempt.
-//! - `ways`: how an attempt reaches the upstream.
+//! - `exchange`: one exchange with an upstream, over this host's own link or through another host.
 //! - `reply`: refusals and other responses to callers.
 
 mod attempt;
 pub mod body;
+mod exchange;
 mod pick;
 mod prepare;
 mod reply;
 mod retry_loop;
-mod ways;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/front/src/peer_exchange/mod.rs
+++ b/crates/front/src/peer_exchange/mod.rs
@@ -5,8 +5,9 @@
 //! upstream, the permit, the deadline and retries. A connection carries one request at a time, so that
 //! closing it cancels the request.
 //!
-//! Grants may be late only by little. A host that sends one for another therefore measures the time since
-//! its own last message on the connection, after which the call was decided on.
+//! A grant must not leave long after it was decided on. The host that sends one for another measures the
+//! time since its own last message on the connection, and does not send it after the time that the
+//! message allows.
 //!
 //! - `calls`: control calls through other hosts.
 //! - `client`: requests through other hosts.
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -111,9 +111,9 @@
     }
 }
 
-/// The way of a grant call to its upstream.
+/// How a grant call reaches its upstream.
 #[derive(Debug, Clone)]
-pub enum GrantWay {
+pub enum GrantPath {
     /// Over this host's own connections.
     Direct,
     /// Through another host, as this host has lost its link to the upstream.
@@ -176,6 +176,6 @@
         &self,
         to: Destination,
         call: GrantCall,
-        way: GrantWay,
+        path: GrantPath,
     ) -> impl Future<Output = GrantCallResponse> + 'static;
 }
