--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -11,9 +11,9 @@
 use assign::HostIncarnation;
 use direct::{CrashTracker, UpstreamRegistry};
 use gate::Metrics;
-use ids::{Incarnation, Timestamp, UpstreamId};
+use ids::{Incarnation, Timestamp};
 use indexmap::{IndexMap, IndexSet};
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -23,13 +23,13 @@
 use crate::control::era::KnownEra;
 use crate::control::freshness::Freshness;
 use crate::control::quarantined::QuarantineState;
-use crate::control::samples::{self, SampleRx, SampleTx};
+use crate::control::samples::{self, SampleRx};
 use crate::control::tables::Table;
 use crate::control::{
     ControlState, SharedControl, announce, follow, heartbeat, keys, observations, quarantine, relay,
 };
 use crate::links::SharedLostLinks;
-use crate::observation::{self, ObservationRx, ObservationTx};
+use crate::observation::{self, ObservationRx};
 use crate::peer_exchange;
 use crate::ports::{HeaderFormat, Platform};
 use crate::request_thread::RequestThread;
--- a/crates/own/tests/own/interleaving.rs
+++ b/crates/own/tests/own/interleaving.rs
@@ -169,15 +169,19 @@
     faults: &'static [(u64, Fault)],
 }
 
-fn seeds() -> [Seed; 4] {
-    use Fault::*;
-    let common = Setup {
+/// Returns what the setups of these scenarios have in common.
+fn common_setup() -> Setup {
+    Setup {
         class: Class::NonIdempotent,
         cut_off: CutOff::FailOver,
         long_request_percent: 1,
         settings: drawn_settings(),
         ..Setup::default()
-    };
+    }
+}
+
+fn seeds() -> [Seed; 4] {
+    use Fault::*;
     [
         Seed {
             name: "requests held for a handover, while the upstream is handed back, are released",
@@ -190,7 +194,7 @@
                 delay_us: 7_802,
                 drift_ppm: 7_404,
                 lost_confirmation_percent: 25,
-                ..common.clone()
+                ..common_setup()
             },
             faults: &[
                 (872_702, PauseUpstream(1, 627_976)),
@@ -216,7 +220,7 @@
                 delay_us: 5_660,
                 drift_ppm: 2_561,
                 lost_confirmation_percent: 9,
-                ..common.clone()
+                ..common_setup()
             },
             faults: &[(872_685, Isolate(0))],
         },
@@ -231,7 +235,7 @@
                 delay_us: 1_358,
                 drift_ppm: 429,
                 lost_confirmation_percent: 26,
-                ..common.clone()
+                ..common_setup()
             },
             faults: &[
                 (1_035_880, Carve(1)),
@@ -257,7 +261,7 @@
                 delay_us: 10_649,
                 drift_ppm: 8_993,
                 lost_confirmation_percent: 23,
-                ..common
+                ..common_setup()
             },
             faults: &[
                 (707_463, CutHost(0, 2_464_059)),
