front: a grant through another host counts the time until that host's answer

Found by reading the diff: the other host's time starts with its answer, but what was left of the 200 ms was counted at the question, so that a slow answer (up to 100 ms) could be added to the grant's age, beyond what successors wait for.

--- a/crates/front/src/peer_exchange/calls.rs
+++ b/crates/front/src/peer_exchange/calls.rs
@@ -35,6 +35,18 @@
     pub deadline: Timestamp,
 }
 
+impl PeerCall {
+    /// Returns how long after its last message, which arrived at `confirmed_at`, another host may send
+    /// the call; none if it may send it at any time.
+    ///
+    /// That message left before it arrived, so that the call is never sent at a greater age.
+    #[must_use]
+    pub fn send_within(&self, confirmed_at: Timestamp) -> Option<Duration> {
+        let age = confirmed_at.since(self.decided_at);
+        self.max_age.map(|max_age| max_age.saturating_sub(age))
+    }
+}
+
 /// Why a call got no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum PeerCallError {
--- a/crates/front/src/peer_exchange/client.rs
+++ b/crates/front/src/peer_exchange/client.rs
@@ -97,7 +97,6 @@
         call: &PeerCall,
     ) -> Result<UpstreamResponse, PeerFailure> {
         let mut conn = self.connect(peer).await.ok_or(PeerFailure::PeerDown)?;
-        let asked_at = BootClock.now();
         let probe = ProbeRequest {
             upstream: call.upstream.to_string(),
             since_ms: PROOF_AGE_MS,
@@ -108,10 +107,9 @@
             Ok(Some(Outcome::Unreachable(false))) => return Err(PeerFailure::Unreachable),
             _ => return Err(PeerFailure::PeerDown),
         }
-        let left = call.deadline.since(BootClock.now());
-        let decided_before = asked_at.since(call.decided_at);
-        let send_within = call.max_age.map(|age| age.saturating_sub(decided_before));
-        let request = ExchangeRequest::control(call, left, send_within);
+        let now = BootClock.now();
+        let left = call.deadline.since(now);
+        let request = ExchangeRequest::control(call, left, call.send_within(now));
         let asked = self.ask(peer, conn, Ask::Exchange(request));
         response(tokio::time::timeout(left, asked).await)
     }
