front: a lost link is restored only by a connection that stays open

Its log shows 'link restored' for a connection that was accepted and reset more than 5 ms later, after which all links counted as usable again and requests were shed until two links had been found lost anew (22:04:17.4 to 18.3). The stand-in resets after it accepts; late under load. Change: a connection over a lost link must stay open for 150 ms. The bound of the test is as it was.

--- a/crates/front/src/reach.rs
+++ b/crates/front/src/reach.rs
@@ -25,6 +25,9 @@
 /// Time within which a connection to an upstream opens or is refused: many round trips between
 /// failure domains.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a connection over a lost link must stay open for the link to count as restored: a
+/// reset may come late.
+const RESTORE_WAIT: Duration = Duration::from_millis(150);
 /// Time within which another host answers whether it reaches an upstream: its own probe, and a round
 /// trip.
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
@@ -131,12 +134,19 @@
     }
 
     async fn connect(&self, target: &Registration) -> ProbeResult {
-        match self
+        let was_lost = self.links.state(&target.id) != LinkState::Usable;
+        let connected = self
             .connections
             .connect_usable(target.address, PROBE_TIMEOUT)
-            .await
-        {
-            Ok(Some(conn)) => {
+            .await;
+        match connected {
+            Ok(Some(mut conn)) => {
+                if was_lost {
+                    tokio::time::sleep(RESTORE_WAIT).await;
+                    if !conn.is_usable_now().await {
+                        return ProbeResult::Closed;
+                    }
+                }
                 self.links.opened(&target.id);
                 self.connections
                     .keep_unused(BootClock.now(), &target.id, conn);
