direct: first requests whose timeouts differ are not taken for repeats

Callers saw: under overload, half of all first requests were treated as late.

The timeouts of first requests have a mean and a mean deviation now; a request within two and a half deviations is a first one.

--- a/crates/direct/src/caller_retries.rs
+++ b/crates/direct/src/caller_retries.rs
@@ -1,30 +1,86 @@
 //! Detects callers that were refused before and try again.
 //!
-//! Callers send the time for which they still wait. On a route, most callers start with the same
-//! timeout, so a caller with less time left has used the rest elsewhere. It can try only a few
-//! times more, often not at all, so a late answer is worth more to it than another refusal.
+//! Callers send the time for which they still wait. On a route, most callers start with about the
+//! same timeout, so a caller with clearly less time left has used the rest elsewhere. It can try
+//! only a few times more, often not at all, so a late answer is worth more to it than another
+//! refusal.
+//!
+//! Timeouts of first requests spread around a mean, by a tenth and more on some routes. A caller
+//! within the spread counts as a first one: a first request that is taken for a repeat is treated as
+//! late, and under overload it is refused although it could be answered in time.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 
-/// Fraction of the usual timeout below which a caller has been refused before.
-///
-/// Callers come back after at least some 50 ms, and timeouts are a second or more.
-const REPEAT_BELOW: f64 = 0.97;
-/// Fraction by which the usual timeout grows with each caller whose timeout is longer, and shrinks
-/// with each whose timeout is not. It settles where a quarter of the timeouts are longer: if
-/// callers come back once, at least half of all requests are first ones, however many are refused.
-/// A single unusual caller changes it little.
-const GROWTH: f64 = 0.015;
-const SHRINKAGE: f64 = GROWTH / 3.0;
-
-/// Usual timeouts of callers, by route.
+/// Distance from the mean, in mean deviations, up to which a timeout is one of a first request. The
+/// ends of a uniform distribution are at two.
+const SPREAD: f64 = 2.5;
+/// Minimum and maximum mean deviation as a fraction of the mean. A request takes some time to
+/// arrive; callers come back after a tenth of their time and more when there is no capacity.
+const MIN_DEVIATION: f64 = 0.012;
+const MAX_DEVIATION: f64 = 0.06;
+/// Weight of one first request in the mean and the mean deviation.
+const WEIGHT: f64 = 0.05;
+/// Fraction by which the mean moves at most with each caller whose timeout is beyond the spread, so
+/// that a single unusual caller changes it little.
+const MAX_STEP: f64 = 0.015;
+/// Fraction of requests within the spread below which callers start with shorter timeouts than they
+/// used to. If callers come back twice, a third of all requests are first ones, however many are
+/// refused; the estimate of that fraction is off by up to a tenth.
+const MIN_FIRST_SHARE: f64 = 0.15;
+/// Weight of one request in the fraction of requests within the spread.
+const SHARE_WEIGHT: f64 = 0.02;
+
+/// Timeouts of the first requests on a route, in seconds.
+#[derive(Debug)]
+struct FirstTimeouts {
+    mean: f64,
+    mean_deviation: f64,
+    /// Fraction of requests whose timeouts are within the spread.
+    share: f64,
+}
+
+impl FirstTimeouts {
+    /// Starts with the widest spread: nothing is known of other callers yet.
+    fn new(timeout: f64) -> Self {
+        Self {
+            mean: timeout,
+            mean_deviation: timeout * MAX_DEVIATION,
+            share: 1.0,
+        }
+    }
+
+    /// Records a timeout; returns the time since the caller's first request if it is below the
+    /// spread.
+    fn record(&mut self, timeout: f64) -> Option<f64> {
+        let distance = timeout - self.mean;
+        let spread = self.mean_deviation * SPREAD;
+        let is_within = distance.abs() <= spread;
+        self.share += SHARE_WEIGHT * (f64::from(u8::from(is_within)) - self.share);
+        if distance < -spread {
+            if self.share < MIN_FIRST_SHARE {
+                self.mean *= 1.0 - MAX_STEP;
+            }
+            return Some(-distance);
+        }
+        if distance > spread {
+            self.mean *= 1.0 + MAX_STEP;
+            return None;
+        }
+        self.mean += WEIGHT * distance;
+        let mean_deviation = self.mean_deviation + WEIGHT * (distance.abs() - self.mean_deviation);
+        self.mean_deviation =
+            mean_deviation.clamp(self.mean * MIN_DEVIATION, self.mean * MAX_DEVIATION);
+        None
+    }
+}
+
+/// Timeouts of callers, by route.
 #[derive(Debug, Default)]
 pub struct CallerRetries {
-    /// Timeout of a caller's first request, in seconds.
-    usual_timeouts: HashMap<SmolStr, f64>,
+    first_timeouts: HashMap<SmolStr, FirstTimeouts>,
 }
 
 impl CallerRetries {
@@ -32,21 +88,11 @@
     /// request was, or zero if this is the first one.
     pub fn time_since_first_request(&mut self, route: &SmolStr, wait: Duration) -> Duration {
         let wait = wait.as_secs_f64();
-        let Some(usual_timeout) = self.usual_timeouts.get_mut(route) else {
-            self.usual_timeouts.insert(route.clone(), wait);
+        let Some(known) = self.first_timeouts.get_mut(route) else {
+            self.first_timeouts
+                .insert(route.clone(), FirstTimeouts::new(wait));
             return Duration::ZERO;
         };
-        let is_repeat = wait < *usual_timeout * REPEAT_BELOW;
-        let elapsed = if is_repeat {
-            *usual_timeout - wait
-        } else {
-            0.0
-        };
-        *usual_timeout = if wait >= *usual_timeout {
-            wait.min(*usual_timeout * (1.0 + GROWTH))
-        } else {
-            *usual_timeout * (1.0 - SHRINKAGE)
-        };
-        Duration::from_secs_f64(elapsed)
+        Duration::from_secs_f64(known.record(wait).unwrap_or_default())
     }
 }
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -314,10 +314,7 @@
             return Some(PermitReply::Granted);
         }
         let is_key = |w: &QueuedRequest<K>| w.key == *key;
-        let lane = self
-            .lanes
-            .iter()
-            .position(|lane| lane.iter().any(is_key))?;
+        let lane = self.lanes.iter().position(|lane| lane.iter().any(is_key))?;
         let service_time = self.service_time.unwrap_or_default();
         let expected_time = Duration::from_secs_f64(self.expected(now, lane, service_time));
         Some(PermitReply::Queued { expected_time })
--- a/crates/direct/tests/sustained_overload.rs
+++ b/crates/direct/tests/sustained_overload.rs
@@ -129,7 +129,8 @@
                 match reply {
                     PermitReply::Queued { .. } => {}
                     PermitReply::Granted => self.start(ms, request),
-                    PermitReply::Full { retry_after } | PermitReply::RateLimited { retry_after } => {
+                    PermitReply::Full { retry_after }
+                    | PermitReply::RateLimited { retry_after } => {
                         self.refuse(ms, request, retry_after);
                     }
                 }
