front: a permit host is asked again before another one is

Callers saw: under overload upstreams were overfilled and answers came late. A reply that took longer than 30 ms made a host ask another permit host for 500 ms, which granted permits beside the first: 100 of 1,900 requests in 2 s without overload, 420 of 4,000 in an overload, nearly all at hosts with slow links, where a large body of 60 kB delays datagrams by some 50 ms.

The same host is asked again, and counts as unresponsive only after two requests in a row without a reply.

--- a/crates/front/src/permits/client.rs
+++ b/crates/front/src/permits/client.rs
@@ -18,6 +18,12 @@
 /// Time for the reply to a request for a permit, which is sent at once: ten one-way trips between
 /// the failure domains of today's users, and one turn of a host that has a tenth of a core.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(30);
+/// Time for the reply to a request that was repeated. A large body occupies a slow link of a host
+/// for some 50 ms, and datagrams wait behind it.
+const REPEATED_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+/// Number of requests in a row without a reply from which on a host counts as unresponsive. As long
+/// as it replies to others, another host must not grant permits beside it.
+const MIN_MISSES: u32 = 2;
 /// Time for which a host that did not reply is not asked again; it doubles with each further miss.
 const MIN_BACKOFF: Duration = Duration::from_millis(500);
 /// Maximum of that time.
@@ -162,14 +168,14 @@
         let mut asked = BootClock.now();
         self.ask(host, request, target, &permit_request);
         let mut timeout = REPLY_TIMEOUT;
-        let mut is_queued = false;
+        let mut may_ask_again = true;
         loop {
             let reply = tokio::time::timeout(timeout, replies.recv()).await;
             if matches!(reply, Ok(Some(_))) {
                 self.backoffs.borrow_mut().remove(&host);
             }
             let Ok(Some(Reply { reply, limit })) = reply else {
-                if !std::mem::take(&mut is_queued) {
+                if !std::mem::take(&mut may_ask_again) {
                     self.record_no_reply(host, BootClock.now());
                     return Admission::Unknown;
                 }
@@ -178,7 +184,7 @@
                 asked = now;
                 self.metrics.count(Count::PermitsAskedAgain);
                 self.ask(host, request, target, &permit_request);
-                timeout = REPLY_TIMEOUT;
+                timeout = REPEATED_REPLY_TIMEOUT;
                 continue;
             };
             match reply {
@@ -192,7 +198,7 @@
                     return Admission::RateLimited { retry_after, limit };
                 }
                 PermitReply::Queued { expected_time } => {
-                    is_queued = true;
+                    may_ask_again = true;
                     timeout = expected_time.mul_f64(QUEUE_TIMEOUT_FACTOR) + REPLY_TIMEOUT;
                 }
             }
@@ -219,9 +225,11 @@
             until: now,
             misses: 0,
         });
-        let duration = MIN_BACKOFF * (1 << backoff.misses.min(5));
-        backoff.until = now + duration.min(MAX_BACKOFF);
         backoff.misses += 1;
+        if let Some(doublings) = backoff.misses.checked_sub(MIN_MISSES) {
+            let duration = MIN_BACKOFF * (1 << doublings.min(5));
+            backoff.until = now + duration.min(MAX_BACKOFF);
+        }
     }
 }
 
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -117,7 +117,7 @@
     PeerRequests = "peer.requests-sent", "requests", "Requests that went to their upstream through another host.";
     PeerRequestsServed = "peer.requests-served", "requests", "Requests of other hosts that this one sent to an upstream.";
     PermitsSilent = "permits.silent", "requests", "Requests for a permit to send that no host replied to.";
-    PermitsAskedAgain = "permits.asked-again", "requests", "Queued requests for a permit that were repeated because no permit had come in the expected time.";
+    PermitsAskedAgain = "permits.asked-again", "requests", "Requests for a permit that were repeated because no reply, or no permit, had come in the expected time.";
     RegistrationsRefused = "registrations.refused", "registrations", "Registrations of upstreams read that make no sense.";
     SamplesDropped = "samples.dropped", "samples", "Load samples dropped because their ring was full.";
 }
