direct: queue of requests for permits that shares an upstream fairly

The three lanes of a permit host serve requests by priority and lateness alone, so a failure domain that asks for more takes capacity from the others. PermitQueue orders requests by lateness, rank, repeat, turn of the domain and arrival, and names the request that gives way to a new one. Permits doesn't use it yet.

--- /dev/null
+++ b/crates/direct/examples/permit_queue_time.rs
@@ -0,0 +1,71 @@
+//! Prints the mean time of each operation of a permit queue with some fifty requests.
+//!
+//! `cargo run --release -p direct --example permit_queue_time`
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use direct::{PermitQueue, QueuedRequest};
+use ids::{DomainId, Timestamp};
+
+/// Number of queued requests.
+const QUEUED: u32 = 50;
+/// Number of runs of each operation.
+const RUNS: u32 = 100_000;
+const DOMAINS: u32 = 6;
+
+fn domain(n: u32) -> DomainId {
+    DomainId::new(format!("domain-{n}")).expect("a valid name")
+}
+
+fn request(queue: &mut PermitQueue<u32>, names: &[DomainId], key: u32) -> QueuedRequest<u32> {
+    QueuedRequest {
+        key,
+        start_by: (!key.is_multiple_of(5)).then_some(Timestamp::NEVER),
+        deadline: Timestamp::NEVER,
+        rank: key % 3,
+        is_repeat: key.is_multiple_of(4),
+        domain: queue.domain_key(Some(&names[(key % DOMAINS) as usize])),
+    }
+}
+
+/// Runs `operation` on a full queue, with the time of each run as its argument.
+fn measure(name: &str, mut operation: impl FnMut(&mut PermitQueue<u32>, Timestamp, u32)) {
+    let names: Vec<DomainId> = (0..DOMAINS).map(domain).collect();
+    let mut queue = PermitQueue::default();
+    for key in 0..QUEUED {
+        let request = request(&mut queue, &names, key);
+        queue.push(request);
+    }
+    let started = Instant::now();
+    for run in 0..RUNS {
+        let now = Timestamp::from_millis(u64::from(run));
+        operation(&mut queue, now, QUEUED + run);
+    }
+    let mean = started.elapsed() / RUNS;
+    println!("{name}: {mean:?}");
+}
+
+fn main() {
+    let names: Vec<DomainId> = (0..DOMAINS).map(domain).collect();
+    println!("mean of {RUNS} runs with {QUEUED} queued requests");
+    measure("domain_key, push and pop", |queue, now, key| {
+        let request = request(queue, &names, key);
+        queue.push(request);
+        black_box(queue.pop(now));
+    });
+    measure("ahead_of", |queue, now, key| {
+        let request = request(queue, &names, key);
+        black_box(queue.ahead_of(now, &request));
+    });
+    measure("displaced_by", |queue, now, key| {
+        let request = request(queue, &names, key);
+        black_box(queue.displaced_by(now, &request, (QUEUED / 2) as usize));
+    });
+    measure("expire", |queue, now, _| {
+        black_box(queue.expire(now, Duration::from_millis(200)));
+    });
+    measure("in_order", |queue, now, _| {
+        black_box(queue.in_order(now));
+    });
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`caller_retries`]: detection of callers that were refused before and try again.
 //! - [`crashes`]: detection and quarantine of requests that crash upstreams.
 //! - [`permits`]: permits at an upstream, granted by one host.
+//! - [`permit_queue`]: the requests that are queued there, in the order of service.
 //! - [`permit_hosts`]: selection of that host.
 //! - [`retry`]: whether a request is retried after a failed attempt.
 
@@ -29,6 +30,7 @@
 pub mod load;
 pub mod peers;
 pub mod permit_hosts;
+pub mod permit_queue;
 pub mod permits;
 mod recent_starts;
 pub mod registry;
@@ -47,6 +49,7 @@
 pub use load::{LoadReport, LoadSettings, SentRequest, UpstreamLoad};
 pub use peers::{PeerHost, PeerSelector, PeerSettings};
 pub use permit_hosts::{PermitHost, PermitHosts};
+pub use permit_queue::{DomainKey, PermitQueue, QueueSettings, QueuedRequest};
 pub use permits::{PermitEnd, PermitReply, PermitRequest, PermitSettings, Permits};
 pub use registry::{Registration, UpstreamRegistry, UpstreamState};
 pub use retry::{AttemptEnd, RetryDecision, RetrySettings, RetryState};
