permits: requests carry their domain, rank and whether they are repeats

A permit host orders queued requests by the priority of their route and shares an upstream among failure domains, so it has to know both. Acquire has domain (tag 12), rank (tag 13) and is_repeat (tag 14). Requests of hosts of an earlier version have an unknown domain, are first requests, and have rank 0 if urgent and 1 otherwise. PermitRequest is no longer Copy, as it holds a name.

--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -17,7 +17,7 @@
 use std::hash::Hash;
 use std::time::Duration;
 
-use ids::Timestamp;
+use ids::{DomainId, Timestamp};
 use indexmap::IndexMap;
 
 use crate::choose::Priority;
@@ -78,10 +78,16 @@
 }
 
 /// A request for a permit.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct PermitRequest {
     /// Its priority among the requests that go to the upstream.
     pub priority: Priority,
+    /// Priority of its route; zero is the most urgent.
+    pub rank: u32,
+    /// Whether its caller was refused before and repeats it.
+    pub is_repeat: bool,
+    /// Failure domain of the requesting host; none if it is not known.
+    pub domain: Option<DomainId>,
     /// Time left until its objective.
     pub until_objective: Duration,
     /// Time left until the caller's deadline.
--- a/crates/direct/tests/cold_upstreams.rs
+++ b/crates/direct/tests/cold_upstreams.rs
@@ -30,6 +30,9 @@
 fn permit_request(left_cold_ms: u64, may_wait: bool) -> PermitRequest {
     PermitRequest {
         priority: Priority::Equal,
+        rank: 1,
+        is_repeat: false,
+        domain: None,
         until_objective: Duration::from_millis(300),
         until_deadline: Duration::from_secs(1),
         entry_service_time: Duration::from_millis(90),
--- a/crates/direct/tests/limited_upstreams.rs
+++ b/crates/direct/tests/limited_upstreams.rs
@@ -30,6 +30,9 @@
 fn permit_request(may_wait: bool, limit: RateLimit) -> PermitRequest {
     PermitRequest {
         priority: Priority::Equal,
+        rank: 1,
+        is_repeat: false,
+        domain: None,
         until_objective: Duration::from_millis(300),
         until_deadline: Duration::from_secs(2),
         entry_service_time: Duration::from_millis(WORK_MS),
--- a/crates/direct/tests/permits.rs
+++ b/crates/direct/tests/permits.rs
@@ -25,6 +25,9 @@
 fn permit_request(in_time_ms: u64, left_ms: u64) -> PermitRequest {
     PermitRequest {
         priority: Priority::Equal,
+        rank: 1,
+        is_repeat: false,
+        domain: None,
         until_objective: Duration::from_millis(in_time_ms),
         until_deadline: Duration::from_millis(left_ms),
         entry_service_time: Duration::from_millis(WORK_MS),
@@ -210,6 +213,7 @@
     assert!(is_queued(permits.acquire(at(1), 11, &first_attempt())));
     let urgent = PermitRequest {
         priority: Priority::Urgent,
+        rank: 0,
         ..first_attempt()
     };
     assert!(is_queued(permits.acquire(at(2), 12, &urgent)));
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -225,6 +225,9 @@
         let elapsed = request.since_first_request + now.since(request.arrived);
         let permit_request = PermitRequest {
             priority: request.priority,
+            rank: request.route.priority,
+            is_repeat: !request.since_first_request.is_zero(),
+            domain: Some(self.domain.clone()),
             until_objective: request.route.objective.saturating_sub(elapsed),
             until_deadline: request.deadline.since(now),
             entry_service_time: service_time,
--- a/crates/front/src/permits/client.rs
+++ b/crates/front/src/permits/client.rs
@@ -143,7 +143,7 @@
         };
         let permit_request = PermitRequest {
             skipped_hosts,
-            ..*permit_request
+            ..permit_request.clone()
         };
         let is_cold = permit_request
             .cold
--- a/crates/front/src/permits/messages.rs
+++ b/crates/front/src/permits/messages.rs
@@ -4,6 +4,10 @@
 
 use crate::rate_limit_message::RateLimitMessage;
 use direct::{ColdStart, LoadReport, PermitEnd, PermitReply, PermitRequest, Priority, RateLimit};
+use ids::DomainId;
+
+/// Rank of a request that is not urgent and comes from a host that doesn't send ranks.
+const DEFAULT_RANK: u32 = 1;
 
 /// One datagram.
 #[derive(Clone, PartialEq)]
@@ -43,9 +47,10 @@
     RateLimited(u32),
 }
 
+/// A request for a permit.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(prost::Message)]
-pub(super) struct Acquire {
+pub struct Acquire {
     #[prost(string, tag = "1")]
     pub(super) upstream: String,
     #[prost(uint32, tag = "2")]
@@ -77,6 +82,15 @@
     /// Number of hosts that rank before this one for the upstream's permits and did not reply.
     #[prost(uint32, tag = "11")]
     skipped_hosts: u32,
+    /// Failure domain of the requesting host; empty if the host is of an earlier version.
+    #[prost(string, tag = "12")]
+    domain: String,
+    /// Priority of the request's route; zero is the most urgent.
+    #[prost(uint32, optional, tag = "13")]
+    rank: Option<u32>,
+    /// Whether the caller was refused before and repeats its request.
+    #[prost(bool, tag = "14")]
+    is_repeat: bool,
 }
 
 #[derive(Clone, PartialEq, Eq)]
@@ -108,7 +122,9 @@
 }
 
 impl Acquire {
-    pub(super) fn new(upstream: String, slots: u32, permit_request: &PermitRequest) -> Self {
+    /// Builds the message for a request for a permit at `upstream`, which has this many slots.
+    #[must_use]
+    pub fn new(upstream: String, slots: u32, permit_request: &PermitRequest) -> Self {
         let cold = permit_request.cold;
         Self {
             upstream,
@@ -122,15 +138,22 @@
             cold_duration_ms: cold.map_or(0, |c| to_ms(c.duration)),
             cold_remaining_ms: cold.map_or(0, |c| to_ms(c.remaining)),
             skipped_hosts: permit_request.skipped_hosts,
+            domain: permit_request
+                .domain
+                .as_ref()
+                .map_or_else(String::new, DomainId::to_string),
+            rank: Some(permit_request.rank),
+            is_repeat: permit_request.is_repeat,
         }
     }
 
     /// Returns the request; `limit` is the upstream's rate limit as known to the requesting host.
-    pub(super) fn permit_request(&self, limit: RateLimit) -> PermitRequest {
-        let priority = if self.is_urgent {
-            Priority::Urgent
+    #[must_use]
+    pub fn permit_request(&self, limit: RateLimit) -> PermitRequest {
+        let (priority, default_rank) = if self.is_urgent {
+            (Priority::Urgent, 0)
         } else {
-            Priority::Equal
+            (Priority::Equal, DEFAULT_RANK)
         };
         let cold = ColdStart {
             max_starts_per_s: self.cold_max_starts_per_s,
@@ -146,6 +169,9 @@
             cold: (cold.max_starts_per_s > 0).then_some(cold),
             limit,
             skipped_hosts: self.skipped_hosts,
+            domain: DomainId::new(self.domain.as_str()).ok(),
+            rank: self.rank.unwrap_or(default_rank),
+            is_repeat: self.is_repeat,
         }
     }
 }
--- a/crates/front/src/permits/mod.rs
+++ b/crates/front/src/permits/mod.rs
@@ -8,10 +8,10 @@
 //! small fraction of it.
 //!
 //! - `client`: requests for permits, and the permits they return.
-//! - `messages`: the datagrams.
+//! - [`messages`]: the datagrams.
 
 mod client;
-mod messages;
+pub mod messages;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
