permit_queue: the caller decides on times, the queue on who gives way

The service time of an upstream changes while requests are queued, so a request holds the time by which it must be answered, and expire gets the time that an answer takes now. displaced_by names a request without a count of those that may be ahead, which the caller has compared with the time that it has.

--- a/crates/direct/src/permit_queue.rs
+++ b/crates/direct/src/permit_queue.rs
@@ -51,8 +51,8 @@
 pub struct QueuedRequest<K> {
     /// Identifies the request.
     pub key: K,
-    /// Time by which it must start to meet its objective; none if it is late.
-    pub start_by: Option<Timestamp>,
+    /// Time by which it must be answered to meet its objective; none if it is late.
+    pub answer_by: Option<Timestamp>,
     /// The caller's deadline.
     pub deadline: Timestamp,
     /// Priority of its route; zero is the most urgent.
@@ -76,7 +76,7 @@
 impl<K> QueuedRequest<K> {
     const fn class(&self) -> Class {
         Class {
-            is_late: self.start_by.is_none(),
+            is_late: self.is_late(),
             rank: self.rank,
             is_repeat: self.is_repeat,
         }
@@ -85,7 +85,7 @@
     /// Returns whether the request can't meet its objective any more.
     #[must_use]
     pub const fn is_late(&self) -> bool {
-        self.start_by.is_none()
+        self.answer_by.is_none()
     }
 }
 
@@ -272,12 +272,11 @@
         ordered.into_iter().map(|(_, request)| request).collect()
     }
 
-    /// Returns the queued request that `request` displaces if it arrives now; none if there is room
-    /// for both, or if `request` could not be in time anyway.
+    /// Returns the queued request that gives way to `request` if both can't be in time; none if
+    /// `request` should take nobody's place.
     ///
-    /// `request` is in time if at most `max_ahead` requests are served before it. If it would be in
-    /// time at its turn, but not behind all queued requests that are in time, one of these has to
-    /// go:
+    /// To be called for a request that is in time if it is served at its turn, but not if it is
+    /// served after all queued requests that are in time. One of these then has to go:
     ///
     /// - one of the domain that most exceeds its max-min fair share of the recent grants and the
     ///   queue, if that is another domain than that of `request`;
@@ -286,14 +285,8 @@
     /// Of several, it is the newest among the least urgent, and repeats go before first requests. A
     /// request that goes before `request` by its rank, or as a first request, is never displaced.
     #[must_use]
-    pub fn displaced_by(
-        &self,
-        now: Timestamp,
-        request: &QueuedRequest<K>,
-        max_ahead: usize,
-    ) -> Option<K> {
-        let has_room = self.in_time_len() <= max_ahead;
-        if request.is_late() || has_room || self.ahead_of(now, request) > max_ahead {
+    pub fn displaced_by(&self, now: Timestamp, request: &QueuedRequest<K>) -> Option<K> {
+        if request.is_late() {
             return None;
         }
         let in_time = || self.requests.iter().filter(|r| !r.is_late());
@@ -320,12 +313,17 @@
         displaced.map(|r| r.key)
     }
 
-    /// Makes requests late that can no longer start in time to meet their objective. Removes and
-    /// returns those that could not be answered before their deadline if they started now and took
-    /// `service_time`.
-    pub fn expire(&mut self, now: Timestamp, service_time: Duration) -> Vec<QueuedRequest<K>> {
+    /// Makes requests late that could not be answered within their objective if they started now
+    /// and took `time_for_objective`. Removes and returns those that could not be answered before
+    /// their deadline if they took `service_time`.
+    pub fn expire(
+        &mut self,
+        now: Timestamp,
+        time_for_objective: Duration,
+        service_time: Duration,
+    ) -> Vec<QueuedRequest<K>> {
         for r in &mut self.requests {
-            r.start_by = r.start_by.filter(|&start_by| now <= start_by);
+            r.answer_by = r.answer_by.filter(|t| t.since(now) >= time_for_objective);
         }
         let is_expired = |r: &mut QueuedRequest<K>| r.deadline.since(now) < service_time;
         self.requests.extract_if(.., is_expired).collect()
