--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`crashes`]: detection and quarantine of requests that crash upstreams.
 //! - [`permits`]: permits at an upstream, granted by one host.
 //! - [`permit_queue`]: the requests that are queued there, in the order of service.
+//! - `permit_demand`: the demand there, and when refused callers may return.
 //! - [`permit_hosts`]: selection of that host.
 //! - [`retry`]: whether a request is retried after a failed attempt.
 
@@ -29,6 +30,7 @@
 pub mod links;
 pub mod load;
 pub mod peers;
+mod permit_demand;
 pub mod permit_hosts;
 pub mod permit_queue;
 pub mod permits;
