permits: routes and failure domains share an upstream by the order of its queue

The lanes served requests in time by arrival, so the domain that asked for most got most, and a less urgent route got as much as a more urgent one unless the request was marked urgent. Permits keeps its requests in a PermitQueue now. A request in time that is served before others displaces one of them if otherwise it, or one behind it, could no longer be in time; the displaced one is refused at once. The permit host polls after each request for a permit for this, which also grants a free permit without the wait for the next tick.

--- a/crates/direct/examples/permit_queue_time.rs
+++ b/crates/direct/examples/permit_queue_time.rs
@@ -1,11 +1,15 @@
-//! Prints the mean time of each operation of a permit queue with some fifty requests.
+//! Prints the mean time of each operation of a permit queue with some fifty requests, and of the
+//! decision on a request for a permit.
 //!
 //! `cargo run --release -p direct --example permit_queue_time`
 
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use direct::{PermitQueue, QueuedRequest};
+use direct::{
+    PermitEnd, PermitQueue, PermitReply, PermitRequest, PermitSettings, Permits, Priority,
+    QueuedRequest, RateLimit,
+};
 use ids::{DomainId, Timestamp};
 
 /// Number of queued requests.
@@ -46,6 +50,44 @@
     println!("{name}: {mean:?}");
 }
 
+/// Measures decisions on requests that are queued before others of another domain, and leave.
+fn measure_decision(names: &[DomainId]) {
+    let mut permits = Permits::new(2, PermitSettings::default());
+    let mut permit_request = PermitRequest {
+        priority: Priority::Equal,
+        rank: 1,
+        is_repeat: false,
+        domain: Some(names[0].clone()),
+        until_objective: Duration::from_secs(5),
+        until_deadline: Duration::from_secs(10),
+        entry_service_time: Duration::from_millis(150),
+        may_wait: true,
+        cold: None,
+        limit: RateLimit::default(),
+        skipped_hosts: 0,
+    };
+    let mut now = Timestamp::from_millis(1_000);
+    let mut acquire = |now, key, request: &PermitRequest| {
+        let reply = permits.acquire(now, key, request);
+        if key >= QUEUED {
+            permits.release(now, key, PermitEnd::Unknown, None);
+        }
+        reply
+    };
+    for key in 0..QUEUED {
+        acquire(now, key, &permit_request);
+    }
+    permit_request.domain = Some(names[1].clone());
+    let started = Instant::now();
+    for run in 0..RUNS {
+        now += Duration::from_micros(1);
+        let reply = acquire(now, QUEUED + run, &permit_request);
+        assert!(matches!(reply, PermitReply::Queued { .. }), "{reply:?}");
+    }
+    let mean = started.elapsed() / RUNS;
+    println!("Permits::acquire and release: {mean:?}");
+}
+
 fn main() {
     let names: Vec<DomainId> = (0..DOMAINS).map(domain).collect();
     println!("mean of {RUNS} runs with {QUEUED} queued requests");
@@ -69,4 +111,5 @@
     measure("in_order", |queue, now, _| {
         black_box(queue.in_order(now));
     });
+    measure_decision(&names);
 }
--- a/crates/direct/src/permit_queue.rs
+++ b/crates/direct/src/permit_queue.rs
@@ -273,14 +273,11 @@
     }
 
     /// Returns the queued request that gives way to `request` if both can't be in time; none if
-    /// `request` should take nobody's place.
+    /// `request` should take nobody's place. It is served after `request`, and is one
     ///
-    /// To be called for a request that is in time if it is served at its turn, but not if it is
-    /// served after all queued requests that are in time. One of these then has to go:
-    ///
-    /// - one of the domain that most exceeds its max-min fair share of the recent grants and the
-    ///   queue, if that is another domain than that of `request`;
-    /// - or else one of the least urgent route, if that is less urgent than `request`.
+    /// - of the domain that most exceeds its max-min fair share of the recent grants and the queue,
+    ///   if that is another domain than that of `request`;
+    /// - or else of the least urgent route, if that is less urgent than `request`.
     ///
     /// Of several, it is the newest among the least urgent, and repeats go before first requests. A
     /// request that goes before `request` by its rank, or as a first request, is never displaced.
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -6,15 +6,15 @@
 //! can still meet its objective.
 //!
 //! Requests that can still be answered within their objective go before those that will be late
-//! anyway, and late ones get only the capacity that requests in time leave
-//! (`permit_demand`). An upstream that gets several times the load that it
-//! can serve then answers as many in time as at full load.
+//! anyway, and late ones get only the capacity that requests in time leave (`permit_demand`). An
+//! upstream that gets several times the load that it can serve then answers as many in time as at
+//! full load. Routes and failure domains share it by the order of its queue
+//! ([`permit_queue`](crate::permit_queue)).
 //!
 //! An upstream that is cold, or that has not answered for a while and may come back cold, gets no
 //! more requests within any second than it bears ([`warmup`](crate::warmup)). One that announces a
 //! rate limit gets no more than that from all hosts together ([`status`](crate::status)).
 
-use std::collections::VecDeque;
 use std::hash::Hash;
 use std::time::Duration;
 
@@ -24,6 +24,7 @@
 use crate::choose::Priority;
 use crate::load::LoadReport;
 use crate::permit_demand::Demand;
+use crate::permit_queue::{PermitQueue, QueuedRequest};
 use crate::recent_starts::RecentStarts;
 use crate::start_schedule::StartSchedule;
 use crate::status::RateLimit;
@@ -162,13 +163,6 @@
     Unknown,
 }
 
-#[derive(Debug)]
-struct QueuedRequest<K> {
-    key: K,
-    objective: Timestamp,
-    deadline: Timestamp,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct GrantedPermit {
     granted_at: Timestamp,
@@ -177,15 +171,34 @@
     occupancy: f64,
 }
 
-/// Lanes of the queue, in this order: urgent requests, those in time, those that are late.
-const LANES: usize = 3;
-const URGENT: usize = 0;
-const IN_TIME: usize = 1;
-const LATE: usize = 2;
-
 /// Minimum service time that is assumed, in seconds.
 const MIN_SERVICE_TIME_S: f64 = 1e-4;
 
+/// What the expected time of a queued request depends on.
+#[derive(Debug, Clone, Copy)]
+struct Forecast {
+    /// Estimated number of requests at the upstream.
+    at_upstream: f64,
+    slots: f64,
+    /// In seconds.
+    service_time: f64,
+    /// None if only the slots limit starts.
+    schedule: Option<StartSchedule>,
+}
+
+impl Forecast {
+    /// Returns the seconds until the answer to a request that is queued after `ahead` others.
+    fn expected(&self, ahead: usize) -> f64 {
+        let occupancy = (self.at_upstream + ahead as f64 + 1.0) / self.slots;
+        let queue = self.service_time * occupancy.max(1.0);
+        // If starts are limited, the request waits for its start rather than for the work before it.
+        let until_answer = self.schedule.map_or(0.0, |schedule| {
+            schedule.time_until_start(ahead).as_secs_f64() + self.service_time
+        });
+        queue.max(until_answer)
+    }
+}
+
 /// Requests that ended without a response since the upstream last responded.
 #[derive(Debug, Clone, Copy)]
 struct Unanswered {
@@ -208,7 +221,9 @@
     objective: Duration,
     demand: Demand,
     granted: IndexMap<K, GrantedPermit>,
-    lanes: [VecDeque<QueuedRequest<K>>; LANES],
+    queue: PermitQueue<K>,
+    /// Replies to requests that were displaced since the last poll.
+    displaced: Vec<(K, PermitReply)>,
     /// Requests at the upstream without a permit of this host, at the time of the last report.
     other_requests: f64,
     reported_at: Timestamp,
@@ -238,7 +253,8 @@
             objective: Duration::ZERO,
             demand: Demand::default(),
             granted: IndexMap::new(),
-            lanes: [(); LANES].map(|()| VecDeque::new()),
+            queue: PermitQueue::default(),
+            displaced: Vec::new(),
             other_requests: 0.0,
             reported_at: Timestamp::ZERO,
             slowdown: (1.0, Timestamp::ZERO),
@@ -252,16 +268,16 @@
         }
     }
 
-    /// Returns whether no permit is held and none is queued for.
+    /// Returns whether no permit is held, none is queued for and no reply is pending.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.granted.is_empty() && !self.has_waiting()
+        self.granted.is_empty() && !self.has_waiting() && self.displaced.is_empty()
     }
 
     /// Returns whether a request is queued.
     #[must_use]
-    pub fn has_waiting(&self) -> bool {
-        self.lanes.iter().any(|lane| !lane.is_empty())
+    pub const fn has_waiting(&self) -> bool {
+        !self.queue.is_empty()
     }
 
     /// Returns the upstream's rate limit as far as it is known.
@@ -279,6 +295,9 @@
 
     /// Handles a permit request. One that is known already is answered with its state: the earlier
     /// reply was lost.
+    ///
+    /// The reply to a request that is displaced by this one is returned by the next
+    /// [`poll`](Self::poll).
     pub fn acquire(&mut self, now: Timestamp, key: K, request: &PermitRequest) -> PermitReply {
         self.merge_limit(request.limit);
         self.skipped_hosts = request.skipped_hosts;
@@ -289,40 +308,57 @@
         if let Some(reply) = self.state_of(now, &key) {
             return reply;
         }
-        let deadline = now + request.until_deadline;
         let service_time = self.service_time_or(request.entry_service_time);
         self.record_demand(now, request, service_time);
+        let queued = self.queued_request(now, key, request, service_time);
         let should_go_elsewhere = !request.may_wait && self.is_slowed_down(now);
-        let is_first = !self.has_waiting() && !should_go_elsewhere;
+        let is_first = !should_go_elsewhere && self.queue.ahead_of(now, &queued) == 0;
         if is_first && self.can_grant(now) && self.may_start(now, request, service_time) {
-            self.grant(now, key, deadline);
+            self.queue.record_grant(now, queued.domain);
+            self.grant(now, key, queued.deadline);
             return PermitReply::Granted;
         }
         if !request.may_wait {
             return self.refuse_elsewhere(now, service_time);
         }
-        let Some((lane, expected)) = self.lane_of(now, request, service_time) else {
-            return self.refuse(now, request, service_time);
+        let Some((queued, expected)) = self.admit(now, request, queued, service_time) else {
+            return self.refuse(now, request.until_deadline, service_time);
         };
-        self.lanes[lane].push_back(QueuedRequest {
-            key,
-            objective: now + request.until_objective,
-            deadline,
-        });
+        self.queue.push(queued);
         PermitReply::Queued {
             expected_time: Duration::from_secs_f64(expected),
         }
     }
 
+    /// Returns the request as it would be queued; it is late if not even an idle upstream could
+    /// answer it in time.
+    fn queued_request(
+        &mut self,
+        now: Timestamp,
+        key: K,
+        request: &PermitRequest,
+        service_time: f64,
+    ) -> QueuedRequest<K> {
+        let can_be_in_time = service_time <= self.in_time_limit(request.until_objective);
+        QueuedRequest {
+            key,
+            answer_by: can_be_in_time.then(|| now + request.until_objective),
+            deadline: now + request.until_deadline,
+            rank: request.rank,
+            is_repeat: request.is_repeat,
+            domain: self.queue.domain_key(request.domain.as_ref()),
+        }
+    }
+
     /// Returns the reply that a request got which has a permit or is queued.
     fn state_of(&self, now: Timestamp, key: &K) -> Option<PermitReply> {
         if self.granted.contains_key(key) {
             return Some(PermitReply::Granted);
         }
-        let is_key = |w: &QueuedRequest<K>| w.key == *key;
-        let lane = self.lanes.iter().position(|lane| lane.iter().any(is_key))?;
-        let service_time = self.service_time.unwrap_or_default();
-        let expected_time = Duration::from_secs_f64(self.expected(now, lane, service_time));
+        let order = self.queue.in_order(now);
+        let ahead = order.iter().position(|r| r.key == *key)?;
+        let forecast = self.forecast(now, self.service_time.unwrap_or_default());
+        let expected_time = Duration::from_secs_f64(forecast.expected(ahead));
         Some(PermitReply::Queued { expected_time })
     }
 
@@ -379,47 +415,86 @@
             || service_time > self.in_time_limit(self.objective)
     }
 
-    /// Returns the seconds until the answer to a request that joins `lane` now.
-    fn expected(&self, now: Timestamp, lane: usize, service_time: f64) -> f64 {
-        let ahead: usize = self.lanes[..=lane].iter().map(VecDeque::len).sum();
-        let occupancy =
-            (self.requests_at_upstream(now) + ahead as f64 + 1.0) / f64::from(self.slots);
-        let queue = service_time * occupancy.max(1.0);
-        // If starts are limited, the request waits for its start rather than for the work before it.
-        let until_answer = self.start_schedule(now).map_or(0.0, |schedule| {
-            schedule.time_until_start(ahead).as_secs_f64() + service_time
-        });
-        queue.max(until_answer)
+    /// Returns when queued requests can expect their answers.
+    fn forecast(&self, now: Timestamp, service_time: f64) -> Forecast {
+        Forecast {
+            at_upstream: self.requests_at_upstream(now),
+            slots: f64::from(self.slots),
+            service_time,
+            schedule: self.start_schedule(now),
+        }
     }
 
-    /// Returns the seconds until the answer to a request that joins the late lane now: it gets only
-    /// the capacity that requests in time leave.
-    fn expected_late(&self, now: Timestamp, service_time: f64) -> f64 {
-        let needed = self.lanes[LATE].len() as f64 + 1.0;
+    /// Returns the seconds until the answer to a late request that is queued now: it gets only the
+    /// capacity that requests in time leave.
+    fn expected_late(&self, now: Timestamp, late: &QueuedRequest<K>, service_time: f64) -> f64 {
+        let ahead = self.queue.ahead_of(now, late);
+        let needed = (ahead - self.queue.in_time_len()) as f64 + 1.0;
         let capacity = self.capacity(service_time);
         let from_spare = needed / self.demand.spare_capacity(now, capacity);
-        self.expected(now, LATE, service_time).max(from_spare)
+        let expected = self.forecast(now, service_time).expected(ahead);
+        expected.max(from_spare)
     }
 
-    /// Returns the lane of a request that has to wait, and the seconds until its answer; none if it
-    /// can't be answered in its time.
-    fn lane_of(
-        &self,
+    /// Returns a request that has to wait as it is to be queued, in time or late, and the seconds
+    /// until its answer; none if it can't be answered in its time.
+    ///
+    /// A request that is in time may displace another one.
+    fn admit(
+        &mut self,
         now: Timestamp,
         request: &PermitRequest,
+        queued: QueuedRequest<K>,
         service_time: f64,
-    ) -> Option<(usize, f64)> {
-        let left = request.until_deadline.as_secs_f64();
-        let urgent = self.expected(now, URGENT, service_time);
-        if request.priority == Priority::Urgent && urgent <= left {
-            return Some((URGENT, urgent));
+    ) -> Option<(QueuedRequest<K>, f64)> {
+        if !queued.is_late() {
+            let margin = self.margin(now, service_time);
+            let ahead = self.queue.ahead_of(now, &queued);
+            let forecast = self.forecast(now, service_time);
+            let expected = forecast.expected(ahead);
+            if expected + margin <= self.in_time_limit(request.until_objective) {
+                if let Some(displaced) = self.displaced_by(now, &queued, margin, &forecast) {
+                    self.displace(now, displaced, service_time);
+                }
+                return Some((queued, expected));
+            }
         }
-        let in_time = self.expected(now, IN_TIME, service_time);
-        if in_time + self.margin(now, service_time) <= self.in_time_limit(request.until_objective) {
-            return Some((IN_TIME, in_time));
+        let late = QueuedRequest {
+            answer_by: None,
+            ..queued
+        };
+        let expected = self.expected_late(now, &late, service_time);
+        let left = request.until_deadline.as_secs_f64();
+        (expected <= left * self.cfg.late_fraction).then_some((late, expected))
+    }
+
+    /// Returns the queued request that gives way to `request`.
+    ///
+    /// It does so only if it, or one that is served after it, can no longer be answered in time
+    /// when `request` is served before it.
+    fn displaced_by(
+        &self,
+        now: Timestamp,
+        request: &QueuedRequest<K>,
+        margin: f64,
+        forecast: &Forecast,
+    ) -> Option<K> {
+        let displaced = self.queue.displaced_by(now, request)?;
+        let order = self.queue.in_order(now).into_iter().enumerate();
+        let makes_late = order
+            .skip_while(|(_, r)| r.key != displaced)
+            .filter_map(|(i, r)| Some((i + 1, r.answer_by?)))
+            .any(|(ahead, answer_by)| {
+                forecast.expected(ahead) + margin > answer_by.since(now).as_secs_f64()
+            });
+        makes_late.then_some(displaced)
+    }
+
+    fn displace(&mut self, now: Timestamp, key: K, service_time: f64) {
+        if let Some(displaced) = self.queue.remove(key) {
+            let reply = self.refuse(now, displaced.deadline.since(now), service_time);
+            self.displaced.push((key, reply));
         }
-        let late = self.expected_late(now, service_time);
-        (late <= left * self.cfg.late_fraction).then_some((LATE, late))
     }
 
     /// Refuses a request that may go to another upstream.
@@ -442,10 +517,10 @@
     fn refuse(
         &mut self,
         now: Timestamp,
-        request: &PermitRequest,
+        until_deadline: Duration,
         service_time: f64,
     ) -> PermitReply {
-        let latest = request.until_deadline.mul_f64(self.cfg.late_fraction);
+        let latest = until_deadline.mul_f64(self.cfg.late_fraction);
         let retry_after = self
             .demand
             .schedule_return(now, self.capacity(service_time))
@@ -471,9 +546,8 @@
                 self.slowdown = (slowdown, now);
             }
         }
-        for lane in &mut self.lanes {
-            lane.retain(|w| w.key != key);
-        }
+        self.queue.remove(key);
+        self.displaced.retain(|(displaced, _)| *displaced != key);
         let Some(permit) = self.granted.swap_remove(&key) else {
             return;
         };
@@ -544,11 +618,11 @@
         }
     }
 
-    /// Grants free permits and refuses requests that can no longer be answered in time.
+    /// Grants free permits, and refuses requests that can no longer be answered in time or were
+    /// displaced.
     pub fn poll(&mut self, now: Timestamp) -> Vec<(K, PermitReply)> {
         self.granted.retain(|_, permit| now < permit.expires_at);
-        let mut replies = Vec::new();
-        self.demote_late(now);
+        let mut replies = std::mem::take(&mut self.displaced);
         self.refuse_expired(now, &mut replies);
         self.refuse_excess_late(now, &mut replies);
         if std::mem::take(&mut self.limit_changed) {
@@ -564,70 +638,54 @@
         replies
     }
 
-    /// Moves requests that can no longer be answered in time to the lane for late ones, before those
-    /// that were late when they came: they have waited for longer.
-    fn demote_late(&mut self, now: Timestamp) {
-        let service_time = self.service_time.unwrap_or_default();
-        let needed = service_time + self.margin(now, service_time);
-        let needed = Duration::from_secs_f64(needed);
-        while let Some(first) = self.lanes[IN_TIME].front()
-            && first.objective.since(now) < needed
-            && let Some(late) = self.lanes[IN_TIME].pop_front()
-        {
-            self.lanes[LATE].push_front(late);
-        }
-    }
-
     /// Refuses late requests that the spare capacity no longer serves before their deadlines, the
-    /// newest first.
+    /// last in the order of service first.
     fn refuse_excess_late(&mut self, now: Timestamp, replies: &mut Vec<(K, PermitReply)>) {
         let Some(service_time) = self.service_time else {
             return;
         };
+        if self.queue.iter().all(|r| !r.is_late()) {
+            return;
+        }
         let capacity = self.capacity(service_time);
         let per_s = self.demand.spare_capacity(now, capacity);
-        while let Some(last) = self.lanes[LATE].back()
-            && let needed = Duration::from_secs_f64(self.lanes[LATE].len() as f64 / per_s)
+        let mut late = self.queue.in_order(now);
+        late.retain(QueuedRequest::is_late);
+        while let Some(last) = late.last()
+            && let needed = Duration::from_secs_f64(late.len() as f64 / per_s)
             && last.deadline.since(now) < needed
-            && let Some(late) = self.lanes[LATE].pop_back()
+            && let Some(last) = late.pop()
         {
-            let latest = late.deadline.since(now).mul_f64(self.cfg.late_fraction);
+            self.queue.remove(last.key);
+            let latest = last.deadline.since(now).mul_f64(self.cfg.late_fraction);
             let retry_after = self.demand.schedule_return(now, capacity).min(latest);
-            replies.push((late.key, PermitReply::Full { retry_after }));
+            replies.push((last.key, PermitReply::Full { retry_after }));
         }
     }
 
     /// Takes the queued request that gets the next permit.
     fn next_queued(&mut self, now: Timestamp) -> Option<QueuedRequest<K>> {
-        if let Some(next) = self.lanes[..LATE].iter_mut().find_map(VecDeque::pop_front) {
-            return Some(next);
-        }
-        let service_time = self.service_time.unwrap_or_default();
-        if !self.leaves_room_in_time(now, service_time) {
-            return None;
+        if self.queue.peek()?.is_late() {
+            let service_time = self.service_time.unwrap_or_default();
+            if !self.leaves_room_in_time(now, service_time) {
+                return None;
+            }
+            self.demand.record_late_grant(now);
         }
-        let late = self.lanes[LATE].pop_front()?;
-        self.demand.record_late_grant(now);
-        Some(late)
+        self.queue.pop(now)
     }
 
-    /// Refuses queued requests that could not be answered before their deadlines if they started
-    /// now.
+    /// Makes queued requests late that can no longer be answered in time if they start now, and
+    /// refuses those that could not be answered before their deadlines.
     fn refuse_expired(&mut self, now: Timestamp, replies: &mut Vec<(K, PermitReply)>) {
-        let service_time = Duration::from_secs_f64(self.service_time.unwrap_or_default());
-        let is_expired = |w: &QueuedRequest<K>| w.deadline.since(now) < service_time;
-        for lane in &mut self.lanes {
-            let expired = lane.iter().filter(|w| is_expired(w));
-            replies.extend(expired.map(|w| {
-                (
-                    w.key,
-                    PermitReply::Full {
-                        retry_after: service_time,
-                    },
-                )
-            }));
-            lane.retain(|w| !is_expired(w));
-        }
+        let service_time = self.service_time.unwrap_or_default();
+        let for_objective = Duration::from_secs_f64(service_time + self.margin(now, service_time));
+        let service_time = Duration::from_secs_f64(service_time);
+        let expired = self.queue.expire(now, for_objective, service_time);
+        replies.extend(expired.into_iter().map(|r| {
+            let retry_after = service_time;
+            (r.key, PermitReply::Full { retry_after })
+        }));
     }
 
     /// Sends queued requests their new expected times after a change of the limit, and refuses
@@ -638,19 +696,16 @@
             return;
         };
         let mut ahead = 0;
-        for lane in &mut self.lanes {
-            lane.retain(|w| {
-                let expected_time = schedule.time_until_start(ahead) + service_time;
-                let is_in_time = now + expected_time <= w.deadline;
-                if is_in_time {
-                    ahead += 1;
-                    replies.push((w.key, PermitReply::Queued { expected_time }));
-                } else {
-                    let retry_after = expected_time;
-                    replies.push((w.key, PermitReply::RateLimited { retry_after }));
-                }
-                is_in_time
-            });
+        for request in self.queue.in_order(now) {
+            let expected_time = schedule.time_until_start(ahead) + service_time;
+            if now + expected_time <= request.deadline {
+                ahead += 1;
+                replies.push((request.key, PermitReply::Queued { expected_time }));
+            } else {
+                self.queue.remove(request.key);
+                let retry_after = expected_time;
+                replies.push((request.key, PermitReply::RateLimited { retry_after }));
+            }
         }
     }
 
--- a/crates/front/src/permits/mod.rs
+++ b/crates/front/src/permits/mod.rs
@@ -177,10 +177,14 @@
             .entry(upstream)
             .or_insert_with(|| Permits::new(acquire.slots, self.cfg));
         let permit_request = acquire.permit_request(limit.unwrap_or_default());
-        let reply = permits.acquire(BootClock.now(), (from, request), &permit_request);
+        let now = BootClock.now();
+        let key = (from, request);
+        let mut replies = vec![(key, permits.acquire(now, key, &permit_request))];
+        // A request that is displaced by this one learns of it at once.
+        replies.extend(permits.poll(now));
         let limit = permits.limit();
         drop(all);
-        self.reply(&[((from, request), reply)], &limit);
+        self.reply(&replies, &limit);
     }
 
     fn handle_release(
