permit_queue: a domain that starts to ask goes before others by two grants at most

A domain that used no capacity before had no recent grants, so it took nearly all of the capacity when it started to ask for 0.9 of it, until the other domain, which had used 0.9, had as few.

--- a/crates/direct/examples/permit_queue_time.rs
+++ b/crates/direct/examples/permit_queue_time.rs
@@ -39,7 +39,7 @@
     let mut queue = PermitQueue::default();
     for key in 0..QUEUED {
         let request = request(&mut queue, &names, key);
-        queue.push(request);
+        queue.push(Timestamp::ZERO, request);
     }
     let started = Instant::now();
     for run in 0..RUNS {
@@ -93,7 +93,7 @@
     println!("mean of {RUNS} runs with {QUEUED} queued requests");
     measure("domain_key, push and pop", |queue, now, key| {
         let request = request(queue, &names, key);
-        queue.push(request);
+        queue.push(now, request);
         black_box(queue.pop(now));
     });
     measure("ahead_of", |queue, now, key| {
--- a/crates/direct/src/permit_queue.rs
+++ b/crates/direct/src/permit_queue.rs
@@ -28,7 +28,7 @@
 const UNKNOWN: usize = 0;
 
 /// Settings of [`PermitQueue`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QueueSettings {
     /// Half-life of a grant in the count of a domain's recent grants.
     ///
@@ -36,12 +36,19 @@
     /// each of four domains has some seven recent grants: enough to tell shares apart. A domain
     /// that used capacity that no other wanted is treated like the others a few seconds later.
     pub grant_half_life: Duration,
+    /// Maximum number of grants by which a domain goes before the others when it starts to queue
+    /// requests.
+    ///
+    /// Without a maximum, a domain that starts to ask for all of the capacity takes nearly all of it
+    /// for two seconds from one that used it before, until both have as many recent grants.
+    pub max_credit: f64,
 }
 
 impl Default for QueueSettings {
     fn default() -> Self {
         Self {
             grant_half_life: Duration::from_secs(2),
+            max_credit: 2.0,
         }
     }
 }
@@ -108,6 +115,8 @@
     /// In order of arrival.
     requests: Vec<QueuedRequest<K>>,
     domains: Arena<DomainKey, Domain>,
+    /// Recent grants of the domain that was served last, before that grant.
+    last_turn: f64,
     /// Time to which the recent grants of all domains are decayed.
     decayed_at: Timestamp,
 }
@@ -131,6 +140,7 @@
             cfg,
             requests: Vec::new(),
             domains,
+            last_turn: 0.0,
             decayed_at: Timestamp::ZERO,
         }
     }
@@ -192,7 +202,8 @@
     }
 
     /// Queues a request.
-    pub fn push(&mut self, request: QueuedRequest<K>) {
+    pub fn push(&mut self, now: Timestamp, request: QueuedRequest<K>) {
+        self.limit_credit(now, request.domain);
         self.requests.push(request);
     }
 
@@ -205,7 +216,8 @@
     /// Removes the request that is served next, and records a grant to its domain.
     pub fn pop(&mut self, now: Timestamp) -> Option<QueuedRequest<K>> {
         let request = self.requests.remove(self.next_index()?);
-        self.record_grant(now, request.domain);
+        self.decay_to(now);
+        self.count_grant(request.domain);
         Some(request)
     }
 
@@ -217,12 +229,8 @@
 
     /// Records a grant to a request that was not queued.
     pub fn record_grant(&mut self, now: Timestamp, domain: DomainKey) {
-        let decay = self.decay(now);
-        for (_, domain) in self.domains.iter_mut() {
-            domain.recent_grants *= decay;
-        }
-        self.decayed_at = self.decayed_at.max(now);
-        self.domains[domain].recent_grants += 1.0;
+        self.limit_credit(now, domain);
+        self.count_grant(domain);
     }
 
     /// Returns how many queued requests would be served before `request` if it arrived now and no
@@ -230,7 +238,7 @@
     #[must_use]
     pub fn ahead_of(&self, now: Timestamp, request: &QueuedRequest<K>) -> usize {
         let class = request.class();
-        let mut turns = self.recent_grants(now);
+        let mut turns = self.counts_with(now, request.domain);
         let mut ahead = 0;
         for r in self.requests.iter().filter(|r| r.class() < class) {
             turns[r.domain.index()] += 1.0;
@@ -287,7 +295,7 @@
             return None;
         }
         let in_time = || self.requests.iter().filter(|r| !r.is_late());
-        let mut usage = self.recent_grants(now);
+        let mut usage = self.counts_with(now, request.domain);
         usage[request.domain.index()] += 1.0;
         for r in in_time() {
             usage[r.domain.index()] += 1.0;
@@ -342,6 +350,45 @@
         (-age / self.cfg.grant_half_life.as_secs_f64()).exp2()
     }
 
+    fn count_grant(&mut self, domain: DomainKey) {
+        let recent_grants = &mut self.domains[domain].recent_grants;
+        self.last_turn = *recent_grants;
+        *recent_grants += 1.0;
+    }
+
+    /// Raises the count of a domain that starts to queue requests to that of [`Self::counts_with`].
+    fn limit_credit(&mut self, now: Timestamp, domain: DomainKey) {
+        let counts = self.counts_with(now, domain);
+        self.decay_to(now);
+        self.domains[domain].recent_grants = counts[domain.index()];
+    }
+
+    fn decay_to(&mut self, now: Timestamp) {
+        let decay = self.decay(now);
+        for (_, domain) in self.domains.iter_mut() {
+            domain.recent_grants *= decay;
+        }
+        self.last_turn *= decay;
+        self.decayed_at = self.decayed_at.max(now);
+    }
+
+    /// Returns the recent grants of each domain as they count when a request of `domain` arrives.
+    ///
+    /// A domain without queued requests then counts as if it had at most
+    /// [`QueueSettings::max_credit`] fewer than the others that have some, and than the one that was
+    /// served last.
+    fn counts_with(&self, now: Timestamp, domain: DomainKey) -> DomainCounts {
+        let mut counts = self.recent_grants(now);
+        if self.requests.iter().all(|r| r.domain != domain) {
+            let last_turn = self.last_turn * self.decay(now);
+            let queued = self.requests.iter().map(|r| counts[r.domain.index()]);
+            let least = queued.fold(last_turn, f64::min) - self.cfg.max_credit;
+            let count = &mut counts[domain.index()];
+            *count = count.max(least);
+        }
+        counts
+    }
+
     /// Returns the recent grants of each domain.
     fn recent_grants(&self, now: Timestamp) -> DomainCounts {
         let decay = self.decay(now);
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -324,7 +324,7 @@
         let Some((queued, expected)) = self.admit(now, request, queued, service_time) else {
             return self.refuse(now, request.until_deadline, service_time);
         };
-        self.queue.push(queued);
+        self.queue.push(now, queued);
         PermitReply::Queued {
             expected_time: Duration::from_secs_f64(expected),
         }
--- a/crates/direct/tests/permit_queue.rs
+++ b/crates/direct/tests/permit_queue.rs
@@ -40,7 +40,7 @@
     }
     for (key, text) in requests.split_whitespace().enumerate() {
         let request = request(&mut queue, key, text);
-        queue.push(request);
+        queue.push(at(0), request);
     }
     queue
 }
@@ -123,7 +123,7 @@
     let template = *queue.peek().expect("queued");
     for n in 0..MAX_DOMAINS {
         let domain = domain_key(&mut queue, &format!("e{n}"));
-        queue.push(QueuedRequest { domain, ..template });
+        queue.push(at(0), QueuedRequest { domain, ..template });
     }
     assert_eq!(domain_key(&mut queue, "all-have-queued-requests"), unknown);
     assert_eq!(domain_key(&mut queue, "b"), b);
@@ -146,7 +146,7 @@
         for (key, text) in requests.iter().enumerate() {
             let arriving = request(&mut queue, key, text);
             let ahead = queue.ahead_of(now, &arriving);
-            queue.push(arriving);
+            queue.push(now, arriving);
             prop_assert_eq!(queue.in_order(now)[ahead].key, key);
         }
         let order: Vec<usize> = queue.in_order(now).iter().map(|r| r.key).collect();
