--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -296,8 +296,8 @@
     /// Handles a permit request. One that is known already is answered with its state: the earlier
     /// reply was lost.
     ///
-    /// The reply to a request that is displaced by this one is returned by the next
-    /// [`poll`](Self::poll).
+    /// The reply to a request that is displaced by this one is returned by
+    /// [`take_displaced`](Self::take_displaced) or the next [`poll`](Self::poll).
     pub fn acquire(&mut self, now: Timestamp, key: K, request: &PermitRequest) -> PermitReply {
         self.merge_limit(request.limit);
         self.skipped_hosts = request.skipped_hosts;
@@ -350,6 +350,11 @@
         }
     }
 
+    /// Returns the replies to requests that were displaced since the last poll.
+    pub fn take_displaced(&mut self) -> Vec<(K, PermitReply)> {
+        std::mem::take(&mut self.displaced)
+    }
+
     /// Returns the reply that a request got which has a permit or is queued.
     fn state_of(&self, now: Timestamp, key: &K) -> Option<PermitReply> {
         if self.granted.contains_key(key) {
@@ -622,7 +627,7 @@
     /// displaced.
     pub fn poll(&mut self, now: Timestamp) -> Vec<(K, PermitReply)> {
         self.granted.retain(|_, permit| now < permit.expires_at);
-        let mut replies = std::mem::take(&mut self.displaced);
+        let mut replies = self.take_displaced();
         self.refuse_expired(now, &mut replies);
         self.refuse_excess_late(now, &mut replies);
         if std::mem::take(&mut self.limit_changed) {
--- a/crates/front/src/permits/mod.rs
+++ b/crates/front/src/permits/mod.rs
@@ -23,6 +23,7 @@
 
 use direct::{PermitReply, PermitSettings, Permits, RateLimit};
 use gate::Metrics;
+use gate::counters::Count;
 use ids::{BootClock, Clock, UpstreamId};
 use prost::Message;
 use rand::Rng;
@@ -177,11 +178,14 @@
             .entry(upstream)
             .or_insert_with(|| Permits::new(acquire.slots, self.cfg));
         let permit_request = acquire.permit_request(limit.unwrap_or_default());
-        let now = BootClock.now();
         let key = (from, request);
-        let mut replies = vec![(key, permits.acquire(now, key, &permit_request))];
-        // A request that is displaced by this one learns of it at once.
-        replies.extend(permits.poll(now));
+        let reply = permits.acquire(BootClock.now(), key, &permit_request);
+        let mut replies = vec![(key, reply)];
+        let displaced = permits.take_displaced();
+        for _ in &displaced {
+            self.metrics.count(Count::PermitsDisplaced);
+        }
+        replies.extend(displaced);
         let limit = permits.limit();
         drop(all);
         self.reply(&replies, &limit);
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -118,6 +118,7 @@
     PeerRequestsServed = "peer.requests-served", "requests", "Requests of other hosts that this one sent to an upstream.";
     PermitsSilent = "permits.silent", "requests", "Requests for a permit to send that no host replied to.";
     PermitsAskedAgain = "permits.asked-again", "requests", "Requests for a permit that were repeated because no reply, or no permit, had come in the expected time.";
+    PermitsDisplaced = "permits.displaced", "requests", "Queued requests for a permit that this host refused in favour of a later one of a more urgent route or of a failure domain that uses less.";
     RegistrationsRefused = "registrations.refused", "registrations", "Registrations of upstreams read that make no sense.";
     SamplesDropped = "samples.dropped", "samples", "Load samples dropped because their ring was full.";
 }
