--- a/crates/direct/tests/sustained_overload.rs
+++ b/crates/direct/tests/sustained_overload.rs
@@ -202,6 +202,9 @@
     let left = ROUTE_TIMEOUT_MS.min(CALLER_TIMEOUT_MS.saturating_sub(elapsed));
     PermitRequest {
         priority: Priority::Equal,
+        rank: 1,
+        is_repeat: false,
+        domain: None,
         until_objective: Duration::from_millis(OBJECTIVE_MS.saturating_sub(elapsed)),
         until_deadline: Duration::from_millis(left),
         entry_service_time: Duration::from_millis(WORK_MS as u64),
