--- a/crates/direct/src/permit_queue.rs
+++ b/crates/direct/src/permit_queue.rs
@@ -262,12 +262,12 @@
     /// Returns the queued requests in the order in which they would be served if no other request
     /// arrived.
     #[must_use]
-    pub fn in_order(&self, now: Timestamp) -> Vec<QueuedRequest<K>> {
+    pub fn in_order(&self, now: Timestamp) -> Vec<&QueuedRequest<K>> {
         let mut by_class: Vec<&QueuedRequest<K>> = self.requests.iter().collect();
         by_class.sort_by_key(|r| r.class());
         let mut turns = self.recent_grants(now);
-        let mut ordered: Vec<(f64, QueuedRequest<K>)> = Vec::with_capacity(by_class.len());
-        for &request in by_class {
+        let mut ordered: Vec<(f64, &QueuedRequest<K>)> = Vec::with_capacity(by_class.len());
+        for request in by_class {
             let turn = &mut turns[request.domain.index()];
             ordered.push((*turn, request));
             *turn += 1.0;
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -313,7 +313,8 @@
         self.record_demand(now, request, service_time);
         let queued = self.queued_request(now, key, request, service_time);
         let should_go_elsewhere = !request.may_wait && self.is_slowed_down(now);
-        let is_first = !should_go_elsewhere && self.queue.ahead_of(now, &queued) == 0;
+        let ahead = self.queue.ahead_of(now, &queued);
+        let is_first = !should_go_elsewhere && ahead == 0;
         if is_first && self.can_grant(now) && self.may_start(now, request, service_time) {
             self.queue.record_grant(now, queued.domain);
             self.grant(now, key, queued.deadline);
@@ -322,7 +323,7 @@
         if !request.may_wait {
             return self.refuse_elsewhere(now, service_time);
         }
-        let Some((queued, expected)) = self.admit(now, request, queued, service_time) else {
+        let Some((queued, expected)) = self.admit(now, request, queued, ahead, service_time) else {
             return self.refuse(now, request.until_deadline, service_time);
         };
         self.queue.push(now, queued);
@@ -443,7 +444,8 @@
     }
 
     /// Returns a request that has to wait as it is to be queued, in time or late, and the seconds
-    /// until its answer; none if it can't be answered in its time.
+    /// until its answer; none if it can't be answered in its time. `ahead` requests are served before
+    /// it at its turn.
     ///
     /// A request that is in time may displace another one.
     fn admit(
@@ -451,11 +453,11 @@
         now: Timestamp,
         request: &PermitRequest,
         queued: QueuedRequest<K>,
+        ahead: usize,
         service_time: f64,
     ) -> Option<(QueuedRequest<K>, f64)> {
         if !queued.is_late() {
             let margin = self.margin(now, service_time);
-            let ahead = self.queue.ahead_of(now, &queued);
             let forecast = self.forecast(now, service_time);
             let expected = forecast.expected(ahead);
             if expected + margin <= self.in_time_limit(request.until_objective) {
@@ -656,8 +658,8 @@
         }
         let capacity = self.capacity(service_time);
         let per_s = self.demand.spare_capacity(now, capacity);
-        let mut late = self.queue.in_order(now);
-        late.retain(QueuedRequest::is_late);
+        let order = self.queue.in_order(now).into_iter();
+        let mut late: Vec<QueuedRequest<K>> = order.filter(|r| r.is_late()).copied().collect();
         while let Some(last) = late.last()
             && let needed = Duration::from_secs_f64(late.len() as f64 / per_s)
             && last.deadline.since(now) < needed
@@ -703,7 +705,8 @@
             return;
         };
         let mut ahead = 0;
-        for request in self.queue.in_order(now) {
+        let order = self.queue.in_order(now).into_iter().copied();
+        for request in order.collect::<Vec<_>>() {
             let expected_time = schedule.time_until_start(ahead) + service_time;
             if now + expected_time <= request.deadline {
                 ahead += 1;
