own: a lease lists the hot keys of a slice until it is released

In the simulation (own interleaving) a host may send a hot key to its previous upstream as part of the slice that it was carved out of, though another upstream owns the key (StaleCarvedKey), in each run.

Cause: a lease lists the hot keys carved out of its slices. The list came from the upstream's row. A planned move is recorded in the row first, and the previous owner keeps a slice until it is released, so its lease had the slice and no list. Slices are released one by one. If the table is so slow that held requests were sent on, the hot key, with no request under way, is released before its slice.

Evidence: the trace of the case. At 1,668 ms h2 submits the move of slices 0, 2 and 6 and of the hot key; at 1,773 ms the held requests are sent on; at 1,868 ms the row arrives and h2 issues a lease of u0 with slice 0 and an empty list; at 1,869 ms h2 confirms the release of the hot key alone, and u1 serves it.

Why the fix works: the state of an outgoing slice keeps the hot keys that left the row with it, and the lease lists them as well. They can't change before the release, as the new owner neither carves out of an unreleased slice nor folds into one.

--- a/crates/own/src/coordination.rs
+++ b/crates/own/src/coordination.rs
@@ -43,7 +43,7 @@
             self.record_previous_hosts(&mut state, row, before);
         }
         self.coordinated.insert(upstream.clone(), state);
-        self.finish_recorded_removal(upstream);
+        self.finish_recorded_removal(upstream, before);
         self.advance(upstream);
     }
 
--- a/crates/own/src/coordinator.rs
+++ b/crates/own/src/coordinator.rs
@@ -8,7 +8,7 @@
 use crate::grant::UpstreamGrant;
 use crate::previous_hosts::PreviousHosts;
 use crate::reach::PendingReachQuery;
-use crate::{HostRef, Lease};
+use crate::{CarvedKey, HostRef, Lease};
 
 /// Initial time that a planned move waits for requests in flight.
 pub(crate) const MIN_DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
@@ -207,6 +207,10 @@
     /// Local time at which every grant or lease with the slice has expired; unknown while the slice
     /// is still wanted.
     pub(crate) expires_at: Option<Timestamp>,
+    /// Hot keys carved out of the slice when it left the row. The row of the new owner lists them
+    /// since. They don't change before the release, as the new owner neither carves out of an
+    /// unreleased slice nor folds into one.
+    pub(crate) carved: Vec<CarvedKey>,
 }
 
 /// A request to the standby not to grant slices.
--- a/crates/own/src/moves/held_requests.rs
+++ b/crates/own/src/moves/held_requests.rs
@@ -6,10 +6,16 @@
 use crate::HostRef;
 use crate::coordinator::{CoordinatorState, HeldRequests, MIN_DRAIN_TIMEOUT, Removal};
 use crate::machine::OwnershipMachine;
+use crate::replica::KnownRow;
 
 impl OwnershipMachine {
-    /// Completes a removal whose slices are no longer in the row.
-    pub(crate) fn finish_recorded_removal(&mut self, upstream: &UpstreamId) {
+    /// Completes a removal whose slices are no longer in the row. `before` is the row that this host
+    /// knew until now.
+    pub(crate) fn finish_recorded_removal(
+        &mut self,
+        upstream: &UpstreamId,
+        before: Option<&KnownRow>,
+    ) {
         let Some(known) = self.replica.get(upstream).cloned() else {
             return;
         };
@@ -25,7 +31,8 @@
                     self.hold_until_served(upstream, m.hold, Some(m.slice), m.to, known.revision);
                 }
             } else {
-                self.start_transfers(upstream, &mut state, r);
+                let carved = before.map_or(&[][..], |b| &b.row.carved);
+                self.start_transfers(upstream, &mut state, r, carved);
             }
         }
         self.coordinated.insert(upstream.clone(), state);
--- a/crates/own/src/renew.rs
+++ b/crates/own/src/renew.rs
@@ -8,7 +8,7 @@
 
 use crate::coordinator::CoordinatorState;
 use crate::machine::OwnershipMachine;
-use crate::{Action, CarvedKey, HostRef, Lease, StopReason};
+use crate::{Action, CarvedKey, HostRef, Lease, OwnershipRow, StopReason};
 
 impl OwnershipMachine {
     pub(crate) fn checks_grants(&self, upstream: &UpstreamId) -> bool {
@@ -73,7 +73,7 @@
                 upstream: upstream.clone(),
                 epoch: state.unchecked_epoch,
                 valid_until: evidence_until,
-                carved: carved(&known.row.carved, &slices),
+                carved: carved(&known.row, state, &slices),
                 slices,
                 revision: known.revision,
             });
@@ -86,7 +86,7 @@
             upstream: upstream.clone(),
             epoch: granted.epoch,
             valid_until: evidence_until.min(granted.valid_until),
-            carved: carved(&known.row.carved, &granted.slices),
+            carved: carved(&known.row, state, &granted.slices),
             slices: granted.slices,
             revision: known.revision,
         })
@@ -249,8 +249,19 @@
     }
 }
 
-/// Returns the hot keys carved out of `slices`.
-fn carved(all: &[CarvedKey], slices: &Arc<[SliceNo]>) -> Arc<[CarvedKey]> {
+/// Returns the hot keys carved out of `slices`, including those that left the row with a slice that
+/// the upstream has not released. The hot key may be released, and served elsewhere, before the
+/// slice.
+fn carved(
+    row: &OwnershipRow,
+    state: &CoordinatorState,
+    slices: &Arc<[SliceNo]>,
+) -> Arc<[CarvedKey]> {
+    let outgoing = state.outgoing.values().flat_map(|o| &o.carved);
     let within = |c: &&CarvedKey| slices.binary_search(&c.base).is_ok();
-    all.iter().filter(within).copied().collect()
+    let all = row.carved.iter().chain(outgoing).filter(within);
+    let mut all = all.copied().collect::<Vec<_>>();
+    all.sort();
+    all.dedup();
+    all.into()
 }
--- a/crates/own/src/transfer.rs
+++ b/crates/own/src/transfer.rs
@@ -12,7 +12,7 @@
 
 use crate::coordinator::{CoordinatorState, OutgoingSlice, PromiseRequest, Removal, SliceMove};
 use crate::machine::OwnershipMachine;
-use crate::{HostRef, IncomingSlice, OwnershipRow};
+use crate::{CarvedKey, HostRef, IncomingSlice, OwnershipRow};
 
 /// Returns whether the release of a slice by its previous owner is not confirmed.
 pub(crate) fn is_unreleased(row: &OwnershipRow, state: &CoordinatorState, slice: SliceNo) -> bool {
@@ -39,14 +39,18 @@
         row.incoming.iter().filter(unreleased).cloned().collect()
     }
 
-    /// Starts the transfer of the slices that a removal has recorded.
+    /// Starts the transfer of the slices that a removal has recorded. `carved` are the hot keys of
+    /// the row before it.
     pub(crate) fn start_transfers(
         &mut self,
         upstream: &UpstreamId,
         state: &mut CoordinatorState,
         r: Removal,
+        carved: &[CarvedKey],
     ) {
         for m in r.moves {
+            let own = carved.iter().filter(|c| c.base == m.slice).copied();
+            let own = own.collect();
             let hold_again =
                 |this: &mut Self| this.hold_slice(upstream, m.slice, m.generation, m.to.clone());
             let m = if r.requests_resumed {
@@ -61,6 +65,7 @@
                 drained: m.drained,
                 was_granted: true,
                 expires_at: None,
+                carved: own,
             };
             state.outgoing.insert(m.slice, outgoing);
         }
@@ -272,6 +277,8 @@
                         drained: true,
                         was_granted: false,
                         expires_at: None,
+                        // The slice is in no lease of this host.
+                        carved: Vec::new(),
                     });
                 if owned.generation > o.generation {
                     o.generation = owned.generation;
