route: send a call that waited long only if its answer most likely comes in time

The traced one, a lookup, was started by its upstream 17 ms before its deadline and ended 7 ms before it.

Cause: a call was sent while the mean service time was left, so about half of such calls can't be answered in time. While no slot of the upstream was busy it was sent whatever the estimate said, and without an estimate, as after a handover, until its deadline. The record does not tell which of these let the traced call pass. The caller's host reported host-lost although the coordinating host replied to others.

Change: - Requests state their total time (wire field 14; without it, the time left counts). A call that has used more than half of it is sent only while the mean and three mean deviations are left, or a tenth of its total time where no service time is known. Any other call is judged by the mean, as a deadline that is always short would never be served otherwise. This holds for idempotent calls too: the traced one was one. - The same limit is checked just before the write (Action::Send::send_by). - A call without a reply at its deadline ends as answer-timeout if the coordinating host replied to other calls on the connection since, else as host-lost.

Tests: calls_that_waited_long and a_late_reply_of_a_responsive_host_is_a_timeout fail with the old code. One expectation of wakes is changed, from 700 to 550 ms: the waiting call is dropped three mean deviations (50 ms each) earlier, which is the new rule.

--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -37,6 +37,8 @@
     pub key: Option<KeyHash>,
     /// Deadline of the request, on this host's clock.
     pub deadline: Timestamp,
+    /// Time that the request had from its arrival at the entry host until its deadline.
+    pub total_time: Duration,
     /// Whether the request may be executed more than once.
     pub idempotent: bool,
     /// The request's id.
@@ -118,6 +120,7 @@
         upstream: c.upstream.as_str().to_owned(),
         slice: c.slice.map(|s| s.0),
         remaining_us: c.deadline.since(now).as_micros() as u64,
+        total_us: c.total_time.as_micros() as u64,
         idempotent: c.idempotent,
         request_id: c.request_id.as_str().to_owned(),
         method: c.parts.method.as_str().to_owned(),
@@ -138,6 +141,7 @@
         slice: m.slice.map(SliceNo),
         key: m.slice.map(|_| KeyHash(m.key_hash)),
         deadline: now + Duration::from_micros(m.remaining_us),
+        total_time: Duration::from_micros(m.total_us.max(m.remaining_us)),
         idempotent: m.idempotent,
         request_id: RequestId::new(m.request_id).ok()?,
         revision: Revision(m.revision),
--- a/crates/gate/src/callers/path.rs
+++ b/crates/gate/src/callers/path.rs
@@ -277,6 +277,7 @@
             slice: target.slice,
             key: request.key,
             deadline: request.deadline - self.reserve.min(left / RESERVE_DIVISOR),
+            total_time: request.total_time,
             idempotent: request.route.class == catalogue::Class::Idempotent,
             request_id: id.clone(),
             revision: router.revision(),
--- a/crates/gate/src/callers/request_reader.rs
+++ b/crates/gate/src/callers/request_reader.rs
@@ -27,6 +27,8 @@
     pub(crate) route: Arc<EntryRoute>,
     pub(crate) key: Option<KeyHash>,
     pub(crate) deadline: Timestamp,
+    /// Time from the request's arrival until its deadline.
+    pub(crate) total_time: Duration,
     pub(crate) parts: Arc<RequestParts>,
     /// Counts the body's bytes until it is dropped.
     pub(crate) _buffered: BufferedBytes,
@@ -160,6 +162,7 @@
         entry: located.entry,
         key: located.key,
         deadline,
+        total_time: located.time_left,
         parts: Arc::new(parts(head, body, &located.route)),
         route: located.route,
         _buffered: buffered,
--- a/crates/gate/src/dispatch/event_loop.rs
+++ b/crates/gate/src/dispatch/event_loop.rs
@@ -179,6 +179,7 @@
             slice: call.slice,
             key: call.key,
             deadline: call.deadline,
+            total_time: call.total_time,
             idempotent: call.idempotent,
             entry: call.entry.clone(),
             request_id: call.request_id.clone(),
@@ -280,7 +281,8 @@
                 upstream,
                 epoch,
                 slice,
-            } => self.send(now, *call, upstream, *epoch, *slice),
+                send_by,
+            } => self.send(now, *call, upstream, *epoch, *slice, *send_by),
             Action::Answer { call, from } => self.answer(*call, *from, rest),
             Action::Refuse {
                 call,
@@ -304,6 +306,7 @@
         upstream: &UpstreamId,
         epoch: Epoch,
         slice: Option<SliceNo>,
+        send_by: Timestamp,
     ) {
         let Some(active) = self.calls.get_mut(key) else {
             debug_assert!(false, "only calls that arrived are sent");
@@ -333,6 +336,7 @@
             call,
             epoch,
             slice,
+            send_by,
             progress: Rc::clone(&progress),
             sent_at: Cell::new(now),
         };
--- a/crates/gate/src/dispatch/exchange.rs
+++ b/crates/gate/src/dispatch/exchange.rs
@@ -37,6 +37,8 @@
     pub(crate) call: Call,
     pub(crate) epoch: Epoch,
     pub(crate) slice: Option<SliceNo>,
+    /// Time from which the call must not be written any more.
+    pub(crate) send_by: Timestamp,
     pub(crate) progress: Rc<Cell<Progress>>,
     /// When the call was written.
     pub(crate) sent_at: Cell<Timestamp>,
@@ -123,6 +125,10 @@
         if self.call.deadline <= now {
             return Err(Reason::DeadlineExpired);
         }
+        // Opening a connection may have taken the time that the upstream needs.
+        if self.send_by <= now {
+            return Err(Reason::DeadlineTooShort);
+        }
         Ok(())
     }
 
--- a/crates/gate/src/peer/link.rs
+++ b/crates/gate/src/peer/link.rs
@@ -110,9 +110,10 @@
 
     /// Cancels a call whose deadline has passed; returns the reason for its refusal.
     ///
-    /// The server replies to each call before its deadline. If it sent no reply at all since the
-    /// call was made, it is unresponsive, and the connection is closed before anything more is
-    /// written. A call that was only partly written is then never read.
+    /// The server replies to each call before its deadline. If it replied to others since the call
+    /// was made, it is there, and only its reply to this one is late. If it sent no reply at all, it
+    /// is unresponsive, and the connection is closed before anything more is written. A call that was
+    /// only partly written is then never read.
     pub(crate) fn time_out(&self, number: u64) -> Reason {
         let written = self.written.get();
         let state = self.open.borrow().get(&number).map(|open| {
@@ -123,9 +124,12 @@
         let Some((replies, is_whole)) = state else {
             return reason;
         };
-        if replies != self.replies.get() || reason != Reason::HostLost {
+        if reason != Reason::HostLost {
             return reason;
         }
+        if replies != self.replies.get() {
+            return Reason::AnswerTimeout;
+        }
         self.unresponsive.notify_one();
         if is_whole {
             Reason::HostLost
--- a/crates/gate/tests/peers.rs
+++ b/crates/gate/tests/peers.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Framed;
 use wire::FrameCodec;
-use wire::dispatch::{Cancel, DispatchFrame, DispatchMessage, Header, Request};
+use wire::dispatch::{Cancel, DispatchFrame, DispatchMessage, Header, Reply, Request};
 
 async fn two_hosts() -> Rig {
     Rig::start(RigSettings {
@@ -49,6 +49,8 @@
     Unresponsive,
     /// Sends bytes that are not a frame.
     Garbage,
+    /// Replies to other calls only.
+    RepliesToOthers,
 }
 
 async fn faulty_host(fault: Fault) -> SocketAddr {
@@ -86,6 +88,17 @@
             let _ = stream.write_all(b"\x00\x00\x00\x03abc").await;
             while stream.read(&mut buf).await.unwrap_or(0) > 0 {}
         }
+        Fault::RepliesToOthers => {
+            let _ = stream.read(&mut buf).await;
+            let reply = Reply {
+                call: 1_000,
+                ..Reply::default()
+            };
+            let mut stream = Framed::new(stream, FrameCodec::default());
+            let _ = stream.send(reply).await;
+            let mut stream = stream.into_inner();
+            while stream.read(&mut buf).await.unwrap_or(0) > 0 {}
+        }
     }
 }
 
@@ -186,6 +199,20 @@
     assert!(rig.metrics(0).total(Count::PeerFailed) >= 1);
 }
 
+/// Guards against `host-lost` for a request whose coordinating host is there and replies too late.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_reply_of_a_responsive_host_is_a_timeout() {
+    let rig = two_hosts().await;
+    let address = faulty_host(Fault::RepliesToOthers).await;
+    redirect(&rig.hosts[0].cx, &rig, address);
+    let mut caller = Caller::connect(rig.address(0)).await;
+    let headers = [("medlardyke-deadline-ms", "500")];
+    let got = caller.ask(post("/any", &headers, "body")).await;
+    assert_eq!(got.outcome(), "unknown", "{got:?}");
+    assert_eq!(got.reason(), "answer-timeout", "{got:?}");
+    assert_eq!(rig.metrics(0).total(Count::PeerFailed), 0);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_that_is_reachable_again_is_used_again() {
     let rig = two_hosts().await;
--- a/crates/route/examples/limits/cost.rs
+++ b/crates/route/examples/limits/cost.rs
@@ -1,7 +1,7 @@
 //! Measures time and memory of lookups, and the time of a dispatcher's step, on this hardware.
 
 use std::hint::black_box;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ids::{EntryId, Epoch, KeyHash, RequestId, Revision, SliceNo, Timestamp, UpstreamId};
 use route::{
@@ -148,6 +148,7 @@
             upstream: upstream.clone(),
             slice: Some(SliceNo(number % 64)),
             deadline: Timestamp::from_millis(1_000_000_000),
+            total_time: Duration::from_secs(1_000_000),
             key: None,
             idempotent: number.is_multiple_of(2),
             entry: entry.clone(),
--- a/crates/route/examples/limits/world/mod.rs
+++ b/crates/route/examples/limits/world/mod.rs
@@ -364,6 +364,7 @@
                 .clone(),
             slice: sim_call.target.slice,
             deadline: Timestamp::from_micros(deadline),
+            total_time: Duration::from_millis(request.deadline_ms),
             key: None,
             idempotent: true,
             entry: entry_id(),
--- a/crates/route/src/dispatch/arrive.rs
+++ b/crates/route/src/dispatch/arrive.rs
@@ -126,7 +126,7 @@
             return Some((Reason::QueueFull, queue.retry_after(now)));
         }
         let early = self.settings.queue.refuse_early;
-        if early && queue.too_late_to_wait(now, arrival.deadline) {
+        if early && queue.too_late_to_wait(now, arrival) {
             return Some((Reason::DeadlineTooShort, queue.retry_after(now)));
         }
         None
@@ -165,7 +165,7 @@
             return;
         };
         let deadline = call.arrival.deadline;
-        let latest = deadline - queue.service.mean();
+        let latest = queue.send_by(&call.arrival);
         let latest = if latest > cx.now { latest } else { deadline };
         let at = if let Some(hold) = queue.hold_of(call.arrival.slice) {
             hold.calls.insert(key);
--- a/crates/route/src/dispatch/message.rs
+++ b/crates/route/src/dispatch/message.rs
@@ -33,6 +33,8 @@
     pub key: Option<KeyHash>,
     /// Deadline on this host's clock.
     pub deadline: Timestamp,
+    /// Time that the request had from its arrival at the entry host until its deadline.
+    pub total_time: Duration,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Entry; request ids are unique within one.
@@ -160,6 +162,8 @@
         epoch: Epoch,
         /// Slice to send along.
         slice: Option<SliceNo>,
+        /// Time from which it must not be written any more, as its answer would come too late.
+        send_by: Timestamp,
     },
     /// Answers the call with the answer of `from`: the one just finished, or a kept one.
     Answer {
--- a/crates/route/src/dispatch/send.rs
+++ b/crates/route/src/dispatch/send.rs
@@ -71,7 +71,8 @@
         };
         let deadline = call.arrival.deadline;
         let slice = call.arrival.slice;
-        if queue.too_late_to_send(cx.now, deadline) {
+        let send_by = queue.send_by(&call.arrival);
+        if send_by <= cx.now {
             let retry_after = queue.retry_after(cx.now);
             self.end_unsent(cx, key, late_reason(cx.now, deadline), retry_after);
             return;
@@ -88,6 +89,7 @@
             upstream: queue.id.clone(),
             epoch: lease.epoch,
             slice,
+            send_by,
         });
         call.state = CallState::Sent { at: cx.now };
         queue.busy_slots += 1;
--- a/crates/route/src/dispatch/timer.rs
+++ b/crates/route/src/dispatch/timer.rs
@@ -96,14 +96,13 @@
             return;
         };
         let deadline = call.arrival.deadline;
-        if queue.too_late_to_send(cx.now, deadline) {
+        let send_by = queue.send_by(&call.arrival);
+        if send_by <= cx.now {
             let retry_after = queue.retry_after(cx.now);
             self.remove_waiting(key);
             self.end_unsent(cx, key, late_reason(cx.now, deadline), retry_after);
             return;
         }
-        let latest = deadline - queue.service.mean();
-        let at = if latest > cx.now { latest } else { deadline };
-        self.set_timer(key, at);
+        self.set_timer(key, send_by);
     }
 }
--- a/crates/route/src/dispatch/upstream_queue.rs
+++ b/crates/route/src/dispatch/upstream_queue.rs
@@ -7,7 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::limit::Limiter;
-use super::message::{CallEnd, UpstreamLimits};
+use super::message::{Arrival, CallEnd, UpstreamLimits};
 use super::queue::WaitQueue;
 use super::service::ServiceTime;
 use super::settings::DispatcherSettings;
@@ -25,6 +25,11 @@
 /// upstream.
 const STUCK_FACTOR: u32 = 4;
 
+/// Part of a call's total time that must be left when it is sent to an upstream without a known
+/// service time. A host that has just become the coordinating one has no estimate, and the calls
+/// that waited for the handover come first.
+const UNKNOWN_SERVICE_DIVISOR: u32 = 10;
+
 /// Minimum time after which an aborted call counts as a fault of the upstream.
 const STUCK_MIN: Duration = Duration::from_millis(100);
 
@@ -169,23 +174,40 @@
         self.service.mean() / self.limiter.allowed(now).max(1)
     }
 
-    /// Returns whether a call that was sent now would be late by the estimate.
+    /// Returns how much time must be left to a call when it is sent.
     ///
-    /// While no slot is busy the estimate is ignored, so that an occasional call renews it.
-    pub fn too_late_to_send(&self, now: Timestamp, deadline: Timestamp) -> bool {
-        deadline <= now || (self.busy_slots > 0 && deadline <= now + self.service.mean())
+    /// A call that has lost more than half of its time by waiting is sent only if it will most
+    /// likely be answered in time, as it would otherwise end without a known result. Any other call
+    /// is sent if the mean service time is left or, while no slot is busy, whatever the estimate
+    /// says: an occasional call renews it, and a deadline that is always short is still served.
+    pub fn min_time_left(&self, total_time: Duration) -> Duration {
+        let likely = if self.service.is_known() {
+            self.service.high()
+        } else {
+            total_time / UNKNOWN_SERVICE_DIVISOR
+        };
+        let likely = likely.min(total_time / 2);
+        if self.busy_slots == 0 {
+            return likely;
+        }
+        likely.max(self.service.mean())
+    }
+
+    /// Returns the time from which a call is not sent any more.
+    pub fn send_by(&self, arrival: &Arrival) -> Timestamp {
+        arrival.deadline - self.min_time_left(arrival.total_time)
     }
 
     /// Returns whether a call that arrived now would be late by the estimate, given its position.
-    pub fn too_late_to_wait(&self, now: Timestamp, deadline: Timestamp) -> bool {
-        let ahead = self.waiting.ahead(deadline);
+    pub fn too_late_to_wait(&self, now: Timestamp, arrival: &Arrival) -> bool {
+        let ahead = self.waiting.ahead(arrival.deadline);
         if ahead == 0 && self.has_room(now) {
-            return self.too_late_to_send(now, deadline);
+            return self.send_by(arrival) <= now;
         }
         let wait = self
             .completion_interval(now)
             .saturating_mul(ahead as u32 + 1);
-        deadline <= now + wait + self.service.mean()
+        self.send_by(arrival) <= now + wait
     }
 
     /// Returns the retry delay for a refused caller: the time until half of the queue has been
--- a/crates/route/tests/dispatch/main.rs
+++ b/crates/route/tests/dispatch/main.rs
@@ -41,7 +41,7 @@
         for (i, (at, event, expect)) in first.iter().chain(case.steps).enumerate() {
             let context = format!("{}: step {i}: {event}", case.name);
             actions.clear();
-            dispatcher.step(ms(*at), parse(event), &mut actions);
+            dispatcher.step(ms(*at), parse(ms(*at), event), &mut actions);
             let shown: Vec<String> = actions.iter().map(show).collect();
             assert_eq!(shown, *expect, "{context}");
             assert_eq!(dispatcher.verify(), [], "{context}");
@@ -205,6 +205,76 @@
     ]);
 }
 
+/// Guards against calls that end without a known result at their deadline, because they were sent
+/// when their answer could hardly come in time any more.
+#[test]
+fn calls_that_waited_long() {
+    run(&[
+        case(
+            "without an estimate, a tenth of the total time must be left",
+            &[
+                (
+                    0,
+                    "arrive 1 waited=983 deadline=17",
+                    &["refuse 1 deadline-too-short"],
+                ),
+                (0, "arrive 2 waited=890 deadline=110", &["send 2 u1 e5"]),
+            ],
+        ),
+        case(
+            "more than the mean service time must be left, also at an idle upstream",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (10, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (
+                    10,
+                    "arrive 2 waited=975 deadline=35",
+                    &["refuse 2 deadline-too-short"],
+                ),
+                (10, "arrive 3 waited=974 deadline=36", &["send 3 u1 e5"]),
+                (
+                    10,
+                    "arrive 4 waited=975 deadline=35",
+                    &["refuse 4 deadline-too-short"],
+                ),
+                (10, "arrive 5 waited=974 deadline=36", &["send 5 u1 e5"]),
+            ],
+        ),
+        case(
+            "a call that has not waited is sent if the mean service time is left",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (10, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (10, "arrive 2", &["send 2 u1 e5"]),
+                (10, "arrive 3 deadline=21", &["send 3 u1 e5"]),
+            ],
+        ),
+        case(
+            "a waiting call is dropped while its answer could still come, but not surely",
+            &[
+                (0, "declare u1 slots=1", &[]),
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (10, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (10, "arrive 2", &["send 2 u1 e5"]),
+                (10, "arrive 3 deadline=110", &[]),
+                (84, "tick", &[]),
+                (85, "tick", &["refuse 3 deadline-too-short"]),
+            ],
+        ),
+        case(
+            "a call released from a hold is dropped as well",
+            &[
+                (0, "arrive 1", &["send 1 u1 e5"]),
+                (10, "answered 1", &["answer 1 from 1", "keep 1"]),
+                (10, "hold u1", &["drained u1 1"]),
+                (10, "arrive 2 deadline=110", &[]),
+                (84, "tick", &[]),
+                (85, "tick", &["refuse 2 moving"]),
+            ],
+        ),
+    ]);
+}
+
 #[test]
 fn observations_adjust_the_limit() {
     run(&[
@@ -925,7 +995,8 @@
                 (100, "arrive 2"),
                 (100, "arrive 3 deadline=800"),
             ],
-            expect: Some(700),
+            // The deadline less the mean of 100 ms and three mean deviations of 50 ms.
+            expect: Some(550),
         },
     ];
     for case in cases {
@@ -938,7 +1009,7 @@
         let mut now = ms(0);
         for &(at, event) in first.iter().chain(case.events) {
             now = ms(at);
-            dispatcher.step(now, parse(event), &mut actions);
+            dispatcher.step(now, parse(now, event), &mut actions);
         }
         let wake = dispatcher.next_wake(now);
         let expect = case.expect.map_or(Timestamp::NEVER, ms);
--- a/crates/route/tests/dispatch/script.rs
+++ b/crates/route/tests/dispatch/script.rs
@@ -3,6 +3,8 @@
 //! An event is a verb, a subject, and options such as `deadline=50`. Omitted options default to the
 //! values in [`arrival`] and [`limits`].
 
+use std::time::Duration;
+
 use ids::{EntryId, Epoch, KeyHash, Reason, RequestId, SliceNo, Timestamp, UpstreamId};
 use route::{Action, Arrival, CallEnd, CallKey, Event, UpstreamLimits};
 
@@ -58,13 +60,13 @@
     UpstreamId::new(name).expect("a valid name")
 }
 
-/// Parses an event.
-pub fn parse(text: &str) -> Event {
+/// Parses an event that occurs at `now`.
+pub fn parse(now: Timestamp, text: &str) -> Event {
     let words = Words(text.split(' ').collect());
     let upstream = || words.upstream();
     let slice = held(&words);
     match words.word(0) {
-        "arrive" => Event::Arrive(arrival(&words)),
+        "arrive" => Event::Arrive(arrival(now, &words)),
         "answered" => {
             let bytes = words.number("bytes", 10) as usize;
             finished(&words, CallEnd::Answered { bytes })
@@ -153,9 +155,11 @@
 }
 
 /// Builds a call; by default it is for slice 1 of `u1`, not idempotent, with an id of its own and a
-/// deadline at 1 s.
-fn arrival(words: &Words<'_>) -> Arrival {
+/// deadline at 1 s, and has not waited before.
+fn arrival(now: Timestamp, words: &Words<'_>) -> Arrival {
     let call = words.call();
+    let deadline = ms(words.number("deadline", 1_000));
+    let waited = Duration::from_millis(words.number("waited", 0));
     let slice = match words.option("slice") {
         None => Some(SliceNo(1)),
         Some("none") => None,
@@ -166,7 +170,8 @@
         call,
         upstream: upstream(words.option("upstream").unwrap_or("u1")),
         slice,
-        deadline: ms(words.number("deadline", 1_000)),
+        deadline,
+        total_time: waited + deadline.since(now),
         key: words.key(),
         idempotent: words.has("idempotent"),
         entry: EntryId::new(words.option("entry").unwrap_or("slotbook")).expect("a valid name"),
--- a/crates/route/tests/properties/model.rs
+++ b/crates/route/tests/properties/model.rs
@@ -202,6 +202,8 @@
             upstream: name(upstream),
             slice: (!undivided).then(|| slice_of(if slice == 3 { 1 } else { slice })),
             deadline: self.now + millis(left),
+            // Some calls have used most of their time before they arrive.
+            total_time: millis(left) * (1 + u32::from(id % 4)),
             key: (!undivided && slice == 3).then_some(HOT),
             idempotent: request_id % 2 == 0,
             entry: EntryId::new("e").expect("a valid name"),
@@ -347,7 +349,12 @@
                 upstream,
                 epoch,
                 slice,
-            } => self.check_send(*call, upstream, *epoch, *slice),
+                send_by,
+            } => {
+                let deadline = self.calls[call].arrival.deadline;
+                assert!(self.now < *send_by && *send_by <= deadline, "{send_by}");
+                self.check_send(*call, upstream, *epoch, *slice);
+            }
             Action::Answer { call, from } => self.check_answer(*call, *from),
             Action::Refuse { call, reason, .. } => self.check_refusal(*call, *reason),
             Action::Abort { call } => {
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -56,6 +56,10 @@
     /// Hash of the key, used to detect hot keys; zero if there is no key.
     #[prost(uint64, tag = "13")]
     pub key_hash: u64,
+    /// Time that the request had from its arrival at the entry host until its deadline, in
+    /// microseconds; zero if the sender is of a version that does not state it.
+    #[prost(uint64, tag = "14")]
+    pub total_us: u64,
 }
 
 /// Cancels a request because the caller disconnected or the deadline passed.
