measure: add `bound`, the distance of a run from an ideal queue

The targets of the hard-load design compare answers in time with those of one ideal queue with full knowledge. No command computed these until now.

`medlardyke measure bound` reads a description and a trace, and optionally the outcomes of a run.

--- a/crates/measure/src/args.rs
+++ b/crates/measure/src/args.rs
@@ -8,7 +8,7 @@
 
 use crate::path::{self, args as path_args};
 use crate::workload::WorkloadSettings;
-use crate::{keep_alive, loss, placement, report, scaling};
+use crate::{bound, keep_alive, loss, placement, report, scaling};
 
 /// Largest load of a key, as a fraction of an upstream's share, in all cases but `giants`.
 const MAX_KEY_SHARE: f64 = 0.8;
@@ -63,6 +63,10 @@
     Overload(path_args::OverloadArgs),
     /// Cost of idle hosts by number of hosts, upstreams and slices, with real processes.
     Control(path_args::ControlArgs),
+    /// What an ideal queue and a first-come queue answer of a trace, beside the outcomes of a run.
+    ///
+    /// Example: medlardyke measure bound --description description.json --trace trace.jsonl
+    Bound(bound::BoundArgs),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,7 +133,7 @@
 ///
 /// # Errors
 ///
-/// Fails if a result can't be written.
+/// Fails if an input can't be read or is not valid, or if a result can't be written.
 pub fn run_measure(args: &MeasureArgs) -> Result<()> {
     match &args.benchmark {
         Benchmark::Placement {
@@ -143,6 +147,7 @@
         Benchmark::Path(args) => path::block_on(path::added_latency::run(args)),
         Benchmark::Overload(args) => path::block_on(path::overload::run(args)),
         Benchmark::Control(args) => path::block_on(path::control::run(args)),
+        Benchmark::Bound(args) => bound::run(args),
     }
 }
 
--- a/crates/measure/src/json_lines.rs
+++ b/crates/measure/src/json_lines.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{Context, Result};
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 /// Writes a result to standard output as one line of JSON.
@@ -27,6 +28,15 @@
 ///
 /// Fails if the file can't be read or a line is not valid JSON; the error names the line.
 pub fn read(path: &Path) -> Result<Vec<Value>> {
+    read_records(path)
+}
+
+/// Reads a file with a record of one type on each line, skipping empty lines.
+///
+/// # Errors
+///
+/// Fails if the file can't be read or a line is not a valid record; the error names the line.
+pub fn read_records<T: DeserializeOwned>(path: &Path) -> Result<Vec<T>> {
     let text =
         fs::read_to_string(path).with_context(|| format!("failed to read {}", path.display()))?;
     let mut lines = Vec::new();
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,7 +1,7 @@
 //! Benchmarks of placement and of the data path, and the report that compares their results.
 //!
-//! Except for [`path`], the benchmarks run the production decision code on generated load, without
-//! sockets or a cluster. They print one JSON line per case. Each line holds the seed, and the same
+//! Except for [`path`] and [`bound`], the benchmarks run the production decision code on generated
+//! load, without sockets or a cluster. They print one JSON line per case. Each line holds the seed, and the same
 //! seed gives the same load for all policies.
 //!
 //! - [`args`]: the commands `measure` and `report`.
@@ -13,10 +13,12 @@
 //! - [`scaling`]: the planner's time and memory by number of slices and upstreams.
 //! - [`keep_alive`]: rules for closing idle upstream connections.
 //! - [`json_lines`]: writing and reading JSON lines.
+//! - [`bound`]: distance of a run from what an ideal queue answers.
 //! - [`path`]: latency, overload and the control cost of idle hosts, with real processes.
 //! - [`report`]: an HTML page that compares sets of JSON lines.
 
 pub mod args;
+pub mod bound;
 pub mod json_lines;
 pub mod keep_alive;
 pub mod loss;
