measure bound: limit times and memory

A trace and a run whose times count from different starts, such as the start of the run and the epoch, made the chart keep a point for each second between them and the relaxed schedule a cell for each 10 ms. Larger values overflowed.

Times, slots and speeds have upper limits now, a component has at most a million cells, and the chart keeps points only beside windows with requests.

--- a/crates/measure/src/bound/fluid.rs
+++ b/crates/measure/src/bound/fluid.rs
@@ -16,9 +16,11 @@
 /// Most pools of a component. More upstreams share pools. A search for room visits the cells of all
 /// pools; with one pool for each of 300 upstreams, a trace of 100,000 requests took minutes.
 const MAX_POOLS: usize = 16;
-/// Cells of a component with several pools above which cells are made longer.
-const MAX_CELLS: u64 = 5_000;
-/// Number of cells that the shortest objective spans at least.
+/// Cells of a component with several pools above which cells are made longer, to shorten searches.
+const SEARCHED_CELLS: u64 = 5_000;
+/// Most cells of a component, to limit the memory that a long trace takes.
+const MAX_CELLS: u64 = 1_000_000;
+/// Number of cells that the shortest objective spans, unless there are too many cells.
 const CELLS_PER_OBJECTIVE: u64 = 4;
 
 /// Which requests are placed first.
@@ -73,15 +75,17 @@
         let start_us = requests().map(|req| req.arrival_us).min().unwrap_or(0);
         let end_us = requests().map(deadline_us).max().unwrap_or(0);
         let length_us = end_us - start_us;
-        let mut cell_us = CELL_US;
+        let all_pools_us = length_us * work_per_ms.len() as u64;
+        let mut cell_us = CELL_US.max(all_pools_us / MAX_CELLS);
         if work_per_ms.len() > 1 {
             let objectives = requests().map(|req| model.route_of(req).objective_us());
             let longest_us = objectives.min().unwrap_or(0) / CELLS_PER_OBJECTIVE;
-            let wanted_us = length_us * work_per_ms.len() as u64 / MAX_CELLS;
-            cell_us = cell_us.max(wanted_us.min(longest_us));
+            cell_us = cell_us.max(longest_us.min(all_pools_us / SEARCHED_CELLS));
         }
         let cells = length_us.div_ceil(cell_us) as usize;
-        let capacities = work_per_ms.iter().map(|w| (w * cell_us).div_ceil(1_000));
+        let capacities = work_per_ms
+            .iter()
+            .map(|w| w.saturating_mul(cell_us).div_ceil(1_000));
         let grid = Grid::new(&capacities.collect::<Vec<_>>(), cells);
         Self {
             model,
--- a/crates/measure/src/bound/model.rs
+++ b/crates/measure/src/bound/model.rs
@@ -10,6 +10,10 @@
 
 const US_PER_MS: f64 = 1_000.0;
 const SPEED_UNITS: f64 = 1_000.0;
+/// Largest time in milliseconds, some 300 years, so that products of times fit into 64 bits.
+const MAX_MS: f64 = 1e13;
+const MAX_SLOTS: u32 = 1_000_000;
+const MAX_SPEED: f64 = 1_000.0;
 
 /// A route of the description.
 #[derive(Debug, Clone, PartialEq)]
@@ -183,7 +187,7 @@
     )]
     BadRoute(SmolStr),
     /// A number of an upstream is out of range.
-    #[error("upstream {0}: slots must be at least 1 and speed at least 0.001")]
+    #[error("upstream {0}: slots must be from 1 to 1000000 and speed from 0.001 to 1000")]
     BadUpstream(SmolStr),
     /// No upstream belongs to the entry of a route.
     #[error("route {0}: no upstream belongs to its entry")]
@@ -206,8 +210,8 @@
         /// Entry of its route.
         entry: SmolStr,
     },
-    /// A time of a record is negative, or its service time is zero.
-    #[error("record {0}: times must not be negative, and a service time must be above zero")]
+    /// A time of a record is out of range, or its service time is zero.
+    #[error("record {0}: times must be from 0 to 10^13 ms, and a service time must be above zero")]
     BadTime(usize),
 }
 
@@ -366,26 +370,24 @@
     (ms * US_PER_MS).round() as u64
 }
 
-/// Returns whether a number is a time: finite and not negative.
+/// Returns whether a number of milliseconds is a valid time.
 #[must_use]
 pub fn is_time(ms: f64) -> bool {
-    ms.is_finite() && ms >= 0.0
+    (0.0..=MAX_MS).contains(&ms)
 }
 
 fn check_routes(routes: &[Route], upstreams: &[Upstream]) -> Result<(), InputError> {
     check_unique(routes.iter().map(|r| &r.name))?;
     let entries: IndexSet<&SmolStr> = upstreams.iter().map(|u| &u.entry).collect();
     for route in routes {
-        let numbers = [
-            route.objective_ms,
-            route.deadline_ms,
-            route.in_time_weight,
-            route.late_weight,
-        ];
-        let is_valid = numbers.iter().all(|n| is_time(*n))
-            && route.objective_ms > 0.0
+        let is_valid = is_time(route.objective_ms)
+            && is_time(route.deadline_ms)
+            && route.objective_us() > 0
             && route.objective_ms <= route.deadline_ms
-            && route.in_time_weight > 0.0;
+            && route.in_time_weight.is_finite()
+            && route.in_time_weight > 0.0
+            && route.late_weight.is_finite()
+            && route.late_weight >= 0.0;
         if !is_valid {
             return Err(InputError::BadRoute(route.name.clone()));
         }
@@ -399,7 +401,10 @@
 fn check_upstreams(upstreams: &[Upstream]) -> Result<IndexMap<SmolStr, usize>, InputError> {
     check_unique(upstreams.iter().map(|u| &u.name))?;
     for upstream in upstreams {
-        if upstream.slots == 0 || !is_time(upstream.speed) || upstream.speed_units() == 0 {
+        let is_valid = (1..=MAX_SLOTS).contains(&upstream.slots)
+            && (0.0..=MAX_SPEED).contains(&upstream.speed)
+            && upstream.speed_units() > 0;
+        if !is_valid {
             return Err(InputError::BadUpstream(upstream.name.clone()));
         }
     }
--- a/crates/measure/src/bound/plot.rs
+++ b/crates/measure/src/bound/plot.rs
@@ -1,5 +1,7 @@
 //! Line chart of answers in time over time.
 
+use std::collections::BTreeSet;
+
 use anyhow::{Result, anyhow};
 use plotters::prelude::*;
 
@@ -37,18 +39,24 @@
     let sums = rows.sums(|key| key.window);
     let empty = Row::default();
     let has_run = sums.values().any(|row| row.run.is_some());
-    let windows = || {
-        let first = sums.keys().next().copied().unwrap_or(0);
-        let last = sums.keys().last().copied().unwrap_or(0);
-        first..=last
-    };
+    // Gaps are drawn as zeros at both ends: a trace and a run may be far apart in time.
+    let mut windows = BTreeSet::new();
+    for (before, after) in sums.keys().zip(sums.keys().skip(1)) {
+        windows.extend(
+            [before + 1, after - 1]
+                .iter()
+                .filter(|w| (before..after).contains(w)),
+        );
+    }
+    windows.extend(sums.keys().copied());
     let length_s = rows.window_us as f64 / US_PER_S as f64;
     let line = |name, in_time: &dyn Fn(&Row) -> f64| Series {
         name,
-        points: windows()
+        points: windows
+            .iter()
             .map(|window| {
-                let row = sums.get(&window).unwrap_or(&empty);
-                (window as f64 * length_s, in_time(row) / length_s)
+                let row = sums.get(window).unwrap_or(&empty);
+                (*window as f64 * length_s, in_time(row) / length_s)
             })
             .collect(),
     };
--- a/crates/measure/tests/bound.rs
+++ b/crates/measure/tests/bound.rs
@@ -479,6 +479,14 @@
             change: |_, r| r.service_ms = f64::NAN,
             expected: "record 1",
         },
+        Case {
+            change: |_, r| r.arrival_ms = 1e14,
+            expected: "record 1",
+        },
+        Case {
+            change: |d, _| d.upstreams[0].speed = 1e9,
+            expected: "upstream u-0",
+        },
     ];
     for case in cases {
         let mut description = Description {
@@ -492,6 +500,20 @@
     }
 }
 
+/// Guards against memory for each moment between a trace and a run whose times count from another
+/// start.
+#[test]
+fn times_that_are_far_apart_take_little_memory() {
+    let far_ms = 1.7e12;
+    let trace = [0.0, far_ms].map(|at| request("buy", None, at, 50.0));
+    let routes = vec![route("buy", 0, 100.0, 300.0)];
+    let mut model = model(routes, vec![upstream(0, 1, 1.0)], &trace);
+    let solution = solve(&model);
+    let rows = Rows::new(&mut model, &solution, None, WINDOW_US).expect("no outcomes");
+    assert_eq!(rows.rows.len(), 2);
+    assert!(plot::in_time_chart(&rows).expect("a chart").len() < 100_000);
+}
+
 /// Returns the most requests that one slot answers in time, by trying all orders.
 fn optimum_of_one_slot(left: &[(f64, f64)], objective_ms: f64, free_at_ms: f64) -> u32 {
     let mut best = 0;
