direct, front: choice among upstreams by their pace

A host kept one moving average of its own answers, at a fifth for each: a host that meets an upstream seldom had a poor estimate, and one slow moment counted for as long as no other answer came. The expected time follows the steady estimate and is raised for about a second by slow answers.

Samples for the planner of key ranges carry the steady estimate, so that keys don't move because of a slow moment.

--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -157,12 +157,13 @@
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        let waited = BootClock.now().since(self.sent.at());
+        let now = BootClock.now();
+        let waited = now.since(self.sent.at());
         let cfg = &self.forwarder.load_cfg;
         self.forwarder.with_load(self.target, |load| {
             load.ended();
             if !self.has_ended {
-                load.timed_out(waited, cfg);
+                load.timed_out(now, waited, cfg);
             }
         });
         if !self.has_ended {
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -288,7 +288,8 @@
             return;
         };
         let loads = self.loads.borrow();
-        let service_time = loads.get(owner).and_then(UpstreamLoad::service_time);
+        // Not the last answers' time: keys must not move because of a slow moment.
+        let service_time = loads.get(owner).and_then(|load| load.pace().mean());
         self.samples.send(Sample {
             entry: request.entry.clone(),
             key,
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -315,7 +315,8 @@
                 self.choose_cfg
                     .admits(occupancy, expected, &request_needs(request, service_time));
             let is_full = !is_admitted || expected > left;
-            is_full.then(|| Duration::from_secs_f64(load.service_time().unwrap_or(service_time)))
+            let until_free = load.expected_service_time(now, service_time, &self.load_cfg);
+            is_full.then(|| Duration::from_secs_f64(until_free))
         })
     }
 
