--- /dev/null
+++ b/crates/assign/tests/uneven.rs
@@ -0,0 +1,174 @@
+//! Placement of keys on upstreams of different speed, by the service times that hosts observe.
+
+use std::time::Duration;
+
+use assign::{HostIncarnation, KeyLoads, Partition, PartitionRow, PlannedUpstream, Planner};
+use direct::{Pace, PaceSettings};
+use ids::{HostId, Incarnation, Timestamp, UpstreamId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const SLOTS: f64 = 2.0;
+/// Service time of an upstream of speed 1, in seconds.
+const SERVICE_TIME: f64 = 0.16;
+/// The granting host gets a report of each upstream's mean this often, and weighs it like this.
+const REPORT_EVERY_MS: u64 = 130;
+const REPORT_WEIGHT: f64 = 0.05;
+
+/// Upstreams of an entry, whose keys are divided equally among them at the start.
+struct Case {
+    speeds: &'static [f64],
+    /// Requests that are asked for, as a fraction of the capacity without slow moments.
+    utilization: f64,
+    /// Fraction of the requests on the first key.
+    hot_fraction: f64,
+    /// Whether each upstream is three times slower for 400 ms in every two seconds.
+    has_slow_moments: bool,
+}
+
+#[derive(Debug)]
+struct Outcome {
+    /// Utilization of each upstream at the end, by its true speed.
+    utilizations: Vec<f64>,
+    /// Moves after the first 20 s, in which the keys settle.
+    late_moves: usize,
+}
+
+fn id(i: usize) -> UpstreamId {
+    UpstreamId::new(format!("u{i}")).expect("a valid name")
+}
+
+/// Plans for a minute with the service times that hosts observe, or with the true ones.
+fn run(case: &Case, is_exact: bool, seed: u64) -> Outcome {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let all = 0..case.speeds.len();
+    let owners: Vec<_> = all.clone().map(id).collect();
+    let granter = HostIncarnation {
+        host: HostId::new("h").expect("a valid name"),
+        incarnation: Incarnation(1),
+    };
+    let mut row = PartitionRow::split_evenly(granter, Partition::WHOLE, &owners);
+    let service_time = |up: usize| SERVICE_TIME / case.speeds[up];
+    let rate = case.speeds.iter().sum::<f64>() * SLOTS / SERVICE_TIME * case.utilization;
+    let mut paces = vec![Pace::new(PaceSettings::default()); owners.len()];
+    let mut means = vec![SERVICE_TIME; owners.len()];
+    let mut answers: Vec<(u64, usize, f64)> = Vec::new();
+    let begin = Timestamp::from_millis(1);
+    let mut loads = KeyLoads::new(begin);
+    let mut late_moves = 0;
+    for ms in 1..=60_000 {
+        let now = begin + Duration::from_millis(ms);
+        for (_, up, time) in answers.extract_if(.., |(at, ..)| *at <= ms) {
+            paces[up].observe(now, time);
+        }
+        if rng.random_bool(rate / 1e3) {
+            let is_hot = rng.random_bool(case.hot_fraction);
+            let key = if is_hot { 0 } else { rng.random() };
+            loads.add(key, 1);
+            let range = row.ranges.iter().find(|r| r.range.contains(key));
+            let owner = &range.expect("each key has an owner").owner;
+            let up = owners.iter().position(|id| id == owner).expect("listed");
+            let is_slow = case.has_slow_moments && (ms + 250 * up as u64) % 2_000 < 400;
+            let factor = if is_slow { 3.0 } else { 1.0 };
+            let time = service_time(up) * rng.random_range(0.5..1.5) * factor;
+            answers.push((ms + (time * 1e3) as u64, up, time));
+        }
+        if ms % REPORT_EVERY_MS == 0 {
+            for (mean, pace) in means.iter_mut().zip(&paces) {
+                *mean += REPORT_WEIGHT * (pace.service_time(now, SERVICE_TIME) - *mean);
+            }
+        }
+        if ms % 500 != 0 {
+            continue;
+        }
+        loads.sum_up(now);
+        let planned = |up: usize| PlannedUpstream {
+            id: id(up),
+            slots: SLOTS as u32,
+            service_time: if is_exact {
+                service_time(up)
+            } else {
+                means[up]
+            },
+            is_observed: paces[up].mean().is_some(),
+            max_ranges: None,
+        };
+        let planned: Vec<_> = all.clone().map(planned).collect();
+        let moves = Planner::default().balance(&row, &loads, &planned);
+        late_moves += if ms > 20_000 { moves.len() } else { 0 };
+        let token = row.highest_token.next();
+        for m in moves {
+            row.reassign(m.range, &m.from, &m.to, token);
+        }
+        row.ranges
+            .iter_mut()
+            .for_each(|r| r.previous_owners.clear());
+        row.merge_adjacent();
+    }
+    let fraction = |up: usize| -> f64 {
+        let owned = row.ranges.iter().filter(|r| r.owner == owners[up]);
+        let fraction = owned.map(|r| {
+            let hot = if r.range.contains(0) {
+                case.hot_fraction
+            } else {
+                0.0
+            };
+            hot + f64::from(r.range.key_count()) / 65_536.0 * (1.0 - case.hot_fraction)
+        });
+        fraction.sum()
+    };
+    let utilization = |up| fraction(up) * rate * service_time(up) / SLOTS;
+    Outcome {
+        utilizations: all.map(utilization).collect(),
+        late_moves,
+    }
+}
+
+const UNEVEN: Case = Case {
+    speeds: &[0.5, 1.0, 1.0, 1.5],
+    utilization: 0.5,
+    hot_fraction: 0.0,
+    has_slow_moments: false,
+};
+
+/// Guards against shares that don't follow speed, and against a hot key that stays at the slowest
+/// upstream, which it would keep busy all the time, or beside other keys.
+#[test]
+fn shares_follow_speed() {
+    let hot = Case {
+        speeds: &[0.5, 1.0, 1.0, 1.5, 0.5, 1.0, 1.0, 1.5],
+        hot_fraction: 0.12,
+        ..UNEVEN
+    };
+    for (case, is_exact) in [(&UNEVEN, true), (&UNEVEN, false), (&hot, false)] {
+        for seed in 0..4 {
+            let outcome = run(case, is_exact, seed);
+            let is_even = outcome
+                .utilizations
+                .iter()
+                .all(|u| (0.25..0.75).contains(u));
+            assert!(is_even, "seed {seed}, exact {is_exact}: {outcome:?}");
+        }
+    }
+}
+
+/// Guards against keys that move because of slow moments: by the observed times, there are hardly
+/// more moves than by the true ones, where only chance in the load moves keys.
+#[test]
+fn slow_moments_move_no_keys() {
+    let case = Case {
+        speeds: &[1.0; 8],
+        utilization: 0.35,
+        has_slow_moments: true,
+        ..UNEVEN
+    };
+    let moves = |is_exact| -> usize {
+        let late_moves = (0..12).map(|seed| run(&case, is_exact, seed).late_moves);
+        late_moves.sum()
+    };
+    let (exact, observed) = (moves(true), moves(false));
+    assert!(
+        observed <= exact + exact / 4,
+        "{observed} moves, not {exact}"
+    );
+}
