front, direct: permit hosts report the speed of upstreams

The permit host sees the answers to all hosts. Its replies carry the speed now (Datagram, tag 9: service time, spread, number of observations), and a host that requests a permit merges it into its own estimate, so that it knows an upstream that it has never met. Hosts of an earlier version ignore the field.

--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -153,6 +153,9 @@
 /// Fraction of this host's weight from which a report replaces its estimate. The reporting host
 /// sees the answers to all hosts, so at the same weight its estimate is more recent.
 const MIN_REPORT_WEIGHT: f64 = 0.5;
+/// Maximum spread that is taken from a report. With a much greater one, from a faulty host, the
+/// median would be zero.
+const MAX_SPREAD: f64 = 3.0;
 /// Weight of the usual time in the recent estimate, so that old observations fade.
 const USUAL_WEIGHT: f64 = 0.5;
 /// Least weight of an observation in the recent estimate, so that the first one has some.
@@ -285,7 +288,7 @@
         if weight < own * MIN_REPORT_WEIGHT {
             return;
         }
-        let log_variance = report.spread * report.spread;
+        let log_variance = report.spread.min(MAX_SPREAD).powi(2);
         self.steady = Some(SteadyEstimate {
             mean: report.service_time,
             log_mean: report.service_time.ln() - log_variance / 2.0,
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use direct::{
-    Candidate, Choice, ColdStart, LinkState, PermitRequest, PermitSettings, Registration,
-    RequestNeeds, RetryState, UpstreamLoad, choose,
+    Candidate, Choice, ColdStart, LinkState, PaceReport, PermitRequest, PermitSettings,
+    Registration, RequestNeeds, RetryState, UpstreamLoad, choose,
 };
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp, UpstreamId};
 use rand::Rng;
@@ -233,7 +233,13 @@
             limit,
             skipped_hosts: 0,
         };
-        match self.permits.admit(view, target, &permit_request).await {
+        let merge_pace = |report: &PaceReport| {
+            self.with_load(target, |load| load.merge_pace(BootClock.now(), report));
+        };
+        let admitted = self
+            .permits
+            .admit(view, target, &permit_request, &merge_pace);
+        match admitted.await {
             Admission::Unknown => match limit.rate_without_permits(view.hosts) {
                 Some(per_s) => self.admit_without_permit_host(target, per_s),
                 None => self.admit_by_estimate(request, target, now),
--- a/crates/front/src/permits/client.rs
+++ b/crates/front/src/permits/client.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use direct::{
-    LoadReport, PermitEnd, PermitHost, PermitReply, PermitRequest, RateLimit, Registration,
+    LoadReport, PaceReport, PermitEnd, PermitHost, PermitReply, PermitRequest, RateLimit,
+    Registration,
 };
 use gate::counters::Count;
 use ids::{BootClock, Clock, Timestamp, UpstreamId};
 use tokio::sync::mpsc;
 
 use super::messages::{Acquire, Payload, Release};
-use super::{PermitService, Reply};
+use super::{PermitService, ReceivedReply, UpstreamReport};
 use crate::view::View;
 
 /// Time for the reply to a request for a permit, which is sent at once: ten one-way trips between
@@ -93,19 +94,21 @@
     /// permit is refused.
     ///
     /// If the upstream is known to have a rate limit, another host is asked when the first one does
-    /// not reply.
+    /// not reply. `on_pace` is called with the speed of the upstream that a reply reports.
     pub async fn admit(
         self: &Rc<Self>,
         view: &View,
         target: &Registration,
         permit_request: &PermitRequest,
+        on_pace: &dyn Fn(&PaceReport),
     ) -> Admission {
         let is_cold = permit_request
             .cold
             .is_some_and(|cold| !cold.remaining.is_zero());
         if is_cold {
             let host = self.preferred_permit_host(view, target, BootClock.now());
-            return match self.request_permit(host, target, permit_request).await {
+            let requested = self.request_permit(host, target, permit_request, on_pace);
+            return match requested.await {
                 Admission::Unknown => Admission::RateLimited {
                     retry_after: COLD_RETRY_AFTER,
                     limit: None,
@@ -121,7 +124,8 @@
         };
         for _ in 0..max_hosts {
             let host = self.permit_host(view, target, BootClock.now());
-            match self.request_permit(host, target, permit_request).await {
+            let requested = self.request_permit(host, target, permit_request, on_pace);
+            match requested.await {
                 Admission::Unknown => {}
                 known => return known,
             }
@@ -134,6 +138,7 @@
         host: Option<PermitHost>,
         target: &Registration,
         permit_request: &PermitRequest,
+        on_pace: &dyn Fn(&PaceReport),
     ) -> Admission {
         let Some(PermitHost {
             address: host,
@@ -168,7 +173,7 @@
             if matches!(reply, Ok(Some(_))) {
                 self.backoffs.borrow_mut().remove(&host);
             }
-            let Ok(Some(Reply { reply, limit })) = reply else {
+            let Ok(Some(ReceivedReply { reply, limit, pace })) = reply else {
                 if !std::mem::take(&mut is_queued) {
                     self.record_no_reply(host, BootClock.now());
                     return Admission::Unknown;
@@ -181,6 +186,9 @@
                 timeout = REPLY_TIMEOUT;
                 continue;
             };
+            if let Some(pace) = &pace {
+                on_pace(pace);
+            }
             match reply {
                 PermitReply::Granted => return Admission::Granted(permit),
                 PermitReply::Full { retry_after } => {
@@ -209,7 +217,8 @@
     ) {
         let acquire = Acquire::new(target.id.to_string(), target.slots, permit_request);
         let payload = Payload::Acquire(acquire);
-        self.send(host, request, payload, &permit_request.limit);
+        let report = UpstreamReport::of_requesting_host(permit_request.limit);
+        self.send(host, request, payload, &report);
     }
 
     fn record_no_reply(&self, host: SocketAddr, now: Timestamp) {
@@ -265,7 +274,7 @@
         }
         let release = Release::new(self.upstream.to_string(), self.end, self.report);
         let payload = Payload::Release(release);
-        self.service
-            .send(self.host, self.request, payload, &self.limit);
+        let report = UpstreamReport::of_requesting_host(self.limit);
+        self.service.send(self.host, self.request, payload, &report);
     }
 }
--- a/crates/front/src/permits/mod.rs
+++ b/crates/front/src/permits/mod.rs
@@ -21,9 +21,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use direct::{PermitReply, PermitSettings, Permits, RateLimit};
+use direct::{PaceReport, PermitReply, PermitSettings, Permits, RateLimit};
 use gate::Metrics;
-use ids::{BootClock, Clock, UpstreamId};
+use ids::{BootClock, Clock, Timestamp, UpstreamId};
 use prost::Message;
 use rand::Rng;
 use slog::{Logger, debug};
@@ -51,7 +51,7 @@
     cfg: PermitSettings,
     upstreams: RefCell<HashMap<UpstreamId, Permits<RequestKey>>>,
     /// Requests of this host that wait for a reply or have a permit.
-    requests: RefCell<HashMap<u64, mpsc::UnboundedSender<Reply>>>,
+    requests: RefCell<HashMap<u64, mpsc::UnboundedSender<ReceivedReply>>>,
     backoffs: RefCell<HashMap<SocketAddr, Backoff>>,
     /// Identifier of the next request.
     next_request: Cell<u64>,
@@ -61,10 +61,35 @@
 
 /// Reply to a request for a permit.
 #[derive(Debug)]
-struct Reply {
+struct ReceivedReply {
     reply: PermitReply,
     /// The upstream's rate limit as known to the permit host.
     limit: Option<RateLimit>,
+    /// The upstream's speed by the answers that the permit host saw.
+    pace: Option<PaceReport>,
+}
+
+/// What a datagram tells about the upstream besides the permit.
+#[derive(Debug, Clone, Copy)]
+struct UpstreamReport {
+    limit: RateLimit,
+    pace: Option<PaceReport>,
+}
+
+impl UpstreamReport {
+    /// Returns what a host tells that requests or releases a permit: the permit host sees the
+    /// answers to all hosts itself.
+    const fn of_requesting_host(limit: RateLimit) -> Self {
+        Self { limit, pace: None }
+    }
+
+    /// Returns what the permit host tells.
+    fn of(permits: &Permits<RequestKey>, now: Timestamp) -> Self {
+        Self {
+            limit: permits.limit(),
+            pace: permits.pace_report(now),
+        }
+    }
 }
 
 impl PermitService {
@@ -121,7 +146,7 @@
             let now = BootClock.now();
             for permits in self.upstreams.borrow_mut().values_mut() {
                 let replies = permits.poll(now);
-                self.reply(&replies, &permits.limit());
+                self.reply(&replies, &UpstreamReport::of(permits, now));
             }
         }
     }
@@ -137,6 +162,7 @@
         let request = datagram.request;
         let now = BootClock.now();
         let limit = datagram.limit.map(|message| message.to_limit(now));
+        let pace = datagram.pace.map(PaceReport::from);
         let reply = match datagram.payload {
             Some(Payload::Acquire(acquire)) => {
                 return self.handle_acquire(from, request, &acquire, limit);
@@ -158,7 +184,7 @@
         };
         if let Some(tx) = self.requests.borrow().get(&request) {
             // The request may have stopped waiting meanwhile.
-            let _ = tx.send(Reply { reply, limit });
+            let _ = tx.send(ReceivedReply { reply, limit, pace });
         }
     }
 
@@ -177,10 +203,11 @@
             .entry(upstream)
             .or_insert_with(|| Permits::new(acquire.slots, self.cfg));
         let permit_request = acquire.permit_request(limit.unwrap_or_default());
-        let reply = permits.acquire(BootClock.now(), (from, request), &permit_request);
-        let limit = permits.limit();
+        let now = BootClock.now();
+        let reply = permits.acquire(now, (from, request), &permit_request);
+        let report = UpstreamReport::of(permits, now);
         drop(all);
-        self.reply(&[((from, request), reply)], &limit);
+        self.reply(&[((from, request), reply)], &report);
     }
 
     fn handle_release(
@@ -201,22 +228,23 @@
         permits.release(now, (from, request), release.end(), release.report());
         permits.merge_limit(limit.unwrap_or_default());
         let replies = permits.poll(now);
-        let limit = permits.limit();
+        let report = UpstreamReport::of(permits, now);
         drop(all);
-        self.reply(&replies, &limit);
+        self.reply(&replies, &report);
     }
 
-    fn reply(&self, replies: &[(RequestKey, PermitReply)], limit: &RateLimit) {
+    fn reply(&self, replies: &[(RequestKey, PermitReply)], report: &UpstreamReport) {
         for &((to, request), reply) in replies {
-            self.send(to, request, reply.into(), limit);
+            self.send(to, request, reply.into(), report);
         }
     }
 
-    fn send(&self, to: SocketAddr, request: u64, payload: Payload, limit: &RateLimit) {
+    fn send(&self, to: SocketAddr, request: u64, payload: Payload, report: &UpstreamReport) {
         let datagram = Datagram {
             request,
             payload: Some(payload),
-            limit: RateLimitMessage::new(BootClock.now(), limit),
+            limit: RateLimitMessage::new(BootClock.now(), &report.limit),
+            pace: report.pace.map(Into::into),
         };
         let bytes = datagram.encode_to_vec();
         // A datagram that the socket does not accept counts as lost on the way.
