--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -175,14 +175,16 @@
         entry_service_time: f64,
         cfg: &LoadSettings,
     ) -> f64 {
-        let steady = self.pace.service_time(now, entry_service_time);
-        let last = self.service_time.unwrap_or(steady);
-        let age = now.since(self.service_time_at);
-        let expected = steady + (last - steady).max(0.0) * decay(age, cfg.excess_half_life);
-        let recent = self.pace.recent_time(now);
-        recent
-            .filter(|_| self.pace.is_slow_now(now))
-            .map_or(expected, |recent| recent.max(expected))
+        let mut expected = self.pace.service_time(now, entry_service_time);
+        let excess = self.service_time.unwrap_or(expected) - expected;
+        if excess > 0.0 {
+            let age = now.since(self.service_time_at);
+            expected += excess * decay(age, cfg.excess_half_life);
+        }
+        if self.pace.is_slow_now(now) {
+            expected = expected.max(self.pace.recent_time(now).unwrap_or_default());
+        }
+        expected
     }
 
     /// Returns whether the upstream is in backoff because it can't be reached.
--- a/crates/front/src/control/heartbeat.rs
+++ b/crates/front/src/control/heartbeat.rs
@@ -485,10 +485,10 @@
 
 /// Weight of one host's sample in the mean service time of an upstream.
 ///
-/// The samples are steady estimates that rise and fall a little with each slow moment. At a weight
-/// of 0.25, a simulation of upstreams of equal speed with slow moments has a fifth more moves of
-/// keys than without errors of the estimate, at 0.05 a tenth. With ten hosts that each send twice a
-/// second, the mean still follows a change within a second.
+/// The samples are steady estimates that rise and fall a little with each slow moment. In a
+/// simulation of upstreams of equal speed with slow moments, keys move 30 % more often than with
+/// the true service times at a weight of 0.25, and 18 % more often at 0.05. With ten hosts that each
+/// send twice a second, the mean still follows a change within a second.
 const SERVICE_WEIGHT: f64 = 0.05;
 
 /// Sends a datagram. Errors are logged and otherwise treated like a lost datagram.
