direct, front: a slow moment that only answers show; stale estimates stay out of plans

A host that last met an upstream minutes ago no longer sends its old estimate with the first sample; the next one carries what the permit host reported.

--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -288,8 +288,12 @@
             return;
         };
         let loads = self.loads.borrow();
-        // Not the last answers' time: keys must not move because of a slow moment.
-        let service_time = loads.get(owner).and_then(|load| load.pace().mean());
+        // The steady estimate: keys must not move because of a slow moment, or because this host met
+        // the upstream last when it was slow.
+        let report = loads
+            .get(owner)
+            .and_then(|load| load.pace().report(BootClock.now()));
+        let service_time = report.map(|report| report.service_time);
         self.samples.send(Sample {
             entry: request.entry.clone(),
             key,
