assign, front: service times for the planner change only with the speed of an upstream

With the weight of 0.05 for each sample, keys still moved about a fifth more often than by the true service times: steady estimates vary by a tenth with slow moments and by chance, for as long as some tens of answers take. The granting host averages the samples over 10 s now, whatever the number of hosts, and follows a difference of more than half within seconds.

--- a/crates/assign/tests/uneven.rs
+++ b/crates/assign/tests/uneven.rs
@@ -1,6 +1,8 @@
 //! Placement of keys on upstreams of different speed, by the service times that hosts observe.
 
-use assign::{HostIncarnation, KeyLoads, Partition, PartitionRow, PlannedUpstream, Planner};
+use assign::{
+    HostIncarnation, KeyLoads, Partition, PartitionRow, PlannedUpstream, Planner, ServiceTimes,
+};
 use direct::{Pace, PaceSettings};
 use ids::{HostId, Incarnation, Timestamp, UpstreamId};
 use rand::rngs::StdRng;
@@ -9,9 +11,8 @@
 const SLOTS: f64 = 2.0;
 /// Service time of an upstream of speed 1, in seconds.
 const SERVICE_TIME: f64 = 0.16;
-/// The granting host gets a report of each upstream's mean this often, and weighs it like this.
-const REPORT_EVERY_MS: u64 = 130;
-const REPORT_WEIGHT: f64 = 0.05;
+/// The granting host gets a sample of each upstream's service time this often.
+const SAMPLE_EVERY_MS: u64 = 130;
 
 /// Upstreams of an entry, whose keys are divided equally among them at the start.
 struct Case {
@@ -37,7 +38,7 @@
     let service_time = |up: usize| SERVICE_TIME / case.speeds[up];
     let rate = case.speeds.iter().sum::<f64>() * SLOTS / SERVICE_TIME * case.utilization;
     let mut paces = vec![Pace::new(PaceSettings::default()); owners.len()];
-    let mut means = vec![SERVICE_TIME; owners.len()];
+    let mut service_times = ServiceTimes::default();
     let mut answers: Vec<(u64, usize, f64)> = Vec::new();
     let mut loads = KeyLoads::new(Timestamp::ZERO);
     let mut late_moves = 0;
@@ -57,9 +58,10 @@
             let time = service_time(up) * rng.random_range(0.5..1.5) * factor;
             answers.push((ms + (time * 1e3) as u64, up, time));
         }
-        if ms % REPORT_EVERY_MS == 0 {
-            for (mean, pace) in means.iter_mut().zip(&paces) {
-                *mean += REPORT_WEIGHT * (pace.service_time(now, SERVICE_TIME) - *mean);
+        if ms % SAMPLE_EVERY_MS == 0 {
+            for (id, pace) in owners.iter().zip(&paces) {
+                let report = pace.report(now).into_iter();
+                report.for_each(|r| service_times.record(now, id.clone(), r.service_time));
             }
         }
         if ms % 500 != 0 {
@@ -72,7 +74,7 @@
             service_time: if is_exact {
                 service_time(up)
             } else {
-                means[up]
+                service_times.get(&owners[up]).unwrap_or(SERVICE_TIME)
             },
             is_observed: true,
             max_ranges: None,
@@ -113,6 +115,27 @@
     }
 }
 
+/// Guards against a slow upstream that keeps its keys for long, and against a first sample of a slow
+/// moment that counts for long.
+#[test]
+fn lasting_changes_of_service_times_are_followed_soon() {
+    let mut service_times = ServiceTimes::default();
+    let up = UpstreamId::new("u").expect("a valid name");
+    for (from_ms, to_ms, sample, expected) in [
+        (0, 130, 0.48, 0.48),
+        (130, 2_000, 0.16, 0.25),
+        (2_000, 20_000, 0.16, 0.17),
+        (20_000, 24_000, 0.48, 0.42),
+    ] {
+        for ms in (from_ms..to_ms).step_by(130) {
+            service_times.record(Timestamp::from_millis(ms), up.clone(), sample);
+        }
+        let mean = service_times.get(&up).expect("sampled");
+        let error = (mean / expected).ln().abs();
+        assert!(error < 0.15, "{mean} at {to_ms} ms, not {expected}");
+    }
+}
+
 /// Guards against keys that move because of slow moments: by the observed times, there are hardly
 /// more moves than by the true ones, where only chance in the load moves keys.
 #[test]
--- a/crates/front/src/control/heartbeat.rs
+++ b/crates/front/src/control/heartbeat.rs
@@ -162,7 +162,7 @@
             ..counts.into_heartbeat(partition)
         };
         if is_granter {
-            record_loads(state, &heartbeat);
+            record_loads(state, &heartbeat, now);
             heartbeats.extend(replacement_notices(
                 &state.lease_manager,
                 partition,
@@ -403,7 +403,7 @@
 ) -> Option<Heartbeat> {
     limits::apply(c, &heartbeat.limits, now);
     let state = c.partitions.get_mut(partition)?;
-    record_loads(state, heartbeat);
+    record_loads(state, heartbeat, now);
     if let Some(revision) = heartbeat.replaced_at {
         if state.lease_manager.is_granter() {
             info!(c.log, "replaced as granting host"; "part" => %partition,
@@ -468,7 +468,11 @@
 }
 
 /// Adds the loads and service times in a heartbeat.
-fn record_loads(state: &mut crate::control::state::PartitionState, heartbeat: &Heartbeat) {
+fn record_loads(
+    state: &mut crate::control::state::PartitionState,
+    heartbeat: &Heartbeat,
+    now: Timestamp,
+) {
     for count in &heartbeat.keys {
         if let Ok(key) = u16::try_from(count.key) {
             state.loads.add(key, count.count);
@@ -477,20 +481,11 @@
     for service in &heartbeat.service_times {
         if let Ok(id) = UpstreamId::new(service.upstream.as_str()) {
             let seconds = f64::from(service.micros) / 1e6;
-            let mean = state.service_times.entry(id).or_insert(seconds);
-            *mean += SERVICE_WEIGHT * (seconds - *mean);
+            state.service_times.record(now, id, seconds);
         }
     }
 }
 
-/// Weight of one host's sample in the mean service time of an upstream.
-///
-/// The samples are steady estimates that rise and fall a little with each slow moment. In a
-/// simulation of upstreams of equal speed with slow moments, keys move 30 % more often than with
-/// the true service times at a weight of 0.25, and 18 % more often at 0.05. With ten hosts that each
-/// send twice a second, the mean still follows a change within a second.
-const SERVICE_WEIGHT: f64 = 0.05;
-
 /// Sends a datagram. Errors are logged and otherwise treated like a lost datagram.
 pub(super) async fn send_to(
     ctl: &SharedControl,
