--- a/crates/front/src/permits/client.rs
+++ b/crates/front/src/permits/client.rs
@@ -155,7 +155,7 @@
         };
         let mut permit_request = PermitRequest {
             skipped_hosts,
-            ..*permit_request
+            ..permit_request.clone()
         };
         let request = self.next_request.get();
         self.next_request.set(request + 1);
--- a/crates/front/src/permits/mod.rs
+++ b/crates/front/src/permits/mod.rs
@@ -8,10 +8,10 @@
 //! small fraction of it.
 //!
 //! - `client`: requests for permits, and the permits they return.
-//! - `messages`: the datagrams.
+//! - [`messages`]: the datagrams.
 
 mod client;
-mod messages;
+pub mod messages;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -23,6 +23,7 @@
 
 use direct::{PaceReport, PermitReply, PermitSettings, Permits, RateLimit};
 use gate::Metrics;
+use gate::counters::Count;
 use ids::{BootClock, Clock, Timestamp, UpstreamId};
 use prost::Message;
 use rand::Rng;
@@ -203,11 +204,18 @@
             .entry(upstream)
             .or_insert_with(|| Permits::new(acquire.slots, self.cfg));
         let permit_request = acquire.permit_request(limit.unwrap_or_default());
+        let key = (from, request);
         let now = BootClock.now();
-        let reply = permits.acquire(now, (from, request), &permit_request);
+        let reply = permits.acquire(now, key, &permit_request);
+        let mut replies = vec![(key, reply)];
+        let displaced = permits.take_displaced();
+        for _ in &displaced {
+            self.metrics.count(Count::PermitsDisplaced);
+        }
+        replies.extend(displaced);
         let report = UpstreamReport::of(permits, now);
         drop(all);
-        self.reply(&[((from, request), reply)], &report);
+        self.reply(&replies, &report);
     }
 
     fn handle_release(
--- a/crates/front/tests/permits.rs
+++ b/crates/front/tests/permits.rs
@@ -56,6 +56,9 @@
 ) -> Permit {
     let request = PermitRequest {
         priority: Priority::Equal,
+        rank: 1,
+        is_repeat: false,
+        domain: None,
         until_objective: Duration::from_secs(1),
         until_deadline: Duration::from_secs(2),
         entry_service_time: Duration::from_millis(500),
