assign: one host with a wrong estimate does not change the service time of an upstream

A single sample that differed by more than half was weighed as a lasting change: with ten hosts that send in turn, one wrong host would have drawn the mean to half as much again. A change needs three samples in a row now.

--- a/crates/assign/src/service_times.rs
+++ b/crates/assign/src/service_times.rs
@@ -16,8 +16,10 @@
 const CHANGE_FACTOR: f64 = 1.5;
 /// Factor below which the mean has followed the change.
 const FOLLOWED_FACTOR: f64 = 1.1;
-/// Half-life of the mean while it follows a lasting change. One host with a wrong estimate among ten others
-/// hardly changes the mean in this time.
+/// Number of samples in a row that show a change. One host with a wrong estimate among several others
+/// never sends as many.
+const MIN_CHANGED_SAMPLES: u32 = 3;
+/// Half-life of the mean while it follows a lasting change.
 const CHANGED_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Fraction of the time since the first sample that the half-life does not exceed: the first samples
 /// are worth few answers, and these may have come in a slow moment.
@@ -29,8 +31,8 @@
     seconds: f64,
     first_at: Timestamp,
     sampled_at: Timestamp,
-    /// Whether it follows a lasting change.
-    is_following: bool,
+    /// Number of samples in a row that show a change.
+    changed_samples: u32,
 }
 
 /// Mean service times of upstreams.
@@ -46,7 +48,7 @@
             seconds,
             first_at: now,
             sampled_at: now,
-            is_following: false,
+            changed_samples: 0,
         });
         mean.record(now, seconds);
     }
@@ -71,15 +73,23 @@
 }
 
 impl SampleMean {
+    const fn is_following(&self) -> bool {
+        self.changed_samples >= MIN_CHANGED_SAMPLES
+    }
+
     fn record(&mut self, now: Timestamp, seconds: f64) {
         let factor = (seconds / self.seconds.max(f64::MIN_POSITIVE)).max(f64::MIN_POSITIVE);
-        let min_factor = if self.is_following {
+        let min_factor = if self.is_following() {
             FOLLOWED_FACTOR
         } else {
             CHANGE_FACTOR
         };
-        self.is_following = factor.max(1.0 / factor) > min_factor;
-        let half_life = if self.is_following {
+        if factor.max(1.0 / factor) > min_factor {
+            self.changed_samples = self.changed_samples.saturating_add(1);
+        } else {
+            self.changed_samples = 0;
+        }
+        let half_life = if self.is_following() {
             CHANGED_HALF_LIFE
         } else {
             let max = now.since(self.first_at).mul_f64(MAX_HALF_LIFE_FRACTION);
--- a/crates/assign/tests/uneven.rs
+++ b/crates/assign/tests/uneven.rs
@@ -134,6 +134,14 @@
         let error = (mean / expected).ln().abs();
         assert!(error < 0.15, "{mean} at {to_ms} ms, not {expected}");
     }
+    // One of ten hosts has a wrong estimate.
+    let mut service_times = ServiceTimes::default();
+    for i in 0..1_000 {
+        let sample = if i % 10 == 5 { 0.5 } else { 0.1 };
+        service_times.record(Timestamp::from_millis(40 * i), up.clone(), sample);
+    }
+    let mean = service_times.get(&up).expect("sampled");
+    assert!(mean < 0.15, "{mean}");
 }
 
 /// Guards against keys that move because of slow moments: by the observed times, there are hardly
