--- a/crates/assign/src/lib.rs
+++ b/crates/assign/src/lib.rs
@@ -11,7 +11,6 @@
 //! - [`owners`]: look-up of a key's owner on the request path.
 //! - [`settings`]: timeouts and limits.
 //! - [`loads`]: request rates of keys.
-//! - [`service_times`]: service times of upstreams.
 //! - [`plan`]: which ranges should move; `balance` evens out load, `utilization` computes the load
 //!   of upstreams.
 //! - [`clock`]: the store's clock.
@@ -35,7 +34,6 @@
 pub mod range;
 pub mod read_lease;
 pub mod row;
-pub mod service_times;
 pub mod settings;
 pub mod takeover;
 pub mod unserved;
@@ -51,7 +49,6 @@
 pub use range::{FencingToken, KeyRange};
 pub use read_lease::ReadLease;
 pub use row::{HostIncarnation, OwnedRange, PartitionRow, PreviousGranter, Recovery, RowError};
-pub use service_times::ServiceTimes;
 pub use settings::AssignSettings;
 pub use takeover::{
     DecisionContext, GranterStatus, TakeoverMonitor, TakeoverReason, TakeoverSettings,
--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -133,18 +133,10 @@
     pub priority: Priority,
 }
 
-/// Order of the candidates; the least is chosen.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-struct Rank {
-    is_unreachable: bool,
-    is_slow_now: bool,
-    score: f64,
-}
-
 /// Chooses one of `candidates`.
 ///
-/// Upstreams that can't be reached at the moment are chosen only if there are no others, and those
-/// that are in a slow moment only before these. Cold ones without a free slot are never chosen.
+/// Upstreams that can't be reached at the moment are chosen only if there are no others. Cold ones
+/// without a free slot are never chosen.
 pub fn choose<'a, K: Copy>(
     now: Timestamp,
     needs: RequestNeeds,
@@ -159,7 +151,7 @@
     } = needs;
     let remote_penalty = objective.as_secs_f64() * cfg.remote_penalty;
     let connect_penalty = objective.as_secs_f64() * cfg.connect_penalty;
-    let mut best: Option<(Rank, K, f64)> = None;
+    let mut best: Option<(bool, f64, K, f64)> = None;
     let mut retry_after = f64::INFINITY;
     for c in candidates {
         let suspended_for = c.load.suspended_for(now);
@@ -172,8 +164,7 @@
             expected_time *= load.cold_factor;
         }
         if !cfg.admits(c.load.occupancy(now, load), expected_time, &needs) {
-            let service_time = c.load.expected_service_time(now, entry_service_time, load);
-            retry_after = retry_after.min(service_time);
+            retry_after = retry_after.min(c.load.service_time().unwrap_or(entry_service_time));
             continue;
         }
         let failure_factor = 1.0 + cfg.failure_penalty * c.load.failure_probability(now, load);
@@ -184,17 +175,16 @@
         if !c.is_connected {
             score += connect_penalty;
         }
-        let rank = Rank {
-            is_unreachable: c.load.is_in_backoff(now),
-            is_slow_now: c.load.pace().is_slow_now(now),
-            score,
-        };
-        if best.is_none_or(|(best, ..)| rank < best) {
-            best = Some((rank, c.key, expected_time));
+        let is_unreachable = c.load.is_in_backoff(now);
+        let is_better = best.is_none_or(|(best_unreachable, best_score, ..)| {
+            (is_unreachable, score) < (best_unreachable, best_score)
+        });
+        if is_better {
+            best = Some((is_unreachable, score, c.key, expected_time));
         }
     }
     match best {
-        Some((_, key, expected_time)) => Choice::Chosen { key, expected_time },
+        Some((_, _, key, expected_time)) => Choice::Chosen { key, expected_time },
         None if retry_after.is_finite() => Choice::Full { retry_after },
         None => Choice::None,
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,7 +11,6 @@
 //! - [`status`]: status that an upstream reports with an answer.
 //! - `recent_starts`, `start_schedule`: when requests may start at an upstream that limits starts.
 //! - [`load`]: a host's estimate of the load, the speed and the health of an upstream.
-//! - [`pace`]: speed of an upstream, as a distribution of its service time.
 //! - [`links`]: which links to upstreams this host has lost.
 //! - [`peers`]: selection of the host through which requests go instead.
 //! - [`choose`](mod@choose): selection of the upstream for a request, or why there is none.
@@ -30,7 +29,6 @@
 pub mod fingerprint;
 pub mod links;
 pub mod load;
-pub mod pace;
 pub mod peers;
 mod permit_demand;
 pub mod permit_hosts;
@@ -51,7 +49,6 @@
 pub use fingerprint::RequestFingerprint;
 pub use links::{LinkLoss, LinkSettings, LinkState, UpstreamLinks};
 pub use load::{LoadReport, LoadSettings, SentRequest, UpstreamLoad};
-pub use pace::{Pace, PaceReport, PaceSettings};
 pub use peers::{PeerHost, PeerSelector, PeerSettings};
 pub use permit_hosts::{PermitHost, PermitHosts};
 pub use permit_queue::{DomainKey, PermitQueue, QueueSettings, QueuedRequest};
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -8,7 +8,6 @@
 
 use ids::Timestamp;
 
-use crate::pace::{Pace, PaceReport, PaceSettings};
 use crate::status::{RateLimit, UpstreamStatus};
 
 /// Settings of an [`UpstreamLoad`].
@@ -24,9 +23,6 @@
     /// At a fifth, an upstream that became five times slower is estimated as twice as slow after
     /// two answers.
     pub service_weight: f64,
-    /// Half-life of the time by which this host's last answers took longer than the upstream's
-    /// usual time. A slow moment is over by then, and a slow upstream has shown itself again.
-    pub excess_half_life: Duration,
     /// Half-life of a failure.
     pub failure_half_life: Duration,
     /// Factor by which an upstream is expected to be slower while it is cold.
@@ -45,7 +41,6 @@
         Self {
             report_half_life: Duration::from_millis(500),
             service_weight: 0.2,
-            excess_half_life: Duration::from_secs(1),
             failure_half_life: Duration::from_millis(1_500),
             cold_factor: 2.0,
             max_backoff: Duration::from_secs(1),
@@ -96,11 +91,8 @@
     /// Requests of other hosts at `reported_at`.
     other_requests: f64,
     reported_at: Timestamp,
-    /// Mean time of this host's last requests without their wait, in seconds.
+    /// Mean time of a request that doesn't wait, in seconds.
     service_time: Option<f64>,
-    service_time_at: Timestamp,
-    /// Speed by the answers to this host, or by those to all hosts if the permit host reported it.
-    pace: Pace,
     failure_probability: f64,
     failed_at: Timestamp,
     failed_connects: u32,
@@ -126,8 +118,6 @@
             other_requests: 0.0,
             reported_at: Timestamp::ZERO,
             service_time: None,
-            service_time_at: Timestamp::ZERO,
-            pace: Pace::new(PaceSettings::default()),
             failure_probability: 0.0,
             failed_at: Timestamp::ZERO,
             failed_connects: 0,
@@ -145,48 +135,12 @@
         self.in_flight
     }
 
-    /// Returns the mean time of this host's last requests without their wait, in seconds, if any
-    /// was observed.
+    /// Returns the mean time of a request that doesn't wait, in seconds, if any was observed.
     #[must_use]
     pub const fn service_time(&self) -> Option<f64> {
         self.service_time
     }
 
-    /// Returns the distribution of the service time.
-    #[must_use]
-    pub const fn pace(&self) -> &Pace {
-        &self.pace
-    }
-
-    /// Merges the speed that the permit host reported.
-    pub fn merge_pace(&mut self, now: Timestamp, report: &PaceReport) {
-        self.pace.merge(now, report);
-    }
-
-    /// Returns the service time to expect of a request that is sent now, in seconds.
-    ///
-    /// It is the steady estimate, raised if the last answers to this host took longer or the
-    /// upstream is in a slow moment: the steady estimate takes some tens of answers to follow an
-    /// upstream that became slow.
-    #[must_use]
-    pub fn expected_service_time(
-        &self,
-        now: Timestamp,
-        entry_service_time: f64,
-        cfg: &LoadSettings,
-    ) -> f64 {
-        let mut expected = self.pace.service_time(now, entry_service_time);
-        let excess = self.service_time.unwrap_or(expected) - expected;
-        if excess > 0.0 {
-            let age = now.since(self.service_time_at);
-            expected += excess * decay(age, cfg.excess_half_life);
-        }
-        if self.pace.is_slow_now(now) {
-            expected = expected.max(self.pace.recent_time(now).unwrap_or_default());
-        }
-        expected
-    }
-
     /// Returns whether the upstream is in backoff because it can't be reached.
     #[must_use]
     pub fn is_in_backoff(&self, now: Timestamp) -> bool {
@@ -278,7 +232,7 @@
         entry_service_time: f64,
         cfg: &LoadSettings,
     ) -> f64 {
-        let service_time = self.expected_service_time(now, entry_service_time, cfg);
+        let service_time = self.service_time.unwrap_or(entry_service_time);
         let occupancy = self.occupancy(now, cfg) + 1.0 / self.slots;
         service_time * occupancy.max(1.0)
     }
@@ -310,8 +264,6 @@
         let unqueued = took / sent.occupancy.max(1.0);
         let service_time = self.service_time.unwrap_or(unqueued);
         self.service_time = Some(service_time + cfg.service_weight * (unqueued - service_time));
-        self.service_time_at = now;
-        self.pace.observe(now, unqueued);
         self.failure_probability = self.failure_probability(now, cfg) * (1.0 - cfg.service_weight);
         self.failed_at = now;
         self.failed_connects = 0;
@@ -342,15 +294,11 @@
 
     /// Records a request that got no answer within `waited`: the service time is at least that
     /// long.
-    pub fn timed_out(&mut self, now: Timestamp, waited: Duration, cfg: &LoadSettings) {
+    pub fn timed_out(&mut self, waited: Duration, cfg: &LoadSettings) {
         let waited = waited.as_secs_f64();
         let service_time = self.service_time.unwrap_or(waited);
         if waited > service_time {
             self.service_time = Some(service_time + cfg.service_weight * (waited - service_time));
-            self.service_time_at = now;
-        }
-        if self.pace.mean().is_none_or(|mean| waited > mean) {
-            self.pace.observe(now, waited);
         }
     }
 
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -23,7 +23,6 @@
 
 use crate::choose::Priority;
 use crate::load::LoadReport;
-use crate::pace::{Pace, PaceReport, PaceSettings};
 use crate::permit_demand::Demand;
 use crate::permit_queue::{PermitQueue, QueuedRequest};
 use crate::recent_starts::RecentStarts;
@@ -219,8 +218,6 @@
     service_time: Option<f64>,
     /// Mean deviation of the service time from its mean, in seconds.
     deviation: f64,
-    /// Speed, as reported to the hosts that request permits.
-    pace: Pace,
     /// Objective of the latest first request.
     objective: Duration,
     demand: Demand,
@@ -254,7 +251,6 @@
             slots: slots.max(1),
             service_time: None,
             deviation: 0.0,
-            pace: Pace::new(PaceSettings::default()),
             objective: Duration::ZERO,
             demand: Demand::default(),
             granted: IndexMap::new(),
@@ -291,13 +287,6 @@
         self.limit
     }
 
-    /// Returns what the hosts that request permits should know of the upstream's speed, if any
-    /// answer was observed.
-    #[must_use]
-    pub fn pace_report(&self, now: Timestamp) -> Option<PaceReport> {
-        self.pace.report(now)
-    }
-
     /// Merges the rate limit that another host received.
     pub fn merge_limit(&mut self, limit: RateLimit) {
         let before = self.limit.per_s();
@@ -573,7 +562,6 @@
         };
         if end == PermitEnd::Answered {
             let unqueued = now.since(permit.granted_at).as_secs_f64() / permit.occupancy.max(1.0);
-            self.pace.observe(now, unqueued);
             let service_time = self.service_time.unwrap_or(unqueued);
             let difference = unqueued - service_time;
             self.service_time = Some(service_time + self.cfg.service_weight * difference);
@@ -581,13 +569,11 @@
         }
     }
 
-    /// Returns whether work currently takes so much longer at the upstream, by its own report or by
-    /// its answers, that another one should get the request.
+    /// Returns whether work currently takes so much longer at the upstream that another one should
+    /// get the request.
     fn is_slowed_down(&self, now: Timestamp) -> bool {
         let (slowdown, reported_at) = self.slowdown;
-        let is_reported = slowdown >= self.cfg.slowdown_threshold
-            && now.since(reported_at) < self.cfg.slowdown_ttl;
-        is_reported || self.pace.is_slow_now(now)
+        slowdown >= self.cfg.slowdown_threshold && now.since(reported_at) < self.cfg.slowdown_ttl
     }
 
     /// Assumes that an upstream that responds again after a long time is cold: it may have
--- a/crates/front/src/control/eligible_owners.rs
+++ b/crates/front/src/control/eligible_owners.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use assign::{Partition, PlannedUpstream, ServiceTimes};
+use assign::{Partition, PlannedUpstream};
 use direct::{RateLimit, Registration, UpstreamRegistry, Warmup};
 use ids::{EntryId, Timestamp, UpstreamId};
 
@@ -45,12 +45,17 @@
     pub(super) fn ready(
         &self,
         partition: Partition,
-        service_times: &ServiceTimes,
+        service_times: &HashMap<UpstreamId, f64>,
         now: Timestamp,
     ) -> Vec<PlannedUpstream> {
-        let default_time = service_times.mean().unwrap_or(DEFAULT_SERVICE_TIME);
+        let sum: f64 = service_times.values().sum();
+        let default_time = if service_times.is_empty() {
+            DEFAULT_SERVICE_TIME
+        } else {
+            sum / service_times.len() as f64
+        };
         let service_time = |u: &Registration| {
-            let service_time = service_times.get(&u.id).unwrap_or(default_time);
+            let service_time = service_times.get(&u.id).copied().unwrap_or(default_time);
             match self.max_rate(u, now) {
                 Some(per_s) => service_time.max(f64::from(u.slots) / per_s),
                 None => service_time,
@@ -60,7 +65,7 @@
             id: u.id.clone(),
             slots: u.slots,
             service_time: service_time(u),
-            is_observed: service_times.get(&u.id).is_some(),
+            is_observed: service_times.contains_key(&u.id),
             max_ranges: self.limit(u).map(|_| LIMITED_MAX_RANGES),
         };
         let mut ready = self.registry.ready(self.entry);
--- a/crates/front/src/control/heartbeat.rs
+++ b/crates/front/src/control/heartbeat.rs
@@ -162,7 +162,7 @@
             ..counts.into_heartbeat(partition)
         };
         if is_granter {
-            record_loads(state, &heartbeat, now);
+            record_loads(state, &heartbeat);
             heartbeats.extend(replacement_notices(
                 &state.lease_manager,
                 partition,
@@ -403,7 +403,7 @@
 ) -> Option<Heartbeat> {
     limits::apply(c, &heartbeat.limits, now);
     let state = c.partitions.get_mut(partition)?;
-    record_loads(state, heartbeat, now);
+    record_loads(state, heartbeat);
     if let Some(revision) = heartbeat.replaced_at {
         if state.lease_manager.is_granter() {
             info!(c.log, "replaced as granting host"; "part" => %partition,
@@ -468,11 +468,7 @@
 }
 
 /// Adds the loads and service times in a heartbeat.
-fn record_loads(
-    state: &mut crate::control::state::PartitionState,
-    heartbeat: &Heartbeat,
-    now: Timestamp,
-) {
+fn record_loads(state: &mut crate::control::state::PartitionState, heartbeat: &Heartbeat) {
     for count in &heartbeat.keys {
         if let Ok(key) = u16::try_from(count.key) {
             state.loads.add(key, count.count);
@@ -481,11 +477,16 @@
     for service in &heartbeat.service_times {
         if let Ok(id) = UpstreamId::new(service.upstream.as_str()) {
             let seconds = f64::from(service.micros) / 1e6;
-            state.service_times.record(now, id, seconds);
+            let mean = state.service_times.entry(id).or_insert(seconds);
+            *mean += SERVICE_WEIGHT * (seconds - *mean);
         }
     }
 }
 
+/// Weight of one host's sample in the mean service time of an upstream: with ten hosts that each
+/// send twice a second, the mean follows a change within half a second.
+const SERVICE_WEIGHT: f64 = 0.25;
+
 /// Sends a datagram. Errors are logged and otherwise treated like a lost datagram.
 pub(super) async fn send_to(
     ctl: &SharedControl,
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -204,7 +204,7 @@
             .retain(|id, _| registry.get(id).is_some() || is_owner(id));
         self.limits.retain(|id, _| registry.get(id).is_some());
         for d in self.partitions.values_mut() {
-            d.service_times.retain(|id| registry.get(id).is_some());
+            d.service_times.retain(|id, _| registry.get(id).is_some());
             d.failing_calls.retain(|id, _| registry.get(id).is_some());
         }
     }
--- a/crates/front/src/control/samples.rs
+++ b/crates/front/src/control/samples.rs
@@ -17,7 +17,7 @@
     pub key: u16,
     /// The key's owner.
     pub upstream: UpstreamId,
-    /// The owner's mean service time in seconds, if it is known.
+    /// The owner's mean service time in seconds, if it has answered before.
     pub service_time: Option<f64>,
 }
 
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -9,7 +9,7 @@
 
 use assign::{
     AssignSettings, EntryOwners, HostIncarnation, KeyLoads, MovingRanges, Partition, PartitionId,
-    PartitionLeaseManager, PartitionOwners, PartitionRow, Planner, ServiceTimes, TakeoverMonitor,
+    PartitionLeaseManager, PartitionOwners, PartitionRow, Planner, TakeoverMonitor,
     TakeoverSettings, UnservedKeys,
 };
 use direct::{
@@ -50,8 +50,8 @@
     pub unserved: UnservedKeys,
     /// Request rates of its keys.
     pub loads: KeyLoads,
-    /// Mean service times of its upstreams.
-    pub service_times: ServiceTimes,
+    /// Mean service times of its upstreams, in seconds.
+    pub service_times: HashMap<UpstreamId, f64>,
     /// Upstreams whose grant calls fail, and the number of failed calls.
     pub failing_calls: HashMap<UpstreamId, u32>,
     /// The owners as last published; none if they have changed since.
@@ -330,7 +330,7 @@
             takeover_monitor: TakeoverMonitor::new(TakeoverSettings::default()),
             unserved: UnservedKeys::default(),
             loads: KeyLoads::new(now),
-            service_times: ServiceTimes::default(),
+            service_times: HashMap::new(),
             failing_calls: HashMap::new(),
         };
         if let Some(since) = self.known_era.since {
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -157,13 +157,12 @@
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        let now = BootClock.now();
-        let waited = now.since(self.sent.at());
+        let waited = BootClock.now().since(self.sent.at());
         let cfg = &self.forwarder.load_cfg;
         self.forwarder.with_load(self.target, |load| {
             load.ended();
             if !self.has_ended {
-                load.timed_out(now, waited, cfg);
+                load.timed_out(waited, cfg);
             }
         });
         if !self.has_ended {
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -288,12 +288,7 @@
             return;
         };
         let loads = self.loads.borrow();
-        // The steady estimate: keys must not move because of a slow moment, or because this host met
-        // the upstream last when it was slow.
-        let report = loads
-            .get(owner)
-            .and_then(|load| load.pace().report(BootClock.now()));
-        let service_time = report.map(|report| report.service_time);
+        let service_time = loads.get(owner).and_then(UpstreamLoad::service_time);
         self.samples.send(Sample {
             entry: request.entry.clone(),
             key,
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use direct::{
-    Candidate, Choice, ColdStart, LinkState, PaceReport, PermitRequest, PermitSettings,
-    Registration, RequestNeeds, RetryState, UpstreamLoad, choose,
+    Candidate, Choice, ColdStart, LinkState, PermitRequest, PermitSettings, Registration,
+    RequestNeeds, RetryState, UpstreamLoad, choose,
 };
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp, UpstreamId};
 use rand::Rng;
@@ -236,13 +236,7 @@
             limit,
             skipped_hosts: 0,
         };
-        let merge_pace = |report: &PaceReport| {
-            self.with_load(target, |load| load.merge_pace(BootClock.now(), report));
-        };
-        let admitted = self
-            .permits
-            .admit(view, target, &permit_request, &merge_pace);
-        match admitted.await {
+        match self.permits.admit(view, target, &permit_request).await {
             Admission::Unknown => match limit.rate_without_permits(view.hosts) {
                 Some(per_s) => self.admit_without_permit_host(target, per_s),
                 None => self.admit_by_estimate(request, target, now),
@@ -324,8 +318,7 @@
                 self.choose_cfg
                     .admits(occupancy, expected, &request_needs(request, service_time));
             let is_full = !is_admitted || expected > left;
-            let until_free = load.expected_service_time(now, service_time, &self.load_cfg);
-            is_full.then(|| Duration::from_secs_f64(until_free))
+            is_full.then(|| Duration::from_secs_f64(load.service_time().unwrap_or(service_time)))
         })
     }
 
--- a/crates/front/src/permits/client.rs
+++ b/crates/front/src/permits/client.rs
@@ -5,15 +5,14 @@
 use std::time::Duration;
 
 use direct::{
-    LoadReport, PaceReport, PermitEnd, PermitHost, PermitReply, PermitRequest, RateLimit,
-    Registration,
+    LoadReport, PermitEnd, PermitHost, PermitReply, PermitRequest, RateLimit, Registration,
 };
 use gate::counters::Count;
 use ids::{BootClock, Clock, Timestamp, UpstreamId};
 use tokio::sync::mpsc;
 
 use super::messages::{Acquire, Payload, Release};
-use super::{PermitService, ReceivedReply, UpstreamReport};
+use super::{PermitService, Reply};
 use crate::view::View;
 
 /// Time for the reply to a request for a permit, which is sent at once: ten one-way trips between
@@ -100,21 +99,19 @@
     /// permit is refused.
     ///
     /// If the upstream is known to have a rate limit, another host is asked when the first one does
-    /// not reply. `on_pace` is called with the speed of the upstream that a reply reports.
+    /// not reply.
     pub async fn admit(
         self: &Rc<Self>,
         view: &View,
         target: &Registration,
         permit_request: &PermitRequest,
-        on_pace: &dyn Fn(&PaceReport),
     ) -> Admission {
         let is_cold = permit_request
             .cold
             .is_some_and(|cold| !cold.remaining.is_zero());
         if is_cold {
             let host = self.preferred_permit_host(view, target, BootClock.now());
-            let requested = self.request_permit(host, target, permit_request, on_pace);
-            return match requested.await {
+            return match self.request_permit(host, target, permit_request).await {
                 Admission::Unknown => Admission::RateLimited {
                     retry_after: COLD_RETRY_AFTER,
                     limit: None,
@@ -130,8 +127,7 @@
         };
         for _ in 0..max_hosts {
             let host = self.permit_host(view, target, BootClock.now());
-            let requested = self.request_permit(host, target, permit_request, on_pace);
-            match requested.await {
+            match self.request_permit(host, target, permit_request).await {
                 Admission::Unknown => {}
                 known => return known,
             }
@@ -144,7 +140,6 @@
         host: Option<PermitHost>,
         target: &Registration,
         permit_request: &PermitRequest,
-        on_pace: &dyn Fn(&PaceReport),
     ) -> Admission {
         let Some(PermitHost {
             address: host,
@@ -179,7 +174,7 @@
             if matches!(reply, Ok(Some(_))) {
                 self.backoffs.borrow_mut().remove(&host);
             }
-            let Ok(Some(ReceivedReply { reply, limit, pace })) = reply else {
+            let Ok(Some(Reply { reply, limit })) = reply else {
                 if !std::mem::take(&mut may_ask_again) {
                     self.record_no_reply(host, BootClock.now());
                     return Admission::Unknown;
@@ -192,9 +187,6 @@
                 timeout = REPEATED_REPLY_TIMEOUT;
                 continue;
             };
-            if let Some(pace) = &pace {
-                on_pace(pace);
-            }
             match reply {
                 PermitReply::Granted => return Admission::Granted(permit),
                 PermitReply::Full { retry_after } => {
@@ -223,8 +215,7 @@
     ) {
         let acquire = Acquire::new(target.id.to_string(), target.slots, permit_request);
         let payload = Payload::Acquire(acquire);
-        let report = UpstreamReport::of_requesting_host(permit_request.limit);
-        self.send(host, request, payload, &report);
+        self.send(host, request, payload, &permit_request.limit);
     }
 
     fn record_no_reply(&self, host: SocketAddr, now: Timestamp) {
@@ -282,7 +273,7 @@
         }
         let release = Release::new(self.upstream.to_string(), self.end, self.report);
         let payload = Payload::Release(release);
-        let report = UpstreamReport::of_requesting_host(self.limit);
-        self.service.send(self.host, self.request, payload, &report);
+        self.service
+            .send(self.host, self.request, payload, &self.limit);
     }
 }
--- a/crates/front/src/permits/messages.rs
+++ b/crates/front/src/permits/messages.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use crate::rate_limit_message::RateLimitMessage;
-use direct::{
-    ColdStart, LoadReport, PaceReport, PermitEnd, PermitReply, PermitRequest, Priority, RateLimit,
-};
+use direct::{ColdStart, LoadReport, PermitEnd, PermitReply, PermitRequest, Priority, RateLimit};
 use ids::DomainId;
 
 /// Rank of a request that is not urgent and comes from a host that doesn't send ranks.
@@ -23,45 +21,6 @@
     /// The upstream's rate limit as known to the sender, if it ever announced one.
     #[prost(message, optional, tag = "8")]
     pub(super) limit: Option<RateLimitMessage>,
-    /// In a reply: the upstream's speed by the answers that the permit host saw, if there were any.
-    #[prost(message, optional, tag = "9")]
-    pub(super) pace: Option<PaceMessage>,
-}
-
-/// [`PaceReport`] on the wire.
-#[derive(Clone, PartialEq, Eq)]
-#[derive(prost::Message)]
-pub(super) struct PaceMessage {
-    /// Mean service time in milliseconds.
-    #[prost(uint32, tag = "1")]
-    service_time_ms: u32,
-    /// Standard deviation of the logarithm of the service time, in percent.
-    #[prost(uint32, tag = "2")]
-    spread_percent: u32,
-    /// Number of observations that the estimate is worth.
-    #[prost(uint32, tag = "3")]
-    observations: u32,
-}
-
-impl From<PaceReport> for PaceMessage {
-    fn from(report: PaceReport) -> Self {
-        Self {
-            // A report of zero would be ignored.
-            service_time_ms: (report.service_time * 1e3).round().max(1.0) as u32,
-            spread_percent: (report.spread * 1e2).round() as u32,
-            observations: report.weight.round().max(1.0) as u32,
-        }
-    }
-}
-
-impl From<PaceMessage> for PaceReport {
-    fn from(message: PaceMessage) -> Self {
-        Self {
-            service_time: f64::from(message.service_time_ms) / 1e3,
-            spread: f64::from(message.spread_percent) / 1e2,
-            weight: f64::from(message.observations),
-        }
-    }
 }
 
 #[derive(Clone, PartialEq)]
--- a/crates/front/src/permits/mod.rs
+++ b/crates/front/src/permits/mod.rs
@@ -21,10 +21,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use direct::{PaceReport, PermitReply, PermitSettings, Permits, RateLimit};
+use direct::{PermitReply, PermitSettings, Permits, RateLimit};
 use gate::Metrics;
 use gate::counters::Count;
-use ids::{BootClock, Clock, Timestamp, UpstreamId};
+use ids::{BootClock, Clock, UpstreamId};
 use prost::Message;
 use rand::Rng;
 use slog::{Logger, debug};
@@ -52,7 +52,7 @@
     cfg: PermitSettings,
     upstreams: RefCell<HashMap<UpstreamId, Permits<RequestKey>>>,
     /// Requests of this host that wait for a reply or have a permit.
-    requests: RefCell<HashMap<u64, mpsc::UnboundedSender<ReceivedReply>>>,
+    requests: RefCell<HashMap<u64, mpsc::UnboundedSender<Reply>>>,
     backoffs: RefCell<HashMap<SocketAddr, Backoff>>,
     /// Identifier of the next request.
     next_request: Cell<u64>,
@@ -62,35 +62,10 @@
 
 /// Reply to a request for a permit.
 #[derive(Debug)]
-struct ReceivedReply {
+struct Reply {
     reply: PermitReply,
     /// The upstream's rate limit as known to the permit host.
     limit: Option<RateLimit>,
-    /// The upstream's speed by the answers that the permit host saw.
-    pace: Option<PaceReport>,
-}
-
-/// What a datagram tells about the upstream besides the permit.
-#[derive(Debug, Clone, Copy)]
-struct UpstreamReport {
-    limit: RateLimit,
-    pace: Option<PaceReport>,
-}
-
-impl UpstreamReport {
-    /// Returns what a host tells that requests or releases a permit: the permit host sees the
-    /// answers to all hosts itself.
-    const fn of_requesting_host(limit: RateLimit) -> Self {
-        Self { limit, pace: None }
-    }
-
-    /// Returns what the permit host tells.
-    fn of(permits: &Permits<RequestKey>, now: Timestamp) -> Self {
-        Self {
-            limit: permits.limit(),
-            pace: permits.pace_report(now),
-        }
-    }
 }
 
 impl PermitService {
@@ -147,7 +122,7 @@
             let now = BootClock.now();
             for permits in self.upstreams.borrow_mut().values_mut() {
                 let replies = permits.poll(now);
-                self.reply(&replies, &UpstreamReport::of(permits, now));
+                self.reply(&replies, &permits.limit());
             }
         }
     }
@@ -163,7 +138,6 @@
         let request = datagram.request;
         let now = BootClock.now();
         let limit = datagram.limit.map(|message| message.to_limit(now));
-        let pace = datagram.pace.map(PaceReport::from);
         let reply = match datagram.payload {
             Some(Payload::Acquire(acquire)) => {
                 return self.handle_acquire(from, request, &acquire, limit);
@@ -185,7 +159,7 @@
         };
         if let Some(tx) = self.requests.borrow().get(&request) {
             // The request may have stopped waiting meanwhile.
-            let _ = tx.send(ReceivedReply { reply, limit, pace });
+            let _ = tx.send(Reply { reply, limit });
         }
     }
 
@@ -205,17 +179,16 @@
             .or_insert_with(|| Permits::new(acquire.slots, self.cfg));
         let permit_request = acquire.permit_request(limit.unwrap_or_default());
         let key = (from, request);
-        let now = BootClock.now();
-        let reply = permits.acquire(now, key, &permit_request);
+        let reply = permits.acquire(BootClock.now(), key, &permit_request);
         let mut replies = vec![(key, reply)];
         let displaced = permits.take_displaced();
         for _ in &displaced {
             self.metrics.count(Count::PermitsDisplaced);
         }
         replies.extend(displaced);
-        let report = UpstreamReport::of(permits, now);
+        let limit = permits.limit();
         drop(all);
-        self.reply(&replies, &report);
+        self.reply(&replies, &limit);
     }
 
     fn handle_release(
@@ -236,23 +209,22 @@
         permits.release(now, (from, request), release.end(), release.report());
         permits.merge_limit(limit.unwrap_or_default());
         let replies = permits.poll(now);
-        let report = UpstreamReport::of(permits, now);
+        let limit = permits.limit();
         drop(all);
-        self.reply(&replies, &report);
+        self.reply(&replies, &limit);
     }
 
-    fn reply(&self, replies: &[(RequestKey, PermitReply)], report: &UpstreamReport) {
+    fn reply(&self, replies: &[(RequestKey, PermitReply)], limit: &RateLimit) {
         for &((to, request), reply) in replies {
-            self.send(to, request, reply.into(), report);
+            self.send(to, request, reply.into(), limit);
         }
     }
 
-    fn send(&self, to: SocketAddr, request: u64, payload: Payload, report: &UpstreamReport) {
+    fn send(&self, to: SocketAddr, request: u64, payload: Payload, limit: &RateLimit) {
         let datagram = Datagram {
             request,
             payload: Some(payload),
-            limit: RateLimitMessage::new(BootClock.now(), &report.limit),
-            pace: report.pace.map(Into::into),
+            limit: RateLimitMessage::new(BootClock.now(), limit),
         };
         let bytes = datagram.encode_to_vec();
         // A datagram that the socket does not accept counts as lost on the way.
