direct: reservation of capacity for requests that must not run twice

A state machine decides for one request which upstreams are asked for a permit, whether it is queued at one of them, and what follows if no permit host replies. The load estimate of an upstream records when it refused a permit as full. Nothing uses either yet.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`crashes`]: detection and quarantine of requests that crash upstreams.
 //! - [`permits`]: permits at an upstream, granted by one host.
 //! - [`permit_hosts`]: selection of that host.
+//! - [`reservation`]: which permits are requested for a request, and what follows without one.
 //! - [`retry`]: whether a request is retried after a failed attempt.
 
 pub mod caller_retries;
@@ -32,6 +33,7 @@
 pub mod permits;
 mod recent_starts;
 pub mod registry;
+pub mod reservation;
 pub mod retry;
 pub mod routes;
 mod start_schedule;
@@ -49,6 +51,7 @@
 pub use permit_hosts::{PermitHost, PermitHosts};
 pub use permits::{PermitEnd, PermitReply, PermitRequest, PermitSettings, Permits};
 pub use registry::{Registration, UpstreamRegistry, UpstreamState};
+pub use reservation::{PermitRefusal, Reservation, Step, host_share};
 pub use retry::{AttemptEnd, RetryDecision, RetrySettings, RetryState};
 pub use routes::{RouteKey, RouteTable, Splitter};
 pub use status::{AnnouncedLimit, RateLimit, UpstreamStatus};
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -106,6 +106,8 @@
     /// Earliest time of the next request that is sent without a permit because no permit host
     /// replies.
     next_without_permit: Option<Timestamp>,
+    /// End of the service time in which the upstream refused a permit as full.
+    full_until: Timestamp,
 }
 
 impl UpstreamLoad {
@@ -126,6 +128,7 @@
             paused_until: Timestamp::ZERO,
             limit: RateLimit::default(),
             next_without_permit: None,
+            full_until: Timestamp::ZERO,
         }
     }
 
@@ -187,6 +190,19 @@
         next.since(now)
     }
 
+    /// Records that the upstream refused a permit as full; `entry_service_time` is the entry's mean
+    /// service time, in seconds.
+    pub fn permit_refused(&mut self, now: Timestamp, entry_service_time: f64) {
+        let service_time = self.service_time.unwrap_or(entry_service_time);
+        self.full_until = now + Duration::from_secs_f64(service_time);
+    }
+
+    /// Returns whether the upstream refused a permit as full within its last service time.
+    #[must_use]
+    pub fn has_refused_permit(&self, now: Timestamp) -> bool {
+        now < self.full_until
+    }
+
     /// Records the status in the answer to a request that was sent at `sent_at`; returns whether
     /// the rate limit in it is to be passed on to other hosts.
     pub fn record_status(
