direct: a refusal by a full upstream counts the queue in the time until a slot is free

A request that may go elsewhere was told half a service time, whatever was queued. Hosts that queue a request at the one of two upstreams that is free first need to know which one that is.

--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -263,7 +263,7 @@
                     }
                 }
                 _ => PermitReply::Full {
-                    retry_after: Duration::from_secs_f64(service_time / 2.0),
+                    retry_after: self.time_until_free(service_time),
                 },
             };
         }
@@ -302,6 +302,14 @@
         }
     }
 
+    /// Returns the time until a request that joined the queue now would get a slot.
+    fn time_until_free(&self, service_time: f64) -> Duration {
+        let waiting: usize = self.lanes.iter().map(VecDeque::len).sum();
+        // Half of the time of the running requests is left on average.
+        let services = 0.5 + waiting as f64 / f64::from(self.slots);
+        Duration::from_secs_f64(service_time * services)
+    }
+
     /// Releases the permit of a request, or removes the request from the queue, and records the
     /// upstream's load report.
     pub fn release(&mut self, now: Timestamp, key: K, end: PermitEnd, report: Option<LoadReport>) {
--- a/crates/direct/tests/permits.rs
+++ b/crates/direct/tests/permits.rs
@@ -247,6 +247,29 @@
     assert!(!permits.has_waiting());
 }
 
+/// Requests that are refused at two upstreams are queued at the one that is free first. If the
+/// queue did not count, all hosts would queue at one of them while the other is idle.
+#[test]
+fn queued_requests_count_in_the_time_until_a_slot_is_free() {
+    let mut permits = Permits::new(SLOTS, PermitSettings::default());
+    let elsewhere = PermitRequest {
+        may_wait: false,
+        ..first_attempt()
+    };
+    let mut times = Vec::new();
+    // Three permits are granted; two requests are queued.
+    for request in 0..5 {
+        permits.acquire(at(0), request, &first_attempt());
+        if request >= 2
+            && let PermitReply::Full { retry_after } = permits.acquire(at(0), 9, &elsewhere)
+        {
+            times.push(retry_after);
+        }
+    }
+    let each = elsewhere.entry_service_time / SLOTS;
+    assert_eq!(times, [each, each * 2, each * 3]);
+}
+
 /// Upstreams on shared hardware are slow for some tenths of a second. Requests that may go
 /// elsewhere avoid such an upstream. A request on a key has only this upstream and is granted a
 /// permit; so is a request if there is no recent report.
