front: requests that must not run twice are sent with a permit or within the host's share

Hosts asked two upstreams for a permit and then sent the request by their own estimate.

A request that is not idempotent is now queued at the one of both that is free first, or refused at once as no-capacity. Where no permit host replies, it goes within the host's equal share of the entry. Idempotent requests avoid upstreams that have just refused a permit as full.

The log says what a request was sent with; counters tell how many went within the share, and how many were refused because it was used up.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limited;
 mod parts;
+mod reserved;
 mod returns;
 mod rig;
 mod soak;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -51,7 +51,7 @@
 pub use permit_hosts::{PermitHost, PermitHosts};
 pub use permits::{PermitEnd, PermitReply, PermitRequest, PermitSettings, Permits};
 pub use registry::{Registration, UpstreamRegistry, UpstreamState};
-pub use reservation::{PermitRefusal, Reservation, Step, host_share};
+pub use reservation::{HostShare, PermitRefusal, Reservation, Step};
 pub use retry::{AttemptEnd, RetryDecision, RetrySettings, RetryState};
 pub use routes::{RouteKey, RouteTable, Splitter};
 pub use status::{AnnouncedLimit, RateLimit, UpstreamStatus};
--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/reservation.rs
@@ -4,7 +4,7 @@
 //! connections. A request that is not idempotent then ends with an unknown outcome. It is therefore
 //! sent with a permit only: two upstreams are asked, and if both are full, it is queued at the one
 //! that is expected to be free first. If no permit host replies, a host sends such requests within
-//! its [share](host_share) of the entry.
+//! its [share](HostShare) of the entry.
 //!
 //! An idempotent request that gets no permit goes to the best upstream by the host's estimate.
 
@@ -179,13 +179,34 @@
     }
 }
 
-/// Returns the maximum number of requests that a host has in progress without a permit at an
-/// entry whose upstreams have `slots` in total, for requests that must not run twice.
-///
-/// With more hosts than slots, the total may exceed the slots. A host whose share were zero could
-/// serve nothing for as long as no permit host replies.
-#[must_use]
-pub fn host_share(slots: u32, hosts: usize) -> u32 {
-    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-    (slots / hosts.max(1)).max(1)
+/// Requests of this host that must not run twice and are in progress without a permit at an entry.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HostShare {
+    in_progress: u32,
+}
+
+impl HostShare {
+    /// Returns the maximum number of such requests for each of `hosts` hosts, if the upstreams of
+    /// the entry have `slots` in total.
+    ///
+    /// It is at least one, so that the total may exceed the slots if there are more hosts than
+    /// slots: with a share of zero, nothing would be served for as long as no permit host replies.
+    #[must_use]
+    pub fn max_in_progress(slots: u32, hosts: usize) -> u32 {
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        (slots / hosts.max(1)).max(1)
+    }
+
+    /// Counts a request unless the share is used up; returns whether the request was counted.
+    pub fn enter(&mut self, slots: u32, hosts: usize) -> bool {
+        let has_room = self.in_progress < Self::max_in_progress(slots, hosts);
+        self.in_progress += u32::from(has_room);
+        has_room
+    }
+
+    /// Records the end of a request that was counted.
+    pub fn leave(&mut self) {
+        debug_assert!(self.in_progress > 0, "each request ends once");
+        self.in_progress = self.in_progress.saturating_sub(1);
+    }
 }
--- a/crates/direct/tests/reservation.rs
+++ b/crates/direct/tests/reservation.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use direct::PermitRefusal::{Silent, SilentWithinLimit, Unavailable};
-use direct::{PermitRefusal, Reservation, Step, host_share};
+use direct::{HostShare, PermitRefusal, Reservation, Step};
 
 type Refused = (&'static str, PermitRefusal);
 
@@ -171,13 +171,16 @@
     }
 }
 
+/// Guards against hosts that together overfill upstreams for which no permit host replies.
 #[test]
-fn shares_add_up_to_the_slots_while_there_are_enough() {
+fn a_host_sends_no_more_than_its_share_without_permits() {
     for (slots, hosts, share) in [(12, 3, 4), (11, 3, 3), (2, 3, 1), (0, 1, 1), (5, 0, 5)] {
-        assert_eq!(
-            host_share(slots, hosts),
-            share,
-            "{slots} slots, {hosts} hosts"
-        );
+        let name = format!("{slots} slots, {hosts} hosts");
+        let mut usage = HostShare::default();
+        let entered = (0..20).filter(|_| usage.enter(slots, hosts)).count();
+        assert_eq!(entered, share, "{name}");
+        usage.leave();
+        assert!(usage.enter(slots, hosts), "{name}");
+        assert!(!usage.enter(slots, hosts), "{name}");
     }
 }
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! - [`body`]: reads a request's body.
 //! - `retry_loop`: attempts of one request.
 //! - `pick`: selection of the target of an attempt.
+//! - `reserve`: capacity for requests that any upstream of their entry may run.
 //! - `attempt`: one attempt.
 //! - `exchange`: one exchange with an upstream, over this host's own link or through another host.
 //! - `reply`: refusals and other responses to callers.
@@ -14,6 +15,7 @@
 mod pick;
 mod prepare;
 mod reply;
+mod reserve;
 mod retry_loop;
 
 use std::cell::{Cell, RefCell};
@@ -24,7 +26,7 @@
 
 use bytes::Bytes;
 use direct::{
-    CallerRetries, ChooseSettings, LoadSettings, Registration, RetrySettings, Splitter,
+    CallerRetries, ChooseSettings, HostShare, LoadSettings, Registration, RetrySettings, Splitter,
     UpstreamLoad, WarmupBounds,
 };
 use gate::Metrics;
@@ -63,6 +65,7 @@
 struct EntryState {
     service_time: f64,
     budget: RetryBudget,
+    share: HostShare,
 }
 
 /// Forwards requests of callers to upstreams; runs on the request thread.
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -6,7 +6,7 @@
     Candidate, Choice, ColdStart, LinkState, PermitRequest, PermitSettings, Registration,
     RequestNeeds, RetryState, UpstreamLoad, choose,
 };
-use ids::{BootClock, Clock, EntryId, Reason, Timestamp, UpstreamId};
+use ids::{BootClock, Clock, EntryId, Reason, Timestamp};
 use rand::Rng;
 
 use super::reply::{
@@ -33,51 +33,6 @@
 /// Maximum time until a caller should retry at an upstream that has no reachable permit host.
 const NO_PERMIT_HOST_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Maximum number of upstreams that are asked for a permit for one request that any of them may
-/// run; after that, it goes to the best one by this host's estimate without a permit.
-///
-/// Two choices bring most of the benefit of knowing all queues.
-const MAX_PERMIT_REQUESTS: usize = 2;
-
-/// Upstreams that a request is not sent to.
-#[derive(Debug, Default)]
-pub(super) struct ExcludedUpstreams {
-    failed: Vec<UpstreamId>,
-    full: Vec<UpstreamId>,
-    skips_permits: bool,
-}
-
-impl ExcludedUpstreams {
-    /// Excludes an upstream at which an attempt failed.
-    pub(super) fn add_failed(&mut self, id: UpstreamId) {
-        self.failed.push(id);
-    }
-
-    /// Excludes an upstream that grants no permit now.
-    pub(super) fn add_full(&mut self, id: UpstreamId) {
-        self.full.push(id);
-        if self.full.len() >= MAX_PERMIT_REQUESTS {
-            self.readmit_full();
-        }
-    }
-
-    /// Lets the upstreams that granted no permit be chosen again, without asking them; returns
-    /// whether there were any.
-    pub(super) fn readmit_full(&mut self) -> bool {
-        self.skips_permits = true;
-        !std::mem::take(&mut self.full).is_empty()
-    }
-
-    /// Returns whether another upstream may be asked for a permit.
-    pub(super) const fn may_request_permit(&self) -> bool {
-        !self.skips_permits
-    }
-
-    fn contains(&self, id: &UpstreamId) -> bool {
-        self.failed.contains(id) || self.full.contains(id)
-    }
-}
-
 /// Target of an attempt.
 pub(super) enum Pick {
     To(Registration),
@@ -85,31 +40,31 @@
     Wait,
     /// The key gets its owner in time for the request.
     WaitForMove,
+    /// Another step of the reservation follows.
+    Again,
     /// No upstream gets the request; holds the upstream that it would have gone to, if there is
     /// one.
     Refuse(Refusal, Option<Registration>),
 }
 
 impl Forwarder {
-    pub(super) fn pick(
+    /// Selects the best upstream by this host's estimate among those for which `may_get` is true.
+    pub(super) fn pick_best(
         &self,
         view: &View,
         request: &CallerRequest,
-        excluded: &ExcludedUpstreams,
+        may_get: impl Fn(&Registration) -> bool,
         now: Timestamp,
     ) -> Pick {
-        if request.is_divided {
-            return self.pick_owner(view, request, now);
-        }
         let service_time = self.entry_service_time(&request.entry);
-        let mut loads = self.loads.borrow_mut();
         let mut ready = view.registry.ready(&request.entry);
+        ready.retain(|up| may_get(up));
+        let mut loads = self.loads.borrow_mut();
         for up in &ready {
             if !loads.contains_key(&up.id) {
                 loads.insert(up.id.clone(), UpstreamLoad::new(up.slots));
             }
         }
-        ready.retain(|u| !excluded.contains(&u.id));
         if !ready.is_empty() {
             // Hosts without state of the upstreams must not all start with the same one.
             let offset = rand::rng().random_range(0..ready.len());
@@ -206,29 +161,37 @@
         Pick::WaitForMove
     }
 
-    /// Requests admission for a request to `target`; a request on a key is queued there.
+    /// Returns whether the upstreams of the request's entry answer too fast for permits; those that
+    /// are cold or have a rate limit are asked all the same.
+    pub(super) fn skips_permits(&self, request: &CallerRequest, target: &Registration) -> bool {
+        let service_time = Duration::from_secs_f64(self.entry_service_time(&request.entry));
+        service_time < PermitSettings::default().min_service_time
+            && !self.needs_permit(request, target)
+    }
+
+    /// Requests admission for a request to `target`; if it is full and `may_wait`, the request is
+    /// queued there.
     pub(super) async fn admit(
         &self,
         view: &View,
         request: &CallerRequest,
         target: &Registration,
+        may_wait: bool,
     ) -> Admission {
         let now = BootClock.now();
+        if self.skips_permits(request, target) {
+            return self.admit_by_estimate(request, target, now);
+        }
         let service_time = Duration::from_secs_f64(self.entry_service_time(&request.entry));
         let cold = self.cold_start(request, target, now);
-        let is_cold = cold.is_some_and(|cold| !cold.remaining.is_zero());
         let limit = self.with_load(target, |load| load.limit());
-        let is_rate_limited = is_cold || limit.per_s().is_some();
-        if service_time < PermitSettings::default().min_service_time && !is_rate_limited {
-            return self.admit_by_estimate(request, target, now);
-        }
         let elapsed = request.since_first_request + now.since(request.arrived);
         let permit_request = PermitRequest {
             priority: request.priority,
             until_objective: request.route.objective.saturating_sub(elapsed),
             until_deadline: request.deadline.since(now),
             entry_service_time: service_time,
-            may_wait: request.is_divided,
+            may_wait,
             cold,
             limit,
             skipped_hosts: 0,
@@ -299,16 +262,16 @@
         }
     }
 
-    /// Returns when `owner` has room again if it is full by this host's estimate.
-    fn full_by_estimate(
+    /// Returns when `target` has room again if it is full by this host's estimate.
+    pub(super) fn full_by_estimate(
         &self,
         request: &CallerRequest,
-        owner: &Registration,
+        target: &Registration,
         now: Timestamp,
     ) -> Option<Duration> {
         let service_time = self.entry_service_time(&request.entry);
         let left = request.deadline.since(now).as_secs_f64();
-        self.with_load(owner, |load| {
+        self.with_load(target, |load| {
             let expected = load.expected_time(now, service_time, &self.load_cfg);
             let occupancy = load.occupancy(now, &self.load_cfg);
             let is_admitted =
--- a/crates/front/src/forward/prepare.rs
+++ b/crates/front/src/forward/prepare.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use direct::{LoadReport, Priority, RequestFingerprint, Route, Warmup};
+use direct::{HostShare, LoadReport, Priority, RequestFingerprint, Route, Warmup};
 use http::{Request, Response, header, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -128,6 +128,7 @@
         let state = entries.entry(entry.clone()).or_insert_with(|| EntryState {
             service_time: DEFAULT_SERVICE_TIME,
             budget: RetryBudget::new(settings),
+            share: HostShare::default(),
         });
         state.budget.configure(settings);
         state.budget.record_request(now);
--- a/crates/front/src/forward/retry_loop.rs
+++ b/crates/front/src/forward/retry_loop.rs
@@ -4,19 +4,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use direct::{
-    AttemptEnd, LinkState, PermitEnd, Registration, RetryDecision, RetryState, UpstreamState,
-};
+use direct::{AttemptEnd, LinkState, PermitEnd, Registration, RetryDecision, RetryState};
 use http::Response;
 use http_body_util::Full;
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp};
 
-use super::pick::{ExcludedUpstreams, MOVE_POLL, Pick};
+use super::pick::{MOVE_POLL, Pick};
 use super::prepare::CallerRequest;
 use super::reply::{
     Refusal, account_for_attempts, refusal_after_failure, refusal_at_deadline, refuse_for_about,
     refuse_for_at_least,
 };
+use super::reserve::{Admitted, Targets};
 use super::{Forwarder, MIN_TIME_LEFT};
 use crate::permits::Admission;
 use crate::request_log::RequestLog;
@@ -26,11 +25,9 @@
 enum SendOutcome {
     /// The upstream answered, or the attempt ended without an answer for the caller.
     Ended(Result<Response<Full<Bytes>>, AttemptEnd>),
-    /// While the request waited, its key got another owner, the upstream left, or the request was
-    /// quarantined.
-    TargetChanged,
-    /// The upstream accepts no more requests for now.
-    NoCapacity(NoCapacity),
+    /// The upstream granted no permit. Or while the request waited, its key got another owner, the
+    /// upstream left, or the request was quarantined.
+    NotSent,
 }
 
 /// Why an upstream accepts no more requests for now.
@@ -43,11 +40,10 @@
 }
 
 /// Progress of a request over its attempts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Progress {
     retry_state: RetryState,
-    /// Upstreams that the request is not sent to.
-    excluded: ExcludedUpstreams,
+    targets: Targets,
     /// How the last attempt ended.
     last: Option<AttemptEnd>,
 }
@@ -60,7 +56,11 @@
         log: &RefCell<RequestLog>,
     ) -> Result<Response<Full<Bytes>>, Refusal> {
         self.report_demand(&self.view.load(), request);
-        let mut progress = Progress::default();
+        let mut progress = Progress {
+            retry_state: RetryState::default(),
+            targets: Targets::new(request.route.idempotent),
+            last: None,
+        };
         loop {
             let view = self.view.load_full();
             let Some(target) = self.next_target(&view, request, &mut progress, log).await? else {
@@ -68,21 +68,16 @@
             };
             let now = BootClock.now();
             self.log_target(&mut log.borrow_mut(), &target, now);
-            let sent = self.send(&view, request, &target, &progress.excluded, log);
-            let result = match sent.await {
-                SendOutcome::Ended(result) => result,
-                SendOutcome::TargetChanged => continue,
-                SendOutcome::NoCapacity(no_capacity) => {
-                    self.exclude(request, target, no_capacity, &mut progress)?;
-                    continue;
-                }
-            };
-            match result {
-                Ok(response) => {
+            let sent = self.send(&view, request, &target, &mut progress, log);
+            match sent.await? {
+                SendOutcome::NotSent => {}
+                SendOutcome::Ended(Ok(response)) => {
                     self.crash_detector.record_answer(request.fingerprint);
                     return Ok(response);
                 }
-                Err(end) => self.retry(request, target, end, &mut progress, log).await?,
+                SendOutcome::Ended(Err(end)) => {
+                    self.retry(request, target, end, &mut progress, log).await?;
+                }
             }
         }
     }
@@ -106,8 +101,14 @@
                 retry_state,
             ));
         }
-        match self.pick(view, request, &progress.excluded, now) {
+        let pick = if request.is_divided {
+            self.pick_owner(view, request, now)
+        } else {
+            self.pick_for_step(view, request, &mut progress.targets, now)
+        };
+        match pick {
             Pick::To(target) => Ok(Some(target)),
+            Pick::Again => Ok(None),
             Pick::Wait => {
                 self.wait_for_owner(request, retry_state, now).await?;
                 Ok(None)
@@ -116,7 +117,6 @@
                 tokio::time::sleep(MOVE_POLL).await;
                 Ok(None)
             }
-            Pick::Refuse(..) if progress.excluded.readmit_full() => Ok(None),
             Pick::Refuse(refusal, target) => {
                 if let Some(target) = target {
                     self.log_target(&mut log.borrow_mut(), &target, now);
@@ -131,34 +131,6 @@
         }
     }
 
-    /// Excludes `target`, which has no room; refuses a request that no other upstream may run.
-    fn exclude(
-        &self,
-        request: &CallerRequest,
-        target: Registration,
-        no_capacity: NoCapacity,
-        progress: &mut Progress,
-    ) -> Result<(), Refusal> {
-        let NoCapacity {
-            retry_after,
-            is_rate_limited,
-        } = no_capacity;
-        if is_rate_limited {
-            let now = BootClock.now();
-            self.with_load(&target, |load| load.suspend(now, retry_after));
-        }
-        if request.is_divided {
-            let refusal = self.no_capacity_refusal(&target, no_capacity);
-            return Err(account_for_attempts(refusal, &progress.retry_state));
-        }
-        if is_rate_limited {
-            progress.excluded.add_failed(target.id);
-        } else {
-            progress.excluded.add_full(target.id);
-        }
-        Ok(())
-    }
-
     /// Builds the refusal for a request whose key's owner has no room.
     fn no_capacity_refusal(&self, owner: &Registration, no_capacity: NoCapacity) -> Refusal {
         let limit = self.with_load(owner, |load| load.limit());
@@ -218,8 +190,9 @@
         }
         // An upstream is not to blame for a lost link, and is reached through another host.
         if self.links.state(&target.id) == LinkState::Usable {
-            progress.excluded.add_failed(target.id);
+            progress.targets.exclude(target.id);
         }
+        progress.targets.begin_attempt();
         progress.last = Some(end);
         Ok(())
     }
@@ -230,48 +203,57 @@
         view: &View,
         request: &CallerRequest,
         target: &Registration,
-        excluded: &ExcludedUpstreams,
+        progress: &mut Progress,
         log: &RefCell<RequestLog>,
-    ) -> SendOutcome {
-        let mut permit = None;
-        let is_rate_limited = self.needs_permit(request, target);
-        if request.is_divided || excluded.may_request_permit() || is_rate_limited {
-            match self.admit(view, request, target).await {
-                Admission::Granted(granted) => permit = Some(granted),
-                Admission::Full { retry_after } => {
-                    return SendOutcome::NoCapacity(NoCapacity {
-                        retry_after,
-                        is_rate_limited,
-                    });
-                }
-                Admission::RateLimited { retry_after, .. } => {
-                    return SendOutcome::NoCapacity(NoCapacity {
-                        retry_after,
-                        is_rate_limited: true,
-                    });
-                }
-                Admission::Unknown => {}
-            }
-        }
-        if !self.may_still_send(request, target) {
-            return SendOutcome::TargetChanged;
-        }
-        log.borrow_mut().sent += 1;
+    ) -> Result<SendOutcome, Refusal> {
+        let admitted = if request.is_divided {
+            self.admit_at_owner(view, request, target).await.map(Some)
+        } else {
+            let targets = &mut progress.targets;
+            self.reserve(view, request, target, targets).await
+        };
+        let admitted =
+            admitted.map_err(|refusal| account_for_attempts(refusal, &progress.retry_state))?;
+        let Some(mut admitted) = admitted.filter(|_| self.may_still_send(request, target)) else {
+            return Ok(SendOutcome::NotSent);
+        };
+        log.borrow_mut().record_sent(admitted.sent_with());
         let result = self.attempt(request, target).await;
-        if let Some(permit) = &mut permit {
-            let limit = self.with_load(target, |load| load.limit());
-            let mut end = permit_end(&result);
-            // This host's links may be the cause.
-            if end == PermitEnd::NoResponse && self.suspects_link(target) {
-                end = PermitEnd::Unknown;
-            }
-            permit.record_end(end, request.report.take(), limit);
+        if let Some(permit) = admitted.permit() {
+            self.record_permit_end(request, target, permit, permit_end(&result));
+        }
+        Ok(SendOutcome::Ended(result))
+    }
+
+    /// Admits a request on a key to its owner, where it may be queued.
+    async fn admit_at_owner(
+        &self,
+        view: &View,
+        request: &CallerRequest,
+        owner: &Registration,
+    ) -> Result<Admitted<'_>, Refusal> {
+        let is_rate_limited = self.needs_permit(request, owner);
+        let no_capacity = match self.admit(view, request, owner, true).await {
+            Admission::Granted(permit) => return Ok(Admitted::Permit(permit)),
+            Admission::Unknown => return Ok(Admitted::Estimate),
+            Admission::Full { retry_after } => NoCapacity {
+                retry_after,
+                is_rate_limited,
+            },
+            Admission::RateLimited { retry_after, .. } => NoCapacity {
+                retry_after,
+                is_rate_limited: true,
+            },
+        };
+        if no_capacity.is_rate_limited {
+            let now = BootClock.now();
+            self.with_load(owner, |load| load.suspend(now, no_capacity.retry_after));
         }
-        SendOutcome::Ended(result)
+        Err(self.no_capacity_refusal(owner, no_capacity))
     }
 
     /// Returns whether requests to `target` need a permit: it is cold or has a rate limit.
-    fn needs_permit(&self, request: &CallerRequest, target: &Registration) -> bool {
+    pub(super) fn needs_permit(&self, request: &CallerRequest, target: &Registration) -> bool {
         let is_cold = request.warmup.is_some() && BootClock.now() < target.cold_until;
         is_cold || self.with_load(target, |load| load.limit().per_s().is_some())
     }
@@ -290,9 +272,8 @@
             return false;
         }
         if !request.is_divided {
-            let takes_new = |up: &Registration| up.state == UpstreamState::Ready;
-            let is_there = view.registry.get(&target.id).is_some_and(takes_new);
-            return is_there && self.with_load(target, |l| l.paused_for(now).is_zero());
+            let up = view.registry.get(&target.id);
+            return up.is_some_and(|up| self.takes_requests(up, now));
         }
         let pick = self.pick_owner(&view, request, now);
         matches!(pick, Pick::To(owner) if owner.id == target.id)
--- a/crates/front/src/request_log.rs
+++ b/crates/front/src/request_log.rs
@@ -21,6 +21,29 @@
 /// One in this many answered requests is logged.
 const SAMPLE_INTERVAL: u32 = 128;
 
+/// What a request was sent with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SentWith {
+    /// A permit at the upstream.
+    Permit,
+    /// Nothing but this host's estimate of the upstream's load.
+    Estimate,
+    /// A place in this host's share of the entry, as no permit host replied.
+    Share,
+}
+
+impl SentWith {
+    /// Returns the text in log lines.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Permit => "permit",
+            Self::Estimate => "estimate",
+            Self::Share => "share",
+        }
+    }
+}
+
 /// What is known of a request while it is served.
 #[derive(Debug, Clone, Default)]
 pub struct RequestLog {
@@ -44,6 +67,8 @@
     pub report_age: Option<Duration>,
     /// Number of times that the request was sent.
     pub sent: u32,
+    /// What it was last sent with.
+    pub sent_with: Option<SentWith>,
 }
 
 impl RequestLog {
@@ -65,6 +90,12 @@
         self.occupancy = occupancy;
         self.report_age = report_age;
     }
+
+    /// Records that the request is sent.
+    pub const fn record_sent(&mut self, sent_with: SentWith) {
+        self.sent += 1;
+        self.sent_with = Some(sent_with);
+    }
 }
 
 /// Writes log lines about requests, up to a maximum rate.
@@ -188,7 +219,8 @@
             "upstream" => request.upstream.as_str(),
             "crowd" => (request.occupancy * 100.0).round() / 100.0,
             "report_age_ms" => request.report_age.map(millis),
-            "sent" => request.sent);
+            "sent" => request.sent,
+            "sent_with" => request.sent_with.map(SentWith::as_str));
     }
 
     /// Returns whether another line may be written; logs how many were left out before.
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -117,6 +117,8 @@
     PeerRequests = "peer.requests-sent", "requests", "Requests that went to their upstream through another host.";
     PeerRequestsServed = "peer.requests-served", "requests", "Requests of other hosts that this one sent to an upstream.";
     PermitsSilent = "permits.silent", "requests", "Requests for a permit to send that no host replied to.";
+    SentInShare = "permits.sent-in-share", "requests", "Requests that must not run twice, sent without a permit within the host's share of their entry, as no host replied.";
+    ShareUsedUp = "permits.share-used-up", "requests", "Requests that must not run twice, refused as no host replied and the host's share of their entry was used up.";
     RegistrationsRefused = "registrations.refused", "registrations", "Registrations of upstreams read that make no sense.";
     SamplesDropped = "samples.dropped", "samples", "Load samples dropped because their ring was full.";
 }
--- a/crates/ids/src/outcome.rs
+++ b/crates/ids/src/outcome.rs
@@ -103,6 +103,7 @@
     RateLimit = "rate-limit", NotRun, 429, "The entry's rate limit is reached.";
     ConcurrencyLimit = "concurrency-limit", NotRun, 429, "The entry's concurrency limit is reached.";
     QueueFull = "queue-full", NotRun, 503, "The upstream's queue is full.";
+    NoCapacity = "no-capacity", NotRun, 503, "No upstream's capacity could be reserved for the request, which must not run twice.";
     UpstreamLimit = "upstream-limit", NotRun, 503, "The upstream says how many requests a second it takes, and gets as many.";
     HostMemory = "host-memory", NotRun, 503, "The host holds as many bytes of requests and answers as it may.";
     Overload = "overload", NotRun, 503, "The queue has stood too long; the request was dropped from it unsent.";
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -140,9 +140,11 @@
         | Reason::AnswerMismatch
         | Reason::UpstreamReset
         | Reason::HostLost => RetryKind::Any,
-        Reason::DeadlineTooShort | Reason::QueueFull | Reason::UpstreamLimit | Reason::Overload => {
-            RetryKind::Other
-        }
+        Reason::DeadlineTooShort
+        | Reason::QueueFull
+        | Reason::NoCapacity
+        | Reason::UpstreamLimit
+        | Reason::Overload => RetryKind::Other,
         Reason::BadRequest
         | Reason::MissingKey
         | Reason::BadDeadline
