--- a/crates/front/src/forward/reserve.rs
+++ b/crates/front/src/forward/reserve.rs
@@ -225,7 +225,7 @@
         let mut admission = self.admit(view, request, target, may_wait).await;
         if matches!(admission, Admission::Unknown) && !request.route.idempotent && !is_rate_limited
         {
-            // The host that did not reply is in backoff now, so that the next one in rank is asked.
+            // A host that did not reply twice is in backoff, so that the next one in rank is asked.
             admission = self.admit(view, request, target, may_wait).await;
         }
         let refusal = match admission {
