direct, front: the host's own view counts when a request is queued at one of two upstreams

The choice among upstreams adds to the expected time where an upstream fails, is in another failure domain or has no open connection. The choice of the queue ignored that. A request is also queued at the first upstream at once if that is better than a permit at the second.

--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -92,6 +92,29 @@
     pub is_connected: bool,
 }
 
+impl<K> Candidate<'_, K> {
+    /// Returns the score of the upstream if it is expected to answer after `expected_time` seconds:
+    /// that time, and what is added where it fails, is remote or is not connected. The lowest one is
+    /// the best.
+    #[must_use]
+    pub fn score(
+        &self,
+        now: Timestamp,
+        expected_time: f64,
+        objective: Duration,
+        load: &LoadSettings,
+        cfg: &ChooseSettings,
+    ) -> f64 {
+        let failure_probability = self.load.failure_probability(now, load);
+        let penalty = |applies: bool, fraction: f64| {
+            f64::from(u8::from(applies)) * objective.as_secs_f64() * fraction
+        };
+        expected_time * (1.0 + cfg.failure_penalty * failure_probability)
+            + penalty(self.is_remote, cfg.remote_penalty)
+            + penalty(!self.is_connected, cfg.connect_penalty)
+    }
+}
+
 /// Result of [`choose`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Choice<K> {
@@ -149,8 +172,6 @@
         entry_service_time,
         ..
     } = needs;
-    let remote_penalty = objective.as_secs_f64() * cfg.remote_penalty;
-    let connect_penalty = objective.as_secs_f64() * cfg.connect_penalty;
     let mut best: Option<(bool, f64, K, f64)> = None;
     let mut retry_after = f64::INFINITY;
     for c in candidates {
@@ -167,14 +188,7 @@
             retry_after = retry_after.min(c.load.service_time().unwrap_or(entry_service_time));
             continue;
         }
-        let failure_factor = 1.0 + cfg.failure_penalty * c.load.failure_probability(now, load);
-        let mut score = expected_time * failure_factor;
-        if c.is_remote {
-            score += remote_penalty;
-        }
-        if !c.is_connected {
-            score += connect_penalty;
-        }
+        let score = c.score(now, expected_time, objective, load, cfg);
         let is_unreachable = c.load.is_in_backoff(now);
         let is_better = best.is_none_or(|(best_unreachable, best_score, ..)| {
             (is_unreachable, score) < (best_unreachable, best_score)
--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/reservation.rs
@@ -3,7 +3,8 @@
 //! Many hosts that send to a full upstream by their own estimates overfill it, and it closes
 //! connections. A request that is not idempotent then ends with an unknown outcome. It is therefore
 //! sent with a permit only: two upstreams are asked, and if both are full, it is queued at the one
-//! that is expected to be free first. If no permit host replies, a host sends such requests within
+//! that is expected to be free first. What the host knows of its own way to an upstream counts in
+//! that as in the [choice](crate::choose::choose) without permits. If no permit host replies, a host sends such requests within
 //! its [share](HostShare) of the entry.
 //!
 //! An idempotent request that gets no permit goes to the best upstream by the host's estimate.
@@ -42,12 +43,14 @@
 }
 
 /// Result of asking an upstream for a permit that was not granted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum PermitRefusal {
     /// The upstream is full.
     Full {
         /// Time until a slot is expected to be free.
         retry_after: Duration,
+        /// The upstream's [score](crate::choose::Candidate::score) if the request is queued there.
+        score: f64,
     },
     /// The upstream takes no request now: it is cold, has a rate limit, or has left.
     Unavailable,
@@ -62,8 +65,8 @@
 #[derive(Debug, Clone)]
 pub struct Reservation<K> {
     is_idempotent: bool,
-    /// Upstreams that refused a permit as full, with the time until a slot is free there.
-    full: Vec<(K, Duration)>,
+    /// Upstreams that refused a permit as full, with their scores if the request is queued there.
+    full: Vec<(K, f64)>,
     /// Upstreams for which no permit host replied.
     silent: Vec<K>,
     step: Step<K>,
@@ -99,11 +102,11 @@
     /// caller.
     pub fn refused(&mut self, upstream: K, refusal: PermitRefusal) {
         match refusal {
-            PermitRefusal::Full { retry_after } if self.is_queueing_at(&upstream) => {
+            PermitRefusal::Full { retry_after, .. } if self.is_queueing_at(&upstream) => {
                 self.step = Step::Refuse { retry_after };
             }
-            PermitRefusal::Full { retry_after } => {
-                self.full.push((upstream, retry_after));
+            PermitRefusal::Full { score, .. } => {
+                self.full.push((upstream, score));
                 self.decide_once_asked();
             }
             PermitRefusal::Unavailable => self.give_up(&upstream),
@@ -122,7 +125,14 @@
         }
     }
 
-    /// Records that no further upstream can be asked; returns whether there is another step.
+    /// Returns whether a request that is not idempotent is better queued at an upstream that was
+    /// asked than granted a permit at another one with this `score`.
+    #[must_use]
+    pub fn prefers_queue(&self, score: f64) -> bool {
+        !self.is_idempotent && self.full.iter().any(|&(_, queued)| queued <= score)
+    }
+
+    /// Records that no further upstream is to be asked; returns whether there is another step.
     pub fn exhausted(&mut self) -> bool {
         let has_asked = !self.full.is_empty() || !self.silent.is_empty();
         if self.step != Step::Ask || !has_asked {
@@ -167,10 +177,9 @@
     }
 
     fn decide(&mut self) {
-        // Of several with the same time, `min_by_key` returns the one that was asked first, which
-        // is better by the host's estimate.
-        let first_free = self.full.iter().min_by_key(|(_, retry_after)| *retry_after);
-        self.step = match first_free {
+        // Of several with the same score, `min_by` returns the one that was asked first.
+        let best = self.full.iter().min_by(|a, b| a.1.total_cmp(&b.1));
+        self.step = match best {
             Some(_) if self.is_idempotent => Step::SendToBest,
             Some((upstream, _)) => Step::Queue(upstream.clone()),
             None if self.silent.is_empty() => Step::Ask,
--- a/crates/direct/tests/reservation.rs
+++ b/crates/direct/tests/reservation.rs
@@ -10,6 +10,7 @@
 const fn full(ms: u64) -> PermitRefusal {
     PermitRefusal::Full {
         retry_after: Duration::from_millis(ms),
+        score: ms as f64 / 1_000.0,
     }
 }
 
@@ -44,13 +45,13 @@
         steps_if_exhausted: [Step::Queue("a"), Step::SendToBest],
     },
     Case {
-        name: "both full: the one that is free first",
+        name: "both full: the one with the lower score",
         refused: &[("a", full(50)), ("b", full(40))],
         steps: [Step::Queue("b"), Step::SendToBest],
         steps_if_exhausted: [Step::Queue("b"), Step::SendToBest],
     },
     Case {
-        name: "both full until the same time: the better one by the estimate",
+        name: "both full with the same score: the better one by the estimate",
         refused: &[("a", full(50)), ("b", full(50))],
         steps: [Step::Queue("a"), Step::SendToBest],
         steps_if_exhausted: [Step::Queue("a"), Step::SendToBest],
@@ -160,6 +161,20 @@
     assert_eq!(*both_silent.step(), SHARE);
 }
 
+/// Guards against requests that fail at an upstream that the host does not reach, as another one has
+/// a queue.
+#[test]
+fn a_short_queue_is_preferred_to_a_bad_upstream() {
+    for (is_idempotent, score, is_preferred) in [
+        (false, 0.06, true),
+        (false, 0.04, false),
+        (true, 0.06, false),
+    ] {
+        let reservation = reservation(is_idempotent, &[("a", full(50))]);
+        assert_eq!(reservation.prefers_queue(score), is_preferred, "{score}");
+    }
+}
+
 /// Guards against a second attempt without a permit.
 #[test]
 fn each_attempt_that_must_not_run_twice_needs_a_permit() {
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -70,15 +70,9 @@
             let offset = rand::rng().random_range(0..ready.len());
             ready.rotate_left(offset);
         }
-        let candidates = ready.into_iter().filter_map(|up| {
-            Some(Candidate {
-                key: up,
-                load: loads.get(&up.id)?,
-                is_remote: up.domain != self.domain,
-                is_cold: now < up.cold_until,
-                is_connected: self.connections.has_idle(now, &up.id),
-            })
-        });
+        let candidates = ready
+            .into_iter()
+            .filter_map(|up| Some(self.candidate(up, loads.get(&up.id)?, now)));
         let needs = request_needs(request, service_time);
         let (load, cfg) = (&self.load_cfg, &self.choose_cfg);
         match choose(now, needs, candidates, load, cfg) {
@@ -102,6 +96,22 @@
         }
     }
 
+    /// Returns what the choice among upstreams depends on.
+    pub(super) fn candidate<'a>(
+        &self,
+        up: &'a Registration,
+        load: &'a UpstreamLoad,
+        now: Timestamp,
+    ) -> Candidate<'a, &'a Registration> {
+        Candidate {
+            key: up,
+            load,
+            is_remote: up.domain != self.domain,
+            is_cold: now < up.cold_until,
+            is_connected: self.connections.has_idle(now, &up.id),
+        }
+    }
+
     pub(super) fn pick_owner(&self, view: &View, request: &CallerRequest, now: Timestamp) -> Pick {
         let owners = view.owners.get(&request.entry);
         let Some(range) = request
--- a/crates/front/src/forward/reserve.rs
+++ b/crates/front/src/forward/reserve.rs
@@ -111,10 +111,17 @@
         match targets.reservation.step().clone() {
             Step::Ask => {
                 let best = self.pick_best(view, request, |up| targets.may_ask(up), now);
-                match best {
-                    Pick::Refuse(..) if targets.reservation.exhausted() => Pick::Again,
-                    best => best,
+                let has_other = match &best {
+                    Pick::To(up) => {
+                        let score = self.score(request, up, Duration::ZERO, now);
+                        !targets.reservation.prefers_queue(score)
+                    }
+                    _ => false,
+                };
+                if !has_other && targets.reservation.exhausted() {
+                    return Pick::Again;
                 }
+                best
             }
             Step::SendToBest => self.pick_without_permit(view, request, targets, now),
             Step::Queue(id) | Step::SendTo(id) | Step::SendInShare { upstream: Some(id) } => {
@@ -232,7 +239,8 @@
             Admission::Granted(permit) => return Ok(Some(Admitted::Permit(permit))),
             Admission::Full { retry_after } if !is_rate_limited => {
                 self.record_permit_refused(request, target);
-                PermitRefusal::Full { retry_after }
+                let score = self.score(request, target, retry_after, BootClock.now());
+                PermitRefusal::Full { retry_after, score }
             }
             Admission::Full { retry_after } | Admission::RateLimited { retry_after, .. } => {
                 let now = BootClock.now();
@@ -247,6 +255,34 @@
         Ok(None)
     }
 
+    /// Returns the score of an upstream at which the request has to wait for `wait`; if it need not,
+    /// this host's estimate of the load counts.
+    fn score(
+        &self,
+        request: &CallerRequest,
+        up: &Registration,
+        wait: Duration,
+        now: Timestamp,
+    ) -> f64 {
+        let service_time = self.entry_service_time(&request.entry);
+        let objective = request.route.objective;
+        self.with_load(up, |load| {
+            let expected_time = if wait.is_zero() {
+                load.expected_time(now, service_time, &self.load_cfg)
+            } else {
+                wait.as_secs_f64() + load.service_time().unwrap_or(service_time)
+            };
+            let candidate = self.candidate(up, load, now);
+            candidate.score(
+                now,
+                expected_time,
+                objective,
+                &self.load_cfg,
+                &self.choose_cfg,
+            )
+        })
+    }
+
     fn record_permit_refused(&self, request: &CallerRequest, target: &Registration) {
         let service_time = self.entry_service_time(&request.entry);
         let now = BootClock.now();
