--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -118,6 +118,7 @@
     PeerRequestsServed = "peer.requests-served", "requests", "Requests of other hosts that this one sent to an upstream.";
     PermitsSilent = "permits.silent", "requests", "Requests for a permit to send that no host replied to.";
     PermitsAskedAgain = "permits.asked-again", "requests", "Requests for a permit that were repeated because no reply, or no permit, had come in the expected time.";
+    PermitsDisplaced = "permits.displaced", "requests", "Queued requests for a permit that this host refused in favour of a later one of a more urgent route or of a failure domain that uses less.";
     SentInShare = "permits.sent-in-share", "requests", "Requests that must not run twice, sent without a permit within the host's share of their entry, as no host replied.";
     ShareUsedUp = "permits.share-used-up", "requests", "Requests that must not run twice, refused as no host replied and the host's share of their entry was used up.";
     RegistrationsRefused = "registrations.refused", "registrations", "Registrations of upstreams read that make no sense.";
