--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`permit_queue`]: the requests that are queued there, in the order of service.
 //! - `permit_demand`: the demand there, and when refused callers may return.
 //! - [`permit_hosts`]: selection of that host.
+//! - [`reservation`]: which permits are requested for a request, and what follows without one.
 //! - [`retry`]: whether a request is retried after a failed attempt.
 
 pub mod caller_retries;
@@ -36,6 +37,7 @@
 pub mod permits;
 mod recent_starts;
 pub mod registry;
+pub mod reservation;
 pub mod retry;
 pub mod routes;
 mod start_schedule;
@@ -54,6 +56,7 @@
 pub use permit_queue::{DomainKey, PermitQueue, QueueSettings, QueuedRequest};
 pub use permits::{PermitEnd, PermitReply, PermitRequest, PermitSettings, Permits};
 pub use registry::{Registration, UpstreamRegistry, UpstreamState};
+pub use reservation::{HostShare, PermitRefusal, Reservation, Step};
 pub use retry::{AttemptEnd, RetryDecision, RetrySettings, RetryState};
 pub use routes::{RouteKey, RouteTable, Splitter};
 pub use status::{AnnouncedLimit, RateLimit, UpstreamStatus};
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -310,19 +310,22 @@
             return reply;
         }
         let service_time = self.service_time_or(request.entry_service_time);
-        self.record_demand(now, request, service_time);
         let queued = self.queued_request(now, key, request, service_time);
         let should_go_elsewhere = !request.may_wait && self.is_slowed_down(now);
         let ahead = self.queue.ahead_of(now, &queued);
         let is_first = !should_go_elsewhere && ahead == 0;
-        if is_first && self.can_grant(now) && self.may_start(now, request, service_time) {
+        let is_granted =
+            is_first && self.can_grant(now) && self.may_start(now, request, service_time);
+        if !is_granted && !request.may_wait {
+            // The request counts where it is granted a permit or queued.
+            return self.refuse_elsewhere(now, ahead, service_time);
+        }
+        self.record_demand(now, request, service_time);
+        if is_granted {
             self.queue.record_grant(now, queued.domain);
             self.grant(now, key, queued.deadline);
             return PermitReply::Granted;
         }
-        if !request.may_wait {
-            return self.refuse_elsewhere(now, service_time);
-        }
         let Some((queued, expected)) = self.admit(now, request, queued, ahead, service_time) else {
             return self.refuse(now, request.until_deadline, service_time);
         };
@@ -506,8 +509,8 @@
         }
     }
 
-    /// Refuses a request that may go to another upstream.
-    fn refuse_elsewhere(&self, now: Timestamp, service_time: f64) -> PermitReply {
+    /// Refuses a request that may go to another upstream; `ahead` requests are queued before it.
+    fn refuse_elsewhere(&self, now: Timestamp, ahead: usize, service_time: f64) -> PermitReply {
         match self.start_schedule(now) {
             Some(StartSchedule { until_first, .. }) if !until_first.is_zero() => {
                 PermitReply::RateLimited {
@@ -515,7 +518,7 @@
                 }
             }
             _ => PermitReply::Full {
-                retry_after: Duration::from_secs_f64(service_time / 2.0),
+                retry_after: self.time_until_free(ahead, service_time),
             },
         }
     }
@@ -542,6 +545,13 @@
         }
     }
 
+    /// Returns the time until a request gets a slot before which `ahead` requests are queued.
+    fn time_until_free(&self, ahead: usize, service_time: f64) -> Duration {
+        // Half of the time of the running requests is left on average.
+        let services = 0.5 + ahead as f64 / f64::from(self.slots);
+        Duration::from_secs_f64(service_time * services)
+    }
+
     /// Releases the permit of a request, or removes the request from the queue, and records the
     /// upstream's load report.
     pub fn release(&mut self, now: Timestamp, key: K, end: PermitEnd, report: Option<LoadReport>) {
