direct: a request is queued at the second upstream if the first can't answer it in time

In overloads in turn (entry of 57 upstreams of different speed, 2.4 times its load), requests that must not run twice were refused after one of two upstreams could not answer them in their time: 2,842 of 13,085 refused, though fast upstreams had capacity left.

--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/reservation.rs
@@ -69,6 +69,8 @@
     full: Vec<(K, f64)>,
     /// Upstreams for which no permit host replied.
     silent: Vec<K>,
+    /// Earliest time until a slot is free at the upstreams that did not queue the request.
+    retry_after: Option<Duration>,
     step: Step<K>,
 }
 
@@ -80,6 +82,7 @@
             is_idempotent,
             full: Vec::new(),
             silent: Vec::new(),
+            retry_after: None,
             step: Step::Ask,
         }
     }
@@ -103,7 +106,7 @@
     pub fn refused(&mut self, upstream: K, refusal: PermitRefusal) {
         match refusal {
             PermitRefusal::Full { retry_after, .. } if self.is_queueing_at(&upstream) => {
-                self.step = Step::Refuse { retry_after };
+                self.queue_elsewhere(&upstream, retry_after);
             }
             PermitRefusal::Full { score, .. } => {
                 self.full.push((upstream, score));
@@ -157,6 +160,20 @@
         matches!(&self.step, Step::Queue(at) if at == upstream)
     }
 
+    /// Queues the request at another full upstream, as `upstream` can't answer it in its time; refuses
+    /// it if that was the last one.
+    fn queue_elsewhere(&mut self, upstream: &K, retry_after: Duration) {
+        let earliest = self.retry_after.map_or(retry_after, |t| t.min(retry_after));
+        self.retry_after = Some(earliest);
+        self.full.retain(|(k, _)| k != upstream);
+        if self.full.is_empty() {
+            let retry_after = earliest;
+            self.step = Step::Refuse { retry_after };
+        } else {
+            self.decide();
+        }
+    }
+
     /// Decides again if the request was to go to `upstream`.
     fn give_up(&mut self, upstream: &K) {
         let target = match &self.step {
