direct, front: findings of a review of permits and reservations

- The next permit host is asked for a request that needs a permit if the first one does not reply; one miss starts no backoff, so that the same host was asked again.
- A repeated request for a permit got an expected time of zero before the first answer of the upstream, and was repeated each 30 ms.
- The Retry-After of an earlier attempt of a request no longer lowers that of a later one.
- Late requests that get a free permit at once count as late grants, from which the spare capacity is estimated.
- Requests that the spare capacity no longer serves are refused like others: as rate-limited at a cold or limited upstream, and not below half a service time.
- A refused permit updates the host's view of the upstream's load.
Before, hosts asked the same full upstreams again and again.
Wording of comments.

--- a/crates/direct/src/caller_retries.rs
+++ b/crates/direct/src/caller_retries.rs
@@ -23,9 +23,9 @@
 const MAX_DEVIATION: f64 = 0.06;
 /// Weight of one first request in the mean and the mean deviation.
 const WEIGHT: f64 = 0.05;
-/// Fraction by which the mean moves at most with each caller whose timeout is beyond the spread, so
-/// that a single unusual caller changes it little.
-const MAX_STEP: f64 = 0.015;
+/// Fraction by which a timeout beyond the spread moves the mean: a single unusual caller changes it
+/// little.
+const OUTLIER_STEP: f64 = 0.015;
 /// Fraction of requests within the spread below which callers start with shorter timeouts than they
 /// used to. If callers come back twice, a third of all requests are first ones, however many are
 /// refused; the estimate of that fraction is off by up to a tenth.
@@ -61,12 +61,12 @@
         self.share += SHARE_WEIGHT * (f64::from(u8::from(is_within)) - self.share);
         if distance < -spread {
             if self.share < MIN_FIRST_SHARE {
-                self.mean *= 1.0 - MAX_STEP;
+                self.mean *= 1.0 - OUTLIER_STEP;
             }
             return Some(-distance);
         }
         if distance > spread {
-            self.mean *= 1.0 + MAX_STEP;
+            self.mean *= 1.0 + OUTLIER_STEP;
             return None;
         }
         self.mean += WEIGHT * distance;
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -190,11 +190,21 @@
         next.since(now)
     }
 
-    /// Records that the upstream refused a permit as full; `entry_service_time` is the entry's mean
-    /// service time, in seconds.
-    pub fn permit_refused(&mut self, now: Timestamp, entry_service_time: f64) {
+    /// Records that the upstream refused a permit as full, with a slot free after `until_free`;
+    /// `entry_service_time` is the entry's mean service time, in seconds.
+    ///
+    /// The refusal also tells how many requests other hosts have there.
+    pub fn permit_refused(
+        &mut self,
+        now: Timestamp,
+        until_free: Duration,
+        entry_service_time: f64,
+    ) {
         let service_time = self.service_time.unwrap_or(entry_service_time);
         self.full_until = now + Duration::from_secs_f64(service_time);
+        let waiting = self.slots * until_free.as_secs_f64() / service_time;
+        self.other_requests = (self.slots + waiting - f64::from(self.in_flight)).max(0.0);
+        self.reported_at = now;
     }
 
     /// Returns whether the upstream refused a permit as full within its last service time.
--- a/crates/direct/src/permit_demand.rs
+++ b/crates/direct/src/permit_demand.rs
@@ -1,9 +1,8 @@
 //! Demand at an upstream: how much capacity requests in time ask for, and when refused callers may
 //! return.
 //!
-//! Answers the load of an overload that lasts: requests in time ask for all of the capacity, and
-//! refused callers come back late. If late requests got permits then, they would occupy the
-//! upstream when the next requests arrive that could still be answered in time.
+//! Keeps late requests from occupying the upstream during a sustained overload, in which requests in
+//! time ask for all of its capacity and refused callers come back late.
 
 use std::time::Duration;
 
--- a/crates/direct/src/permit_queue.rs
+++ b/crates/direct/src/permit_queue.rs
@@ -147,9 +147,8 @@
 
     /// Returns the key of a domain, or of the unknown one.
     ///
-    /// A domain that is not remembered takes the place of one without queued requests, that with
-    /// the fewest recent grants, if there are [`MAX_DOMAINS`]. Its requests count as of the unknown
-    /// domain if all of these have queued requests. The key remains valid until a key of another
+    /// If [`MAX_DOMAINS`] are known, a new domain replaces the one with the fewest recent grants that
+    /// has no queued request; if every domain has one, this is the unknown domain. The key remains valid until a key of another
     /// domain is requested, or as long as a request with it is queued.
     pub fn domain_key(&mut self, name: Option<&DomainId>) -> DomainKey {
         let is_it = |domain: &Domain| domain.name.as_ref() == name;
@@ -287,7 +286,7 @@
     ///   if that is another domain than that of `request`;
     /// - or else of the least urgent route, if that is less urgent than `request`.
     ///
-    /// Of several, it is the newest among the least urgent, and repeats go before first requests. A
+    /// Among several, it is the least urgent, then a repeat before a first request, then the newest. A
     /// request that goes before `request` by its rank, or as a first request, is never displaced.
     #[must_use]
     pub fn displaced_by(&self, now: Timestamp, request: &QueuedRequest<K>) -> Option<K> {
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -216,9 +216,12 @@
     cfg: PermitSettings,
     slots: u32,
     service_time: Option<f64>,
+    /// Mean service time of the entry, in seconds, as the latest request stated it.
+    entry_service_time: f64,
     /// Mean deviation of the service time from its mean, in seconds.
     deviation: f64,
-    /// Objective of the latest first request.
+    /// Largest recent time until the objective of requests that could be in time; it decays by a
+    /// tenth with each of them.
     objective: Duration,
     demand: Demand,
     granted: IndexMap<K, GrantedPermit>,
@@ -250,6 +253,7 @@
             cfg,
             slots: slots.max(1),
             service_time: None,
+            entry_service_time: 0.0,
             deviation: 0.0,
             objective: Duration::ZERO,
             demand: Demand::default(),
@@ -309,7 +313,8 @@
         if let Some(reply) = self.state_of(now, &key) {
             return reply;
         }
-        let service_time = self.service_time_or(request.entry_service_time);
+        self.entry_service_time = request.entry_service_time.as_secs_f64();
+        let service_time = self.service_time();
         let queued = self.queued_request(now, key, request, service_time);
         let should_go_elsewhere = !request.may_wait && self.is_slowed_down(now);
         let ahead = self.queue.ahead_of(now, &queued);
@@ -322,6 +327,9 @@
         }
         self.record_demand(now, request, service_time);
         if is_granted {
+            if queued.is_late() {
+                self.demand.record_late_grant(now);
+            }
             self.queue.record_grant(now, queued.domain);
             self.grant(now, key, queued.deadline);
             return PermitReply::Granted;
@@ -367,14 +375,14 @@
         }
         let order = self.queue.in_order(now);
         let ahead = order.iter().position(|r| r.key == *key)?;
-        let forecast = self.forecast(now, self.service_time.unwrap_or_default());
+        let forecast = self.forecast(now, self.service_time());
         let expected_time = Duration::from_secs_f64(forecast.expected(ahead));
         Some(PermitReply::Queued { expected_time })
     }
 
-    fn service_time_or(&self, entry_service_time: Duration) -> f64 {
-        self.service_time
-            .unwrap_or(entry_service_time.as_secs_f64())
+    /// Returns the mean service time, in seconds; that of the entry until one was observed.
+    fn service_time(&self) -> f64 {
+        self.service_time.unwrap_or(self.entry_service_time)
     }
 
     /// Returns the requests a second that the upstream can answer.
@@ -660,32 +668,28 @@
     /// Refuses late requests that the spare capacity no longer serves before their deadlines, the
     /// last in the order of service first.
     fn refuse_excess_late(&mut self, now: Timestamp, replies: &mut Vec<(K, PermitReply)>) {
-        let Some(service_time) = self.service_time else {
-            return;
-        };
         if self.queue.iter().all(|r| !r.is_late()) {
             return;
         }
-        let capacity = self.capacity(service_time);
-        let per_s = self.demand.spare_capacity(now, capacity);
+        let service_time = self.service_time();
+        let per_s = self.demand.spare_capacity(now, self.capacity(service_time));
         let order = self.queue.in_order(now).into_iter();
         let mut late: Vec<QueuedRequest<K>> = order.filter(|r| r.is_late()).copied().collect();
-        while let Some(last) = late.last()
-            && let needed = Duration::from_secs_f64(late.len() as f64 / per_s)
-            && last.deadline.since(now) < needed
-            && let Some(last) = late.pop()
-        {
+        while let Some(last) = late.pop() {
+            let needed = Duration::from_secs_f64((late.len() + 1) as f64 / per_s);
+            let left = last.deadline.since(now);
+            if left >= needed {
+                break;
+            }
             self.queue.remove(last.key);
-            let latest = last.deadline.since(now).mul_f64(self.cfg.late_fraction);
-            let retry_after = self.demand.schedule_return(now, capacity).min(latest);
-            replies.push((last.key, PermitReply::Full { retry_after }));
+            replies.push((last.key, self.refuse(now, left, service_time)));
         }
     }
 
     /// Takes the queued request that gets the next permit.
     fn next_queued(&mut self, now: Timestamp) -> Option<QueuedRequest<K>> {
         if self.queue.peek()?.is_late() {
-            let service_time = self.service_time.unwrap_or_default();
+            let service_time = self.service_time();
             if !self.leaves_room_in_time(now, service_time) {
                 return None;
             }
@@ -697,7 +701,7 @@
     /// Makes queued requests late that can no longer be answered in time if they start now, and
     /// refuses those that could not be answered before their deadlines.
     fn refuse_expired(&mut self, now: Timestamp, replies: &mut Vec<(K, PermitReply)>) {
-        let service_time = self.service_time.unwrap_or_default();
+        let service_time = self.service_time();
         let for_objective = Duration::from_secs_f64(service_time + self.margin(now, service_time));
         let service_time = Duration::from_secs_f64(service_time);
         let expired = self.queue.expire(now, for_objective, service_time);
@@ -710,7 +714,7 @@
     /// Sends queued requests their new expected times after a change of the limit, and refuses
     /// those that could not be answered in time.
     fn update_expected(&mut self, now: Timestamp, replies: &mut Vec<(K, PermitReply)>) {
-        let service_time = Duration::from_secs_f64(self.service_time.unwrap_or_default());
+        let service_time = Duration::from_secs_f64(self.service_time());
         let Some(schedule) = self.start_schedule(now) else {
             return;
         };
--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/reservation.rs
@@ -151,6 +151,7 @@
         if !self.is_idempotent {
             self.full.clear();
             self.silent.clear();
+            self.retry_after = None;
         }
         self.step = Step::Ask;
         self.decide_once_asked();
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -209,7 +209,11 @@
             limit,
             skipped_hosts: 0,
         };
-        match self.permits.admit(view, target, &permit_request).await {
+        let needs_permit = !request.is_divided && !request.route.idempotent;
+        let admission = self
+            .permits
+            .admit(view, target, &permit_request, needs_permit);
+        match admission.await {
             Admission::Unknown => match limit.rate_without_permits(view.hosts) {
                 Some(per_s) => self.admit_without_permit_host(target, per_s),
                 None => self.admit_by_estimate(request, target, now),
--- a/crates/front/src/forward/reserve.rs
+++ b/crates/front/src/forward/reserve.rs
@@ -18,12 +18,12 @@
 use crate::request_log::SentWith;
 use crate::view::View;
 
-/// Capacity that is reserved for one attempt.
+/// What an attempt may be sent with.
 #[derive(Debug)]
 pub(super) enum Admitted<'a> {
     /// The permit host granted a permit.
     Permit(Permit),
-    /// The upstream has room by this host's estimate.
+    /// No permit; the upstream was selected by this host's estimate, or is the key's owner.
     Estimate,
     /// This host's share of the entry has room.
     Share(#[expect(dead_code, reason = "released when dropped")] ShareUse<'a>),
@@ -229,16 +229,10 @@
             return Ok(Some(Admitted::Estimate));
         }
         let is_rate_limited = self.needs_permit(request, target);
-        let mut admission = self.admit(view, request, target, may_wait).await;
-        if matches!(admission, Admission::Unknown) && !request.route.idempotent && !is_rate_limited
-        {
-            // A host that did not reply twice is in backoff, so that the next one in rank is asked.
-            admission = self.admit(view, request, target, may_wait).await;
-        }
-        let refusal = match admission {
+        let refusal = match self.admit(view, request, target, may_wait).await {
             Admission::Granted(permit) => return Ok(Some(Admitted::Permit(permit))),
             Admission::Full { retry_after } if !is_rate_limited => {
-                self.record_permit_refused(request, target);
+                self.record_permit_refused(request, target, retry_after);
                 let score = self.score(request, target, retry_after, BootClock.now());
                 PermitRefusal::Full { retry_after, score }
             }
@@ -283,10 +277,17 @@
         })
     }
 
-    fn record_permit_refused(&self, request: &CallerRequest, target: &Registration) {
+    fn record_permit_refused(
+        &self,
+        request: &CallerRequest,
+        target: &Registration,
+        until_free: Duration,
+    ) {
         let service_time = self.entry_service_time(&request.entry);
         let now = BootClock.now();
-        self.with_load(target, |load| load.permit_refused(now, service_time));
+        self.with_load(target, |load| {
+            load.permit_refused(now, until_free, service_time);
+        });
     }
 
     /// Takes a place in this host's share of the request's entry.
--- a/crates/front/src/permits/client.rs
+++ b/crates/front/src/permits/client.rs
@@ -31,8 +31,8 @@
 /// When to retry at a cold upstream that has no reachable permit host: a third of the time that
 /// today's upstreams need to become warm.
 const COLD_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Number of hosts that are asked in turn for a permit at an upstream with a rate limit.
-const RATE_LIMITED_HOSTS: u32 = 2;
+/// Number of hosts that are asked in turn for a permit without which a request is not sent.
+const MAX_PERMIT_HOSTS: u32 = 2;
 /// Time after which a queued request asks again, as a factor of the expected time: the reply that
 /// grants the permit may be lost. Requests that are more urgent may also have overtaken it, so it
 /// is not sent without an answer.
@@ -67,15 +67,18 @@
 }
 
 impl PermitService {
-    /// Returns the permit host of `target` among those that are responsive.
+    /// Returns the permit host of `target` among those that are responsive, without `excluded`.
     fn permit_host(
         &self,
         view: &View,
         target: &Registration,
+        excluded: Option<SocketAddr>,
         now: Timestamp,
     ) -> Option<PermitHost> {
         let hosts = view.permit_hosts.get(&target.domain)?;
-        hosts.host_of(&target.id, |address| self.is_in_backoff(address, now))
+        hosts.host_of(&target.id, |address| {
+            excluded == Some(address) || self.is_in_backoff(address, now)
+        })
     }
 
     /// Returns the permit host of `target` by the hosts' rows alone, if it is responsive.
@@ -98,13 +101,14 @@
     /// Requests a permit at `target`. If the upstream is known to be cold, a request without a
     /// permit is refused.
     ///
-    /// If the upstream is known to have a rate limit, another host is asked when the first one does
-    /// not reply.
+    /// If the upstream is known to have a rate limit, or `needs_permit` is true, the next host in
+    /// rank is asked when the first one does not reply.
     pub async fn admit(
         self: &Rc<Self>,
         view: &View,
         target: &Registration,
         permit_request: &PermitRequest,
+        needs_permit: bool,
     ) -> Admission {
         let is_cold = permit_request
             .cold
@@ -120,15 +124,16 @@
             };
         }
         let has_rate_limit = permit_request.limit.per_s().is_some();
-        let max_hosts = if has_rate_limit {
-            RATE_LIMITED_HOSTS
+        let max_hosts = if has_rate_limit || needs_permit {
+            MAX_PERMIT_HOSTS
         } else {
             1
         };
+        let mut without_reply = None;
         for _ in 0..max_hosts {
-            let host = self.permit_host(view, target, BootClock.now());
+            let host = self.permit_host(view, target, without_reply, BootClock.now());
             match self.request_permit(host, target, permit_request).await {
-                Admission::Unknown => {}
+                Admission::Unknown => without_reply = host.map(|h| h.address),
                 known => return known,
             }
         }
--- a/crates/measure/src/bound/fluid.rs
+++ b/crates/measure/src/bound/fluid.rs
@@ -13,7 +13,7 @@
 
 /// Length of a cell in microseconds. Shorter cells give a closer bound and take more time.
 const CELL_US: u64 = 10_000;
-/// Most pools of a component. More upstreams share pools. A search for room visits the cells of all
+/// Maximum number of pools for upstreams that have requests on keys; more of them share pools. A search for room visits the cells of all
 /// pools; with one pool for each of 300 upstreams, a trace of 100,000 requests took minutes.
 const MAX_POOLS: usize = 16;
 /// Cells of a component with several pools above which cells are made longer, to shorten searches.
