--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits/mod.rs
@@ -14,14 +14,26 @@
 //! An upstream that is cold, or that has not answered for a while and may come back cold, gets no
 //! more requests within any second than it bears ([`warmup`](crate::warmup)). One that announces a
 //! rate limit gets no more than that from all hosts together ([`status`](crate::status)).
+//!
+//! - `settings`: the settings.
+//! - `request`: requests for permits and replies.
+//! - `forecast`: when queued requests can expect their answers.
+//! - `admission`: which requests are queued, and which are refused at once.
+
+mod admission;
+mod forecast;
+mod request;
+mod settings;
 
 use std::hash::Hash;
 use std::time::Duration;
 
-use ids::{DomainId, Timestamp};
+use ids::Timestamp;
 use indexmap::IndexMap;
 
-use crate::choose::Priority;
+pub use self::request::{PermitEnd, PermitReply, PermitRequest};
+pub use self::settings::PermitSettings;
+
 use crate::load::LoadReport;
 use crate::permit_demand::Demand;
 use crate::permit_queue::{PermitQueue, QueuedRequest};
@@ -30,140 +42,6 @@
 use crate::status::RateLimit;
 use crate::warmup::ColdStart;
 
-/// Settings of [`Permits`].
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PermitSettings {
-    /// Minimum service time of an upstream at which a permit is worth its round trip.
-    ///
-    /// It is ten times the round trip between failure domains. A faster upstream has worked off its
-    /// queue before a host could learn of it, and at millions of requests a second the datagrams
-    /// would cost more than they save.
-    pub min_service_time: Duration,
-    /// Permits beyond the upstream's slots, so that no slot is idle while a permit changes hands.
-    /// That takes a round trip between failure domains, a fiftieth of a service time.
-    pub extra_permits: u32,
-    /// Fraction of the time until the objective within which an answer must be expected to count as
-    /// in time.
-    pub in_time_fraction: f64,
-    /// Fraction of the caller's timeout within which a late answer must be expected, as requests in
-    /// time overtake it.
-    pub late_fraction: f64,
-    /// Multiple of the mean deviation of the service time that is added to the mean where an answer
-    /// in time is expected: at the mean alone, every second one would be late.
-    pub deviations: f64,
-    /// Fraction of the capacity that requests in time must ask for to have late requests keep room
-    /// for them.
-    pub min_utilization: f64,
-    /// Half-life of a report of requests without a permit.
-    pub report_half_life: Duration,
-    /// Weight of one observation in the mean service time.
-    pub service_weight: f64,
-    /// Time after the caller's deadline until a permit that was not released expires.
-    pub grace: Duration,
-    /// Time without any answer after which an upstream may come back cold, if at least two requests
-    /// ended without one in that time. A restart takes about as long; slow answers seldom do.
-    pub unresponsive_after: Duration,
-    /// Slowdown from which requests that may go elsewhere are refused.
-    pub slowdown_threshold: f64,
-    /// Time for which a reported slowdown counts; it changes several times a second.
-    pub slowdown_ttl: Duration,
-}
-
-impl Default for PermitSettings {
-    fn default() -> Self {
-        Self {
-            min_service_time: Duration::from_millis(20),
-            extra_permits: 1,
-            in_time_fraction: 0.9,
-            late_fraction: 0.7,
-            deviations: 1.0,
-            min_utilization: 0.1,
-            report_half_life: Duration::from_millis(500),
-            service_weight: 0.1,
-            grace: Duration::from_millis(200),
-            unresponsive_after: Duration::from_millis(700),
-            slowdown_threshold: 2.0,
-            slowdown_ttl: Duration::from_millis(200),
-        }
-    }
-}
-
-/// A request for a permit.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PermitRequest {
-    /// Its priority among the requests that go to the upstream. It tells hosts of an earlier version
-    /// whether the request is urgent; the order of service follows from the rank.
-    pub priority: Priority,
-    /// Priority of its route; zero is the most urgent.
-    pub rank: u32,
-    /// Whether its caller was refused before and repeats it.
-    pub is_repeat: bool,
-    /// Failure domain of the requesting host; none if it is not known.
-    pub domain: Option<DomainId>,
-    /// Time left until its objective.
-    pub until_objective: Duration,
-    /// Time left until the caller's deadline.
-    pub until_deadline: Duration,
-    /// Service time to assume if none was observed.
-    pub entry_service_time: Duration,
-    /// Whether it may be queued; a request that may go to another upstream is not.
-    pub may_wait: bool,
-    /// State of the upstream's warm-up as known; none if being cold makes no difference to it.
-    pub cold: Option<ColdStart>,
-    /// The upstream's rate limit as known to the requesting host.
-    pub limit: RateLimit,
-    /// Number of hosts that rank before this one for the upstream's permits and did not reply.
-    pub skipped_hosts: u32,
-}
-
-impl PermitRequest {
-    /// Returns the same request after it has waited for `waited`.
-    #[must_use]
-    pub fn after(self, waited: Duration) -> Self {
-        Self {
-            until_objective: self.until_objective.saturating_sub(waited),
-            until_deadline: self.until_deadline.saturating_sub(waited),
-            ..self
-        }
-    }
-}
-
-/// Reply to a permit request.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum PermitReply {
-    /// The permit is granted.
-    Granted,
-    /// The request is queued; its answer is expected after this time.
-    Queued {
-        /// Time until the answer.
-        expected_time: Duration,
-    },
-    /// The request can't be answered in time; a slot is expected to be free after this time.
-    Full {
-        /// Time until a slot is free.
-        retry_after: Duration,
-    },
-    /// The upstream is cold or has a rate limit, and gets no more requests for now, not even
-    /// without a permit.
-    RateLimited {
-        /// Time until another request may start.
-        retry_after: Duration,
-    },
-}
-
-/// How a request that had or wanted a permit ended.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum PermitEnd {
-    /// The upstream answered it.
-    Answered,
-    /// The upstream responded otherwise than with an answer.
-    OtherResponse,
-    /// The upstream could not be reached or did not respond.
-    NoResponse,
-    /// Nothing can be inferred about the upstream: the request was not sent, or the caller left.
-    Unknown,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct GrantedPermit {
     granted_at: Timestamp,
@@ -175,31 +53,6 @@
 /// Minimum service time that is assumed, in seconds.
 const MIN_SERVICE_TIME_S: f64 = 1e-4;
 
-/// What the expected time of a queued request depends on.
-#[derive(Debug, Clone, Copy)]
-struct Forecast {
-    /// Estimated number of requests at the upstream.
-    at_upstream: f64,
-    slots: f64,
-    /// In seconds.
-    service_time: f64,
-    /// None if only the slots limit starts.
-    schedule: Option<StartSchedule>,
-}
-
-impl Forecast {
-    /// Returns the seconds until the answer to a request that is queued after `ahead` others.
-    fn expected(&self, ahead: usize) -> f64 {
-        let occupancy = (self.at_upstream + ahead as f64 + 1.0) / self.slots;
-        let queue = self.service_time * occupancy.max(1.0);
-        // If starts are limited, the request waits for its start rather than for the work before it.
-        let until_answer = self.schedule.map_or(0.0, |schedule| {
-            schedule.time_until_start(ahead).as_secs_f64() + self.service_time
-        });
-        queue.max(until_answer)
-    }
-}
-
 /// Requests that ended without a response since the upstream last responded.
 #[derive(Debug, Clone, Copy)]
 struct Unanswered {
@@ -343,223 +196,6 @@
         }
     }
 
-    /// Returns the request as it would be queued; it is late if not even an idle upstream could
-    /// answer it in time.
-    fn queued_request(
-        &mut self,
-        now: Timestamp,
-        key: K,
-        request: &PermitRequest,
-        service_time: f64,
-    ) -> QueuedRequest<K> {
-        let can_be_in_time = service_time <= self.in_time_limit(request.until_objective);
-        QueuedRequest {
-            key,
-            answer_by: can_be_in_time.then(|| now + request.until_objective),
-            deadline: now + request.until_deadline,
-            rank: request.rank,
-            is_repeat: request.is_repeat,
-            domain: self.queue.domain_key(request.domain.as_ref()),
-        }
-    }
-
-    /// Returns the replies to requests that were displaced since the last poll.
-    pub fn take_displaced(&mut self) -> Vec<(K, PermitReply)> {
-        std::mem::take(&mut self.displaced)
-    }
-
-    /// Returns the reply that a request got which has a permit or is queued.
-    fn state_of(&self, now: Timestamp, key: &K) -> Option<PermitReply> {
-        if self.granted.contains_key(key) {
-            return Some(PermitReply::Granted);
-        }
-        let order = self.queue.in_order(now);
-        let ahead = order.iter().position(|r| r.key == *key)?;
-        let forecast = self.forecast(now, self.service_time());
-        let expected_time = Duration::from_secs_f64(forecast.expected(ahead));
-        Some(PermitReply::Queued { expected_time })
-    }
-
-    /// Returns the mean service time, in seconds; that of the entry until one was observed.
-    fn service_time(&self) -> f64 {
-        self.service_time.unwrap_or(self.entry_service_time)
-    }
-
-    /// Returns the requests a second that the upstream can answer.
-    fn capacity(&self, service_time: f64) -> f64 {
-        f64::from(self.slots) / service_time.max(MIN_SERVICE_TIME_S)
-    }
-
-    /// Returns the time within which an answer must be expected to be in time.
-    fn in_time_limit(&self, until_objective: Duration) -> f64 {
-        until_objective.as_secs_f64() * self.cfg.in_time_fraction
-    }
-
-    /// Returns the seconds that are added to an expected time. The more requests compete for the
-    /// capacity, the more certain an answer in time has to be.
-    fn margin(&self, now: Timestamp, service_time: f64) -> f64 {
-        let utilization = self.demand.utilization(now, self.capacity(service_time));
-        let unserved = 1.0 - 1.0 / utilization.max(1.0);
-        self.deviation * self.cfg.deviations * unserved
-    }
-
-    fn record_demand(&mut self, now: Timestamp, request: &PermitRequest, service_time: f64) {
-        if service_time <= self.in_time_limit(request.until_objective) {
-            self.demand.record_in_time(now);
-            self.objective = request.until_objective.max(self.objective.mul_f64(0.9));
-        } else {
-            self.demand.record_late(now);
-        }
-    }
-
-    /// Returns whether a request that finds a free permit may have it: it can be in time, or leaves
-    /// room for one that can.
-    fn may_start(&self, now: Timestamp, request: &PermitRequest, service_time: f64) -> bool {
-        service_time <= self.in_time_limit(request.until_objective)
-            || self.leaves_room_in_time(now, service_time)
-    }
-
-    /// Returns whether a request that arrives after a late one was granted a permit can still be
-    /// answered in time.
-    fn leaves_room_in_time(&self, now: Timestamp, service_time: f64) -> bool {
-        let utilization = self.demand.utilization(now, self.capacity(service_time));
-        if utilization < self.cfg.min_utilization {
-            return true;
-        }
-        let occupancy = (self.requests_at_upstream(now) + 2.0) / f64::from(self.slots);
-        let expected = service_time * occupancy.max(1.0) + self.deviation * self.cfg.deviations;
-        expected <= self.in_time_limit(self.objective)
-            // Otherwise no request could be in time with or without the late one.
-            || service_time > self.in_time_limit(self.objective)
-    }
-
-    /// Returns when queued requests can expect their answers.
-    fn forecast(&self, now: Timestamp, service_time: f64) -> Forecast {
-        Forecast {
-            at_upstream: self.requests_at_upstream(now),
-            slots: f64::from(self.slots),
-            service_time,
-            schedule: self.start_schedule(now),
-        }
-    }
-
-    /// Returns the seconds until the answer to a late request that is queued now: it gets only the
-    /// capacity that requests in time leave.
-    fn expected_late(&self, now: Timestamp, late: &QueuedRequest<K>, service_time: f64) -> f64 {
-        let ahead = self.queue.ahead_of(now, late);
-        let needed = (ahead - self.queue.in_time_len()) as f64 + 1.0;
-        let capacity = self.capacity(service_time);
-        let from_spare = needed / self.demand.spare_capacity(now, capacity);
-        let expected = self.forecast(now, service_time).expected(ahead);
-        expected.max(from_spare)
-    }
-
-    /// Returns a request that has to wait as it is to be queued, in time or late, and the seconds
-    /// until its answer; none if it can't be answered in its time. `ahead` requests are served before
-    /// it at its turn.
-    ///
-    /// A request that is in time may displace another one.
-    fn admit(
-        &mut self,
-        now: Timestamp,
-        request: &PermitRequest,
-        queued: QueuedRequest<K>,
-        ahead: usize,
-        service_time: f64,
-    ) -> Option<(QueuedRequest<K>, f64)> {
-        if !queued.is_late() {
-            let margin = self.margin(now, service_time);
-            let forecast = self.forecast(now, service_time);
-            let expected = forecast.expected(ahead);
-            if expected + margin <= self.in_time_limit(request.until_objective) {
-                if let Some(displaced) = self.displaced_by(now, &queued, margin, &forecast) {
-                    self.displace(now, displaced, service_time);
-                }
-                return Some((queued, expected));
-            }
-        }
-        let late = QueuedRequest {
-            answer_by: None,
-            ..queued
-        };
-        let expected = self.expected_late(now, &late, service_time);
-        let left = request.until_deadline.as_secs_f64();
-        (expected <= left * self.cfg.late_fraction).then_some((late, expected))
-    }
-
-    /// Returns the queued request that gives way to `request`.
-    ///
-    /// It does so only if it, or one that is served after it, can no longer be answered in time
-    /// when `request` is served before it.
-    fn displaced_by(
-        &self,
-        now: Timestamp,
-        request: &QueuedRequest<K>,
-        margin: f64,
-        forecast: &Forecast,
-    ) -> Option<K> {
-        let displaced = self.queue.displaced_by(now, request)?;
-        let order = self.queue.in_order(now).into_iter().enumerate();
-        let makes_late = order
-            .skip_while(|(_, r)| r.key != displaced)
-            .filter_map(|(i, r)| Some((i + 1, r.answer_by?)))
-            .any(|(ahead, answer_by)| {
-                forecast.expected(ahead) + margin > answer_by.since(now).as_secs_f64()
-            });
-        makes_late.then_some(displaced)
-    }
-
-    /// Refuses a queued request in favour of another one.
-    fn displace(&mut self, now: Timestamp, key: K, service_time: f64) {
-        if let Some(displaced) = self.queue.remove(key) {
-            let reply = self.refuse(now, displaced.deadline.since(now), service_time);
-            self.displaced.push((key, reply));
-        }
-    }
-
-    /// Refuses a request that may go to another upstream; `ahead` requests are queued before it.
-    fn refuse_elsewhere(&self, now: Timestamp, ahead: usize, service_time: f64) -> PermitReply {
-        match self.start_schedule(now) {
-            Some(StartSchedule { until_first, .. }) if !until_first.is_zero() => {
-                PermitReply::RateLimited {
-                    retry_after: until_first,
-                }
-            }
-            _ => PermitReply::Full {
-                retry_after: self.time_until_free(ahead, service_time),
-            },
-        }
-    }
-
-    /// Refuses a request that can't be answered in its time.
-    ///
-    /// The caller is told to return while it still has time for an answer.
-    fn refuse(
-        &mut self,
-        now: Timestamp,
-        until_deadline: Duration,
-        service_time: f64,
-    ) -> PermitReply {
-        let latest = until_deadline.mul_f64(self.cfg.late_fraction);
-        let retry_after = self
-            .demand
-            .schedule_return(now, self.capacity(service_time))
-            .min(latest)
-            .max(Duration::from_secs_f64(service_time / 2.0));
-        if self.start_schedule(now).is_some() {
-            PermitReply::RateLimited { retry_after }
-        } else {
-            PermitReply::Full { retry_after }
-        }
-    }
-
-    /// Returns the time until a request gets a slot before which `ahead` requests are queued.
-    fn time_until_free(&self, ahead: usize, service_time: f64) -> Duration {
-        // Half of the time of the running requests is left on average.
-        let services = 0.5 + ahead as f64 / f64::from(self.slots);
-        Duration::from_secs_f64(service_time * services)
-    }
-
     /// Releases the permit of a request, or removes the request from the queue, and records the
     /// upstream's load report.
     pub fn release(&mut self, now: Timestamp, key: K, end: PermitEnd, report: Option<LoadReport>) {
