--- a/crates/cli/tests/direct/reserved.rs
+++ b/crates/cli/tests/direct/reserved.rs
@@ -117,6 +117,16 @@
     println!("{late} refused late");
 }
 
+/// Guards against requests that wait before they are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_beyond_the_capacity_are_refused_at_once() {
+    let rig = start("a").await;
+    let all = send_all(&rig).await;
+    for a in all.iter().filter(|a| guarantees_not_executed(&a.response)) {
+        assert!(a.took < REFUSED_WITHIN, "{:?}: {:?}", a.took, a.response);
+    }
+}
+
 /// Guards against hosts that fill upstreams beyond their share when no permit host replies: there
 /// is none in the upstreams' failure domain.
 #[tokio::test(flavor = "multi_thread")]
