--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -81,7 +81,10 @@
         let [peers, exchanges, permits] = free_ports(&ip, 7540);
         assert_eq!(peers + 1, exchanges, "internal ports follow each other");
         let settings = render(&[
-            ("node", format!("front-{}-{number}", ZONES[number % ZONES.len()])),
+            (
+                "node",
+                format!("front-{}-{number}", ZONES[number % ZONES.len()]),
+            ),
             ("zone", ZONES[number % ZONES.len()].to_owned()),
             ("ip", ip.clone()),
             ("limits.cpu_share", "0.2".to_owned()),
@@ -140,8 +143,14 @@
 
     /// Sends a signal, named as for `kill`.
     pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
-        assert!(sent.is_ok_and(|status| status.success()), "signal {name} was sent");
+        let sent = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status();
+        assert!(
+            sent.is_ok_and(|status| status.success()),
+            "signal {name} was sent"
+        );
     }
 }
 
@@ -171,7 +180,8 @@
 
 /// Returns consecutive free ports of `ip`, from `first` on.
 pub fn free_ports<const N: usize>(ip: &str, first: u16) -> [u16; N] {
-    let is_free = |port: u16| TcpListener::bind((ip, port)).is_ok() && UdpSocket::bind((ip, port)).is_ok();
+    let is_free =
+        |port: u16| TcpListener::bind((ip, port)).is_ok() && UdpSocket::bind((ip, port)).is_ok();
     let mut start = first;
     loop {
         let ports = std::array::from_fn(|i| start + i as u16);
@@ -182,6 +192,15 @@
     }
 }
 
+/// What the targets of a service have in common.
+#[derive(Debug, Clone, Copy)]
+pub struct Kind {
+    pub service: &'static str,
+    pub work: Duration,
+    /// Number of the target that sends a late second answer to its first release, if any.
+    pub repeats_answer: Option<usize>,
+}
+
 /// A target and the process of its present life.
 pub struct Target {
     pub cfg: Settings,
@@ -199,7 +218,14 @@
 }
 
 impl Target {
-    pub fn start(store: &Arc<Store>, net: &str, number: usize, service: &str, record: &Record) -> Self {
+    pub fn start(
+        store: &Arc<Store>,
+        net: &str,
+        number: usize,
+        kind: &Kind,
+        record: &Record,
+    ) -> Self {
+        let service = kind.service;
         let id = format!("i-{service}{number}");
         let ip = format!("{net}.{}", 100 + number);
         let [port] = free_ports(&ip, 8185);
@@ -210,10 +236,17 @@
             zone: ZONES[number % ZONES.len()].to_owned(),
             address: format!("{ip}:{port}").parse().expect("an address"),
             store: link.address,
-            work: Duration::from_millis(30),
+            work: kind.work,
             slots: 4,
+            repeats_answer: kind.repeats_answer == Some(number),
+        };
+        let mut target = Target {
+            cfg,
+            link,
+            child: None,
+            lives: 0,
+            record: record.clone(),
         };
-        let mut target = Target { cfg, link, child: None, lives: 0, record: record.clone() };
         target.start_life();
         target
     }
@@ -229,7 +262,10 @@
             .spawn()
             .expect("the target starts");
         let events = BufReader::new(child.stdout.take().expect("a pipe"));
-        let (name, record) = (format!("{}#{}", self.cfg.id, self.lives), self.record.clone());
+        let (name, record) = (
+            format!("{}#{}", self.cfg.id, self.lives),
+            self.record.clone(),
+        );
         std::thread::spawn(move || {
             for line in events.lines().map_while(Result::ok) {
                 let Some((at, event)) = line.split_once(' ') else {
@@ -246,7 +282,8 @@
         let Some(mut child) = self.child.take() else {
             return;
         };
-        self.record.add(format!("target {}#{} killed", self.cfg.id, self.lives));
+        self.record
+            .add(format!("target {}#{} killed", self.cfg.id, self.lives));
         let _ = child.kill();
         let _ = child.wait();
     }
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -20,7 +20,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-
     /// Returns the path and the query of a request.
     pub fn path_and_query(&self) -> (&str, &str) {
         let target = self.start.split(' ').nth(1).unwrap_or("");
@@ -31,7 +30,10 @@
     pub fn parameter(&self, name: &str) -> Option<String> {
         let (_, query) = self.path_and_query();
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.filter(|(key, _)| *key == name).map(|(_, value)| decode(value)).next()
+        pairs
+            .filter(|(key, _)| *key == name)
+            .map(|(_, value)| decode(value))
+            .next()
     }
 
     /// Returns the status of a response.
@@ -52,7 +54,10 @@
     let mut at = 0;
     while at < bytes.len() {
         let hex = text.get(at + 1..at + 3);
-        match (bytes[at], hex.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+        match (
+            bytes[at],
+            hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()),
+        ) {
             (b'%', Some(byte)) => {
                 out.push(byte);
                 at += 3;
@@ -72,7 +77,10 @@
     if reader.read_line(&mut start)? == 0 {
         return Ok(None);
     }
-    let mut message = Message { start: start.trim_end().to_owned(), ..Message::default() };
+    let mut message = Message {
+        start: start.trim_end().to_owned(),
+        ..Message::default()
+    };
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -83,12 +91,17 @@
             break;
         }
         if let Some((key, value)) = line.split_once(':') {
-            message.headers.push((key.to_ascii_lowercase(), value.trim().to_owned()));
+            message
+                .headers
+                .push((key.to_ascii_lowercase(), value.trim().to_owned()));
         }
     }
     if message.header("transfer-encoding").is_some() {
         read_chunks(reader, &mut message.body)?;
-    } else if let Some(len) = message.header("content-length").and_then(|len| len.parse().ok()) {
+    } else if let Some(len) = message
+        .header("content-length")
+        .and_then(|len| len.parse().ok())
+    {
         message.body = vec![0; len];
         reader.read_exact(&mut message.body)?;
     }
@@ -116,11 +129,18 @@
     pub status: u16,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// Whether a copy is sent too, late: when the next request has arrived on the connection.
+    pub has_late_copy: bool,
 }
 
 impl Reply {
     pub fn new(status: u16, body: impl Into<Vec<u8>>) -> Self {
-        Reply { status, headers: Vec::new(), body: body.into() }
+        Reply {
+            status,
+            headers: Vec::new(),
+            body: body.into(),
+            has_late_copy: false,
+        }
     }
 
     /// Adds a header.
@@ -158,11 +178,16 @@
 pub fn connection(mut stream: TcpStream, handler: &Handler) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
+    let mut late_copy: Option<Reply> = None;
     while let Some(request) = read(&mut reader)? {
+        if let Some(copy) = late_copy.take() {
+            copy.write(&mut stream)?;
+        }
         let Some(reply) = handler(&request) else {
             return Ok(());
         };
         reply.write(&mut stream)?;
+        late_copy = reply.has_late_copy.then_some(reply);
     }
     Ok(())
 }
@@ -184,7 +209,12 @@
     }
 
     /// Sends a request and reads the response.
-    pub fn call(&mut self, start: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<Message> {
+    pub fn call(
+        &mut self,
+        start: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<Message> {
         let mut out = format!("{start} HTTP/1.1\r\n").into_bytes();
         for (name, value) in headers {
             out.extend(format!("{name}: {value}\r\n").into_bytes());
--- a/review/rig/json.rs
+++ b/review/rig/json.rs
@@ -16,7 +16,10 @@
 impl Json {
     /// Parses `text`; returns none if it is not valid JSON.
     pub fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.skip_space();
         (parser.at == parser.bytes.len()).then_some(value)
@@ -66,7 +69,12 @@
 
 /// Builds an object.
 pub fn object(fields: Vec<(&str, Json)>) -> Json {
-    Json::Obj(fields.into_iter().map(|(key, v)| (key.to_owned(), v)).collect())
+    Json::Obj(
+        fields
+            .into_iter()
+            .map(|(key, v)| (key.to_owned(), v))
+            .collect(),
+    )
 }
 
 impl fmt::Display for Json {
@@ -239,7 +247,10 @@
     fn number(&mut self) -> Option<Json> {
         let start = self.at;
         while self.at < self.bytes.len()
-            && matches!(self.bytes[self.at], b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')
+            && matches!(
+                self.bytes[self.at],
+                b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E'
+            )
         {
             self.at += 1;
         }
--- a/review/rig/rules.rs
+++ b/review/rig/rules.rs
@@ -1,84 +1,115 @@
-//! Checks of the rule OWNER, from what targets took and from the times at which they ended.
+//! Checks of the rule OWNER, from what targets took and ran.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Two targets may hold the same keys for this long (RULES.md, OWNER).
 const MAX_SHARED_US: u64 = 500_000;
 
-/// One life of a target, and the time in which it held some keys under one fencing token.
+/// What happened at a target.
 #[derive(Debug, Clone)]
-struct Hold {
-    life: String,
-    fence: u64,
-    from_us: u64,
-    until_us: u64,
-}
-
-/// Two targets that held the same keys at the same time.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Shared {
-    pub first_key: usize,
-    pub last_key: usize,
-    pub one: String,
-    pub other: String,
-    pub from_us: u64,
-    pub until_us: u64,
-}
-
-impl Shared {
-    pub fn length_us(&self) -> u64 {
-        self.until_us - self.from_us
-    }
-}
-
-/// What the check found.
-#[derive(Debug, Default)]
-pub struct Findings {
-    /// Keys that two targets held for longer than allowed.
-    pub shared: Vec<Shared>,
-    /// Takes under a fencing token that is not above all with which other lives had the keys.
-    pub low_fences: Vec<String>,
-}
-
 enum Event {
-    Grant { from: usize, to: usize, fence: u64, hold_us: u64 },
+    /// It took keys.
+    Grant {
+        from: usize,
+        to: usize,
+        fence: u64,
+        hold_us: u64,
+    },
+    /// It was told to release keys.
     Release { from: usize, to: usize },
+    /// A request on a key began.
+    Run { id: String, key: usize },
+    /// A request ended.
+    RunEnd { id: String },
+    /// Its process was killed.
     End,
 }
 
-/// Checks the lines of a record. Grants that arrive within `excused` (times in microseconds) don't
-/// count: it is as if they had not arrived.
-pub fn check(lines: &[(u64, String)], excused: (u64, u64)) -> Findings {
-    let mut events: BTreeMap<String, Vec<(u64, Event)>> = BTreeMap::new();
-    let mut edges: BTreeSet<usize> = [0, 65_536].into();
+/// Events by the lives of targets, in the order of their times.
+type Events = BTreeMap<String, Vec<(u64, Event)>>;
+
+/// Reads the lines of a record.
+fn read(lines: &[(u64, String)]) -> Events {
+    let mut events = Events::new();
     for (at, line) in lines {
         let words: Vec<&str> = line.split(' ').collect();
         let ["target", life, event, details @ ..] = words.as_slice() else {
             continue;
         };
-        let number = |i: usize| -> u64 { details.get(i).and_then(|n| n.parse().ok()).unwrap_or(0) };
+        let text = |i: usize| details.get(i).copied().unwrap_or("").to_owned();
+        let number = |i: usize| -> u64 { text(i).parse().unwrap_or(0) };
         let (from, to) = (number(0) as usize, number(1) as usize);
-        let is_excused = excused.0 <= *at && *at <= excused.1;
         let event = match *event {
-            "grant" if is_excused => continue,
-            "grant" => Event::Grant { from, to, fence: number(2), hold_us: number(3) },
+            "grant" => Event::Grant {
+                from,
+                to,
+                fence: number(2),
+                hold_us: number(3),
+            },
             "release" => Event::Release { from, to },
+            "run" => Event::Run {
+                id: text(0),
+                key: number(1) as usize,
+            },
+            "end" => Event::RunEnd { id: text(0) },
             "killed" => Event::End,
             _ => continue,
         };
-        if !matches!(event, Event::End) {
-            edges.extend([from, to + 1]);
+        let life = events.entry((*life).to_owned()).or_default();
+        life.push((*at, event));
+    }
+    events
+}
+
+/// Returns the target of a life.
+fn target_of(life: &str) -> &str {
+    life.split('#').next().unwrap_or(life)
+}
+
+/// The time in which one life of a target held a key under one fencing token.
+#[derive(Debug, Clone)]
+struct Hold {
+    life: String,
+    fence: u64,
+    from_us: u64,
+    until_us: u64,
+}
+
+/// What the check of holds found.
+#[derive(Debug, Default)]
+pub struct Findings {
+    /// Keys that two targets held for longer than allowed.
+    pub shared: Vec<String>,
+    /// Takes under a fencing token that is not above all with which other lives had the keys.
+    pub low_fences: Vec<String>,
+}
+
+/// Checks that no two targets hold the same keys. Grants that arrive within `excused` (times in
+/// microseconds) don't count: it is as if they had not arrived.
+pub fn check_holds(lines: &[(u64, String)], excused: (u64, u64)) -> Findings {
+    let mut events = read(lines);
+    let is_excused = |at: u64| excused.0 <= at && at <= excused.1;
+    for life in events.values_mut() {
+        life.retain(|(at, event)| !matches!(event, Event::Grant { .. }) || !is_excused(*at));
+    }
+    let mut edges: BTreeSet<usize> = [0, 65_536].into();
+    for (_, event) in events.values().flatten() {
+        if let Event::Grant { from, to, .. } | Event::Release { from, to } = event {
+            edges.extend([*from, to + 1]);
         }
-        events.entry((*life).to_owned()).or_default().push((*at, event));
     }
     let edges: Vec<usize> = edges.into_iter().collect();
     let mut findings = Findings::default();
     for pair in edges.windows(2) {
-        let (first_key, last_key) = (pair[0], pair[1] - 1);
-        let holds: Vec<Hold> =
-            events.iter().flat_map(|(life, events)| holds(life, events, first_key)).collect();
-        findings.shared.extend(shared(&holds).map(|shared| Shared { first_key, last_key, ..shared }));
-        findings.low_fences.extend(low_fences(&holds).map(|text| format!("keys {first_key}-{last_key}: {text}")));
+        let keys = format!("keys {}-{}", pair[0], pair[1] - 1);
+        let lives = events.iter();
+        let holds: Vec<Hold> = lives
+            .flat_map(|(life, e)| holds(life, e, pair[0]))
+            .collect();
+        let shared = shared(&holds).map(|text| format!("{keys} {text}"));
+        findings.shared.extend(shared);
+        let low_fences = low_fences(&holds).map(|text| format!("{keys}: {text}"));
+        findings.low_fences.extend(low_fences);
     }
     findings
 }
@@ -89,7 +120,12 @@
     for (at, event) in events {
         let current = holds.last_mut().filter(|hold| hold.until_us > *at);
         match event {
-            Event::Grant { from, to, fence, hold_us } if (*from..=*to).contains(&key) => {
+            Event::Grant {
+                from,
+                to,
+                fence,
+                hold_us,
+            } if (*from..=*to).contains(&key) => {
                 match current {
                     Some(hold) if hold.fence == *fence => {
                         hold.until_us = at + hold_us;
@@ -115,38 +151,135 @@
                     hold.until_us = *at;
                 }
             }
-            Event::Grant { .. } | Event::Release { .. } => {}
+            _ => {}
         }
     }
     holds
 }
 
-fn target_of(life: &str) -> &str {
-    life.split('#').next().unwrap_or(life)
-}
-
-/// Returns the pairs of holds of different targets that overlap for longer than allowed.
-fn shared(holds: &[Hold]) -> impl Iterator<Item = Shared> + '_ {
-    let pairs = holds.iter().enumerate().flat_map(|(i, one)| holds[i + 1..].iter().map(move |other| (one, other)));
-    let pairs = pairs.filter(|(one, other)| target_of(&one.life) != target_of(&other.life));
+/// Describes the pairs of holds of different targets that overlap for longer than allowed.
+fn shared(holds: &[Hold]) -> impl Iterator<Item = String> + '_ {
+    let others = |i: usize, one| holds[i + 1..].iter().map(move |other| (one, other));
+    let pairs = holds.iter().enumerate();
+    let pairs = pairs.flat_map(move |(i, one): (usize, &Hold)| others(i, one));
     pairs.filter_map(|(one, other)| {
-        let shared = Shared {
-            first_key: 0,
-            last_key: 0,
-            one: format!("{} (fence {})", one.life, one.fence),
-            other: format!("{} (fence {})", other.life, other.fence),
-            from_us: one.from_us.max(other.from_us),
-            until_us: one.until_us.min(other.until_us),
-        };
-        (shared.until_us > shared.from_us + MAX_SHARED_US).then_some(shared)
+        let from_us = one.from_us.max(other.from_us);
+        let until_us = one.until_us.min(other.until_us);
+        let is_too_long = until_us > from_us + MAX_SHARED_US;
+        let are_different = target_of(&one.life) != target_of(&other.life);
+        (is_too_long && are_different).then(|| {
+            format!(
+                "held by {} (fence {}) and {} (fence {}) for {:.3} s",
+                one.life,
+                one.fence,
+                other.life,
+                other.fence,
+                (until_us - from_us) as f64 / 1e6
+            )
+        })
     })
 }
 
-/// Returns descriptions of takes whose fencing token another life had already had, or a higher one.
+/// Describes takes whose fencing token another life had already had, or a higher one.
 fn low_fences(holds: &[Hold]) -> impl Iterator<Item = String> + '_ {
     holds.iter().filter_map(|take| {
-        let is_earlier = |hold: &&Hold| hold.life != take.life && hold.from_us < take.from_us && hold.fence >= take.fence;
+        let is_earlier = |hold: &&Hold| {
+            hold.life != take.life && hold.from_us < take.from_us && hold.fence >= take.fence
+        };
         let earlier = holds.iter().find(is_earlier)?;
-        Some(format!("{} took fence {} after {} had {}", take.life, take.fence, earlier.life, earlier.fence))
+        Some(format!(
+            "{} took fence {} after {} had {}",
+            take.life, take.fence, earlier.life, earlier.fence
+        ))
     })
 }
+
+/// A request at work.
+struct Run {
+    id: String,
+    key: usize,
+    life: String,
+    from_us: u64,
+    until_us: u64,
+    /// When the hold under which it began would run out.
+    hold_end_us: u64,
+}
+
+/// Checks that no target is given a key on which another is still at work, before that one's hold
+/// would have run out; returns what breaks this.
+pub fn check_work(lines: &[(u64, String)]) -> Vec<String> {
+    let events = read(lines);
+    let lives = events.iter();
+    let runs: Vec<Run> = lives
+        .flat_map(|(life, events)| runs(life, events))
+        .collect();
+    let mut broken = Vec::new();
+    for (life, events) in &events {
+        for (at, event) in events {
+            let Event::Grant {
+                from, to, fence, ..
+            } = event
+            else {
+                continue;
+            };
+            let breaks = runs.iter().filter(|run| {
+                let is_at_work = run.from_us < *at && *at < run.until_us.min(run.hold_end_us);
+                let is_other = target_of(&run.life) != target_of(life);
+                is_other && is_at_work && (*from..=*to).contains(&run.key)
+            });
+            broken.extend(breaks.map(|run| {
+                format!(
+                    "{life} was granted keys {from}-{to} (fence {fence}) while {} was at work on key \
+                     {} (request {}), {:.3} s before it ended",
+                    run.life,
+                    run.key,
+                    run.id,
+                    (run.until_us - at) as f64 / 1e6
+                )
+            }));
+        }
+    }
+    broken
+}
+
+/// Returns the requests that a life ran.
+fn runs(life: &str, events: &[(u64, Event)]) -> Vec<Run> {
+    let mut runs: Vec<Run> = Vec::new();
+    for (at, event) in events {
+        match event {
+            Event::Run { id, key } => {
+                let holds = holds(life, events, *key).into_iter();
+                let hold = holds.filter(|hold| hold.from_us <= *at).next_back();
+                // A release ends the hold earlier, but not the time that it would have lasted.
+                let granted = events.iter().filter_map(|(granted, event)| match event {
+                    Event::Grant {
+                        from, to, hold_us, ..
+                    } if granted <= at && (*from..=*to).contains(key) => Some(granted + hold_us),
+                    _ => None,
+                });
+                runs.push(Run {
+                    id: id.clone(),
+                    key: *key,
+                    life: life.to_owned(),
+                    from_us: *at,
+                    until_us: u64::MAX,
+                    hold_end_us: hold.and(granted.max()).unwrap_or(0),
+                });
+            }
+            Event::RunEnd { id } => {
+                let run = runs.iter_mut().find(|run| run.id == *id);
+                if let Some(run) = run {
+                    run.until_us = *at;
+                }
+            }
+            Event::End => {
+                let running = runs.iter_mut().filter(|run| run.until_us == u64::MAX);
+                running.for_each(|run| run.until_us = *at);
+            }
+            _ => {}
+        }
+    }
+    // A request without an end was at work when the record ended.
+    runs.retain(|run| run.until_us != u64::MAX);
+    runs
+}
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -44,7 +44,10 @@
     fn put(&mut self, key: RowKey, value: Option<String>, ver: u64) {
         match &value {
             Some(value) => {
-                let row = Row { value: value.clone(), ver };
+                let row = Row {
+                    value: value.clone(),
+                    ver,
+                };
                 self.rows.insert(key.clone(), row);
             }
             None => {
@@ -178,7 +181,11 @@
         tables.ver += 1;
         let ver = tables.ver;
         for (key, row) in writes {
-            let value = row.get("value").and_then(Json::as_str).unwrap_or("").to_owned();
+            let value = row
+                .get("value")
+                .and_then(Json::as_str)
+                .unwrap_or("")
+                .to_owned();
             tables.put(key, Some(value), ver);
         }
         for (key, _) in removes {
@@ -198,7 +205,10 @@
         };
         let found = tables.rows.iter().filter(is_asked);
         let found = found.map(|(key, row)| wire_row(key, row.ver, Some(&row.value)));
-        let rows = vec![("rows", Json::Arr(found.collect())), ("truncated", Json::Bool(false))];
+        let rows = vec![
+            ("rows", Json::Arr(found.collect())),
+            ("truncated", Json::Bool(false)),
+        ];
         self.with_state(tables.ver, rows)
     }
 
@@ -208,7 +218,10 @@
             let text = request.parameter(name);
             text.and_then(|text| text.parse().ok()).unwrap_or(0)
         };
-        let (after, end) = (number("after"), Instant::now() + Duration::from_millis(number("wait_ms")));
+        let (after, end) = (
+            number("after"),
+            Instant::now() + Duration::from_millis(number("wait_ms")),
+        );
         let mut tables = self.tables.lock().unwrap();
         loop {
             let changes = tables.history.iter();
--- a/review/rig/target.rs
+++ b/review/rig/target.rs
@@ -4,7 +4,7 @@
 //! its details.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -15,6 +15,8 @@
 /// Pause before a registration that failed is sent again.
 const REGISTER_AGAIN: Duration = Duration::from_millis(200);
 const KEYS: usize = 65_536;
+/// How much longer the work of some requests is.
+const LONG_WORK: u32 = 5;
 
 /// Settings of a target.
 #[derive(Debug, Clone)]
@@ -27,6 +29,8 @@
     pub store: SocketAddr,
     pub work: Duration,
     pub slots: u32,
+    /// Whether it sends a second answer to its first release, late.
+    pub repeats_answer: bool,
 }
 
 impl Settings {
@@ -41,6 +45,7 @@
             self.store.to_string(),
             self.work.as_millis().to_string(),
             self.slots.to_string(),
+            self.repeats_answer.to_string(),
         ]
     }
 
@@ -53,13 +58,17 @@
             store: args[5].parse().expect("an address"),
             work: Duration::from_millis(args[6].parse().expect("a number")),
             slots: args[7].parse().expect("a number"),
+            repeats_answer: args[8] == "true",
         }
     }
 }
 
 /// Microseconds since the Unix epoch.
 pub fn now_us() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_micros() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("a time after 1970")
+        .as_micros() as u64
 }
 
 fn print_event(event: &str) {
@@ -79,6 +88,8 @@
     keys: Mutex<Vec<KeyState>>,
     work_ended: Condvar,
     running: AtomicU32,
+    /// Whether the late copy of an answer is still to come.
+    owes_copy: AtomicBool,
 }
 
 /// Runs a target until the process is killed.
@@ -86,12 +97,17 @@
     let listener = TcpListener::bind(cfg.address).expect("the target's address is free");
     let born = now_us() / 1_000;
     print_event(&format!("born {} {born}", cfg.id));
-    let idle = KeyState { highest_fence: 0, held_until: None, running: 0 };
+    let idle = KeyState {
+        highest_fence: 0,
+        held_until: None,
+        running: 0,
+    };
     let target = Arc::new(Target {
         cfg: cfg.clone(),
         keys: Mutex::new(vec![idle; KEYS]),
         work_ended: Condvar::new(),
         running: AtomicU32::new(0),
+        owes_copy: AtomicBool::new(cfg.repeats_answer),
     });
     std::thread::spawn(move || heartbeat(&cfg, born));
     let handler = move |request: &Message| Some(target.answer(request));
@@ -122,8 +138,13 @@
                 ]),
             ),
         ]);
-        let sent = Client::open(cfg.store, REGISTER_AGAIN)
-            .and_then(|mut store| store.call("PUT /register", &[("Host", "store")], row.to_string().as_bytes()));
+        let sent = Client::open(cfg.store, REGISTER_AGAIN).and_then(|mut store| {
+            store.call(
+                "PUT /register",
+                &[("Host", "store")],
+                row.to_string().as_bytes(),
+            )
+        });
         match sent {
             Ok(_) => {
                 print_event(&format!("registered {} {born} {seq}", cfg.id));
@@ -206,25 +227,46 @@
             key.highest_fence = key.highest_fence.max(order.fence);
             key.held_until = None;
         }
-        print_event(&format!("release {} {} {}", order.from, order.to, order.fence));
-        while keys[order.from..=order.to].iter().any(|key| key.running > 0) {
+        print_event(&format!(
+            "release {} {} {}",
+            order.from, order.to, order.fence
+        ));
+        while keys[order.from..=order.to]
+            .iter()
+            .any(|key| key.running > 0)
+        {
             keys = self.work_ended.wait(keys).unwrap();
         }
-        Reply::new(200, "").with("Medlardyke-Handover", "5c0e7a21d94b36f8")
+        print_event(&format!(
+            "released {} {} {}",
+            order.from, order.to, order.fence
+        ));
+        Reply {
+            has_late_copy: self.owes_copy.swap(false, Ordering::SeqCst),
+            ..Reply::new(200, "").with("Medlardyke-Handover", "5c0e7a21d94b36f8")
+        }
     }
 
     fn serve(&self, request: &Message) -> Reply {
-        let id = request.header("medlardyke-request-id").unwrap_or("").to_owned();
-        let key = request.header("medlardyke-shard-key").and_then(|key| key.parse::<u16>().ok());
+        let id = request
+            .header("medlardyke-request-id")
+            .unwrap_or("")
+            .to_owned();
+        let key = request
+            .header("medlardyke-shard-key")
+            .and_then(|key| key.parse::<u16>().ok());
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
-        let reply = self.run_request(&id, key, running);
+        let is_long = request.path_and_query().0.ends_with("/long");
+        let work = self.cfg.work * if is_long { LONG_WORK } else { 1 };
+        let reply = self.run_request(&id, key, running, work);
         let left = self.running.fetch_sub(1, Ordering::SeqCst) - 1;
-        reply
-            .with("Medlardyke-Request-Id", id)
-            .with("Medlardyke-Instance-Load", format!("{left},0,{}", self.cfg.slots))
+        reply.with("Medlardyke-Request-Id", id).with(
+            "Medlardyke-Instance-Load",
+            format!("{left},0,{}", self.cfg.slots),
+        )
     }
 
-    fn run_request(&self, id: &str, key: Option<u16>, running: u32) -> Reply {
+    fn run_request(&self, id: &str, key: Option<u16>, running: u32, work: Duration) -> Reply {
         if running > self.cfg.slots + 16 {
             return Reply::new(503, "").with("Medlardyke-Not-Executed", "1");
         }
@@ -239,9 +281,10 @@
         } else {
             print_event(&format!("run {id} -"));
         }
-        std::thread::sleep(self.cfg.work);
+        std::thread::sleep(work);
         if let Some(key) = key {
             self.keys.lock().unwrap()[usize::from(key)].running -= 1;
+            print_event(&format!("end {id} {key}"));
             self.work_ended.notify_all();
         }
         Reply::new(200, format!("answer to {id}")).with("Medlardyke-Response-Seal", id)
