--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -140,18 +140,6 @@
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
-
-    /// Sends a signal, named as for `kill`.
-    pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill")
-            .arg(format!("-{name}"))
-            .arg(self.child.id().to_string())
-            .status();
-        assert!(
-            sent.is_ok_and(|status| status.success()),
-            "signal {name} was sent"
-        );
-    }
 }
 
 /// Renders the template of the deploy file; the first start of the whole system, without bounds for
--- a/review/rig/target.rs
+++ b/review/rig/target.rs
@@ -178,7 +178,16 @@
 }
 
 impl Target {
+    /// Answers a request or an order; an answer echoes the id of its request, if there is one.
     fn answer(&self, request: &Message) -> Reply {
+        let reply = self.handle(request);
+        match request.header("medlardyke-request-id") {
+            Some(id) => reply.with("Medlardyke-Request-Id", id),
+            None => reply,
+        }
+    }
+
+    fn handle(&self, request: &Message) -> Reply {
         let meant_for = request.header("medlardyke-target-instance");
         if meant_for.is_some_and(|id| id != self.cfg.id) {
             return Reply::new(421, "")
@@ -260,10 +269,8 @@
         let work = self.cfg.work * if is_long { LONG_WORK } else { 1 };
         let reply = self.run_request(&id, key, running, work);
         let left = self.running.fetch_sub(1, Ordering::SeqCst) - 1;
-        reply.with("Medlardyke-Request-Id", id).with(
-            "Medlardyke-Instance-Load",
-            format!("{left},0,{}", self.cfg.slots),
-        )
+        let load = format!("{left},0,{}", self.cfg.slots);
+        reply.with("Medlardyke-Instance-Load", load)
     }
 
     fn run_request(&self, id: &str, key: Option<u16>, running: u32, work: Duration) -> Reply {
