--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -187,6 +187,8 @@
     pub work: Duration,
     /// Number of the target that sends a late second answer to its first release, if any.
     pub repeats_answer: Option<usize>,
+    /// Whether registrations say when the process started.
+    pub states_start: bool,
 }
 
 /// A target and the process of its present life.
@@ -227,6 +229,7 @@
             work: kind.work,
             slots: 4,
             repeats_answer: kind.repeats_answer == Some(number),
+            states_start: kind.states_start,
         };
         let mut target = Target {
             cfg,
--- a/review/rig/late_answer.rs
+++ b/review/rig/late_answer.rs
@@ -14,6 +14,7 @@
     service: "tariffbok",
     work: Duration::from_millis(100),
     repeats_answer: None,
+    states_start: true,
 };
 /// Callers of any key.
 const CALLERS: usize = 4;
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -6,6 +6,7 @@
 
 mod deployment;
 mod fleet;
+mod foreign_entry;
 mod http;
 mod json;
 mod late_answer;
@@ -30,6 +31,7 @@
             0
         }
         ["reborn", record] => reborn::run(Path::new(record), is_disturbed),
+        ["foreign-entry", record] => foreign_entry::run(Path::new(record), is_disturbed),
         ["late-answer", record] => late_answer::run(Path::new(record), is_disturbed),
         _ => {
             eprintln!("usage: rig CASE RECORD");
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -95,6 +95,16 @@
         self.changed.notify_all();
     }
 
+    /// Writes the registration of the target `id` as another writer; the target writes it again at
+    /// its next heartbeat.
+    pub fn write_entry(&self, id: &str, value: &Json) {
+        let value = base64(value.to_string().as_bytes());
+        let mut tables = self.tables.lock().unwrap();
+        tables.registered.remove(id);
+        tables.put_one("servers", id, Some(value));
+        self.changed.notify_all();
+    }
+
     /// Removes registrations of targets that are silent.
     fn expire(&self) {
         loop {
--- a/review/rig/target.rs
+++ b/review/rig/target.rs
@@ -31,6 +31,8 @@
     pub slots: u32,
     /// Whether it sends a second answer to its first release, late.
     pub repeats_answer: bool,
+    /// Whether its registration says when it started: where a target may start again under its id.
+    pub states_start: bool,
 }
 
 impl Settings {
@@ -46,9 +48,40 @@
             self.work.as_millis().to_string(),
             self.slots.to_string(),
             self.repeats_answer.to_string(),
+            self.states_start.to_string(),
         ]
     }
 
+    /// Returns the registration of the process that started at `born`, as it writes it for the
+    /// `seq`th time.
+    pub fn registration(&self, born: u64, seq: u32) -> Json {
+        let born = ("born", Json::Num(born as f64));
+        let mut fields = vec![
+            ("address", string(self.address.to_string())),
+            (
+                "info",
+                object(vec![
+                    ("service", string(self.service.as_str())),
+                    ("version", string("v1")),
+                    ("zone", string(self.zone.as_str())),
+                    ("slots", Json::Num(self.slots.into())),
+                ]),
+            ),
+            (
+                "status",
+                object(vec![
+                    ("state", string("ready")),
+                    ("warmup_left_s", Json::Num(0.0)),
+                    ("seq", Json::Num(seq.into())),
+                ]),
+            ),
+        ];
+        if self.states_start {
+            fields.insert(0, born);
+        }
+        object(fields)
+    }
+
     pub fn from_args(args: &[String]) -> Self {
         Settings {
             id: args[1].clone(),
@@ -59,6 +92,7 @@
             work: Duration::from_millis(args[6].parse().expect("a number")),
             slots: args[7].parse().expect("a number"),
             repeats_answer: args[8] == "true",
+            states_start: args[9] == "true",
         }
     }
 }
@@ -117,27 +151,7 @@
 /// Registers the target, and again at each heartbeat.
 fn heartbeat(cfg: &Settings, born: u64) {
     for seq in 1.. {
-        let row = object(vec![
-            ("born", Json::Num(born as f64)),
-            ("address", string(cfg.address.to_string())),
-            (
-                "info",
-                object(vec![
-                    ("service", string(cfg.service.as_str())),
-                    ("version", string("v1")),
-                    ("zone", string(cfg.zone.as_str())),
-                    ("slots", Json::Num(cfg.slots.into())),
-                ]),
-            ),
-            (
-                "status",
-                object(vec![
-                    ("state", string("ready")),
-                    ("warmup_left_s", Json::Num(0.0)),
-                    ("seq", Json::Num(f64::from(seq))),
-                ]),
-            ),
-        ]);
+        let row = cfg.registration(born, seq);
         let sent = Client::open(cfg.store, REGISTER_AGAIN).and_then(|mut store| {
             store.call(
                 "PUT /register",
@@ -290,8 +304,9 @@
         }
         std::thread::sleep(work);
         if let Some(key) = key {
-            self.keys.lock().unwrap()[usize::from(key)].running -= 1;
+            // Before the work counts as ended, so that a release is answered after this event.
             print_event(&format!("end {id} {key}"));
+            self.keys.lock().unwrap()[usize::from(key)].running -= 1;
             self.work_ended.notify_all();
         }
         Reply::new(200, format!("answer to {id}")).with("Medlardyke-Response-Seal", id)
