--- a/review/rig/deployment.rs
+++ b/review/rig/deployment.rs
@@ -14,15 +14,20 @@
 
 const HOSTS: usize = 3;
 
-/// Returns the operator's manifest: one route to one service that is divided by key.
+/// Returns the operator's manifest: three routes, each to a service of its own; that of the reads is
+/// divided by key.
 fn manifest() -> Json {
     let text = r#"{"version":"00000002",
         "routes":{"columns":["name","host","prefix","route_kind","timeout_s","aim_s","priority",
                 "split","max_attempts","service"],
-            "rows":[["movement-read","lookup.example","/r/","safe",1.5,0.6,1,null,2,"tariffbok"]]},
+            "rows":[["movement-read","lookup.example","/r/","safe",1.5,0.6,2,null,2,"tariffbok"],
+                ["landing-post","landing.example","/l/","unsafe",2.0,0.8,1,null,2,"landningslogg"],
+                ["invoice-issue","invoice.example","/i/","unsafe",1.2,0.5,0,null,2,"fakturering"]]},
         "services":{"columns":["name","health_path","max_connections","protocol","tls","sharded",
                 "warm_s","grants"],
-            "rows":[["tariffbok","/healthz",130,"h1",false,true,2.0,"invoke"]]},
+            "rows":[["tariffbok","/healthz",130,"h1",false,true,2.0,"invoke"],
+                ["landningslogg","/healthz",130,"h1",false,null,null,null],
+                ["fakturering","/healthz",130,"h1",false,null,null,null]]},
         "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,
             "idle_timeout_s":15}}"#;
     Json::parse(text).expect("the manifest is valid")
@@ -31,15 +36,30 @@
 /// What a caller asks for.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
-    /// Requests are on keys from this one on.
+    /// Beginning of the requests' ids.
+    pub name: &'static str,
+    /// Method and path.
+    pub start: &'static str,
+    pub host: &'static str,
+    pub body: &'static str,
+    /// The first of the keys, and their number; requests have no key if it is zero.
     pub first_key: u64,
-    /// Number of the keys.
     pub keys: u64,
-    pub path: &'static str,
     /// Pause between two requests.
     pub pause: Duration,
 }
 
+/// Reads of any key.
+pub const READS: Load = Load {
+    name: "read",
+    start: "GET /r/x",
+    host: "lookup.example",
+    body: "",
+    first_key: 0,
+    keys: 65_536,
+    pause: Duration::from_millis(40),
+};
+
 /// Processes and threads of a deployment; they end when it is dropped.
 pub struct Deployment {
     pub record: Record,
@@ -52,15 +72,20 @@
 }
 
 impl Deployment {
-    /// Starts everything but the callers; returns none if a host does not become ready.
-    pub fn start(targets: usize, kind: &Kind) -> Option<Self> {
+    /// Starts everything but the callers, with a number of targets of each kind; returns none if a
+    /// host does not become ready.
+    pub fn start(kinds: &[(usize, Kind)]) -> Option<Self> {
         let net = loopback_net();
         let dir = temporary_folder();
         let record = Record::default();
         let (store, address) = Store::start(&format!("{net}.90"));
         store.put("op", "config", &manifest());
-        let target = |number| Target::start(&store, &net, number, kind, &record);
-        let targets = (0..targets).map(target).collect();
+        let all = kinds.iter();
+        let all = all.flat_map(|(count, kind)| std::iter::repeat_n(kind, *count));
+        let all = all.enumerate();
+        let targets = all
+            .map(|(number, kind)| Target::start(&store, &net, number, kind, &record))
+            .collect();
         let host = |number| Host::start(number, &net, address, &dir);
         let hosts: Vec<Host> = (0..HOSTS).map(host).collect();
         let are_ready = hosts.iter().all(Host::wait_until_ready);
@@ -111,12 +136,14 @@
         })
     }
 
-    /// Returns whether `target` has answered a release.
-    pub fn has_released(&self, target: &str) -> bool {
+    /// Returns how many events of this kind there were at `target`.
+    pub fn events(&self, target: &str, event: &str) -> usize {
         let life = format!("target {target}#");
-        let is_release =
-            |(_, line): &(u64, String)| line.starts_with(&life) && line.contains(" released ");
-        self.record.lines().iter().any(is_release)
+        let event = format!(" {event} ");
+        let lines = self.record.lines();
+        let is_event =
+            |(_, line): &&(u64, String)| line.starts_with(&life) && line.contains(&event);
+        lines.iter().filter(is_event).count()
     }
 
     /// Stops the callers and ends all processes; returns whether the hosts had run until then.
@@ -143,7 +170,7 @@
     }
 }
 
-/// Sends requests with keys, one after the other, until `stop` is set.
+/// Sends requests, one after the other, until `stop` is set.
 fn caller(number: usize, host: SocketAddr, load: Load, record: &Record, stop: &AtomicBool) {
     let mut connection = None;
     let mut random = 0x9E37_79B9_7F4A_7C15_u64.wrapping_mul(number as u64 + 1);
@@ -155,21 +182,23 @@
         random = random
             .wrapping_mul(6_364_136_223_846_793_005)
             .wrapping_add(1_442_695_040_888_963_407);
-        let key = load.first_key + (random >> 40) % load.keys;
-        let (id, key) = (format!("c{number}-{i}"), key.to_string());
-        let headers = [
-            ("Host", "lookup.example"),
+        let key = load.first_key + (random >> 40) % load.keys.max(1);
+        let (id, key) = (format!("{}-c{number}-{i}", load.name), key.to_string());
+        let mut headers = vec![
+            ("Host", load.host),
             ("Medlardyke-Request-Id", id.as_str()),
             ("Medlardyke-Deadline-Ms", "1500"),
-            ("Medlardyke-Shard-Key", key.as_str()),
         ];
+        if load.keys > 0 {
+            headers.push(("Medlardyke-Shard-Key", key.as_str()));
+        }
         record.add(format!("sent {id} key {key} to {host}"));
         let opened = match connection.take() {
             Some(kept) => Ok(kept),
             None => Client::open(host, Duration::from_secs(3)),
         };
         let answer = opened.and_then(|mut client| {
-            let answer = client.call(&format!("GET {}", load.path), &headers, b"")?;
+            let answer = client.call(load.start, &headers, load.body.as_bytes())?;
             Ok((client, answer))
         });
         match answer {
--- a/review/rig/foreign_entry.rs
+++ b/review/rig/foreign_entry.rs
@@ -3,87 +3,100 @@
 use std::path::Path;
 use std::time::Duration;
 
-use crate::deployment::{Deployment, Load};
-use crate::fleet::Kind;
+use crate::deployment::{Deployment, Load, READS};
+use crate::fleet::{Kind, Target};
 use crate::json::Json;
 use crate::rules;
 
-const TARGETS: usize = 10;
-const KIND: Kind = Kind {
-    service: "tariffbok",
-    work: Duration::from_millis(30),
+const LANDINGS: Kind = Kind {
+    service: "landningslogg",
+    work: Duration::from_millis(290),
     repeats_answer: None,
     states_start: false,
 };
-/// Callers of any key.
-const CALLERS: usize = 5;
-const LOAD: Load = Load {
-    first_key: 0,
-    keys: 65_536,
-    path: "/r/x",
-    pause: Duration::from_millis(40),
+const INVOICES: Kind = Kind {
+    service: "fakturering",
+    work: Duration::from_millis(150),
+    ..LANDINGS
 };
-/// Callers of the busy keys.
-const BUSY_CALLERS: usize = 4;
-const BUSY_LOAD: Load = Load {
-    keys: 6_000,
-    ..LOAD
+const LANDING_TARGETS: usize = 10;
+const INVOICE_TARGETS: usize = 6;
+/// Callers of each kind.
+const CALLERS: usize = 15;
+const LANDING_POSTS: Load = Load {
+    name: "landningslogg",
+    start: "POST /l/x",
+    host: "landing.example",
+    body: "{}",
+    keys: 0,
+    ..READS
 };
-/// A key whose holder's entry is written by another.
-const KEY: usize = 3_000;
-/// Time of calm traffic before that.
-const CALM: Duration = Duration::from_secs(8);
-/// Time after it in which holds are watched.
-const AFTER: Duration = Duration::from_secs(10);
+const INVOICE_POSTS: Load = Load {
+    name: "fakturering",
+    start: "POST /i/x",
+    host: "invoice.example",
+    ..LANDING_POSTS
+};
+/// Time of calm traffic before the entry is written.
+const CALM: Duration = Duration::from_secs(6);
+/// Time after it in which requests are watched.
+const AFTER: Duration = Duration::from_secs(6);
 
 /// Runs the case; returns the exit code.
 pub fn run(record_path: &Path, is_disturbed: bool) -> i32 {
-    let Some(mut deployment) = Deployment::start(TARGETS, &KIND) else {
+    let kinds = [(LANDING_TARGETS, LANDINGS), (INVOICE_TARGETS, INVOICES)];
+    let Some(mut deployment) = Deployment::start(&kinds) else {
         return 2;
     };
-    deployment.call(CALLERS, LOAD);
-    deployment.call(BUSY_CALLERS, BUSY_LOAD);
+    deployment.call(CALLERS, LANDING_POSTS);
+    deployment.call(CALLERS, INVOICE_POSTS);
     std::thread::sleep(CALM);
-    let holder = deployment.holder(KEY);
-    let mut could_run = deployment.served() > 0 && holder.is_some();
-    if let Some(holder) = holder.filter(|_| is_disturbed) {
-        write_entry(&deployment, &holder);
+    let mut could_run = deployment.served() > 0;
+    if is_disturbed {
+        match busiest_target(&deployment) {
+            Some(target) => write_entry(&deployment, target),
+            None => could_run = false,
+        }
     }
     std::thread::sleep(AFTER);
     could_run &= deployment.stop();
-    let findings = rules::check_holds(&deployment.record.lines(), (0, 0));
-    for finding in &findings.shared {
-        deployment.record.add(format!("OWNER: {finding}"));
+    let findings = rules::check_routes(&deployment.record.lines());
+    for finding in &findings {
+        deployment.record.add(format!("ROUTE: {finding}"));
     }
     println!(
-        "{} served, {} ranges held by two targets",
+        "{} served, {} requests run by another service",
         deployment.served(),
-        findings.shared.len()
+        findings.len()
     );
     deployment.finish(record_path, could_run);
     match could_run {
-        true => i32::from(!findings.shared.is_empty()),
+        true => i32::from(!findings.is_empty()),
         false => 2,
     }
 }
 
-/// Writes the entry of `holder` as another writer: without `seq`, and with the address of another
-/// target.
-fn write_entry(deployment: &Deployment, holder: &str) {
-    let targets = &deployment.targets;
-    let is_holder = |target: &&crate::fleet::Target| target.cfg.id == holder;
-    let cfg = targets.iter().find(is_holder).map(|target| &target.cfg);
-    let other = targets.iter().find(|target| !is_holder(target));
-    let (Some(cfg), Some(other)) = (cfg, other) else {
-        return;
-    };
-    let mut cfg = cfg.clone();
-    cfg.address = other.cfg.address;
+/// Returns the target of the invoices that ran most requests.
+fn busiest_target(deployment: &Deployment) -> Option<&Target> {
+    let targets = deployment.targets.iter();
+    let targets = targets.filter(|target| target.cfg.service == INVOICES.service);
+    targets.max_by_key(|target| deployment.events(&target.cfg.id, "run"))
+}
+
+/// Writes the entry of `target`, a target of the invoices, as another writer: without `seq`, and with
+/// the service of the landings. It stands until the target's next heartbeat.
+fn write_entry(deployment: &Deployment, target: &Target) {
+    let mut cfg = target.cfg.clone();
+    let before = deployment.events(&cfg.id, "registered");
+    while deployment.events(&cfg.id, "registered") == before {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    cfg.service = LANDINGS.service.to_owned();
     let entry = without_seq(cfg.registration(0, 0));
-    deployment.store.write_entry(holder, &entry);
+    deployment.store.write_entry(&cfg.id, &entry);
     deployment
         .record
-        .add(format!("entry of {holder} written by another: {entry}"));
+        .add(format!("entry of {} written by another: {entry}", cfg.id));
 }
 
 /// Removes the field `seq` wherever it is.
--- a/review/rig/late_answer.rs
+++ b/review/rig/late_answer.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use crate::deployment::{Deployment, Load};
+use crate::deployment::{Deployment, Load, READS};
 use crate::fleet::Kind;
 use crate::rules;
 
@@ -19,10 +19,8 @@
 /// Callers of any key.
 const CALLERS: usize = 4;
 const LOAD: Load = Load {
-    first_key: 0,
-    keys: 65_536,
-    path: "/r/x",
     pause: Duration::from_millis(100),
+    ..READS
 };
 /// Callers of the busy keys, which the target holds at first.
 const BUSY_CALLERS: usize = 4;
@@ -43,7 +41,7 @@
         repeats_answer: is_disturbed.then_some(TARGET),
         ..KIND
     };
-    let Some(mut deployment) = Deployment::start(TARGETS, &kind) else {
+    let Some(mut deployment) = Deployment::start(&[(TARGETS, kind)]) else {
         return 2;
     };
     deployment.call(CALLERS, LOAD);
@@ -52,10 +50,11 @@
     if let Some(key) = wait_for_release(&deployment) {
         could_run = true;
         let load = Load {
+            start: "GET /r/long",
             first_key: key,
             keys: 1,
-            path: "/r/long",
             pause: Duration::from_millis(1),
+            ..READS
         };
         deployment.call(KEY_CALLERS, load);
         std::thread::sleep(AFTER);
@@ -83,7 +82,7 @@
     let end = Instant::now() + RELEASE_TIMEOUT;
     while Instant::now() < end {
         std::thread::sleep(Duration::from_millis(50));
-        if deployment.has_released(target) {
+        if deployment.events(target, "released") > 0 {
             // By now the new owner has been granted the keys.
             std::thread::sleep(Duration::from_millis(400));
             let mut keys = 0..65_536;
--- a/review/rig/reborn.rs
+++ b/review/rig/reborn.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use crate::deployment::{Deployment, Load};
+use crate::deployment::{Deployment, Load, READS};
 use crate::fleet::{Kind, Target};
 use crate::rules;
 use crate::target::now_us;
@@ -17,17 +17,11 @@
 };
 /// Callers of any key.
 const CALLERS: usize = 5;
-const LOAD: Load = Load {
-    first_key: 0,
-    keys: 65_536,
-    path: "/r/x",
-    pause: Duration::from_millis(40),
-};
 /// Callers of the busy keys.
 const BUSY_CALLERS: usize = 4;
-const BUSY_LOAD: Load = Load {
+const BUSY_READS: Load = Load {
     keys: 6_000,
-    ..LOAD
+    ..READS
 };
 /// A key whose holder is cut off from the store.
 const KEY: usize = 3_000;
@@ -46,11 +40,11 @@
 
 /// Runs the case; returns the exit code.
 pub fn run(record_path: &Path, is_disturbed: bool) -> i32 {
-    let Some(mut deployment) = Deployment::start(TARGETS, &KIND) else {
+    let Some(mut deployment) = Deployment::start(&[(TARGETS, KIND)]) else {
         return 2;
     };
-    deployment.call(CALLERS, LOAD);
-    deployment.call(BUSY_CALLERS, BUSY_LOAD);
+    deployment.call(CALLERS, READS);
+    deployment.call(BUSY_CALLERS, BUSY_READS);
     std::thread::sleep(CALM);
     let mut could_run = deployment.served() > 0;
     let mut excused = (0, 0);
--- a/review/rig/rules.rs
+++ b/review/rig/rules.rs
@@ -1,4 +1,4 @@
-//! Checks of the rule OWNER, from what targets took and ran.
+//! Checks of the rules OWNER and ROUTE, from what targets took and ran.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -283,3 +283,30 @@
     runs.retain(|run| run.until_us != u64::MAX);
     runs
 }
+
+/// Checks that requests are run by targets of their own services; returns what breaks this. Ids of
+/// requests begin with the service to which the manifest sends them, ids of targets contain theirs.
+pub fn check_routes(lines: &[(u64, String)]) -> Vec<String> {
+    let events = read(lines);
+    let runs = events.iter().flat_map(|(life, events)| {
+        let runs = events.iter().filter_map(|(_, event)| match event {
+            Event::Run { id, .. } => Some(id),
+            _ => None,
+        });
+        runs.map(move |id| (life, id))
+    });
+    let answers: BTreeMap<&str, &str> = lines
+        .iter()
+        .filter_map(|(_, line)| line.strip_prefix("answered ")?.split_once(' '))
+        .collect();
+    let breaks = runs.filter(|(life, id)| {
+        let service = id.split('-').next().unwrap_or(id);
+        !target_of(life).starts_with(&format!("i-{service}"))
+    });
+    breaks
+        .map(|(life, id)| {
+            let answer = answers.get(id.as_str()).unwrap_or(&"nothing");
+            format!("request {id} was run by {life}; its caller got {answer}")
+        })
+        .collect()
+}
