assign, front, platform: keys are granted under one token to one process

Cause: a connection counted as leading to the registered incarnation if it was 100 ms older than a read that still showed that incarnation. That takes silence of the store for a word about the process that listens: one that does not reach the store can't register. A later registration then freed the predecessor's keys at once, though the process that registered held them.

Change: assign::process says which connections lead to one process: an answer shows that a process ran when its call was sent, and one process at a time listens. Grants under one token go only over such connections; where nothing vouches for a connection, the range gets a higher token. A takeover issues new tokens, as it knows nothing of its predecessor's connections. A later registration no longer frees keys: whoever listens at the address is sent a release.

Why it works: of two grants under one token, the second goes to the process that took the first, whatever the store says or how slow it is. What ends a hold is the answer of the process that has it, another server's answer from its address, or time.

The test of connections that are older than a read gives way to one that withholds a grant from any other process, however old the connection is.

--- a/crates/assign/src/grant_call.rs
+++ b/crates/assign/src/grant_call.rs
@@ -37,6 +37,8 @@
         hold: Duration,
         /// The previous owner's handover.
         handover: Option<SmolStr>,
+        /// Whether another host may have granted the keys under the same fencing token.
+        is_inherited: bool,
     },
     /// The upstream must not start requests on the keys; it answers when those that run have ended.
     Release,
@@ -52,12 +54,14 @@
     },
     /// The upstream has seen a higher fencing token.
     Fenced,
-    /// Another incarnation of the server answered: the upstream no longer exists.
+    /// Another server has the upstream's address: the upstream no longer exists.
     Gone,
-    /// The call was not sent, for a reason at this host: the incarnation of the server that listens
-    /// is not known yet, or the host was too busy to send the call in time. This says nothing about
-    /// the upstream.
+    /// The call was not sent, for a reason at this host, such as that it was too busy to send it in
+    /// time. This says nothing about the upstream.
     NotSent,
+    /// The grant was not sent: the process at the upstream's address may be another one than that
+    /// which was granted keys under this fencing token before. The keys need a higher token.
+    NeedsHigherToken,
     /// No answer arrived.
     NoAnswer {
         /// Whether the call may have arrived.
--- a/crates/assign/src/grant_state.rs
+++ b/crates/assign/src/grant_state.rs
@@ -67,6 +67,8 @@
     pub(crate) is_spread: bool,
     /// The previous owner's handover, which the new owner uses to stay warm for the keys.
     pub(crate) handover: Option<SmolStr>,
+    /// Since when the keys need a higher fencing token to be granted again, if they do.
+    pub(crate) needs_token_since: Option<Timestamp>,
 }
 
 impl GrantState {
@@ -114,6 +116,7 @@
         granted: covering.is_some_and(|(_, s)| s.granted),
         is_spread: covering.is_some_and(|(_, s)| s.is_spread),
         handover: covering.and_then(|(_, s)| s.handover.clone()),
+        needs_token_since: covering.and_then(|(_, s)| s.needs_token_since),
     }
 }
 
--- a/crates/assign/src/lease_manager/calls.rs
+++ b/crates/assign/src/lease_manager/calls.rs
@@ -37,7 +37,7 @@
     }
 
     fn record_health(&mut self, now: Timestamp, call: &GrantCall, outcome: &GrantCallOutcome) {
-        if matches!(outcome, GrantCallOutcome::NotSent) {
+        if is_withheld(outcome) {
             return;
         }
         if !matches!(outcome, GrantCallOutcome::NoAnswer { .. }) {
@@ -59,7 +59,7 @@
     fn grant_ended(&mut self, now: Timestamp, in_flight: &InFlight, outcome: &GrantCallOutcome) {
         let every = self.cfg.renew_every;
         let not_sent = GrantCallOutcome::NoAnswer { maybe_sent: false };
-        if *outcome == not_sent || *outcome == GrantCallOutcome::NotSent {
+        if *outcome == not_sent || is_withheld(outcome) {
             self.undo_sent(in_flight);
         }
         let Some(state) = self.state_of(&in_flight.call) else {
@@ -69,6 +69,7 @@
         match outcome {
             GrantCallOutcome::Done { .. } => {
                 state.handover = None;
+                state.needs_token_since = None;
                 state.granted = true;
                 // Spreads the renewals of ranges that were granted together, as after a takeover;
                 // otherwise they would always be renewed together.
@@ -84,6 +85,10 @@
             GrantCallOutcome::NotSent | GrantCallOutcome::NoAnswer { .. } => {
                 state.next_grant_at = now + every / 4;
             }
+            GrantCallOutcome::NeedsHigherToken => {
+                state.needs_token_since.get_or_insert(now);
+                state.next_grant_at = now + every / 4;
+            }
             GrantCallOutcome::Fenced | GrantCallOutcome::Gone => state.next_grant_at = now + every,
         }
     }
@@ -131,7 +136,10 @@
                     previous.unanswered += if *maybe_sent { 1 } else { MAX_UNANSWERED };
                     previous.next_release_at = now + RELEASE_EVERY;
                 }
-                GrantCallOutcome::Gone | GrantCallOutcome::Fenced | GrantCallOutcome::NotSent => {
+                GrantCallOutcome::Gone
+                | GrantCallOutcome::Fenced
+                | GrantCallOutcome::NotSent
+                | GrantCallOutcome::NeedsHigherToken => {
                     previous.next_release_at = now + RELEASE_EVERY;
                 }
             }
@@ -220,6 +228,7 @@
             let kind = CallKind::Grant {
                 hold: self.cfg.grant_ttl,
                 handover: state.handover.clone(),
+                is_inherited: owned.token < self.own_tokens_from,
             };
             let id = call(
                 &owned.owner,
@@ -236,6 +245,14 @@
     }
 }
 
+/// Returns whether this host did not send the call, for a reason of its own.
+const fn is_withheld(outcome: &GrantCallOutcome) -> bool {
+    matches!(
+        outcome,
+        GrantCallOutcome::NotSent | GrantCallOutcome::NeedsHigherToken
+    )
+}
+
 fn is_release_due(previous: &PreviousOwner, now: Timestamp) -> bool {
     !previous.free && !previous.released && !previous.releasing && now >= previous.next_release_at
 }
--- a/crates/assign/src/lease_manager/mod.rs
+++ b/crates/assign/src/lease_manager/mod.rs
@@ -107,6 +107,8 @@
     granting_revision: Revision,
     /// When this host read that row, and the highest fencing token at that time.
     granting_since: (Timestamp, FencingToken),
+    /// Lower tokens than this one may have been used by other hosts for grants.
+    own_tokens_from: FencingToken,
     /// Rows before this revision don't let this host grant: it was informed of a successor.
     min_revision: Revision,
     /// The row of the pending commit, and when the commit began.
@@ -137,6 +139,7 @@
             ended_at: Timestamp::ZERO,
             granting_revision: Revision::default(),
             granting_since: (Timestamp::ZERO, FencingToken::default()),
+            own_tokens_from: FencingToken::default(),
             min_revision: Revision::default(),
             pending_commit: None,
             calls: Calls::default(),
@@ -233,6 +236,9 @@
         self.retain_unconfirmed();
         // The ranges of calls in flight may no longer exist in this row; the outcomes of the calls
         // still count.
+        if self.is_granter() && !was_granter {
+            self.own_tokens_from = self.first_own_token();
+        }
         if self.is_granter() && (is_new_era || !was_granter) {
             self.start_granting(now);
         }
@@ -282,9 +288,27 @@
             self.propose(now, row, None, actions);
             return;
         }
+        // This host can't know to which processes its predecessors granted keys under their tokens.
+        if row.recovery.is_none() {
+            row.raise_tokens(|_| true);
+        }
         self.propose(now, row, Some(revision), actions);
     }
 
+    /// Returns the lowest token that only this host can have used for grants, as the known row makes
+    /// it the granting host.
+    ///
+    /// A host that takes over raises all tokens, unless a recovery does so later.
+    fn first_own_token(&self) -> FencingToken {
+        let Some(row) = self.row() else {
+            return FencingToken::default();
+        };
+        match row.recovery {
+            None => row.highest_token,
+            Some(_) => row.highest_token.next(),
+        }
+    }
+
     /// Starts granting: the row that names this host became known at `now`.
     ///
     /// Previous granting hosts may have read until now that they still grant.
--- a/crates/assign/src/lease_manager/moves.rs
+++ b/crates/assign/src/lease_manager/moves.rs
@@ -20,6 +20,10 @@
 /// A host that takes over releases them once more, which costs milliseconds; a write costs a read
 /// at each host.
 const CLEANUP_EVERY: Duration = Duration::from_secs(5);
+/// Delay before keys get a higher fencing token because their owner's process may have changed.
+///
+/// An owner that has restarted usually registers within this time, and its keys then move at once.
+const RAISE_DELAY: Duration = Duration::from_millis(500);
 
 impl PartitionLeaseManager {
     /// Returns whether [`Self::plan`] may have something to do; its arguments are costly to
@@ -33,8 +37,10 @@
             && now >= planned_at + DRAINING_PLAN_EVERY
     }
 
-    /// Moves ranges if a plan is due or an owner of keys is draining.
+    /// Raises fencing tokens that need it; moves ranges if a plan is due or an owner of keys is
+    /// draining.
     pub fn plan(&mut self, now: Timestamp, ctx: &mut LeaseContext<'_>, actions: &mut Vec<Action>) {
+        self.raise_tokens(now, actions);
         let is_due = now >= self.next_plan_at || self.has_draining_owner(ctx.ready);
         if is_due && ctx.may_move && self.may_plan(now) {
             self.next_plan_at = now + self.cfg.plan_every;
@@ -42,6 +48,24 @@
         }
     }
 
+    /// Issues a higher fencing token for keys whose owner may run in another process than the one
+    /// that was granted them.
+    fn raise_tokens(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let Some(known) = self.known.as_ref().filter(|_| self.may_plan(now)) else {
+            return;
+        };
+        let is_due = |state: &GrantState| {
+            let since = state.needs_token_since;
+            since.is_some_and(|since| now.since(since) >= RAISE_DELAY)
+        };
+        if !known.states.iter().any(is_due) {
+            return;
+        }
+        let (mut row, revision) = (known.row.clone(), known.revision);
+        row.raise_tokens(|i| is_due(&known.states[i]));
+        self.propose(now, row, Some(revision), actions);
+    }
+
     /// Returns whether an owner of keys is not among the upstreams that accept requests.
     fn has_draining_owner(&self, ready: &[PlannedUpstream]) -> bool {
         let ready: HashSet<&UpstreamId> = ready.iter().map(|u| &u.id).collect();
--- a/crates/assign/src/lib.rs
+++ b/crates/assign/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`grant_call`]: calls and commits that the lease manager requests, and their outcomes.
 //! - [`lease_manager`]: grants, renews, releases and moves the ranges of one partition;
 //!   `grant_state` holds the state of each range's grants.
+//! - [`process`]: which process at an upstream's address may have been granted keys.
 //! - [`unserved`]: keys that no upstream serves at present.
 
 mod balance;
@@ -31,6 +32,7 @@
 mod packed;
 pub mod partition;
 pub mod plan;
+pub mod process;
 pub mod range;
 pub mod read_lease;
 pub mod row;
@@ -46,6 +48,7 @@
 pub use owners::{EntryOwners, PartitionOwners};
 pub use partition::{Partition, PartitionId};
 pub use plan::{PlannedUpstream, Planner};
+pub use process::{GrantedProcesses, Opening};
 pub use range::{FencingToken, KeyRange};
 pub use read_lease::ReadLease;
 pub use row::{HostIncarnation, OwnedRange, PartitionRow, PreviousGranter, Recovery, RowError};
--- a/crates/assign/src/row.rs
+++ b/crates/assign/src/row.rs
@@ -221,6 +221,15 @@
         }
     }
 
+    /// Issues a fencing token for the ranges for whose indices `selects` returns true.
+    pub fn raise_tokens(&mut self, selects: impl Fn(usize) -> bool) {
+        self.highest_token = self.highest_token.next();
+        let ranges = self.ranges.iter_mut().enumerate();
+        for (_, owned) in ranges.filter(|(i, _)| selects(*i)) {
+            owned.token = self.highest_token;
+        }
+    }
+
     /// Issues a fencing token of `era` for all ranges. It is higher than all tokens of earlier eras,
     /// including those of rows that the store has lost.
     pub fn renew_tokens(&mut self, era: StoreEra) {
--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod limited;
 mod parts;
 mod reserved;
+mod restarts;
 mod returns;
 mod rig;
 mod soak;
--- a/crates/cli/tests/direct/soak.rs
+++ b/crates/cli/tests/direct/soak.rs
@@ -58,6 +58,8 @@
     ReplacePosts(usize),
     /// The reads server of this index restarts under its name.
     RestartServer(usize),
+    /// The reads server of this index does not reach the store, or does again.
+    CutServer(usize, bool),
     /// The store is away for this time.
     Outage(Duration),
     /// Hosts lose their links to all servers; the lowest bits say which hosts.
@@ -217,6 +219,10 @@
                 let server = server.restart(down, Duration::from_millis(20)).await;
                 rig.reads.insert(i, server.expect("its address is free"));
             }
+            Event::CutServer(i, is_cut) => {
+                let rig = self.rig.lock().await;
+                rig.reads[i].cut_from_store(is_cut);
+            }
             Event::Outage(away) => {
                 self.set_store(StoreMode::Unavailable).await;
                 tokio::time::sleep(away).await;
@@ -275,6 +281,7 @@
     async fn end_faults(&self) {
         let rig = self.rig.lock().await;
         rig.restore_links();
+        rig.reads.iter().for_each(|s| s.cut_from_store(false));
         rig.store.set_mode(StoreMode::Up);
         rig.store.commit_delayed();
         (0..HOSTS).for_each(|i| rig.store.set_throttled(rig.callers(i).ip(), false));
--- a/crates/front/src/control/era.rs
+++ b/crates/front/src/control/era.rs
@@ -1,12 +1,10 @@
 //! The store's era: how often the store has returned from an older copy of itself.
 //!
 //! What was written since the copy was made is gone, and operators and upstreams write it again. Until
-//! they have, what the copy lacks does not count as removed, and its registrations don't show which
-//! incarnations of servers are there now.
+//! they have, what the copy lacks does not count as removed.
 
 use std::time::Duration;
 
-use assign::PartitionId;
 use gate::counters::Count;
 use ids::{DomainId, Revision, StoreEra, Timestamp};
 use indexmap::IndexMap;
@@ -31,8 +29,6 @@
     pub(super) may_follow_another: bool,
     /// Whether this host has known an earlier era.
     has_followed: bool,
-    /// The time as of which upstreams were known when the era began.
-    known_as_of: Timestamp,
     /// Whether this host knows all hosts that may have granted keys in the era before.
     knows_hosts: bool,
     /// Orders about failure domains in the copy that differ from those known before.
@@ -50,13 +46,8 @@
 impl KnownEra {
     /// Returns whether operators and upstreams may not have written again what the store has lost.
     fn may_lack_rows(&self, now: Timestamp) -> bool {
-        self.has_followed && self.is_recent(now)
-    }
-
-    /// Returns whether this host has known the era for less time than upstreams take to register
-    /// again.
-    fn is_recent(&self, now: Timestamp) -> bool {
-        self.since.is_some_and(|at| now < at + RETURN_TIME)
+        let is_recent = self.since.is_some_and(|at| now < at + RETURN_TIME);
+        self.has_followed && is_recent
     }
 }
 
@@ -64,7 +55,7 @@
     /// Records that rows that this host read, or that another host relayed, are of `era`.
     ///
     /// It must be called before the rows are recorded as fresh: until then, freshness says as of when
-    /// the era before was known.
+    /// the hosts of the era before were known.
     pub fn observe_era(&mut self, now: Timestamp, era: StoreEra) {
         let before = self.known_era.era;
         let is_first = self.known_era.since.is_none();
@@ -78,7 +69,6 @@
             since: Some(now),
             may_follow_another: !is_first || !self.cfg.store.is_new,
             has_followed: !is_first,
-            known_as_of: self.freshness.upstreams_as_of(),
             postponed_drains: IndexMap::new(),
         };
         for state in self.partitions.values_mut() {
@@ -96,21 +86,6 @@
         self.quarantined.record_again();
     }
 
-    /// Returns the time as of which the registrations show which incarnations of servers are there.
-    ///
-    /// A host that starts during the recovery of `partition` can't know when the store returned.
-    pub(super) fn registrations_as_of(&self, partition: &PartitionId) -> Timestamp {
-        let as_of = self.freshness.upstreams_as_of();
-        let state = self.partitions.get(partition);
-        let is_recovering = state.is_some_and(|d| !d.lease_manager.is_recovered());
-        let may_lack_rows = self.known_era.may_lack_rows(as_of)
-            || (is_recovering && self.known_era.is_recent(as_of));
-        if may_lack_rows {
-            return as_of.min(self.known_era.known_as_of);
-        }
-        as_of
-    }
-
     /// Returns whether this host knows all hosts that may have granted keys in the present era.
     ///
     /// Those had been listed for some time before they could, unless they started for the first time
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -8,6 +8,7 @@
     Action, CallKind, CommitOutcome, GrantCall, GrantCallOutcome, LeaseContext, Partition,
     PartitionId, PartitionRow, StoreClock,
 };
+use gate::counters::Count;
 use ids::{BootClock, Clock, Revision, Timestamp, UpstreamId};
 use platform::{Commit, PlatformError};
 use rand::Rng;
@@ -168,7 +169,7 @@
     partition: PartitionId,
     call: GrantCall,
 ) {
-    let route = ctl.with(|c| c.route_to(&partition, &call.upstream));
+    let route = ctl.with(|c| c.route_to(&partition, &call));
     let id = call.id;
     let sent_call = call.clone();
     let GrantCallResponse {
@@ -179,7 +180,8 @@
             let path = ctl.with(|c| c.path_to(&call.upstream));
             platform.send_grant_call(to, call, path).await
         }
-        GrantRoute::Replaced => GrantCallOutcome::Gone.into(),
+        GrantRoute::Replaced => GrantCallOutcome::NotSent.into(),
+        GrantRoute::NeedsHigherToken => GrantCallOutcome::NeedsHigherToken.into(),
         GrantRoute::Unknown => GrantCallOutcome::NoAnswer { maybe_sent: false }.into(),
     };
     let now = BootClock.now();
@@ -197,6 +199,9 @@
             return;
         };
         log_call_end(&c.log, &mut state.failing_calls, &sent_call, &outcome);
+        if outcome == GrantCallOutcome::NeedsHigherToken {
+            c.metrics.count(Count::GrantsWithheld);
+        }
         if matches!(outcome, GrantCallOutcome::NoAnswer { .. }) {
             // A request that finds no room is made again with the next failed call.
             let _ = c.link_checks.try_send(sent_call.upstream.clone());
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use assign::PartitionId;
+use assign::{CallKind, GrantCall, PartitionId};
 use direct::{AnnouncedLimit, Registration, UpstreamStatus};
 use gate::counters::Count;
 use ids::{DomainId, EntryId, Revision, Timestamp, UpstreamId};
@@ -20,8 +20,11 @@
 pub enum GrantRoute {
     /// The call can be sent.
     To(Destination),
-    /// The upstream's server has restarted: the upstream has ended and holds no grants.
+    /// A later incarnation of the upstream's server has registered: the upstream has ended and is
+    /// granted nothing.
     Replaced,
+    /// The process that was granted these keys under the call's fencing token is not known.
+    NeedsHigherToken,
     /// The upstream's address is not known.
     Unknown,
 }
@@ -147,17 +150,27 @@
     }
 
     /// Returns the route of a grant call to `upstream` about keys of `partition`.
+    ///
+    /// That a later incarnation of a server has registered says that the upstream has ended, not that
+    /// its keys are free: the later incarnation may have been granted them before it registered. It
+    /// releases them as its predecessor would.
     #[must_use]
-    pub fn route_to(&self, partition: &PartitionId, upstream: &UpstreamId) -> GrantRoute {
-        let Some(last_address) = self.last_addresses.get(upstream) else {
+    pub fn route_to(&self, partition: &PartitionId, call: &GrantCall) -> GrantRoute {
+        let Some(last_address) = self.last_addresses.get(&call.upstream) else {
             return GrantRoute::Unknown;
         };
         let registered = self.registry.incarnation_of(&last_address.server);
-        if registered.is_some_and(|registered| registered.id != *upstream) {
-            return GrantRoute::Replaced;
+        let is_replaced = registered.is_some_and(|registered| registered.id != call.upstream);
+        if let CallKind::Grant { is_inherited, .. } = call.kind {
+            if is_replaced {
+                return GrantRoute::Replaced;
+            }
+            if is_inherited && last_address.shares_name {
+                return GrantRoute::NeedsHigherToken;
+            }
         }
         let incarnation_check = if last_address.shares_name {
-            IncarnationCheck::SeenAt(self.registrations_as_of(partition))
+            IncarnationCheck::ByConnection(partition.clone())
         } else {
             IncarnationCheck::ByName
         };
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use assign::{GrantCall, GrantCallOutcome, StoreClock};
+use assign::{GrantCall, GrantCallOutcome, PartitionId, StoreClock};
 use direct::{Configuration, LoadReport, Registration, UpstreamStatus};
 use gate::upstream::conn::AnswerHead;
 use http::HeaderMap;
@@ -89,7 +89,7 @@
     pub address: SocketAddr,
     /// Name under which the upstream's server registered.
     pub server: SmolStr,
-    /// How to verify that the intended incarnation of the server receives the call.
+    /// How to keep grants from another incarnation of the server.
     pub incarnation_check: IncarnationCheck,
 }
 
@@ -120,14 +120,14 @@
     ThroughPeer(PeerCalls),
 }
 
-/// How an incarnation of a server is distinguished from another at the same address.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// How grants for one incarnation of a server are kept from another at the same address.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum IncarnationCheck {
     /// Each incarnation has a name of its own and refuses calls for others.
     ByName,
-    /// All incarnations have the same name; the registrations as of this time showed the intended
-    /// one. Only a connection opened well before that time is certain to lead to it.
-    SeenAt(Timestamp),
+    /// All incarnations have the same name. Keys of this partition are granted under one fencing
+    /// token only over connections that lead to one process.
+    ByConnection(PartitionId),
 }
 
 /// A row that could not be decoded.
@@ -170,8 +170,7 @@
 
     /// Grants keys to an upstream or releases them.
     ///
-    /// A grant must not reach another incarnation of the server than the intended one: that
-    /// incarnation would hold keys under a fencing token that was not issued for it.
+    /// Keys must not be granted to two processes under one fencing token.
     fn send_grant_call(
         &self,
         to: Destination,
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -121,6 +121,7 @@
     PermitsDisplaced = "permits.displaced", "requests", "Queued requests for a permit that this host refused in favour of a later one of a more urgent route or of a failure domain that uses less.";
     SentInShare = "permits.sent-in-share", "requests", "Requests that must not run twice, sent without a permit within the host's share of their entry, as no host replied.";
     ShareUsedUp = "permits.share-used-up", "requests", "Requests that must not run twice, refused as no host replied and the host's share of their entry was used up.";
+    GrantsWithheld = "grants.withheld", "grants", "Grants not sent because another process than the one that was granted the keys before may listen: the keys need a higher fencing token.";
     RegistrationsRefused = "registrations.refused", "registrations", "Registrations of upstreams read that make no sense.";
     SamplesDropped = "samples.dropped", "samples", "Load samples dropped because their ring was full.";
 }
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -163,6 +163,8 @@
     pub(super) state: Mutex<&'static str>,
     /// Number of times that it has written its registration.
     pub(super) registrations: AtomicU64,
+    /// Whether it does not reach the store.
+    is_cut_from_store: AtomicBool,
     /// Failed links to hosts.
     pub(super) link_cuts: watch::Sender<LinkCuts>,
     /// Closes all connections, including new ones.
@@ -200,7 +202,8 @@
     }
 
     /// Stops the server like a crash and starts it again after `down` under its id and address, without
-    /// its previous state; registers it after a further delay of `registration_delay`.
+    /// its previous state; registers it after a further delay of `registration_delay`, unless it is cut
+    /// off from the store.
     ///
     /// # Errors
     ///
@@ -219,6 +222,7 @@
         }
         let (id, settings) = (shared.id.clone(), shared.settings.clone());
         let target = Self::run(id, bound?, &store, &shared.journal, settings)?;
+        target.cut_from_store(shared.is_cut_from_store.load(Ordering::SeqCst));
         tokio::time::sleep(registration_delay).await;
         target.heartbeat();
         Ok(target)
@@ -252,6 +256,7 @@
             arrivals: Mutex::default(),
             state: Mutex::new(READY),
             registrations: AtomicU64::new(0),
+            is_cut_from_store: AtomicBool::new(false),
             link_cuts: watch::Sender::default(),
             cut: CancellationToken::new(),
             stop: stop.clone(),
@@ -274,6 +279,13 @@
         &self.shared.id
     }
 
+    /// Returns the incarnation of the server: the time of its start, in milliseconds since the Unix
+    /// epoch.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.shared.incarnation
+    }
+
     /// Returns the settings with which the server was started.
     #[must_use]
     pub fn settings(&self) -> &TargetSettings {
@@ -297,6 +309,14 @@
         self.shared.link_cuts.send_modify(LinkCuts::clear);
     }
 
+    /// Cuts the link to the store, or restores it; heartbeats are lost meanwhile. The link stays cut
+    /// when the server restarts.
+    pub fn cut_from_store(&self, is_cut: bool) {
+        self.shared
+            .is_cut_from_store
+            .store(is_cut, Ordering::SeqCst);
+    }
+
     /// Starts a warm-up, as after a start; the next heartbeat reports it.
     pub fn become_cold(&self) {
         if let Some(settings) = &self.shared.settings.cold {
@@ -374,6 +394,9 @@
     }
 
     fn register(&self, state: &str) {
+        if self.shared.is_cut_from_store.load(Ordering::SeqCst) {
+            return;
+        }
         let settings = &self.shared.settings;
         let seq = self.shared.registrations.fetch_add(1, Ordering::SeqCst) + 1;
         let mut row = json!({
