platform, front: an answer belongs to the grant call whose id it carries

Cause: grant calls had no id. Whatever came next on a kept connection was the answer to the call in flight; a call through another host took any response that host passed on.

Change: each grant call has an id of its own, which servers repeat in their answers. The stand-in repeats ids in all its answers.

--- a/crates/assign/src/grant_call.rs
+++ b/crates/assign/src/grant_call.rs
@@ -69,6 +69,17 @@
     },
 }
 
+impl GrantCallOutcome {
+    /// Returns the state for the next owner, if the call was carried out and returned any.
+    #[must_use]
+    pub fn into_handover(self) -> Option<SmolStr> {
+        match self {
+            Self::Done { handover } => handover,
+            _ => None,
+        }
+    }
+}
+
 /// Outcome of a commit.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CommitOutcome {
--- a/crates/front/src/peer_exchange/calls.rs
+++ b/crates/front/src/peer_exchange/calls.rs
@@ -9,6 +9,7 @@
 use gate::upstream::AnswerHead;
 use http::Request;
 use ids::{Timestamp, UpstreamId};
+use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
 
 use super::PeerFailure;
@@ -27,6 +28,8 @@
     pub upstream: UpstreamId,
     /// The request.
     pub request: Request<Bytes>,
+    /// Identifier of the request, which its response repeats.
+    pub id: SmolStr,
     /// When the call was decided on.
     pub decided_at: Timestamp,
     /// Age, counted from that time, from which it is not sent; none if it may be sent at any time.
--- a/crates/front/src/peer_exchange/messages.rs
+++ b/crates/front/src/peer_exchange/messages.rs
@@ -175,6 +175,7 @@
         let request = &call.request;
         Self {
             upstream: call.upstream.to_string(),
+            id: call.id.to_string(),
             left_ms: to_ms(left),
             method: request.method().to_string(),
             path: request.uri().to_string(),
--- a/crates/front/tests/peer_calls.rs
+++ b/crates/front/tests/peer_calls.rs
@@ -50,6 +50,7 @@
         let call = PeerCall {
             upstream: UpstreamId::new("u").expect("a valid name"),
             request: Request::new(Bytes::new()),
+            id: "call".into(),
             decided_at,
             max_age: case.max_age.map(Duration::from_millis),
             deadline: decided_at + Duration::from_secs(1),
--- a/crates/standin/src/fleet/answers.rs
+++ b/crates/standin/src/fleet/answers.rs
@@ -65,13 +65,17 @@
     shared.open.fetch_sub(1, Ordering::SeqCst);
 }
 
-/// Answers a request, and adds headers about the server's state.
+/// Answers a request, and adds its id and headers about the server's state.
 async fn answer(
     shared: Arc<Shared>,
     req: Request,
     broken_connection: CancellationToken,
 ) -> FullResponse {
+    let id = header(&req, "medlardyke-request-id");
     let mut answer = handle(Arc::clone(&shared), req, broken_connection).await;
+    if let Some(id) = id.filter(|_| !answer.headers().contains_key("medlardyke-request-id")) {
+        answer = with_header(answer, "medlardyke-request-id", &id);
+    }
     if let Some(per_s) = *lock(&shared.limit) {
         answer = with_header(answer, "server-limit", &per_s.to_string());
     }
