platform: a registration that lacks a field names no upstream

Cause: seq and warmup_left_s had defaults, and version was not read, so that a row without them counted as complete.

A first form of the new test in direct passed on the code before, as hosts preferred the service's own servers; these now drain.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -24,7 +24,7 @@
 use rig::{Request, Response, Rig, guarantees_not_executed, send, send_raw, wait_until};
 use rustix::process::Signal;
 use standin::fleet::deploy::configuration;
-use standin::fleet::{ExecutedRequest, StoreMode, TargetFault, TargetSettings};
+use standin::fleet::{ExecutedRequest, FleetTarget, StoreMode, TargetFault, TargetSettings};
 
 /// Time within which a configuration must be in force on every host.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -768,6 +768,46 @@
     check_owners(&rig.journal.all());
 }
 
+/// A registration that lacks a field and gives an upstream of one service to another one.
+///
+/// Guards against requests that are run by a service to which no configuration sends them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_registration_that_lacks_a_field_gives_no_upstream_to_another_service() {
+    let rig = Rig::start(2).await;
+    let settings = TargetSettings {
+        service: "other".into(),
+        ..TargetSettings::default()
+    };
+    let other = rig.target(settings).await;
+    // The service's own upstreams take nothing new, so that requests go to any other one.
+    rig.posts.iter().for_each(FleetTarget::drain);
+    tokio::time::sleep(DRAIN_TIMEOUT).await;
+    for (parent, field) in [
+        ("/status", "seq"),
+        ("/status", "warmup_left_s"),
+        ("/info", "version"),
+        ("/info", "slots"),
+        ("/info", "zone"),
+        ("/status", "state"),
+    ] {
+        let mut row = rig.store.read("servers", other.id()).expect("a row");
+        row["info"]["service"] = "posts".into();
+        let fields = row.pointer_mut(parent).and_then(|v| v.as_object_mut());
+        fields.expect("an object").remove(field).expect(field);
+        rig.store.put("servers", other.id(), &row);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for host in 0..2 {
+            let post = Request::post(&format!("lacks-{field}-{host}"));
+            rig.send(host, &post).await;
+        }
+        other.heartbeat();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let ran = rig.journal.all();
+        let astray: Vec<_> = ran.iter().filter(|r| r.target == *other.id()).collect();
+        assert!(astray.is_empty(), "without {field}: {astray:?}");
+    }
+}
+
 /// An invalid registration that another writer stored makes its upstream unusable, and no other
 /// one. The next registration of the upstream itself makes it usable again.
 #[tokio::test(flavor = "multi_thread")]
