--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limited;
 mod parts;
+mod registrations;
 mod reserved;
 mod restarts;
 mod returns;
@@ -24,7 +25,7 @@
 use rig::{Request, Response, Rig, guarantees_not_executed, send, send_raw, wait_until};
 use rustix::process::Signal;
 use standin::fleet::deploy::configuration;
-use standin::fleet::{ExecutedRequest, FleetTarget, StoreMode, TargetFault, TargetSettings};
+use standin::fleet::{ExecutedRequest, StoreMode, TargetFault, TargetSettings};
 
 /// Time within which a configuration must be in force on every host.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -738,116 +739,6 @@
     }
 }
 
-/// An upstream that restarts with its id and address owns no keys, and grants for its previous
-/// incarnation must not apply to it. It gets its keys back with higher fencing tokens.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_server_that_restarts_gets_its_keys_with_higher_fencing_tokens() {
-    let mut rig = Rig::start(2).await;
-    let keys: Vec<u16> = (0..64).map(|i| i * 1_024).collect();
-    for round in 0..3_u64 {
-        // Shorter than the heartbeat timeout after which keys move, and than the time between two
-        // reads of the registrations.
-        let down = Duration::from_millis(50 + 200 * round);
-        let restarted = rig.reads.remove(0);
-        let restarted = restarted.restart(down, Duration::from_millis(40)).await;
-        rig.reads.push(restarted.expect("the address is free"));
-        let deadline = Instant::now() + Duration::from_secs(8);
-        for (i, &key) in keys.iter().enumerate() {
-            let mut attempts = 0;
-            loop {
-                attempts += 1;
-                let request = Request::read(&format!("again-{round}-{i}-{attempts}"), key);
-                if answered(rig.send(i % 2, &request).await.as_ref(), &request.id) {
-                    break;
-                }
-                assert!(Instant::now() < deadline, "key {key} has no owner");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-    check_owners(&rig.journal.all());
-}
-
-/// A registration that lacks a field and gives an upstream of one service to another one.
-///
-/// Guards against requests that are run by a service to which no configuration sends them.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_registration_that_lacks_a_field_gives_no_upstream_to_another_service() {
-    let rig = Rig::start(2).await;
-    let settings = TargetSettings {
-        service: "other".into(),
-        ..TargetSettings::default()
-    };
-    let other = rig.target(settings).await;
-    // The service's own upstreams take nothing new, so that requests go to any other one.
-    rig.posts.iter().for_each(FleetTarget::drain);
-    tokio::time::sleep(DRAIN_TIMEOUT).await;
-    for (parent, field) in [
-        ("/status", "seq"),
-        ("/status", "warmup_left_s"),
-        ("/info", "version"),
-        ("/info", "slots"),
-        ("/info", "zone"),
-        ("/status", "state"),
-    ] {
-        let mut row = rig.store.read("servers", other.id()).expect("a row");
-        row["info"]["service"] = "posts".into();
-        let fields = row.pointer_mut(parent).and_then(|v| v.as_object_mut());
-        fields.expect("an object").remove(field).expect(field);
-        rig.store.put("servers", other.id(), &row);
-        tokio::time::sleep(Duration::from_millis(300)).await;
-        for host in 0..2 {
-            let post = Request::post(&format!("lacks-{field}-{host}"));
-            rig.send(host, &post).await;
-        }
-        other.heartbeat();
-        tokio::time::sleep(Duration::from_millis(300)).await;
-        let ran = rig.journal.all();
-        let astray: Vec<_> = ran.iter().filter(|r| r.target == *other.id()).collect();
-        assert!(astray.is_empty(), "without {field}: {astray:?}");
-    }
-}
-
-/// An invalid registration that another writer stored makes its upstream unusable, and no other
-/// one. The next registration of the upstream itself makes it usable again.
-#[tokio::test(flavor = "multi_thread")]
-async fn an_upstream_with_an_invalid_registration_is_not_used() {
-    let rig = Rig::start(2).await;
-    let faulty = rig.posts[0].id().clone();
-    let registrations: [&[u8]; 4] = [
-        b"\xff\xfe",
-        b"{}",
-        br#"{"address":"127.0.0.1:1","info":{"service":7},"status":{}}"#,
-        br#"{"born":1.5,"address":"127.0.0.1:1","info":{"service":"posts","zone":"a","slots":4},"status":{"state":"ready"}}"#,
-    ];
-    for (round, registration) in registrations.into_iter().enumerate() {
-        rig.store.put_bytes("servers", &faulty, registration);
-        tokio::time::sleep(Duration::from_millis(900)).await;
-        let start = Instant::now();
-        for i in 0..20 {
-            let post = Request::post(&format!("odd-{round}-{i}"));
-            assert!(answered(rig.send(i % 2, &post).await.as_ref(), &post.id));
-        }
-        let ran = rig.journal.all();
-        let executed = ran.iter().filter(|r| r.target == faulty && r.at > start);
-        assert_eq!(executed.count(), 0, "round {round}");
-    }
-    let metrics = rig.metrics(0).await;
-    assert!(metrics.contains("registrations_refused"), "{metrics}");
-    rig.posts[0].register_again();
-    wait_until("the upstream is used again", async || {
-        // More concurrent requests than one upstream has slots.
-        let posts: Vec<Request> = (0..12)
-            .map(|i| Request::post(&format!("back-{i}")))
-            .collect();
-        join_all(posts.iter().map(|post| rig.send(0, post))).await;
-        let ran = rig.journal.all();
-        ran.iter()
-            .any(|r| r.request.starts_with("back-") && r.target == faulty)
-    })
-    .await;
-}
-
 /// A request that is queued for the owner of its key must not be sent to it once the owner has
 /// drained, even though no other upstream can own the key.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/cli/tests/direct/restarts.rs
+++ b/crates/cli/tests/direct/restarts.rs
@@ -11,9 +11,9 @@
 use standin::LinkCut;
 use standin::fleet::{FleetTarget, StoreMode};
 
-use crate::check_owners;
-use crate::rig::Rig;
+use crate::rig::{Request, Rig};
 use crate::soak::{self, Event, HOSTS};
+use crate::{answered, check_owners};
 
 /// Seeds that are played by default, all at once.
 const SEEDS: [u64; 2] = [1, 2];
@@ -85,6 +85,36 @@
     }
 }
 
+/// An upstream that restarts with its id and address owns no keys, and grants for its previous
+/// incarnation must not apply to it. It gets its keys back with higher fencing tokens.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_restarts_gets_its_keys_with_higher_fencing_tokens() {
+    let mut rig = Rig::start(2).await;
+    let keys: Vec<u16> = (0..64).map(|i| i * 1_024).collect();
+    for round in 0..3_u64 {
+        // Shorter than the heartbeat timeout after which keys move, and than the time between two
+        // reads of the registrations.
+        let down = Duration::from_millis(50 + 200 * round);
+        let restarted = rig.reads.remove(0);
+        let restarted = restarted.restart(down, Duration::from_millis(40)).await;
+        rig.reads.push(restarted.expect("the address is free"));
+        let deadline = Instant::now() + Duration::from_secs(8);
+        for (i, &key) in keys.iter().enumerate() {
+            let mut attempts = 0;
+            loop {
+                attempts += 1;
+                let request = Request::read(&format!("again-{round}-{i}-{attempts}"), key);
+                if answered(rig.send(i % 2, &request).await.as_ref(), &request.id) {
+                    break;
+                }
+                assert!(Instant::now() < deadline, "key {key} has no owner");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+    check_owners(&rig.journal.all());
+}
+
 /// A restart of which the store does not tell for some time.
 struct Case {
     name: &'static str,
