assign: a release waits for the grants in flight of the same keys

Change: a release is sent when the grants in flight to that upstream on these keys have ended. Each grant was then sent before the release, so that it reached the process that answers the release or an earlier one.

--- a/crates/assign/src/lease_manager/calls.rs
+++ b/crates/assign/src/lease_manager/calls.rs
@@ -8,6 +8,7 @@
 use super::{Health, InFlight, PartitionLeaseManager};
 use crate::grant_call::{Action, CallKind, GrantCall, GrantCallOutcome};
 use crate::grant_state::{GrantState, LastGrant, PreviousOwner};
+use crate::range::KeyRange;
 
 /// Time between two releases of the same keys while none is answered.
 const RELEASE_EVERY: Duration = Duration::from_millis(500);
@@ -196,6 +197,11 @@
         let Some(known) = &mut self.known else {
             return;
         };
+        let granting = self.calls.grants_in_flight();
+        let is_granting = |upstream: &UpstreamId, range: KeyRange| {
+            let mut same = granting.iter().filter(|(up, _)| up == upstream);
+            same.any(|(_, granted)| granted.overlaps(range))
+        };
         let (retired, calls) = (&self.retired, &mut self.calls);
         let mut call = |upstream: &UpstreamId, kind, range, token, previous| {
             let call = GrantCall {
@@ -209,10 +215,12 @@
             calls.start(call, previous, actions)
         };
         for (owned, state) in known.row.ranges.iter().zip(&mut known.states) {
+            // A grant that is sent after the answer to the release could reach a later process, which has
+            // not seen the release.
             for previous in state
                 .previous_owners
                 .iter_mut()
-                .filter(|o| is_release_due(o, now))
+                .filter(|o| is_release_due(o, now) && !is_granting(&o.upstream, owned.range))
             {
                 previous.releasing = true;
                 previous.release_sent_at = now;
--- a/crates/assign/src/lease_manager/mod.rs
+++ b/crates/assign/src/lease_manager/mod.rs
@@ -22,11 +22,11 @@
 use ids::{Revision, StoreEra, Timestamp, UpstreamId};
 
 use crate::clock::StoreClock;
-use crate::grant_call::{Action, CommitOutcome, GrantCall};
+use crate::grant_call::{Action, CallKind, CommitOutcome, GrantCall};
 use crate::grant_state::{GrantState, LastGrant, transfer_states};
 use crate::partition::Partition;
 use crate::plan::{PlannedUpstream, Planner};
-use crate::range::FencingToken;
+use crate::range::{FencingToken, KeyRange};
 use crate::read_lease::ReadLease;
 use crate::row::{HostIncarnation, OwnedRange, PartitionRow, PreviousGranter, Recovery};
 use crate::settings::AssignSettings;
@@ -75,6 +75,13 @@
         actions.push(Action::Call(call));
         self.last_id
     }
+
+    /// Returns the upstreams and keys of the grants in flight.
+    fn grants_in_flight(&self) -> Vec<(UpstreamId, KeyRange)> {
+        let calls = self.in_flight.values().map(|f| &f.call);
+        let grants = calls.filter(|call| matches!(call.kind, CallKind::Grant { .. }));
+        grants.map(|c| (c.upstream.clone(), c.range)).collect()
+    }
 }
 
 #[derive(Debug)]
