tests: the loss of the granting host is checked by the holders of all keys

The test took equal fencing tokens for a sign that no key had moved. It compares the holder of each of the 65,536 keys before and after instead, and each request with its key's holder before, which a move under any token fails.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -392,8 +392,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn the_loss_of_the_granting_host_leaves_keys_where_they_are() {
     let rig = Rig::start(3).await;
+    let holder = |key: u16| {
+        let mut servers = rig.reads.iter();
+        let holder = servers.find(|s| s.fencing_token(key).is_some());
+        holder.map(|s| s.id().to_string())
+    };
     let granting_host = rig.granting_host();
     let other = (granting_host + 1) % 3;
+    let before: Vec<Option<String>> = (0..=u16::MAX).map(holder).collect();
+    assert!(before.iter().all(Option::is_some));
     rig.signal(granting_host, Signal::KILL);
     let start = Instant::now();
     let mut failed = 0;
@@ -412,11 +419,13 @@
     assert_ne!(rig.granting_host(), granting_host, "another host grants");
     let ran = rig.journal.all();
     check_owners(&ran);
-    let owners = |prefix: &str| {
-        let of = ran.iter().filter(|r| r.request.starts_with(prefix));
-        of.filter_map(|r| r.key).map(|(_, token)| token).max()
-    };
-    assert_eq!(owners("kill-"), owners("warm-"), "keys moved");
+    let after: Vec<Option<String>> = (0..=u16::MAX).map(holder).collect();
+    assert!(before == after, "keys moved");
+    for request in ran.iter().filter(|r| r.request.starts_with("kill-")) {
+        let (key, _) = request.key.expect("a key");
+        let owner = before[usize::from(key)].as_deref();
+        assert_eq!(owner, Some(request.target.as_str()), "key {key} moved");
+    }
 }
 
 /// A granting host whose calls the store rejects is replaced and does not delay other hosts.
