front: a host logs through which hosts its configuration came, and how old it is

Cause: no line or metric told the age of a host's configuration apart from that of its other tables, so that a loop of relays, a stalled wait for changes and a message that was delayed on its way could not be told apart.

Change: messages between hosts name all hosts on their way, and for each table as of when it is known. The receiver dates that on its own clock: the sender sends back readings of the receiver's clock with its own (clock_offset). The line 'configuration in force' has path and read_ms_ago; configuration.age is a latency. No decision uses it yet.

--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -227,11 +227,12 @@
     let changed = ctl.with(|c| {
         c.observe_era(now, era);
         c.freshness.read(table, began);
+        c.record_known(table, now, began);
         c.record_store_answer(now);
-        let changed = apply(c, platform, table, delta, now);
-        if table == Table::Upstreams {
-            c.reader = c.this_host.host.as_str().into();
+        if table == Table::Configuration {
+            c.path.clear();
         }
+        let changed = apply(c, platform, table, delta, now);
         if table == Table::Shared {
             c.record_shared_read(began, era);
             if c.hosts_first_read.is_none() {
--- a/crates/front/src/control/freshness.rs
+++ b/crates/front/src/control/freshness.rs
@@ -29,6 +29,8 @@
 pub struct Freshness {
     has_read: [bool; Table::ALL.len()],
     is_failing: [bool; Table::ALL.len()],
+    /// Time as of which each table is known: the read that its rows stem from began then or later.
+    as_of: [Timestamp; Table::ALL.len()],
     upstreams_read_at: Timestamp,
     relayed_until: Timestamp,
     /// When another host last relayed to this one.
@@ -47,6 +49,18 @@
         }
     }
 
+    /// Records that `table` is known as of `as_of`.
+    pub fn known(&mut self, table: Table, as_of: Timestamp) {
+        let known = &mut self.as_of[table.index()];
+        *known = as_of.max(*known);
+    }
+
+    /// Returns the time as of which `table` is known; zero if it is not known.
+    #[must_use]
+    pub const fn as_of(&self, table: Table) -> Timestamp {
+        self.as_of[table.index()]
+    }
+
     /// Records a failed read of `table`.
     pub fn failed(&mut self, table: Table) {
         self.is_failing[table.index()] = true;
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -6,6 +6,7 @@
 //! - [`replica`]: replicas of the store's tables.
 //! - [`apply`](mod@apply): applies what was read of the tables to the state.
 //! - [`freshness`]: until when this host's knowledge of the store is fresh.
+//! - [`clock_offset`]: readings of another host's clock on this host's clock.
 //! - [`era`]: how often the store has returned from an older copy of itself.
 //! - [`follow`]: reads the tables of the store as they change.
 //! - [`announce`]: writes this host's own row.
@@ -24,6 +25,7 @@
 
 pub mod announce;
 pub mod apply;
+pub mod clock_offset;
 mod confirmations;
 pub mod crashes;
 mod eligible_owners;
--- a/crates/front/src/control/relay/messages.rs
+++ b/crates/front/src/control/relay/messages.rs
@@ -8,7 +8,8 @@
 
 use crate::control::replica::TableReplica;
 
-/// The tables that a relay target already has.
+/// What a relay target sends to the host that relays to it: first the tables that it already has,
+/// later only further readings of its clock.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Message)]
 pub struct ReplicaVersion {
@@ -16,6 +17,21 @@
     /// it has no rows of it.
     #[prost(uint64, repeated, tag = "1")]
     pub revisions: Vec<u64>,
+    /// Reading of the target's clock when it sent this, in microseconds.
+    #[prost(uint64, tag = "2")]
+    pub sent_at_us: u64,
+}
+
+/// A reading of a relay target's clock that is sent back to it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Message)]
+pub struct ClockEcho {
+    /// The reading of the target's clock, in microseconds.
+    #[prost(uint64, tag = "1")]
+    pub sent_at_us: u64,
+    /// Reading of the sender's clock after it had received that, in microseconds.
+    #[prost(uint64, tag = "2")]
+    pub received_at_us: u64,
 }
 
 /// Rows that a host relays.
@@ -29,12 +45,15 @@
     /// fresh and the sender relays nothing.
     #[prost(uint32, tag = "2")]
     pub fresh_ms: u32,
-    /// The host that read the store.
-    #[prost(string, tag = "3")]
-    pub reader: String,
+    /// The hosts through which the rows came: first the one that read the store, last the sender.
+    #[prost(string, repeated, tag = "3")]
+    pub path: Vec<String>,
     /// Whether the next message continues this one: the receiver applies both together.
     #[prost(bool, tag = "4")]
     pub is_continued: bool,
+    /// The latest reading of the receiver's clock that the sender has received.
+    #[prost(message, optional, tag = "5")]
+    pub echo: Option<ClockEcho>,
 }
 
 impl RelayedRows {
@@ -55,8 +74,9 @@
             messages.push(Self {
                 tables: tables.collect(),
                 fresh_ms: self.fresh_ms,
-                reader: self.reader.clone(),
+                path: self.path.clone(),
                 is_continued: true,
+                echo: self.echo,
             });
         }
         messages.push(self);
@@ -85,6 +105,10 @@
     /// Whether these are all rows of the table, and all others are removed.
     #[prost(bool, tag = "3")]
     pub is_snapshot: bool,
+    /// Reading of the sender's clock as of which it knows the table, in microseconds: the read of the
+    /// store that the sender's knowledge stems from began then or later.
+    #[prost(uint64, tag = "4")]
+    pub as_of_us: u64,
 }
 
 /// A row.
@@ -127,6 +151,7 @@
             revision: replica.revision().0,
             rows,
             is_snapshot,
+            as_of_us: 0,
         }
     }
 
--- a/crates/front/src/control/relay/mod.rs
+++ b/crates/front/src/control/relay/mod.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-pub use messages::{RelayedRow, RelayedRows, RelayedTable, ReplicaVersion};
+pub use messages::{ClockEcho, RelayedRow, RelayedRows, RelayedTable, ReplicaVersion};
 pub use receive::receive;
 pub use serve::serve;
 
--- a/crates/front/src/control/relay/receive.rs
+++ b/crates/front/src/control/relay/receive.rs
@@ -11,6 +11,7 @@
 use super::messages::{RelayedRows, ReplicaVersion};
 use super::{PAUSE, RELAY_TIMEOUT, SEND_TIMEOUT};
 use crate::control::apply::apply;
+use crate::control::clock_offset::ClockOffset;
 use crate::control::state::{ControlState, SharedControl};
 use crate::control::tables::Table;
 use crate::framed_conn::FramedConn;
@@ -24,6 +25,9 @@
 /// have read them.
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
 
+/// Interval at which this host sends a reading of its clock.
+const CLOCK_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Receives rows that other hosts relay, as long as there are such hosts.
 pub async fn receive(ctl: SharedControl, platform: impl Platform) {
     loop {
@@ -71,7 +75,14 @@
             .map(|replica| replica.revision().0)
             .collect()
     });
-    link.outgoing.send(ReplicaVersion { revisions }).await?;
+    let requested_at = BootClock.now();
+    let first_request = ReplicaVersion {
+        revisions,
+        sent_at_us: requested_at.as_micros(),
+    };
+    link.outgoing.send(first_request).await?;
+    let mut clock = ClockOffset::default();
+    let mut clock_sent_at = requested_at;
     // A host without any rows receives all rows in the first messages.
     let has_known_all = ctl.with(|c| c.freshness.has_known_all());
     let mut timeout = if has_known_all {
@@ -79,7 +90,6 @@
     } else {
         SEND_TIMEOUT
     };
-    let requested_at = BootClock.now();
     let mut is_first = true;
     let mut preceding = None;
     loop {
@@ -96,8 +106,21 @@
             continue;
         }
         timeout = RELAY_TIMEOUT;
+        let now = BootClock.now();
+        if let Some(echo) = message.echo {
+            clock.record(now, echo);
+        }
+        if now.since(clock_sent_at) >= CLOCK_INTERVAL {
+            clock_sent_at = now;
+            send_clock(&mut link, now).await?;
+        }
         // Rows that this host read itself must not keep its own knowledge fresh.
-        let is_own_read = ctl.with(|c| message.reader == c.this_host.host.as_str());
+        let is_own_read = ctl.with(|c| {
+            message
+                .path
+                .first()
+                .is_some_and(|reader| reader == c.this_host.host.as_str())
+        });
         let is_past = ctl.with(|c| is_of_past_era(c, &message));
         let is_leaving = ctl.with(|c| c.phase == Phase::Leaving);
         if is_leaving || message.fresh_ms == 0 || is_own_read || is_past {
@@ -107,12 +130,8 @@
             ctl.with(|c| info!(c.log, "fed by"; "peer" => %parent));
         }
         // The first message was built after the request for it, and may have taken long to arrive.
-        let as_of = if is_first {
-            requested_at
-        } else {
-            BootClock.now()
-        };
-        if ctl.with(|c| apply_message(c, platform, message, as_of)) {
+        let as_of = if is_first { requested_at } else { now };
+        if ctl.with(|c| apply_message(c, platform, message, as_of, &clock)) {
             ctl.notify_changed();
         } else {
             ctl.notify_confirmed();
@@ -121,6 +140,19 @@
     }
 }
 
+/// Sends a reading of this host's clock.
+async fn send_clock(
+    link: &mut FramedConn<RelayedRows, ReplicaVersion>,
+    now: Timestamp,
+) -> Result<(), wire::FrameError> {
+    let version = ReplicaVersion {
+        revisions: Vec::new(),
+        sent_at_us: now.as_micros(),
+    };
+    let sent = tokio::time::timeout(RELAY_TIMEOUT, link.outgoing.send(version));
+    sent.await.map_err(std::io::Error::from)?
+}
+
 /// Returns whether a message has rows of an earlier era than this host has: its sender has not learned
 /// yet that the store returned from a copy.
 fn is_of_past_era(c: &ControlState, message: &RelayedRows) -> bool {
@@ -134,6 +166,7 @@
     platform: &impl Platform,
     message: RelayedRows,
     as_of: Timestamp,
+    clock: &ClockOffset,
 ) -> bool {
     let now = BootClock.now();
     let left = Duration::from_millis(u64::from(message.fresh_ms));
@@ -142,7 +175,11 @@
         c.observe_era(now, era);
     }
     c.freshness.relayed(now, as_of, left);
-    c.reader = message.reader.into();
+    for (table, relayed) in Table::ALL.into_iter().zip(&message.tables) {
+        let relayed_as_of = clock.to_own(now, Timestamp::from_micros(relayed.as_of_us));
+        c.record_known(table, now, relayed_as_of.unwrap_or_default());
+    }
+    c.path = message.path;
     c.record_store_answer(now);
     let mut changed = false;
     for (table, relayed) in Table::ALL.into_iter().zip(message.tables) {
--- a/crates/front/src/control/relay/serve.rs
+++ b/crates/front/src/control/relay/serve.rs
@@ -7,7 +7,7 @@
 use slog::debug;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::messages::{RelayedRow, RelayedRows, RelayedTable, ReplicaVersion};
+use super::messages::{ClockEcho, RelayedRow, RelayedRows, RelayedTable, ReplicaVersion};
 use super::{PAUSE, RELAY_TIMEOUT, SEND_TIMEOUT};
 use crate::control::replica::TableReplica;
 use crate::control::state::{ControlState, SharedControl};
@@ -56,9 +56,11 @@
     let mut changes = ctl.subscribe();
     let mut sent = [SentTable::default(); Table::ALL.len()];
     let version = version?;
+    let mut echo = echo_of(&version);
     let mut rows = ctl.with(|c| first_message(c, &version, &mut sent));
     let mut timeout = SEND_TIMEOUT;
     loop {
+        rows.echo = Some(echo);
         let is_last = rows.fresh_ms == 0;
         for message in rows.split(ROWS_PER_MESSAGE) {
             // A relay target that reads nothing must not hold its slot for ever.
@@ -69,15 +71,30 @@
         if is_last {
             return Ok(());
         }
-        tokio::select! {
-            // Returns at the first of the two.
-            _ = tokio::time::timeout(MAX_MESSAGE_INTERVAL, changes.changed()) => {}
-            _ = link.incoming.next() => return Ok(()),
+        let is_due = tokio::time::timeout(MAX_MESSAGE_INTERVAL, changes.changed());
+        tokio::pin!(is_due);
+        loop {
+            tokio::select! {
+                // Ends at a change, or at the timeout.
+                _ = &mut is_due => break,
+                received = link.incoming.next() => match received {
+                    Some(version) => echo = echo_of(&version?),
+                    None => return Ok(()),
+                },
+            }
         }
         rows = ctl.with(|c| next_message(c, &mut sent));
     }
 }
 
+/// Builds what is sent back of a message that has just been received.
+fn echo_of(version: &ReplicaVersion) -> ClockEcho {
+    ClockEcho {
+        sent_at_us: version.sent_at_us,
+        received_at_us: BootClock.now().as_micros(),
+    }
+}
+
 /// Up to where a relay target has a table.
 #[derive(Debug, Clone, Copy, Default)]
 struct SentTable {
@@ -124,6 +141,7 @@
                 .map(RelayedRow::from)
                 .collect(),
             is_snapshot: false,
+            as_of_us: 0,
         }
     })
 }
@@ -138,11 +156,16 @@
     if fresh_ms == 0 {
         return RelayedRows::default();
     }
-    let replicas = c.replicas.iter().enumerate();
+    let relayed = |known: Table| RelayedTable {
+        as_of_us: c.freshness.as_of(known).as_micros(),
+        ..table(known.index(), &c.replicas[known.index()])
+    };
+    let this_host = c.this_host.host.to_string();
     RelayedRows {
-        tables: replicas.map(|(i, replica)| table(i, replica)).collect(),
+        tables: Table::ALL.into_iter().map(relayed).collect(),
         fresh_ms,
-        reader: c.reader.to_string(),
+        path: c.path.iter().cloned().chain([this_host]).collect(),
         is_continued: false,
+        echo: None,
     }
 }
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -16,6 +16,7 @@
     Configuration, CrashTracker, PeerHost, PermitHosts, RateLimit, RouteTable, UpstreamRegistry,
 };
 use gate::Metrics;
+use gate::counters::Latency;
 use ids::{DomainId, EntryId, HostId, Revision, StoreEra, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
 use platform::PlatformError;
@@ -152,8 +153,9 @@
     pub replicas: [TableReplica; Table::ALL.len()],
     /// Until when this host's knowledge of the store is fresh.
     pub freshness: Freshness,
-    /// The host that made the last read of the store that this host's knowledge stems from.
-    pub reader: SmolStr,
+    /// The hosts through which this host's knowledge of the store came: first the one that read it.
+    /// Empty if this host read it itself.
+    pub path: Vec<String>,
     /// Links to upstreams that this host has lost.
     pub lost_links: SharedLostLinks,
     /// Where checks of links are requested.
@@ -293,8 +295,10 @@
         {
             return;
         }
+        let age = now.since(self.freshness.as_of(Table::Configuration));
         info!(self.log, "configuration in force";
-            "version" => cfg.version.0, "routes" => cfg.routes.len());
+            "version" => cfg.version.0, "routes" => cfg.routes.len(),
+            "path" => self.path.join(" "), "read_ms_ago" => age.as_millis() as u64);
         for (entry, spec) in &cfg.entries {
             if spec.divided {
                 self.add_partition(now, entry, Partition::WHOLE);
@@ -416,6 +420,16 @@
             .is_some_and(|since| now.since(since) >= span)
     }
 
+    /// Records that `table` is known as of `as_of`.
+    pub fn record_known(&mut self, table: Table, now: Timestamp, as_of: Timestamp) {
+        let before = self.freshness.as_of(table);
+        if table == Table::Configuration && before != Timestamp::ZERO {
+            let age = now.since(before);
+            self.metrics.record(Latency::ConfigurationAge, age);
+        }
+        self.freshness.known(table, as_of);
+    }
+
     /// Records that the store answered.
     pub fn record_store_answer(&mut self, now: Timestamp) {
         if self.store_available_since.is_none() {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -121,7 +121,7 @@
         partitions: IndexMap::new(),
         replicas: Default::default(),
         freshness: Freshness::default(),
-        reader: cfg.host.as_str().into(),
+        path: Vec::new(),
         lost_links,
         link_checks: link_checks_tx,
         peer_calls: peer_calls_tx,
--- a/crates/front/tests/relay.rs
+++ b/crates/front/tests/relay.rs
@@ -15,6 +15,7 @@
         revision,
         rows: keys.iter().map(row).collect(),
         is_snapshot,
+        as_of_us: 0,
     }
 }
 
@@ -101,8 +102,9 @@
         let whole = RelayedRows {
             tables: case.rows.iter().enumerate().map(table).collect(),
             fresh_ms: 900,
-            reader: "host".to_owned(),
+            path: vec!["host".to_owned()],
             is_continued: false,
+            echo: None,
         };
         let messages = whole.clone().split(100);
         assert_eq!(messages.len(), case.messages);
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -156,6 +156,7 @@
     Refused = "latency.refused", "from the whole request to the refusal";
     Queue = "latency.queue", "from a call's arrival at the coordinating host to its sending";
     Upstream = "latency.upstream", "from the sending of a call to the upstream's whole answer";
+    ConfigurationAge = "configuration.age", "from the start of the read of the store that the configuration is known by to the next message or read that confirms it";
 }
 
 /// Percentiles reported for each latency.
