--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -15,6 +15,7 @@
 mod returns;
 mod rig;
 mod soak;
+mod stalled;
 mod tired;
 
 use std::collections::HashMap;
--- /dev/null
+++ b/crates/cli/tests/direct/stalled.rs
@@ -0,0 +1,49 @@
+//! Hosts whose reads of one table of the store stall while their reads of the others go on.
+
+use std::time::Duration;
+
+use standin::fleet::TargetSettings;
+use standin::fleet::deploy::configuration;
+
+use crate::rig::Rig;
+use crate::{APPLY_TIMEOUT, check_post_executed_by};
+
+const HOSTS: usize = 3;
+
+/// Returns the number of the host that reads the store for all.
+async fn reading_host(rig: &Rig) -> usize {
+    let read = "/api/rows-feed servers".to_owned();
+    let reads = || {
+        let calls = rig.store.calls_by();
+        let of_host = |host| calls.get(&(rig.callers(host).ip(), read.clone())).copied();
+        let counts: Vec<u64> = (0..HOSTS).map(|host| of_host(host).unwrap_or(0)).collect();
+        counts
+    };
+    let before = reads();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let after = reads();
+    let reader = (0..HOSTS).max_by_key(|&host| after[host] - before[host]);
+    reader.expect("a host")
+}
+
+/// Guards against an old configuration at hosts behind one whose reads of the configuration stall: that
+/// its other reads go on says nothing about the configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_in_time_behind_a_host_that_cannot_read_it() {
+    let rig = Rig::start(HOSTS).await;
+    let settings = TargetSettings {
+        service: "other".into(),
+        ..TargetSettings::default()
+    };
+    let _other = rig.target(settings).await;
+    for (version, service) in [(9, "other"), (10, "posts"), (11, "other")] {
+        let reader = reading_host(&rig).await;
+        rig.store.stall(rig.callers(reader).ip(), "op");
+        rig.store.configure(&configuration(version, 4.0, service));
+        tokio::time::sleep(APPLY_TIMEOUT).await;
+        for host in (0..HOSTS).filter(|&host| host != reader) {
+            check_post_executed_by(&rig, host, service).await;
+        }
+        rig.store.end_stalls();
+    }
+}
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -49,4 +49,4 @@
 mod takeover;
 pub mod tree;
 
-pub use state::{ControlState, SharedControl};
+pub use state::{ControlState, RequestThreadLinks, SharedControl};
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -178,6 +178,21 @@
     pub log: Logger,
 }
 
+/// What the control thread shares with the request thread.
+#[derive(Debug)]
+pub struct RequestThreadLinks {
+    /// Links to upstreams that this host has lost.
+    pub lost_links: SharedLostLinks,
+    /// Where checks of links are requested.
+    pub link_checks: mpsc::Sender<UpstreamId>,
+    /// Sends calls to upstreams through other hosts.
+    pub peer_calls: PeerCalls,
+    /// Where the view is published.
+    pub view: SharedView,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
 /// The state of the control thread, shared by its tasks.
 #[derive(Debug, Clone)]
 pub struct SharedControl {
@@ -230,6 +245,53 @@
 }
 
 impl ControlState {
+    /// Creates the state of a host that has just started.
+    #[must_use]
+    pub fn new(
+        this_host: HostIncarnation,
+        cfg: Settings,
+        shared: RequestThreadLinks,
+        log: Logger,
+    ) -> Self {
+        Self {
+            this_host,
+            phase: Phase::Starting,
+            has_stopped: false,
+            configuration: None,
+            registry: UpstreamRegistry::default(),
+            registry_changed_at: Timestamp::ZERO,
+            missing: Vec::new(),
+            // A host that starts has missed no changes.
+            store_available_since: Some(Timestamp::ZERO),
+            last_addresses: HashMap::new(),
+            limits: HashMap::new(),
+            is_bulk_read: false,
+            unreadable_servers: IndexSet::new(),
+            hosts: IndexMap::new(),
+            hosts_changed_at: Timestamp::ZERO,
+            host_lists: None,
+            row_written_at: Timestamp::ZERO,
+            listed_since: None,
+            known_era: KnownEra::default(),
+            shared_read_at: Timestamp::ZERO,
+            partitions: IndexMap::new(),
+            replicas: Default::default(),
+            freshness: Freshness::default(),
+            path: Vec::new(),
+            lost_links: shared.lost_links,
+            link_checks: shared.link_checks,
+            peer_calls: shared.peer_calls,
+            crashes: CrashTracker::default(),
+            quarantined: QuarantineState::default(),
+            hosts_first_read: None,
+            was_listed: false,
+            view: shared.view,
+            metrics: shared.metrics,
+            log,
+            cfg,
+        }
+    }
+
     /// Publishes the view for the request thread.
     pub fn publish(&mut self) {
         let mut owners: IndexMap<EntryId, EntryOwners> = IndexMap::new();
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -1,6 +1,5 @@
 //! Starts and stops the threads of a host.
 
-use std::collections::HashMap;
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,10 +8,8 @@
 use anyhow::Context as _;
 use arc_swap::ArcSwap;
 use assign::HostIncarnation;
-use direct::{CrashTracker, UpstreamRegistry};
 use gate::Metrics;
-use ids::{Incarnation, Timestamp};
-use indexmap::{IndexMap, IndexSet};
+use ids::Incarnation;
 use slog::{Logger, info};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,13 +17,11 @@
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::control::era::KnownEra;
-use crate::control::freshness::Freshness;
-use crate::control::quarantined::QuarantineState;
 use crate::control::samples::{self, SampleRx};
 use crate::control::tables::Table;
 use crate::control::{
-    ControlState, SharedControl, announce, follow, heartbeat, keys, observations, quarantine, relay,
+    ControlState, RequestThreadLinks, SharedControl, announce, follow, heartbeat, keys,
+    observations, quarantine, relay,
 };
 use crate::links::SharedLostLinks;
 use crate::observation::{self, ObservationRx};
@@ -97,43 +92,14 @@
         .recv()
         .context("request thread ended before it reported its start")??;
     let platform = platform(&cfg);
-    let control = ControlState {
-        this_host,
-        phase: Phase::Starting,
-        has_stopped: false,
-        configuration: None,
-        registry: UpstreamRegistry::default(),
-        registry_changed_at: Timestamp::ZERO,
-        missing: Vec::new(),
-        // A host that starts has missed no changes.
-        store_available_since: Some(Timestamp::ZERO),
-        last_addresses: HashMap::new(),
-        limits: HashMap::new(),
-        is_bulk_read: false,
-        unreadable_servers: IndexSet::new(),
-        hosts: IndexMap::new(),
-        hosts_changed_at: Timestamp::ZERO,
-        host_lists: None,
-        row_written_at: Timestamp::ZERO,
-        listed_since: None,
-        known_era: KnownEra::default(),
-        shared_read_at: Timestamp::ZERO,
-        partitions: IndexMap::new(),
-        replicas: Default::default(),
-        freshness: Freshness::default(),
-        path: Vec::new(),
+    let shared = RequestThreadLinks {
         lost_links,
         link_checks: link_checks_tx,
         peer_calls: peer_calls_tx,
-        crashes: CrashTracker::default(),
-        quarantined: QuarantineState::default(),
-        hosts_first_read: None,
-        was_listed: false,
         view,
         metrics: Arc::clone(&metrics),
-        log: log.clone(),
-        cfg,
     };
+    let control = ControlState::new(this_host, cfg, shared, log.clone());
     let services = ControlServices {
         ready_path: header_format.ready_path(),
         metrics,
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -57,6 +57,8 @@
     pub(super) compacted_revision: Mutex<Revision>,
     /// Addresses at which clients get status 429, and no changes from the feeds that they wait for.
     throttled: Mutex<HashSet<IpAddr>>,
+    /// Addresses at which calls about a table get no answer, with the table.
+    stalled: Mutex<HashSet<(IpAddr, SmolStr)>>,
     calls: AtomicU64,
     /// Calls by the address at which they arrived, path and table.
     calls_by: Mutex<IndexMap<(IpAddr, String), u64>>,
@@ -95,6 +97,7 @@
             commits: watch::Sender::new(0),
             compacted_revision: Mutex::default(),
             throttled: Mutex::default(),
+            stalled: Mutex::default(),
             calls: AtomicU64::new(0),
             calls_by: Mutex::default(),
             feed_waits: Mutex::default(),
@@ -156,6 +159,17 @@
         }
     }
 
+    /// Stalls the calls about `table` that arrive at the address on `ip`, also those under way: they
+    /// get no answer, while calls about other tables are answered.
+    pub fn stall(&self, ip: IpAddr, table: &str) {
+        lock(&self.shared.stalled).insert((ip, table.into()));
+    }
+
+    /// Answers later calls at all addresses again.
+    pub fn end_stalls(&self) {
+        lock(&self.shared.stalled).clear();
+    }
+
     /// Returns the number of calls, including refused ones.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -295,6 +309,10 @@
         StoreMode::Unresponsive => return std::future::pending().await,
     }
     let query = query(&req);
+    let table = query.get("table").cloned().unwrap_or_default();
+    if shared.is_stalled(at, &table) {
+        return std::future::pending().await;
+    }
     let text = |name: &str| query.get(name).cloned().unwrap_or_default();
     let path = req.uri().path().to_owned();
     let answer = match (req.method(), path.as_str()) {
@@ -315,7 +333,7 @@
     let mode = *shared.mode.borrow();
     let loses_writes = matches!(mode, StoreMode::LostAnswers | StoreMode::DelaysWrites);
     let is_lost = loses_writes && path == "/api/rows-tx";
-    if mode == StoreMode::Unresponsive || is_lost {
+    if mode == StoreMode::Unresponsive || is_lost || shared.is_stalled(at, &table) {
         return std::future::pending().await;
     }
     answer
@@ -333,6 +351,10 @@
         lock(&self.throttled).contains(&at)
     }
 
+    fn is_stalled(&self, at: IpAddr, table: &str) -> bool {
+        lock(&self.stalled).contains(&(at, table.into()))
+    }
+
     fn revision(&self) -> Revision {
         // No key has this prefix: only the revision is needed.
         lock(&self.table)
