front: a host's knowledge is as old as the read of the store that it stems from

What callers saw: a route that was added was refused with 404, more than two seconds after the store had confirmed it, by hosts that no trouble touched.

Cause: freshness was concluded from something other than a read of the same table.

Change: a table is known as of a time, by a read that began then or by a message that says so, dated on the receiver's clock by readings sent back. A host is as fresh as its oldest table. The configuration is read every 650 ms besides the waiting read. A host takes nothing whose path names it. A wait that fails doesn't end freshness if a later read succeeded. Whether all hosts of the era before are known follows from the table of hosts, no longer from that of upstreams. Hosts far from the reader leave the first reads to those next to it.

--- a/crates/front/src/control/era.rs
+++ b/crates/front/src/control/era.rs
@@ -10,10 +10,10 @@
 use indexmap::IndexMap;
 use slog::info;
 
-use crate::control::follow::WATCH_TIMEOUT;
 use crate::control::hosts::LISTED_BEFORE_TAKEOVER;
 use crate::control::registry::RETURN_TIME;
 use crate::control::state::ControlState;
+use crate::control::tables::Table;
 
 /// Time within which hosts that start together are listed and known to each other.
 const FIRST_LISTED_TIME: Duration = Duration::from_secs(10);
@@ -91,11 +91,10 @@
     /// Those had been listed for some time before they could, unless they started for the first time
     /// together with the others.
     fn knows_all_hosts(&self, now: Timestamp) -> bool {
-        let known_as_of = self.freshness.upstreams_as_of();
-        let max_age = LISTED_BEFORE_TAKEOVER.saturating_sub(WATCH_TIMEOUT);
+        let known_as_of = self.freshness.as_of(Table::Shared);
         let era_age = self.known_era.since.map(|since| now.since(since));
         known_as_of > Timestamp::ZERO
-            && now.since(known_as_of) < max_age
+            && now.since(known_as_of) < LISTED_BEFORE_TAKEOVER
             && era_age > Some(FIRST_LISTED_TIME)
     }
 
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -19,15 +19,17 @@
 /// A connection may fail without notice, and a wait that began before the store recovered may get
 /// no answer; the next read detects both. What was submitted two seconds ago must be in force three
 /// seconds after such an event: this time and that for a call are a little less.
-pub(super) const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval of a granting host's reads of its rows, and so the age that its knowledge of them
 /// reaches.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(900);
-/// Interval of reads of the upstreams: a third of the time for which a leaving upstream still
-/// serves.
+/// Interval of reads that don't wait for changes, of the upstreams and the configuration: two of them
+/// and their calls fit in the age up to which a read keeps a host's knowledge fresh.
 ///
-/// Their rows change several times a second, so that waiting for changes would mean more reads.
-const UPSTREAMS_INTERVAL: Duration = Duration::from_millis(650);
+/// Rows of upstreams change several times a second, so that waiting for changes would mean more
+/// reads. The configuration rarely changes, and its changes are waited for as well; but a wait that
+/// hangs says nothing, and until it ends nothing else would show that the configuration is the newest.
+const POLL_INTERVAL: Duration = Duration::from_millis(650);
 /// Pause after a failed read, and between reads that don't wait.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause after a failed read, in units of [`PAUSE`].
@@ -63,16 +65,54 @@
 /// Shortest interval of checks whether another host still relays to this one.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Follows `table`.
+/// Follows `table` by reads that wait for changes.
 pub async fn follow(ctl: SharedControl, platform: impl Platform, table: Table) {
     loop {
-        while ctl.with(|c| !must_read(c, table)) {
-            tokio::time::sleep(ctl.with(|c| no_read_needed_for(c))).await;
-        }
-        read(&ctl, &platform, table).await;
-        if table == Table::Upstreams {
-            tokio::time::sleep(UPSTREAMS_INTERVAL).await;
+        wait_until_due(&ctl, |c| must_read(c, table)).await;
+        let is_settled = ctl.with(|c| is_settled(c));
+        let wait = if is_settled {
+            WATCH_TIMEOUT
+        } else {
+            Duration::ZERO
+        };
+        let pause = match read(&ctl, &platform, table, wait).await {
+            Some(news) => ctl.with(|c| pause_between_waits(c, table, is_settled, news)),
+            None => ctl.with(|c| pause_after_failure(c)),
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Reads the upstreams and the configuration at an interval, without waiting for changes.
+pub async fn poll(ctl: SharedControl, platform: impl Platform) {
+    loop {
+        wait_until_due(&ctl, |c| must_read(c, Table::Upstreams)).await;
+        let has_changed = poll_once(&ctl, &platform).await;
+        if has_changed == Some(false) {
+            ctl.notify_confirmed();
         }
+        let pause = match has_changed {
+            Some(_) => POLL_INTERVAL,
+            None => POLL_INTERVAL.max(ctl.with(|c| pause_after_failure(c))),
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Reads the upstreams, which show whether the store answers, and then the configuration; returns
+/// whether anything changed, and none if a read fails.
+async fn poll_once(ctl: &SharedControl, platform: &impl Platform) -> Option<bool> {
+    let upstreams = read(ctl, platform, Table::Upstreams, Duration::ZERO).await?;
+    if !ctl.with(|c| must_poll_configuration(c)) {
+        return Some(upstreams.has_changed);
+    }
+    let configuration = read(ctl, platform, Table::Configuration, Duration::ZERO).await?;
+    Some(upstreams.has_changed || configuration.has_changed)
+}
+
+async fn wait_until_due(ctl: &SharedControl, is_due: impl Fn(&ControlState) -> bool) {
+    while ctl.with(|c| !is_due(c)) {
+        tokio::time::sleep(ctl.with(|c| no_read_needed_for(c))).await;
     }
 }
 
@@ -140,6 +180,17 @@
     !is_starting || finds_hosts || is_first_to_read(c, now)
 }
 
+/// Returns whether the store has answered for so long that reads may wait for changes.
+fn is_settled(c: &ControlState) -> bool {
+    c.store_available_for(BootClock.now(), SETTLE_TIME)
+}
+
+/// Returns whether the configuration has to be read besides the reads that wait for its changes.
+fn must_poll_configuration(c: &ControlState) -> bool {
+    let is_known = c.replicas[Table::Configuration.index()].revision() != Revision::default();
+    is_known && must_read(c, Table::Configuration)
+}
+
 /// Returns whether a read may show hosts that this host does not know of.
 fn may_find_hosts(c: &ControlState, now: Timestamp) -> bool {
     let is_due = c.hosts_first_read.is_none() || now >= all_listed_at(c);
@@ -195,66 +246,90 @@
     PAUSE * u32::try_from(steps).map_or(MAX_PAUSE_FACTOR, |steps| steps.min(MAX_PAUSE_FACTOR))
 }
 
-/// Reads `table` once, waiting for a change where that saves reads.
-async fn read(ctl: &SharedControl, platform: &impl Platform, table: Table) {
+/// What a read brought.
+#[derive(Debug, Clone, Copy)]
+struct News {
+    /// Whether it changed anything.
+    has_changed: bool,
+    /// Whether it brought rows of hosts and no others.
+    only_hosts: bool,
+}
+
+/// Reads `table` once, waiting up to `wait` for a change; returns none if the read fails.
+async fn read(
+    ctl: &SharedControl,
+    platform: &impl Platform,
+    table: Table,
+    wait: Duration,
+) -> Option<News> {
     let began = BootClock.now();
-    let (since, settled) = ctl.with(|c| {
-        let since = c.replicas[table.index()].revision();
-        (since, c.store_available_for(began, SETTLE_TIME))
-    });
-    let wait = match table {
-        Table::Configuration | Table::Shared if settled => WATCH_TIMEOUT,
-        _ => Duration::ZERO,
-    };
-    let delta = match platform.watch(table.name(), since, wait).await {
+    let since = ctl.with(|c| c.replicas[table.index()].revision());
+    let read = platform.watch(table.name(), since, wait).await;
+    let now = BootClock.now();
+    let delta = match read {
         Ok(delta) => delta,
         Err(e) => {
             ctl.with(|c| {
-                c.freshness.failed(table);
+                c.freshness.failed(table, began, now);
                 c.record_store_failure(began, &e);
             });
             // Relay targets of this host must be notified at once.
             ctl.notify_changed();
-            let pause = ctl.with(|c| pause_after_failure(c));
-            tokio::time::sleep(pause).await;
-            return;
+            return None;
         }
     };
     let only_hosts = has_only_host_rows(&delta);
+    let has_changed = ctl.with(|c| apply_read(c, platform, table, delta, began, now));
+    if has_changed {
+        ctl.notify_changed();
+    }
+    Some(News {
+        has_changed,
+        only_hosts,
+    })
+}
+
+/// Applies a read of `table` that began at `began`; returns whether anything changed.
+fn apply_read(
+    c: &mut ControlState,
+    platform: &impl Platform,
+    table: Table,
+    delta: Delta,
+    began: Timestamp,
+    now: Timestamp,
+) -> bool {
     let (Delta::Changes(all) | Delta::Snapshot(all)) = &delta;
     let era = all.revision.era();
-    let now = BootClock.now();
-    let changed = ctl.with(|c| {
-        c.observe_era(now, era);
-        c.freshness.read(table, began);
-        c.record_known(table, now, began);
-        c.record_store_answer(now);
-        if table == Table::Configuration {
-            c.path.clear();
-        }
-        let changed = apply(c, platform, table, delta, now);
-        if table == Table::Shared {
-            c.record_shared_read(began, era);
-            if c.hosts_first_read.is_none() {
-                c.hosts_first_read = Some(now);
-                c.was_listed = c.position().is_some();
-                c.listed_since = c.was_listed.then_some(Timestamp::ZERO);
-            }
+    c.observe_era(now, era);
+    if table == Table::Configuration {
+        c.record_confirmed(now, began);
+        c.path.clear();
+    }
+    c.freshness.read(table, began);
+    c.record_store_answer(now);
+    let changed = apply(c, platform, table, delta, now);
+    if table == Table::Shared {
+        c.record_shared_read(began, era);
+        if c.hosts_first_read.is_none() {
+            c.hosts_first_read = Some(now);
+            c.was_listed = c.position().is_some();
+            c.listed_since = c.was_listed.then_some(Timestamp::ZERO);
         }
-        changed
-    });
-    if changed {
-        ctl.notify_changed();
-    } else if table == Table::Upstreams {
-        ctl.notify_confirmed();
     }
-    let is_starting = ctl.with(|c| table == Table::Shared && !c.freshness.has_known_all());
+    changed
+}
+
+/// Returns the pause after a read that waited for changes and brought `news`.
+fn pause_between_waits(c: &ControlState, table: Table, is_settled: bool, news: News) -> Duration {
     // A store that has never been written to has no revision after which to wait for changes.
-    let is_empty = ctl.with(|c| c.replicas[table.index()].revision().version() == 0);
-    if !settled || is_empty {
-        tokio::time::sleep(PAUSE).await;
-    } else if only_hosts || is_starting {
-        tokio::time::sleep(HOSTS_PAUSE).await;
+    let is_empty = c.replicas[table.index()].revision().version() == 0;
+    let is_starting = table == Table::Shared && !c.freshness.has_known_all();
+    if !is_settled || is_empty {
+        PAUSE
+    } else if news.only_hosts || is_starting {
+        HOSTS_PAUSE
+    } else {
+        Duration::ZERO
     }
 }
 
--- a/crates/front/src/control/relay/messages.rs
+++ b/crates/front/src/control/relay/messages.rs
@@ -41,10 +41,9 @@
     /// Changes of each table, in the order of [`Table::ALL`].
     #[prost(message, repeated, tag = "1")]
     pub tables: Vec<RelayedTable>,
-    /// Milliseconds for which the sender's knowledge of the store stays fresh; zero if it is not
-    /// fresh and the sender relays nothing.
-    #[prost(uint32, tag = "2")]
-    pub fresh_ms: u32,
+    /// Whether the sender's knowledge of the store is fresh; if not, it relays nothing.
+    #[prost(bool, tag = "2")]
+    pub is_fresh: bool,
     /// The hosts through which the rows came: first the one that read the store, last the sender.
     #[prost(string, repeated, tag = "3")]
     pub path: Vec<String>,
@@ -73,7 +72,7 @@
             });
             messages.push(Self {
                 tables: tables.collect(),
-                fresh_ms: self.fresh_ms,
+                is_fresh: self.is_fresh,
                 path: self.path.clone(),
                 is_continued: true,
                 echo: self.echo,
--- a/crates/front/src/control/relay/receive.rs
+++ b/crates/front/src/control/relay/receive.rs
@@ -12,6 +12,7 @@
 use super::{PAUSE, RELAY_TIMEOUT, SEND_TIMEOUT};
 use crate::control::apply::apply;
 use crate::control::clock_offset::ClockOffset;
+use crate::control::freshness::RelayedKnowledge;
 use crate::control::state::{ControlState, SharedControl};
 use crate::control::tables::Table;
 use crate::framed_conn::FramedConn;
@@ -114,32 +115,56 @@
             clock_sent_at = now;
             send_clock(&mut link, now).await?;
         }
-        // Rows that this host read itself must not keep its own knowledge fresh.
-        let is_own_read = ctl.with(|c| {
-            message
-                .path
-                .first()
-                .is_some_and(|reader| reader == c.this_host.host.as_str())
-        });
-        let is_past = ctl.with(|c| is_of_past_era(c, &message));
-        let is_leaving = ctl.with(|c| c.phase == Phase::Leaving);
-        if is_leaving || message.fresh_ms == 0 || is_own_read || is_past {
+        if ctl.with(|c| !is_usable(c, &message)) {
             return Ok(());
         }
+        let Some(knowledge) = knowledge(&message, &clock, now) else {
+            return Ok(());
+        };
         if is_first {
             ctl.with(|c| info!(c.log, "fed by"; "peer" => %parent));
         }
-        // The first message was built after the request for it, and may have taken long to arrive.
-        let as_of = if is_first { requested_at } else { now };
-        if ctl.with(|c| apply_message(c, platform, message, as_of, &clock)) {
+        let changed = ctl.with(|c| apply_message(c, platform, message, knowledge, now));
+        if changed {
             ctl.notify_changed();
         } else {
             ctl.notify_confirmed();
         }
+        // Messages are held up on the way: another host may be nearer.
+        if !is_first && ctl.with(|c| !c.freshness.has_relay(now)) {
+            return Ok(());
+        }
         is_first = false;
     }
 }
 
+/// Returns whether this host may apply a message.
+fn is_usable(c: &ControlState, message: &RelayedRows) -> bool {
+    // What came through this host says nothing that it does not know.
+    let is_loop = message
+        .path
+        .iter()
+        .any(|host| *host == c.this_host.host.as_str());
+    let is_leaving = c.phase == Phase::Leaving;
+    message.is_fresh && !is_loop && !is_leaving && !is_of_past_era(c, message)
+}
+
+/// Returns what a message says that this host knows from now on; none if it can't be dated.
+fn knowledge(
+    message: &RelayedRows,
+    clock: &ClockOffset,
+    now: Timestamp,
+) -> Option<RelayedKnowledge> {
+    let mut as_of = [Timestamp::ZERO; Table::ALL.len()];
+    for (as_of, relayed) in as_of.iter_mut().zip(&message.tables) {
+        *as_of = clock.to_own(now, Timestamp::from_micros(relayed.as_of_us))?;
+    }
+    Some(RelayedKnowledge {
+        as_of,
+        hops: message.path.len(),
+    })
+}
+
 /// Sends a reading of this host's clock.
 async fn send_clock(
     link: &mut FramedConn<RelayedRows, ReplicaVersion>,
@@ -160,25 +185,20 @@
     tables.any(|(known, relayed)| Revision(relayed.revision).era() < known.revision().era())
 }
 
-/// Applies a message that was built at `as_of` or later; returns whether anything changed.
+/// Applies a message; returns whether anything changed.
 fn apply_message(
     c: &mut ControlState,
     platform: &impl Platform,
     message: RelayedRows,
-    as_of: Timestamp,
-    clock: &ClockOffset,
+    knowledge: RelayedKnowledge,
+    now: Timestamp,
 ) -> bool {
-    let now = BootClock.now();
-    let left = Duration::from_millis(u64::from(message.fresh_ms));
     let eras = message.tables.iter().map(|t| Revision(t.revision).era());
     if let Some(era) = eras.max() {
         c.observe_era(now, era);
     }
-    c.freshness.relayed(now, as_of, left);
-    for (table, relayed) in Table::ALL.into_iter().zip(&message.tables) {
-        let relayed_as_of = clock.to_own(now, Timestamp::from_micros(relayed.as_of_us));
-        c.record_known(table, now, relayed_as_of.unwrap_or_default());
-    }
+    c.record_confirmed(now, knowledge.as_of[Table::Configuration.index()]);
+    c.freshness.relayed(now, knowledge);
     c.path = message.path;
     c.record_store_answer(now);
     let mut changed = false;
--- a/crates/front/src/control/relay/serve.rs
+++ b/crates/front/src/control/relay/serve.rs
@@ -61,7 +61,7 @@
     let mut timeout = SEND_TIMEOUT;
     loop {
         rows.echo = Some(echo);
-        let is_last = rows.fresh_ms == 0;
+        let is_last = !rows.is_fresh;
         for message in rows.split(ROWS_PER_MESSAGE) {
             // A relay target that reads nothing must not hold its slot for ever.
             let sent = tokio::time::timeout(timeout, link.outgoing.send(message));
@@ -152,8 +152,7 @@
     c: &ControlState,
     mut table: impl FnMut(usize, &TableReplica) -> RelayedTable,
 ) -> RelayedRows {
-    let fresh_ms = c.freshness.left(BootClock.now()).as_millis() as u32;
-    if fresh_ms == 0 {
+    if !c.freshness.is_fresh(BootClock.now()) {
         return RelayedRows::default();
     }
     let relayed = |known: Table| RelayedTable {
@@ -163,7 +162,7 @@
     let this_host = c.this_host.host.to_string();
     RelayedRows {
         tables: Table::ALL.into_iter().map(relayed).collect(),
-        fresh_ms,
+        is_fresh: true,
         path: c.path.iter().cloned().chain([this_host]).collect(),
         is_continued: false,
         echo: None,
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -482,14 +482,14 @@
             .is_some_and(|since| now.since(since) >= span)
     }
 
-    /// Records that `table` is known as of `as_of`.
-    pub fn record_known(&mut self, table: Table, now: Timestamp, as_of: Timestamp) {
-        let before = self.freshness.as_of(table);
-        if table == Table::Configuration && before != Timestamp::ZERO {
+    /// Records for how long the configuration had been known without news, as it is now known as of
+    /// `as_of`.
+    pub fn record_confirmed(&self, now: Timestamp, as_of: Timestamp) {
+        let before = self.freshness.as_of(Table::Configuration);
+        if before != Timestamp::ZERO && before < as_of {
             let age = now.since(before);
             self.metrics.record(Latency::ConfigurationAge, age);
         }
-        self.freshness.known(table, as_of);
     }
 
     /// Records that the store answered.
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -184,9 +184,10 @@
         services.metrics,
         log.clone(),
     ));
-    for table in Table::ALL {
+    for table in [Table::Configuration, Table::Shared] {
         tokio::task::spawn_local(follow::follow(ctl.clone(), platform.clone(), table));
     }
+    tokio::task::spawn_local(follow::poll(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(follow::confirm(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(announce::announce(ctl.clone(), platform.clone()));
     tokio::task::spawn_local(relay::serve(ctl.clone(), relay_listener));
--- a/crates/front/tests/relay.rs
+++ b/crates/front/tests/relay.rs
@@ -101,7 +101,7 @@
         };
         let whole = RelayedRows {
             tables: case.rows.iter().enumerate().map(table).collect(),
-            fresh_ms: 900,
+            is_fresh: true,
             path: vec!["host".to_owned()],
             is_continued: false,
             echo: None,
--- a/crates/front/tests/relay_freshness.rs
+++ b/crates/front/tests/relay_freshness.rs
@@ -29,6 +29,8 @@
 const TOLERANCE: Duration = Duration::from_millis(100);
 /// Time for which hosts are watched after that.
 const WATCHED_FOR: Duration = Duration::from_secs(2);
+/// Time within which a host finds another one that relays to it.
+const RELAY_LIMIT: Duration = Duration::from_secs(5);
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A platform whose store is never called.
@@ -130,7 +132,6 @@
         self.ctl.with(|c| {
             for table in Table::ALL {
                 c.freshness.read(table, now);
-                c.record_known(table, now, now);
             }
         });
         self.ctl.notify_confirmed();
@@ -141,8 +142,11 @@
         self.ctl.with(|c| c.freshness.is_fresh(BootClock.now()))
     }
 
-    async fn wait_until_fresh(&self) {
-        while !self.is_fresh() {
+    /// Waits until another host has relayed to this one.
+    async fn wait_for_relay(&self) {
+        let start = Instant::now();
+        while !self.ctl.with(|c| c.freshness.has_known_all()) {
+            assert!(start.elapsed() < RELAY_LIMIT, "no host relays to it");
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
     }
@@ -269,10 +273,10 @@
         let read_at = reader.read_store();
         reader.receive_from(&[]);
         later.receive_from(&[&reader.row, &earlier.row]);
-        later.wait_until_fresh().await;
+        later.wait_for_relay().await;
         // It knows of no host before it, and turns to one after it, as it has read nothing yet.
         earlier.receive_from(&[&later.row]);
-        earlier.wait_until_fresh().await;
+        earlier.wait_for_relay().await;
         reader.kill();
         check_expiry(read_at, &[("host-1", &earlier), ("host-2", &later)]).await;
     };
@@ -289,7 +293,7 @@
         let read_at = reader.read_store();
         reader.receive_from(&[]);
         receiver.receive_from(&[&reader.row]);
-        receiver.wait_until_fresh().await;
+        receiver.wait_for_relay().await;
         check_expiry(read_at, &[("host-1", &receiver)]).await;
     };
     LocalSet::new().run_until(scenario).await;
