front: a missing registration counts as removed by a read after upstreams had time to return

Not seen by callers: an upstream that had registered again within two seconds of the store's return could count as gone, and its keys could move.

Cause: the host judged 2.2 s after it had heard that the store answers, by what it knew of the upstreams then, which may be 1.2 s old and so from a time at which upstreams could still register.

Change: what is known has to be as of 2.2 s after that time.

--- a/crates/front/src/control/apply.rs
+++ b/crates/front/src/control/apply.rs
@@ -50,7 +50,7 @@
             Table::Shared => apply_shared_row(c, platform, row, now),
         }
     }
-    let removed = c.remove_missing(now) | c.apply_postponed_drains(now);
+    let removed = c.remove_missing() | c.apply_postponed_drains(now);
     if removed || (table == Table::Upstreams && !rows.is_empty()) {
         c.registry_changed_at = now;
     }
--- a/crates/front/src/control/keys.rs
+++ b/crates/front/src/control/keys.rs
@@ -64,7 +64,7 @@
 /// takeover delay.
 fn due(c: &mut ControlState, now: Timestamp, fraction: f64) -> Vec<(PartitionId, Action)> {
     let is_fresh = c.freshness.is_fresh(now);
-    let may_move = c.store_settled(now) && is_fresh;
+    let may_move = c.store_settled() && is_fresh;
     let reads_for = c
         .store_available_since
         .map_or(Duration::ZERO, |s| now.since(s));
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -9,6 +9,7 @@
 use slog::{info, warn};
 
 use crate::control::state::{ControlState, LastKnownAddress};
+use crate::control::tables::Table;
 use crate::ports::{DecodeError, Destination, GrantPath, IncarnationCheck};
 
 /// Time after the store's return after which missing registrations count as removed: upstreams
@@ -195,8 +196,8 @@
 
     /// Removes upstreams whose registrations stayed missing for long enough; returns whether there
     /// were any.
-    pub fn remove_missing(&mut self, now: Timestamp) -> bool {
-        if !self.store_settled(now) || self.missing.is_empty() {
+    pub fn remove_missing(&mut self) -> bool {
+        if !self.store_settled() || self.missing.is_empty() {
             return false;
         }
         for id in std::mem::take(&mut self.missing) {
@@ -222,10 +223,12 @@
         }
     }
 
-    /// Returns whether the store has answered for long enough that missing registrations count as
-    /// removed.
+    /// Returns whether what this host knows of the upstreams is from a time at which the store had
+    /// answered for long enough that missing registrations count as removed.
     #[must_use]
-    pub fn store_settled(&self, now: Timestamp) -> bool {
-        self.store_available_for(now, RETURN_TIME)
+    pub fn store_settled(&self) -> bool {
+        let known_as_of = self.freshness.as_of(Table::Upstreams);
+        let since = self.store_available_since;
+        since.is_some_and(|since| known_as_of >= since + RETURN_TIME)
     }
 }
--- a/crates/front/tests/relay_freshness.rs
+++ b/crates/front/tests/relay_freshness.rs
@@ -1,22 +1,17 @@
 //! How long what hosts relay to each other counts as fresh, over links that hold messages up.
 
+#[allow(dead_code, reason = "shared by several tests")]
+mod common;
+
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use assign::{GrantCall, HostIncarnation, StoreClock};
-use direct::{Configuration, Registration};
+use common::{UnusedPlatform, domain, incarnation, state};
+use front::control::SharedControl;
 use front::control::hosts::HostRow;
 use front::control::relay::{receive, serve};
 use front::control::tables::Table;
-use front::control::{ControlState, RequestThreadLinks, SharedControl};
-use front::links::SharedLostLinks;
-use front::peer_exchange::calls;
-use front::ports::{DecodeError, Destination, GrantCallResponse, GrantPath};
-use front::view::View;
-use front::{Platform, Settings};
-use ids::{BootClock, Clock, DomainId, HostId, Incarnation, Revision, StoreEra, Timestamp};
-use platform::{Commit, Delta, PlatformError, Row, RowKey, Txn, Watch};
+use ids::{BootClock, Clock, Revision, StoreEra, Timestamp};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -33,56 +28,6 @@
 const RELAY_LIMIT: Duration = Duration::from_secs(5);
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// A platform whose store is never called.
-#[derive(Debug, Clone)]
-struct UnusedPlatform;
-
-impl Watch for UnusedPlatform {
-    async fn watch(
-        &self,
-        _table: &'static str,
-        _since: Revision,
-        _wait: Duration,
-    ) -> Result<Delta, PlatformError> {
-        unreachable!("hosts of this test don't read the store")
-    }
-
-    async fn read_row(&self, _key: &RowKey) -> Result<Option<Row>, PlatformError> {
-        unreachable!("hosts of this test don't read the store")
-    }
-
-    async fn commit(&self, _txn: Txn, _era: StoreEra) -> Result<Commit, PlatformError> {
-        unreachable!("hosts of this test don't write to the store")
-    }
-}
-
-impl Platform for UnusedPlatform {
-    fn configuration(&self, _: &str, _: &[u8]) -> Result<Option<Configuration>, DecodeError> {
-        Ok(None)
-    }
-
-    fn drained_domain(&self, _: &str) -> Option<DomainId> {
-        None
-    }
-
-    fn registration(&self, _: &str, _: &[u8], _: Timestamp) -> Result<Registration, DecodeError> {
-        unreachable!("no rows are relayed in this test")
-    }
-
-    fn store_clock(&self) -> Option<StoreClock> {
-        None
-    }
-
-    fn send_grant_call(
-        &self,
-        _: Destination,
-        _: GrantCall,
-        _: GrantPath,
-    ) -> impl Future<Output = GrantCallResponse> + 'static {
-        std::future::pending()
-    }
-}
-
 /// A host that relays and receives, and does not read the store.
 struct RelayingHost {
     ctl: SharedControl,
@@ -159,39 +104,6 @@
     }
 }
 
-fn domain() -> DomainId {
-    DomainId::new("a").expect("a valid name")
-}
-
-fn incarnation(name: &str) -> HostIncarnation {
-    HostIncarnation {
-        host: HostId::new(name).expect("a valid name"),
-        incarnation: Incarnation(1),
-    }
-}
-
-fn state(name: &str, peers: SocketAddr) -> ControlState {
-    let cfg = serde_json::json!({
-        "host": name,
-        "domain": domain(),
-        "processor": {"share": 1.0, "cores": 1.0},
-        "listen": {"callers": peers, "ready": peers, "peers": peers, "permits": peers, "metrics": peers},
-        "store": {"address": peers},
-        "repeats": {"ratio": 0.2, "slack": 10.0, "window_s": 10.0},
-        "stop": {"grace_s": 6.0},
-    });
-    let cfg: Settings = serde_json::from_value(cfg).expect("valid settings");
-    let shared = RequestThreadLinks {
-        lost_links: SharedLostLinks::default(),
-        link_checks: mpsc::channel(1).0,
-        peer_calls: calls::channel().0,
-        view: Arc::new(arc_swap::ArcSwap::from_pointee(View::default())),
-        metrics: Arc::default(),
-    };
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    ControlState::new(incarnation(name), cfg, shared, log)
-}
-
 async fn bind() -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").await;
     listener.expect("a free port")
