--- a/crates/cli/tests/direct/stalled.rs
+++ b/crates/cli/tests/direct/stalled.rs
@@ -1,4 +1,4 @@
-//! Hosts whose reads of one table of the store stall while their reads of the others go on.
+//! Hosts some of whose reads of the store stall while others go on.
 
 use std::time::Duration;
 
@@ -9,6 +9,8 @@
 use crate::{APPLY_TIMEOUT, check_post_executed_by};
 
 const HOSTS: usize = 3;
+/// Time without a fault after which a host must have each configuration in force in time.
+const STABLE_TIME: Duration = Duration::from_secs(3);
 
 /// Returns the number of the host that reads the store for all.
 async fn reading_host(rig: &Rig) -> usize {
@@ -47,3 +49,24 @@
         rig.store.end_stalls();
     }
 }
+
+/// Guards against an old configuration after all connections to the store have fallen silent: hosts that
+/// read only now must not wait for answers on connections that they opened before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_in_time_after_connections_fell_silent() {
+    let rig = Rig::start(HOSTS).await;
+    let settings = TargetSettings {
+        service: "other".into(),
+        ..TargetSettings::default()
+    };
+    let _other = rig.target(settings).await;
+    for (version, service) in [(9, "other"), (10, "posts"), (11, "other")] {
+        rig.store.silence_connections();
+        tokio::time::sleep(STABLE_TIME.saturating_sub(APPLY_TIMEOUT)).await;
+        rig.store.configure(&configuration(version, 4.0, service));
+        tokio::time::sleep(APPLY_TIMEOUT).await;
+        for host in 0..HOSTS {
+            check_post_executed_by(&rig, host, service).await;
+        }
+    }
+}
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -59,6 +59,8 @@
     throttled: Mutex<HashSet<IpAddr>>,
     /// Addresses at which calls about a table get no answer, with the table.
     stalled: Mutex<HashSet<(IpAddr, SmolStr)>>,
+    /// Connections accepted before this get no answer any more.
+    silent_before: Mutex<Option<Instant>>,
     calls: AtomicU64,
     /// Calls by the address at which they arrived, path and table.
     calls_by: Mutex<IndexMap<(IpAddr, String), u64>>,
@@ -98,6 +100,7 @@
             compacted_revision: Mutex::default(),
             throttled: Mutex::default(),
             stalled: Mutex::default(),
+            silent_before: Mutex::default(),
             calls: AtomicU64::new(0),
             calls_by: Mutex::default(),
             feed_waits: Mutex::default(),
@@ -165,6 +168,12 @@
         lock(&self.shared.stalled).insert((ip, table.into()));
     }
 
+    /// Silences all open connections for good, also the calls under way; they are not closed, and new
+    /// connections work.
+    pub fn silence_connections(&self) {
+        *lock(&self.shared.silent_before) = Some(Instant::now());
+    }
+
     /// Answers later calls at all addresses again.
     pub fn end_stalls(&self) {
         lock(&self.shared.stalled).clear();
@@ -274,8 +283,15 @@
         };
         let shared = Arc::clone(&shared);
         let stop = stop.clone();
+        let accepted_at = Instant::now();
         tokio::spawn(async move {
-            let handle = |req| handle(Arc::clone(&shared), at.ip(), req);
+            let handle = async |req| {
+                let res = handle(Arc::clone(&shared), at.ip(), req).await;
+                if *lock(&shared.silent_before) > Some(accepted_at) {
+                    return std::future::pending().await;
+                }
+                res
+            };
             serve_connection(socket, stop, handle).await;
         });
     }
