front, gate: upstreams that answer without end take neither a host's memory nor its processor

The HTTP library reads heads that announce another one without limit. One read from a socket holds thousands of tiny chunks, which were all taken in one turn of the request thread.

Change: an answer takes room while it is read; beyond 64 KiB all answers share a fraction of the bodies' memory, and one without a declared length gets a quarter of that. Four buffers are read before a head is complete. A body yields the thread after 64 frames.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod cut_off;
 mod cuts;
 mod drained;
+mod endless;
 mod leaving;
 mod limited;
 mod parts;
--- a/crates/cli/tests/direct/rig.rs
+++ b/crates/cli/tests/direct/rig.rs
@@ -401,6 +401,14 @@
         response.expect("metrics").body
     }
 
+    /// Returns the resident memory of host number `host`, in bytes.
+    pub fn resident_bytes(&self, host: usize) -> usize {
+        let path = format!("/proc/{}/statm", self.hosts[host].child.id());
+        let pages = fs::read_to_string(path).expect("a child process");
+        let resident = pages.split(' ').nth(1).and_then(|n| n.parse().ok());
+        resident.map_or(0, |pages: usize| pages * rustix::param::page_size())
+    }
+
     /// Sends `signal` to host number `host`.
     pub fn signal(&self, host: usize, signal: rustix::process::Signal) {
         let pid = self.hosts[host].child.id();
--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -1,19 +1,30 @@
 //! Memory budget for the bodies of requests and answers at a host.
 //!
 //! Large request bodies may take only a fraction of the budget, so that small requests always find
-//! room. Answers are never refused: they count against the budget and leave less room for new
-//! requests.
+//! room. Small answers are never refused: they count against the budget and leave less room for new
+//! requests. What is beyond a small answer's size has a fraction of the budget of its own, as an
+//! upstream in trouble may send bytes without end.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
+use gate::upstream::BodyRoom;
+
+use crate::upstream_client::MAX_ANSWER_BYTES;
 
 /// Fraction of the host's memory that bodies may take. The rest is for the host's state, for
 /// buffers of connections, and for what the allocator can't return.
 const BODIES_FRACTION: f64 = 0.35;
 /// Fraction of the bodies' memory that large bodies may take together.
 const LARGE_BODIES_FRACTION: f64 = 0.6;
+/// Fraction of the bodies' memory that answers may take together beyond [`SMALL_ANSWER_BYTES`] each.
+const LARGE_ANSWERS_FRACTION: f64 = 0.3;
+/// Size up to which an answer always finds room.
+const SMALL_ANSWER_BYTES: usize = 64 << 10;
+/// Fraction of the large answers' memory that one answer may take whose head declares no length, as
+/// its bytes may have no end.
+const UNDECLARED_ANSWER_FRACTION: f64 = 0.25;
 
 /// Size class of a request body. Large bodies have a lower limit, so that small ones find room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,6 +40,8 @@
 pub struct MemoryBudget {
     all: Arc<ByteCounter>,
     large: Arc<ByteCounter>,
+    /// What answers take beyond [`SMALL_ANSWER_BYTES`] each.
+    large_answers: Arc<ByteCounter>,
 }
 
 #[derive(Debug)]
@@ -65,6 +78,7 @@
         Self {
             all: ByteCounter::new(all),
             large: ByteCounter::new(all * LARGE_BODIES_FRACTION),
+            large_answers: ByteCounter::new(all * LARGE_ANSWERS_FRACTION),
         }
     }
 
@@ -90,6 +104,15 @@
         }
     }
 
+    /// Returns an empty reservation for an answer that is about to be read.
+    #[must_use]
+    pub fn answer(&self) -> AnswerReservation {
+        AnswerReservation {
+            budget: self.clone(),
+            bytes: 0,
+        }
+    }
+
     /// Counts an answer until its last byte has been sent, even beyond the limit.
     #[must_use]
     pub fn hold_answer(&self, body: Bytes) -> Bytes {
@@ -157,13 +180,77 @@
     }
 }
 
+/// Bytes that an answer takes in a [`MemoryBudget`] while it is read and sent; dropping it releases
+/// them.
+#[derive(Debug)]
+pub struct AnswerReservation {
+    budget: MemoryBudget,
+    bytes: usize,
+}
+
+impl AnswerReservation {
+    /// Returns `body` as bytes that release the reservation when their last copy is dropped.
+    #[must_use]
+    pub fn hold(self, body: Bytes) -> Bytes {
+        if body.is_empty() {
+            return body;
+        }
+        Bytes::from_owner(HeldBody {
+            body,
+            _reservation: self,
+        })
+    }
+
+    /// Makes room for `bytes`, of which one answer may have `max`.
+    fn extend(&mut self, bytes: usize, max: usize) -> bool {
+        let additional = bytes.saturating_sub(self.bytes);
+        if additional == 0 {
+            return true;
+        }
+        let additional_large = large_part(bytes) - large_part(self.bytes);
+        if bytes > max || !self.budget.large_answers.try_add(additional_large) {
+            return false;
+        }
+        self.budget
+            .all
+            .held
+            .fetch_add(additional, Ordering::Relaxed);
+        self.bytes = bytes;
+        true
+    }
+}
+
+impl BodyRoom for AnswerReservation {
+    fn reserve(&mut self, bytes: usize) -> bool {
+        self.extend(bytes, MAX_ANSWER_BYTES)
+    }
+
+    fn grow_to(&mut self, bytes: usize) -> bool {
+        let large = self.budget.large_answers.max as f64;
+        let max = (large * UNDECLARED_ANSWER_FRACTION) as usize;
+        self.extend(bytes, max.min(MAX_ANSWER_BYTES))
+    }
+}
+
+impl Drop for AnswerReservation {
+    fn drop(&mut self) {
+        self.budget.all.subtract(self.bytes);
+        self.budget.large_answers.subtract(large_part(self.bytes));
+    }
+}
+
+/// Returns by how much an answer of `bytes` is larger than a small one.
+const fn large_part(bytes: usize) -> usize {
+    bytes.saturating_sub(SMALL_ANSWER_BYTES)
+}
+
 /// A body and its reservation.
-struct HeldBody {
+struct HeldBody<R> {
     body: Bytes,
-    _reservation: Reservation,
+    _reservation: R,
 }
 
-impl AsRef<[u8]> for HeldBody {
+impl<R> AsRef<[u8]> for HeldBody<R> {
     fn as_ref(&self) -> &[u8] {
         &self.body
     }
--- a/crates/front/src/upstream_client.rs
+++ b/crates/front/src/upstream_client.rs
@@ -155,8 +155,8 @@
         if left < MIN_TIME_LEFT || outgoing.send_before.is_some_and(is_late) {
             return Err(AttemptEnd::Unsent(Reason::DeadlineExpired).into());
         }
-        let exchange =
-            conn.exchange_with_body_end(build(left), MAX_ANSWER_BYTES, BodyEnd::DeclaredOrClosed);
+        let mut room = self.memory.answer();
+        let exchange = conn.exchange_with_room(build(left), &mut room, BodyEnd::DeclaredOrClosed);
         let waiting = self.links.wait(&target.id, outgoing.expected_time);
         let ended = tokio::select! {
             ended = tokio::time::timeout(left, exchange) => ended,
@@ -199,7 +199,7 @@
         }
         Ok(UpstreamResponse {
             head: done.head,
-            body: self.memory.hold_answer(done.body),
+            body: room.hold(done.body),
         })
     }
 }
--- a/crates/front/tests/memory.rs
+++ b/crates/front/tests/memory.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use front::forward::body::TransferRate;
 use front::memory::{BodySize, MemoryBudget};
+use gate::upstream::BodyRoom;
 use ids::Timestamp;
 use proptest::prelude::*;
 
@@ -134,3 +135,30 @@
         prop_assert_eq!(budget.held(), 0);
     }
 }
+
+/// Guards against upstreams that take a host's memory by answers without end: each answer has a limit, and
+/// so have all together, beyond the size that always finds room.
+#[test]
+fn answers_without_end_leave_room_for_small_ones() {
+    let budget = MemoryBudget::new(HOST);
+    let mut endless: Vec<_> = (0..100).map(|_| budget.answer()).collect();
+    for answer in &mut endless {
+        let mut bytes = 0;
+        while answer.grow_to(bytes + (16 << 10)) {
+            bytes += 16 << 10;
+        }
+        assert!((64 << 10..8 << 20).contains(&bytes), "{bytes}");
+    }
+    assert!(budget.held() < HOST / 4, "{} bytes", budget.held());
+    assert!(budget.answer().reserve(64 << 10), "a small answer");
+    assert!(budget.reservation(BodySize::Large).grow_to(1 << 20));
+    assert!(!budget.answer().reserve(1 << 30), "longer than any answer");
+    drop(endless);
+    assert_eq!(budget.held(), 0);
+    let mut declared = budget.answer();
+    assert!(declared.reserve(10 << 20), "a large answer");
+    let rest = declared.hold(Bytes::from(vec![7; 10 << 20])).slice(10..20);
+    assert_eq!(budget.held(), 10 << 20, "a part has not been sent yet");
+    drop(rest);
+    assert_eq!(budget.held(), 0);
+}
--- a/crates/gate/src/upstream.rs
+++ b/crates/gate/src/upstream.rs
@@ -6,5 +6,7 @@
 pub mod conn;
 pub mod stream;
 
-pub use conn::{AnswerHead, BodyEnd, ConnSettings, Exchange, ExchangeError, UpstreamConn};
-pub use stream::CountedStream;
+pub use conn::{
+    AnswerHead, BodyEnd, BodyRoom, ConnSettings, Exchange, ExchangeError, MaxBytes, UpstreamConn,
+};
+pub use stream::{CountedStream, ReadLimit};
--- a/crates/gate/src/upstream/conn.rs
+++ b/crates/gate/src/upstream/conn.rs
@@ -21,7 +21,7 @@
 use wire::Traffic;
 
 use crate::body::BodyBuffer;
-use crate::upstream::CountedStream;
+use crate::upstream::{CountedStream, ReadLimit};
 
 /// Body of a request.
 type RequestBody = Full<Bytes>;
@@ -61,13 +61,13 @@
         /// The answer's head.
         head: Box<AnswerHead>,
     },
-    /// The answer's body is larger than the limit.
-    #[error("read answer of upstream at {peer}: its body is over {limit} bytes")]
+    /// There is no room for the answer's body.
+    #[error("read answer of upstream at {peer}: no room for a body of {bytes} bytes or more")]
     TooLarge {
         /// The upstream's address.
         peer: SocketAddr,
-        /// The limit.
-        limit: usize,
+        /// Bytes for which there was no room.
+        bytes: usize,
         /// The answer's head.
         head: Box<AnswerHead>,
     },
@@ -102,6 +102,9 @@
     sender: SendRequest<RequestBody>,
     driver: Driver,
     written: Arc<AtomicU64>,
+    read_limit: ReadLimit,
+    /// Bytes that may be read before the head of an answer is complete.
+    bytes_before_head: usize,
 }
 
 type Io = TokioIo<CountedStream>;
@@ -173,9 +176,10 @@
         // not delivered yet, and resets the connection at the upstream at once.
         stream.set_zero_linger().map_err(failed)?;
         let stream = CountedStream::new(stream, cfg.traffic);
-        let written = stream.written();
+        let (written, read_limit) = (stream.written(), stream.read_limit());
+        let header_bytes = cfg.header_bytes.max(MIN_BUFFER);
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(cfg.header_bytes.max(MIN_BUFFER))
+            .max_buf_size(header_bytes)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| failed(io::Error::other(e)))?;
@@ -184,6 +188,8 @@
             sender,
             driver: Driver(Some(Box::pin(connection))),
             written,
+            read_limit,
+            bytes_before_head: BUFFERS_BEFORE_HEAD * header_bytes,
         })
     }
 
@@ -221,19 +227,20 @@
         request: Request<RequestBody>,
         limit: usize,
     ) -> Result<Exchange, ExchangeError> {
-        self.exchange_with_body_end(request, limit, BodyEnd::Declared)
+        self.exchange_with_room(request, &mut MaxBytes(limit), BodyEnd::Declared)
             .await
     }
 
-    /// Does the same as [`Self::exchange`], with `end` defining how the answer's body may end.
+    /// Does the same as [`Self::exchange`], with a body for which there is `room`, and `end` defining
+    /// how the body may end.
     ///
     /// # Errors
     ///
     /// Fails as [`Self::exchange`] does.
-    pub async fn exchange_with_body_end(
+    pub async fn exchange_with_room(
         mut self,
         request: Request<RequestBody>,
-        limit: usize,
+        room: &mut impl BodyRoom,
         end: BodyEnd,
     ) -> Result<Exchange, ExchangeError> {
         let is_head = request.method() == Method::HEAD;
@@ -251,10 +258,10 @@
         if !bodiless && end == BodyEnd::Declared && !is_delimited(&head) {
             return Err(self.cut(head));
         }
-        let body = match self.read_body(body, limit).await {
+        let body = match self.read_body(body, room).await {
             Ok(body) => body,
             Err(BodyError::Cut) => return Err(self.cut(head)),
-            Err(BodyError::TooLarge) => return Err(self.too_large(limit, head)),
+            Err(BodyError::TooLarge(bytes)) => return Err(self.too_large(bytes, head)),
         };
         let is_clean = self.is_usable_now().await;
         Ok(Exchange {
@@ -271,11 +278,14 @@
         let before = self.written.load(Ordering::Relaxed);
         let mut sending = std::pin::pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
+        self.read_limit.set(self.bytes_before_head);
         let sent = poll_fn(|cx| {
             driver.poll(cx);
             sending.as_mut().poll(cx)
         });
-        let mut failed = match sent.await {
+        let sent = sent.await;
+        self.read_limit.lift();
+        let mut failed = match sent {
             Ok(response) => return Ok(response),
             Err(failed) => failed,
         };
@@ -288,10 +298,21 @@
         Err(ExchangeError::Reset { peer, cause })
     }
 
-    async fn read_body(&mut self, body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    async fn read_body(
+        &mut self,
+        body: Incoming,
+        room: &mut impl BodyRoom,
+    ) -> Result<Bytes, BodyError> {
+        let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        if !room.reserve(declared) {
+            return Err(BodyError::TooLarge(declared));
+        }
         let mut body = std::pin::pin!(body);
         let mut whole = BodyBuffer::default();
-        loop {
+        for frames in 1_u64.. {
+            if frames.is_multiple_of(FRAMES_PER_TURN) {
+                tokio::task::yield_now().await;
+            }
             let frame = poll_fn(|cx| {
                 self.driver.poll(cx);
                 body.as_mut().poll_frame(cx)
@@ -303,11 +324,13 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            if whole.len() + data.len() > limit {
-                return Err(BodyError::TooLarge);
+            let len = whole.len() + data.len();
+            if !room.grow_to(len) {
+                return Err(BodyError::TooLarge(len));
             }
             whole.push(data);
         }
+        Err(BodyError::Cut)
     }
 
     fn cut(&self, head: AnswerHead) -> ExchangeError {
@@ -317,15 +340,38 @@
         }
     }
 
-    fn too_large(&self, limit: usize, head: AnswerHead) -> ExchangeError {
+    fn too_large(&self, bytes: usize, head: AnswerHead) -> ExchangeError {
         ExchangeError::TooLarge {
             peer: self.peer,
-            limit,
+            bytes,
             head: Box::new(head),
         }
     }
 }
 
+/// Room for the body of an answer while it is read.
+pub trait BodyRoom {
+    /// Makes room for a body whose head declares `bytes`; returns whether there is.
+    fn reserve(&mut self, bytes: usize) -> bool;
+
+    /// Makes room for a body that has `bytes` so far; returns whether there is.
+    fn grow_to(&mut self, bytes: usize) -> bool;
+}
+
+/// Room for a body of at most this many bytes.
+#[derive(Debug, Clone, Copy)]
+pub struct MaxBytes(pub usize);
+
+impl BodyRoom for MaxBytes {
+    fn reserve(&mut self, bytes: usize) -> bool {
+        bytes <= self.0
+    }
+
+    fn grow_to(&mut self, bytes: usize) -> bool {
+        bytes <= self.0
+    }
+}
+
 /// How a connection to an upstream is opened.
 #[derive(Debug, Clone)]
 pub struct ConnSettings {
@@ -372,12 +418,19 @@
     DeclaredOrClosed,
 }
 
+/// Read buffers that may be filled before the head of an answer is complete: one by the head itself, one
+/// by what follows it, and the others by heads that only announce another one.
+const BUFFERS_BEFORE_HEAD: usize = 4;
+/// Frames of a body that are read before other tasks of the thread get their turn: one read from the
+/// socket may hold thousands of tiny chunks.
+const FRAMES_PER_TURN: u64 = 64;
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_BUFFER: usize = 8 << 10;
 
 enum BodyError {
     Cut,
-    TooLarge,
+    /// There is no room for this many bytes.
+    TooLarge(usize),
 }
 
 fn is_delimited_twice(head: &AnswerHead) -> bool {
--- a/crates/gate/src/upstream/stream.rs
+++ b/crates/gate/src/upstream/stream.rs
@@ -1,4 +1,4 @@
-//! A TCP stream that counts the bytes written to it.
+//! A TCP stream that counts the bytes written to it and limits those read from it.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -16,9 +16,44 @@
 pub struct CountedStream {
     inner: TcpStream,
     written: Arc<AtomicU64>,
+    read_limit: ReadLimit,
     traffic: Option<Arc<Traffic>>,
 }
 
+/// Number of bytes that may still be read from a stream; clones share it.
+#[derive(Debug, Clone)]
+pub struct ReadLimit(Arc<AtomicU64>);
+
+impl Default for ReadLimit {
+    fn default() -> Self {
+        Self(Arc::new(AtomicU64::new(u64::MAX)))
+    }
+}
+
+impl ReadLimit {
+    /// Lets `bytes` more be read; further reads fail.
+    pub fn set(&self, bytes: usize) {
+        self.0.store(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Ends the limit.
+    pub fn lift(&self) {
+        self.0.store(u64::MAX, Ordering::Relaxed);
+    }
+
+    fn is_reached(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == 0
+    }
+
+    fn subtract(&self, count: usize) {
+        let left = self.0.load(Ordering::Relaxed);
+        if left != u64::MAX {
+            self.0
+                .store(left.saturating_sub(count as u64), Ordering::Relaxed);
+        }
+    }
+}
+
 impl CountedStream {
     /// Wraps `inner`; its bytes are also counted in `traffic`, if given.
     #[must_use]
@@ -26,6 +61,7 @@
         Self {
             inner,
             written: Arc::default(),
+            read_limit: ReadLimit::default(),
             traffic,
         }
     }
@@ -36,6 +72,12 @@
         Arc::clone(&self.written)
     }
 
+    /// Returns the limit of the bytes read from the socket.
+    #[must_use]
+    pub fn read_limit(&self) -> ReadLimit {
+        self.read_limit.clone()
+    }
+
     fn add(&self, count: usize) {
         self.written.fetch_add(count as u64, Ordering::Relaxed);
         if let Some(traffic) = &self.traffic {
@@ -50,10 +92,16 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.read_limit.is_reached() {
+            let e = io::Error::new(io::ErrorKind::InvalidData, "too many bytes");
+            return Poll::Ready(Err(e));
+        }
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        let count = buf.filled().len() - before;
+        self.read_limit.subtract(count);
         if let Some(traffic) = &self.traffic {
-            traffic.add_received(buf.filled().len() - before);
+            traffic.add_received(count);
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/standin/src/fleet/answers.rs
+++ b/crates/standin/src/fleet/answers.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use super::endless;
 use super::keys::KeyRange;
 use super::target::{Arrival, ExecutedRequest, Shared, TargetFault, lock};
 use crate::http::{FullResponse, Request, read_body, respond};
@@ -53,6 +54,15 @@
     shared: Arc<Shared>,
     stop: CancellationToken,
 ) {
+    let fault = *lock(&shared.fault);
+    if let TargetFault::AnswersWithoutEnd(answer) = fault {
+        tokio::select! {
+            () = endless::serve(socket, &shared, answer) => {}
+            () = stop.cancelled() => {}
+        }
+        shared.open.fetch_sub(1, Ordering::SeqCst);
+        return;
+    }
     let broken_connection = CancellationToken::new();
     let handle = |req| answer(Arc::clone(&shared), req, broken_connection.clone());
     let cuts = shared.link_cuts.subscribe();
@@ -115,10 +125,14 @@
     if req.uri().path() == HEALTH_PATH {
         return shared.health();
     }
+    let fault = *lock(&shared.fault);
+    if matches!(fault, TargetFault::AnswersWithoutEnd(_)) {
+        broken_connection.cancel();
+        return std::future::pending().await;
+    }
     let id = text("medlardyke-request-id").unwrap_or_default();
     shared.record_arrival(Some(id.clone()));
     let key = text("medlardyke-shard-key").and_then(|k| k.parse().ok());
-    let fault = *lock(&shared.fault);
     if fault == TargetFault::Refuses {
         return shared.not_run(StatusCode::SERVICE_UNAVAILABLE, &id);
     }
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! - [`store`]: the store and its faults; [`copies`]: its returns from copies of itself.
 //! - [`keys`]: keys that a server holds.
 //! - [`cold`]: limits of a server that is warming up.
+//! - [`endless`]: answers that never end.
 //! - [`target`]: a server, its faults, and the journal of the requests that it ran; `answers` holds
 //!   its responses.
 
@@ -12,11 +13,13 @@
 pub mod cold;
 pub mod copies;
 pub mod deploy;
+pub mod endless;
 pub mod keys;
 pub mod store;
 pub mod target;
 
 pub use cold::ColdSettings;
 pub use copies::{LostRows, StoreCopy};
+pub use endless::EndlessAnswer;
 pub use store::{FleetStore, StoreMode};
 pub use target::{Arrival, ExecutedRequest, FleetTarget, Journal, TargetFault, TargetSettings};
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -14,6 +14,7 @@
 
 use super::answers::accept;
 use super::cold::{ColdSettings, ColdState};
+use super::endless::EndlessAnswer;
 use super::keys::HeldKeys;
 use super::store::FleetStore;
 use crate::links::{LinkCut, LinkCuts};
@@ -134,6 +135,9 @@
     ExitsDuring(&'static str),
     /// Like `ExitsDuring`, but its connections are closed shortly before its listener.
     ExitsSlowlyDuring(&'static str),
+    /// It runs requests and answers them with bytes without end, on new connections; it closes those that
+    /// are open at their next request.
+    AnswersWithoutEnd(EndlessAnswer),
 }
 
 #[derive(Debug)]
