--- a/crates/front/src/control/relay/receive.rs
+++ b/crates/front/src/control/relay/receive.rs
@@ -22,10 +22,9 @@
 /// Timeout for connecting to another host: twenty times the latency between hosts. Hosts that have
 /// ended for good are still listed, and each attempt to reach one delays the search for a parent.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-/// The same while this host has not yet read all tables: hosts that started with it are about to
-/// have read them.
+/// Pause before the next search for a parent while this host has not yet read all tables: hosts that
+/// started with it are about to have read them.
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
-
 /// Interval at which this host sends a reading of its clock.
 const CLOCK_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -67,58 +66,14 @@
     platform: &impl Platform,
     parent: SocketAddr,
 ) -> Result<(), wire::FrameError> {
-    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(parent));
-    let stream = connect.await.map_err(std::io::Error::from)??;
-    let mut link: FramedConn<RelayedRows, ReplicaVersion> = FramedConn::new(stream)?;
-    let revisions = ctl.with(|c| {
-        c.replicas
-            .iter()
-            .map(|replica| replica.revision().0)
-            .collect()
-    });
-    let requested_at = BootClock.now();
-    let first_request = ReplicaVersion {
-        revisions,
-        sent_at_us: requested_at.as_micros(),
-    };
-    link.outgoing.send(first_request).await?;
-    let mut clock = ClockOffset::default();
-    let mut clock_sent_at = requested_at;
-    // A host without any rows receives all rows in the first messages.
-    let has_known_all = ctl.with(|c| c.freshness.has_known_all());
-    let mut timeout = if has_known_all {
-        RELAY_TIMEOUT
-    } else {
-        SEND_TIMEOUT
-    };
+    let mut link = ParentLink::open(ctl, parent).await?;
     let mut is_first = true;
-    let mut preceding = None;
-    loop {
-        let next = tokio::time::timeout(timeout, link.incoming.next());
-        let Some(message) = next.await.map_err(std::io::Error::from)? else {
-            return Ok(());
-        };
-        let mut message = message?;
-        if let Some(preceding) = preceding.take() {
-            message.prepend(preceding);
-        }
-        if message.is_continued {
-            preceding = Some(message);
-            continue;
-        }
-        timeout = RELAY_TIMEOUT;
-        let now = BootClock.now();
-        if let Some(echo) = message.echo {
-            clock.record(now, echo);
-        }
-        if now.since(clock_sent_at) >= CLOCK_INTERVAL {
-            clock_sent_at = now;
-            send_clock(&mut link, now).await?;
-        }
+    while let Some(message) = link.next().await? {
         if ctl.with(|c| !is_usable(c, &message)) {
             return Ok(());
         }
-        let Some(knowledge) = knowledge(&message, &clock, now) else {
+        let now = BootClock.now();
+        let Some(knowledge) = knowledge(&message, &link.clock, now) else {
             return Ok(());
         };
         if is_first {
@@ -136,6 +91,83 @@
         }
         is_first = false;
     }
+    Ok(())
+}
+
+/// A connection to a host that relays to this one.
+struct ParentLink {
+    conn: FramedConn<RelayedRows, ReplicaVersion>,
+    /// What is known of the parent's clock.
+    clock: ClockOffset,
+    /// When a reading of this host's clock was last sent.
+    clock_sent_at: Timestamp,
+    /// Timeout of the next message.
+    timeout: Duration,
+}
+
+impl ParentLink {
+    /// Connects to the host at `parent` and says which rows this host has.
+    async fn open(ctl: &SharedControl, parent: SocketAddr) -> Result<Self, wire::FrameError> {
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(parent));
+        let stream = connect.await.map_err(std::io::Error::from)??;
+        // A host without any rows receives all rows in the first messages.
+        let (revisions, has_known_all) = ctl.with(|c| {
+            let revisions = c.replicas.iter().map(|replica| replica.revision().0);
+            (revisions.collect(), c.freshness.has_known_all())
+        });
+        let mut link = Self {
+            conn: FramedConn::new(stream)?,
+            clock: ClockOffset::default(),
+            clock_sent_at: Timestamp::ZERO,
+            timeout: if has_known_all {
+                RELAY_TIMEOUT
+            } else {
+                SEND_TIMEOUT
+            },
+        };
+        link.send(revisions).await?;
+        Ok(link)
+    }
+
+    /// Sends the revisions of the tables, or none, and a reading of this host's clock.
+    async fn send(&mut self, revisions: Vec<u64>) -> Result<(), wire::FrameError> {
+        self.clock_sent_at = BootClock.now();
+        let version = ReplicaVersion {
+            revisions,
+            sent_at_us: self.clock_sent_at.as_micros(),
+        };
+        let sent = tokio::time::timeout(RELAY_TIMEOUT, self.conn.outgoing.send(version));
+        sent.await.map_err(std::io::Error::from)?
+    }
+
+    /// Receives the next message, with those that it continues; returns none if the parent closed the
+    /// connection.
+    async fn next(&mut self) -> Result<Option<RelayedRows>, wire::FrameError> {
+        let mut preceding = None;
+        loop {
+            let next = tokio::time::timeout(self.timeout, self.conn.incoming.next());
+            let Some(message) = next.await.map_err(std::io::Error::from)? else {
+                return Ok(None);
+            };
+            let mut message = message?;
+            if let Some(preceding) = preceding.take() {
+                message.prepend(preceding);
+            }
+            if message.is_continued {
+                preceding = Some(message);
+                continue;
+            }
+            self.timeout = RELAY_TIMEOUT;
+            let now = BootClock.now();
+            if let Some(echo) = message.echo {
+                self.clock.record(now, echo);
+            }
+            if now.since(self.clock_sent_at) >= CLOCK_INTERVAL {
+                self.send(Vec::new()).await?;
+            }
+            return Ok(Some(message));
+        }
+    }
 }
 
 /// Returns whether this host may apply a message.
@@ -165,19 +197,6 @@
     })
 }
 
-/// Sends a reading of this host's clock.
-async fn send_clock(
-    link: &mut FramedConn<RelayedRows, ReplicaVersion>,
-    now: Timestamp,
-) -> Result<(), wire::FrameError> {
-    let version = ReplicaVersion {
-        revisions: Vec::new(),
-        sent_at_us: now.as_micros(),
-    };
-    let sent = tokio::time::timeout(RELAY_TIMEOUT, link.outgoing.send(version));
-    sent.await.map_err(std::io::Error::from)?
-}
-
 /// Returns whether a message has rows of an earlier era than this host has: its sender has not learned
 /// yet that the store returned from a copy.
 fn is_of_past_era(c: &ControlState, message: &RelayedRows) -> bool {
--- a/crates/front/src/control/relay/serve.rs
+++ b/crates/front/src/control/relay/serve.rs
@@ -71,12 +71,12 @@
         if is_last {
             return Ok(());
         }
-        let is_due = tokio::time::timeout(MAX_MESSAGE_INTERVAL, changes.changed());
-        tokio::pin!(is_due);
+        let due = tokio::time::timeout(MAX_MESSAGE_INTERVAL, changes.changed());
+        tokio::pin!(due);
         loop {
             tokio::select! {
                 // Ends at a change, or at the timeout.
-                _ = &mut is_due => break,
+                _ = &mut due => break,
                 received = link.incoming.next() => match received {
                     Some(version) => echo = echo_of(&version?),
                     None => return Ok(()),
