--- a/crates/cli/tests/direct/stalled.rs
+++ b/crates/cli/tests/direct/stalled.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use standin::fleet::TargetSettings;
 use standin::fleet::deploy::configuration;
+use standin::fleet::{FleetTarget, TargetSettings};
 
 use crate::rig::Rig;
 use crate::{APPLY_TIMEOUT, check_post_executed_by};
@@ -12,6 +12,17 @@
 /// Time without a fault after which a host must have each configuration in force in time.
 const STABLE_TIME: Duration = Duration::from_secs(3);
 
+/// Starts a rig, and an upstream of the service to which changes of the configuration move posts.
+async fn rig_with_other_service() -> (Rig, FleetTarget) {
+    let rig = Rig::start(HOSTS).await;
+    let settings = TargetSettings {
+        service: "other".into(),
+        ..TargetSettings::default()
+    };
+    let other = rig.target(settings).await;
+    (rig, other)
+}
+
 /// Returns the number of the host that reads the store for all.
 async fn reading_host(rig: &Rig) -> usize {
     let read = "/api/rows-feed servers".to_owned();
@@ -32,12 +43,7 @@
 /// its other reads go on says nothing about the configuration.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_is_in_force_in_time_behind_a_host_that_cannot_read_it() {
-    let rig = Rig::start(HOSTS).await;
-    let settings = TargetSettings {
-        service: "other".into(),
-        ..TargetSettings::default()
-    };
-    let _other = rig.target(settings).await;
+    let (rig, _other) = rig_with_other_service().await;
     for (version, service) in [(9, "other"), (10, "posts"), (11, "other")] {
         let reader = reading_host(&rig).await;
         rig.store.stall(rig.callers(reader).ip(), "op");
@@ -54,12 +60,7 @@
 /// read only now must not wait for answers on connections that they opened before.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_is_in_force_in_time_after_connections_fell_silent() {
-    let rig = Rig::start(HOSTS).await;
-    let settings = TargetSettings {
-        service: "other".into(),
-        ..TargetSettings::default()
-    };
-    let _other = rig.target(settings).await;
+    let (rig, _other) = rig_with_other_service().await;
     for (version, service) in [(9, "other"), (10, "posts"), (11, "other")] {
         rig.store.silence_connections();
         tokio::time::sleep(STABLE_TIME.saturating_sub(APPLY_TIMEOUT)).await;
--- a/crates/front/src/control/relay/messages.rs
+++ b/crates/front/src/control/relay/messages.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Message)]
 pub struct ReplicaVersion {
-    /// Revision up to which it is complete, for each table in the order of [`Table::ALL`]; zero if
+    /// Revision up to which it is complete, for each table in the order of [`Table::ALL`](crate::control::tables::Table::ALL); zero if
     /// it has no rows of it.
     #[prost(uint64, repeated, tag = "1")]
     pub revisions: Vec<u64>,
@@ -38,7 +38,7 @@
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 pub struct RelayedRows {
-    /// Changes of each table, in the order of [`Table::ALL`].
+    /// Changes of each table, in the order of [`Table::ALL`](crate::control::tables::Table::ALL).
     #[prost(message, repeated, tag = "1")]
     pub tables: Vec<RelayedTable>,
     /// Whether the sender's knowledge of the store is fresh; if not, it relays nothing.
--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -161,13 +161,7 @@
     /// Returns `body` as bytes that release the reservation when their last copy is dropped.
     #[must_use]
     pub fn hold(self, body: Bytes) -> Bytes {
-        if body.is_empty() {
-            return body;
-        }
-        Bytes::from_owner(HeldBody {
-            body,
-            _reservation: self,
-        })
+        hold(body, self)
     }
 }
 
@@ -192,13 +186,7 @@
     /// Returns `body` as bytes that release the reservation when their last copy is dropped.
     #[must_use]
     pub fn hold(self, body: Bytes) -> Bytes {
-        if body.is_empty() {
-            return body;
-        }
-        Bytes::from_owner(HeldBody {
-            body,
-            _reservation: self,
-        })
+        hold(body, self)
     }
 
     /// Makes room for `bytes`, of which one answer may have `max`.
@@ -244,6 +232,17 @@
     bytes.saturating_sub(SMALL_ANSWER_BYTES)
 }
 
+/// Returns `body` as bytes that release `reservation` when their last copy is dropped.
+fn hold<R: Send + 'static>(body: Bytes, reservation: R) -> Bytes {
+    if body.is_empty() {
+        return body;
+    }
+    Bytes::from_owner(HeldBody {
+        body,
+        _reservation: reservation,
+    })
+}
+
 /// A body and its reservation.
 struct HeldBody<R> {
     body: Bytes,
