--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 rustc --edition 2024 -O -o target/review-rig-2 review/rig-2/main.rs
+rustc --edition 2024 -O -o target/review-evacuation review/rig-2/evacuation.rs
