--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -29,18 +29,21 @@
 const SHED: f64 = 0.55;
 const TWICE_SENT: f64 = 0.03;
 /// Windows of the disruption after the first served request, in seconds: at, for.
-const WINDOWS: [(f64, f64); 9] = [
+const WINDOWS: [(f64, f64); 12] = [
     (4.0, 5.0),
-    (12.0, 5.0),
-    (20.0, 5.0),
-    (28.0, 5.0),
-    (36.0, 5.0),
-    (44.0, 5.0),
-    (52.0, 5.0),
-    (60.0, 5.0),
-    (68.0, 5.0),
+    (10.5, 5.0),
+    (17.0, 5.0),
+    (23.5, 5.0),
+    (30.0, 5.0),
+    (36.5, 5.0),
+    (43.0, 5.0),
+    (49.5, 5.0),
+    (56.0, 5.0),
+    (62.5, 5.0),
+    (69.0, 5.0),
+    (75.5, 5.0),
 ];
-const LENGTH_S: f64 = 76.0;
+const LENGTH_S: f64 = 82.0;
 
 // ---------------------------------------------------------------- HTTP
 
