gate, front: a connection carries a request once, so that an answer belongs to one sending

Cause: an answer was matched to a request by its id, which each sending of it bears, and not to a sending. A host kept a connection after a rejection, took the one used last, and sent the request to its key's only owner again; a copy of the rejection that came late there counted as the answer to the second sending.

Change: connections remember what they have carried until the requests' deadlines, and carry a request only once (gate::upstream::carried); an answer without an id is taken only on a connection that has carried nothing else. The pool takes a connection that has not carried the request, and uses as many in turn as a request has needed lately, so that they stay open. Control calls of other hosts get new connections, as servers answer them without ids. Calls to upstreams of `serve` bear ids; they had none, and a second reply counted as that to the next call.

--- a/crates/cli/tests/direct/main.rs
+++ b/crates/cli/tests/direct/main.rs
@@ -18,6 +18,7 @@
 mod soak;
 mod stalled;
 mod tired;
+mod twice;
 
 use std::collections::HashMap;
 use std::process::Command;
--- a/crates/front/src/connections.rs
+++ b/crates/front/src/connections.rs
@@ -1,4 +1,9 @@
 //! Pool of idle connections to upstreams.
+//!
+//! A request that an upstream rejects and that is sent to it again needs another connection
+//! ([`gate::upstream::carried`]). The pool uses as many connections to an upstream in turn as a request
+//! has needed there lately, so that all of them stay open; where no request is sent again, that is the
+//! one used last, and the others expire.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -28,18 +33,64 @@
 /// Maximum number of idle connections to one upstream; a host seldom has more requests at one.
 const MAX_IDLE_PER_UPSTREAM: usize = 8;
 
+/// Time for which the pool keeps as many connections in use as a request has needed: two of the times
+/// for which idle connections are kept by default.
+const ROTATION_TIME: Duration = Duration::from_secs(8);
+
 #[derive(Debug)]
 struct IdleConnection {
     conn: UpstreamConn,
     expires_at: Timestamp,
 }
 
+/// Idle connections to one upstream.
+#[derive(Debug, Default)]
+struct IdleConnections {
+    /// The connections, the one used last at the end.
+    idle: Vec<IdleConnection>,
+    /// Number of connections that are used in turn, until `rotated_until`.
+    rotated: usize,
+    rotated_until: Timestamp,
+}
+
+impl IdleConnections {
+    /// Removes the connection that the request `id` is to be sent on.
+    fn take(&mut self, now: Timestamp, id: &str) -> Option<IdleConnection> {
+        self.idle.retain(|idle| now < idle.expires_at);
+        let may_carry = |idle: &IdleConnection| idle.conn.may_carry(now, id);
+        let carried = self.idle.iter().filter(|idle| !may_carry(idle)).count();
+        if carried > 0 {
+            self.rotate_over(now, carried + 1);
+        }
+        let rotated = if now < self.rotated_until {
+            self.rotated
+        } else {
+            1
+        };
+        let first = self.idle.len().saturating_sub(rotated);
+        let in_turn = self.idle[first..].iter().position(may_carry);
+        let chosen = match in_turn {
+            Some(i) => first + i,
+            None => self.idle.iter().rposition(may_carry)?,
+        };
+        Some(self.idle.remove(chosen))
+    }
+
+    fn rotate_over(&mut self, now: Timestamp, connections: usize) {
+        if now >= self.rotated_until {
+            self.rotated = 0;
+        }
+        self.rotated = self.rotated.max(connections);
+        self.rotated_until = now + ROTATION_TIME;
+    }
+}
+
 /// Idle connections by upstream.
 #[derive(Debug)]
 pub struct ConnectionPool {
     /// Local address of new connections; chosen by the system if there is none.
     source: Option<IpAddr>,
-    idle: RefCell<HashMap<UpstreamId, Vec<IdleConnection>>>,
+    idle: RefCell<HashMap<UpstreamId, IdleConnections>>,
 }
 
 impl ConnectionPool {
@@ -52,11 +103,17 @@
         }
     }
 
-    /// Removes and returns the most recently used idle connection that is still usable.
-    pub async fn take(&self, now: Timestamp, upstream: &UpstreamId) -> Option<UpstreamConn> {
+    /// Removes and returns an idle connection that is still usable and may carry the request `id`.
+    pub async fn take(
+        &self,
+        now: Timestamp,
+        upstream: &UpstreamId,
+        id: &str,
+    ) -> Option<UpstreamConn> {
         loop {
-            let mut idle = self.idle.borrow_mut().get_mut(upstream)?.pop()?;
-            if now < idle.expires_at && idle.conn.is_usable_now().await {
+            let taken = self.idle.borrow_mut().get_mut(upstream)?.take(now, id);
+            let mut idle = taken?;
+            if idle.conn.is_usable_now().await {
                 return Some(idle.conn);
             }
         }
@@ -65,19 +122,22 @@
     /// Returns whether an idle connection is open. Its expiry stays the same.
     pub async fn has_open(&self, now: Timestamp, upstream: &UpstreamId) -> bool {
         loop {
-            let last = self.idle.borrow_mut().get_mut(upstream).and_then(Vec::pop);
-            let Some(mut idle) = last else {
+            let Some(mut idle) = self.pop(upstream) else {
                 return false;
             };
             if now >= idle.expires_at || !idle.conn.is_usable_now().await {
                 continue;
             }
             let mut all = self.idle.borrow_mut();
-            all.entry(upstream.clone()).or_default().push(idle);
+            all.entry(upstream.clone()).or_default().idle.push(idle);
             return true;
         }
     }
 
+    fn pop(&self, upstream: &UpstreamId) -> Option<IdleConnection> {
+        self.idle.borrow_mut().get_mut(upstream)?.idle.pop()
+    }
+
     /// Opens a connection; returns none if the upstream closed it at once.
     ///
     /// An upstream that has too many connections accepts new ones and resets them. A request that
@@ -126,7 +186,7 @@
     pub fn has_idle(&self, now: Timestamp, upstream: &UpstreamId) -> bool {
         let idle = self.idle.borrow();
         idle.get(upstream)
-            .is_some_and(|kept| kept.last().is_some_and(|r| now < r.expires_at))
+            .is_some_and(|kept| kept.idle.iter().any(|r| now < r.expires_at))
     }
 
     /// Closes the idle connections to `upstream`.
@@ -160,9 +220,9 @@
         }
         let mut all = self.idle.borrow_mut();
         let kept = all.entry(upstream.clone()).or_default();
-        kept.retain(|r| now < r.expires_at);
-        if kept.len() < MAX_IDLE_PER_UPSTREAM {
-            kept.push(IdleConnection {
+        kept.idle.retain(|r| now < r.expires_at);
+        if kept.idle.len() < MAX_IDLE_PER_UPSTREAM {
+            kept.idle.push(IdleConnection {
                 conn,
                 expires_at: now + keep,
             });
--- a/crates/front/src/forward/exchange.rs
+++ b/crates/front/src/forward/exchange.rs
@@ -117,6 +117,7 @@
             expected_time: Duration::from_secs_f64(expected),
             is_idempotent: request.route.idempotent,
             send_before: None,
+            needs_new_connection: false,
         }
     }
 
--- a/crates/front/src/peer_exchange/server.rs
+++ b/crates/front/src/peer_exchange/server.rs
@@ -190,6 +190,7 @@
             expected_time: left,
             is_idempotent: request.is_idempotent,
             send_before,
+            needs_new_connection: request.is_control,
         };
         let format = &self.client.header_format;
         let build = |left| {
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -7,7 +7,7 @@
 use assign::{GrantCall, GrantCallOutcome, PartitionId, StoreClock};
 use direct::{Configuration, LoadReport, Registration, UpstreamStatus};
 use gate::upstream::conn::AnswerHead;
-use http::HeaderMap;
+use http::{HeaderMap, HeaderName};
 use ids::{DomainId, Reason, Timestamp};
 use platform::Watch;
 use smol_str::SmolStr;
@@ -75,6 +75,9 @@
     /// answer.
     fn write_target(&self, headers: &mut HeaderMap, server: &str, left: Duration);
 
+    /// Returns the header of a request that bears its identifier, which the response repeats.
+    fn request_id_header(&self) -> &HeaderName;
+
     /// Classifies the head of the response to the request `id`, which was sent to `server`.
     fn classify(&self, head: &AnswerHead, id: &str, server: &str) -> ClassifiedResponse;
 
--- a/crates/front/src/upstream_client.rs
+++ b/crates/front/src/upstream_client.rs
@@ -9,7 +9,7 @@
 use gate::Metrics;
 use gate::counters::Count;
 use gate::upstream::conn::AnswerHead;
-use gate::upstream::{BodyEnd, ExchangeError, UpstreamConn};
+use gate::upstream::{BodyEnd, ExchangeError, Sending, Unidentified, UpstreamConn};
 use http::{HeaderMap, Request, header};
 use http_body_util::Full;
 use ids::{BootClock, Clock, Reason, Timestamp};
@@ -52,6 +52,7 @@
             ExchangeError::Unsent { .. } => AttemptEnd::Unsent(Reason::UpstreamReset),
             ExchangeError::Reset { .. } => AttemptEnd::MayHaveRun(Reason::UpstreamReset),
             ExchangeError::Cut { .. } => AttemptEnd::MayHaveRun(Reason::AnswerCut),
+            ExchangeError::Mismatch { .. } => AttemptEnd::MayHaveRun(Reason::AnswerMismatch),
             ExchangeError::TooLarge { .. } => AttemptEnd::MayHaveRun(Reason::AnswerTooLarge),
         };
         let head = match e {
@@ -74,6 +75,9 @@
     pub(crate) is_idempotent: bool,
     /// When it is too late to send it, apart from the deadline.
     pub(crate) send_before: Option<Timestamp>,
+    /// Whether it goes over a connection that has carried nothing else. Upstreams may answer it without
+    /// its identifier.
+    pub(crate) needs_new_connection: bool,
 }
 
 /// How an exchange that could not be sent failed.
@@ -135,8 +139,12 @@
         outgoing: &Outgoing<'_>,
         build: &impl Fn(Duration) -> Request<Full<Bytes>>,
     ) -> Option<Result<UpstreamResponse, FailedExchange>> {
+        if outgoing.needs_new_connection {
+            return None;
+        }
         let now = BootClock.now();
-        let conn = self.connections.take(now, &outgoing.target.id).await?;
+        let id = &outgoing.target.id;
+        let conn = self.connections.take(now, id, outgoing.id).await?;
         let result = self.exchange_on(conn, outgoing, build).await;
         let is_unsent =
             matches!(&result, Err(failed) if matches!(failed.end, AttemptEnd::Unsent(_)));
@@ -150,13 +158,22 @@
         build: &impl Fn(Duration) -> Request<Full<Bytes>>,
     ) -> Result<UpstreamResponse, FailedExchange> {
         let target = outgoing.target;
-        let left = outgoing.deadline.since(BootClock.now());
+        let now = BootClock.now();
+        let left = outgoing.deadline.since(now);
         let is_late = |at: Timestamp| BootClock.now() >= at;
         if left < MIN_TIME_LEFT || outgoing.send_before.is_some_and(is_late) {
             return Err(AttemptEnd::Unsent(Reason::DeadlineExpired).into());
         }
         let mut room = self.memory.answer();
-        let exchange = conn.exchange_with_room(build(left), &mut room, BodyEnd::DeclaredOrClosed);
+        let sending = Sending {
+            id: outgoing.id,
+            id_header: self.header_format.request_id_header(),
+            now,
+            deadline: outgoing.deadline,
+            unidentified: Unidentified::OnlyRequest,
+        };
+        let end = BodyEnd::DeclaredOrClosed;
+        let exchange = conn.exchange_with_room(&sending, build(left), &mut room, end);
         let waiting = self.links.wait(&target.id, outgoing.expected_time);
         let ended = tokio::select! {
             ended = tokio::time::timeout(left, exchange) => ended,
@@ -168,8 +185,9 @@
         let done = match ended {
             Ok(Ok(done)) => done,
             Ok(Err(e)) => {
+                let has_responded = matches!(&e, ExchangeError::Mismatch { .. });
                 let failed = FailedExchange::from(e);
-                if failed.head.is_some() {
+                if failed.head.is_some() || has_responded {
                     self.links.responded(&target.id);
                 } else {
                     self.links.failed(&target.id);
--- a/crates/gate/src/dispatch/exchange.rs
+++ b/crates/gate/src/dispatch/exchange.rs
@@ -18,7 +18,7 @@
 use crate::headers::{self, strip_answer};
 use crate::settings::{DispatchSettings, millis};
 use crate::upstream::conn::AnswerHead;
-use crate::upstream::{ConnSettings, Exchange, ExchangeError, UpstreamConn};
+use crate::upstream::{ConnSettings, Exchange, ExchangeError, Sending, Unidentified, UpstreamConn};
 
 /// Progress of an exchange; read when it is aborted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,7 +76,8 @@
             self.check_lease_and_deadline()?;
             self.progress.set(Progress::Sent);
             self.cx.metrics.count(Count::Sent);
-            match conn.exchange(request, self.answer_bytes()).await {
+            let sending = self.sending();
+            match conn.exchange(&sending, request, self.answer_bytes()).await {
                 Ok(exchange) => return self.read_answer(exchange),
                 Err(ExchangeError::Unsent {
                     request: unsent, ..
@@ -93,7 +94,9 @@
     /// Takes an idle connection, or opens one.
     async fn connect(&self) -> Result<UpstreamConn, Reason> {
         let stale = || self.cx.metrics.count(Count::UpstreamStale);
-        if let Some(conn) = poll_fn(|cx| Poll::Ready(self.upstream.take(cx, stale))).await {
+        let (now, id) = (self.cx.now(), self.call.request_id.as_str());
+        let take = poll_fn(|cx| Poll::Ready(self.upstream.take(cx, now, id, stale)));
+        if let Some(conn) = take.await {
             return Ok(conn);
         }
         let settings = &self.settings.upstream;
@@ -169,8 +172,6 @@
     /// Converts a complete exchange to its answer or refusal.
     fn read_answer(&self, exchange: Exchange) -> Result<Answer, Reason> {
         let Exchange { head, body, conn } = exchange;
-        self.check_echo(&head)?;
-        // A connection with another request's answer was dropped above.
         match conn {
             Some(conn) => self.upstream.put_back(conn, self.cx.now()),
             None => self.cx.metrics.count(Count::UpstreamDiscarded),
@@ -188,20 +189,20 @@
         })
     }
 
-    /// Checks that an echoed request id matches this request; an answer without one passes unless
-    /// the upstream must echo it.
-    fn check_echo(&self, head: &AnswerHead) -> Result<(), Reason> {
-        let echo = head.headers.get(&headers::REQUEST_ID);
-        let is_own_answer = match echo {
-            Some(id) => id.as_bytes() == self.call.request_id.as_str().as_bytes(),
-            None => !self.upstream.target.verify_echo,
-        };
-        if is_own_answer {
-            return Ok(());
+    /// Returns how the answer is recognized. Without echoes, a late second answer to another request
+    /// can't be distinguished from it.
+    fn sending(&self) -> Sending<'_> {
+        Sending {
+            id: self.call.request_id.as_str(),
+            id_header: &headers::REQUEST_ID,
+            now: self.cx.now(),
+            deadline: self.call.deadline,
+            unidentified: if self.upstream.target.verify_echo {
+                Unidentified::Refused
+            } else {
+                Unidentified::Any
+            },
         }
-        slog::warn!(self.cx.log, "answer names another request";
-            "upstream" => %self.call.upstream, "request_id" => %self.call.request_id);
-        Err(Reason::AnswerMismatch)
     }
 
     /// Returns the reason for an exchange without a complete answer.
@@ -212,21 +213,14 @@
         match e {
             ExchangeError::Connect { .. } | ExchangeError::Unsent { .. } => Reason::ConnectFailed,
             ExchangeError::Reset { .. } => Reason::UpstreamReset,
-            ExchangeError::Cut { head, .. } => self.classify_head(head, Reason::AnswerCut),
+            ExchangeError::Mismatch { .. } => Reason::AnswerMismatch,
+            // The head is sufficient if it states that the request was not executed.
+            ExchangeError::Cut { head, .. } => not_run_reason(head).unwrap_or(Reason::AnswerCut),
             ExchangeError::TooLarge { head, .. } => {
-                self.classify_head(head, Reason::AnswerTooLarge)
+                not_run_reason(head).unwrap_or(Reason::AnswerTooLarge)
             }
         }
     }
-
-    /// Returns the reason from the head of an incomplete answer. The head is sufficient if it
-    /// states that the request was not executed.
-    fn classify_head(&self, head: &AnswerHead, otherwise: Reason) -> Reason {
-        if self.check_echo(head).is_err() {
-            return Reason::AnswerMismatch;
-        }
-        not_run_reason(head).unwrap_or(otherwise)
-    }
 }
 
 /// Returns the reason for a call whose exchange was aborted.
--- a/crates/gate/src/dispatch/pool.rs
+++ b/crates/gate/src/dispatch/pool.rs
@@ -55,15 +55,20 @@
         }
     }
 
-    /// Takes the most recently used connection that is still usable; calls `stale` for each
-    /// unusable one.
+    /// Takes the most recently used connection that is still usable and may carry the request `id`;
+    /// calls `stale` for each unusable one.
     pub(crate) fn take(
         &self,
         cx: &mut Context<'_>,
+        now: Timestamp,
+        id: &str,
         mut stale: impl FnMut(),
     ) -> Option<UpstreamConn> {
         loop {
-            let mut idle = self.idle.borrow_mut().pop()?;
+            let mut all = self.idle.borrow_mut();
+            let last = all.iter().rposition(|i| i.conn.may_carry(now, id))?;
+            let mut idle = all.remove(last);
+            drop(all);
             if idle.conn.is_usable(cx) {
                 return Some(idle.conn);
             }
--- a/crates/gate/src/grants.rs
+++ b/crates/gate/src/grants.rs
@@ -7,15 +7,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
+use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
+use ids::{BootClock, Clock};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 use wire::Traffic;
 use wire::grant::{GRANT_PATH, GrantReply, GrantRequest, HEALTH_PATH, HealthReport};
 
-use crate::upstream::{ConnSettings, ExchangeError, UpstreamConn};
+use crate::headers::REQUEST_ID;
+use crate::upstream::{ConnSettings, ExchangeError, Sending, Unidentified, UpstreamConn};
 
 /// Settings of a [`GrantClient`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,6 +119,8 @@
     peer: SocketAddr,
     host: String,
     idle_conn: Option<UpstreamConn>,
+    /// Number of calls so far, which identifies the latest of them.
+    calls: u64,
     traffic: Option<Arc<Traffic>>,
 }
 
@@ -129,6 +133,7 @@
             peer,
             host: peer.to_string(),
             idle_conn: None,
+            calls: 0,
             traffic: None,
         }
     }
@@ -214,20 +219,42 @@
         })
     }
 
+    /// Sends a call under an id of its own, which upstreams repeat.
+    ///
+    /// After a reply without an id the connection is closed: a second reply to this call could not be
+    /// distinguished from that to the next one.
     async fn exchange(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, Bytes), ExchangeError> {
+        self.calls += 1;
+        request
+            .headers_mut()
+            .insert(&REQUEST_ID, HeaderValue::from(self.calls));
+        let id = self.calls.to_string();
+        let now = BootClock.now();
+        let sending = Sending {
+            id: &id,
+            id_header: &REQUEST_ID,
+            now,
+            // No call is sent again under its id.
+            deadline: now,
+            unidentified: Unidentified::OnlyRequest,
+        };
         let limit = self.settings.reply_bytes;
         let conn = self.connect().await?;
-        let exchange = match conn.exchange(request, limit).await {
+        let exchange = match conn.exchange(&sending, request, limit).await {
             Err(ExchangeError::Unsent {
                 request: Some(request),
                 ..
-            }) => self.open().await?.exchange(*request, limit).await?,
+            }) => {
+                let conn = self.open().await?;
+                conn.exchange(&sending, *request, limit).await?
+            }
             other => other?,
         };
-        self.idle_conn = exchange.conn;
+        let is_identified = exchange.head.headers.contains_key(&REQUEST_ID);
+        self.idle_conn = exchange.conn.filter(|_| is_identified);
         Ok((exchange.head.status, exchange.body))
     }
 
--- a/crates/gate/src/upstream/conn.rs
+++ b/crates/gate/src/upstream/conn.rs
@@ -16,11 +16,13 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
+use ids::Timestamp;
 use thiserror::Error;
 use tokio::net::{TcpSocket, TcpStream};
 use wire::Traffic;
 
 use crate::body::BodyBuffer;
+use crate::upstream::carried::{CarriedRequests, Sending};
 use crate::upstream::{CountedStream, ReadLimit};
 
 /// Body of a request.
@@ -37,8 +39,9 @@
         /// Error of the operating system.
         cause: io::Error,
     },
-    /// The connection was closed before the first byte was written; nothing was sent.
-    #[error("write to upstream at {peer}: the connection was closed before the first byte")]
+    /// The connection was closed before the first byte was written, or has carried the request before;
+    /// nothing was sent.
+    #[error("write to upstream at {peer}: the connection can't carry the request")]
     Unsent {
         /// The upstream's address.
         peer: SocketAddr,
@@ -61,6 +64,13 @@
         /// The answer's head.
         head: Box<AnswerHead>,
     },
+    /// What arrived is not the answer to this sending: it belongs to another request, may be a second
+    /// answer to an earlier one, or is no final answer.
+    #[error("read answer of upstream at {peer}: it is not that to this request")]
+    Mismatch {
+        /// The upstream's address.
+        peer: SocketAddr,
+    },
     /// There is no room for the answer's body.
     #[error("read answer of upstream at {peer}: no room for a body of {bytes} bytes or more")]
     TooLarge {
@@ -89,8 +99,8 @@
     pub head: AnswerHead,
     /// The complete body.
     pub body: Bytes,
-    /// The connection, if it can be reused: the exchange was complete and no unexpected bytes
-    /// followed it.
+    /// The connection, if it can be reused: the exchange was complete, no unexpected bytes followed
+    /// it, and the connection can remember further requests.
     pub conn: Option<UpstreamConn>,
 }
 
@@ -105,6 +115,7 @@
     read_limit: ReadLimit,
     /// Bytes that may be read before the head of an answer is complete.
     bytes_before_head: usize,
+    carried: CarriedRequests,
 }
 
 type Io = TokioIo<CountedStream>;
@@ -190,9 +201,17 @@
             written,
             read_limit,
             bytes_before_head: BUFFERS_BEFORE_HEAD * header_bytes,
+            carried: CarriedRequests::default(),
         })
     }
 
+    /// Returns whether the request `id` may be sent on this connection: an answer could be attributed
+    /// to this sending ([`carried`](crate::upstream::carried)).
+    #[must_use]
+    pub fn may_carry(&self, now: Timestamp, id: &str) -> bool {
+        self.carried.may_carry(now, id)
+    }
+
     /// Returns the shared counter of the bytes written on this connection.
     #[must_use]
     pub fn written(&self) -> Arc<AtomicU64> {
@@ -220,14 +239,15 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks, or if the answer is cut off or too large. The connection is
-    /// then closed.
+    /// Fails if the connection breaks or has carried the request before, or if the answer is cut off,
+    /// too large, or not that to this sending. The connection is then closed.
     pub async fn exchange(
         self,
+        sending: &Sending<'_>,
         request: Request<RequestBody>,
         limit: usize,
     ) -> Result<Exchange, ExchangeError> {
-        self.exchange_with_room(request, &mut MaxBytes(limit), BodyEnd::Declared)
+        self.exchange_with_room(sending, request, &mut MaxBytes(limit), BodyEnd::Declared)
             .await
     }
 
@@ -239,10 +259,18 @@
     /// Fails as [`Self::exchange`] does.
     pub async fn exchange_with_room(
         mut self,
+        sending: &Sending<'_>,
         request: Request<RequestBody>,
         room: &mut impl BodyRoom,
         end: BodyEnd,
     ) -> Result<Exchange, ExchangeError> {
+        let peer = self.peer;
+        if !self.carried.may_carry(sending.now, sending.id) {
+            let request = Some(Box::new(request));
+            return Err(ExchangeError::Unsent { peer, request });
+        }
+        let is_first = self.carried.is_empty();
+        self.carried.record(sending);
         let is_head = request.method() == Method::HEAD;
         let response = self.send(request).await?;
         let (parts, body) = response.into_parts();
@@ -250,6 +278,10 @@
             status: parts.status,
             headers: parts.headers,
         };
+        let is_final = !head.status.is_informational();
+        if !is_final || !sending.is_answered_by(&head.headers, is_first) {
+            return Err(ExchangeError::Mismatch { peer });
+        }
         // An answer with two contradictory lengths may hide a second answer.
         if is_delimited_twice(&head) {
             return Err(self.cut(head));
@@ -263,11 +295,11 @@
             Err(BodyError::Cut) => return Err(self.cut(head)),
             Err(BodyError::TooLarge(bytes)) => return Err(self.too_large(bytes, head)),
         };
-        let is_clean = self.is_usable_now().await;
+        let is_reusable = self.is_usable_now().await && !self.carried.is_full();
         Ok(Exchange {
             head,
             body,
-            conn: is_clean.then_some(self),
+            conn: is_reusable.then_some(self),
         })
     }
 
--- a/crates/gate/tests/given_up.rs
+++ b/crates/gate/tests/given_up.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gate::upstream::UpstreamConn;
-use http::Request;
+use gate::upstream::{Sending, Unidentified, UpstreamConn};
+use http::{Request, header};
 use http_body_util::Full;
+use ids::Timestamp;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
@@ -36,7 +37,14 @@
         .header("host", "upstream")
         .body(body)
         .expect("a request");
-    let exchange = conn.exchange(req, HEAD_BYTES);
+    let sending = Sending {
+        id: "call",
+        id_header: &header::ETAG,
+        now: Timestamp::ZERO,
+        deadline: Timestamp::NEVER,
+        unidentified: Unidentified::Any,
+    };
+    let exchange = conn.exchange(&sending, req, HEAD_BYTES);
     let aborted = tokio::time::timeout(Duration::from_millis(50), exchange).await;
     assert!(aborted.is_err(), "nothing answers");
     let mut read = vec![0; 1 << 20];
--- a/crates/gate/tests/grants.rs
+++ b/crates/gate/tests/grants.rs
@@ -177,3 +177,49 @@
         );
     }
 }
+
+/// Starts an upstream that answers each call twice, the second time when the next call arrives on the
+/// connection; with the ids of the calls, if `repeats_ids`. Each reply states another reading.
+async fn answers_twice(repeats_ids: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        let mut calls = 0;
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (mut buf, mut late) = ([0; 8_192], String::new());
+            while let Ok(read @ 1..) = stream.read(&mut buf).await {
+                let head = String::from_utf8_lossy(&buf[..read]).into_owned();
+                let id = head
+                    .lines()
+                    .find(|l| l.starts_with("medlardyke-request-id"));
+                let id = id.filter(|_| repeats_ids).unwrap_or("x-nothing: 1");
+                let mut reply = reply(true);
+                reply.reading_us = calls;
+                calls += 1;
+                let body = serde_json::to_string(&reply).expect("JSON");
+                let len = body.len();
+                let answer =
+                    format!("HTTP/1.1 200 X\r\n{id}\r\ncontent-length: {len}\r\n\r\n{body}");
+                let both = std::mem::replace(&mut late, answer.clone()) + &answer;
+                // The client may have closed the connection.
+                let _ = stream.write_all(both.as_bytes()).await;
+            }
+        }
+    });
+    address
+}
+
+/// Guards against a late second reply that is taken for that to the next call: it may list no running
+/// requests for keys that the upstream was granted again.
+#[tokio::test]
+async fn a_second_reply_is_not_taken_for_that_to_the_next_call() {
+    for repeats_ids in [true, false] {
+        let mut client = client(answers_twice(repeats_ids).await);
+        for n in 0..4 {
+            match client.grant(&grant()).await {
+                Ok(got) => assert_eq!(got.reading_us, n, "ids: {repeats_ids}"),
+                Err(e) => assert!(repeats_ids, "{e}"),
+            }
+        }
+    }
+}
--- a/crates/standin/src/fleet/answers.rs
+++ b/crates/standin/src/fleet/answers.rs
@@ -15,9 +15,12 @@
 use super::endless;
 use super::keys::KeyRange;
 use super::target::{Arrival, ExecutedRequest, Shared, TargetFault, lock};
-use crate::http::{FullResponse, Request, read_body, respond};
+use super::twice::{self, RepeatedAnswer};
+use crate::http::{FullResponse, Request, read_body, respond, serve_connection};
 use crate::links::{accepts_from, apply_to_listener, serve_over_link};
 
+/// Buffer between a connection and the server behind it, in bytes.
+const DUPLEX_BYTES: usize = 64 << 10;
 /// Path of health requests, as in the operator's configuration.
 const HEALTH_PATH: &str = "/healthz";
 
@@ -54,6 +57,7 @@
     shared: Arc<Shared>,
     stop: CancellationToken,
 ) {
+    let mut closes = shared.closes.subscribe();
     let fault = *lock(&shared.fault);
     if let TargetFault::AnswersWithoutEnd(answer) = fault {
         tokio::select! {
@@ -63,18 +67,44 @@
         shared.open.fetch_sub(1, Ordering::SeqCst);
         return;
     }
+    if let TargetFault::AnswersTwice(repeated) = fault {
+        tokio::select! {
+            () = answer_twice(socket, &shared, repeated, stop.clone()) => {}
+            () = stop.cancelled() => {}
+        }
+        shared.open.fetch_sub(1, Ordering::SeqCst);
+        return;
+    }
     let broken_connection = CancellationToken::new();
     let handle = |req| answer(Arc::clone(&shared), req, broken_connection.clone());
     let cuts = shared.link_cuts.subscribe();
     tokio::select! {
         () = serve_over_link(socket, peer, cuts, stop.clone(), handle) => {}
         () = broken_connection.cancelled() => {}
+        _ = closes.changed() => {}
         () = shared.cut.cancelled() => {}
         () = stop.cancelled() => {}
     }
     shared.open.fetch_sub(1, Ordering::SeqCst);
 }
 
+/// Serves a connection of a server that answers twice, until it is closed.
+async fn answer_twice(
+    socket: TcpStream,
+    shared: &Arc<Shared>,
+    repeated: RepeatedAnswer,
+    stop: CancellationToken,
+) {
+    let (near, far) = tokio::io::duplex(DUPLEX_BYTES);
+    let is_broken = CancellationToken::new();
+    let handle = |req| answer(Arc::clone(shared), req, is_broken.clone());
+    tokio::select! {
+        _ = twice::serve(socket, near, shared, repeated) => {}
+        () = serve_connection(far, stop, handle) => {}
+        () = is_broken.cancelled() => {}
+    }
+}
+
 /// Answers a request, and adds its id and headers about the server's state.
 async fn answer(
     shared: Arc<Shared>,
@@ -221,7 +251,7 @@
 }
 
 impl Shared {
-    fn record_arrival(&self, request: Option<SmolStr>) {
+    pub(super) fn record_arrival(&self, request: Option<SmolStr>) {
         let at = Instant::now();
         lock(&self.arrivals).push(Arrival { request, at });
     }
--- a/crates/standin/src/fleet/deploy.rs
+++ b/crates/standin/src/fleet/deploy.rs
@@ -105,8 +105,8 @@
     }
 }
 
-/// Builds an operator's configuration with two routes: reads of a service that is divided by key,
-/// and posts to `post_service`.
+/// Builds an operator's configuration with three routes: reads and orders of a service that is divided
+/// by key, and posts to `post_service`.
 #[must_use]
 pub fn configuration(version: u64, post_timeout_s: f64, post_service: &str) -> Value {
     json!({
@@ -118,6 +118,7 @@
                 ["reads", "reads.example", "/r/", "safe", 4.0, 0.6, 1, null, 2, "reads"],
                 ["posts", "posts.example", "/p/", "unsafe", post_timeout_s, 0.8, 0, null, 2,
                     post_service],
+                ["orders", "reads.example", "/o/", "unsafe", 4.0, 0.8, 1, null, 2, "reads"],
             ],
         },
         "services": {
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! - [`keys`]: keys that a server holds.
 //! - [`cold`]: limits of a server that is warming up.
 //! - [`endless`]: answers that never end.
+//! - [`twice`]: answers that are sent twice.
 //! - [`target`]: a server, its faults, and the journal of the requests that it ran; `answers` holds
 //!   its responses.
 
@@ -17,9 +18,11 @@
 pub mod keys;
 pub mod store;
 pub mod target;
+pub mod twice;
 
 pub use cold::ColdSettings;
 pub use copies::{LostRows, StoreCopy};
 pub use endless::EndlessAnswer;
 pub use store::{FleetStore, StoreMode};
 pub use target::{Arrival, ExecutedRequest, FleetTarget, Journal, TargetFault, TargetSettings};
+pub use twice::RepeatedAnswer;
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -17,6 +17,7 @@
 use super::endless::EndlessAnswer;
 use super::keys::HeldKeys;
 use super::store::FleetStore;
+use super::twice::{AnsweredIds, RepeatedAnswer};
 use crate::links::{LinkCut, LinkCuts};
 
 /// Attempts to listen again at the address of a server that has just ended, and the delay between
@@ -138,6 +139,8 @@
     /// It runs requests and answers them with bytes without end, on new connections; it closes those that
     /// are open at their next request.
     AnswersWithoutEnd(EndlessAnswer),
+    /// It answers the first sending of each request twice; it closes the connections that are open.
+    AnswersTwice(RepeatedAnswer),
 }
 
 #[derive(Debug)]
@@ -161,6 +164,8 @@
     pub(super) announces_leaving: AtomicBool,
     /// Rate limit, in requests per second, that all its answers announce.
     pub(super) limit: Mutex<Option<f64>>,
+    /// Requests that it answered under [`TargetFault::AnswersTwice`].
+    pub(super) answered_ids: AnsweredIds,
     /// Requests and grant calls that reached it.
     pub(super) arrivals: Mutex<Vec<Arrival>>,
     /// State that it registers.
@@ -171,6 +176,8 @@
     is_cut_from_store: AtomicBool,
     /// Failed links to hosts.
     pub(super) link_cuts: watch::Sender<LinkCuts>,
+    /// Closes the connections that are open.
+    pub(super) closes: watch::Sender<()>,
     /// Closes all connections, including new ones.
     pub(super) cut: CancellationToken,
     /// Stops the server: closes its listener and all connections.
@@ -257,11 +264,13 @@
             refused: Mutex::default(),
             announces_leaving: AtomicBool::new(false),
             limit: Mutex::default(),
+            answered_ids: AnsweredIds::default(),
             arrivals: Mutex::default(),
             state: Mutex::new(READY),
             registrations: AtomicU64::new(0),
             is_cut_from_store: AtomicBool::new(false),
             link_cuts: watch::Sender::default(),
+            closes: watch::Sender::default(),
             cut: CancellationToken::new(),
             stop: stop.clone(),
             settings,
@@ -299,6 +308,9 @@
     /// Sets the fault of the server.
     pub fn set_fault(&self, fault: TargetFault) {
         *lock(&self.shared.fault) = fault;
+        if matches!(fault, TargetFault::AnswersTwice(_)) {
+            self.shared.closes.send_replace(());
+        }
     }
 
     /// Cuts the link to the host with this address.
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -10,7 +10,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio_util::sync::CancellationToken;
 
 /// Maximum size of a request body, in bytes.
@@ -49,8 +49,9 @@
 
 /// Serves one connection until the client closes it, or until `stop` is cancelled and the current
 /// request has ended.
-pub(crate) async fn serve_connection<F, Fut>(socket: TcpStream, stop: CancellationToken, handle: F)
+pub(crate) async fn serve_connection<S, F, Fut>(socket: S, stop: CancellationToken, handle: F)
 where
+    S: AsyncRead + AsyncWrite + Unpin,
     F: Fn(Request) -> Fut,
     Fut: Future<Output = FullResponse>,
 {
--- a/crates/standin/src/upstream/answer.rs
+++ b/crates/standin/src/upstream/answer.rs
@@ -79,16 +79,6 @@
     }
 }
 
-fn echo_id(answer: &mut FullResponse, req: &RequestHead) {
-    let id = req
-        .id
-        .as_deref()
-        .and_then(|id| HeaderValue::from_str(id).ok());
-    if let Some(id) = id {
-        answer.headers_mut().insert(header::REQUEST_ID, id);
-    }
-}
-
 /// Builds the response to a request that ran.
 pub(crate) fn answer(req: &RequestHead, body: &Bytes, cfg: &UpstreamSettings) -> FullResponse {
     let mut answer = AnswerBody {
@@ -101,13 +91,11 @@
     };
     let unpadded = serde_json::to_vec(&answer).expect("responses serialize");
     answer.fill = ".".repeat((cfg.answer_bytes as usize).saturating_sub(unpadded.len()));
-    let mut answer = json(StatusCode::OK, &answer);
-    echo_id(&mut answer, req);
-    answer
+    json(StatusCode::OK, &answer)
 }
 
 /// Builds the response to a request that did not run.
-pub(crate) fn refusal(req: &RequestHead, reason: Reason) -> FullResponse {
+pub(crate) fn refusal(reason: Reason) -> FullResponse {
     debug_assert_eq!(
         reason.outcome(),
         Outcome::NotRun,
@@ -124,6 +112,5 @@
         HeaderValue::from_static(Outcome::NotRun.as_str()),
     );
     headers.insert(header::REASON, HeaderValue::from_static(reason.as_str()));
-    echo_id(&mut answer, req);
     answer
 }
--- a/crates/standin/src/upstream/server.rs
+++ b/crates/standin/src/upstream/server.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use ids::Reason;
+use ids::header::REQUEST_ID;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -166,7 +167,17 @@
         serve_over_link(socket, peer, cuts, stop, handle).await;
     }
 
+    /// Answers a request with its id, if it has one.
     async fn handle(self: Arc<Self>, req: Request) -> FullResponse {
+        let id = req.headers().get(REQUEST_ID).cloned();
+        let mut response = self.respond_to(req).await;
+        if let Some(id) = id {
+            response.headers_mut().insert(REQUEST_ID, id);
+        }
+        response
+    }
+
+    async fn respond_to(self: Arc<Self>, req: Request) -> FullResponse {
         self.core.wait_while_frozen().await;
         match (req.method(), req.uri().path()) {
             (&Method::GET, HEALTH_PATH) => self.probe().await,
@@ -232,7 +243,7 @@
         };
         match self.admit(&head).await {
             Ok((run, slot)) => self.run(&head, &body, run, slot).await,
-            Err(reason) => refusal(&head, reason),
+            Err(reason) => refusal(reason),
         }
     }
 
