front: whether a request may go to an upstream is asked again after every wait, by one question

Cause: the selection, the step after the permit and the step of a known upstream asked three questions of their own. The one after the permit did not look at the domain, and the wait itself asked nothing.

Change: front::forward::eligibility is the one question. It is asked while a request waits for a permit, after the admission, just before the write and before each host on the way. A request that may no longer go leaves the queue at once, and goes elsewhere or is refused. Routes that the operator has changed meanwhile are resolved again. A permit host, and a host that passes on requests of others, let nothing through to an upstream that they know to be out of service.

--- a/crates/direct/src/config.rs
+++ b/crates/direct/src/config.rs
@@ -46,6 +46,17 @@
     pub weighted_entries: Vec<WeightedEntry>,
 }
 
+impl Route {
+    /// Returns whether `entry` serves requests of the route.
+    #[must_use]
+    pub fn leads_to(&self, entry: &EntryId) -> bool {
+        match self.weighted_entries.as_slice() {
+            [only] => only.entry == *entry,
+            all => all.iter().any(|s| s.entry == *entry && s.weight > 0),
+        }
+    }
+}
+
 /// An entry of a route and its weight.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightedEntry {
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -103,6 +103,8 @@
     paused_until: Timestamp,
     /// Requests a second that it takes from all hosts together, as it announced.
     limit: RateLimit,
+    /// End of the time in which another server is known to have the upstream's address.
+    replaced_until: Timestamp,
     /// Earliest time of the next request that is sent without a permit because no permit host
     /// replies.
     next_without_permit: Option<Timestamp>,
@@ -127,6 +129,7 @@
             suspended_until: Timestamp::ZERO,
             paused_until: Timestamp::ZERO,
             limit: RateLimit::default(),
+            replaced_until: Timestamp::ZERO,
             next_without_permit: None,
             full_until: Timestamp::ZERO,
         }
@@ -330,7 +333,14 @@
 
     /// Records that another server has the upstream's address now.
     pub fn replaced(&mut self, now: Timestamp, cfg: &LoadSettings) {
-        self.backoff_until = now + cfg.replaced_backoff;
+        self.replaced_until = now + cfg.replaced_backoff;
+        self.backoff_until = self.replaced_until;
+    }
+
+    /// Returns whether another server is known to have the upstream's address.
+    #[must_use]
+    pub fn is_replaced(&self, now: Timestamp) -> bool {
+        now < self.replaced_until
     }
 
     /// Records a connection that could not be opened and starts the backoff.
--- a/crates/direct/src/permits/mod.rs
+++ b/crates/direct/src/permits/mod.rs
@@ -301,6 +301,17 @@
         replies
     }
 
+    /// Refuses all queued requests, as the upstream is out of service.
+    pub fn refuse_waiting(&mut self) -> Vec<(K, PermitReply)> {
+        let mut replies = self.take_displaced();
+        let waiting: Vec<K> = self.queue.iter().map(|request| request.key).collect();
+        for key in waiting {
+            self.queue.remove(key);
+            replies.push((key, PermitReply::OUT_OF_SERVICE));
+        }
+        replies
+    }
+
     /// Refuses late requests that the spare capacity no longer serves before their deadlines, the
     /// last in the order of service first.
     fn refuse_excess_late(&mut self, now: Timestamp, replies: &mut Vec<(K, PermitReply)>) {
--- a/crates/direct/src/permits/request.rs
+++ b/crates/direct/src/permits/request.rs
@@ -63,14 +63,25 @@
         /// Time until a slot is free.
         retry_after: Duration,
     },
-    /// The upstream is cold or has a rate limit, and gets no more requests for now, not even
-    /// without a permit.
+    /// The upstream is cold, has a rate limit or is out of service, and gets no more requests for now,
+    /// not even without a permit.
     RateLimited {
         /// Time until another request may start.
         retry_after: Duration,
     },
 }
 
+/// When to ask again for a permit at an upstream that is out of service. A host that knows of its return
+/// sooner than the permit host is hardly delayed.
+const OUT_OF_SERVICE_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+impl PermitReply {
+    /// The reply at an upstream that is out of service.
+    pub const OUT_OF_SERVICE: Self = Self::RateLimited {
+        retry_after: OUT_OF_SERVICE_RETRY_AFTER,
+    };
+}
+
 /// How a request that had or wanted a permit ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum PermitEnd {
--- a/crates/direct/src/registry.rs
+++ b/crates/direct/src/registry.rs
@@ -61,13 +61,12 @@
         counts.is_some_and(|(count, other)| count < other)
     }
 
-    /// Returns whether its state allows requests on keys that it owns.
-    #[must_use]
-    fn state_allows_owned_keys(&self, now: Timestamp) -> bool {
+    /// Returns until when its state allows requests on keys that it owns.
+    fn state_allows_owned_keys_until(&self) -> Timestamp {
         match (self.state, self.leaving_since) {
-            (UpstreamState::Ready, _) => true,
-            (UpstreamState::Leaving, None) => false,
-            (UpstreamState::Leaving, Some(since)) => now.since(since) < LEAVING_KEYS_GRACE,
+            (UpstreamState::Ready, _) => Timestamp::NEVER,
+            (UpstreamState::Leaving, None) => Timestamp::ZERO,
+            (UpstreamState::Leaving, Some(since)) => since + LEAVING_KEYS_GRACE,
         }
     }
 }
@@ -286,15 +285,53 @@
         self.drained.keys()
     }
 
+    /// Returns until when `upstream` takes requests on keys that it owns: zero if it takes none, and
+    /// [`Timestamp::NEVER`] if nothing is known to end it.
+    #[must_use]
+    pub fn serves_owned_keys_until(&self, upstream: &Registration) -> Timestamp {
+        let domain_allows_until = match self.drained.get(&upstream.domain) {
+            None => Timestamp::NEVER,
+            Some(None) => Timestamp::ZERO,
+            Some(Some(since)) => *since + DRAINED_KEYS_GRACE,
+        };
+        domain_allows_until.min(upstream.state_allows_owned_keys_until())
+    }
+
     /// Returns whether `upstream` takes requests on keys that it owns.
     #[must_use]
     pub fn serves_owned_keys(&self, upstream: &Registration, now: Timestamp) -> bool {
-        let domain_allows = match self.drained.get(&upstream.domain) {
-            None => true,
-            Some(None) => false,
-            Some(Some(since)) => now.since(*since) < DRAINED_KEYS_GRACE,
-        };
-        domain_allows && upstream.state_allows_owned_keys(now)
+        now < self.serves_owned_keys_until(upstream)
+    }
+
+    /// Returns whether `upstream` may get requests that others of its entry could run as well: neither
+    /// it nor its domain is being taken out of service.
+    #[must_use]
+    pub fn is_in_service(&self, upstream: &Registration) -> bool {
+        upstream.state == UpstreamState::Ready && !self.drained.contains_key(&upstream.domain)
+    }
+
+    /// Returns whether `upstream` is among the [ready](Self::ready) ones of its entry.
+    #[must_use]
+    pub fn is_ready(&self, upstream: &Registration) -> bool {
+        let is_left_out = upstream.is_missing && !self.are_most_missing(&upstream.entry);
+        !is_left_out && self.is_in_service(upstream)
+    }
+
+    /// Returns whether the registrations of more than half of the entry's upstreams are missing.
+    fn are_most_missing(&self, entry: &EntryId) -> bool {
+        let is_counted = |u: &&Registration| u.state == UpstreamState::Ready && u.entry == *entry;
+        let (mut missing, mut all) = (0, 0);
+        for upstream in self.iter().filter(is_counted) {
+            all += 1;
+            missing += usize::from(upstream.is_missing);
+        }
+        missing * 2 > all
+    }
+
+    /// Returns whether an upstream was registered and is known to have left or ended.
+    #[must_use]
+    pub fn is_gone(&self, id: &UpstreamId) -> bool {
+        self.removed.contains_key(id) && !self.upstreams.contains_key(id)
     }
 
     /// Returns whether `upstream` is, or becomes, the current incarnation of its server; removes
@@ -381,13 +418,10 @@
     /// of the store makes many registrations expire whose upstreams are healthy.
     #[must_use]
     pub fn ready<'a>(&'a self, entry: &EntryId) -> Vec<&'a Registration> {
-        let is_ready = |u: &&Registration| u.state == UpstreamState::Ready && u.entry == *entry;
-        let mut all: Vec<&Registration> = self.iter().filter(is_ready).collect();
-        let missing = all.iter().filter(|u| u.is_missing).count();
-        if missing * 2 <= all.len() {
-            all.retain(|u| !u.is_missing);
-        }
-        all.retain(|u| !self.drained.contains_key(&u.domain));
-        all
+        let keeps_missing = self.are_most_missing(entry);
+        let is_ready = |u: &&Registration| {
+            u.entry == *entry && (keeps_missing || !u.is_missing) && self.is_in_service(u)
+        };
+        self.iter().filter(is_ready).collect()
     }
 }
--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use ids::{BootClock, Clock, Reason, Timestamp};
 
+use super::eligibility::Pass;
 use super::{CallerRequest, Forwarder, reply};
 use crate::observation::UpstreamObservation;
 use crate::ports::{ClassifiedResponse, ResponseClass};
@@ -22,6 +23,7 @@
         &self,
         request: &CallerRequest,
         target: &Registration,
+        pass: Pass,
     ) -> Result<Response<Full<Bytes>>, AttemptEnd> {
         let now = BootClock.now();
         self.metrics.count(Count::Sent);
@@ -32,7 +34,7 @@
             sent,
             has_ended: false,
         };
-        let result = self.exchange(request, target).await;
+        let result = self.exchange(request, target, pass).await;
         in_flight.end();
         drop(in_flight);
         result
@@ -44,9 +46,10 @@
         &self,
         request: &CallerRequest,
         target: &Registration,
+        pass: Pass,
     ) -> Result<Response<Full<Bytes>>, AttemptEnd> {
         let sent = BootClock.now();
-        let exchanged = self.exchange_with_target(request, target).await;
+        let exchanged = self.exchange_with_target(request, target, pass).await;
         let response = exchanged.map_err(|failed| {
             if let Some(head) = &failed.head {
                 let classified = self.classify(head, request, target);
@@ -63,7 +66,9 @@
         self.report_status(&classified.upstream_status, target, sent);
         let UpstreamResponse { head, body } = response;
         match classified.class {
-            ResponseClass::Answer if head.status.is_server_error() && request.route.idempotent => {
+            ResponseClass::Answer
+                if head.status.is_server_error() && request.resolved.route.idempotent =>
+            {
                 // Another upstream, or the same one later, may succeed; this one is alive.
                 self.crash_detector.record_answer(request.fingerprint);
                 let failure = reply::response(head.status, head.headers, body);
@@ -93,6 +98,9 @@
     fn report_status(&self, status: &UpstreamStatus, target: &Registration, sent: Timestamp) {
         let now = BootClock.now();
         let has_new_limit = self.with_load(target, |load| load.record_status(now, sent, status));
+        if has_new_limit || status.pause.is_some() {
+            self.upstream_changes.send_replace(());
+        }
         let view = self.view.load();
         let known = view.registry.get(&target.id);
         let is_newly_leaving =
@@ -121,7 +129,7 @@
         let Some(service_time) = service_time else {
             return;
         };
-        if let Some(entry) = self.entries.borrow_mut().get_mut(&request.entry) {
+        if let Some(entry) = self.entries.borrow_mut().get_mut(&request.resolved.entry) {
             entry.service_time += SERVICE_WEIGHT * (service_time - entry.service_time);
         }
     }
@@ -138,6 +146,9 @@
             AttemptEnd::MayHaveRun(_) if suspects_link => {}
             AttemptEnd::MayHaveRun(_) => load.failed(now, cfg),
         });
+        if end == AttemptEnd::Replaced {
+            self.upstream_changes.send_replace(());
+        }
     }
 }
 
--- a/crates/front/src/forward/exchange.rs
+++ b/crates/front/src/forward/exchange.rs
@@ -12,9 +12,12 @@
 use http_body_util::Full;
 use ids::{BootClock, Clock, Reason, Timestamp};
 
+use super::eligibility::Pass;
 use super::{CallerRequest, Forwarder};
 use crate::peer_exchange::PeerFailure;
-use crate::upstream_client::{DirectFailure, FailedExchange, Outgoing, UpstreamResponse};
+use crate::upstream_client::{
+    DirectFailure, FailedExchange, NO_LONGER_ELIGIBLE, Outgoing, UpstreamResponse,
+};
 
 /// Hosts that are tried in turn for one request.
 const MAX_PEERS: usize = 3;
@@ -26,8 +29,13 @@
         &self,
         request: &CallerRequest,
         target: &Registration,
+        pass: Pass,
     ) -> Result<UpstreamResponse, FailedExchange> {
-        let outgoing = self.outgoing(request, target);
+        let is_eligible = || self.is_eligible(request, target, pass);
+        let outgoing = Outgoing {
+            is_eligible: &is_eligible,
+            ..self.outgoing(request, target)
+        };
         let build = |left| {
             let req = self.upstream_request(request, target, left);
             req.map(Full::new)
@@ -79,6 +87,9 @@
                 break;
             };
             tried.push(peer);
+            if !(outgoing.is_eligible)() {
+                return Err(NO_LONGER_ELIGIBLE.into());
+            }
             let left = outgoing.deadline.since(BootClock.now());
             let req = self.upstream_request(request, outgoing.target, left);
             let in_use = self.reach.use_peer(peer);
@@ -106,7 +117,7 @@
 
     fn outgoing<'a>(&self, request: &'a CallerRequest, target: &'a Registration) -> Outgoing<'a> {
         let now = BootClock.now();
-        let service_time = self.entry_service_time(&request.entry);
+        let service_time = self.entry_service_time(&request.resolved.entry);
         let expected = self.with_load(target, |load| {
             load.expected_time(now, service_time, &self.load_cfg)
         });
@@ -115,8 +126,9 @@
             id: &request.caller_headers.id,
             deadline: request.deadline,
             expected_time: Duration::from_secs_f64(expected),
-            is_idempotent: request.route.idempotent,
+            is_idempotent: request.resolved.route.idempotent,
             send_before: None,
+            is_eligible: &|| true,
             needs_new_connection: false,
         }
     }
--- a/crates/front/src/forward/mod.rs
+++ b/crates/front/src/forward/mod.rs
@@ -3,6 +3,7 @@
 //! - `prepare`: reads a request and resolves its route.
 //! - [`body`]: reads a request's body.
 //! - `retry_loop`: attempts of one request.
+//! - `eligibility`: whether a request may go to an upstream now.
 //! - `pick`: selection of the target of an attempt.
 //! - `reserve`: capacity for requests that any upstream of their entry may run.
 //! - `attempt`: one attempt.
@@ -11,6 +12,7 @@
 
 mod attempt;
 pub mod body;
+mod eligibility;
 mod exchange;
 mod pick;
 mod prepare;
@@ -37,7 +39,7 @@
 use ids::{BootClock, Clock, DomainId, EntryId, Timestamp, UpstreamId};
 use route::RetryBudget;
 use slog::Logger;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use self::prepare::CallerRequest;
@@ -88,6 +90,8 @@
     splitter: RefCell<Splitter>,
     caller_retries: RefCell<CallerRetries>,
     loads: RefCell<HashMap<UpstreamId, UpstreamLoad>>,
+    /// Notified when an answer changes which requests an upstream takes.
+    upstream_changes: watch::Sender<()>,
     entries: RefCell<HashMap<EntryId, EntryState>>,
     load_cfg: LoadSettings,
     choose_cfg: ChooseSettings,
@@ -180,6 +184,7 @@
             splitter: RefCell::default(),
             caller_retries: RefCell::default(),
             loads: RefCell::default(),
+            upstream_changes: watch::Sender::default(),
             entries: RefCell::default(),
             load_cfg: LoadSettings::default(),
             choose_cfg: ChooseSettings::default(),
@@ -259,8 +264,8 @@
         arrived: Timestamp,
         log: &RefCell<RequestLog>,
     ) -> Result<Response<Full<Bytes>>, Refusal> {
-        let request = self.prepare(req, arrived, log).await?;
-        let result = self.run(&request, log).await;
+        let mut request = self.prepare(req, arrived, log).await?;
+        let result = self.run(&mut request, log).await;
         // An upstream's own error answer tells the caller more than a refusal.
         result.or_else(|refusal| request.failure.take().ok_or(refusal))
     }
@@ -283,8 +288,12 @@
     /// Reports a request on a key, whether it is answered or refused: refused requests are demand
     /// too.
     fn report_demand(&self, view: &View, request: &CallerRequest) {
-        let owners = view.owners.get(&request.entry);
-        let Some(key) = request.caller_headers.key.filter(|_| request.is_divided) else {
+        let owners = view.owners.get(&request.resolved.entry);
+        let Some(key) = request
+            .caller_headers
+            .key
+            .filter(|_| request.resolved.is_divided)
+        else {
             return;
         };
         let Some(owner) = owners.and_then(|o| o.owner(key)) else {
@@ -293,7 +302,7 @@
         let loads = self.loads.borrow();
         let service_time = loads.get(owner).and_then(UpstreamLoad::service_time);
         self.samples.send(Sample {
-            entry: request.entry.clone(),
+            entry: request.resolved.entry.clone(),
             key,
             upstream: owner.clone(),
             service_time,
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -6,9 +6,11 @@
     Candidate, Choice, ColdStart, LinkState, PermitRequest, PermitSettings, Registration,
     RequestNeeds, RetryState, UpstreamLoad, choose,
 };
+use gate::counters::Count;
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp};
 use rand::Rng;
 
+use super::eligibility::Pass;
 use super::reply::{
     DEFAULT_RETRY_AFTER, KEY_RETRY_AFTER, Refusal, account_for_attempts, refuse_for_about,
     refuse_for_at_least,
@@ -56,8 +58,8 @@
         may_get: impl Fn(&Registration) -> bool,
         now: Timestamp,
     ) -> Pick {
-        let service_time = self.entry_service_time(&request.entry);
-        let mut ready = view.registry.ready(&request.entry);
+        let service_time = self.entry_service_time(&request.resolved.entry);
+        let mut ready = view.registry.ready(&request.resolved.entry);
         ready.retain(|up| may_get(up));
         let mut loads = self.loads.borrow_mut();
         for up in &ready {
@@ -113,7 +115,7 @@
     }
 
     pub(super) fn pick_owner(&self, view: &View, request: &CallerRequest, now: Timestamp) -> Pick {
-        let owners = view.owners.get(&request.entry);
+        let owners = view.owners.get(&request.resolved.entry);
         let Some(range) = request
             .caller_headers
             .key
@@ -123,7 +125,7 @@
             return Pick::Refuse(refuse_for_about(Reason::NoOwner, KEY_RETRY_AFTER), None);
         };
         let up = view.registry.get(&range.owner);
-        let up = up.filter(|up| up.entry == request.entry);
+        let up = up.filter(|up| up.entry == request.resolved.entry);
         let served_from = range.unserved_until.unwrap_or(now).max(now);
         // A moving key's owner must serve keys when the move ends, also if that is a little later.
         let margin = if now < served_from {
@@ -164,7 +166,7 @@
 
     /// Decides on a request whose key gets its owner in about `wait`.
     fn wait_for_move(&self, request: &CallerRequest, wait: Duration, now: Timestamp) -> Pick {
-        let answered = wait.as_secs_f64() + self.entry_service_time(&request.entry);
+        let answered = wait.as_secs_f64() + self.entry_service_time(&request.resolved.entry);
         if answered > request.deadline.since(now).as_secs_f64() {
             return Pick::Refuse(refuse_for_about(Reason::NoOwner, wait), None);
         }
@@ -174,7 +176,8 @@
     /// Returns whether the upstreams of the request's entry answer too fast for permits; those that
     /// are cold or have a rate limit are asked all the same.
     pub(super) fn skips_permits(&self, request: &CallerRequest, target: &Registration) -> bool {
-        let service_time = Duration::from_secs_f64(self.entry_service_time(&request.entry));
+        let service_time =
+            Duration::from_secs_f64(self.entry_service_time(&request.resolved.entry));
         service_time < PermitSettings::default().min_service_time
             && !self.needs_permit(request, target)
     }
@@ -192,16 +195,17 @@
         if self.skips_permits(request, target) {
             return self.admit_by_estimate(request, target, now);
         }
-        let service_time = Duration::from_secs_f64(self.entry_service_time(&request.entry));
+        let service_time =
+            Duration::from_secs_f64(self.entry_service_time(&request.resolved.entry));
         let cold = self.cold_start(request, target, now);
         let limit = self.with_load(target, |load| load.limit());
         let elapsed = request.since_first_request + now.since(request.arrived);
         let permit_request = PermitRequest {
-            priority: request.priority,
-            rank: request.route.priority,
+            priority: request.resolved.priority,
+            rank: request.resolved.route.priority,
             is_repeat: !request.since_first_request.is_zero(),
             domain: Some(self.domain.clone()),
-            until_objective: request.route.objective.saturating_sub(elapsed),
+            until_objective: request.resolved.route.objective.saturating_sub(elapsed),
             until_deadline: request.deadline.since(now),
             entry_service_time: service_time,
             may_wait,
@@ -209,11 +213,18 @@
             limit,
             skipped_hosts: 0,
         };
-        let needs_permit = !request.is_divided && !request.route.idempotent;
+        let needs_permit = !request.resolved.is_divided && !request.resolved.route.idempotent;
         let admission = self
             .permits
             .admit(view, target, &permit_request, needs_permit);
-        match admission.await {
+        let admission = tokio::select! {
+            admission = admission => admission,
+            () = self.until_ineligible(request, target, Pass::Permit) => {
+                self.metrics.count(Count::NoLongerEligible);
+                return Admission::Withdrawn;
+            }
+        };
+        match admission {
             Admission::Unknown => match limit.rate_without_permits(view.hosts) {
                 Some(per_s) => self.admit_without_permit_host(target, per_s),
                 None => self.admit_by_estimate(request, target, now),
@@ -255,7 +266,7 @@
         target: &Registration,
         now: Timestamp,
     ) -> Option<ColdStart> {
-        request.warmup.map(|warmup| ColdStart {
+        request.resolved.warmup.map(|warmup| ColdStart {
             max_starts_per_s: warmup.max_starts_per_s(&self.warmup),
             duration: warmup.duration,
             remaining: target.cold_until.since(now),
@@ -271,6 +282,7 @@
         now: Timestamp,
     ) -> Admission {
         let full = request
+            .resolved
             .is_divided
             .then(|| self.full_by_estimate(request, target, now));
         match full.flatten() {
@@ -286,7 +298,7 @@
         target: &Registration,
         now: Timestamp,
     ) -> Option<Duration> {
-        let service_time = self.entry_service_time(&request.entry);
+        let service_time = self.entry_service_time(&request.resolved.entry);
         let left = request.deadline.since(now).as_secs_f64();
         self.with_load(target, |load| {
             let expected = load.expected_time(now, service_time, &self.load_cfg);
@@ -306,7 +318,13 @@
         now: Timestamp,
     ) -> Result<(), Refusal> {
         let waited = now.since(request.arrived);
-        if waited > request.route.objective.mul_f64(OWNER_WAIT_FRACTION) {
+        if waited
+            > request
+                .resolved
+                .route
+                .objective
+                .mul_f64(OWNER_WAIT_FRACTION)
+        {
             return Err(account_for_attempts(
                 refuse_for_about(Reason::NoOwner, KEY_RETRY_AFTER),
                 retry_state,
@@ -330,14 +348,14 @@
     if view.is_store_unreachable {
         return Some(refuse_for_about(Reason::NoOwner, KEY_RETRY_AFTER));
     }
-    let has_other = !view.registry.ready(&request.entry).is_empty();
+    let has_other = !view.registry.ready(&request.resolved.entry).is_empty();
     (!has_other).then(|| refuse_for_about(Reason::NoUpstream, DEFAULT_RETRY_AFTER))
 }
 
 fn request_needs(request: &CallerRequest, entry_service_time: f64) -> RequestNeeds {
     RequestNeeds {
-        objective: request.route.objective,
+        objective: request.resolved.route.objective,
         entry_service_time,
-        priority: request.priority,
+        priority: request.resolved.priority,
     }
 }
--- a/crates/front/src/forward/reserve.rs
+++ b/crates/front/src/forward/reserve.rs
@@ -5,12 +5,13 @@
 
 use std::time::Duration;
 
-use direct::{PermitEnd, PermitRefusal, Registration, Reservation, Step, UpstreamState};
+use direct::{PermitEnd, PermitRefusal, Registration, Reservation, Step};
 use gate::counters::Count;
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp, UpstreamId};
 use rand::Rng;
 
 use super::Forwarder;
+use super::eligibility::Pass;
 use super::pick::Pick;
 use super::prepare::CallerRequest;
 use super::reply::{Refusal, refuse_for_about};
@@ -24,9 +25,12 @@
     /// The permit host granted a permit.
     Permit(Permit),
     /// No permit; the upstream was selected by this host's estimate, or is the key's owner.
-    Estimate,
+    Estimate(Pass),
     /// This host's share of the entry has room.
-    Share(#[expect(dead_code, reason = "released when dropped")] ShareUse<'a>),
+    Share(
+        Pass,
+        #[expect(dead_code, reason = "released when dropped")] ShareUse<'a>,
+    ),
 }
 
 impl Admitted<'_> {
@@ -34,7 +38,7 @@
     pub(super) const fn permit(&mut self) -> Option<&mut Permit> {
         match self {
             Self::Permit(permit) => Some(permit),
-            Self::Estimate | Self::Share(_) => None,
+            Self::Estimate(_) | Self::Share(..) => None,
         }
     }
 
@@ -42,8 +46,16 @@
     pub(super) const fn sent_with(&self) -> SentWith {
         match self {
             Self::Permit(_) => SentWith::Permit,
-            Self::Estimate => SentWith::Estimate,
-            Self::Share(_) => SentWith::Share,
+            Self::Estimate(_) => SentWith::Estimate,
+            Self::Share(..) => SentWith::Share,
+        }
+    }
+
+    /// Returns how far the request may go with it.
+    pub(super) const fn pass(&self) -> Pass {
+        match self {
+            Self::Permit(_) => Pass::Permit,
+            Self::Estimate(pass) | Self::Share(pass, _) => *pass,
         }
     }
 }
@@ -90,6 +102,13 @@
         self.excluded.push(id);
     }
 
+    /// Excludes an upstream for which the request was admitted and to which it may no longer go.
+    pub(super) fn withdraw_from(&mut self, up: &Registration) {
+        self.exclude(up.id.clone());
+        let refusal = PermitRefusal::Unavailable;
+        self.reservation.refused(up.id.clone(), refusal);
+    }
+
     fn may_get(&self, up: &Registration) -> bool {
         !self.excluded.contains(&up.id)
     }
@@ -125,7 +144,7 @@
             }
             Step::SendToBest => self.pick_without_permit(view, request, targets, now),
             Step::Queue(id) | Step::SendTo(id) | Step::SendInShare { upstream: Some(id) } => {
-                self.pick_known(view, id, targets, now)
+                self.pick_known(view, request, id, targets, now)
             }
             Step::SendInShare { upstream: None } => self.draw(view, request, targets, now),
             Step::Refuse { retry_after } => {
@@ -156,23 +175,20 @@
     fn pick_known(
         &self,
         view: &View,
+        request: &CallerRequest,
         id: UpstreamId,
         targets: &mut Targets,
         now: Timestamp,
     ) -> Pick {
         let up = view.registry.get(&id);
-        if let Some(up) = up.filter(|up| self.takes_requests(up, now)) {
+        if let Some(up) = up.filter(|up| self.takes_requests(view, request, up, now)) {
             return Pick::To(up.clone());
         }
+        targets.exclude(id.clone());
         targets.reservation.refused(id, PermitRefusal::Unavailable);
         Pick::Again
     }
 
-    /// Returns whether an upstream takes requests that any upstream of its entry may run.
-    pub(super) fn takes_requests(&self, up: &Registration, now: Timestamp) -> bool {
-        up.state == UpstreamState::Ready && self.with_load(up, |l| l.paused_for(now).is_zero())
-    }
-
     /// Draws an upstream at random among those that this host's estimate admits, so that the
     /// requests of hosts that reach no permit host spread over all queues.
     fn draw(
@@ -182,7 +198,7 @@
         targets: &Targets,
         now: Timestamp,
     ) -> Pick {
-        let mut admitted = view.registry.ready(&request.entry);
+        let mut admitted = view.registry.ready(&request.resolved.entry);
         admitted.retain(|up| targets.may_get(up) && self.admits_without_permit(request, up, now));
         let is_reachable = |up: &Registration| !self.with_load(up, |l| l.is_in_backoff(now));
         if admitted.iter().any(|up| is_reachable(up)) {
@@ -217,18 +233,19 @@
         target: &Registration,
         targets: &mut Targets,
     ) -> Result<Option<Admitted<'a>>, Refusal> {
+        let is_rate_limited = self.needs_permit(request, target);
+        let pass = Pass::without_permit(is_rate_limited);
         let may_wait = match targets.reservation.step() {
-            Step::SendTo(_) => return Ok(Some(Admitted::Estimate)),
-            Step::SendInShare { .. } => return self.enter_share(view, request).map(Some),
-            Step::SendToBest if !self.needs_permit(request, target) => {
-                return Ok(Some(Admitted::Estimate));
+            Step::SendTo(_) => return Ok(Some(Admitted::Estimate(pass))),
+            Step::SendInShare { .. } => return self.enter_share(view, request, pass).map(Some),
+            Step::SendToBest if !is_rate_limited => {
+                return Ok(Some(Admitted::Estimate(pass)));
             }
             step => matches!(step, Step::Queue(_)),
         };
         if self.skips_permits(request, target) {
-            return Ok(Some(Admitted::Estimate));
+            return Ok(Some(Admitted::Estimate(pass)));
         }
-        let is_rate_limited = self.needs_permit(request, target);
         let refusal = match self.admit(view, request, target, may_wait).await {
             Admission::Granted(permit) => return Ok(Some(Admitted::Permit(permit))),
             Admission::Full { retry_after } if !is_rate_limited => {
@@ -242,6 +259,10 @@
                 targets.exclude(target.id.clone());
                 PermitRefusal::Unavailable
             }
+            Admission::Withdrawn => {
+                targets.exclude(target.id.clone());
+                PermitRefusal::Unavailable
+            }
             Admission::Unknown if is_rate_limited => PermitRefusal::SilentWithinLimit,
             Admission::Unknown => PermitRefusal::Silent,
         };
@@ -258,8 +279,8 @@
         wait: Duration,
         now: Timestamp,
     ) -> f64 {
-        let service_time = self.entry_service_time(&request.entry);
-        let objective = request.route.objective;
+        let service_time = self.entry_service_time(&request.resolved.entry);
+        let objective = request.resolved.route.objective;
         self.with_load(up, |load| {
             let expected_time = if wait.is_zero() {
                 load.expected_time(now, service_time, &self.load_cfg)
@@ -283,7 +304,7 @@
         target: &Registration,
         until_free: Duration,
     ) {
-        let service_time = self.entry_service_time(&request.entry);
+        let service_time = self.entry_service_time(&request.resolved.entry);
         let now = BootClock.now();
         self.with_load(target, |load| {
             load.permit_refused(now, until_free, service_time);
@@ -295,11 +316,12 @@
         &'a self,
         view: &View,
         request: &'a CallerRequest,
+        pass: Pass,
     ) -> Result<Admitted<'a>, Refusal> {
-        let ready = view.registry.ready(&request.entry);
+        let ready = view.registry.ready(&request.resolved.entry);
         let slots = ready.iter().map(|up| up.slots).sum();
         let mut entries = self.entries.borrow_mut();
-        let entry = entries.get_mut(&request.entry);
+        let entry = entries.get_mut(&request.resolved.entry);
         let has_room = entry.is_some_and(|entry| entry.share.enter(slots, view.hosts));
         drop(entries);
         if !has_room {
@@ -307,10 +329,11 @@
             return Err(self.no_capacity(request));
         }
         self.metrics.count(Count::SentInShare);
-        Ok(Admitted::Share(ShareUse {
+        let share_use = ShareUse {
             forwarder: self,
-            entry: &request.entry,
-        }))
+            entry: &request.resolved.entry,
+        };
+        Ok(Admitted::Share(pass, share_use))
     }
 
     /// Tells the permit host how a request ended that had a permit.
@@ -331,7 +354,7 @@
 
     /// Builds the refusal of a request that this host may send nowhere without a permit.
     fn no_capacity(&self, request: &CallerRequest) -> Refusal {
-        let service_time = self.entry_service_time(&request.entry);
+        let service_time = self.entry_service_time(&request.resolved.entry);
         refuse_for_about(Reason::NoCapacity, Duration::from_secs_f64(service_time))
     }
 }
--- a/crates/front/src/forward/retry_loop.rs
+++ b/crates/front/src/forward/retry_loop.rs
@@ -5,10 +5,12 @@
 
 use bytes::Bytes;
 use direct::{AttemptEnd, LinkState, PermitEnd, Registration, RetryDecision, RetryState};
+use gate::counters::Count;
 use http::Response;
 use http_body_util::Full;
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp};
 
+use super::eligibility::Pass;
 use super::pick::{MOVE_POLL, Pick};
 use super::prepare::CallerRequest;
 use super::reply::{
@@ -19,14 +21,14 @@
 use super::{Forwarder, MIN_TIME_LEFT};
 use crate::permits::Admission;
 use crate::request_log::RequestLog;
+use crate::upstream_client::NO_LONGER_ELIGIBLE;
 use crate::view::View;
 
 /// Outcome of sending a request.
 enum SendOutcome {
     /// The upstream answered, or the attempt ended without an answer for the caller.
     Ended(Result<Response<Full<Bytes>>, AttemptEnd>),
-    /// The upstream granted no permit. Or while the request waited, its key got another owner, the
-    /// upstream left, or the request was quarantined.
+    /// The upstream granted no permit, or the request may no longer go there.
     NotSent,
 }
 
@@ -52,17 +54,21 @@
     /// Makes attempts until there is an answer or no further attempt can help.
     pub(super) async fn run(
         &self,
-        request: &CallerRequest,
+        request: &mut CallerRequest,
         log: &RefCell<RequestLog>,
     ) -> Result<Response<Full<Bytes>>, Refusal> {
         self.report_demand(&self.view.load(), request);
         let mut progress = Progress {
             retry_state: RetryState::default(),
-            targets: Targets::new(request.route.idempotent),
+            targets: Targets::new(request.resolved.route.idempotent),
             last: None,
         };
         loop {
             let view = self.view.load_full();
+            let has_moved = self.refresh_route(&view, request, log);
+            if has_moved.map_err(|e| account_for_attempts(e.into(), &progress.retry_state))? {
+                progress.targets = Targets::new(request.resolved.route.idempotent);
+            }
             let Some(target) = self.next_target(&view, request, &mut progress, log).await? else {
                 continue;
             };
@@ -93,7 +99,10 @@
         let now = BootClock.now();
         let retry_state = &progress.retry_state;
         if request.deadline.since(now) < MIN_TIME_LEFT {
-            return Err(refusal_at_deadline(retry_state, request.is_divided));
+            return Err(refusal_at_deadline(
+                retry_state,
+                request.resolved.is_divided,
+            ));
         }
         if let Some(left) = view.quarantine.remaining(now, request.fingerprint) {
             return Err(account_for_attempts(
@@ -101,7 +110,7 @@
                 retry_state,
             ));
         }
-        let pick = if request.is_divided {
+        let pick = if request.resolved.is_divided {
             self.pick_owner(view, request, now)
         } else {
             self.pick_for_step(view, request, &mut progress.targets, now)
@@ -124,8 +133,9 @@
                 // The end of the last attempt explains more than that no upstream is left to try.
                 let is_exhausted = refusal.reason == Reason::NoUpstream;
                 let last = progress.last.filter(|_| is_exhausted);
-                let last =
-                    last.map(|end| refusal_after_failure(end, retry_state, request.is_divided));
+                let last = last.map(|end| {
+                    refusal_after_failure(end, retry_state, request.resolved.is_divided)
+                });
                 Err(last.unwrap_or_else(|| account_for_attempts(refusal, retry_state)))
             }
         }
@@ -160,14 +170,14 @@
         );
         // A request that crashed its upstream must not be retried before other hosts could report
         // that it crashed theirs.
-        if let Some(crash_check) = crash_check.filter(|_| request.route.idempotent) {
+        if let Some(crash_check) = crash_check.filter(|_| request.resolved.route.idempotent) {
             // The task does not panic; if it fails all the same, the request continues like any
             // other.
             let _ = crash_check.await;
         }
         let now = BootClock.now();
-        let route = &request.route;
-        let withdraw = || self.withdraw(&request.entry, now);
+        let route = &request.resolved.route;
+        let withdraw = || self.withdraw(&request.resolved.entry, now);
         let next = progress.retry_state.record_end(
             end,
             route.idempotent,
@@ -179,7 +189,7 @@
             return Err(refusal_after_failure(
                 end,
                 &progress.retry_state,
-                request.is_divided,
+                request.resolved.is_divided,
             ));
         };
         let reason = end.reason();
@@ -189,7 +199,8 @@
             tokio::time::sleep(delay).await;
         }
         // An upstream is not to blame for a lost link, and is reached through another host.
-        if self.links.state(&target.id) == LinkState::Usable {
+        let is_usable = self.links.state(&target.id) == LinkState::Usable;
+        if is_usable || end == NO_LONGER_ELIGIBLE {
             progress.targets.exclude(target.id);
         }
         progress.targets.begin_attempt();
@@ -206,36 +217,45 @@
         progress: &mut Progress,
         log: &RefCell<RequestLog>,
     ) -> Result<SendOutcome, Refusal> {
-        let admitted = if request.is_divided {
-            self.admit_at_owner(view, request, target).await.map(Some)
+        let admitted = if request.resolved.is_divided {
+            self.admit_at_owner(view, request, target).await
         } else {
             let targets = &mut progress.targets;
             self.reserve(view, request, target, targets).await
         };
         let admitted =
             admitted.map_err(|refusal| account_for_attempts(refusal, &progress.retry_state))?;
-        let Some(mut admitted) = admitted.filter(|_| self.may_still_send(request, target)) else {
+        let Some(mut admitted) = admitted else {
             return Ok(SendOutcome::NotSent);
         };
+        let pass = admitted.pass();
+        if !self.is_eligible(request, target, pass) {
+            progress.targets.withdraw_from(target);
+            self.metrics.count(Count::NoLongerEligible);
+            return Ok(SendOutcome::NotSent);
+        }
         log.borrow_mut().record_sent(admitted.sent_with());
-        let result = self.attempt(request, target).await;
+        let result = self.attempt(request, target, pass).await;
         if let Some(permit) = admitted.permit() {
             self.record_permit_end(request, target, permit, permit_end(&result));
         }
         Ok(SendOutcome::Ended(result))
     }
 
-    /// Admits a request on a key to its owner, where it may be queued.
+    /// Admits a request on a key to its owner, where it may be queued; returns none if it may no longer
+    /// go there.
     async fn admit_at_owner(
         &self,
         view: &View,
         request: &CallerRequest,
         owner: &Registration,
-    ) -> Result<Admitted<'_>, Refusal> {
+    ) -> Result<Option<Admitted<'_>>, Refusal> {
         let is_rate_limited = self.needs_permit(request, owner);
+        let pass = Pass::without_permit(is_rate_limited);
         let no_capacity = match self.admit(view, request, owner, true).await {
-            Admission::Granted(permit) => return Ok(Admitted::Permit(permit)),
-            Admission::Unknown => return Ok(Admitted::Estimate),
+            Admission::Granted(permit) => return Ok(Some(Admitted::Permit(permit))),
+            Admission::Unknown => return Ok(Some(Admitted::Estimate(pass))),
+            Admission::Withdrawn => return Ok(None),
             Admission::Full { retry_after } => NoCapacity {
                 retry_after,
                 is_rate_limited,
@@ -254,36 +274,10 @@
 
     /// Returns whether requests to `target` need a permit: it is cold or has a rate limit.
     pub(super) fn needs_permit(&self, request: &CallerRequest, target: &Registration) -> bool {
-        let is_cold = request.warmup.is_some() && BootClock.now() < target.cold_until;
+        let is_cold = request.resolved.warmup.is_some() && BootClock.now() < target.cold_until;
         is_cold || self.with_load(target, |load| load.limit().per_s().is_some())
     }
 
-    /// Returns whether a request may still go to `target` after a wait. Meanwhile the request may
-    /// have been quarantined, its key may have moved, or the upstream may have left or asked for a
-    /// pause.
-    fn may_still_send(&self, request: &CallerRequest, target: &Registration) -> bool {
-        let now = BootClock.now();
-        let view = self.view.load();
-        if view
-            .quarantine
-            .remaining(now, request.fingerprint)
-            .is_some()
-        {
-            return false;
-        }
-        if !request.is_divided {
-            let up = view.registry.get(&target.id);
-            return up.is_some_and(|up| self.takes_requests(up, now));
-        }
-        let pick = self.pick_owner(&view, request, now);
-        matches!(pick, Pick::To(owner) if owner.id == target.id)
-    }
-
-    /// Returns whether a request to `target` may have failed because of this host's link to it.
-    pub(super) fn suspects_link(&self, target: &Registration) -> bool {
-        self.links.are_suspect() || self.links.state(&target.id) != LinkState::Usable
-    }
-
     fn withdraw(&self, entry: &EntryId, now: Timestamp) -> bool {
         let mut entries = self.entries.borrow_mut();
         entries
--- a/crates/front/src/peer_exchange/server.rs
+++ b/crates/front/src/peer_exchange/server.rs
@@ -183,6 +183,7 @@
             replied_at.map_or(Timestamp::ZERO, |at| at + span)
         });
         let left = Duration::from_millis(request.left_ms.into());
+        let is_eligible = || request.is_control || self.view.load().may_get_requests(&target.id);
         let outgoing = Outgoing {
             target: &target,
             id: &request.id,
@@ -190,6 +191,7 @@
             expected_time: left,
             is_idempotent: request.is_idempotent,
             send_before,
+            is_eligible: &is_eligible,
             needs_new_connection: request.is_control,
         };
         let format = &self.client.header_format;
--- a/crates/front/src/permits/client.rs
+++ b/crates/front/src/permits/client.rs
@@ -62,6 +62,8 @@
         /// The upstream's rate limit as known to the permit host.
         limit: Option<RateLimit>,
     },
+    /// The request may no longer go to the upstream; the wait for the permit was ended.
+    Withdrawn,
     /// No host replied.
     Unknown,
 }
--- a/crates/front/src/permits/mod.rs
+++ b/crates/front/src/permits/mod.rs
@@ -7,6 +7,9 @@
 //! requests to that upstream. For an upstream with a rate limit, the next host in rank grants a
 //! small fraction of it.
 //!
+//! A host grants no permits at an upstream that it knows to be out of service, also to hosts that have not
+//! learnt that.
+//!
 //! - `client`: requests for permits, and the permits they return.
 //! - [`messages`]: the datagrams.
 
@@ -24,7 +27,7 @@
 use direct::{PermitReply, PermitSettings, Permits, RateLimit};
 use gate::Metrics;
 use gate::counters::Count;
-use ids::{BootClock, Clock, UpstreamId};
+use ids::{BootClock, Clock, Timestamp, UpstreamId};
 use prost::Message;
 use rand::Rng;
 use slog::{Logger, debug};
@@ -36,6 +39,7 @@
 use self::client::Backoff;
 use self::messages::{Acquire, Datagram, Payload, Release, from_ms};
 use crate::rate_limit_message::RateLimitMessage;
+use crate::view::SharedView;
 
 /// Interval between checks for requests whose deadline has passed.
 const TICK: Duration = Duration::from_millis(20);
@@ -49,6 +53,7 @@
 #[derive(Debug)]
 pub struct PermitService {
     socket: UdpSocket,
+    view: SharedView,
     cfg: PermitSettings,
     upstreams: RefCell<HashMap<UpstreamId, Permits<RequestKey>>>,
     /// Requests of this host that wait for a reply or have a permit.
@@ -76,11 +81,13 @@
     /// Fails if the address can't be bound.
     pub async fn bind(
         address: SocketAddr,
+        view: SharedView,
         metrics: Arc<Metrics>,
         log: Logger,
     ) -> io::Result<Rc<Self>> {
         Ok(Rc::new(Self {
             socket: UdpSocket::bind(address).await?,
+            view,
             cfg: PermitSettings::default(),
             upstreams: RefCell::default(),
             requests: RefCell::default(),
@@ -120,13 +127,31 @@
         loop {
             tick.tick().await;
             let now = BootClock.now();
-            for permits in self.upstreams.borrow_mut().values_mut() {
-                let replies = permits.poll(now);
+            for (upstream, permits) in self.upstreams.borrow_mut().iter_mut() {
+                let replies = self.poll(now, upstream, permits);
                 self.reply(&replies, &permits.limit());
             }
         }
     }
 
+    /// Grants free permits and refuses requests that can't be answered; all of them if the upstream may
+    /// get no requests any more.
+    fn poll(
+        &self,
+        now: Timestamp,
+        upstream: &UpstreamId,
+        permits: &mut Permits<RequestKey>,
+    ) -> Vec<(RequestKey, PermitReply)> {
+        if !permits.has_waiting() || self.view.load().may_get_requests(upstream) {
+            return permits.poll(now);
+        }
+        let withdrawn = permits.refuse_waiting();
+        for _ in &withdrawn {
+            self.metrics.count(Count::PermitsWithdrawn);
+        }
+        withdrawn
+    }
+
     /// Drops the state of upstreams for which `is_known` is false and at which nobody has a permit.
     pub fn retain(&self, is_known: impl Fn(&UpstreamId) -> bool) {
         self.upstreams
@@ -173,6 +198,11 @@
         let Ok(upstream) = UpstreamId::new(acquire.upstream.as_str()) else {
             return;
         };
+        if !self.view.load().may_get_requests(&upstream) {
+            self.metrics.count(Count::PermitsWithdrawn);
+            let reply = PermitReply::OUT_OF_SERVICE;
+            return self.reply(&[((from, request), reply)], &RateLimit::default());
+        }
         let mut all = self.upstreams.borrow_mut();
         let permits = all
             .entry(upstream)
@@ -208,7 +238,7 @@
         let now = BootClock.now();
         permits.release(now, (from, request), release.end(), release.report());
         permits.merge_limit(limit.unwrap_or_default());
-        let replies = permits.poll(now);
+        let replies = self.poll(now, &upstream, permits);
         let limit = permits.limit();
         drop(all);
         self.reply(&replies, &limit);
--- a/crates/front/src/request_thread.rs
+++ b/crates/front/src/request_thread.rs
@@ -49,11 +49,16 @@
 }
 
 impl Sockets {
-    async fn bind(cfg: &Settings, metrics: Arc<Metrics>, log: Logger) -> anyhow::Result<Self> {
+    async fn bind(
+        cfg: &Settings,
+        view: SharedView,
+        metrics: Arc<Metrics>,
+        log: Logger,
+    ) -> anyhow::Result<Self> {
         let listen = cfg.listen;
         let bind =
             |address: SocketAddr| serve::bind(address).with_context(|| format!("bind {address}"));
-        let permits = PermitService::bind(listen.permits, metrics, log).await;
+        let permits = PermitService::bind(listen.permits, view, metrics, log).await;
         Ok(Self {
             callers: bind(listen.callers)?,
             exchanges: bind(listen.exchanges())?,
@@ -71,7 +76,8 @@
         started: &SyncSender<anyhow::Result<()>>,
         grace: Duration,
     ) -> anyhow::Result<()> {
-        let bound = Sockets::bind(&self.cfg, Arc::clone(&self.metrics), self.log.clone()).await;
+        let (view, metrics) = (SharedView::clone(&self.view), Arc::clone(&self.metrics));
+        let bound = Sockets::bind(&self.cfg, view, metrics, self.log.clone()).await;
         let Sockets {
             callers,
             exchanges,
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context as _;
-use arc_swap::ArcSwap;
 use assign::HostIncarnation;
 use gate::Metrics;
 use ids::Incarnation;
@@ -29,7 +28,7 @@
 use crate::ports::{HeaderFormat, Platform};
 use crate::request_thread::RequestThread;
 use crate::settings::{self, Settings};
-use crate::view::{Phase, SharedView, View};
+use crate::view::{Phase, SharedView};
 use crate::{log, serve};
 
 /// Time for which a host that is stopping still accepts connections: the load balancer checks once
@@ -60,7 +59,7 @@
     };
     info!(log, "host starts"; "incarnation" => this_host.incarnation.0,
         "domain" => cfg.domain.as_str());
-    let view: SharedView = Arc::new(ArcSwap::from_pointee(View::default()));
+    let view = SharedView::default();
     let (samples_tx, samples_rx) = samples::ring();
     let (observations_tx, observations_rx) = observation::channel();
     let lost_links = SharedLostLinks::default();
--- a/crates/front/src/upstream_client.rs
+++ b/crates/front/src/upstream_client.rs
@@ -24,6 +24,9 @@
 /// Minimum time left before the deadline for a request to be sent.
 pub(crate) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
+/// End of an attempt whose upstream may no longer get the request; nothing was sent.
+pub(crate) const NO_LONGER_ELIGIBLE: AttemptEnd = AttemptEnd::Unsent(Reason::StaleRoute);
+
 /// A complete response of an upstream.
 #[derive(Debug)]
 pub(crate) struct UpstreamResponse {
@@ -75,6 +78,8 @@
     pub(crate) is_idempotent: bool,
     /// When it is too late to send it, apart from the deadline.
     pub(crate) send_before: Option<Timestamp>,
+    /// Returns whether it may go to the upstream now; asked just before the write.
+    pub(crate) is_eligible: &'a dyn Fn() -> bool,
     /// Whether it goes over a connection that has carried nothing else. Upstreams may answer it without
     /// its identifier.
     pub(crate) needs_new_connection: bool,
@@ -146,9 +151,9 @@
         let id = &outgoing.target.id;
         let conn = self.connections.take(now, id, outgoing.id).await?;
         let result = self.exchange_on(conn, outgoing, build).await;
-        let is_unsent =
-            matches!(&result, Err(failed) if matches!(failed.end, AttemptEnd::Unsent(_)));
-        (!is_unsent).then_some(result)
+        let is_stale =
+            |failed: &FailedExchange| failed.end == AttemptEnd::Unsent(Reason::UpstreamReset);
+        (!result.as_ref().is_err_and(is_stale)).then_some(result)
     }
 
     async fn exchange_on(
@@ -161,8 +166,14 @@
         let now = BootClock.now();
         let left = outgoing.deadline.since(now);
         let is_late = |at: Timestamp| BootClock.now() >= at;
-        if left < MIN_TIME_LEFT || outgoing.send_before.is_some_and(is_late) {
-            return Err(AttemptEnd::Unsent(Reason::DeadlineExpired).into());
+        let unsent = if left < MIN_TIME_LEFT || outgoing.send_before.is_some_and(is_late) {
+            Some(AttemptEnd::Unsent(Reason::DeadlineExpired))
+        } else {
+            (!(outgoing.is_eligible)()).then_some(NO_LONGER_ELIGIBLE)
+        };
+        if let Some(end) = unsent {
+            self.connections.keep_unused(now, &target.id, conn);
+            return Err(end.into());
         }
         let mut room = self.memory.answer();
         let sending = Sending {
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, Guard};
 use assign::EntryOwners;
 use direct::{Configuration, PeerHost, PermitHosts, Quarantine, RouteTable, UpstreamRegistry};
-use ids::{DomainId, EntryId};
+use ids::{BootClock, Clock, DomainId, EntryId, UpstreamId};
 use indexmap::IndexMap;
+use tokio::sync::watch;
 
 /// Whether a host accepts requests of callers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -52,5 +53,55 @@
     pub hosts: usize,
 }
 
+impl View {
+    /// Returns whether `upstream` may get requests by what this host knows of it, on behalf of another
+    /// host that decided on them: it is not known to have left, nor to be out of service.
+    #[must_use]
+    pub fn may_get_requests(&self, upstream: &UpstreamId) -> bool {
+        let registry = &self.registry;
+        let Some(up) = registry.get(upstream) else {
+            return !registry.is_gone(upstream);
+        };
+        let configuration = self.configuration.as_ref();
+        let spec = configuration.and_then(|current| current.cfg.entries.get(&up.entry));
+        if spec.is_some_and(|entry| entry.divided) {
+            registry.serves_owned_keys(up, BootClock.now())
+        } else {
+            registry.is_in_service(up)
+        }
+    }
+}
+
 /// The current view, shared by all threads.
-pub type SharedView = Arc<ArcSwap<View>>;
+pub type SharedView = Arc<CurrentView>;
+
+/// The view that was stored last.
+#[derive(Debug, Default)]
+pub struct CurrentView {
+    view: ArcSwap<View>,
+    changes: watch::Sender<()>,
+}
+
+impl CurrentView {
+    /// Returns the view, for a short use.
+    pub fn load(&self) -> Guard<Arc<View>> {
+        self.view.load()
+    }
+
+    /// Returns the view, for a use that may include waits.
+    pub fn load_full(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Replaces the view.
+    pub fn store(&self, view: Arc<View>) {
+        self.view.store(view);
+        self.changes.send_replace(());
+    }
+
+    /// Returns a receiver that is notified when the view is replaced.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+}
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -10,7 +10,6 @@
 use front::links::SharedLostLinks;
 use front::peer_exchange::calls;
 use front::ports::{DecodeError, Destination, GrantCallResponse, GrantPath};
-use front::view::View;
 use front::{Platform, Settings};
 use ids::{DomainId, HostId, Incarnation, Revision, StoreEra, Timestamp};
 use platform::{Commit, Delta, PlatformError, Row, RowKey, Txn, Watch};
@@ -95,7 +94,7 @@
         lost_links: SharedLostLinks::default(),
         link_checks: mpsc::channel(1).0,
         peer_calls: calls::channel().0,
-        view: Arc::new(arc_swap::ArcSwap::from_pointee(View::default())),
+        view: front::view::SharedView::default(),
         metrics: Arc::default(),
     };
     let log = slog::Logger::root(slog::Discard, slog::o!());
--- a/crates/gate/src/counters.rs
+++ b/crates/gate/src/counters.rs
@@ -119,6 +119,8 @@
     PermitsSilent = "permits.silent", "requests", "Requests for a permit to send that no host replied to.";
     PermitsAskedAgain = "permits.asked-again", "requests", "Requests for a permit that were repeated because no reply, or no permit, had come in the expected time.";
     PermitsDisplaced = "permits.displaced", "requests", "Queued requests for a permit that this host refused in favour of a later one of a more urgent route or of a failure domain that uses less.";
+    NoLongerEligible = "upstream.no-longer-eligible", "requests", "Requests that could no longer go to the upstream for which they had waited.";
+    PermitsWithdrawn = "permits.withdrawn", "requests", "Queued requests for a permit that this host refused because their upstream was taken out of service.";
     SentInShare = "permits.sent-in-share", "requests", "Requests that must not run twice, sent without a permit within the host's share of their entry, as no host replied.";
     ShareUsedUp = "permits.share-used-up", "requests", "Requests that must not run twice, refused as no host replied and the host's share of their entry was used up.";
     GrantsWithheld = "grants.withheld", "grants", "Grants not sent because another process than the one that was granted the keys before may listen: the keys need a higher fencing token.";
