direct, front: a leaving upstream's time for keys counts from when it may have begun to leave

Cause: LEAVING_KEYS_GRACE counts from when a host learns of it. A host may learn of it 1.7 s late by the derivation in docs/DEPLOYMENT.md, and 1.7 s + 0.8 s is more than the bound.

Change: before a read or message adds to what a host knows, it records as of when it knew the registrations. What the read brings was accepted later, so the server serves for two seconds from then at least; requests go there until 0.2 s before that, and no longer than before.

--- a/crates/direct/src/registry.rs
+++ b/crates/direct/src/registry.rs
@@ -47,11 +47,12 @@
 }
 
 /// Time for which a leaving upstream still gets requests on keys that no other upstream may run
-/// yet.
-///
-/// It serves for two seconds after it announced that it leaves, and hosts learn of that within
-/// 0.7 s. Without this time, requests would be refused for as long as a planned move takes.
+/// yet, from when a host learns that it leaves: longer than a planned move takes.
 const LEAVING_KEYS_GRACE: Duration = Duration::from_millis(800);
+/// Time for which an upstream serves after the store has accepted that it leaves.
+const LEAVING_SERVICE_TIME: Duration = Duration::from_secs(2);
+/// Time that a request may take from the last decision on it to the upstream.
+const ARRIVAL_TIME: Duration = Duration::from_millis(200);
 
 impl Registration {
     /// Returns whether this registration of an upstream was written before `other`, if both state how
@@ -116,6 +117,12 @@
     /// Servers that report an earlier start than that of the current incarnation, and since when
     /// they do.
     earlier_starts: IndexMap<SmolStr, Timestamp>,
+    /// Time as of which the registrations were known before the latest change; none if that is not
+    /// recorded.
+    known_as_of: Option<Timestamp>,
+    /// Until when each leaving upstream may get requests, as the store may have accepted that it leaves
+    /// right after the time as of which it was known not to.
+    leaving_until: IndexMap<UpstreamId, Timestamp>,
     /// Upstreams that were removed, the last of them at the end.
     removed: IndexMap<UpstreamId, RemovedUpstream>,
     /// Time until which the store may show an earlier incarnation of a server, as it has returned
@@ -158,6 +165,12 @@
         if self.announced_leaving.contains(&upstream.id) {
             upstream.state = UpstreamState::Leaving;
         }
+        match upstream.state {
+            UpstreamState::Ready => {
+                self.leaving_until.swap_remove(&upstream.id);
+            }
+            UpstreamState::Leaving => self.limit_leaving(&upstream.id),
+        }
         let is_confirmed = self.confirm_warmup(at, &upstream);
         self.incarnations
             .insert(upstream.server.clone(), upstream.id.clone());
@@ -219,16 +232,17 @@
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return false;
         };
+        let was_leaving = upstream.state == UpstreamState::Leaving;
+        if !was_leaving {
+            upstream.state = UpstreamState::Leaving;
+            upstream.leaving_since.get_or_insert(now);
+        }
+        self.limit_leaving(id);
         self.announced_leaving.insert(id.clone());
         if self.announced_leaving.len() > MAX_ANNOUNCED_LEAVING {
             self.announced_leaving.shift_remove_index(0);
         }
-        if upstream.state == UpstreamState::Leaving {
-            return false;
-        }
-        upstream.state = UpstreamState::Leaving;
-        upstream.leaving_since.get_or_insert(now);
-        true
+        !was_leaving
     }
 
     /// Returns whether an upstream that was assumed to be cold has now reported its cold time, at
@@ -294,7 +308,26 @@
             Some(None) => Timestamp::ZERO,
             Some(Some(since)) => *since + DRAINED_KEYS_GRACE,
         };
-        domain_allows_until.min(upstream.state_allows_owned_keys_until())
+        let state_allows_until = upstream.state_allows_owned_keys_until();
+        let service_ends = self.leaving_until.get(&upstream.id).copied();
+        domain_allows_until
+            .min(state_allows_until)
+            .min(service_ends.unwrap_or(Timestamp::NEVER))
+    }
+
+    /// Records that the registrations are known as of `as_of`, before a change is applied: whatever it
+    /// brings, the store has accepted later.
+    pub fn record_known_as_of(&mut self, as_of: Timestamp) {
+        self.known_as_of = Some(as_of);
+    }
+
+    /// Records until when an upstream that leaves may get requests, unless it was already leaving.
+    fn limit_leaving(&mut self, id: &UpstreamId) {
+        let Some(known_as_of) = self.known_as_of else {
+            return;
+        };
+        let until = known_as_of + LEAVING_SERVICE_TIME - ARRIVAL_TIME;
+        self.leaving_until.entry(id.clone()).or_insert(until);
     }
 
     /// Returns whether `upstream` takes requests on keys that it owns.
@@ -397,6 +430,7 @@
         self.incarnations.shift_remove(&removed.server);
         self.earlier_starts.shift_remove(&removed.server);
         self.presumed_cold.swap_remove(id);
+        self.leaving_until.swap_remove(id);
         true
     }
 
--- a/crates/direct/tests/roster.rs
+++ b/crates/direct/tests/roster.rs
@@ -138,6 +138,65 @@
     }
 }
 
+struct LeavingCase {
+    name: &'static str,
+    /// As of when the registrations were known before.
+    known_as_of_ms: u64,
+    /// Until when the upstream gets requests on its keys.
+    until_ms: u64,
+}
+
+const LEAVING: [LeavingCase; 4] = [
+    LeavingCase {
+        name: "learnt at once",
+        known_as_of_ms: 4_990,
+        until_ms: 5_800,
+    },
+    LeavingCase {
+        name: "learnt 1.7 s after the store may have accepted it",
+        known_as_of_ms: 3_300,
+        until_ms: 5_100,
+    },
+    LeavingCase {
+        name: "learnt when it may have stopped serving",
+        known_as_of_ms: 3_000,
+        until_ms: 4_800,
+    },
+    LeavingCase {
+        name: "nothing was known before",
+        known_as_of_ms: 0,
+        until_ms: 1_800,
+    },
+];
+
+/// Guards against requests to an upstream that has stopped serving, at a host that learns late that it
+/// leaves: the time counts from when the store may have accepted it.
+#[test]
+fn a_leaving_upstream_gets_nothing_after_its_service_time() {
+    for case in LEAVING {
+        for is_announced in [false, true] {
+            let mut registry = UpstreamRegistry::default();
+            registry.register(NOW, AT, registered("a", UpstreamState::Ready));
+            registry.record_known_as_of(Timestamp::from_millis(case.known_as_of_ms));
+            if is_announced {
+                registry.mark_leaving(NOW, &id("a"));
+            }
+            registry.register(NOW, AT, registered("a", UpstreamState::Leaving));
+            // What is known later gives it no more time.
+            registry.record_known_as_of(NOW);
+            registry.register(NOW, AT, registered("a", UpstreamState::Leaving));
+            let upstream = registry.get(&id("a")).expect("it is registered");
+            let until = registry.serves_owned_keys_until(upstream);
+            assert_eq!(
+                until,
+                Timestamp::from_millis(case.until_ms),
+                "{}",
+                case.name
+            );
+        }
+    }
+}
+
 /// Registrations of a server in order, and the incarnation that is then current.
 struct ServerCase {
     name: &'static str,
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -305,6 +305,7 @@
         c.record_confirmed(now, began);
         c.path.clear();
     }
+    c.record_known_before_read();
     c.freshness.read(table, began);
     c.record_store_answer(now);
     let changed = apply(c, platform, table, delta, now);
--- a/crates/front/src/control/registry.rs
+++ b/crates/front/src/control/registry.rs
@@ -77,6 +77,7 @@
     }
 
     fn mark_leaving(&mut self, now: Timestamp, id: &UpstreamId) -> bool {
+        self.record_known_before_read();
         if !self.registry.mark_leaving(now, id) {
             return false;
         }
@@ -86,6 +87,13 @@
         true
     }
 
+    /// Tells the registry as of when it is known. Called before a read or message adds to that, as what it
+    /// brings may have been accepted by the store at any time since.
+    pub fn record_known_before_read(&mut self) {
+        let known_as_of = self.freshness.as_of(Table::Upstreams);
+        self.registry.record_known_as_of(known_as_of);
+    }
+
     /// Drains a failure domain: its upstreams get nothing new from now on, and their keys move
     /// away.
     ///
--- a/crates/front/src/control/relay/receive.rs
+++ b/crates/front/src/control/relay/receive.rs
@@ -217,6 +217,7 @@
         c.observe_era(now, era);
     }
     c.record_confirmed(now, knowledge.as_of[Table::Configuration.index()]);
+    c.record_known_before_read();
     c.freshness.relayed(now, knowledge);
     c.path = message.path;
     c.record_store_answer(now);
