--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`config`]: the operator's configuration, decoded.
 //! - [`routes`]: route lookup by host and path, and selection of the entry that serves a request.
 //! - [`fingerprint`]: fingerprints of requests, by which repeats are recognized.
+//! - [`registration`]: what an upstream registers.
 //! - [`registry`]: registry of upstreams, and the failure domains that are drained.
 //! - [`warmup`]: request rate that an upstream bears while it is cold.
 //! - [`status`]: status that an upstream reports with an answer.
@@ -36,6 +37,7 @@
 pub mod permit_queue;
 pub mod permits;
 mod recent_starts;
+pub mod registration;
 pub mod registry;
 pub mod reservation;
 pub mod retry;
@@ -55,7 +57,8 @@
 pub use permit_hosts::{PermitHost, PermitHosts};
 pub use permit_queue::{DomainKey, PermitQueue, QueueSettings, QueuedRequest};
 pub use permits::{PermitEnd, PermitReply, PermitRequest, PermitSettings, Permits};
-pub use registry::{Registration, UpstreamRegistry, UpstreamState};
+pub use registration::{Registration, UpstreamState};
+pub use registry::UpstreamRegistry;
 pub use reservation::{HostShare, PermitRefusal, Reservation, Step};
 pub use retry::{AttemptEnd, RetryDecision, RetrySettings, RetryState};
 pub use routes::{RouteKey, RouteTable, Splitter};
--- a/crates/front/src/control/announce.rs
+++ b/crates/front/src/control/announce.rs
@@ -13,7 +13,8 @@
 
 use crate::control::apply::apply_shared_row;
 use crate::control::hosts::{HostRow, KnownHost};
-use crate::control::state::{ControlState, SharedControl};
+use crate::control::shared::SharedControl;
+use crate::control::state::ControlState;
 use crate::control::tables::HOST_PREFIX;
 use crate::ports::{Platform, SHARED};
 
--- a/crates/front/src/control/follow.rs
+++ b/crates/front/src/control/follow.rs
@@ -10,7 +10,8 @@
 use platform::{Check, Delta, Txn, Write};
 
 use crate::control::apply::{apply, apply_partition_row, is_host_row};
-use crate::control::state::{ControlState, SharedControl};
+use crate::control::shared::SharedControl;
+use crate::control::state::ControlState;
 use crate::control::tables::{PartitionKey, Table};
 use crate::ports::Platform;
 
--- a/crates/front/src/control/heartbeat.rs
+++ b/crates/front/src/control/heartbeat.rs
@@ -20,8 +20,10 @@
 use crate::control::messages::{
     GranterSighting, Heartbeat, HeartbeatReply, KeyCount, MovingRangesReport, ServiceTime,
 };
+use crate::control::partitions::PartitionState;
 use crate::control::samples::{Sample, SampleRx};
-use crate::control::state::{ControlState, SharedControl};
+use crate::control::shared::SharedControl;
+use crate::control::state::ControlState;
 use crate::control::takeover::unreachable_owners;
 use crate::control::{confirmations, crashes, limits};
 
@@ -468,7 +470,7 @@
 }
 
 /// Adds the loads and service times in a heartbeat.
-fn record_loads(state: &mut crate::control::state::PartitionState, heartbeat: &Heartbeat) {
+fn record_loads(state: &mut PartitionState, heartbeat: &Heartbeat) {
     for count in &heartbeat.keys {
         if let Ok(key) = u16::try_from(count.key) {
             state.loads.add(key, count.count);
--- a/crates/front/src/control/mod.rs
+++ b/crates/front/src/control/mod.rs
@@ -1,7 +1,8 @@
 //! The control thread: follows the store, and grants keys where this host is the granting host.
 //!
 //! - [`samples`]: the ring of samples from the request thread.
-//! - [`state`]: the state of the control thread, and the view that it publishes.
+//! - [`state`]: the state of the control thread; [`partitions`]: its partitions of sharded entries;
+//!   [`shared`]: how its tasks share it; [`publish`]: the view that it publishes.
 //! - [`tables`]: the tables of the store and the keys of their rows.
 //! - [`replica`]: replicas of the store's tables.
 //! - [`apply`](mod@apply): applies what was read of the tables to the state.
@@ -38,15 +39,19 @@
 pub mod limits;
 pub mod messages;
 pub mod observations;
+pub mod partitions;
+pub mod publish;
 pub mod quarantine;
 pub mod quarantined;
 pub mod registry;
 pub mod relay;
 pub mod replica;
 pub mod samples;
+pub mod shared;
 pub mod state;
 pub mod tables;
 mod takeover;
 pub mod tree;
 
-pub use state::{ControlState, RequestThreadLinks, SharedControl};
+pub use shared::SharedControl;
+pub use state::{ControlState, RequestThreadLinks};
--- a/crates/front/src/control/observations.rs
+++ b/crates/front/src/control/observations.rs
@@ -5,7 +5,7 @@
 use ids::{BootClock, Clock};
 use tokio::net::UdpSocket;
 
-use crate::control::state::SharedControl;
+use crate::control::shared::SharedControl;
 use crate::control::{crashes, heartbeat};
 use crate::observation::{ObservationRx, UpstreamObservation};
 
--- a/crates/front/src/control/quarantine.rs
+++ b/crates/front/src/control/quarantine.rs
@@ -16,7 +16,8 @@
 use slog::{info, warn};
 
 use crate::control::quarantined::{QuarantineEntry, QuarantineRow};
-use crate::control::state::{ControlState, SharedControl};
+use crate::control::shared::SharedControl;
+use crate::control::state::ControlState;
 use crate::ports::{Platform, SHARED};
 
 /// Key of the row that holds the quarantined requests.
--- a/crates/front/src/control/state.rs
+++ b/crates/front/src/control/state.rs
@@ -1,97 +1,34 @@
-//! The state of the control thread, and the view that it publishes.
+//! The state of the control thread.
 
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use assign::{
-    AssignSettings, EntryOwners, HostIncarnation, KeyLoads, MovingRanges, Partition, PartitionId,
-    PartitionLeaseManager, PartitionOwners, PartitionRow, Planner, TakeoverMonitor,
-    TakeoverSettings, UnservedKeys,
-};
-use direct::{
-    Configuration, CrashTracker, PeerHost, PermitHosts, RateLimit, RouteTable, UpstreamRegistry,
-};
+use assign::{HostIncarnation, Partition, PartitionId};
+use direct::{Configuration, CrashTracker, RateLimit, RouteTable, UpstreamRegistry};
 use gate::Metrics;
 use gate::counters::Latency;
-use ids::{DomainId, EntryId, HostId, Revision, StoreEra, Timestamp, UpstreamId};
+use ids::{HostId, Timestamp, UpstreamId};
 use indexmap::{IndexMap, IndexSet};
 use platform::PlatformError;
 use slog::{Logger, info, warn};
 use smol_str::SmolStr;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::mpsc;
 
 use crate::control::era::KnownEra;
 use crate::control::freshness::Freshness;
 use crate::control::hosts::KnownHost;
+use crate::control::partitions::PartitionState;
+use crate::control::publish::HostLists;
 use crate::control::quarantined::QuarantineState;
 use crate::control::replica::TableReplica;
-use crate::control::tables::{PartitionKey, Table};
+use crate::control::tables::Table;
 use crate::control::tree::{Position, RelayHost, RelayTree};
 use crate::links::SharedLostLinks;
 use crate::peer_exchange::PeerCalls;
 use crate::settings::Settings;
-use crate::view::{CompiledConfiguration, Phase, SharedView, View};
-
-/// State of one partition of a sharded entry.
-#[derive(Debug)]
-pub struct PartitionState {
-    /// The partition. The number of partitions becomes known with the row of the first one.
-    pub partition: Partition,
-    /// When this host learnt of the partition.
-    pub known_since: Timestamp,
-    /// Grants its keys.
-    pub lease_manager: PartitionLeaseManager,
-    /// Decides when this host takes over as the granting host.
-    pub takeover_monitor: TakeoverMonitor,
-    /// Keys that no upstream serves at present.
-    pub unserved: UnservedKeys,
-    /// Request rates of its keys.
-    pub loads: KeyLoads,
-    /// Mean service times of its upstreams, in seconds.
-    pub service_times: HashMap<UpstreamId, f64>,
-    /// Upstreams whose grant calls fail, and the number of failed calls.
-    pub failing_calls: HashMap<UpstreamId, u32>,
-    /// The owners as last published; none if they have changed since.
-    owners: Option<Arc<PartitionOwners>>,
-}
-
-impl PartitionState {
-    /// Updates what follows from the lease manager's row, which may have changed.
-    pub fn row_changed(&mut self, now: Timestamp) {
-        if let (Some(row), Some(revision)) =
-            (self.lease_manager.row(), self.lease_manager.revision())
-        {
-            self.unserved.record_row(now, row, revision);
-            self.owners = None;
-        }
-    }
-
-    /// Applies the granting host's report of ranges that no upstream serves; returns whether it
-    /// changes anything.
-    pub fn apply_moving(&mut self, now: Timestamp, moving: &MovingRanges) -> bool {
-        let has_changed = self.unserved.apply(now, moving);
-        if has_changed {
-            self.owners = None;
-        }
-        has_changed
-    }
-
-    /// Returns the owners of the partition's keys, if its row is known.
-    fn owners(&mut self) -> Option<Arc<PartitionOwners>> {
-        if self.owners.is_none() {
-            let owners = PartitionOwners::new(self.lease_manager.row()?, &self.unserved);
-            self.owners = Some(Arc::new(owners));
-        }
-        self.owners.clone()
-    }
-}
-
-/// The hosts that grant permits, by domain, and the hosts through which requests may go.
-pub type HostLists = (Arc<IndexMap<DomainId, PermitHosts>>, Arc<Vec<PeerHost>>);
+use crate::view::{CompiledConfiguration, Phase, SharedView};
 
 /// Last known address of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -193,57 +130,6 @@
     pub metrics: Arc<Metrics>,
 }
 
-/// The state of the control thread, shared by its tasks.
-#[derive(Debug, Clone)]
-pub struct SharedControl {
-    state: Rc<RefCell<ControlState>>,
-    /// Wakes the task that drives the lease managers.
-    pub wake_lease_managers: Rc<Notify>,
-    /// Notifies the tasks that relay to other hosts that a replica changed or was confirmed.
-    changes: Rc<watch::Sender<()>>,
-}
-
-impl SharedControl {
-    /// Shares `state`.
-    #[must_use]
-    pub fn new(state: ControlState) -> Self {
-        Self {
-            state: Rc::new(RefCell::new(state)),
-            wake_lease_managers: Rc::default(),
-            changes: Rc::new(watch::Sender::new(())),
-        }
-    }
-
-    /// Returns a receiver that is notified when a replica changes or is confirmed.
-    #[must_use]
-    pub fn subscribe(&self) -> watch::Receiver<()> {
-        self.changes.subscribe()
-    }
-
-    /// Notifies all dependent tasks that this host's knowledge of the store has changed.
-    pub fn notify_changed(&self) {
-        self.wake_lease_managers.notify_one();
-        self.changes.send_replace(());
-    }
-
-    /// Notifies the relay targets of this host that a read has confirmed the replicas.
-    ///
-    /// Each host relays the confirmation at once, so that the last one in the tree is hardly behind
-    /// the first.
-    pub fn notify_confirmed(&self) {
-        self.changes.send_replace(());
-    }
-
-    /// Reads or changes the state; `f` must not wait.
-    ///
-    /// # Panics
-    ///
-    /// Panics if called within itself.
-    pub fn with<T>(&self, f: impl FnOnce(&mut ControlState) -> T) -> T {
-        f(&mut self.state.borrow_mut())
-    }
-}
-
 impl ControlState {
     /// Creates the state of a host that has just started.
     #[must_use]
@@ -292,64 +178,6 @@
         }
     }
 
-    /// Publishes the view for the request thread.
-    pub fn publish(&mut self) {
-        let mut owners: IndexMap<EntryId, EntryOwners> = IndexMap::new();
-        for (id, state) in &mut self.partitions {
-            if let Some(known) = state.owners() {
-                let entry = owners.entry(id.entry.clone()).or_default();
-                entry.insert(state.partition, known);
-            }
-        }
-        let (permit_hosts, peers) = self.host_lists();
-        let view = View {
-            peers,
-            permit_hosts,
-            phase: self.phase,
-            configuration: self.configuration.clone(),
-            registry: Arc::new(self.registry.clone()),
-            owners: Arc::new(owners),
-            quarantine: self.quarantined.in_force(),
-            is_store_unreachable: self.store_available_since.is_none(),
-            hosts: self.hosts.len().max(1),
-        };
-        self.view.store(Arc::new(view));
-    }
-
-    /// Returns the hosts that grant permits, and those through which requests may go. They are built
-    /// anew only if the hosts have changed.
-    fn host_lists(&mut self) -> HostLists {
-        let (hosts, this_host) = (&self.hosts, &self.this_host.host);
-        let lists = self.host_lists.get_or_insert_with(|| {
-            let mut permit_hosts: IndexMap<DomainId, PermitHosts> = IndexMap::new();
-            let mut peers = Vec::new();
-            for row in hosts.values().map(|host| &host.row) {
-                let of_domain = permit_hosts.entry(row.domain.clone()).or_default();
-                if let Some(address) = row.permits {
-                    of_domain.add(address, row.capacity);
-                }
-                if let Some(address) = row.exchanges
-                    && row.incarnation.host != *this_host
-                {
-                    let domain = row.domain.clone();
-                    peers.push(PeerHost { address, domain });
-                }
-            }
-            (Arc::new(permit_hosts), Arc::new(peers))
-        });
-        lists.clone()
-    }
-
-    /// Changes the phase of the host.
-    pub fn set_phase(&mut self, phase: Phase) {
-        if self.phase == phase {
-            return;
-        }
-        info!(self.log, "phase"; "from" => ?self.phase, "to" => ?phase);
-        self.phase = phase;
-        self.publish();
-    }
-
     /// Applies a configuration unless one as new is in force. The change is not published yet.
     pub fn apply_configuration(&mut self, now: Timestamp, cfg: Configuration) {
         if let Some(old) = &self.configuration
@@ -373,41 +201,6 @@
         }
     }
 
-    /// Adds a partition of an entry's keys, unless it is known.
-    fn add_partition(&mut self, now: Timestamp, entry: &EntryId, partition: Partition) {
-        let id = PartitionId {
-            entry: entry.clone(),
-            index: partition.index,
-        };
-        if let Some(known) = self.partitions.get_mut(&id) {
-            known.partition.count = known.partition.count.max(partition.count);
-            return;
-        }
-        let cfg = AssignSettings::default();
-        let mut state = PartitionState {
-            partition,
-            known_since: now,
-            owners: None,
-            lease_manager: PartitionLeaseManager::new(
-                self.this_host.clone(),
-                cfg,
-                Planner::default(),
-            ),
-            takeover_monitor: TakeoverMonitor::new(TakeoverSettings::default()),
-            unserved: UnservedKeys::default(),
-            loads: KeyLoads::new(now),
-            service_times: HashMap::new(),
-            failing_calls: HashMap::new(),
-        };
-        if let Some(since) = self.known_era.since {
-            let era = &self.known_era;
-            state
-                .lease_manager
-                .begin_era(since, era.era, era.may_follow_another);
-        }
-        self.partitions.insert(id, state);
-    }
-
     /// Returns the tree by which hosts relay to each other.
     #[must_use]
     pub fn relay_tree(&self) -> RelayTree {
@@ -430,51 +223,6 @@
             .position(&self.cfg.domain, &self.this_host.host)
     }
 
-    /// Returns whether this host is the granting host of some partition.
-    #[must_use]
-    pub fn grants(&self) -> bool {
-        self.partitions
-            .values()
-            .any(|d| d.lease_manager.is_granter())
-    }
-
-    /// Returns the keys of the rows that name this host as the granting host.
-    #[must_use]
-    pub fn granted_rows(&self) -> Vec<PartitionKey> {
-        let granted = self
-            .partitions
-            .iter()
-            .filter(|(_, d)| d.lease_manager.is_granter());
-        let key = |(id, d): (&PartitionId, &PartitionState)| PartitionKey {
-            partition: id.clone(),
-            era: d.lease_manager.revision().unwrap_or_default().era(),
-        };
-        granted.map(key).collect()
-    }
-
-    /// Records a read of the row of `partition` that began at `began`, when the store was in `era`.
-    pub fn record_row_read(&mut self, partition: &PartitionId, began: Timestamp, era: StoreEra) {
-        if let Some(state) = self.partitions.get_mut(partition) {
-            state.lease_manager.record_read(began, era);
-        }
-    }
-
-    /// Returns whether the end of this host would leave keys without a granting host: no other host
-    /// can take over yet.
-    #[must_use]
-    pub fn is_needed(&self) -> bool {
-        self.grants() && !self.has_stopped
-    }
-
-    /// Records a read of the shared table that began at `began` and brought everything up to then;
-    /// the store was in `era`.
-    pub fn record_shared_read(&mut self, began: Timestamp, era: StoreEra) {
-        self.shared_read_at = self.shared_read_at.max(began);
-        for state in self.partitions.values_mut() {
-            state.lease_manager.record_read(began, era);
-        }
-    }
-
     /// Returns whether the store has answered for at least `span`.
     #[must_use]
     pub fn store_available_for(&self, now: Timestamp, span: Duration) -> bool {
@@ -513,27 +261,4 @@
             self.publish();
         }
     }
-
-    /// Applies the row of a partition. The change is not published yet.
-    pub fn apply_row(
-        &mut self,
-        now: Timestamp,
-        id: &PartitionId,
-        row: PartitionRow,
-        revision: Revision,
-    ) {
-        for partition in row.partition.all() {
-            self.add_partition(now, &id.entry, partition);
-        }
-        let Some(state) = self.partitions.get_mut(id) else {
-            return;
-        };
-        let granter = row.granter.clone();
-        let has_changed = state.lease_manager.apply_row(now, row, revision);
-        state.row_changed(now);
-        if has_changed && state.takeover_monitor.set_granter(now, &granter) {
-            info!(self.log, "keys are granted by"; "part" => %id,
-                "granter" => granter.host.as_str(), "incarnation" => granter.incarnation.0);
-        }
-    }
 }
--- a/crates/front/src/control/takeover.rs
+++ b/crates/front/src/control/takeover.rs
@@ -11,7 +11,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::control::hosts::KnownHost;
-use crate::control::state::PartitionState;
+use crate::control::partitions::PartitionState;
 use crate::links::LostLinks;
 
 /// Time without a change of upstreams after which an entry's keys are first assigned: more than the
--- a/crates/gate/src/grants.rs
+++ b/crates/gate/src/grants.rs
@@ -232,15 +232,8 @@
             .headers_mut()
             .insert(&REQUEST_ID, HeaderValue::from(self.calls));
         let id = self.calls.to_string();
-        let now = BootClock.now();
-        let sending = Sending {
-            id: &id,
-            id_header: &REQUEST_ID,
-            now,
-            // No call is sent again under its id.
-            deadline: now,
-            unidentified: Unidentified::OnlyRequest,
-        };
+        let unidentified = Unidentified::OnlyRequest;
+        let sending = Sending::once(&id, &REQUEST_ID, BootClock.now(), unidentified);
         let limit = self.settings.reply_bytes;
         let conn = self.connect().await?;
         let exchange = match conn.exchange(&sending, request, limit).await {
--- a/crates/gate/src/upstream/carried.rs
+++ b/crates/gate/src/upstream/carried.rs
@@ -48,7 +48,24 @@
     Any,
 }
 
-impl Sending<'_> {
+impl<'a> Sending<'a> {
+    /// Returns the sending of a call at `now` that is not sent again under its id.
+    #[must_use]
+    pub const fn once(
+        id: &'a str,
+        id_header: &'a HeaderName,
+        now: Timestamp,
+        unidentified: Unidentified,
+    ) -> Self {
+        Self {
+            id,
+            id_header,
+            now,
+            deadline: now,
+            unidentified,
+        }
+    }
+
     /// Returns whether an answer with these headers is that to this sending. `is_first` means that the
     /// connection has carried no other request.
     pub(super) fn is_answered_by(&self, headers: &HeaderMap, is_first: bool) -> bool {
