--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -6,11 +6,13 @@
 //! - [`keys`]: keys that a server holds.
 //! - [`cold`]: limits of a server that is warming up.
 //! - [`endless`]: answers that never end.
+//! - [`calls`]: other answers to control calls.
 //! - [`twice`]: answers that are sent twice.
 //! - [`target`]: a server, its faults, and the journal of the requests that it ran; `answers` holds
 //!   its responses.
 
 mod answers;
+pub mod calls;
 pub mod cold;
 pub mod copies;
 pub mod deploy;
@@ -20,6 +22,7 @@
 pub mod target;
 pub mod twice;
 
+pub use calls::CallAnswers;
 pub use cold::ColdSettings;
 pub use copies::{LostRows, StoreCopy};
 pub use endless::EndlessAnswer;
