front: a host's failed connections don't make an owner ineligible for a request that reached it

The question that is asked after a wait took over all that the selection of an owner asks, also whether this host has lately failed to reach it. A request whose own connection had opened meanwhile was then not sent, because another one's had failed. The selection goes on asking it; the question asks who serves the key. PermitStatus names what it is, in place of Pass.

--- a/crates/front/src/forward/attempt.rs
+++ b/crates/front/src/forward/attempt.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use ids::{BootClock, Clock, Reason, Timestamp};
 
-use super::eligibility::Pass;
+use super::eligibility::PermitStatus;
 use super::{CallerRequest, Forwarder, reply};
 use crate::observation::UpstreamObservation;
 use crate::ports::{ClassifiedResponse, ResponseClass};
@@ -23,7 +23,7 @@
         &self,
         request: &CallerRequest,
         target: &Registration,
-        pass: Pass,
+        permit_status: PermitStatus,
     ) -> Result<Response<Full<Bytes>>, AttemptEnd> {
         let now = BootClock.now();
         self.metrics.count(Count::Sent);
@@ -34,7 +34,7 @@
             sent,
             has_ended: false,
         };
-        let result = self.exchange(request, target, pass).await;
+        let result = self.exchange(request, target, permit_status).await;
         in_flight.end();
         drop(in_flight);
         result
@@ -46,10 +46,12 @@
         &self,
         request: &CallerRequest,
         target: &Registration,
-        pass: Pass,
+        permit_status: PermitStatus,
     ) -> Result<Response<Full<Bytes>>, AttemptEnd> {
         let sent = BootClock.now();
-        let exchanged = self.exchange_with_target(request, target, pass).await;
+        let exchanged = self
+            .exchange_with_target(request, target, permit_status)
+            .await;
         let response = exchanged.map_err(|failed| {
             if let Some(head) = &failed.head {
                 let classified = self.classify(head, request, target);
--- a/crates/front/src/forward/eligibility.rs
+++ b/crates/front/src/forward/eligibility.rs
@@ -20,19 +20,19 @@
 use super::prepare::CallerRequest;
 use crate::view::View;
 
-/// What an attempt was admitted with, which decides how far it may go without a permit.
+/// Whether an attempt has a permit, or may do without one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Pass {
-    /// A permit, or the wait for one.
-    Permit,
-    /// None, as the upstream required none.
+pub(super) enum PermitStatus {
+    /// It has one, or waits for it.
+    Held,
+    /// It has none, as the upstream required none.
     NotRequired,
-    /// None, though the upstream limits its requests: this host may send it some of its own.
+    /// It has none, though the upstream limits its requests: this host may send it some of its own.
     OwnLimit,
 }
 
-impl Pass {
-    /// Returns the pass of a request without a permit, to an upstream that limits its requests or not.
+impl PermitStatus {
+    /// Returns the status without a permit, at an upstream that limits its requests or not.
     pub(super) const fn without_permit(is_limited: bool) -> Self {
         if is_limited {
             Self::OwnLimit
@@ -43,12 +43,14 @@
 }
 
 impl Forwarder {
-    /// Returns whether `request` may go to `target` now, with `pass`.
+    /// Returns whether `request` may go to `target` now.
+    ///
+    /// Whether this host reaches `target` is not asked: a connection that opens answers that.
     pub(super) fn is_eligible(
         &self,
         request: &CallerRequest,
         target: &Registration,
-        pass: Pass,
+        permit_status: PermitStatus,
     ) -> bool {
         let now = BootClock.now();
         let view = self.view.load();
@@ -57,7 +59,7 @@
             return false;
         }
         let up = if request.resolved.is_divided {
-            match self.pick_owner(&view, request, now) {
+            match self.serving_owner(&view, request, now) {
                 Pick::To(owner) if owner.id == target.id => Some(owner),
                 _ => None,
             }
@@ -65,7 +67,9 @@
             let up = view.registry.get(&target.id).cloned();
             up.filter(|up| self.takes_requests(&view, request, up, now))
         };
-        up.is_some_and(|up| pass != Pass::NotRequired || !self.needs_permit(request, &up))
+        up.is_some_and(|up| {
+            permit_status != PermitStatus::NotRequired || !self.needs_permit(request, &up)
+        })
     }
 
     /// Returns whether an upstream takes requests that any upstream of their entry may run.
@@ -89,11 +93,11 @@
         &self,
         request: &CallerRequest,
         target: &Registration,
-        pass: Pass,
+        permit_status: PermitStatus,
     ) {
         let mut views = self.view.changes();
         let mut upstreams = self.upstream_changes.subscribe();
-        while self.is_eligible(request, target, pass) {
+        while self.is_eligible(request, target, permit_status) {
             let known_end = self.served_until(request, target);
             // Neither sender is dropped before this host's requests have ended.
             tokio::select! {
--- a/crates/front/src/forward/exchange.rs
+++ b/crates/front/src/forward/exchange.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use ids::{BootClock, Clock, Reason, Timestamp};
 
-use super::eligibility::Pass;
+use super::eligibility::PermitStatus;
 use super::{CallerRequest, Forwarder};
 use crate::peer_exchange::PeerFailure;
 use crate::upstream_client::{
@@ -29,9 +29,9 @@
         &self,
         request: &CallerRequest,
         target: &Registration,
-        pass: Pass,
+        permit_status: PermitStatus,
     ) -> Result<UpstreamResponse, FailedExchange> {
-        let is_eligible = || self.is_eligible(request, target, pass);
+        let is_eligible = || self.is_eligible(request, target, permit_status);
         let outgoing = Outgoing {
             is_eligible: &is_eligible,
             ..self.outgoing(request, target)
--- a/crates/front/src/forward/pick.rs
+++ b/crates/front/src/forward/pick.rs
@@ -10,7 +10,7 @@
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp};
 use rand::Rng;
 
-use super::eligibility::Pass;
+use super::eligibility::PermitStatus;
 use super::reply::{
     DEFAULT_RETRY_AFTER, KEY_RETRY_AFTER, Refusal, account_for_attempts, refuse_for_about,
     refuse_for_at_least,
@@ -114,7 +114,30 @@
         }
     }
 
+    /// Selects the owner of the request's key.
     pub(super) fn pick_owner(&self, view: &View, request: &CallerRequest, now: Timestamp) -> Pick {
+        let up = match self.serving_owner(view, request, now) {
+            Pick::To(up) => up,
+            other => return other,
+        };
+        if !self.with_load(&up, |load| load.is_in_backoff(now)) {
+            return Pick::To(up);
+        }
+        if self.links.state(&up.id) == LinkState::Usable {
+            return Pick::Wait;
+        }
+        // Neither this host nor those that it asked reach the owner now.
+        let refusal = refuse_for_about(Reason::NoUpstream, DEFAULT_RETRY_AFTER);
+        Pick::Refuse(refusal, Some(up))
+    }
+
+    /// Selects the owner of the request's key, whether this host reaches it or not.
+    pub(super) fn serving_owner(
+        &self,
+        view: &View,
+        request: &CallerRequest,
+        now: Timestamp,
+    ) -> Pick {
         let owners = view.owners.get(&request.resolved.entry);
         let Some(range) = request
             .caller_headers
@@ -122,7 +145,8 @@
             .and_then(|key| owners?.range_owner(key))
         else {
             // The key never had an owner; granting it takes longer than a caller waits.
-            return Pick::Refuse(refuse_for_about(Reason::NoOwner, KEY_RETRY_AFTER), None);
+            let refusal = refuse_for_about(Reason::NoOwner, KEY_RETRY_AFTER);
+            return Pick::Refuse(refusal, None);
         };
         let up = view.registry.get(&range.owner);
         let up = up.filter(|up| up.entry == request.resolved.entry);
@@ -153,14 +177,6 @@
             let refusal = refuse_for_at_least(Reason::QueueFull, pause);
             return Pick::Refuse(refusal, Some(up.clone()));
         }
-        if self.with_load(up, |load| load.is_in_backoff(now)) {
-            if self.links.state(&up.id) != LinkState::Usable {
-                // Neither this host nor those that it asked reach the owner now.
-                let refusal = refuse_for_about(Reason::NoUpstream, DEFAULT_RETRY_AFTER);
-                return Pick::Refuse(refusal, Some(up.clone()));
-            }
-            return Pick::Wait;
-        }
         Pick::To(up.clone())
     }
 
@@ -219,7 +235,7 @@
             .admit(view, target, &permit_request, needs_permit);
         let admission = tokio::select! {
             admission = admission => admission,
-            () = self.until_ineligible(request, target, Pass::Permit) => {
+            () = self.until_ineligible(request, target, PermitStatus::Held) => {
                 self.metrics.count(Count::NoLongerEligible);
                 return Admission::Withdrawn;
             }
--- a/crates/front/src/forward/reserve.rs
+++ b/crates/front/src/forward/reserve.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 
 use super::Forwarder;
-use super::eligibility::Pass;
+use super::eligibility::PermitStatus;
 use super::pick::Pick;
 use super::prepare::CallerRequest;
 use super::reply::{Refusal, refuse_for_about};
@@ -25,10 +25,10 @@
     /// The permit host granted a permit.
     Permit(Permit),
     /// No permit; the upstream was selected by this host's estimate, or is the key's owner.
-    Estimate(Pass),
+    Estimate(PermitStatus),
     /// This host's share of the entry has room.
     Share(
-        Pass,
+        PermitStatus,
         #[expect(dead_code, reason = "released when dropped")] ShareUse<'a>,
     ),
 }
@@ -52,10 +52,10 @@
     }
 
     /// Returns how far the request may go with it.
-    pub(super) const fn pass(&self) -> Pass {
+    pub(super) const fn permit_status(&self) -> PermitStatus {
         match self {
-            Self::Permit(_) => Pass::Permit,
-            Self::Estimate(pass) | Self::Share(pass, _) => *pass,
+            Self::Permit(_) => PermitStatus::Held,
+            Self::Estimate(permit_status) | Self::Share(permit_status, _) => *permit_status,
         }
     }
 }
@@ -234,17 +234,19 @@
         targets: &mut Targets,
     ) -> Result<Option<Admitted<'a>>, Refusal> {
         let is_rate_limited = self.needs_permit(request, target);
-        let pass = Pass::without_permit(is_rate_limited);
+        let permit_status = PermitStatus::without_permit(is_rate_limited);
         let may_wait = match targets.reservation.step() {
-            Step::SendTo(_) => return Ok(Some(Admitted::Estimate(pass))),
-            Step::SendInShare { .. } => return self.enter_share(view, request, pass).map(Some),
+            Step::SendTo(_) => return Ok(Some(Admitted::Estimate(permit_status))),
+            Step::SendInShare { .. } => {
+                return self.enter_share(view, request, permit_status).map(Some);
+            }
             Step::SendToBest if !is_rate_limited => {
-                return Ok(Some(Admitted::Estimate(pass)));
+                return Ok(Some(Admitted::Estimate(permit_status)));
             }
             step => matches!(step, Step::Queue(_)),
         };
         if self.skips_permits(request, target) {
-            return Ok(Some(Admitted::Estimate(pass)));
+            return Ok(Some(Admitted::Estimate(permit_status)));
         }
         let refusal = match self.admit(view, request, target, may_wait).await {
             Admission::Granted(permit) => return Ok(Some(Admitted::Permit(permit))),
@@ -316,7 +318,7 @@
         &'a self,
         view: &View,
         request: &'a CallerRequest,
-        pass: Pass,
+        permit_status: PermitStatus,
     ) -> Result<Admitted<'a>, Refusal> {
         let ready = view.registry.ready(&request.resolved.entry);
         let slots = ready.iter().map(|up| up.slots).sum();
@@ -333,7 +335,7 @@
             forwarder: self,
             entry: &request.resolved.entry,
         };
-        Ok(Admitted::Share(pass, share_use))
+        Ok(Admitted::Share(permit_status, share_use))
     }
 
     /// Tells the permit host how a request ended that had a permit.
--- a/crates/front/src/forward/retry_loop.rs
+++ b/crates/front/src/forward/retry_loop.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use ids::{BootClock, Clock, EntryId, Reason, Timestamp};
 
-use super::eligibility::Pass;
+use super::eligibility::PermitStatus;
 use super::pick::{MOVE_POLL, Pick};
 use super::prepare::CallerRequest;
 use super::reply::{
@@ -228,14 +228,14 @@
         let Some(mut admitted) = admitted else {
             return Ok(SendOutcome::NotSent);
         };
-        let pass = admitted.pass();
-        if !self.is_eligible(request, target, pass) {
+        let permit_status = admitted.permit_status();
+        if !self.is_eligible(request, target, permit_status) {
             progress.targets.withdraw_from(target);
             self.metrics.count(Count::NoLongerEligible);
             return Ok(SendOutcome::NotSent);
         }
         log.borrow_mut().record_sent(admitted.sent_with());
-        let result = self.attempt(request, target, pass).await;
+        let result = self.attempt(request, target, permit_status).await;
         if let Some(permit) = admitted.permit() {
             self.record_permit_end(request, target, permit, permit_end(&result));
         }
@@ -251,10 +251,10 @@
         owner: &Registration,
     ) -> Result<Option<Admitted<'_>>, Refusal> {
         let is_rate_limited = self.needs_permit(request, owner);
-        let pass = Pass::without_permit(is_rate_limited);
+        let permit_status = PermitStatus::without_permit(is_rate_limited);
         let no_capacity = match self.admit(view, request, owner, true).await {
             Admission::Granted(permit) => return Ok(Some(Admitted::Permit(permit))),
-            Admission::Unknown => return Ok(Some(Admitted::Estimate(pass))),
+            Admission::Unknown => return Ok(Some(Admitted::Estimate(permit_status))),
             Admission::Withdrawn => return Ok(None),
             Admission::Full { retry_after } => NoCapacity {
                 retry_after,
