front: a row that says nothing new in a later era of the store is relayed as one of that era

Cause: a replica kept the row of the earlier era where the later one said nothing new. A host that had read the later era without the row passed over what was relayed, as older than its own removal, and heartbeats are no news either.

Evidence: the hosts' logs (docs/incidents/row-of-an-earlier-era.md), and reading.

Result: a_row_that_says_nothing_new_in_a_later_era_is_one_of_that_era fails before and passes now. The soak does not show the fault on demand.

--- a/crates/front/src/control/apply.rs
+++ b/crates/front/src/control/apply.rs
@@ -8,6 +8,7 @@
 
 use crate::control::hosts::HostRow;
 use crate::control::quarantine::{self, QUARANTINE_ROW};
+use crate::control::replica::RowNews;
 use crate::control::state::ControlState;
 use crate::control::tables::{HOST_PREFIX, PARTITION_PREFIX, PartitionKey, Table};
 use crate::ports::Platform;
@@ -30,8 +31,8 @@
     c.is_bulk_read = matches!(delta, Delta::Snapshot(_)) || all.rows.len() > MAX_LOGGED_ROWS;
     let rows = replica.apply(delta, |row| match table {
         Table::Upstreams => apply_registration(c, platform, row, now),
-        Table::Configuration => !is_outdated_configuration(c, platform, row),
-        Table::Shared => true,
+        Table::Configuration => RowNews::from(!is_outdated_configuration(c, platform, row)),
+        Table::Shared => RowNews::Changed,
     });
     c.replicas[table.index()] = replica;
     if std::mem::take(&mut c.is_bulk_read) {
@@ -71,19 +72,29 @@
     key_of(row).starts_with(HOST_PREFIX)
 }
 
-/// Applies a registration; returns whether it changes anything.
+/// Applies a registration; returns what it says.
 fn apply_registration(
     c: &mut ControlState,
     platform: &impl Platform,
     row: &Row,
     now: Timestamp,
-) -> bool {
+) -> RowNews {
     let Some(value) = &row.value else {
-        return true;
+        return RowNews::Changed;
+    };
+    let upstream = match platform.registration(key_of(row), value, now) {
+        Ok(upstream) => upstream,
+        Err(e) => return c.refuse_registration(&e).into(),
     };
-    match platform.registration(key_of(row), value, now) {
-        Ok(upstream) => c.register(now, row.revision, upstream),
-        Err(e) => c.refuse_registration(&e),
+    let (id, write_count) = (upstream.id.clone(), upstream.write_count);
+    if c.register(now, row.revision, upstream) {
+        return RowNews::Changed;
+    }
+    let known = c.registry.get(&id);
+    if known.is_some_and(|known| known.write_count == write_count) {
+        RowNews::Unchanged
+    } else {
+        RowNews::Outdated
     }
 }
 
--- a/crates/front/src/control/replica.rs
+++ b/crates/front/src/control/replica.rs
@@ -13,6 +13,28 @@
 /// more rows than a wave of restarts removes in the seconds by which a read may be late.
 const MAX_REMOVED_ROWS: usize = 2_000;
 
+/// What a row with a value that was read says to a host that knows an earlier one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RowNews {
+    /// Something that matters.
+    Changed,
+    /// Nothing new.
+    Unchanged,
+    /// It is older than what is known, or can't be used.
+    Outdated,
+}
+
+impl From<bool> for RowNews {
+    /// Returns the news of a row that either matters or is of no use.
+    fn from(has_changed: bool) -> Self {
+        if has_changed {
+            Self::Changed
+        } else {
+            Self::Outdated
+        }
+    }
+}
+
 /// One row of a replica; it has no value if it was removed.
 #[derive(Debug, Clone)]
 struct ReplicaRow {
@@ -46,9 +68,14 @@
 
     /// Applies a read; returns the changed rows, including removed ones.
     ///
-    /// `is_relevant` returns whether a row with a value matters; other rows are left out of the
-    /// replica.
-    pub fn apply(&mut self, delta: Delta, mut is_relevant: impl FnMut(&Row) -> bool) -> Vec<Row> {
+    /// `news_of` returns what a row with a value says; rows that don't matter are left out of the
+    /// replica. One that says nothing new in a later era replaces the one that is known: a host whose own
+    /// first read of that era lacked the row is sent only rows of that era.
+    pub fn apply<N: Into<RowNews>>(
+        &mut self,
+        delta: Delta,
+        mut news_of: impl FnMut(&Row) -> N,
+    ) -> Vec<Row> {
         let mut applied = Vec::new();
         let (Delta::Changes(read) | Delta::Snapshot(read)) = &delta;
         let is_new_era = self.revision.era() < read.revision.era();
@@ -72,12 +99,20 @@
                 continue;
             }
             let was_removed = known.is_some_and(|known| known.value.is_none());
-            let is_included = row.value.is_none() || is_relevant(&row);
-            if !is_included && !was_removed {
-                continue;
+            let is_of_later_era =
+                known.is_some_and(|known| known.revision.era() < row.revision.era());
+            let news = match row.value {
+                Some(_) => news_of(&row).into(),
+                None => RowNews::Changed,
+            };
+            match news {
+                RowNews::Unchanged if is_of_later_era && !was_removed => self.insert_row(row),
+                RowNews::Unchanged | RowNews::Outdated if !was_removed => {}
+                _ => {
+                    self.insert_row(row.clone());
+                    applied.push(row);
+                }
             }
-            self.insert_row(row.clone());
-            applied.push(row);
         }
         self.revision = self.revision.max(changes.revision);
         applied
--- a/crates/front/tests/copies.rs
+++ b/crates/front/tests/copies.rs
@@ -1,6 +1,6 @@
 //! Replicas of the store's tables, for reads that arrive in any order.
 
-use front::control::replica::TableReplica;
+use front::control::replica::{RowNews, TableReplica};
 use ids::{Revision, StoreEra};
 use platform::{Changes, Delta, Row, RowKey};
 
@@ -190,6 +190,20 @@
     }
 }
 
+/// Guards against a registration that a host never gets: its own first read of an era lacked the row, and
+/// to the host that relays to it the row says nothing new, as it read the era later.
+#[test]
+fn a_row_that_says_nothing_new_in_a_later_era_is_one_of_that_era() {
+    for (news, era) in [(RowNews::Unchanged, 1), (RowNews::Outdated, 0)] {
+        let mut replica = TableReplica::default();
+        replica.apply(first(), |_| true);
+        let read = in_next_era(4, vec![row("a", 1, Some("1")), row("b", 4, Some("2"))]);
+        assert_eq!(replica.apply(Delta::Snapshot(read), |_| news), []);
+        let relayed = replica.since_generation(0).last().expect("a row");
+        assert_eq!(relayed.revision.era(), StoreEra(era), "{news:?}");
+    }
+}
+
 /// Guards against complete transfers to a host that changes to another relay and has nearly all
 /// rows already: at 990 upstreams a whole replica is 250 kB, and sixteen of them occupy a link of
 /// 20 Mbit/s for two seconds.
